Contracts between the packages

Cause: the parts are built side by side and need the same types. Conclusion: parts can be built against these.

--- /dev/null
+++ b/internal/board/board.go
@@ -0,0 +1,207 @@
+package board
+
+import (
+	"time"
+
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+// Board is the blackboard of one instance. Each table names who writes it.
+type Board struct {
+	// Facts.
+
+	// Targets by target id; written by the discovery controller from the
+	// platform's instance list.
+	Targets *Table[Target]
+	// Loads by target id; written by the load view controller and from
+	// reports that ride on the targets' own responses.
+	Loads *Table[Load]
+	// Members by instance id; written by membership.
+	Members *Table[Member]
+	// Profiles by name; written by profile sync. Versions only rise.
+	Profiles *Table[profile.Versioned]
+	// Prefixes by target id: hashes of prefixes believed to be cached.
+	Prefixes *Table[PrefixSet]
+	// Usage by organisation id: use over all instances, from peers' digests.
+	Usage *Table[Usage]
+
+	// Decisions.
+
+	// Drains by subject ("instance/ID", "place/NAME" or "target/ID"); written
+	// by the drain controller from the platform.
+	Drains *Table[Drain]
+	// Leases by service; written by the lease controller.
+	Leases *Table[Lease]
+	// Placements by target id: what an engine should hold; written by the
+	// orders controller.
+	Placements *Table[Placement]
+	// Steering holds one row, SteeringRow: the answer to address questions.
+	Steering *Table[Steering]
+	// Limits by organisation id; written by the limits controller.
+	Limits *Table[Limit]
+	// Refused by request fingerprint: requests that crash targets.
+	Refused *Table[Refusal]
+	// Self holds one row, SelfRow: what this instance may do now.
+	Self *Table[Self]
+}
+
+// Keys of the tables with one row.
+const (
+	SteeringRow = "steering"
+	SelfRow     = "self"
+)
+
+// New returns an empty board.
+func New() *Board {
+	return &Board{
+		Targets:    NewTable[Target](),
+		Loads:      NewTable[Load](),
+		Members:    NewTable[Member](),
+		Profiles:   NewTable[profile.Versioned](),
+		Prefixes:   NewTable[PrefixSet](),
+		Usage:      NewTable[Usage](),
+		Drains:     NewTable[Drain](),
+		Leases:     NewTable[Lease](),
+		Placements: NewTable[Placement](),
+		Steering:   NewTable[Steering](),
+		Limits:     NewTable[Limit](),
+		Refused:    NewTable[Refusal](),
+		Self:       NewTable[Self](),
+	}
+}
+
+// Target is a server of a service, as the platform lists it.
+type Target struct {
+	ID          string
+	Service     string
+	Kind        profile.Kind
+	Provider    string
+	Address     string // IP:port
+	Place       string
+	Region      string
+	ChecksFence bool
+	// Leaving is set at the first sign that the target is leaving, whatever
+	// its source, and is cleared only when the target comes back live with a
+	// later sign of the platform than LeavingSince.
+	Leaving      bool
+	LeavingSince time.Time
+}
+
+// Load is a target's load report with when it reached this instance.
+type Load struct {
+	Report   targetapi.LoadReport
+	Received time.Time // by this instance's clock
+	At       time.Time // when it was true, as well as can be told
+	Via      string    // instance that polled it, "" for our own poll or response
+}
+
+// MemberState is what membership believes of an instance.
+type MemberState string
+
+// Member states. All are hints: no safety rests on them.
+const (
+	MemberAlive   MemberState = "alive"
+	MemberSuspect MemberState = "suspect"
+	MemberLeaving MemberState = "leaving"
+	MemberDead    MemberState = "dead"
+)
+
+// Member is another instance of lynxhill, or this one.
+type Member struct {
+	ID          string
+	Incarnation uint64
+	State       MemberState
+	CallerAddr  string // IP:port of the caller API
+	AdminAddr   string
+	PeerAddr    string // IP:port of the peer API
+	Place       string
+	Region      string
+	Room        float64 // free share of its admission limit, 0 to 1
+	InFlight    int
+	Profiles    uint64 // highest version of the profile set that it has in force
+	Changed     time.Time
+}
+
+// PrefixSet is what is believed of an engine's prefix cache. Events come late
+// and with gaps, so it is only a hint.
+type PrefixSet struct {
+	Seq    uint64
+	Hashes map[string]struct{}
+}
+
+// Usage is an organisation's use over the other instances.
+type Usage struct {
+	RatePerSecond float64
+	InFlight      int
+	Updated       time.Time
+}
+
+// Drain is an operator's order that an instance, place or target takes no new
+// work.
+type Drain struct {
+	Subject string    `json:"subject"`
+	By      string    `json:"by"`
+	At      time.Time `json:"at"`
+	Version uint64    `json:"-"`
+}
+
+// Lease is what this instance knows of the lease on giving orders to a
+// service. Fence is the version of the lease's object.
+type Lease struct {
+	Service string
+	Holder  string
+	Fence   uint64
+	// Until is the end of the lease on this instance's boot clock, which
+	// counts time in which the machine or process was suspended.
+	Until time.Duration
+	Mine  bool
+}
+
+// Placement is the models, adapters and role that an engine should have.
+type Placement struct {
+	Models []targetapi.LoadedModel
+	Role   string
+}
+
+// Steering is the answer to the question which instances to use.
+type Steering struct {
+	Addresses []SteeringAddress
+	Keep      time.Duration // how long a caller may keep the answer
+	Computed  time.Time
+}
+
+// SteeringAddress is an instance with its share of callers.
+type SteeringAddress struct {
+	ID      string
+	Address string
+	Place   string
+	Region  string
+	Weight  float64
+}
+
+// Limit is what an organisation may use on this instance now.
+type Limit struct {
+	RatePerSecond float64 // 0 = no limit
+	Concurrent    int     // 0 = no limit
+}
+
+// Refusal is a request that is refused because targets died while running it.
+type Refusal struct {
+	Targets []string // distinct targets that died
+	Until   time.Time
+}
+
+// Self is what this instance may do.
+type Self struct {
+	Stopping bool // no new callers are sent here
+	Draining bool // by an operator's order
+	Isolated bool // cannot confirm its configuration: takes no new work
+	// Unconfirmed is set after a pause until the profile versions have been
+	// confirmed again: nothing is admitted or dispatched meanwhile.
+	Unconfirmed bool
+}
+
+// MayAdmit reports whether new requests are taken. A stopping or draining
+// instance still admits: kept address answers send callers to it.
+func (s Self) MayAdmit() bool { return !s.Isolated && !s.Unconfirmed }
