--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -89,4 +89,3 @@
 	// Absorb takes in the rows of the sender.
 	Absorb(digest Digest)
 }
-
--- /dev/null
+++ b/internal/wire/lynxapi/admin.go
@@ -0,0 +1,273 @@
+package lynxapi
+
+import (
+	"time"
+
+	"lynxhill.example/lynxhill/internal/profile"
+)
+
+// Paths of the admin API.
+const (
+	PathProfiles        = "/v1/profiles"                // GET: ProfileList
+	PathProfile         = "/v1/profiles/:name"          // GET: ProfileView; PUT: ChangeRequest; DELETE ?if_version=&change_id=
+	PathProfileRollback = "/v1/profiles/:name/rollback" // POST: RollbackRequest
+	PathProfileForce    = "/v1/profiles/:name/force"    // GET: ForceReply
+	PathChange          = "/v1/changes/:id"             // GET: ChangeReply
+	PathInstances       = "/v1/instances"               // GET: InstanceList
+	PathTargets         = "/v1/targets"                 // GET: TargetList
+	PathStatus          = "/v1/status"                  // GET: Status
+	PathDrains          = "/v1/drains"                  // GET: DrainList; POST: DrainRequest; DELETE ?subject=
+	PathLimits          = "/v1/limits"                  // GET: LimitList; PUT: OrganisationLimit
+	PathPlacements      = "/v1/placements"              // GET: PlacementList; PUT: ModelPlan
+	PathBurn            = "/v1/report/burn"             // GET: BurnReport
+	PathBurnLocal       = "/v1/report/burn/local"       // GET: BurnReport of this instance alone
+	PathMetrics         = "/debug/vars"
+)
+
+// Profile states of a change.
+const (
+	ChangeAccepted = "accepted" // written, and in force wherever requests are taken
+	ChangeWritten  = "written"  // written, some instances are not confirmed yet
+	ChangeUnknown  = "unknown"  // the platform did not confirm; ask again by id
+	ChangeRejected = "rejected"
+	ChangeDryRun   = "dry_run"
+)
+
+// ChangeRequest declares a profile.
+type ChangeRequest struct {
+	Profile profile.Profile `json:"profile"`
+	// IfVersion is the version that the operator saw, 0 for a new profile.
+	IfVersion uint64 `json:"if_version"`
+	ChangeID  string `json:"change_id"`
+	DryRun    bool   `json:"dry_run"`
+	WaitMS    int64  `json:"wait_ms"` // how long to wait for acceptance
+}
+
+// RollbackRequest puts an earlier version's content in force as a new version.
+type RollbackRequest struct {
+	IfVersion uint64 `json:"if_version"`
+	Steps     int    `json:"steps"` // 1 = the version before
+	ChangeID  string `json:"change_id"`
+	DryRun    bool   `json:"dry_run"`
+	WaitMS    int64  `json:"wait_ms"`
+}
+
+// ChangeReply says what became of a change.
+type ChangeReply struct {
+	ChangeID string             `json:"change_id"`
+	State    string             `json:"state"`
+	Name     string             `json:"name"`
+	Version  uint64             `json:"version"`
+	Diff     []profile.DiffLine `json:"diff,omitempty"`
+	Force    ForceReply         `json:"force"`
+}
+
+// ForceReply tells where a version is in force.
+type ForceReply struct {
+	Name    string   `json:"name"`
+	Version uint64   `json:"version"`
+	Total   int      `json:"total"`    // instances that may serve
+	InForce int      `json:"in_force"` // of them, those that have the version or a later one
+	Missing []string `json:"missing,omitempty"`
+	Fenced  []string `json:"fenced,omitempty"` // silent long enough that they take no work
+}
+
+// ProfileView is a profile in force.
+type ProfileView struct {
+	Name     string          `json:"name"`
+	Version  uint64          `json:"version"`
+	ChangeID string          `json:"change_id"`
+	Operator string          `json:"operator,omitempty"`
+	At       time.Time       `json:"at"`
+	Profile  profile.Profile `json:"profile"`
+	History  int             `json:"history"` // earlier versions kept for rollback
+}
+
+// ProfileList is the list of profiles.
+type ProfileList struct {
+	Profiles []ProfileView `json:"profiles"`
+}
+
+// InstanceView is an instance as the answering one sees it.
+type InstanceView struct {
+	ID          string  `json:"id"`
+	Incarnation uint64  `json:"incarnation"`
+	State       string  `json:"state"`
+	CallerAddr  string  `json:"caller_addr"`
+	AdminAddr   string  `json:"admin_addr"`
+	Place       string  `json:"place"`
+	Region      string  `json:"region"`
+	Room        float64 `json:"room"`
+	InFlight    int     `json:"in_flight"`
+	Draining    bool    `json:"draining"`
+}
+
+// InstanceList is the list of instances.
+type InstanceList struct {
+	Instances []InstanceView `json:"instances"`
+}
+
+// TargetView is a target as the answering instance sees it.
+type TargetView struct {
+	ID       string   `json:"id"`
+	Service  string   `json:"service"`
+	Kind     string   `json:"kind"`
+	Provider string   `json:"provider"`
+	Place    string   `json:"place"`
+	Address  string   `json:"address"`
+	Leaving  bool     `json:"leaving"`
+	Running  int      `json:"running"`
+	Queued   int      `json:"queued"`
+	Slots    int      `json:"slots"`
+	LoadAge  float64  `json:"load_age_ms"`
+	Models   []string `json:"models,omitempty"`
+}
+
+// TargetList is the list of targets.
+type TargetList struct {
+	Targets []TargetView `json:"targets"`
+}
+
+// Status sums up an instance and what it sees.
+type Status struct {
+	Instance    string       `json:"instance"`
+	Place       string       `json:"place"`
+	Ready       bool         `json:"ready"`
+	Isolated    bool         `json:"isolated"`
+	Stopping    bool         `json:"stopping"`
+	StoreUp     bool         `json:"store_up"`
+	Members     int          `json:"members"`
+	Alive       int          `json:"alive"`
+	Targets     int          `json:"targets"`
+	Leaving     int          `json:"leaving"`
+	InFlight    int          `json:"in_flight"`
+	Profiles    []ForceReply `json:"profiles"`
+	Violations  int          `json:"violations"`
+	StoreCalls  uint64       `json:"store_calls"`
+	UptimeS     float64      `json:"uptime_s"`
+	OrderGivers []OrderGiver `json:"order_givers,omitempty"`
+}
+
+// OrderGiver is who gives orders to the engines of a service.
+type OrderGiver struct {
+	Service string `json:"service"`
+	Holder  string `json:"holder"`
+	Fence   uint64 `json:"fence"`
+}
+
+// DrainRequest orders that a subject take no new work.
+type DrainRequest struct {
+	Subject string `json:"subject"` // instance/ID, place/NAME or target/ID
+}
+
+// DrainView is a drain in force.
+type DrainView struct {
+	Subject string    `json:"subject"`
+	By      string    `json:"by"`
+	At      time.Time `json:"at"`
+}
+
+// DrainList is the list of drains.
+type DrainList struct {
+	Drains []DrainView `json:"drains"`
+}
+
+// OrganisationLimit is the limit of an organisation over all instances.
+type OrganisationLimit struct {
+	Organisation  string  `json:"organisation"`
+	RatePerSecond float64 `json:"rate_per_second"`
+	Concurrent    int     `json:"concurrent"`
+	IfVersion     uint64  `json:"if_version"`
+}
+
+// LimitList is the list of limits.
+type LimitList struct {
+	Limits []OrganisationLimit `json:"limits"`
+}
+
+// ModelPlan says what the engines of a service should hold.
+type ModelPlan struct {
+	Service   string      `json:"service"`
+	Models    []ModelWant `json:"models"`
+	IfVersion uint64      `json:"if_version"`
+}
+
+// ModelWant is a model version that a service should have ready.
+type ModelWant struct {
+	Model    string   `json:"model"`
+	Version  string   `json:"version"`
+	Adapters []string `json:"adapters,omitempty"`
+	Min      int      `json:"min"` // targets that hold it at least
+	Max      int      `json:"max"` // 0 = as many as demand wants
+}
+
+// PlacementList is what the engines should hold and hold.
+type PlacementList struct {
+	Plans []ModelPlan `json:"plans"`
+}
+
+// BurnReport is the service-level report.
+type BurnReport struct {
+	Instance  string       `json:"instance"`
+	Instances int          `json:"instances"` // merged into it
+	Missing   []string     `json:"missing,omitempty"`
+	At        time.Time    `json:"at"`
+	WindowS   float64      `json:"window_s"`
+	Rows      []BurnRow    `json:"rows"`
+	Causes    []BurnCause  `json:"causes"`
+	Costs     []CostRow    `json:"costs"`
+	Series    []BurnSeries `json:"series"`
+}
+
+// BurnRow is the attainment of one profile, organisation or place.
+type BurnRow struct {
+	Scope      string  `json:"scope"` // profile, organisation or place
+	Name       string  `json:"name"`
+	Profile    string  `json:"profile,omitempty"`
+	Objective  float64 `json:"objective"`
+	Total      uint64  `json:"total"`
+	Attained   uint64  `json:"attained"`
+	Attainment float64 `json:"attainment"`
+	BudgetLeft float64 `json:"budget_left"` // share of the error budget; below 0 when overspent
+	BurnShort  float64 `json:"burn_short"`  // error rate over the short window as a multiple of the budgeted one
+	BurnLong   float64 `json:"burn_long"`
+	P50MS      float64 `json:"p50_ms"`
+	P95MS      float64 `json:"p95_ms"`
+	P99MS      float64 `json:"p99_ms"`
+	FirstP95MS float64 `json:"first_p95_ms"`
+}
+
+// BurnCause is what spent the budget.
+type BurnCause struct {
+	Profile   string `json:"profile"`
+	Stage     string `json:"stage"`
+	Target    string `json:"target"`
+	ErrorKind string `json:"error_kind"`
+	Count     uint64 `json:"count"`
+}
+
+// CostRow is the cost of a stage by provider.
+type CostRow struct {
+	Profile  string  `json:"profile"`
+	Stage    string  `json:"stage"`
+	Provider string  `json:"provider"`
+	Calls    uint64  `json:"calls"`
+	Cost     float64 `json:"cost"`
+	Wasted   float64 `json:"wasted"`
+	Tokens   uint64  `json:"tokens"`
+	MeanMS   float64 `json:"mean_ms"`
+}
+
+// BurnSeries is attainment over time, a point a minute or less.
+type BurnSeries struct {
+	Profile string      `json:"profile"`
+	Points  []BurnPoint `json:"points"`
+}
+
+// BurnPoint is one step of a series.
+type BurnPoint struct {
+	At       time.Time `json:"at"`
+	Total    uint64    `json:"total"`
+	Attained uint64    `json:"attained"`
+	Cost     float64   `json:"cost"`
+}
