--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -21,6 +21,10 @@
 	Members *Table[Member]
 	// Profiles by name; written by profile sync. Versions only rise.
 	Profiles *Table[profile.Versioned]
+	// Objects by store key: small configuration objects (profiles, drains,
+	// limits, plans) as they are in force; written by profile sync. Versions
+	// only rise.
+	Objects *Table[ConfigObject]
 	// Prefixes by target id: hashes of prefixes believed to be cached.
 	Prefixes *Table[PrefixSet]
 	// Usage by organisation id: use over all instances, from peers' digests.
@@ -59,6 +63,7 @@
 		Loads:      NewTable[Load](),
 		Members:    NewTable[Member](),
 		Profiles:   NewTable[profile.Versioned](),
+		Objects:    NewTable[ConfigObject](),
 		Prefixes:   NewTable[PrefixSet](),
 		Usage:      NewTable[Usage](),
 		Drains:     NewTable[Drain](),
@@ -86,6 +91,22 @@
 	// later sign of the platform than LeavingSince.
 	Leaving      bool
 	LeavingSince time.Time
+	// LiveSince is when the last leaving mark was cleared; older marks that
+	// peers still pass on are ignored.
+	LiveSince time.Time
+	// MissingSince is set while the platform's list lacks the target.
+	MissingSince time.Time
+}
+
+// MarkLeaving returns the target with the leaving mark of a sign seen at the
+// given time; the first sign wins. It returns false if nothing changes.
+func (t Target) MarkLeaving(at time.Time) (Target, bool) {
+	if t.Leaving || !at.After(t.LiveSince) {
+		return t, false
+	}
+	t.Leaving = true
+	t.LeavingSince = at
+	return t, true
 }
 
 // Load is a target's load report with when it reached this instance.
@@ -123,11 +144,22 @@
 	Changed     time.Time
 }
 
+// ConfigObject is a configuration object as it is in force here. Deleted rows
+// stay as tombstones, so that an older version cannot come back.
+type ConfigObject struct {
+	Version uint64
+	Value   []byte
+	Deleted bool
+}
+
 // PrefixSet is what is believed of an engine's prefix cache. Events come late
 // and with gaps, so it is only a hint.
 type PrefixSet struct {
 	Seq    uint64
 	Hashes map[string]struct{}
+	// Gap is set when events were lost: a prefix that is not in Hashes may
+	// still be cached, and one that is in may have been evicted.
+	Gap bool
 }
 
 // Usage is an organisation's use over the other instances.
@@ -156,6 +188,10 @@
 	// counts time in which the machine or process was suspended.
 	Until time.Duration
 	Mine  bool
+	// UncheckedFrom is when, on the boot clock, orders may first be given to
+	// engines that do not check fencing numbers: the orders of the holder
+	// before have run out by then.
+	UncheckedFrom time.Duration
 }
 
 // Placement is the models, adapters and role that an engine should have.
@@ -200,6 +236,9 @@
 	// Unconfirmed is set after a pause until the profile versions have been
 	// confirmed again: nothing is admitted or dispatched meanwhile.
 	Unconfirmed bool
+	// Mark is the highest version up to which every configuration object is
+	// in force here; written by profile sync, passed on by membership.
+	Mark uint64
 }
 
 // MayAdmit reports whether new requests are taken. A stopping or draining
--- /dev/null
+++ b/internal/control/rendezvous/rendezvous.go
@@ -0,0 +1,49 @@
+// Package rendezvous ranks members for a key by rendezvous hashing, so that
+// all instances that see the same members pick the same few of them, and a
+// member that joins or leaves moves only the keys that it wins or loses.
+package rendezvous
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Score is the weight of the member for the key; the highest wins.
+func Score(key, member string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(member)
+	return d.Sum64()
+}
+
+// Top returns the n members with the highest scores, best first.
+func Top(key string, members []string, n int) []string {
+	ranked := append([]string(nil), members...)
+	sort.Slice(ranked, func(i, j int) bool {
+		a, b := Score(key, ranked[i]), Score(key, ranked[j])
+		if a != b {
+			return a > b
+		}
+		return ranked[i] < ranked[j]
+	})
+	return ranked[:min(n, len(ranked))]
+}
+
+// Position returns how many of the members other than self rank before self:
+// 0 for the best.
+func Position(key, self string, members []string) int {
+	own := Score(key, self)
+	before := 0
+	for _, m := range members {
+		if m == self {
+			continue
+		}
+		if s := Score(key, m); s > own || (s == own && m < self) {
+			before++
+		}
+	}
+	return before
+}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -6,7 +6,10 @@
 
 // Digest is what one instance tells another in one exchange.
 type Digest struct {
-	From     string
+	From string
+	// Transit is set by the receiver: the longest time that the digest can
+	// have been under way (for a reply, the round trip). 0 if not known.
+	Transit  time.Duration
 	Members  []Member
 	Profiles []ProfileVersion
 	Loads    []Load
@@ -14,6 +17,35 @@
 	Refusals []Refusal
 	Drains   []Drain
 	Burn     []Burn
+	// Sums are checksums of the sender's membership rows by bucket, so that
+	// two instances find the rows on which they differ without sending all.
+	Sums []uint32
+	// Config is what the sender has in force.
+	Config Config
+}
+
+// Config is the state of the sender's configuration objects.
+type Config struct {
+	// Mark is the highest version up to which the sender holds every object.
+	Mark uint64
+	// Sum is a checksum of keys and versions: equal sums mean equal versions.
+	Sum uint64
+	// Confirmed says that ConfirmAge is known: the age of the newest contact
+	// with the store that reached the sender, directly or through peers.
+	Confirmed  bool
+	ConfirmAge time.Duration
+	// Serving says that the sender takes new work: it is neither isolated nor
+	// unconfirmed.
+	Serving bool
+	// Heard is how long ago instances are known to have run. It is sent only
+	// while the store does not answer.
+	Heard []Heard
+}
+
+// Heard is evidence that an instance ran Age ago.
+type Heard struct {
+	Member uint32 // hash of the instance id
+	Age    time.Duration
 }
 
 // Member is a row of the membership list.
@@ -29,12 +61,18 @@
 	Room        float64
 	InFlight    int
 	Profiles    uint64
+	// Seq rises when the instance changes its load or its Profiles within one
+	// incarnation.
+	Seq uint64
 }
 
-// ProfileVersion tells which version of a profile the sender has in force.
-// Instances that are behind pull the profile itself.
+// Light reports whether the row carries no addresses: only what changes often.
+func (m Member) Light() bool { return m.PeerAddr == "" }
+
+// ProfileVersion tells which version of a configuration object the sender has
+// in force. Instances that are behind pull the object itself.
 type ProfileVersion struct {
-	Name    string
+	Name    string // key in the store, such as profiles/NAME
 	Version uint64
 }
 
@@ -49,6 +87,20 @@
 	MeanMS  float64
 	KVUsed  float64
 	Leaving bool
+	// Models and Role are set only in rows sent after a change of them and,
+	// seldom, for those who missed it. ModelsKnown tells an engine without
+	// models from a row that does not say.
+	ModelsKnown bool
+	Models      []LoadedModel
+	Role        string
+}
+
+// LoadedModel is a model version with its adapters on an engine.
+type LoadedModel struct {
+	Model    string
+	Version  string
+	Adapters []string
+	Ready    bool
 }
 
 // Usage is the sender's own use by an organisation.
--- a/internal/wire/lynxapi/admin.go
+++ b/internal/wire/lynxapi/admin.go
@@ -189,9 +189,16 @@
 type ModelPlan struct {
 	Service   string      `json:"service"`
 	Models    []ModelWant `json:"models"`
+	Roles     []RoleWant  `json:"roles,omitempty"`
 	IfVersion uint64      `json:"if_version"`
 }
 
+// RoleWant is a number of engines that should have a role.
+type RoleWant struct {
+	Role    string `json:"role"`
+	Engines int    `json:"engines"`
+}
+
 // ModelWant is a model version that a service should have ready.
 type ModelWant struct {
 	Model    string   `json:"model"`
