--- /dev/null
+++ b/internal/auth/tokens.go
@@ -0,0 +1,94 @@
+package auth
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Role is what an operator may do.
+type Role string
+
+// Roles of operators.
+const (
+	RoleViewer   Role = "viewer"   // reads everything
+	RoleOperator Role = "operator" // reads and changes everything
+)
+
+// CallerToken lets its holder send requests of one organisation.
+type CallerToken struct {
+	Hash         string `toml:"hash"`
+	Organisation string `toml:"organisation"`
+}
+
+// OperatorToken lets its holder use the admin API under a name, which is
+// written to the audit events.
+type OperatorToken struct {
+	Hash string `toml:"hash"`
+	Name string `toml:"name"`
+	Role Role   `toml:"role"`
+}
+
+// Tokens is a set of tokens, as it stands in the settings or in a token file.
+type Tokens struct {
+	Caller   []CallerToken   `toml:"caller"`
+	Operator []OperatorToken `toml:"operator"`
+}
+
+// Validate returns an error that names the first unusable entry.
+func (t Tokens) Validate() error {
+	for i, c := range t.Caller {
+		if err := c.validate(); err != nil {
+			return fmt.Errorf("caller[%d].%w", i, err)
+		}
+	}
+	for i, o := range t.Operator {
+		if err := o.validate(); err != nil {
+			return fmt.Errorf("operator[%d].%w", i, err)
+		}
+	}
+	return nil
+}
+
+func (c CallerToken) validate() error {
+	if _, err := parseHash(c.Hash); err != nil {
+		return fmt.Errorf("hash: %w", err)
+	}
+	if c.Organisation == "" {
+		return fmt.Errorf("organisation: must not be empty")
+	}
+	return nil
+}
+
+func (o OperatorToken) validate() error {
+	if _, err := parseHash(o.Hash); err != nil {
+		return fmt.Errorf("hash: %w", err)
+	}
+	if o.Name == "" {
+		return fmt.Errorf("name: must not be empty")
+	}
+	if o.Role != RoleViewer && o.Role != RoleOperator {
+		return fmt.Errorf("role: must be %q or %q", RoleViewer, RoleOperator)
+	}
+	return nil
+}
+
+// ReadFile reads a token file: TOML with tables [[caller]] and [[operator]].
+// Its errors never quote the file's content.
+func ReadFile(path string) (Tokens, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return Tokens{}, err
+	}
+	var tokens Tokens
+	decoder := toml.NewDecoder(bytes.NewReader(raw)).DisallowUnknownFields()
+	if err := decoder.Decode(&tokens); err != nil {
+		return Tokens{}, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := tokens.Validate(); err != nil {
+		return Tokens{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return tokens, nil
+}
