Leases on giving orders

One holder a service by conditional updates of leases/SERVICE; the version is the fencing number. A holder counts from before its write on the boot clock, others from after their read. Lost replies are settled by reading back one's own token. Engines that ignore fences get orders only after the last order of the holder before has run out.

--- /dev/null
+++ b/internal/control/lease/check.go
@@ -0,0 +1,71 @@
+package lease
+
+import "time"
+
+// Grant is a lease that this instance holds. Times are of the boot clock.
+type Grant struct {
+	// Fence is the fencing number that orders carry.
+	Fence uint64
+	// Until is the end of the lease.
+	Until time.Duration
+	// UncheckedFrom is when orders may first be given to engines that do not
+	// check fencing numbers.
+	UncheckedFrom time.Duration
+}
+
+// Lessor answers whether this instance may give orders. Manager implements it.
+type Lessor interface {
+	// Check returns the grant if an order that takes up to need may be given
+	// now. It reads the boot clock, so call it directly before each order.
+	Check(service string, need time.Duration, checksFence bool) (Grant, bool)
+}
+
+// Check implements Lessor.
+//
+// A holder that was paused still believes that it holds the lease. The sign
+// would be two instances changing one engine at the same time. The boot clock
+// goes on while the machine is suspended, so that the first check after the
+// pause fails, whatever the rest of the process believes.
+func (m *Manager) Check(service string, need time.Duration, checksFence bool) (Grant, bool) {
+	m.mu.Lock()
+	grant, held := m.grants[service]
+	m.mu.Unlock()
+	if !held {
+		return Grant{}, false
+	}
+	now := m.opts.Boot.SinceBoot()
+	if now+need+m.opts.Margin > grant.Until {
+		return grant, false
+	}
+	if !checksFence && now < grant.UncheckedFrom {
+		return grant, false
+	}
+	return grant, true
+}
+
+// Holds reports whether this instance holds the lease of the service now.
+func (m *Manager) Holds(service string) bool {
+	_, ok := m.Check(service, 0, true)
+	return ok
+}
+
+func (m *Manager) grant(service string) (Grant, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g, ok := m.grants[service]
+	return g, ok
+}
+
+func (m *Manager) setGrant(service string, g Grant) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.grants[service] = g
+}
+
+func (m *Manager) dropGrant(service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, held := m.grants[service]
+	delete(m.grants, service)
+	return held
+}
--- /dev/null
+++ b/internal/control/lease/manager.go
@@ -0,0 +1,140 @@
+package lease
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/control/rendezvous"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/metrics"
+)
+
+var (
+	metricWrites = metrics.Define("lease_writes_total", "writes", "Lease objects written, by result.")
+	metricReads  = metrics.Define("lease_reads_total", "reads", "Lease objects read.")
+	metricHeld   = metrics.Define("lease_held", "leases", "Leases that this instance holds.")
+	metricLapsed = metrics.Define("lease_lapsed_total", "leases", "Leases that ran out before they were renewed.")
+)
+
+// Periods of the manager.
+const (
+	servicesPeriod = 2 * time.Second // how often the set of services is looked at
+	callTimeout    = 3 * time.Second // longest wait for one store call
+	retryPeriod    = 500 * time.Millisecond
+	jitter         = 0.2
+	renewals       = 3 // a lease is renewed this many times within its duration
+)
+
+// Manager holds the leases of this instance. It implements Lessor.
+type Manager struct {
+	opts Options
+	rand *loop.Rand
+	life string // names this run of the process in tokens
+
+	mu      sync.Mutex // guards grants and writes
+	grants  map[string]Grant
+	writes  uint64
+	running sync.WaitGroup
+}
+
+// NewManager returns a manager that holds nothing until Run.
+func NewManager(opts Options) *Manager {
+	opts = opts.withDefaults()
+	random := loop.NewRand(opts.Rand)
+	return &Manager{
+		opts:   opts,
+		rand:   random,
+		life:   fmt.Sprintf("%s/%x/%x", opts.Self, opts.Clock.Now().UnixNano(), int64(random.Float64()*(1<<52))),
+		grants: make(map[string]Grant),
+	}
+}
+
+// Run contends for the leases of all services until ctx ends, then gives back
+// those that it holds.
+func (m *Manager) Run(ctx context.Context) {
+	started := make(map[string]context.CancelFunc)
+	loop.Run(ctx, loop.Options{
+		Clock: m.opts.Clock, Rand: m.rand, Period: servicesPeriod, Jitter: jitter,
+	}, func(ctx context.Context) { m.reconcile(ctx, started) })
+	for _, stop := range started {
+		stop()
+	}
+	m.running.Wait()
+}
+
+// reconcile starts and stops the contention for services as they come and go.
+func (m *Manager) reconcile(ctx context.Context, started map[string]context.CancelFunc) {
+	wanted := make(map[string]bool)
+	for _, service := range m.opts.Services() {
+		wanted[service] = true
+		if started[service] == nil {
+			serviceCtx, stop := context.WithCancel(ctx)
+			started[service] = stop
+			m.running.Go(func() { m.serve(serviceCtx, service) })
+		}
+	}
+	for service, stop := range started {
+		if !wanted[service] {
+			stop()
+			delete(started, service)
+		}
+	}
+}
+
+// serve contends for one lease until ctx ends.
+func (m *Manager) serve(ctx context.Context, service string) {
+	c := &contender{m: m, service: service}
+	for ctx.Err() == nil {
+		wait := c.step(ctx)
+		c.publish()
+		if !loop.Sleep(ctx, m.opts.Clock, wait) {
+			break
+		}
+	}
+	c.release(context.WithoutCancel(ctx))
+	c.publish()
+}
+
+// position is the rank of this instance among the live ones for the service.
+func (m *Manager) position(service string) int {
+	return rendezvous.Position(KeyPrefix+service, m.opts.Self, m.opts.Board.LiveMembers(m.opts.Self))
+}
+
+// leaving reports that this instance should hold no lease: it is about to go.
+func (m *Manager) leaving() bool {
+	self, _ := m.opts.Board.Self.Get(board.SelfRow)
+	return self.Stopping || self.Draining
+}
+
+func (m *Manager) nextToken() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.writes++
+	return fmt.Sprintf("%s/%d", m.life, m.writes)
+}
+
+// publish writes what is known of the lease to the board.
+func (c *contender) publish() {
+	m := c.m
+	grant, held := m.grant(c.service)
+	row := board.Lease{Service: c.service, Holder: c.seen.record.Holder, Fence: c.seen.version}
+	if held {
+		row.Holder, row.Fence, row.Mine = m.opts.Self, grant.Fence, true
+		row.Until, row.UncheckedFrom = grant.Until, grant.UncheckedFrom
+	}
+	if old, found := m.opts.Board.Leases.Get(c.service); !found || old != row {
+		m.opts.Board.Leases.Put(c.service, row)
+	}
+	m.mu.Lock()
+	n := len(m.grants)
+	m.mu.Unlock()
+	m.opts.Metrics.Counter(metricHeld).Set(int64(n))
+}
+
+func (m *Manager) log(id event.ID, service string, fence uint64) {
+	m.opts.Logger.Log(id, "service", service, "fence", fence)
+}
--- /dev/null
+++ b/internal/control/lease/options.go
@@ -0,0 +1,98 @@
+// Package lease decides which instance gives orders to the engines of a
+// service: the holder of the service's lease, an object in the platform's
+// store. The object's version is the fencing number.
+//
+// Safety rests on three rules. Every write is conditional on the version that
+// was read. A holder counts its lease from the moment before the write was
+// sent, on a clock that also counts suspended time, and checks that clock
+// before every order. Everybody else counts the lease from the moment after
+// the version was read, so that a lease seems longer from outside than to its
+// holder. Who may try is only a hint, taken from membership.
+package lease
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/store"
+)
+
+// KeyPrefix is where leases are kept in the store; the service follows.
+const KeyPrefix = "leases/"
+
+// Defaults of Options.
+const (
+	DefaultDuration     = 15 * time.Second
+	DefaultMargin       = 2 * time.Second
+	DefaultOrderTimeout = 5 * time.Second
+	DefaultCandidates   = 3
+)
+
+// Store is what the manager needs of the platform.
+type Store interface {
+	store.Reader
+	store.Writer
+}
+
+// Options configure a Manager.
+type Options struct {
+	Store  Store
+	Board  *board.Board
+	Clock  clock.Clock
+	Boot   clock.Boot
+	Rand   *rand.Rand
+	Logger *event.Logger
+	// Metrics may be nil.
+	Metrics *metrics.Registry
+	// Self is the id of this instance.
+	Self string
+	// Services names the services whose engines take orders; nil means the
+	// services of the generating targets on the board.
+	Services func() []string
+	// Duration is how long a lease lasts unless it is renewed.
+	Duration time.Duration
+	// Margin covers differences in the rate of the instances' clocks and the
+	// time between the check of the lease and the sending of an order.
+	Margin time.Duration
+	// OrderTimeout is the longest time that an order can be under way.
+	OrderTimeout time.Duration
+	// Candidates is how many of the live instances try for a lease.
+	Candidates int
+}
+
+func (o Options) withDefaults() Options {
+	if o.Duration <= 0 {
+		o.Duration = DefaultDuration
+	}
+	if o.Margin <= 0 {
+		o.Margin = DefaultMargin
+	}
+	if o.OrderTimeout <= 0 {
+		o.OrderTimeout = DefaultOrderTimeout
+	}
+	if o.Candidates <= 0 {
+		o.Candidates = DefaultCandidates
+	}
+	if o.Services == nil {
+		o.Services = func() []string { return engineServices(o.Board) }
+	}
+	return o
+}
+
+// engineServices returns the services with generating targets.
+func engineServices(b *board.Board) []string {
+	seen := make(map[string]bool)
+	var services []string
+	for _, t := range b.Targets.Snapshot() {
+		if t.Kind == profile.KindGenerate && !seen[t.Service] {
+			seen[t.Service] = true
+			services = append(services, t.Service)
+		}
+	}
+	return services
+}
--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -93,3 +93,13 @@
 		return true
 	}
 }
+
+// WithTimeout returns a context that ends after d by the given clock.
+func WithTimeout(ctx context.Context, c clock.Clock, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := c.AfterFunc(d, func() { cancel(context.DeadlineExceeded) })
+	return ctx, func() {
+		timer.Stop()
+		cancel(context.Canceled)
+	}
+}
