Platform client over HTTP with a budget per instance

Cause: every control decision goes through a rate-limited object API whose replies can be lost. Change: net/http with an own transport instead of go-zero's httpc, whose breaker would refuse calls outside the error table and which cannot show that no byte was sent. ErrUnavailable only before a connection was handed out or if the platform says so; every other failed write is ErrUnknown.

--- /dev/null
+++ b/internal/platform/call.go
@@ -0,0 +1,237 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync/atomic"
+
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/wire/platformapi"
+)
+
+// maxReply is the longest reply that is read, in bytes: a list of many objects
+// of up to a megabyte each.
+const maxReply = 64 << 20
+
+// call is one call of the platform's API.
+type call struct {
+	kind   callKind
+	method string
+	path   string // escaped
+	query  url.Values
+	body   []byte // nil: none
+}
+
+func (k callKind) String() string {
+	return [...]string{callRead: "read", callWrite: "write", callWatch: "watch"}[k]
+}
+
+// errNotSent marks a failure before the first byte of the call was sent.
+type errNotSent struct{ cause error }
+
+func (e errNotSent) Error() string { return e.cause.Error() }
+func (e errNotSent) Unwrap() error { return e.cause }
+
+// call makes one call within the budget and decodes its reply into out.
+func (c *Client) call(ctx context.Context, op call, out any) error {
+	if err := ctx.Err(); err != nil {
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, err)
+	}
+	priority := store.PriorityOf(ctx)
+	probe, err := c.admit(op.kind, priority)
+	if err != nil {
+		return err
+	}
+	err = c.attempts(ctx, op, out)
+	c.done(op.kind, probe, resultOf(ctx, op.kind, err))
+	return err
+}
+
+func (c *Client) admit(kind callKind, priority store.Priority) (probe bool, err error) {
+	c.governorMu.Lock()
+	probe, err = c.governor.admit(c.clock.Now(), kind, priority)
+	c.governorMu.Unlock()
+	if errors.Is(err, store.ErrThrottled) {
+		c.shed.Add(strconv.Itoa(int(priority)), 1)
+	}
+	return probe, err
+}
+
+func (c *Client) done(kind callKind, probe bool, result callResult) {
+	c.governorMu.Lock()
+	before := c.governor.down
+	c.governor.done(c.clock.Now(), kind, probe, result)
+	after := c.governor.down
+	c.governorMu.Unlock()
+	switch {
+	case !before && after:
+		c.up.Set(0)
+		c.logger.Log(event.PlatformDown)
+		// Kept connections may be dead; the next probe opens a new one.
+		c.http.CloseIdleConnections()
+	case before && !after:
+		c.up.Set(1)
+		c.logger.Log(event.PlatformUp)
+	}
+}
+
+// resultOf says what err tells about the platform. A caller that gave up says
+// nothing about it, except on a write, which is never given up lightly.
+func resultOf(ctx context.Context, kind callKind, err error) callResult {
+	switch {
+	case errors.Is(err, store.ErrThrottled):
+		return resultThrottled
+	case errors.Is(err, store.ErrUnavailable) && errors.Is(ctx.Err(), context.Canceled):
+		return resultOK
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrUnknown):
+		return resultFailed
+	default:
+		return resultOK
+	}
+}
+
+// attempts tries the endpoints in turn. It goes on to the next one only if no
+// byte of the call was sent: what may have been sent is never sent again.
+func (c *Client) attempts(ctx context.Context, op call, out any) error {
+	if len(c.endpoints) == 0 {
+		return fmt.Errorf("%w: no endpoint in the settings", store.ErrUnavailable)
+	}
+	first := c.preferred.Load()
+	var err error
+	for i := range uint64(len(c.endpoints)) {
+		index := (first + i) % uint64(len(c.endpoints))
+		err = c.attempt(ctx, c.endpoints[index], op, out)
+		if !errors.As(err, new(errNotSent)) || ctx.Err() != nil {
+			c.preferred.Store(index)
+			return err
+		}
+		c.logger.Log(event.PlatformEndpoint, "endpoint", c.endpoints[index])
+	}
+	return err
+}
+
+// attempt sends the call once and classifies its end.
+func (c *Client) attempt(ctx context.Context, base string, op call, out any) error {
+	timeout := callTimeout
+	if op.kind == callWatch {
+		timeout = watchWait + watchGrace
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := c.request(ctx, base, op)
+	if err != nil {
+		return errNotSent{fmt.Errorf("%w: %w", store.ErrUnavailable, err)}
+	}
+	c.calls.Add(1)
+	c.callsBy.Add(op.kind.String(), 1)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return c.lost(op, connected.Load(), err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return c.lost(op, true, err)
+	}
+	return c.decode(op, resp.StatusCode, body, out)
+}
+
+func (c *Client) request(ctx context.Context, base string, op call) (*http.Request, error) {
+	target := base + op.path
+	if len(op.query) > 0 {
+		target += "?" + op.query.Encode()
+	}
+	req, err := http.NewRequestWithContext(ctx, op.method, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	if op.body != nil {
+		// The body is not given as a *bytes.Reader, so that net/http sets no
+		// GetBody and its transport has nothing to send a second time. What
+		// its transport repeats by itself is a read whose kept connection
+		// broke, and a call without a body of which no byte was written.
+		req.Body = io.NopCloser(onlyReader{bytes.NewReader(op.body)})
+		req.ContentLength = int64(len(op.body))
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	return req, nil
+}
+
+// onlyReader hides the type of a reader.
+type onlyReader struct{ io.Reader }
+
+// lost classifies a call that got no whole reply.
+func (c *Client) lost(op call, connected bool, cause error) error {
+	c.failed.Add(1)
+	if !connected {
+		return errNotSent{fmt.Errorf("%w: %w", store.ErrUnavailable, cause)}
+	}
+	// The connection may have gone silent. Without this the next calls would
+	// be written into it as well, each waiting for its own timeout.
+	c.http.CloseIdleConnections()
+	if op.kind != callWrite {
+		return fmt.Errorf("%w: %w", store.ErrUnavailable, cause)
+	}
+	c.unknown.Add(1)
+	return fmt.Errorf("%w: %w", store.ErrUnknown, cause)
+}
+
+// decode turns a whole reply into out or an error.
+func (c *Client) decode(op call, status int, body []byte, out any) error {
+	if status/100 == 2 {
+		return c.decodeOK(op, body, out)
+	}
+	var answer platformapi.Error
+	if err := json.Unmarshal(body, &answer); err != nil || answer.Code == "" {
+		return c.unclear(op, status)
+	}
+	switch answer.Code {
+	case platformapi.CodeConflict:
+		if obj, ok := out.(*store.Object); ok && answer.Current != nil {
+			*obj = *answer.Current
+		}
+		return store.ErrConflict
+	case platformapi.CodeNotFound:
+		return store.ErrNotFound
+	case platformapi.CodeThrottled:
+		c.throttled.Add(1)
+		return store.ErrThrottled
+	case platformapi.CodeUnavailable:
+		c.failed.Add(1)
+		return fmt.Errorf("%w: %s", store.ErrUnavailable, answer.Message)
+	case platformapi.CodeTooLarge:
+		return store.ErrTooLarge
+	}
+	return c.unclear(op, status)
+}
+
+func (c *Client) decodeOK(op call, body []byte, out any) error {
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return c.lost(op, true, err)
+	}
+	return nil
+}
+
+// unclear is an answer outside the platform's protocol, say of something in
+// between: a write may have taken effect behind it.
+func (c *Client) unclear(op call, status int) error {
+	return c.lost(op, true, fmt.Errorf("unexpected answer with status %d", status))
+}
--- /dev/null
+++ b/internal/platform/transport.go
@@ -0,0 +1,56 @@
+package platform
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Limits of the connections to the platform.
+const (
+	dialTimeout  = 2 * time.Second
+	idlePerHost  = 8
+	connsPerHost = 32
+	keepAlive    = 90 * time.Second // of an unused connection
+)
+
+// newTransport returns a transport without HTTP/2, whose own retries could
+// not be told apart from ours.
+func newTransport(opts Options) *http.Transport {
+	dial := opts.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:         dial,
+		TLSClientConfig:     opts.TLS,
+		TLSHandshakeTimeout: dialTimeout,
+		MaxIdleConnsPerHost: idlePerHost,
+		MaxConnsPerHost:     connsPerHost,
+		IdleConnTimeout:     keepAlive,
+		Protocols:           protocols,
+		DisableCompression:  true,
+	}
+}
+
+// noRedirect hands a redirect back as it is: following one would send a write
+// twice.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+func baseURLs(endpoints []string, secure bool) []string {
+	out := make([]string, 0, len(endpoints))
+	for _, e := range endpoints {
+		if !strings.Contains(e, "://") {
+			scheme := "http://"
+			if secure {
+				scheme = "https://"
+			}
+			e = scheme + e
+		}
+		out = append(out, strings.TrimRight(e, "/"))
+	}
+	return out
+}
