Membership: heartbeats, suspicion, repair by bucket sums, memory network

Instances exchange digests of changed rows; sums by bucket find what was missed; dead members are tried for ever at a falling rate. The messages between instances and an in-memory network for tests come with it. Checked by 8 instances that start together and find each other in virtual time.

--- /dev/null
+++ b/internal/event/catalogue_membership.go
@@ -0,0 +1,20 @@
+package event
+
+// Events of membership.
+const (
+	MembershipSuspect        ID = 3001
+	MembershipDead           ID = 3002
+	MembershipLeft           ID = 3003
+	MembershipHealed         ID = 3004
+	MembershipLeaving        ID = 3005
+	MembershipRegisterFailed ID = 3006
+)
+
+var _ = define(
+	Definition{MembershipSuspect, Info, "instance_suspect", "An instance answered neither this one nor others that were asked to try it. It has a few seconds to reassert itself."},
+	Definition{MembershipDead, Warn, "instance_dead", "A suspect instance did not reassert itself and is taken for dead. If many appear at once, look for a network split."},
+	Definition{MembershipLeft, Info, "instance_left", "An instance that had announced its leaving is gone."},
+	Definition{MembershipHealed, Info, "instance_back", "An instance that was taken for dead answered again."},
+	Definition{MembershipLeaving, Info, "leaving_announced", "This instance announced that it is leaving."},
+	Definition{MembershipRegisterFailed, Warn, "register_failed", "This instance could not refresh its entry in the platform's instance list; it tries again."},
+)
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -26,10 +26,6 @@
 
 // Config is the state of the sender's configuration objects.
 type Config struct {
-	// Mark is the highest version up to which the sender holds every object.
-	Mark uint64
-	// Sum is a checksum of keys and versions: equal sums mean equal versions.
-	Sum uint64
 	// Confirmed says that ConfirmAge is known: the age of the newest contact
 	// with the store that reached the sender, directly or through peers.
 	Confirmed  bool
@@ -69,10 +65,11 @@
 // Light reports whether the row carries no addresses: only what changes often.
 func (m Member) Light() bool { return m.PeerAddr == "" }
 
-// ProfileVersion tells which version of a configuration object the sender has
-// in force. Instances that are behind pull the object itself.
+// ProfileVersion tells up to which version the sender holds every
+// configuration object of a prefix. Instances that are behind pull the objects
+// that they lack.
 type ProfileVersion struct {
-	Name    string // key in the store, such as profiles/NAME
+	Name    string // prefix of the keys in the store, such as profiles/
 	Version uint64
 }
 
--- /dev/null
+++ b/internal/membership/contact.go
@@ -0,0 +1,200 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/wire/platformapi"
+)
+
+// contactPace spaces the contacts of dead members: twice as far apart after
+// each failure, up to a low rate that goes on for ever, and close together
+// again once one has answered, since the rest of its part is then near.
+type contactPace struct {
+	min, max time.Duration
+
+	mu   sync.Mutex // guards gap and next
+	gap  time.Duration
+	next time.Time
+}
+
+func (p *contactPace) due(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Before(p.next) {
+		return false
+	}
+	p.gap = min(max(p.gap, p.min), p.max)
+	p.next = now.Add(p.gap)
+	return true
+}
+
+func (p *contactPace) done(ok bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ok {
+		p.gap = p.min
+		p.next = now.Add(p.min)
+		return
+	}
+	p.gap = min(2*p.gap, p.max)
+	p.next = now.Add(p.gap)
+}
+
+// dueContact picks a random dead member when it is time to try one.
+func (m *Manager) dueContact(now time.Time) (string, bool) {
+	dead := m.view.ids(board.MemberDead)
+	if len(dead) == 0 || !m.pace.due(now) {
+		return "", false
+	}
+	return dead[int(m.rand.Float64()*float64(len(dead)))], true
+}
+
+// contactDead tries a member that is held for dead. The digest carries its
+// row, so that it reasserts itself if it is alive.
+func (m *Manager) contactDead(ctx context.Context, id string) {
+	target, ok := m.view.get(id)
+	if !ok {
+		return
+	}
+	reply, err := m.exchange(ctx, id, target.PeerAddr, nil, m.budget())
+	m.pace.done(err == nil, m.o.Clock.Now())
+	if err != nil {
+		return
+	}
+	m.o.Logger.Log(event.MembershipHealed, "instance", id)
+	m.settle(ctx, id, target.PeerAddr, reply)
+}
+
+// runList reads the instance list, often while no other member is known.
+func (m *Manager) runList(ctx context.Context) {
+	if m.o.Lister == nil {
+		return
+	}
+	for {
+		wait := m.o.ListEvery
+		if !m.readList(ctx) || len(m.view.ids(board.MemberAlive)) == 0 {
+			wait = min(m.o.ListEvery, seedEvery)
+		}
+		if !loop.Sleep(ctx, m.o.Clock, m.rand.Spread(wait, listJitter)) {
+			return
+		}
+	}
+}
+
+const (
+	seedEvery  = 2 * time.Second // between readings of the list while alone
+	listJitter = 0.5
+	// seedContacts bounds the unknown instances contacted after one reading;
+	// their lists bring the rest.
+	seedContacts = 3
+)
+
+func (m *Manager) readList(ctx context.Context) bool {
+	listed, err := m.o.Lister.Instances(store.WithPriority(ctx, store.PriorityBackground))
+	if err != nil {
+		return false
+	}
+	seeds := m.unknown(listed)
+	for i, seed := range seeds {
+		if i == seedContacts {
+			break
+		}
+		reply, err := m.exchange(ctx, "", seed.Peer, nil, m.budget())
+		if err == nil {
+			m.settle(ctx, reply.From, seed.Peer, reply)
+		}
+	}
+	m.forget(listed, m.o.Clock.Now())
+	return true
+}
+
+// unknown returns the listed instances that are not members yet, in random
+// order.
+func (m *Manager) unknown(listed []store.Instance) []store.Instance {
+	byID := make(map[string]store.Instance)
+	var ids []string
+	for _, in := range listed {
+		if in.Service != m.o.Service || in.ID == m.o.Self.ID || in.Peer == "" {
+			continue
+		}
+		if _, known := m.view.get(in.ID); !known {
+			byID[in.ID] = in
+			ids = append(ids, in.ID)
+		}
+	}
+	var seeds []store.Instance
+	for _, id := range m.shuffled(ids) {
+		seeds = append(seeds, byID[id])
+	}
+	return seeds
+}
+
+// forget drops dead members that the list lacks. While the list cannot be read
+// none is dropped: after a long split they are the way back together.
+func (m *Manager) forget(listed []store.Instance, now time.Time) {
+	present := make(map[string]bool)
+	for _, in := range listed {
+		present[in.ID] = true
+	}
+	v := m.view
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, r := range v.rows {
+		if r.dead() && !present[id] && now.Sub(r.changed) >= m.o.ForgetAfter {
+			delete(v.rows, id)
+			v.board.Members.Delete(id)
+		}
+	}
+}
+
+// runRegister keeps this instance's entry in the platform's list fresh.
+func (m *Manager) runRegister(ctx context.Context) {
+	if m.o.Lister == nil {
+		return
+	}
+	for {
+		wait := m.o.RegisterEvery
+		if err := m.register(ctx); err != nil {
+			m.o.Logger.Log(event.MembershipRegisterFailed, "err", err)
+			wait = min(wait, seedEvery)
+		}
+		if !loop.Sleep(ctx, m.o.Clock, m.rand.Spread(wait, listJitter)) {
+			return
+		}
+	}
+}
+
+func (m *Manager) register(ctx context.Context) error {
+	self, _ := m.view.get(m.o.Self.ID)
+	state := platformapi.StateLive
+	if self.State == string(board.MemberLeaving) {
+		state = platformapi.StateLeaving
+	}
+	return m.o.Lister.Register(store.WithPriority(ctx, store.PriorityBackground), store.Instance{
+		ID:      self.ID,
+		Service: m.o.Service,
+		Kind:    "lynxhill",
+		Address: self.CallerAddr,
+		Peer:    self.PeerAddr,
+		Place:   self.Place,
+		Region:  self.Region,
+		State:   state,
+	})
+}
+
+// withTimeout is context.WithTimeout on the given clock.
+func withTimeout(ctx context.Context, c clock.Clock, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	timer := c.AfterFunc(d, cancel)
+	return ctx, func() {
+		timer.Stop()
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/membership/digest.go
@@ -0,0 +1,207 @@
+package membership
+
+import (
+	"sort"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/gossip"
+)
+
+// Estimated bytes of a row beyond its strings.
+const (
+	lightRowBytes = 34
+	wholeRowBytes = 46
+	sumsBytes     = 4*sumBuckets + 4
+)
+
+// Shares of a digest's budget.
+const (
+	memberShare = 3 // a third at most for rows that wait to be passed on
+	repairShare = 8 // an eighth at least for rows on which two instances differ
+)
+
+func rowBytes(m gossip.Member) int {
+	if m.Light() {
+		return lightRowBytes + len(m.ID)
+	}
+	return wholeRowBytes + len(m.ID) + len(m.CallerAddr) + len(m.AdminAddr) + len(m.PeerAddr) + len(m.Place) + len(m.Region)
+}
+
+func light(m gossip.Member) gossip.Member {
+	m.CallerAddr, m.AdminAddr, m.PeerAddr, m.Place, m.Region = "", "", "", "", ""
+	return m
+}
+
+// rowsFor picks the rows for a digest to a member: one's own first, the
+// receiver's if it is doubted (so that it can reassert itself), then the queue.
+func (v *view) rowsFor(to string, budget int) (rows []gossip.Member, used int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	add := func(r *row, whole bool) {
+		m := r.member
+		if !whole {
+			m = light(m)
+		}
+		rows = append(rows, m)
+		used += rowBytes(m)
+	}
+	self := v.rows[v.self]
+	_, known := v.rows[to]
+	add(self, self.whole || !known)
+	v.sent(self)
+	if r, ok := v.rows[to]; ok && r.member.State != string(board.MemberAlive) {
+		add(r, false)
+	}
+	for _, r := range v.queue(to) {
+		if used >= budget {
+			break
+		}
+		add(r, r.whole)
+		v.sent(r)
+	}
+	return rows, used
+}
+
+func (v *view) sent(r *row) {
+	if r.left > 0 {
+		r.left--
+	}
+	if r.left == 0 {
+		r.whole = false
+	}
+}
+
+// queue returns the rows that wait, the most urgent and least sent first.
+func (v *view) queue(to string) []*row {
+	var waiting []*row
+	for id, r := range v.rows {
+		if r.left > 0 && id != v.self && id != to {
+			waiting = append(waiting, r)
+		}
+	}
+	sort.Slice(waiting, func(i, j int) bool {
+		a, b := waiting[i], waiting[j]
+		if a.urgency != b.urgency {
+			return a.urgency > b.urgency
+		}
+		if a.left != b.left {
+			return a.left > b.left
+		}
+		return a.member.ID < b.member.ID
+	})
+	return waiting
+}
+
+// differing returns the buckets whose sums differ from the peer's and in which
+// no row waits to be passed on: those would come by themselves.
+func (v *view) differing(sums []uint32) []int {
+	if len(sums) != sumBuckets {
+		return nil // another version's buckets cannot be compared
+	}
+	var differ []int
+	mine := v.sumsLocked()
+	waiting := make(map[int]bool)
+	for id, r := range v.rows {
+		if r.left > 0 && id != v.self && r.urgency > urgencyLoad {
+			waiting[bucketOf(id)] = true
+		}
+	}
+	for b := range mine {
+		if mine[b] != sums[b] && !waiting[b] {
+			differ = append(differ, b)
+		}
+	}
+	return differ
+}
+
+// repair returns the rows, dead ones included, of buckets that differ from the
+// peer's, from the given bucket on.
+func (v *view) repair(sums []uint32, first int, budget int) (rows []gossip.Member) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	differ := v.differing(sums)
+	for i := range differ {
+		for _, r := range v.bucket(differ[(first+i)%len(differ)]) {
+			size := rowBytes(r.member)
+			if size > budget {
+				return rows
+			}
+			budget -= size
+			rows = append(rows, r.member)
+		}
+	}
+	return rows
+}
+
+func (v *view) bucket(b int) []*row {
+	var rows []*row
+	for id, r := range v.rows {
+		if bucketOf(id) == b {
+			rows = append(rows, r)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].member.ID < rows[j].member.ID })
+	return rows
+}
+
+// agrees reports whether a peer's sums leave nothing to repair.
+func (v *view) agrees(sums []uint32) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.differing(sums)) == 0
+}
+
+// partList is the list of the other controllers' parts.
+type partList struct {
+	mu    sync.RWMutex // guards parts
+	parts []gossip.Part
+}
+
+func (l *partList) add(p gossip.Part) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.parts = append(l.parts, p)
+}
+
+func (l *partList) all() []gossip.Part {
+	l.mu.RLock()
+	defer l.mu.RUnlock()
+	return append([]gossip.Part(nil), l.parts...)
+}
+
+// AddPart adds a controller's part to the exchanges from now on.
+func (m *Manager) AddPart(p gossip.Part) { m.parts.add(p) }
+
+// compose makes a digest for a member within budget bytes. theirs are the
+// receiver's sums if they are known.
+func (m *Manager) compose(to string, theirs []uint32, budget int) gossip.Digest {
+	d := gossip.Digest{From: m.o.Self.ID}
+	rows, used := m.view.rowsFor(to, budget/memberShare)
+	d.Members = rows
+	d.Sums = m.view.sums()
+	used += sumsBytes
+	reserve := 0
+	if theirs != nil {
+		reserve = budget / repairShare
+	}
+	for _, p := range m.parts.all() {
+		if left := budget - used - reserve; left > 0 {
+			used += p.Fill(&d, to, left)
+		}
+	}
+	if theirs != nil {
+		first := int(m.rand.Float64() * sumBuckets)
+		d.Members = append(d.Members, m.view.repair(theirs, first, budget-used)...)
+	}
+	return d
+}
+
+// absorb takes in a peer's digest.
+func (m *Manager) absorb(d gossip.Digest, now time.Time) {
+	m.view.merge(d.Members, now)
+	for _, p := range m.parts.all() {
+		p.Absorb(d)
+	}
+}
--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,194 @@
+package membership_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/coder/quartz"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/membership"
+	"lynxhill.example/lynxhill/internal/peer/mempeer"
+	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/wire/platformapi"
+)
+
+// list is the platform's instance list.
+type list struct {
+	mu      sync.Mutex // guards entries and down
+	entries map[string]store.Instance
+	down    bool
+}
+
+func (l *list) Instances(context.Context) ([]store.Instance, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return nil, store.ErrUnavailable
+	}
+	var all []store.Instance
+	for _, in := range l.entries {
+		all = append(all, in)
+	}
+	return all, nil
+}
+
+func (l *list) Register(_ context.Context, self store.Instance) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return store.ErrUnavailable
+	}
+	l.entries[self.ID] = self
+	return nil
+}
+
+// fleet is a number of instances in one bubble of virtual time.
+type fleet struct {
+	t       testing.TB
+	net     *mempeer.Network
+	list    *list
+	nodes   []*node
+	options membership.Options // of all
+	wg      sync.WaitGroup
+	clock   quartz.Clock
+}
+
+type node struct {
+	id, addr string
+	board    *board.Board
+	manager  *membership.Manager
+	stop     context.CancelFunc
+}
+
+func newFleet(t testing.TB, n int, options membership.Options) *fleet {
+	clock := quartz.NewReal()
+	sleep := func(ctx context.Context, d time.Duration) bool { return loop.Sleep(ctx, clock, d) }
+	f := &fleet{
+		t:       t,
+		net:     mempeer.New(time.Millisecond, sleep),
+		list:    &list{entries: make(map[string]store.Instance)},
+		options: options,
+		clock:   clock,
+	}
+	for i := range n {
+		f.nodes = append(f.nodes, &node{id: fmt.Sprintf("lynxhill-%03d", i), addr: fmt.Sprintf("10.0.%d.%d:7300", i/250, i%250)})
+	}
+	for i := range f.nodes {
+		f.start(i)
+	}
+	return f
+}
+
+func (f *fleet) start(i int) {
+	n := f.nodes[i]
+	n.board = board.New()
+	o := f.options
+	o.Self = board.Member{
+		ID: n.id, CallerAddr: "c" + n.addr, AdminAddr: "a" + n.addr, PeerAddr: n.addr,
+		Place: fmt.Sprintf("place-%d", i%4), Region: "tunis",
+	}
+	o.Board, o.Clock, o.Lister = n.board, f.clock, f.list
+	o.Rand = rand.New(rand.NewPCG(7, uint64(i)))
+	o.Transport = f.net.Client(n.addr, nil)
+	n.manager = membership.New(o)
+	f.net.Join(n.addr, mempeer.Node{Handle: n.manager.Handle})
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	f.wg.Go(func() { n.manager.Run(ctx) })
+}
+
+// crash takes an instance away without a word.
+func (f *fleet) crash(i int) {
+	f.net.Drop(f.nodes[i].addr)
+	f.nodes[i].stop()
+}
+
+func (f *fleet) stop() {
+	for _, n := range f.nodes {
+		n.stop()
+	}
+	f.wg.Wait()
+}
+
+// alive returns how many of the given instances the observer sees alive.
+func (f *fleet) alive(observer int, of []int) int {
+	count := 0
+	for _, i := range of {
+		m, ok := f.nodes[observer].board.Members.Get(f.nodes[i].id)
+		if ok && m.State == board.MemberAlive {
+			count++
+		}
+	}
+	return count
+}
+
+// agree reports whether every one of the instances sees exactly them alive.
+func (f *fleet) agree(among []int) bool {
+	for _, i := range among {
+		if f.alive(i, among) != len(among) {
+			return false
+		}
+		live := 0
+		for _, m := range f.nodes[i].board.Members.Snapshot() {
+			if m.State == board.MemberAlive {
+				live++
+			}
+		}
+		if live != len(among) {
+			return false
+		}
+	}
+	return true
+}
+
+// until advances until ok holds and returns how long that took.
+func (f *fleet) until(limit time.Duration, what string, ok func() bool) time.Duration {
+	f.t.Helper()
+	const step = 100 * time.Millisecond
+	for waited := time.Duration(0); waited <= limit; waited += step {
+		if ok() {
+			return waited
+		}
+		time.Sleep(step)
+	}
+	f.t.Fatalf("%s: not within %v", what, limit)
+	return 0
+}
+
+func upTo(n int) []int { return span(0, n) }
+
+func span(from, to int) []int {
+	var all []int
+	for i := from; i < to; i++ {
+		all = append(all, i)
+	}
+	return all
+}
+
+func (f *fleet) addrs(of []int) []string {
+	var addrs []string
+	for _, i := range of {
+		addrs = append(addrs, f.nodes[i].addr)
+	}
+	return addrs
+}
+
+var _ store.InstanceLister = (*list)(nil)
+var _ = platformapi.StateLive
+var _ gossip.Part
+
+func TestInstancesStartedTogetherFindEachOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 8, membership.Options{})
+		defer f.stop()
+		f.until(10*time.Second, "all see all", func() bool { return f.agree(upTo(8)) })
+	})
+}
--- /dev/null
+++ b/internal/membership/heartbeat.go
@@ -0,0 +1,190 @@
+package membership
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/gossip"
+)
+
+// heartbeatJitter is the share by which heartbeats vary, so that instances
+// started together do not stay in step.
+const heartbeatJitter = 0.1
+
+// lateBeats is how many heartbeats late a beat must be to tell that this
+// process was paused: what it believes of others is then no one's fault.
+const lateBeats = 4
+
+// runHeartbeats starts one exchange a heartbeat, with every member in turn, in
+// an order drawn anew each round, so that each is reached within one round.
+func (m *Manager) runHeartbeats(ctx context.Context) {
+	var order []string
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	last := m.o.Clock.Now()
+	for {
+		if !loop.Sleep(ctx, m.o.Clock, m.rand.Spread(m.o.HeartbeatEvery, heartbeatJitter)) {
+			return
+		}
+		now := m.o.Clock.Now()
+		if now.Sub(last) > lateBeats*m.o.HeartbeatEvery {
+			m.view.restartSuspicions(now)
+		}
+		last = now
+		m.expire(now)
+		if len(order) == 0 {
+			order = m.shuffled(m.view.ids(board.MemberAlive, board.MemberSuspect, board.MemberLeaving))
+		}
+		if len(order) > 0 {
+			id := order[0]
+			order = order[1:]
+			wg.Go(func() { m.beat(ctx, id) })
+		}
+		if id, due := m.dueContact(now); due {
+			wg.Go(func() { m.contactDead(ctx, id) })
+		}
+	}
+}
+
+func (m *Manager) shuffled(ids []string) []string {
+	for i := len(ids) - 1; i > 0; i-- {
+		j := int(m.rand.Float64() * float64(i+1))
+		ids[i], ids[j] = ids[j], ids[i]
+	}
+	return ids
+}
+
+// beat exchanges digests with a member; if that fails it asks others to try,
+// and suspects the member when they fail too.
+func (m *Manager) beat(ctx context.Context, id string) {
+	target, ok := m.view.get(id)
+	if !ok || target.State == string(board.MemberDead) {
+		return
+	}
+	reply, err := m.exchange(ctx, id, target.PeerAddr, nil, m.budget())
+	if err == nil {
+		m.settle(ctx, id, target.PeerAddr, reply)
+		return
+	}
+	if ctx.Err() != nil || m.reachedByOthers(ctx, target) || ctx.Err() != nil {
+		return
+	}
+	m.suspect(target)
+}
+
+// settle follows an exchange by a second one when the lists still differ.
+func (m *Manager) settle(ctx context.Context, id, addr string, reply gossip.Digest) {
+	if m.view.agrees(reply.Sums) {
+		return
+	}
+	_, _ = m.exchange(ctx, id, addr, reply.Sums, m.budget())
+}
+
+// exchange sends a digest and takes in the reply.
+func (m *Manager) exchange(ctx context.Context, id, addr string, theirs []uint32, budget int) (gossip.Digest, error) {
+	ctx, cancel := withTimeout(ctx, m.o.Clock, m.o.ExchangeTimeout)
+	defer cancel()
+	results := m.o.Metrics.Labelled(metricExchanges)
+	digest := m.compose(id, theirs, budget)
+	start := m.o.Boot.SinceBoot()
+	reply, err := m.o.Transport.Exchange(ctx, addr, digest)
+	if err != nil {
+		results.Add("failed", 1)
+		return gossip.Digest{}, err
+	}
+	results.Add("ok", 1)
+	// A reply counts as being as old as its call: a process that was paused
+	// in between must not take it for fresh.
+	reply.Transit = max(m.o.Boot.SinceBoot()-start, 1)
+	m.absorb(reply, m.o.Clock.Now())
+	return reply, nil
+}
+
+// reachedByOthers asks a few other members to exchange with the target. One
+// lossy path between two instances is then not taken for a death.
+func (m *Manager) reachedByOthers(ctx context.Context, target gossip.Member) bool {
+	helpers := m.shuffled(m.view.ids(board.MemberAlive))
+	ctx, cancel := withTimeout(ctx, m.o.Clock, 2*m.o.ExchangeTimeout)
+	defer cancel()
+	results := make(chan error, m.o.IndirectProbes)
+	asked := 0
+	for _, id := range helpers {
+		if asked == m.o.IndirectProbes {
+			break
+		}
+		helper, ok := m.view.get(id)
+		if !ok || id == target.ID {
+			continue
+		}
+		asked++
+		go func() { results <- m.o.Transport.Probe(ctx, helper.PeerAddr, target.PeerAddr) }()
+	}
+	reached := false
+	for range asked {
+		if err := <-results; err == nil {
+			reached = true
+			cancel()
+		}
+	}
+	m.countProbe(reached)
+	return reached
+}
+
+func (m *Manager) countProbe(reached bool) {
+	result := "failed"
+	if reached {
+		result = "reached"
+	}
+	m.o.Metrics.Labelled(metricProbes).Add(result, 1)
+}
+
+// suspect marks the member unless it has reasserted itself meanwhile. One that
+// said it was leaving is gone.
+func (m *Manager) suspect(seen gossip.Member) {
+	now := m.o.Clock.Now()
+	v := m.view
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	r, ok := v.rows[seen.ID]
+	if !ok || r.member.Incarnation != seen.Incarnation {
+		return
+	}
+	switch board.MemberState(r.member.State) {
+	case board.MemberAlive:
+		v.setState(r, board.MemberSuspect, now)
+		m.o.Logger.Log(event.MembershipSuspect, "instance", seen.ID)
+	case board.MemberLeaving:
+		v.setState(r, board.MemberDead, now)
+		m.o.Logger.Log(event.MembershipLeft, "instance", seen.ID)
+	}
+}
+
+// expire declares suspects dead whose time to reassert themselves is over.
+func (m *Manager) expire(now time.Time) {
+	v := m.view
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, r := range v.rows {
+		if r.member.State == string(board.MemberSuspect) && now.Sub(r.changed) >= m.o.SuspectAfter {
+			v.setState(r, board.MemberDead, now)
+			m.o.Logger.Log(event.MembershipDead, "instance", id)
+		}
+	}
+}
+
+// restartSuspicions gives every suspect its whole time again. An instance that
+// was paused for long would otherwise declare everyone dead whom it suspected
+// before, on waking, though they had no time to answer.
+func (v *view) restartSuspicions(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, r := range v.rows {
+		if r.member.State == string(board.MemberSuspect) {
+			r.changed = now
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/manager.go
@@ -0,0 +1,137 @@
+package membership
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/gossip"
+)
+
+// New returns a manager that lists this instance alone.
+func New(o Options) *Manager {
+	o = o.withDefaults()
+	incarnation := uint64(o.Started.UnixMilli())
+	self := gossip.Member{
+		ID:          o.Self.ID,
+		Incarnation: max(incarnation, o.Self.Incarnation),
+		State:       string(board.MemberAlive),
+		CallerAddr:  o.Self.CallerAddr,
+		AdminAddr:   o.Self.AdminAddr,
+		PeerAddr:    o.Self.PeerAddr,
+		Place:       o.Self.Place,
+		Region:      o.Self.Region,
+		Room:        1,
+	}
+	m := &Manager{
+		o:    o,
+		rand: loop.NewRand(o.Rand),
+		view: newView(self, o.Board, o.Healing, o.Clock.Now()),
+		pace: contactPace{min: o.ContactMin, max: o.ContactMax},
+	}
+	for _, p := range o.Parts {
+		m.parts.add(p)
+	}
+	o.Metrics.Func(metricMembers, func() any { return m.countByState() })
+	o.Metrics.Func(metricRefuted, func() any { refuted, _ := m.view.counts(); return refuted })
+	o.Metrics.Func(metricFalse, func() any { _, revived := m.view.counts(); return revived })
+	return m
+}
+
+// Run exchanges digests until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, run := range []func(context.Context){m.runHeartbeats, m.runEager, m.runList, m.runRegister} {
+		wg.Go(func() { run(ctx) })
+	}
+	wg.Wait()
+}
+
+// Handle is the server's side of an exchange.
+func (m *Manager) Handle(_ context.Context, d gossip.Digest) gossip.Digest {
+	d.Transit = 0
+	m.absorb(d, m.o.Clock.Now())
+	return m.compose(d.From, d.Sums, m.budget())
+}
+
+// budget is the estimated size of one digest: an instance starts one exchange
+// a heartbeat and answers one on average, each with a digest both ways.
+func (m *Manager) budget() int {
+	const digestsPerHeartbeat = 4
+	perHeartbeat := float64(m.o.BytesPerSecond) * m.o.HeartbeatEvery.Seconds()
+	return int(perHeartbeat / digestsPerHeartbeat)
+}
+
+// loadStep is the change of free room that is worth passing on.
+const loadStep = 0.05
+
+// loadGap is the least time between two load rows of one instance, by members:
+// at 370 instances every row of every instance each second would take the
+// whole budget.
+const loadGap = 30 * time.Millisecond
+
+// SetLoad tells the others how much room this instance has (free share of its
+// admission limit, 0 to 1) and its requests in flight.
+func (m *Manager) SetLoad(room float64, inFlight int) {
+	v := m.view
+	now := m.o.Clock.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	self := v.rows[v.self]
+	gap := max(m.o.HeartbeatEvery, time.Duration(len(v.rows))*loadGap)
+	if math.Abs(self.member.Room-room) < loadStep || now.Sub(v.loadSent) < gap {
+		return
+	}
+	v.loadSent = now
+	self.member.Room, self.member.InFlight = room, inFlight
+	self.member.Seq++
+	v.touch(self, urgencyLoad, false, now)
+}
+
+// syncMark takes the mark of the configuration in force from the board. It
+// returns whether it rose.
+func (m *Manager) syncMark() bool {
+	row, _ := m.o.Board.Self.Get(board.SelfRow)
+	v := m.view
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	self := v.rows[v.self]
+	if row.Mark <= self.member.Profiles {
+		return false
+	}
+	self.member.Profiles = row.Mark
+	self.member.Seq++
+	v.touch(self, urgencyMark, false, m.o.Clock.Now())
+	return true
+}
+
+// Leave tells the others that this instance is leaving, at once and with the
+// heartbeats that follow. The instance goes on taking part until Run ends.
+func (m *Manager) Leave(ctx context.Context) {
+	v := m.view
+	v.mu.Lock()
+	v.setState(v.rows[v.self], board.MemberLeaving, m.o.Clock.Now())
+	v.mu.Unlock()
+	m.o.Logger.Log(event.MembershipLeaving, "instance", m.o.Self.ID)
+	m.spread(ctx)
+}
+
+func (v *view) counts() (refuted, revived int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.refuted, v.revived
+}
+
+func (m *Manager) countByState() map[string]int {
+	counts := make(map[string]int)
+	m.view.mu.Lock()
+	defer m.view.mu.Unlock()
+	for _, r := range m.view.rows {
+		counts[r.member.State]++
+	}
+	return counts
+}
--- /dev/null
+++ b/internal/peer/convert.go
@@ -0,0 +1,208 @@
+package peer
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/peer/peerpb"
+)
+
+// Size returns the bytes of the digest as it is sent, without framing.
+func Size(d gossip.Digest) int { return proto.Size(toProto(d)) }
+
+func mapped[A, B any](in []A, convert func(A) B) []B {
+	if len(in) == 0 {
+		return nil
+	}
+	out := make([]B, len(in))
+	for i, v := range in {
+		out[i] = convert(v)
+	}
+	return out
+}
+
+func millis(d time.Duration) uint64 { return uint64(max(d, 0).Milliseconds()) }
+
+func duration(ms uint64) time.Duration {
+	const longest = 24 * time.Hour // a row older than that says nothing; no overflow
+	return min(time.Duration(min(ms, uint64(longest.Milliseconds())))*time.Millisecond, longest)
+}
+
+// millisUp rounds up, for ages: a digest must not look fresher than it is.
+func millisUp(d time.Duration) uint64 { return millis(d + time.Millisecond - 1) }
+
+func toProto(d gossip.Digest) *peerpb.Digest {
+	return &peerpb.Digest{
+		From:     d.From,
+		Members:  mapped(d.Members, memberToProto),
+		Profiles: mapped(d.Profiles, versionToProto),
+		Loads:    mapped(d.Loads, loadToProto),
+		Usage:    mapped(d.Usage, usageToProto),
+		Refusals: mapped(d.Refusals, refusalToProto),
+		Drains:   mapped(d.Drains, drainToProto),
+		Burn:     mapped(d.Burn, burnToProto),
+		Sums:     d.Sums,
+		Config:   configToProto(d.Config),
+	}
+}
+
+func fromProto(d *peerpb.Digest) gossip.Digest {
+	return gossip.Digest{
+		From:     d.GetFrom(),
+		Members:  mapped(d.GetMembers(), memberFromProto),
+		Profiles: mapped(d.GetProfiles(), versionFromProto),
+		Loads:    mapped(d.GetLoads(), loadFromProto),
+		Usage:    mapped(d.GetUsage(), usageFromProto),
+		Refusals: mapped(d.GetRefusals(), refusalFromProto),
+		Drains:   mapped(d.GetDrains(), drainFromProto),
+		Burn:     mapped(d.GetBurn(), burnFromProto),
+		Sums:     d.GetSums(),
+		Config:   configFromProto(d.GetConfig()),
+	}
+}
+
+func configToProto(c gossip.Config) *peerpb.Config {
+	out := &peerpb.Config{
+		Confirmed:    c.Confirmed,
+		ConfirmAgeMs: millisUp(c.ConfirmAge),
+		Serving:      c.Serving,
+	}
+	for _, h := range c.Heard {
+		out.HeardMembers = append(out.HeardMembers, h.Member)
+		out.HeardAgesMs = append(out.HeardAgesMs, uint32(millisUp(h.Age)))
+	}
+	return out
+}
+
+func configFromProto(c *peerpb.Config) gossip.Config {
+	out := gossip.Config{
+		Confirmed:  c.GetConfirmed(),
+		ConfirmAge: duration(c.GetConfirmAgeMs()),
+		Serving:    c.GetServing(),
+	}
+	ages := c.GetHeardAgesMs()
+	for i, member := range c.GetHeardMembers() {
+		if i < len(ages) {
+			out.Heard = append(out.Heard, gossip.Heard{Member: member, Age: duration(uint64(ages[i]))})
+		}
+	}
+	return out
+}
+
+func memberToProto(m gossip.Member) *peerpb.Member {
+	return &peerpb.Member{
+		Id:          m.ID,
+		Incarnation: m.Incarnation,
+		State:       m.State,
+		CallerAddr:  m.CallerAddr,
+		AdminAddr:   m.AdminAddr,
+		PeerAddr:    m.PeerAddr,
+		Place:       m.Place,
+		Region:      m.Region,
+		Room:        float32(m.Room),
+		InFlight:    uint32(max(m.InFlight, 0)),
+		Profiles:    m.Profiles,
+		Seq:         m.Seq,
+	}
+}
+
+func memberFromProto(m *peerpb.Member) gossip.Member {
+	return gossip.Member{
+		ID:          m.GetId(),
+		Incarnation: m.GetIncarnation(),
+		State:       m.GetState(),
+		CallerAddr:  m.GetCallerAddr(),
+		AdminAddr:   m.GetAdminAddr(),
+		PeerAddr:    m.GetPeerAddr(),
+		Place:       m.GetPlace(),
+		Region:      m.GetRegion(),
+		Room:        float64(m.GetRoom()),
+		InFlight:    int(m.GetInFlight()),
+		Profiles:    m.GetProfiles(),
+		Seq:         m.GetSeq(),
+	}
+}
+
+func versionToProto(v gossip.ProfileVersion) *peerpb.ProfileVersion {
+	return &peerpb.ProfileVersion{Name: v.Name, Version: v.Version}
+}
+
+func versionFromProto(v *peerpb.ProfileVersion) gossip.ProfileVersion {
+	return gossip.ProfileVersion{Name: v.GetName(), Version: v.GetVersion()}
+}
+
+func loadToProto(l gossip.Load) *peerpb.Load {
+	return &peerpb.Load{
+		Target:      l.Target,
+		Seq:         l.Seq,
+		AgeMs:       millisUp(l.Age),
+		Running:     uint32(max(l.Running, 0)),
+		Queued:      uint32(max(l.Queued, 0)),
+		Slots:       uint32(max(l.Slots, 0)),
+		MeanMs:      float32(l.MeanMS),
+		KvUsed:      float32(l.KVUsed),
+		Leaving:     l.Leaving,
+		ModelsKnown: l.ModelsKnown,
+		Models:      mapped(l.Models, modelToProto),
+		Role:        l.Role,
+	}
+}
+
+func loadFromProto(l *peerpb.Load) gossip.Load {
+	return gossip.Load{
+		Target:      l.GetTarget(),
+		Seq:         l.GetSeq(),
+		Age:         duration(l.GetAgeMs()),
+		Running:     int(l.GetRunning()),
+		Queued:      int(l.GetQueued()),
+		Slots:       int(l.GetSlots()),
+		MeanMS:      float64(l.GetMeanMs()),
+		KVUsed:      float64(l.GetKvUsed()),
+		Leaving:     l.GetLeaving(),
+		ModelsKnown: l.GetModelsKnown(),
+		Models:      mapped(l.GetModels(), modelFromProto),
+		Role:        l.GetRole(),
+	}
+}
+
+func modelToProto(m gossip.LoadedModel) *peerpb.LoadedModel {
+	return &peerpb.LoadedModel{Model: m.Model, Version: m.Version, Adapters: m.Adapters, Ready: m.Ready}
+}
+
+func modelFromProto(m *peerpb.LoadedModel) gossip.LoadedModel {
+	return gossip.LoadedModel{Model: m.GetModel(), Version: m.GetVersion(), Adapters: m.GetAdapters(), Ready: m.GetReady()}
+}
+
+func usageToProto(u gossip.Usage) *peerpb.Usage {
+	return &peerpb.Usage{Organisation: u.Organisation, RatePerSecond: float32(u.RatePerSecond), InFlight: uint32(max(u.InFlight, 0))}
+}
+
+func usageFromProto(u *peerpb.Usage) gossip.Usage {
+	return gossip.Usage{Organisation: u.GetOrganisation(), RatePerSecond: float64(u.GetRatePerSecond()), InFlight: int(u.GetInFlight())}
+}
+
+func refusalToProto(r gossip.Refusal) *peerpb.Refusal {
+	return &peerpb.Refusal{Fingerprint: r.Fingerprint, Targets: r.Targets, TtlMs: millis(r.TTL)}
+}
+
+func refusalFromProto(r *peerpb.Refusal) gossip.Refusal {
+	return gossip.Refusal{Fingerprint: r.GetFingerprint(), Targets: r.GetTargets(), TTL: duration(r.GetTtlMs())}
+}
+
+func drainToProto(d gossip.Drain) *peerpb.Drain {
+	return &peerpb.Drain{Subject: d.Subject, Version: d.Version, Active: d.Active}
+}
+
+func drainFromProto(d *peerpb.Drain) gossip.Drain {
+	return gossip.Drain{Subject: d.GetSubject(), Version: d.GetVersion(), Active: d.GetActive()}
+}
+
+func burnToProto(b gossip.Burn) *peerpb.Burn {
+	return &peerpb.Burn{Profile: b.Profile, Window: b.Window, Total: b.Total, Missed: b.Missed}
+}
+
+func burnFromProto(b *peerpb.Burn) gossip.Burn {
+	return gossip.Burn{Profile: b.GetProfile(), Window: b.GetWindow(), Total: b.GetTotal(), Missed: b.GetMissed()}
+}
--- /dev/null
+++ b/internal/peer/mempeer/mempeer.go
@@ -0,0 +1,228 @@
+// Package mempeer connects instances in memory, with faults: the counterpart
+// of internal/peer for tests in virtual time.
+package mempeer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/peer"
+	"lynxhill.example/lynxhill/internal/store"
+)
+
+// ErrUnreachable is the error of a call that got no answer.
+var ErrUnreachable = errors.New("mempeer: unreachable")
+
+// Node is the server side of one instance.
+type Node struct {
+	Handle func(ctx context.Context, d gossip.Digest) gossip.Digest
+	Since  func(prefix string, after uint64) (objects []store.Object, mark uint64, more bool)
+}
+
+// Network carries the calls. Its faults may be changed at any time.
+type Network struct {
+	delay time.Duration // one way
+	sleep func(ctx context.Context, d time.Duration) bool
+
+	mu      sync.Mutex // guards what follows
+	nodes   map[string]Node
+	blocked map[link]bool
+	paused  map[string]chan struct{}
+	traffic map[string]Traffic
+}
+
+type link struct{ from, to string }
+
+// Traffic counts an instance's digests, as sent and received.
+type Traffic struct {
+	Digests int
+	Bytes   int
+}
+
+// New returns a network with a one-way delay. sleep waits in the time of the
+// test and returns false when ctx ended first.
+func New(delay time.Duration, sleep func(ctx context.Context, d time.Duration) bool) *Network {
+	return &Network{
+		delay:   delay,
+		sleep:   sleep,
+		nodes:   make(map[string]Node),
+		blocked: make(map[link]bool),
+		paused:  make(map[string]chan struct{}),
+		traffic: make(map[string]Traffic),
+	}
+}
+
+// Join puts an instance at an address.
+func (n *Network) Join(addr string, node Node) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.nodes[addr] = node
+}
+
+// Drop takes the instance at the address away, as a crash does.
+func (n *Network) Drop(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.nodes, addr)
+}
+
+// Block loses everything sent from one address to another, one way.
+func (n *Network) Block(from, to string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.blocked[link{from, to}] = true
+}
+
+// Split blocks both ways between two groups.
+func (n *Network) Split(a, b []string) {
+	for _, x := range a {
+		for _, y := range b {
+			n.Block(x, y)
+			n.Block(y, x)
+		}
+	}
+}
+
+// Heal ends all blocks.
+func (n *Network) Heal() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.blocked)
+}
+
+// Pause stops an instance: its calls and those to it hang until Resume.
+func (n *Network) Pause(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.paused[addr] == nil {
+		n.paused[addr] = make(chan struct{})
+	}
+}
+
+// Resume ends a pause.
+func (n *Network) Resume(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if gate := n.paused[addr]; gate != nil {
+		close(gate)
+		delete(n.paused, addr)
+	}
+}
+
+// Wait blocks while the instance is paused. A test's boot clock calls it, so
+// that a paused instance does not see time pass.
+func (n *Network) Wait(addr string) {
+	n.mu.Lock()
+	gate := n.paused[addr]
+	n.mu.Unlock()
+	if gate != nil {
+		<-gate
+	}
+}
+
+// Traffic returns the counts of an address.
+func (n *Network) Traffic(addr string) Traffic {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.traffic[addr]
+}
+
+func (n *Network) count(from, to string, d gossip.Digest) {
+	size := peer.Size(d)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, addr := range []string{from, to} {
+		t := n.traffic[addr]
+		t.Digests++
+		t.Bytes += size
+		n.traffic[addr] = t
+	}
+}
+
+// pass carries one message one way.
+func (n *Network) pass(ctx context.Context, from, to string) (Node, error) {
+	n.Wait(from)
+	if !n.sleep(ctx, n.delay) {
+		return Node{}, ctx.Err()
+	}
+	n.mu.Lock()
+	lost := n.blocked[link{from, to}]
+	gate := n.paused[to]
+	n.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return Node{}, ErrUnreachable
+	}
+	if gate != nil {
+		select {
+		case <-gate:
+		case <-ctx.Done():
+			return Node{}, ErrUnreachable
+		}
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	node, ok := n.nodes[to]
+	if !ok {
+		return Node{}, ErrUnreachable
+	}
+	return node, nil
+}
+
+// Client is one instance's side of the network.
+type Client struct {
+	network *Network
+	addr    string
+	address func(instance string) (string, bool)
+}
+
+// Client returns the client of the instance at addr. address finds others by
+// id.
+func (n *Network) Client(addr string, address func(instance string) (string, bool)) *Client {
+	return &Client{network: n, addr: addr, address: address}
+}
+
+// Exchange implements membership.Transport.
+func (c *Client) Exchange(ctx context.Context, to string, d gossip.Digest) (gossip.Digest, error) {
+	c.network.count(c.addr, to, d)
+	node, err := c.network.pass(ctx, c.addr, to)
+	if err != nil {
+		return gossip.Digest{}, err
+	}
+	reply := node.Handle(ctx, d)
+	c.network.count(to, c.addr, reply)
+	if _, err := c.network.pass(ctx, to, c.addr); err != nil {
+		return gossip.Digest{}, err
+	}
+	return reply, nil
+}
+
+// Probe implements membership.Transport.
+func (c *Client) Probe(ctx context.Context, via, target string) error {
+	for _, hop := range []link{{c.addr, via}, {via, target}, {target, via}, {via, c.addr}} {
+		if _, err := c.network.pass(ctx, hop.from, hop.to); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Pull implements profilesync.Puller.
+func (c *Client) Pull(ctx context.Context, instance, prefix string, after uint64) ([]store.Object, uint64, bool, error) {
+	to, ok := c.address(instance)
+	if !ok {
+		return nil, 0, false, ErrUnreachable
+	}
+	node, err := c.network.pass(ctx, c.addr, to)
+	if err != nil {
+		return nil, 0, false, err
+	}
+	objects, mark, more := node.Since(prefix, after)
+	if _, err := c.network.pass(ctx, to, c.addr); err != nil {
+		return nil, 0, false, err
+	}
+	return objects, mark, more, nil
+}
