Drains and address answers

Drains are objects of the platform, read by two instances a place, and set the Draining mark of the board. Address answers are drawn by free room within the nearest place; weights are corrected for the chance of being drawn, so that room does not count twice (shares within 15% of room in 20,000 answers).

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -213,6 +213,7 @@
 	Address string
 	Place   string
 	Region  string
+	Room    float64 // free share of its admission limit
 	Weight  float64
 }
 
--- /dev/null
+++ b/internal/control/drain/drain.go
@@ -0,0 +1,335 @@
+// Package drain keeps operators' orders that an instance, a place or a target
+// takes no new work. They are objects of the platform ("drains/SUBJECT") and
+// so outlast restarts. A drain that is taken back stays as a cleared object
+// for a while, so that an old word of a peer cannot bring it back.
+package drain
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/control/rendezvous"
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/store"
+)
+
+// KeyPrefix is where drains are kept in the store; the subject follows.
+const KeyPrefix = "drains/"
+
+// Defaults of Options.
+const (
+	DefaultReadEvery     = 5 * time.Second
+	DefaultSlowReadEvery = 2 * time.Minute
+	DefaultReaders       = 2
+	DefaultKeepCleared   = 24 * time.Hour
+)
+
+const (
+	jitter       = 0.25
+	callTimeout  = 5 * time.Second
+	writeRetries = 3
+)
+
+var (
+	metricReads  = metrics.Define("drain_reads_total", "reads", "Lists of drains read from the platform.")
+	metricActive = metrics.Define("drains_active", "drains", "Drains in force.")
+)
+
+// Store is what the controller needs of the platform.
+type Store interface {
+	store.Reader
+	store.Writer
+}
+
+// Options configure a Controller.
+type Options struct {
+	Store   Store
+	Board   *board.Board
+	Clock   clock.Clock
+	Rand    *rand.Rand
+	Logger  *event.Logger
+	Metrics *metrics.Registry
+	Self    string
+	Place   string
+	// ReadEvery is how often the readers of a place read the drains from the
+	// platform; the others read every SlowReadEvery and learn by gossip.
+	ReadEvery     time.Duration
+	SlowReadEvery time.Duration
+	// Readers is the number of readers in each place.
+	Readers int
+	// KeepCleared is how long a cleared object is kept.
+	KeepCleared time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.ReadEvery <= 0 {
+		o.ReadEvery = DefaultReadEvery
+	}
+	if o.SlowReadEvery <= 0 {
+		o.SlowReadEvery = DefaultSlowReadEvery
+	}
+	if o.Readers <= 0 {
+		o.Readers = DefaultReaders
+	}
+	if o.KeepCleared <= 0 {
+		o.KeepCleared = DefaultKeepCleared
+	}
+	return o
+}
+
+// stored is the value of a drain object.
+type stored struct {
+	board.Drain
+	Cleared bool `json:"cleared,omitempty"`
+}
+
+// entry is what is known of a subject.
+type entry struct {
+	version uint64
+	active  bool
+	by      string
+	at      time.Time
+}
+
+// Controller keeps board.Drains and the Draining mark of board.Self.
+type Controller struct {
+	opts Options
+	rand *loop.Rand
+	wake board.Signal // a peer's word or an operator's order
+
+	mu       sync.Mutex // guards entries and nextFill
+	entries  map[string]entry
+	nextFill int
+}
+
+// New returns a controller that knows no drains yet.
+func New(opts Options) *Controller {
+	return &Controller{opts: opts.withDefaults(), rand: loop.NewRand(opts.Rand), entries: make(map[string]entry)}
+}
+
+// Run reads the drains at a low rate and keeps the board until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	go loop.Run(ctx, loop.Options{
+		Clock: c.opts.Clock, Rand: c.rand, Period: c.opts.SlowReadEvery, Jitter: jitter, Changed: c.wake.Wait,
+	}, func(context.Context) { c.publish() })
+	for ctx.Err() == nil {
+		c.read(ctx)
+		if !loop.Sleep(ctx, c.opts.Clock, c.rand.Spread(c.period(), jitter)) {
+			return
+		}
+	}
+}
+
+// period is short on the few readers of the place.
+func (c *Controller) period() time.Duration {
+	live := c.opts.Board.LiveMembersIn(c.opts.Place, c.opts.Self)
+	if rendezvous.Position(KeyPrefix+c.opts.Place, c.opts.Self, live) < c.opts.Readers {
+		return c.opts.ReadEvery
+	}
+	return c.opts.SlowReadEvery
+}
+
+// read takes over the platform's drains. While it is down, those known stay.
+func (c *Controller) read(ctx context.Context) {
+	callCtx, cancel := loop.WithTimeout(store.WithPriority(ctx, store.PriorityBackground), c.opts.Clock, callTimeout)
+	defer cancel()
+	c.opts.Metrics.Counter(metricReads).Add(1)
+	objects, version, err := c.opts.Store.List(callCtx, KeyPrefix)
+	if err != nil {
+		if ctx.Err() == nil {
+			c.opts.Logger.Log(event.DrainReadFail, "error", err)
+		}
+		return
+	}
+	c.takeList(objects, version)
+	c.publish()
+}
+
+// takeList merges the list. A subject that the list lacks is gone if it was
+// written before the list was taken.
+func (c *Controller) takeList(objects []store.Object, version uint64) {
+	listed := make(map[string]bool, len(objects))
+	for _, object := range objects {
+		subject := strings.TrimPrefix(object.Key, KeyPrefix)
+		listed[subject] = true
+		var s stored
+		if err := json.Unmarshal(object.Value, &s); err != nil {
+			c.opts.Logger.Log(event.DrainInvalid, "subject", subject)
+			continue
+		}
+		c.take(subject, entry{version: object.Version, active: !s.Cleared, by: s.By, at: s.At})
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for subject, e := range c.entries {
+		if !listed[subject] && e.version <= version {
+			delete(c.entries, subject)
+		}
+	}
+}
+
+// take merges one subject: the higher version wins.
+func (c *Controller) take(subject string, e entry) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old, known := c.entries[subject]
+	if known && old.version > e.version {
+		return false
+	}
+	if known && old.version == e.version && (old.by != "" || e.by == "") {
+		return false
+	}
+	c.entries[subject] = e
+	return true
+}
+
+// publish writes the decisions to the board.
+func (c *Controller) publish() {
+	active := c.active()
+	for subject := range c.opts.Board.Drains.Snapshot() {
+		if _, still := active[subject]; !still {
+			c.opts.Board.Drains.Delete(subject)
+			c.opts.Logger.Log(event.DrainCleared, "subject", subject)
+		}
+	}
+	for subject, d := range active {
+		old, found := c.opts.Board.Drains.Get(subject)
+		if !found {
+			c.opts.Logger.Log(event.DrainOrdered, "subject", subject, "by", d.By)
+		}
+		if old != d {
+			c.opts.Board.Drains.Put(subject, d)
+		}
+	}
+	c.opts.Metrics.Counter(metricActive).Set(int64(len(active)))
+	c.markSelf()
+}
+
+func (c *Controller) active() map[string]board.Drain {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	active := make(map[string]board.Drain)
+	for subject, e := range c.entries {
+		if e.active {
+			active[subject] = board.Drain{Subject: subject, By: e.by, At: e.at, Version: e.version}
+		}
+	}
+	return active
+}
+
+// markSelf sets the Draining mark of this instance.
+func (c *Controller) markSelf() {
+	b := c.opts.Board
+	draining := b.Drained(board.DrainInstance+c.opts.Self) || b.Drained(board.DrainPlace+c.opts.Place)
+	b.Self.Update(board.SelfRow, func(self board.Self, found bool) (board.Self, bool) {
+		if found && self.Draining == draining {
+			return self, false
+		}
+		self.Draining = draining
+		return self, true
+	})
+}
+
+// List returns the drains in force by subject.
+func (c *Controller) List() []board.Drain {
+	var list []board.Drain
+	for _, d := range c.active() {
+		list = append(list, d)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Subject < list[j].Subject })
+	return list
+}
+
+// Drain orders that the subject take no new work. It returns when the platform
+// has the order; it is in force everywhere within seconds after that. Errors:
+// BadRequest, Conflict, ChangeUnknown, StoreUnavailable.
+func (c *Controller) Drain(ctx context.Context, subject, operator string) error {
+	if err := validate(subject); err != nil {
+		return err
+	}
+	return c.write(ctx, subject, stored{Drain: board.Drain{Subject: subject, By: operator, At: c.opts.Clock.Now().UTC()}})
+}
+
+// Undrain takes a drain back. Taking back one that is not there succeeds.
+// Errors are those of Drain.
+func (c *Controller) Undrain(ctx context.Context, subject string) error {
+	if err := validate(subject); err != nil {
+		return err
+	}
+	return c.write(ctx, subject, stored{Drain: board.Drain{Subject: subject, At: c.opts.Clock.Now().UTC()}, Cleared: true})
+}
+
+func validate(subject string) error {
+	for _, prefix := range []string{board.DrainInstance, board.DrainPlace, board.DrainTarget} {
+		if name, ok := strings.CutPrefix(subject, prefix); ok && name != "" && !strings.Contains(name, "/") {
+			return nil
+		}
+	}
+	return errkind.New(errkind.BadRequest, "%q is not instance/ID, place/NAME or target/ID", subject)
+}
+
+// write brings the object to the wanted state. The state wanted is all that
+// the operator says, so that a lost race or reply is simply tried again.
+func (c *Controller) write(ctx context.Context, subject string, want stored) error {
+	ctx = store.WithPriority(ctx, store.PriorityOperator)
+	value, err := json.Marshal(want)
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "drain")
+	}
+	var last error
+	for range writeRetries {
+		done, err := c.writeOnce(ctx, subject, want, value)
+		if done {
+			c.publish()
+			c.wake.Notify()
+			return nil
+		}
+		last = err
+	}
+	return writeError(last)
+}
+
+func (c *Controller) writeOnce(ctx context.Context, subject string, want stored, value []byte) (bool, error) {
+	current, err := c.opts.Store.Get(ctx, KeyPrefix+subject)
+	switch {
+	case errors.Is(err, store.ErrNotFound) && want.Cleared:
+		return true, nil
+	case errors.Is(err, store.ErrNotFound):
+		current = store.Object{}
+	case err != nil:
+		return false, err
+	}
+	var now stored
+	if current.Version != 0 && json.Unmarshal(current.Value, &now) == nil && now.Cleared == want.Cleared {
+		c.take(subject, entry{version: current.Version, active: !now.Cleared, by: now.By, at: now.At})
+		return true, nil
+	}
+	object, err := c.opts.Store.Put(ctx, KeyPrefix+subject, value, current.Version)
+	if err != nil {
+		return false, err
+	}
+	c.take(subject, entry{version: object.Version, active: !want.Cleared, by: want.By, at: want.At})
+	return true, nil
+}
+
+func writeError(err error) error {
+	switch {
+	case errors.Is(err, store.ErrConflict):
+		return errkind.Wrap(err, errkind.Conflict, "other operators change this drain")
+	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrThrottled):
+		return errkind.Wrap(err, errkind.StoreUnavailable, "drain")
+	default:
+		return errkind.Wrap(err, errkind.ChangeUnknown, "drain; list the drains to see whether it took effect")
+	}
+}
--- a/internal/control/lease/manager_test.go
+++ b/internal/control/lease/manager_test.go
@@ -13,6 +13,7 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/store/memstore"
 )
 
 const service = "lynx-pool"
@@ -76,7 +77,7 @@
 
 func TestOneHolderAndHandOver(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newFakeStore(1)
+		s := memstore.New(memstore.Options{Seed: 1})
 		var nodes []*node
 		for i, id := range ids(5) {
 			nodes = append(nodes, startNode(id, ids(5), s, uint64(i)))
@@ -108,7 +109,7 @@
 // Cause: its own timers did not run meanwhile, so only the boot clock tells.
 func TestSuspendedHolderFailsCheckAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := startNode("i-00", ids(1), newFakeStore(1), 1)
+		n := startNode("i-00", ids(1), memstore.New(memstore.Options{Seed: 1}), 1)
 		defer n.finish()
 		time.Sleep(time.Minute)
 		if !n.manager.Holds(service) {
--- /dev/null
+++ b/internal/control/steering/steering_test.go
@@ -0,0 +1,99 @@
+package steering
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/coder/quartz"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+func controller(b *board.Board) *Controller {
+	return New(Options{Board: b, Clock: quartz.NewReal(), Rand: rand.New(rand.NewPCG(1, 2)), Self: "i-0"})
+}
+
+func put(b *board.Board, id, place string, room float64) {
+	b.Members.Put(id, board.Member{ID: id, State: board.MemberAlive, CallerAddr: id + ":1", Place: place, Region: "tunis", Room: room})
+}
+
+func TestLeavingDrainedAndStoppingAreNotGiven(t *testing.T) {
+	b := board.New()
+	put(b, "i-0", "lac-a", 1)
+	put(b, "i-1", "lac-a", 1)
+	put(b, "i-2", "lac-b", 1)
+	put(b, "i-3", "charguia", 1)
+	put(b, "i-4", "charguia", 1)
+	b.Self.Put(board.SelfRow, board.Self{Stopping: true})
+	b.Drains.Put("instance/i-1", board.Drain{Subject: "instance/i-1"})
+	b.Drains.Put("place/lac-b", board.Drain{Subject: "place/lac-b"})
+	m, _ := b.Members.Get("i-3")
+	m.State = board.MemberLeaving
+	b.Members.Put("i-3", m)
+	answer := controller(b).Answer("lac-a", "tunis")
+	if len(answer.Addresses) != 1 || answer.Addresses[0].ID != "i-4" {
+		t.Fatalf("answer %+v, want only i-4", answer.Addresses)
+	}
+}
+
+func TestSharesFollowRoom(t *testing.T) {
+	b := board.New()
+	rooms := map[string]float64{"a": 1, "b": 0.8, "c": 0.6, "d": 0.5, "e": 0.4, "f": 0.3, "g": 0.2, "h": 0.2}
+	total := 0.0
+	for id, room := range rooms {
+		put(b, id, "lac-a", room)
+		total += room
+	}
+	put(b, "far", "lac-b", 1)
+	c := controller(b)
+	shares := make(map[string]float64)
+	const answers = 20000
+	for range answers {
+		for id, share := range pickShares(c.Answer("lac-a", "tunis")) {
+			shares[id] += share / answers
+		}
+	}
+	for id, room := range rooms {
+		if want := room / total; math.Abs(shares[id]-want) > 0.15*want {
+			t.Errorf("share of %s is %.3f, want %.3f within 15%%", id, shares[id], want)
+		}
+	}
+	if shares["far"] != 0 {
+		t.Errorf("a place with room sent %.3f of its callers away", shares["far"])
+	}
+}
+
+// pickShares is what a caller that picks by weight sends to each address.
+func pickShares(a lynxapi.AddressAnswer) map[string]float64 {
+	sum := 0.0
+	for _, address := range a.Addresses {
+		sum += address.Weight
+	}
+	shares := make(map[string]float64)
+	for _, address := range a.Addresses {
+		shares[address.ID] = address.Weight / sum
+	}
+	return shares
+}
+
+// Symptom: callers of a lost place cannot reach anybody until they are set up
+// anew. Events: a whole place is lost while its callers keep their answers.
+// Cause: the answers named only instances of that place.
+func TestAnswerNamesSparesElsewhere(t *testing.T) {
+	b := board.New()
+	for _, id := range []string{"a", "b", "c", "d", "e", "f", "g"} {
+		put(b, id, "lac-a", 1)
+	}
+	put(b, "x", "lac-b", 1)
+	put(b, "y", "ariana", 1)
+	c := controller(b)
+	for range 100 {
+		answer := c.Answer("lac-a", "tunis")
+		last := answer.Addresses[len(answer.Addresses)-1]
+		if last.Place == "lac-a" || last.Weight != 0 {
+			t.Fatalf("no spare outside the place: %+v", answer.Addresses)
+		}
+	}
+}
