Store: the caller of a watch may set its wait

The return of a watch confirms that what the caller holds is current. Profile sync needs that within seconds; the wait of 25 s would leave its confirmations too old. Additive: without WithWatchWait nothing changes. Tests of the platform client and the in-memory store pass.

--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -123,7 +123,7 @@
 func (c *Client) attempt(ctx context.Context, base string, op call, out any) error {
 	timeout := callTimeout
 	if op.kind == callWatch {
-		timeout = watchWait + watchGrace
+		timeout = store.WatchWait(ctx, watchWait) + watchGrace
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -152,7 +152,7 @@
 	query := url.Values{
 		"prefix":  {prefix},
 		"after":   {strconv.FormatUint(after, 10)},
-		"wait_ms": {strconv.FormatInt(watchWait.Milliseconds(), 10)},
+		"wait_ms": {strconv.FormatInt(store.WatchWait(ctx, watchWait).Milliseconds(), 10)},
 	}
 	err := c.call(ctx, call{kind: callWatch, method: http.MethodGet, path: platformapi.PathWatch, query: query}, &list)
 	if err != nil {
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -196,7 +196,7 @@
 	if err := s.enter(ctx, kindWatch); err != nil {
 		return nil, after, false, err
 	}
-	timer := s.opts.Clock.NewTimer(s.opts.WatchWait)
+	timer := s.opts.Clock.NewTimer(store.WatchWait(ctx, s.opts.WatchWait))
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"lynxhill.example/lynxhill/internal/wire/platformapi"
 )
@@ -62,6 +63,23 @@
 	return PriorityControl
 }
 
+type watchWaitKey struct{}
+
+// WithWatchWait sets how long a Watch under ctx waits for a change before it
+// returns without one. Its return tells the caller that what it holds is still
+// current, so a caller that needs to know that sets a short wait.
+func WithWatchWait(ctx context.Context, wait time.Duration) context.Context {
+	return context.WithValue(ctx, watchWaitKey{}, wait)
+}
+
+// WatchWait returns the wait that WithWatchWait set, or the fallback.
+func WatchWait(ctx context.Context, fallback time.Duration) time.Duration {
+	if wait, ok := ctx.Value(watchWaitKey{}).(time.Duration); ok {
+		return wait
+	}
+	return fallback
+}
+
 // Reader reads objects.
 type Reader interface {
 	// Get returns the object or ErrNotFound.
