Service levels: attainment, burn, causes and cost by stage in bounded memory

Cause: the users weigh attainment and cost by stage; a report must not need a store call a request. Change: internal/slo counts each request by profile, place and organisation in rings of minutes (seconds while young), keeps times in DDSketches, blames a miss on the stage beyond its usual time, tells its totals per profile with the heartbeats, and merges reports. lynxapi.BurnRow gains the counts and sketches that make rows addable (additive).

--- /dev/null
+++ b/internal/slo/fleet_test.go
@@ -0,0 +1,124 @@
+package slo
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/go-kit/log"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/gossip"
+)
+
+const wideBudget = 1 << 20
+
+func tell(from, to *Tracker) gossip.Digest {
+	digest := gossip.Digest{From: from.instance}
+	from.Gossip().Fill(&digest, to.instance, wideBudget)
+	to.Gossip().Absorb(digest)
+	return digest
+}
+
+func TestFleetKnowsEveryInstance(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newTracker("a"), newTracker("b")
+		for range 30 {
+			a.Observe(answered("check", "agency", time.Second))
+			b.Observe(failed("check", "agency", errkind.NoTarget))
+			time.Sleep(10 * time.Second)
+		}
+		digest := tell(b, a)
+		a.Gossip().Absorb(digest) // a digest that comes twice counts once
+		tell(b, a)
+		row := a.Fleet()[0]
+		if row.Total != 60 || row.Missed != 30 || row.Instances != 2 {
+			t.Fatalf("%+v", row)
+		}
+		near(t, "burn", row.BurnLong, 5, 0.001)
+	})
+}
+
+func TestFleetDigestTellsOnlyWhatIsNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := newTracker("a"), newTracker("b")
+		for range 30 {
+			b.Observe(answered("check", "agency", time.Second))
+			time.Sleep(time.Minute)
+		}
+		if first := tell(b, a); len(first.Burn) != 30 {
+			t.Fatalf("first digest has %d rows", len(first.Burn))
+		}
+		b.Observe(answered("check", "agency", time.Second))
+		if second := tell(b, a); len(second.Burn) > 1+fleetOverlap+1 {
+			t.Fatalf("second digest has %d rows", len(second.Burn))
+		}
+		if total := a.Fleet()[0].Total; total != 31 {
+			t.Fatalf("total %d", total)
+		}
+	})
+}
+
+func TestFleetDigestKeepsItsBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTracker("b")
+		for range 30 {
+			b.Observe(answered("check", "agency", time.Second))
+			time.Sleep(time.Minute)
+		}
+		const budget = 100
+		var digest gossip.Digest
+		used := b.Gossip().Fill(&digest, "a", budget)
+		if used > budget || len(digest.Burn) != budget/(burnRowBytes+len("check")) {
+			t.Fatalf("used %d with %d rows", used, len(digest.Burn))
+		}
+	})
+}
+
+// Symptom: after an overload had gone, the fleet's counts of a minute fell.
+// Events: a digest was delayed and came after a newer one of the same minute.
+// Cause: the last digest to arrive won, not the one with the higher count.
+func TestLateDigestTakesNothingBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := newTracker("a")
+		minute := time.Now().Unix() / 60 * 60
+		digest := func(total uint64) gossip.Digest {
+			return gossip.Digest{From: "b", Burn: []gossip.Burn{{Profile: "check", Window: minute, Total: total}}}
+		}
+		a.Gossip().Absorb(digest(9))
+		a.Gossip().Absorb(digest(4))
+		if total := a.Fleet()[0].Total; total != 9 {
+			t.Fatalf("total %d", total)
+		}
+	})
+}
+
+func TestFastBurnIsLoggedOnceAndEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		tracker := New(Options{
+			Clock:      quartz.NewReal(),
+			Objectives: func(string) float64 { return 0.99 },
+			Instance:   "a",
+			Logger:     event.NewLogger(log.NewLogfmtLogger(&out)),
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { tracker.Run(ctx); close(done) }()
+		for range 60 {
+			tracker.Observe(failed("check", "agency", errkind.NoTarget))
+		}
+		time.Sleep(time.Minute)
+		time.Sleep(10 * time.Minute)
+		cancel()
+		<-done
+		if strings.Count(out.String(), "budget_burns_fast") != 1 || strings.Count(out.String(), "budget_burn_ended") != 1 {
+			t.Fatalf("log:\n%s", out.String())
+		}
+	})
+}
--- a/internal/wire/lynxapi/admin.go
+++ b/internal/wire/lynxapi/admin.go
@@ -242,6 +242,26 @@
 	P95MS      float64 `json:"p95_ms"`
 	P99MS      float64 `json:"p99_ms"`
 	FirstP95MS float64 `json:"first_p95_ms"`
+	// Excluded counts requests that failed by the caller's own doing, such as
+	// a malformed body; they are in no other figure.
+	Excluded uint64 `json:"excluded,omitempty"`
+	// Allowed is how many misses the objective allows for Total; with the
+	// counts of the two burn windows it makes rows of several instances
+	// addable.
+	Allowed float64    `json:"allowed"`
+	Short   BurnWindow `json:"short"`
+	Long    BurnWindow `json:"long"`
+	// LatencySketch and FirstSketch are DDSketches of milliseconds, from which
+	// the quantiles of a merged row are computed.
+	LatencySketch []byte `json:"latency_sketch,omitempty"`
+	FirstSketch   []byte `json:"first_sketch,omitempty"`
+}
+
+// BurnWindow is the counts of one burn window.
+type BurnWindow struct {
+	Total   uint64  `json:"total"`
+	Missed  uint64  `json:"missed"`
+	Allowed float64 `json:"allowed"`
 }
 
 // BurnCause is what spent the budget.
@@ -268,6 +288,7 @@
 // BurnSeries is attainment over time, a point a minute or less.
 type BurnSeries struct {
 	Profile string      `json:"profile"`
+	StepS   float64     `json:"step_s"` // length of one point
 	Points  []BurnPoint `json:"points"`
 }
 
