--- /dev/null
+++ b/internal/adminapi/pprof.go
@@ -0,0 +1,41 @@
+package adminapi
+
+import (
+	"net/http"
+	"net/http/pprof"
+
+	"github.com/zeromicro/go-zero/rest"
+
+	"lynxhill.example/lynxhill/internal/auth"
+)
+
+// pprofRoutes returns the routes of the process's profiles. They are for
+// operators only: profiles show what is in memory.
+func (a *api) pprofRoutes() []rest.Route {
+	const root = "/debug/pprof"
+	handlers := map[string]http.HandlerFunc{
+		root:              pprof.Index,
+		root + "/cmdline": pprof.Cmdline,
+		root + "/profile": pprof.Profile,
+		root + "/symbol":  pprof.Symbol,
+		root + "/trace":   pprof.Trace,
+	}
+	for _, name := range []string{"allocs", "block", "goroutine", "heap", "mutex", "threadcreate"} {
+		handlers[root+"/"+name] = pprof.Handler(name).ServeHTTP
+	}
+	routes := make([]rest.Route, 0, len(handlers))
+	for path, h := range handlers {
+		routes = append(routes, rest.Route{Method: http.MethodGet, Path: path, Handler: a.forOperators("pprof", h)})
+	}
+	return routes
+}
+
+func (a *api) forOperators(name string, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, err := a.operator(r, auth.RoleOperator); err != nil {
+			a.refuse(w, r, name, err)
+			return
+		}
+		next(w, r)
+	}
+}
--- /dev/null
+++ b/internal/callerapi/callerapi.go
@@ -0,0 +1,224 @@
+// Package callerapi is the HTTP edge towards callers: the address answer,
+// requests to profiles, answered whole or as server-sent events, and the
+// outcome of a key. It checks what arrives, gives each request an id, and
+// answers every error with its row of the table of error kinds.
+package callerapi
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/quartz"
+	"github.com/zeromicro/go-zero/rest"
+
+	"lynxhill.example/lynxhill/internal/auth"
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/httpserver"
+	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/outcome"
+	"lynxhill.example/lynxhill/internal/pipeline"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+// Handler is what the instance does with a checked request.
+type Handler interface {
+	// Serve runs the request and returns its outcome, or an error with a kind.
+	// A zero Deadline of req means the profile's. The sink's methods must be
+	// called from one goroutine, and not after Serve has returned. When the
+	// caller goes away, ctx ends.
+	Serve(ctx context.Context, req pipeline.Request, sink pipeline.Sink) (pipeline.Outcome, error)
+	// Outcome tells what became of a key.
+	Outcome(ctx context.Context, key outcome.Key) (lynxapi.OutcomeReply, error)
+	// Address tells which instances to use.
+	Address(ctx context.Context, question AddressQuestion) (lynxapi.AddressAnswer, error)
+	// Ready returns nil if the instance takes new requests, else the reason.
+	Ready() error
+}
+
+// AddressQuestion is what the caller tells of itself; Place and Region may be
+// empty.
+type AddressQuestion struct {
+	Place        string
+	Region       string
+	Organisation string
+}
+
+// Limits bound one request and all of them together.
+type Limits struct {
+	MaxBody      int64         // bytes; 0 = 1 MiB
+	MaxAnswer    int64         // bytes of a whole answer; 0 = 4 MiB
+	MaxInFlight  int64         // requests at once; 0 = 4096
+	BodyTimeout  time.Duration // for the whole body to arrive; 0 = 10 s
+	WriteTimeout time.Duration // for the caller to take one piece; 0 = 10 s
+}
+
+// Defaults of Limits and Options.
+const (
+	defaultMaxBody        = 1 << 20
+	defaultMaxAnswer      = 4 << 20
+	defaultMaxInFlight    = 4096
+	defaultHeartbeatEvery = time.Second
+)
+
+func (l Limits) withDefaults() Limits {
+	if l.MaxBody <= 0 {
+		l.MaxBody = defaultMaxBody
+	}
+	if l.MaxAnswer <= 0 {
+		l.MaxAnswer = defaultMaxAnswer
+	}
+	if l.MaxInFlight <= 0 {
+		l.MaxInFlight = defaultMaxInFlight
+	}
+	if l.BodyTimeout <= 0 {
+		l.BodyTimeout = httpserver.DefaultBodyTimeout
+	}
+	if l.WriteTimeout <= 0 {
+		l.WriteTimeout = httpserver.DefaultWriteTimeout
+	}
+	return l
+}
+
+// Options of New.
+type Options struct {
+	Handler        Handler
+	Auth           *auth.Verifier
+	Limits         Limits
+	Clock          clock.Clock   // nil = real time
+	HeartbeatEvery time.Duration // to a caller that waits for a stream; 0 = 1 s
+	Self           string        // id of this instance
+	Logger         *event.Logger
+	Metrics        *metrics.Registry
+}
+
+var (
+	metricRequests   = metrics.Define("caller_requests_total", "requests", "Requests to profiles that arrived, refused ones included.")
+	metricInFlight   = metrics.Define("caller_requests_in_flight", "requests", "Requests to profiles that are being handled.")
+	metricAnswers    = metrics.Define("caller_answers_total", "answers", "Answers to requests by error kind; ok for whole ones.")
+	metricFrames     = metrics.Define("caller_frames_total", "frames", "Frames of streamed answers that were written.")
+	metricHeartbeats = metrics.Define("caller_heartbeats_total", "events", "Heartbeats that were written to waiting callers.")
+	metricGone       = metrics.Define("caller_gone_total", "requests", "Streams that ended because the caller took no more or went away.")
+)
+
+// api holds what all calls share.
+type api struct {
+	opts     Options
+	inFlight atomic.Int64
+}
+
+// New returns the handler of the caller listener.
+func New(opts Options) (http.Handler, error) {
+	if opts.Handler == nil || opts.Auth == nil {
+		return nil, errors.New("callerapi: Handler and Auth are required")
+	}
+	if opts.Clock == nil {
+		opts.Clock = quartz.NewReal()
+	}
+	if opts.HeartbeatEvery <= 0 {
+		opts.HeartbeatEvery = defaultHeartbeatEvery
+	}
+	opts.Limits = opts.Limits.withDefaults()
+	a := &api{opts: opts}
+	return httpserver.NewRouter(httpserver.RouterOptions{
+		Routes:      a.routes(),
+		BodyTimeout: opts.Limits.BodyTimeout,
+		Logger:      opts.Logger,
+	})
+}
+
+func (a *api) routes() []rest.Route {
+	return []rest.Route{
+		{Method: http.MethodGet, Path: lynxapi.PathAddress, Handler: a.address},
+		{Method: http.MethodPost, Path: lynxapi.PathRequests, Handler: a.send},
+		{Method: http.MethodGet, Path: lynxapi.PathOutcome, Handler: a.outcome},
+		{Method: http.MethodGet, Path: lynxapi.PathReady, Handler: a.ready},
+		{Method: http.MethodGet, Path: lynxapi.PathAlive, Handler: alive},
+	}
+}
+
+// address answers which instances to use.
+func (a *api) address(w http.ResponseWriter, r *http.Request) {
+	organisation, err := a.organisation(r, r.URL.Query().Get("organisation"))
+	if err != nil {
+		a.fail(w, err, "")
+		return
+	}
+	answer, err := a.opts.Handler.Address(r.Context(), AddressQuestion{
+		Place:        r.URL.Query().Get("place"),
+		Region:       r.URL.Query().Get("region"),
+		Organisation: organisation,
+	})
+	if err != nil {
+		a.fail(w, err, "")
+		return
+	}
+	httpserver.WriteJSON(w, http.StatusOK, answer)
+}
+
+// outcome answers what became of a key.
+func (a *api) outcome(w http.ResponseWriter, r *http.Request) {
+	organisation, err := a.organisation(r, r.URL.Query().Get("organisation"))
+	if err != nil {
+		a.fail(w, err, "")
+		return
+	}
+	key := outcome.Key{Organisation: organisation, Key: httpserver.PathVar(r, "key")}
+	reply, err := a.opts.Handler.Outcome(r.Context(), key)
+	if err != nil {
+		a.fail(w, err, "")
+		return
+	}
+	httpserver.WriteJSON(w, http.StatusOK, reply)
+}
+
+// organisation returns the organisation of the caller's token. One that the
+// caller names must be the same.
+func (a *api) organisation(r *http.Request, named string) (string, error) {
+	own, err := a.opts.Auth.Caller(r.Header.Get("Authorization"))
+	if err != nil {
+		return "", err
+	}
+	if named != "" && named != own {
+		return "", errOtherOrganisation()
+	}
+	return own, nil
+}
+
+func errOtherOrganisation() error {
+	return errkind.New(errkind.Forbidden, "the token belongs to another organisation")
+}
+
+func (a *api) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := a.opts.Handler.Ready(); err != nil {
+		httpserver.WriteError(w, err, "")
+		return
+	}
+	httpserver.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+func alive(w http.ResponseWriter, _ *http.Request) {
+	httpserver.WriteJSON(w, http.StatusOK, struct{}{})
+}
+
+// fail logs and counts an error and answers with it.
+func (a *api) fail(w http.ResponseWriter, err error, requestID string) {
+	a.note(err, requestID)
+	httpserver.WriteError(w, err, requestID)
+}
+
+// note logs and counts an error that the caller is told.
+func (a *api) note(err error, requestID string) {
+	answer := errkind.Of(err).Answer()
+	a.opts.Metrics.Labelled(metricAnswers).Add(answer.Name, 1)
+	if answer.Status < http.StatusInternalServerError {
+		// The text of a caller's mistake may quote its input.
+		a.opts.Logger.Log(event.ID(answer.Event), "request", requestID)
+		return
+	}
+	a.opts.Logger.Log(event.ID(answer.Event), "request", requestID, "error", err)
+}
--- /dev/null
+++ b/internal/callerapi/send.go
@@ -0,0 +1,166 @@
+package callerapi
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/httpserver"
+	"lynxhill.example/lynxhill/internal/pipeline"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+// send runs a request to a profile.
+func (a *api) send(w http.ResponseWriter, r *http.Request) {
+	a.opts.Metrics.Counter(metricRequests).Add(1)
+	running := a.inFlight.Add(1)
+	defer a.inFlight.Add(-1)
+	a.opts.Metrics.Counter(metricInFlight).Add(1)
+	defer a.opts.Metrics.Counter(metricInFlight).Add(-1)
+	id, err := newID()
+	if err != nil {
+		a.fail(w, err, "")
+		return
+	}
+	if running > a.opts.Limits.MaxInFlight {
+		a.fail(w, errkind.New(errkind.Overloaded, "this instance is handling as many requests as it may"), id)
+		return
+	}
+	req, stream, err := a.accept(w, r)
+	if err != nil {
+		a.fail(w, err, id)
+		return
+	}
+	req.ID = id
+	if !req.KeyGiven {
+		req.Key = id
+	}
+	if stream {
+		a.stream(w, r, req)
+		return
+	}
+	a.whole(w, r, req)
+}
+
+// accept reads and checks a request.
+func (a *api) accept(w http.ResponseWriter, r *http.Request) (req pipeline.Request, stream bool, err error) {
+	own, err := a.organisation(r, "")
+	if err != nil {
+		return req, false, err
+	}
+	now := a.opts.Clock.Now()
+	raw, err := httpserver.ReadBody(w, r, a.opts.Limits.MaxBody)
+	if err != nil {
+		return req, false, err
+	}
+	body, err := parseBody(raw)
+	if err != nil {
+		return req, false, err
+	}
+	req, err = check(body, own, httpserver.PathVar(r, "profile"), now)
+	return req, body.Stream, err
+}
+
+// whole answers with one JSON object.
+func (a *api) whole(w http.ResponseWriter, r *http.Request, req pipeline.Request) {
+	result, err := a.serve(r.Context(), req, &wholeSink{limit: a.opts.Limits.MaxAnswer})
+	if err == nil && int64(len(result.Output)) > a.opts.Limits.MaxAnswer {
+		err = answerTooLarge(a.opts.Limits.MaxAnswer)
+	}
+	if err != nil {
+		a.fail(w, err, req.ID)
+		return
+	}
+	a.answered(req, result)
+	reply := a.reply(req, result)
+	reply.Output = result.Output
+	httpserver.WriteJSON(w, http.StatusOK, reply)
+}
+
+func answerTooLarge(limit int64) error {
+	return errkind.New(errkind.AnswerTooLarge, "the answer is larger than %d bytes", limit)
+}
+
+// serve calls the handler; a panic becomes an Internal error, so that the
+// caller gets a body instead of a cut connection.
+func (a *api) serve(ctx context.Context, req pipeline.Request, sink pipeline.Sink) (result pipeline.Outcome, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			a.opts.Logger.Log(event.HandlerPanicked, "request", req.ID, "cause", fmt.Sprint(cause), "stack", string(debug.Stack()))
+			err = errkind.New(errkind.Internal, "panic")
+		}
+	}()
+	return a.opts.Handler.Serve(ctx, req, sink)
+}
+
+func (a *api) answered(req pipeline.Request, result pipeline.Outcome) {
+	a.opts.Metrics.Labelled(metricAnswers).Add("ok", 1)
+	a.opts.Logger.Log(event.RequestAnswered, "request", req.ID, "organisation", req.Organisation,
+		"profile", req.Profile, "version", result.Version, "total", result.Total, "repeated", result.Repeated)
+}
+
+// reply returns the answer without its output.
+func (a *api) reply(req pipeline.Request, result pipeline.Outcome) lynxapi.SendReply {
+	stages := make([]lynxapi.StageCost, len(result.Stages))
+	for i, s := range result.Stages {
+		stages[i] = stageCost(s)
+	}
+	requestID := result.RequestID
+	if requestID == "" {
+		requestID = req.ID
+	}
+	return lynxapi.SendReply{
+		RequestID:      requestID,
+		Key:            req.Key,
+		Instance:       a.opts.Self,
+		Profile:        req.Profile,
+		ProfileVersion: result.Version,
+		Tokens:         result.Tokens,
+		Repeated:       result.Repeated,
+		FirstTokenMS:   milliseconds(result.FirstToken),
+		TotalMS:        milliseconds(result.Total),
+		Stages:         stages,
+	}
+}
+
+func stageCost(s pipeline.StageReport) lynxapi.StageCost {
+	return lynxapi.StageCost{
+		Stage:      s.Stage,
+		Kind:       string(s.Kind),
+		Provider:   s.Provider,
+		Service:    s.Service,
+		Target:     s.Target,
+		Attempts:   s.Attempts,
+		Hedges:     s.Hedges,
+		Resumes:    s.Resumes,
+		Cost:       s.Cost,
+		Wasted:     s.Wasted,
+		Tokens:     s.Tokens,
+		DurationMS: milliseconds(s.Duration),
+	}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// wholeSink drops the pieces of an answer that is delivered whole from the
+// outcome; it only stops one that is too large while it is being made.
+type wholeSink struct {
+	limit int64
+	size  int64
+}
+
+// Frame implements pipeline.Sink.
+func (s *wholeSink) Frame(_ int, text string) error {
+	s.size += int64(len(text))
+	if s.size > s.limit {
+		return answerTooLarge(s.limit)
+	}
+	return nil
+}
+
+// StageDone implements pipeline.Sink.
+func (s *wholeSink) StageDone(pipeline.StageReport) {}
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -123,10 +123,7 @@
 }
 
 func (t TLS) validate() error {
-	for _, l := range []struct {
-		key   string
-		files TLSFiles
-	}{{"tls.caller", t.Caller}, {"tls.admin", t.Admin}, {"tls.peer", t.Peer}} {
+	for _, l := range t.listeners() {
 		if err := l.files.validate(l.key); err != nil {
 			return err
 		}
@@ -137,6 +134,15 @@
 	return nil
 }
 
+type listenerFiles struct {
+	key   string
+	files TLSFiles
+}
+
+func (t TLS) listeners() []listenerFiles {
+	return []listenerFiles{{"tls.caller", t.Caller}, {"tls.admin", t.Admin}, {"tls.peer", t.Peer}}
+}
+
 func (f TLSFiles) validate(key string) error {
 	switch {
 	case f.CertFile != "" && f.KeyFile == "":
--- /dev/null
+++ b/internal/httpserver/answer.go
@@ -0,0 +1,58 @@
+package httpserver
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+)
+
+// defaultRetryAfter is sent with kinds that may be resent later when the error
+// does not say when.
+const defaultRetryAfter = time.Second
+
+// WriteJSON answers with the message as JSON.
+func WriteJSON(w http.ResponseWriter, status int, message any) {
+	raw, err := json.Marshal(message)
+	if err != nil {
+		WriteError(w, errkind.Wrap(err, errkind.Internal, "answer"), "")
+		return
+	}
+	// A client that does not take its answer would hold the connection.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(DefaultWriteTimeout))
+	w.Header().Set("Content-Type", "application/json; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(raw)))
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_, _ = w.Write(raw) // the caller may be gone; there is nobody else to tell
+}
+
+// WriteError answers with the error's row of the table: status, body and, if
+// the caller may come back, Retry-After.
+func WriteError(w http.ResponseWriter, err error, requestID string) {
+	body := ErrorBody(err, requestID)
+	if body.RetryAfterMS > 0 {
+		w.Header().Set("Retry-After", strconv.FormatInt(ceilSeconds(body.RetryAfterMS), 10))
+	}
+	if errkind.Is(err, errkind.Unauthenticated) {
+		w.Header().Set("WWW-Authenticate", "Bearer")
+	}
+	WriteJSON(w, errkind.Of(err).Answer().Status, body)
+}
+
+// ErrorBody returns the body of an error, with a time to come back after for
+// every kind that may be resent later.
+func ErrorBody(err error, requestID string) errkind.Body {
+	body := errkind.BodyOf(err, requestID)
+	if body.Resend == errkind.ResendLater && body.RetryAfterMS <= 0 {
+		body.RetryAfterMS = defaultRetryAfter.Milliseconds()
+	}
+	return body
+}
+
+func ceilSeconds(ms int64) int64 {
+	const second = int64(time.Second / time.Millisecond)
+	return (ms + second - 1) / second
+}
--- /dev/null
+++ b/internal/httpserver/body.go
@@ -0,0 +1,114 @@
+package httpserver
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+)
+
+// Defaults for the time that a client may take.
+const (
+	// DefaultBodyTimeout is how long a client may take for its whole body.
+	DefaultBodyTimeout = 10 * time.Second
+	// DefaultWriteTimeout is how long a client may take for a piece of the answer.
+	DefaultWriteTimeout = 10 * time.Second
+)
+
+// deadlines sets the read deadline of a request with a body and clears the
+// write deadline that an earlier request left on the connection.
+//
+// A handler that answers without reading the body, such as one that refuses
+// the token, would otherwise hang: net/http first reads the rest of the body,
+// and a client that never sends it would hold the connection for good. And a
+// write deadline outlives its request on a kept connection: the next request
+// would run and its answer could not be written.
+func deadlines(bodyTimeout time.Duration) Middleware {
+	if bodyTimeout <= 0 {
+		bodyTimeout = DefaultBodyTimeout
+	}
+	return func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			control := http.NewResponseController(w)
+			_ = control.SetWriteDeadline(time.Time{}) // fails only where there is no connection
+			if r.ContentLength != 0 {
+				_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+			}
+			next.ServeHTTP(w, r)
+		})
+	}
+}
+
+// ReadBody reads the whole body, at most limit bytes. Errors are of kind
+// TooLarge or BadRequest. The time for it is set by the router. Afterwards the
+// read deadline is gone, so that the request may run for longer.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, tooLarge(limit)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		return nil, bodyError(err, limit)
+	}
+	// With the deadline left in place net/http would take it for a caller
+	// that went away and cancel the request while it runs.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+func bodyError(err error, limit int64) error {
+	var tooBig *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooBig):
+		return tooLarge(limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return errkind.New(errkind.BadRequest, "the body did not arrive in time")
+	default:
+		return errkind.New(errkind.BadRequest, "the body broke off")
+	}
+}
+
+func tooLarge(limit int64) error {
+	return errkind.New(errkind.TooLarge, "the body is larger than %d bytes", limit)
+}
+
+// DecodeJSON decodes a body strictly into message: one JSON value, no unknown
+// field. Errors are of kind BadRequest and one sentence.
+func DecodeJSON(body []byte, message any) error {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(message); err != nil {
+		return errkind.New(errkind.BadRequest, "the body is not what is expected: %s", jsonFault(err))
+	}
+	if _, err := decoder.Token(); !errors.Is(err, io.EOF) {
+		return errkind.New(errkind.BadRequest, "the body holds more than one JSON value")
+	}
+	return nil
+}
+
+// jsonFault puts the library's error into a sentence without Go's type names.
+func jsonFault(err error) string {
+	var syntax *json.SyntaxError
+	var mismatch *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return "JSON syntax error at byte " + strconv.FormatInt(syntax.Offset, 10)
+	case errors.As(err, &mismatch) && mismatch.Field != "":
+		return "field " + mismatch.Field + " cannot be a " + mismatch.Value
+	case errors.As(err, &mismatch):
+		return "it must be a JSON object, not a " + mismatch.Value
+	case errors.Is(err, io.EOF):
+		return "it is empty"
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return "the JSON breaks off"
+	default:
+		return strings.TrimPrefix(err.Error(), "json: ")
+	}
+}
--- /dev/null
+++ b/internal/httpserver/gozero.go
@@ -0,0 +1,50 @@
+package httpserver
+
+import (
+	"fmt"
+	"math"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/logx"
+	"github.com/zeromicro/go-zero/core/proc"
+	"github.com/zeromicro/go-zero/core/stat"
+
+	"lynxhill.example/lynxhill/internal/event"
+)
+
+// DisarmGoZero takes away what go-zero does to a process that merely imports
+// it. Package proc listens to signals from its init on: 5.5 s after the first
+// SIGTERM or SIGINT it sends the process the same signal again, which kills it
+// with requests in flight, and on SIGUSR1 and SIGUSR2 it writes files. Package
+// stat logs every minute. Call it first in main.
+func DisarmGoZero() {
+	proc.SetTimeToForceQuit(time.Duration(math.MaxInt64)) // the time never comes
+	signal.Ignore(syscall.SIGUSR1, syscall.SIGUSR2)
+	stat.DisableLog()
+	logx.DisableStat()
+}
+
+// bridgeLogs sends what go-zero logs to the logger. The destination is global
+// to the process; with several daemons in one process the last one gets it.
+func bridgeLogs(logger *event.Logger) {
+	logx.SetWriter(logBridge{logger: logger})
+}
+
+// logBridge is a logx.Writer that writes numbered events.
+type logBridge struct {
+	logger *event.Logger
+}
+
+func (b logBridge) warn(v any)                      { b.logger.Log(event.LibraryWarning, "text", fmt.Sprint(v)) }
+func (b logBridge) note(v any)                      { b.logger.Log(event.LibraryNote, "text", fmt.Sprint(v)) }
+func (b logBridge) Alert(v any)                     { b.warn(v) }
+func (b logBridge) Close() error                    { return nil }
+func (b logBridge) Debug(v any, _ ...logx.LogField) { b.note(v) }
+func (b logBridge) Error(v any, _ ...logx.LogField) { b.warn(v) }
+func (b logBridge) Info(v any, _ ...logx.LogField)  { b.note(v) }
+func (b logBridge) Severe(v any)                    { b.warn(v) }
+func (b logBridge) Slow(v any, _ ...logx.LogField)  { b.note(v) }
+func (b logBridge) Stack(v any)                     { b.warn(v) }
+func (b logBridge) Stat(v any, _ ...logx.LogField)  { b.note(v) }
--- /dev/null
+++ b/internal/httpserver/server.go
@@ -0,0 +1,133 @@
+// Package httpserver serves HTTP/1.1 and HTTP/2, with TLS or in clear text,
+// for the caller and admin listeners: go-zero's rest as router inside a
+// net/http server of our own, which stops gracefully and never on its own.
+package httpserver
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/event"
+)
+
+// Defaults of Options.
+const (
+	defaultReadHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout       = 2 * time.Minute
+	defaultMaxHeaderBytes    = 64 << 10
+	// pingAfter and pingTimeout find HTTP/2 connections that went silent:
+	// something between the two ends has lost track of them, and without
+	// pings their requests would hold memory until their deadline.
+	pingAfter   = 10 * time.Second
+	pingTimeout = 5 * time.Second
+)
+
+// Options of a Server.
+type Options struct {
+	Name     string       // of the listener, for the log
+	Listener net.Listener // taken over: closed by Shutdown or Kill
+	Handler  http.Handler
+	TLS      *tls.Config // nil = clear text
+	// ReadHeaderTimeout bounds how long a client may take for its header;
+	// handlers bound the body themselves with SetReadDeadline. 0 = 5 s.
+	ReadHeaderTimeout time.Duration
+	IdleTimeout       time.Duration // of a kept connection; 0 = 2 min
+	MaxHeaderBytes    int           // 0 = 64 KiB
+	Logger            *event.Logger
+}
+
+// Server is one HTTP listener.
+type Server struct {
+	opts   Options
+	server *http.Server
+}
+
+// New returns a server that does not accept connections yet.
+func New(opts Options) *Server {
+	if opts.ReadHeaderTimeout <= 0 {
+		opts.ReadHeaderTimeout = defaultReadHeaderTimeout
+	}
+	if opts.IdleTimeout <= 0 {
+		opts.IdleTimeout = defaultIdleTimeout
+	}
+	if opts.MaxHeaderBytes <= 0 {
+		opts.MaxHeaderBytes = defaultMaxHeaderBytes
+	}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &Server{opts: opts, server: &http.Server{
+		Handler:           opts.Handler,
+		TLSConfig:         opts.TLS,
+		ReadHeaderTimeout: opts.ReadHeaderTimeout,
+		IdleTimeout:       opts.IdleTimeout,
+		MaxHeaderBytes:    opts.MaxHeaderBytes,
+		Protocols:         protocols,
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		ErrorLog:          log.New(errorLog{opts}, "", 0),
+	}}
+}
+
+// Addr returns the address listened on.
+func (s *Server) Addr() net.Addr { return s.opts.Listener.Addr() }
+
+// Serve accepts connections until Shutdown or Kill, then returns nil; any
+// other end is an error.
+func (s *Server) Serve() error {
+	s.opts.Logger.Log(event.ServerListening, "listener", s.opts.Name, "address", s.Addr().String(), "tls", s.opts.TLS != nil)
+	err := s.serve()
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	s.opts.Logger.Log(event.ServerFailed, "listener", s.opts.Name, "error", err)
+	return err
+}
+
+func (s *Server) serve() error {
+	if s.opts.TLS == nil {
+		return s.server.Serve(s.opts.Listener)
+	}
+	return s.server.ServeTLS(s.opts.Listener, "", "")
+}
+
+// Run serves until ctx ends, then stops gracefully without a limit of time.
+// Use Serve, Shutdown and Kill where one is needed.
+func (s *Server) Run(ctx context.Context) {
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = s.Serve() // logged
+	}()
+	select {
+	case <-ctx.Done():
+		_ = s.Shutdown(context.WithoutCancel(ctx))
+	case <-served:
+	}
+	<-served
+}
+
+// Shutdown accepts no more connections, tells clients to close kept ones, and
+// returns when the last request has been answered, or with ctx's error while
+// requests are still in flight. It cuts nothing.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.server.SetKeepAlivesEnabled(false)
+	return s.server.Shutdown(ctx)
+}
+
+// Kill closes the listener and every connection at once, as the death of the
+// process would.
+func (s *Server) Kill() { _ = s.server.Close() }
+
+// errorLog writes what net/http reports as events.
+type errorLog struct{ opts Options }
+
+func (e errorLog) Write(p []byte) (int, error) {
+	e.opts.Logger.Log(event.ServerWarning, "listener", e.opts.Name, "text", string(p))
+	return len(p), nil
+}
