Request path: pipeline, calls to targets, crash guard, invariant recorder

Cause: the contracts had no request path behind them. Change: pipeline.Runner runs a request's stages with one deadline, attempts, hedges, resumes and claims; target.Client calls targets over HTTP/2 without repeating a call; crashguard counts targets that died under a request; invariant.Production counts and logs violations; memtarget answers and fails in memory for tests in virtual time.

--- /dev/null
+++ b/internal/crashguard/gossip.go
@@ -0,0 +1,83 @@
+package crashguard
+
+import (
+	"sort"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/gossip"
+)
+
+// maxTargetsSent bounds the targets of a row in a digest; the limit of deaths
+// is small, so more tell nothing new.
+const maxTargetsSent = 4
+
+// Fill implements gossip.Part. It sends the rows in turn, beginning after the
+// last row sent, so that many rows get round within a few exchanges.
+func (g *Guard) Fill(digest *gossip.Digest, _ string, budget int) int {
+	rows := g.opts.Board.Refused.Snapshot()
+	if len(rows) == 0 {
+		return 0
+	}
+	now := g.opts.Clock.Now()
+	used := 0
+	for _, fingerprint := range g.inTurn(rows) {
+		row := rows[fingerprint]
+		if !row.Until.After(now) {
+			g.opts.Board.Refused.Delete(fingerprint)
+			continue
+		}
+		refusal := gossip.Refusal{
+			Fingerprint: fingerprint,
+			Targets:     row.Targets[:min(len(row.Targets), maxTargetsSent)],
+			TTL:         row.Until.Sub(now),
+		}
+		size := sizeOf(refusal)
+		if used+size > budget {
+			break
+		}
+		used += size
+		digest.Refusals = append(digest.Refusals, refusal)
+		g.setCursor(fingerprint)
+	}
+	return used
+}
+
+// Absorb implements gossip.Part.
+func (g *Guard) Absorb(digest gossip.Digest) {
+	for _, refusal := range digest.Refusals {
+		if refusal.TTL <= 0 || len(refusal.Targets) == 0 {
+			continue
+		}
+		g.merge(refusal.Fingerprint, refusal.Targets, min(refusal.TTL, g.opts.Keep))
+	}
+}
+
+// inTurn returns the fingerprints in order, beginning after the cursor.
+func (g *Guard) inTurn(rows map[string]board.Refusal) []string {
+	ids := make([]string, 0, len(rows))
+	for id := range rows {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	g.mu.Lock()
+	cursor := g.cursor
+	g.mu.Unlock()
+	start := sort.SearchStrings(ids, cursor+"\x00")
+	return append(ids[start:len(ids):len(ids)], ids[:start]...)
+}
+
+func (g *Guard) setCursor(fingerprint string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cursor = fingerprint
+}
+
+// sizeOf estimates the row's bytes on the wire.
+func sizeOf(refusal gossip.Refusal) int {
+	const overhead = 8
+	size := len(refusal.Fingerprint) + overhead
+	for _, id := range refusal.Targets {
+		size += len(id) + 2
+	}
+	return size
+}
--- /dev/null
+++ b/internal/event/catalogue_crashguard.go
@@ -0,0 +1,10 @@
+package event
+
+// Events of the guard against requests that crash targets.
+const (
+	CrashguardRefused ID = 2701
+)
+
+var _ = define(
+	Definition{CrashguardRefused, Error, "crashguard_refused", "Several targets died while running one request; it is refused everywhere until the refusal expires. Find the caller by the crashes_targets errors and look at the input."},
+)
--- /dev/null
+++ b/internal/event/catalogue_pipeline.go
@@ -0,0 +1,10 @@
+package event
+
+// Events of the request path.
+const (
+	PipelineRequestFailed ID = 2401
+)
+
+var _ = define(
+	Definition{PipelineRequestFailed, Warn, "pipeline_request_failed", "A request ended with an error after work was dispatched. The kind says what the caller was told; look at the targets of the stage named in the caller's message."},
+)
--- /dev/null
+++ b/internal/event/catalogue_target.go
@@ -0,0 +1,10 @@
+package event
+
+// Events of the calls to targets.
+const (
+	TargetForeignFrame ID = 2301
+)
+
+var _ = define(
+	Definition{TargetForeignFrame, Error, "target_foreign_frame", "A target sent a frame or reply of another attempt. It was dropped and the connection is not used again. Look at the target or at what stands between."},
+)
--- /dev/null
+++ b/internal/pipeline/finish.go
@@ -0,0 +1,167 @@
+package pipeline
+
+import (
+	"encoding/json"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/invariant"
+	"lynxhill.example/lynxhill/internal/profile"
+)
+
+// answerStreams reports whether the answer goes to the caller as a stream.
+func (x *execution) answerStreams() bool {
+	stages := x.prof.Profile.Stages
+	return stages[len(stages)-1].Kind == profile.KindGenerate
+}
+
+// finish makes the request's one answer.
+func (x *execution) finish(output json.RawMessage, err error) (Outcome, error) {
+	check := x.r.opts.Check
+	check.Check(!x.finished, invariant.OneDelivery, "request %s", x.req.ID)
+	x.finished = true
+	dispatched := x.dispatches.close()
+	out := x.outcome(output)
+	if err != nil {
+		err = x.finalError(err, dispatched)
+		out.Output = nil
+		x.r.opts.Metrics.Labelled(metricRequests).Add(errkind.Of(err).String(), 1)
+		return out, err
+	}
+	x.r.opts.Metrics.Labelled(metricRequests).Add("ok", 1)
+	return out, nil
+}
+
+func (x *execution) outcome(output json.RawMessage) Outcome {
+	out := Outcome{
+		RequestID: x.req.ID,
+		Version:   x.prof.Version,
+		Output:    output,
+		Streamed:  x.answerStreams(),
+		Length:    x.delivered,
+		Tokens:    x.tokens,
+		Total:     x.now().Sub(x.req.Received),
+		Stages:    x.reports,
+		Repeated:  x.repeated,
+	}
+	if !x.firstFrame.IsZero() {
+		out.FirstToken = x.firstFrame.Sub(x.req.Received)
+	}
+	return out
+}
+
+// finalError gives err the kind that is true for the whole request: a stage
+// that was not run does not make a request not run whose earlier stages were.
+func (x *execution) finalError(err error, dispatched bool) error {
+	kind := errkind.Of(err)
+	after := errkind.RetryAfter(err)
+	if final := kindOfRequest(kind, dispatched); final != kind {
+		err = errkind.Wrap(err, final, "%s", final)
+		kind = final
+	}
+	truthful := !dispatched || kind.RunState() != errkind.NotRun
+	if !x.r.opts.Check.Check(truthful, invariant.RunStateTrue, "request %s: %s although dispatched", x.req.ID, kind) {
+		err = errkind.Wrap(err, errkind.Internal, "run state")
+	}
+	if kind.Answer().Resend == errkind.ResendLater && after == 0 {
+		after = x.r.jitter(retryAfter)
+	}
+	if after > 0 {
+		err = errkind.WithRetryAfter(err, after)
+	}
+	x.log(kind)
+	return err
+}
+
+// kindOfRequest turns a stage's kind into the request's.
+func kindOfRequest(kind errkind.Kind, dispatched bool) errkind.Kind {
+	if !dispatched {
+		if kind == errkind.DeadlineAfterRun {
+			return errkind.DeadlineBeforeRun
+		}
+		return kind
+	}
+	if kind.RunState() != errkind.NotRun {
+		return kind
+	}
+	switch kind {
+	case errkind.DeadlineBeforeRun, errkind.DeadlineUnreachable:
+		return errkind.DeadlineAfterRun
+	case errkind.KeyReused:
+		return errkind.OutcomeUnknown
+	}
+	return errkind.StoppedMidway
+}
+
+func (x *execution) log(kind errkind.Kind) {
+	switch kind {
+	case errkind.TargetFailed, errkind.StreamBroken, errkind.StoppedMidway, errkind.CrashesTargets, errkind.Internal:
+		x.r.opts.Logger.Log(event.PipelineRequestFailed, "request", x.req.ID, "profile", x.req.Profile,
+			"version", x.prof.Version, "kind", kind.String(), "stages", len(x.reports))
+	}
+}
+
+// report says how the stage went.
+func (s *stageRun) report(err error) StageReport {
+	report := StageReport{
+		Stage:    s.stage.Name,
+		Kind:     s.stage.Kind,
+		Attempts: len(s.attempts),
+		Resumes:  s.resumes,
+		Tokens:   s.tokens,
+		Duration: s.x.now().Sub(s.started),
+		Err:      err,
+	}
+	if s.hedged {
+		report.Hedges = 1
+	}
+	if a := s.shownAttempt(); a != nil {
+		report.Provider = a.choice.Provider.Name
+		report.Service = a.choice.Provider.Service
+		report.Target = a.choice.Target.ID
+	}
+	for _, a := range s.attempts {
+		c := s.costOf(a)
+		report.Cost += c
+		if a != s.winner && !a.delivered {
+			report.Wasted += c
+		}
+	}
+	return report
+}
+
+// shownAttempt is the attempt that the report names: the winner, else the last
+// that had a target.
+func (s *stageRun) shownAttempt() *attempt {
+	if s.winner != nil {
+		return s.winner
+	}
+	for i := len(s.attempts) - 1; i >= 0; i-- {
+		if s.attempts[i].started {
+			return s.attempts[i]
+		}
+	}
+	return nil
+}
+
+// costOf returns what the target said of an attempt. One that was cancelled or
+// broke says nothing: it is taken to have cost as much a second as the winner.
+func (s *stageRun) costOf(a *attempt) float64 {
+	if a.cost > 0 || a == s.winner || s.winner == nil || !a.started || a.notRun {
+		return a.cost
+	}
+	full := s.winner.elapsed(s.x.now())
+	if full <= 0 {
+		return 0
+	}
+	share := float64(a.elapsed(s.x.now())) / float64(full)
+	return s.winner.cost * min(1, share)
+}
+
+func (a *attempt) elapsed(now time.Time) time.Duration {
+	if a.open {
+		return now.Sub(a.begun)
+	}
+	return a.ended.Sub(a.begun)
+}
--- a/internal/stagecall/stagecall.go
+++ b/internal/stagecall/stagecall.go
@@ -123,3 +123,7 @@
 	}
 	return &Failure{Class: ClassBroken, Err: err}
 }
+
+// CodeTooLarge is the code of a ClassFailed whose reply exceeded the limit of
+// the caller; a target never sends it.
+const CodeTooLarge = "answer_too_large"
--- /dev/null
+++ b/internal/target/pool.go
@@ -0,0 +1,118 @@
+package target
+
+import (
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	idleConnTimeout = 90 * time.Second
+	// pruneAbove is the number of addresses above which entries that carry no
+	// call are dropped, so that targets long gone take no memory.
+	pruneAbove = 2048
+)
+
+// pool keeps one line a target. A line that has gone bad is retired: it takes
+// no new call, and its connection is closed when its last call has ended.
+type pool struct {
+	opts  Options
+	mu    sync.Mutex // guards lines and the fields of each line
+	lines map[string]*line
+}
+
+// line is a transport that serves one address, with the calls on it.
+type line struct {
+	transport *http.Transport
+	calls     int
+	retired   bool
+}
+
+func newPool(opts Options) *pool {
+	return &pool{opts: opts, lines: make(map[string]*line)}
+}
+
+// take returns the line of the address. fresh retires the present one first,
+// so that this call and later ones use a new connection: after a connection
+// went silent its other calls would meet the same silence.
+func (p *pool) take(address string, fresh bool) *line {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.lines[address]
+	if l != nil && fresh {
+		p.retireLocked(address, l)
+		l = nil
+	}
+	if l == nil {
+		p.pruneLocked()
+		l = &line{transport: newTransport(p.opts)}
+		p.lines[address] = l
+	}
+	l.calls++
+	return l
+}
+
+// put gives a line back after a call.
+func (p *pool) put(l *line) {
+	p.mu.Lock()
+	l.calls--
+	idle := l.retired && l.calls == 0
+	p.mu.Unlock()
+	if idle {
+		l.transport.CloseIdleConnections()
+	}
+}
+
+// retire lets no further call onto the line.
+func (p *pool) retire(address string, l *line) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.retireLocked(address, l)
+}
+
+func (p *pool) retireLocked(address string, l *line) {
+	l.retired = true
+	if p.lines[address] == l {
+		delete(p.lines, address)
+	}
+	if l.calls == 0 {
+		l.transport.CloseIdleConnections()
+	}
+}
+
+func (p *pool) pruneLocked() {
+	if len(p.lines) < pruneAbove {
+		return
+	}
+	for address, l := range p.lines {
+		if l.calls == 0 {
+			p.retireLocked(address, l)
+		}
+	}
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, l := range p.lines {
+		p.retireLocked(address, l)
+	}
+}
+
+// newTransport speaks HTTP/2 without TLS and pings silent connections. The
+// retries that net/http makes on its own need a body that can be read again;
+// newRequest gives it none.
+func newTransport(opts Options) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		DialContext:        opts.Dial,
+		Protocols:          protocols,
+		DisableCompression: true,
+		IdleConnTimeout:    idleConnTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: opts.PingInterval,
+			PingTimeout:     opts.PingTimeout,
+		},
+	}
+}
--- /dev/null
+++ b/internal/target/sse.go
@@ -0,0 +1,95 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+)
+
+// errEventTooLong says that an event exceeds the limit of a reply.
+var errEventTooLong = errors.New("event exceeds the limit")
+
+const scanBufferBytes = 4 << 10
+
+// serverEvent is one server-sent event.
+type serverEvent struct {
+	name string
+	data []byte // valid until the next call of next
+}
+
+// eventReader reads server-sent events: the fields event and data, comments,
+// and the blank line that ends an event. Other fields are skipped.
+type eventReader struct {
+	scanner *bufio.Scanner
+	limit   int
+	data    []byte
+}
+
+func newEventReader(r io.Reader, limit int64) *eventReader {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, scanBufferBytes), int(limit))
+	return &eventReader{scanner: scanner, limit: int(limit)}
+}
+
+// next returns the next event. io.EOF says that the stream ended between
+// events, io.ErrUnexpectedEOF that it ended within one: an event without its
+// blank line may be cut and is not delivered.
+func (e *eventReader) next() (serverEvent, error) {
+	var name string
+	e.data = e.data[:0]
+	begun, hasData := false, false
+	for e.scanner.Scan() {
+		text := bytes.TrimSuffix(e.scanner.Bytes(), []byte("\r"))
+		if len(text) == 0 {
+			if hasData || name != "" {
+				return serverEvent{name: name, data: e.data}, nil
+			}
+			begun = false
+			continue
+		}
+		begun = true
+		field, value := splitField(text)
+		switch field {
+		case "event":
+			name = string(value)
+		case "data":
+			if err := e.addData(value, hasData); err != nil {
+				return serverEvent{}, err
+			}
+			hasData = true
+		}
+	}
+	return serverEvent{}, e.endError(begun)
+}
+
+func (e *eventReader) addData(value []byte, more bool) error {
+	if len(e.data)+len(value)+1 > e.limit {
+		return errEventTooLong
+	}
+	if more {
+		e.data = append(e.data, '\n')
+	}
+	e.data = append(e.data, value...)
+	return nil
+}
+
+func (e *eventReader) endError(begun bool) error {
+	err := e.scanner.Err()
+	if errors.Is(err, bufio.ErrTooLong) {
+		return errEventTooLong
+	}
+	if err != nil {
+		return fmt.Errorf("read stream: %w", err)
+	}
+	if begun {
+		return io.ErrUnexpectedEOF
+	}
+	return io.EOF
+}
+
+func splitField(text []byte) (field string, value []byte) {
+	name, value, _ := bytes.Cut(text, []byte(":"))
+	return string(name), bytes.TrimPrefix(value, []byte(" "))
+}
--- /dev/null
+++ b/internal/target/target.go
@@ -0,0 +1,130 @@
+// Package target calls model engines, pools and plain services over HTTP/2. It
+// never repeats a call by itself, so that the pipeline alone decides what may
+// run again.
+package target
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/coder/quartz"
+
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/stagecall"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+// Defaults of Options.
+const (
+	DefaultPingInterval  = 2 * time.Second
+	DefaultPingTimeout   = 2 * time.Second
+	DefaultMaxReplyBytes = 8 << 20
+	dialTimeout          = 2 * time.Second
+	cancelTimeout        = 2 * time.Second
+	// maxCancels bounds the background calls that tell targets to stop. A call
+	// over the bound is left out: the reset of the stream tells the target too.
+	maxCancels = 64
+	// restartMemory is for how long a restart that was noticed counts against
+	// "is the same process still alive".
+	restartMemory = 5 * time.Second
+)
+
+// Options of a Client.
+type Options struct {
+	// Dial opens connections; nil dials TCP.
+	Dial          func(ctx context.Context, network, addr string) (net.Conn, error)
+	Clock         clock.Clock
+	PingInterval  time.Duration // silence after which a connection is pinged
+	PingTimeout   time.Duration // wait for the ping's answer before the connection is closed
+	MaxReplyBytes int64         // longest reply, and longest event of a stream
+	Logger        *event.Logger
+	Metrics       *metrics.Registry
+}
+
+func (o Options) withDefaults() Options {
+	if o.Dial == nil {
+		dialer := &net.Dialer{Timeout: dialTimeout}
+		o.Dial = dialer.DialContext
+	}
+	if o.Clock == nil {
+		o.Clock = quartz.NewReal()
+	}
+	if o.PingInterval <= 0 {
+		o.PingInterval = DefaultPingInterval
+	}
+	if o.PingTimeout <= 0 {
+		o.PingTimeout = DefaultPingTimeout
+	}
+	if o.MaxReplyBytes <= 0 {
+		o.MaxReplyBytes = DefaultMaxReplyBytes
+	}
+	return o
+}
+
+// Client implements stagecall.Caller. It is safe for concurrent use.
+type Client struct {
+	opts    Options
+	pool    *pool
+	cancels chan struct{} // a place for each background cancel
+
+	mu   sync.Mutex // guards seen
+	seen map[string]lifeSign
+}
+
+// lifeSign is what replies have told of a target's process.
+type lifeSign struct {
+	seq       uint64 // sequence number of its latest load report
+	restarted time.Time
+}
+
+var _ stagecall.Caller = (*Client)(nil)
+
+// New returns a client without connections.
+func New(opts Options) *Client {
+	opts = opts.withDefaults()
+	return &Client{
+		opts:    opts,
+		pool:    newPool(opts),
+		cancels: make(chan struct{}, maxCancels),
+		seen:    make(map[string]lifeSign),
+	}
+}
+
+// Close closes the connections that carry no call.
+func (c *Client) Close() { c.pool.close() }
+
+// Alive reports whether the process behind target is the one that was there
+// before: it answers on a new connection, and its load reports have not begun
+// to count anew within the last seconds. A connection that broke is no death.
+func (c *Client) Alive(ctx context.Context, target stagecall.Target) bool {
+	_, err := c.load(ctx, target, true)
+	if err != nil {
+		return stagecall.FailureOf(err).Class != stagecall.ClassConnect
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	restarted := c.seen[target.Address].restarted
+	return restarted.IsZero() || c.opts.Clock.Since(restarted) > restartMemory
+}
+
+// noteLoad notes a restart: a sequence number that fell back by more than
+// reports that overtook one another can explain.
+func (c *Client) noteLoad(address string, report *targetapi.LoadReport) {
+	if report == nil {
+		return
+	}
+	const reordering = 16
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sign := c.seen[address]
+	if report.Seq+reordering < sign.seq || (report.Seq < sign.seq && report.Seq <= 1) {
+		sign.restarted = c.opts.Clock.Now()
+		sign.seq = report.Seq
+	}
+	sign.seq = max(sign.seq, report.Seq)
+	c.seen[address] = sign
+}
