--- /dev/null
+++ b/internal/standin/fleet/deployment.go
@@ -0,0 +1,340 @@
+// Package fleet builds the deployments of the two users out of stand-ins: a
+// platform and all targets with the users' names, counts and places.
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/standin/engine"
+	"lynxhill.example/lynxhill/internal/standin/loopback"
+	"lynxhill.example/lynxhill/internal/standin/netfault"
+	"lynxhill.example/lynxhill/internal/standin/platform"
+	"lynxhill.example/lynxhill/internal/standin/service"
+	"lynxhill.example/lynxhill/internal/standin/targetbase"
+	"lynxhill.example/lynxhill/internal/wire/platformapi"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+// PlatformOwner is the owner name of the platform in a netfault.Network.
+const PlatformOwner = "platform"
+
+// Options of a Deployment.
+type Options struct {
+	// Name is MediaPlace or Kilimanjaro.
+	Name string
+	Seed uint64
+	// Scale (0 to 1] multiplies the counts of targets, at least two a
+	// service. 0 means 1.
+	Scale float64
+	// TimeScale multiplies the service times. 0 means DefaultTimeScale.
+	TimeScale float64
+	// LoadLag is how far load reports are behind.
+	LoadLag time.Duration
+	// EventLag and EventLoss are those of the engines' cache events.
+	EventLag  time.Duration
+	EventLoss float64
+	// IgnoreFence makes the new provider's engines ignore fencing numbers.
+	IgnoreFence bool
+	// Models are loaded on every engine. nil loads Models(Name); an empty
+	// slice loads none.
+	Models []targetapi.LoadedModel
+	// WeightLoadTime is the time that the weight store needs for one model.
+	WeightLoadTime time.Duration
+	// Platform are the options of the platform.
+	Platform platform.Options
+	// Network, if given, carries all connections to the stand-ins, with the
+	// target's id (PlatformOwner for the platform) as owner.
+	Network *netfault.Network
+}
+
+// Defaults of Options.
+const (
+	// DefaultTimeScale makes an answer of 96 tokens last about a fifth of a second.
+	DefaultTimeScale = 1.0
+	leastTargets     = 2
+)
+
+func (o *Options) setDefaults() {
+	if o.Scale <= 0 {
+		o.Scale = 1
+	}
+	if o.TimeScale <= 0 {
+		o.TimeScale = DefaultTimeScale
+	}
+	if o.Models == nil {
+		o.Models = Models(o.Name)
+	}
+	if o.WeightLoadTime <= 0 {
+		o.WeightLoadTime = engine.DefaultLoadTime
+	}
+}
+
+// Member is one target of a deployment. Engine or Service is nil.
+type Member struct {
+	Instance platformapi.Instance
+	Target   *targetbase.Target
+	Engine   *engine.Server
+	Service  *service.Server
+}
+
+func (m *Member) close() {
+	if m.Engine != nil {
+		m.Engine.Close()
+		return
+	}
+	m.Service.Close()
+}
+
+// Deployment is a running deployment.
+type Deployment struct {
+	Name     string
+	Region   string
+	Places   []string
+	Platform *platform.Server
+	Weights  *engine.WeightStore
+
+	opts    Options
+	members []*Member
+}
+
+// ErrUnknown is returned for a deployment name that isn't known.
+var ErrUnknown = errors.New("fleet: unknown deployment")
+
+// New builds and starts a deployment.
+func New(opts Options) (*Deployment, error) {
+	opts.setDefaults()
+	layout, ok := layouts[opts.Name]
+	if !ok {
+		return nil, fmt.Errorf("%w: %q", ErrUnknown, opts.Name)
+	}
+	d := &Deployment{
+		Name:    opts.Name,
+		Region:  layout.region,
+		Places:  slices.Clone(layout.places),
+		Weights: engine.NewWeightStore(opts.WeightLoadTime),
+		opts:    opts,
+	}
+	if err := d.start(layout); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) start(layout layout) error {
+	options := d.opts.Platform
+	options.Seed = d.opts.Seed
+	options.Listen = d.listen(PlatformOwner, d.Places[0])
+	server, err := platform.New(options)
+	if err != nil {
+		return err
+	}
+	d.Platform = server
+	for _, pool := range layout.pools {
+		if err := d.startPool(pool); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) startPool(p pool) error {
+	count := max(min(leastTargets, p.count), int(float64(p.count)*d.opts.Scale+0.5))
+	for i := range count {
+		member, err := d.startMember(p, i, count)
+		if err != nil {
+			return err
+		}
+		d.members = append(d.members, member)
+		d.Platform.SetInstance(member.Instance)
+	}
+	return nil
+}
+
+func (d *Deployment) startMember(p pool, index, count int) (*Member, error) {
+	id := fmt.Sprintf("%s-%d", p.service, index+1)
+	place := d.Places[index%len(d.Places)]
+	seed := d.opts.Seed*1000 + uint64(len(d.members)) + 1
+	member := &Member{Instance: platformapi.Instance{
+		ID:      id,
+		Service: p.service,
+		Kind:    p.kind,
+		Place:   place,
+		Region:  d.Region,
+		State:   platformapi.StateLive,
+	}}
+	var err error
+	if p.kind == kindGenerate {
+		err = d.startEngine(member, seed, index, count)
+	} else {
+		err = d.startService(member, p, seed)
+	}
+	if err != nil {
+		return nil, err
+	}
+	member.Instance.Address = member.Target.Addr()
+	return member, nil
+}
+
+func (d *Deployment) startEngine(member *Member, seed uint64, index, count int) error {
+	provider := providers[0]
+	if index >= (count+1)/2 {
+		provider = providers[1]
+	}
+	checks := provider.name == ProviderOld || !d.opts.IgnoreFence
+	member.Instance.Provider = provider.name
+	member.Instance.ChecksFence = checks
+	server, err := engine.New(engine.Options{
+		ID:          member.Instance.ID,
+		Seed:        seed,
+		Time:        engine.TimeModel{PerToken: provider.perToken, Scale: d.opts.TimeScale},
+		LoadLag:     d.opts.LoadLag,
+		EventLag:    d.opts.EventLag,
+		EventLoss:   d.opts.EventLoss,
+		ChecksFence: checks,
+		Models:      d.opts.Models,
+		Weights:     d.Weights,
+		Price:       provider.price,
+		Listen:      d.listen(member.Instance.ID, member.Instance.Place),
+	})
+	if err != nil {
+		return err
+	}
+	member.Engine, member.Target = server, server.Target
+	return nil
+}
+
+func (d *Deployment) startService(member *Member, p pool, seed uint64) error {
+	server, err := service.New(service.Options{
+		ID:      member.Instance.ID,
+		Kind:    p.kind,
+		Seed:    seed,
+		Median:  time.Duration(float64(p.median) * d.opts.TimeScale),
+		Cost:    p.cost,
+		LoadLag: d.opts.LoadLag,
+		Listen:  d.listen(member.Instance.ID, member.Instance.Place),
+	})
+	if err != nil {
+		return err
+	}
+	member.Service, member.Target = server, server.Target
+	return nil
+}
+
+func (d *Deployment) listen(owner, place string) loopback.ListenFunc {
+	if d.opts.Network == nil {
+		return nil
+	}
+	d.opts.Network.SetPlace(owner, place)
+	return func(addr string) (net.Listener, error) { return d.opts.Network.Listen(owner, addr) }
+}
+
+// Close stops all targets and the platform.
+func (d *Deployment) Close() {
+	for _, member := range d.members {
+		member.close()
+	}
+	if d.Platform != nil {
+		d.Platform.Close()
+	}
+}
+
+// Members returns all targets.
+func (d *Deployment) Members() []*Member { return slices.Clone(d.members) }
+
+// Member returns the target with an id, nil if there is none.
+func (d *Deployment) Member(id string) *Member {
+	for _, member := range d.members {
+		if member.Instance.ID == id {
+			return member
+		}
+	}
+	return nil
+}
+
+// Service returns the targets of a service.
+func (d *Deployment) Service(name string) []*Member {
+	return d.filter(func(m *Member) bool { return m.Instance.Service == name })
+}
+
+// Place returns the targets in a place.
+func (d *Deployment) Place(name string) []*Member {
+	return d.filter(func(m *Member) bool { return m.Instance.Place == name })
+}
+
+func (d *Deployment) filter(keep func(*Member) bool) []*Member {
+	var found []*Member
+	for _, member := range d.members {
+		if keep(member) {
+			found = append(found, member)
+		}
+	}
+	return found
+}
+
+// Leave begins the planned stop of a target: the instance list says leaving
+// (after its lag), and the target refuses new work at once.
+func (d *Deployment) Leave(id string) {
+	d.setState(id, platformapi.StateLeaving, (*targetbase.Target).Leave)
+}
+
+// Return ends Leave.
+func (d *Deployment) Return(id string) {
+	d.setState(id, platformapi.StateLive, (*targetbase.Target).Return)
+}
+
+func (d *Deployment) setState(id, state string, change func(*targetbase.Target)) {
+	member := d.Member(id)
+	if member == nil {
+		return
+	}
+	instance := member.Instance
+	instance.State = state
+	d.Platform.SetInstance(instance)
+	change(member.Target)
+}
+
+// Runs returns the records of all targets.
+func (d *Deployment) Runs() []targetapi.RunRecord {
+	var all []targetapi.RunRecord
+	for _, member := range d.members {
+		all = append(all, member.Target.Runs()...)
+	}
+	return all
+}
+
+// CrossedPrevious returns how many runs were given an earlier stage's output
+// that belongs to another request.
+func (d *Deployment) CrossedPrevious() int {
+	total := 0
+	for _, member := range d.members {
+		total += member.Target.CrossedPrevious()
+	}
+	return total
+}
+
+// DoubledRuns returns the runs, beyond the first, of one key of an
+// organisation at one stage of a service whose calls may not be repeated. The
+// services are given by name.
+func (d *Deployment) DoubledRuns(services ...string) []targetapi.RunRecord {
+	seen := make(map[string]bool)
+	var doubled []targetapi.RunRecord
+	for _, member := range d.members {
+		if !slices.Contains(services, member.Instance.Service) {
+			continue
+		}
+		for _, run := range member.Target.Runs() {
+			name := strings.Join([]string{run.Organisation, run.Key, run.Stage}, "\x00")
+			if seen[name] {
+				doubled = append(doubled, run)
+			}
+			seen[name] = true
+		}
+	}
+	return doubled
+}
--- /dev/null
+++ b/internal/standin/fleet/fleet_test.go
@@ -0,0 +1,119 @@
+package fleet
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"testing"
+
+	"lynxhill.example/lynxhill/internal/standin/engine"
+	"lynxhill.example/lynxhill/internal/standin/service"
+	"lynxhill.example/lynxhill/internal/wire/platformapi"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+func start(t *testing.T, opts Options) *Deployment {
+	t.Helper()
+	d, err := New(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(d.Close)
+	return d
+}
+
+func run(t *testing.T, address string, req targetapi.RunRequest) targetapi.RunReply {
+	t.Helper()
+	body, _ := json.Marshal(req)
+	resp, err := http.Post("http://"+address+targetapi.PathRun, "application/json", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var reply targetapi.RunReply
+	if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("status %d, %v", resp.StatusCode, err)
+	}
+	return reply
+}
+
+func TestDeploymentsHaveTheSizesOfTheBrief(t *testing.T) {
+	counts := map[string]map[string]int{
+		MediaPlace:  {"lynx-pool": 12, "traffic-api": 4, "booking": 5, "billing": 5, "reporting": 5},
+		Kilimanjaro: {"lynx-pool": 12, "device-api": 4, "ledger-bridge": 5, "dealer-portal": 5, "fitting-desk": 5},
+	}
+	for name, services := range counts {
+		d := start(t, Options{Name: name})
+		resp, err := http.Get("http://" + d.Platform.Addr() + platformapi.PathInstances)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		var list platformapi.InstanceList
+		if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+			t.Fatal(err)
+		}
+		listed := make(map[string]int)
+		providers := make(map[string]int)
+		for _, instance := range list.Instances {
+			listed[instance.Service]++
+			providers[instance.Provider]++
+			if member := d.Member(instance.ID); member == nil || member.Target.Addr() != instance.Address {
+				t.Fatalf("%s: %s is listed under another address", name, instance.ID)
+			}
+		}
+		for service, count := range services {
+			if listed[service] != count {
+				t.Errorf("%s: %d of %s, want %d", name, listed[service], service, count)
+			}
+		}
+		if providers[ProviderOld] != 6 || providers[ProviderNew] != 6 || len(d.Places) != 4 {
+			t.Errorf("%s: providers %v, places %v", name, providers, d.Places)
+		}
+	}
+}
+
+// A whole pipeline by hand: the outputs must verify at every stage, and a
+// run of the same key twice must show as doubled.
+func TestPipelineThroughTheStandins(t *testing.T) {
+	d := start(t, Options{Name: MediaPlace, Scale: 0.2, TimeScale: 0.1})
+	input := json.RawMessage(`{"creative": "spring banner"}`)
+	req := targetapi.RunRequest{RequestID: "r1", Organisation: "agency-1", Key: "k1", Input: input}
+	stages := []struct{ pool, kind string }{
+		{ServiceEncoders, service.KindEncode},
+		{ServiceRetrievers, service.KindRetrieve},
+		{ServiceRerankers, service.KindRerank},
+		{"booking", service.KindService},
+	}
+	for _, stage := range stages {
+		req.Stage, req.Kind, req.AttemptID = stage.pool, stage.kind, "a-"+stage.pool
+		req.Previous = run(t, d.Service(stage.pool)[0].Target.Addr(), req).Output
+		if err := service.CheckOutput(req.Previous, "agency-1", input); err != nil {
+			t.Fatalf("%s: %v", stage.pool, err)
+		}
+	}
+	if len(d.DoubledRuns("booking")) != 0 {
+		t.Fatal("one booking counted as doubled")
+	}
+	req.AttemptID = "again"
+	run(t, d.Service("booking")[1].Target.Addr(), req)
+	if len(d.DoubledRuns("booking")) != 1 {
+		t.Fatal("second booking of the same key not seen")
+	}
+	req.Stage, req.Kind, req.AttemptID, req.Model = "draft", "generate", "a-draft", "lynx-large"
+	var text string
+	if err := json.Unmarshal(run(t, d.Service(ServicePool)[0].Target.Addr(), req).Output, &text); err != nil {
+		t.Fatal(err)
+	}
+	if err := engine.CheckAnswer(text, "agency-1", input); err != nil {
+		t.Fatal(err)
+	}
+	if d.CrossedPrevious() != 0 {
+		t.Fatal("own outputs counted as crossed")
+	}
+	req.Organisation, req.AttemptID = "agency-2", "crossed"
+	run(t, d.Service(ServicePool)[0].Target.Addr(), req)
+	if d.CrossedPrevious() != 1 {
+		t.Fatal("another organisation's output as previous was not noticed")
+	}
+}
--- /dev/null
+++ b/internal/standin/netfault/rules.go
@@ -0,0 +1,90 @@
+package netfault
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// placePair is an unordered pair of places, the lesser name first.
+type placePair struct{ a, b string }
+
+func pairOf(a, b string) placePair {
+	if b < a {
+		a, b = b, a
+	}
+	return placePair{a, b}
+}
+
+// cut stops what owners in from send to owners in to.
+type cut struct {
+	id     CutID
+	from   map[string]bool
+	to     map[string]bool
+	refuse bool
+}
+
+func (c cut) stops(from, to string) bool { return c.from[from] && c.to[to] }
+
+// rules are immutable: a change makes a new value and closes changed of the
+// old one, so that whoever waits for a rule looks again.
+type rules struct {
+	changed chan struct{}
+	places  map[string]string // by owner
+	latency map[placePair]time.Duration
+	between time.Duration // different places without an entry in latency
+	cuts    []cut
+	frozen  map[string]bool
+	dead    map[string]bool
+}
+
+func newRules() *rules {
+	return &rules{
+		changed: make(chan struct{}),
+		places:  map[string]string{},
+		latency: map[placePair]time.Duration{},
+		frozen:  map[string]bool{},
+		dead:    map[string]bool{},
+	}
+}
+
+func (r *rules) clone() *rules {
+	return &rules{
+		changed: make(chan struct{}),
+		places:  maps.Clone(r.places),
+		latency: maps.Clone(r.latency),
+		between: r.between,
+		cuts:    slices.Clone(r.cuts),
+		frozen:  maps.Clone(r.frozen),
+		dead:    maps.Clone(r.dead),
+	}
+}
+
+// delay returns the one-way latency between two owners. It is 0 where one of
+// them has no place.
+func (r *rules) delay(from, to string) time.Duration {
+	a, b := r.places[from], r.places[to]
+	if a == "" || b == "" {
+		return 0
+	}
+	if d, ok := r.latency[pairOf(a, b)]; ok {
+		return d
+	}
+	if a != b {
+		return r.between
+	}
+	return 0
+}
+
+// cutOff tells whether what one owner sends doesn't reach the other.
+func (r *rules) cutOff(from, to string) bool {
+	return slices.ContainsFunc(r.cuts, func(c cut) bool { return c.stops(from, to) })
+}
+
+// refused tells whether a cut between the two, in either direction, refuses
+// connections.
+func (r *rules) refused(a, b string) bool {
+	return slices.ContainsFunc(r.cuts, func(c cut) bool {
+		return c.refuse && (c.stops(a, b) || c.stops(b, a))
+	})
+}
