--- /dev/null
+++ b/internal/control/profilesync/options.go
@@ -0,0 +1,147 @@
+// Package profilesync keeps the configuration objects of the platform
+// (profiles, drains, limits, plans) in force on this instance, carries out
+// operators' changes of profiles, and stops this instance from taking work
+// when it cannot tell whether its configuration is current.
+//
+// A few instances in each place watch the store. The others learn from the
+// heartbeats that they are behind and pull from a peer. Only higher versions
+// are adopted.
+package profilesync
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/invariant"
+	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/store"
+)
+
+// Prefixes of the store whose objects are kept in force. The first one is the
+// profiles; acceptance and isolation are about it.
+var Prefixes = []string{profile.KeyPrefix, "drains/", "limits/", "plans/"}
+
+// Puller fetches objects from other instances; internal/peer implements it.
+type Puller interface {
+	// Pull returns the objects of the prefix above the version after, by
+	// rising version. With them the caller holds everything up to mark; more
+	// says that it should ask again from there.
+	Pull(ctx context.Context, instance, prefix string, after uint64) (objects []store.Object, mark uint64, more bool, err error)
+}
+
+// Options configure a Manager. Zero durations and counts take the defaults.
+type Options struct {
+	Self   string // instance id
+	Board  *board.Board
+	Store  store.Store
+	Puller Puller
+	Clock  clock.Clock
+	Boot   clock.Boot
+	Rand   *rand.Rand
+	// WatchersPerPlace is how many instances of a place watch each prefix.
+	WatchersPerPlace int
+	// Service is this system's name in the platform's instance list.
+	Service string
+
+	// FenceAfter is how long an instance goes on taking new work without any
+	// sign that its configuration is current.
+	FenceAfter time.Duration
+	// FenceMargin is added to FenceAfter where others rely on it: for the
+	// drift of clocks and the period of the check.
+	FenceMargin time.Duration
+	// PauseAfter is a gap in the running of this process after which its
+	// configuration counts as unconfirmed.
+	PauseAfter time.Duration
+	// WatchWait is how long one watch waits; its return confirms the
+	// configuration, so it bounds the age of confirmations.
+	WatchWait time.Duration
+	// SettleFor bounds how long a change with a lost reply is read back.
+	SettleFor time.Duration
+
+	Logger  *event.Logger
+	Metrics *metrics.Registry
+	Check   *invariant.Checker
+}
+
+// Defaults.
+const (
+	defaultWatchersPerPlace = 2
+	defaultService          = "lynxhill"
+	defaultFenceAfter       = 12 * time.Second
+	defaultFenceMargin      = time.Second
+	defaultPauseAfter       = 2 * time.Second
+	defaultWatchWait        = 2 * time.Second
+	defaultSettleFor        = 10 * time.Second
+)
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.WatchersPerPlace, defaultWatchersPerPlace)
+	setDefault(&o.Service, defaultService)
+	setDefault(&o.FenceAfter, defaultFenceAfter)
+	setDefault(&o.FenceMargin, defaultFenceMargin)
+	setDefault(&o.PauseAfter, defaultPauseAfter)
+	setDefault(&o.WatchWait, defaultWatchWait)
+	setDefault(&o.SettleFor, defaultSettleFor)
+	return o
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+var (
+	metricAdopted  = metrics.Define("config_adopted", "objects", "Configuration objects that came into force here, by where they came from.")
+	metricMark     = metrics.Define("config_mark", "version", "Highest version up to which this instance holds every object, by prefix.")
+	metricIsolated = metrics.Define("config_isolated", "0 or 1", "Whether this instance takes no new work because it cannot confirm its configuration.")
+	metricAge      = metrics.Define("config_confirm_age_seconds", "seconds", "Age of the newest contact with the store, direct or through peers.")
+	metricChanges  = metrics.Define("config_changes", "changes", "Changes of profiles by operators at this instance, by result.")
+)
+
+// Manager keeps the configuration in force.
+type Manager struct {
+	o       Options
+	rand    *loop.Rand
+	objects *objects
+	fence   *fence
+	behind  *behind
+	refresh chan struct{} // asks the watcher of profiles to read the store now
+}
+
+// New returns a manager that counts as unconfirmed until it has loaded the
+// configuration.
+func New(o Options) *Manager {
+	o = o.withDefaults()
+	m := &Manager{
+		o:       o,
+		rand:    loop.NewRand(o.Rand),
+		objects: newObjects(o),
+		fence:   newFence(o),
+		behind:  newBehind(),
+		refresh: make(chan struct{}, 1),
+	}
+	m.publishSelf()
+	o.Metrics.Func(metricMark, func() any { return m.objects.marks() })
+	o.Metrics.Func(metricAge, func() any { return m.fence.confirmAge(o.Boot.SinceBoot()).Seconds() })
+	return m
+}
+
+// Run watches, pulls and checks until ctx ends.
+func (m *Manager) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, prefix := range Prefixes {
+		wg.Go(func() { m.runWatch(ctx, prefix) })
+	}
+	wg.Go(func() { m.runPull(ctx) })
+	wg.Go(func() { m.runFence(ctx) })
+	wg.Wait()
+}
--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/board"
-	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/control/loop"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/store"
@@ -188,13 +187,3 @@
 		State:   state,
 	})
 }
-
-// withTimeout is context.WithTimeout on the given clock.
-func withTimeout(ctx context.Context, c clock.Clock, d time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(ctx)
-	timer := c.AfterFunc(d, cancel)
-	return ctx, func() {
-		timer.Stop()
-		cancel()
-	}
-}
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -86,7 +86,7 @@
 
 // exchange sends a digest and takes in the reply.
 func (m *Manager) exchange(ctx context.Context, id, addr string, theirs []uint32, budget int) (gossip.Digest, error) {
-	ctx, cancel := withTimeout(ctx, m.o.Clock, m.o.ExchangeTimeout)
+	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, m.o.ExchangeTimeout)
 	defer cancel()
 	results := m.o.Metrics.Labelled(metricExchanges)
 	digest := m.compose(id, theirs, budget)
@@ -108,7 +108,7 @@
 // lossy path between two instances is then not taken for a death.
 func (m *Manager) reachedByOthers(ctx context.Context, target gossip.Member) bool {
 	helpers := m.shuffled(m.view.ids(board.MemberAlive))
-	ctx, cancel := withTimeout(ctx, m.o.Clock, 2*m.o.ExchangeTimeout)
+	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, 2*m.o.ExchangeTimeout)
 	defer cancel()
 	results := make(chan error, m.o.IndirectProbes)
 	asked := 0
--- a/internal/profile/profile.go
+++ b/internal/profile/profile.go
@@ -62,6 +62,17 @@
 	Deleted  bool      `json:"deleted,omitempty"`
 	// Previous holds the versions before this one, newest first, for rollback.
 	Previous []Profile `json:"previous,omitempty"`
+	// Changes holds the changes before this one, newest first, so that a
+	// change that is sent again is recognised after others followed it.
+	Changes []PastChange `json:"changes,omitempty"`
+}
+
+// PastChange is an earlier change of a profile.
+type PastChange struct {
+	ID       string    `json:"id"`
+	Version  uint64    `json:"version"`
+	Operator string    `json:"operator"`
+	At       time.Time `json:"at"`
 }
 
 // Versioned is a profile as it is in force: with its version in the store.
