Claims: pages in the platform's store and tickets

Cause: a stage that is not idempotent must run at most once, whatever happens to instances, replies and clocks. Change: claim.Pages (windows by conditional update, group commit, seal before the next window, lost writes settled by a later version, releases for callers that gave up, removal past retention), claim.Tickets (memory of one incarnation), claim.NewRouter. A key under a ticket holds the ticket whole, so that it has one home. Result: go test -race ./internal/claim passes.

--- /dev/null
+++ b/internal/claim/op.go
@@ -0,0 +1,116 @@
+package claim
+
+import (
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+)
+
+// opResult is what an op comes to.
+type opResult struct {
+	answer Answer
+	found  bool
+	err    error
+}
+
+// op is a claim, a completion, a release or a lookup on its way through its
+// shard's flush loop.
+type op struct {
+	entry entry
+	life  keyLife
+	lazy  bool // may wait for another write to ride on
+	due   time.Time
+	done  chan struct{} // closed when result is set
+	// onWrite is the result if the write of the last plan succeeds; used by the
+	// flush loop alone.
+	onWrite opResult
+
+	// Guarded by the shard's mu.
+	result    opResult
+	finished  bool
+	abandoned bool // the caller has gone; nobody will dispatch
+	inDoubt   bool // part of a write whose outcome is not known yet
+}
+
+func newOp(life keyLife, e entry) *op {
+	return &op{entry: e, life: life, done: make(chan struct{})}
+}
+
+// finish sets the result. The shard's mu is held.
+func (o *op) finish(r opResult) {
+	if o.finished {
+		return
+	}
+	o.finished = true
+	o.result = r
+	close(o.done)
+}
+
+// abandon gives up an op whose caller's time is over.
+//
+// If a write that holds it is under way or its reply was lost, the claim may
+// stand in the store. Nothing was dispatched for it and nothing will be, but
+// only this instance knows that: the op stays with the flush loop, which
+// settles the write and then records a release. Until that is written, a
+// resend finds the key held; so the caller is told outcome_unknown, not that
+// nothing was claimed.
+func (s *shard) abandon(o *op) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o.finished {
+		return
+	}
+	o.abandoned = true
+	if o.inDoubt && o.entry.Op == opClaim {
+		o.finish(opResult{err: errkind.New(errkind.OutcomeUnknown, "the store did not confirm the claim; the stage was not started")})
+		return
+	}
+	o.finish(opResult{err: errkind.New(errkind.StoreUnavailable, "the store did not answer within the deadline")})
+}
+
+func (s *shard) resultOf(o *op) opResult {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return o.result
+}
+
+// granted is a claim that this instance holds.
+type granted struct {
+	pages *Pages
+	shard *shard
+	entry entry
+	life  keyLife
+	ended atomic.Bool
+}
+
+// Complete implements Claim.
+func (c *granted) Complete(output json.RawMessage) {
+	if c.ended.Swap(true) {
+		return
+	}
+	e := c.entry
+	e.Op = opComplete
+	e.At = millis(c.pages.opts.Clock.Now())
+	if len(output) <= c.pages.opts.MaxResult && json.Valid(output) {
+		e.Result = output
+	}
+	o := newOp(c.life, e)
+	o.lazy = true
+	c.shard.record(o)
+}
+
+// Release implements Claim.
+func (c *granted) Release() {
+	if c.ended.Swap(true) {
+		return
+	}
+	c.shard.record(releaseOf(c.entry, c.life, c.pages.opts.Clock.Now()))
+}
+
+func releaseOf(e entry, life keyLife, now time.Time) *op {
+	e.Op = opRelease
+	e.At = millis(now)
+	return newOp(life, e)
+}
--- /dev/null
+++ b/internal/claim/pages_test.go
@@ -0,0 +1,202 @@
+package claim
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/store/memstore"
+)
+
+func testPages(st *memstore.Store, self string, seed uint64, change func(*PagesOptions)) *Pages {
+	opts := PagesOptions{Store: st, Self: self, Rand: rand.New(rand.NewPCG(seed, 9)), Shards: 4}
+	if change != nil {
+		change(&opts)
+	}
+	return NewPages(opts)
+}
+
+func testRequest(key, body string, within time.Duration) Request {
+	return Request{
+		Key:      Key{Organisation: "org", Key: key, Stage: "book"},
+		BodyHash: body,
+		Deadline: time.Now().Add(within),
+	}
+}
+
+// mustState claims and checks the state.
+func mustState(t *testing.T, c Claimer, req Request, want State) Answer {
+	t.Helper()
+	answer, err := c.Claim(t.Context(), req)
+	if err != nil || answer.State != want {
+		t.Fatalf("claim: state %v, error %v, want state %v", answer.State, err, want)
+	}
+	return answer
+}
+
+func mustKind(t *testing.T, c Claimer, req Request, want errkind.Kind) {
+	t.Helper()
+	answer, err := c.Claim(t.Context(), req)
+	if !errkind.Is(err, want) {
+		t.Fatalf("claim: state %v, error %v, want %v", answer.State, err, want)
+	}
+}
+
+func TestClaimLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		a, b := testPages(st, "a", 1, nil), testPages(st, "b", 2, nil)
+		first := mustState(t, a, testRequest("k", "x", time.Second), Granted)
+		if held := mustState(t, b, testRequest("k", "x", time.Second), Held); held.Holder != "a" {
+			t.Errorf("holder %q", held.Holder)
+		}
+		mustKind(t, b, testRequest("k", "other", time.Second), errkind.KeyReused)
+		first.Claim.Release()
+		time.Sleep(time.Second)
+		second := mustState(t, b, testRequest("k", "x", time.Second), Granted)
+		first.Claim.Complete(json.RawMessage(`"late"`)) // of a claim that was released
+		second.Claim.Complete(json.RawMessage(`"done"`))
+		time.Sleep(3 * time.Second)
+		done := mustState(t, a, testRequest("k", "x", time.Second), Completed)
+		if string(done.Result) != `"done"` || !done.HasResult || done.Holder != "b" {
+			t.Errorf("completed: %+v", done)
+		}
+		key := testRequest("k", "x", 0).Key
+		if answer, found, err := b.Lookup(t.Context(), key); err != nil || !found || answer.State != Completed {
+			t.Errorf("lookup: %+v, %v, %v", answer, found, err)
+		}
+		key.Stage = "bill"
+		if _, found, err := b.Lookup(t.Context(), key); err != nil || found {
+			t.Errorf("lookup of a key never claimed: %v, %v", found, err)
+		}
+	})
+}
+
+// Symptom: a booking is made twice. Events: its claim stands in a window that
+// was sealed long ago; an instance without memory of it gets the resend.
+// Cause: only the current window is looked at.
+func TestSealedWindowsAreLookedAt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		small := func(o *PagesOptions) {
+			o.Shards, o.WindowBytes, o.FlushInterval, o.CacheBytes = 1, 600, time.Millisecond, 2000
+		}
+		a := testPages(st, "a", 1, small)
+		for i := range 60 {
+			mustState(t, a, testRequest(fmt.Sprint(i), "x", time.Second), Granted)
+		}
+		for i := range 60 {
+			mustState(t, a, testRequest(fmt.Sprint(i), "x", time.Second), Held)
+			mustState(t, testPages(st, "b", 2, small), testRequest(fmt.Sprint(i), "x", time.Second), Held)
+		}
+		if n := a.shards[0].view.current.number; n < 10 {
+			t.Errorf("only %d windows", n)
+		}
+		if a.cache.size > 2000 {
+			t.Errorf("cache of %d bytes, limit 2000", a.cache.size)
+		}
+	})
+}
+
+// Symptom: after an outage of the store, callers that were refused find their
+// keys held for good. Events: no write got through before the deadline.
+func TestStoreDownMeansNothingClaimed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		a := testPages(st, "a", 1, nil)
+		st.SetFaults(memstore.Faults{Outage: true})
+		start := time.Now()
+		mustKind(t, a, testRequest("k", "x", 3*time.Second), errkind.StoreUnavailable)
+		if waited := time.Since(start); waited != 3*time.Second {
+			t.Errorf("waited %v of a deadline of 3s", waited)
+		}
+		go func() {
+			time.Sleep(2 * time.Second)
+			st.SetFaults(memstore.Faults{})
+		}()
+		mustState(t, a, testRequest("k", "x", 10*time.Second), Granted)
+	})
+}
+
+// Symptom: a caller is told that nothing was claimed, and its resend finds the
+// key held for ever. Events: the write takes effect after the caller's
+// deadline. Cause: the claim is forgotten with its caller.
+func TestLateWriteIsReleased(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		a, b := testPages(st, "a", 1, nil), testPages(st, "b", 2, nil)
+		mustState(t, a, testRequest("warm", "x", time.Second), Granted)
+		st.SetFaults(memstore.Faults{Delay: 2 * time.Second})
+		mustKind(t, a, testRequest("k", "x", time.Second), errkind.StoreUnavailable) // still reading
+		st.SetFaults(memstore.Faults{})
+		time.Sleep(5 * time.Second)
+		mustState(t, a, testRequest("k", "x", time.Second), Granted).Claim.Release()
+		time.Sleep(5 * time.Second)
+		st.SetFaults(memstore.Faults{Delay: 2 * time.Second})
+		mustKind(t, a, testRequest("k", "x", time.Second), errkind.OutcomeUnknown)
+		st.SetFaults(memstore.Faults{})
+		time.Sleep(10 * time.Second)
+		mustState(t, b, testRequest("k", "x", time.Second), Granted)
+	})
+}
+
+func TestKeyTimes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		a := testPages(st, "a", 1, nil)
+		at := func(age time.Duration) string {
+			id := uuid.UUID{6: 0x70, 8: 0x80}
+			ms := time.Now().Add(-age).UnixMilli()
+			for i := range 6 {
+				id[i] = byte(ms >> (8 * (5 - i)))
+			}
+			return id.String()
+		}
+		key := at(0)
+		mustState(t, a, testRequest(key, "x", time.Second), Granted)
+		mustState(t, a, testRequest(at(50*time.Minute), "x", time.Second), Granted)
+		mustKind(t, a, testRequest(at(2*time.Hour), "x", time.Second), errkind.KeyExpired)
+		mustKind(t, a, testRequest(at(-time.Hour), "x", time.Second), errkind.BadRequest)
+		time.Sleep(DefaultRetention)
+		mustKind(t, a, testRequest(key, "x", time.Second), errkind.KeyExpired)
+	})
+}
+
+// Symptom: the platform's store fills up, or a key runs again within its
+// retention. Cause: old windows stay, or one is removed too early.
+func TestOldWindowsAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		st := memstore.New(memstore.Options{})
+		small := func(o *PagesOptions) { o.Shards, o.WindowBytes, o.FlushInterval = 1, 600, time.Millisecond }
+		a := testPages(st, "a", 1, small)
+		stopped := make(chan struct{})
+		go func() { a.Run(ctx); close(stopped) }()
+		for hour := range 30 {
+			for i := range 5 {
+				mustState(t, a, testRequest(fmt.Sprint(hour, "-", i), "x", time.Second), Granted)
+			}
+			time.Sleep(time.Hour)
+			if hour > 2 && hour < 23 {
+				mustState(t, a, testRequest("0-0", "x", time.Second), Held)
+			}
+		}
+		objects, _, err := st.List(ctx, keyPrefix)
+		if err != nil || len(objects) > 28 {
+			t.Errorf("%d objects left, %v", len(objects), err)
+		}
+		if n := a.shards[0].view.current.number; n < 30 {
+			t.Errorf("only %d windows were opened", n)
+		}
+		mustState(t, testPages(st, "b", 2, small), testRequest("29-0", "x", time.Second), Held)
+		cancel()
+		<-stopped
+	})
+}
--- /dev/null
+++ b/internal/claim/retire.go
@@ -0,0 +1,138 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/store"
+)
+
+const (
+	// removalInterval is how often the owner of a shard looks for windows past
+	// their retention.
+	removalInterval = 10 * time.Minute
+	// stopGrace is how long Run waits at its end for what is not written yet.
+	stopGrace = 3 * time.Second
+	stopPoll  = 50 * time.Millisecond
+)
+
+// Run removes old windows of the shards that this instance is the preferred
+// owner of, until ctx ends. Then it waits some seconds for completions and
+// releases to be written and stops the flush loops; later claims get
+// StoreUnavailable at their deadline.
+func (p *Pages) Run(ctx context.Context) {
+	defer p.once.Do(func() { close(p.stop) })
+	for {
+		timer := p.opts.Clock.NewTimer(removalInterval/2 + p.jitter(removalInterval))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			p.drain()
+			return
+		case <-timer.C:
+			p.removeOld(ctx)
+		}
+	}
+}
+
+// drain lets the flush loops write at once what may usually wait.
+func (p *Pages) drain() {
+	end := p.opts.Clock.Now().Add(stopGrace)
+	for _, s := range p.shards {
+		s.hurry()
+	}
+	for p.opts.Clock.Now().Before(end) && p.busy() {
+		timer := p.opts.Clock.NewTimer(stopPoll)
+		<-timer.C
+	}
+}
+
+func (p *Pages) busy() bool {
+	for _, s := range p.shards {
+		s.mu.Lock()
+		flushing := s.flushing
+		s.mu.Unlock()
+		if flushing {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *shard) hurry() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.pages.opts.Clock.Now()
+	for _, o := range s.pending {
+		o.due = now
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *Pages) removeOld(ctx context.Context) {
+	ctx = store.WithPriority(ctx, store.PriorityBackground)
+	for shard := range p.shards {
+		if p.opts.Owners(shard) != p.opts.Self {
+			continue
+		}
+		if err := p.removeOldOf(ctx, shard); err != nil {
+			p.errors.Add(1)
+		}
+	}
+}
+
+// removeOldOf removes the oldest windows of a shard as long as they are past
+// their retention. It deletes first and then shortens the index, so that no
+// object is left behind when it is interrupted; a window past its retention
+// is not read by anybody.
+func (p *Pages) removeOldOf(ctx context.Context, shard int) error {
+	obj, err := p.opts.Store.Get(ctx, indexKey(shard))
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	x, err := decodeIndex(obj.Value)
+	if err != nil {
+		return err
+	}
+	limit := millis(p.opts.Clock.Now().Add(-removalMargin))
+	expired := 0
+	for expired < len(x.Windows) && x.Windows[expired].Keep < limit {
+		if err := p.remove(ctx, shard, x.Windows[expired].Number); err != nil {
+			return err
+		}
+		expired++
+	}
+	if expired == 0 {
+		return nil
+	}
+	shorter := index{First: x.First + uint64(expired), Windows: x.Windows[expired:]}
+	if _, err = p.opts.Store.Put(ctx, indexKey(shard), encode(shorter), obj.Version); err != nil {
+		return err
+	}
+	p.opts.Logger.Log(event.ClaimRemoved, "shard", shard, "windows", expired)
+	return nil
+}
+
+func (p *Pages) remove(ctx context.Context, shard int, number uint64) error {
+	key := windowKey(shard, number)
+	obj, err := p.opts.Store.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	err = p.opts.Store.Delete(ctx, key, obj.Version)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/internal/claim/tickets.go
@@ -0,0 +1,288 @@
+package claim
+
+import (
+	"container/heap"
+	"context"
+	"crypto/hmac"
+	"encoding/json"
+	"expvar"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/coder/quartz"
+
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/metrics"
+)
+
+// Defaults of TicketOptions.
+const (
+	DefaultTicketLifetime = 15 * time.Minute
+	DefaultMaxKeys        = 50_000
+	ticketShards          = 16
+	secretBytes           = 32
+)
+
+var (
+	metricTicketKeys = metrics.Define("claim_ticket_keys", "keys", "Keys under this instance's tickets that are remembered.")
+	metricTicketFull = metrics.Define("claim_ticket_full_total", "claims", "Claims under tickets that went to the platform's pages for want of room.")
+)
+
+// TicketOptions configures Tickets. Zero values take the defaults.
+type TicketOptions struct {
+	Self        string
+	Incarnation uint64 // of this process; never the same after a restart
+	Clock       clock.Clock
+	Secret      io.Reader // source of the signing secret, e.g. crypto/rand.Reader
+	Lifetime    time.Duration
+	MaxKeys     int // keys remembered; none is dropped before its ticket's expiry
+	MaxResult   int // bytes of output kept with a completed key
+	Logger      *event.Logger
+	Metrics     *metrics.Registry
+}
+
+// Tickets lets this incarnation of the instance alone run the keys minted
+// under its tickets, and remembers them in memory. It needs no platform.
+type Tickets struct {
+	opts   TicketOptions
+	secret []byte
+	shards [ticketShards]ticketShard
+	keys   *expvar.Int
+	full   *expvar.Int
+}
+
+type ticketShard struct {
+	mu      sync.Mutex // guards the fields below
+	records map[keyID]*ticketRecord
+	byTime  expiryHeap
+	// overflowUntil is the latest expiry of a key that went to the pages for
+	// want of room. Until then, a key that is not in memory may be there.
+	overflowUntil time.Time
+}
+
+type ticketRecord struct {
+	id      keyID
+	body    string
+	expires time.Time
+	state   State
+	result  json.RawMessage
+	has     bool
+}
+
+// NewTickets reads the secret. It panics if the source fails, since a ticket
+// signed with a known secret could be forged.
+func NewTickets(opts TicketOptions) *Tickets {
+	if opts.Clock == nil {
+		opts.Clock = quartz.NewReal()
+	}
+	setDefault(&opts.Lifetime, DefaultTicketLifetime)
+	setDefault(&opts.MaxKeys, DefaultMaxKeys)
+	setDefault(&opts.MaxResult, DefaultMaxResult)
+	secret := make([]byte, secretBytes)
+	if _, err := io.ReadFull(opts.Secret, secret); err != nil {
+		panic("claim: no secret for tickets: " + err.Error())
+	}
+	t := &Tickets{
+		opts:   opts,
+		secret: secret,
+		keys:   opts.Metrics.Counter(metricTicketKeys),
+		full:   opts.Metrics.Counter(metricTicketFull),
+	}
+	for i := range t.shards {
+		t.shards[i].records = make(map[keyID]*ticketRecord)
+	}
+	return t
+}
+
+// Issue returns a ticket for an address answer.
+func (t *Tickets) Issue() (text string, expires time.Time) {
+	now := t.opts.Clock.Now()
+	expires = now.Add(t.opts.Lifetime)
+	issued := ticket{Instance: t.opts.Self, Incarnation: t.opts.Incarnation, Issued: millis(now), Expires: millis(expires)}
+	return issued.text(t.secret), expires
+}
+
+// Home returns the instance that issued the ticket. The signature is not
+// checked: only the home can, and does when the request gets there.
+func (t *Tickets) Home(text string) (instance string, ok bool) {
+	parsed, _, _, err := parseTicket(text)
+	return parsed.Instance, err == nil
+}
+
+// check returns the ticket that the key was minted under if it is ours.
+func (t *Tickets) check(key string) (ticket, error) {
+	text, ok := TicketOf(key)
+	if !ok {
+		return ticket{}, errkind.New(errkind.BadRequest, "the key was not minted under a ticket")
+	}
+	parsed, payload, signature, err := parseTicket(text)
+	if err != nil {
+		return ticket{}, errkind.New(errkind.BadRequest, "the ticket in the key is malformed")
+	}
+	if parsed.Instance != t.opts.Self || parsed.Incarnation != t.opts.Incarnation {
+		return ticket{}, errkind.New(errkind.OutcomeUnknown, "the instance that the key belongs to is gone")
+	}
+	if !hmac.Equal([]byte(signature), []byte(sign(t.secret, payload))) {
+		return ticket{}, errkind.New(errkind.BadRequest, "the ticket in the key is not genuine")
+	}
+	if !t.opts.Clock.Now().Before(parsed.expiresAt()) {
+		return ticket{}, errkind.New(errkind.KeyExpired, "the ticket of the key has expired")
+	}
+	return parsed, nil
+}
+
+// Claim implements Claimer for keys minted under this incarnation's tickets.
+// When there is no room it returns StoreUnavailable; a Router takes the claim
+// to the pages instead.
+func (t *Tickets) Claim(_ context.Context, req Request) (Answer, error) {
+	answer, room, err := t.claim(req)
+	if err == nil && !room {
+		err = errkind.New(errkind.StoreUnavailable, "no room for keys under tickets")
+	}
+	return answer, err
+}
+
+// claim returns room false if the key must be claimed in the pages.
+func (t *Tickets) claim(req Request) (answer Answer, room bool, err error) {
+	home, err := t.check(req.Key.Key)
+	if err != nil {
+		return Answer{}, true, err
+	}
+	id := idOf(req.Key)
+	s := t.shardOf(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := t.opts.Clock.Now()
+	t.expire(s, now)
+	if rec, ok := s.records[id]; ok {
+		answer, err := t.answerOf(rec, shortHash(req.BodyHash))
+		return answer, true, err
+	}
+	// A key that went to the pages while there was no room is looked for there
+	// also when there is room again: granted here, it would run twice.
+	if now.Before(s.overflowUntil) || len(s.records) >= t.opts.MaxKeys/ticketShards {
+		t.overflow(s, home.expiresAt())
+		return Answer{}, false, nil
+	}
+	rec := &ticketRecord{id: id, body: shortHash(req.BodyHash), expires: home.expiresAt(), state: Held}
+	s.records[id] = rec
+	heap.Push(&s.byTime, rec)
+	t.keys.Add(1)
+	return Answer{State: Granted, Holder: t.opts.Self, Claim: &ticketClaim{tickets: t, shard: s, record: rec}}, true, nil
+}
+
+// overflow notes that a key with the expiry goes to the pages. s.mu is held.
+func (t *Tickets) overflow(s *ticketShard, expires time.Time) {
+	if s.overflowUntil.IsZero() {
+		t.opts.Logger.Log(event.ClaimTicketsFull)
+	}
+	t.full.Add(1)
+	if expires.After(s.overflowUntil) {
+		s.overflowUntil = expires
+	}
+}
+
+func (t *Tickets) answerOf(rec *ticketRecord, body string) (Answer, error) {
+	if rec.body != body {
+		return Answer{}, errkind.New(errkind.KeyReused, "the idempotency key was used with another body")
+	}
+	return Answer{State: rec.state, Holder: t.opts.Self, Result: rec.result, HasResult: rec.has}, nil
+}
+
+// Lookup implements Claimer.
+func (t *Tickets) Lookup(_ context.Context, key Key) (Answer, bool, error) {
+	answer, found, elsewhere, err := t.lookup(key)
+	if err == nil && elsewhere {
+		err = errkind.New(errkind.StoreUnavailable, "the key may be recorded in the platform")
+	}
+	return answer, found, err
+}
+
+func (t *Tickets) lookup(key Key) (answer Answer, found, elsewhere bool, err error) {
+	if _, err := t.check(key.Key); err != nil {
+		return Answer{}, false, false, err
+	}
+	id := idOf(key)
+	s := t.shardOf(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if rec, ok := s.records[id]; ok {
+		answer, err := t.answerOf(rec, rec.body)
+		return answer, true, false, err
+	}
+	return Answer{}, false, t.opts.Clock.Now().Before(s.overflowUntil), nil
+}
+
+func (t *Tickets) shardOf(id keyID) *ticketShard { return &t.shards[id.shard(ticketShards)] }
+
+// expire drops records past their ticket's expiry; their keys are refused
+// before they are looked up. s.mu is held.
+func (t *Tickets) expire(s *ticketShard, now time.Time) {
+	for len(s.byTime) > 0 && !now.Before(s.byTime[0].expires) {
+		rec := heap.Pop(&s.byTime).(*ticketRecord)
+		if s.records[rec.id] == rec {
+			delete(s.records, rec.id)
+			t.keys.Add(-1)
+		}
+	}
+}
+
+// ticketClaim is a claim held in memory.
+type ticketClaim struct {
+	tickets *Tickets
+	shard   *ticketShard
+	record  *ticketRecord
+	ended   bool // guarded by shard.mu
+}
+
+// Complete implements Claim.
+func (c *ticketClaim) Complete(output json.RawMessage) {
+	c.shard.mu.Lock()
+	defer c.shard.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.ended = true
+	c.record.state = Completed
+	if len(output) <= c.tickets.opts.MaxResult {
+		c.record.result, c.record.has = output, true
+	}
+}
+
+// Release implements Claim.
+func (c *ticketClaim) Release() {
+	c.shard.mu.Lock()
+	defer c.shard.mu.Unlock()
+	if c.ended {
+		return
+	}
+	c.ended = true
+	if c.shard.records[c.record.id] == c.record {
+		delete(c.shard.records, c.record.id)
+		c.tickets.keys.Add(-1)
+	}
+}
+
+// expiryHeap orders records by expiry.
+type expiryHeap []*ticketRecord
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].expires.Before(h[j].expires) }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) { *h = append(*h, x.(*ticketRecord)) }
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	last := len(*h) - 1
+	rec := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return rec
+}
+
+var _ Claimer = (*Tickets)(nil)
--- /dev/null
+++ b/internal/event/catalogue_claim.go
@@ -0,0 +1,24 @@
+package event
+
+// Events of package claim.
+const (
+	ClaimSealed        ID = 2101
+	ClaimSettled       ID = 2102
+	ClaimStoreWaits    ID = 2103
+	ClaimWindowMissing ID = 2104
+	ClaimWindowInvalid ID = 2105
+	ClaimRemoved       ID = 2106
+	ClaimDropped       ID = 2107
+	ClaimTicketsFull   ID = 2108
+)
+
+var _ = define(
+	Definition{ClaimSealed, Debug, "claim_window_sealed", "A window of claims is full; the next one is in use."},
+	Definition{ClaimSettled, Info, "claim_write_settled", "The reply to a write of claims was lost, and reading back has shown whether it took effect."},
+	Definition{ClaimStoreWaits, Warn, "claim_store_waits", "Claims wait for the platform's store; stages that are not idempotent are refused when their deadline comes. Check the platform, and the claim_store_errors_total metric."},
+	Definition{ClaimWindowMissing, Error, "claim_window_missing", "A window of claims that is within its retention is not in the store, so claims of its shard are refused. Somebody removed an object below claims/; restore it, or wait out the retention."},
+	Definition{ClaimWindowInvalid, Error, "claim_window_invalid", "An object below claims/ cannot be decoded, so claims of its shard are refused. Check which program wrote it."},
+	Definition{ClaimRemoved, Debug, "claim_windows_removed", "Windows of claims past their retention were removed."},
+	Definition{ClaimDropped, Warn, "claim_record_dropped", "Completions or releases were dropped while the store was down; resends of their keys will be told outcome_unknown."},
+	Definition{ClaimTicketsFull, Warn, "claim_tickets_full", "The memory for keys under this instance's tickets is full; further ones are claimed in the platform. Raise claim.max_keys."},
+)
