Discovery, load view and orders

Discovery merges the lagging list; the first leaving sign of any source marks, only list and report together, both later than the mark by the list's lag, clear. Load view: two pollers a target near it, rows passed on within a byte budget with ages that only grow; cache events as hints with gaps noted. Orders: a pure planner from read-back states, given under the lease, under the weight rate, an unload of a version in force only after another engine confirmed it ready.

--- /dev/null
+++ b/internal/control/discovery/discovery_test.go
@@ -0,0 +1,153 @@
+package discovery
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/coder/quartz"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/store/memstore"
+	"lynxhill.example/lynxhill/internal/wire/platformapi"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+const lag = 5 * time.Second
+
+func engine(id, state string) store.Instance {
+	return store.Instance{ID: id, Service: "lynx-pool", Kind: "generate", Address: id + ":1", Place: "lac-a", State: state}
+}
+
+func start(s *memstore.Store, b *board.Board, self string) (*Controller, func()) {
+	c := New(Options{
+		Store: s, Board: b, Clock: quartz.NewReal(), Rand: rand.New(rand.NewPCG(3, 4)),
+		Self: self, Place: "lac-a",
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c.Run(ctx)
+	}()
+	return c, func() {
+		cancel()
+		<-ended
+	}
+}
+
+func leaving(b *board.Board, id string) bool {
+	t, _ := b.Targets.Get(id)
+	return t.Leaving
+}
+
+// report keeps the target answering with the given word until stop.
+func report(b *board.Board, id string, says func() bool) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		for seq := uint64(1); ; seq++ {
+			now := time.Now()
+			b.Loads.Put(id, board.Load{At: now, Received: now, Report: targetapi.LoadReport{Target: id, Seq: seq, Leaving: says()}})
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Second):
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+// Symptom: work goes to a target that has said it is leaving.
+// Events: a target refuses work because it is leaving; the list, which lags,
+// still shows it live and is read after the refusal.
+// Cause: the old live entry was taken for a later sign.
+func TestLaggingListDoesNotBringBackALeavingTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New(memstore.Options{InstanceLag: lag})
+		s.SetInstance(engine("t-1", platformapi.StateLive))
+		time.Sleep(2 * lag)
+		b := board.New()
+		c, stop := start(s, b, "i-0")
+		defer stop()
+		time.Sleep(time.Second)
+		stopReports := report(b, "t-1", func() bool { return false }) // its reports lag, too
+		defer stopReports()
+		c.Refused("t-1")
+		for range 20 {
+			if !leaving(b, "t-1") {
+				t.Fatal("a live entry within the list's lag cleared the mark")
+			}
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Minute)
+		if leaving(b, "t-1") {
+			t.Fatal("list and reports say live long after the mark, and it is still there")
+		}
+	})
+}
+
+func TestEverySignMarks(t *testing.T) {
+	signs := map[string]func(*memstore.Store, *board.Board, *Controller){
+		"list": func(s *memstore.Store, _ *board.Board, _ *Controller) {
+			s.SetInstance(engine("t-1", platformapi.StateLeaving))
+		},
+		"refusal": func(_ *memstore.Store, _ *board.Board, c *Controller) { c.Refused("t-1") },
+		"report": func(_ *memstore.Store, b *board.Board, _ *Controller) {
+			b.Loads.Put("t-1", board.Load{At: time.Now(), Report: targetapi.LoadReport{Seq: 9, Leaving: true}})
+		},
+		"peer": func(_ *memstore.Store, _ *board.Board, c *Controller) {
+			c.Absorb(gossip.Digest{Loads: []gossip.Load{{Target: "t-1", Leaving: true}}})
+		},
+	}
+	for name, sign := range signs {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := memstore.New(memstore.Options{})
+				s.SetInstance(engine("t-1", platformapi.StateLive))
+				b := board.New()
+				c, stop := start(s, b, "i-0")
+				defer stop()
+				time.Sleep(time.Minute)
+				if leaving(b, "t-1") {
+					t.Fatal("marked before the sign")
+				}
+				sign(s, b, c)
+				time.Sleep(3 * time.Second)
+				if !leaving(b, "t-1") {
+					t.Fatal("not marked 3 s after the sign")
+				}
+			})
+		})
+	}
+}
+
+// Symptom: all work stops although every target is well.
+// Events: the platform comes back from an outage with an empty list.
+// Cause: the empty list was believed.
+func TestEmptyListKeepsTargetsThatAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New(memstore.Options{})
+		for _, id := range []string{"t-1", "t-2"} {
+			s.SetInstance(engine(id, platformapi.StateLive))
+		}
+		b := board.New()
+		_, stop := start(s, b, "i-0")
+		defer stop()
+		time.Sleep(5 * time.Second)
+		defer report(b, "t-1", func() bool { return false })()
+		s.RemoveInstance("t-1")
+		s.RemoveInstance("t-2")
+		time.Sleep(20 * time.Minute)
+		if _, there := b.Targets.Get("t-1"); !there {
+			t.Error("a target that answers was forgotten")
+		}
+		if _, there := b.Targets.Get("t-2"); there {
+			t.Error("a target that does not answer was kept")
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/discovery/options.go
@@ -0,0 +1,80 @@
+// Package discovery keeps the board's targets by the platform's instance list,
+// which lags and is not always there. A target takes no new work from the
+// first sign that it is leaving, whatever the sign; only a later live sign
+// brings it back. A target that vanishes from the list stays while it answers.
+package discovery
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/store"
+)
+
+// Defaults of Options.
+const (
+	DefaultListEvery     = 2 * time.Second
+	DefaultSlowListEvery = time.Minute
+	DefaultListers       = 2
+	DefaultListLag       = 30 * time.Second
+	DefaultMissingGrace  = 15 * time.Second
+	DefaultKeepMissing   = 5 * time.Minute
+	DefaultAnswerWithin  = 15 * time.Second
+)
+
+// Options configure a Controller.
+type Options struct {
+	// Lister reads the instance list. If it is nil, Store is used.
+	Lister  store.InstanceLister
+	Store   store.InstanceLister
+	Board   *board.Board
+	Clock   clock.Clock
+	Rand    *rand.Rand
+	Logger  *event.Logger
+	Metrics *metrics.Registry
+	Self    string
+	Place   string
+	// ListEvery is how often the listers of a place read the list; the others
+	// read it every SlowListEvery, and sooner when a peer's digest names a
+	// target that they do not know.
+	ListEvery     time.Duration
+	SlowListEvery time.Duration
+	// Listers is the number of listers in each place.
+	Listers int
+	// ListLag is the most by which the list lags. A live entry read sooner
+	// than this after a leaving mark proves nothing.
+	ListLag time.Duration
+	// MissingGrace is how long a target may lack from the list before it is
+	// forgotten if it does not answer, KeepMissing if it does.
+	MissingGrace time.Duration
+	KeepMissing  time.Duration
+	// AnswerWithin is the greatest age of a load report of a target that
+	// counts as answering.
+	AnswerWithin time.Duration
+}
+
+func (o Options) withDefaults() Options {
+	if o.Lister == nil {
+		o.Lister = o.Store
+	}
+	setDuration(&o.ListEvery, DefaultListEvery)
+	setDuration(&o.SlowListEvery, DefaultSlowListEvery)
+	setDuration(&o.ListLag, DefaultListLag)
+	setDuration(&o.MissingGrace, DefaultMissingGrace)
+	setDuration(&o.KeepMissing, DefaultKeepMissing)
+	setDuration(&o.AnswerWithin, DefaultAnswerWithin)
+	if o.Listers <= 0 {
+		o.Listers = DefaultListers
+	}
+	return o
+}
+
+func setDuration(d *time.Duration, fallback time.Duration) {
+	if *d <= 0 {
+		*d = fallback
+	}
+}
--- /dev/null
+++ b/internal/control/loadview/gossip.go
@@ -0,0 +1,245 @@
+package loadview
+
+import (
+	"math/bits"
+	"slices"
+	"sort"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+const (
+	// rowBytes is an estimate of a row's size in a digest without its strings.
+	rowBytes = 40
+	// modelBytes is the same for a model in a row.
+	modelBytes = 10
+	// modelsFor is how long after a change of an engine's models its rows
+	// carry them; modelsEvery is how often they do otherwise, for those who
+	// missed the change.
+	modelsFor   = 10 * time.Second
+	modelsEvery = 16
+	// resends is how often, times the logarithm of the number of instances, a
+	// report is passed on by each who has it.
+	resends = 2
+)
+
+// Shares of the budget for targets of the receiver's place and region. The
+// rest, and what these leave over, goes to the other targets.
+const (
+	placeShare  = 0.6
+	regionShare = 0.3
+)
+
+// passing is what is remembered of a row that is passed on.
+type passing struct {
+	seq           uint64
+	sent          int // how often this report was passed on
+	total         int // how often any report of the target was
+	models        []targetapi.LoadedModel
+	role          string
+	modelsChanged time.Time
+}
+
+// spread decides which rows go into a digest.
+type spread struct {
+	mu   sync.Mutex // guards rows and what it points to
+	rows map[string]*passing
+}
+
+// candidate is a row that may go into a digest.
+type candidate struct {
+	target string
+	load   board.Load
+	near   int // 0 the receiver's place, 1 its region, 2 elsewhere
+	*passing
+}
+
+// Fill implements gossip.Part: rows for the receiver's own place first, and
+// those that were passed on least.
+func (c *Controller) Fill(digest *gossip.Digest, to string, budget int) int {
+	now := c.opts.Clock.Now()
+	receiver, _ := c.opts.Board.Members.Get(to)
+	loads := c.opts.Board.Loads.Snapshot()
+	targets := c.opts.Board.Targets.Snapshot()
+	limit := resends * bits.Len(uint(c.opts.Board.Members.Len()+1))
+
+	c.spread.mu.Lock()
+	defer c.spread.mu.Unlock()
+	byNearness := c.candidates(loads, targets, receiver, now, limit)
+	used := 0
+	for near, share := range []float64{placeShare, placeShare + regionShare, 1} {
+		until := int(share * float64(budget))
+		used = c.fillFrom(digest, byNearness[near], used, until, now)
+	}
+	return used
+}
+
+// candidates returns the rows worth passing on, by nearness and those passed
+// on least first. c.spread.mu is held.
+func (c *Controller) candidates(loads map[string]board.Load, targets map[string]board.Target, receiver board.Member, now time.Time, limit int) [3][]candidate {
+	var found [3][]candidate
+	for id, load := range loads {
+		t, known := targets[id]
+		if !known || load.Report.Seq == 0 || load.Via == receiver.ID && receiver.ID != "" || now.Sub(load.At) > c.opts.PassOnAge {
+			continue
+		}
+		p := c.spread.passing(id, load, now)
+		if p.sent >= limit {
+			continue
+		}
+		near := nearness(t, receiver)
+		found[near] = append(found[near], candidate{target: id, load: load, near: near, passing: p})
+	}
+	for _, rows := range found {
+		sort.Slice(rows, func(i, j int) bool { return before(rows[i], rows[j]) })
+	}
+	return found
+}
+
+func before(a, b candidate) bool {
+	if a.sent != b.sent {
+		return a.sent < b.sent
+	}
+	if !a.load.At.Equal(b.load.At) {
+		return a.load.At.After(b.load.At)
+	}
+	return a.target < b.target
+}
+
+func nearness(t board.Target, receiver board.Member) int {
+	switch {
+	case t.Place == receiver.Place:
+		return 0
+	case t.Region == receiver.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// passing returns what is remembered of the target, brought up to the load.
+func (s *spread) passing(id string, load board.Load, now time.Time) *passing {
+	p := s.rows[id]
+	if p == nil {
+		p = &passing{}
+		s.rows[id] = p
+	}
+	if p.seq != load.Report.Seq {
+		p.seq, p.sent = load.Report.Seq, 0
+	}
+	if load.Report.Models != nil && !sameModels(p, load.Report) {
+		p.models, p.role, p.modelsChanged = load.Report.Models, load.Report.Role, now
+	}
+	return p
+}
+
+func sameModels(p *passing, r targetapi.LoadReport) bool {
+	return p.role == r.Role && slices.EqualFunc(p.models, r.Models, equalModel)
+}
+
+func equalModel(a, b targetapi.LoadedModel) bool {
+	return a.Model == b.Model && a.Version == b.Version && a.Ready == b.Ready && slices.Equal(a.Adapters, b.Adapters)
+}
+
+// fillFrom adds rows until the digest's share is used up.
+func (c *Controller) fillFrom(digest *gossip.Digest, rows []candidate, used, until int, now time.Time) int {
+	for _, row := range rows {
+		digestRow, size := row.digest(now)
+		if used+size > until {
+			break
+		}
+		used += size
+		row.sent++
+		row.total++
+		digest.Loads = append(digest.Loads, digestRow)
+		c.opts.Metrics.Counter(metricRowsSent).Add(1)
+	}
+	return used
+}
+
+// digest returns the row as it is passed on, and its size.
+func (r candidate) digest(now time.Time) (gossip.Load, int) {
+	report := r.load.Report
+	row := gossip.Load{
+		Target: r.target, Seq: report.Seq, Age: now.Sub(r.load.At),
+		Running: report.Running, Queued: report.Queued, Slots: report.Slots,
+		MeanMS: report.MeanMS, KVUsed: report.KVUsed, Leaving: report.Leaving,
+	}
+	size := rowBytes + len(r.target)
+	if now.Sub(r.modelsChanged) < modelsFor || r.total%modelsEvery == 0 {
+		size += r.addModels(&row)
+	}
+	return row, size
+}
+
+func (r candidate) addModels(row *gossip.Load) int {
+	row.ModelsKnown, row.Role = true, r.role
+	size := len(r.role)
+	for _, m := range r.models {
+		row.Models = append(row.Models, gossip.LoadedModel(m))
+		size += modelBytes + len(m.Model) + len(m.Version)
+		for _, adapter := range m.Adapters {
+			size += 2 + len(adapter)
+		}
+	}
+	return size
+}
+
+// retain drops targets that are gone.
+func (s *spread) retain(targets map[string]board.Target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.rows {
+		if _, there := targets[id]; !there {
+			delete(s.rows, id)
+		}
+	}
+}
+
+// Absorb implements gossip.Part. The age of a row is raised by the time that
+// the digest can have been under way, so that a report never looks newer than
+// it is.
+func (c *Controller) Absorb(digest gossip.Digest) {
+	now := c.opts.Clock.Now()
+	transit := digest.Transit
+	if transit == 0 {
+		transit = c.opts.Transit
+	}
+	for _, row := range digest.Loads {
+		if _, known := c.opts.Board.Targets.Get(row.Target); !known || row.Seq == 0 {
+			continue
+		}
+		result := "old"
+		if c.mergeRow(row, now, now.Add(-row.Age-transit), digest.From) {
+			result = "news"
+		}
+		c.opts.Metrics.Labelled(metricRowsUsed).Add(result, 1)
+	}
+}
+
+// mergeRow merges a passed-on row. A row without models keeps those known.
+func (c *Controller) mergeRow(row gossip.Load, now, at time.Time, from string) bool {
+	load := board.Load{Received: now, At: at, Via: from, Report: targetapi.LoadReport{
+		Target: row.Target, Seq: row.Seq, AtMS: at.UnixMilli(), Running: row.Running, Queued: row.Queued,
+		Slots: row.Slots, MeanMS: row.MeanMS, KVUsed: row.KVUsed, Leaving: row.Leaving, Role: row.Role,
+	}}
+	if row.ModelsKnown {
+		load.Report.Models = make([]targetapi.LoadedModel, len(row.Models))
+		for i, m := range row.Models {
+			load.Report.Models[i] = targetapi.LoadedModel(m)
+		}
+	}
+	return c.opts.Board.Loads.Update(row.Target, func(old board.Load, found bool) (board.Load, bool) {
+		if found && !newer(load, old) {
+			return old, false
+		}
+		if !row.ModelsKnown {
+			load.Report.Models, load.Report.Role = old.Report.Models, old.Report.Role
+		}
+		return load, true
+	})
+}
--- /dev/null
+++ b/internal/control/loadview/loadview.go
@@ -0,0 +1,194 @@
+package loadview
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/stagecall"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+var (
+	metricPolls    = metrics.Define("load_polls_total", "polls", "Polls of targets' loads, by result.")
+	metricPolled   = metrics.Define("load_targets_polled", "targets", "Targets that this instance polls.")
+	metricRowsSent = metrics.Define("load_rows_sent_total", "rows", "Load rows passed on to peers.")
+	metricRowsUsed = metrics.Define("load_rows_received_total", "rows", "Load rows from peers, by whether they were news.")
+	metricViewAge  = metrics.Define("load_view_age_ms", "ms", "Mean age of the load reports on the board.")
+	metricGaps     = metrics.Define("cache_event_gaps_total", "gaps", "Gaps in the engines' cache events.")
+)
+
+const (
+	jitter       = 0.2
+	assignPeriod = time.Second // how often the set of targets to poll is looked at
+)
+
+// Controller keeps board.Loads and board.Prefixes. It is a gossip.Part.
+type Controller struct {
+	opts    Options
+	rand    *loop.Rand
+	polling sync.WaitGroup
+	ages    ages
+	spread  spread
+}
+
+// New returns a controller.
+func New(opts Options) *Controller {
+	return &Controller{
+		opts: opts.withDefaults(), rand: loop.NewRand(opts.Rand),
+		ages:   ages{byTarget: make(map[string]*offset)},
+		spread: spread{rows: make(map[string]*passing)},
+	}
+}
+
+// Run polls this instance's share of the targets until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	c.opts.Metrics.Func(metricViewAge, func() any { return c.MeanAge().Milliseconds() })
+	started := make(map[string]context.CancelFunc)
+	loop.Run(ctx, loop.Options{
+		Clock: c.opts.Clock, Rand: c.rand, Period: assignPeriod, Jitter: jitter,
+	}, func(ctx context.Context) { c.assign(ctx, started) })
+	for _, stop := range started {
+		stop()
+	}
+	c.polling.Wait()
+}
+
+// assign starts and stops the polling of targets as the members change.
+func (c *Controller) assign(ctx context.Context, started map[string]context.CancelFunc) {
+	targets := c.opts.Board.Targets.Snapshot()
+	f := fleetOf(c.opts.Board, c.opts.Self, c.opts.Place, c.opts.Region)
+	for id, t := range targets {
+		wanted := f.polls(c.opts.Self, t, c.opts.PollersPerTarget)
+		stop := started[id]
+		switch {
+		case wanted && stop == nil:
+			targetCtx, stop := context.WithCancel(ctx)
+			started[id] = stop
+			c.polling.Go(func() { c.poll(targetCtx, id) })
+		case !wanted && stop != nil:
+			stop()
+			delete(started, id)
+		}
+	}
+	c.stopGone(started, targets)
+	c.opts.Metrics.Counter(metricPolled).Set(int64(len(started)))
+}
+
+// stopGone ends the polling of targets that are off the board and drops what
+// is remembered of them.
+func (c *Controller) stopGone(started map[string]context.CancelFunc, targets map[string]board.Target) {
+	for id, stop := range started {
+		if _, there := targets[id]; !there {
+			stop()
+			delete(started, id)
+		}
+	}
+	c.ages.retain(targets)
+	c.spread.retain(targets)
+}
+
+// poll asks one target for its load, and an engine for its cache events, until
+// ctx ends.
+func (c *Controller) poll(ctx context.Context, id string) {
+	if !loop.Sleep(ctx, c.opts.Clock, time.Duration(c.rand.Float64()*float64(c.opts.PollEvery))) {
+		return
+	}
+	var cacheDue time.Time
+	loop.Run(ctx, loop.Options{
+		Clock: c.opts.Clock, Rand: c.rand, Period: c.opts.PollEvery, Jitter: jitter,
+	}, func(ctx context.Context) {
+		t, there := c.opts.Board.Targets.Get(id)
+		if !there {
+			return
+		}
+		c.pollLoad(ctx, t)
+		if now := c.opts.Clock.Now(); t.Kind == profile.KindGenerate && !now.Before(cacheDue) {
+			cacheDue = now.Add(c.opts.CachePollEvery)
+			c.pollCache(ctx, t)
+		}
+	})
+}
+
+func (c *Controller) pollLoad(ctx context.Context, t board.Target) {
+	asked := c.opts.Clock.Now()
+	callCtx, cancel := loop.WithTimeout(ctx, c.opts.Clock, c.opts.CallTimeout)
+	defer cancel()
+	report, err := c.opts.Caller.Load(callCtx, stagecall.Target{ID: t.ID, Address: t.Address})
+	if err != nil {
+		c.opts.Metrics.Labelled(metricPolls).Add("failed", 1)
+		if ctx.Err() == nil {
+			c.opts.Logger.Log(event.LoadPollFailed, "target", t.ID, "error", err)
+		}
+		return
+	}
+	c.opts.Metrics.Labelled(metricPolls).Add("answered", 1)
+	c.take(t.ID, report, asked, "")
+}
+
+// Observe takes in a report that rode on a target's response which came now.
+func (c *Controller) Observe(target string, report targetapi.LoadReport) {
+	c.take(target, report, c.opts.Clock.Now(), "")
+}
+
+// take merges a report by the target itself that was true at the moment at or
+// before.
+func (c *Controller) take(target string, report targetapi.LoadReport, at time.Time, via string) {
+	if report.Models == nil {
+		report.Models = []targetapi.LoadedModel{} // none; nil stands for not known
+	}
+	trueAt, moved := c.ages.at(target, report, at, c.opts.MaxLag)
+	if moved {
+		c.opts.Logger.Log(event.TargetClockMoved, "target", target)
+	}
+	c.merge(target, board.Load{Report: report, Received: c.opts.Clock.Now(), At: trueAt, Via: via})
+}
+
+// merge writes the load unless the board has a later one. A target that was
+// restarted has an empty prefix cache and numbers its cache events anew: asked
+// for those after the old number, it would tell of none for a long time.
+func (c *Controller) merge(target string, load board.Load) {
+	restarted := false
+	c.opts.Board.Loads.Update(target, func(old board.Load, found bool) (board.Load, bool) {
+		if found && !newer(load, old) {
+			return old, false
+		}
+		restarted = found && load.Report.Seq < old.Report.Seq
+		return load, true
+	})
+	if restarted {
+		c.opts.Board.Prefixes.Delete(target)
+	}
+}
+
+// restartAfter is by how much a report with a lower number has to be younger
+// to count as the first ones of a target that was restarted.
+const restartAfter = 3 * time.Second
+
+// newer reports whether load is a later report than old. The target's numbers
+// decide; ages decide only when the target seems to count anew.
+func newer(load, old board.Load) bool {
+	if load.Report.Seq > old.Report.Seq {
+		return true
+	}
+	return load.Report.Seq < old.Report.Seq && load.At.After(old.At.Add(restartAfter))
+}
+
+// MeanAge is the mean age of the reports on the board.
+func (c *Controller) MeanAge() time.Duration {
+	loads := c.opts.Board.Loads.Snapshot()
+	if len(loads) == 0 {
+		return 0
+	}
+	now := c.opts.Clock.Now()
+	var sum time.Duration
+	for _, load := range loads {
+		sum += now.Sub(load.At)
+	}
+	return sum / time.Duration(len(loads))
+}
--- /dev/null
+++ b/internal/control/orders/fake_test.go
@@ -0,0 +1,144 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/stagecall"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+// fakeEngine is an engine that loads weights in loadTime.
+type fakeEngine struct {
+	checksFence bool
+	models      []targetapi.LoadedModel
+	role        string
+	highFence   uint64
+	running     int
+	down        bool
+}
+
+// fakeEngines is a stagecall.Caller over engines in memory. It records the
+// orders that were carried out.
+type fakeEngines struct {
+	stagecall.Caller // panics if the orders controller runs a stage
+
+	mu       sync.Mutex // guards all below
+	engines  map[string]*fakeEngine
+	loadTime time.Duration
+	delay    func() time.Duration // of each order, on each way
+	orders   []done
+}
+
+// done is an order that an engine carried out.
+type done struct {
+	engine string
+	order  targetapi.Order
+	at     time.Time
+}
+
+func newEngines(n int, checksFence bool) *fakeEngines {
+	f := &fakeEngines{engines: make(map[string]*fakeEngine), loadTime: 5 * time.Second}
+	for i := range n {
+		f.engines[engineID(i)] = &fakeEngine{checksFence: checksFence}
+	}
+	return f
+}
+
+func engineID(i int) string { return fmt.Sprintf("e-%02d", i) }
+
+func (f *fakeEngines) wait() {
+	f.mu.Lock()
+	delay := f.delay
+	f.mu.Unlock()
+	if delay == nil {
+		time.Sleep(time.Millisecond)
+		return
+	}
+	time.Sleep(delay())
+}
+
+func (f *fakeEngines) State(ctx context.Context, t stagecall.Target) (targetapi.LoadReport, error) {
+	time.Sleep(time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[t.ID]
+	if e.down || ctx.Err() != nil {
+		return targetapi.LoadReport{}, &stagecall.Failure{Class: stagecall.ClassConnect}
+	}
+	models := make([]targetapi.LoadedModel, len(e.models))
+	for i, m := range e.models {
+		models[i] = m
+		models[i].Adapters = slices.Clone(m.Adapters)
+	}
+	return targetapi.LoadReport{Target: t.ID, Slots: 8, Running: e.running, Role: e.role, Models: models, HighFence: e.highFence}, nil
+}
+
+func (f *fakeEngines) Order(ctx context.Context, t stagecall.Target, o targetapi.Order) error {
+	f.wait()
+	if ctx.Err() != nil {
+		return &stagecall.Failure{Class: stagecall.ClassCancelled, Err: ctx.Err()}
+	}
+	if err := f.carryOut(t.ID, o); err != nil {
+		return err
+	}
+	f.wait()
+	if ctx.Err() != nil {
+		return &stagecall.Failure{Class: stagecall.ClassCancelled, Err: errors.New("reply lost")}
+	}
+	return nil
+}
+
+func (f *fakeEngines) carryOut(id string, o targetapi.Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	e := f.engines[id]
+	if e.down {
+		return &stagecall.Failure{Class: stagecall.ClassConnect}
+	}
+	if e.checksFence && o.Fence < e.highFence {
+		return &stagecall.Failure{Class: stagecall.ClassRefused, Code: targetapi.CodeOldFence, NotRun: true}
+	}
+	e.highFence = max(e.highFence, o.Fence)
+	f.orders = append(f.orders, done{engine: id, order: o, at: time.Now()})
+	image := Engine{Models: e.models, Role: e.role}
+	applyOrder(&image, o)
+	e.models, e.role = image.Models, image.Role
+	if o.Kind == targetapi.OrderLoad {
+		time.AfterFunc(f.loadTime, func() { f.finishLoad(id, ModelVersion{o.Model, o.Version}) })
+	}
+	return nil
+}
+
+func (f *fakeEngines) finishLoad(id string, v ModelVersion) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, m := range f.engines[id].models {
+		if versionOf(m) == v {
+			f.engines[id].models[i].Ready = true
+		}
+	}
+}
+
+// ready counts the engines that have the model version ready.
+func (f *fakeEngines) ready(v ModelVersion) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, e := range f.engines {
+		if m, found := (Engine{Models: e.models}).model(v); found && m.Ready {
+			n++
+		}
+	}
+	return n
+}
+
+func (f *fakeEngines) done() []done {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.orders)
+}
--- /dev/null
+++ b/internal/control/orders/give.go
@@ -0,0 +1,116 @@
+package orders
+
+import (
+	"context"
+	"errors"
+	"slices"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/invariant"
+	"lynxhill.example/lynxhill/internal/stagecall"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+// Results of orders in the metric.
+const (
+	resultTaken    = "taken"
+	resultFailed   = "failed"
+	resultOldFence = "old_fence"
+)
+
+// give gives one order if the lease still covers it.
+func (c *Controller) give(ctx context.Context, s *service, facts Facts, step Step) {
+	t, there := c.opts.Board.Targets.Get(step.Engine)
+	if !there || t.Leaving || ctx.Err() != nil {
+		return
+	}
+	if step.Order.Kind == targetapi.OrderUnload && !c.confirmed(ctx, s, facts, step) {
+		c.opts.Metrics.Counter(metricHeldBack).Add(1)
+		c.log(event.OrderHeldBack, s, step, nil)
+		return
+	}
+	if takesWeights(step.Order.Kind) && !s.loads.AllowN(c.opts.Clock.Now(), 1) {
+		return
+	}
+	c.send(ctx, s, t, step)
+}
+
+func takesWeights(kind string) bool {
+	return kind == targetapi.OrderLoad || kind == targetapi.OrderLoadAdapter
+}
+
+// send checks the lease and sends the order. Nothing that can take time stands
+// between the check and the call.
+func (c *Controller) send(ctx context.Context, s *service, t board.Target, step Step) {
+	callCtx, cancel := loop.WithTimeout(ctx, c.opts.Clock, c.opts.OrderTimeout)
+	defer cancel()
+	order := step.Order
+	order.Giver = c.opts.Self
+	state := s.engines[t.ID]
+	grant, ok := c.opts.Lease.Check(s.name, c.opts.OrderTimeout, t.ChecksFence)
+	if !ok {
+		c.opts.Metrics.Counter(metricNoLease).Add(1)
+		return
+	}
+	order.Fence = grant.Fence
+	c.opts.Checker.Check(c.opts.Boot.SinceBoot() < grant.Until, invariant.OneOrderGiver,
+		"order to %s of %s with fence %d after the lease's end", t.ID, s.name, grant.Fence)
+	err := c.opts.Caller.Order(callCtx, stagecall.Target{ID: t.ID, Address: t.Address}, order)
+	state.dirty = true // also after a failure: it may have been carried out
+	step.Order = order
+	c.record(s, step, err)
+}
+
+func (c *Controller) record(s *service, step Step, err error) {
+	result, id := resultTaken, event.OrderGiven
+	var failure *stagecall.Failure
+	switch {
+	case err == nil:
+	case errors.As(err, &failure) && failure.Code == targetapi.CodeOldFence:
+		result, id = resultOldFence, event.OrderOldFence
+	default:
+		result, id = resultFailed, event.OrderFailed
+	}
+	c.opts.Metrics.Labelled(metricOrders).Add(step.Order.Kind+"_"+result, 1)
+	c.log(id, s, step, err)
+}
+
+// confirmed asks another engine whether it has the model version ready before
+// an unload of it.
+//
+// The plan rests on states that are some seconds old. If the other engine died
+// or dropped the model meanwhile, the unload would take the last ready one
+// away: requests for the model would find no target until a load is done.
+func (c *Controller) confirmed(ctx context.Context, s *service, facts Facts, step Step) bool {
+	v := ModelVersion{Model: step.Order.Model, Version: step.Order.Version}
+	if !slices.ContainsFunc(facts.Wants, func(w Want) bool { return w.ModelVersion == v }) {
+		return true // not in force: nobody needs it
+	}
+	own, _ := s.engines[step.Engine].model(v)
+	if !own.Ready {
+		return true // it is not ready here: nothing is taken away
+	}
+	for _, e := range facts.Engines {
+		if e.ID != step.Engine && e.readyOn(v) && c.stillReady(ctx, s, e.ID, v) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Controller) stillReady(ctx context.Context, s *service, id string, v ModelVersion) bool {
+	t, there := c.opts.Board.Targets.Get(id)
+	if !there || t.Leaving {
+		return false
+	}
+	state := s.engines[id]
+	c.readOne(ctx, t, state)
+	m, found := state.model(v)
+	return !state.at.IsZero() && !state.report.Leaving && found && m.Ready
+}
+
+func (s *engineState) model(v ModelVersion) (targetapi.LoadedModel, bool) {
+	return Engine{Models: s.report.Models}.model(v)
+}
--- /dev/null
+++ b/internal/event/catalogue_orders.go
@@ -0,0 +1,22 @@
+package event
+
+// Events of the orders controller.
+const (
+	OrderGiven       ID = 3501
+	OrderFailed      ID = 3502
+	OrderOldFence    ID = 3503
+	OrderHeldBack    ID = 3504
+	PlanUnreadable   ID = 3505
+	PlanUnmet        ID = 3506
+	PlanStoreFailure ID = 3507
+)
+
+var _ = define(
+	Definition{OrderGiven, Info, "order_given", "An engine took an order."},
+	Definition{OrderFailed, Warn, "order_failed", "An engine did not take an order; its state is read back and the order repeated if it is still due."},
+	Definition{OrderOldFence, Warn, "order_old_fence", "An engine refused an order for its old fencing number: another instance gives orders now, or this one renewed its lease meanwhile."},
+	Definition{OrderHeldBack, Info, "order_held_back", "A model was not unloaded because no other engine confirmed that it has it ready."},
+	Definition{PlanUnreadable, Error, "plan_unreadable", "A model plan in the platform cannot be read; the last one read stays in force."},
+	Definition{PlanUnmet, Warn, "plan_unmet", "A model version has fewer engines than its minimum and no engine has room for it."},
+	Definition{PlanStoreFailure, Warn, "plan_read_failed", "Model plans could not be read from the platform; those known stay in force."},
+)
