Peer calls over connect: exchange, probe, pull, outcome, forward, handover

HTTP/2 with pings, bounded messages, errors as errkind bodies. A request body cannot be sent twice by the transport: GetBody is taken away. Tests on loopback: every field of a digest arrives, unknown fields are ignored, a forwarded answer arrives whole, a call of which nothing was sent says not run and one that died under way does not, a broken connection leads to one run.

--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -188,3 +188,21 @@
 		}
 	}
 }
+
+// HandleProbe is the server's side of an indirect probe: it tries the target
+// for the caller.
+func (m *Manager) HandleProbe(ctx context.Context, targetPeerAddr string) error {
+	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, m.o.ExchangeTimeout)
+	defer cancel()
+	d := m.compose("", nil, probeBudget)
+	reply, err := m.o.Transport.Exchange(ctx, targetPeerAddr, d)
+	if err != nil {
+		return err
+	}
+	m.view.merge(reply.Members, m.o.Clock.Now())
+	return nil
+}
+
+// probeBudget keeps the digest of an indirect probe to this instance's own
+// row.
+const probeBudget = 256
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,242 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+
+	"net/http/httptrace"
+
+	"connectrpc.com/connect"
+
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/outcome"
+	"lynxhill.example/lynxhill/internal/peer/peerpb"
+	"lynxhill.example/lynxhill/internal/peer/peerpb/peerpbconnect"
+	"lynxhill.example/lynxhill/internal/store"
+)
+
+// Options configure a Client.
+type Options struct {
+	// Dial opens connections; nil dials TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	TLS  *tls.Config // nil: HTTP/2 in clear
+	Self string      // instance id
+	// Address finds the peer address of an instance.
+	Address func(instance string) (string, bool)
+	Logger  *event.Logger
+	Metrics *metrics.Registry
+}
+
+// Client calls other instances. It implements membership.Transport,
+// profilesync.Puller and outcome.Remote.
+type Client struct {
+	o      Options
+	http   *http.Client
+	scheme string
+
+	mu    sync.Mutex // guards peers
+	peers map[string]peerpbconnect.PeerClient
+}
+
+var _ outcome.Remote = (*Client)(nil)
+
+// NewClient returns a client without connections.
+func NewClient(o Options) *Client {
+	transport := &http.Transport{
+		DialContext:     o.Dial,
+		TLSClientConfig: o.TLS,
+		Protocols:       protocols(o.TLS),
+		HTTP2:           http2Config(),
+		IdleConnTimeout: idleTimeout,
+	}
+	c := &Client{
+		o:      o,
+		http:   &http.Client{Transport: oneShot{transport}},
+		scheme: "http",
+		peers:  make(map[string]peerpbconnect.PeerClient),
+	}
+	if o.TLS != nil {
+		c.scheme = "https"
+	}
+	return c
+}
+
+// Close ends idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// oneShot takes from requests what would let the transport send them again on
+// another connection.
+//
+// What goes wrong without it: a connection breaks while a forwarded request is
+// under way; the transport sends it again on its own, and a booking that is
+// not idempotent runs twice under one call, unseen by those who count runs.
+type oneShot struct{ next http.RoundTripper }
+
+func (t oneShot) RoundTrip(req *http.Request) (*http.Response, error) {
+	if req.GetBody != nil {
+		req = req.Clone(req.Context())
+		req.GetBody = nil
+	}
+	return t.next.RoundTrip(req)
+}
+
+// maxPeers bounds the clients kept by address; they are small, and made anew
+// when needed.
+const maxPeers = 2048
+
+func (c *Client) at(addr string) peerpbconnect.PeerClient {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p, ok := c.peers[addr]; ok {
+		return p
+	}
+	if len(c.peers) >= maxPeers {
+		clear(c.peers)
+	}
+	p := peerpbconnect.NewPeerClient(c.http, c.scheme+"://"+addr,
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes))
+	c.peers[addr] = p
+	return p
+}
+
+func (c *Client) of(instance string) (peerpbconnect.PeerClient, error) {
+	if c.o.Address == nil {
+		return nil, fmt.Errorf("%w: no addresses are known", ErrNotSent)
+	}
+	addr, ok := c.o.Address(instance)
+	if !ok || addr == "" {
+		return nil, fmt.Errorf("%w: the address of instance %s is not known", ErrNotSent, instance)
+	}
+	return c.at(addr), nil
+}
+
+// tracked marks errors of calls of which no byte was sent: none can have been
+// before the call had a connection.
+func (c *Client) tracked(ctx context.Context, method string, call func(ctx context.Context) error) error {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	err := call(ctx)
+	result := "ok"
+	if err != nil {
+		result = "failed"
+		err = fromConnect(err)
+		if !connected.Load() && !errors.Is(err, ErrNotSent) {
+			err = fmt.Errorf("%w: %w", ErrNotSent, err)
+		}
+	}
+	c.o.Metrics.Labelled(metricCalls).Add(method+"_"+result, 1)
+	return err
+}
+
+// Exchange implements membership.Transport.
+func (c *Client) Exchange(ctx context.Context, peerAddr string, d gossip.Digest) (reply gossip.Digest, err error) {
+	err = c.tracked(ctx, "exchange", func(ctx context.Context) error {
+		out, err := c.at(peerAddr).Exchange(ctx, toProto(d))
+		if err != nil {
+			return err
+		}
+		reply = fromProto(out)
+		return nil
+	})
+	bytes := c.o.Metrics.Counter(metricBytes)
+	bytes.Add(int64(Size(d)))
+	if err == nil {
+		bytes.Add(int64(Size(reply)))
+	}
+	return reply, err
+}
+
+// Probe implements membership.Transport.
+func (c *Client) Probe(ctx context.Context, viaPeerAddr, targetPeerAddr string) error {
+	return c.tracked(ctx, "probe", func(ctx context.Context) error {
+		_, err := c.at(viaPeerAddr).Probe(ctx, &peerpb.ProbeRequest{Target: targetPeerAddr})
+		return err
+	})
+}
+
+// Pull implements profilesync.Puller.
+func (c *Client) Pull(ctx context.Context, instance, prefix string, after uint64) (objects []store.Object, mark uint64, more bool, err error) {
+	p, err := c.of(instance)
+	if err != nil {
+		return nil, 0, false, err
+	}
+	err = c.tracked(ctx, "profiles", func(ctx context.Context) error {
+		out, err := p.Profiles(ctx, &peerpb.ProfilesRequest{Prefix: prefix, After: after})
+		if err != nil {
+			return err
+		}
+		for _, obj := range out.GetObjects() {
+			objects = append(objects, store.Object{Key: obj.GetKey(), Version: obj.GetVersion(), Value: obj.GetValue(), Deleted: obj.GetDeleted()})
+		}
+		mark, more = out.GetMark(), out.GetMore()
+		return nil
+	})
+	return objects, mark, more, err
+}
+
+// Outcome implements outcome.Remote.
+func (c *Client) Outcome(ctx context.Context, instance string, key outcome.Key) (record outcome.Record, found bool, err error) {
+	p, err := c.of(instance)
+	if err != nil {
+		return outcome.Record{}, false, err
+	}
+	err = c.tracked(ctx, "outcome", func(ctx context.Context) error {
+		out, err := p.Outcome(ctx, &peerpb.OutcomeRequest{Organisation: key.Organisation, Key: key.Key})
+		if err != nil || !out.GetFound() {
+			return err
+		}
+		found = true
+		return json.Unmarshal(out.GetRecord(), &record)
+	})
+	return record, found && err == nil, err
+}
+
+// Handover passes outcome records on to an instance, in calls of bounded size.
+func (c *Client) Handover(ctx context.Context, instance string, records []outcome.Exported) error {
+	p, err := c.of(instance)
+	if err != nil {
+		return err
+	}
+	for len(records) > 0 {
+		batch, rest, err := handoverBatch(records)
+		if err != nil {
+			return err
+		}
+		records = rest
+		err = c.tracked(ctx, "handover", func(ctx context.Context) error {
+			_, err := p.Handover(ctx, &peerpb.HandoverRequest{From: c.o.Self, Records: batch})
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func handoverBatch(records []outcome.Exported) (batch []*peerpb.OutcomeRecord, rest []outcome.Exported, err error) {
+	size := 0
+	for i, r := range records {
+		text, err := json.Marshal(r)
+		if err != nil {
+			return nil, nil, err
+		}
+		size += len(text)
+		if size > handoverBytes && len(batch) > 0 {
+			return batch, records[i:], nil
+		}
+		batch = append(batch, &peerpb.OutcomeRecord{Organisation: r.Key.Organisation, Key: r.Key.Key, Record: text})
+	}
+	return batch, nil, nil
+}
--- /dev/null
+++ b/internal/peer/server.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"connectrpc.com/connect"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/outcome"
+	"lynxhill.example/lynxhill/internal/peer/peerpb"
+	"lynxhill.example/lynxhill/internal/peer/peerpb/peerpbconnect"
+	"lynxhill.example/lynxhill/internal/pipeline"
+	"lynxhill.example/lynxhill/internal/store"
+)
+
+// ServerOptions are what the calls of other instances lead to. A nil function
+// answers that there is nothing.
+type ServerOptions struct {
+	Exchange func(ctx context.Context, d gossip.Digest) gossip.Digest         // membership.Manager.Handle
+	Probe    func(ctx context.Context, targetPeerAddr string) error           // membership.Manager.HandleProbe
+	Profiles func(prefix string, after uint64) ([]store.Object, uint64, bool) // profilesync.Manager.Since
+	// Outcome waits for a key in flight until ctx ends.
+	Outcome func(ctx context.Context, key outcome.Key) (record outcome.Record, found bool, err error)
+	// Forward runs a request under a ticket of this instance.
+	Forward  func(ctx context.Context, from string, req pipeline.Request, sink pipeline.Sink) (pipeline.Outcome, error)
+	Handover func(ctx context.Context, from string, records []outcome.Exported)
+	Logger   *event.Logger
+	Metrics  *metrics.Registry
+}
+
+// service implements the generated handler.
+type service struct{ o ServerOptions }
+
+// NewHandler returns the handler of the peer API.
+func NewHandler(o ServerOptions) http.Handler {
+	mux := http.NewServeMux()
+	path, handler := peerpbconnect.NewPeerHandler(&service{o},
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes))
+	mux.Handle(path, handler)
+	return mux
+}
+
+func (h *service) count(method string) { h.o.Metrics.Labelled(metricServed).Add(method, 1) }
+
+// Exchange serves a heartbeat.
+func (h *service) Exchange(ctx context.Context, in *peerpb.Digest) (*peerpb.Digest, error) {
+	h.count("exchange")
+	if h.o.Exchange == nil {
+		return &peerpb.Digest{}, nil
+	}
+	return toProto(h.o.Exchange(ctx, fromProto(in))), nil
+}
+
+// Probe serves an indirect probe.
+func (h *service) Probe(ctx context.Context, in *peerpb.ProbeRequest) (*peerpb.ProbeReply, error) {
+	h.count("probe")
+	if h.o.Probe == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, nil)
+	}
+	return &peerpb.ProbeReply{}, toConnect(h.o.Probe(ctx, in.GetTarget()))
+}
+
+// Profiles serves a pull of configuration objects.
+func (h *service) Profiles(_ context.Context, in *peerpb.ProfilesRequest) (*peerpb.ProfilesReply, error) {
+	h.count("profiles")
+	if h.o.Profiles == nil {
+		return &peerpb.ProfilesReply{}, nil
+	}
+	objects, mark, more := h.o.Profiles(in.GetPrefix(), in.GetAfter())
+	return &peerpb.ProfilesReply{Objects: mapped(objects, objectToProto), Mark: mark, More: more}, nil
+}
+
+func objectToProto(o store.Object) *peerpb.Object {
+	return &peerpb.Object{Key: o.Key, Version: o.Version, Value: o.Value, Deleted: o.Deleted}
+}
+
+// Outcome serves the question for the outcome of a key.
+func (h *service) Outcome(ctx context.Context, in *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error) {
+	h.count("outcome")
+	if h.o.Outcome == nil {
+		return &peerpb.OutcomeReply{}, nil
+	}
+	record, found, err := h.o.Outcome(ctx, outcome.Key{Organisation: in.GetOrganisation(), Key: in.GetKey()})
+	if err != nil {
+		return nil, toConnect(err)
+	}
+	if !found {
+		return &peerpb.OutcomeReply{}, nil
+	}
+	text, err := json.Marshal(record)
+	if err != nil {
+		return nil, toConnect(errkind.Wrap(err, errkind.Internal, "outcome record: "))
+	}
+	return &peerpb.OutcomeReply{Found: true, Record: text}, nil
+}
+
+// Handover takes over outcome records.
+func (h *service) Handover(ctx context.Context, in *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
+	h.count("handover")
+	var records []outcome.Exported
+	for _, r := range in.GetRecords() {
+		var record outcome.Exported
+		if json.Unmarshal(r.GetRecord(), &record) == nil {
+			records = append(records, record)
+		}
+	}
+	if h.o.Handover != nil {
+		h.o.Handover(ctx, in.GetFrom(), records)
+	}
+	return &peerpb.HandoverReply{Kept: uint32(len(records))}, nil
+}
