--- a/internal/standin/loopback/server.go
+++ b/internal/standin/loopback/server.go
@@ -220,9 +220,11 @@
 	r.mu.Lock()
 	r.stopping = true
 	r.mu.Unlock()
-	r.cancel()
 	_ = r.listener.Close()
+	// Connections go before the contexts end: otherwise a handler could still
+	// answer that it was cancelled, which a dead process doesn't do.
 	r.conns.reset()
+	r.cancel()
 	_ = r.http.Close()
 	<-r.served
 	r.handlers.Wait()
--- a/internal/standin/targetbase/run.go
+++ b/internal/standin/targetbase/run.go
@@ -23,7 +23,9 @@
 	ctx, cancel := context.WithCancelCause(t.runContext(r))
 	defer cancel(nil)
 	if !t.track(req.AttemptID, func() { cancel(errCancelled) }) {
-		refuseRun(w, req, targetapi.Refusal{Code: targetapi.CodeBadInput, Message: "attempt id in use"})
+		// The other call under this id may be running, so "not run" would be
+		// false of the attempt.
+		refuseRun(w, req, targetapi.Refusal{Code: targetapi.CodeBadInput, Message: "attempt id in use", Ran: true})
 		return
 	}
 	defer t.untrack(req.AttemptID)
