--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/board"
@@ -46,9 +47,13 @@
 
 // Run keeps the targets until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	go loop.Run(ctx, loop.Options{
-		Clock: c.opts.Clock, Rand: c.rand, Period: watchPeriod, Jitter: jitter,
-	}, func(context.Context) { c.watchLoads() })
+	var watching sync.WaitGroup
+	watching.Go(func() {
+		loop.Run(ctx, loop.Options{
+			Clock: c.opts.Clock, Rand: c.rand, Period: watchPeriod, Jitter: jitter,
+		}, func(context.Context) { c.watchLoads() })
+	})
+	defer watching.Wait()
 	for ctx.Err() == nil {
 		unknown := c.unknown.Wait()
 		c.list(ctx)
--- a/internal/control/drain/drain.go
+++ b/internal/control/drain/drain.go
@@ -7,9 +7,7 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
-	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -18,7 +16,6 @@
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/control/loop"
 	"lynxhill.example/lynxhill/internal/control/rendezvous"
-	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/store"
@@ -36,9 +33,8 @@
 )
 
 const (
-	jitter       = 0.25
-	callTimeout  = 5 * time.Second
-	writeRetries = 3
+	jitter      = 0.25
+	callTimeout = 5 * time.Second
 )
 
 var (
@@ -108,8 +104,9 @@
 	rand *loop.Rand
 	wake board.Signal // a peer's word or an operator's order
 
-	mu       sync.Mutex // guards entries and nextFill
+	mu       sync.Mutex // guards entries, listed and nextFill
 	entries  map[string]entry
+	listed   uint64 // version of the store at the latest list
 	nextFill int
 }
 
@@ -120,9 +117,13 @@
 
 // Run reads the drains at a low rate and keeps the board until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	go loop.Run(ctx, loop.Options{
-		Clock: c.opts.Clock, Rand: c.rand, Period: c.opts.SlowReadEvery, Jitter: jitter, Changed: c.wake.Wait,
-	}, func(context.Context) { c.publish() })
+	var publishing sync.WaitGroup
+	publishing.Go(func() {
+		loop.Run(ctx, loop.Options{
+			Clock: c.opts.Clock, Rand: c.rand, Period: c.opts.SlowReadEvery, Jitter: jitter, Changed: c.wake.Wait,
+		}, func(context.Context) { c.publish() })
+	})
+	defer publishing.Wait()
 	for ctx.Err() == nil {
 		c.read(ctx)
 		if !loop.Sleep(ctx, c.opts.Clock, c.rand.Spread(c.period(), jitter)) {
@@ -154,6 +155,22 @@
 	}
 	c.takeList(objects, version)
 	c.publish()
+	c.sweep(ctx, objects)
+}
+
+// sweep removes cleared objects that are old enough that no peer can still
+// hold the drain that they cleared. One reader does so.
+func (c *Controller) sweep(ctx context.Context, objects []store.Object) {
+	if rendezvous.Position(KeyPrefix, c.opts.Self, c.opts.Board.LiveMembers(c.opts.Self)) != 0 {
+		return
+	}
+	ctx = store.WithPriority(ctx, store.PriorityBackground)
+	for _, object := range objects {
+		var s stored
+		if json.Unmarshal(object.Value, &s) == nil && s.Cleared && c.opts.Clock.Now().Sub(s.At) > c.opts.KeepCleared {
+			_ = c.opts.Store.Delete(ctx, object.Key, object.Version) // the next read tries again
+		}
+	}
 }
 
 // takeList merges the list. A subject that the list lacks is gone if it was
@@ -172,6 +189,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.listed = max(c.listed, version)
 	for subject, e := range c.entries {
 		if !listed[subject] && e.version <= version {
 			delete(c.entries, subject)
@@ -240,96 +258,3 @@
 		return self, true
 	})
 }
-
-// List returns the drains in force by subject.
-func (c *Controller) List() []board.Drain {
-	var list []board.Drain
-	for _, d := range c.active() {
-		list = append(list, d)
-	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Subject < list[j].Subject })
-	return list
-}
-
-// Drain orders that the subject take no new work. It returns when the platform
-// has the order; it is in force everywhere within seconds after that. Errors:
-// BadRequest, Conflict, ChangeUnknown, StoreUnavailable.
-func (c *Controller) Drain(ctx context.Context, subject, operator string) error {
-	if err := validate(subject); err != nil {
-		return err
-	}
-	return c.write(ctx, subject, stored{Drain: board.Drain{Subject: subject, By: operator, At: c.opts.Clock.Now().UTC()}})
-}
-
-// Undrain takes a drain back. Taking back one that is not there succeeds.
-// Errors are those of Drain.
-func (c *Controller) Undrain(ctx context.Context, subject string) error {
-	if err := validate(subject); err != nil {
-		return err
-	}
-	return c.write(ctx, subject, stored{Drain: board.Drain{Subject: subject, At: c.opts.Clock.Now().UTC()}, Cleared: true})
-}
-
-func validate(subject string) error {
-	for _, prefix := range []string{board.DrainInstance, board.DrainPlace, board.DrainTarget} {
-		if name, ok := strings.CutPrefix(subject, prefix); ok && name != "" && !strings.Contains(name, "/") {
-			return nil
-		}
-	}
-	return errkind.New(errkind.BadRequest, "%q is not instance/ID, place/NAME or target/ID", subject)
-}
-
-// write brings the object to the wanted state. The state wanted is all that
-// the operator says, so that a lost race or reply is simply tried again.
-func (c *Controller) write(ctx context.Context, subject string, want stored) error {
-	ctx = store.WithPriority(ctx, store.PriorityOperator)
-	value, err := json.Marshal(want)
-	if err != nil {
-		return errkind.Wrap(err, errkind.Internal, "drain")
-	}
-	var last error
-	for range writeRetries {
-		done, err := c.writeOnce(ctx, subject, want, value)
-		if done {
-			c.publish()
-			c.wake.Notify()
-			return nil
-		}
-		last = err
-	}
-	return writeError(last)
-}
-
-func (c *Controller) writeOnce(ctx context.Context, subject string, want stored, value []byte) (bool, error) {
-	current, err := c.opts.Store.Get(ctx, KeyPrefix+subject)
-	switch {
-	case errors.Is(err, store.ErrNotFound) && want.Cleared:
-		return true, nil
-	case errors.Is(err, store.ErrNotFound):
-		current = store.Object{}
-	case err != nil:
-		return false, err
-	}
-	var now stored
-	if current.Version != 0 && json.Unmarshal(current.Value, &now) == nil && now.Cleared == want.Cleared {
-		c.take(subject, entry{version: current.Version, active: !now.Cleared, by: now.By, at: now.At})
-		return true, nil
-	}
-	object, err := c.opts.Store.Put(ctx, KeyPrefix+subject, value, current.Version)
-	if err != nil {
-		return false, err
-	}
-	c.take(subject, entry{version: object.Version, active: !want.Cleared, by: want.By, at: want.At})
-	return true, nil
-}
-
-func writeError(err error) error {
-	switch {
-	case errors.Is(err, store.ErrConflict):
-		return errkind.Wrap(err, errkind.Conflict, "other operators change this drain")
-	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrThrottled):
-		return errkind.Wrap(err, errkind.StoreUnavailable, "drain")
-	default:
-		return errkind.Wrap(err, errkind.ChangeUnknown, "drain; list the drains to see whether it took effect")
-	}
-}
