Profile sync: a change waits for listed instances that were never met

Found in virtual time: with the instance list 5 s behind, a change made 5 s after 8 instances had started was accepted with 4 of them counted, since membership did not know the others yet. Acceptance now reads the instance list once a change and counts unknown entries as missing. An instance that neither membership nor the lagging list shows is still not waited for; it is bounded by the fence.

--- a/internal/control/profilesync/force.go
+++ b/internal/control/profilesync/force.go
@@ -12,6 +12,7 @@
 	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/store"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+	"lynxhill.example/lynxhill/internal/wire/platformapi"
 )
 
 // acceptEvery is how often a waiting change is looked at.
@@ -25,9 +26,10 @@
 	m.Refresh()
 	reply := lynxapi.ChangeReply{ChangeID: c.ChangeID, State: lynxapi.ChangeWritten, Name: c.Name, Version: version, Diff: diff}
 	deadline := m.o.Clock.Now().Add(c.Wait)
+	listed := m.listed(ctx)
 	for {
 		var accepted bool
-		reply.Force, accepted = m.force(c.Name, version)
+		reply.Force, accepted = m.force(c.Name, version, listed)
 		if accepted {
 			reply.State = lynxapi.ChangeAccepted
 			m.o.Logger.Log(event.ProfileAccepted, "profile", c.Name, "version", version, "fenced", len(reply.Force.Fenced))
@@ -39,6 +41,22 @@
 	}
 }
 
+// listed returns the instances on the platform's list. One that membership has
+// not met yet is no reason to accept a change early.
+func (m *Manager) listed(ctx context.Context) []string {
+	instances, err := m.o.Store.Instances(ctx)
+	if err != nil {
+		return nil
+	}
+	var ids []string
+	for _, in := range instances {
+		if in.Service == m.o.Service && in.State == platformapi.StateLive {
+			ids = append(ids, in.ID)
+		}
+	}
+	return ids
+}
+
 func (m *Manager) pause(ctx context.Context, d time.Duration) bool {
 	timer := m.o.Clock.NewTimer(d)
 	defer timer.Stop()
@@ -54,21 +72,28 @@
 // force.
 func (m *Manager) Force(name string) lynxapi.ForceReply {
 	held, _ := m.o.Board.Profiles.Get(name)
-	reply, _ := m.force(name, held.Version)
+	reply, _ := m.force(name, held.Version, nil)
 	return reply
 }
 
 // force counts the instances that hold the version and decides acceptance:
 // every instance that may take work holds it, or a majority does and the
 // others have had the time after which they take no work without it.
-func (m *Manager) force(name string, version uint64) (reply lynxapi.ForceReply, accepted bool) {
+func (m *Manager) force(name string, version uint64, listed []string) (reply lynxapi.ForceReply, accepted bool) {
 	reply = lynxapi.ForceReply{Name: name, Version: version, Total: 1}
 	if m.objects.markOf(profile.KeyPrefix) >= version {
 		reply.InForce = 1
 	} else {
 		reply.Missing = append(reply.Missing, m.o.Self)
 	}
-	for id, member := range m.o.Board.Members.Snapshot() {
+	members := m.o.Board.Members.Snapshot()
+	for _, id := range listed {
+		if _, met := members[id]; !met && id != m.o.Self {
+			reply.Total++
+			reply.Missing = append(reply.Missing, id)
+		}
+	}
+	for id, member := range members {
 		if id == m.o.Self {
 			continue
 		}
@@ -143,7 +168,7 @@
 		}
 		reply := lynxapi.ChangeReply{ChangeID: changeID, State: lynxapi.ChangeWritten, Name: name, Version: version}
 		var accepted bool
-		if reply.Force, accepted = m.force(name, version); accepted {
+		if reply.Force, accepted = m.force(name, version, nil); accepted {
 			reply.State = lynxapi.ChangeAccepted
 		}
 		return reply, true
