Client of the caller API and the admin API

Cause: callers have no balancer before lynxhill; they must keep address answers, check that an answer is whole and their own, and know when a resend is safe. Change: Caller (address answers kept, nearest place by weight, whole and streamed answers, silence watch, resends under one key by the error's advice) and Admin. Figures: 11 ways in which a stream is not whole are each an error of run state may_have_run in the tests. Conclusion: a broken stream is continued only by an answer that repeats what was delivered; not_run is never said after an attempt that may have run.

--- /dev/null
+++ b/internal/client/address.go
@@ -0,0 +1,206 @@
+package client
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+// Bounds of what is remembered of instances.
+const (
+	// avoidFor is how long an instance that was unreachable is tried last.
+	avoidFor = 5 * time.Second
+	// addressTimeout bounds one question for addresses, so that a silent
+	// instance costs little before the next is asked.
+	addressTimeout = 2 * time.Second
+)
+
+// addressBook keeps the address answer for as long as it says.
+type addressBook struct {
+	mu      sync.Mutex // guards the fields below
+	answer  lynxapi.AddressAnswer
+	until   time.Time
+	avoided map[string]time.Time // by address: until when it is tried last
+}
+
+func newAddressBook() *addressBook {
+	return &addressBook{avoided: make(map[string]time.Time)}
+}
+
+// fresh returns the kept answer while it holds.
+func (b *addressBook) fresh(now time.Time) (lynxapi.AddressAnswer, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.answer, len(b.answer.Addresses) > 0 && now.Before(b.until)
+}
+
+func (b *addressBook) keep(answer lynxapi.AddressAnswer, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answer = answer
+	b.until = now.Add(time.Duration(answer.KeepMS) * time.Millisecond)
+}
+
+// expire makes the next request ask again; the answer stays for the case that
+// nobody answers.
+func (b *addressBook) expire() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.until = time.Time{}
+}
+
+func (b *addressBook) last() lynxapi.AddressAnswer {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.answer
+}
+
+func (b *addressBook) avoid(address string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for old, until := range b.avoided {
+		if now.After(until) {
+			delete(b.avoided, old)
+		}
+	}
+	b.avoided[address] = now.Add(avoidFor)
+}
+
+func (b *addressBook) isAvoided(address string, now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Before(b.avoided[address])
+}
+
+// Address returns the kept address answer, or asks for a new one when it has
+// run out. When nobody answers, an answer that has run out is better than none.
+func (c *Caller) Address(ctx context.Context) (lynxapi.AddressAnswer, error) {
+	if answer, ok := c.book.fresh(time.Now()); ok {
+		return answer, nil
+	}
+	err := ErrNoServers
+	for _, server := range c.askable() {
+		answer, askErr := c.askAddress(ctx, server)
+		if askErr == nil {
+			c.book.keep(answer, time.Now())
+			return answer, nil
+		}
+		err = askErr
+		if ctx.Err() != nil || !worthAskingElsewhere(askErr) {
+			break
+		}
+	}
+	if old := c.book.last(); len(old.Addresses) > 0 && worthAskingElsewhere(err) {
+		return old, nil
+	}
+	return lynxapi.AddressAnswer{}, err
+}
+
+// askable lists whom to ask: the instances last heard of, then the seeds.
+func (c *Caller) askable() []string {
+	var servers []string
+	for _, a := range c.book.last().Addresses {
+		servers = append(servers, a.Address)
+	}
+	rand.Shuffle(len(servers), func(i, j int) { servers[i], servers[j] = servers[j], servers[i] })
+	seeds := slices.Clone(c.opts.Servers)
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	for _, seed := range seeds {
+		if !slices.Contains(servers, seed) {
+			servers = append(servers, seed)
+		}
+	}
+	now := time.Now()
+	slices.SortStableFunc(servers, func(a, b string) int {
+		return rank(c.book.isAvoided(a, now)) - rank(c.book.isAvoided(b, now))
+	})
+	return servers
+}
+
+func rank(avoided bool) int {
+	if avoided {
+		return 1
+	}
+	return 0
+}
+
+func (c *Caller) askAddress(ctx context.Context, server string) (lynxapi.AddressAnswer, error) {
+	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
+	defer cancel()
+	query := url.Values{}
+	if c.opts.Place != "" {
+		query.Set("place", c.opts.Place)
+	}
+	if c.opts.Region != "" {
+		query.Set("region", c.opts.Region)
+	}
+	var answer lynxapi.AddressAnswer
+	err := c.get(ctx, server, call{method: http.MethodGet, path: lynxapi.PathAddress, query: query}, &answer)
+	return answer, err
+}
+
+// pick chooses an instance: those not yet tried by this request and not
+// lately unreachable first, then the nearest, then by weight.
+func (c *Caller) pick(answer lynxapi.AddressAnswer, tried []string) (lynxapi.Address, bool) {
+	now := time.Now()
+	best := -1
+	var group []lynxapi.Address
+	for _, a := range answer.Addresses {
+		score := c.distance(a)
+		if c.book.isAvoided(a.Address, now) {
+			score += distances
+		}
+		if slices.Contains(tried, a.Address) {
+			score += 2 * distances
+		}
+		switch {
+		case best < 0 || score < best:
+			best, group = score, []lynxapi.Address{a}
+		case score == best:
+			group = append(group, a)
+		}
+	}
+	if len(group) == 0 {
+		return lynxapi.Address{}, false
+	}
+	return weighted(group, rand.Float64()), true
+}
+
+// distances is the number of values of distance.
+const distances = 3
+
+func (c *Caller) distance(a lynxapi.Address) int {
+	switch {
+	case c.opts.Place != "" && a.Place == c.opts.Place:
+		return 0
+	case c.opts.Region != "" && a.Region == c.opts.Region:
+		return 1
+	}
+	return 2
+}
+
+// weighted picks by weight with a number from 0 to 1. Without a weight above 0
+// all are equal.
+func weighted(group []lynxapi.Address, at float64) lynxapi.Address {
+	total := 0.0
+	for _, a := range group {
+		total += max(a.Weight, 0)
+	}
+	if total == 0 {
+		return group[min(int(at*float64(len(group))), len(group)-1)]
+	}
+	at *= total
+	for _, a := range group {
+		at -= max(a.Weight, 0)
+		if at < 0 {
+			return a
+		}
+	}
+	return group[len(group)-1]
+}
--- /dev/null
+++ b/internal/client/admin.go
@@ -0,0 +1,190 @@
+package client
+
+import (
+	"context"
+	"crypto/tls"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+// AdminOptions configures an Admin.
+type AdminOptions struct {
+	Servers     []string // admin addresses, host:port or URLs, in the order to try
+	Token       string
+	TLS         *tls.Config // nil = plain HTTP, unless the server's URL says https
+	DialTimeout time.Duration
+}
+
+// Admin calls the admin API. A call that a server certainly did not receive
+// goes to the next one; any other error is returned, since a change may have
+// been made.
+type Admin struct {
+	servers []adminServer
+	token   string
+}
+
+type adminServer struct {
+	base string
+	do   doer
+}
+
+// NewAdmin returns a client of the admin API.
+func NewAdmin(opts AdminOptions) *Admin {
+	httpClient := newHTTPClient(opts.TLS, opts.DialTimeout)
+	a := &Admin{token: opts.Token}
+	for _, server := range opts.Servers {
+		base := baseURL(server, opts.TLS != nil)
+		a.servers = append(a.servers, adminServer{base: base, do: serviceOf(httpClient, base)})
+	}
+	return a
+}
+
+// do calls the servers in turn until one has received the call.
+func (a *Admin) do(ctx context.Context, c call, reply any) error {
+	err := ErrNoServers
+	for _, server := range a.servers {
+		resp, callErr := send(ctx, server.do, server.base, a.token, c)
+		if callErr == nil {
+			return readReply(server.base, resp, reply)
+		}
+		err = callErr
+		if !IsUnreachable(callErr) || ctx.Err() != nil {
+			return callErr
+		}
+	}
+	return err
+}
+
+func get[M any](ctx context.Context, a *Admin, path string, query url.Values) (M, error) {
+	var message M
+	err := a.do(ctx, call{method: http.MethodGet, path: path, query: query}, &message)
+	return message, err
+}
+
+func put[M any](ctx context.Context, a *Admin, method, path string, body any) (M, error) {
+	var message M
+	err := a.do(ctx, call{method: method, path: path, body: body}, &message)
+	return message, err
+}
+
+// pathOf fills the one variable of a path.
+func pathOf(path, variable, value string) string {
+	return strings.Replace(path, variable, url.PathEscape(value), 1)
+}
+
+// Profiles lists the profiles in force.
+func (a *Admin) Profiles(ctx context.Context) (lynxapi.ProfileList, error) {
+	return get[lynxapi.ProfileList](ctx, a, lynxapi.PathProfiles, nil)
+}
+
+// Profile returns one profile, or an error of kind NotFound or UnknownProfile.
+func (a *Admin) Profile(ctx context.Context, name string) (lynxapi.ProfileView, error) {
+	return get[lynxapi.ProfileView](ctx, a, pathOf(lynxapi.PathProfile, ":name", name), nil)
+}
+
+// SetProfile declares a profile. An error of kind ChangeUnknown, or a
+// *TransportError with Sent, leaves open whether it was written: ask Change.
+func (a *Admin) SetProfile(ctx context.Context, req lynxapi.ChangeRequest) (lynxapi.ChangeReply, error) {
+	path := pathOf(lynxapi.PathProfile, ":name", req.Profile.Name)
+	return put[lynxapi.ChangeReply](ctx, a, http.MethodPut, path, req)
+}
+
+// DeleteProfile takes a profile out of force.
+func (a *Admin) DeleteProfile(ctx context.Context, name string, ifVersion uint64, changeID string) (lynxapi.ChangeReply, error) {
+	var reply lynxapi.ChangeReply
+	query := url.Values{"if_version": {strconv.FormatUint(ifVersion, 10)}, "change_id": {changeID}}
+	c := call{method: http.MethodDelete, path: pathOf(lynxapi.PathProfile, ":name", name), query: query}
+	err := a.do(ctx, c, &reply)
+	return reply, err
+}
+
+// Rollback puts an earlier version's content in force as a new version.
+func (a *Admin) Rollback(ctx context.Context, name string, req lynxapi.RollbackRequest) (lynxapi.ChangeReply, error) {
+	return put[lynxapi.ChangeReply](ctx, a, http.MethodPost, pathOf(lynxapi.PathProfileRollback, ":name", name), req)
+}
+
+// Force tells where a profile's newest version is in force.
+func (a *Admin) Force(ctx context.Context, name string) (lynxapi.ForceReply, error) {
+	return get[lynxapi.ForceReply](ctx, a, pathOf(lynxapi.PathProfileForce, ":name", name), nil)
+}
+
+// Change tells what became of a change.
+func (a *Admin) Change(ctx context.Context, id string) (lynxapi.ChangeReply, error) {
+	return get[lynxapi.ChangeReply](ctx, a, pathOf(lynxapi.PathChange, ":id", id), nil)
+}
+
+// Instances lists lynxhill's instances.
+func (a *Admin) Instances(ctx context.Context) (lynxapi.InstanceList, error) {
+	return get[lynxapi.InstanceList](ctx, a, lynxapi.PathInstances, nil)
+}
+
+// Targets lists the targets.
+func (a *Admin) Targets(ctx context.Context) (lynxapi.TargetList, error) {
+	return get[lynxapi.TargetList](ctx, a, lynxapi.PathTargets, nil)
+}
+
+// Status sums up the answering instance.
+func (a *Admin) Status(ctx context.Context) (lynxapi.Status, error) {
+	return get[lynxapi.Status](ctx, a, lynxapi.PathStatus, nil)
+}
+
+// Drains lists the drains in force.
+func (a *Admin) Drains(ctx context.Context) (lynxapi.DrainList, error) {
+	return get[lynxapi.DrainList](ctx, a, lynxapi.PathDrains, nil)
+}
+
+// Drain orders that a subject take no new work.
+func (a *Admin) Drain(ctx context.Context, subject string) (lynxapi.DrainView, error) {
+	return put[lynxapi.DrainView](ctx, a, http.MethodPost, lynxapi.PathDrains, lynxapi.DrainRequest{Subject: subject})
+}
+
+// Undrain ends a drain.
+func (a *Admin) Undrain(ctx context.Context, subject string) error {
+	c := call{method: http.MethodDelete, path: lynxapi.PathDrains, query: url.Values{"subject": {subject}}}
+	return a.do(ctx, c, &struct{}{})
+}
+
+// Limits lists the limits of organisations.
+func (a *Admin) Limits(ctx context.Context) (lynxapi.LimitList, error) {
+	return get[lynxapi.LimitList](ctx, a, lynxapi.PathLimits, nil)
+}
+
+// SetLimit sets the limit of an organisation.
+func (a *Admin) SetLimit(ctx context.Context, limit lynxapi.OrganisationLimit) (lynxapi.OrganisationLimit, error) {
+	return put[lynxapi.OrganisationLimit](ctx, a, http.MethodPut, lynxapi.PathLimits, limit)
+}
+
+// Plans lists what the engines of each service should hold.
+func (a *Admin) Plans(ctx context.Context) (lynxapi.PlacementList, error) {
+	return get[lynxapi.PlacementList](ctx, a, lynxapi.PathPlacements, nil)
+}
+
+// SetPlan says what the engines of a service should hold.
+func (a *Admin) SetPlan(ctx context.Context, plan lynxapi.ModelPlan) (lynxapi.ModelPlan, error) {
+	return put[lynxapi.ModelPlan](ctx, a, http.MethodPut, lynxapi.PathPlacements, plan)
+}
+
+// Burn returns the service-level report of all instances.
+func (a *Admin) Burn(ctx context.Context) (lynxapi.BurnReport, error) {
+	return get[lynxapi.BurnReport](ctx, a, lynxapi.PathBurn, nil)
+}
+
+// NewestVersion returns the version of a profile, 0 if there is none.
+func (a *Admin) NewestVersion(ctx context.Context, name string) (uint64, profile.Profile, error) {
+	view, err := a.Profile(ctx, name)
+	if isNotFound(err) {
+		return 0, profile.Profile{}, nil
+	}
+	return view.Version, view.Profile, err
+}
+
+func isNotFound(err error) bool {
+	return errkind.Is(err, errkind.NotFound) || errkind.Is(err, errkind.UnknownProfile)
+}
--- /dev/null
+++ b/internal/client/caller.go
@@ -0,0 +1,153 @@
+package client
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/google/uuid"
+
+	"lynxhill.example/lynxhill/internal/claim"
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+// Defaults of CallerOptions.
+const (
+	DefaultMaxAttempts = 8
+	DefaultSilence     = 5 * time.Second // five heartbeats
+	DefaultMinBackoff  = 20 * time.Millisecond
+	DefaultMaxBackoff  = time.Second
+)
+
+// CallerOptions configures a Caller.
+type CallerOptions struct {
+	Servers []string // caller addresses to ask first, host:port or URLs
+	Token   string
+	TLS     *tls.Config // nil = plain HTTP
+	Place   string      // of the caller; its own place is used first
+	Region  string
+	// MaxAttempts bounds how often one request is sent; 1 = never again.
+	MaxAttempts int
+	// Silence is how long a stream may send nothing, not even a heartbeat,
+	// before its connection is given up.
+	Silence     time.Duration
+	MinBackoff  time.Duration
+	MaxBackoff  time.Duration
+	DialTimeout time.Duration
+	// Tickets makes keys under the ticket of the address answer, where it has
+	// one: they need no record in the platform, and are lost with the instance.
+	Tickets bool
+}
+
+func (o CallerOptions) withDefaults() CallerOptions {
+	if o.MaxAttempts <= 0 {
+		o.MaxAttempts = DefaultMaxAttempts
+	}
+	if o.Silence <= 0 {
+		o.Silence = DefaultSilence
+	}
+	if o.MinBackoff <= 0 {
+		o.MinBackoff = DefaultMinBackoff
+	}
+	if o.MaxBackoff <= 0 {
+		o.MaxBackoff = DefaultMaxBackoff
+	}
+	return o
+}
+
+// Caller calls the caller API. Its methods may be called at once from several
+// goroutines.
+type Caller struct {
+	opts CallerOptions
+	http *http.Client
+	book *addressBook
+}
+
+// NewCaller returns a client of the caller API.
+func NewCaller(opts CallerOptions) *Caller {
+	opts = opts.withDefaults()
+	return &Caller{opts: opts, http: newHTTPClient(opts.TLS, opts.DialTimeout), book: newAddressBook()}
+}
+
+// NewKey returns an idempotency key that carries its time (a version 7 UUID),
+// so that a resend past the key's retention is refused instead of run.
+func NewKey() string { return uuid.Must(uuid.NewV7()).String() }
+
+func (c *Caller) base(server string) string { return baseURL(server, c.opts.TLS != nil) }
+
+// get sends a call that changes nothing and reads its answer. Requests go
+// through net/http itself and not through httpc, whose breaker would refuse
+// some by its own judgement, outside lynxhill's table of errors.
+func (c *Caller) get(ctx context.Context, server string, what call, reply any) error {
+	resp, err := send(ctx, c.http.Do, c.base(server), c.opts.Token, what)
+	if err != nil {
+		c.noteUnreachable(server, err)
+		return err
+	}
+	return readReply(c.base(server), resp, reply)
+}
+
+// noteUnreachable has a server tried last for a while that took no call. One
+// whose answer broke off is not blamed: it may have been the connection.
+func (c *Caller) noteUnreachable(server string, err error) {
+	if IsUnreachable(err) {
+		c.book.avoid(server, time.Now())
+	}
+}
+
+// Outcome asks any instance what became of a key.
+func (c *Caller) Outcome(ctx context.Context, organisation, key string) (lynxapi.OutcomeReply, error) {
+	return c.outcome(ctx, organisation, key, nil)
+}
+
+func (c *Caller) outcome(ctx context.Context, organisation, key string, tried []string) (lynxapi.OutcomeReply, error) {
+	answer, err := c.Address(ctx)
+	if err != nil {
+		return lynxapi.OutcomeReply{}, err
+	}
+	address, ok := c.pick(answer, tried)
+	if !ok {
+		return lynxapi.OutcomeReply{}, ErrNoServers
+	}
+	var reply lynxapi.OutcomeReply
+	what := call{
+		method: http.MethodGet,
+		path:   pathOf(lynxapi.PathOutcome, ":key", key),
+		query:  url.Values{"organisation": {organisation}},
+	}
+	err = c.get(ctx, address.Address, what, &reply)
+	if err == nil && reply.Key != key {
+		return lynxapi.OutcomeReply{}, errkind.New(errkind.Internal, "the outcome is that of another key")
+	}
+	return reply, err
+}
+
+// mint makes the key of a request that has none.
+func (c *Caller) mint(ctx context.Context, req *lynxapi.SendRequest) {
+	if req.Key != "" {
+		return
+	}
+	req.Key = NewKey()
+	if !c.opts.Tickets {
+		return
+	}
+	answer, err := c.Address(ctx)
+	if err != nil || answer.Ticket == "" {
+		return // a key without a ticket is as good, it only costs more
+	}
+	req.Ticket = answer.Ticket
+	req.Key = claim.MintKey(answer.Ticket, req.Key)
+}
+
+// worthAskingElsewhere reports whether another instance might answer better.
+func worthAskingElsewhere(err error) bool {
+	var transport *TransportError
+	if errors.As(err, &transport) || errors.Is(err, ErrNoServers) {
+		return true
+	}
+	return errkind.Of(err).Answer().Resend != errkind.ResendNever
+}
--- /dev/null
+++ b/internal/client/client_test.go
@@ -0,0 +1,463 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+// instance is a fake lynxhill instance. Each request takes the next script.
+type instance struct {
+	t       *testing.T
+	server  *httptest.Server
+	mu      sync.Mutex // guards the fields below
+	scripts []script
+	keys    []string
+	asked   int
+	outcome lynxapi.OutcomeReply
+	others  []string // further addresses to give
+}
+
+// script answers one request to a profile.
+type script func(w *eventWriter, req lynxapi.SendRequest)
+
+func newInstance(t *testing.T, scripts ...script) *instance {
+	t.Helper()
+	i := &instance{t: t, scripts: scripts, outcome: lynxapi.OutcomeReply{State: lynxapi.OutcomeNoRecord}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/address", i.address)
+	mux.HandleFunc("POST /v1/profiles/{profile}/requests", i.send)
+	mux.HandleFunc("GET /v1/requests/{key}", i.tellOutcome)
+	i.server = httptest.NewServer(mux)
+	t.Cleanup(i.server.Close)
+	return i
+}
+
+func (i *instance) addr() string { return strings.TrimPrefix(i.server.URL, "http://") }
+
+func (i *instance) address(w http.ResponseWriter, _ *http.Request) {
+	answer := lynxapi.AddressAnswer{KeepMS: 60000, Addresses: []lynxapi.Address{{ID: "a", Address: i.addr(), Place: "near", Weight: 1}}}
+	for _, other := range i.others {
+		answer.Addresses = append(answer.Addresses, lynxapi.Address{ID: other, Address: other, Place: "far", Weight: 1})
+	}
+	i.mu.Lock()
+	i.asked++
+	i.mu.Unlock()
+	writeJSON(w, http.StatusOK, answer)
+}
+
+func (i *instance) send(w http.ResponseWriter, r *http.Request) {
+	var req lynxapi.SendRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		i.t.Errorf("request: %v", err)
+	}
+	i.mu.Lock()
+	i.keys = append(i.keys, req.Key)
+	if len(i.scripts) == 0 {
+		i.mu.Unlock()
+		writeError(w, errkind.UnknownProfile)
+		return
+	}
+	next := i.scripts[0]
+	i.scripts = i.scripts[1:]
+	i.mu.Unlock()
+	next(&eventWriter{w: w, r: r, key: req.Key}, req)
+}
+
+func (i *instance) tellOutcome(w http.ResponseWriter, r *http.Request) {
+	i.mu.Lock()
+	reply := i.outcome
+	i.mu.Unlock()
+	reply.Key = r.PathValue("key")
+	writeJSON(w, http.StatusOK, reply)
+}
+
+func (i *instance) attempts() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, key := range i.keys {
+		if key == "" || key != i.keys[0] {
+			i.t.Errorf("attempts under different keys: %q", i.keys)
+		}
+	}
+	return len(i.keys)
+}
+
+func writeJSON(w http.ResponseWriter, status int, message any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(message)
+}
+
+func writeError(w http.ResponseWriter, kind errkind.Kind) {
+	writeJSON(w, kind.Answer().Status, errkind.BodyOf(errkind.New(kind, "refused"), ""))
+}
+
+// eventWriter writes server-sent events.
+type eventWriter struct {
+	w   http.ResponseWriter
+	r   *http.Request
+	key string
+}
+
+func (e *eventWriter) event(name string, message any) {
+	raw, _ := json.Marshal(message)
+	fmt.Fprintf(e.w, "event: %s\ndata: %s\n\n", name, raw)
+	e.w.(http.Flusher).Flush()
+}
+
+func (e *eventWriter) begin() {
+	e.w.Header().Set("Content-Type", "text/event-stream")
+	e.event(lynxapi.EventAccepted, lynxapi.Accepted{Key: e.key})
+}
+
+func (e *eventWriter) frames(offset int, texts ...string) {
+	for _, text := range texts {
+		e.event(lynxapi.EventFrame, lynxapi.Frame{Offset: offset, Text: text})
+		offset += len(text)
+	}
+}
+
+func (e *eventWriter) end(length int) {
+	e.event(lynxapi.EventEnd, lynxapi.SendReply{Key: e.key, Streamed: true, Length: length})
+}
+
+// cut breaks the connection.
+func (e *eventWriter) cut() { panic(http.ErrAbortHandler) }
+
+func whole(w *eventWriter, _ lynxapi.SendRequest) {
+	w.begin()
+	w.frames(0, "hello ", "world")
+	w.end(11)
+}
+
+func refuse(kind errkind.Kind) script {
+	return func(w *eventWriter, _ lynxapi.SendRequest) { writeError(w.w, kind) }
+}
+
+func newTestCaller(servers ...string) *Caller {
+	return NewCaller(CallerOptions{
+		Servers: servers, Place: "near", Silence: time.Minute,
+		MinBackoff: time.Millisecond, MaxBackoff: 2 * time.Millisecond,
+	})
+}
+
+// sendStream sends one streamed request and returns what was delivered.
+func sendStream(t *testing.T, c *Caller, attempts int) (delivered string, result Result, err error) {
+	t.Helper()
+	c.opts.MaxAttempts = attempts
+	req := lynxapi.SendRequest{Organisation: "agency", Input: json.RawMessage(`{}`), Stream: true, DeadlineMS: 10_000}
+	result, err = c.Send(t.Context(), "check", req, func(f lynxapi.Frame) error {
+		if f.Offset != len(delivered) {
+			t.Errorf("frame at %d after %d bytes", f.Offset, len(delivered))
+		}
+		delivered += f.Text
+		return nil
+	})
+	return delivered, result, err
+}
+
+func TestStreamIsDeliveredWhole(t *testing.T) {
+	i := newInstance(t, whole)
+	delivered, result, err := sendStream(t, newTestCaller(i.addr()), 1)
+	if err != nil || delivered != "hello world" || result.Text != delivered || result.Reply.Length != 11 {
+		t.Fatalf("%q %+v %v", delivered, result, err)
+	}
+}
+
+// Symptom: a caller took half an answer for a whole one. Events: each case
+// ends or goes on in a way that no whole answer has. Cause: the end of the
+// connection counted as the end of the answer, or offsets were not checked.
+func TestStreamThatIsNotWholeIsAnError(t *testing.T) {
+	cases := []struct {
+		name string
+		run  script
+	}{
+		{"no end mark", func(w *eventWriter, _ lynxapi.SendRequest) { w.begin(); w.frames(0, "hello ") }},
+		{"cut", func(w *eventWriter, _ lynxapi.SendRequest) { w.begin(); w.frames(0, "hello "); w.cut() }},
+		{"end mark without its blank line", func(w *eventWriter, _ lynxapi.SendRequest) {
+			w.begin()
+			fmt.Fprintf(w.w, "event: end\ndata: {\"key\":%q,\"streamed\":true,\"length\":0}\n", w.key)
+		}},
+		{"gap", func(w *eventWriter, _ lynxapi.SendRequest) {
+			w.begin()
+			w.frames(0, "hel")
+			w.frames(6, "world")
+			w.end(11)
+		}},
+		{"overlap", func(w *eventWriter, _ lynxapi.SendRequest) {
+			w.begin()
+			w.frames(0, "hel")
+			w.frames(1, "ello")
+			w.end(5)
+		}},
+		{"length differs", func(w *eventWriter, _ lynxapi.SendRequest) { w.begin(); w.frames(0, "hello"); w.end(9) }},
+		{"another request's answer", func(w *eventWriter, _ lynxapi.SendRequest) {
+			w.key = "other"
+			w.begin()
+			w.end(0)
+		}},
+		{"malformed frame", func(w *eventWriter, _ lynxapi.SendRequest) { w.begin(); w.event(lynxapi.EventFrame, "x"); w.end(0) }},
+		{"empty body", func(w *eventWriter, _ lynxapi.SendRequest) { w.w.WriteHeader(http.StatusOK) }},
+		{"silent", func(w *eventWriter, _ lynxapi.SendRequest) {
+			w.begin()
+			w.frames(0, "hello")
+			<-w.r.Context().Done()
+		}},
+		{"silent from the start", func(w *eventWriter, _ lynxapi.SendRequest) { <-w.r.Context().Done() }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			i := newInstance(t, c.run)
+			caller := newTestCaller(i.addr())
+			if strings.HasPrefix(c.name, "silent") {
+				caller.opts.Silence = 50 * time.Millisecond
+			}
+			_, _, err := sendStream(t, caller, 1)
+			if err == nil {
+				t.Fatal("taken for whole")
+			}
+			if state := RunStateOf(err); state != errkind.MayHaveRun {
+				t.Fatalf("run state %s of %v", state, err)
+			}
+		})
+	}
+}
+
+// TestSilenceWatch runs in virtual time over a pipe: heartbeats keep a slow
+// stream open for as long as they come, and their end ends it.
+func TestSilenceWatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewCaller(CallerOptions{Silence: 5 * time.Second})
+		body, out := io.Pipe()
+		start := time.Now()
+		go func() {
+			for range 60 {
+				time.Sleep(time.Second)
+				fmt.Fprintf(out, "event: heartbeat\ndata: {}\n\n")
+			}
+			fmt.Fprintf(out, "event: frame\ndata: {\"offset\":0,\"text\":\"late\"}\n\n")
+		}()
+		s := &splice{}
+		_, err := c.readStream("a", body, lynxapi.SendRequest{}, s)
+		if err == nil || !strings.Contains(err.Error(), "silent") || s.delivered.String() != "late" {
+			t.Fatalf("%q %v", s.delivered.String(), err)
+		}
+		if took := time.Since(start); took != 65*time.Second {
+			t.Fatalf("given up after %v", took)
+		}
+	})
+}
+
+func TestBrokenStreamGoesOnWhereItStopped(t *testing.T) {
+	broken := func(w *eventWriter, _ lynxapi.SendRequest) { w.begin(); w.frames(0, "hello "); w.cut() }
+	i := newInstance(t, broken, whole)
+	delivered, result, err := sendStream(t, newTestCaller(i.addr()), 3)
+	if err != nil || delivered != "hello world" || result.Attempts != 2 || i.attempts() != 2 {
+		t.Fatalf("%q %+v %v", delivered, result, err)
+	}
+}
+
+// Symptom: a caller held an answer whose halves came from two different runs.
+// Events: the stream broke after some bytes; the second run's text differed.
+// Cause: the rest of the second was put behind the first.
+func TestBrokenStreamIsNotContinuedWithAnotherAnswer(t *testing.T) {
+	broken := func(w *eventWriter, _ lynxapi.SendRequest) { w.begin(); w.frames(0, "hello "); w.cut() }
+	other := func(w *eventWriter, _ lynxapi.SendRequest) { w.begin(); w.frames(0, "good ", "bye all"); w.end(12) }
+	shorter := func(w *eventWriter, _ lynxapi.SendRequest) { w.begin(); w.frames(0, "hel"); w.end(3) }
+	for name, second := range map[string]script{"other": other, "shorter": shorter} {
+		t.Run(name, func(t *testing.T) {
+			i := newInstance(t, broken, second)
+			delivered, _, err := sendStream(t, newTestCaller(i.addr()), 2)
+			if err == nil || delivered != "hello " {
+				t.Fatalf("%q %v", delivered, err)
+			}
+		})
+	}
+}
+
+func TestRecordedOutcomeCompletesABrokenStream(t *testing.T) {
+	broken := func(w *eventWriter, _ lynxapi.SendRequest) { w.begin(); w.frames(0, "hello "); w.cut() }
+	i := newInstance(t, broken)
+	i.outcome = lynxapi.OutcomeReply{State: lynxapi.OutcomeDone, Output: json.RawMessage(`"hello world"`)}
+	delivered, result, err := sendStream(t, newTestCaller(i.addr()), 5)
+	if err != nil || delivered != "hello world" || !result.Reply.Repeated || i.attempts() != 1 {
+		t.Fatalf("%q %+v %v", delivered, result, err)
+	}
+}
+
+func TestResendFollowsTheAdvice(t *testing.T) {
+	cases := []struct {
+		name     string
+		first    errkind.Kind
+		outcome  lynxapi.OutcomeReply
+		attempts int
+		failed   bool
+	}{
+		{"never", errkind.KeyReused, lynxapi.OutcomeReply{State: lynxapi.OutcomeNoRecord}, 1, true},
+		{"later", errkind.Overloaded, lynxapi.OutcomeReply{State: lynxapi.OutcomeNoRecord}, 2, false},
+		{"elsewhere", errkind.Stopping, lynxapi.OutcomeReply{State: lynxapi.OutcomeNoRecord}, 2, false},
+		{"ask, no record", errkind.TargetFailed, lynxapi.OutcomeReply{State: lynxapi.OutcomeNoRecord}, 2, false},
+		{"ask, done", errkind.TargetFailed, lynxapi.OutcomeReply{State: lynxapi.OutcomeDone, Output: json.RawMessage(`"hello world"`)}, 1, false},
+		{"ask, failed for good", errkind.DeadlineAfterRun, lynxapi.OutcomeReply{State: lynxapi.OutcomeFailed, ErrorKind: "outcome_unknown"}, 1, true},
+		{"ask, failed and may come again", errkind.DeadlineAfterRun, lynxapi.OutcomeReply{State: lynxapi.OutcomeFailed, ErrorKind: "no_target"}, 2, false},
+		{"ask, answer no longer kept", errkind.TargetFailed, lynxapi.OutcomeReply{State: lynxapi.OutcomeDone}, 1, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			i := newInstance(t, refuse(c.first), whole)
+			i.outcome = c.outcome
+			delivered, _, err := sendStream(t, newTestCaller(i.addr()), 5)
+			if i.attempts() != c.attempts || (err != nil) != c.failed {
+				t.Fatalf("%d attempts, %v", i.attempts(), err)
+			}
+			if err == nil && delivered != "hello world" {
+				t.Fatalf("delivered %q", delivered)
+			}
+		})
+	}
+}
+
+// Symptom: a caller was told that its booking was not run, and sent it under a
+// new key; it was booked twice. Events: the first attempt broke off after it
+// was sent, the second was refused before anything ran. Cause: the last error
+// spoke for the whole request.
+func TestNotRunIsNotSaidAfterAnAttemptThatMayHaveRun(t *testing.T) {
+	cut := func(w *eventWriter, _ lynxapi.SendRequest) { w.cut() }
+	i := newInstance(t, cut, refuse(errkind.Overloaded))
+	_, _, err := sendStream(t, newTestCaller(i.addr()), 2)
+	if state := RunStateOf(err); state != errkind.MayHaveRun {
+		t.Fatalf("run state %s of %v", state, err)
+	}
+}
+
+func TestUnreachableInstanceIsPassedOver(t *testing.T) {
+	dead := closedAddress(t)
+	i := newInstance(t, whole, whole)
+	i.others = []string{dead}
+	c := newTestCaller(dead, i.addr())
+	c.opts.Place = "far" // the dead one looks nearest
+	for range 2 {
+		if _, _, err := sendStream(t, c, 3); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if i.asked == 0 || i.count() != 2 {
+		t.Fatalf("asked %d times, %d attempts", i.asked, i.count())
+	}
+}
+
+func (i *instance) count() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.keys)
+}
+
+func TestNothingReachableIsNotRun(t *testing.T) {
+	_, _, err := sendStream(t, newTestCaller(closedAddress(t)), 2)
+	if err == nil || !IsUnreachable(err) || RunStateOf(err) != errkind.NotRun {
+		t.Fatalf("%v", err)
+	}
+}
+
+// closedAddress returns an address where nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func TestAddressAnswerIsKept(t *testing.T) {
+	i := newInstance(t, whole, whole, whole)
+	c := newTestCaller(i.addr())
+	for range 3 {
+		if _, _, err := sendStream(t, c, 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if i.asked != 1 {
+		t.Fatalf("asked %d times", i.asked)
+	}
+}
+
+func TestPickGoesByWeightInTheNearestPlace(t *testing.T) {
+	c := NewCaller(CallerOptions{Place: "near", Region: "r"})
+	answer := lynxapi.AddressAnswer{Addresses: []lynxapi.Address{
+		{Address: "far", Place: "far", Weight: 100}, {Address: "region", Place: "x", Region: "r", Weight: 100},
+		{Address: "heavy", Place: "near", Weight: 3}, {Address: "light", Place: "near", Weight: 1},
+	}}
+	counts := make(map[string]int)
+	for range 4000 {
+		a, _ := c.pick(answer, nil)
+		counts[a.Address]++
+	}
+	if counts["heavy"]+counts["light"] != 4000 || counts["heavy"] < 2700 || counts["heavy"] > 3300 {
+		t.Fatalf("%v", counts)
+	}
+	if a, _ := c.pick(answer, []string{"heavy", "light"}); a.Address != "region" {
+		t.Fatalf("after the near ones were tried: %s", a.Address)
+	}
+}
+
+func TestReceiverThatStopsEndsTheRequest(t *testing.T) {
+	i := newInstance(t, whole, whole)
+	c := newTestCaller(i.addr())
+	stop := errors.New("enough")
+	req := lynxapi.SendRequest{Organisation: "agency", Input: json.RawMessage(`{}`), Stream: true}
+	_, err := c.Send(t.Context(), "check", req, func(lynxapi.Frame) error { return stop })
+	if !errors.Is(err, stop) || i.attempts() != 1 {
+		t.Fatalf("%v after %d attempts", err, i.attempts())
+	}
+}
+
+func TestWholeAnswerOfAnotherRequestIsRefused(t *testing.T) {
+	i := newInstance(t, func(w *eventWriter, _ lynxapi.SendRequest) {
+		writeJSON(w.w, http.StatusOK, lynxapi.SendReply{Key: "other", Output: json.RawMessage(`"x"`)})
+	})
+	c := newTestCaller(i.addr())
+	c.opts.MaxAttempts = 1
+	_, err := c.Send(t.Context(), "check", lynxapi.SendRequest{Input: json.RawMessage(`{}`)}, nil)
+	if errkind.Of(err) != errkind.StreamBroken {
+		t.Fatalf("%v", err)
+	}
+}
+
+func TestAdminGoesOnOnlyWhileNothingWasReceived(t *testing.T) {
+	var received int
+	broken := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		received++
+		panic(http.ErrAbortHandler)
+	}))
+	defer broken.Close()
+	good := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		writeJSON(w, http.StatusOK, lynxapi.ChangeReply{ChangeID: "c", State: lynxapi.ChangeAccepted})
+	}))
+	defer good.Close()
+	a := NewAdmin(AdminOptions{Servers: []string{closedAddress(t), good.URL}})
+	if reply, err := a.Change(context.Background(), "c"); err != nil || reply.State != lynxapi.ChangeAccepted {
+		t.Fatalf("%+v %v", reply, err)
+	}
+	b := NewAdmin(AdminOptions{Servers: []string{broken.URL, good.URL}})
+	_, err := b.SetProfile(context.Background(), lynxapi.ChangeRequest{ChangeID: "c"})
+	if RunStateOf(err) != errkind.MayHaveRun || received != 1 {
+		t.Fatalf("received %d times: %v", received, err)
+	}
+}
--- /dev/null
+++ b/internal/client/send.go
@@ -0,0 +1,298 @@
+package client
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+// answerGrace is how long after a request's deadline its answer may still be
+// on the way.
+const answerGrace = 500 * time.Millisecond
+
+// Result is the whole answer to a request.
+type Result struct {
+	Reply lynxapi.SendReply
+	// Text is the streamed answer, or the output if it is a JSON string.
+	Text     string
+	Attempts int
+	Server   string // instance's address that gave the answer
+}
+
+// Send sends a request to a profile and returns its whole answer. If
+// req.Stream is set, deliver (may be nil) gets each piece once and in order,
+// over all attempts.
+//
+// A request without a key is given one, so that every resend carries the same:
+// it then runs at most once where it must, and the answer of a run that went
+// on is found again. After an error the resend advice decides: never, later,
+// at another instance, or after asking for the outcome. The error of the last
+// attempt is returned; RunStateOf tells whether the request may have run.
+func (c *Caller) Send(ctx context.Context, profileName string, req lynxapi.SendRequest, deliver FrameFunc) (Result, error) {
+	c.mint(ctx, &req)
+	now := time.Now()
+	deadline := deadlineOf(req, now)
+	last := deadline
+	if last.IsZero() {
+		last = now.Add(profile.MaxDeadline) // no profile has a longer one
+	}
+	ctx, cancel := context.WithDeadline(ctx, last.Add(answerGrace))
+	defer cancel()
+	s := &sending{caller: c, profile: profileName, req: req, deadline: deadline, splice: splice{deliver: deliver}}
+	return s.run(ctx)
+}
+
+// deadlineOf returns the earlier of the request's two deadlines, zero if it
+// names none.
+func deadlineOf(req lynxapi.SendRequest, now time.Time) time.Time {
+	var deadline time.Time
+	if req.DeadlineMS > 0 {
+		deadline = now.Add(time.Duration(req.DeadlineMS) * time.Millisecond)
+	}
+	if req.DeadlineAt > 0 {
+		if at := time.UnixMilli(req.DeadlineAt); deadline.IsZero() || at.Before(deadline) {
+			deadline = at
+		}
+	}
+	return deadline
+}
+
+// sending is one request over all its attempts.
+type sending struct {
+	caller   *Caller
+	profile  string
+	req      lynxapi.SendRequest
+	deadline time.Time // zero = the profile's, which this side does not know
+	splice   splice
+	tried    []string
+	attempts int
+	server   string
+}
+
+// step is what to do after an error.
+type step int
+
+const (
+	stepStop step = iota
+	stepElsewhere
+	stepLater
+	stepAsk
+)
+
+func (s *sending) run(ctx context.Context) (Result, error) {
+	worst := errkind.NotRun
+	for {
+		reply, err := s.attempt(ctx)
+		if err == nil {
+			return s.result(reply), nil
+		}
+		worst = worse(worst, RunStateOf(err))
+		next := stepAfter(err)
+		if next == stepStop || s.attempts >= s.caller.opts.MaxAttempts || ctx.Err() != nil {
+			return Result{Attempts: s.attempts, Server: s.server}, s.final(err, worst)
+		}
+		if next == stepAsk {
+			reply, settled, askErr := s.ask(ctx, err)
+			if settled {
+				return s.settle(reply, askErr)
+			}
+		}
+		s.pause(ctx, next, err)
+	}
+}
+
+// final returns the error of the last attempt. An earlier attempt may have run
+// although the last one was certainly not: "not run" would then be a lie about
+// the request.
+func (s *sending) final(err error, worst errkind.RunState) error {
+	if RunStateOf(err) == errkind.NotRun && worst != errkind.NotRun {
+		return errkind.Wrap(err, errkind.OutcomeUnknown, "an earlier attempt may have run; the last one failed")
+	}
+	return err
+}
+
+func worse(a, b errkind.RunState) errkind.RunState {
+	if a == errkind.NotRun {
+		return b
+	}
+	return a
+}
+
+func (s *sending) settle(reply lynxapi.SendReply, err error) (Result, error) {
+	if err != nil {
+		return Result{Attempts: s.attempts, Server: s.server}, err
+	}
+	return s.result(reply), nil
+}
+
+func (s *sending) result(reply lynxapi.SendReply) Result {
+	text := s.splice.delivered.String()
+	return Result{Reply: reply, Text: text, Attempts: s.attempts, Server: s.server}
+}
+
+// attempt sends the request once.
+func (s *sending) attempt(ctx context.Context) (lynxapi.SendReply, error) {
+	answer, err := s.caller.Address(ctx)
+	if err != nil {
+		s.attempts++
+		return lynxapi.SendReply{}, err
+	}
+	address, ok := s.caller.pick(answer, s.tried)
+	if !ok {
+		s.attempts++
+		return lynxapi.SendReply{}, ErrNoServers
+	}
+	s.attempts++
+	s.server = address.Address
+	s.tried = append(s.tried, address.Address)
+	reply, err := s.caller.sendTo(ctx, address.Address, s.profile, s.remaining(), &s.splice)
+	if err != nil {
+		s.caller.noteUnreachable(address.Address, err)
+	}
+	return reply, err
+}
+
+// remaining returns the request with the time that is left. The deadline goes
+// as a duration, since the two clocks may differ.
+func (s *sending) remaining() lynxapi.SendRequest {
+	req := s.req
+	if !s.deadline.IsZero() {
+		req.DeadlineAt = 0
+		req.DeadlineMS = max(time.Until(s.deadline).Milliseconds(), 1)
+	}
+	return req
+}
+
+func (c *Caller) sendTo(ctx context.Context, server, profileName string, req lynxapi.SendRequest, s *splice) (lynxapi.SendReply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	base := c.base(server)
+	what := call{method: http.MethodPost, path: pathOf(lynxapi.PathRequests, ":profile", profileName), body: req}
+	heard := c.expectHeader(req, cancel)
+	resp, err := send(ctx, c.http.Do, base, c.opts.Token, what)
+	heard()
+	if err != nil {
+		return lynxapi.SendReply{}, err
+	}
+	if req.Stream {
+		return c.readStream(base, resp.Body, req, s)
+	}
+	var reply lynxapi.SendReply
+	if err := readReply(base, resp, &reply); err != nil {
+		return reply, err
+	}
+	if err := checkOwn(reply.Key, req.Key); err != nil {
+		return reply, err
+	}
+	s.begin()
+	return reply, s.whole(reply.Output)
+}
+
+// expectHeader gives a stream up whose first heartbeat does not come; the
+// returned function says that it came. A request that is answered whole has no
+// heartbeats: on a connection that went silent it waits for its deadline.
+func (c *Caller) expectHeader(req lynxapi.SendRequest, giveUp func()) (heard func()) {
+	if !req.Stream {
+		return func() {}
+	}
+	timer := time.AfterFunc(c.opts.Silence, giveUp)
+	return func() { timer.Stop() }
+}
+
+// stepAfter follows the error's resend advice. What a transport error has not
+// sent can go elsewhere at once; what it may have sent is asked for first.
+func stepAfter(err error) step {
+	var transport *TransportError
+	if errors.As(err, &transport) {
+		if transport.Sent {
+			return stepAsk
+		}
+		return stepElsewhere
+	}
+	if errors.Is(err, errReceiverStopped) {
+		return stepStop
+	}
+	if errors.Is(err, ErrNoServers) {
+		return stepLater
+	}
+	switch errkind.Of(err).Answer().Resend {
+	case errkind.ResendLater:
+		return stepLater
+	case errkind.ResendElsewhere:
+		return stepElsewhere
+	case errkind.ResendAsk:
+		return stepAsk
+	}
+	return stepStop
+}
+
+// ask asks for the outcome of the key until it is settled, or until a resend
+// under the same key is the better question.
+func (s *sending) ask(ctx context.Context, cause error) (reply lynxapi.SendReply, settled bool, err error) {
+	for ctx.Err() == nil {
+		found, err := s.caller.outcome(ctx, s.req.Organisation, s.req.Key, s.tried)
+		if err != nil {
+			return reply, false, nil
+		}
+		switch found.State {
+		case lynxapi.OutcomeDone:
+			return s.recorded(found)
+		case lynxapi.OutcomeFailed:
+			return s.failed(found)
+		case lynxapi.OutcomeRunning:
+			s.pause(ctx, stepLater, nil)
+		default:
+			return reply, false, nil // the instance that gets the resend knows more
+		}
+	}
+	return reply, true, cause
+}
+
+// recorded delivers the kept answer of a run that has ended.
+func (s *sending) recorded(found lynxapi.OutcomeReply) (lynxapi.SendReply, bool, error) {
+	if len(found.Output) == 0 {
+		err := errkind.New(errkind.OutcomeUnknown, "the request has run, but its answer is no longer kept")
+		return lynxapi.SendReply{}, true, err
+	}
+	reply := lynxapi.SendReply{
+		RequestID: found.RequestID,
+		Key:       found.Key,
+		Profile:   s.profile,
+		Output:    found.Output,
+		Repeated:  true,
+	}
+	s.splice.begin()
+	return reply, true, s.splice.whole(found.Output)
+}
+
+// failed ends a request whose recorded error forbids a resend.
+func (s *sending) failed(found lynxapi.OutcomeReply) (lynxapi.SendReply, bool, error) {
+	body := errkind.Body{Kind: found.ErrorKind, Message: "the request ended with " + found.ErrorKind}
+	err := body.Err()
+	return lynxapi.SendReply{}, stepAfter(err) == stepStop, err
+}
+
+// pause waits before the next attempt: as long as the instance said, else
+// longer each time, and by chance, so that callers that failed together do not
+// come back together.
+func (s *sending) pause(ctx context.Context, next step, err error) {
+	if next == stepElsewhere {
+		s.caller.book.expire()
+		if s.attempts < 3 {
+			return
+		}
+	}
+	wait := s.caller.opts.MinBackoff << min(s.attempts, 10)
+	wait = min(wait, s.caller.opts.MaxBackoff)
+	wait = wait/2 + rand.N(wait/2+1)
+	if told := errkind.RetryAfter(err); told > 0 {
+		wait = told + rand.N(told/4+1)
+	}
+	sleep(ctx, wait)
+}
