Tests of the fault layer for TCP and of a deployment over it

Cause: latency, cuts, silence, freezes and kills had no tests. Change: tests of each on real connections, asserting on content and order.

--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"net/http"
 	"testing"
+	"time"
 
 	"lynxhill.example/lynxhill/internal/standin/engine"
+	"lynxhill.example/lynxhill/internal/standin/netfault"
 	"lynxhill.example/lynxhill/internal/standin/service"
 	"lynxhill.example/lynxhill/internal/wire/platformapi"
 	"lynxhill.example/lynxhill/internal/wire/targetapi"
@@ -117,3 +120,60 @@
 		t.Fatal("another organisation's output as previous was not noticed")
 	}
 }
+
+// A daemon is cut from one place and frozen for a moment: its calls to that
+// place wait, those to others don't, and all get through in the end.
+func TestDeploymentOverAFaultyNetwork(t *testing.T) {
+	network := netfault.New()
+	t.Cleanup(network.Close)
+	d := start(t, Options{Name: Kilimanjaro, Scale: 0.2, TimeScale: 0.1, Network: network})
+	network.SetPlace("daemon-1", d.Places[0])
+	network.SetLatencyBetween(LatencyKilimanjaro)
+	transport := &http.Transport{DialContext: network.Dialer("daemon-1")}
+	t.Cleanup(transport.CloseIdleConnections)
+	client := &http.Client{Transport: transport}
+	state := func(ctx context.Context, member *Member) error {
+		req, err := http.NewRequestWithContext(ctx, "GET", "http://"+member.Target.Addr()+targetapi.PathState, nil)
+		if err != nil {
+			return err
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			return err
+		}
+		return resp.Body.Close()
+	}
+	near, far := d.Place(d.Places[0])[0], d.Place(d.Places[1])[0]
+	network.Cut(netfault.Partition{A: []string{"daemon-1"}, B: []string{far.Instance.ID}})
+	short, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if err := state(short, far); err == nil {
+		t.Fatal("a call crossed the cut")
+	}
+	if err := state(t.Context(), near); err != nil {
+		t.Fatal(err)
+	}
+	network.Freeze("daemon-1")
+	network.HealAll()
+	done := make(chan error)
+	go func() { done <- state(t.Context(), far) }()
+	select {
+	case err := <-done:
+		t.Fatalf("a frozen daemon was answered: %v", err)
+	case <-time.After(20 * time.Millisecond):
+	}
+	network.Thaw("daemon-1")
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	far.Target.Crash()
+	if err := state(t.Context(), far); err == nil {
+		t.Fatal("a crashed target answered")
+	}
+	if err := far.Target.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	if err := state(t.Context(), far); err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/internal/standin/netfault/netfault_test.go
@@ -0,0 +1,293 @@
+package netfault
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// echo answers each line with itself, as owner b.
+func echo(t *testing.T, n *Network, owner string) string {
+	t.Helper()
+	l, err := n.Listen(owner, "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+type line struct {
+	net.Conn
+	r *bufio.Reader
+}
+
+func dial(t *testing.T, n *Network, owner, addr string) *line {
+	t.Helper()
+	c, err := n.Dialer(owner)(t.Context(), "tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return &line{Conn: c, r: bufio.NewReader(c)}
+}
+
+func (l *line) send(t *testing.T, text string) {
+	t.Helper()
+	if _, err := io.WriteString(l, text+"\n"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (l *line) want(t *testing.T, text string) {
+	t.Helper()
+	got, err := l.r.ReadString('\n')
+	if err != nil || strings.TrimSpace(got) != text {
+		t.Fatalf("got %q, %v, want %q", got, err, text)
+	}
+}
+
+// nothing checks that no byte comes while the fault lasts.
+func (l *line) nothing(t *testing.T) {
+	t.Helper()
+	_ = l.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+	defer l.SetReadDeadline(time.Time{})
+	if b, err := l.r.Peek(1); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("got %q, %v during the fault", b, err)
+	}
+}
+
+func network(t *testing.T) *Network {
+	n := New()
+	t.Cleanup(n.Close)
+	return n
+}
+
+func TestLatencyKeepsTheBytesInOrder(t *testing.T) {
+	n := network(t)
+	n.SetPlace("a", "lac-a")
+	n.SetPlace("b", "lac-b")
+	n.SetLatencyBetween(2 * time.Millisecond)
+	l := dial(t, n, "a", echo(t, n, "b"))
+	for i := range 200 {
+		l.send(t, fmt.Sprint("line ", i))
+		if i == 100 {
+			n.SetLatency("lac-a", "lac-b", 0)
+		}
+	}
+	for i := range 200 {
+		l.want(t, fmt.Sprint("line ", i))
+	}
+	n.SetLatency("lac-a", "lac-b", time.Hour)
+	l.send(t, "under way")
+	l.nothing(t)
+}
+
+func TestLatencyOfPlaces(t *testing.T) {
+	r := newRules()
+	r.places = map[string]string{"a": "x", "b": "y", "c": "y", "d": "z"}
+	r.between = 2 * time.Millisecond
+	r.latency[pairOf("y", "x")] = 5 * time.Millisecond
+	r.latency[pairOf("z", "z")] = time.Millisecond
+	got := fmt.Sprint(r.delay("a", "b"), r.delay("b", "a"), r.delay("a", "d"), r.delay("b", "c"), r.delay("d", "d"), r.delay("a", "stranger"))
+	if want := "5ms 5ms 2ms 0s 1ms 0s"; got != want {
+		t.Fatalf("got %s, want %s", got, want)
+	}
+}
+
+func TestLargeWritesThroughLatency(t *testing.T) {
+	n := network(t)
+	n.SetPlace("a", "x")
+	n.SetPlace("b", "y")
+	n.SetLatencyBetween(time.Millisecond)
+	l := dial(t, n, "a", echo(t, n, "b"))
+	text := strings.Repeat("0123456789", 3*maxHeld/10)
+	go func() { _, _ = io.WriteString(l, text+"\n") }()
+	l.want(t, text)
+}
+
+// A partition lasts and heals: what was sent meanwhile arrives then, once and
+// in order, as TCP would have it; a new connection hangs and is made then.
+func TestBlackHoleHoldsAndHeals(t *testing.T) {
+	n := network(t)
+	addr := echo(t, n, "b")
+	l := dial(t, n, "a", addr)
+	l.send(t, "before")
+	l.want(t, "before")
+	cut := n.Cut(Partition{A: []string{"a"}, B: []string{"b"}})
+	l.send(t, "during")
+	l.nothing(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := n.Dialer("a")(ctx, "tcp", addr); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("dial during the cut: %v", err)
+	}
+	other := dial(t, n, "c", addr)
+	other.send(t, "unconcerned")
+	other.want(t, "unconcerned")
+	n.Heal(cut)
+	l.send(t, "after")
+	l.want(t, "during")
+	l.want(t, "after")
+}
+
+func TestOneWayCutStopsOnlyOneDirection(t *testing.T) {
+	n := network(t)
+	l, err := n.Listen("b", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := dial(t, n, "a", l.Addr().String())
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &line{Conn: accepted, r: bufio.NewReader(accepted)}
+	defer b.Close()
+	a.send(t, "hello")
+	b.want(t, "hello")
+	n.Cut(Partition{A: []string{"b"}, B: []string{"a"}, OneWay: true})
+	a.send(t, "still")
+	b.want(t, "still")
+	b.send(t, "held")
+	a.nothing(t)
+	n.HealAll()
+	a.want(t, "held")
+}
+
+// The peer hangs up during a cut: the other side may only learn of it when
+// the cut heals.
+func TestCloseDuringACutArrivesAfterIt(t *testing.T) {
+	n := network(t)
+	l, err := n.Listen("b", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := dial(t, n, "a", l.Addr().String())
+	b, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.send(t, "x")
+	_, _ = b.Read(make([]byte, 2))
+	cut := n.Cut(Partition{A: []string{"a"}, B: []string{"b"}})
+	_ = b.Close()
+	a.nothing(t)
+	n.Heal(cut)
+	if _, err := a.r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Fatalf("after the cut: %v", err)
+	}
+}
+
+func TestRefusingCutResets(t *testing.T) {
+	n := network(t)
+	addr := echo(t, n, "b")
+	l := dial(t, n, "a", addr)
+	l.send(t, "x")
+	l.want(t, "x")
+	cut := n.Cut(Partition{A: []string{"a"}, B: []string{"b"}, Refuse: true})
+	if _, err := l.r.ReadByte(); err == nil {
+		t.Fatal("connection survived")
+	}
+	if _, err := n.Dialer("a")(t.Context(), "tcp", addr); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Fatalf("dial: %v", err)
+	}
+	n.Heal(cut)
+	again := dial(t, n, "a", addr)
+	again.send(t, "y")
+	again.want(t, "y")
+}
+
+// A middlebox forgets the open connections: neither end hears of anything,
+// not even of a hang-up, while new connections work.
+func TestSilenceIsForGoodAndForOldConnectionsOnly(t *testing.T) {
+	n := network(t)
+	addr := echo(t, n, "b")
+	old := dial(t, n, "a", addr)
+	old.send(t, "x")
+	old.want(t, "x")
+	n.Silence("b")
+	old.send(t, "lost")
+	old.nothing(t)
+	fresh := dial(t, n, "a", addr)
+	fresh.send(t, "y")
+	fresh.want(t, "y")
+	n.Kill("b")
+	old.nothing(t)
+}
+
+func TestFreezeBlocksAndThawLosesNothing(t *testing.T) {
+	n := network(t)
+	addr := echo(t, n, "b")
+	l := dial(t, n, "a", addr)
+	l.send(t, "x")
+	l.want(t, "x")
+	n.Freeze("b")
+	l.send(t, "one")
+	l.nothing(t)
+	l.send(t, "two")
+	l.nothing(t)
+	n.Thaw("b")
+	l.want(t, "one")
+	l.want(t, "two")
+	n.Freeze("a")
+	wrote := make(chan error)
+	go func() {
+		_, err := io.WriteString(l, "three\n")
+		wrote <- err
+	}()
+	select {
+	case err := <-wrote:
+		t.Fatalf("a frozen owner wrote: %v", err)
+	case <-time.After(20 * time.Millisecond):
+	}
+	n.Thaw("a")
+	if err := <-wrote; err != nil {
+		t.Fatal(err)
+	}
+	l.want(t, "three")
+}
+
+func TestKillAndRevive(t *testing.T) {
+	n := network(t)
+	addr := echo(t, n, "b")
+	l := dial(t, n, "a", addr)
+	l.send(t, "x")
+	l.want(t, "x")
+	n.Kill("b")
+	if _, err := l.r.ReadByte(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Fatalf("peer of the killed: %v", err)
+	}
+	if _, err := n.Dialer("a")(t.Context(), "tcp", addr); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Fatalf("dial to the killed: %v", err)
+	}
+	if _, err := n.Dialer("b")(t.Context(), "tcp", addr); err == nil {
+		t.Fatal("the killed dialled")
+	}
+	if _, err := n.Listen("b", "127.0.0.1:0"); err == nil {
+		t.Fatal("the killed listened")
+	}
+	n.Revive("b")
+	again := dial(t, n, "a", echo(t, n, "b"))
+	again.send(t, "y")
+	again.want(t, "y")
+}
