--- a/cmd/lynxhilld/daemon.go
+++ b/cmd/lynxhilld/daemon.go
@@ -1,13 +1,12 @@
 package main
 
 import (
-	"errors"
-
 	"lynxhill.example/lynxhill/internal/config"
+	"lynxhill.example/lynxhill/internal/daemon"
 	"lynxhill.example/lynxhill/internal/event"
 )
 
 // newDaemon makes the instance.
-func newDaemon(config.Config, *event.Logger) (runner, error) {
-	return nil, errors.New("the daemon is not part of this build")
+func newDaemon(cfg config.Config, logger *event.Logger) (runner, error) {
+	return daemon.New(cfg, daemon.Options{Logger: logger})
 }
--- /dev/null
+++ b/internal/daemon/control.go
@@ -0,0 +1,121 @@
+package daemon
+
+import (
+	"context"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/control/discovery"
+	"lynxhill.example/lynxhill/internal/control/drain"
+	"lynxhill.example/lynxhill/internal/control/lease"
+	"lynxhill.example/lynxhill/internal/control/limits"
+	"lynxhill.example/lynxhill/internal/control/loadview"
+	"lynxhill.example/lynxhill/internal/control/orders"
+	"lynxhill.example/lynxhill/internal/control/profilesync"
+	"lynxhill.example/lynxhill/internal/control/steering"
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/membership"
+)
+
+// assembleControl makes the controllers. They meet only on the board.
+func (d *Daemon) assembleControl() {
+	d.assembleMembership()
+	d.assembleTargetControl()
+	d.assembleOperatorControl()
+	for _, part := range []gossip.Part{d.profiles, d.discovery, d.loads, d.drains, d.limits, d.guard, d.slo.Gossip()} {
+		d.members.AddPart(part)
+	}
+}
+
+func (d *Daemon) assembleMembership() {
+	d.members = membership.New(membership.Options{
+		Self: d.self(), Board: d.board, Clock: d.opts.Clock, Boot: d.opts.Boot, Rand: d.rand(),
+		Transport: d.peers, Lister: d.platform, Started: d.started,
+		HeartbeatEvery: d.cfg.Timings.PeerHeartbeat.Duration,
+		Logger:         d.logger, Metrics: d.metrics,
+	})
+	d.profiles = profilesync.New(profilesync.Options{
+		Self: d.id(), Board: d.board, Store: d.platform, Puller: d.peers,
+		Clock: d.opts.Clock, Boot: d.opts.Boot, Rand: d.rand(),
+		FenceAfter: d.cfg.Timings.FenceAfter.Duration,
+		Logger:     d.logger, Metrics: d.metrics, Check: d.check,
+	})
+}
+
+func (d *Daemon) assembleTargetControl() {
+	clk, place, region := d.opts.Clock, d.cfg.Instance.Place, d.cfg.Instance.Region
+	d.discovery = discovery.New(discovery.Options{
+		Lister: d.platform, Board: d.board, Clock: clk, Rand: d.rand(), Logger: d.logger, Metrics: d.metrics,
+		Self: d.id(), Place: place,
+	})
+	d.loads = loadview.New(loadview.Options{
+		Caller: d.targets, Board: d.board, Clock: clk, Rand: d.rand(), Logger: d.logger, Metrics: d.metrics,
+		Self: d.id(), Place: place, Region: region,
+	})
+	d.leases = lease.NewManager(lease.Options{
+		Store: d.platform, Board: d.board, Clock: clk, Boot: d.opts.Boot, Rand: d.rand(),
+		Logger: d.logger, Metrics: d.metrics, Self: d.id(), Duration: d.cfg.Timings.LeaseTTL.Duration,
+	})
+	d.orders = orders.New(orders.Options{
+		Caller: d.targets, Store: d.platform, Board: d.board, Lease: d.leases, Boot: d.opts.Boot, Clock: clk,
+		Rand: d.rand(), Logger: d.logger, Metrics: d.metrics, Checker: d.check, Self: d.id(),
+	})
+}
+
+func (d *Daemon) assembleOperatorControl() {
+	clk := d.opts.Clock
+	d.steering = steering.New(steering.Options{
+		Board: d.board, Clock: clk, Rand: d.rand(), Logger: d.logger, Metrics: d.metrics,
+		Self: d.id(), Keep: d.cfg.Timings.Keep.Duration,
+	})
+	d.drains = drain.New(drain.Options{
+		Store: d.platform, Board: d.board, Clock: clk, Rand: d.rand(), Logger: d.logger, Metrics: d.metrics,
+		Self: d.id(), Place: d.cfg.Instance.Place,
+	})
+	d.limits = limits.New(limits.Options{
+		Board: d.board, Store: d.platform, Door: d.door, Self: d.id(), Clock: clk, Rand: d.rand(),
+		Logger: d.logger, Metrics: d.metrics,
+	})
+}
+
+// self is this instance as others are told of it.
+func (d *Daemon) self() board.Member {
+	return board.Member{
+		ID:         d.id(),
+		State:      board.MemberAlive,
+		CallerAddr: advertised(d.cfg.Listen.AdvertiseCaller, d.CallerAddr()),
+		AdminAddr:  advertised(d.cfg.Listen.AdvertiseAdmin, d.AdminAddr()),
+		PeerAddr:   advertised(d.cfg.Listen.AdvertisePeer, d.PeerAddr()),
+		Place:      d.cfg.Instance.Place,
+		Region:     d.cfg.Instance.Region,
+		Room:       1,
+	}
+}
+
+func advertised(setting, listening string) string {
+	if setting != "" {
+		return setting
+	}
+	return listening
+}
+
+// controllers are run until the parts are stopped.
+func (d *Daemon) controllers() []func(context.Context) {
+	return []func(context.Context){
+		d.auth.Run, d.tls.run, d.members.Run, d.profiles.Run, d.discovery.Run, d.loads.Run, d.leases.Run,
+		d.orders.Run, d.steering.Run, d.drains.Run, d.limits.Run, d.pages.Run, d.slo.Run, d.tellLoad,
+	}
+}
+
+// tellLoad keeps membership informed of this instance's room.
+func (d *Daemon) tellLoad(ctx context.Context) {
+	ticker := d.opts.Clock.NewTicker(loadEvery)
+	defer ticker.Stop()
+	for {
+		d.members.SetLoad(d.door.Room(), d.door.InFlight())
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/handler.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/callerapi"
+	"lynxhill.example/lynxhill/internal/claim"
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/outcome"
+	"lynxhill.example/lynxhill/internal/peer"
+	"lynxhill.example/lynxhill/internal/pipeline"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+// Serve implements callerapi.Handler.
+func (d *Daemon) Serve(ctx context.Context, req pipeline.Request, sink pipeline.Sink) (pipeline.Outcome, error) {
+	return d.serving.Serve(ctx, req, sink)
+}
+
+// Address implements callerapi.Handler.
+func (d *Daemon) Address(_ context.Context, q callerapi.AddressQuestion) (lynxapi.AddressAnswer, error) {
+	answer := d.steering.Answer(q.Place, q.Region)
+	ticket, expires := d.tickets.Issue()
+	answer.Ticket = ticket
+	answer.TicketHome = d.id()
+	answer.TicketExpiresMS = expires.UnixMilli()
+	return answer, nil
+}
+
+// Ready implements callerapi.Handler and adminapi.Backend.
+func (d *Daemon) Ready() error {
+	self, _ := d.board.Self.Get(board.SelfRow)
+	switch {
+	case self.Stopping:
+		return errkind.New(errkind.Stopping, "the instance is stopping")
+	case !self.MayAdmit():
+		return errkind.New(errkind.Isolated, "the instance cannot confirm its configuration")
+	}
+	return nil
+}
+
+// Outcome implements callerapi.Handler: what this instance knows, else what
+// the claims record, else what the holder of the claim knows.
+func (d *Daemon) Outcome(ctx context.Context, key outcome.Key) (lynxapi.OutcomeReply, error) {
+	if record, found := d.outcomes.Lookup(key); found {
+		return replyOf(key, record), nil
+	}
+	if d.outcomes.Running(key) {
+		return lynxapi.OutcomeReply{Key: key.Key, State: lynxapi.OutcomeRunning}, nil
+	}
+	if reply, found, err := d.claimedOutcome(ctx, key); found || err != nil {
+		return reply, err
+	}
+	return lynxapi.OutcomeReply{Key: key.Key, State: lynxapi.OutcomeNoRecord}, nil
+}
+
+// claimedOutcome looks the key up under every stage that is claimed.
+func (d *Daemon) claimedOutcome(ctx context.Context, key outcome.Key) (lynxapi.OutcomeReply, bool, error) {
+	for _, stage := range d.claimedStages() {
+		answer, found, err := d.claims.Lookup(ctx, claim.Key{Organisation: key.Organisation, Key: key.Key, Stage: stage})
+		if err != nil {
+			return lynxapi.OutcomeReply{}, false, err
+		}
+		if found {
+			return d.outcomeAtHolder(ctx, key, answer), true, nil
+		}
+	}
+	return lynxapi.OutcomeReply{}, false, nil
+}
+
+// claimedStages are the names of the stages that are not idempotent.
+func (d *Daemon) claimedStages() []string {
+	var names []string
+	for _, p := range d.board.Profiles.Snapshot() {
+		for _, stage := range p.Profile.Stages {
+			if !stage.Idempotent && !slices.Contains(names, stage.Name) {
+				names = append(names, stage.Name)
+			}
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// outcomeAtHolder asks the instance that holds the claim. If that is gone, all
+// that is known is that the stage was claimed: it may have run.
+func (d *Daemon) outcomeAtHolder(ctx context.Context, key outcome.Key, answer claim.Answer) lynxapi.OutcomeReply {
+	if answer.Holder != d.id() {
+		if record, found, err := d.peers.Outcome(ctx, answer.Holder, key); err == nil && found {
+			return replyOf(key, record)
+		}
+	}
+	return lynxapi.OutcomeReply{Key: key.Key, State: lynxapi.OutcomeUnknown, RunState: string(errkind.MayHaveRun)}
+}
+
+func replyOf(key outcome.Key, record outcome.Record) lynxapi.OutcomeReply {
+	reply := lynxapi.OutcomeReply{Key: key.Key, State: lynxapi.OutcomeDone, RequestID: record.RequestID, Output: record.Output, RunState: string(errkind.Ran)}
+	if record.Err != nil {
+		reply.State = lynxapi.OutcomeFailed
+		reply.ErrorKind = record.Err.Kind
+		reply.RunState = string(record.Err.RunState)
+	}
+	return reply
+}
+
+// peerCalls are what calls of other instances lead to.
+func (d *Daemon) peerCalls() peer.ServerOptions {
+	return peer.ServerOptions{
+		Exchange: func(ctx context.Context, digest gossip.Digest) gossip.Digest { return d.members.Handle(ctx, digest) },
+		Probe:    d.members.HandleProbe,
+		Profiles: d.profiles.Since,
+		Outcome: func(ctx context.Context, key outcome.Key) (outcome.Record, bool, error) {
+			record, found := d.outcomes.Wait(ctx, key)
+			return record, found, nil
+		},
+		Forward: func(ctx context.Context, _ string, req pipeline.Request, sink pipeline.Sink) (pipeline.Outcome, error) {
+			return d.serving.ServeForwarded(ctx, req, sink)
+		},
+		Handover: func(_ context.Context, _ string, records []outcome.Exported) { d.outcomes.Import(records) },
+		Burn:     d.slo.Local,
+		Logger:   d.logger, Metrics: d.metrics,
+	}
+}
--- /dev/null
+++ b/internal/daemon/request.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"strconv"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/admission"
+	"lynxhill.example/lynxhill/internal/claim"
+	"lynxhill.example/lynxhill/internal/control/rendezvous"
+	"lynxhill.example/lynxhill/internal/crashguard"
+	"lynxhill.example/lynxhill/internal/outcome"
+	"lynxhill.example/lynxhill/internal/peer"
+	"lynxhill.example/lynxhill/internal/pipeline"
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/serving"
+	"lynxhill.example/lynxhill/internal/slo"
+)
+
+// assembleRequestPath makes what a request goes through.
+func (d *Daemon) assembleRequestPath() {
+	clk := d.opts.Clock
+	d.gate = admission.NewGate(admission.GateOptions{
+		Board: d.board, Clock: clk, Rand: d.rand(),
+		Place: d.cfg.Instance.Place, Region: d.cfg.Instance.Region,
+		Policy: d.opts.Policy, Limits: d.gateLimits(),
+		Check: d.check, Logger: d.logger, Metrics: d.metrics,
+	})
+	d.door = admission.NewDoor(admission.DoorOptions{
+		Board: d.board, Clock: clk, MaxInFlight: d.cfg.Limits.MaxInFlight, Logger: d.logger, Metrics: d.metrics,
+	})
+	d.guard = crashguard.New(crashguard.Options{
+		Board: d.board, Clock: clk, Alive: d.targets.Alive, Logger: d.logger, Metrics: d.metrics,
+	})
+	d.outcomes = outcome.NewRegistry(outcome.Options{Clock: clk, Logger: d.logger, Metrics: d.metrics})
+	d.slo = slo.New(slo.Options{
+		Clock: clk, Objectives: d.objective, Instance: d.id(), Place: d.cfg.Instance.Place,
+		Logger: d.logger, Metrics: d.metrics,
+	})
+	d.assembleClaims()
+	d.runner = pipeline.New(pipeline.Options{
+		Profiles: d.profile, Gate: d.gate, Caller: d.targets, Claims: d.claims, Remote: d.peers,
+		Crash: d.guard, Clock: clk, Rand: d.rand(),
+		Self: d.id(), Place: d.cfg.Instance.Place, Region: d.cfg.Instance.Region,
+		Check: d.check, MaxAnswerBytes: int(kilobytes(d.cfg.Limits.MaxAnswerKB)),
+		MaxAttempts: d.cfg.Routing.MaxAttempts,
+		Report:      d.report, Logger: d.logger, Metrics: d.metrics,
+	})
+	d.serving = serving.New(serving.Options{
+		Self: d.id(), Profiles: d.profile, Door: d.door, Runner: d.runner, Outcomes: d.outcomes,
+		Tickets: d.tickets, Forward: d.peers, NotSent: peer.ErrNotSent, Refused: d.reportRefused,
+	})
+}
+
+func (d *Daemon) gateLimits() admission.GateLimits {
+	return admission.GateLimits{
+		Queue:       d.cfg.Limits.MaxQueued,
+		RepeatShare: d.cfg.Routing.RetryBudget,
+		EjectShare:  d.cfg.Routing.MaxEjected,
+	}
+}
+
+func (d *Daemon) assembleClaims() {
+	settings := d.cfg.Claims
+	d.pages = claim.NewPages(claim.PagesOptions{
+		Store: d.platform, Clock: d.opts.Clock, Rand: d.rand(), Self: d.id(),
+		Owners: d.claimOwner, Shards: settings.Shards, WindowBytes: settings.WindowKB << 10,
+		FlushInterval: settings.Flush.Duration, Retention: settings.Retention.Duration,
+		OpaqueRetention: settings.OpaqueRetention.Duration,
+		Logger:          d.logger, Metrics: d.metrics,
+	})
+	d.tickets = claim.NewTickets(claim.TicketOptions{
+		Self: d.id(), Incarnation: uint64(d.started.UnixMilli()), Clock: d.opts.Clock, Secret: ticketSecret,
+		Logger: d.logger, Metrics: d.metrics,
+	})
+	d.claims = claim.NewRouter(d.pages, d.tickets)
+}
+
+// claimOwner is the instance that had best write the claims of a shard: only a
+// hint, so that instances seldom meet in the same window.
+func (d *Daemon) claimOwner(shard int) string {
+	top := rendezvous.Top("claims/"+strconv.Itoa(shard), d.board.LiveMembers(d.id()), 1)
+	return top[0]
+}
+
+// objective returns the objective of a profile, 0 if it names none.
+func (d *Daemon) objective(name string) float64 {
+	p, _ := d.profile(name)
+	return p.Profile.Objective
+}
+
+// report counts a request that the pipeline has ended.
+func (d *Daemon) report(req pipeline.Request, _ profile.Versioned, out pipeline.Outcome, err error) {
+	total := d.opts.Clock.Now().Sub(req.Received)
+	d.slo.Observe(slo.Sample{
+		Profile: req.Profile, Organisation: req.Organisation,
+		Attained: err == nil && total <= req.Deadline.Sub(req.Received),
+		Err:      err, Total: total, FirstToken: out.FirstToken, Stages: out.Stages,
+	})
+}
+
+// reportRefused counts a request that was refused before the pipeline.
+func (d *Daemon) reportRefused(req pipeline.Request, err error) {
+	d.slo.Observe(slo.Sample{
+		Profile: req.Profile, Organisation: req.Organisation, Err: err,
+		Total: max(0, d.opts.Clock.Now().Sub(req.Received)),
+	})
+}
+
+// loadEvery is how often membership is told of this instance's room.
+const loadEvery = 500 * time.Millisecond
--- /dev/null
+++ b/internal/event/catalogue_daemon.go
@@ -0,0 +1,16 @@
+package event
+
+// Events of the daemon.
+const (
+	DaemonStarted  ID = 1001
+	DaemonStopping ID = 1002
+	DaemonStopped  ID = 1003
+	DaemonStopCut  ID = 1004
+)
+
+var _ = define(
+	Definition{DaemonStarted, Info, "daemon_started", "The instance has opened its listeners and serves."},
+	Definition{DaemonStopping, Info, "daemon_stopping", "A graceful stop has begun: no new callers are sent here, those with a kept address answer are still served."},
+	Definition{DaemonStopped, Info, "daemon_stopped", "The instance has stopped."},
+	Definition{DaemonStopCut, Error, "daemon_stop_cut", "The longest time for a graceful stop ran out with requests in flight; they were cut. Raise timings.stop_grace."},
+)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"net/http/httptrace"
 
@@ -22,6 +23,7 @@
 	"lynxhill.example/lynxhill/internal/peer/peerpb"
 	"lynxhill.example/lynxhill/internal/peer/peerpb/peerpbconnect"
 	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
 // Options configure a Client.
@@ -202,6 +204,22 @@
 	return record, found && err == nil, err
 }
 
+// Burn asks an instance for its own service-level report.
+func (c *Client) Burn(ctx context.Context, instance string, window time.Duration) (report lynxapi.BurnReport, err error) {
+	p, err := c.of(instance)
+	if err != nil {
+		return report, err
+	}
+	err = c.tracked(ctx, "burn", func(ctx context.Context) error {
+		out, err := p.Burn(ctx, &peerpb.BurnRequest{WindowMs: window.Milliseconds()})
+		if err != nil {
+			return err
+		}
+		return json.Unmarshal(out.GetReport(), &report)
+	})
+	return report, err
+}
+
 // Handover passes outcome records on to an instance, in calls of bounded size.
 func (c *Client) Handover(ctx context.Context, instance string, records []outcome.Exported) error {
 	p, err := c.of(instance)
--- a/internal/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/internal/peer/peerpb/peerpbconnect/peer.connect.go
@@ -47,6 +47,8 @@
 	PeerForwardProcedure = "/lynxhill.peer.v1.Peer/Forward"
 	// PeerHandoverProcedure is the fully-qualified name of the Peer's Handover RPC.
 	PeerHandoverProcedure = "/lynxhill.peer.v1.Peer/Handover"
+	// PeerBurnProcedure is the fully-qualified name of the Peer's Burn RPC.
+	PeerBurnProcedure = "/lynxhill.peer.v1.Peer/Burn"
 )
 
 // PeerClient is a client for the lynxhill.peer.v1.Peer service.
@@ -64,6 +66,8 @@
 	Forward(context.Context, *peerpb.ForwardRequest) (*connect.ServerStreamForClient[peerpb.ForwardEvent], error)
 	// Handover passes on outcomes of finished requests before the sender stops.
 	Handover(context.Context, *peerpb.HandoverRequest) (*peerpb.HandoverReply, error)
+	// Burn returns the receiver's own service-level report.
+	Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnReply, error)
 }
 
 // NewPeerClient constructs a client for the lynxhill.peer.v1.Peer service. By default, it uses the
@@ -113,6 +117,12 @@
 			connect.WithSchema(peerMethods.ByName("Handover")),
 			connect.WithClientOptions(opts...),
 		),
+		burn: connect.NewClient[peerpb.BurnRequest, peerpb.BurnReply](
+			httpClient,
+			baseURL+PeerBurnProcedure,
+			connect.WithSchema(peerMethods.ByName("Burn")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -124,6 +134,7 @@
 	outcome  *connect.Client[peerpb.OutcomeRequest, peerpb.OutcomeReply]
 	forward  *connect.Client[peerpb.ForwardRequest, peerpb.ForwardEvent]
 	handover *connect.Client[peerpb.HandoverRequest, peerpb.HandoverReply]
+	burn     *connect.Client[peerpb.BurnRequest, peerpb.BurnReply]
 }
 
 // Exchange calls lynxhill.peer.v1.Peer.Exchange.
@@ -176,6 +187,15 @@
 	return nil, err
 }
 
+// Burn calls lynxhill.peer.v1.Peer.Burn.
+func (c *peerClient) Burn(ctx context.Context, req *peerpb.BurnRequest) (*peerpb.BurnReply, error) {
+	response, err := c.burn.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerHandler is an implementation of the lynxhill.peer.v1.Peer service.
 type PeerHandler interface {
 	// Exchange passes digests in both directions: the heartbeat.
@@ -191,6 +211,8 @@
 	Forward(context.Context, *peerpb.ForwardRequest, *connect.ServerStream[peerpb.ForwardEvent]) error
 	// Handover passes on outcomes of finished requests before the sender stops.
 	Handover(context.Context, *peerpb.HandoverRequest) (*peerpb.HandoverReply, error)
+	// Burn returns the receiver's own service-level report.
+	Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnReply, error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -236,6 +258,12 @@
 		connect.WithSchema(peerMethods.ByName("Handover")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerBurnHandler := connect.NewUnaryHandlerSimple(
+		PeerBurnProcedure,
+		svc.Burn,
+		connect.WithSchema(peerMethods.ByName("Burn")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lynxhill.peer.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerExchangeProcedure:
@@ -250,6 +278,8 @@
 			peerForwardHandler.ServeHTTP(w, r)
 		case PeerHandoverProcedure:
 			peerHandoverHandler.ServeHTTP(w, r)
+		case PeerBurnProcedure:
+			peerBurnHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -282,3 +312,7 @@
 func (UnimplementedPeerHandler) Handover(context.Context, *peerpb.HandoverRequest) (*peerpb.HandoverReply, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.Handover is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.Burn is not implemented"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -16,6 +17,7 @@
 	"lynxhill.example/lynxhill/internal/peer/peerpb/peerpbconnect"
 	"lynxhill.example/lynxhill/internal/pipeline"
 	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
 // ServerOptions are what the calls of other instances lead to. A nil function
@@ -29,6 +31,7 @@
 	// Forward runs a request under a ticket of this instance.
 	Forward  func(ctx context.Context, from string, req pipeline.Request, sink pipeline.Sink) (pipeline.Outcome, error)
 	Handover func(ctx context.Context, from string, records []outcome.Exported)
+	Burn     func(window time.Duration) lynxapi.BurnReport
 	Logger   *event.Logger
 	Metrics  *metrics.Registry
 }
@@ -114,3 +117,17 @@
 	}
 	return &peerpb.HandoverReply{Kept: uint32(len(records))}, nil
 }
+
+// Burn serves this instance's service-level report.
+func (h *service) Burn(_ context.Context, in *peerpb.BurnRequest) (*peerpb.BurnReply, error) {
+	h.count("burn")
+	if h.o.Burn == nil {
+		return nil, connect.NewError(connect.CodeUnimplemented, nil)
+	}
+	report := h.o.Burn(time.Duration(in.GetWindowMs()) * time.Millisecond)
+	text, err := json.Marshal(report)
+	if err != nil {
+		return nil, toConnect(errkind.Wrap(err, errkind.Internal, "burn report: "))
+	}
+	return &peerpb.BurnReply{Report: text}, nil
+}
