Fault layer: one rule for ends during a cut; load reports count anew

Cause: breaking each rule by hand left two of them unnoticed: held bytes during a cut, and the reads of a frozen owner. Part of the code for the ends of connections did nothing that the hold of reads doesn't do already. A crashed target went on counting its load reports, which callers take as a sign that the process is the same. Change: the needless part is gone, tests of both rules are there, and a crash begins the count of reports anew.

--- a/internal/standin/netfault/conn.go
+++ b/internal/standin/netfault/conn.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// lostHold is how long the TCP connection under a closed one is kept when its
-// end can't be told to the peer, because the path between them is lost.
+// lostHold is how long the TCP connection under a closed one is kept to send
+// what was written to it and is held by a cut.
 const lostHold = time.Minute
 
 // conn is one end of a connection under the rules of the network.
@@ -189,43 +189,19 @@
 
 // Close implements net.Conn. What was written before is still sent.
 func (c *conn) Close() error {
-	c.shut(false)
-	return nil
-}
-
-// reset closes with a TCP reset, as for a dead process, unless the path to
-// the peer is lost: then the peer isn't told.
-func (c *conn) reset() {
-	if !c.pathLost() {
-		c.shut(true)
-		return
-	}
-	c.shut(false)
-}
-
-func (c *conn) pathLost() bool {
-	return c.silent.Load() || c.network.rules.Load().cutOff(c.owner, c.peer())
-}
-
-// shut closes the connection. Abruptly means with a reset, and at once.
-func (c *conn) shut(abrupt bool) {
-	first := false
 	c.closeOnce.Do(func() {
 		close(c.closed)
-		first = true
-	})
-	switch {
-	case abrupt:
-		_ = c.SetLinger(0)
-		c.closeTCP()
-	case !first:
-	case c.silent.Load():
-		time.AfterFunc(lostHold, c.closeTCP)
-		c.wakeReader()
-	default:
 		c.out.closeWhenSent()
 		c.wakeReader()
-	}
+	})
+	return nil
+}
+
+// reset closes at once with a TCP reset, as for a dead process.
+func (c *conn) reset() {
+	c.closeOnce.Do(func() { close(c.closed) })
+	_ = c.SetLinger(0)
+	c.closeTCP()
 }
 
 // wakeReader ends a Read that waits in the kernel for a connection whose TCP
--- a/internal/standin/netfault/netfault_test.go
+++ b/internal/standin/netfault/netfault_test.go
@@ -150,21 +150,28 @@
 	l.want(t, "after")
 }
 
-func TestOneWayCutStopsOnlyOneDirection(t *testing.T) {
-	n := network(t)
+// pair connects owners a and b.
+func pair(t *testing.T, n *Network) (a, b *line) {
+	t.Helper()
 	l, err := n.Listen("b", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	a := dial(t, n, "a", l.Addr().String())
+	a = dial(t, n, "a", l.Addr().String())
 	accepted, err := l.Accept()
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &line{Conn: accepted, r: bufio.NewReader(accepted)}
-	defer b.Close()
+	t.Cleanup(func() { accepted.Close() })
+	b = &line{Conn: accepted, r: bufio.NewReader(accepted)}
 	a.send(t, "hello")
 	b.want(t, "hello")
+	return a, b
+}
+
+func TestOneWayCutStopsOnlyOneDirection(t *testing.T) {
+	n := network(t)
+	a, b := pair(t, n)
 	n.Cut(Partition{A: []string{"b"}, B: []string{"a"}, OneWay: true})
 	a.send(t, "still")
 	b.want(t, "still")
@@ -174,30 +181,43 @@
 	a.want(t, "held")
 }
 
-// The peer hangs up during a cut: the other side may only learn of it when
-// the cut heals.
-func TestCloseDuringACutArrivesAfterIt(t *testing.T) {
-	n := network(t)
-	l, err := n.Listen("b", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := dial(t, n, "a", l.Addr().String())
-	b, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	a.send(t, "x")
-	_, _ = b.Read(make([]byte, 2))
-	cut := n.Cut(Partition{A: []string{"a"}, B: []string{"b"}})
-	_ = b.Close()
-	a.nothing(t)
-	n.Heal(cut)
-	if _, err := a.r.ReadByte(); !errors.Is(err, io.EOF) {
-		t.Fatalf("after the cut: %v", err)
+// The peer hangs up or dies during a cut: the other side may only learn of it
+// when the cut heals, neither by reading nor by writing.
+func TestEndDuringACutIsNoticedAfterIt(t *testing.T) {
+	for name, end := range map[string]func(*Network, *line){
+		"close": func(_ *Network, b *line) { _ = b.Close() },
+		"kill":  func(n *Network, _ *line) { n.Kill("b") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := network(t)
+			a, b := pair(t, n)
+			cut := n.Cut(Partition{A: []string{"a"}, B: []string{"b"}})
+			end(n, b)
+			for range 3 {
+				a.send(t, "unheard")
+				a.nothing(t)
+			}
+			n.Heal(cut)
+			if _, err := a.r.ReadByte(); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatalf("after the cut: %v", err)
+			}
+		})
 	}
 }
 
+func TestFrozenOwnerReadsNothing(t *testing.T) {
+	n := network(t)
+	a, b := pair(t, n)
+	n.Freeze("b")
+	a.send(t, "one")
+	b.nothing(t)
+	a.send(t, "two")
+	b.nothing(t)
+	n.Thaw("b")
+	b.want(t, "one")
+	b.want(t, "two")
+}
+
 func TestRefusingCutResets(t *testing.T) {
 	n := network(t)
 	addr := echo(t, n, "b")
--- a/internal/standin/netfault/network.go
+++ b/internal/standin/netfault/network.go
@@ -166,7 +166,7 @@
 		_ = l.Close()
 	}
 	for _, c := range n.pick(func(*conn) bool { return true }) {
-		c.shut(true)
+		c.reset()
 	}
 }
 
@@ -181,7 +181,7 @@
 func (n *Network) resetRefused() {
 	now := n.rules.Load()
 	for _, c := range n.pick(func(c *conn) bool { return now.refused(c.owner, c.peer()) }) {
-		c.shut(true)
+		c.reset()
 	}
 }
 
--- a/internal/standin/netfault/queue.go
+++ b/internal/standin/netfault/queue.go
@@ -211,8 +211,7 @@
 	q.signal()
 }
 
-// closeWhenSent closes the TCP connection once nothing is held any more and
-// the path is free, so that the peer learns of the end only then.
+// closeWhenSent closes the TCP connection once nothing is held any more.
 func (q *outQueue) closeWhenSent() {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -228,8 +227,7 @@
 // closeIfDone closes the TCP connection if that is all that is left to do.
 // The caller holds mu.
 func (q *outQueue) closeIfDone() bool {
-	cutOff := q.conn.network.rules.Load().cutOff(q.conn.owner, q.conn.peer())
-	if !q.closing || len(q.packets) > 0 || q.pumping || cutOff {
+	if !q.closing || len(q.packets) > 0 || q.pumping {
 		return false
 	}
 	q.conn.closeTCP()
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -146,6 +146,7 @@
 func TestCrashAndRestartOnTheSameAddress(t *testing.T) {
 	s := start(t, Options{ID: "s1", Median: time.Hour, Spread: 0.01})
 	address := s.Addr()
+	before := s.LoadReport().Seq
 	broken := make(chan error)
 	go func() {
 		_, _, err := run(t.Context(), s, request("a1", KindService))
@@ -164,6 +165,9 @@
 	if err := s.Restart(); err != nil || s.Addr() != address {
 		t.Fatalf("restart: %v, %s", err, s.Addr())
 	}
+	if seq := s.LoadReport().Seq; seq != before {
+		t.Fatalf("a new process counts its load reports from %d", seq)
+	}
 	if status, _, err := run(t.Context(), s, request("a3", KindEncode)); err != nil || status != http.StatusBadRequest {
 		t.Fatalf("after the restart: %d %v", status, err)
 	}
--- a/internal/standin/targetbase/load.go
+++ b/internal/standin/targetbase/load.go
@@ -59,6 +59,16 @@
 	h.samples = slices.Delete(h.samples, 0, first)
 }
 
+// restart forgets all but the leaving state, as a new process counts its
+// reports anew.
+func (h *loadHistory) restart() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seq, h.meanMS = 0, 0
+	leaving := h.samples[len(h.samples)-1].leaving
+	h.samples = []loadSample{{at: time.Now(), leaving: leaving}}
+}
+
 func (h *loadHistory) served(d time.Duration) {
 	ms := float64(d) / float64(time.Millisecond)
 	h.mu.Lock()
--- a/internal/standin/targetbase/switches.go
+++ b/internal/standin/targetbase/switches.go
@@ -46,6 +46,7 @@
 // is not.
 func (t *Target) Crash() {
 	t.http.Crash()
+	t.load.restart()
 	t.runner.Lost()
 }
 
