The whole path runs: lynxbench demo

Cause: a newcomer needs one command that shows the main job. Change: internal/bench starts both deployments of stand-ins with real instances, declares the example profiles through the admin API and sends requests of both users through address answer and caller API; answers are checked for being whole, own and single.

--- /dev/null
+++ b/cmd/lynxbench/main.go
@@ -0,0 +1,32 @@
+// Command lynxbench runs lynxhill against stand-ins on loopback: a demo, load,
+// and experiments with faults. It is a tool of the project and is not shipped.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+)
+
+// cli is the command line.
+type cli struct {
+	Demo demoCmd `cmd:"" help:"Run both deployments, send requests of both, check every answer. Ends by itself."`
+}
+
+func main() {
+	var args cli
+	parser := kong.Must(&args,
+		kong.Name("lynxbench"),
+		kong.Description("Runs lynxhill against stand-ins on loopback."),
+		kong.UsageOnError(),
+	)
+	command, err := parser.Parse(os.Args[1:])
+	parser.FatalIfErrorf(err)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	command.BindTo(ctx, (*context.Context)(nil))
+	command.FatalIfErrorf(command.Run())
+}
--- /dev/null
+++ b/internal/bench/cluster.go
@@ -0,0 +1,327 @@
+// Package bench runs real instances against stand-ins in one process, on
+// loopback: deployments, instances that are killed, stopped, frozen and
+// replaced, open-loop load with checked answers, timed faults, comparisons.
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"lynxhill.example/lynxhill/examples/profiles"
+	"lynxhill.example/lynxhill/internal/auth"
+	"lynxhill.example/lynxhill/internal/client"
+	"lynxhill.example/lynxhill/internal/config"
+	"lynxhill.example/lynxhill/internal/daemon"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/invariant"
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/routing"
+	"lynxhill.example/lynxhill/internal/standin/fleet"
+	"lynxhill.example/lynxhill/internal/standin/netfault"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+// ClusterOptions describe a deployment with its instances.
+type ClusterOptions struct {
+	Fleet     fleet.Options
+	Instances int
+	Policy    routing.Policy
+	// Adjust changes the settings of every instance, for comparisons.
+	Adjust func(*config.Config)
+	Log    io.Writer // nil discards the instances' logs
+	Seed   uint64
+}
+
+// Cluster is a running deployment with its instances.
+type Cluster struct {
+	Fleet      *fleet.Deployment
+	Network    *netfault.Network
+	Violations *invariant.Collector
+
+	opts     ClusterOptions
+	operator string            // token
+	callers  map[string]string // tokens by organisation
+	tokens   auth.Tokens
+
+	mu    sync.Mutex // guards nodes
+	nodes []*Node
+}
+
+// Node is one instance of a cluster.
+type Node struct {
+	ID     string
+	Place  string
+	Daemon *daemon.Daemon
+
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// StartCluster starts the stand-ins and the instances, spread over the places.
+func StartCluster(opts ClusterOptions) (*Cluster, error) {
+	network := netfault.New()
+	opts.Fleet.Network = network
+	opts.Fleet.Seed = opts.Seed
+	deployment, err := fleet.New(opts.Fleet)
+	if err != nil {
+		network.Close()
+		return nil, err
+	}
+	network.SetLatencyBetween(latencyOf(opts.Fleet.Name))
+	c := &Cluster{
+		Fleet: deployment, Network: network, Violations: &invariant.Collector{},
+		opts: opts, callers: make(map[string]string),
+	}
+	c.makeTokens()
+	for i := range opts.Instances {
+		if _, err := c.StartNode(i); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+func latencyOf(deployment string) time.Duration {
+	if deployment == fleet.Kilimanjaro {
+		return fleet.LatencyKilimanjaro
+	}
+	return fleet.LatencyMediaPlace
+}
+
+func (c *Cluster) makeTokens() {
+	token, hash := auth.NewToken()
+	c.operator = token
+	c.tokens.Operator = []auth.OperatorToken{{Hash: hash, Name: "bench", Role: auth.RoleOperator}}
+	for _, organisation := range fleet.Organisations(c.Fleet.Name) {
+		token, hash := auth.NewToken()
+		c.callers[organisation] = token
+		c.tokens.Caller = append(c.tokens.Caller, auth.CallerToken{Hash: hash, Organisation: organisation})
+	}
+}
+
+// NodeID is the id of the i-th instance.
+func (c *Cluster) NodeID(i int) string {
+	return fmt.Sprintf("%s-entry-%d", c.Fleet.Name, i+1)
+}
+
+func (c *Cluster) placeOf(i int) string { return c.Fleet.Places[i%len(c.Fleet.Places)] }
+
+// settings are those of the i-th instance: shorter times than the defaults, as
+// an experiment lasts seconds.
+func (c *Cluster) settings(i int) config.Config {
+	cfg := config.Default()
+	cfg.Instance = config.Instance{ID: c.NodeID(i), Place: c.placeOf(i), Region: c.Fleet.Region}
+	cfg.Listen = config.Listen{Caller: "127.0.0.1:0", Admin: "127.0.0.1:0", Peer: "127.0.0.1:0"}
+	cfg.Platform.Endpoints = []string{"http://" + c.Fleet.Platform.Addr()}
+	cfg.Tokens.Caller = c.tokens.Caller
+	cfg.Tokens.Operator = c.tokens.Operator
+	cfg.Timings.Keep = config.Of(benchKeep)
+	if c.opts.Adjust != nil {
+		c.opts.Adjust(&cfg)
+	}
+	return cfg
+}
+
+// benchKeep is how long callers keep an address answer on the bench.
+const benchKeep = 2 * time.Second
+
+// StartNode starts the i-th instance, or starts it again.
+func (c *Cluster) StartNode(i int) (*Node, error) {
+	cfg := c.settings(i)
+	id := cfg.Instance.ID
+	c.Network.Revive(id)
+	c.Network.SetPlace(id, cfg.Instance.Place)
+	d, err := daemon.New(cfg, daemon.Options{
+		Dial:       c.Network.Dialer(id),
+		Listen:     listenAs(c.Network, id),
+		Seed:       c.opts.Seed*1000 + uint64(i) + 1,
+		Logger:     c.logger(),
+		Violations: c.Violations,
+		Policy:     c.opts.Policy,
+	})
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	node := &Node{ID: id, Place: cfg.Instance.Place, Daemon: d, stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(node.done)
+		_ = d.Run(ctx) // its errors are in the log
+	}()
+	c.put(i, node)
+	return node, nil
+}
+
+func listenAs(network *netfault.Network, id string) daemon.ListenFunc {
+	return func(addr string) (net.Listener, error) { return network.Listen(id, addr) }
+}
+
+func (c *Cluster) logger() *event.Logger {
+	if c.opts.Log == nil {
+		return nil
+	}
+	return event.NewLogger(log.With(log.NewLogfmtLogger(log.NewSyncWriter(c.opts.Log)), "ts", log.DefaultTimestampUTC))
+}
+
+func (c *Cluster) put(i int, node *Node) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.nodes) <= i {
+		c.nodes = append(c.nodes, nil)
+	}
+	c.nodes[i] = node
+}
+
+// Node returns the i-th instance, nil if it isn't running.
+func (c *Cluster) Node(i int) *Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i >= len(c.nodes) {
+		return nil
+	}
+	return c.nodes[i]
+}
+
+// Nodes returns the running instances.
+func (c *Cluster) Nodes() []*Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var running []*Node
+	for _, n := range c.nodes {
+		if n != nil {
+			running = append(running, n)
+		}
+	}
+	return running
+}
+
+func (c *Cluster) take(i int) *Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if i >= len(c.nodes) {
+		return nil
+	}
+	node := c.nodes[i]
+	c.nodes[i] = nil
+	return node
+}
+
+// StopNode stops the i-th instance gracefully and waits for it.
+func (c *Cluster) StopNode(i int) {
+	if node := c.take(i); node != nil {
+		node.stop()
+		<-node.done
+	}
+}
+
+// KillNode ends the i-th instance as the death of its process would: every
+// connection is reset, nothing is announced.
+func (c *Cluster) KillNode(i int) {
+	if node := c.take(i); node != nil {
+		c.Network.Kill(node.ID)
+		node.Daemon.Kill()
+		<-node.done
+	}
+}
+
+// Close ends everything.
+func (c *Cluster) Close() {
+	var ending sync.WaitGroup
+	for i := range c.opts.Instances {
+		ending.Go(func() { c.KillNode(i) })
+	}
+	ending.Wait()
+	c.Fleet.Close()
+	c.Network.Close()
+}
+
+// callerAddrs are the caller addresses of the running instances.
+func (c *Cluster) callerAddrs() []string {
+	var addrs []string
+	for _, n := range c.Nodes() {
+		addrs = append(addrs, n.Daemon.CallerAddr())
+	}
+	return addrs
+}
+
+// Caller returns a client of an organisation.
+func (c *Cluster) Caller(organisation, place string) *client.Caller {
+	return client.NewCaller(client.CallerOptions{
+		Servers: c.callerAddrs(), Token: c.callers[organisation], Place: place, Region: c.Fleet.Region,
+	})
+}
+
+// Admin returns a client of the admin API.
+func (c *Cluster) Admin() *client.Admin {
+	var addrs []string
+	for _, n := range c.Nodes() {
+		addrs = append(addrs, n.Daemon.AdminAddr())
+	}
+	return client.NewAdmin(client.AdminOptions{Servers: addrs, Token: c.operator})
+}
+
+// OperatorToken is the token of the bench's operator.
+func (c *Cluster) OperatorToken() string { return c.operator }
+
+// CallerToken is the token of an organisation.
+func (c *Cluster) CallerToken(organisation string) string { return c.callers[organisation] }
+
+// AwaitReady waits until every instance takes requests and sees all others.
+func (c *Cluster) AwaitReady(ctx context.Context) error {
+	for _, n := range c.Nodes() {
+		for !c.ready(n) {
+			if err := sleep(ctx, readyPoll); err != nil {
+				return fmt.Errorf("instance %s is not ready: %w", n.ID, err)
+			}
+		}
+	}
+	return nil
+}
+
+const readyPoll = 20 * time.Millisecond
+
+func (c *Cluster) ready(n *Node) bool {
+	b := n.Daemon.Board()
+	return n.Daemon.Ready() == nil && len(b.LiveMembers(n.ID)) >= len(c.Nodes()) && b.Targets.Len() >= len(c.Fleet.Members())
+}
+
+// DeclareProfiles declares the deployment's example profiles through the admin
+// API and waits until they are in force everywhere.
+func (c *Cluster) DeclareProfiles(ctx context.Context) ([]profile.Profile, error) {
+	list, err := profiles.Load(c.Fleet.Name)
+	if err != nil {
+		return nil, err
+	}
+	admin := c.Admin()
+	for _, p := range list {
+		reply, err := admin.SetProfile(ctx, lynxapi.ChangeRequest{Profile: p, ChangeID: client.NewKey(), WaitMS: acceptWait.Milliseconds()})
+		if err != nil {
+			return nil, fmt.Errorf("profile %s: %w", p.Name, err)
+		}
+		if reply.State != lynxapi.ChangeAccepted {
+			return nil, fmt.Errorf("profile %s: %s, missing at %v", p.Name, reply.State, reply.Force.Missing)
+		}
+	}
+	return list, nil
+}
+
+// acceptWait is how long a change may take to be accepted.
+const acceptWait = 10 * time.Second
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
