--- a/internal/standin/netfault/dial.go
+++ b/internal/standin/netfault/dial.go
@@ -25,10 +25,8 @@
 	return l, nil
 }
 
-// DialFunc has the shape of http.Transport.DialContext.
-type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
-
-// Dialer returns the dial function of an owner.
+// Dialer returns the dial function of an owner, in the shape that
+// http.Transport.DialContext has.
 func (n *Network) Dialer(owner string) func(ctx context.Context, network, addr string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		peer := n.ownerOfAddress(addr)
--- a/internal/standin/platform/handlers.go
+++ b/internal/standin/platform/handlers.go
@@ -112,9 +112,9 @@
 		writeValueError(w, err)
 		return
 	}
-	object, ok := s.store.put(key, value, cond)
-	if !ok {
-		writeConflict(w, object)
+	object, err := s.store.put(key, value, cond)
+	if err != nil {
+		writeRefusal(w, err, object)
 		return
 	}
 	object.Value = nil
@@ -127,15 +127,12 @@
 		writeError(w, http.StatusBadRequest, codeBadRequest, "if_version unusable", nil)
 		return
 	}
-	object, found, ok := s.store.remove(r.PathValue("key"), cond)
-	switch {
-	case !found:
-		writeError(w, http.StatusNotFound, platformapi.CodeNotFound, "no such object", nil)
-	case !ok:
-		writeConflict(w, object)
-	default:
-		s.replyToWrite(w, object)
+	object, err := s.store.remove(r.PathValue("key"), cond)
+	if err != nil {
+		writeRefusal(w, err, object)
+		return
 	}
+	s.replyToWrite(w, object)
 }
 
 // replyToWrite answers a write that took effect, or loses the answer.
@@ -243,12 +240,19 @@
 	writeError(w, http.StatusBadRequest, codeBadRequest, "body unusable", nil)
 }
 
-func writeConflict(w http.ResponseWriter, current platformapi.Object) {
-	if current.Version == 0 {
-		writeError(w, http.StatusConflict, platformapi.CodeConflict, "no such object", nil)
-		return
+// writeRefusal answers a write that the store refused. The object is the
+// current one on conflict, with version 0 if there is none.
+func writeRefusal(w http.ResponseWriter, err error, object platformapi.Object) {
+	switch {
+	case errors.Is(err, errNoObject):
+		writeError(w, http.StatusNotFound, platformapi.CodeNotFound, err.Error(), nil)
+	case errors.Is(err, errFull):
+		writeError(w, http.StatusRequestEntityTooLarge, platformapi.CodeTooLarge, err.Error(), nil)
+	case object.Version == 0:
+		writeError(w, http.StatusConflict, platformapi.CodeConflict, errNoObject.Error(), nil)
+	default:
+		writeError(w, http.StatusConflict, platformapi.CodeConflict, err.Error(), &object)
 	}
-	writeError(w, http.StatusConflict, platformapi.CodeConflict, "another version is current", &current)
 }
 
 func writeError(w http.ResponseWriter, status int, code, message string, current *platformapi.Object) {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -15,7 +15,8 @@
 
 // Defaults of Options.
 const (
-	DefaultMaxValue    = 1 << 20 // bytes
+	DefaultMaxValue    = 1 << 20   // bytes
+	DefaultMaxStore    = 512 << 20 // bytes
 	DefaultHistory     = 4096
 	DefaultInstanceTTL = 30 * time.Second
 )
@@ -30,6 +31,8 @@
 	Limits      Limits
 	// MaxValue is the largest value of an object in bytes.
 	MaxValue int
+	// MaxStore bounds all keys and values together, in bytes.
+	MaxStore int
 	// History is how many changes are kept for watches.
 	History int
 	// Listen opens the listener; nil listens on TCP.
@@ -43,6 +46,9 @@
 	if o.MaxValue <= 0 {
 		o.MaxValue = DefaultMaxValue
 	}
+	if o.MaxStore <= 0 {
+		o.MaxStore = DefaultMaxStore
+	}
 	if o.History <= 0 {
 		o.History = DefaultHistory
 	}
@@ -63,7 +69,7 @@
 	opts.setDefaults()
 	s := &Server{
 		opts:      opts,
-		store:     newObjectStore(opts.History),
+		store:     newObjectStore(opts.History, opts.MaxStore),
 		instances: newInstanceTable(opts.InstanceLag, opts.InstanceTTL, time.Now),
 		faults:    newFaults(opts.Seed, opts.Limits),
 	}
@@ -121,7 +127,8 @@
 // List reads the objects with a prefix directly, past faults and counters.
 func (s *Server) List(prefix string) []platformapi.Object { return s.store.list(prefix).Objects }
 
-// Put writes an object directly and unconditionally, past faults and counters.
+// Put writes an object directly and unconditionally, past faults and
+// counters. Version 0 says that the store was full.
 func (s *Server) Put(key string, value []byte) platformapi.Object {
 	object, _ := s.store.put(key, value, condition{})
 	return object
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -85,6 +85,7 @@
 	list := <-answer
 	want(t, "objects", len(list.Objects), 1)
 	want(t, "key", list.Objects[0].Key, "a/2")
+	want(t, "value", string(list.Objects[0].Value), "y")
 	for range 10 {
 		s.Put("a/3", nil)
 	}
@@ -139,3 +140,19 @@
 		want(t, "expired", len(table.list().Instances), 1)
 	})
 }
+
+func TestStoreIsBounded(t *testing.T) {
+	s := newObjectStore(4, 10)
+	put := func(key, value string) error {
+		_, err := s.put(key, []byte(value), condition{})
+		return err
+	}
+	want(t, "fits", put("k", "12345"), nil)
+	want(t, "replaced", put("k", "123456789"), nil)
+	want(t, "full", put("k", "1234567890"), errFull)
+	want(t, "another", put("l", ""), errFull)
+	if _, err := s.remove("k", condition{}); err != nil {
+		t.Fatal(err)
+	}
+	want(t, "room again", put("l", "123456789"), nil)
+}
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"errors"
 	"slices"
 	"strings"
 	"sync"
@@ -11,20 +12,23 @@
 // objectStore holds the objects, one version counter for all of them, and a
 // bounded log of changes for watches.
 type objectStore struct {
-	history int // changes kept for watches
+	history  int // changes kept for watches
+	maxBytes int // of all keys and values
 
 	mu      sync.Mutex // guards the fields below
 	version uint64
+	bytes   int
 	objects map[string]platformapi.Object
-	log     []platformapi.Object // newest last, versions rising
+	log     []platformapi.Object // without values; newest last, versions rising
 	changed chan struct{}        // closed at the next change
 }
 
-func newObjectStore(history int) *objectStore {
+func newObjectStore(history, maxBytes int) *objectStore {
 	return &objectStore{
-		history: history,
-		objects: make(map[string]platformapi.Object),
-		changed: make(chan struct{}),
+		history:  history,
+		maxBytes: maxBytes,
+		objects:  make(map[string]platformapi.Object),
+		changed:  make(chan struct{}),
 	}
 }
 
@@ -59,43 +63,60 @@
 	return !c.set || c.version == current.Version
 }
 
+// Reasons for which a write is refused.
+var (
+	errConflict = errors.New("another version is current")
+	errNoObject = errors.New("no such object")
+	errFull     = errors.New("the store is full")
+)
+
 // put writes the value if the condition holds. The object returned is the new
 // one, or the current one (version 0 if there is none) on conflict.
-func (s *objectStore) put(key string, value []byte, cond condition) (platformapi.Object, bool) {
+func (s *objectStore) put(key string, value []byte, cond condition) (platformapi.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	current := s.objects[key]
+	current, found := s.objects[key]
 	if !cond.holds(current) {
-		return current, false
+		return current, errConflict
+	}
+	grown := s.bytes + len(value) - len(current.Value)
+	if !found {
+		grown += len(key)
 	}
+	if grown > s.maxBytes {
+		return platformapi.Object{}, errFull
+	}
+	s.bytes = grown
 	s.version++
 	object := platformapi.Object{Key: key, Version: s.version, Value: slices.Clone(value)}
 	s.objects[key] = object
 	s.note(object)
-	return object, true
+	return object, nil
 }
 
-// remove deletes the object if the condition holds. found is false if there
-// is no such object.
-func (s *objectStore) remove(key string, cond condition) (object platformapi.Object, found, ok bool) {
+// remove deletes the object if the condition holds. On conflict the object
+// returned is the current one.
+func (s *objectStore) remove(key string, cond condition) (platformapi.Object, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, found := s.objects[key]
 	if !found {
-		return platformapi.Object{}, false, false
+		return platformapi.Object{}, errNoObject
 	}
 	if !cond.holds(current) {
-		return current, true, false
+		return current, errConflict
 	}
+	s.bytes -= len(key) + len(current.Value)
 	s.version++
 	delete(s.objects, key)
 	gone := platformapi.Object{Key: key, Version: s.version, Deleted: true}
 	s.note(gone)
-	return gone, true, true
+	return gone, nil
 }
 
 // note appends to the log and wakes the watches. The caller holds mu.
 func (s *objectStore) note(change platformapi.Object) {
+	change.Value = nil
 	s.log = append(s.log, change)
 	if len(s.log) > 2*s.history {
 		s.log = slices.Clone(s.log[len(s.log)-s.history:])
@@ -120,13 +141,21 @@
 		change := kept[i]
 		if strings.HasPrefix(change.Key, prefix) && !seen[change.Key] {
 			seen[change.Key] = true
-			list.Objects = append(list.Objects, change)
+			list.Objects = append(list.Objects, s.newest(change))
 		}
 	}
 	sortByKey(list.Objects)
 	return list, s.changed
 }
 
+// newest adds the value to the last change of an object. The caller holds mu.
+func (s *objectStore) newest(change platformapi.Object) platformapi.Object {
+	if change.Deleted {
+		return change
+	}
+	return s.objects[change.Key]
+}
+
 // tooFarBack tells whether changes after the version have left the log. A
 // version from the future, as of another store, can't be watched from either.
 func (s *objectStore) tooFarBack(kept []platformapi.Object, after uint64) bool {
