Caller edge under silent, slow and vanished callers; go-zero's hazards shown

Cause: each NewServer of go-zero's rest adds to lists of the whole process (proc.AddShutdownListener), which stay when the server is gone; under synctest that ends the process (WaitGroup.Add inside and outside a bubble). Change: rest's router and chain are used directly; DisarmGoZero keeps package proc from repeating SIGTERM after 5.5 s. Tests in virtual time over connections without buffers, HTTP/1.1 and HTTP/2. That net/http waits for an unread body is shown by a test.

--- a/cmd/lynxhilld/run.go
+++ b/cmd/lynxhilld/run.go
@@ -11,6 +11,7 @@
 
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/httpserver"
 )
 
 // runCmd runs an instance.
@@ -30,7 +31,9 @@
 	if err != nil {
 		return err
 	}
-	instance, err := newDaemon(cfg, newLogger(cfg.Log, os.Stderr))
+	logger := newLogger(cfg.Log, os.Stderr)
+	httpserver.BridgeLogs(logger)
+	instance, err := newDaemon(cfg, logger)
 	if err != nil {
 		return err
 	}
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -9,8 +9,6 @@
 	"errors"
 	"net/http"
 
-	"github.com/zeromicro/go-zero/rest"
-
 	"lynxhill.example/lynxhill/internal/auth"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/httpserver"
@@ -97,8 +95,8 @@
 	return m
 }
 
-func (a *api) routes() []rest.Route {
-	routes := []rest.Route{
+func (a *api) routes() []httpserver.Route {
+	routes := []httpserver.Route{
 		a.get("profiles", lynxapi.PathProfiles, a.profiles),
 		a.get("profile", lynxapi.PathProfile, a.profile),
 		a.change("set_profile", http.MethodPut, lynxapi.PathProfile, a.setProfile),
--- a/internal/adminapi/call.go
+++ b/internal/adminapi/call.go
@@ -4,8 +4,6 @@
 	"context"
 	"net/http"
 
-	"github.com/zeromicro/go-zero/rest"
-
 	"lynxhill.example/lynxhill/internal/auth"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
@@ -29,14 +27,14 @@
 type operation func(c *call) (any, error)
 
 // get returns the route of an operation that viewers may use.
-func (a *api) get(name, path string, do operation) rest.Route {
-	return rest.Route{Method: http.MethodGet, Path: path, Handler: a.handler(name, auth.RoleViewer, do)}
+func (a *api) get(name, path string, do operation) httpserver.Route {
+	return httpserver.Route{Method: http.MethodGet, Path: path, Handler: a.handler(name, auth.RoleViewer, do)}
 }
 
 // change returns the route of an operation that only operators may use and
 // that is written to the audit log.
-func (a *api) change(name, method, path string, do operation) rest.Route {
-	return rest.Route{Method: method, Path: path, Handler: a.handler(name, auth.RoleOperator, do)}
+func (a *api) change(name, method, path string, do operation) httpserver.Route {
+	return httpserver.Route{Method: method, Path: path, Handler: a.handler(name, auth.RoleOperator, do)}
 }
 
 func (a *api) handler(name string, role auth.Role, do operation) http.HandlerFunc {
--- a/internal/adminapi/pprof.go
+++ b/internal/adminapi/pprof.go
@@ -4,14 +4,13 @@
 	"net/http"
 	"net/http/pprof"
 
-	"github.com/zeromicro/go-zero/rest"
-
 	"lynxhill.example/lynxhill/internal/auth"
+	"lynxhill.example/lynxhill/internal/httpserver"
 )
 
 // pprofRoutes returns the routes of the process's profiles. They are for
 // operators only: profiles show what is in memory.
-func (a *api) pprofRoutes() []rest.Route {
+func (a *api) pprofRoutes() []httpserver.Route {
 	const root = "/debug/pprof"
 	handlers := map[string]http.HandlerFunc{
 		root:              pprof.Index,
@@ -23,9 +22,9 @@
 	for _, name := range []string{"allocs", "block", "goroutine", "heap", "mutex", "threadcreate"} {
 		handlers[root+"/"+name] = pprof.Handler(name).ServeHTTP
 	}
-	routes := make([]rest.Route, 0, len(handlers))
+	routes := make([]httpserver.Route, 0, len(handlers))
 	for path, h := range handlers {
-		routes = append(routes, rest.Route{Method: http.MethodGet, Path: path, Handler: a.forOperators("pprof", h)})
+		routes = append(routes, httpserver.Route{Method: http.MethodGet, Path: path, Handler: a.forOperators("pprof", h)})
 	}
 	return routes
 }
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/coder/quartz"
-	"github.com/zeromicro/go-zero/rest"
-
 	"lynxhill.example/lynxhill/internal/auth"
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/errkind"
@@ -131,8 +129,8 @@
 	})
 }
 
-func (a *api) routes() []rest.Route {
-	return []rest.Route{
+func (a *api) routes() []httpserver.Route {
+	return []httpserver.Route{
 		{Method: http.MethodGet, Path: lynxapi.PathAddress, Handler: a.address},
 		{Method: http.MethodPost, Path: lynxapi.PathRequests, Handler: a.send},
 		{Method: http.MethodGet, Path: lynxapi.PathOutcome, Handler: a.outcome},
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -22,24 +22,20 @@
 	DefaultWriteTimeout = 10 * time.Second
 )
 
-// deadlines sets the read deadline of a request with a body and clears the
-// write deadline that an earlier request left on the connection.
+// bodyDeadline bounds the time that a request's body may take to arrive.
 //
 // A handler that answers without reading the body, such as one that refuses
-// the token, would otherwise hang: net/http first reads the rest of the body,
-// and a client that never sends it would hold the connection for good. And a
-// write deadline outlives its request on a kept connection: the next request
-// would run and its answer could not be written.
-func deadlines(bodyTimeout time.Duration) Middleware {
-	if bodyTimeout <= 0 {
-		bodyTimeout = DefaultBodyTimeout
+// the token, would otherwise hang: net/http first reads the rest of a small
+// body, and a client that never sends it would hold the connection for good.
+// net/http lifts the deadline itself once the body has been read.
+func bodyDeadline(timeout time.Duration) Middleware {
+	if timeout <= 0 {
+		timeout = DefaultBodyTimeout
 	}
 	return func(next http.Handler) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			control := http.NewResponseController(w)
-			_ = control.SetWriteDeadline(time.Time{}) // fails only where there is no connection
-			if r.ContentLength != 0 {
-				_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+			if r.ContentLength != 0 { // -1: of unknown length
+				_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(timeout))
 			}
 			next.ServeHTTP(w, r)
 		})
@@ -47,8 +43,7 @@
 }
 
 // ReadBody reads the whole body, at most limit bytes. Errors are of kind
-// TooLarge or BadRequest. The time for it is set by the router. Afterwards the
-// read deadline is gone, so that the request may run for longer.
+// TooLarge or BadRequest. The time for it is bounded by the router.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
 		return nil, tooLarge(limit)
@@ -57,9 +52,6 @@
 	if err != nil {
 		return nil, bodyError(err, limit)
 	}
-	// With the deadline left in place net/http would take it for a caller
-	// that went away and cancel the request while it runs.
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, nil
 }
 
--- a/internal/httpserver/gozero.go
+++ b/internal/httpserver/gozero.go
@@ -9,26 +9,24 @@
 
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/core/proc"
-	"github.com/zeromicro/go-zero/core/stat"
 
 	"lynxhill.example/lynxhill/internal/event"
 )
 
 // DisarmGoZero takes away what go-zero does to a process that merely imports
-// it. Package proc listens to signals from its init on: 5.5 s after the first
-// SIGTERM or SIGINT it sends the process the same signal again, which kills it
-// with requests in flight, and on SIGUSR1 and SIGUSR2 it writes files. Package
-// stat logs every minute. Call it first in main.
+// it. Its package proc listens to signals from its init on: 5.5 s after the
+// first SIGTERM or SIGINT it sends the process the same signal again, which
+// ends it with requests in flight, and on SIGUSR1 and SIGUSR2 it writes files.
+// Call it first in main.
 func DisarmGoZero() {
 	proc.SetTimeToForceQuit(time.Duration(math.MaxInt64)) // the time never comes
 	signal.Ignore(syscall.SIGUSR1, syscall.SIGUSR2)
-	stat.DisableLog()
 	logx.DisableStat()
 }
 
-// bridgeLogs sends what go-zero logs to the logger. The destination is global
-// to the process; with several daemons in one process the last one gets it.
-func bridgeLogs(logger *event.Logger) {
+// BridgeLogs sends what go-zero logs to the logger. The destination is global
+// to the process, so this is for main, not for an instance.
+func BridgeLogs(logger *event.Logger) {
 	logx.SetWriter(logBridge{logger: logger})
 }
 
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -1,84 +1,255 @@
 package httpserver
 
 import (
+	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
-	"github.com/zeromicro/go-zero/rest"
+	"lynxhill.example/lynxhill/internal/memnet"
 )
 
-// serve starts a server with the routes on a loopback port.
-func serve(t *testing.T, opts RouterOptions) (*Server, string) {
+// bench is a server on a listener in memory with a client of its own.
+type bench struct {
+	t        *testing.T
+	listener *memnet.Listener
+	server   *Server
+	client   *http.Client
+}
+
+// newBench starts a server with the routes; http2 makes the client speak
+// HTTP/2 in clear text.
+func newBench(t *testing.T, opts RouterOptions, http2 bool) *bench {
 	t.Helper()
 	handler, err := NewRouter(opts)
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := New(Options{Name: "test", Listener: listener, Handler: handler})
-	go func() { _ = server.Serve() }()
-	t.Cleanup(server.Kill)
-	return server, "http://" + listener.Addr().String()
+	b := &bench{t: t, listener: memnet.Listen()}
+	b.server = New(Options{Name: "test", Listener: b.listener, Handler: handler})
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(!http2)
+	protocols.SetUnencryptedHTTP2(http2)
+	transport := &http.Transport{DialContext: b.listener.Dial, Protocols: protocols}
+	b.client = &http.Client{Transport: transport}
+	go func() { _ = b.server.Serve() }()
+	return b
 }
 
-func route(path string, h http.HandlerFunc) []rest.Route {
-	return []rest.Route{{Method: http.MethodGet, Path: path, Handler: h}, {Method: http.MethodPost, Path: path, Handler: h}}
+func (b *bench) close() {
+	b.server.Kill()
+	b.client.CloseIdleConnections()
 }
 
-func get(t *testing.T, url string) (status int, body string) {
-	t.Helper()
-	resp, err := http.Get(url)
+func (b *bench) get(path string) (status int, body string) {
+	resp, err := b.client.Get("http://instance" + path)
 	if err != nil {
-		t.Fatal(err)
+		return 0, err.Error()
 	}
 	defer resp.Body.Close()
 	raw, err := io.ReadAll(resp.Body)
 	if err != nil {
-		t.Fatal(err)
+		return 0, err.Error()
 	}
 	return resp.StatusCode, string(raw)
 }
 
+func route(h http.HandlerFunc) RouterOptions {
+	return RouterOptions{Routes: []Route{
+		{Method: http.MethodGet, Path: "/x", Handler: h},
+		{Method: http.MethodPost, Path: "/x", Handler: h},
+	}}
+}
+
+// bothProtocols runs a test in virtual time over HTTP/1.1 and HTTP/2.
+func bothProtocols(t *testing.T, test func(t *testing.T, http2 bool)) {
+	for _, http2 := range []bool{false, true} {
+		t.Run(fmt.Sprintf("http2=%t", http2), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { test(t, http2) })
+		})
+	}
+}
+
 // Symptom: a planned stop cuts answers. Events: a request is running when the
-// stop begins. Cause: a server that closes its connections instead of waiting.
+// stop begins. Cause: a server that closes its connections instead of waiting,
+// or that waits for a fixed time only.
 func TestShutdownWaitsForTheRequestInFlight(t *testing.T) {
-	entered, release := make(chan struct{}), make(chan struct{})
-	server, url := serve(t, RouterOptions{Routes: route("/slow", func(w http.ResponseWriter, _ *http.Request) {
-		close(entered)
-		<-release
-		_, _ = io.WriteString(w, "whole")
-	})})
-	answer := make(chan string)
-	go func() {
-		_, body := get(t, url+"/slow")
-		answer <- body
-	}()
-	<-entered
-	impatient, cancel := context.WithCancel(context.Background())
-	cancel()
-	if err := server.Shutdown(impatient); err == nil {
-		t.Fatal("Shutdown returned while a request was in flight")
-	}
-	close(release)
-	if got := <-answer; got != "whole" {
-		t.Fatalf("answer %q", got)
-	}
-	if err := server.Shutdown(context.Background()); err != nil {
-		t.Fatal(err)
-	}
+	bothProtocols(t, func(t *testing.T, http2 bool) {
+		b := newBench(t, route(func(w http.ResponseWriter, _ *http.Request) {
+			time.Sleep(time.Hour)
+			_, _ = io.WriteString(w, "whole")
+		}), http2)
+		defer b.close()
+		answer := make(chan string, 1)
+		go func() {
+			_, body := b.get("/x")
+			answer <- body
+		}()
+		synctest.Wait()
+		impatient, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		if err := b.server.Shutdown(impatient); err == nil {
+			t.Fatal("Shutdown returned while a request was in flight")
+		}
+		if err := b.server.Shutdown(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if got := <-answer; got != "whole" {
+			t.Fatalf("answer %q", got)
+		}
+		if _, err := b.client.Get("http://instance/x"); err == nil {
+			t.Fatal("a stopped server accepted a connection")
+		}
+	})
+}
+
+// Symptom: an instance that was killed on the bench still answers. Cause: a
+// kill that waits for requests.
+func TestKillCutsConnections(t *testing.T) {
+	bothProtocols(t, func(t *testing.T, http2 bool) {
+		release := make(chan struct{})
+		b := newBench(t, route(func(http.ResponseWriter, *http.Request) { <-release }), http2)
+		defer close(release)
+		status := make(chan int, 1)
+		go func() {
+			s, _ := b.get("/x")
+			status <- s
+		}()
+		synctest.Wait()
+		b.close()
+		if got := <-status; got != 0 {
+			t.Fatalf("status %d after the kill", got)
+		}
+	})
 }
 
 func TestPanicBecomesAnInternalErrorWithoutItsText(t *testing.T) {
-	_, url := serve(t, RouterOptions{Routes: route("/panic", func(http.ResponseWriter, *http.Request) { panic("secret detail") })})
-	status, body := get(t, url+"/panic")
-	if status != 500 || !strings.Contains(body, `"kind":"internal"`) || strings.Contains(body, "secret") || strings.Contains(body, "goroutine") {
-		t.Fatalf("%d %s", status, body)
+	bothProtocols(t, func(t *testing.T, http2 bool) {
+		b := newBench(t, route(func(http.ResponseWriter, *http.Request) { panic("secret detail") }), http2)
+		defer b.close()
+		status, body := b.get("/x")
+		if status != 500 || !strings.Contains(body, `"kind":"internal"`) || strings.Contains(body, "secret") || strings.Contains(body, "goroutine") {
+			t.Fatalf("%d %s", status, body)
+		}
+	})
+}
+
+// Symptom: a truncated answer passes for whole. Events: a handler panics after
+// it has written a part. Cause: the server ends the answer as if it were done.
+func TestPanicMidwayCutsTheAnswer(t *testing.T) {
+	bothProtocols(t, func(t *testing.T, http2 bool) {
+		b := newBench(t, route(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "half of the ")
+			_ = http.NewResponseController(w).Flush()
+			panic("defect")
+		}), http2)
+		defer b.close()
+		if status, body := b.get("/x"); status != 0 {
+			t.Fatalf("the cut answer was read as whole: %d %q", status, body)
+		}
+	})
+}
+
+// Symptom: connections of refused callers pile up for good. Events: a caller
+// with an unknown token announces a body and never sends it. Cause: net/http
+// reads the rest of the body before it sends the handler's answer.
+func TestAnswerToAnUnreadBodyIsNotHeldUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		opts := route(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusUnauthorized) })
+		opts.BodyTimeout = time.Second
+		b := newBench(t, opts, false)
+		defer b.close()
+		conn, err := b.listener.Dial(t.Context(), "", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
+		if _, err := io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: i\r\nContent-Length: 10\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		line, err := bufio.NewReader(conn).ReadString('\n')
+		if err != nil || !strings.Contains(line, "401") {
+			t.Fatalf("answer %q, %v", line, err)
+		}
+	})
+}
+
+// Symptom: connections that never finish their header pile up.
+func TestAnUnfinishedHeaderIsCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, route(func(http.ResponseWriter, *http.Request) {}), false)
+		defer b.close()
+		conn, err := b.listener.Dial(t.Context(), "", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_ = conn.SetReadDeadline(time.Now().Add(time.Minute))
+		_, _ = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost:")
+		if _, err := io.ReadAll(conn); err != nil {
+			t.Fatalf("the connection is still open after a minute: %v", err)
+		}
+	})
+}
+
+// Symptom: a long request ends with "the caller went away" though the caller
+// waits. Events: the request runs for longer than its body may take to arrive.
+// Cause: a read deadline that stays in place is taken for a closed connection.
+func TestARequestMayOutliveItsBodyTimeout(t *testing.T) {
+	bothProtocols(t, func(t *testing.T, http2 bool) {
+		opts := route(func(w http.ResponseWriter, r *http.Request) {
+			if _, err := ReadBody(w, r, 100); err != nil {
+				WriteError(w, err, "")
+				return
+			}
+			select {
+			case <-r.Context().Done():
+				w.WriteHeader(http.StatusGone)
+			case <-time.After(time.Minute):
+				_, _ = io.WriteString(w, "whole")
+			}
+		})
+		opts.BodyTimeout = time.Second
+		b := newBench(t, opts, http2)
+		defer b.close()
+		for range 2 { // the second over the kept connection
+			resp, err := b.client.Post("http://instance/x", "", strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(resp.Body)
+			_ = resp.Body.Close()
+			if string(body) != "whole" || err != nil {
+				t.Fatalf("%d %q %v", resp.StatusCode, body, err)
+			}
+		}
+	})
+}
+
+func TestListenerAddressIsTold(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := New(Options{Listener: listener, Handler: http.NotFoundHandler()})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		server.Run(ctx)
+	}()
+	resp, err := http.Get("http://" + server.Addr().String())
+	if err != nil {
+		t.Fatal(err)
 	}
+	_ = resp.Body.Close()
+	cancel()
+	<-done
 }
--- a/internal/httpserver/router.go
+++ b/internal/httpserver/router.go
@@ -4,10 +4,6 @@
 	"net/http"
 	"time"
 
-	"github.com/zeromicro/go-zero/core/logx"
-	"github.com/zeromicro/go-zero/core/service"
-	"github.com/zeromicro/go-zero/core/trace"
-	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/chain"
 	"github.com/zeromicro/go-zero/rest/pathvar"
 	"github.com/zeromicro/go-zero/rest/router"
@@ -19,9 +15,17 @@
 // Middleware wraps a handler.
 type Middleware = func(http.Handler) http.Handler
 
+// Route is a method and path with its handler; ":name" in the path is a
+// variable.
+type Route struct {
+	Method  string
+	Path    string
+	Handler http.HandlerFunc
+}
+
 // RouterOptions of NewRouter.
 type RouterOptions struct {
-	Routes     []rest.Route
+	Routes     []Route
 	Middleware []Middleware // the first is outermost
 	// BodyTimeout is how long a client may take for its whole body; 0 =
 	// DefaultBodyTimeout.
@@ -29,44 +33,27 @@
 	Logger      *event.Logger
 }
 
-// NewRouter returns a handler that is go-zero's rest server used as router and
-// host of middlewares only. Its own middlewares (timeout, shedding, breaker,
-// connection limit, body limit, tracing, Prometheus) and its listener and
-// signal handling stay out: they answer 503 outside the table of error kinds
-// while a handler goes on, or cut requests in flight.
+// NewRouter returns go-zero's router with its chain of middlewares.
+//
+// The parts are taken from go-zero's rest one by one. rest.NewServer, also
+// behind rest.NewServerless, would add for each server to lists of the whole
+// process (shutdown listeners, agents, log writers), which stay when the
+// server is gone, and several instances in one process, as on the bench, would
+// share them. Its middlewares stay out for what they do: see hazards_test.go.
 func NewRouter(opts RouterOptions) (http.Handler, error) {
 	r := router.NewRouter()
 	r.SetNotFoundHandler(http.HandlerFunc(notFound))
 	r.SetNotAllowedHandler(http.HandlerFunc(notAllowed))
-	middlewares := append([]Middleware{recoverer(opts.Logger), deadlines(opts.BodyTimeout)}, opts.Middleware...)
-	native := make([]chain.Middleware, len(middlewares))
-	for i, m := range middlewares {
-		native[i] = m
-	}
-	server, err := rest.NewServer(quietConf(), rest.WithRouter(r), rest.WithChain(chain.New(native...)))
-	if err != nil {
-		return nil, err
+	middlewares := chain.New(recoverer(opts.Logger), bodyDeadline(opts.BodyTimeout))
+	for _, m := range opts.Middleware {
+		middlewares = middlewares.Append(m)
 	}
-	bridgeLogs(opts.Logger)
-	server.AddRoutes(opts.Routes)
-	serverless, err := rest.NewServerless(server)
-	if err != nil {
-		return nil, err
-	}
-	return http.HandlerFunc(serverless.Serve), nil
-}
-
-// quietConf is the zero configuration with tracing off: no middleware, agent
-// or server of go-zero is switched on.
-func quietConf() rest.RestConf {
-	return rest.RestConf{
-		ServiceConf: service.ServiceConf{
-			Name:      "lynxhill",
-			Log:       logx.LogConf{Mode: "console", Encoding: "plain", Level: "error"},
-			Mode:      service.ProMode,
-			Telemetry: trace.Config{Disabled: true},
-		},
+	for _, route := range opts.Routes {
+		if err := r.Handle(route.Method, route.Path, route.Handler); err != nil {
+			return nil, err
+		}
 	}
+	return middlewares.Then(r), nil
 }
 
 // PathVar returns the variable of the route's path, such as "profile" of
