lynxctl: profiles, requests, fleet, limits, plans and the burn report

Cause: operators drive lynxhill by declaring profiles, and need to know from the exit status alone whether a change was made. Change: cmd/lynxctl (kong) with files checked before anything is sent, a version condition on every change, a lost reply settled by the change id, text and JSON output, exit statuses 0 to 6 and shell completion; internal/report writes the burn report as text. BurnReport names the lengths of its burn windows (additive). Conclusion: 14 exit paths and every reading command are tested against a fake admin server.

--- /dev/null
+++ b/cmd/lynxctl/environment.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"text/tabwriter"
+
+	"lynxhill.example/lynxhill/internal/client"
+	"lynxhill.example/lynxhill/internal/errkind"
+)
+
+// environment is what the commands work with.
+type environment struct {
+	globals
+	stdin  io.Reader
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// context ends with --timeout and on an interrupt.
+func (e *environment) context() (context.Context, context.CancelFunc) {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	ctx, cancel := context.WithTimeout(ctx, e.Timeout)
+	return ctx, func() {
+		cancel()
+		stop()
+	}
+}
+
+// admin returns a client of the admin API.
+func (e *environment) admin() (*client.Admin, error) {
+	if len(e.Server) == 0 {
+		return nil, usagef("no server: give --server or set LYNXCTL_SERVER")
+	}
+	token, err := e.token()
+	if err != nil {
+		return nil, err
+	}
+	config, err := e.tls()
+	if err != nil {
+		return nil, err
+	}
+	return client.NewAdmin(client.AdminOptions{Servers: e.Server, Token: token, TLS: config}), nil
+}
+
+// caller returns a client of the caller API.
+func (e *environment) caller(opts client.CallerOptions) (*client.Caller, error) {
+	opts.Servers = e.Caller
+	if len(opts.Servers) == 0 {
+		opts.Servers = e.Server
+	}
+	if len(opts.Servers) == 0 {
+		return nil, usagef("no caller address: give --caller or set LYNXCTL_CALLER")
+	}
+	opts.Token = e.CallerToken
+	if opts.Token == "" {
+		token, err := e.token()
+		if err != nil {
+			return nil, err
+		}
+		opts.Token = token
+	}
+	config, err := e.tls()
+	if err != nil {
+		return nil, err
+	}
+	opts.TLS = config
+	return client.NewCaller(opts), nil
+}
+
+func (e *environment) token() (string, error) {
+	if e.Token != "" || e.TokenFile == "" {
+		return e.Token, nil
+	}
+	raw, err := os.ReadFile(e.TokenFile)
+	if err != nil {
+		return "", &usageError{fmt.Errorf("--token-file: %w", err)}
+	}
+	return strings.TrimSpace(string(raw)), nil
+}
+
+// tls returns nil without --ca-file; a server URL with https then trusts the
+// system's authorities.
+func (e *environment) tls() (*tls.Config, error) {
+	if e.CAFile == "" {
+		return nil, nil
+	}
+	raw, err := os.ReadFile(e.CAFile)
+	if err != nil {
+		return nil, &usageError{fmt.Errorf("--ca-file: %w", err)}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(raw) {
+		return nil, usagef("--ca-file: %s holds no PEM certificate", e.CAFile)
+	}
+	return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}, nil
+}
+
+func (e *environment) json() bool { return e.Output == "json" }
+
+// printf writes to the standard output.
+func (e *environment) printf(format string, args ...any) {
+	fmt.Fprintf(e.stdout, format, args...)
+}
+
+// show writes message as JSON, or calls text.
+func (e *environment) show(message any, text func()) error {
+	if !e.json() {
+		text()
+		return nil
+	}
+	encoder := json.NewEncoder(e.stdout)
+	encoder.SetIndent("", "  ")
+	encoder.SetEscapeHTML(false)
+	return encoder.Encode(message)
+}
+
+// table writes aligned columns.
+func (e *environment) table(header []string, rows [][]string) {
+	const gap = 2
+	tab := tabwriter.NewWriter(e.stdout, 0, 0, gap, ' ', 0)
+	fmt.Fprintln(tab, strings.Join(header, "\t"))
+	for _, row := range rows {
+		fmt.Fprintln(tab, strings.Join(row, "\t"))
+	}
+	_ = tab.Flush()
+}
+
+// failure is the JSON form of an error.
+type failure struct {
+	Error      string           `json:"error"`
+	Kind       string           `json:"kind,omitempty"`
+	RunState   errkind.RunState `json:"run_state,omitempty"`
+	Resend     errkind.Resend   `json:"resend,omitempty"`
+	ExitStatus int              `json:"exit_status"`
+}
+
+// complain writes an error to the standard error.
+func (e *environment) complain(err error) {
+	told := failure{Error: err.Error(), ExitStatus: exitStatus(err)}
+	var usage *usageError
+	var pending *pendingError
+	var transport *client.TransportError
+	local := errors.As(err, &usage) || errors.As(err, &pending) || errors.Is(err, client.ErrNoServers)
+	if !local {
+		told.RunState = client.RunStateOf(err)
+	}
+	if !local && !errors.As(err, &transport) {
+		answer := errkind.Of(err).Answer()
+		told.Kind, told.Resend = answer.Name, answer.Resend
+	}
+	if e.json() {
+		_ = json.NewEncoder(e.stderr).Encode(told)
+		return
+	}
+	fmt.Fprintf(e.stderr, "lynxctl: %s\n", told.Error)
+	if told.Kind != "" {
+		fmt.Fprintf(e.stderr, "  kind %s, run state %s, resend %s\n", told.Kind, told.RunState, told.Resend)
+	}
+}
--- /dev/null
+++ b/cmd/lynxctl/fleet.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+type instancesCommand struct{}
+
+// Run lists the instances.
+func (c *instancesCommand) Run(env *environment) error {
+	ctx, cancel := env.context()
+	defer cancel()
+	admin, err := env.admin()
+	if err != nil {
+		return err
+	}
+	list, err := reading(admin.Instances(ctx))
+	if err != nil {
+		return err
+	}
+	return env.show(list, func() {
+		rows := make([][]string, 0, len(list.Instances))
+		for _, i := range list.Instances {
+			rows = append(rows, []string{i.ID, i.State, i.Place, i.Region, i.CallerAddr, i.AdminAddr,
+				fmt.Sprintf("%.2f", i.Room), fmt.Sprint(i.InFlight), yes(i.Draining)})
+		}
+		env.table([]string{"INSTANCE", "STATE", "PLACE", "REGION", "CALLER", "ADMIN", "ROOM", "IN FLIGHT", "DRAINING"}, rows)
+	})
+}
+
+type targetsCommand struct {
+	Service string `help:"Only the targets of this service."`
+	Place   string `help:"Only the targets in this place."`
+}
+
+// Run lists the targets.
+func (c *targetsCommand) Run(env *environment) error {
+	ctx, cancel := env.context()
+	defer cancel()
+	admin, err := env.admin()
+	if err != nil {
+		return err
+	}
+	list, err := reading(admin.Targets(ctx))
+	if err != nil {
+		return err
+	}
+	list.Targets = c.only(list.Targets)
+	return env.show(list, func() {
+		rows := make([][]string, 0, len(list.Targets))
+		for _, t := range list.Targets {
+			rows = append(rows, []string{t.ID, t.Service, t.Kind, orDash(t.Provider), t.Place, t.Address, yes(t.Leaving),
+				fmt.Sprintf("%d/%d", t.Running, t.Slots), fmt.Sprint(t.Queued), fmt.Sprintf("%.0f ms", t.LoadAge), orDash(strings.Join(t.Models, " "))})
+		}
+		env.table([]string{"TARGET", "SERVICE", "KIND", "PROVIDER", "PLACE", "ADDRESS", "LEAVING", "RUNNING", "QUEUED", "LOAD AGE", "MODELS"}, rows)
+	})
+}
+
+func (c *targetsCommand) only(all []lynxapi.TargetView) []lynxapi.TargetView {
+	kept := make([]lynxapi.TargetView, 0, len(all))
+	for _, t := range all {
+		if (c.Service == "" || t.Service == c.Service) && (c.Place == "" || t.Place == c.Place) {
+			kept = append(kept, t)
+		}
+	}
+	return kept
+}
+
+type statusCommand struct{}
+
+// Run shows the status of the answering instance.
+func (c *statusCommand) Run(env *environment) error {
+	ctx, cancel := env.context()
+	defer cancel()
+	admin, err := env.admin()
+	if err != nil {
+		return err
+	}
+	status, err := reading(admin.Status(ctx))
+	if err != nil {
+		return err
+	}
+	return env.show(status, func() { printStatus(env, status) })
+}
+
+func printStatus(env *environment, s lynxapi.Status) {
+	env.printf("instance    %s in %s, up %v\n", s.Instance, s.Place, (time.Duration(s.UptimeS) * time.Second).String())
+	env.printf("ready       %s%s%s\n", yes(s.Ready), note(s.Isolated, ", isolated"), note(s.Stopping, ", stopping"))
+	env.printf("store       %s, %d calls\n", map[bool]string{true: "up", false: "down"}[s.StoreUp], s.StoreCalls)
+	env.printf("instances   %d alive of %d known\n", s.Alive, s.Members)
+	env.printf("targets     %d, %d leaving\n", s.Targets, s.Leaving)
+	env.printf("in flight   %d\n", s.InFlight)
+	env.printf("violations  %d\n", s.Violations)
+	for _, g := range s.OrderGivers {
+		env.printf("orders      %s: %s, fence %d\n", g.Service, orDash(g.Holder), g.Fence)
+	}
+	for _, f := range s.Profiles {
+		env.printf("profile     %s version %d: %s\n", f.Name, f.Version, forceText(f))
+	}
+}
+
+func note(on bool, text string) string {
+	if on {
+		return text
+	}
+	return ""
+}
+
+func yes(on bool) string {
+	if on {
+		return "yes"
+	}
+	return "no"
+}
+
+type drainCommand struct {
+	Subject string `arg:"" help:"instance/ID, place/NAME or target/ID."`
+}
+
+// Help implements kong.HelpProvider.
+func (*drainCommand) Help() string {
+	return `Work in flight is not cut. Examples:
+
+  lynxctl drain target/lynx-pool-3
+  lynxctl drain place/lac-a`
+}
+
+// Run orders the drain.
+func (c *drainCommand) Run(env *environment) error {
+	if err := checkSubject(c.Subject); err != nil {
+		return err
+	}
+	ctx, cancel := env.context()
+	defer cancel()
+	admin, err := env.admin()
+	if err != nil {
+		return err
+	}
+	view, err := admin.Drain(ctx, c.Subject)
+	if err != nil {
+		return err
+	}
+	return env.show(view, func() { env.printf("draining %s\n", view.Subject) })
+}
+
+type undrainCommand struct {
+	Subject string `arg:"" help:"instance/ID, place/NAME or target/ID."`
+}
+
+// Run ends the drain.
+func (c *undrainCommand) Run(env *environment) error {
+	if err := checkSubject(c.Subject); err != nil {
+		return err
+	}
+	ctx, cancel := env.context()
+	defer cancel()
+	admin, err := env.admin()
+	if err != nil {
+		return err
+	}
+	if err := admin.Undrain(ctx, c.Subject); err != nil {
+		return err
+	}
+	return env.show(lynxapi.DrainRequest{Subject: c.Subject}, func() { env.printf("no longer draining %s\n", c.Subject) })
+}
+
+// checkSubject refuses a subject of no known sort before it is sent.
+func checkSubject(subject string) error {
+	sort, name, _ := strings.Cut(subject, "/")
+	if name == "" || (sort != "instance" && sort != "place" && sort != "target") {
+		return usagef("%q is none of instance/ID, place/NAME and target/ID", subject)
+	}
+	return nil
+}
+
+type drainsCommand struct{}
+
+// Run lists the drains.
+func (c *drainsCommand) Run(env *environment) error {
+	ctx, cancel := env.context()
+	defer cancel()
+	admin, err := env.admin()
+	if err != nil {
+		return err
+	}
+	list, err := reading(admin.Drains(ctx))
+	if err != nil {
+		return err
+	}
+	return env.show(list, func() {
+		rows := make([][]string, 0, len(list.Drains))
+		for _, d := range list.Drains {
+			rows = append(rows, []string{d.Subject, orDash(d.By), d.At.Format(time.RFC3339)})
+		}
+		env.table([]string{"SUBJECT", "BY", "AT"}, rows)
+	})
+}
--- /dev/null
+++ b/cmd/lynxctl/main_test.go
@@ -0,0 +1,446 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+const exampleFile = "../../examples/profiles/mediaplace/creative-check.toml"
+
+func TestMain(m *testing.M) {
+	logx.Disable() // as main does
+	os.Exit(m.Run())
+}
+
+// fakeAdmin is an admin server that keeps one profile.
+type fakeAdmin struct {
+	t      *testing.T
+	server *httptest.Server
+
+	mu       sync.Mutex // guards the fields below
+	view     lynxapi.ProfileView
+	requests []string // method and path
+	change   lynxapi.ChangeRequest
+	state    string       // of the reply to a change
+	failWith errkind.Kind // for changes; Internal = none
+	cut      bool         // break the connection of a change
+	settled  string       // state of the change when asked; "" = not found
+}
+
+func newFakeAdmin(t *testing.T) *fakeAdmin {
+	t.Helper()
+	f := &fakeAdmin{t: t, state: lynxapi.ChangeAccepted}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/profiles/{name}", f.get)
+	mux.HandleFunc("GET /v1/profiles", f.list)
+	mux.HandleFunc("PUT /v1/profiles/{name}", f.set)
+	mux.HandleFunc("POST /v1/profiles/{name}/rollback", f.rollback)
+	mux.HandleFunc("DELETE /v1/profiles/{name}", f.changed)
+	mux.HandleFunc("GET /v1/changes/{id}", f.tellChange)
+	mux.HandleFunc("GET /v1/report/burn", func(w http.ResponseWriter, _ *http.Request) { reply(w, sampleReport()) })
+	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, lynxapi.InstanceList{Instances: []lynxapi.InstanceView{{ID: "lh-1", State: "alive", Place: "lac-a"}}})
+	})
+	mux.HandleFunc("GET /v1/targets", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, lynxapi.TargetList{Targets: []lynxapi.TargetView{{ID: "t-1", Service: "encoders"}, {ID: "t-2", Service: "lynx-pool"}}})
+	})
+	mux.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) {
+		reply(w, lynxapi.Status{Instance: "lh-1", Ready: true, Alive: 3, Members: 3})
+	})
+	mux.HandleFunc("/v1/drains", f.drains)
+	mux.HandleFunc("/v1/limits", f.limits)
+	mux.HandleFunc("/v1/placements", f.plans)
+	f.server = httptest.NewServer(f.record(mux))
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fakeAdmin) record(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer secret" {
+			refuse(w, errkind.Unauthenticated)
+			return
+		}
+		f.mu.Lock()
+		f.requests = append(f.requests, r.Method+" "+r.URL.RequestURI())
+		f.mu.Unlock()
+		next.ServeHTTP(w, r)
+	})
+}
+
+func reply(w http.ResponseWriter, message any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(message)
+}
+
+func refuse(w http.ResponseWriter, kind errkind.Kind) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(kind.Answer().Status)
+	_ = json.NewEncoder(w).Encode(errkind.BodyOf(errkind.New(kind, "said no"), ""))
+}
+
+func (f *fakeAdmin) get(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.view.Name != r.PathValue("name") {
+		refuse(w, errkind.NotFound)
+		return
+	}
+	reply(w, f.view)
+}
+
+func (f *fakeAdmin) list(w http.ResponseWriter, _ *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	reply(w, lynxapi.ProfileList{Profiles: []lynxapi.ProfileView{f.view}})
+}
+
+func (f *fakeAdmin) set(w http.ResponseWriter, r *http.Request) {
+	var req lynxapi.ChangeRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		f.t.Errorf("change: %v", err)
+	}
+	f.mu.Lock()
+	f.change = req
+	f.mu.Unlock()
+	f.changed(w, r)
+}
+
+func (f *fakeAdmin) rollback(w http.ResponseWriter, r *http.Request) {
+	var req lynxapi.RollbackRequest
+	if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+		f.t.Errorf("rollback: %v", err)
+	}
+	f.mu.Lock()
+	f.change = lynxapi.ChangeRequest{IfVersion: req.IfVersion, ChangeID: req.ChangeID, DryRun: req.DryRun, WaitMS: req.WaitMS}
+	f.mu.Unlock()
+	f.changed(w, r)
+}
+
+func (f *fakeAdmin) changed(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cut {
+		panic(http.ErrAbortHandler)
+	}
+	if f.failWith != errkind.Internal {
+		refuse(w, f.failWith)
+		return
+	}
+	state := f.state
+	if f.change.DryRun {
+		state = lynxapi.ChangeDryRun
+	}
+	reply(w, lynxapi.ChangeReply{ChangeID: f.change.ChangeID, State: state, Name: r.PathValue("name"), Version: 13,
+		Diff:  []profile.DiffLine{{Path: "priority", Old: "5", New: "7"}},
+		Force: lynxapi.ForceReply{Total: 3, InForce: 2, Missing: []string{"lh-2"}}})
+}
+
+func (f *fakeAdmin) tellChange(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.settled == "" {
+		refuse(w, errkind.NotFound)
+		return
+	}
+	reply(w, lynxapi.ChangeReply{ChangeID: r.PathValue("id"), State: f.settled, Name: "creative-check", Version: 13})
+}
+
+func (f *fakeAdmin) drains(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		reply(w, lynxapi.DrainList{Drains: []lynxapi.DrainView{{Subject: "place/lac-a", By: "amal", At: time.Unix(0, 0).UTC()}}})
+		return
+	}
+	reply(w, lynxapi.DrainView{Subject: "place/lac-a"})
+}
+
+func (f *fakeAdmin) limits(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		reply(w, lynxapi.LimitList{Limits: []lynxapi.OrganisationLimit{{Organisation: "agency-1", RatePerSecond: 5, IfVersion: 4}}})
+		return
+	}
+	var limit lynxapi.OrganisationLimit
+	_ = json.NewDecoder(r.Body).Decode(&limit)
+	if limit.IfVersion != 4 {
+		refuse(w, errkind.Conflict)
+		return
+	}
+	reply(w, limit)
+}
+
+func (f *fakeAdmin) plans(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		reply(w, lynxapi.PlacementList{})
+		return
+	}
+	var plan lynxapi.ModelPlan
+	_ = json.NewDecoder(r.Body).Decode(&plan)
+	reply(w, plan)
+}
+
+func sampleReport() lynxapi.BurnReport {
+	return lynxapi.BurnReport{Instance: "lh-1", Instances: 3, At: time.Unix(1e9, 0).UTC(), WindowS: 3600, ShortS: 300, LongS: 3600,
+		Rows: []lynxapi.BurnRow{{Scope: "profile", Name: "creative-check", Total: 100, Attained: 98, Attainment: 0.98, Objective: 0.99, BudgetLeft: -1}}}
+}
+
+// inForce puts the example in force at a version, with a lower priority.
+func (f *fakeAdmin) inForce(version uint64) {
+	text, err := os.ReadFile(exampleFile)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	p, err := profile.Parse(text)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	p.Priority = 5
+	f.view = lynxapi.ProfileView{Name: p.Name, Version: version, ChangeID: "c-1", Profile: p}
+}
+
+func (f *fakeAdmin) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.requests)
+}
+
+// result is what a command line did.
+type result struct {
+	status int
+	out    string
+	err    string
+}
+
+// lynxctl runs a command line against the server.
+func lynxctl(t *testing.T, server, stdin string, args ...string) result {
+	t.Helper()
+	var out, errOut bytes.Buffer
+	args = append([]string{"--server", server, "--token", "secret"}, args...)
+	status := run(args, strings.NewReader(stdin), &out, &errOut)
+	return result{status: status, out: out.String(), err: errOut.String()}
+}
+
+func (r result) want(t *testing.T, status int, texts ...string) {
+	t.Helper()
+	if r.status != status {
+		t.Fatalf("status %d, want %d\nout: %s\nerr: %s", r.status, status, r.out, r.err)
+	}
+	for _, text := range texts {
+		if !strings.Contains(r.out+r.err, text) {
+			t.Fatalf("no %q in\nout: %s\nerr: %s", text, r.out, r.err)
+		}
+	}
+}
+
+func TestSetDeclaresANewProfile(t *testing.T) {
+	f := newFakeAdmin(t)
+	got := lynxctl(t, f.server.URL, "", "profile", "set", exampleFile)
+	got.want(t, exitOK, "version 13: accepted", "~ priority: 5 -> 7", "in force at 2 of 3 instances; missing: lh-2")
+	if f.change.IfVersion != 0 || f.change.ChangeID == "" || f.change.WaitMS != 5000 || f.change.Profile.Name != "creative-check" {
+		t.Fatalf("%+v", f.change)
+	}
+}
+
+// Symptom: a change of a colleague was gone. Events: two operators declared the
+// same profile; the second had not seen the first's version. Cause: without a
+// version the second replaced whatever was there.
+func TestSetDoesNotReplaceAVersionThatNobodyLookedAt(t *testing.T) {
+	f := newFakeAdmin(t)
+	f.inForce(12)
+	lynxctl(t, f.server.URL, "", "profile", "set", exampleFile).want(t, exitUsage, "--if-version 12", "--force-latest")
+	if f.count() != 1 {
+		t.Fatalf("requests %v", f.requests)
+	}
+	lynxctl(t, f.server.URL, "", "profile", "set", exampleFile, "--force-latest").want(t, exitOK)
+	if f.change.IfVersion != 12 {
+		t.Fatalf("--force-latest sent version %d", f.change.IfVersion)
+	}
+	lynxctl(t, f.server.URL, "", "profile", "set", exampleFile, "--if-version", "11").want(t, exitOK)
+	if f.change.IfVersion != 11 {
+		t.Fatalf("--if-version sent version %d", f.change.IfVersion)
+	}
+}
+
+func TestFilesAreCheckedBeforeAnythingIsSent(t *testing.T) {
+	f := newFakeAdmin(t)
+	cases := map[string]struct{ text, want string }{
+		"unknown key":  {"name = \"x\"\ncolour = 3\n", "line 2: colour: unknown key"},
+		"wrong unit":   {"name = \"x\"\ndeadline = \"3 hours\"\n", "deadline"},
+		"broken rules": {"name = \"x\"\npriority = 12\n", "priority: is 12"},
+		"no TOML":      {"{\"name\": 1}", "line 1"},
+		"empty":        {"", "stages: needs at least one stage"},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			lynxctl(t, f.server.URL, c.text, "profile", "set", "-").want(t, exitUsage, c.want)
+		})
+	}
+	lynxctl(t, f.server.URL, "", "profile", "set", "no-such-file.toml").want(t, exitUsage, "no-such-file.toml")
+	if f.count() != 0 {
+		t.Fatalf("sent %v", f.requests)
+	}
+}
+
+func TestExitStatuses(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := listener.Addr().String()
+	listener.Close()
+	set := []string{"profile", "set", exampleFile, "--if-version", "3"}
+	cases := []struct {
+		name   string
+		prime  func(*fakeAdmin)
+		server string
+		args   []string
+		status int
+		want   string
+	}{
+		{"refused", func(f *fakeAdmin) { f.failWith = errkind.Forbidden }, "", set, exitRefused, "kind forbidden, run state not_run"},
+		{"invalid for the server", func(f *fakeAdmin) { f.failWith = errkind.ProfileInvalid }, "", set, exitRefused, "profile_invalid"},
+		{"conflict", func(f *fakeAdmin) { f.failWith = errkind.Conflict }, "", set, exitConflict, "said no"},
+		{"rejected", func(f *fakeAdmin) { f.state = lynxapi.ChangeRejected }, "", set, exitConflict, "rejected"},
+		{"not confirmed", func(f *fakeAdmin) { f.state = lynxapi.ChangeUnknown }, "", set, exitUnknown, "ask again: lynxctl change"},
+		{"not everywhere", func(f *fakeAdmin) { f.state = lynxapi.ChangeWritten }, "", set, exitPending, "not in force everywhere"},
+		{"reply lost, then found", func(f *fakeAdmin) { f.cut, f.settled = true, lynxapi.ChangeAccepted }, "", set, exitOK, "accepted"},
+		{"unreachable", nil, closed, set, exitUnreachable, "connection refused"},
+		{"no such command", nil, "", []string{"profil"}, exitUsage, "--help"},
+		{"no such flag", nil, "", []string{"status", "--what"}, exitUsage, "unknown flag"},
+		{"no argument", nil, "", []string{"profile", "set"}, exitUsage, "lynxctl profile set --help"},
+		{"bad subject", nil, "", []string{"drain", "lac-a"}, exitUsage, "place/NAME"},
+		{"unknown profile", nil, "", []string{"profile", "get", "nobody"}, exitRefused, "not_found"},
+		{"help", nil, "", []string{"--help"}, exitOK, "Exit status"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFakeAdmin(t)
+			if c.prime != nil {
+				c.prime(f)
+			}
+			server := f.server.URL
+			if c.server != "" {
+				server = c.server
+			}
+			lynxctl(t, server, "", c.args...).want(t, c.status, c.want)
+		})
+	}
+}
+
+func TestNextServerIsTriedWhenOneIsUnreachable(t *testing.T) {
+	f := newFakeAdmin(t)
+	lynxctl(t, "127.0.0.1:1,"+f.server.URL, "", "status").want(t, exitOK, "3 alive of 3 known")
+}
+
+func TestWrongTokenIsRefused(t *testing.T) {
+	f := newFakeAdmin(t)
+	var out, errOut bytes.Buffer
+	status := run([]string{"--server", f.server.URL, "--token", "wrong", "status"}, nil, &out, &errOut)
+	if status != exitRefused || strings.Contains(errOut.String(), "wrong") {
+		t.Fatalf("%d %s", status, errOut.String())
+	}
+}
+
+func TestTokenFile(t *testing.T) {
+	f := newFakeAdmin(t)
+	file := filepath.Join(t.TempDir(), "token")
+	if err := os.WriteFile(file, []byte("secret\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var out, errOut bytes.Buffer
+	if status := run([]string{"--server", f.server.URL, "--token-file", file, "status"}, nil, &out, &errOut); status != exitOK {
+		t.Fatalf("%d %s", status, errOut.String())
+	}
+}
+
+func TestGetPrintsAFileThatSetTakesBack(t *testing.T) {
+	f := newFakeAdmin(t)
+	f.inForce(12)
+	got := lynxctl(t, f.server.URL, "", "profile", "get", "creative-check")
+	got.want(t, exitOK, "# version 12")
+	p, err := profile.Parse([]byte(got.out))
+	if err != nil || len(profile.Diff(p, f.view.Profile)) != 0 {
+		t.Fatalf("%v %v", err, profile.Diff(p, f.view.Profile))
+	}
+}
+
+func TestReadingCommands(t *testing.T) {
+	f := newFakeAdmin(t)
+	f.inForce(12)
+	for line, want := range map[string]string{
+		"profile list":                 "embed > rules > rank-rules > verdict",
+		"profile diff " + exampleFile:  "~ priority: 5 -> 7",
+		"profile diff creative-check":  "~ priority: 5 -> 7",
+		"profile check " + exampleFile: "4 stages, deadline 4s",
+		"instances":                    "lh-1",
+		"targets --service encoders":   "t-1",
+		"status":                       "ready       yes",
+		"drains":                       "place/lac-a",
+		"limit list":                   "agency-1",
+		"report burn":                  "1 of 1 profile missed the objective.",
+		"report burn --format json":    `"scope": "profile"`,
+		"drain place/lac-a":            "draining place/lac-a",
+		"undrain place/lac-a":          "no longer draining",
+		"limit set agency-1 --rate 7":  "agency-1: 7 requests a second, unlimited at once",
+		"completion -c bash":           "complete -o default",
+		"profile rollback creative-check --force-latest": "accepted",
+		"profile delete creative-check --if-version 12":  "accepted",
+	} {
+		t.Run(line, func(t *testing.T) {
+			lynxctl(t, f.server.URL, "", strings.Fields(line)...).want(t, exitOK, want)
+		})
+	}
+	if got := lynxctl(t, f.server.URL, "", "targets", "--service", "encoders"); strings.Contains(got.out, "t-2") {
+		t.Fatalf("not filtered: %s", got.out)
+	}
+}
+
+func TestJSONOutput(t *testing.T) {
+	f := newFakeAdmin(t)
+	f.inForce(12)
+	for _, line := range []string{"profile list", "profile get creative-check", "profile diff creative-check", "instances", "targets",
+		"status", "drains", "limit list", "plan list", "report burn", "profile set --force-latest " + exampleFile} {
+		got := lynxctl(t, f.server.URL, "", append([]string{"--output", "json"}, strings.Fields(line)...)...)
+		if got.status != exitOK || !json.Valid([]byte(got.out)) {
+			t.Errorf("%s: status %d, %s%s", line, got.status, got.out, got.err)
+		}
+	}
+	f.failWith = errkind.Conflict
+	got := lynxctl(t, f.server.URL, "", "--output", "json", "profile", "set", exampleFile, "--force-latest")
+	var told failure
+	if err := json.Unmarshal([]byte(got.err), &told); err != nil || told.Kind != "conflict" || told.ExitStatus != exitConflict {
+		t.Fatalf("%v %s", err, got.err)
+	}
+}
+
+func TestPlanFile(t *testing.T) {
+	f := newFakeAdmin(t)
+	good := "service = \"lynx-pool\"\n[[models]]\nmodel = \"lynx-large\"\nversion = \"2\"\nmin = 2\n"
+	lynxctl(t, f.server.URL, good, "plan", "set", "-").want(t, exitOK, "lynx-pool: 1 models")
+	lynxctl(t, f.server.URL, good+"max = 1\n", "plan", "set", "-").want(t, exitUsage, "min 2 and max 1")
+	lynxctl(t, f.server.URL, "service = \"x\"\nmodel = 1\n", "plan", "set", "-").want(t, exitUsage)
+}
+
+func TestReportIsWrittenToAFile(t *testing.T) {
+	f := newFakeAdmin(t)
+	file := filepath.Join(t.TempDir(), "burn.html")
+	lynxctl(t, f.server.URL, "", "report", "burn", "--format", "html", "-o", file).want(t, exitOK)
+	page, err := os.ReadFile(file)
+	if err != nil || !bytes.Contains(page, []byte("creative-check")) {
+		t.Fatalf("%v %s", err, page)
+	}
+}
--- a/internal/slo/local.go
+++ b/internal/slo/local.go
@@ -28,7 +28,10 @@
 		window = t.windows.Long
 	}
 	now := t.clock.Now()
-	report := lynxapi.BurnReport{Instance: t.instance, Instances: 1, At: now, WindowS: window.Seconds()}
+	report := lynxapi.BurnReport{
+		Instance: t.instance, Instances: 1, At: now.UTC(), WindowS: window.Seconds(),
+		ShortS: t.windows.Short.Seconds(), LongS: t.windows.Long.Seconds(),
+	}
 	for i := range t.profiles {
 		t.addProfiles(&report, &t.profiles[i], now, window)
 	}
--- a/internal/slo/merge.go
+++ b/internal/slo/merge.go
@@ -24,6 +24,8 @@
 		all.Instances += r.Instances
 		all.Missing = append(all.Missing, r.Missing...)
 		all.WindowS = max(all.WindowS, r.WindowS)
+		all.ShortS = max(all.ShortS, r.ShortS)
+		all.LongS = max(all.LongS, r.LongS)
 		all.Rows = append(all.Rows, r.Rows...)
 		all.Causes = append(all.Causes, r.Causes...)
 		all.Costs = append(all.Costs, r.Costs...)
--- a/internal/wire/lynxapi/admin.go
+++ b/internal/wire/lynxapi/admin.go
@@ -220,6 +220,8 @@
 	Missing   []string     `json:"missing,omitempty"`
 	At        time.Time    `json:"at"`
 	WindowS   float64      `json:"window_s"`
+	ShortS    float64      `json:"short_s"` // lengths of the two burn windows
+	LongS     float64      `json:"long_s"`
 	Rows      []BurnRow    `json:"rows"`
 	Causes    []BurnCause  `json:"causes"`
 	Costs     []CostRow    `json:"costs"`
