--- a/internal/standin/engine/state_test.go
+++ b/internal/standin/engine/state_test.go
@@ -105,8 +105,10 @@
 	for _, checks := range []bool{true, false} {
 		s := start(t, Options{ChecksFence: checks, Models: []targetapi.LoadedModel{}, Weights: NewWeightStore(time.Millisecond)})
 		load := targetapi.Order{Kind: targetapi.OrderLoad, Model: "m", Version: "2", Fence: 9}
-		if order(t, s, load) != 200 || order(t, s, load) != 200 {
-			t.Fatal("order refused")
+		for range 2 {
+			if order(t, s, load) != http.StatusOK {
+				t.Fatal("order refused")
+			}
 		}
 		for !s.models.ready("m", "2", "") {
 			time.Sleep(time.Millisecond)
--- a/internal/standin/fleet/contract_test.go
+++ b/internal/standin/fleet/contract_test.go
@@ -64,7 +64,7 @@
 }
 
 func TestOwnTargetClientAgreesWithTheStandins(t *testing.T) {
-	d := start(t, Options{Name: Kilimanjaro, Scale: 0.2, TimeScale: 0.1})
+	d := start(t, Options{Name: Kilimanjaro, Scale: 0.2, TimeScale: 0.1, LoadLag: -1, EventLag: -1, EventLoss: -1})
 	client := target.New(target.Options{})
 	t.Cleanup(client.Close)
 	member := d.Service(ServicePool)[0]
--- a/internal/standin/fleet/deployment.go
+++ b/internal/standin/fleet/deployment.go
@@ -19,8 +19,8 @@
 	"lynxhill.example/lynxhill/internal/wire/targetapi"
 )
 
-// PlatformOwner is the owner name of the platform in a netfault.Network.
-const PlatformOwner = "platform"
+// PlatformID is the platform's id for Owner.
+const PlatformID = "platform"
 
 // Options of a Deployment.
 type Options struct {
@@ -32,9 +32,11 @@
 	Scale float64
 	// TimeScale multiplies the service times. 0 means DefaultTimeScale.
 	TimeScale float64
-	// LoadLag is how far load reports are behind.
+	// LoadLag is how far load reports are behind. 0 means DefaultLoadLag, less
+	// means none; so with the next two.
 	LoadLag time.Duration
-	// EventLag and EventLoss are those of the engines' cache events.
+	// EventLag is how late the engines' cache events are, and EventLoss the
+	// share of them that is lost.
 	EventLag  time.Duration
 	EventLoss float64
 	// IgnoreFence makes the new provider's engines ignore fencing numbers.
@@ -44,20 +46,33 @@
 	Models []targetapi.LoadedModel
 	// WeightLoadTime is the time that the weight store needs for one model.
 	WeightLoadTime time.Duration
-	// Platform are the options of the platform.
+	// Platform are the options of the platform. Without limits it has those
+	// of the brief.
 	Platform platform.Options
-	// Network, if given, carries all connections to the stand-ins, with the
-	// target's id (PlatformOwner for the platform) as owner.
+	// Network, if given, carries all connections to the stand-ins. Owner
+	// names the owners.
 	Network *netfault.Network
+	// Latency sets the deployment's latency between its places on Network.
+	Latency bool
 }
 
 // Defaults of Options.
 const (
 	// DefaultTimeScale makes an answer of 96 tokens last about a fifth of a second.
 	DefaultTimeScale = 1.0
+	DefaultLoadLag   = 100 * time.Millisecond
+	DefaultEventLag  = 200 * time.Millisecond
+	DefaultEventLoss = 0.05
 	leastTargets     = 2
 )
 
+// What the platform of the brief takes and how soon it answers.
+const (
+	PlatformWritesPerSecond = 400
+	PlatformReadsPerSecond  = 2000
+	PlatformDelay           = time.Millisecond
+)
+
 func (o *Options) setDefaults() {
 	if o.Scale <= 0 {
 		o.Scale = 1
@@ -71,6 +86,23 @@
 	if o.WeightLoadTime <= 0 {
 		o.WeightLoadTime = engine.DefaultLoadTime
 	}
+	if o.Platform.Limits == (platform.Limits{}) {
+		o.Platform.Limits = platform.Limits{
+			WritesPerSecond: PlatformWritesPerSecond,
+			ReadsPerSecond:  PlatformReadsPerSecond,
+		}
+	}
+	o.LoadLag = valueOr(o.LoadLag, DefaultLoadLag)
+	o.EventLag = valueOr(o.EventLag, DefaultEventLag)
+	o.EventLoss = valueOr(o.EventLoss, DefaultEventLoss)
+}
+
+// valueOr returns the default for 0, and 0 for what is less.
+func valueOr[T time.Duration | float64](value, byDefault T) T {
+	if value == 0 {
+		return byDefault
+	}
+	return max(0, value)
 }
 
 // Member is one target of a deployment. Engine or Service is nil.
@@ -128,12 +160,14 @@
 func (d *Deployment) start(layout layout) error {
 	options := d.opts.Platform
 	options.Seed = d.opts.Seed
-	options.Listen = d.listen(PlatformOwner, d.Places[0])
+	options.Listen = d.listen(PlatformID, d.Places[0])
 	server, err := platform.New(options)
 	if err != nil {
 		return err
 	}
 	d.Platform = server
+	server.Slow(PlatformDelay, PlatformDelay)
+	d.setLatency(layout)
 	for _, pool := range layout.pools {
 		if err := d.startPool(pool); err != nil {
 			return err
@@ -225,14 +259,30 @@
 	return nil
 }
 
-func (d *Deployment) listen(owner, place string) loopback.ListenFunc {
+// Owner returns the owner in the Network of a target, or of the platform for
+// PlatformID. Deployments may share a Network.
+func (d *Deployment) Owner(id string) string { return d.Name + "/" + id }
+
+func (d *Deployment) listen(id, place string) loopback.ListenFunc {
 	if d.opts.Network == nil {
 		return nil
 	}
+	owner := d.Owner(id)
 	d.opts.Network.SetPlace(owner, place)
 	return func(addr string) (net.Listener, error) { return d.opts.Network.Listen(owner, addr) }
 }
 
+func (d *Deployment) setLatency(layout layout) {
+	if d.opts.Network == nil || !d.opts.Latency {
+		return
+	}
+	for i, a := range d.Places {
+		for _, b := range d.Places[i+1:] {
+			d.opts.Network.SetLatency(a, b, layout.latency)
+		}
+	}
+}
+
 // Close stops all targets and the platform.
 func (d *Deployment) Close() {
 	for _, member := range d.members {
--- a/internal/standin/fleet/fleet_test.go
+++ b/internal/standin/fleet/fleet_test.go
@@ -103,6 +103,9 @@
 	if len(d.DoubledRuns("booking")) != 1 {
 		t.Fatal("second booking of the same key not seen")
 	}
+	if runs := d.RunsOf("agency-1", "k1"); len(runs) != 5 {
+		t.Fatalf("runs of the key: %+v", runs)
+	}
 	req.Stage, req.Kind, req.AttemptID, req.Model = "draft", "generate", "a-draft", "lynx-large"
 	var text string
 	if err := json.Unmarshal(run(t, d.Service(ServicePool)[0].Target.Addr(), req).Output, &text); err != nil {
@@ -126,9 +129,8 @@
 func TestDeploymentOverAFaultyNetwork(t *testing.T) {
 	network := netfault.New()
 	t.Cleanup(network.Close)
-	d := start(t, Options{Name: Kilimanjaro, Scale: 0.2, TimeScale: 0.1, Network: network})
+	d := start(t, Options{Name: Kilimanjaro, Scale: 0.2, TimeScale: 0.1, Network: network, Latency: true})
 	network.SetPlace("daemon-1", d.Places[0])
-	network.SetLatencyBetween(LatencyKilimanjaro)
 	transport := &http.Transport{DialContext: network.Dialer("daemon-1")}
 	t.Cleanup(transport.CloseIdleConnections)
 	client := &http.Client{Transport: transport}
@@ -144,7 +146,7 @@
 		return resp.Body.Close()
 	}
 	near, far := d.Place(d.Places[0])[0], d.Place(d.Places[1])[0]
-	network.Cut(netfault.Partition{A: []string{"daemon-1"}, B: []string{far.Instance.ID}})
+	network.Cut(netfault.Partition{A: []string{"daemon-1"}, B: []string{d.Owner(far.Instance.ID)}})
 	short, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
 	defer cancel()
 	if err := state(short, far); err == nil {
--- a/internal/standin/fleet/layout.go
+++ b/internal/standin/fleet/layout.go
@@ -31,8 +31,8 @@
 	kindGenerate = "generate"
 )
 
-// One-way latencies of the deployments between availability zones, and
-// between a client and its place.
+// One-way latencies of the deployments between their places, and between a
+// client and its place.
 const (
 	LatencyMediaPlace  = time.Millisecond
 	LatencyKilimanjaro = 1500 * time.Microsecond
@@ -43,6 +43,7 @@
 type layout struct {
 	region        string
 	places        []string
+	latency       time.Duration // one way, between places
 	pools         []pool
 	organisations []string
 }
@@ -82,8 +83,9 @@
 
 var layouts = map[string]layout{
 	MediaPlace: {
-		region: "tunis",
-		places: []string{"lac-a", "lac-b", "charguia", "ariana"},
+		region:  "tunis",
+		places:  []string{"lac-a", "lac-b", "charguia", "ariana"},
+		latency: LatencyMediaPlace,
 		pools: append(slices.Clone(modelPools),
 			plain("traffic-api", 4, 4*time.Millisecond, 0.01),
 			plain("booking", 5, 10*time.Millisecond, 0.05),
@@ -93,8 +95,9 @@
 		organisations: numbered("agency"),
 	},
 	Kilimanjaro: {
-		region: "dar-es-salaam",
-		places: []string{"msasani", "kariakoo", "mikocheni", "upanga"},
+		region:  "dar-es-salaam",
+		places:  []string{"msasani", "kariakoo", "mikocheni", "upanga"},
+		latency: LatencyKilimanjaro,
 		pools: append(slices.Clone(modelPools),
 			plain("device-api", 4, 4*time.Millisecond, 0.01),
 			plain("ledger-bridge", 5, 10*time.Millisecond, 0.05),
--- a/internal/standin/fleet/members.go
+++ b/internal/standin/fleet/members.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 
 	"lynxhill.example/lynxhill/internal/standin/targetbase"
 	"lynxhill.example/lynxhill/internal/wire/platformapi"
@@ -83,18 +82,40 @@
 	return total
 }
 
+// RunsOf returns the runs of one key of an organisation, at all targets.
+func (d *Deployment) RunsOf(organisation, key string) []targetapi.RunRecord {
+	return slices.DeleteFunc(d.Runs(), func(run targetapi.RunRecord) bool {
+		return run.Organisation != organisation || run.Key != key
+	})
+}
+
+// runName is what may run once: a stage of one request of an organisation.
+type runName struct {
+	organisation string
+	request      string
+	stage        string
+}
+
+func nameOf(run targetapi.RunRecord) runName {
+	request := run.Key
+	if request == "" {
+		request = run.RequestID
+	}
+	return runName{organisation: run.Organisation, request: request, stage: run.Stage}
+}
+
 // DoubledRuns returns the runs, beyond the first, of one key of an
-// organisation at one stage of a service whose calls may not be repeated. The
-// services are given by name.
+// organisation at one stage (without a key, of one request). The services
+// are those whose calls may not be repeated.
 func (d *Deployment) DoubledRuns(services ...string) []targetapi.RunRecord {
-	seen := make(map[string]bool)
+	seen := make(map[runName]bool)
 	var doubled []targetapi.RunRecord
 	for _, member := range d.members {
 		if !slices.Contains(services, member.Instance.Service) {
 			continue
 		}
 		for _, run := range member.Target.Runs() {
-			name := strings.Join([]string{run.Organisation, run.Key, run.Stage}, "\x00")
+			name := nameOf(run)
 			if seen[name] {
 				doubled = append(doubled, run)
 			}
