Service levels: made-up profile names share one row

Cause: a request that fails by the caller's own doing may name any profile, and each name got a row with all its rings (about 15 KB): memory could be filled with names. Change: such requests get no row of their own; rows of the same name from several shards are added up in every list of a local report.

--- a/internal/slo/local.go
+++ b/internal/slo/local.go
@@ -154,9 +154,13 @@
 	s.duration += other.duration
 }
 
-// finish computes the derived figures, sorts and bounds a report.
+// finish adds up what stands twice, computes the derived figures, and sorts
+// and bounds the lists.
 func finish(report lynxapi.BurnReport) lynxapi.BurnReport {
 	report.Rows = boundOrganisations(mergeRows(report.Rows))
+	report.Causes = mergeCauses(report.Causes)
+	report.Costs = mergeCosts(report.Costs)
+	report.Series = mergeSeries(report.Series)
 	for i := range report.Rows {
 		derive(&report.Rows[i])
 	}
--- a/internal/slo/merge.go
+++ b/internal/slo/merge.go
@@ -33,9 +33,6 @@
 	}
 	slices.Sort(all.Missing)
 	all.Missing = slices.Compact(all.Missing)
-	all.Causes = mergeCauses(all.Causes)
-	all.Costs = mergeCosts(all.Costs)
-	all.Series = mergeSeries(all.Series)
 	return finish(all)
 }
 
--- a/internal/slo/profiles.go
+++ b/internal/slo/profiles.go
@@ -10,11 +10,12 @@
 
 // Names of causes that no errkind has.
 const (
-	CauseLate  = "late"  // the whole answer came after the deadline
-	NameOther  = "other" // what was folded together for room
-	maxCauses  = 256     // of one profile
-	maxCosts   = 256     // of one profile
-	maxProfile = 512     // profiles of one shard; more are folded into NameOther
+	CauseLate   = "late"    // the whole answer came after the deadline
+	NameOther   = "other"   // what was folded together for room
+	NameUnknown = "unknown" // profiles that have answered nothing
+	maxCauses   = 256       // of one profile
+	maxCosts    = 256       // of one profile
+	maxProfiles = 64        // of one shard; more are folded into NameOther
 )
 
 // profileCell adds to a cell what only profiles have: a series by second,
@@ -63,7 +64,7 @@
 func (s *profileShard) observe(now time.Time, w Windows, sample Sample, o observation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c := s.cell(sample.Profile, w)
+	c := s.cell(sample.Profile, w, o.excluded)
 	c.observe(now, o)
 	c.fine.at(now).observe(o)
 	if o.missed {
@@ -74,17 +75,21 @@
 	}
 }
 
-// cell returns the cell of a profile. A request to an unknown profile names
-// whatever the caller wrote, so the number of cells has a bound.
-func (s *profileShard) cell(name string, w Windows) *profileCell {
+// cell returns the cell of a profile. Requests that fail by the caller's own
+// doing may name any profile, even one that does not exist: they get no cell
+// of their own, or a caller could fill the memory with names.
+func (s *profileShard) cell(name string, w Windows, excluded bool) *profileCell {
 	if c := s.byName[name]; c != nil {
 		return c
 	}
-	if len(s.byName) >= maxProfile {
+	switch {
+	case excluded:
+		name = NameUnknown
+	case len(s.byName) >= maxProfiles:
 		name = NameOther
-		if c := s.byName[name]; c != nil {
-			return c
-		}
+	}
+	if c := s.byName[name]; c != nil {
+		return c
 	}
 	c := &profileCell{
 		cell:   *newCell(w, sketchSteps),
--- a/internal/slo/slo_test.go
+++ b/internal/slo/slo_test.go
@@ -190,6 +190,24 @@
 	})
 }
 
+// Symptom: memory grew while a broken client made up profile names. Cause: each
+// name got a row with all its rings.
+func TestMadeUpProfilesShareOneRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker("a")
+		for i := range 5000 {
+			tracker.Observe(failed(fmt.Sprintf("made-up-%d", i), "agency", errkind.UnknownProfile))
+		}
+		report := tracker.Local(0)
+		if row := rowNamed(t, report, ScopeProfile, NameUnknown); row.Excluded != 5000 || row.Total != 0 {
+			t.Fatalf("%+v", row)
+		}
+		if len(report.Series) != 1 {
+			t.Fatalf("%d profiles", len(report.Series))
+		}
+	})
+}
+
 // step is one generated request.
 type step struct {
 	instance int
