Stand-ins keep their port over a crash; watches read each change once

Cause: an outgoing connection could take the port of a crashed target, whose restart then failed. Each change of any object made each waiting watch read the log from where it began to wait. Change: a bound socket that doesn't listen holds the port; a watch goes on from what it has looked at; 1024 streams a connection.

--- a/internal/standin/loopback/server.go
+++ b/internal/standin/loopback/server.go
@@ -18,10 +18,8 @@
 // Defaults of Options.
 const (
 	DefaultMaxConns = 4096
-	anyPort         = "127.0.0.1:0"
+	maxStreams      = 1024 // of one HTTP/2 connection
 	headerTimeout   = 10 * time.Second
-	restartTries    = 50
-	restartPause    = 10 * time.Millisecond
 )
 
 // ErrClosed is returned by Restart after Close.
@@ -44,10 +42,10 @@
 // Server is an HTTP server that can crash and come back.
 type Server struct {
 	opts Options
+	port *Port
 
 	mu     sync.Mutex // guards the fields below
-	addr   string
-	run    *run // nil while crashed
+	run    *run       // nil while crashed
 	closed bool
 }
 
@@ -73,22 +71,20 @@
 	if opts.MaxConns <= 0 {
 		opts.MaxConns = DefaultMaxConns
 	}
-	s := &Server{opts: opts}
-	listener, err := opts.Listen(anyPort)
+	port, err := ReservePort()
 	if err != nil {
-		return nil, fmt.Errorf("loopback: %w", err)
+		return nil, err
+	}
+	s := &Server{opts: opts, port: port}
+	if err := s.Restart(); err != nil {
+		port.Release()
+		return nil, err
 	}
-	s.addr = listener.Addr().String()
-	s.run = s.start(listener)
 	return s, nil
 }
 
 // Addr returns the address (IP:port), which stays the same over restarts.
-func (s *Server) Addr() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.addr
-}
+func (s *Server) Addr() string { return s.port.Addr() }
 
 // Running reports whether the server is up.
 func (s *Server) Running() bool {
@@ -116,28 +112,14 @@
 	if s.run != nil {
 		return nil
 	}
-	listener, err := s.listenAgain()
+	listener, err := s.opts.Listen(s.port.Addr())
 	if err != nil {
-		return err
+		return fmt.Errorf("loopback: %w", err)
 	}
 	s.run = s.start(listener)
 	return nil
 }
 
-// listenAgain tries for a short while: another socket may hold the port for a
-// moment as the local end of an outgoing connection.
-func (s *Server) listenAgain() (net.Listener, error) {
-	var err error
-	for range restartTries {
-		var listener net.Listener
-		if listener, err = s.opts.Listen(s.addr); err == nil {
-			return listener, nil
-		}
-		time.Sleep(restartPause)
-	}
-	return nil, fmt.Errorf("loopback: restart: %w", err)
-}
-
 // Silence makes all connections open now go silent for good: nothing that
 // either end sends arrives. New connections work.
 func (s *Server) Silence() {
@@ -155,6 +137,7 @@
 	s.closed = true
 	s.mu.Unlock()
 	s.Crash()
+	s.port.Release()
 }
 
 func (s *Server) takeRun() *run {
@@ -174,6 +157,7 @@
 	r.http = &http.Server{
 		Handler:           r.counted(s.opts.Handler),
 		Protocols:         protocols,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		ReadHeaderTimeout: headerTimeout,
 		ErrorLog:          log.New(io.Discard, "", 0),
 		BaseContext:       func(net.Listener) context.Context { return context.WithValue(r.ctx, runKey{}, r.ctx) },
--- a/internal/standin/platform/handlers.go
+++ b/internal/standin/platform/handlers.go
@@ -161,6 +161,9 @@
 			s.answerWatch(w, r, list)
 			return
 		}
+		// What was looked at need not be looked at again: with many watches
+		// waiting, each change would else make each of them read the whole log.
+		after = list.Version
 		select {
 		case <-changed:
 		case <-timer.C:
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -72,7 +72,7 @@
 }
 
 func TestWatchSeesChangesOfItsPrefixInOrder(t *testing.T) {
-	s := start(t, Options{History: 4})
+	s := start(t, Options{History: 64})
 	s.Put("a/1", []byte("x"))
 	answer := make(chan platformapi.ObjectList)
 	go func() {
@@ -80,13 +80,16 @@
 		call(t, s, "GET", platformapi.PathWatch+"?prefix=a/&after=1&wait_ms=20000", nil, &list)
 		answer <- list
 	}()
-	s.Put("b/1", nil)
+	for range 20 {
+		s.Put("b/1", nil) // wakes the watch, which must go on waiting
+		time.Sleep(time.Millisecond)
+	}
 	s.Put("a/2", []byte("y"))
 	list := <-answer
 	want(t, "objects", len(list.Objects), 1)
 	want(t, "key", list.Objects[0].Key, "a/2")
 	want(t, "value", string(list.Objects[0].Value), "y")
-	for range 10 {
+	for range 100 {
 		s.Put("a/3", nil)
 	}
 	call(t, s, "GET", platformapi.PathWatch+"?prefix=a/&after=1&wait_ms=0", nil, &list)
