Orders under random faults; planner properties; quiet before unloads

Found by the property that plans come to an end: room made for one model version was taken by another in the same plan, without end (now reserved); an unwanted version on the only usable engine blocked a wanted one of the same model (now gives way below the minimum). Found by thinking through a change of the order-giver: an unload still under way and a new one could take a model from both engines, also when they check fences; unloads now wait until the orders of the holder before have run out. Orders end by the boot clock.

--- a/internal/control/lease/random_test.go
+++ b/internal/control/lease/random_test.go
@@ -179,14 +179,17 @@
 		nodes[i].seeMembers(ids(n), rng, 0.3)
 	}
 	held := 0
+	orders := &underWay{until: make(map[string]time.Time)}
 	for range 1200 { // five minutes
 		time.Sleep(250 * time.Millisecond)
 		held += sample(nodes, h)
+		orders.give(t, nodes)
 		disturb(nodes, n, s, rng)
 	}
 	s.SetFaults(memstore.Faults{})
 	for _, nd := range nodes {
 		nd.seeMembers(ids(n), rng, 0)
+		nd.board.Self.Delete(board.SelfRow)
 	}
 	time.Sleep(2 * time.Minute)
 	if last := sample(nodes, h); last != 1 {
@@ -215,6 +218,28 @@
 	return held
 }
 
+// underWay is until when orders of each instance to engines that ignore fences
+// may be under way.
+type underWay struct {
+	until map[string]time.Time
+}
+
+// give lets every instance that may give such an order give one. No order of
+// another instance may be under way.
+func (u *underWay) give(t *testing.T, nodes []*randomNode) {
+	for _, nd := range nodes {
+		if _, ok := nd.manager.Check(service, DefaultOrderTimeout, false); !ok {
+			continue
+		}
+		for other, until := range u.until {
+			if other != nd.id && until.After(time.Now()) {
+				t.Errorf("%s may order while an order of %s is under way for %v more", nd.id, other, time.Until(until))
+			}
+		}
+		u.until[nd.id] = time.Now().Add(DefaultOrderTimeout)
+	}
+}
+
 // disturb changes the faults now and then.
 func disturb(nodes []*randomNode, n int, s *memstore.Store, rng *rand.Rand) {
 	if rng.Float64() < 0.05 {
@@ -225,9 +250,14 @@
 		}
 		s.SetFaults(f)
 	}
-	if rng.Float64() < 0.05 {
+	if rng.Float64() < 0.02 {
 		pauseOne(nodes, rng)
 	}
+	if rng.Float64() < 0.02 { // the holder gives its lease back
+		for _, nd := range nodes {
+			nd.board.Self.Put(board.SelfRow, board.Self{Draining: nd.manager.Holds(service)})
+		}
+	}
 	if rng.Float64() < 0.02 {
 		nodes[rng.IntN(n)].seeMembers(ids(n), rng, rng.Float64())
 	}
--- a/internal/control/orders/adapters.go
+++ b/internal/control/orders/adapters.go
@@ -61,7 +61,7 @@
 	if counts[r.Role] >= r.Engines {
 		return
 	}
-	i, found := p.best(func(e Engine) bool {
+	i, found := p.best(func(_ int, e Engine) bool {
 		return e.Role != r.Role && counts[e.Role] > wanted[e.Role]
 	}, func(a, b Engine) bool { return a.load() < b.load() })
 	if !found {
--- a/internal/control/orders/controller.go
+++ b/internal/control/orders/controller.go
@@ -43,6 +43,7 @@
 	plan    lynxapi.ModelPlan
 	planned time.Time // when the plan object was last read
 	engines map[string]*engineState
+	guard   lastReady
 }
 
 // engineState is an engine's state as read back.
@@ -115,6 +116,7 @@
 	targets := serviceTargets(c.opts.Board, s.name)
 	c.readBack(ctx, s, targets)
 	engines := c.engines(s, targets)
+	c.checkLastReady(s, engines)
 	now := c.opts.Clock.Now()
 	wanted := inForce(s.name, c.opts.Board.Profiles.Snapshot(), s.plan, c.opts.MinReady)
 	if len(wanted) == 0 {
@@ -123,6 +125,7 @@
 	facts := s.memory.facts(c.opts, now, engines, wanted)
 	facts.Roles = s.plan.Roles
 	facts.Loads = int(s.loads.TokensAt(now))
+	s.guard.remember(facts)
 	plan := Make(facts)
 	c.opts.Metrics.Counter(metricUnmet).Set(int64(len(plan.Unmet)))
 	c.publish(engines, plan)
--- a/internal/control/orders/controller_test.go
+++ b/internal/control/orders/controller_test.go
@@ -12,8 +12,11 @@
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/control/lease"
+	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/store/memstore"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
 )
 
 const pool = "lynx-pool"
@@ -119,3 +122,153 @@
 		}
 	})
 }
+
+// fenced is the lease of a new holder: the orders of the one before may still
+// be under way.
+type fenced struct{}
+
+func (fenced) Check(_ string, _ time.Duration, checksFence bool) (lease.Grant, bool) {
+	return lease.Grant{Fence: 2, Until: 1 << 62, UncheckedFrom: 1 << 61}, checksFence
+}
+
+// Symptom: a model is ready nowhere after a change of the order-giver.
+// Events: the old giver's unload on one engine is still under way when the new
+// one unloads the model from the other, which it saw ready on the first.
+// Cause: an engine that checks fences takes the old order as long as it has
+// not seen the new fence.
+func TestUnloadsWaitUntilOldOrdersHaveRunOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEngines(4, true)
+		old := targetapi.LoadedModel{Model: "lynx", Version: "v0", Ready: true}
+		f.engines[engineID(0)].models = []targetapi.LoadedModel{old}
+		b := boardWith(f)
+		b.Profiles.Put("report", profileOf("report", provider("v1", "")))
+		stop := run(f, b, func(o *Options) { o.Lease = fenced{} })
+		time.Sleep(10 * time.Minute)
+		stop()
+		kinds := make(map[string]int)
+		for _, d := range f.done() {
+			kinds[d.order.Kind]++
+		}
+		if kinds[targetapi.OrderLoad] == 0 || kinds[targetapi.OrderUnload] != 0 {
+			t.Errorf("orders %v, want loads and no unload", kinds)
+		}
+	})
+}
+
+func TestLoadsKeepToTheWeightRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEngines(40, true)
+		b := boardWith(f)
+		b.Profiles.Put("report", profileOf("report", provider("v1", "a")))
+		const rate, burst = 0.2, 3
+		stop := run(f, b, func(o *Options) {
+			o.WeightRate, o.WeightBurst, o.MinReady, o.ChangingShare = rate, burst, 40, 1
+		})
+		time.Sleep(10 * time.Minute)
+		stop()
+		all := f.done()
+		if len(all) < 80 {
+			t.Fatalf("%d loads in ten minutes, want all 80 of models and adapters", len(all))
+		}
+		for i := range all {
+			if i+10 < len(all) {
+				if took := all[i+10].at.Sub(all[i].at).Seconds(); took < (11-burst)/rate-1 {
+					t.Fatalf("11 loads within %.0f s at a rate of %v and a burst of %d", took, rate, burst)
+				}
+			}
+		}
+	})
+}
+
+func TestPlanObjectAndRoles(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEngines(6, true)
+		b := boardWith(f)
+		s := memstore.New(memstore.Options{})
+		c := New(Options{Store: s, Board: b, Clock: quartz.NewReal()})
+		plan := lynxapi.ModelPlan{
+			Service: pool,
+			Models:  []lynxapi.ModelWant{{Model: "lynx", Version: "v1", Min: 4, Max: 4}},
+			Roles:   []lynxapi.RoleWant{{Role: "prefill", Engines: 2}},
+		}
+		if _, err := c.SetPlan(t.Context(), plan); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.SetPlan(t.Context(), plan); !errkind.Is(err, errkind.Conflict) {
+			t.Fatalf("a plan over one not seen: %v, want conflict", err)
+		}
+		stop := run(f, b, func(o *Options) { o.Store = s })
+		time.Sleep(5 * time.Minute)
+		stop()
+		if n := f.ready(ModelVersion{"lynx", "v1"}); n != 4 {
+			t.Errorf("%d engines have the planned model ready, want 4", n)
+		}
+		prefill := 0
+		for _, e := range f.engines {
+			if e.role == "prefill" {
+				prefill++
+			}
+		}
+		if prefill != 2 {
+			t.Errorf("%d engines have the role, want 2", prefill)
+		}
+	})
+}
+
+// Symptom: an engine stays without its model after its process was replaced.
+// Events: the engine restarts empty; nobody tells the order-giver.
+// Cause: orders given once were taken for done.
+func TestLostModelsAreLoadedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEngines(2, true)
+		b := boardWith(f)
+		b.Profiles.Put("report", profileOf("report", provider("v1", "")))
+		stop := run(f, b, nil)
+		defer stop()
+		time.Sleep(time.Minute)
+		f.mu.Lock()
+		f.engines[engineID(0)].models = nil
+		f.engines[engineID(0)].highFence = 0
+		f.mu.Unlock()
+		time.Sleep(time.Minute)
+		if n := f.ready(ModelVersion{"lynx", "v1"}); n != 2 {
+			t.Errorf("%d engines have the model ready after one restarted, want 2", n)
+		}
+	})
+}
+
+func TestDemandMovesCountsSlowly(t *testing.T) {
+	v := ModelVersion{"lynx", "v1"}
+	engines := func(n, running int) []Engine {
+		all := make([]Engine, n)
+		for i := range all {
+			all[i] = Engine{ID: engineID(i), Usable: true, Slots: 10, Running: running,
+				Models: []targetapi.LoadedModel{{Model: "lynx", Version: "v1", Ready: true}}}
+		}
+		return all
+	}
+	now := time.Unix(0, 0)
+	s := newScaler(Scaling{}.withDefaults())
+	drive := func(seconds, n int, load func(second int) int) int {
+		count := 0
+		for i := range seconds {
+			now = now.Add(time.Second)
+			count = s.count(now, v, engines(n, load(i)), 1, 20)
+		}
+		return count
+	}
+	swing := func(i int) int { return []int{1, 10}[i/10%2] }
+	if count := drive(3600, 4, swing); count != 4 {
+		t.Errorf("a load that swings every 10 s moved the count from 4 to %d", count)
+	}
+	if count := drive(25, 4, func(int) int { return 10 }); count != 7 {
+		t.Errorf("25 s of full load: count %d, want 7", count)
+	}
+	if count := drive(250, 7, func(int) int { return 1 }); count != 7 {
+		t.Errorf("250 s of low load: count %d, want still 7", count)
+	}
+	if count := drive(60, 7, func(int) int { return 1 }); count != 6 {
+		t.Errorf("310 s of low load: count %d, want 6", count)
+	}
+}
--- a/internal/control/orders/fake_test.go
+++ b/internal/control/orders/fake_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -36,9 +35,10 @@
 
 // done is an order that an engine carried out.
 type done struct {
-	engine string
-	order  targetapi.Order
-	at     time.Time
+	engine      string
+	order       targetapi.Order
+	checksFence bool
+	sent, at    time.Time
 }
 
 func newEngines(n int, checksFence bool) *fakeEngines {
@@ -51,15 +51,14 @@
 
 func engineID(i int) string { return fmt.Sprintf("e-%02d", i) }
 
-func (f *fakeEngines) wait() {
+// way is how long an order or its reply is under way.
+func (f *fakeEngines) way() time.Duration {
 	f.mu.Lock()
-	delay := f.delay
-	f.mu.Unlock()
-	if delay == nil {
-		time.Sleep(time.Millisecond)
-		return
+	defer f.mu.Unlock()
+	if f.delay == nil {
+		return time.Millisecond
 	}
-	time.Sleep(delay())
+	return f.delay()
 }
 
 func (f *fakeEngines) State(ctx context.Context, t stagecall.Target) (targetapi.LoadReport, error) {
@@ -78,22 +77,29 @@
 	return targetapi.LoadReport{Target: t.ID, Slots: 8, Running: e.running, Role: e.role, Models: models, HighFence: e.highFence}, nil
 }
 
+// Order delivers the order even if the giver stops waiting for the reply.
 func (f *fakeEngines) Order(ctx context.Context, t stagecall.Target, o targetapi.Order) error {
-	f.wait()
 	if ctx.Err() != nil {
-		return &stagecall.Failure{Class: stagecall.ClassCancelled, Err: ctx.Err()}
+		return &stagecall.Failure{Class: stagecall.ClassCancelled, Err: ctx.Err(), NotRun: true}
 	}
-	if err := f.carryOut(t.ID, o); err != nil {
+	sent := time.Now()
+	there, back := f.way(), f.way()
+	reply := make(chan error, 1)
+	go func() {
+		time.Sleep(there)
+		err := f.carryOut(t.ID, o, sent)
+		time.Sleep(back)
+		reply <- err
+	}()
+	select {
+	case err := <-reply:
 		return err
+	case <-ctx.Done():
+		return &stagecall.Failure{Class: stagecall.ClassSilent, Err: ctx.Err()}
 	}
-	f.wait()
-	if ctx.Err() != nil {
-		return &stagecall.Failure{Class: stagecall.ClassCancelled, Err: errors.New("reply lost")}
-	}
-	return nil
 }
 
-func (f *fakeEngines) carryOut(id string, o targetapi.Order) error {
+func (f *fakeEngines) carryOut(id string, o targetapi.Order, sent time.Time) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	e := f.engines[id]
@@ -104,7 +110,7 @@
 		return &stagecall.Failure{Class: stagecall.ClassRefused, Code: targetapi.CodeOldFence, NotRun: true}
 	}
 	e.highFence = max(e.highFence, o.Fence)
-	f.orders = append(f.orders, done{engine: id, order: o, at: time.Now()})
+	f.orders = append(f.orders, done{engine: id, order: o, checksFence: e.checksFence, sent: sent, at: time.Now()})
 	image := Engine{Models: e.models, Role: e.role}
 	applyOrder(&image, o)
 	e.models, e.role = image.Models, image.Role
--- a/internal/control/orders/give.go
+++ b/internal/control/orders/give.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"slices"
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/control/loop"
@@ -42,27 +41,38 @@
 }
 
 // send checks the lease and sends the order. Nothing that can take time stands
-// between the check and the call.
+// between the check and the call; the call's context ends by the boot clock, so
+// that an order that was held up by a suspended machine is not sent later.
 func (c *Controller) send(ctx context.Context, s *service, t board.Target, step Step) {
 	callCtx, cancel := loop.WithTimeout(ctx, c.opts.Clock, c.opts.OrderTimeout)
 	defer cancel()
 	order := step.Order
 	order.Giver = c.opts.Self
 	state := s.engines[t.ID]
-	grant, ok := c.opts.Lease.Check(s.name, c.opts.OrderTimeout, t.ChecksFence)
+	grant, ok := c.opts.Lease.Check(s.name, c.opts.OrderTimeout, t.ChecksFence && !needsQuiet(order.Kind))
 	if !ok {
 		c.opts.Metrics.Counter(metricNoLease).Add(1)
 		return
 	}
 	order.Fence = grant.Fence
-	c.opts.Checker.Check(c.opts.Boot.SinceBoot() < grant.Until, invariant.OneOrderGiver,
+	now := c.opts.Boot.SinceBoot()
+	c.opts.Checker.Check(now < grant.Until, invariant.OneOrderGiver,
 		"order to %s of %s with fence %d after the lease's end", t.ID, s.name, grant.Fence)
+	callCtx = loop.WithBootDeadline(callCtx, c.opts.Boot, now+c.opts.OrderTimeout)
 	err := c.opts.Caller.Order(callCtx, stagecall.Target{ID: t.ID, Address: t.Address}, order)
 	state.dirty = true // also after a failure: it may have been carried out
 	step.Order = order
+	s.noteUnload(step)
 	c.record(s, step, err)
 }
 
+// needsQuiet reports whether an order has to wait until the orders of the
+// order-giver before have run out, also for an engine that checks fences. Two
+// unloads of one model version, each given because the other engine still had
+// it, would take it away everywhere; and an engine learns of the new fence only
+// by the first order that it gets.
+func needsQuiet(kind string) bool { return kind == targetapi.OrderUnload }
+
 func (c *Controller) record(s *service, step Step, err error) {
 	result, id := resultTaken, event.OrderGiven
 	var failure *stagecall.Failure
@@ -85,8 +95,10 @@
 // away: requests for the model would find no target until a load is done.
 func (c *Controller) confirmed(ctx context.Context, s *service, facts Facts, step Step) bool {
 	v := ModelVersion{Model: step.Order.Model, Version: step.Order.Version}
-	if !slices.ContainsFunc(facts.Wants, func(w Want) bool { return w.ModelVersion == v }) {
-		return true // not in force: nobody needs it
+	// Orders before this one may have taken long: what is in force now counts.
+	_, wanted := inForce(s.name, c.opts.Board.Profiles.Snapshot(), s.plan, c.opts.MinReady)[v]
+	if !wanted {
+		return true // nobody needs it
 	}
 	own, _ := s.engines[step.Engine].model(v)
 	if !own.Ready {
--- a/internal/control/orders/plan.go
+++ b/internal/control/orders/plan.go
@@ -29,11 +29,15 @@
 	wants   map[ModelVersion]Want
 	kept    map[ModelVersion]bool
 	loads   int
-	plan    Plan
+	// reserved is the room made on an engine for a model version that is
+	// loaded once the room is seen to be free. Another version that took it
+	// would be unloaded again in the next plan, without end.
+	reserved map[int]int
+	plan     Plan
 }
 
 func newPlanner(f Facts) *planner {
-	p := &planner{facts: f, wants: make(map[ModelVersion]Want), kept: make(map[ModelVersion]bool), loads: f.Loads}
+	p := &planner{facts: f, wants: make(map[ModelVersion]Want), kept: make(map[ModelVersion]bool), loads: f.Loads, reserved: make(map[int]int)}
 	for _, e := range f.Engines {
 		e.Models = slices.Clone(e.Models)
 		p.engines = append(p.engines, e)
@@ -116,6 +120,7 @@
 	}
 	if i, victim, ok := p.evictable(w); ok {
 		p.unload(i, victim)
+		p.reserved[i]++
 		return false // the load follows when the room is seen to be free
 	}
 	if p.holders(w.ModelVersion) < w.Min {
@@ -132,9 +137,9 @@
 			inPlace[e.Place]++
 		}
 	}
-	return p.best(func(e Engine) bool {
+	return p.best(func(i int, e Engine) bool {
 		_, has := e.model(v)
-		return !has && len(e.Models) < p.facts.ModelsPerEngine
+		return !has && len(e.Models)+p.reserved[i] < p.facts.ModelsPerEngine
 	}, func(a, b Engine) bool {
 		if inPlace[a.Place] != inPlace[b.Place] {
 			return inPlace[a.Place] < inPlace[b.Place]
@@ -148,10 +153,10 @@
 
 // best returns the usable engine that fits and is better than the others, the
 // first by id among equals.
-func (p *planner) best(fits func(Engine) bool, better func(a, b Engine) bool) (int, bool) {
+func (p *planner) best(fits func(int, Engine) bool, better func(a, b Engine) bool) (int, bool) {
 	best, found := 0, false
 	for i, e := range p.engines {
-		if !e.Usable || !fits(e) {
+		if !e.Usable || !fits(i, e) {
 			continue
 		}
 		if !found || better(e, p.engines[best]) {
--- a/internal/control/orders/unload.go
+++ b/internal/control/orders/unload.go
@@ -30,7 +30,7 @@
 func (p *planner) evictable(w Want) (int, ModelVersion, bool) {
 	urgent := p.holders(w.ModelVersion) < w.Min
 	for i, e := range p.engines {
-		if _, has := e.model(w.ModelVersion); has || !e.Usable || e.changing() {
+		if _, has := e.model(w.ModelVersion); has || !e.Usable {
 			continue
 		}
 		for _, m := range e.Models {
@@ -45,7 +45,13 @@
 func (p *planner) givesWay(e Engine, v ModelVersion, urgent bool) bool {
 	other, wanted := p.wants[v]
 	if !wanted {
-		return p.unwanted(v) || urgent && p.kept[v] && p.spared(e, v, 1)
+		if p.kept[v] {
+			return urgent && p.spared(e, v, 1)
+		}
+		return urgent || p.unwanted(v)
+	}
+	if e.changing() {
+		return false // one load at a time: it would be cut or its model lost
 	}
 	keep := other.Count
 	if urgent {
@@ -91,7 +97,7 @@
 		if p.holders(w.ModelVersion) <= w.Count {
 			continue
 		}
-		i, found := p.best(func(e Engine) bool {
+		i, found := p.best(func(_ int, e Engine) bool {
 			_, has := e.model(w.ModelVersion)
 			return has && p.spared(e, w.ModelVersion, max(w.Min, w.Count))
 		}, func(a, b Engine) bool { return a.load() < b.load() })
