Burn report as one page with plots

Cause: attainment, what burnt the budget and cost by provider must be readable at a glance, by someone who has only a browser. Change: report.HTML writes one page without scripts or other files: a headline, a card a profile with attainment over time against its objective, burn over both windows, causes, cost by stage stacked by provider, providers side by side for a migration, places and organisations.

--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -1,12 +1,256 @@
 package report
 
 import (
+	_ "embed"
+	"fmt"
+	"html/template"
 	"io"
+	"slices"
 
+	"lynxhill.example/lynxhill/internal/slo"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
-// HTML writes the report as one self-contained page.
+//go:embed page.html
+var pageText string
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"share": share, "rounded": rounded, "times": times, "factor": factor, "count": count, "amount": amount, "window": window,
+	"missed": missedOf, "stage": stageName, "target": targetName, "perCall": perCall, "wasted": wastedShare,
+}).Parse(pageText))
+
+// view is what the page shows.
+type view struct {
+	Headline      string
+	Class         string // status of the worst profile
+	Coverage      string
+	Missing       []string
+	Totals        totals
+	Cards         []card
+	Report        lynxapi.BurnReport
+	Burn          template.HTML
+	BurnLegend    []legendEntry
+	Causes        template.HTML
+	Costs         template.HTML
+	CostLegend    []legendEntry
+	HiddenCauses  int
+	Comparisons   []comparison
+	Places        []lynxapi.BurnRow
+	Organisations []lynxapi.BurnRow
+	HiddenRows    int
+}
+
+// legendEntry names a colour of a plot.
+type legendEntry struct {
+	Name   string
+	Colour template.CSS
+}
+
+func legendOf(name string, colour ink) legendEntry {
+	return legendEntry{Name: name, Colour: template.CSS("var(" + inkVariables[colour] + ")")}
+}
+
+// totals are the figures of all profiles together.
+type totals struct {
+	Attainment float64
+	Requests   uint64
+	Missed     uint64
+	Cost       float64
+	Wasted     float64
+}
+
+// card is one profile.
+type card struct {
+	Row       lynxapi.BurnRow
+	Status    string
+	Class     string
+	Budget    string
+	BudgetBar float64 // width of the bar, in percent
+	Plot      template.HTML
+}
+
+// comparison is one provider of a stage that has several, for a migration.
+type comparison struct {
+	Cost      lynxapi.CostRow
+	First     bool    // first row of its stage
+	Rows      int     // rows of the stage
+	CallShare float64 // of the stage's calls
+	Against   string  // cost a call against the dearest provider's
+}
+
+// HTML writes the report as one self-contained page: no scripts and no other
+// files, for light and dark.
 func HTML(w io.Writer, r lynxapi.BurnReport) error {
-	return Text(w, r)
+	v, err := viewOf(r)
+	if err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return page.Execute(w, v)
+}
+
+func viewOf(r lynxapi.BurnReport) (view, error) {
+	profiles := byUrgency(rowsOf(r, slo.ScopeProfile))
+	v := view{
+		Headline:    headline(r),
+		Class:       statusMet.class(),
+		Coverage:    coverage(r),
+		Missing:     r.Missing,
+		Totals:      totalsOf(r, profiles),
+		Report:      r,
+		Comparisons: comparisonsOf(r.Costs),
+		Places:      rowsOf(r, slo.ScopePlace),
+	}
+	if len(profiles) > 0 {
+		v.Class = statusOf(profiles[0]).class()
+	}
+	organisations := rowsOf(r, slo.ScopeOrganisation)
+	v.Organisations = organisations[:min(len(organisations), shownOrganisations)]
+	v.HiddenRows = len(organisations) - len(v.Organisations)
+	v.BurnLegend = []legendEntry{
+		legendOf("last "+window(r.ShortS), inkShort),
+		legendOf("last "+window(r.LongS), inkLong),
+	}
+	for i, provider := range providersOf(r.Costs) {
+		v.CostLegend = append(v.CostLegend, legendOf(provider, providerInk(i)))
+	}
+	v.HiddenCauses = max(len(r.Causes)-shownCauses, 0)
+	return v, v.draw(profiles)
+}
+
+// draw adds the plots.
+func (v *view) draw(profiles []lynxapi.BurnRow) (err error) {
+	if v.Cards, err = cardsOf(v.Report, profiles); err != nil {
+		return err
+	}
+	used := slices.DeleteFunc(slices.Clone(profiles), func(row lynxapi.BurnRow) bool { return row.Total == 0 })
+	if v.Burn, err = burnPlot(used); err != nil {
+		return err
+	}
+	if v.Causes, err = causePlot(v.Report.Causes); err != nil {
+		return err
+	}
+	v.Costs, err = costPlot(v.Report.Costs)
+	return err
+}
+
+// byUrgency orders profiles by what needs a look first.
+func byUrgency(rows []lynxapi.BurnRow) []lynxapi.BurnRow {
+	rows = slices.Clone(rows)
+	urgency := map[status]int{statusMissed: 0, statusAtRisk: 1, statusMet: 2, statusIdle: 3}
+	slices.SortStableFunc(rows, func(a, b lynxapi.BurnRow) int {
+		if d := urgency[statusOf(a)] - urgency[statusOf(b)]; d != 0 {
+			return d
+		}
+		switch {
+		case a.BudgetLeft < b.BudgetLeft:
+			return -1
+		case a.BudgetLeft > b.BudgetLeft:
+			return 1
+		}
+		return 0
+	})
+	return rows
+}
+
+func totalsOf(r lynxapi.BurnReport, profiles []lynxapi.BurnRow) totals {
+	t := totals{Attainment: 1}
+	for _, row := range profiles {
+		t.Requests += row.Total
+		t.Missed += missedOf(row)
+	}
+	if t.Requests > 0 {
+		t.Attainment = float64(t.Requests-t.Missed) / float64(t.Requests)
+	}
+	wasted := 0.0
+	for _, c := range r.Costs {
+		t.Cost += c.Cost
+		wasted += c.Wasted
+	}
+	if t.Cost > 0 {
+		t.Wasted = wasted / t.Cost
+	}
+	return t
+}
+
+func cardsOf(r lynxapi.BurnReport, profiles []lynxapi.BurnRow) ([]card, error) {
+	series := make(map[string]lynxapi.BurnSeries, len(r.Series))
+	for _, s := range r.Series {
+		series[s.Profile] = s
+	}
+	cards := make([]card, 0, len(profiles))
+	for _, row := range profiles {
+		picture, err := attainmentPlot(series[row.Name], row)
+		if err != nil {
+			return nil, err
+		}
+		cards = append(cards, card{
+			Row:       row,
+			Status:    statusOf(row).String(),
+			Class:     statusOf(row).class(),
+			Budget:    budgetText(row),
+			BudgetBar: 100 * max(0, min(row.BudgetLeft, 1)),
+			Plot:      picture,
+		})
+	}
+	return cards, nil
+}
+
+func budgetText(row lynxapi.BurnRow) string {
+	switch {
+	case row.Total == 0:
+		return "no requests counted"
+	case row.BudgetLeft < 0:
+		return "error budget spent " + factor(1-row.BudgetLeft) + " times over"
+	}
+	return rounded(row.BudgetLeft) + " of the error budget left"
+}
+
+// class is the CSS class of the status.
+func (s status) class() string {
+	switch s {
+	case statusAtRisk:
+		return "risk"
+	case statusMissed:
+		return "missed"
+	case statusIdle:
+		return "idle"
+	}
+	return "met"
+}
+
+// comparisonsOf lists the stages that several providers answered.
+func comparisonsOf(rows []lynxapi.CostRow) []comparison {
+	var all []comparison
+	for _, stage := range stageCosts(rows) {
+		if len(stage.rows) < 2 {
+			continue
+		}
+		var calls uint64
+		dearest := stage.rows[0]
+		for _, c := range stage.rows {
+			calls += c.Calls
+			if perCall(c) > perCall(dearest) {
+				dearest = c
+			}
+		}
+		for i, c := range stage.rows {
+			all = append(all, comparison{
+				Cost:      c,
+				First:     i == 0,
+				Rows:      len(stage.rows),
+				CallShare: float64(c.Calls) / float64(max(calls, 1)),
+				Against:   against(c, dearest),
+			})
+		}
+	}
+	return all
+}
+
+// against says by how much a call costs more or less than at another provider.
+func against(c, reference lynxapi.CostRow) string {
+	base := perCall(reference)
+	if c == reference || base <= 0 || c.Calls == 0 {
+		return "–"
+	}
+	return fmt.Sprintf("%+.0f%%", 100*(perCall(c)/base-1))
 }
--- a/internal/report/report.go
+++ b/internal/report/report.go
@@ -141,6 +141,20 @@
 	return trimZeros(text) + "%"
 }
 
+// rounded shows a share as a percentage where two digits are enough.
+func rounded(v float64) string {
+	percent := v * 100
+	switch {
+	case percent == 0:
+		return "0%"
+	case math.Abs(percent) < 0.1:
+		return "<0.1%"
+	case math.Abs(percent) < 10:
+		return trimZeros(strconv.FormatFloat(percent, 'f', 1, 64)) + "%"
+	}
+	return strconv.FormatFloat(percent, 'f', 0, 64) + "%"
+}
+
 func trimZeros(text string) string {
 	if !strings.Contains(text, ".") {
 		return text
--- a/internal/report/text.go
+++ b/internal/report/text.go
@@ -95,7 +95,7 @@
 	if left < 0 {
 		return fmt.Sprintf("spent %sx", factor(1-left))
 	}
-	return share(left)
+	return rounded(left)
 }
 
 func (t *textReport) causes() {
@@ -112,7 +112,7 @@
 		if i >= shownCauses {
 			break
 		}
-		lines = append(lines, cells(c.Profile, count(c.Count), share(float64(c.Count)/float64(total)), stageName(c), targetName(c), c.ErrorKind))
+		lines = append(lines, cells(c.Profile, count(c.Count), rounded(float64(c.Count)/float64(total)), stageName(c), targetName(c), c.ErrorKind))
 	}
 	t.table(lines)
 	if hidden := len(t.report.Causes) - shownCauses; hidden > 0 {
@@ -130,7 +130,7 @@
 	for _, c := range t.report.Costs {
 		total += c.Cost
 		lines = append(lines, cells(c.Profile, c.Stage, c.Provider, count(c.Calls), amount(c.Cost), amount(perCall(c)),
-			share(wastedShare(c)), count(c.Tokens), times(c.MeanMS)))
+			rounded(wastedShare(c)), count(c.Tokens), times(c.MeanMS)))
 	}
 	t.table(append(lines, cells("all", "", "", "", amount(total))))
 }
