--- a/cmd/lynxbench/main.go
+++ b/cmd/lynxbench/main.go
@@ -13,7 +13,10 @@
 
 // cli is the command line.
 type cli struct {
-	Demo demoCmd `cmd:"" help:"Run both deployments, send requests of both, check every answer. Ends by itself."`
+	Demo    demoCmd    `cmd:"" help:"Run both deployments, send requests of both, check every answer. Ends by itself."`
+	Run     runCmd     `cmd:"" help:"Run experiments: load, faults and policies compared. Status 1 if a promise was broken."`
+	Compare compareCmd `cmd:"" help:"Compare the JSON results of two runs."`
+	Faults  faultsCmd  `cmd:"" help:"List the faults that experiments may name."`
 }
 
 func main() {
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -49,8 +49,11 @@
 	callers  map[string]string // tokens by organisation
 	tokens   auth.Tokens
 
-	mu    sync.Mutex // guards nodes
-	nodes []*Node
+	race raceLog
+
+	mu       sync.Mutex // guards what follows
+	nodes    []*Node
+	profiles []profile.Profile
 }
 
 // Node is one instance of a cluster.
@@ -67,13 +70,13 @@
 func StartCluster(opts ClusterOptions) (*Cluster, error) {
 	network := netfault.New()
 	opts.Fleet.Network = network
+	opts.Fleet.Latency = true
 	opts.Fleet.Seed = opts.Seed
 	deployment, err := fleet.New(opts.Fleet)
 	if err != nil {
 		network.Close()
 		return nil, err
 	}
-	network.SetLatencyBetween(latencyOf(opts.Fleet.Name))
 	c := &Cluster{
 		Fleet: deployment, Network: network, Violations: &invariant.Collector{},
 		opts: opts, callers: make(map[string]string),
@@ -88,13 +91,6 @@
 	return c, nil
 }
 
-func latencyOf(deployment string) time.Duration {
-	if deployment == fleet.Kilimanjaro {
-		return fleet.LatencyKilimanjaro
-	}
-	return fleet.LatencyMediaPlace
-}
-
 func (c *Cluster) makeTokens() {
 	token, hash := auth.NewToken()
 	c.operator = token
@@ -129,6 +125,10 @@
 	return cfg
 }
 
+// callerSilence is two and a half heartbeats: after that a caller gives a
+// connection up and sends its request again.
+const callerSilence = 2500 * time.Millisecond
+
 // benchKeep is how long callers keep an address answer on the bench.
 const benchKeep = 2 * time.Second
 
@@ -255,6 +255,7 @@
 func (c *Cluster) Caller(organisation, place string) *client.Caller {
 	return client.NewCaller(client.CallerOptions{
 		Servers: c.callerAddrs(), Token: c.callers[organisation], Place: place, Region: c.Fleet.Region,
+		Silence: callerSilence,
 	})
 }
 
@@ -309,6 +310,9 @@
 			return nil, fmt.Errorf("profile %s: %s, missing at %v", p.Name, reply.State, reply.Force.Missing)
 		}
 	}
+	c.mu.Lock()
+	c.profiles = list
+	c.mu.Unlock()
 	return list, nil
 }
 
--- /dev/null
+++ b/internal/bench/experiment.go
@@ -0,0 +1,317 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"lynxhill.example/lynxhill/internal/config"
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/routing"
+	"lynxhill.example/lynxhill/internal/standin/fleet"
+)
+
+// Experiment is a load with faults, run once for each variant.
+type Experiment struct {
+	Name        string   `toml:"name" json:"name"`
+	About       string   `toml:"about" json:"about"`
+	Seed        uint64   `toml:"seed" json:"seed"`
+	Repetitions int      `toml:"repetitions" json:"repetitions"`
+	Deployments []string `toml:"deployments" json:"deployments"` // default both, side by side
+	Instances   int      `toml:"instances" json:"instances"`
+	Scale       float64  `toml:"scale" json:"scale"`           // of the counts of targets
+	TimeScale   float64  `toml:"time_scale" json:"time_scale"` // of the service times
+	LoadLag     Duration `toml:"load_lag" json:"load_lag"`
+	IgnoreFence bool     `toml:"ignore_fence" json:"ignore_fence"`
+	Rate        float64  `toml:"rate" json:"rate"` // requests a second and deployment
+	Duration    Duration `toml:"duration" json:"duration"`
+	Settle      Duration `toml:"settle" json:"settle"` // wait after the load, for faults that end late
+	PoisonEvery Duration `toml:"poison_every" json:"poison_every"`
+	// MinWhole is the share of requests that must get their whole answer for
+	// the run to mean anything; without it a fleet that refuses everything
+	// would break no promise.
+	MinWhole float64   `toml:"min_whole" json:"min_whole"`
+	Arrivals Arrivals  `toml:"arrivals" json:"arrivals"`
+	Mix      []Mix     `toml:"mix" json:"mix,omitempty"`
+	Faults   []Fault   `toml:"faults" json:"faults"`
+	Variants []Variant `toml:"variants" json:"variants"`
+}
+
+// Variant is what is compared: our policies, or a baseline.
+type Variant struct {
+	Name        string         `toml:"name" json:"name"`
+	Policy      routing.Policy `toml:"policy" json:"policy,omitempty"`
+	MaxAttempts int            `toml:"max_attempts" json:"max_attempts,omitempty"`
+	RetryBudget float64        `toml:"retry_budget" json:"retry_budget,omitempty"`
+	MaxEjected  float64        `toml:"max_ejected" json:"max_ejected,omitempty"`
+	// Baseline variants may break promises about time, never about answers.
+	Baseline bool `toml:"baseline" json:"baseline,omitempty"`
+}
+
+// Duration is written with its unit.
+type Duration = config.Duration
+
+// Defaults and bounds of an experiment.
+const (
+	defaultInstances = 8
+	defaultRate      = 40.0
+	defaultMinWhole  = 0.5
+	defaultDuration  = 10 * time.Second
+	maxInstances     = 64
+	maxDuration      = 10 * time.Minute
+	maxRate          = 5000.0
+	prepareTimeout   = 60 * time.Second
+	// spread separates the seeds of repetitions.
+	spread = 7919
+)
+
+// LoadExperiment reads an experiment from a TOML file.
+func LoadExperiment(name string) (Experiment, error) {
+	text, err := os.ReadFile(name)
+	if err != nil {
+		return Experiment{}, err
+	}
+	var e Experiment
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := decoder.Decode(&e); err != nil {
+		return Experiment{}, fmt.Errorf("%s: %w", name, err)
+	}
+	e.setDefaults()
+	if err := e.validate(); err != nil {
+		return Experiment{}, fmt.Errorf("%s: %w", name, err)
+	}
+	return e, nil
+}
+
+func (e *Experiment) setDefaults() {
+	if e.Seed == 0 {
+		e.Seed = 1
+	}
+	if e.Repetitions == 0 {
+		e.Repetitions = 1
+	}
+	if len(e.Deployments) == 0 {
+		e.Deployments = fleet.Names()
+	}
+	if e.Instances == 0 {
+		e.Instances = defaultInstances
+	}
+	if e.Rate == 0 {
+		e.Rate = defaultRate
+	}
+	if e.Duration.Duration == 0 {
+		e.Duration = config.Of(defaultDuration)
+	}
+	if e.MinWhole == 0 {
+		e.MinWhole = defaultMinWhole
+	}
+	if len(e.Variants) == 0 {
+		e.Variants = []Variant{{Name: "lynxhill"}}
+	}
+}
+
+func (e *Experiment) validate() error {
+	switch {
+	case e.Instances < 1 || e.Instances > maxInstances:
+		return fmt.Errorf("instances: must be 1 to %d", maxInstances)
+	case e.Duration.Duration > maxDuration:
+		return fmt.Errorf("duration: at most %s", maxDuration)
+	case e.Rate <= 0 || e.Rate > maxRate:
+		return fmt.Errorf("rate: must be above 0 and at most %g", maxRate)
+	}
+	for i, f := range e.Faults {
+		if _, ok := faultKinds[f.Kind]; !ok {
+			return fmt.Errorf("faults[%d].kind: there is no fault %q", i, f.Kind)
+		}
+	}
+	for i, v := range e.Variants {
+		if _, err := routing.ParsePolicy(string(v.Policy)); v.Policy != "" && err != nil {
+			return fmt.Errorf("variants[%d].policy: %w", i, err)
+		}
+	}
+	return nil
+}
+
+// Results are those of a whole experiment.
+type Results struct {
+	Experiment Experiment `json:"experiment"`
+	Started    time.Time  `json:"started"`
+	Summaries  []Summary  `json:"summaries"`
+}
+
+// Broken is the number of broken promises over all runs.
+func (r Results) Broken() int {
+	n := 0
+	for _, s := range r.Summaries {
+		n += s.Breaches.Total()
+	}
+	return n
+}
+
+// Run runs every variant, each repetition with the same seed for all of them,
+// and reports as it goes.
+func (e Experiment) Run(ctx context.Context, out, log io.Writer) (Results, error) {
+	results := Results{Experiment: e, Started: time.Now().UTC()}
+	for repetition := range e.Repetitions {
+		for _, variant := range e.Variants {
+			fmt.Fprintf(out, "%s: %s, run %d of %d\n", e.Name, variant.Name, repetition+1, e.Repetitions)
+			summaries, err := e.runOnce(ctx, variant, repetition, out, log)
+			if err != nil {
+				return results, err
+			}
+			results.Summaries = append(results.Summaries, summaries...)
+		}
+	}
+	return results, nil
+}
+
+// runOnce runs one variant on all deployments side by side.
+func (e Experiment) runOnce(ctx context.Context, variant Variant, repetition int, out, log io.Writer) ([]Summary, error) {
+	summaries := make([]Summary, len(e.Deployments))
+	errs := make([]error, len(e.Deployments))
+	var running sync.WaitGroup
+	output := &lineWriter{out: out}
+	for i, name := range e.Deployments {
+		running.Go(func() {
+			r := &experimentRun{Experiment: e, deployment: name, variant: variant, repetition: repetition, out: output, log: log}
+			summaries[i], errs[i] = r.run(ctx)
+		})
+	}
+	running.Wait()
+	for i, err := range errs {
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", e.Deployments[i], err)
+		}
+	}
+	return summaries, nil
+}
+
+// experimentRun is one variant on one deployment.
+type experimentRun struct {
+	Experiment
+	deployment string
+	variant    Variant
+	repetition int
+	out        *lineWriter
+	log        io.Writer
+	start      time.Time
+}
+
+func (r *experimentRun) seed() uint64 { return r.Seed + uint64(r.repetition)*spread }
+
+func (r *experimentRun) run(ctx context.Context) (Summary, error) {
+	c, err := StartCluster(ClusterOptions{
+		Fleet: fleet.Options{
+			Name: r.deployment, Scale: r.Scale, TimeScale: r.TimeScale,
+			LoadLag: r.LoadLag.Duration, IgnoreFence: r.IgnoreFence,
+		},
+		Instances: r.Instances, Policy: r.variant.Policy, Adjust: r.adjust, Log: r.log, Seed: r.seed(),
+	})
+	if err != nil {
+		return Summary{}, err
+	}
+	defer c.Close()
+	list, err := prepare(ctx, c)
+	if err != nil {
+		return Summary{}, err
+	}
+	records, err := r.load(ctx, c, list)
+	if err != nil {
+		return Summary{}, err
+	}
+	return r.conclude(ctx, c, list, records), nil
+}
+
+func (r *experimentRun) adjust(cfg *config.Config) {
+	if r.variant.MaxAttempts > 0 {
+		cfg.Routing.MaxAttempts = r.variant.MaxAttempts
+	}
+	if r.variant.RetryBudget > 0 {
+		cfg.Routing.RetryBudget = r.variant.RetryBudget
+	}
+	if r.variant.MaxEjected > 0 {
+		cfg.Routing.MaxEjected = r.variant.MaxEjected
+	}
+}
+
+func prepare(ctx context.Context, c *Cluster) ([]profile.Profile, error) {
+	ctx, cancel := context.WithTimeout(ctx, prepareTimeout)
+	defer cancel()
+	if err := c.AwaitReady(ctx); err != nil {
+		return nil, err
+	}
+	return c.DeclareProfiles(ctx)
+}
+
+// load sends the load while the faults happen, and waits for both.
+func (r *experimentRun) load(ctx context.Context, c *Cluster, list []profile.Profile) ([]Record, error) {
+	faultCtx, endFaults := context.WithCancel(ctx)
+	defer endFaults()
+	r.start = time.Now()
+	var faults sync.WaitGroup
+	var mu sync.Mutex // guards failed
+	var failed error
+	for i, fault := range r.Faults {
+		if fault.Deployment != "" && fault.Deployment != r.deployment {
+			continue
+		}
+		run := &faultRun{Fault: fault, cluster: c, rng: rand.New(rand.NewPCG(r.seed(), uint64(i))), note: r.note}
+		faults.Go(func() {
+			if err := run.run(faultCtx, r.start); err != nil {
+				mu.Lock()
+				failed = err
+				mu.Unlock()
+			}
+		})
+	}
+	records, err := RunLoad(ctx, c, list, LoadOptions{
+		Rate: r.Rate, Duration: r.Duration.Duration, Arrivals: r.Arrivals, Mix: r.Mix, Seed: r.seed(),
+		Run:         fmt.Sprintf("%s/%s/%d", r.Name, r.variant.Name, r.repetition),
+		PoisonEvery: r.PoisonEvery.Duration,
+	})
+	_ = sleep(ctx, r.Settle.Duration)
+	endFaults()
+	faults.Wait()
+	if err == nil {
+		err = failed
+	}
+	return records, err
+}
+
+func (r *experimentRun) conclude(ctx context.Context, c *Cluster, list []profile.Profile, records []Record) Summary {
+	wrong := c.checkProfiles(ctx)
+	s := summarise(records)
+	s.Deployment, s.Variant, s.Repetition = r.deployment, r.variant.Name, r.repetition
+	s.Breaches = breaches(c, list, records)
+	s.Breaches.Reverted = len(wrong)
+	s.Breaches.Details = append(s.Breaches.Details, wrong...)
+	if whole := share(s.Whole, s.Requests); whole < r.MinWhole {
+		s.Breaches.TooFew = 1
+		s.Breaches.Details = append(s.Breaches.Details, fmt.Sprintf("only %.0f%% of the requests got a whole answer", 100*whole))
+	}
+	return s
+}
+
+func (r *experimentRun) note(format string, args ...any) {
+	at := time.Since(r.start).Round(10 * time.Millisecond)
+	r.out.line("  %s at %s: %s", r.deployment, at, fmt.Sprintf(format, args...))
+}
+
+// lineWriter keeps lines of several runs apart.
+type lineWriter struct {
+	mu  sync.Mutex // guards out
+	out io.Writer
+}
+
+func (w *lineWriter) line(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	fmt.Fprintf(w.out, format+"\n", args...)
+}
--- /dev/null
+++ b/internal/bench/fault_instance.go
@@ -0,0 +1,194 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/client"
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/standin/fleet"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+func (f *faultRun) instanceKill(context.Context) (func(), error) {
+	i := f.instance()
+	f.cluster.KillNode(i)
+	return f.replace(i), nil
+}
+
+func (f *faultRun) instanceStop(context.Context) (func(), error) {
+	i := f.instance()
+	f.cluster.StopNode(i)
+	return f.replace(i), nil
+}
+
+// replace starts an instance anew, with a new address and incarnation.
+func (f *faultRun) replace(i int) func() {
+	return func() {
+		if _, err := f.cluster.StartNode(i); err != nil {
+			f.note("instance %d did not start: %v", i, err)
+		}
+	}
+}
+
+func (f *faultRun) instanceFreeze(context.Context) (func(), error) {
+	id := f.cluster.NodeID(f.instance())
+	f.cluster.Network.Freeze(id)
+	return func() { f.cluster.Network.Thaw(id) }, nil
+}
+
+func (f *faultRun) instanceIsolate(context.Context) (func(), error) {
+	cut := f.cluster.Network.Isolate(f.cluster.NodeID(f.instance()))
+	return func() { f.cluster.Network.Heal(cut) }, nil
+}
+
+func (f *faultRun) instanceSilence(context.Context) (func(), error) {
+	f.cluster.Network.Silence(f.cluster.NodeID(f.instance()))
+	return func() {}, nil
+}
+
+func (f *faultRun) rollingRestart(ctx context.Context) (func(), error) {
+	for i := range f.cluster.opts.Instances {
+		if ctx.Err() != nil {
+			break
+		}
+		f.cluster.StopNode(i)
+		if _, err := f.cluster.StartNode(i); err != nil {
+			return nil, err
+		}
+	}
+	f.note("all instances were replaced")
+	return func() {}, nil
+}
+
+func (f *faultRun) restartAll(context.Context) (func(), error) {
+	n := f.cluster.opts.Instances
+	var killing sync.WaitGroup
+	for i := range n {
+		killing.Go(func() { f.cluster.KillNode(i) })
+	}
+	killing.Wait()
+	for i := range n {
+		if _, err := f.cluster.StartNode(i); err != nil {
+			return nil, err
+		}
+	}
+	return func() {}, nil
+}
+
+// placeLoss kills what is in a place; it is replaced when the fault ends.
+func (f *faultRun) placeLoss(context.Context) (func(), error) {
+	place := f.Subject
+	if place == "" {
+		place = f.cluster.Fleet.Places[f.rng.IntN(len(f.cluster.Fleet.Places))]
+	}
+	members := f.cluster.Fleet.Place(place)
+	if len(members) == 0 {
+		return nil, fmt.Errorf("no place %q", place)
+	}
+	var instances []int
+	for i := range f.cluster.opts.Instances {
+		if f.cluster.placeOf(i) == place {
+			instances = append(instances, i)
+		}
+	}
+	for _, m := range members {
+		m.Target.Crash()
+	}
+	for _, i := range instances {
+		f.cluster.KillNode(i)
+	}
+	f.note("place %s lost: %d targets, %d instances", place, len(members), len(instances))
+	return func() {
+		for _, m := range members {
+			restartTarget(m)
+		}
+		for _, i := range instances {
+			f.replace(i)()
+		}
+	}, nil
+}
+
+func (f *faultRun) drainPlace(ctx context.Context) (func(), error) {
+	subject := "place/" + f.Subject
+	admin := f.cluster.Admin()
+	if _, err := admin.Drain(ctx, subject); err != nil {
+		return nil, err
+	}
+	return func() { _ = admin.Undrain(context.WithoutCancel(ctx), subject) }, nil
+}
+
+// leasePause freezes the instance that gives orders to the engines.
+func (f *faultRun) leasePause(context.Context) (func(), error) {
+	for _, n := range f.cluster.Nodes() {
+		if l, ok := n.Daemon.Board().Leases.Get(fleet.ServicePool); ok && l.Mine {
+			f.note("%s gives the orders and is frozen", n.ID)
+			f.cluster.Network.Freeze(n.ID)
+			return func() { f.cluster.Network.Thaw(n.ID) }, nil
+		}
+	}
+	return nil, fmt.Errorf("nobody gives orders to %s", fleet.ServicePool)
+}
+
+// Constants of the race between operators.
+const (
+	raceOperators = 3
+	racePause     = 120 * time.Millisecond
+	racedProfile  = 0 // index in the list of profiles
+)
+
+// profileRace lets several operators, each at another instance, change one
+// profile again and again until the fault ends. What they were told is checked
+// against what is in force when the experiment ends.
+func (f *faultRun) profileRace(ctx context.Context) (func(), error) {
+	ctx, stop := context.WithCancel(ctx)
+	list := f.cluster.declared()
+	if len(list) == 0 {
+		stop()
+		return nil, fmt.Errorf("no profiles are declared")
+	}
+	var racing sync.WaitGroup
+	for operator := range raceOperators {
+		racing.Go(func() { f.race(ctx, operator, list[racedProfile]) })
+	}
+	return func() {
+		stop()
+		racing.Wait()
+		f.note("race: %s", f.cluster.race.String())
+	}, nil
+}
+
+func (f *faultRun) race(ctx context.Context, operator int, base profile.Profile) {
+	for round := 0; sleep(ctx, racePause) == nil; round++ {
+		nodes := f.cluster.Nodes()
+		if len(nodes) == 0 {
+			continue
+		}
+		node := nodes[(operator+round)%len(nodes)]
+		admin := client.NewAdmin(client.AdminOptions{Servers: []string{node.Daemon.AdminAddr()}, Token: f.cluster.operator})
+		f.raceOnce(context.WithoutCancel(ctx), admin, base, operator*1000+round)
+	}
+}
+
+func (f *faultRun) raceOnce(ctx context.Context, admin *client.Admin, base profile.Profile, mark int) {
+	ctx, cancel := context.WithTimeout(ctx, acceptWait)
+	defer cancel()
+	version, _, err := admin.NewestVersion(ctx, base.Name)
+	if err != nil {
+		f.cluster.race.add(raceResult{kind: "unread"})
+		return
+	}
+	base.MaxInputKB = base.MaxInputKB + mark%97
+	started := time.Now()
+	reply, err := admin.SetProfile(ctx, lynxapi.ChangeRequest{
+		Profile: base, IfVersion: version, ChangeID: client.NewKey(), WaitMS: acceptWait.Milliseconds(),
+	})
+	result := raceResult{kind: reply.State, version: reply.Version, changeID: reply.ChangeID, took: time.Since(started), profile: base.Name}
+	if err != nil {
+		result.kind = errkind.Of(err).String()
+	}
+	f.cluster.race.add(result)
+}
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,219 @@
+package bench
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/client"
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+// LoadOptions describe an open-loop load on one cluster.
+type LoadOptions struct {
+	Rate     float64 // requests a second
+	Duration time.Duration
+	Arrivals Arrivals
+	Mix      []Mix
+	Seed     uint64
+	Run      string // name of the run, part of every input
+	// PoisonEvery sends a request that crashes its targets this often; 0
+	// sends none.
+	PoisonEvery time.Duration
+	// MaxRequests bounds the load; 0 = 200,000.
+	MaxRequests int
+	// Progress is called about once a second; nil = never.
+	Progress func(sent, done int)
+}
+
+const defaultMaxRequests = 200_000
+
+// Record is what became of one request.
+type Record struct {
+	Profile      string
+	Organisation string
+	Place        string
+	Key          string
+	At           time.Duration // intended moment since the start of the load
+	Latency      time.Duration // from the intended moment to the end
+	Deadline     time.Duration
+	FirstToken   time.Duration // from the intended moment; 0 if nothing was streamed
+	Gaps         []time.Duration
+	Attempts     int // of the caller
+	Reply        lynxapi.SendReply
+	Err          error
+	Broken       error // the answer was not whole or not its own
+	Poison       bool
+}
+
+// Whole reports whether the request got its whole, own answer.
+func (r *Record) Whole() bool { return r.Err == nil && r.Broken == nil }
+
+// Attained reports whether that was within the deadline.
+func (r *Record) Attained() bool { return r.Whole() && r.Latency <= r.Deadline }
+
+// RunLoad sends the load and returns a record for every request. Latencies
+// count from the moment at which a request was meant to be sent, so that a
+// stall of the system or of the bench itself shows in them.
+func RunLoad(ctx context.Context, c *Cluster, list []profile.Profile, opts LoadOptions) ([]Record, error) {
+	l, err := newLoad(c, list, opts)
+	if err != nil {
+		return nil, err
+	}
+	return l.run(ctx), nil
+}
+
+// load is one running load.
+type load struct {
+	cluster *Cluster
+	opts    LoadOptions
+	items   []timedItem
+	callers map[callerKey]*client.Caller
+
+	mu      sync.Mutex // guards records and sent
+	records []Record
+	sent    int
+}
+
+type timedItem struct {
+	at time.Duration
+	item
+}
+
+// callerKey: the services of an organisation in a place share a kept address
+// answer.
+type callerKey struct{ organisation, place string }
+
+func newLoad(c *Cluster, list []profile.Profile, opts LoadOptions) (*load, error) {
+	if opts.MaxRequests <= 0 {
+		opts.MaxRequests = defaultMaxRequests
+	}
+	rng := rand.New(rand.NewPCG(opts.Seed, 7))
+	offsets, err := opts.Arrivals.offsets(opts.Rate, opts.Duration, rng)
+	if err != nil {
+		return nil, err
+	}
+	if len(offsets) > opts.MaxRequests {
+		return nil, fmt.Errorf("the load has %d requests, more than the bound of %d", len(offsets), opts.MaxRequests)
+	}
+	work, err := newWorkload(c, list, opts.Mix, opts.Run, rng)
+	if err != nil {
+		return nil, err
+	}
+	l := &load{cluster: c, opts: opts, callers: make(map[callerKey]*client.Caller)}
+	poisonAt := opts.PoisonEvery
+	for _, at := range offsets {
+		it := timedItem{at: at}
+		if opts.PoisonEvery > 0 && at >= poisonAt {
+			it.item = work.poison()
+			poisonAt += opts.PoisonEvery
+		} else {
+			it.item = work.next()
+		}
+		l.items = append(l.items, it)
+		l.addCaller(it.item)
+	}
+	return l, nil
+}
+
+func (l *load) addCaller(it item) {
+	key := callerKey{it.organisation, it.place}
+	if l.callers[key] == nil {
+		l.callers[key] = l.cluster.Caller(it.organisation, it.place)
+	}
+}
+
+func (l *load) run(ctx context.Context) []Record {
+	start := time.Now()
+	stop := l.reportProgress(ctx)
+	defer stop()
+	var sending sync.WaitGroup
+	for _, it := range l.items {
+		if sleep(ctx, time.Until(start.Add(it.at))) != nil {
+			break
+		}
+		l.mu.Lock()
+		l.sent++
+		l.mu.Unlock()
+		sending.Go(func() {
+			record := l.send(ctx, start, it)
+			l.mu.Lock()
+			l.records = append(l.records, record)
+			l.mu.Unlock()
+		})
+	}
+	sending.Wait()
+	return l.records
+}
+
+func (l *load) reportProgress(ctx context.Context) (stop func()) {
+	if l.opts.Progress == nil {
+		return func() {}
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		for sleep(ctx, time.Second) == nil {
+			l.mu.Lock()
+			sent, done := l.sent, len(l.records)
+			l.mu.Unlock()
+			l.opts.Progress(sent, done)
+		}
+	}()
+	return cancel
+}
+
+// send sends one request, with resends as the client's policy has it.
+func (l *load) send(ctx context.Context, start time.Time, it timedItem) Record {
+	intended := start.Add(it.at)
+	record := Record{
+		Profile: it.profile.Name, Organisation: it.organisation, Place: it.place, Key: client.NewKey(),
+		At: it.at, Deadline: it.profile.Deadline, Poison: it.marker,
+	}
+	var last time.Time
+	deliver := func(lynxapi.Frame) error {
+		now := time.Now()
+		if last.IsZero() {
+			record.FirstToken = now.Sub(intended)
+		} else {
+			record.Gaps = append(record.Gaps, now.Sub(last))
+		}
+		last = now
+		return nil
+	}
+	result, err := l.callers[callerKey{it.organisation, it.place}].Send(ctx, it.profile.Name, lynxapi.SendRequest{
+		Organisation: it.organisation, Key: record.Key, Input: it.input, Prefix: it.prefix, Stream: true,
+		DeadlineMS: max(1, time.Until(intended.Add(it.profile.Deadline)).Milliseconds()),
+	}, deliver)
+	record.Latency = time.Since(intended)
+	record.Attempts = result.Attempts
+	record.Reply = result.Reply
+	record.Err = err
+	if err == nil {
+		record.Broken = CheckWhole(result, it.profile.Stages[len(it.profile.Stages)-1], it.organisation, it.input)
+	}
+	return record
+}
+
+// kindOf names the error of a record for the tables.
+func kindOf(err error) string {
+	var transport *client.TransportError
+	if errors.As(err, &transport) {
+		return noAnswer
+	}
+	if err == nil {
+		return ""
+	}
+	if kind := errkind.Of(err); kind != errkind.Internal {
+		return kind.String()
+	}
+	return noAnswer
+}
+
+// noAnswer is the name for a caller that got neither an answer nor an error
+// of an instance.
+const noAnswer = "no_answer"
