Routing: draw the load of aged reports; door: share of the free places

At the door a fixed tenth kept for others was too little for nine small organisations. Change: the score draws the target's load from what it may be by now, mean and spread by age; own calls in flight are counted apart from the others'. An organisation enters while it holds less than four times the free places. Conclusion: draw with half a service time as memory is the default.

--- a/internal/admission/door.go
+++ b/internal/admission/door.go
@@ -20,10 +20,11 @@
 	// each higher one may fill a little more, the highest all.
 	lowestFill = 0.8
 	priorities = 10
-	// fairFill is the share of a priority's part above which only
-	// organisations below their fair share enter. The rest is kept for them:
-	// one organisation alone can't fill the door.
-	fairFill = 0.9
+	// shareOfFree bounds an organisation's requests in flight, as a multiple of
+	// the places that are free: one organisation alone takes four fifths of
+	// the door, and gives way as others come. A fixed part kept for others
+	// would be too small when they are many, and wasted when they are few.
+	shareOfFree = 4
 	// refusalPause is the RetryAfter of a refusal by the cap.
 	refusalPause = 200 * time.Millisecond
 )
@@ -164,7 +165,7 @@
 			d.noteShed()
 			return causePriority
 		}
-		if float64(taken) >= fairFill*roof && float64(org.inFlight) >= d.fairShare(org, roof) {
+		if float64(org.inFlight) >= shareOfFree*(roof-float64(taken)) {
 			d.noteShed()
 			return causeFairShare
 		}
@@ -181,16 +182,6 @@
 	return max(1, fill*float64(d.options.MaxInFlight))
 }
 
-// fairShare divides the priority's part among the active organisations, with
-// one share kept for the next to come.
-func (d *InstanceDoor) fairShare(org *organisation, roof float64) float64 {
-	active := d.active.Load()
-	if org.inFlight == 0 {
-		active++
-	}
-	return max(1, roof/float64(active+1))
-}
-
 func (d *InstanceDoor) leave(org *organisation) {
 	org.shard.mu.Lock()
 	org.inFlight--
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -12,6 +12,7 @@
 // Source draws random numbers; *rand.Rand of math/rand/v2 is one.
 type Source interface {
 	IntN(n int) int
+	NormFloat64() float64
 }
 
 // Chooser chooses targets. It keeps no state of its own but the index.
@@ -51,6 +52,7 @@
 	load     board.Load
 	reported bool
 	local    Local
+	score    time.Duration // set where candidates are compared
 }
 
 // Choose picks a target for the query from the provider's service.
@@ -152,16 +154,30 @@
 	return adapter == "" || slices.Contains(m.Adapters, adapter)
 }
 
+// estimate is the expected time to completion.
 func (c *Chooser) estimate(p *Pick, cand candidate) time.Duration {
+	return c.completion(p, cand, 0)
+}
+
+// score is the time to completion for one draw of the target's load from what
+// it may be by now. Without the draw, the order of two targets with reports of
+// a second ago would be the same for every instance, however little is left of
+// the difference, and all calls would go to the same few until the next reports:
+// worse than a random choice.
+func (c *Chooser) score(p *Pick, cand candidate) time.Duration {
+	return c.completion(p, cand, p.Rand.NormFloat64())
+}
+
+func (c *Chooser) completion(p *Pick, cand candidate, deviations float64) time.Duration {
 	slots := cand.load.Report.Slots
 	if slots <= 0 {
 		slots = c.Tuning.UnknownSlots
 	}
 	service := c.serviceTime(p, cand)
-	age := p.Now.Sub(cand.load.At)
 	outstanding := p.Mean.PerSlot*float64(slots) + float64(cand.local.InFlight)
 	if cand.reported {
-		outstanding = Outstanding(cand.load, age, slots, service, p.Mean, cand.local)
+		mid, deviation := c.Tuning.outstanding(cand.load, p.Now.Sub(cand.load.At), slots, service, p.Mean, cand.local)
+		outstanding = max(mid+deviations*deviation, 0)
 	}
 	total := Completion(outstanding, slots, service, c.Tuning.BatchSlowdown)
 	return total + c.distance(cand.entry.Target)
--- a/internal/routing/policies.go
+++ b/internal/routing/policies.go
@@ -35,13 +35,14 @@
 	return c.fromAll(p, s.All)
 }
 
-// betterOf draws one more target and keeps the one with the lower estimate.
+// betterOf draws one more target and keeps the one with the lower score.
 func (c *Chooser) betterOf(p *Pick, from []*Entry, best candidate, found bool) (candidate, bool) {
 	drawn, ok := c.draw(p, from)
 	if !ok {
 		return best, found
 	}
-	if !found || (drawn.entry != best.entry && c.estimate(p, drawn) < c.estimate(p, best)) {
+	drawn.score = c.score(p, drawn)
+	if !found || drawn.score < best.score {
 		return drawn, true
 	}
 	return best, true
--- a/internal/routing/prefix.go
+++ b/internal/routing/prefix.go
@@ -85,7 +85,7 @@
 	}
 	load := float64(cand.local.InFlight)
 	if cand.reported {
-		load = Outstanding(cand.load, p.Now.Sub(cand.load.At), slots, c.serviceTime(p, cand), p.Mean, cand.local)
+		load, _ = c.Tuning.outstanding(cand.load, p.Now.Sub(cand.load.At), slots, c.serviceTime(p, cand), p.Mean, cand.local)
 	}
 	bound := c.Tuning.PrefixOverload*p.Mean.PerSlot*float64(slots) + 1
 	return load >= max(bound, 0.5*float64(slots))
--- a/internal/routing/score.go
+++ b/internal/routing/score.go
@@ -14,8 +14,9 @@
 	// BatchSlowdown is how much longer a call takes on an engine whose slots
 	// are all in use than on an idle one, as a share of the service time.
 	BatchSlowdown float64
-	// PrefixGain is the share of the service time saved by a cached prefix.
-	PrefixGain float64
+	// ReportMemory is the time constant, in service times, with which a load
+	// report gives way to the service's mean.
+	ReportMemory float64
 	// PrefixOverload bounds the load of a target that is preferred for a
 	// prefix, as a multiple of the service's mean load.
 	PrefixOverload float64
@@ -31,7 +32,7 @@
 		PlacePenalty:   3 * time.Millisecond,
 		RegionPenalty:  60 * time.Millisecond,
 		BatchSlowdown:  0.25,
-		PrefixGain:     0.3,
+		ReportMemory:   0.5,
 		PrefixOverload: 1.25,
 		Unknown:        100 * time.Millisecond,
 		UnknownSlots:   8,
@@ -56,21 +57,29 @@
 // Mean is the mean load of a service, towards which old reports are drawn.
 type Mean struct {
 	PerSlot float64       // outstanding calls per slot
+	Own     float64       // this instance's own calls in flight per target
 	Service time.Duration // median service time, 0 if unknown
 }
 
-// Outstanding estimates how many calls a target holds now. A report loses its
-// worth with age: what it said has been served meanwhile and others have sent
-// more, so the estimate moves from the reported figure to the service's mean
-// with the service time as time constant. Without that, the target with the
-// oldest and luckiest report draws everybody's calls until its next one. What
-// this instance sent since the report is added in full.
-func Outstanding(load board.Load, age time.Duration, slots int, service time.Duration, mean Mean, local Local) float64 {
-	reported := float64(load.Report.Running + load.Report.Queued)
-	usual := mean.PerSlot * float64(slots)
-	weight := math.Exp(-float64(max(age, 0)) / float64(max(service, time.Millisecond)))
-	estimate := usual + (reported-usual)*weight + float64(local.SentSince)
-	return max(estimate, float64(local.InFlight))
+// outstanding estimates how many calls a target holds now: this instance's own,
+// which it knows, and those of the others. A report loses its worth with age:
+// what it said has been served meanwhile and others have sent more, so the
+// others' part moves from the reported figure to the service's mean. Without
+// that, the target with the oldest and luckiest report draws everybody's calls
+// until its next one. deviation says how far off the estimate may be.
+func (t *Tuning) outstanding(load board.Load, age time.Duration, slots int, service time.Duration, mean Mean, local Local) (mid, deviation float64) {
+	ownThen := local.InFlight - local.SentSince
+	others := float64(max(load.Report.Running+load.Report.Queued-ownThen, 0))
+	usual := max(mean.PerSlot*float64(slots)-mean.Own, 0)
+	memory := t.ReportMemory * float64(max(service, time.Millisecond))
+	weight := math.Exp(-float64(max(age, 0)) / memory)
+	return usual + (others-usual)*weight + float64(local.InFlight), spread(usual, weight)
+}
+
+// spread is the standard deviation of the others' part: none when the report
+// is fresh, that of a Poisson variable when it has lost its worth.
+func spread(usual, weight float64) float64 {
+	return math.Sqrt(usual * (1 - weight*weight))
 }
 
 // Completion estimates the time until a call that is sent now has ended:
