Fault layer: a frozen owner closes nothing; every byte in order

Cause: a daemon frozen by the fault layer still closed connections by its own timeouts, so its peers learned of a pause that a real one would hide. The rule broken by hand makes a test fail.

--- a/internal/standin/netfault/conn.go
+++ b/internal/standin/netfault/conn.go
@@ -10,8 +10,8 @@
 	"time"
 )
 
-// lostHold is how long the TCP connection under a closed one is kept to send
-// what was written to it and is held by a cut.
+// lostHold is how long the TCP connection under a closed one is kept at most,
+// to send what a cut holds or because its owner is frozen.
 const lostHold = time.Minute
 
 // conn is one end of a connection under the rules of the network.
--- a/internal/standin/netfault/netfault_test.go
+++ b/internal/standin/netfault/netfault_test.go
@@ -214,10 +214,29 @@
 	a.send(t, "two")
 	b.nothing(t)
 	n.Thaw("b")
-	b.want(t, "one")
+	one := make([]byte, 1) // less than what was held back at once
+	for _, want := range "one\n" {
+		if _, err := b.Conn.Read(one); err != nil || rune(one[0]) != want {
+			t.Fatalf("got %q, %v, want %q", one, err, want)
+		}
+	}
 	b.want(t, "two")
 }
 
+// A paused daemon's own timeouts close a connection. Of a process that is
+// really paused the peer would hear nothing until it wakes.
+func TestFrozenOwnerClosesNothing(t *testing.T) {
+	n := network(t)
+	a, b := pair(t, n)
+	n.Freeze("b")
+	_ = b.Close()
+	a.nothing(t)
+	n.Thaw("b")
+	if _, err := a.r.ReadByte(); !errors.Is(err, io.EOF) {
+		t.Fatalf("after the thaw: %v", err)
+	}
+}
+
 func TestRefusingCutResets(t *testing.T) {
 	n := network(t)
 	addr := echo(t, n, "b")
--- a/internal/standin/netfault/queue.go
+++ b/internal/standin/netfault/queue.go
@@ -224,10 +224,12 @@
 	}
 }
 
-// closeIfDone closes the TCP connection if that is all that is left to do.
-// The caller holds mu.
+// closeIfDone closes the TCP connection if that is all that is left to do. A
+// frozen owner closes nothing: a paused process doesn't, and its peers must
+// not learn of the pause by it. The caller holds mu.
 func (q *outQueue) closeIfDone() bool {
-	if !q.closing || len(q.packets) > 0 || q.pumping {
+	frozen := q.conn.network.rules.Load().frozen[q.conn.owner]
+	if !q.closing || len(q.packets) > 0 || q.pumping || frozen {
 		return false
 	}
 	q.conn.closeTCP()
