Membership: bulk repair, healing by suspicion, failures in virtual time

Cause: 64 instances started together took 15.5 s to agree and 370 more than 2 min: rows outran their retransmissions, and buckets with waiting rows were never repaired. Change: when most buckets differ, up to 16 KB of rows go with a digest and are not passed on as news; the list is read again soon while it shows instances that were not met; marks have a checksum of their own. Ruled out on the way: an unbounded doubling of the list's pause overflowed in an outage of an hour and span; it is capped. Broken by hand, each seen by a test: never contacting the dead, no indirect probes, no refutation.

--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -76,10 +76,14 @@
 	if m.o.Lister == nil {
 		return
 	}
+	soon := seedEvery
 	for {
 		wait := m.o.ListEvery
-		if !m.readList(ctx) || len(m.view.ids(board.MemberAlive)) == 0 {
-			wait = min(m.o.ListEvery, seedEvery)
+		if m.readList(ctx) && len(m.view.ids(board.MemberAlive)) > 0 {
+			soon = seedEvery
+		} else {
+			wait = min(wait, soon)
+			soon = min(2*soon, m.o.ListEvery)
 		}
 		if !loop.Sleep(ctx, m.o.Clock, m.rand.Spread(wait, listJitter)) {
 			return
@@ -88,13 +92,17 @@
 }
 
 const (
-	seedEvery  = 2 * time.Second // between readings of the list while alone
+	// seedEvery is the time between readings of the list while it shows
+	// instances that were not met; it doubles each time up to ListEvery.
+	seedEvery  = 2 * time.Second
 	listJitter = 0.5
 	// seedContacts bounds the unknown instances contacted after one reading;
 	// their lists bring the rest.
 	seedContacts = 3
 )
 
+// readList contacts listed instances that were not met yet. It returns true if
+// none is left, as far as the list tells.
 func (m *Manager) readList(ctx context.Context) bool {
 	listed, err := m.o.Lister.Instances(store.WithPriority(ctx, store.PriorityBackground))
 	if err != nil {
@@ -111,7 +119,7 @@
 		}
 	}
 	m.forget(listed, m.o.Clock.Now())
-	return true
+	return len(listed) > 1 && len(m.unknown(listed)) == 0
 }
 
 // unknown returns the listed instances that are not members yet, in random
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -13,13 +13,16 @@
 const (
 	lightRowBytes = 34
 	wholeRowBytes = 46
-	sumsBytes     = 4*sumBuckets + 4
+	sumsBytes     = 4*sumBuckets + 8
 )
 
 // Shares of a digest's budget.
 const (
 	memberShare = 3 // a third at most for rows that wait to be passed on
 	repairShare = 8 // an eighth at least for rows on which two instances differ
+	// bulkBytes are added when two lists differ in most buckets. That is after
+	// a start or a split only; at 370 instances a whole list is about 48 KB.
+	bulkBytes = 16 << 10
 )
 
 func rowBytes(m gossip.Member) int {
@@ -94,47 +97,82 @@
 	return waiting
 }
 
-// differing returns the buckets whose sums differ from the peer's and in which
-// no row waits to be passed on: those would come by themselves.
-func (v *view) differing(sums []uint32) []int {
-	if len(sums) != sumBuckets {
-		return nil // another version's buckets cannot be compared
-	}
-	var differ []int
+// difference is how a peer's list differs from one's own, by the sums.
+type difference struct {
+	buckets []int // worth repairing
+	bulk    bool  // most buckets differ: one of the two is new, or a split is healing
+	marks   bool  // only the configuration in force differs
+}
+
+func (d difference) none() bool { return len(d.buckets) == 0 && !d.marks }
+
+// compare finds the difference from a peer's sums. Buckets in which a row
+// waits to be passed on are left out unless most differ: their difference goes
+// away by itself. The caller holds mu.
+func (v *view) compare(sums []uint32) (d difference) {
 	mine := v.sumsLocked()
+	if len(sums) != len(mine) {
+		return d // another version's buckets cannot be compared
+	}
 	waiting := make(map[int]bool)
+	marksWait := false
 	for id, r := range v.rows {
 		if r.left > 0 && id != v.self && r.urgency > urgencyLoad {
-			waiting[bucketOf(id)] = true
+			waiting[bucketOf(id)] = waiting[bucketOf(id)] || r.urgency == urgencyState
+			marksWait = true
 		}
 	}
-	for b := range mine {
-		if mine[b] != sums[b] && !waiting[b] {
-			differ = append(differ, b)
+	var quiet []int
+	for b := range sumBuckets {
+		if mine[b] != sums[b] {
+			d.buckets = append(d.buckets, b)
+			if !waiting[b] {
+				quiet = append(quiet, b)
+			}
 		}
 	}
-	return differ
+	d.bulk = len(d.buckets) > sumBuckets/2
+	if !d.bulk {
+		d.buckets = quiet
+	}
+	d.marks = len(d.buckets) == 0 && !marksWait && mine[sumBuckets] != sums[sumBuckets]
+	return d
 }
 
 // repair returns the rows, dead ones included, of buckets that differ from the
-// peer's, from the given bucket on.
+// peer's, from the given bucket on. Where only the configuration in force
+// differs, light rows do.
 func (v *view) repair(sums []uint32, first int, budget int) (rows []gossip.Member) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	differ := v.differing(sums)
-	for i := range differ {
-		for _, r := range v.bucket(differ[(first+i)%len(differ)]) {
-			size := rowBytes(r.member)
-			if size > budget {
+	d := v.compare(sums)
+	if d.marks {
+		d.buckets = allBuckets()
+	}
+	for i := range d.buckets {
+		for _, r := range v.bucket(d.buckets[(first+i)%len(d.buckets)]) {
+			m := r.member
+			if d.marks {
+				m = light(m)
+			}
+			budget -= rowBytes(m)
+			if budget < 0 {
 				return rows
 			}
-			budget -= size
-			rows = append(rows, r.member)
+			rows = append(rows, m)
 		}
 	}
 	return rows
 }
 
+func allBuckets() []int {
+	all := make([]int, sumBuckets)
+	for b := range all {
+		all[b] = b
+	}
+	return all
+}
+
 func (v *view) bucket(b int) []*row {
 	var rows []*row
 	for id, r := range v.rows {
@@ -146,11 +184,11 @@
 	return rows
 }
 
-// agrees reports whether a peer's sums leave nothing to repair.
-func (v *view) agrees(sums []uint32) bool {
+// differs compares with a peer's sums.
+func (v *view) differs(sums []uint32) difference {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return len(v.differing(sums)) == 0
+	return v.compare(sums)
 }
 
 // partList is the list of the other controllers' parts.
@@ -185,6 +223,10 @@
 	reserve := 0
 	if theirs != nil {
 		reserve = budget / repairShare
+		if m.view.differs(theirs).bulk {
+			budget += bulkBytes
+			reserve = bulkBytes
+		}
 	}
 	for _, p := range m.parts.all() {
 		if left := budget - used - reserve; left > 0 {
--- /dev/null
+++ b/internal/membership/failure_test.go
@@ -0,0 +1,138 @@
+package membership_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/membership"
+)
+
+// together starts n instances and waits until they agree.
+func together(t *testing.T, n int, o membership.Options, run func(f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, n, o)
+		defer f.stop()
+		f.until(time.Minute, "all see all", func() bool { return f.agree(upTo(n)) })
+		run(f)
+	})
+}
+
+func TestCrashedInstanceIsDeadWithinSeconds(t *testing.T) {
+	together(t, 8, membership.Options{}, func(f *fleet) {
+		f.crash(7)
+		took := f.until(20*time.Second, "the crash is seen by all", func() bool { return f.agree(upTo(7)) })
+		t.Logf("seen by all after %v", took)
+	})
+}
+
+func TestLeavingIsKnownAtOnce(t *testing.T) {
+	together(t, 8, membership.Options{}, func(f *fleet) {
+		f.nodes[7].manager.Leave(context.Background())
+		took := f.until(5*time.Second, "all know that it leaves", func() bool {
+			for _, n := range f.nodes[:7] {
+				if m, _ := n.board.Members.Get(f.nodes[7].id); m.State != board.MemberLeaving {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("known to all after %v", took)
+	})
+}
+
+// Symptom: an instance was dropped from address answers though it served all
+// the time. Events: what one other instance sent to it got lost, one way.
+// Cause: a single path was taken for the instance.
+func TestOneWayLossBetweenTwoKeepsBothAlive(t *testing.T) {
+	together(t, 8, membership.Options{}, func(f *fleet) {
+		f.net.Block(f.nodes[0].addr, f.nodes[1].addr)
+		for range 600 {
+			time.Sleep(100 * time.Millisecond)
+			if !f.agree(upTo(8)) {
+				t.Fatal("an instance is not seen alive by all")
+			}
+		}
+	})
+}
+
+// Symptom: after a switch had been replaced the two halves of the fleet never
+// saw each other again. Events: each half declared the other dead and stopped
+// talking to it. Cause: nobody tries the dead; and once somebody does, each
+// half spreads its word that the other is dead.
+func TestSplitFleetHeals(t *testing.T) {
+	shapes := []struct {
+		name  string
+		n     int
+		parts [][]int
+		lasts time.Duration
+		list  bool // the instance list is down as well
+	}{
+		{"one of three, a minute", 3, [][]int{{0}, {1, 2}}, time.Minute, false},
+		{"halves, an hour, no list", 8, [][]int{{0, 1, 2, 3}, {4, 5, 6, 7}}, time.Hour, true},
+		{"four parts, an hour, no list", 8, [][]int{{0, 1}, {2, 3}, {4, 5}, {6, 7}}, time.Hour, true},
+		{"all apart, an hour, no list", 8, [][]int{{0}, {1}, {2}, {3}, {4}, {5}, {6}, {7}}, time.Hour, true},
+	}
+	for _, s := range shapes {
+		t.Run(s.name, func(t *testing.T) {
+			together(t, s.n, membership.Options{}, func(f *fleet) {
+				f.list.set(s.list)
+				f.split(s.parts)
+				time.Sleep(s.lasts)
+				if f.agree(upTo(s.n)) {
+					t.Fatal("the split was not seen")
+				}
+				f.net.Heal()
+				took := f.until(2*time.Minute, "all see all again", func() bool { return f.agree(upTo(s.n)) })
+				t.Logf("healed after %v", took)
+			})
+		})
+	}
+}
+
+func (l *list) set(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+func (f *fleet) split(parts [][]int) {
+	for i, a := range parts {
+		for _, b := range parts[i+1:] {
+			f.net.Split(f.addrs(a), f.addrs(b))
+		}
+	}
+}
+
+func TestAllRestartedAtOnceFindEachOther(t *testing.T) {
+	together(t, 8, membership.Options{}, func(f *fleet) {
+		for i := range f.nodes {
+			f.crash(i)
+		}
+		time.Sleep(3 * time.Second)
+		for i := range f.nodes {
+			f.start(i)
+		}
+		f.until(15*time.Second, "all see all", func() bool { return f.agree(upTo(8)) })
+		m, _ := f.nodes[0].board.Members.Get(f.nodes[1].id)
+		if want := uint64(f.clock.Now().Add(-20 * time.Second).UnixMilli()); m.Incarnation < want {
+			t.Errorf("incarnation %d is of the earlier life", m.Incarnation)
+		}
+	})
+}
+
+func TestPausedInstanceComesBack(t *testing.T) {
+	together(t, 8, membership.Options{}, func(f *fleet) {
+		f.net.Pause(f.nodes[5].addr)
+		f.until(20*time.Second, "the paused one is dead to the rest", func() bool {
+			return f.alive(0, []int{5}) == 0 && f.alive(7, []int{5}) == 0
+		})
+		time.Sleep(10 * time.Minute)
+		f.net.Resume(f.nodes[5].addr)
+		took := f.until(time.Minute, "all see all", func() bool { return f.agree(upTo(8)) })
+		t.Logf("back after %v", took)
+	})
+}
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -13,11 +13,9 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/control/loop"
-	"lynxhill.example/lynxhill/internal/gossip"
 	"lynxhill.example/lynxhill/internal/membership"
 	"lynxhill.example/lynxhill/internal/peer/mempeer"
 	"lynxhill.example/lynxhill/internal/store"
-	"lynxhill.example/lynxhill/internal/wire/platformapi"
 )
 
 // list is the platform's instance list.
@@ -182,8 +180,6 @@
 }
 
 var _ store.InstanceLister = (*list)(nil)
-var _ = platformapi.StateLive
-var _ gossip.Part
 
 func TestInstancesStartedTogetherFindEachOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -76,12 +76,24 @@
 	m.suspect(target)
 }
 
-// settle follows an exchange by a second one when the lists still differ.
+// maxSettle bounds the exchanges that follow one after which the lists differ
+// in most buckets.
+const maxSettle = 8
+
+// settle follows an exchange by a second one when the lists still differ, and
+// by several while they differ in most rows.
 func (m *Manager) settle(ctx context.Context, id, addr string, reply gossip.Digest) {
-	if m.view.agrees(reply.Sums) {
-		return
+	for range maxSettle {
+		d := m.view.differs(reply.Sums)
+		if d.none() {
+			return
+		}
+		next, err := m.exchange(ctx, id, addr, reply.Sums, m.budget())
+		if err != nil || !d.bulk {
+			return
+		}
+		reply = next
 	}
-	_, _ = m.exchange(ctx, id, addr, reply.Sums, m.budget())
 }
 
 // exchange sends a digest and takes in the reply.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -55,6 +55,8 @@
 	refuted  int64
 	revived  int64
 	loadSent time.Time
+	// repairing is set while rows of a bulk repair are taken in.
+	repairing bool
 }
 
 func newView(self gossip.Member, b *board.Board, healing Healing, now time.Time) *view {
@@ -86,9 +88,12 @@
 	if r.left == 0 || u >= r.urgency {
 		r.urgency = u
 	}
+	v.publish(r)
+	if v.repairing && r.member.ID != v.self {
+		return
+	}
 	r.left = max(r.left, transmits(len(v.rows), u))
 	r.whole = r.whole || whole
-	v.publish(r)
 }
 
 func (v *view) publish(r *row) {
@@ -116,10 +121,16 @@
 	v.touch(r, urgencyState, false, now)
 }
 
+// bulkRows is the number of rows in a digest from which they count as a repair
+// and not as news: whoever sent them passes the news on itself.
+const bulkRows = 40
+
 // merge takes in rows of a peer.
 func (v *view) merge(in []gossip.Member, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.repairing = len(in) >= bulkRows
+	defer func() { v.repairing = false }()
 	for _, m := range in {
 		if _, known := rank[m.State]; !known || m.ID == "" {
 			continue // a later version's state: ignore the row
@@ -232,7 +243,8 @@
 	v.touch(r, urgencyState, false, now)
 }
 
-// sums returns the checksums of the rows that are not dead.
+// sums returns the checksums by bucket of the rows that are not dead, and
+// after them one over the configuration that the members have in force.
 func (v *view) sums() []uint32 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -240,10 +252,11 @@
 }
 
 func (v *view) sumsLocked() []uint32 {
-	sums := make([]uint32, sumBuckets)
+	sums := make([]uint32, sumBuckets+1)
 	for id, r := range v.rows {
 		if !r.dead() {
 			sums[bucketOf(id)] += rowSum(r.member)
+			sums[sumBuckets] += mix(xxhash.Sum64String(id), r.member.Profiles)
 		}
 	}
 	return sums
@@ -258,9 +271,13 @@
 	if m.State == string(board.MemberLeaving) {
 		leaving = 1
 	}
-	h := xxhash.Sum64String(m.ID)
-	for _, part := range []uint64{m.Incarnation, m.Profiles, leaving} {
-		h = (h ^ part) * 0x9e3779b97f4a7c15
+	return mix(xxhash.Sum64String(m.ID), m.Incarnation, leaving)
+}
+
+func mix(h uint64, parts ...uint64) uint32 {
+	const multiplier = 0x9e3779b97f4a7c15
+	for _, part := range parts {
+		h = (h ^ part) * multiplier
 		h ^= h >> 29
 	}
 	return uint32(h)
