--- /dev/null
+++ b/internal/claim/history_test.go
@@ -0,0 +1,333 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/store/memstore"
+)
+
+// pausingStore is an instance that sometimes stops between deciding on a write
+// and sending it, for longer than its own time limits.
+type pausingStore struct {
+	store.Store
+	mu   sync.Mutex // guards rng and share
+	rng  *rand.Rand
+	rate float64
+}
+
+func (s *pausingStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (store.Object, error) {
+	s.mu.Lock()
+	pause := time.Duration(0)
+	if s.rng.Float64() < s.rate {
+		pause = time.Duration(s.rng.Int64N(int64(8 * time.Second)))
+	}
+	s.mu.Unlock()
+	if pause > 0 {
+		time.Sleep(pause)
+		ctx = context.WithoutCancel(ctx) // a paused process sends it all the same
+	}
+	return s.Store.Put(ctx, key, value, ifVersion)
+}
+
+// Operations of a history.
+const (
+	histClaim = iota
+	histRelease
+	histComplete
+)
+
+type histInput struct {
+	key string
+	op  int
+	id  int // of the claim
+}
+
+type histOutput struct {
+	state   State
+	refused bool // StoreUnavailable: nothing claimed
+	unknown bool // OutcomeUnknown
+}
+
+// history runs claimers at several instances under faults and records what
+// they did and were told.
+type history struct {
+	rng    *rand.Rand // of the one goroutine that draws; each client has its own
+	st     *memstore.Store
+	claims int
+
+	mu     sync.Mutex // guards the fields below
+	pages  []*Pages
+	ops    []porcupine.Operation
+	live   map[string]int // grants that were not released, by key
+	broken []string
+	states map[string]int
+}
+
+type historyConfig struct {
+	seed      uint64
+	instances int
+	clients   int
+	claims    int // of each client
+	keys      int // in use at the same time
+	faults    bool
+}
+
+func (h *history) newPages(i int) *Pages {
+	paused := &pausingStore{Store: h.st, rng: rand.New(rand.NewPCG(h.rng.Uint64(), 4)), rate: 0.02}
+	return NewPages(PagesOptions{
+		Store: paused, Self: fmt.Sprint("i", i), Rand: rand.New(rand.NewPCG(h.rng.Uint64(), 5)), Shards: 2,
+		WindowBytes: 900, FlushInterval: 20 * time.Millisecond, LazyInterval: 200 * time.Millisecond, CacheBytes: 4000,
+	})
+}
+
+func runHistory(t *testing.T, cfg historyConfig) *history {
+	h := &history{
+		rng:    rand.New(rand.NewPCG(cfg.seed, 6)),
+		st:     memstore.New(memstore.Options{Seed: cfg.seed}),
+		live:   make(map[string]int),
+		states: make(map[string]int),
+		claims: cfg.claims,
+	}
+	synctest.Test(t, func(t *testing.T) {
+		for i := range cfg.instances {
+			h.pages = append(h.pages, h.newPages(i))
+		}
+		var clients sync.WaitGroup
+		for c := range cfg.clients {
+			rng := rand.New(rand.NewPCG(h.rng.Uint64(), 7))
+			clients.Go(func() { h.client(rng, c, cfg) })
+		}
+		done := make(chan struct{})
+		go func() { clients.Wait(); close(done) }()
+		h.disturb(cfg, done)
+		time.Sleep(time.Minute)
+	})
+	return h
+}
+
+// disturb changes the store's faults and restarts instances until done.
+func (h *history) disturb(cfg historyConfig, done chan struct{}) {
+	for {
+		select {
+		case <-done:
+			h.st.SetFaults(memstore.Faults{})
+			return
+		case <-time.After(time.Duration(h.rng.Int64N(int64(2 * time.Second)))):
+		}
+		if !cfg.faults {
+			continue
+		}
+		h.st.SetFaults(h.drawFaults())
+		if h.rng.Float64() < 0.1 {
+			i := h.rng.IntN(cfg.instances)
+			restarted := h.newPages(i)
+			h.mu.Lock()
+			h.pages[i] = restarted
+			h.mu.Unlock()
+		}
+	}
+}
+
+func (h *history) drawFaults() memstore.Faults {
+	switch h.rng.IntN(7) {
+	case 0:
+		return memstore.Faults{Outage: true}
+	case 1:
+		return memstore.Faults{LoseReply: 0.5}
+	case 2:
+		return memstore.Faults{Throttle: 0.5, Delay: 5 * time.Millisecond}
+	case 3:
+		return memstore.Faults{Delay: time.Second, Jitter: 4 * time.Second}
+	case 4:
+		return memstore.Faults{LoseReply: 0.3, Jitter: 100 * time.Millisecond}
+	case 5:
+		return memstore.Faults{WriteDelay: 4 * time.Second, Jitter: 4 * time.Second}
+	}
+	return memstore.Faults{Jitter: 10 * time.Millisecond}
+}
+
+func (h *history) client(rng *rand.Rand, number int, cfg historyConfig) {
+	for i := range cfg.claims {
+		// The keys move on, so that each key has a short history.
+		key := fmt.Sprint(i/4, "-", rng.IntN(cfg.keys))
+		h.mu.Lock()
+		p := h.pages[rng.IntN(len(h.pages))]
+		h.mu.Unlock()
+		id := number*cfg.claims + i
+		h.claim(rng, p, key, id)
+		time.Sleep(time.Duration(rng.Int64N(int64(300 * time.Millisecond))))
+	}
+}
+
+func (h *history) claim(rng *rand.Rand, p *Pages, key string, id int) {
+	within := 100*time.Millisecond + time.Duration(rng.Int64N(int64(4*time.Second)))
+	call := time.Now()
+	answer, err := p.Claim(context.Background(), testRequest(key, "x", within))
+	out := histOutput{state: answer.State}
+	out.refused = errkind.Is(err, errkind.StoreUnavailable)
+	out.unknown = errkind.Is(err, errkind.OutcomeUnknown)
+	in := histInput{key, histClaim, id}
+	if out.unknown {
+		// The claim may be written, and released, any time from now on.
+		h.add(in, out, call, time.Time{})
+		h.add(histInput{key, histRelease, id}, histOutput{}, call, time.Time{})
+		return
+	}
+	h.add(in, out, call, time.Now())
+	if err != nil || answer.State != Granted {
+		return
+	}
+	h.granted(key)
+	time.Sleep(time.Duration(rng.Int64N(int64(200 * time.Millisecond))))
+	switch rng.IntN(4) {
+	case 0, 1:
+		h.released(key)
+		h.add(histInput{key, histRelease, id}, histOutput{}, time.Now(), time.Time{})
+		answer.Claim.Release()
+	case 2:
+		h.add(histInput{key, histComplete, id}, histOutput{}, time.Now(), time.Time{})
+		answer.Claim.Complete(nil)
+	default: // the holder dies
+	}
+}
+
+func (h *history) granted(key string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.live[key]++
+	if h.live[key] > 1 {
+		h.broken = append(h.broken, key)
+	}
+}
+
+func (h *history) released(key string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.live[key]--
+}
+
+// add records an operation; a zero end is one that may take effect at any
+// later time.
+func (h *history) add(in histInput, out histOutput, call, end time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	op := porcupine.Operation{ClientId: len(h.ops), Input: in, Output: out, Call: call.UnixNano(), Return: math.MaxInt64}
+	if !end.IsZero() {
+		op.Return = end.UnixNano()
+	}
+	h.ops = append(h.ops, op)
+	if in.op == histClaim {
+		h.states[fmt.Sprintf("%v refused=%v unknown=%v", out.state, out.refused, out.unknown)]++
+	}
+}
+
+// claimState is a key in the model: free, held by a claim, or completed.
+type claimState struct {
+	holder    int // 0: free
+	completed bool
+}
+
+// claimModel is the record as a caller may take it to be: one place at which
+// each claim happens at a moment between call and answer. Releases and
+// completions are written later or, when the instance dies first, never.
+func claimModel() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Partition: partitionByKey,
+		Init:      func() []any { return []any{claimState{}} },
+		Step: func(state, input, output any) []any {
+			return stepClaim(state.(claimState), input.(histInput), output.(histOutput))
+		},
+		Equal: func(a, b any) bool { return a == b },
+	}
+	return model.ToModel()
+}
+
+func stepClaim(s claimState, in histInput, out histOutput) []any {
+	id := in.id + 1
+	free := s.holder == 0 && !s.completed
+	switch {
+	case in.op == histRelease && s.holder == id && !s.completed:
+		return []any{s, claimState{}}
+	case in.op == histComplete && s.holder == id:
+		return []any{s, claimState{holder: id, completed: true}}
+	case in.op != histClaim, out.refused:
+		return []any{s}
+	case out.unknown && free:
+		return []any{s, claimState{holder: id}}
+	case out.unknown:
+		return []any{s}
+	case out.state == Granted && free:
+		return []any{claimState{holder: id}}
+	case out.state == Held && s.holder != 0 && !s.completed:
+		return []any{s}
+	case out.state == Completed && s.completed:
+		return []any{s}
+	}
+	return nil
+}
+
+func partitionByKey(ops []porcupine.Operation) [][]porcupine.Operation {
+	byKey := make(map[string][]porcupine.Operation)
+	for _, op := range ops {
+		key := op.Input.(histInput).key
+		byKey[key] = append(byKey[key], op)
+	}
+	var parts [][]porcupine.Operation
+	for _, part := range byKey {
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// Symptom: one booking is made twice, or a resend is told that a free key is
+// held. Events: several instances claim the same keys while replies are lost,
+// writers pause between decision and write, the store is down, slow or
+// throttles, and instances restart without memory. Cause: a grant that does
+// not rest on the condition of a write.
+func TestClaimsAreLinearizable(t *testing.T) {
+	for seed := range uint64(12) {
+		h := runHistory(t, historyConfig{seed: seed, instances: 3, clients: 5, claims: 80, keys: 4, faults: true})
+		if len(h.broken) > 0 {
+			t.Errorf("seed %d: granted twice: %v", seed, h.broken)
+		}
+		if result := porcupine.CheckOperationsTimeout(claimModel(), h.ops, 20*time.Second); result != porcupine.Ok {
+			t.Errorf("seed %d: history is %v", seed, result)
+		}
+		t.Logf("seed %d: %v", seed, h.states)
+	}
+}
+
+// The same over drawn shapes, with thousands of operations.
+func TestAtMostOneGrant(t *testing.T) {
+	params := gopter.DefaultTestParametersWithSeed(20)
+	params.MinSuccessfulTests = 10
+	properties := gopter.NewProperties(params)
+	total := 0
+	properties.Property("a key that was not released is granted once", prop.ForAll(
+		func(seed uint64, instances, clients, keys int) bool {
+			h := runHistory(t, historyConfig{seed: seed, instances: instances, clients: clients, claims: 120, keys: keys, faults: true})
+			total += len(h.ops)
+			return len(h.broken) == 0
+		},
+		gen.UInt64(), gen.IntRange(1, 6), gen.IntRange(2, 12), gen.IntRange(1, 20),
+	))
+	properties.TestingRun(t)
+	t.Logf("%d operations", total)
+	if total < 5000 {
+		t.Errorf("only %d operations", total)
+	}
+}
--- a/internal/claim/page.go
+++ b/internal/claim/page.go
@@ -94,7 +94,7 @@
 		}
 		next++
 	}
-	if x.First < firstWindow {
+	if x.First < firstWindow || next < x.First {
 		return index{}, fmt.Errorf("%w: index starts at %d", errInvalid, x.First)
 	}
 	return x, nil
--- a/internal/store/memstore/faults.go
+++ b/internal/store/memstore/faults.go
@@ -14,8 +14,9 @@
 	LoseReply float64 // share of writes that take effect and whose reply is lost
 	// Delay and a random part of Jitter pass before a call takes effect. A
 	// write whose caller gives up meanwhile still takes effect later.
-	Delay  time.Duration
-	Jitter time.Duration
+	Delay      time.Duration
+	Jitter     time.Duration
+	WriteDelay time.Duration // added for writes
 }
 
 // SetFaults replaces the switches.
@@ -88,13 +89,16 @@
 }
 
 // delay returns how long the next call takes.
-func (s *Store) delay() time.Duration {
+func (s *Store) delay(k kind) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	d := s.faults.Delay
 	if s.faults.Jitter > 0 {
 		d += time.Duration(s.rng.Int64N(int64(s.faults.Jitter)))
 	}
+	if k == kindWrite {
+		d += s.faults.WriteDelay
+	}
 	return d
 }
 
@@ -108,7 +112,7 @@
 	if err := s.enter(ctx, kindRead); err != nil {
 		return err
 	}
-	if d := s.delay(); d > 0 {
+	if d := s.delay(kindRead); d > 0 {
 		timer := s.opts.Clock.NewTimer(d)
 		defer timer.Stop()
 		select {
@@ -138,7 +142,7 @@
 		return reply{obj, err}
 	}
 	answer := make(chan reply, 1)
-	if d := s.delay(); d > 0 {
+	if d := s.delay(kindWrite); d > 0 {
 		s.opts.Clock.AfterFunc(d, func() { answer <- locked() })
 	} else {
 		answer <- locked()
