Membership: controllers may hurry rows that should not wait

A leaving mark passed on with heartbeats alone took 5 s to reach 50 instances. Hurry starts the extra exchanges that a risen configuration already starts.

--- a/internal/membership/eager.go
+++ b/internal/membership/eager.go
@@ -24,6 +24,7 @@
 func (m *Manager) runEager(ctx context.Context) {
 	for {
 		changed := m.o.Board.Self.Changed()
+		hurried := m.hurry.Wait()
 		if m.syncMark() {
 			m.spread(ctx)
 			if !loop.Sleep(ctx, m.o.Clock, eagerGap) {
@@ -35,10 +36,19 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
+		case <-hurried:
+			m.spread(ctx)
+			if !loop.Sleep(ctx, m.o.Clock, eagerGap) {
+				return
+			}
 		}
 	}
 }
 
+// Hurry starts extra exchanges at once, since a controller has rows that should
+// not wait for heartbeats. It does not block.
+func (m *Manager) Hurry() { m.hurry.Notify() }
+
 // spread exchanges small digests with a few members at once.
 func (m *Manager) spread(ctx context.Context) {
 	ids := m.shuffled(m.view.ids(board.MemberAlive))
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -140,4 +140,5 @@
 
 	parts partList
 	pace  contactPace
+	hurry board.Signal // a controller has rows that should not wait
 }
