Platform budget: a caller that gives up ends no outage; return measured

Cause: a cancelled probe counted as an answer and ended the outage early. Change: such a call tells nothing; the next caller probes.

--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -20,7 +20,7 @@
 // of several hundred writes and two thousand reads a second.
 var DefaultBudget = Budget{WritesPerSecond: 40, ReadsPerSecond: 150, Watches: 8}
 
-// Validate fills zero fields with the defaults.
+// withDefaults fills in zero fields.
 func (b Budget) withDefaults() Budget {
 	if b.WritesPerSecond <= 0 {
 		b.WritesPerSecond = DefaultBudget.WritesPerSecond
@@ -68,6 +68,7 @@
 	resultOK        callResult = iota // the platform answered
 	resultThrottled                   // it refused by its rate limit
 	resultFailed                      // it refused as unavailable, or did not answer
+	resultNone                        // the caller gave up first: nothing is known
 )
 
 // reserve is the share of the burst that a priority leaves for higher ones,
@@ -144,8 +145,6 @@
 		if g.probing || now.Before(g.nextProbe) {
 			return false, store.ErrUnavailable
 		}
-		// A watch waits long before it answers, so it tells little; it may
-		// only probe when it is the one that comes.
 		g.probing = true
 		g.enter(kind)
 		return true, nil
@@ -205,6 +204,10 @@
 		g.answered(now)
 	case resultOK:
 		g.answered(now)
+	case resultNone:
+		if probe {
+			g.schedule(now) // the next caller tries
+		}
 	}
 }
 
@@ -219,8 +222,13 @@
 	default:
 		return
 	}
-	// Half of the wait is fixed, so that probes stay rare, and half is drawn,
-	// so that instances that lost the platform together try it apart.
+	g.schedule(now)
+}
+
+// schedule sets when the platform is tried next. Half of the wait is fixed, so
+// that probes stay rare, and half is drawn, so that instances that lost the
+// platform together try it apart.
+func (g *governor) schedule(now time.Time) {
 	half := g.backoff / 2
 	g.nextProbe = now.Add(half + time.Duration(g.rng.Int64N(int64(half))))
 }
--- a/internal/platform/call.go
+++ b/internal/platform/call.go
@@ -52,7 +52,7 @@
 		return err
 	}
 	err = c.attempts(ctx, op, out)
-	c.done(op.kind, probe, resultOf(ctx, op.kind, err))
+	c.done(op.kind, probe, resultOf(ctx, err))
 	return err
 }
 
@@ -84,14 +84,15 @@
 	}
 }
 
-// resultOf says what err tells about the platform. A caller that gave up says
-// nothing about it, except on a write, which is never given up lightly.
-func resultOf(ctx context.Context, kind callKind, err error) callResult {
+// resultOf says what err tells about the platform. A caller that went away
+// while it waited says nothing; one whose deadline came says that the platform
+// was slow.
+func resultOf(ctx context.Context, err error) callResult {
 	switch {
 	case errors.Is(err, store.ErrThrottled):
 		return resultThrottled
-	case errors.Is(err, store.ErrUnavailable) && errors.Is(ctx.Err(), context.Canceled):
-		return resultOK
+	case err != nil && errors.Is(ctx.Err(), context.Canceled) && !answered(err):
+		return resultNone
 	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrUnknown):
 		return resultFailed
 	default:
@@ -99,6 +100,11 @@
 	}
 }
 
+// answered reports whether err is an answer of the platform.
+func answered(err error) bool {
+	return errors.Is(err, store.ErrConflict) || errors.Is(err, store.ErrNotFound) || errors.Is(err, store.ErrTooLarge)
+}
+
 // attempts tries the endpoints in turn. It goes on to the next one only if no
 // byte of the call was sent: what may have been sent is never sent again.
 func (c *Client) attempts(ctx context.Context, op call, out any) error {
