Ignore SIGUSR1 and SIGUSR2 for good

Cause: go-zero asks for these signals in a goroutine started by its init. When that runs after DisarmGoZero in main, SIGUSR1 still writes a dump file. Change: DisarmGoZero is called once more before the daemon runs. A signal during the start may still write one.

--- a/cmd/lynxhilld/run.go
+++ b/cmd/lynxhilld/run.go
@@ -37,6 +37,9 @@
 	if err != nil {
 		return err
 	}
+	// go-zero asks for its signals in a goroutine of its own, which may run
+	// after the first call in main: a SIGUSR1 then writes a file.
+	httpserver.DisarmGoZero()
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
--- a/internal/httpserver/gozero.go
+++ b/internal/httpserver/gozero.go
@@ -17,7 +17,8 @@
 // it. Its package proc listens to signals from its init on: 5.5 s after the
 // first SIGTERM or SIGINT it sends the process the same signal again, which
 // ends it with requests in flight, and on SIGUSR1 and SIGUSR2 it writes files.
-// Call it first in main.
+// Call it first in main, and again once the program has begun its work, since
+// go-zero asks for its signals from a goroutine that may run later than main.
 func DisarmGoZero() {
 	proc.SetTimeToForceQuit(time.Duration(math.MaxInt64)) // the time never comes
 	signal.Ignore(syscall.SIGUSR1, syscall.SIGUSR2)
