Discovery: leaving marks reach all within the grace

The target's time of the sign and the time when this instance learned of it are kept apart: the first orders signs, the second is what the grace counts from.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -87,10 +87,13 @@
 	Region      string
 	ChecksFence bool
 	// Leaving is set at the first sign that the target is leaving, whatever
-	// its source, and is cleared only when the target comes back live with a
-	// later sign of the platform than LeavingSince.
-	Leaving      bool
+	// its source, and is cleared only by later live signs.
+	Leaving bool
+	// LeavingSince is when this instance learned of it.
 	LeavingSince time.Time
+	// LeavingSign is when the sign was given, as well as can be told; it may
+	// have been to another instance. Zero stands for LeavingSince.
+	LeavingSign time.Time
 	// LiveSince is when the last leaving mark was cleared; older marks that
 	// peers still pass on are ignored.
 	LiveSince time.Time
@@ -98,17 +101,25 @@
 	MissingSince time.Time
 }
 
-// MarkLeaving returns the target with the leaving mark of a sign seen at the
-// given time; the first sign wins. It returns false if nothing changes.
-func (t Target) MarkLeaving(at time.Time) (Target, bool) {
-	if t.Leaving || !at.After(t.LiveSince) {
+// MarkLeaving returns the target with the leaving mark of a sign that was given
+// at one moment and learned of at another; the first sign wins. It returns
+// false if nothing changes.
+func (t Target) MarkLeaving(given, learned time.Time) (Target, bool) {
+	if t.Leaving || !given.After(t.LiveSince) {
 		return t, false
 	}
-	t.Leaving = true
-	t.LeavingSince = at
+	t.Leaving, t.LeavingSince, t.LeavingSign = true, learned, given
 	return t, true
 }
 
+// Sign returns when the sign of leaving was given.
+func (t Target) Sign() time.Time {
+	if t.LeavingSign.IsZero() {
+		return t.LeavingSince
+	}
+	return t.LeavingSign
+}
+
 // Load is a target's load report with when it reached this instance.
 type Load struct {
 	Report   targetapi.LoadReport
--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -53,6 +53,7 @@
 			Clock: c.opts.Clock, Rand: c.rand, Period: watchPeriod, Jitter: jitter,
 		}, func(context.Context) { c.watchLoads() })
 	})
+	watching.Go(func() { c.hurryMarks(ctx) })
 	defer watching.Wait()
 	for ctx.Err() == nil {
 		unknown := c.unknown.Wait()
--- a/internal/control/discovery/merge.go
+++ b/internal/control/discovery/merge.go
@@ -24,16 +24,17 @@
 	var happened event.ID
 	c.opts.Board.Targets.Update(instance.ID, func(old board.Target, found bool) (board.Target, bool) {
 		next := targetOf(instance)
-		next.Leaving, next.LeavingSince, next.LiveSince = old.Leaving, old.LeavingSince, old.LiveSince
+		next.Leaving, next.LeavingSince, next.LeavingSign, next.LiveSince = old.Leaving, old.LeavingSince, old.LeavingSign, old.LiveSince
 		switch {
 		case instance.State == platformapi.StateLeaving:
-			if marked, changed := next.MarkLeaving(asked); changed {
+			if marked, changed := next.MarkLeaving(asked, c.opts.Clock.Now()); changed {
 				next, happened = marked, event.TargetLeavingSeen
 			}
 		case !found:
 			happened = event.TargetJoined
 		case next.Leaving && c.liveAgain(next, asked, load, hasLoad):
 			next.Leaving, next.LiveSince = false, asked
+			next.LeavingSince, next.LeavingSign = time.Time{}, time.Time{}
 			happened = event.TargetBack
 		}
 		return next, !found || next != old
@@ -49,7 +50,7 @@
 // report itself live for a while after the list shows it leaving. Both have to
 // be later than the mark by more than they lag.
 func (c *Controller) liveAgain(t board.Target, asked time.Time, load board.Load, hasLoad bool) bool {
-	after := t.LeavingSince.Add(c.opts.ListLag)
+	after := t.Sign().Add(c.opts.ListLag)
 	if !asked.After(after) {
 		return false
 	}
@@ -131,7 +132,7 @@
 		if !found {
 			return old, false
 		}
-		return old.MarkLeaving(at)
+		return old.MarkLeaving(at, c.opts.Clock.Now())
 	})
 	if changed {
 		c.opts.Logger.Log(event.TargetLeavingSeen, "target", id, "sign", sign)
--- a/internal/control/discovery/options.go
+++ b/internal/control/discovery/options.go
@@ -38,6 +38,9 @@
 	Metrics *metrics.Registry
 	Self    string
 	Place   string
+	// Hurry, if set, makes membership exchange digests at once; it must not
+	// block. It is called when a leaving mark is new here.
+	Hurry func()
 	// ListEvery is how often the listers of a place read the list; the others
 	// read it every SlowListEvery, and sooner when a peer's digest names a
 	// target that they do not know.
