--- a/internal/control/discovery/discovery_test.go
+++ b/internal/control/discovery/discovery_test.go
@@ -151,3 +151,55 @@
 		}
 	})
 }
+
+// Symptom: a leaving target gets work again for moments, again and again.
+// Events: the target itself says that it is leaving; the platform does not know
+// and goes on listing it live. Cause: the list alone cleared the mark.
+func TestListAloneDoesNotClear(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New(memstore.Options{})
+		s.SetInstance(engine("t-1", platformapi.StateLive))
+		b := board.New()
+		_, stop := start(s, b, "i-0")
+		defer stop()
+		time.Sleep(5 * time.Second)
+		defer report(b, "t-1", func() bool { return true })()
+		time.Sleep(2 * time.Second)
+		for range 1200 {
+			time.Sleep(100 * time.Millisecond)
+			if !leaving(b, "t-1") {
+				t.Fatal("cleared while the target says that it is leaving")
+			}
+		}
+	})
+}
+
+// Symptom: a target that came back is left out of choice again.
+// Events: the mark is cleared; a digest that was under way for long, or a peer
+// that did not see the target come back yet, passes the old mark on.
+// Cause: the old mark was taken for a new sign.
+func TestOldMarkOfPeerIsIgnoredAfterReturn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New(memstore.Options{})
+		s.SetInstance(engine("t-1", platformapi.StateLive))
+		b := board.New()
+		c, stop := start(s, b, "i-0")
+		defer stop()
+		time.Sleep(5 * time.Second)
+		defer report(b, "t-1", func() bool { return false })()
+		c.Refused("t-1")
+		given := time.Now()
+		time.Sleep(time.Minute)
+		if leaving(b, "t-1") {
+			t.Fatal("not cleared a minute after the mark")
+		}
+		c.Absorb(gossip.Digest{Loads: []gossip.Load{{Target: "t-1", Leaving: true, Age: time.Since(given)}}})
+		if leaving(b, "t-1") {
+			t.Error("the old mark counts again")
+		}
+		c.Absorb(gossip.Digest{Loads: []gossip.Load{{Target: "t-1", Leaving: true, Age: time.Second}}})
+		if !leaving(b, "t-1") {
+			t.Error("a new mark does not count")
+		}
+	})
+}
