Tests of service levels and of the client that can fail

Change: the tests of ranking by misses, of the stage that failed, of causes of excluded requests, of series of two steps, of offsets, of the first heartbeat, of the next attempt, of avoided instances and of changes that were sent are stricter; a silent stream has an error of its own (ErrSilent); a condition that did nothing is gone.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -56,7 +56,8 @@
 // Unwrap returns the cause.
 func (e *TransportError) Unwrap() error { return e.Err }
 
-// RunStateOf says what an error of this package tells about the request.
+// RunStateOf says what an error of this package tells about the request; err
+// must not be nil.
 func RunStateOf(err error) errkind.RunState {
 	var transport *TransportError
 	if errors.As(err, &transport) {
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -196,13 +196,13 @@
 			w.begin()
 			w.frames(0, "hel")
 			w.frames(6, "world")
-			w.end(11)
+			w.end(8)
 		}},
 		{"overlap", func(w *eventWriter, _ lynxapi.SendRequest) {
 			w.begin()
 			w.frames(0, "hel")
 			w.frames(1, "ello")
-			w.end(5)
+			w.end(7)
 		}},
 		{"length differs", func(w *eventWriter, _ lynxapi.SendRequest) { w.begin(); w.frames(0, "hello"); w.end(9) }},
 		{"another request's answer", func(w *eventWriter, _ lynxapi.SendRequest) {
@@ -230,6 +230,9 @@
 			if err == nil {
 				t.Fatal("taken for whole")
 			}
+			if silent := strings.HasPrefix(c.name, "silent"); silent != errors.Is(err, ErrSilent) {
+				t.Fatalf("silent %t: %v", silent, err)
+			}
 			if state := RunStateOf(err); state != errkind.MayHaveRun {
 				t.Fatalf("run state %s of %v", state, err)
 			}
@@ -350,10 +353,11 @@
 	i.others = []string{dead}
 	c := newTestCaller(dead, i.addr())
 	c.opts.Place = "far" // the dead one looks nearest
-	for range 2 {
-		if _, _, err := sendStream(t, c, 3); err != nil {
-			t.Fatal(err)
-		}
+	if _, _, err := sendStream(t, c, 3); err != nil {
+		t.Fatal(err)
+	}
+	if _, _, err := sendStream(t, c, 1); err != nil { // goes to the living one at once
+		t.Fatal(err)
 	}
 	if i.asked == 0 || i.count() != 2 {
 		t.Fatalf("asked %d times, %d attempts", i.asked, i.count())
@@ -366,6 +370,23 @@
 	return len(i.keys)
 }
 
+// Symptom: a request failed although a second instance would have taken it.
+// Events: the heavier instance was stopping and sent the request elsewhere,
+// eight times over. Cause: the next attempt was drawn by weight again.
+func TestNextAttemptGoesToAnotherInstance(t *testing.T) {
+	other := newInstance(t, whole)
+	stopping := refuse(errkind.Stopping)
+	heavy := newInstance(t, stopping, stopping, stopping)
+	c := newTestCaller(heavy.addr())
+	c.book.keep(lynxapi.AddressAnswer{KeepMS: 60000, Addresses: []lynxapi.Address{
+		{Address: heavy.addr(), Place: "near", Weight: 1e9}, {Address: other.addr(), Place: "near", Weight: 1e-9},
+	}}, time.Now())
+	heavy.others = []string{other.addr()}
+	if _, result, err := sendStream(t, c, 2); err != nil || result.Server != other.addr() {
+		t.Fatalf("%+v %v", result, err)
+	}
+}
+
 func TestNothingReachableIsNotRun(t *testing.T) {
 	_, _, err := sendStream(t, newTestCaller(closedAddress(t)), 2)
 	if err == nil || !IsUnreachable(err) || RunStateOf(err) != errkind.NotRun {
@@ -457,7 +478,7 @@
 	}
 	b := NewAdmin(AdminOptions{Servers: []string{broken.URL, good.URL}})
 	_, err := b.SetProfile(context.Background(), lynxapi.ChangeRequest{ChangeID: "c"})
-	if RunStateOf(err) != errkind.MayHaveRun || received != 1 {
+	if err == nil || RunStateOf(err) != errkind.MayHaveRun || received != 1 {
 		t.Fatalf("received %d times: %v", received, err)
 	}
 }
--- a/internal/client/send.go
+++ b/internal/client/send.go
@@ -170,15 +170,15 @@
 }
 
 func (c *Caller) sendTo(ctx context.Context, server, profileName string, req lynxapi.SendRequest, s *splice) (lynxapi.SendReply, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
 	base := c.base(server)
 	what := call{method: http.MethodPost, path: pathOf(lynxapi.PathRequests, ":profile", profileName), body: req}
-	heard := c.expectHeader(req, cancel)
+	heard := c.expectHeader(req, giveUp)
 	resp, err := send(ctx, c.http.Do, base, c.opts.Token, what)
 	heard()
 	if err != nil {
-		return lynxapi.SendReply{}, err
+		return lynxapi.SendReply{}, explainSilence(ctx, err)
 	}
 	if req.Stream {
 		return c.readStream(base, resp.Body, req, s)
@@ -197,14 +197,23 @@
 // expectHeader gives a stream up whose first heartbeat does not come; the
 // returned function says that it came. A request that is answered whole has no
 // heartbeats: on a connection that went silent it waits for its deadline.
-func (c *Caller) expectHeader(req lynxapi.SendRequest, giveUp func()) (heard func()) {
+func (c *Caller) expectHeader(req lynxapi.SendRequest, giveUp context.CancelCauseFunc) (heard func()) {
 	if !req.Stream {
 		return func() {}
 	}
-	timer := time.AfterFunc(c.opts.Silence, giveUp)
+	timer := time.AfterFunc(c.opts.Silence, func() { giveUp(ErrSilent) })
 	return func() { timer.Stop() }
 }
 
+// explainSilence replaces the error of a cancelled call by its cause.
+func explainSilence(ctx context.Context, err error) error {
+	var transport *TransportError
+	if errors.Is(context.Cause(ctx), ErrSilent) && errors.As(err, &transport) {
+		transport.Err = ErrSilent
+	}
+	return err
+}
+
 // stepAfter follows the error's resend advice. What a transport error has not
 // sent can go elsewhere at once; what it may have sent is asked for first.
 func stepAfter(err error) step {
--- a/internal/client/stream.go
+++ b/internal/client/stream.go
@@ -20,6 +20,10 @@
 // in the last one.
 const maxEventBytes = 16 << 20
 
+// ErrSilent is the cause of a stream that was given up because it sent nothing,
+// not even a heartbeat.
+var ErrSilent = errors.New("the stream was silent too long")
+
 // errReceiverStopped says that a FrameFunc returned an error.
 var errReceiverStopped = errors.New("the receiver of the answer stopped")
 
@@ -207,7 +211,7 @@
 // explain replaces the error of the closed body by its cause.
 func (w *silenceWatch) explain(err error) error {
 	if w.expired.Load() {
-		return fmt.Errorf("the stream was silent for %v", w.limit)
+		return ErrSilent
 	}
 	return err
 }
--- a/internal/slo/cell.go
+++ b/internal/slo/cell.go
@@ -30,9 +30,7 @@
 
 func (c *cell) observe(now time.Time, o observation) {
 	c.counts.at(now).observe(o)
-	if !o.excluded {
-		c.times.at(now).observe(o)
-	}
+	c.times.at(now).observe(o)
 }
 
 // timesOf merges the sketches of the window.
--- a/internal/slo/slo_test.go
+++ b/internal/slo/slo_test.go
@@ -68,6 +68,9 @@
 		}
 		tracker.Observe(failed("check", "agency", errkind.BadRequest))
 		report := tracker.Local(0)
+		if len(report.Causes) != 1 || report.Causes[0].ErrorKind != "target_failed" {
+			t.Fatalf("causes %+v", report.Causes)
+		}
 		for _, scope := range []struct{ scope, name string }{
 			{ScopeProfile, "check"}, {ScopeOrganisation, "agency"}, {ScopePlace, "lac-a"},
 		} {
@@ -130,12 +133,13 @@
 		tracker.Observe(late)
 		broken := failed("check", "agency", errkind.StreamBroken)
 		broken.Stages = stages(10 * time.Millisecond)
-		broken.Stages[1].Err = errors.New("cut")
+		broken.Stages[0].Err = errors.New("cut")
+		broken.Stages[1].Duration = 2 * time.Second
 		tracker.Observe(broken)
 		report := tracker.Local(0)
 		want := []lynxapi.BurnCause{
-			{Profile: "check", Stage: "draft", Target: "gpu-1", ErrorKind: "stream_broken", Count: 1},
 			{Profile: "check", Stage: "rerank", Target: "rr-1", ErrorKind: CauseLate, Count: 1},
+			{Profile: "check", Stage: "rerank", Target: "rr-1", ErrorKind: "stream_broken", Count: 1},
 		}
 		if !reflect.DeepEqual(report.Causes, want) {
 			t.Fatalf("causes %+v", report.Causes)
@@ -190,6 +194,26 @@
 	})
 }
 
+// Symptom: the one organisation whose requests failed was missing from the
+// report. Events: it sent two requests, and hundreds of others sent more.
+// Cause: the table kept those with the most requests only.
+func TestTrimKeepsTheFailing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tracker := newTracker("a")
+		for range 2 {
+			tracker.Observe(failed("check", "failing", errkind.NoTarget))
+		}
+		for i := range 20 * DefaultMaxOrganisations {
+			for range 5 {
+				tracker.Observe(answered("check", fmt.Sprintf("org-%d", i), time.Second))
+			}
+		}
+		if row := rowNamed(t, tracker.Local(0), ScopeOrganisation, "failing"); row.Total != 2 {
+			t.Fatalf("%+v", row)
+		}
+	})
+}
+
 // Symptom: memory grew while a broken client made up profile names. Cause: each
 // name got a row with all its rings.
 func TestMadeUpProfilesShareOneRow(t *testing.T) {
@@ -305,13 +329,16 @@
 		if old.StepS != 60 || len(old.Points) > 2 {
 			t.Fatalf("old: step %v, %d points", old.StepS, len(old.Points))
 		}
-		merged := Merge([]lynxapi.BurnReport{{Series: []lynxapi.BurnSeries{young}}, {Series: []lynxapi.BurnSeries{old}}}).Series[0]
-		var total uint64
-		for _, p := range merged.Points {
-			total += p.Total
-		}
-		if merged.StepS != 60 || total != 40 {
-			t.Fatalf("merged: step %v, total %d", merged.StepS, total)
+		a, b := lynxapi.BurnReport{Series: []lynxapi.BurnSeries{young}}, lynxapi.BurnReport{Series: []lynxapi.BurnSeries{old}}
+		for _, parts := range [][]lynxapi.BurnReport{{a, b}, {b, a}} {
+			merged := Merge(parts).Series[0]
+			var total uint64
+			for _, p := range merged.Points {
+				total += p.Total
+			}
+			if merged.StepS != 60 || total != 40 || len(merged.Points) > 2 {
+				t.Fatalf("merged: step %v, total %d, %d points", merged.StepS, total, len(merged.Points))
+			}
 		}
 	})
 }
