--- a/internal/board/table.go
+++ b/internal/board/table.go
@@ -7,6 +7,7 @@
 import (
 	"hash/maphash"
 	"sync"
+	"sync/atomic"
 )
 
 // shardCount is the number of shards of a table. A power of two.
@@ -88,7 +89,7 @@
 
 // Snapshot copies all rows. Rows written while it runs may or may not be in.
 func (t *Table[V]) Snapshot() map[string]V {
-	all := make(map[string]V)
+	all := make(map[string]V, t.Len())
 	for i := range t.shards {
 		s := &t.shards[i]
 		s.mu.RLock()
@@ -119,11 +120,14 @@
 // Revision counts the changes of the table.
 func (t *Table[V]) Revision() uint64 { return t.signal.Revision() }
 
-// Signal wakes any number of waiters at each change.
+// Signal wakes any number of waiters at each change. Without waiters a change
+// takes no lock, so that writers of different shards do not meet here.
 type Signal struct {
-	mu       sync.Mutex // guards next and revision
-	next     chan struct{}
-	revision uint64
+	revision atomic.Uint64
+	waiting  atomic.Bool // next is set
+
+	mu   sync.Mutex // guards next
+	next chan struct{}
 }
 
 // Wait returns a channel that is closed at the next Notify.
@@ -132,24 +136,29 @@
 	defer s.mu.Unlock()
 	if s.next == nil {
 		s.next = make(chan struct{})
+		s.waiting.Store(true)
 	}
 	return s.next
 }
 
 // Notify wakes all waiters.
+//
+// A waiter that began to wait without being seen here would sleep through the
+// change. It cannot: it sets waiting before it reads the data, and the data was
+// written before waiting is read here.
 func (s *Signal) Notify() {
+	s.revision.Add(1)
+	if !s.waiting.Load() {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.revision++
 	if s.next != nil {
+		s.waiting.Store(false)
 		close(s.next)
 		s.next = nil
 	}
 }
 
 // Revision counts the calls of Notify.
-func (s *Signal) Revision() uint64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.revision
-}
+func (s *Signal) Revision() uint64 { return s.revision.Load() }
