--- a/internal/control/loadview/gossip.go
+++ b/internal/control/loadview/gossip.go
@@ -14,7 +14,7 @@
 
 const (
 	// rowBytes is an estimate of a row's size in a digest without its strings.
-	rowBytes = 40
+	rowBytes = 27
 	// modelBytes is the same for a model in a row.
 	modelBytes = 10
 	// modelsFor is how long after a change of an engine's models its rows
@@ -27,11 +27,11 @@
 	resends = 2
 )
 
-// Shares of the budget for targets of the receiver's place and region. The
-// rest, and what these leave over, goes to the other targets.
+// Shares of the budget for the classes of rows. What one leaves over goes to
+// the next.
 const (
-	placeShare  = 0.6
-	regionShare = 0.3
+	firstShare  = 0.6
+	secondShare = 0.3
 )
 
 // passing is what is remembered of a row that is passed on.
@@ -54,7 +54,6 @@
 type candidate struct {
 	target string
 	load   board.Load
-	near   int // 0 the receiver's place, 1 its region, 2 elsewhere
 	*passing
 }
 
@@ -69,16 +68,16 @@
 
 	c.spread.mu.Lock()
 	defer c.spread.mu.Unlock()
-	byNearness := c.candidates(loads, targets, receiver, now, limit)
+	byClass := c.candidates(loads, targets, receiver, now, limit)
 	used := 0
-	for near, share := range []float64{placeShare, placeShare + regionShare, 1} {
+	for class, share := range []float64{firstShare, firstShare + secondShare, 1} {
 		until := int(share * float64(budget))
-		used = c.fillFrom(digest, byNearness[near], used, until, now)
+		used = c.fillFrom(digest, byClass[class], used, until, now)
 	}
 	return used
 }
 
-// candidates returns the rows worth passing on, by nearness and those passed
+// candidates returns the rows worth passing on, by class and those passed
 // on least first. c.spread.mu is held.
 func (c *Controller) candidates(loads map[string]board.Load, targets map[string]board.Target, receiver board.Member, now time.Time, limit int) [3][]candidate {
 	var found [3][]candidate
@@ -91,8 +90,8 @@
 		if p.sent >= limit {
 			continue
 		}
-		near := nearness(t, receiver)
-		found[near] = append(found[near], candidate{target: id, load: load, near: near, passing: p})
+		class := nearness(t, receiver)
+		found[class] = append(found[class], candidate{target: id, load: load, passing: p})
 	}
 	for _, rows := range found {
 		sort.Slice(rows, func(i, j int) bool { return before(rows[i], rows[j]) })
@@ -110,6 +109,7 @@
 	return a.target < b.target
 }
 
+// nearness is 0 for a target in the member's place, 1 in its region, else 2.
 func nearness(t board.Target, receiver board.Member) int {
 	switch {
 	case t.Place == receiver.Place:
--- /dev/null
+++ b/internal/control/loadview/pollers_test.go
@@ -0,0 +1,183 @@
+package loadview
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/coder/quartz"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/stagecall"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+func boardOf(instances, targets int) *board.Board {
+	b := board.New()
+	for i := range instances {
+		id := fmt.Sprintf("i-%02d", i)
+		b.Members.Put(id, board.Member{ID: id, State: board.MemberAlive, Place: fmt.Sprint("p-", i%4), Region: "tunis"})
+	}
+	for i := range targets {
+		id := fmt.Sprintf("t-%02d", i)
+		b.Targets.Put(id, board.Target{ID: id, Place: fmt.Sprint("p-", i%4), Region: "tunis"})
+	}
+	return b
+}
+
+// pollersOf returns how many of the instances poll each target.
+func pollersOf(b *board.Board, instances, pollers int) map[string]int {
+	counts := make(map[string]int)
+	for i := range instances {
+		id := fmt.Sprintf("i-%02d", i)
+		m, _ := b.Members.Get(id)
+		if m.State != board.MemberAlive {
+			continue
+		}
+		f := fleetOf(b, id, m.Place, m.Region)
+		for target, t := range b.Targets.Snapshot() {
+			if f.polls(id, t, pollers) {
+				counts[target]++
+			}
+		}
+	}
+	return counts
+}
+
+// Symptom: nobody looks at a target's load after instances were lost.
+// Events: instances die one after another, in the end all of a place.
+// Cause: the pollers were picked once, or only within the place.
+func TestEveryTargetIsPolledByAFew(t *testing.T) {
+	b := boardOf(16, 40)
+	for _, dead := range []int{-1, 0, 4, 8, 12, 1, 5, 9} {
+		if dead >= 0 {
+			id := fmt.Sprintf("i-%02d", dead)
+			m, _ := b.Members.Get(id)
+			m.State = board.MemberDead
+			b.Members.Put(id, m)
+		}
+		counts := pollersOf(b, 16, 2)
+		for target := range b.Targets.Snapshot() {
+			if counts[target] != 2 {
+				t.Errorf("after the loss of %d: %s is polled by %d instances, want 2", dead, target, counts[target])
+			}
+		}
+	}
+}
+
+// engineCaller is an engine whose cache events are lost in part and that is
+// restarted.
+type engineCaller struct {
+	stagecall.Caller
+	seq, events uint64
+	down        bool
+}
+
+func (e *engineCaller) Load(context.Context, stagecall.Target) (targetapi.LoadReport, error) {
+	if e.down {
+		return targetapi.LoadReport{}, &stagecall.Failure{Class: stagecall.ClassConnect}
+	}
+	e.seq++
+	return targetapi.LoadReport{Seq: e.seq, AtMS: time.Now().UnixMilli(), Leaving: true}, nil
+}
+
+func (e *engineCaller) CacheEvents(_ context.Context, _ stagecall.Target, after uint64) ([]targetapi.CacheEvent, error) {
+	var events []targetapi.CacheEvent
+	for seq := after + 1; seq <= e.events; seq++ {
+		events = append(events, targetapi.CacheEvent{Seq: seq, Prefix: fmt.Sprintf("%x", seq)})
+	}
+	return events, nil
+}
+
+// Symptom: an engine's prefix cache is never seen again after its restart.
+// Events: the engine restarts and counts its events from 1; the poller asks for
+// those after the old number. Cause: the old number outlived the engine.
+func TestRestartedEngineIsSeenAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := board.New()
+		b.Targets.Put("e", board.Target{ID: "e", Kind: profile.KindGenerate})
+		engine := &engineCaller{events: 5000}
+		c := New(Options{Caller: engine, Board: b, Clock: quartz.NewReal(), Rand: rand.New(rand.NewPCG(1, 1)), Self: "i-0"})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			c.Run(ctx)
+		}()
+		time.Sleep(30 * time.Second)
+		if set, _ := b.Prefixes.Get("e"); set.Seq != 5000 || len(set.Hashes) != DefaultMaxPrefixes {
+			t.Fatalf("before the restart: number %d, %d prefixes", set.Seq, len(set.Hashes))
+		}
+		engine.down = true
+		time.Sleep(20 * time.Second)
+		if load, _ := b.Loads.Get("e"); time.Since(load.At) < 19*time.Second {
+			t.Errorf("the report of an engine that is down for 20 s is %v old", time.Since(load.At))
+		}
+		engine.down, engine.seq, engine.events = false, 0, 3
+		time.Sleep(20 * time.Second)
+		set, _ := b.Prefixes.Get("e")
+		if set.Seq != 3 || len(set.Hashes) != 3 || set.Gap {
+			t.Errorf("after the restart: number %d, %d prefixes, gap %v", set.Seq, len(set.Hashes), set.Gap)
+		}
+		cancel()
+		<-ended
+	})
+}
+
+func TestDigestsKeepToTheBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := boardOf(16, 40)
+		c := New(Options{Board: b, Clock: quartz.NewReal(), Self: "i-00", Place: "p-0", Region: "tunis"})
+		for i := range 40 {
+			c.Observe(fmt.Sprintf("t-%02d", i), targetapi.LoadReport{Seq: 1, Models: []targetapi.LoadedModel{{Model: "lynx", Version: "v1"}}})
+		}
+		for budget := range 3000 {
+			var d gossip.Digest
+			used := c.Fill(&d, "i-01", budget)
+			size := 0
+			for _, row := range d.Loads {
+				size += rowBytes + len(row.Target)
+			}
+			if used > budget || size > used {
+				t.Fatalf("budget %d: says %d, rows alone are %d", budget, used, size)
+			}
+		}
+	})
+}
+
+// Symptom: work for a model goes to engines that do not have it.
+// Events: an engine's models change; its rows are passed on, most of them
+// without the models, to save bytes. Cause: the change was not passed on.
+func TestChangesOfModelsArePassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		from, to := controller("i-0"), controller("i-1")
+		report := func(seq uint64, models ...targetapi.LoadedModel) {
+			from.Observe("t-1", targetapi.LoadReport{Seq: seq, Models: models})
+			pass(from, to, time.Millisecond)
+			time.Sleep(time.Second)
+		}
+		models := func() []targetapi.LoadedModel {
+			load, _ := to.opts.Board.Loads.Get("t-1")
+			return load.Report.Models
+		}
+		for seq := range uint64(40) {
+			report(seq+1, targetapi.LoadedModel{Model: "lynx", Version: "v1", Ready: true})
+		}
+		if got := models(); len(got) != 1 || got[0].Version != "v1" {
+			t.Fatalf("models %v, want lynx v1", got)
+		}
+		report(41, targetapi.LoadedModel{Model: "lynx", Version: "v1", Ready: true}, targetapi.LoadedModel{Model: "lynx", Version: "v2"})
+		if got := models(); len(got) != 2 || got[1].Ready {
+			t.Errorf("models %v after v2 began to load", got)
+		}
+		report(42)
+		if got := models(); got == nil || len(got) != 0 {
+			t.Errorf("models %v after all were unloaded", got)
+		}
+	})
+}
