Refuse ambiguous tokens and instance names

Cause: a token hash that stood twice led to one of two organisations by chance. Without an id, instances with port 0 or listening on every address all got the same name. Change: both are refused in one line with the key; the name is made of the address that callers know. check also tries token file and settings together.

--- a/cmd/lynxhilld/main_test.go
+++ b/cmd/lynxhilld/main_test.go
@@ -16,6 +16,7 @@
 
 const settings = `
 [instance]
+id = "i1"
 place = "lac-a"
 region = "tunis"
 [listen]
@@ -46,7 +47,7 @@
 		name, content, want string
 		status              int
 	}{
-		{"usable", settings, "usable; instance lac-a/127.0.0.1:0", exitOK},
+		{"usable", settings, "usable; instance i1", exitOK},
 		{"unknown key", settings + "colour = 1\n", "unknown key platform.colour", exitSettings},
 		{"missing place", strings.Replace(settings, `place = "lac-a"`, "", 1), "instance.place: is missing", exitSettings},
 		{"missing file", settings + "[tokens]\nfile = \"/nonexistent\"\n", "tokens.file: open /nonexistent", exitSettings},
--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -56,9 +56,6 @@
 	if opts.PollEvery <= 0 {
 		opts.PollEvery = defaultPollEvery
 	}
-	if err := opts.Tokens.Validate(); err != nil {
-		return nil, err
-	}
 	v := &Verifier{opts: opts}
 	return v, v.Reload()
 }
@@ -127,6 +124,9 @@
 		all.Caller = append(append([]CallerToken(nil), all.Caller...), fromFile.Caller...)
 		all.Operator = append(append([]OperatorToken(nil), all.Operator...), fromFile.Operator...)
 	}
+	if err := all.Validate(); err != nil {
+		return err
+	}
 	fresh := newSets(all)
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/internal/auth/auth_test.go
+++ b/internal/auth/auth_test.go
@@ -133,6 +133,22 @@
 	})
 }
 
+// Symptom: a caller's requests count for another organisation. Events: one
+// hash stands in the settings and in the file, or twice in one of them.
+func TestAHashThatStandsTwiceIsRefused(t *testing.T) {
+	_, hash := NewToken()
+	path := filepath.Join(t.TempDir(), "tokens.toml")
+	callerFile(t, path, strings.ToUpper(hash), "other")
+	inSettings := Tokens{Caller: []CallerToken{{Hash: hash, Organisation: "acme"}}}
+	if _, err := New(Options{Tokens: inSettings, File: path}); err == nil {
+		t.Error("a hash of settings and file was accepted")
+	}
+	twice := Tokens{Operator: []OperatorToken{{Hash: hash, Name: "a", Role: RoleViewer}, {Hash: hash, Name: "b", Role: RoleOperator}}}
+	if _, err := New(Options{Tokens: twice}); err == nil || !strings.Contains(err.Error(), "operator[1].hash") {
+		t.Errorf("a hash of two operators: %v", err)
+	}
+}
+
 func TestAnUnusableFileIsRefusedAtTheStart(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "tokens.toml")
 	for _, content := range []string{"[[caller]]\nhash = \"plain token\"\norganisation = \"a\"\n", "[[king]]\n", "caller"} {
--- a/internal/auth/tokens.go
+++ b/internal/auth/tokens.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"os"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -39,19 +40,40 @@
 
 // Validate returns an error that names the first unusable entry.
 func (t Tokens) Validate() error {
+	callers, operators := make(map[string]int), make(map[string]int)
 	for i, c := range t.Caller {
-		if err := c.validate(); err != nil {
+		if err := firstOf(c.validate(), once(callers, c.Hash, i)); err != nil {
 			return fmt.Errorf("caller[%d].%w", i, err)
 		}
 	}
 	for i, o := range t.Operator {
-		if err := o.validate(); err != nil {
+		if err := firstOf(o.validate(), once(operators, o.Hash, i)); err != nil {
 			return fmt.Errorf("operator[%d].%w", i, err)
 		}
 	}
 	return nil
 }
 
+// once refuses a hash that stands twice: the token would belong to two
+// organisations or names, and which one it is taken for would be chance.
+func once(seen map[string]int, hash string, i int) error {
+	hash = strings.ToLower(hash)
+	if first, twice := seen[hash]; twice {
+		return fmt.Errorf("hash: is that of entry %d too", first)
+	}
+	seen[hash] = i
+	return nil
+}
+
+func firstOf(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (c CallerToken) validate() error {
 	if _, err := parseHash(c.Hash); err != nil {
 		return fmt.Errorf("hash: %w", err)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -8,6 +8,7 @@
 
 const minimal = `
 [instance]
+id = "i1"
 place = "lac-a"
 region = "tunis"
 [listen]
@@ -32,6 +33,7 @@
 	hash := strings.Repeat("ab", 32)
 	tests := []struct{ name, replace, by, want string }{
 		{"unknown key", "place =", "plaice = 1\nplace =", "unknown key instance.plaice"},
+		{"no id", `id = "i1"`, "", "instance.id: is missing"},
 		{"unknown table", "[platform]", "[moon]\nx = 1\n[platform]", "unknown key moon"},
 		{"missing place", `place = "lac-a"`, "", "instance.place: is missing"},
 		{"name for number", `caller = "127.0.0.1:0"`, `caller = "localhost:80"`, "listen.caller"},
@@ -61,6 +63,20 @@
 	}
 }
 
+func TestTheIDIsMadeOfThePlaceAndTheAddressThatCallersKnow(t *testing.T) {
+	noID := strings.Replace(minimal, `id = "i1"`, "", 1)
+	tests := []struct{ caller, want string }{
+		{"caller = \"10.0.0.1:70\"", "lac-a/10.0.0.1:70"},
+		{"caller = \"0.0.0.0:70\"\nadvertise_caller = \"10.0.0.2:71\"", "lac-a/10.0.0.2:71"},
+	}
+	for _, tt := range tests {
+		cfg, err := Parse([]byte(strings.Replace(noID, `caller = "127.0.0.1:0"`, tt.caller, 1)))
+		if err != nil || cfg.Instance.ID != tt.want {
+			t.Errorf("%s: %q, %v", tt.caller, cfg.Instance.ID, err)
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(minimal))
 	f.Add([]byte(minimal + "[timings]\nkeep = 5\n"))
--- a/internal/config/files.go
+++ b/internal/config/files.go
@@ -17,10 +17,8 @@
 	if err := checkCA("platform.ca_file", c.Platform.CAFile); err != nil {
 		return err
 	}
-	if c.Tokens.File != "" {
-		if _, err := auth.ReadFile(c.Tokens.File); err != nil {
-			return fault("tokens.file", "%s", oneLine(err.Error()))
-		}
+	if _, err := auth.New(auth.Options{Tokens: c.Tokens.Set(), File: c.Tokens.File}); err != nil {
+		return fault("tokens.file", "%s", oneLine(err.Error()))
 	}
 	for _, l := range c.TLS.listeners() {
 		if err := l.files.check(l.key); err != nil {
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -31,18 +31,26 @@
 	if err := decoder.Decode(&cfg); err != nil {
 		return Config{}, describe(err)
 	}
-	cfg.complete()
 	if err := cfg.Validate(); err != nil {
 		return Config{}, err
 	}
+	cfg.complete()
 	return cfg, nil
 }
 
 // complete fills in what follows from other settings.
 func (c *Config) complete() {
 	if c.Instance.ID == "" {
-		c.Instance.ID = c.Instance.Place + "/" + c.Listen.Caller
+		c.Instance.ID = c.Instance.Place + "/" + c.Listen.callerAddress()
+	}
+}
+
+// callerAddress is where callers connect to.
+func (l Listen) callerAddress() string {
+	if l.AdvertiseCaller != "" {
+		return l.AdvertiseCaller
 	}
+	return l.Caller
 }
 
 // describe turns the library's errors, some of which run over several lines,
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -28,6 +28,17 @@
 			return err
 		}
 	}
+	return c.validateID()
+}
+
+// validateID insists on an id where the address makes none: with port 0 all
+// instances of a machine would have the same, and each would take the others'
+// heartbeats for its own.
+func (c *Config) validateID() error {
+	port := netip.MustParseAddrPort(c.Listen.callerAddress()).Port()
+	if c.Instance.ID == "" && port == 0 {
+		return fault("instance.id", "is missing; with port 0 in listen.caller the instance needs a name of its own")
+	}
 	return nil
 }
 
