Drains and plans from the synced configuration objects

Profile sync now keeps drains and plans on the board with versions that only rise, so that the drain controller's own reads, gossip and cleared objects go, and so do the order-givers' reads of plans. Digests: the loads come last, since they take all room that is left; leaving marks are hurried.

--- a/internal/board/table_test.go
+++ b/internal/board/table_test.go
@@ -130,3 +130,16 @@
 		}
 	}
 }
+
+func TestObjectsOnlyRise(t *testing.T) {
+	b := New()
+	for _, version := range []uint64{3, 2, 3, 5, 4} {
+		b.AdoptObject("plans/a", ConfigObject{Version: version})
+	}
+	if o, _ := b.Objects.Get("plans/a"); o.Version != 5 {
+		t.Errorf("version %d, want 5", o.Version)
+	}
+	if b.AdoptObject("plans/a", ConfigObject{Version: 5, Deleted: true}) {
+		t.Error("adopted the version that is there")
+	}
+}
--- a/internal/control/drain/operator.go
+++ b/internal/control/drain/operator.go
@@ -26,13 +26,17 @@
 }
 
 // Drain orders that the subject take no new work. It returns when the platform
-// has the order; it is in force everywhere within seconds after that. Errors:
-// BadRequest, Conflict, ChangeUnknown, StoreUnavailable.
+// has the order; it is in force here at once and everywhere within seconds.
+// Errors: BadRequest, Conflict, ChangeUnknown, StoreUnavailable.
 func (c *Controller) Drain(ctx context.Context, subject, operator string) error {
 	if err := validate(subject); err != nil {
 		return err
 	}
-	return c.write(ctx, subject, stored{Drain: board.Drain{Subject: subject, By: operator, At: c.opts.Clock.Now().UTC()}})
+	value, err := json.Marshal(board.Drain{Subject: subject, By: operator, At: c.opts.Clock.Now().UTC()})
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "drain")
+	}
+	return c.retry(ctx, func(ctx context.Context) error { return c.put(ctx, KeyPrefix+subject, value) })
 }
 
 // Undrain takes a drain back. Taking back one that is not there succeeds.
@@ -41,7 +45,7 @@
 	if err := validate(subject); err != nil {
 		return err
 	}
-	return c.write(ctx, subject, stored{Drain: board.Drain{Subject: subject, At: c.opts.Clock.Now().UTC()}, Cleared: true})
+	return c.retry(ctx, func(ctx context.Context) error { return c.remove(ctx, KeyPrefix+subject) })
 }
 
 func validate(subject string) error {
@@ -53,48 +57,49 @@
 	return errkind.New(errkind.BadRequest, "%q is not instance/ID, place/NAME or target/ID", subject)
 }
 
-// write brings the object to the wanted state. The state wanted is all that
-// the operator says, so that a lost race or reply is simply tried again.
-func (c *Controller) write(ctx context.Context, subject string, want stored) error {
+// retry brings the object to the wanted state. The state wanted is all that the
+// operator says, so that a lost race or reply is simply tried again: the next
+// try finds what became of it.
+func (c *Controller) retry(ctx context.Context, change func(context.Context) error) error {
 	ctx = store.WithPriority(ctx, store.PriorityOperator)
-	value, err := json.Marshal(want)
-	if err != nil {
-		return errkind.Wrap(err, errkind.Internal, "drain")
-	}
-	var last error
+	var err error
 	for range writeRetries {
-		done, err := c.writeOnce(ctx, subject, want, value)
-		if done {
-			c.publish()
-			c.wake.Notify()
+		if err = change(ctx); err == nil {
+			c.Step()
 			return nil
 		}
-		last = err
 	}
-	return writeError(last)
+	return writeError(err)
 }
 
-func (c *Controller) writeOnce(ctx context.Context, subject string, want stored, value []byte) (bool, error) {
-	current, err := c.opts.Store.Get(ctx, KeyPrefix+subject)
-	switch {
-	case errors.Is(err, store.ErrNotFound) && want.Cleared:
-		return true, nil
-	case errors.Is(err, store.ErrNotFound):
-		current = store.Object{}
-	case err != nil:
-		return false, err
+// put writes the object unless there is one already.
+func (c *Controller) put(ctx context.Context, key string, value []byte) error {
+	current, err := c.opts.Store.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		current, err = c.opts.Store.Put(ctx, key, value, 0)
 	}
-	var now stored
-	if current.Version != 0 && json.Unmarshal(current.Value, &now) == nil && now.Cleared == want.Cleared {
-		c.take(subject, entry{version: current.Version, active: !now.Cleared, by: now.By, at: now.At})
-		return true, nil
+	if err != nil {
+		return err
+	}
+	c.opts.Board.AdoptObject(key, board.ConfigObject{Version: current.Version, Value: current.Value})
+	return nil
+}
+
+// remove deletes the object if there is one. Its deletion reaches the board
+// from the platform, which alone knows its version.
+func (c *Controller) remove(ctx context.Context, key string) error {
+	current, err := c.opts.Store.Get(ctx, key)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
 	}
-	object, err := c.opts.Store.Put(ctx, KeyPrefix+subject, value, current.Version)
 	if err != nil {
-		return false, err
+		return err
+	}
+	err = c.opts.Store.Delete(ctx, key, current.Version)
+	if errors.Is(err, store.ErrNotFound) {
+		return nil
 	}
-	c.take(subject, entry{version: object.Version, active: !want.Cleared, by: want.By, at: want.At})
-	return true, nil
+	return err
 }
 
 func writeError(err error) error {
--- a/internal/control/orders/controller.go
+++ b/internal/control/orders/controller.go
@@ -41,7 +41,7 @@
 	memory  *memory
 	loads   *rate.Limiter
 	plan    lynxapi.ModelPlan
-	planned time.Time // when the plan object was last read
+	planned uint64 // version of the plan object
 	engines map[string]*engineState
 	guard   lastReady
 }
@@ -112,7 +112,7 @@
 
 // stepService reads the engines back, plans, and gives the orders.
 func (c *Controller) stepService(ctx context.Context, s *service) {
-	c.readPlan(ctx, s)
+	c.readPlan(s)
 	targets := serviceTargets(c.opts.Board, s.name)
 	c.readBack(ctx, s, targets)
 	engines := c.engines(s, targets)
--- a/internal/control/orders/options.go
+++ b/internal/control/orders/options.go
@@ -26,7 +26,6 @@
 const (
 	DefaultPeriod          = time.Second
 	DefaultReadEvery       = 10 * time.Second
-	DefaultPlansEvery      = 10 * time.Second
 	DefaultOrderTimeout    = lease.DefaultOrderTimeout
 	DefaultCallTimeout     = 2 * time.Second
 	DefaultWeightRate      = 0.2
@@ -37,16 +36,10 @@
 	DefaultKeepAfter       = 2 * time.Minute
 )
 
-// Store is what the controller needs of the platform.
-type Store interface {
-	store.Reader
-	store.Writer
-}
-
 // Options configure a Controller.
 type Options struct {
 	Caller  stagecall.Caller
-	Store   Store
+	Store   store.Writer
 	Board   *board.Board
 	Lease   lease.Lessor
 	Boot    clock.Boot
@@ -74,11 +67,9 @@
 	// profile stopped naming it: requests admitted before still use it.
 	KeepAfter time.Duration
 	// Period is how often the plan is made; ReadEvery how often an engine
-	// without pending orders is read back; PlansEvery how often the plan
-	// objects are read.
-	Period     time.Duration
-	ReadEvery  time.Duration
-	PlansEvery time.Duration
+	// without pending orders is read back.
+	Period    time.Duration
+	ReadEvery time.Duration
 	// OrderTimeout is the longest time that an order may be under way. The
 	// lease manager has to be given the same.
 	OrderTimeout time.Duration
@@ -90,7 +81,6 @@
 func (o Options) withDefaults() Options {
 	setDuration(&o.Period, DefaultPeriod)
 	setDuration(&o.ReadEvery, DefaultReadEvery)
-	setDuration(&o.PlansEvery, DefaultPlansEvery)
 	setDuration(&o.OrderTimeout, DefaultOrderTimeout)
 	setDuration(&o.CallTimeout, DefaultCallTimeout)
 	setDuration(&o.KeepAfter, DefaultKeepAfter)
--- a/internal/control/orders/plans.go
+++ b/internal/control/orders/plans.go
@@ -4,37 +4,28 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"sort"
 	"strings"
 
-	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/store"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
-// readPlan reads the service's plan object when it is due. Without the store
-// the plan known stays in force.
-func (c *Controller) readPlan(ctx context.Context, s *service) {
-	now := c.opts.Clock.Now()
-	if !s.planned.IsZero() && now.Sub(s.planned) < c.opts.PlansEvery {
+// readPlan takes the service's plan from the board's copy of the platform's
+// objects. One that can't be read leaves the plan known in force.
+func (c *Controller) readPlan(s *service) {
+	object, found := c.opts.Board.Objects.Get(KeyPrefix + s.name)
+	if !found || object.Deleted {
+		s.plan, s.planned = lynxapi.ModelPlan{Service: s.name}, object.Version
 		return
 	}
-	s.planned = now
-	callCtx, cancel := loop.WithTimeout(store.WithPriority(ctx, store.PriorityBackground), c.opts.Clock, c.opts.CallTimeout)
-	defer cancel()
-	object, err := c.opts.Store.Get(callCtx, KeyPrefix+s.name)
-	switch {
-	case errors.Is(err, store.ErrNotFound):
-		s.plan = lynxapi.ModelPlan{Service: s.name}
-	case err != nil:
-		c.opts.Logger.Log(event.PlanStoreFailure, "service", s.name, "error", err)
-	default:
-		c.takePlan(s, object)
+	if object.Version == s.planned {
+		return
 	}
-}
-
-func (c *Controller) takePlan(s *service, object store.Object) {
+	s.planned = object.Version
 	var plan lynxapi.ModelPlan
 	if err := json.Unmarshal(object.Value, &plan); err != nil {
 		c.opts.Logger.Log(event.PlanUnreadable, "service", s.name, "error", err)
@@ -43,22 +34,23 @@
 	s.plan = plan
 }
 
-// Plans returns the plan objects with their versions in IfVersion. Errors:
-// StoreUnavailable.
-func (c *Controller) Plans(ctx context.Context) ([]lynxapi.ModelPlan, error) {
-	objects, _, err := c.opts.Store.List(ctx, KeyPrefix)
-	if err != nil {
-		return nil, errkind.Wrap(err, errkind.StoreUnavailable, "model plans")
-	}
-	plans := make([]lynxapi.ModelPlan, 0, len(objects))
-	for _, object := range objects {
-		var plan lynxapi.ModelPlan
-		if json.Unmarshal(object.Value, &plan) != nil {
-			plan = lynxapi.ModelPlan{Service: strings.TrimPrefix(object.Key, KeyPrefix)}
+// Plans returns the plans in force by service, with their versions in
+// IfVersion.
+func (c *Controller) Plans(context.Context) ([]lynxapi.ModelPlan, error) {
+	var plans []lynxapi.ModelPlan
+	for key, object := range c.opts.Board.Objects.Snapshot() {
+		service, ours := strings.CutPrefix(key, KeyPrefix)
+		if !ours || object.Deleted {
+			continue
+		}
+		plan := lynxapi.ModelPlan{Service: service}
+		if err := json.Unmarshal(object.Value, &plan); err != nil {
+			plan = lynxapi.ModelPlan{Service: service}
 		}
 		plan.IfVersion = object.Version
 		plans = append(plans, plan)
 	}
+	sort.Slice(plans, func(i, j int) bool { return plans[i].Service < plans[j].Service })
 	return plans, nil
 }
 
@@ -78,6 +70,7 @@
 	object, err := c.opts.Store.Put(store.WithPriority(ctx, store.PriorityOperator), KeyPrefix+plan.Service, value, ifVersion)
 	switch {
 	case err == nil:
+		c.opts.Board.AdoptObject(object.Key, board.ConfigObject{Version: object.Version, Value: value})
 		return object.Version, nil
 	case errors.Is(err, store.ErrConflict):
 		return object.Version, errkind.Wrap(err, errkind.Conflict, "the plan was changed meanwhile; its version is %d", object.Version)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -21,7 +21,8 @@
 	d.assembleMembership()
 	d.assembleTargetControl()
 	d.assembleOperatorControl()
-	for _, part := range []gossip.Part{d.profiles, d.discovery, d.loads, d.drains, d.limits, d.guard, d.slo.Gossip()} {
+	// The loads come last: they take what room the others leave in a digest.
+	for _, part := range []gossip.Part{d.profiles, d.discovery, d.limits, d.guard, d.slo.Gossip(), d.loads} {
 		d.members.AddPart(part)
 	}
 }
@@ -45,7 +46,7 @@
 	clk, place, region := d.opts.Clock, d.cfg.Instance.Place, d.cfg.Instance.Region
 	d.discovery = discovery.New(discovery.Options{
 		Lister: d.platform, Board: d.board, Clock: clk, Rand: d.rand(), Logger: d.logger, Metrics: d.metrics,
-		Self: d.id(), Place: place,
+		Self: d.id(), Place: place, Hurry: d.members.Hurry,
 	})
 	d.loads = loadview.New(loadview.Options{
 		Caller: d.targets, Board: d.board, Clock: clk, Rand: d.rand(), Logger: d.logger, Metrics: d.metrics,
--- a/internal/event/catalogue_orders.go
+++ b/internal/event/catalogue_orders.go
@@ -2,13 +2,12 @@
 
 // Events of the orders controller.
 const (
-	OrderGiven       ID = 3501
-	OrderFailed      ID = 3502
-	OrderOldFence    ID = 3503
-	OrderHeldBack    ID = 3504
-	PlanUnreadable   ID = 3505
-	PlanUnmet        ID = 3506
-	PlanStoreFailure ID = 3507
+	OrderGiven     ID = 3501
+	OrderFailed    ID = 3502
+	OrderOldFence  ID = 3503
+	OrderHeldBack  ID = 3504
+	PlanUnreadable ID = 3505
+	PlanUnmet      ID = 3506
 )
 
 var _ = define(
@@ -18,5 +17,4 @@
 	Definition{OrderHeldBack, Info, "order_held_back", "A model was not unloaded because no other engine confirmed that it has it ready."},
 	Definition{PlanUnreadable, Error, "plan_unreadable", "A model plan in the platform cannot be read; the last one read stays in force."},
 	Definition{PlanUnmet, Warn, "plan_unmet", "A model version has fewer engines than its minimum and no engine has room for it."},
-	Definition{PlanStoreFailure, Warn, "plan_read_failed", "Model plans could not be read from the platform; those known stay in force."},
 )
