One harness for the tests of the caller API

Cause: two stood side by side, one on sockets and one in memory. Change: all tests use connections in memory; the checks are the same.

--- a/internal/callerapi/bench_test.go
+++ b/internal/callerapi/bench_test.go
@@ -8,7 +8,6 @@
 	"strings"
 	"testing"
 
-	"lynxhill.example/lynxhill/internal/auth"
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/pipeline"
 )
@@ -16,15 +15,7 @@
 // benchmark measures the edge alone, without sockets: routing, token, body,
 // checks and answer.
 func benchmark(b *testing.B, serve serveFunc, body string) {
-	token, hash := auth.NewToken()
-	verifier, err := auth.New(auth.Options{Tokens: auth.Tokens{Caller: []auth.CallerToken{{Hash: hash, Organisation: "acme"}}}})
-	if err != nil {
-		b.Fatal(err)
-	}
-	handler, err := New(Options{Handler: fakeHandler{serve: serve}, Auth: verifier, Self: "i1", Metrics: metrics.NewRegistry()})
-	if err != nil {
-		b.Fatal(err)
-	}
+	handler, token := newEdge(b, fakeHandler{serve: serve}, Limits{}, metrics.NewRegistry())
 	b.ReportAllocs()
 	for b.Loop() {
 		req := httptest.NewRequest(http.MethodPost, "/v1/profiles/check/requests", strings.NewReader(body))
--- a/internal/callerapi/callerapi_test.go
+++ b/internal/callerapi/callerapi_test.go
@@ -4,131 +4,52 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
 
-	"lynxhill.example/lynxhill/internal/auth"
 	"lynxhill.example/lynxhill/internal/errkind"
-	"lynxhill.example/lynxhill/internal/httpserver"
-	"lynxhill.example/lynxhill/internal/metrics"
-	"lynxhill.example/lynxhill/internal/outcome"
 	"lynxhill.example/lynxhill/internal/pipeline"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
-// fakeHandler runs serve for every request.
-type fakeHandler struct {
-	serve func(ctx context.Context, req pipeline.Request, sink pipeline.Sink) (pipeline.Outcome, error)
-	ready error
-}
-
-func (f fakeHandler) Serve(ctx context.Context, req pipeline.Request, sink pipeline.Sink) (pipeline.Outcome, error) {
-	return f.serve(ctx, req, sink)
-}
-
-func (f fakeHandler) Outcome(_ context.Context, key outcome.Key) (lynxapi.OutcomeReply, error) {
-	return lynxapi.OutcomeReply{Key: key.Organisation + "/" + key.Key, State: lynxapi.OutcomeDone}, nil
-}
-
-func (f fakeHandler) Address(_ context.Context, q AddressQuestion) (lynxapi.AddressAnswer, error) {
-	return lynxapi.AddressAnswer{KeepMS: 5, Addresses: []lynxapi.Address{{ID: q.Place + q.Region + q.Organisation}}}, nil
-}
-
-func (f fakeHandler) Ready() error { return f.ready }
-
-// echo answers with the input.
-func echo(_ context.Context, req pipeline.Request, _ pipeline.Sink) (pipeline.Outcome, error) {
-	return pipeline.Outcome{RequestID: req.ID, Version: 7, Output: req.Input}, nil
-}
-
-// caller is a server with a client that has the token of organisation acme.
-type caller struct {
-	t        *testing.T
-	url      string
-	token    string
-	registry *metrics.Registry
-}
-
-func newCaller(t *testing.T, h fakeHandler, limits Limits, heartbeat time.Duration) *caller {
-	t.Helper()
-	token, hash := auth.NewToken()
-	verifier, err := auth.New(auth.Options{Tokens: auth.Tokens{Caller: []auth.CallerToken{{Hash: hash, Organisation: "acme"}}}})
-	if err != nil {
-		t.Fatal(err)
-	}
-	registry := metrics.NewRegistry()
-	handler, err := New(Options{Handler: h, Auth: verifier, Limits: limits, HeartbeatEvery: heartbeat, Self: "i1", Metrics: registry})
-	if err != nil {
-		t.Fatal(err)
-	}
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	server := httpserver.New(httpserver.Options{Name: "caller", Listener: listener, Handler: handler})
-	go func() { _ = server.Serve() }()
-	t.Cleanup(server.Kill)
-	return &caller{t: t, url: "http://" + listener.Addr().String(), token: token, registry: registry}
-}
-
-func (c *caller) do(method, path, body string) *http.Response {
-	c.t.Helper()
-	req, err := http.NewRequest(method, c.url+path, strings.NewReader(body))
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	req.Header.Set("Authorization", "Bearer "+c.token)
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		c.t.Fatal(err)
-	}
-	c.t.Cleanup(func() { _ = resp.Body.Close() })
-	return resp
-}
-
-func (c *caller) send(body string) *http.Response {
-	c.t.Helper()
-	return c.do(http.MethodPost, "/v1/profiles/check/requests", body)
-}
-
-func decode[M any](t *testing.T, r io.Reader) M {
+func decode[M any](t *testing.T, raw string) M {
 	t.Helper()
 	var m M
-	if err := json.NewDecoder(r).Decode(&m); err != nil {
+	if err := json.Unmarshal([]byte(raw), &m); err != nil {
 		t.Fatal(err)
 	}
 	return m
 }
 
 func TestWholeAnswer(t *testing.T) {
-	c := newCaller(t, fakeHandler{serve: echo}, Limits{}, 0)
+	c := newInstance(t, fakeHandler{serve: echo}, Limits{}, false)
+	defer c.close()
 	resp := c.send(`{"organisation":"acme","input":{"a":1},"key":"k1"}`)
-	reply := decode[lynxapi.SendReply](t, resp.Body)
-	if resp.StatusCode != 200 || string(reply.Output) != `{"a":1}` || reply.Key != "k1" || reply.Profile != "check" || reply.ProfileVersion != 7 {
-		t.Fatalf("status %d, reply %+v", resp.StatusCode, reply)
+	reply := decode[lynxapi.SendReply](t, resp.body)
+	if resp.status != 200 || string(reply.Output) != `{"a":1}` || reply.Key != "k1" || reply.Profile != "check" || reply.ProfileVersion != 7 {
+		t.Fatalf("status %d, reply %+v", resp.status, reply)
 	}
 }
 
 func TestAKeyIsMadeForACallerThatGaveNone(t *testing.T) {
 	var got pipeline.Request
-	c := newCaller(t, fakeHandler{serve: func(ctx context.Context, req pipeline.Request, s pipeline.Sink) (pipeline.Outcome, error) {
+	c := newInstance(t, fakeHandler{serve: func(ctx context.Context, req pipeline.Request, s pipeline.Sink) (pipeline.Outcome, error) {
 		got = req
 		return echo(ctx, req, s)
-	}}, Limits{}, 0)
-	reply := decode[lynxapi.SendReply](t, c.send(`{"organisation":"acme","input":1}`).Body)
+	}}, Limits{}, false)
+	defer c.close()
+	reply := decode[lynxapi.SendReply](t, c.send(`{"organisation":"acme","input":1}`).body)
 	if reply.Key == "" || reply.Key != got.Key || got.KeyGiven || got.ID == "" || !got.Deadline.IsZero() {
 		t.Fatalf("reply %+v, request %+v", reply, got)
 	}
 }
 
 func TestBadInputGetsItsKind(t *testing.T) {
-	c := newCaller(t, fakeHandler{serve: func(context.Context, pipeline.Request, pipeline.Sink) (pipeline.Outcome, error) {
+	c := newInstance(t, fakeHandler{serve: func(context.Context, pipeline.Request, pipeline.Sink) (pipeline.Outcome, error) {
 		return pipeline.Outcome{}, errkind.New(errkind.UnknownProfile, "no profile check")
-	}}, Limits{MaxBody: 200}, 0)
+	}}, Limits{MaxBody: 200}, false)
+	defer c.close()
 	tests := []struct {
 		name, body string
 		want       errkind.Kind
@@ -158,9 +79,9 @@
 		})
 	}
 	t.Run("no token", func(t *testing.T) {
-		c := *c
-		c.token = "wrong"
-		checkError(t, c.send(`{"organisation":"acme","input":1}`), errkind.Unauthenticated)
+		stranger := *c
+		stranger.token = "wrong"
+		checkError(t, stranger.send(`{"organisation":"acme","input":1}`), errkind.Unauthenticated)
 	})
 	t.Run("no path", func(t *testing.T) { checkError(t, c.do("GET", "/nowhere", ""), errkind.NotFound) })
 	t.Run("wrong method", func(t *testing.T) { checkError(t, c.do("PUT", "/v1/address", ""), errkind.NotFound) })
@@ -169,12 +90,12 @@
 	})
 }
 
-func checkError(t *testing.T, resp *http.Response, want errkind.Kind) {
+func checkError(t *testing.T, got answer, want errkind.Kind) {
 	t.Helper()
-	body := decode[errkind.Body](t, resp.Body)
-	answer := want.Answer()
-	if body.Kind != answer.Name || resp.StatusCode != answer.Status || body.RunState != answer.RunState || body.Resend != answer.Resend {
-		t.Fatalf("status %d, body %+v, want %+v", resp.StatusCode, body, answer)
+	body := decode[errkind.Body](t, got.body)
+	row := want.Answer()
+	if body.Kind != row.Name || got.status != row.Status || body.RunState != row.RunState || body.Resend != row.Resend {
+		t.Fatalf("status %d, body %+v, want %+v", got.status, body, row)
 	}
 	if body.Message == "" || strings.Contains(body.Message, "goroutine") || strings.Contains(body.Message, "lynxapi.") {
 		t.Fatalf("message %q", body.Message)
@@ -182,31 +103,33 @@
 }
 
 func TestRetryAfterIsSentWithWhatMayComeBack(t *testing.T) {
-	c := newCaller(t, fakeHandler{serve: func(context.Context, pipeline.Request, pipeline.Sink) (pipeline.Outcome, error) {
+	c := newInstance(t, fakeHandler{serve: func(context.Context, pipeline.Request, pipeline.Sink) (pipeline.Outcome, error) {
 		return pipeline.Outcome{}, errkind.WithRetryAfter(errkind.New(errkind.Overloaded, "full"), 1500*time.Millisecond)
-	}}, Limits{}, 0)
+	}}, Limits{}, false)
+	defer c.close()
 	resp := c.send(`{"organisation":"acme","input":1}`)
-	if got := resp.Header.Get("Retry-After"); got != "2" {
+	if got := resp.header.Get("Retry-After"); got != "2" {
 		t.Fatalf("Retry-After %q", got)
 	}
 	checkError(t, resp, errkind.Overloaded)
 }
 
 func TestAddressOutcomeAndReadiness(t *testing.T) {
-	c := newCaller(t, fakeHandler{serve: echo, ready: errkind.New(errkind.Stopping, "stopping")}, Limits{}, 0)
-	answer := decode[lynxapi.AddressAnswer](t, c.do("GET", "/v1/address?place=p&region=r", "").Body)
-	if answer.Addresses[0].ID != "pracme" {
-		t.Fatalf("address answer %+v", answer)
+	c := newInstance(t, fakeHandler{serve: echo, ready: errkind.New(errkind.Stopping, "stopping")}, Limits{}, false)
+	defer c.close()
+	address := decode[lynxapi.AddressAnswer](t, c.do("GET", "/v1/address?place=p&region=r", "").body)
+	if address.Addresses[0].ID != "pracme" {
+		t.Fatalf("address answer %+v", address)
 	}
-	reply := decode[lynxapi.OutcomeReply](t, c.do("GET", "/v1/requests/k1", "").Body)
+	reply := decode[lynxapi.OutcomeReply](t, c.do("GET", "/v1/requests/k1", "").body)
 	if reply.Key != "acme/k1" {
 		t.Fatalf("outcome %+v", reply)
 	}
-	if reply := decode[lynxapi.OutcomeReply](t, c.do("GET", "/v1/requests/a%2Fb", "").Body); reply.Key != "acme/a/b" {
+	if reply := decode[lynxapi.OutcomeReply](t, c.do("GET", "/v1/requests/a%2Fb", "").body); reply.Key != "acme/a/b" {
 		t.Fatalf("outcome %+v", reply)
 	}
 	checkError(t, c.do("GET", "/readyz", ""), errkind.Stopping)
-	if got := c.do("GET", "/livez", "").StatusCode; got != 200 {
+	if got := c.do("GET", "/livez", "").status; got != 200 {
 		t.Fatalf("livez: %d", got)
 	}
 }
@@ -214,10 +137,9 @@
 // sse is one server-sent event.
 type sse struct{ name, data string }
 
-func readEvents(t *testing.T, r io.Reader) []sse {
-	t.Helper()
+func readEvents(body string) []sse {
 	var events []sse
-	scanner := bufio.NewScanner(r)
+	scanner := bufio.NewScanner(strings.NewReader(body))
 	var e sse
 	for scanner.Scan() {
 		name, value, _ := strings.Cut(scanner.Text(), ": ")
@@ -242,7 +164,7 @@
 }
 
 // streamTwo delivers two frames and ends with err.
-func streamTwo(err error) func(context.Context, pipeline.Request, pipeline.Sink) (pipeline.Outcome, error) {
+func streamTwo(err error) serveFunc {
 	return func(_ context.Context, req pipeline.Request, sink pipeline.Sink) (pipeline.Outcome, error) {
 		for i, text := range []string{"ab", "cd"} {
 			if err := sink.Frame(2*i, text); err != nil {
@@ -254,33 +176,36 @@
 }
 
 func TestStreamEndsWithItsMark(t *testing.T) {
-	c := newCaller(t, fakeHandler{serve: streamTwo(nil)}, Limits{}, time.Hour)
+	c := newInstance(t, fakeHandler{serve: streamTwo(nil)}, Limits{}, false)
+	defer c.close()
 	resp := c.send(`{"organisation":"acme","input":1,"stream":true}`)
-	events := readEvents(t, resp.Body)
-	if names(events) != "accepted frame frame end" || resp.Header.Get("Content-Type") != "text/event-stream" {
+	events := readEvents(resp.body)
+	if names(events) != "accepted frame frame end" || resp.header.Get("Content-Type") != "text/event-stream" {
 		t.Fatalf("events %v", events)
 	}
-	end := decode[lynxapi.SendReply](t, strings.NewReader(events[3].data))
+	end := decode[lynxapi.SendReply](t, events[3].data)
 	if end.Length != 4 || !end.Streamed || end.Output != nil {
 		t.Fatalf("end %+v", end)
 	}
 }
 
 func TestStreamThatFailsMidwayEndsWithAnError(t *testing.T) {
-	c := newCaller(t, fakeHandler{serve: streamTwo(errkind.New(errkind.StreamBroken, "broke"))}, Limits{}, time.Hour)
-	events := readEvents(t, c.send(`{"organisation":"acme","input":1,"stream":true}`).Body)
+	c := newInstance(t, fakeHandler{serve: streamTwo(errkind.New(errkind.StreamBroken, "broke"))}, Limits{}, false)
+	defer c.close()
+	events := readEvents(c.send(`{"organisation":"acme","input":1,"stream":true}`).body)
 	if names(events) != "accepted frame frame error" {
 		t.Fatalf("events %v", events)
 	}
-	if body := decode[errkind.Body](t, strings.NewReader(events[3].data)); body.Kind != "stream_broken" || body.RequestID == "" {
+	if body := decode[errkind.Body](t, events[3].data); body.Kind != "stream_broken" || body.RequestID == "" {
 		t.Fatalf("body %+v", body)
 	}
 }
 
 func TestAnswerOverTheLimitIsAnError(t *testing.T) {
-	c := newCaller(t, fakeHandler{serve: streamTwo(nil)}, Limits{MaxAnswer: 3}, time.Hour)
+	c := newInstance(t, fakeHandler{serve: streamTwo(nil)}, Limits{MaxAnswer: 3}, false)
+	defer c.close()
 	checkError(t, c.send(`{"organisation":"acme","input":1}`), errkind.AnswerTooLarge)
-	events := readEvents(t, c.send(`{"organisation":"acme","input":1,"stream":true}`).Body)
+	events := readEvents(c.send(`{"organisation":"acme","input":1,"stream":true}`).body)
 	if names(events) != "accepted frame error" {
 		t.Fatalf("events %v", events)
 	}
