lynxctl after a first use against the demo

Cause: used as a newcomer would against a running demo, four things were wrong: diff NAME of a changed profile was refused as a conflict; delete never waited until the profile was out of force and printed every line of it; limit set with one flag took the other limit away; a request past its deadline was sent once more, whose refusal hid the first error.

--- a/cmd/lynxctl/limits.go
+++ b/cmd/lynxctl/limits.go
@@ -18,10 +18,10 @@
 }
 
 type limitSet struct {
-	Organisation string  `arg:"" help:"Organisation."`
-	Rate         float64 `help:"Requests a second; 0 = no limit."`
-	Concurrent   int     `help:"Requests at once; 0 = no limit."`
-	IfVersion    *uint64 `placeholder:"N" help:"Change only version N; default: the one in force now."`
+	Organisation string   `arg:"" help:"Organisation."`
+	Rate         *float64 `placeholder:"N" help:"Requests a second; 0 = no limit; default: as it is."`
+	Concurrent   *int     `placeholder:"N" help:"Requests at once; 0 = no limit; default: as it is."`
+	IfVersion    *uint64  `placeholder:"N" help:"Change only version N; default: the one in force now."`
 }
 
 // Help implements kong.HelpProvider.
@@ -31,7 +31,10 @@
 
 // Run sets the limit.
 func (c *limitSet) Run(env *environment) error {
-	if c.Rate < 0 || c.Concurrent < 0 {
+	if c.Rate == nil && c.Concurrent == nil {
+		return usagef("give --rate, --concurrent or both")
+	}
+	if (c.Rate != nil && *c.Rate < 0) || (c.Concurrent != nil && *c.Concurrent < 0) {
 		return usagef("--rate and --concurrent must not be negative")
 	}
 	ctx, cancel := env.context()
@@ -40,13 +43,11 @@
 	if err != nil {
 		return err
 	}
-	version, err := c.version(ctx, admin)
+	limit, err := c.changed(ctx, admin)
 	if err != nil {
 		return err
 	}
-	limit, err := admin.SetLimit(ctx, lynxapi.OrganisationLimit{
-		Organisation: c.Organisation, RatePerSecond: c.Rate, Concurrent: c.Concurrent, IfVersion: version,
-	})
+	limit, err = admin.SetLimit(ctx, limit)
 	if err != nil {
 		return err
 	}
@@ -55,20 +56,28 @@
 	})
 }
 
-func (c *limitSet) version(ctx context.Context, admin *client.Admin) (uint64, error) {
-	if c.IfVersion != nil {
-		return *c.IfVersion, nil
-	}
+// changed returns the limit in force with the flags' changes.
+func (c *limitSet) changed(ctx context.Context, admin *client.Admin) (lynxapi.OrganisationLimit, error) {
+	limit := lynxapi.OrganisationLimit{Organisation: c.Organisation}
 	list, err := reading(admin.Limits(ctx))
 	if err != nil {
-		return 0, err
+		return limit, err
 	}
 	for _, l := range list.Limits {
 		if l.Organisation == c.Organisation {
-			return l.IfVersion, nil
+			limit = l
 		}
 	}
-	return 0, nil
+	if c.Rate != nil {
+		limit.RatePerSecond = *c.Rate
+	}
+	if c.Concurrent != nil {
+		limit.Concurrent = *c.Concurrent
+	}
+	if c.IfVersion != nil {
+		limit.IfVersion = *c.IfVersion
+	}
+	return limit, nil
 }
 
 func orNone(v float64) string {
--- a/cmd/lynxctl/profile.go
+++ b/cmd/lynxctl/profile.go
@@ -235,7 +235,13 @@
 		if err != nil {
 			return err
 		}
-		reply, err := reading(admin.Rollback(ctx, c.What, lynxapi.RollbackRequest{Steps: c.Steps, ChangeID: client.NewKey(), DryRun: true}))
+		version, _, err := admin.NewestVersion(ctx, c.What)
+		if err != nil {
+			return &readError{err}
+		}
+		reply, err := reading(admin.Rollback(ctx, c.What, lynxapi.RollbackRequest{
+			IfVersion: version, Steps: c.Steps, ChangeID: client.NewKey(), DryRun: true,
+		}))
 		if err != nil {
 			return err
 		}
@@ -314,14 +320,17 @@
 type profileDelete struct {
 	Name string `arg:"" help:"Profile."`
 	condition
-	ChangeID string `placeholder:"ID" help:"Id of the change; default: a new one."`
+	Wait     time.Duration `default:"5s" help:"How long to wait until it is out of force everywhere."`
+	ChangeID string        `placeholder:"ID" help:"Id of the change; default: a new one."`
 }
 
 // Run deletes the profile.
 func (c *profileDelete) Run(env *environment) error {
-	flags := changeFlags{condition: c.condition, ChangeID: c.ChangeID}
+	flags := changeFlags{condition: c.condition, Wait: c.Wait, ChangeID: c.ChangeID}
 	return env.change(flags, c.Name, func(s *settling, version uint64) (lynxapi.ChangeReply, error) {
-		return s.admin.DeleteProfile(s.ctx, c.Name, version, s.id)
+		reply, err := s.admin.DeleteProfile(s.ctx, c.Name, version, s.id)
+		reply.Diff = nil // every line of the profile
+		return reply, err
 	})
 }
 
--- a/cmd/lynxctl/request.go
+++ b/cmd/lynxctl/request.go
@@ -142,8 +142,11 @@
 		default:
 			env.printf("%s\n", reply.Output)
 		}
-		fmt.Fprintf(env.stderr, "key %s, instance %s, version %d, %.0f ms, first token %.0f ms, %d tokens, %d attempts, repeated %t\n",
-			reply.Key, reply.Instance, reply.ProfileVersion, reply.TotalMS, reply.FirstTokenMS, reply.Tokens, result.Attempts, reply.Repeated)
+		fmt.Fprintf(env.stderr, "key %s, instance %s, version %d, %.0f ms%s, %d tokens%s%s\n",
+			reply.Key, orDash(reply.Instance), reply.ProfileVersion, reply.TotalMS,
+			note(reply.FirstTokenMS > 0, fmt.Sprintf(", first token %.0f ms", reply.FirstTokenMS)), reply.Tokens,
+			note(result.Attempts > 1, fmt.Sprintf(", %d attempts", result.Attempts)),
+			note(reply.Repeated, ", answer of an earlier request with this key"))
 		c.showStages(env, reply.Stages)
 	})
 }
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -347,6 +347,22 @@
 	}
 }
 
+// Symptom: a request whose deadline had passed midway was reported as one that
+// could not be started. Events: the first attempt ran into its deadline; it was
+// sent again with no time left and refused. Cause: the last error was shown.
+func TestNothingIsSentAfterTheDeadline(t *testing.T) {
+	i := newInstance(t, func(w *eventWriter, _ lynxapi.SendRequest) {
+		time.Sleep(20 * time.Millisecond)
+		writeError(w.w, errkind.DeadlineAfterRun)
+	}, refuse(errkind.DeadlineUnreachable))
+	c := newTestCaller(i.addr())
+	req := lynxapi.SendRequest{Organisation: "agency", Input: json.RawMessage(`{}`), DeadlineMS: 10}
+	_, err := c.Send(t.Context(), "check", req, nil)
+	if errkind.Of(err) != errkind.DeadlineAfterRun || i.attempts() != 1 {
+		t.Fatalf("%v after %d attempts", err, i.attempts())
+	}
+}
+
 func TestUnreachableInstanceIsPassedOver(t *testing.T) {
 	dead := closedAddress(t)
 	i := newInstance(t, whole, whole)
--- a/internal/client/send.go
+++ b/internal/client/send.go
@@ -87,14 +87,16 @@
 
 func (s *sending) run(ctx context.Context) (Result, error) {
 	worst := errkind.NotRun
+	var told error // the last error that an instance answered with
 	for {
 		reply, err := s.attempt(ctx)
 		if err == nil {
 			return s.result(reply), nil
 		}
 		worst = worse(worst, RunStateOf(err))
+		err, told = s.lastWord(ctx, err, told)
 		next := stepAfter(err)
-		if next == stepStop || s.attempts >= s.caller.opts.MaxAttempts || ctx.Err() != nil {
+		if next == stepStop || s.attempts >= s.caller.opts.MaxAttempts || s.expired(time.Now()) || ctx.Err() != nil {
 			return Result{Attempts: s.attempts, Server: s.server}, s.final(err, worst)
 		}
 		if next == stepAsk {
@@ -104,9 +106,26 @@
 			}
 		}
 		s.pause(ctx, next, err)
+		if ctx.Err() != nil {
+			return Result{Attempts: s.attempts, Server: s.server}, s.final(err, worst)
+		}
 	}
 }
 
+// lastWord returns the error to go by and the last one that an instance
+// answered with. An attempt that ended only because the time was up says less
+// than what an instance said before.
+func (s *sending) lastWord(ctx context.Context, err, told error) (now, last error) {
+	var transport *TransportError
+	if !errors.As(err, &transport) {
+		return err, err
+	}
+	if ctx.Err() != nil && told != nil {
+		return told, told
+	}
+	return err, told
+}
+
 // final returns the error of the last attempt. An earlier attempt may have run
 // although the last one was certainly not: "not run" would then be a lie about
 // the request.
@@ -169,6 +188,12 @@
 	return req
 }
 
+// expired reports whether no answer can come in time any more. A resend would
+// only be refused, and its refusal would hide the error that says more.
+func (s *sending) expired(now time.Time) bool {
+	return !s.deadline.IsZero() && !now.Before(s.deadline)
+}
+
 func (c *Caller) sendTo(ctx context.Context, server, profileName string, req lynxapi.SendRequest, s *splice) (lynxapi.SendReply, error) {
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
