--- /dev/null
+++ b/internal/control/loadview/bench_test.go
@@ -0,0 +1,52 @@
+package loadview
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/coder/quartz"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+func benchController() *Controller {
+	b := board.New()
+	for i := range 370 {
+		id := fmt.Sprintf("i-%03d", i)
+		place, region := placeOf(i, 7)
+		b.Members.Put(id, board.Member{ID: id, State: board.MemberAlive, Place: place, Region: region})
+	}
+	c := New(Options{Board: b, Clock: quartz.NewReal(), Self: "i-000", Place: "place-0", Region: "region-0"})
+	for i := range 600 {
+		id := fmt.Sprintf("lynx-pool-%03d", i)
+		place, region := placeOf(i, 7)
+		b.Targets.Put(id, board.Target{ID: id, Place: place, Region: region})
+		c.Observe(id, targetapi.LoadReport{Seq: 1, Running: 3, Slots: 8})
+	}
+	return c
+}
+
+// BenchmarkFill is one digest at the size of letter 1.
+func BenchmarkFill(b *testing.B) {
+	c := benchController()
+	b.ReportAllocs()
+	for b.Loop() {
+		var d gossip.Digest
+		c.Fill(&d, "i-007", trialBudget)
+	}
+}
+
+// BenchmarkAssign is one look at which targets to poll.
+func BenchmarkAssign(b *testing.B) {
+	c := benchController()
+	targets := c.opts.Board.Targets.Snapshot()
+	b.ReportAllocs()
+	for b.Loop() {
+		f := fleetOf(c.opts.Board, c.opts.Self, c.opts.Place, c.opts.Region)
+		for _, t := range targets {
+			f.polls(c.opts.Self, t, DefaultPollersPerTarget)
+		}
+	}
+}
