Pipeline: tests of each fault and random runs of two instances

Cause: the promises of the request path had no proof. Change: a table of stream faults, tests of claims, hedges, cancellation, crashing requests, early refusal and budgets, and a gopter state machine that sends requests through two instances over one claim record and one fleet in virtual time, with every fault of memtarget, lost slots and store outages at random. A suspicion of crashing is dropped only when the whole request was answered: a harmless first stage cleared it before.

--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/admission"
-	"lynxhill.example/lynxhill/internal/invariant"
 	"lynxhill.example/lynxhill/internal/routing"
 	"lynxhill.example/lynxhill/internal/stagecall"
 	"lynxhill.example/lynxhill/internal/wire/targetapi"
@@ -194,8 +193,6 @@
 // request builds the call's message.
 func (a *attempt) request(choice routing.Choice) targetapi.RunRequest {
 	s, x := a.s, a.s.x
-	x.r.opts.Check.Check(s.stage.Idempotent || s.claim != nil, invariant.ClaimBeforeDispatch,
-		"stage %s of request %s", s.stage.Name, x.req.ID)
 	return targetapi.RunRequest{
 		RequestID:    x.req.ID,
 		AttemptID:    a.id,
--- a/internal/pipeline/claimed.go
+++ b/internal/pipeline/claimed.go
@@ -61,6 +61,9 @@
 		return answer.Result, false, s.passRecorded(answer.Result)
 	}
 	record, found := s.askHolder(answer.Holder)
+	if !found && s.x.ctx.Err() != nil {
+		return nil, false, errkind.New(errkind.KeyInProgress, "a request with this key has not finished stage %s", s.stage.Name)
+	}
 	if !found {
 		return nil, false, errkind.New(errkind.OutcomeUnknown, "stage %s was started by an earlier request and its outcome is not recorded", s.stage.Name)
 	}
--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -95,6 +95,7 @@
 type fakeClaims struct {
 	holder string
 	err    error
+	fail   func() error // called before each claim, under the lock
 
 	mu   sync.Mutex // guards rows
 	rows map[claim.Key]*fakeRow
@@ -117,6 +118,11 @@
 	if c.err != nil {
 		return claim.Answer{}, c.err
 	}
+	if c.fail != nil {
+		if err := c.fail(); err != nil {
+			return claim.Answer{}, err
+		}
+	}
 	row := c.rows[req.Key]
 	switch {
 	case row == nil:
@@ -134,12 +140,6 @@
 	return claim.Answer{}, false, nil
 }
 
-func (c *fakeClaims) row(key claim.Key) *fakeRow {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.rows[key]
-}
-
 type fakeClaim struct {
 	claims *fakeClaims
 	key    claim.Key
@@ -310,3 +310,10 @@
 		t.Errorf("invariant %s violated: %s", v.Rule, v.Detail)
 	}
 }
+
+func refuseRepeats(want admission.Want) error {
+	if want.Repeat {
+		return errkind.New(errkind.Overloaded, "budget for repeats is spent")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/pipeline/faults_test.go
@@ -0,0 +1,290 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/admission"
+	"lynxhill.example/lynxhill/internal/claim"
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/outcome"
+	"lynxhill.example/lynxhill/internal/stagecall"
+	"lynxhill.example/lynxhill/internal/stagecall/memtarget"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+// Each row is a fault that a stream must survive. Symptom without the
+// mechanism: the caller gets a broken, doubled, gapped or foreign text.
+func TestStreamSurvivesFaults(t *testing.T) {
+	rows := []struct {
+		story  string
+		plan   memtarget.Plan
+		resume bool // the second attempt begins where the first broke off
+	}{
+		{"the connection breaks after some frames; the rest comes from another target", memtarget.Plan{Fault: memtarget.Break, AfterBytes: 20}, true},
+		{"a frame of another attempt comes on the connection; it must not reach the caller", memtarget.Plan{Fault: memtarget.WrongIDs, AfterBytes: 20}, true},
+		{"the very first frame is another attempt's", memtarget.Plan{Fault: memtarget.WrongIDs}, false},
+		{"a frame was lost between the two ends, the next one skips bytes", memtarget.Plan{Fault: memtarget.Gap, AfterBytes: 20}, true},
+		{"frames are missing before the end mark: truncated, yet it looks ended", memtarget.Plan{Fault: memtarget.Truncated, AfterBytes: 20}, true},
+		{"the connection closes after the last frame, before the end mark", memtarget.Plan{Fault: memtarget.NoEnd}, true},
+		{"a kept connection has gone silent, a new one works", memtarget.Plan{Fault: memtarget.Silent, OldConnection: true}, false},
+		{"the target stops making progress in the middle", memtarget.Plan{Fault: memtarget.Straggle, Slow: 500}, false},
+		{"the target refuses", memtarget.Plan{Fault: memtarget.Refuse}, false},
+		{"the target is gone", memtarget.Plan{Fault: memtarget.ConnectFail}, false},
+		{"the target fails in the middle", memtarget.Plan{Fault: memtarget.Fail, AfterBytes: 20}, true},
+		{"the target dies", memtarget.Plan{Fault: memtarget.Die}, false},
+	}
+	for _, row := range rows {
+		t.Run(row.story, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(memtarget.Options{Plan: faultOnce(stageDraft, row.plan)})
+				req := w.request("draft", "k")
+				sink := new(recorder)
+				out, err := w.runner.Run(t.Context(), req, sink)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if sink.text != wholeDraft(req) || out.Length != len(sink.text) {
+					t.Errorf("got %q", sink.text)
+				}
+				runs := w.runsOf(stageDraft)
+				if last := runs[len(runs)-1].Request; (last.ResumeOffset > 0) != row.resume {
+					t.Errorf("last attempt begins at %d", last.ResumeOffset)
+				}
+				if !w.gate.wants[len(w.gate.wants)-1].Repeat {
+					t.Error("the repeat was not counted against the budget")
+				}
+				w.noViolations(t)
+			})
+		})
+	}
+}
+
+// Symptom: a repeat meets the same silence as the first attempt.
+// Events: the only target of a service is behind a connection that went silent.
+// Cause: the target was excluded for its connection, and no other is left.
+func TestOnlyTargetIsTriedAgainOnNewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(memtarget.Options{Plan: faultOnce(stageDraft, memtarget.Plan{Fault: memtarget.Silent, OldConnection: true})})
+		w.gate.targets = 1
+		req := w.request("draft", "k")
+		sink := new(recorder)
+		if _, err := w.runner.Run(t.Context(), req, sink); err != nil || sink.text != wholeDraft(req) {
+			t.Errorf("got %q, %v", sink.text, err)
+		}
+	})
+}
+
+// Symptom: one slow target makes the request late.
+// Events: the first target straggles; the hedge answers; both would deliver.
+// Cause: without one winner the caller would get two interleaved answers.
+func TestHedgeWinsAndAloneDelivers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(memtarget.Options{Plan: faultOnce(stageDraft, memtarget.Plan{Fault: memtarget.Straggle, Slow: 20})})
+		// The straggler's first frame comes at 50 ms, the hedge's 2.5 ms after it starts.
+		w.gate.timeouts.HedgeAt = 47500 * time.Microsecond
+		req := w.request("draft", "k")
+		sink := new(recorder)
+		out, err := w.runner.Run(t.Context(), req, sink)
+		if err != nil || sink.text != wholeDraft(req) {
+			t.Fatalf("got %q, %v", sink.text, err)
+		}
+		synctest.Wait()
+		if report := out.Stages[1]; report.Hedges != 1 || report.Wasted <= 0 || report.Cost <= report.Wasted {
+			t.Errorf("report %+v", report)
+		}
+		w.noViolations(t)
+	})
+}
+
+// The same with a straggler so slow that the hedge surely wins: its loser must
+// be cancelled, and counted as neither a success nor a fault of its target.
+func TestHedgeCancelsTheLoser(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(memtarget.Options{Plan: faultOnce(stageDraft, memtarget.Plan{Fault: memtarget.Straggle, Slow: 150})})
+		w.gate.timeouts.HedgeAt = 30 * time.Millisecond
+		out, err := w.runner.Run(t.Context(), w.request("draft", "k"), new(recorder))
+		if err != nil || out.Stages[1].Hedges != 1 || out.Stages[1].Wasted <= 0 {
+			t.Fatalf("got %+v, %v", out.Stages, err)
+		}
+		synctest.Wait()
+		runs := w.runsOf(stageDraft)
+		if len(runs) != 2 || !runs[0].Cancelled || runs[1].Cancelled {
+			t.Errorf("runs %+v", runs)
+		}
+		if want := w.gate.wants[len(w.gate.wants)-1]; !want.NoWait || !want.Repeat {
+			t.Errorf("hedge asked for %+v", want)
+		}
+	})
+}
+
+// Symptom: a booking is made twice.
+// Events: the service books, then its reply is lost, or it goes silent, or it
+// says that it failed after it ran.
+// Cause: a retry of what may have run. The resend must not run it either.
+func TestNonIdempotentRunsAtMostOnce(t *testing.T) {
+	for _, fault := range []memtarget.Fault{memtarget.LostReply, memtarget.Silent, memtarget.Fail, memtarget.Die, memtarget.WrongIDs} {
+		t.Run(fault.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(memtarget.Options{Plan: faultOnce(stageBook, memtarget.Plan{Fault: fault})})
+				w.gate.timeouts.HedgeAt = time.Millisecond
+				_, err := w.runner.Run(t.Context(), w.request("book", "k"), nil)
+				if !errkind.Is(err, errkind.TargetFailed) {
+					t.Errorf("first: %v", err)
+				}
+				_, err = w.runner.Run(t.Context(), w.request("book", "k"), nil)
+				if !errkind.Is(err, errkind.OutcomeUnknown) {
+					t.Errorf("resend: %v", err)
+				}
+				if runs := w.runsOf(stageBook); len(runs) != 1 {
+					t.Errorf("%d runs", len(runs))
+				}
+				w.noViolations(t)
+			})
+		})
+	}
+}
+
+// Symptom: a booking fails although a free target was there.
+// Events: the first target refuses, or cannot be reached.
+// Cause: what is proven not run may go elsewhere under the same claim.
+func TestNonIdempotentMovesOnWhenProvenNotRun(t *testing.T) {
+	for _, fault := range []memtarget.Fault{memtarget.Refuse, memtarget.ConnectFail} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(memtarget.Options{Plan: faultOnce(stageBook, memtarget.Plan{Fault: fault})})
+			req := w.request("book", "k")
+			out, err := w.runner.Run(t.Context(), req, nil)
+			if err != nil || string(out.Output) != wholeBooking(req) || len(w.runsOf(stageBook)) != 1 {
+				t.Errorf("%v: %s, %v", fault, out.Output, err)
+			}
+			w.noViolations(t)
+		})
+	}
+}
+
+// Symptom: after all targets refused, a resend is told "outcome unknown".
+// Events: every target is busy; the request is given up; it comes again.
+// Cause: a claim that was kept although nothing ran.
+func TestClaimIsReleasedWhenNothingRan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		busy := true
+		w := newWorld(memtarget.Options{Plan: func(_ stagecall.Target, req targetapi.RunRequest) memtarget.Plan {
+			if busy && req.Stage == stageBook {
+				return memtarget.Plan{Fault: memtarget.Refuse}
+			}
+			return memtarget.Plan{}
+		}})
+		_, err := w.runner.Run(t.Context(), w.request("book", "k"), nil)
+		if !errkind.Is(err, errkind.StoppedMidway) || errkind.RetryAfter(err) <= 0 {
+			t.Errorf("got %v: the encode stage ran, so it is not 'not run'", err)
+		}
+		busy = false
+		if _, err := w.runner.Run(t.Context(), w.request("book", "k"), nil); err != nil {
+			t.Errorf("resend: %v", err)
+		}
+		w.noViolations(t)
+	})
+}
+
+// Symptom: a caller is told "not run", and the target's record shows a run.
+// Events: the deadline passes while the attempt waits in the queue, and the
+// slot comes just after.
+// Cause: an attempt that begins after the answer was given.
+func TestNothingIsDispatchedAfterNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(memtarget.Options{})
+		w.gate.refuse = func(admission.Want) error { time.Sleep(11 * time.Second); return nil } // a slot that comes late, whatever the context
+		_, err := w.runner.Run(t.Context(), w.request("draft", "k"), nil)
+		if !errkind.Is(err, errkind.DeadlineBeforeRun) {
+			t.Errorf("got %v", err)
+		}
+		time.Sleep(time.Minute)
+		if len(w.fleet.Runs()) != 0 {
+			t.Error("it ran after it was answered not_run")
+		}
+	})
+}
+
+// Symptom: a caller that went away and comes back is told "unknown", though
+// its booking went through.
+// Events: the caller's connection breaks while the service books.
+// Cause: the claimed call was cancelled with its caller.
+func TestClaimedCallOutlivesItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := memtarget.Plan{Fault: memtarget.Straggle, Slow: 20}
+		w := newWorld(memtarget.Options{Plan: faultOnce(stageBook, slow)})
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		if _, err := w.runner.Run(ctx, w.request("book", "k"), nil); !errkind.Is(err, errkind.Cancelled) {
+			t.Errorf("got %v", err)
+		}
+		w.runner.Wait()
+		req := w.request("book", "k")
+		out, err := w.runner.Run(t.Context(), req, nil)
+		if err != nil || string(out.Output) != wholeBooking(req) || len(w.runsOf(stageBook)) != 1 {
+			t.Errorf("resend: %s, %v, %d runs", out.Output, err, len(w.runsOf(stageBook)))
+		}
+		w.noViolations(t)
+	})
+}
+
+// Symptom: accelerators work for callers that are gone.
+// Events: the caller goes away during an idempotent stage.
+// Cause: work that is not cancelled with its caller.
+func TestIdempotentWorkIsCancelledWithItsCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(memtarget.Options{})
+		sink := &recorder{onFrame: func() error { return errors.New("gone") }}
+		if _, err := w.runner.Run(t.Context(), w.request("draft", "k"), sink); !errkind.Is(err, errkind.Cancelled) {
+			t.Errorf("got %v", err)
+		}
+		synctest.Wait()
+		if runs := w.runsOf(stageDraft); len(runs) != 1 || !runs[0].Cancelled || len(sink.offsets) != 1 {
+			t.Errorf("runs %+v, frames %v", runs, sink.offsets)
+		}
+	})
+}
+
+// A resend while another instance holds the claim gets that instance's answer;
+// if that instance knows nothing, the honest answer is "unknown".
+func TestHeldClaimAsksItsHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(memtarget.Options{})
+		req := w.request("book", "k")
+		w.claims.holder = "other"
+		_, _ = w.claims.Claim(t.Context(), claim.Request{Key: claim.Key{Organisation: "o", Key: "k", Stage: stageBook}, BodyHash: BodyHash(req)})
+		if _, err := w.runner.Run(t.Context(), req, nil); !errkind.Is(err, errkind.OutcomeUnknown) {
+			t.Errorf("holder without record: %v", err)
+		}
+		w.remote["other"] = outcome.Record{Output: []byte(`"booked"`)}
+		out, err := w.runner.Run(t.Context(), req, nil)
+		if err != nil || !out.Repeated || string(out.Output) != `"booked"` || len(w.runsOf(stageBook)) != 0 {
+			t.Errorf("got %+v, %v", out, err)
+		}
+	})
+}
+
+// Symptom: "not run" for a request whose first stage ran, because a later
+// stage's error says so of itself.
+func TestLaterStageErrorsAreNotNotRun(t *testing.T) {
+	rows := map[errkind.Kind]errkind.Kind{
+		errkind.KeyReused:           errkind.OutcomeUnknown,
+		errkind.StoreUnavailable:    errkind.StoppedMidway,
+		errkind.DeadlineBeforeRun:   errkind.DeadlineAfterRun,
+		errkind.DeadlineUnreachable: errkind.DeadlineAfterRun,
+		errkind.KeyExpired:          errkind.KeyExpired,
+	}
+	for claimed, want := range rows {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(memtarget.Options{})
+			w.claims.err = errkind.New(claimed, "claim")
+			if _, err := w.runner.Run(t.Context(), w.request("book", "k"), nil); !errkind.Is(err, want) {
+				t.Errorf("%v became %v, expected %v", claimed, err, want)
+			}
+			w.noViolations(t)
+		})
+	}
+}
--- a/internal/pipeline/finish.go
+++ b/internal/pipeline/finish.go
@@ -29,6 +29,9 @@
 		x.r.opts.Metrics.Labelled(metricRequests).Add(errkind.Of(err).String(), 1)
 		return out, err
 	}
+	if !x.repeated {
+		x.r.opts.Crash.Survived(x.fingerprint)
+	}
 	x.r.opts.Metrics.Labelled(metricRequests).Add("ok", 1)
 	return out, nil
 }
@@ -107,21 +110,26 @@
 	report := StageReport{
 		Stage:    s.stage.Name,
 		Kind:     s.stage.Kind,
-		Attempts: len(s.attempts),
-		Resumes:  s.resumes,
 		Tokens:   s.tokens,
 		Duration: s.x.now().Sub(s.started),
 		Err:      err,
 	}
-	if s.hedged {
-		report.Hedges = 1
-	}
 	if a := s.shownAttempt(); a != nil {
 		report.Provider = a.choice.Provider.Name
 		report.Service = a.choice.Provider.Service
 		report.Target = a.choice.Target.ID
 	}
 	for _, a := range s.attempts {
+		if !a.started {
+			continue
+		}
+		report.Attempts++
+		if a.hedge {
+			report.Hedges++
+		}
+		if a.resume != "" {
+			report.Resumes++
+		}
 		c := s.costOf(a)
 		report.Cost += c
 		if a != s.winner && !a.delivered {
--- /dev/null
+++ b/internal/pipeline/machine_test.go
@@ -0,0 +1,299 @@
+package pipeline
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/commands"
+	"github.com/leanovate/gopter/gen"
+
+	"lynxhill.example/lynxhill/internal/admission"
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/stagecall"
+	"lynxhill.example/lynxhill/internal/stagecall/memtarget"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+// machine is the system under test: two instances over one platform and one
+// fleet, with every fault at random.
+type machine struct {
+	*world
+	other    *Runner
+	inFlight sync.WaitGroup
+
+	chanceMu sync.Mutex // guards random and faults
+	random   *rand.Rand
+	faults   float64 // share of calls and claims that go wrong
+
+	mu    sync.Mutex // guards ended
+	ended []*sent
+}
+
+// sent is a request with what its caller got.
+type sent struct {
+	req      Request
+	sink     recorder
+	out      Outcome
+	err      error
+	returned bool
+	late     bool // the sink was called after the answer
+}
+
+func newMachine(seed uint64) *machine {
+	m := &machine{random: rand.New(rand.NewPCG(seed, 1))}
+	m.world = newWorld(memtarget.Options{Plan: m.plan, Marker: "poison", RestartAfter: 300 * time.Millisecond})
+	m.gate.timeouts.HedgeAt = 15 * time.Millisecond
+	m.gate.refuse = func(admission.Want) error { return m.sometimes(errkind.NoTarget) }
+	m.claims.fail = func() error { return m.sometimes(errkind.StoreUnavailable) }
+	m.other = m.newRunner("other")
+	return m
+}
+
+func (m *machine) plan(_ stagecall.Target, _ targetapi.RunRequest) memtarget.Plan {
+	m.chanceMu.Lock()
+	defer m.chanceMu.Unlock()
+	if m.random.Float64() >= m.faults {
+		return memtarget.Plan{}
+	}
+	faults := memtarget.Faults()
+	return memtarget.Plan{
+		Fault:         faults[m.random.IntN(len(faults))],
+		AfterBytes:    m.random.IntN(80),
+		OldConnection: m.random.IntN(2) == 0,
+	}
+}
+
+func (m *machine) sometimes(kind errkind.Kind) error {
+	m.chanceMu.Lock()
+	defer m.chanceMu.Unlock()
+	if m.random.Float64() < m.faults/5 {
+		return errkind.New(kind, "at random")
+	}
+	return nil
+}
+
+// send is a command: requests with one key, to both instances at once or to
+// one, with callers that may go away.
+type send struct {
+	profile  string
+	key      int
+	deadline time.Duration
+	goesAway time.Duration // 0 = stays
+	both     bool
+	poison   bool
+	wait     bool // for the answers, before the next command
+}
+
+func (c send) String() string {
+	return fmt.Sprintf("send(%s key=%d deadline=%v goesAway=%v both=%v poison=%v wait=%v)", c.profile, c.key, c.deadline, c.goesAway, c.both, c.poison, c.wait)
+}
+
+func (c send) Run(sut commands.SystemUnderTest) commands.Result {
+	m := sut.(*machine)
+	m.start(c, m.runner)
+	if c.both {
+		m.start(c, m.other)
+	}
+	if c.wait {
+		m.inFlight.Wait()
+	}
+	return m
+}
+
+func (c send) NextState(state commands.State) commands.State { return state }
+func (c send) PreCondition(commands.State) bool              { return true }
+
+func (c send) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
+	return verdict(result.(*machine).wrong(false))
+}
+
+func (m *machine) start(c send, runner *Runner) {
+	s := &sent{req: m.request(c.profile, fmt.Sprintf("%s-%d", c.profile, c.key))}
+	s.req.Deadline = s.req.Received.Add(c.deadline)
+	if c.poison {
+		s.req.Key += "-poison"
+		s.req.Input = json.RawMessage(`"poison"`)
+	}
+	s.sink.onFrame = func() error { s.late = s.late || s.returned; return nil }
+	ctx, cancel := context.WithCancel(context.Background())
+	if c.goesAway > 0 {
+		time.AfterFunc(c.goesAway, cancel)
+	}
+	m.inFlight.Add(1)
+	go func() {
+		defer m.inFlight.Done()
+		defer cancel()
+		s.out, s.err = runner.Run(ctx, s.req, &s.sink)
+		s.returned = true
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.ended = append(m.ended, s)
+	}()
+}
+
+// weather is a command: the share of faults changes, or time passes.
+type weather struct {
+	faults float64
+	pass   time.Duration
+}
+
+func (c weather) String() string { return fmt.Sprintf("weather(%.2f, %v)", c.faults, c.pass) }
+
+func (c weather) Run(sut commands.SystemUnderTest) commands.Result {
+	m := sut.(*machine)
+	m.chanceMu.Lock()
+	m.faults = c.faults
+	m.chanceMu.Unlock()
+	time.Sleep(c.pass)
+	return m
+}
+
+func (c weather) NextState(state commands.State) commands.State { return state }
+func (c weather) PreCondition(commands.State) bool              { return true }
+
+func (c weather) PostCondition(_ commands.State, result commands.Result) *gopter.PropResult {
+	return verdict(result.(*machine).wrong(false))
+}
+
+func verdict(wrong []string) *gopter.PropResult {
+	if len(wrong) == 0 {
+		return &gopter.PropResult{Status: gopter.PropTrue}
+	}
+	return &gopter.PropResult{Status: gopter.PropFalse, Labels: wrong}
+}
+
+// wrong lists the broken promises. At the end, when nothing is under way, it
+// also holds the answers against the targets' records.
+func (m *machine) wrong(end bool) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var wrong []string
+	for _, v := range m.violated.Violations() {
+		wrong = append(wrong, string(v.Rule)+": "+v.Detail)
+	}
+	runs, bookings := make(map[string]int), make(map[string]int)
+	for _, run := range m.fleet.Runs() {
+		runs[run.Request.RequestID]++
+		if run.Request.Stage == stageBook {
+			bookings[run.Request.Key]++
+		}
+	}
+	for key, n := range bookings {
+		if n > 1 {
+			wrong = append(wrong, fmt.Sprintf("%s was booked %d times", key, n))
+		}
+	}
+	for _, s := range m.ended {
+		if what := s.wrong(); what != "" {
+			wrong = append(wrong, s.req.ID+": "+what)
+		}
+		if s.err != nil && errkind.Of(s.err).RunState() == errkind.NotRun && runs[s.req.ID] > 0 {
+			wrong = append(wrong, fmt.Sprintf("%s: %v, yet it ran", s.req.ID, s.err))
+		}
+		if end && s.err == nil && s.req.Profile == "book" && bookings[s.req.Key] != 1 {
+			wrong = append(wrong, s.req.ID+": answered without a booking")
+		}
+	}
+	return wrong
+}
+
+// wrong says what is wrong with one answer.
+func (s *sent) wrong() string {
+	whole := wholeDraft(s.req)
+	switch {
+	case s.late:
+		return "a frame came after the answer"
+	case s.out.Total > s.req.Deadline.Sub(s.req.Received):
+		return "answered after the deadline"
+	case s.req.Profile == "book" && s.err == nil && string(s.out.Output) != wholeBooking(s.req):
+		return fmt.Sprintf("foreign booking %s", s.out.Output)
+	case s.req.Profile == "draft" && s.err == nil && s.sink.text != whole:
+		return fmt.Sprintf("answer is not whole: %q", s.sink.text)
+	case !strings.HasPrefix(whole, s.sink.text):
+		return fmt.Sprintf("not a part of the answer: %q", s.sink.text)
+	case errkind.Is(s.err, errkind.Internal):
+		return s.err.Error()
+	}
+	return ""
+}
+
+func genCommand(commands.State) gopter.Gen {
+	sends := gen.Struct(reflect.TypeOf(generated{}), map[string]gopter.Gen{
+		"Booking": gen.Bool(), "Key": gen.IntRange(0, 5), "DeadlineMS": gen.IntRange(20, 3000),
+		"GoesAway": gen.Frequency(map[int]gopter.Gen{4: gen.Const(0), 1: gen.IntRange(1, 60)}),
+		"Both":     gen.Bool(), "Poison": gen.IntRange(0, 15), "Wait": gen.Bool(),
+	}).Map(func(g generated) send { return g.command() })
+	weathers := gopter.CombineGens(gen.Float64Range(0, 0.7), gen.IntRange(0, 2000)).Map(func(v []any) weather {
+		return weather{faults: v[0].(float64), pass: time.Duration(v[1].(int)) * time.Millisecond}
+	})
+	return gen.Weighted([]gen.WeightedGen{{Weight: 6, Gen: sends}, {Weight: 1, Gen: weathers}})
+}
+
+type generated struct {
+	Booking, Both, Wait               bool
+	Key, DeadlineMS, GoesAway, Poison int
+}
+
+func (g generated) command() send {
+	c := send{profile: "draft", key: g.Key, deadline: time.Duration(g.DeadlineMS) * time.Millisecond,
+		goesAway: time.Duration(g.GoesAway) * time.Millisecond, both: g.Both, poison: g.Poison == 0, wait: g.Wait}
+	if g.Booking {
+		c.profile = "book"
+	}
+	return c
+}
+
+// TestMachine runs thousands of requests through two instances under every
+// fault at once. The promises: own, whole and contiguous answers, one answer a
+// request and nothing after it, "not run" only if nothing ran, at most one
+// booking a key, an end within the deadline.
+func TestMachine(t *testing.T) {
+	requests, kinds := 0, make(map[string]int)
+	machineCommands := &commands.ProtoCommands{
+		InitialStateGen: gen.UInt64(),
+		NewSystemUnderTestFunc: func(state commands.State) commands.SystemUnderTest {
+			return newMachine(state.(uint64))
+		},
+		DestroySystemUnderTestFunc: func(sut commands.SystemUnderTest) {
+			m := sut.(*machine)
+			m.inFlight.Wait()
+			m.runner.Wait()
+			m.other.Wait()
+			for _, what := range m.wrong(true) {
+				t.Error(what)
+			}
+			for _, s := range m.ended {
+				requests++
+				kinds[endOfSent(s)]++
+			}
+		},
+		GenCommandFunc: genCommand,
+	}
+	parameters := gopter.DefaultTestParametersWithSeed(20261202)
+	parameters.MinSuccessfulTests, parameters.MinSize, parameters.MaxSize, parameters.MaxShrinkCount = 120, 30, 60, 20
+	synctest.Test(t, func(t *testing.T) {
+		properties := gopter.NewProperties(parameters)
+		properties.Property("promises hold", commands.Prop(machineCommands))
+		properties.TestingRun(t)
+	})
+	t.Logf("%d requests: %v", requests, kinds)
+	if requests < 5000 || kinds["ok draft"] < requests/10 || kinds["ok book"] < requests/20 {
+		t.Error("too little was tried")
+	}
+}
+
+func endOfSent(s *sent) string {
+	if s.err != nil {
+		return errkind.Of(s.err).String()
+	}
+	return "ok " + s.req.Profile
+}
--- a/internal/pipeline/signals.go
+++ b/internal/pipeline/signals.go
@@ -129,8 +129,8 @@
 	s.choose(a)
 	s.winner, s.tokens = a, result.Tokens
 	output, err = s.output(result)
-	if err == nil {
-		s.settle(output)
+	if err == nil && s.claim != nil {
+		s.claim.Complete(output)
 	}
 	return output, true, err
 }
@@ -144,11 +144,3 @@
 	}
 	return result.Output, nil
 }
-
-// settle records the success for resends and for the guard against crashes.
-func (s *stageRun) settle(output json.RawMessage) {
-	if s.claim != nil {
-		s.claim.Complete(output)
-	}
-	s.x.r.opts.Crash.Survived(s.x.fingerprint)
-}
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -52,7 +52,6 @@
 	hedgeTimer  *quartz.Timer
 	repeatTimer *quartz.Timer
 	hedged      bool
-	resumes     int
 	winner      *attempt
 	tokens      int
 }
@@ -99,6 +98,13 @@
 
 // step waits for what happens next. done says that the stage has its result.
 func (s *stageRun) step() (output json.RawMessage, done bool, err error) {
+	// An answer that is there already is taken before the deadline is looked
+	// at: select would choose between the two at random.
+	select {
+	case sig := <-s.signals:
+		return s.handle(sig)
+	default:
+	}
 	select {
 	case sig := <-s.signals:
 		return s.handle(sig)
@@ -158,9 +164,6 @@
 		hedge:  hedge,
 		open:   true,
 	}
-	if a.offset > 0 {
-		s.resumes++
-	}
 	s.attempts = append(s.attempts, a)
 	go a.run()
 }
@@ -194,11 +197,12 @@
 	return append(ids, s.x.r.opts.Crash.Occupied(s.x.fingerprint)...)
 }
 
-// beginDispatch is called by an attempt's goroutine just before the call.
+// beginDispatch is called by an attempt's goroutine just before the call. It
+// returns false if the call must not be made.
 func (s *stageRun) beginDispatch() bool {
-	first := !s.own.any()
-	if !s.x.r.opts.Check.Check(s.stage.Idempotent || first, invariant.ClaimBeforeDispatch,
-		"second dispatch of stage %s of request %s", s.stage.Name, s.x.req.ID) {
+	allowed := s.stage.Idempotent || (s.claim != nil && !s.own.any())
+	if !s.x.r.opts.Check.Check(allowed, invariant.ClaimBeforeDispatch,
+		"stage %s of request %s: no claim, or a second dispatch", s.stage.Name, s.x.req.ID) {
 		return false
 	}
 	if !s.own.begin() {
--- a/internal/stagecall/memtarget/memtarget.go
+++ b/internal/stagecall/memtarget/memtarget.go
@@ -22,6 +22,7 @@
 	defaultService = 20 * time.Millisecond
 	defaultFrames  = 8
 	defaultSlow    = 20
+	restartMemory  = time.Second
 )
 
 // Options of a Fleet.
@@ -62,6 +63,7 @@
 // host is the process behind a target.
 type host struct {
 	deaths   int
+	diedAt   time.Time
 	deadTill time.Time
 	gone     bool
 	died     chan struct{} // closed when the present process dies
@@ -108,9 +110,16 @@
 	return 0
 }
 
-// Alive reports whether the target has never died, as crashguard asks it.
+// Alive reports whether the target is up and has not died within the last
+// second, as crashguard asks it.
 func (f *Fleet) Alive(_ context.Context, target stagecall.Target) bool {
-	return f.Deaths(target.ID) == 0
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := f.hosts[target.ID]
+	if h == nil || h.deaths == 0 {
+		return true
+	}
+	return !h.gone && f.opts.Clock.Since(h.diedAt) > restartMemory
 }
 
 // Text is the whole answer to a streamed request. It names what it answers, so
@@ -211,7 +220,8 @@
 	defer f.mu.Unlock()
 	h.deaths++
 	h.gone = f.opts.RestartAfter <= 0
-	h.deadTill = f.opts.Clock.Now().Add(f.opts.RestartAfter)
+	h.diedAt = f.opts.Clock.Now()
+	h.deadTill = h.diedAt.Add(f.opts.RestartAfter)
 	close(h.died)
 	h.died = make(chan struct{})
 }
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -5,8 +5,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/coder/quartz"
@@ -98,12 +100,14 @@
 func (c *Client) Close() { c.pool.close() }
 
 // Alive reports whether the process behind target is the one that was there
-// before: it answers on a new connection, and its load reports have not begun
-// to count anew within the last seconds. A connection that broke is no death.
+// before. It is not if the machine refuses a new connection, or if the load
+// reports have begun to count anew within the last seconds. A connection that
+// broke is no death, nor is a machine that cannot be reached: a request does
+// not cut cables.
 func (c *Client) Alive(ctx context.Context, target stagecall.Target) bool {
 	_, err := c.load(ctx, target, true)
 	if err != nil {
-		return stagecall.FailureOf(err).Class != stagecall.ClassConnect
+		return !errors.Is(err, syscall.ECONNREFUSED)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
