SIGHUP changes nothing

Cause: by default it ends the process, with requests in flight, when the terminal closes or somebody asks for a reload as with other daemons. Change: it is taken and changes nothing; files are read again by themselves. Result: the test fails without the change.

--- a/cmd/lynxhilld/main_test.go
+++ b/cmd/lynxhilld/main_test.go
@@ -110,6 +110,24 @@
 	return <-i.release
 }
 
+func TestSIGHUPChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		i := instance{stopping: make(chan struct{}), release: make(chan error, 1)}
+		signals := make(chan os.Signal)
+		go func() { _ = runUntilSignal(i, signals) }()
+		signals <- syscall.SIGHUP
+		synctest.Wait()
+		select {
+		case <-i.stopping:
+			t.Fatal("SIGHUP stopped the instance")
+		default:
+		}
+		i.release <- nil
+		signals <- syscall.SIGTERM
+		<-i.stopping
+	})
+}
+
 // Symptom: a planned stop cuts requests in flight. Events: a supervisor sends
 // SIGTERM more than once while the instance finishes its requests. Cause: a
 // program that takes the second signal for impatience.
--- a/cmd/lynxhilld/run.go
+++ b/cmd/lynxhilld/run.go
@@ -41,7 +41,7 @@
 	// after the first call in main: a SIGUSR1 then writes a file.
 	httpserver.DisarmGoZero()
 	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	return runUntilSignal(instance, signals)
 }
@@ -54,7 +54,9 @@
 // runUntilSignal runs the daemon until the first SIGTERM or SIGINT, which stops
 // it gracefully. A supervisor that repeats SIGTERM must not cut requests in
 // flight, so more of them change nothing; a person who presses Ctrl-C again
-// means it, so the second SIGINT quits.
+// means it, so the second SIGINT quits. SIGHUP, which would end the process by
+// default when its terminal closes, changes nothing: token and certificate
+// files are read again by themselves.
 func runUntilSignal(instance runner, signals <-chan os.Signal) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -66,6 +68,9 @@
 		case err := <-ended:
 			return err
 		case s := <-signals:
+			if s == syscall.SIGHUP {
+				continue
+			}
 			stop()
 			if s == syscall.SIGINT {
 				interrupts++
