Client tests under the race detector

Cause: two counters of the fake instances were read without their lock; the race detector reported it in TestAdminGoesOnOnlyWhileNothingWasReceived. Change: an atomic counter and a locked getter; no assertion changed.

--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -375,15 +376,16 @@
 	if _, _, err := sendStream(t, c, 1); err != nil { // goes to the living one at once
 		t.Fatal(err)
 	}
-	if i.asked == 0 || i.count() != 2 {
-		t.Fatalf("asked %d times, %d attempts", i.asked, i.count())
+	if asked, sent := i.counts(); asked == 0 || sent != 2 {
+		t.Fatalf("asked %d times, %d attempts", asked, sent)
 	}
 }
 
-func (i *instance) count() int {
+// counts returns how often addresses were asked for and requests were sent.
+func (i *instance) counts() (asked, sent int) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	return len(i.keys)
+	return i.asked, len(i.keys)
 }
 
 // Symptom: a request failed although a second instance would have taken it.
@@ -429,8 +431,8 @@
 			t.Fatal(err)
 		}
 	}
-	if i.asked != 1 {
-		t.Fatalf("asked %d times", i.asked)
+	if asked, _ := i.counts(); asked != 1 {
+		t.Fatalf("asked %d times", asked)
 	}
 }
 
@@ -477,9 +479,9 @@
 }
 
 func TestAdminGoesOnOnlyWhileNothingWasReceived(t *testing.T) {
-	var received int
+	var received atomic.Int32
 	broken := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
-		received++
+		received.Add(1)
 		panic(http.ErrAbortHandler)
 	}))
 	defer broken.Close()
@@ -494,7 +496,7 @@
 	}
 	b := NewAdmin(AdminOptions{Servers: []string{broken.URL, good.URL}})
 	_, err := b.SetProfile(context.Background(), lynxapi.ChangeRequest{ChangeID: "c"})
-	if err == nil || RunStateOf(err) != errkind.MayHaveRun || received != 1 {
-		t.Fatalf("received %d times: %v", received, err)
+	if err == nil || RunStateOf(err) != errkind.MayHaveRun || received.Load() != 1 {
+		t.Fatalf("received %d times: %v", received.Load(), err)
 	}
 }
