--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -32,6 +32,7 @@
 	Fleet     fleet.Options
 	Instances int
 	Policy    routing.Policy
+	Tickets   bool // callers mint their keys under the tickets of address answers
 	// Adjust changes the settings of every instance, for comparisons.
 	Adjust func(*config.Config)
 	Log    io.Writer // nil discards the instances' logs
@@ -255,7 +256,7 @@
 func (c *Cluster) Caller(organisation, place string) *client.Caller {
 	return client.NewCaller(client.CallerOptions{
 		Servers: c.callerAddrs(), Token: c.callers[organisation], Place: place, Region: c.Fleet.Region,
-		Silence: callerSilence,
+		Silence: callerSilence, Tickets: c.opts.Tickets,
 	})
 }
 
--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -48,6 +48,7 @@
 type Variant struct {
 	Name        string         `toml:"name" json:"name"`
 	Policy      routing.Policy `toml:"policy" json:"policy,omitempty"`
+	Tickets     bool           `toml:"tickets" json:"tickets,omitempty"` // callers use keys under tickets
 	MaxAttempts int            `toml:"max_attempts" json:"max_attempts,omitempty"`
 	RetryBudget float64        `toml:"retry_budget" json:"retry_budget,omitempty"`
 	MaxEjected  float64        `toml:"max_ejected" json:"max_ejected,omitempty"`
@@ -212,7 +213,7 @@
 			Name: r.deployment, Scale: r.Scale, TimeScale: r.TimeScale,
 			LoadLag: r.LoadLag.Duration, IgnoreFence: r.IgnoreFence,
 		},
-		Instances: r.Instances, Policy: r.variant.Policy, Adjust: r.adjust, Log: r.log, Seed: r.seed(),
+		Instances: r.Instances, Policy: r.variant.Policy, Tickets: r.variant.Tickets, Adjust: r.adjust, Log: r.log, Seed: r.seed(),
 	})
 	if err != nil {
 		return Summary{}, err
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -170,8 +170,9 @@
 // send sends one request, with resends as the client's policy has it.
 func (l *load) send(ctx context.Context, start time.Time, it timedItem) Record {
 	intended := start.Add(it.at)
+	caller := l.callers[callerKey{it.organisation, it.place}]
 	record := Record{
-		Profile: it.profile.Name, Organisation: it.organisation, Place: it.place, Key: client.NewKey(),
+		Profile: it.profile.Name, Organisation: it.organisation, Place: it.place, Key: caller.MintKey(ctx),
 		At: it.at, Deadline: it.profile.Deadline, Poison: it.marker,
 	}
 	var last time.Time
@@ -185,7 +186,7 @@
 		last = now
 		return nil
 	}
-	result, err := l.callers[callerKey{it.organisation, it.place}].Send(ctx, it.profile.Name, lynxapi.SendRequest{
+	result, err := caller.Send(ctx, it.profile.Name, lynxapi.SendRequest{
 		Organisation: it.organisation, Key: record.Key, Input: it.input, Prefix: it.prefix, Stream: true,
 		DeadlineMS: max(1, time.Until(intended.Add(it.profile.Deadline)).Milliseconds()),
 	}, deliver)
--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -128,19 +128,23 @@
 
 // mint makes the key of a request that has none.
 func (c *Caller) mint(ctx context.Context, req *lynxapi.SendRequest) {
-	if req.Key != "" {
-		return
+	if req.Key == "" {
+		req.Key = c.MintKey(ctx)
 	}
-	req.Key = NewKey()
+}
+
+// MintKey makes a new idempotency key, under the ticket of the kept address
+// answer if the caller uses tickets.
+func (c *Caller) MintKey(ctx context.Context) string {
+	key := NewKey()
 	if !c.opts.Tickets {
-		return
+		return key
 	}
 	answer, err := c.Address(ctx)
 	if err != nil || answer.Ticket == "" {
-		return // a key without a ticket is as good, it only costs more
+		return key // a key without a ticket is as good, it only costs more
 	}
-	req.Ticket = answer.Ticket
-	req.Key = claim.MintKey(answer.Ticket, req.Key)
+	return claim.MintKey(answer.Ticket, key)
 }
 
 // worthAskingElsewhere reports whether another instance might answer better.
