--- a/internal/control/profilesync/fence.go
+++ b/internal/control/profilesync/fence.go
@@ -35,6 +35,7 @@
 	confirmedAt time.Duration            // newest contact with the store, direct or through peers
 	heard       map[uint32]time.Duration // by hash of the id: when an instance is known to have run
 	known       map[string]bool          // instances that count for a majority, without self
+	left        map[string]uint64        // incarnation of instances that announced their leaving
 	hasOthers   bool                     // the instance list shows others, whether or not they were met
 	lastTick    time.Duration
 	wokeAt      time.Duration
@@ -55,6 +56,7 @@
 		o:           o,
 		heard:       make(map[uint32]time.Duration),
 		known:       make(map[string]bool),
+		left:        make(map[string]uint64),
 		majorities:  make(map[string]majority),
 		lastTick:    now,
 		wokeAt:      now,
@@ -97,7 +99,12 @@
 	if e.started < f.wokeAt {
 		return
 	}
-	f.hear(memberHash(e.from), e.started)
+	if e.config.Loaded {
+		// What goes wrong otherwise: the majority that held a change restarts
+		// and forgets it, and its empty new lives help an instance that slept
+		// through the change to a majority.
+		f.hear(memberHash(e.from), e.started)
+	}
 	for _, h := range e.config.Heard {
 		f.hear(h.Member, e.started-h.Age)
 	}
@@ -117,14 +124,16 @@
 	}
 }
 
-// look re-evaluates at the time now and reports whether anything changed.
+// look re-evaluates at the time now. It returns the length of a pause that it
+// found and whether anything changed.
 // Everything that answers for this instance calls it first, so that a process
 // that has just woken does not speak from before its pause.
-func (f *fence) look(now time.Duration, tick bool) (changed bool) {
+func (f *fence) look(now time.Duration, tick bool) (woke time.Duration, changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	isolated, unconfirmed := f.isolated, f.unconfirmed
-	if now-f.lastTick > f.o.PauseAfter {
+	if gap := now - f.lastTick; gap > f.o.PauseAfter {
+		woke = gap
 		f.wake(now)
 	}
 	if tick {
@@ -134,11 +143,10 @@
 		f.unconfirmed = false
 	}
 	f.isolated = !f.fresh(now) && !f.majoritySince(now-f.o.FenceAfter)
-	return f.isolated != isolated || f.unconfirmed != unconfirmed
+	return woke, f.isolated != isolated || f.unconfirmed != unconfirmed
 }
 
 func (f *fence) wake(now time.Duration) {
-	f.o.Logger.Log(event.ConfigPaused, "gap", now-f.lastTick)
 	f.lastTick, f.wokeAt = now, now
 	f.unconfirmed = true
 	clear(f.heard)
@@ -164,23 +172,29 @@
 	return 2*count > len(f.known)+1
 }
 
-// learn updates the last known instances. While the store confirms, they are
-// those that membership believes in; without it nobody is dropped for being
-// silent, since that is how a split looks from inside.
+// learn updates the last known instances: all that membership lists, the dead
+// ones too, but for those that announced their leaving.
+//
+// What goes wrong if the dead are left out: an instance that is cut off from
+// its peers and still reaches the store takes them all for dead; when it loses
+// the store as well it seems to be the only one, a majority of itself.
 func (f *fence) learn(members map[string]board.Member, now time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.confirmed && now-f.confirmedAt <= f.o.FenceAfter/2 {
-		clear(f.known)
-	}
+	clear(f.known)
 	for id, m := range members {
-		switch {
-		case id == f.o.Self || m.State == board.MemberLeaving:
-			delete(f.known, id)
-		case m.State != board.MemberDead:
+		if m.State == board.MemberLeaving {
+			f.left[id] = m.Incarnation
+		}
+		if id != f.o.Self && !f.hasLeft(m) {
 			f.known[id] = true
 		}
 	}
+	for id := range f.left {
+		if _, listed := members[id]; !listed {
+			delete(f.left, id)
+		}
+	}
 	for member, at := range f.heard {
 		if now-at > 2*f.o.FenceAfter {
 			delete(f.heard, member)
@@ -188,6 +202,21 @@
 	}
 }
 
+// hasLeft reports whether this life of the instance announced its leaving. The
+// caller holds mu.
+func (f *fence) hasLeft(m board.Member) bool {
+	incarnation, left := f.left[m.ID]
+	return left && m.Incarnation <= incarnation && m.State != board.MemberAlive
+}
+
+// gone reports whether a dead instance had announced that it leaves, so that
+// nobody waits for it.
+func (f *fence) gone(m board.Member) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return m.State == board.MemberDead && f.hasLeft(m)
+}
+
 func (f *fence) setOthers(others bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -207,6 +236,7 @@
 	c := gossip.Config{
 		Confirmed: f.confirmed,
 		Serving:   !f.isolated && !f.unconfirmed,
+		Loaded:    f.loaded,
 	}
 	if f.confirmed {
 		c.ConfirmAge = now - f.confirmedAt
@@ -248,7 +278,11 @@
 }
 
 func (m *Manager) look(tick bool) {
-	if m.fence.look(m.o.Boot.SinceBoot(), tick) {
+	woke, changed := m.fence.look(m.o.Boot.SinceBoot(), tick)
+	if woke > 0 {
+		m.o.Logger.Log(event.ConfigPaused, "gap", woke)
+	}
+	if changed {
 		m.publishSelf()
 	}
 }
--- a/internal/control/profilesync/force.go
+++ b/internal/control/profilesync/force.go
@@ -86,6 +86,7 @@
 	} else {
 		reply.Missing = append(reply.Missing, m.o.Self)
 	}
+	forgotten := 0 // dead instances that held it: they may have come back without it
 	members := m.o.Board.Members.Snapshot()
 	for _, id := range listed {
 		if _, met := members[id]; !met && id != m.o.Self {
@@ -94,13 +95,15 @@
 		}
 	}
 	for id, member := range members {
-		if id == m.o.Self {
+		if id == m.o.Self || m.fence.gone(member) {
 			continue
 		}
 		if member.Profiles >= version {
 			if member.State != board.MemberDead {
 				reply.Total++
 				reply.InForce++
+			} else {
+				forgotten++
 			}
 			continue
 		}
@@ -108,7 +111,7 @@
 		reply.Missing = append(reply.Missing, id)
 	}
 	sort.Strings(reply.Missing)
-	majority := 2*reply.InForce > reply.Total
+	majority := 2*reply.InForce > reply.Total+forgotten
 	if len(reply.Missing) > 0 && m.fencedSince(name, version, majority) {
 		reply.Fenced, reply.Missing = reply.Missing, nil
 	}
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -33,6 +33,9 @@
 	// Serving says that the sender takes new work: it is neither isolated nor
 	// unconfirmed.
 	Serving bool
+	// Loaded says that the sender has had a confirmed configuration in this
+	// life. One that has just started knows nothing and counts for nothing.
+	Loaded bool
 	// Heard is how long ago instances are known to have run. It is sent only
 	// while the store does not answer.
 	Heard []Heard
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -68,6 +68,7 @@
 		Confirmed:    c.Confirmed,
 		ConfirmAgeMs: millisUp(c.ConfirmAge),
 		Serving:      c.Serving,
+		Loaded:       c.Loaded,
 	}
 	for _, h := range c.Heard {
 		out.HeardMembers = append(out.HeardMembers, h.Member)
@@ -81,6 +82,7 @@
 		Confirmed:  c.GetConfirmed(),
 		ConfirmAge: duration(c.GetConfirmAgeMs()),
 		Serving:    c.GetServing(),
+		Loaded:     c.GetLoaded(),
 	}
 	ages := c.GetHeardAgesMs()
 	for i, member := range c.GetHeardMembers() {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -50,7 +50,7 @@
 		Drains:   []gossip.Drain{{Subject: "place/lac-a", Version: 3, Active: true}},
 		Burn:     []gossip.Burn{{Profile: "p", Window: 60, Total: 2, Missed: 1}},
 		Sums:     []uint32{1, 2},
-		Config:   gossip.Config{Confirmed: true, ConfirmAge: time.Second, Serving: true, Heard: []gossip.Heard{{Member: 5, Age: time.Second}}},
+		Config:   gossip.Config{Confirmed: true, ConfirmAge: time.Second, Serving: true, Loaded: true, Heard: []gossip.Heard{{Member: 5, Age: time.Second}}},
 	}
 }
 
