Discovery: targets from peers while the platform is down

An instance that started during an outage knew no target and could serve nothing. It now pulls the targets of a peer, in pages; leaving marks come along. Test: 2000 targets within a minute. Broken by hand, each seen to fail and restored: only the first page, peers not asked.

--- a/internal/control/discovery/discovery.go
+++ b/internal/control/discovery/discovery.go
@@ -98,6 +98,7 @@
 		c.opts.Metrics.Labelled(metricLists).Add("failed", 1)
 		if ctx.Err() == nil {
 			c.opts.Logger.Log(event.TargetListFailed, "error", err)
+			c.askPeers(ctx)
 		}
 		return
 	}
--- a/internal/control/discovery/discovery_test.go
+++ b/internal/control/discovery/discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -203,3 +204,54 @@
 		}
 	})
 }
+
+// peerPull is a peer that is asked directly.
+type peerPull struct{ from *Controller }
+
+func (p peerPull) Pull(_ context.Context, _, prefix string, after uint64) ([]store.Object, uint64, bool, error) {
+	if prefix != PullPrefix {
+		return nil, 0, false, store.ErrNotFound
+	}
+	objects, mark, more := p.from.Since(after)
+	return objects, mark, more, nil
+}
+
+// Symptom: an instance refuses every request for want of targets.
+// Events: it starts while the platform is down; its neighbours know 2000 targets.
+// Cause: only the platform's list was asked.
+func TestTargetsComeFromPeersWhilePlatformIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New(memstore.Options{})
+		s.SetFaults(memstore.Faults{Outage: true})
+		neighbour := New(Options{Board: board.New(), Clock: quartz.NewReal()})
+		var list []store.Instance
+		for i := range 2000 {
+			list = append(list, engine(fmt.Sprintf("t-%04d", i), platformapi.StateLive))
+		}
+		neighbour.Merge(list, time.Now())
+		neighbour.Refused("t-0007")
+		b := board.New()
+		b.Members.Put("i-1", board.Member{ID: "i-1", State: board.MemberAlive})
+		c := New(Options{
+			Store: s, Board: b, Clock: quartz.NewReal(), Self: "i-0", Place: "lac-a", Peers: peerPull{neighbour},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			c.Run(ctx)
+		}()
+		time.Sleep(time.Minute)
+		if n := b.Targets.Len(); n != 2000 {
+			t.Errorf("%d targets after a minute, want 2000", n)
+		}
+		if got, _ := b.Targets.Get("t-0042"); got.Address != "t-0042:1" || got.Service != "lynx-pool" || got.Leaving {
+			t.Errorf("target as learned: %+v", got)
+		}
+		if !leaving(b, "t-0007") {
+			t.Error("a leaving target was learned as live")
+		}
+		cancel()
+		<-ended
+	})
+}
--- a/internal/control/discovery/options.go
+++ b/internal/control/discovery/options.go
@@ -38,6 +38,9 @@
 	Metrics *metrics.Registry
 	Self    string
 	Place   string
+	// Peers, if set, are asked for their targets while the list cannot be read
+	// and no target is known.
+	Peers Puller
 	// Hurry, if set, makes membership exchange digests at once; it must not
 	// block. It is called when a leaving mark is new here.
 	Hurry func()
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -46,7 +46,7 @@
 	clk, place, region := d.opts.Clock, d.cfg.Instance.Place, d.cfg.Instance.Region
 	d.discovery = discovery.New(discovery.Options{
 		Lister: d.platform, Board: d.board, Clock: clk, Rand: d.rand(), Logger: d.logger, Metrics: d.metrics,
-		Self: d.id(), Place: place, Hurry: d.members.Hurry,
+		Self: d.id(), Place: place, Hurry: d.members.Hurry, Peers: d.peers,
 	})
 	d.loads = loadview.New(loadview.Options{
 		Caller: d.targets, Board: d.board, Clock: clk, Rand: d.rand(), Logger: d.logger, Metrics: d.metrics,
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -7,11 +7,13 @@
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/callerapi"
 	"lynxhill.example/lynxhill/internal/claim"
+	"lynxhill.example/lynxhill/internal/control/discovery"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/gossip"
 	"lynxhill.example/lynxhill/internal/outcome"
 	"lynxhill.example/lynxhill/internal/peer"
 	"lynxhill.example/lynxhill/internal/pipeline"
+	"lynxhill.example/lynxhill/internal/store"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
@@ -106,12 +108,20 @@
 	return reply
 }
 
+// since answers a peer that is behind: configuration objects, or the targets.
+func (d *Daemon) since(prefix string, after uint64) ([]store.Object, uint64, bool) {
+	if prefix == discovery.PullPrefix {
+		return d.discovery.Since(after)
+	}
+	return d.profiles.Since(prefix, after)
+}
+
 // peerCalls are what calls of other instances lead to.
 func (d *Daemon) peerCalls() peer.ServerOptions {
 	return peer.ServerOptions{
 		Exchange: func(ctx context.Context, digest gossip.Digest) gossip.Digest { return d.members.Handle(ctx, digest) },
 		Probe:    d.members.HandleProbe,
-		Profiles: d.profiles.Since,
+		Profiles: d.since,
 		Outcome: func(ctx context.Context, key outcome.Key) (outcome.Record, bool, error) {
 			record, found := d.outcomes.Wait(ctx, key)
 			return record, found, nil
