--- a/cmd/lynxctl/main_test.go
+++ b/cmd/lynxctl/main_test.go
@@ -50,7 +50,7 @@
 	mux.HandleFunc("GET /v1/profiles", f.list)
 	mux.HandleFunc("PUT /v1/profiles/{name}", f.set)
 	mux.HandleFunc("POST /v1/profiles/{name}/rollback", f.rollback)
-	mux.HandleFunc("DELETE /v1/profiles/{name}", f.changed)
+	mux.HandleFunc("DELETE /v1/profiles/{name}", f.delete)
 	mux.HandleFunc("GET /v1/changes/{id}", f.tellChange)
 	mux.HandleFunc("GET /v1/report/burn", func(w http.ResponseWriter, _ *http.Request) { reply(w, sampleReport()) })
 	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, _ *http.Request) {
@@ -137,6 +137,13 @@
 	f.changed(w, r)
 }
 
+func (f *fakeAdmin) delete(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	f.change = lynxapi.ChangeRequest{ChangeID: r.URL.Query().Get("change_id")}
+	f.mu.Unlock()
+	f.changed(w, r)
+}
+
 func (f *fakeAdmin) changed(w http.ResponseWriter, r *http.Request) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -354,6 +361,14 @@
 	lynxctl(t, "127.0.0.1:1,"+f.server.URL, "", "status").want(t, exitOK, "3 alive of 3 known")
 }
 
+func TestTabCompletion(t *testing.T) {
+	t.Setenv("COMP_LINE", "lynxctl profile ro")
+	var out, errOut bytes.Buffer
+	if status := run(nil, nil, &out, &errOut); status != exitOK || strings.TrimSpace(out.String()) != "rollback" {
+		t.Fatalf("%d %q %q", status, out.String(), errOut.String())
+	}
+}
+
 func TestWrongTokenIsRefused(t *testing.T) {
 	f := newFakeAdmin(t)
 	var out, errOut bytes.Buffer
--- a/internal/report/html.go
+++ b/internal/report/html.go
@@ -122,8 +122,7 @@
 	if v.Cards, err = cardsOf(v.Report, profiles); err != nil {
 		return err
 	}
-	used := slices.DeleteFunc(slices.Clone(profiles), func(row lynxapi.BurnRow) bool { return row.Total == 0 })
-	if v.Burn, err = burnPlot(used); err != nil {
+	if v.Burn, err = burnPlot(burning(profiles)); err != nil {
 		return err
 	}
 	if v.Causes, err = causePlot(v.Report.Causes); err != nil {
@@ -133,6 +132,15 @@
 	return err
 }
 
+// burning returns the profiles in use, none if no budget burns.
+func burning(profiles []lynxapi.BurnRow) []lynxapi.BurnRow {
+	used := slices.DeleteFunc(slices.Clone(profiles), func(row lynxapi.BurnRow) bool { return row.Total == 0 })
+	if !slices.ContainsFunc(used, func(row lynxapi.BurnRow) bool { return row.BurnShort > 0 || row.BurnLong > 0 }) {
+		return nil
+	}
+	return used
+}
+
 // byUrgency orders profiles by what needs a look first.
 func byUrgency(rows []lynxapi.BurnRow) []lynxapi.BurnRow {
 	rows = slices.Clone(rows)
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -166,6 +166,14 @@
 	}
 }
 
+func TestQuietReportSaysSo(t *testing.T) {
+	row := lynxapi.BurnRow{Scope: slo.ScopeProfile, Name: "p", Total: 9, Attained: 9, Attainment: 1, Objective: 0.99, BudgetLeft: 1}
+	page := pageOf(t, lynxapi.BurnReport{Rows: []lynxapi.BurnRow{row}, LongS: 3600})
+	if !strings.Contains(page, "No profile missed a request in the last 1h.") || strings.Contains(page, "<svg") {
+		t.Error("an empty plot instead of a sentence")
+	}
+}
+
 func TestPlotsAreWellFormed(t *testing.T) {
 	page := pageOf(t, sampleReport(t, 60))
 	for _, picture := range regexp.MustCompile(`(?s)<svg.*?</svg>`).FindAllString(page, -1) {
