--- a/cmd/lynxctl/profile.go
+++ b/cmd/lynxctl/profile.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"os"
 	"strings"
 	"time"
 
@@ -110,51 +108,6 @@
 	return nil
 }
 
-// readProfile reads and checks a file.
-func readProfile(env *environment, file string) (profile.Profile, error) {
-	text, err := readFile(env, file)
-	if err != nil {
-		return profile.Profile{}, err
-	}
-	p, err := profile.Parse(text)
-	if err != nil {
-		return profile.Profile{}, usagef("%s: %w", file, err)
-	}
-	err = profile.Validate(p)
-	if invalid, ok := err.(*profile.InvalidError); ok {
-		return p, usagef("%s", strings.Join(problemLines(file, invalid), "\n"))
-	}
-	return p, err
-}
-
-func problemLines(file string, invalid *profile.InvalidError) []string {
-	lines := make([]string, 0, len(invalid.Problems))
-	for _, problem := range invalid.Problems {
-		lines = append(lines, fmt.Sprintf("%s: %s: %s", file, problem.Path, problem.Message))
-	}
-	return lines
-}
-
-// maxFileBytes bounds what is read: a mistaken name should not fill the memory.
-const maxFileBytes = 16 << 20
-
-func readFile(env *environment, file string) ([]byte, error) {
-	in := env.stdin
-	if file != "-" {
-		opened, err := os.Open(file)
-		if err != nil {
-			return nil, &usageError{err}
-		}
-		defer opened.Close()
-		in = opened
-	}
-	text, err := io.ReadAll(io.LimitReader(in, maxFileBytes))
-	if err != nil {
-		return nil, &usageError{err}
-	}
-	return text, nil
-}
-
 type profileGet struct {
 	Name string `arg:"" help:"Profile."`
 }
@@ -213,85 +166,6 @@
 	return strings.Join(names, " > ")
 }
 
-type profileDiff struct {
-	What  string `arg:"" name:"file|name" help:"A TOML file (- for the standard input) to compare with what is in force, or a profile to compare with its earlier version."`
-	Steps int    `default:"1" help:"For a profile: how many versions back."`
-}
-
-// Help implements kong.HelpProvider.
-func (*profileDiff) Help() string {
-	return `A name that is an existing file, or has a dot or a slash, is a file. Examples:
-
-  lynxctl profile diff creative-check.toml    what the file would change
-  lynxctl profile diff creative-check         what a rollback would change`
-}
-
-// Run shows the differences.
-func (c *profileDiff) Run(env *environment) error {
-	ctx, cancel := env.context()
-	defer cancel()
-	if !isFile(c.What) {
-		admin, err := env.admin()
-		if err != nil {
-			return err
-		}
-		version, _, err := admin.NewestVersion(ctx, c.What)
-		if err != nil {
-			return &readError{err}
-		}
-		reply, err := reading(admin.Rollback(ctx, c.What, lynxapi.RollbackRequest{
-			IfVersion: version, Steps: c.Steps, ChangeID: client.NewKey(), DryRun: true,
-		}))
-		if err != nil {
-			return err
-		}
-		return env.showDiff(reply.Diff)
-	}
-	p, err := readProfile(env, c.What)
-	if err != nil {
-		return err
-	}
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	version, current, err := admin.NewestVersion(ctx, p.Name)
-	if err != nil {
-		return &readError{err}
-	}
-	if version == 0 {
-		env.printf("profile %s is new\n", p.Name)
-		return nil
-	}
-	return env.showDiff(profile.Diff(current, p))
-}
-
-func isFile(what string) bool {
-	if what == "-" || strings.ContainsAny(what, "./") {
-		return true
-	}
-	info, err := os.Stat(what)
-	return err == nil && info.Mode().IsRegular()
-}
-
-func (e *environment) showDiff(diff []profile.DiffLine) error {
-	if diff == nil {
-		diff = []profile.DiffLine{}
-	}
-	return e.show(diff, func() {
-		if len(diff) == 0 {
-			e.printf("no difference\n")
-		}
-		e.printDiff(diff)
-	})
-}
-
-func (e *environment) printDiff(diff []profile.DiffLine) {
-	for _, line := range diff {
-		e.printf("%s\n", line)
-	}
-}
-
 type profileRollback struct {
 	Name  string `arg:"" help:"Profile."`
 	Steps int    `default:"1" help:"How many versions back."`
