--- a/internal/control/lease/contender.go
+++ b/internal/control/lease/contender.go
@@ -11,6 +11,9 @@
 	"lynxhill.example/lynxhill/internal/store"
 )
 
+// holdCheck is how often a holder looks whether it should give its lease back.
+const holdCheck = time.Second
+
 // contender contends for the lease of one service. Only the goroutine of
 // Manager.serve uses it.
 type contender struct {
@@ -73,10 +76,10 @@
 	}
 	renewAt := grant.Until - o.Duration + o.Duration/renewals
 	if now < renewAt {
-		return min(renewAt-now, o.Duration/renewals)
+		return min(renewAt-now, holdCheck)
 	}
 	if c.write(ctx, grant.Fence, grant.UncheckedFrom, false) {
-		return c.jittered(o.Duration / renewals)
+		return c.jittered(holdCheck)
 	}
 	if !c.observe(ctx) {
 		return c.jittered(retryPeriod)
@@ -101,7 +104,7 @@
 		return min(free-now, c.jittered(o.Duration/renewals))
 	}
 	if c.write(ctx, c.seen.version, c.uncheckedFrom(now), false) {
-		return c.jittered(o.Duration / renewals)
+		return c.jittered(holdCheck)
 	}
 	return c.jittered(retryPeriod)
 }
--- a/internal/control/lease/random_test.go
+++ b/internal/control/lease/random_test.go
@@ -273,3 +273,56 @@
 	}
 	chosen.pauses.pause(time.Duration(rng.Int64N(int64(40 * time.Second))))
 }
+
+// waitFor returns how long it takes until an instance other than the old holder
+// may give orders.
+func waitFor(nodes []*randomNode, old string, checksFence bool) time.Duration {
+	began := time.Now()
+	for time.Since(began) < 2*time.Minute {
+		for _, nd := range nodes {
+			if _, ok := nd.manager.Check(service, DefaultOrderTimeout, checksFence); ok && nd.id != old {
+				return time.Since(began)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return 2 * time.Minute
+}
+
+func TestTakeOverTimes(t *testing.T) {
+	for name, end := range map[string]func(*randomNode){
+		"died":    func(nd *randomNode) { nd.pauses.pause(time.Hour) },
+		"drained": func(nd *randomNode) { nd.board.Self.Put(board.SelfRow, board.Self{Draining: true}) },
+	} {
+		var worst [2]time.Duration
+		for seed := range uint64(10) {
+			synctest.Test(t, func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(seed, 3))
+				h := &history{began: time.Now()}
+				s := memstore.New(memstore.Options{Seed: seed})
+				var nodes []*randomNode
+				for i := range 8 {
+					nodes = append(nodes, startRandom(i, 8, s, h, rng))
+					nodes[i].seeMembers(ids(8), rng, 0)
+				}
+				time.Sleep(time.Minute + time.Duration(rng.Int64N(int64(10*time.Second))))
+				for _, nd := range nodes {
+					if nd.manager.Holds(service) {
+						end(nd)
+						first := waitFor(nodes, nd.id, true)
+						worst[0] = max(worst[0], first)
+						worst[1] = max(worst[1], first+waitFor(nodes, nd.id, false))
+						break
+					}
+				}
+				for _, nd := range nodes {
+					nd.finish()
+				}
+			})
+		}
+		t.Logf("holder %s: next one for engines that check fences after %v, for all after %v", name, worst[0], worst[1])
+		if worst[0] > 30*time.Second || worst[1] > 40*time.Second || name == "drained" && worst[0] > 10*time.Second {
+			t.Errorf("holder %s: next one after %v and %v", name, worst[0], worst[1])
+		}
+	}
+}
