Pipeline: relay frames without allocations

Cause: a benchmark of the relay showed 5988 allocations for 1001 frames; the arguments of the two assertions on each frame were boxed although they held. Change: the assertions build their arguments only when they fail. Figures (two stages over an instant fake, 12 cores shared with other work): 1001 frames 1437 us, 5988 allocations, 134824 B before; 808 us, 85 allocations, 54362 B after. 1 frame: 61 us and 77 allocations before, 82 us and 73 after (the time of this one is within the noise of the machine). Conclusion: a frame costs about 0.7 us and no allocation of its own.

--- a/internal/pipeline/signals.go
+++ b/internal/pipeline/signals.go
@@ -67,14 +67,17 @@
 	return s.pass(sig.frame.Text)
 }
 
+// ownFrame asserts that a frame is the owner's next one. The arguments of the
+// assertion are only made when it fails: they cost six allocations a frame.
 func (s *stageRun) ownFrame(sig signal) bool {
-	check := s.x.r.opts.Check
-	own := sig.frame.RequestID == s.x.req.ID && sig.frame.AttemptID == sig.attempt.id
-	if !check.Check(own, invariant.OwnAnswer, "frame of %s/%s in attempt %s", sig.frame.RequestID, sig.frame.AttemptID, sig.attempt.id) {
-		return false
+	check, frame := s.x.r.opts.Check, &sig.frame
+	if frame.RequestID != s.x.req.ID || frame.AttemptID != sig.attempt.id {
+		return check.Check(false, invariant.OwnAnswer, "frame of %s/%s in attempt %s", frame.RequestID, frame.AttemptID, sig.attempt.id)
 	}
-	return check.Check(sig.frame.Offset == len(s.text), invariant.OffsetsContiguous,
-		"request %s: frame at %d, answer at %d", s.x.req.ID, sig.frame.Offset, len(s.text))
+	if frame.Offset != len(s.text) {
+		return check.Check(false, invariant.OffsetsContiguous, "request %s: frame at %d, answer at %d", s.x.req.ID, frame.Offset, len(s.text))
+	}
+	return true
 }
 
 // pass hands text of the last stage to the caller.
