--- a/internal/control/loadview/pollers_test.go
+++ b/internal/control/loadview/pollers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,11 +75,21 @@
 // restarted.
 type engineCaller struct {
 	stagecall.Caller
+
+	mu          sync.Mutex // guards all below
 	seq, events uint64
 	down        bool
 }
 
+func (e *engineCaller) set(down bool, seq, events uint64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.down, e.seq, e.events = down, seq, events
+}
+
 func (e *engineCaller) Load(context.Context, stagecall.Target) (targetapi.LoadReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.down {
 		return targetapi.LoadReport{}, &stagecall.Failure{Class: stagecall.ClassConnect}
 	}
@@ -87,6 +98,8 @@
 }
 
 func (e *engineCaller) CacheEvents(_ context.Context, _ stagecall.Target, after uint64) ([]targetapi.CacheEvent, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	var events []targetapi.CacheEvent
 	for seq := after + 1; seq <= e.events; seq++ {
 		events = append(events, targetapi.CacheEvent{Seq: seq, Prefix: fmt.Sprintf("%x", seq)})
@@ -113,12 +126,12 @@
 		if set, _ := b.Prefixes.Get("e"); set.Seq != 5000 || len(set.Hashes) != DefaultMaxPrefixes {
 			t.Fatalf("before the restart: number %d, %d prefixes", set.Seq, len(set.Hashes))
 		}
-		engine.down = true
+		engine.set(true, 100, 5000)
 		time.Sleep(20 * time.Second)
 		if load, _ := b.Loads.Get("e"); time.Since(load.At) < 19*time.Second {
 			t.Errorf("the report of an engine that is down for 20 s is %v old", time.Since(load.At))
 		}
-		engine.down, engine.seq, engine.events = false, 0, 3
+		engine.set(false, 0, 3)
 		time.Sleep(20 * time.Second)
 		set, _ := b.Prefixes.Get("e")
 		if set.Seq != 3 || len(set.Hashes) != 3 || set.Gap {
