--- a/internal/control/profilesync/fleet_test.go
+++ b/internal/control/profilesync/fleet_test.go
@@ -150,10 +150,7 @@
 	n.up = true
 	n.board = board.New()
 	n.link = &storeLink{Store: f.store, net: f.net, addr: n.addr}
-	boot := clock.BootFunc(func() time.Duration {
-		f.net.Wait(n.addr) // a paused instance does not see time pass
-		return time.Hour + f.clock.Since(f.started)
-	})
+	boot := f.boot(n)
 	client := f.net.Client(n.addr, func(id string) (string, bool) {
 		m, ok := n.board.Members.Get(id)
 		return m.PeerAddr, ok
@@ -178,6 +175,14 @@
 	f.wg.Go(func() { n.sync.Run(ctx) })
 }
 
+// boot is an instance's boot clock. A paused instance does not see time pass.
+func (f *fleet) boot(n *node) clock.Boot {
+	return clock.BootFunc(func() time.Duration {
+		f.net.Wait(n.addr)
+		return time.Hour + f.clock.Since(f.started)
+	})
+}
+
 func (f *fleet) crash(i int) {
 	f.net.Resume(f.nodes[i].addr)
 	f.net.Drop(f.nodes[i].addr)
--- a/internal/control/profilesync/isolation_test.go
+++ b/internal/control/profilesync/isolation_test.go
@@ -148,6 +148,21 @@
 	})
 }
 
+// A short pause is over before the fence would act; still the instance may have
+// slept through a change that others were told of.
+func TestShortPauseIsConfirmedToo(t *testing.T) {
+	settled(t, 8, func(f *fleet) {
+		paused := f.nodes[4]
+		f.net.Pause(paused.addr)
+		time.Sleep(4 * time.Second)
+		f.net.Resume(paused.addr)
+		if paused.serves() {
+			f.t.Error("serves on waking")
+		}
+		f.until(5*time.Second, "serves again", paused.serves)
+	})
+}
+
 func TestNewInstanceIsServedByPeersWhileTheStoreIsDown(t *testing.T) {
 	settled(t, 8, func(f *fleet) {
 		reply := f.set(0, "check", 1, 0, "c1", time.Minute)
