Client follows the weights of the address answer

Cause: the client took the caller's own place first, whatever the weights. The weights of an address answer already prefer the near place as far as it has room, so a full place would have got all its callers nevertheless. Change: instances are drawn by weight; those of weight 0 are spares, nearest first; lately unreachable and tried ones come last. TestPickGoesByWeightInTheNearestPlace asserted the wrong rule and is replaced by TestPickFollowsTheWeights and TestSparesAreTakenNearestFirst. The test of an unreachable instance now makes it the one that all would pick: before, it passed by chance when the other was drawn.

--- a/internal/client/address.go
+++ b/internal/client/address.go
@@ -145,20 +145,25 @@
 	return answer, err
 }
 
-// pick chooses an instance: those not yet tried by this request and not
-// lately unreachable first, then the nearest, then by weight.
+// Penalties of pick, so that each outweighs all before it: spares by distance,
+// then lately unreachable ones, then those that this request has tried.
+const (
+	distances      = 3
+	sparePenalty   = 1
+	avoidedPenalty = sparePenalty + distances
+	triedPenalty   = 2 * avoidedPenalty
+)
+
+// pick chooses an instance by weight. The weights already prefer the caller's
+// place as far as it has room; preferring it again here would send a full
+// place the load that was to go elsewhere. Instances of weight 0 are spares,
+// for when the others fail: nearest first.
 func (c *Caller) pick(answer lynxapi.AddressAnswer, tried []string) (lynxapi.Address, bool) {
 	now := time.Now()
 	best := -1
 	var group []lynxapi.Address
 	for _, a := range answer.Addresses {
-		score := c.distance(a)
-		if c.book.isAvoided(a.Address, now) {
-			score += distances
-		}
-		if slices.Contains(tried, a.Address) {
-			score += 2 * distances
-		}
+		score := c.penalty(a, tried, now)
 		switch {
 		case best < 0 || score < best:
 			best, group = score, []lynxapi.Address{a}
@@ -172,8 +177,19 @@
 	return weighted(group, rand.Float64()), true
 }
 
-// distances is the number of values of distance.
-const distances = 3
+func (c *Caller) penalty(a lynxapi.Address, tried []string, now time.Time) int {
+	penalty := 0
+	if a.Weight <= 0 {
+		penalty += sparePenalty + c.distance(a)
+	}
+	if c.book.isAvoided(a.Address, now) {
+		penalty += avoidedPenalty
+	}
+	if slices.Contains(tried, a.Address) {
+		penalty += triedPenalty
+	}
+	return penalty
+}
 
 func (c *Caller) distance(a lynxapi.Address) int {
 	switch {
@@ -182,7 +198,7 @@
 	case c.opts.Region != "" && a.Region == c.opts.Region:
 		return 1
 	}
-	return 2
+	return distances - 1
 }
 
 // weighted picks by weight with a number from 0 to 1. Without a weight above 0
