--- a/internal/control/discovery/fleet_test.go
+++ b/internal/control/discovery/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,7 +33,7 @@
 	store   *memstore.Store
 	nodes   []*Controller
 	targets []string
-	eager   bool
+	eager   atomic.Bool
 	mu      sync.Mutex // guards rng
 	rng     *rand.Rand
 	running sync.WaitGroup
@@ -72,7 +73,7 @@
 
 // spread is what membership does when it is hurried: exchanges with a few.
 func (f *fleet) spread(i int) {
-	if !f.eager {
+	if !f.eager.Load() {
 		return
 	}
 	f.mu.Lock()
@@ -143,7 +144,7 @@
 		time.Sleep(2 * time.Minute)
 		t.Logf("%d instances, %d targets: %.1f reads/s", instances, targets, float64(f.reads()-before)/120)
 		for i, eager := range []bool{false, true} {
-			f.eager = eager
+			f.eager.Store(eager)
 			id := f.targets[i]
 			f.nodes[1].Refused(id)
 			took := f.seconds("", func(n *Controller) bool { return leaving(n.opts.Board, id) })
@@ -177,10 +178,14 @@
 			id := f.targets[0]
 			stopped := make(chan struct{})
 			reportsLag := time.Duration(rng.Int64N(int64(20 * time.Second)))
-			saysLeaving := time.Time{}
-			go f.reportAll(id, stopped, func(at time.Time) bool { return !saysLeaving.IsZero() && at.After(saysLeaving) }, reportsLag)
+			var leavingFrom atomic.Int64 // Unix seconds; 0: not yet
+			go f.reportAll(id, stopped, func(at time.Time) bool {
+				from := leavingFrom.Load()
+				return from != 0 && at.Unix() > from
+			}, reportsLag)
 			time.Sleep(10 * time.Second)
-			saysLeaving = time.Now()
+			saysLeaving := time.Now()
+			leavingFrom.Store(saysLeaving.Unix())
 			f.nodes[rng.IntN(8)].Refused(id)
 			f.store.SetInstance(engine(id, platformapi.StateLeaving))
 			f.heartbeat("")
@@ -195,7 +200,7 @@
 			}
 			f.store.SetFaults(memstore.Faults{})
 			f.store.SetInstance(engine(id, platformapi.StateLive))
-			saysLeaving = time.Now().Add(time.Hour)
+			leavingFrom.Store(time.Now().Add(time.Hour).Unix())
 			if took := f.seconds("", func(n *Controller) bool { return !leaving(n.opts.Board, id) }); took < 0 {
 				t.Errorf("seed %d: the target is live again and still marked after 300 s", seed)
 			}
