Target client: silence test on a mock clock

With a timeout of 1 ms it sometimes ended before a connection was had; then nothing was sent, the failure rightly says not run, and no cancel call is due. Change: the test's clock only advances once the target has the call. As strict as before: silent, not "not run", and three cancel calls.

--- a/internal/target/repeat_test.go
+++ b/internal/target/repeat_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/coder/quartz"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/core/logx"
 	"github.com/zeromicro/go-zero/rest/httpc"
@@ -194,19 +195,27 @@
 // or what stands between goes silent, before the first byte or between frames.
 // The attempt must end as silent and the target be told to stop.
 func TestSilenceEndsTheAttempt(t *testing.T) {
-	release := make(chan struct{})
+	release, reached := make(chan struct{}), make(chan struct{}, 3)
 	s := newServer(t, func(w http.ResponseWriter, req targetapi.RunRequest) {
 		if req.Stage == "progress" {
 			writeEvent(w, targetapi.EventFrame, frameOf(req, 0, "ab"))
 		}
+		reached <- struct{}{}
 		<-release
 	})
 	t.Cleanup(func() { close(release) })
-	c := newClient(t, Options{})
-	for stage, opts := range map[string]stagecall.Options{"first": {FirstByte: time.Millisecond}, "progress": {Progress: time.Millisecond}} {
+	clk := quartz.NewMock(t)
+	c := newClient(t, Options{Clock: clk})
+	for stage, opts := range map[string]stagecall.Options{"first": {FirstByte: time.Second}, "progress": {Progress: time.Second}} {
 		req := streamRequest()
 		req.Stage, req.AttemptID = stage, stage
-		_, err := c.Run(testContext(t), s.target, req, opts, collect(new(string)))
+		ended := make(chan error, 1)
+		go func() {
+			_, err := c.Run(testContext(t), s.target, req, opts, collect(new(string)))
+			ended <- err
+		}()
+		<-reached
+		err := advanceUntil(t, clk, ended)
 		if f := stagecall.FailureOf(err); f.Class != stagecall.ClassSilent || f.NotRun {
 			t.Errorf("%s: %v", stage, err)
 		}
@@ -227,6 +236,22 @@
 	}
 }
 
+// advanceUntil lets the clock run until the call has ended. The call arms its
+// timeout after a frame at a moment that the test cannot see.
+func advanceUntil(t *testing.T, clk *quartz.Mock, ended <-chan error) error {
+	t.Helper()
+	for ctx := testContext(t); ctx.Err() == nil; time.Sleep(time.Millisecond) {
+		select {
+		case err := <-ended:
+			return err
+		default:
+			clk.Advance(time.Second).MustWait(ctx)
+		}
+	}
+	t.Fatal("the call did not end")
+	return nil
+}
+
 // Symptom: calls that may have been made are refused outside the error table.
 // Events: a target fails some calls; its neighbours under one service name are
 // refused by a breaker. Cause: httpc's breaker. This test is why this package
