Pipeline: a resumed stream keeps its provider; gaps are measured

Cause: in a migration a stage has providers with different models; a stream that broke could be gone on with by another model, and the caller would get a text of two halves. The gate's progress timeout had no measure of gaps, and its first-byte timeout none for stages that do not stream. Change: a resume names the provider whose text was delivered; results carry the longest gap between frames, without the time the caller takes, and for whole replies their duration as the first byte.

--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -46,6 +46,8 @@
 
 	// Written by the attempt's goroutine.
 	firstByte time.Duration
+	lastFrame time.Time
+	gap       time.Duration // longest wait between two frames
 }
 
 // signalKind says what an attempt reports.
@@ -136,9 +138,7 @@
 	if frame.Offset != a.offset {
 		return protocolError("frame at %d, expected %d", frame.Offset, a.offset)
 	}
-	if a.firstByte == 0 {
-		a.firstByte = a.s.x.now().Sub(begun)
-	}
+	a.noteArrival(begun)
 	a.offset += len(frame.Text)
 	if !a.send(signal{kind: signalFrame, frame: frame}) {
 		return cancelledError(errLeft)
@@ -146,9 +146,19 @@
 	if err := a.ctx.Err(); err != nil {
 		return cancelledError(err)
 	}
+	a.lastFrame = a.s.x.now()
 	return nil
 }
 
+// noteArrival measures the target, without the time that the caller takes.
+func (a *attempt) noteArrival(begun time.Time) {
+	if a.firstByte == 0 {
+		a.firstByte = a.s.x.now().Sub(begun)
+		return
+	}
+	a.gap = max(a.gap, a.s.x.now().Sub(a.lastFrame))
+}
+
 func cancelledError(err error) error {
 	return &stagecall.Failure{Class: stagecall.ClassCancelled, Err: err}
 }
@@ -170,8 +180,11 @@
 }
 
 func (a *attempt) slotResult(duration time.Duration, err error, died bool) admission.Result {
-	result := admission.Result{Duration: duration, FirstByte: a.firstByte, OK: err == nil}
+	result := admission.Result{Duration: duration, FirstByte: a.firstByte, Gap: a.gap, OK: err == nil}
 	if err == nil {
+		if !a.s.streams {
+			result.FirstByte = duration // a whole reply comes at once
+		}
 		return result
 	}
 	f := stagecall.FailureOf(err)
--- a/internal/pipeline/faults_test.go
+++ b/internal/pipeline/faults_test.go
@@ -54,9 +54,13 @@
 				if last := runs[len(runs)-1].Request; (last.ResumeOffset > 0) != row.resume {
 					t.Errorf("last attempt begins at %d", last.ResumeOffset)
 				}
-				if !w.gate.wants[len(w.gate.wants)-1].Repeat {
+				want := w.gate.wants[len(w.gate.wants)-1]
+				if !want.Repeat {
 					t.Error("the repeat was not counted against the budget")
 				}
+				if (want.Provider != "") != row.resume {
+					t.Errorf("provider %q: a text that was begun must be gone on with by the same model", want.Provider)
+				}
 				w.noViolations(t)
 			})
 		})
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -153,10 +153,17 @@
 		parent = s.x.work
 	}
 	ctx, cancel := context.WithCancel(parent)
+	want := admission.Want{
+		Query:    s.query(),
+		Priority: s.x.prof.Profile.Priority,
+		Provider: s.boundProvider(),
+		Repeat:   repeat,
+		NoWait:   hedge,
+	}
 	a := &attempt{
 		s:      s,
 		id:     fmt.Sprintf("%s.%d.%d", s.x.req.ID, s.index, len(s.attempts)),
-		want:   admission.Want{Query: s.query(), Priority: s.x.prof.Profile.Priority, Repeat: repeat, NoWait: hedge},
+		want:   want,
 		resume: string(s.text),
 		offset: len(s.text),
 		ctx:    ctx,
@@ -168,6 +175,17 @@
 	go a.run()
 }
 
+// boundProvider is the provider whose text the caller already has, "" while
+// there is none: another model would go on with another answer.
+func (s *stageRun) boundProvider() string {
+	for _, a := range s.attempts {
+		if a.delivered {
+			return a.choice.Provider.Name
+		}
+	}
+	return ""
+}
+
 func (s *stageRun) query() routing.Query {
 	return routing.Query{
 		Stage:        s.stage,
