Orders: engines that take no orders are left out for a while

An engine that answered every order with an error got the same order every second, and no other engine was chosen. After a failed order it now gets none for 2 s, doubling up to a minute, and the planner picks another one.

--- a/internal/control/orders/adapters.go
+++ b/internal/control/orders/adapters.go
@@ -10,7 +10,7 @@
 // adapters brings the adapters of ready model versions to what is wanted.
 func (p *planner) adapters() {
 	for i, e := range p.engines {
-		if !e.Usable {
+		if !e.ordered() {
 			continue
 		}
 		for _, m := range e.Models {
--- a/internal/control/orders/controller.go
+++ b/internal/control/orders/controller.go
@@ -52,6 +52,10 @@
 	at     time.Time // 0 if it could not be read
 	tried  time.Time
 	dirty  bool // an order was given since
+	// failures counts the orders in a row that were not taken; no other is
+	// given before retryAt.
+	failures int
+	retryAt  time.Time
 }
 
 // New returns a controller.
@@ -146,6 +150,7 @@
 			e.Models, e.Role, e.Running, e.Queued, e.Slots = r.Models, r.Role, r.Running, r.Queued, r.Slots
 			fresh := now.Sub(state.at) <= 2*c.opts.ReadEvery
 			drained := c.opts.Board.Drained(board.DrainTarget + t.ID)
+			e.Refuses = now.Before(state.retryAt)
 			e.Usable = fresh && !t.Leaving && !r.Leaving && !drained
 		}
 		engines = append(engines, e)
--- a/internal/control/orders/controller_test.go
+++ b/internal/control/orders/controller_test.go
@@ -275,3 +275,24 @@
 		t.Errorf("310 s of low load: count %d, want 6", count)
 	}
 }
+
+// Symptom: a model stays unloaded, and the log fills with failed orders.
+// Events: the engine that suits best answers every order with an error.
+// Cause: the same order was given to it every second for good.
+func TestEngineThatTakesNoOrdersIsLeftOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newEngines(3, true)
+		f.engines[engineID(0)].refuses = true
+		b := boardWith(f)
+		b.Profiles.Put("report", profileOf("report", provider("v1", "")))
+		stop := run(f, b, nil)
+		time.Sleep(10 * time.Minute)
+		stop()
+		if n := f.ready(ModelVersion{"lynx", "v1"}); n != 2 {
+			t.Errorf("%d engines have the model ready, want 2", n)
+		}
+		if n := f.engines[engineID(0)].asked; n == 0 || n > 20 {
+			t.Errorf("the engine that takes no orders got %d", n)
+		}
+	})
+}
--- a/internal/control/orders/facts.go
+++ b/internal/control/orders/facts.go
@@ -17,7 +17,10 @@
 	Place string
 	// Usable engines answer, are not leaving and not drained. Others get no
 	// orders and do not count as ready.
-	Usable  bool
+	Usable bool
+	// Refuses engines did not take their last orders: for a while they get no
+	// others, so that the planner picks another engine.
+	Refuses bool
 	Models  []targetapi.LoadedModel
 	Role    string
 	Running int
@@ -63,6 +66,9 @@
 	Unmet []ModelVersion
 }
 
+// ordered reports whether the engine gets orders.
+func (e Engine) ordered() bool { return e.Usable && !e.Refuses }
+
 // readyOn reports whether the engine can serve the model version.
 func (e Engine) readyOn(v ModelVersion) bool {
 	m, found := e.model(v)
--- a/internal/control/orders/fake_test.go
+++ b/internal/control/orders/fake_test.go
@@ -18,6 +18,8 @@
 	role        string
 	highFence   uint64
 	running     int
+	refuses     bool
+	asked       int // orders that reached it
 	down        bool
 }
 
@@ -106,6 +108,10 @@
 	if e.down {
 		return &stagecall.Failure{Class: stagecall.ClassConnect}
 	}
+	e.asked++
+	if e.refuses {
+		return &stagecall.Failure{Class: stagecall.ClassFailed, Code: targetapi.CodeFailed}
+	}
 	if e.checksFence && o.Fence < e.highFence {
 		return &stagecall.Failure{Class: stagecall.ClassRefused, Code: targetapi.CodeOldFence, NotRun: true}
 	}
--- a/internal/control/orders/give.go
+++ b/internal/control/orders/give.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/control/loop"
@@ -22,7 +23,7 @@
 // give gives one order if the lease still covers it.
 func (c *Controller) give(ctx context.Context, s *service, facts Facts, step Step) {
 	t, there := c.opts.Board.Targets.Get(step.Engine)
-	if !there || t.Leaving || ctx.Err() != nil {
+	if !there || t.Leaving || ctx.Err() != nil || c.opts.Clock.Now().Before(s.engines[step.Engine].retryAt) {
 		return
 	}
 	if step.Order.Kind == targetapi.OrderUnload && !c.confirmed(ctx, s, facts, step) {
@@ -73,15 +74,33 @@
 // by the first order that it gets.
 func needsQuiet(kind string) bool { return kind == targetapi.OrderUnload }
 
+// Waits after orders that were not taken.
+const (
+	firstBackoff = 2 * time.Second
+	lastBackoff  = time.Minute
+)
+
+// backoff is the wait after the order that follows so many failed ones. Without
+// it an engine that takes no orders would get one a second for good.
+func backoff(failures int) time.Duration {
+	return min(lastBackoff, firstBackoff<<min(failures, maxDoublings))
+}
+
+const maxDoublings = 5
+
 func (c *Controller) record(s *service, step Step, err error) {
 	result, id := resultTaken, event.OrderGiven
+	state := s.engines[step.Engine]
 	var failure *stagecall.Failure
 	switch {
 	case err == nil:
+		state.failures = 0
 	case errors.As(err, &failure) && failure.Code == targetapi.CodeOldFence:
 		result, id = resultOldFence, event.OrderOldFence
 	default:
 		result, id = resultFailed, event.OrderFailed
+		state.retryAt = c.opts.Clock.Now().Add(c.rand.Spread(backoff(state.failures), jitter))
+		state.failures++
 	}
 	c.opts.Metrics.Labelled(metricOrders).Add(step.Order.Kind+"_"+result, 1)
 	c.log(id, s, step, err)
--- a/internal/control/orders/plan.go
+++ b/internal/control/orders/plan.go
@@ -151,12 +151,12 @@
 	})
 }
 
-// best returns the usable engine that fits and is better than the others, the
-// first by id among equals.
+// best returns the usable engine that takes orders, fits and is better than the
+// others, the first by id among equals.
 func (p *planner) best(fits func(int, Engine) bool, better func(a, b Engine) bool) (int, bool) {
 	best, found := 0, false
 	for i, e := range p.engines {
-		if !e.Usable || !fits(i, e) {
+		if !e.ordered() || !fits(i, e) {
 			continue
 		}
 		if !found || better(e, p.engines[best]) {
--- a/internal/control/orders/unload.go
+++ b/internal/control/orders/unload.go
@@ -30,7 +30,7 @@
 func (p *planner) evictable(w Want) (int, ModelVersion, bool) {
 	urgent := p.holders(w.ModelVersion) < w.Min
 	for i, e := range p.engines {
-		if _, has := e.model(w.ModelVersion); has || !e.Usable {
+		if _, has := e.model(w.ModelVersion); has || !e.ordered() {
 			continue
 		}
 		for _, m := range e.Models {
@@ -79,7 +79,7 @@
 // unloadUnwanted frees the room of versions that are out of force.
 func (p *planner) unloadUnwanted() {
 	for i, e := range p.engines {
-		if !e.Usable {
+		if !e.ordered() {
 			continue
 		}
 		for _, m := range slices.Clone(e.Models) {
