--- a/internal/control/lease/manager_test.go
+++ b/internal/control/lease/manager_test.go
@@ -13,6 +13,7 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/store/memstore"
 )
 
@@ -141,3 +142,15 @@
 		}
 	})
 }
+
+func TestServicesWithModelsHaveLeases(t *testing.T) {
+	b := board.New()
+	b.Targets.Put("a", board.Target{ID: "a", Service: "lynx-pool", Kind: profile.KindGenerate})
+	b.Targets.Put("b", board.Target{ID: "b", Service: "encoders", Kind: profile.KindEncode})
+	b.Targets.Put("c", board.Target{ID: "c", Service: "booking", Kind: profile.KindService})
+	stage := profile.Stage{Providers: []profile.Provider{{Service: "encoders", Model: "curve"}, {Service: "booking"}, {Service: "gone", Model: "x"}}}
+	b.Profiles.Put("p", profile.Versioned{Profile: profile.Profile{Stages: []profile.Stage{stage}}})
+	if got := fmt.Sprint(engineServices(b)); got != "[encoders lynx-pool]" {
+		t.Errorf("services %s", got)
+	}
+}
--- a/internal/control/lease/options.go
+++ b/internal/control/lease/options.go
@@ -11,7 +11,9 @@
 package lease
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/board"
@@ -51,8 +53,8 @@
 	Metrics *metrics.Registry
 	// Self is the id of this instance.
 	Self string
-	// Services names the services whose engines take orders; nil means the
-	// services of the generating targets on the board.
+	// Services names the services whose engines take orders; nil means those
+	// with generating targets or with a model named by a profile in force.
 	Services func() []string
 	// Duration is how long a lease lasts unless it is renewed.
 	Duration time.Duration
@@ -84,15 +86,30 @@
 	return o
 }
 
-// engineServices returns the services with generating targets.
+// engineServices returns the services whose targets hold models: those with
+// generating targets, and those for which a profile in force names a model.
 func engineServices(b *board.Board) []string {
-	seen := make(map[string]bool)
-	var services []string
+	named := make(map[string]bool)
+	for _, p := range b.Profiles.Snapshot() {
+		if !p.Deleted {
+			nameServices(named, p.Profile)
+		}
+	}
+	services := make(map[string]bool)
 	for _, t := range b.Targets.Snapshot() {
-		if t.Kind == profile.KindGenerate && !seen[t.Service] {
-			seen[t.Service] = true
-			services = append(services, t.Service)
+		if t.Kind == profile.KindGenerate || named[t.Service] {
+			services[t.Service] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(services))
+}
+
+func nameServices(named map[string]bool, p profile.Profile) {
+	for _, stage := range p.Stages {
+		for _, provider := range stage.Providers {
+			if provider.Model != "" {
+				named[provider.Service] = true
+			}
 		}
 	}
-	return services
 }
