--- a/internal/report/barplot.go
+++ b/internal/report/barplot.go
@@ -21,7 +21,7 @@
 	barWidthOne   = vg.Length(11)
 	barWidthTwo   = vg.Length(7)
 	headroom      = 1.12 // of the longest bar, for the value behind it
-	maxBarLabel   = 58   // characters
+	maxBarLabel   = 66   // characters
 	twoBarRow     = vg.Length(26)
 	valueLabelGap = vg.Length(4)
 )
--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -239,6 +239,20 @@
 	}
 }
 
+func TestWhatNeedsALookComesFirst(t *testing.T) {
+	r := sampleReport(t, 60)
+	for name, shown := range map[string]string{"text": textOf(t, r), "page": pageOf(t, r)} {
+		last := -1
+		for _, profile := range []string{"booking", "trafficking-note", "creative-check"} {
+			at := strings.Index(shown, profile)
+			if at <= last {
+				t.Errorf("%s: %s stands at %d, before the one that is worse", name, profile, at)
+			}
+			last = at
+		}
+	}
+}
+
 func TestFormats(t *testing.T) {
 	cases := [][2]string{
 		{window(300), "5m"}, {window(3600), "1h"}, {window(5400), "1h30m"}, {window(10), "10s"}, {window(0), "0s"},
