--- a/cmd/lynxctl/environment.go
+++ b/cmd/lynxctl/environment.go
@@ -140,6 +140,7 @@
 	Kind       string           `json:"kind,omitempty"`
 	RunState   errkind.RunState `json:"run_state,omitempty"`
 	Resend     errkind.Resend   `json:"resend,omitempty"`
+	Key        string           `json:"key,omitempty"` // of the request that failed
 	ExitStatus int              `json:"exit_status"`
 }
 
@@ -149,6 +150,10 @@
 	var usage *usageError
 	var pending *pendingError
 	var transport *client.TransportError
+	var request *sendError
+	if errors.As(err, &request) {
+		told.Key = request.key
+	}
 	local := errors.As(err, &usage) || errors.As(err, &pending) || errors.Is(err, client.ErrNoServers)
 	if !local {
 		told.RunState = client.RunStateOf(err)
@@ -162,6 +167,9 @@
 		return
 	}
 	fmt.Fprintf(e.stderr, "lynxctl: %s\n", told.Error)
+	if told.Key != "" {
+		fmt.Fprintf(e.stderr, "  key %s\n", told.Key)
+	}
 	if told.Kind != "" {
 		fmt.Fprintf(e.stderr, "  kind %s, run state %s, resend %s\n", told.Kind, told.RunState, told.Resend)
 	}
--- a/cmd/lynxctl/exit.go
+++ b/cmd/lynxctl/exit.go
@@ -36,6 +36,18 @@
 // Error implements error.
 func (e *pendingError) Error() string { return e.message }
 
+// sendError is the error of a request with the key to ask for its outcome by.
+type sendError struct {
+	key string
+	err error
+}
+
+// Error implements error.
+func (e *sendError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *sendError) Unwrap() error { return e.err }
+
 // readError marks the error of a call that changes nothing: when no answer
 // came, nothing is unknown but the answer.
 type readError struct{ err error }
--- a/cmd/lynxctl/request.go
+++ b/cmd/lynxctl/request.go
@@ -88,8 +88,7 @@
 	}
 	result, err := caller.Send(ctx, c.Profile, req, c.deliver(env))
 	if err != nil {
-		fmt.Fprintf(env.stderr, "key %s\n", req.Key)
-		return err
+		return &sendError{key: req.Key, err: err}
 	}
 	return c.show(env, result)
 }
--- a/cmd/lynxctl/request_test.go
+++ b/cmd/lynxctl/request_test.go
@@ -127,6 +127,16 @@
 	}
 }
 
+func TestFailedRequestTellsItsKeyInJSON(t *testing.T) {
+	f := newFakeCaller(t)
+	f.refuse = errkind.TargetFailed
+	got := asCaller(t, f, "", "--output", "json", "send", "booking", "--organisation", "a", "--input", "1", "--key", "k-9", "--no-resend")
+	var told failure
+	if err := json.Unmarshal([]byte(got.err), &told); err != nil || told.Key != "k-9" || told.RunState != errkind.MayHaveRun {
+		t.Fatalf("%v in %s", err, got.err)
+	}
+}
+
 func TestAddressAndOutcome(t *testing.T) {
 	f := newFakeCaller(t)
 	asCaller(t, f, "", "address", "--place", "lac-a").want(t, exitOK, "lh-1", "keep for 30s")
