Refuse at once what needs a claim while the store is down; advise tickets

Cause: under a store outage a request with a stage that is not idempotent ran its first stages, waited at the claim until its deadline, and was told stopped_midway: paid for, late, and no better for the caller. Ruled out: tickets for all. Change: store_unavailable (not run, retry after 500 ms) before anything is started; address answers say ticket_advised while the store is down; the client then asks for a new answer and makes a new key under its ticket, only if the key was its own and no attempt may have run. An instance without configuration says isolated, not unknown_profile.

--- a/cmd/lynxbench/main.go
+++ b/cmd/lynxbench/main.go
@@ -9,6 +9,8 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"lynxhill.example/lynxhill/internal/httpserver"
 )
 
 // cli is the command line.
@@ -20,6 +22,7 @@
 }
 
 func main() {
+	httpserver.DisarmGoZero()
 	var args cli
 	parser := kong.Must(&args,
 		kong.Name("lynxbench"),
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -32,7 +32,7 @@
 	Fleet     fleet.Options
 	Instances int
 	Policy    routing.Policy
-	Tickets   bool // callers mint their keys under the tickets of address answers
+	Tickets   client.TicketUse // of callers
 	// Adjust changes the settings of every instance, for comparisons.
 	Adjust func(*config.Config)
 	Log    io.Writer // nil discards the instances' logs
--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -12,6 +12,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/routing"
@@ -48,7 +49,7 @@
 type Variant struct {
 	Name        string         `toml:"name" json:"name"`
 	Policy      routing.Policy `toml:"policy" json:"policy,omitempty"`
-	Tickets     bool           `toml:"tickets" json:"tickets,omitempty"` // callers use keys under tickets
+	Tickets     string         `toml:"tickets" json:"tickets,omitempty"` // advised (default), never or always
 	MaxAttempts int            `toml:"max_attempts" json:"max_attempts,omitempty"`
 	RetryBudget float64        `toml:"retry_budget" json:"retry_budget,omitempty"`
 	MaxEjected  float64        `toml:"max_ejected" json:"max_ejected,omitempty"`
@@ -56,6 +57,12 @@
 	Baseline bool `toml:"baseline" json:"baseline,omitempty"`
 }
 
+// ticketUses are the values of Variant.Tickets.
+var ticketUses = map[string]client.TicketUse{
+	"": client.TicketsWhenAdvised, "advised": client.TicketsWhenAdvised,
+	"never": client.TicketsNever, "always": client.TicketsAlways,
+}
+
 // Duration is written with its unit.
 type Duration = config.Duration
 
@@ -133,6 +140,9 @@
 		}
 	}
 	for i, v := range e.Variants {
+		if _, ok := ticketUses[v.Tickets]; !ok {
+			return fmt.Errorf("variants[%d].tickets: %q is none of advised, never, always", i, v.Tickets)
+		}
 		if _, err := routing.ParsePolicy(string(v.Policy)); v.Policy != "" && err != nil {
 			return fmt.Errorf("variants[%d].policy: %w", i, err)
 		}
@@ -213,7 +223,7 @@
 			Name: r.deployment, Scale: r.Scale, TimeScale: r.TimeScale,
 			LoadLag: r.LoadLag.Duration, IgnoreFence: r.IgnoreFence,
 		},
-		Instances: r.Instances, Policy: r.variant.Policy, Tickets: r.variant.Tickets, Adjust: r.adjust, Log: r.log, Seed: r.seed(),
+		Instances: r.Instances, Policy: r.variant.Policy, Tickets: ticketUses[r.variant.Tickets], Adjust: r.adjust, Log: r.log, Seed: r.seed(),
 	})
 	if err != nil {
 		return Summary{}, err
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -38,7 +38,7 @@
 	Profile      string
 	Organisation string
 	Place        string
-	Key          string
+	Keys         []string      // idempotency keys, see client.Result
 	At           time.Duration // intended moment since the start of the load
 	Latency      time.Duration // from the intended moment to the end
 	Deadline     time.Duration
@@ -172,7 +172,7 @@
 	intended := start.Add(it.at)
 	caller := l.callers[callerKey{it.organisation, it.place}]
 	record := Record{
-		Profile: it.profile.Name, Organisation: it.organisation, Place: it.place, Key: caller.MintKey(ctx),
+		Profile: it.profile.Name, Organisation: it.organisation, Place: it.place,
 		At: it.at, Deadline: it.profile.Deadline, Poison: it.marker,
 	}
 	var last time.Time
@@ -187,12 +187,13 @@
 		return nil
 	}
 	result, err := caller.Send(ctx, it.profile.Name, lynxapi.SendRequest{
-		Organisation: it.organisation, Key: record.Key, Input: it.input, Prefix: it.prefix, Stream: true,
+		Organisation: it.organisation, Input: it.input, Prefix: it.prefix, Stream: true,
 		DeadlineMS: max(1, time.Until(intended.Add(it.profile.Deadline)).Milliseconds()),
 	}, deliver)
 	record.Latency = time.Since(intended)
 	record.Attempts = result.Attempts
 	record.Reply = result.Reply
+	record.Keys = result.Keys
 	record.Err = err
 	if err == nil {
 		record.Broken = CheckWhole(result, it.profile.Stages[len(it.profile.Stages)-1], it.organisation, it.input)
--- a/internal/bench/summary.go
+++ b/internal/bench/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sort"
 	"time"
 
@@ -256,7 +257,16 @@
 	case r.Err == nil:
 	case kindOf(r.Err) == noAnswer:
 		b.Lost++
-	case client.RunStateOf(r.Err) == errkind.NotRun && ran[runKey{r.Organisation, r.Key}]:
+	case client.RunStateOf(r.Err) == errkind.NotRun && r.ranUnder(ran, r.Keys):
 		b.FalseNotRun++
 	}
+	// A key that was given up for another must not have run either.
+	if n := len(r.Keys); n > 1 && r.ranUnder(ran, r.Keys[:n-1]) {
+		b.FalseNotRun++
+	}
+}
+
+// ranUnder reports whether a target ran anything under one of the keys.
+func (r *Record) ranUnder(ran map[runKey]bool, keys []string) bool {
+	return slices.ContainsFunc(keys, func(key string) bool { return ran[runKey{r.Organisation, key}] })
 }
--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -38,11 +38,25 @@
 	MinBackoff  time.Duration
 	MaxBackoff  time.Duration
 	DialTimeout time.Duration
-	// Tickets makes keys under the ticket of the address answer, where it has
-	// one: they need no record in the platform, and are lost with the instance.
-	Tickets bool
+	// Tickets says when keys are made under the ticket of the address answer.
+	Tickets TicketUse
 }
 
+// TicketUse says when a caller makes keys under tickets. Such a key needs no
+// record in the platform, so that it works through the store's outages; but
+// only the instance of the ticket can run it, and when that dies, nobody can
+// tell any more whether it has.
+type TicketUse int
+
+// Uses of tickets.
+const (
+	// TicketsWhenAdvised uses them while the instances say that the store is
+	// down, when the alternative is not to run at all.
+	TicketsWhenAdvised TicketUse = iota
+	TicketsNever
+	TicketsAlways
+)
+
 func (o CallerOptions) withDefaults() CallerOptions {
 	if o.MaxAttempts <= 0 {
 		o.MaxAttempts = DefaultMaxAttempts
@@ -126,27 +140,35 @@
 	return reply, err
 }
 
-// mint makes the key of a request that has none.
-func (c *Caller) mint(ctx context.Context, req *lynxapi.SendRequest) {
-	if req.Key == "" {
-		req.Key = c.MintKey(ctx)
-	}
-}
-
 // MintKey makes a new idempotency key, under the ticket of the kept address
-// answer if the caller uses tickets.
+// answer if tickets are to be used now.
 func (c *Caller) MintKey(ctx context.Context) string {
 	key := NewKey()
-	if !c.opts.Tickets {
+	if c.opts.Tickets == TicketsNever {
 		return key
 	}
 	answer, err := c.Address(ctx)
 	if err != nil || answer.Ticket == "" {
-		return key // a key without a ticket is as good, it only costs more
+		return key
+	}
+	if c.opts.Tickets == TicketsWhenAdvised && !answer.TicketAdvised {
+		return key
 	}
 	return claim.MintKey(answer.Ticket, key)
 }
 
+// rekey replaces a key of our own making after an instance has refused the
+// request for want of the store. That is safe only while no attempt may have
+// run: the new key would be a second request.
+func (s *sending) rekey(ctx context.Context, err error, worst errkind.RunState) {
+	if !s.ownKey || worst != errkind.NotRun || !errkind.Is(err, errkind.StoreUnavailable) {
+		return
+	}
+	s.caller.book.expire()
+	s.req.Key = s.caller.MintKey(ctx)
+	s.keys = append(s.keys, s.req.Key)
+}
+
 // worthAskingElsewhere reports whether another instance might answer better.
 func worthAskingElsewhere(err error) bool {
 	var transport *TransportError
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -14,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/claim"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
@@ -251,6 +252,21 @@
 	}
 }
 
+func TestKeysAreMintedUnderTheTicketAndKeptForAllAttempts(t *testing.T) {
+	i := newInstance(t, refuse(errkind.Overloaded), whole)
+	c := newTestCaller(i.addr())
+	c.opts.Tickets = TicketsAlways
+	address := lynxapi.Address{Address: i.addr(), Weight: 1}
+	c.book.keep(lynxapi.AddressAnswer{KeepMS: 60000, Addresses: []lynxapi.Address{address}, Ticket: "lxt1.a.b"}, time.Now())
+	_, result, err := sendStream(t, c, 3)
+	if err != nil || i.attempts() != 2 {
+		t.Fatalf("%v after %d attempts", err, i.attempts())
+	}
+	if ticket, ok := claim.TicketOf(result.Reply.Key); !ok || ticket != "lxt1.a.b" {
+		t.Fatalf("key %q", result.Reply.Key)
+	}
+}
+
 func TestAddressAnswerIsKept(t *testing.T) {
 	i := newInstance(t, whole, whole, whole)
 	c := newTestCaller(i.addr())
--- a/internal/client/send.go
+++ b/internal/client/send.go
@@ -21,7 +21,8 @@
 	// Text is the streamed answer, or the output if it is a JSON string.
 	Text     string
 	Attempts int
-	Server   string // instance's address that gave the answer
+	Server   string   // instance's address that gave the answer
+	Keys     []string // idempotency keys used, in order; more than one only if the earlier ones were certainly not run
 }
 
 // Send sends a request to a profile and returns its whole answer. If
@@ -34,7 +35,10 @@
 // at another instance, or after asking for the outcome. The error of the last
 // attempt is returned; RunStateOf tells whether the request may have run.
 func (c *Caller) Send(ctx context.Context, profileName string, req lynxapi.SendRequest, deliver FrameFunc) (Result, error) {
-	c.mint(ctx, &req)
+	ownKey := req.Key == ""
+	if ownKey {
+		req.Key = c.MintKey(ctx)
+	}
 	now := time.Now()
 	deadline := deadlineOf(req, now)
 	last := deadline
@@ -43,7 +47,10 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, last.Add(answerGrace))
 	defer cancel()
-	s := &sending{caller: c, profile: profileName, req: req, deadline: deadline, splice: splice{deliver: deliver}}
+	s := &sending{
+		caller: c, profile: profileName, req: req, ownKey: ownKey, keys: []string{req.Key},
+		deadline: deadline, splice: splice{deliver: deliver},
+	}
 	return s.run(ctx)
 }
 
@@ -67,6 +74,8 @@
 	caller   *Caller
 	profile  string
 	req      lynxapi.SendRequest
+	ownKey   bool      // the key was made here, not by the application
+	keys     []string  // used so far
 	deadline time.Time // zero = the profile's, which this side does not know
 	splice   splice
 	tried    []string
@@ -86,7 +95,7 @@
 		err, told = s.lastWord(ctx, err, told)
 		next := stepAfter(err)
 		if next == stepStop || s.attempts >= s.caller.opts.MaxAttempts || s.expired(time.Now()) || ctx.Err() != nil {
-			return Result{Attempts: s.attempts, Server: s.server}, s.final(err, worst)
+			return s.ended(), s.final(err, worst)
 		}
 		if next == stepAsk {
 			reply, settled, askErr := s.ask(ctx, err)
@@ -94,9 +103,10 @@
 				return s.settle(reply, askErr)
 			}
 		}
+		s.rekey(ctx, err, worst)
 		s.pause(ctx, next, err)
 		if ctx.Err() != nil {
-			return Result{Attempts: s.attempts, Server: s.server}, s.final(err, worst)
+			return s.ended(), s.final(err, worst)
 		}
 	}
 }
@@ -117,7 +127,14 @@
 
 func (s *sending) result(reply lynxapi.SendReply) Result {
 	text := s.splice.delivered.String()
-	return Result{Reply: reply, Text: text, Attempts: s.attempts, Server: s.server}
+	result := s.ended()
+	result.Reply, result.Text = reply, text
+	return result
+}
+
+// ended is the result of a request that got no answer.
+func (s *sending) ended() Result {
+	return Result{Attempts: s.attempts, Server: s.server, Keys: s.keys}
 }
 
 // attempt sends the request once.
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -29,6 +29,7 @@
 	answer.Ticket = ticket
 	answer.TicketHome = d.id()
 	answer.TicketExpiresMS = expires.UnixMilli()
+	answer.TicketAdvised = !d.platform.Up()
 	return answer, nil
 }
 
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -47,7 +47,8 @@
 	})
 	d.serving = serving.New(serving.Options{
 		Self: d.id(), Profiles: d.profile, Door: d.door, Runner: d.runner, Outcomes: d.outcomes,
-		Tickets: d.tickets, Forward: d.peers, NotSent: peer.ErrNotSent, Refused: d.reportRefused,
+		Tickets: d.tickets, Forward: d.peers, NotSent: peer.ErrNotSent,
+		MayAdmit: d.Ready, ClaimsUp: d.platform.Up, Refused: d.reportRefused,
 	})
 }
 
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -51,6 +51,10 @@
 	// NotSent is in the chain of a Forwarder's error if the other instance was
 	// not reached at all.
 	NotSent error
+	// MayAdmit returns nil if this instance takes new work, else the reason.
+	MayAdmit func() error
+	// ClaimsUp reports whether the store that holds claims answers.
+	ClaimsUp func() bool
 	// Refused is told of requests that were refused before the Runner.
 	Refused func(req pipeline.Request, err error)
 }
@@ -111,6 +115,11 @@
 func (s *Server) profileOf(req pipeline.Request) (profile.Versioned, error) {
 	prof, ok := s.opts.Profiles(req.Profile)
 	if !ok || prof.Deleted {
+		// An instance that has not loaded its configuration knows no profile;
+		// that says nothing about the profile.
+		if err := s.opts.MayAdmit(); err != nil {
+			return profile.Versioned{}, err
+		}
 		return profile.Versioned{}, errkind.New(errkind.UnknownProfile, "no profile %q is in force", req.Profile)
 	}
 	return prof, nil
@@ -127,7 +136,32 @@
 	return home, ok && home != s.opts.Self
 }
 
+// retryAfterOutage is when a caller may come back that was refused for want of
+// the store.
+const retryAfterOutage = 500 * time.Millisecond
+
+// checkClaims refuses a request that will need a claim while claims cannot be
+// recorded. Without this the stages before the claim would be run and paid
+// for, and the caller would wait out its deadline for "may have run"; told at
+// once, it can come back, or use a key under a ticket, which needs no record.
+func (s *Server) checkClaims(req pipeline.Request, prof profile.Versioned) error {
+	if _, ticketed := claim.TicketOf(req.Key); ticketed || s.opts.ClaimsUp() {
+		return nil
+	}
+	for _, stage := range prof.Profile.Stages {
+		if !stage.Idempotent {
+			err := errkind.New(errkind.StoreUnavailable, "the store that keeps stage %s from running twice is down; nothing was started", stage.Name)
+			return errkind.WithRetryAfter(err, retryAfterOutage)
+		}
+	}
+	return nil
+}
+
 func (s *Server) serveHere(ctx context.Context, req pipeline.Request, prof profile.Versioned, sink pipeline.Sink) (pipeline.Outcome, error) {
+	if err := s.checkClaims(req, prof); err != nil {
+		s.opts.Refused(req, err)
+		return pipeline.Outcome{}, err
+	}
 	leave, err := s.opts.Door.Enter(ctx, admission.Entry{
 		Organisation: req.Organisation,
 		Profile:      req.Profile,
--- a/internal/wire/lynxapi/caller.go
+++ b/internal/wire/lynxapi/caller.go
@@ -32,6 +32,9 @@
 	Ticket          string `json:"ticket,omitempty"`
 	TicketHome      string `json:"ticket_home,omitempty"`
 	TicketExpiresMS int64  `json:"ticket_expires_ms,omitempty"` // Unix milliseconds
+	// TicketAdvised says that keys had best be minted under the ticket now,
+	// since the store in which others are recorded is down.
+	TicketAdvised bool `json:"ticket_advised,omitempty"`
 }
 
 // Address is one instance.
