Claims: burst of writes after a pause, bounded cache, shards checked

Cause: at today's rate a claim that came soon after a completion of the same shard waited for the flush interval; the cache took 2.9 times its limit (18.8 MB of heap for 6.5 MB of windows); another number of shards in the settings would have hidden every recorded claim. Change: four writes of a shard may follow one another after a pause; the cache counts three times the stored size, 48 MB in all; claims/format holds the number of shards, and an instance with another one refuses claims.

--- a/internal/claim/cache.go
+++ b/internal/claim/cache.go
@@ -5,6 +5,8 @@
 	"sync"
 )
 
+const heapFactor = 3
+
 type cacheKey struct {
 	shard  int
 	number uint64
@@ -13,6 +15,8 @@
 // windowCache keeps sealed windows of all shards within a size. Sealed windows
 // never change, so that one is never out of date; one that was dropped is
 // read again from the store before its keys are decided on.
+//
+// A window takes heapFactor times its stored size in memory, as measured.
 type windowCache struct {
 	limit int
 
@@ -52,12 +56,12 @@
 		return
 	}
 	c.entries[key] = c.order.PushFront(&cached{key, w})
-	c.size += w.size
+	c.size += heapFactor * w.size
 	for c.size > c.limit {
 		oldest := c.order.Back()
 		c.order.Remove(oldest)
 		old := oldest.Value.(*cached)
 		delete(c.entries, old.key)
-		c.size -= old.window.size
+		c.size -= heapFactor * old.window.size
 	}
 }
--- a/internal/claim/flush.go
+++ b/internal/claim/flush.go
@@ -111,7 +111,7 @@
 		next.Sealed = true
 		value = encode(next)
 	}
-	s.touch()
+	s.pace()
 	asked := millis(s.pages.opts.Clock.Now())
 	obj, err := s.pages.opts.Store.Put(ctx, windowKey(s.number, current.number), value, current.version)
 	switch {
@@ -149,10 +149,14 @@
 	return nil
 }
 
-func (s *shard) touch() {
+// pace notes a write; see paid.
+func (s *shard) pace() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.lastWrite = s.pages.opts.Clock.Now()
+	if now := s.pages.opts.Clock.Now(); s.paid.Before(now) {
+		s.paid = now
+	}
+	s.paid = s.paid.Add(s.pages.opts.FlushInterval)
 }
 
 // written takes over a write that was confirmed.
--- a/internal/claim/pages.go
+++ b/internal/claim/pages.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/quartz"
@@ -28,7 +29,7 @@
 	DefaultMaxSkew         = 5 * time.Minute
 	DefaultLazyInterval    = time.Second
 	DefaultMaxResult       = 2 << 10
-	DefaultCacheBytes      = 32 << 20
+	DefaultCacheBytes      = 48 << 20
 	DefaultMaxPending      = 20_000
 	// removalMargin is how long a window outlasts its retention, so that an
 	// instance whose clock is late still finds it.
@@ -47,7 +48,7 @@
 	// WindowBytes is the size at which a window is sealed.
 	WindowBytes int
 	// FlushInterval is the least time between two writes of a shard by this
-	// instance. The first claim after a pause is written at once.
+	// instance, on average: after a pause a few may follow one another at once.
 	FlushInterval time.Duration
 	// Retention of keys that carry their time (UUIDv7).
 	Retention time.Duration
@@ -63,7 +64,7 @@
 	MaxSkew         time.Duration // how far a caller's clock may be ahead
 	LazyInterval    time.Duration // how long a completion waits for a write to ride on
 	MaxResult       int           // bytes of output kept with a completion
-	CacheBytes      int           // stored size of the sealed windows kept in memory
+	CacheBytes      int           // memory of the sealed windows that are kept
 	MaxPending      int           // claims and records that wait for the store
 }
 
@@ -114,7 +115,9 @@
 	shards []*shard
 	cache  *windowCache
 	stop   chan struct{} // closed when Run ends
-	once   sync.Once
+	// formatOK is set when the store's pages are known to have our shards.
+	formatOK atomic.Bool
+	once     sync.Once
 
 	randMu sync.Mutex // guards opts.Rand
 
--- a/internal/claim/pages_test.go
+++ b/internal/claim/pages_test.go
@@ -310,3 +310,18 @@
 		mustState(t, a, testRequest("k", "x", time.Second), Held)
 	})
 }
+
+// Symptom: after a change of the settings, resends run a second time. Events:
+// an instance is started with another number of shards. Cause: it looks for
+// every key in another shard than the one it was recorded in.
+func TestOtherShardCountIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		mustState(t, testPages(st, "a", 1, nil), testRequest("k", "x", time.Second), Granted)
+		more := testPages(st, "b", 2, func(o *PagesOptions) { o.Shards = 64 })
+		for i := range 10 {
+			mustKind(t, more, testRequest(fmt.Sprint(i), "x", time.Second), errkind.StoreUnavailable)
+		}
+		time.Sleep(5 * time.Second) // the flush loops end
+	})
+}
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -14,11 +14,13 @@
 	number int
 	view   view
 
-	mu        sync.Mutex // guards the fields below
-	pending   []*op
-	flushing  bool
-	wake      chan struct{} // buffered: the loop looks at pending again
-	lastWrite time.Time
+	mu       sync.Mutex // guards the fields below
+	pending  []*op
+	flushing bool
+	wake     chan struct{} // buffered: the loop looks at pending again
+	// paid is when the writes so far are made up for, at one for each flush
+	// interval.
+	paid time.Time
 }
 
 func newShard(p *Pages, number int) *shard {
@@ -84,6 +86,10 @@
 	}
 }
 
+// writeBurst is how many writes of a shard may follow one another at once after
+// a pause. So a claim waits for company only where there is some.
+const writeBurst = 4
+
 // nextFlush returns how long to wait before the next write, and whether there
 // is one.
 func (s *shard) nextFlush() (wait time.Duration, more bool) {
@@ -101,7 +107,8 @@
 			due = o.due
 		}
 	}
-	if next := s.lastWrite.Add(s.pages.opts.FlushInterval); due.Before(next) {
+	ahead := (writeBurst - 1) * s.pages.opts.FlushInterval
+	if next := s.paid.Add(-ahead); due.Before(next) {
 		due = next
 	}
 	return due.Sub(now), true
--- a/internal/claim/view.go
+++ b/internal/claim/view.go
@@ -47,6 +47,9 @@
 	if s.view.loaded && (len(s.view.doubt) > 0 || !s.outdated()) {
 		return nil
 	}
+	if err := s.pages.checkFormat(ctx); err != nil {
+		return err
+	}
 	s.confirm()
 	if err := s.readIndex(ctx); err != nil {
 		return err
--- a/internal/event/catalogue_claim.go
+++ b/internal/event/catalogue_claim.go
@@ -10,6 +10,7 @@
 	ClaimRemoved       ID = 2106
 	ClaimDropped       ID = 2107
 	ClaimTicketsFull   ID = 2108
+	ClaimFormat        ID = 2109
 )
 
 var _ = define(
@@ -20,5 +21,6 @@
 	Definition{ClaimWindowInvalid, Error, "claim_window_invalid", "An object below claims/ cannot be decoded, so claims of its shard are refused. Check which program wrote it."},
 	Definition{ClaimRemoved, Debug, "claim_windows_removed", "Windows of claims past their retention were removed."},
 	Definition{ClaimDropped, Warn, "claim_record_dropped", "Completions or releases were dropped while the store was down; resends of their keys will be told outcome_unknown."},
-	Definition{ClaimTicketsFull, Warn, "claim_tickets_full", "The memory for keys under this instance's tickets is full; further ones are claimed in the platform. Raise claim.max_keys."},
+	Definition{ClaimTicketsFull, Warn, "claim_tickets_full", "The memory for keys under this instance's tickets is full; further ones are claimed in the platform. Fewer keys per ticket or more instances make room."},
+	Definition{ClaimFormat, Error, "claim_shards_differ", "The platform's claims were written with another number of shards than this instance's settings say; it refuses claims, since it would not find the recorded ones. Set claims.shards as it was."},
 )
