Keys of the client's own making: when they are replaced has tests

Cause: a key is replaced by one under a ticket while the store is down; nothing tested that this happens only while no attempt can have run, and never to the application's own key. lynxctl made its keys itself and so never had tickets. Change: tests; lynxctl leaves the key to the client and tells the last one used.

--- a/cmd/lynxctl/request.go
+++ b/cmd/lynxctl/request.go
@@ -83,16 +83,22 @@
 		Organisation: c.Organisation, Key: c.Key, DeadlineMS: c.Deadline.Milliseconds(),
 		Input: input, Prefix: c.Prefix, Stream: c.Stream,
 	}
-	if req.Key == "" {
-		req.Key = client.NewKey()
-	}
 	result, err := caller.Send(ctx, c.Profile, req, c.deliver(env))
 	if err != nil {
-		return &sendError{key: req.Key, err: err}
+		return &sendError{key: lastKey(req, result), err: err}
 	}
 	return c.show(env, result)
 }
 
+// lastKey returns the key that the request was last sent under. The client makes
+// the key of a request without one, by a ticket while the store is down.
+func lastKey(req lynxapi.SendRequest, result client.Result) string {
+	if n := len(result.Keys); n > 0 {
+		return result.Keys[n-1]
+	}
+	return req.Key
+}
+
 // input returns the input as JSON.
 func (c *sendCommand) input(env *environment) (json.RawMessage, error) {
 	text := []byte(c.Input)
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -267,6 +267,41 @@
 	}
 }
 
+// Symptom: a booking ran twice in a store outage. Events: the first attempt
+// broke off after it was sent, the second was refused for want of the store, the
+// third went out under a new key with a ticket. Cause: the key was replaced
+// although the first attempt might have run.
+func TestKeyIsReplacedOnlyWhileNothingCanHaveRun(t *testing.T) {
+	cut := func(w *eventWriter, _ lynxapi.SendRequest) { w.cut() }
+	refused := refuse(errkind.StoreUnavailable)
+	cases := []struct {
+		name    string
+		scripts []script
+		given   string
+		keys    int
+	}{
+		{"refused at once", []script{refused, whole}, "", 2},
+		{"after an attempt that may have run", []script{cut, refused, whole}, "", 1},
+		{"the application's own key", []script{refused, whole}, "line-4711", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			i := newInstance(t, c.scripts...)
+			caller := newTestCaller(i.addr())
+			_, _ = caller.Address(t.Context()) // kept from before the outage: no ticket advised
+			i.advise("lxt1.a.b")
+			req := lynxapi.SendRequest{Key: c.given, Input: json.RawMessage(`{}`), Stream: true, DeadlineMS: 10_000}
+			result, err := caller.Send(t.Context(), "booking", req, nil)
+			if err != nil || len(result.Keys) != c.keys {
+				t.Fatalf("keys %q, %v", result.Keys, err)
+			}
+			if _, ticket := claim.TicketOf(result.Reply.Key); ticket != (c.keys == 2) {
+				t.Fatalf("answered under %q", result.Reply.Key)
+			}
+		})
+	}
+}
+
 func TestAddressAnswerIsKept(t *testing.T) {
 	i := newInstance(t, whole, whole, whole)
 	c := newTestCaller(i.addr())
--- a/internal/client/fake_test.go
+++ b/internal/client/fake_test.go
@@ -24,6 +24,7 @@
 	keys    []string
 	asked   int
 	outcome lynxapi.OutcomeReply
+	ticket  string   // of the address answers, advised
 	others  []string // further addresses to give
 	weight  float64  // of the others; the own address has 1
 }
@@ -51,6 +52,7 @@
 		answer.Addresses = append(answer.Addresses, lynxapi.Address{ID: other, Address: other, Place: "far", Weight: i.weight})
 	}
 	i.mu.Lock()
+	answer.Ticket, answer.TicketAdvised = i.ticket, i.ticket != ""
 	i.asked++
 	i.mu.Unlock()
 	writeJSON(w, http.StatusOK, answer)
@@ -74,6 +76,13 @@
 	next(&eventWriter{w: w, r: r, key: req.Key}, req)
 }
 
+// advise gives a ticket with the address answers from now on.
+func (i *instance) advise(ticket string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.ticket = ticket
+}
+
 func (i *instance) tellOutcome(w http.ResponseWriter, r *http.Request) {
 	i.mu.Lock()
 	reply := i.outcome
