Request path: wait for calls that may not be repeated; ends at the deadline

Cause: (1) the first-byte timeout comes from the usual time and serves to repeat a call elsewhere; for a stage that is not idempotent it only turned a slow booking into "may have run". (3) A record of an earlier request with the key that came at the deadline was answered not_run. (4) A hundred calls that broke together each opened a connection to ask whether the target lives. (5) Connections were closed under the pool's lock. Change: no first-byte and progress timeouts for such stages (pings and the deadline remain); the clock is asked as well as the context; what is recorded stands; the question shares one new connection; closing happens after the lock.

--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -100,7 +100,7 @@
 		return stagecall.Result{}, &acquireError{err}
 	}
 	choice := slot.Choice()
-	timeouts := opts.Gate.Timeouts(choice, a.want.Query)
+	timeouts := a.timeouts(choice)
 	if !a.send(signal{kind: signalStarted, choice: choice, timeouts: timeouts}) || !a.s.beginDispatch() {
 		slot.Done(admission.Result{Cancelled: true})
 		return stagecall.Result{}, &acquireError{errLeft}
@@ -108,6 +108,17 @@
 	return a.call(slot, choice, timeouts)
 }
 
+// timeouts returns the gate's, or none for a stage that is not idempotent: it
+// could not be repeated anyway, so cutting a slow call short would only turn a
+// late answer into an unknown one. Pings still find a dead connection, and the
+// deadline ends the rest.
+func (a *attempt) timeouts(choice routing.Choice) admission.Timeouts {
+	if !a.s.stage.Idempotent {
+		return admission.Timeouts{}
+	}
+	return a.s.x.r.opts.Gate.Timeouts(choice, a.want.Query)
+}
+
 // call makes the call, settles what it proves, and gives the slot back.
 func (a *attempt) call(slot admission.Slot, choice routing.Choice, timeouts admission.Timeouts) (stagecall.Result, error) {
 	x := a.s.x
--- a/internal/pipeline/claimed.go
+++ b/internal/pipeline/claimed.go
@@ -44,10 +44,10 @@
 	if err != nil {
 		return claim.Answer{}, err
 	}
-	if s.x.ctx.Err() != nil {
-		if answer.State == claim.Granted {
-			answer.Claim.Release()
-		}
+	// What is recorded stands also when the deadline has passed meanwhile: an
+	// earlier request with the key may have run.
+	if answer.State == claim.Granted && s.x.over() {
+		answer.Claim.Release()
 		return claim.Answer{}, s.endOfContext()
 	}
 	return answer, nil
--- a/internal/pipeline/failure.go
+++ b/internal/pipeline/failure.go
@@ -57,7 +57,7 @@
 // mayRepeat is the rule of repeats: only what is idempotent, or proven not to
 // have run. A failure after the first byte of a call is never proof.
 func (s *stageRun) mayRepeat(f *stagecall.Failure) bool {
-	if s.detached || s.x.ctx.Err() != nil {
+	if s.detached || s.x.over() {
 		return false
 	}
 	if !s.stage.Idempotent && !f.NotRun {
@@ -87,7 +87,7 @@
 	switch {
 	case s.openAttempts() > 0:
 		return nil
-	case s.x.ctx.Err() != nil:
+	case s.x.over():
 		return s.endOfContext()
 	case s.failed == nil:
 		return err
@@ -113,7 +113,7 @@
 		return errkind.TargetRejectedInput
 	case f.Code == stagecall.CodeTooLarge:
 		return errkind.AnswerTooLarge
-	case f.Class == stagecall.ClassCancelled && s.x.ctx.passed():
+	case f.Class == stagecall.ClassCancelled && s.x.late():
 		return errkind.DeadlineAfterRun
 	case f.Class == stagecall.ClassCancelled && s.x.ctx.Err() != nil:
 		return errkind.Cancelled
--- a/internal/pipeline/runner.go
+++ b/internal/pipeline/runner.go
@@ -109,6 +109,14 @@
 
 func (x *execution) remaining() time.Duration { return x.req.Deadline.Sub(x.now()) }
 
+// late reports whether the deadline has passed. The clock is asked as well as
+// the context: the timers of the two contexts fire one after the other, and an
+// attempt that ended by the first is not the caller's doing.
+func (x *execution) late() bool { return x.ctx.passed() || x.remaining() <= 0 }
+
+// over reports whether nothing new may be begun.
+func (x *execution) over() bool { return x.ctx.Err() != nil || x.remaining() <= 0 }
+
 // runStages returns the output of the last stage.
 func (x *execution) runStages() (json.RawMessage, error) {
 	if x.r.opts.Crash.Refused(x.fingerprint) {
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -247,7 +247,7 @@
 }
 
 func (s *stageRun) endOfContext() error {
-	if !s.x.ctx.passed() {
+	if !s.x.late() {
 		return errkind.New(errkind.Cancelled, "the caller went away")
 	}
 	return errkind.New(errkind.DeadlineAfterRun, "the deadline passed in stage %s", s.stage.Name)
--- a/internal/target/control.go
+++ b/internal/target/control.go
@@ -13,12 +13,8 @@
 
 // Load implements stagecall.Caller.
 func (c *Client) Load(ctx context.Context, target stagecall.Target) (targetapi.LoadReport, error) {
-	return c.load(ctx, target, false)
-}
-
-func (c *Client) load(ctx context.Context, target stagecall.Target, fresh bool) (targetapi.LoadReport, error) {
 	var report targetapi.LoadReport
-	err := c.exchange(ctx, target, fresh, http.MethodGet, targetapi.PathLoad, nil, &report)
+	err := c.exchange(ctx, target, http.MethodGet, targetapi.PathLoad, nil, &report)
 	if err == nil {
 		c.noteLoad(target.Address, &report)
 	}
@@ -27,13 +23,13 @@
 
 // Order implements stagecall.Caller.
 func (c *Client) Order(ctx context.Context, target stagecall.Target, order targetapi.Order) error {
-	return c.exchange(ctx, target, false, http.MethodPost, targetapi.PathOrders, order, nil)
+	return c.exchange(ctx, target, http.MethodPost, targetapi.PathOrders, order, nil)
 }
 
 // State implements stagecall.Caller.
 func (c *Client) State(ctx context.Context, target stagecall.Target) (targetapi.LoadReport, error) {
 	var report targetapi.LoadReport
-	err := c.exchange(ctx, target, false, http.MethodGet, targetapi.PathState, nil, &report)
+	err := c.exchange(ctx, target, http.MethodGet, targetapi.PathState, nil, &report)
 	return report, err
 }
 
@@ -41,13 +37,13 @@
 func (c *Client) CacheEvents(ctx context.Context, target stagecall.Target, after uint64) ([]targetapi.CacheEvent, error) {
 	query := url.Values{"after": {strconv.FormatUint(after, 10)}}
 	var events []targetapi.CacheEvent
-	err := c.exchange(ctx, target, false, http.MethodGet, targetapi.PathCacheEvents+"?"+query.Encode(), nil, &events)
+	err := c.exchange(ctx, target, http.MethodGet, targetapi.PathCacheEvents+"?"+query.Encode(), nil, &events)
 	return events, err
 }
 
 // exchange makes a short JSON call. into may be nil.
-func (c *Client) exchange(ctx context.Context, target stagecall.Target, fresh bool, method, path string, body, into any) error {
-	x := c.begin(ctx, target, stagecall.Options{NewConnection: fresh})
+func (c *Client) exchange(ctx context.Context, target stagecall.Target, method, path string, body, into any) error {
+	x := c.begin(ctx, target, stagecall.Options{})
 	defer x.end()
 	resp, err := x.send(method, path, body)
 	if err != nil {
@@ -80,6 +76,6 @@
 		defer func() { <-c.cancels }()
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
-		_ = c.exchange(ctx, target, false, http.MethodPost, targetapi.PathCancel, targetapi.CancelRequest{AttemptID: attempt}, nil)
+		_ = c.exchange(ctx, target, http.MethodPost, targetapi.PathCancel, targetapi.CancelRequest{AttemptID: attempt}, nil)
 	}()
 }
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -37,18 +37,20 @@
 // went silent its other calls would meet the same silence.
 func (p *pool) take(address string, fresh bool) *line {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	var idle []*line
 	l := p.lines[address]
 	if l != nil && fresh {
-		p.retireLocked(address, l)
+		idle = p.retireLocked(address, l, idle)
 		l = nil
 	}
 	if l == nil {
-		p.pruneLocked()
+		idle = p.pruneLocked(idle)
 		l = &line{transport: newTransport(p.opts)}
 		p.lines[address] = l
 	}
 	l.calls++
+	p.mu.Unlock()
+	closeAll(idle)
 	return l
 }
 
@@ -66,36 +68,54 @@
 // retire lets no further call onto the line.
 func (p *pool) retire(address string, l *line) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.retireLocked(address, l)
+	idle := p.retireLocked(address, l, nil)
+	p.mu.Unlock()
+	closeAll(idle)
 }
 
-func (p *pool) retireLocked(address string, l *line) {
+// retireLocked adds the line to idle if its connection can be closed now, which
+// is left to the time after the lock.
+func (p *pool) retireLocked(address string, l *line, idle []*line) []*line {
 	l.retired = true
 	if p.lines[address] == l {
 		delete(p.lines, address)
 	}
 	if l.calls == 0 {
-		l.transport.CloseIdleConnections()
+		idle = append(idle, l)
 	}
+	return idle
 }
 
-func (p *pool) pruneLocked() {
+func (p *pool) pruneLocked(idle []*line) []*line {
 	if len(p.lines) < pruneAbove {
-		return
+		return idle
 	}
+	return p.retireIdleLocked(idle)
+}
+
+func (p *pool) retireIdleLocked(idle []*line) []*line {
 	for address, l := range p.lines {
 		if l.calls == 0 {
-			p.retireLocked(address, l)
+			idle = p.retireLocked(address, l, idle)
 		}
 	}
+	return idle
 }
 
+// close retires every line: those in use are closed with their last call.
 func (p *pool) close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	var idle []*line
 	for address, l := range p.lines {
-		p.retireLocked(address, l)
+		idle = p.retireLocked(address, l, idle)
+	}
+	p.mu.Unlock()
+	closeAll(idle)
+}
+
+func closeAll(idle []*line) {
+	for _, l := range idle {
+		l.transport.CloseIdleConnections()
 	}
 }
 
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -105,7 +105,9 @@
 // broke is no death, nor is a machine that cannot be reached: a request does
 // not cut cables.
 func (c *Client) Alive(ctx context.Context, target stagecall.Target) bool {
-	if _, err := c.load(ctx, target, true); errors.Is(err, syscall.ECONNREFUSED) {
+	// The broken connection was retired, so this one is newer than the break.
+	// Calls that broke together share it.
+	if _, err := c.Load(ctx, target); errors.Is(err, syscall.ECONNREFUSED) {
 		return false
 	}
 	c.mu.Lock()
