Steering: answers from a prepared outlook of each place

Tests of a full place, of nobody left and of the keep times; broken by hand, each seen to fail and restored: no spill, no last resort, no jitter.

--- a/internal/control/steering/choose.go
+++ b/internal/control/steering/choose.go
@@ -36,26 +36,52 @@
 	return w * part
 }
 
-// choose picks n addresses: most of them by their share for this caller, and
-// some spare ones with weight 0, to be used only when the others fail. The
-// spare ones lie further away, so that a caller whose whole place is lost still
-// knows somebody, and are drawn at random, so that callers of a lost place
-// spread over the rest.
-func choose(all []board.SteeringAddress, place, region string, n int, random func() float64) []lynxapi.Address {
-	shares, spares := split(spill(all, place, region), all)
-	spare := min(n/sparePart, len(spares))
-	first := draw(shares, n-spare, random)
-	second := draw(spares, n-len(first), random)
-	answer := make([]lynxapi.Address, 0, len(first)+len(second))
-	for _, a := range first {
-		answer = append(answer, addressOf(a))
+// outlook is what callers of one place are answered from. It is made once for
+// all callers of a place, since an answer takes only the drawing.
+type outlook struct {
+	place, region string
+	shares        []board.SteeringAddress // with their weights in an answer
+	rates         []float64               // of the draw, by index of shares
+	spares        []board.SteeringAddress
+	spareRates    []float64
+	spare         int // spares in an answer
+}
+
+// newOutlook prepares answers of n addresses: most of them by their share for
+// the place, and some spare ones with weight 0, to be used only when the others
+// fail. The spare ones lie further away, so that a caller whose whole place is
+// lost still knows somebody, and are drawn at random, so that callers of a lost
+// place spread over the rest.
+func newOutlook(all []board.SteeringAddress, place, region string, n int) *outlook {
+	o := &outlook{place: place, region: region}
+	o.shares, o.spares = split(spill(all, place, region), all)
+	o.spare = min(n/sparePart, len(o.spares))
+	o.rates, o.spareRates = weights(o.shares), weights(o.spares)
+	correct(o.shares, n-o.spare)
+	for i := range o.spares {
+		o.spares[i].Weight = 0
+	}
+	return o
+}
+
+func weights(all []board.SteeringAddress) []float64 {
+	rates := make([]float64, len(all))
+	for i, a := range all {
+		rates[i] = a.Weight
 	}
-	for _, a := range second {
-		a.Weight = 0
+	return rates
+}
+
+// answer draws n addresses, nearest first.
+func (o *outlook) answer(n int, random func() float64) []lynxapi.Address {
+	first := draw(o.shares, o.rates, n-o.spare, random)
+	second := draw(o.spares, o.spareRates, n-len(first), random)
+	answer := make([]lynxapi.Address, 0, len(first)+len(second))
+	for _, a := range append(first, second...) {
 		answer = append(answer, addressOf(a))
 	}
 	sort.SliceStable(answer, func(i, j int) bool {
-		return tierOf(answer[i].Place, answer[i].Region, place, region) < tierOf(answer[j].Place, answer[j].Region, place, region)
+		return tierOf(answer[i].Place, answer[i].Region, o.place, o.region) < tierOf(answer[j].Place, answer[j].Region, o.place, o.region)
 	})
 	return answer
 }
@@ -156,30 +182,36 @@
 	}
 }
 
-// draw picks n of the addresses without replacement, by weight: the n lowest of
-// exponential draws with the weights as rates. Heavy addresses are drawn more
-// often, and a caller then picks among those drawn by weight once more; without
-// a correction the weight would count twice. So each weight is divided by the
-// chance of being drawn.
-func draw(all []board.SteeringAddress, n int, random func() float64) []board.SteeringAddress {
+// draw picks n of the addresses without replacement, by the rates: the n lowest
+// of exponential draws.
+func draw(all []board.SteeringAddress, rates []float64, n int, random func() float64) []board.SteeringAddress {
 	type keyed struct {
-		key     float64
-		address board.SteeringAddress
+		key   float64
+		index int
 	}
-	threshold := drawThreshold(all, n)
 	keys := make([]keyed, len(all))
-	for i, a := range all {
-		keys[i] = keyed{-math.Log(1-random()) / a.Weight, a}
-		keys[i].address.Weight = a.Weight / (1 - math.Exp(-threshold*a.Weight))
+	for i, rate := range rates {
+		keys[i] = keyed{-math.Log(1-random()) / rate, i}
 	}
-	sort.SliceStable(keys, func(i, j int) bool { return keys[i].key < keys[j].key })
+	sort.Slice(keys, func(i, j int) bool { return keys[i].key < keys[j].key })
 	drawn := make([]board.SteeringAddress, max(0, min(n, len(keys))))
 	for i := range drawn {
-		drawn[i] = keys[i].address
+		drawn[i] = all[keys[i].index]
 	}
 	return drawn
 }
 
+// correct divides the weights by the chance of being drawn into an answer with
+// n of the addresses. Heavy addresses are drawn more often, and a caller then
+// picks among those drawn by weight once more; without the correction the weight
+// would count twice.
+func correct(all []board.SteeringAddress, n int) {
+	threshold := drawThreshold(all, n)
+	for i, a := range all {
+		all[i].Weight = a.Weight / (1 - math.Exp(-threshold*a.Weight))
+	}
+}
+
 // drawThreshold is the draw below which n of the addresses lie on average.
 func drawThreshold(all []board.SteeringAddress, n int) float64 {
 	if n >= len(all) {
--- a/internal/control/steering/steering.go
+++ b/internal/control/steering/steering.go
@@ -20,13 +20,15 @@
 	opts Options
 	rand *loop.Rand
 
-	mu     sync.Mutex           // guards joined
-	joined map[string]time.Time // since when each instance has been up without a break
+	mu       sync.Mutex           // guards all below
+	joined   map[string]time.Time // since when each instance has been up without a break
+	computed time.Time            // when the weights of outlooks were computed
+	outlooks map[outlookKey]*outlook
 }
 
 // New returns a controller.
 func New(opts Options) *Controller {
-	return &Controller{opts: opts.withDefaults(), rand: loop.NewRand(opts.Rand), joined: make(map[string]time.Time)}
+	return &Controller{opts: opts.withDefaults(), rand: loop.NewRand(opts.Rand), joined: make(map[string]time.Time), outlooks: make(map[outlookKey]*outlook)}
 }
 
 // Run keeps board.Steering until ctx ends.
@@ -129,13 +131,48 @@
 		c.Step()
 		s, _ = c.opts.Board.Steering.Get(board.SteeringRow)
 	}
-	picked := choose(s.Addresses, place, region, c.opts.Addresses, c.rand.Float64)
 	return lynxapi.AddressAnswer{
-		Addresses: picked,
+		Addresses: c.outlook(s, place, region).answer(c.opts.Addresses, c.rand.Float64),
 		KeepMS:    c.rand.Spread(s.Keep, c.opts.Jitter).Milliseconds(),
 	}
 }
 
+// outlook returns the outlook of the callers in a place, made at most once for
+// each computation of the weights. Places that no instance is in share one, so
+// that callers cannot fill the memory with names.
+func (c *Controller) outlook(s board.Steering, place, region string) *outlook {
+	place, region = known(s.Addresses, place, region)
+	key := outlookKey{place, region}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.computed.Equal(s.Computed) {
+		c.computed = s.Computed
+		clear(c.outlooks)
+	}
+	o := c.outlooks[key]
+	if o == nil {
+		o = newOutlook(s.Addresses, place, region, c.opts.Addresses)
+		c.outlooks[key] = o
+	}
+	return o
+}
+
+type outlookKey struct{ place, region string }
+
+// known returns the place and region, "" for one that no instance is in.
+func known(all []board.SteeringAddress, place, region string) (string, string) {
+	inPlace, inRegion := "", ""
+	for _, a := range all {
+		if a.Place == place {
+			inPlace = place
+		}
+		if a.Region == region {
+			inRegion = region
+		}
+	}
+	return inPlace, inRegion
+}
+
 // LongestKeep is the longest time for which a caller may keep an answer: an
 // instance that is leaving serves at least this long after it was last given.
 func (c *Controller) LongestKeep() time.Duration {
--- a/internal/control/steering/steering_test.go
+++ b/internal/control/steering/steering_test.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -97,3 +98,81 @@
 		}
 	}
 }
+
+func TestFullPlaceSendsAShareAway(t *testing.T) {
+	b := board.New()
+	for _, id := range []string{"a", "b", "c"} {
+		put(b, id, "lac-a", 0.05)
+		put(b, id+"-near", "lac-b", 0.5)
+	}
+	b.Members.Put("far", board.Member{ID: "far", State: board.MemberAlive, CallerAddr: "far:1", Place: "msasani", Region: "dar", Room: 1})
+	c := controller(b)
+	shares := make(map[string]float64)
+	const answers = 5000
+	for range answers {
+		for id, share := range pickShares(c.Answer("lac-a", "tunis")) {
+			shares[id[len(id)-1:]] += share / answers
+		}
+	}
+	away := shares["r"] // the names of the others end in "near" and "far"
+	if want := 1 - 0.05/enoughRoom; math.Abs(away-want) > 0.1 {
+		t.Errorf("%.2f of the callers of a place with 5%% room are sent away, want %.2f", away, want)
+	}
+}
+
+func TestNobodyLeftGivesThoseThatAreUp(t *testing.T) {
+	b := board.New()
+	put(b, "i-1", "lac-a", 1)
+	put(b, "i-2", "lac-b", 1)
+	put(b, "i-3", "lac-b", 1)
+	m, _ := b.Members.Get("i-3")
+	m.State = board.MemberDead
+	b.Members.Put("i-3", m)
+	b.Drains.Put("place/lac-a", board.Drain{})
+	b.Drains.Put("place/lac-b", board.Drain{})
+	answer := controller(b).Answer("lac-a", "tunis")
+	if len(answer.Addresses) != 2 || answer.Addresses[0].ID != "i-1" {
+		t.Errorf("answer %+v, want i-1 and i-2", answer.Addresses)
+	}
+}
+
+func TestKeepTimesVary(t *testing.T) {
+	b := board.New()
+	put(b, "i-1", "lac-a", 1)
+	c := controller(b)
+	shortest, longest := int64(math.MaxInt64), int64(0)
+	for range 1000 {
+		keep := c.Answer("lac-a", "tunis").KeepMS
+		shortest, longest = min(shortest, keep), max(longest, keep)
+	}
+	if longest > c.LongestKeep().Milliseconds() {
+		t.Errorf("an answer is kept %d ms, longer than the longest keep time %v", longest, c.LongestKeep())
+	}
+	if float64(longest) < 1.7*float64(shortest) {
+		t.Errorf("keep times from %d to %d ms: callers that asked together ask again together", shortest, longest)
+	}
+}
+
+func BenchmarkAnswer(b *testing.B) {
+	bd := board.New()
+	for i := range 370 {
+		put(bd, fmt.Sprintf("i-%03d", i), fmt.Sprint("place-", i%7), 0.5)
+	}
+	c := controller(bd)
+	c.Step()
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Answer("place-0", "tunis")
+	}
+}
+
+func BenchmarkStep(b *testing.B) {
+	bd := board.New()
+	for i := range 370 {
+		put(bd, fmt.Sprintf("i-%03d", i), fmt.Sprint("place-", i%7), 0.5)
+	}
+	c := controller(bd)
+	for b.Loop() {
+		c.Step()
+	}
+}
