--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -30,6 +30,9 @@
 type Want struct {
 	Query    routing.Query
 	Priority int
+	// Provider, if set, names the only provider that may answer: a stream that
+	// was begun by one model can't be resumed by another.
+	Provider string
 	// Repeat marks a retry, resume or hedge: it is granted only within the
 	// budget for repeats, so that a fault does not multiply the load.
 	Repeat bool
