Load view: reports that ride on replies are taken

Replies of stage calls carry load reports, and nobody read them. They now reach the load view, aged like polls; one that does not tell models keeps those known.

--- a/internal/control/loadview/loadview.go
+++ b/internal/control/loadview/loadview.go
@@ -128,10 +128,14 @@
 		return
 	}
 	c.opts.Metrics.Labelled(metricPolls).Add("answered", 1)
+	if report.Models == nil {
+		report.Models = []targetapi.LoadedModel{} // none; nil stands for not told
+	}
 	c.take(t.ID, report, asked, "")
 }
 
-// Observe takes in a report that rode on a target's response which came now.
+// Observe takes in a report that rode on a target's response which came now. One
+// without models keeps those known: replies need not tell them.
 func (c *Controller) Observe(target string, report targetapi.LoadReport) {
 	c.take(target, report, c.opts.Clock.Now(), "")
 }
@@ -139,9 +143,6 @@
 // take merges a report by the target itself that was true at the moment at or
 // before.
 func (c *Controller) take(target string, report targetapi.LoadReport, at time.Time, via string) {
-	if report.Models == nil {
-		report.Models = []targetapi.LoadedModel{} // none; nil stands for not known
-	}
 	trueAt, moved := c.ages.at(target, report, at, c.opts.MaxLag)
 	if moved {
 		c.opts.Logger.Log(event.TargetClockMoved, "target", target)
@@ -159,6 +160,9 @@
 			return old, false
 		}
 		restarted = found && load.Report.Seq < old.Report.Seq
+		if load.Report.Models == nil {
+			load.Report.Models, load.Report.Role = old.Report.Models, old.Report.Role
+		}
 		return load, true
 	})
 	if restarted {
--- a/internal/control/loadview/pollers_test.go
+++ b/internal/control/loadview/pollers_test.go
@@ -170,7 +170,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		from, to := controller("i-0"), controller("i-1")
 		report := func(seq uint64, models ...targetapi.LoadedModel) {
-			from.Observe("t-1", targetapi.LoadReport{Seq: seq, Models: models})
+			from.Observe("t-1", targetapi.LoadReport{Seq: seq, Models: append([]targetapi.LoadedModel{}, models...)})
 			pass(from, to, time.Millisecond)
 			time.Sleep(time.Second)
 		}
@@ -188,9 +188,34 @@
 		if got := models(); len(got) != 2 || got[1].Ready {
 			t.Errorf("models %v after v2 began to load", got)
 		}
-		report(42)
+		from.Observe("t-1", targetapi.LoadReport{Seq: 42}) // a reply that does not tell
+		pass(from, to, time.Millisecond)
+		if got := models(); len(got) != 2 {
+			t.Errorf("models %v after a reply that does not tell them", got)
+		}
+		report(43, []targetapi.LoadedModel{}...)
 		if got := models(); got == nil || len(got) != 0 {
 			t.Errorf("models %v after all were unloaded", got)
 		}
 	})
 }
+
+// runCaller answers a stage call with a load report.
+type runCaller struct{ stagecall.Caller }
+
+func (runCaller) Run(_ context.Context, t stagecall.Target, _ targetapi.RunRequest, _ stagecall.Options, _ func(targetapi.Frame) error) (stagecall.Result, error) {
+	return stagecall.Result{Load: &targetapi.LoadReport{Target: t.ID, Seq: 9, Running: 5, AtMS: time.Now().UnixMilli()}}, nil
+}
+
+func TestReportsOnRepliesAreTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := controller("i-0")
+		caller := Observing(runCaller{}, c.Observe)
+		if _, err := caller.Run(t.Context(), stagecall.Target{ID: "t-1"}, targetapi.RunRequest{}, stagecall.Options{}, nil); err != nil {
+			t.Fatal(err)
+		}
+		if load, found := c.opts.Board.Loads.Get("t-1"); !found || load.Report.Running != 5 || !load.At.Equal(time.Now()) {
+			t.Errorf("load after the reply: %+v", load)
+		}
+	})
+}
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -6,6 +6,7 @@
 
 	"lynxhill.example/lynxhill/internal/admission"
 	"lynxhill.example/lynxhill/internal/claim"
+	"lynxhill.example/lynxhill/internal/control/loadview"
 	"lynxhill.example/lynxhill/internal/control/rendezvous"
 	"lynxhill.example/lynxhill/internal/crashguard"
 	"lynxhill.example/lynxhill/internal/outcome"
@@ -14,6 +15,8 @@
 	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/serving"
 	"lynxhill.example/lynxhill/internal/slo"
+	"lynxhill.example/lynxhill/internal/stagecall"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
 )
 
 // assembleRequestPath makes what a request goes through.
@@ -38,7 +41,7 @@
 	})
 	d.assembleClaims()
 	d.runner = pipeline.New(pipeline.Options{
-		Profiles: d.profile, Gate: d.gate, Caller: d.targets, Claims: d.claims, Remote: d.peers,
+		Profiles: d.profile, Gate: d.gate, Caller: d.stageCaller(), Claims: d.claims, Remote: d.peers,
 		Crash: d.guard, Clock: clk, Rand: d.rand(),
 		Self: d.id(), Place: d.cfg.Instance.Place, Region: d.cfg.Instance.Region,
 		Check: d.check, MaxAnswerBytes: int(kilobytes(d.cfg.Limits.MaxAnswerKB)),
@@ -52,6 +55,12 @@
 	})
 }
 
+// stageCaller calls targets and tells the load view, which is assembled later,
+// of the reports that ride on their replies.
+func (d *Daemon) stageCaller() stagecall.Caller {
+	return loadview.Observing(d.targets, func(target string, report targetapi.LoadReport) { d.loads.Observe(target, report) })
+}
+
 func (d *Daemon) gateLimits() admission.GateLimits {
 	return admission.GateLimits{
 		Queue:       d.cfg.Limits.MaxQueued,
