lynxbench: load and checks work on an interface, not on the cluster

Cause: the load generator and the checks could only reach instances in their own process. Change: System is what a load is sent to, Evidence what targets and instances noted; Cluster gives both. Lengths of the generated requests are options.

--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -300,7 +300,7 @@
 	wrong := c.checkProfiles(ctx)
 	s := summarise(records)
 	s.Deployment, s.Variant, s.Repetition = r.deployment, r.variant.Name, r.repetition
-	s.Breaches = breaches(c, list, records)
+	s.Breaches = breaches(c.evidence(list), records)
 	s.Breaches.Reverted = len(wrong)
 	s.Breaches.Details = append(s.Breaches.Details, wrong...)
 	if whole := share(s.Whole, s.Requests); whole < r.MinWhole {
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -14,12 +14,13 @@
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
-// LoadOptions describe an open-loop load on one cluster.
+// LoadOptions describe an open-loop load on one system.
 type LoadOptions struct {
 	Rate     float64 // requests a second
 	Duration time.Duration
 	Arrivals Arrivals
 	Mix      []Mix
+	Lengths  Lengths
 	Seed     uint64
 	Run      string // name of the run, part of every input
 	// PoisonEvery sends a request that crashes its targets this often; 0
@@ -60,7 +61,7 @@
 // RunLoad sends the load and returns a record for every request. Latencies
 // count from the moment at which a request was meant to be sent, so that a
 // stall of the system or of the bench itself shows in them.
-func RunLoad(ctx context.Context, c *Cluster, list []profile.Profile, opts LoadOptions) ([]Record, error) {
+func RunLoad(ctx context.Context, c System, list []profile.Profile, opts LoadOptions) ([]Record, error) {
 	l, err := newLoad(c, list, opts)
 	if err != nil {
 		return nil, err
@@ -70,7 +71,7 @@
 
 // load is one running load.
 type load struct {
-	cluster *Cluster
+	system  System
 	opts    LoadOptions
 	items   []timedItem
 	callers map[callerKey]*client.Caller
@@ -89,7 +90,7 @@
 // answer.
 type callerKey struct{ organisation, place string }
 
-func newLoad(c *Cluster, list []profile.Profile, opts LoadOptions) (*load, error) {
+func newLoad(c System, list []profile.Profile, opts LoadOptions) (*load, error) {
 	if opts.MaxRequests <= 0 {
 		opts.MaxRequests = defaultMaxRequests
 	}
@@ -101,11 +102,11 @@
 	if len(offsets) > opts.MaxRequests {
 		return nil, fmt.Errorf("the load has %d requests, more than the bound of %d", len(offsets), opts.MaxRequests)
 	}
-	work, err := newWorkload(c, list, opts.Mix, opts.Run, rng)
+	work, err := newWorkload(c, list, opts, rng)
 	if err != nil {
 		return nil, err
 	}
-	l := &load{cluster: c, opts: opts, callers: make(map[callerKey]*client.Caller)}
+	l := &load{system: c, opts: opts, callers: make(map[callerKey]*client.Caller)}
 	poisonAt := opts.PoisonEvery
 	for _, at := range offsets {
 		it := timedItem{at: at}
@@ -124,7 +125,7 @@
 func (l *load) addCaller(it item) {
 	key := callerKey{it.organisation, it.place}
 	if l.callers[key] == nil {
-		l.callers[key] = l.cluster.Caller(it.organisation, it.place)
+		l.callers[key] = l.system.Caller(it.organisation, it.place)
 	}
 }
 
--- a/internal/bench/summary.go
+++ b/internal/bench/summary.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"slices"
 	"sort"
 	"time"
@@ -10,7 +11,6 @@
 
 	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/errkind"
-	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/wire/targetapi"
 )
 
@@ -223,15 +223,15 @@
 
 // breaches checks the promises over everything that was sent and everything
 // that the stand-ins have run.
-func breaches(c *Cluster, list []profile.Profile, records []Record) Breaches {
+func breaches(e Evidence, records []Record) Breaches {
 	var b Breaches
-	ran := runsByKey(c.Fleet.Runs())
+	ran := runsByKey(e.Runs)
 	for i := range records {
 		b.check(&records[i], ran)
 	}
-	b.Rerun = len(c.Fleet.DoubledRuns(singleRunServices(list)...))
-	b.Crossed += c.Fleet.CrossedPrevious()
-	for _, v := range c.Violations.Violations() {
+	b.Rerun = len(e.Doubled)
+	b.Crossed += e.CrossedPrevious
+	for _, v := range e.Violations {
 		b.Invariants++
 		b.Details = append(b.Details, string(v.Rule)+": "+v.Detail)
 	}
@@ -257,6 +257,7 @@
 	case r.Err == nil:
 	case kindOf(r.Err) == noAnswer:
 		b.Lost++
+		b.Details = append(b.Details, fmt.Sprintf("lost: %s at %s after %s and %d attempts: %v", r.Profile, r.At.Round(time.Millisecond), r.Latency.Round(time.Millisecond), r.Attempts, r.Err))
 	case client.RunStateOf(r.Err) == errkind.NotRun && r.ranUnder(ran, r.Keys):
 		b.FalseNotRun++
 	}
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -27,18 +27,40 @@
 	},
 }
 
+// Lengths are those of the generated requests. What is 0 has its default.
+type Lengths struct {
+	InputWords  float64 // median of the input's length, which is log-normal
+	InputSigma  float64 // of the logarithm of that length
+	Prefixes    int     // shared prompt prefixes; a few are common
+	PrefixWords int     // of each prefix; the caller API takes up to a kilobyte
+}
+
 // Constants of the generated inputs.
 const (
-	// prefixes is the number of shared prompt prefixes; a few are common.
-	prefixes     = 24
-	prefixWords  = 180 // the caller API takes names of up to a kilobyte
-	zipfExponent = 1.2
-	// The length of inputs in words is log-normal.
-	inputMedianWords = 40
-	inputSigma       = 0.7
-	maxInputWords    = 2000
+	defaultPrefixes    = 24
+	defaultPrefixWords = 180
+	zipfExponent       = 1.2
+	defaultInputWords  = 40
+	defaultInputSigma  = 0.7
+	maxInputWords      = 2000
 )
 
+func (l Lengths) withDefaults() Lengths {
+	if l.InputWords <= 0 {
+		l.InputWords = defaultInputWords
+	}
+	if l.InputSigma <= 0 {
+		l.InputSigma = defaultInputSigma
+	}
+	if l.Prefixes <= 0 {
+		l.Prefixes = defaultPrefixes
+	}
+	if l.PrefixWords <= 0 {
+		l.PrefixWords = defaultPrefixWords
+	}
+	return l
+}
+
 // item is one request to send.
 type item struct {
 	profile      profile.Profile
@@ -62,25 +84,28 @@
 	weights       []float64
 	places        []string
 	run           string // makes inputs of different runs differ
+	lengths       Lengths
 	count         int
 }
 
-func newWorkload(c *Cluster, list []profile.Profile, mix []Mix, run string, rng *rand.Rand) (*workload, error) {
+func newWorkload(c System, list []profile.Profile, opts LoadOptions, rng *rand.Rand) (*workload, error) {
+	mix := opts.Mix
+	lengths := opts.Lengths.withDefaults()
 	if len(mix) == 0 {
-		mix = defaultMix[c.Fleet.Name]
+		mix = defaultMix[c.Deployment()]
 	}
 	w := &workload{
-		rng: rng, mix: mix, run: run, profiles: make(map[string]profile.Profile),
-		organisations: fleet.Organisations(c.Fleet.Name), weights: fleet.OrganisationWeights(c.Fleet.Name),
-		places: c.Fleet.Places,
-		zipf:   rand.NewZipf(rng, zipfExponent, 1, prefixes-1),
+		rng: rng, mix: mix, run: opts.Run, lengths: lengths, profiles: make(map[string]profile.Profile),
+		organisations: fleet.Organisations(c.Deployment()), weights: fleet.OrganisationWeights(c.Deployment()),
+		places: c.Places(),
+		zipf:   rand.NewZipf(rng, zipfExponent, 1, uint64(lengths.Prefixes-1)),
 	}
 	for _, p := range list {
 		w.profiles[p.Name] = p
 	}
 	for _, m := range mix {
 		if _, ok := w.profiles[m.Profile]; !ok {
-			return nil, fmt.Errorf("mix: %s has no profile %q", c.Fleet.Name, m.Profile)
+			return nil, fmt.Errorf("mix: %s has no profile %q", c.Deployment(), m.Profile)
 		}
 	}
 	return w, nil
@@ -94,7 +119,7 @@
 		profile:      w.profiles[w.mix[pick(w.rng, mixWeights(w.mix))].Profile],
 		organisation: w.organisations[pick(w.rng, w.weights)],
 		place:        w.places[w.rng.IntN(len(w.places))],
-		prefix:       prefixText(prefix),
+		prefix:       prefixText(prefix, w.lengths.PrefixWords),
 	}
 	it.input = w.input("")
 	return it
@@ -109,7 +134,7 @@
 }
 
 func (w *workload) input(marker string) json.RawMessage {
-	words := int(math.Exp(math.Log(inputMedianWords) + inputSigma*w.rng.NormFloat64()))
+	words := int(math.Exp(math.Log(w.lengths.InputWords) + w.lengths.InputSigma*w.rng.NormFloat64()))
 	words = min(max(words, 1), maxInputWords)
 	text, _ := json.Marshal(requestInput{Run: w.run, Number: w.count, Marker: marker, Text: strings.Repeat("word ", words)})
 	return text
@@ -123,8 +148,8 @@
 	Text   string `json:"text"`
 }
 
-func prefixText(n int) string {
-	return fmt.Sprintf("prefix-%d ", n) + strings.Repeat("rule ", prefixWords)
+func prefixText(n, words int) string {
+	return fmt.Sprintf("prefix-%d ", n) + strings.Repeat("rule ", words)
 }
 
 func mixWeights(mix []Mix) []float64 {
