Profile sync: fresher confirmations; ways of acceptance compared

Cause: with watches of 2 s the confirmations were up to 8.1 s old at 64 and 370 instances, past half of the fence, where every instance starts to watch. Change: watches of the profiles wait 1 s, those of the other prefixes 10 s.

--- a/internal/control/profilesync/ask.go
+++ b/internal/control/profilesync/ask.go
@@ -23,7 +23,7 @@
 // evidenceOfForce is what an instance that waits for the acceptance of a
 // change knows beyond the membership list.
 type evidenceOfForce struct {
-	listed  []string // instances on the platform's list
+	listed  []string // instances on the platform's list that were not met
 	asked   map[string]askedMark
 	askedAt time.Time
 }
--- a/internal/control/profilesync/force.go
+++ b/internal/control/profilesync/force.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// listed returns the instances on the platform's list. One that membership has
-// not met yet is no reason to accept a change early.
+// listed returns the instances on the platform's list that membership has not
+// met yet: what is not known of them is no reason to accept a change early.
 func (m *Manager) listed(ctx context.Context) []string {
 	instances, err := m.o.Store.Instances(ctx)
 	if err != nil {
@@ -54,7 +54,8 @@
 	}
 	var ids []string
 	for _, in := range instances {
-		if in.Service == m.o.Service && in.State == platformapi.StateLive {
+		_, met := m.o.Board.Members.Get(in.ID)
+		if in.Service == m.o.Service && in.State == platformapi.StateLive && !met {
 			ids = append(ids, in.ID)
 		}
 	}
--- a/internal/control/profilesync/measure_test.go
+++ b/internal/control/profilesync/measure_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"sort"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/control/profilesync"
@@ -168,3 +169,81 @@
 		}
 	})
 }
+
+// TestWaysToAcceptCompared sets holding acceptance alone (an endless
+// FenceAfter) against holding it and fencing after a while: one instance of 8
+// crashes for good, and two are cut off for an hour.
+func TestWaysToAcceptCompared(t *testing.T) {
+	for _, fenceAfter := range []time.Duration{6 * time.Second, 12 * time.Second, 10 * time.Hour} {
+		t.Run(fenceAfter.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { compareAcceptance(t, fenceAfter) })
+		})
+	}
+}
+
+func compareAcceptance(t *testing.T, fenceAfter time.Duration) {
+	f := newFleet(t, 8, profilesync.Options{FenceAfter: fenceAfter})
+	defer f.stop()
+	f.settle()
+	f.crash(7)
+	f.store.RemoveInstance(f.nodes[7].id)
+	start := f.clock.Now()
+	reply := f.set(0, "check", 1, 0, "c1", 30*time.Minute)
+	crashed := f.clock.Since(start)
+	f.cutOff([]int{1, 5})
+	start = f.clock.Now()
+	accepted := make(chan time.Duration, 1)
+	go func() {
+		f.set(0, "check", 2, reply.Version, "c2", 2*time.Hour)
+		accepted <- f.clock.Since(start)
+	}()
+	refused, stale, samples := 0, 0, 0
+	for range 3600 {
+		time.Sleep(time.Second)
+		for _, i := range []int{1, 5} {
+			samples++
+			if !f.nodes[i].serves() {
+				refused++
+			} else if f.nodes[i].version("check") == reply.Version {
+				stale++
+			}
+		}
+	}
+	f.net.Heal()
+	f.nodes[1].link.setCut(false)
+	f.nodes[5].link.setCut(false)
+	t.Logf("fence after %v: accepted %v after a crash, %v with two cut off for an hour; of their time they refused work for %.1f %% and served the old version for %.1f %%",
+		fenceAfter, crashed, <-accepted, 100*float64(refused)/float64(samples), 100*float64(stale)/float64(samples))
+}
+
+// TestStoreOutageAtSizeFencesNobody shows the bytes that the signs of life take
+// while the store is down, which stand in for its confirmation.
+func TestStoreOutageAtSizeFencesNobody(t *testing.T) {
+	sizes := []int{64}
+	if !testing.Short() {
+		sizes = append(sizes, 370)
+	}
+	for _, n := range sizes {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			settled(t, n, func(f *fleet) {
+				f.set(0, "check", 1, 0, "c1", time.Minute)
+				f.outage(true)
+				time.Sleep(15 * time.Second)
+				_, before := f.traffic()
+				const span = 15
+				for range span {
+					time.Sleep(time.Second)
+					if f.serving() != n {
+						f.t.Fatalf("%d of %d serve", f.serving(), n)
+					}
+				}
+				_, after := f.traffic()
+				perSecond := float64(after-before) / span / float64(n)
+				t.Logf("%d instances, store down: %.0f B/s an instance sent and received", n, perSecond)
+				if perSecond > 16<<10 {
+					t.Errorf("%.0f bytes a second", perSecond)
+				}
+			})
+		})
+	}
+}
--- a/internal/control/profilesync/options.go
+++ b/internal/control/profilesync/options.go
@@ -59,8 +59,8 @@
 	// PauseAfter is a gap in the running of this process after which its
 	// configuration counts as unconfirmed.
 	PauseAfter time.Duration
-	// WatchWait is how long one watch waits; its return confirms the
-	// configuration, so it bounds the age of confirmations.
+	// WatchWait is how long one watch of the profiles waits; its return
+	// confirms the configuration, so it bounds the age of confirmations.
 	WatchWait time.Duration
 	// SettleFor bounds how long a change with a lost reply is read back.
 	SettleFor time.Duration
@@ -77,7 +77,7 @@
 	defaultFenceAfter       = 12 * time.Second
 	defaultFenceMargin      = time.Second
 	defaultPauseAfter       = 2 * time.Second
-	defaultWatchWait        = 2 * time.Second
+	defaultWatchWait        = time.Second
 	defaultSettleFor        = 10 * time.Second
 )
 
--- a/internal/control/profilesync/watch.go
+++ b/internal/control/profilesync/watch.go
@@ -17,8 +17,10 @@
 	standBy = time.Second
 	// watchGrace is added to the wait of a watch before it counts as lost.
 	watchGrace = 2 * time.Second
-	backoffMin = 500 * time.Millisecond
-	backoffMax = 8 * time.Second
+	// otherWatchWait is the wait of watches whose return confirms nothing.
+	otherWatchWait = 10 * time.Second
+	backoffMin     = 500 * time.Millisecond
+	backoffMax     = 8 * time.Second
 	// startSpread spreads the first readings of instances that are started
 	// together. Profiles come first: without them nothing can be served.
 	startSpread      = 300 * time.Millisecond
@@ -107,13 +109,17 @@
 // read lists the prefix when nothing is held yet or the store no longer knows
 // the changes since, and watches it otherwise.
 func (m *Manager) read(ctx context.Context, w *watchState) error {
-	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, m.o.WatchWait+watchGrace)
+	wait := otherWatchWait
+	if w.prefix == profile.KeyPrefix {
+		wait = m.o.WatchWait
+	}
+	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, wait+watchGrace)
 	defer cancel()
 	w.after = max(w.after, m.objects.markOf(w.prefix))
 	if w.after == 0 && !w.listed {
 		return m.list(ctx, w)
 	}
-	waitCtx := store.WithWatchWait(ctx, m.o.WatchWait)
+	waitCtx := store.WithWatchWait(ctx, wait)
 	changed, version, compacted, err := m.o.Store.Watch(waitCtx, w.prefix, w.after)
 	if err != nil {
 		return err
