Leases: order time and margin follow the lease's duration

The settings' lease of 10 s left 3 s of each renewal in which orders of 5 s fit before the margin of 2 s, and one of 7 s or less none at all; and the two controllers could be given different order times, by which the wait of a new holder would be too short. The order time is now a third of the lease, the margin an eighth, and the orders controller asks the lease manager.

--- a/internal/control/lease/check.go
+++ b/internal/control/lease/check.go
@@ -18,8 +18,14 @@
 	// Check returns the grant if an order that takes up to need may be given
 	// now. It reads the boot clock, so call it directly before each order.
 	Check(service string, need time.Duration, checksFence bool) (Grant, bool)
+	// OrderTimeout is the longest time that an order may be under way. Whoever
+	// takes the lease over counts on it.
+	OrderTimeout() time.Duration
 }
 
+// OrderTimeout implements Lessor.
+func (m *Manager) OrderTimeout() time.Duration { return m.opts.OrderTimeout }
+
 // Check implements Lessor.
 //
 // A holder that was paused still believes that it holds the lease. The sign
--- a/internal/control/lease/contender.go
+++ b/internal/control/lease/contender.go
@@ -76,10 +76,10 @@
 	}
 	renewAt := grant.Until - o.Duration + o.Duration/renewals
 	if now < renewAt {
-		return min(renewAt-now, holdCheck)
+		return min(renewAt-now, c.holdWait())
 	}
 	if c.write(ctx, grant.Fence, grant.UncheckedFrom, false) {
-		return c.jittered(holdCheck)
+		return c.holdWait()
 	}
 	if !c.observe(ctx) {
 		return c.jittered(retryPeriod)
@@ -104,7 +104,7 @@
 		return min(free-now, c.jittered(o.Duration/renewals))
 	}
 	if c.write(ctx, c.seen.version, c.uncheckedFrom(now), false) {
-		return c.jittered(holdCheck)
+		return c.holdWait()
 	}
 	return c.jittered(retryPeriod)
 }
@@ -267,6 +267,10 @@
 	c.m.log(event.LeaseReleased, c.service, grant.Fence)
 }
 
+func (c *contender) holdWait() time.Duration {
+	return c.jittered(min(holdCheck, c.m.opts.Duration/renewals))
+}
+
 func (c *contender) jittered(d time.Duration) time.Duration {
 	return c.m.rand.Spread(d, jitter)
 }
--- a/internal/control/lease/options.go
+++ b/internal/control/lease/options.go
@@ -29,10 +29,13 @@
 
 // Defaults of Options.
 const (
-	DefaultDuration     = 15 * time.Second
-	DefaultMargin       = 2 * time.Second
-	DefaultOrderTimeout = 5 * time.Second
-	DefaultCandidates   = 3
+	DefaultDuration   = 10 * time.Second
+	DefaultCandidates = 3
+	// marginPart and orderPart of the lease are the margin and the longest
+	// time of an order, unless they are set. Since an order has to end inside
+	// the lease less the margin, longer ones would leave little of it.
+	marginPart = 8
+	orderPart  = 3
 )
 
 // Store is what the manager needs of the platform.
@@ -72,10 +75,10 @@
 		o.Duration = DefaultDuration
 	}
 	if o.Margin <= 0 {
-		o.Margin = DefaultMargin
+		o.Margin = o.Duration / marginPart
 	}
 	if o.OrderTimeout <= 0 {
-		o.OrderTimeout = DefaultOrderTimeout
+		o.OrderTimeout = o.Duration / orderPart
 	}
 	if o.Candidates <= 0 {
 		o.Candidates = DefaultCandidates
--- a/internal/control/orders/controller_test.go
+++ b/internal/control/orders/controller_test.go
@@ -28,6 +28,8 @@
 	return lease.Grant{Fence: 1, Until: 1 << 62}, true
 }
 
+func (always) OrderTimeout() time.Duration { return 5 * time.Second }
+
 func profileOf(name string, providers ...profile.Provider) profile.Versioned {
 	return profile.Versioned{Version: 1, Profile: profile.Profile{Name: name, Stages: []profile.Stage{
 		{Name: "draft", Kind: profile.KindGenerate, Providers: providers},
@@ -131,6 +133,8 @@
 	return lease.Grant{Fence: 2, Until: 1 << 62, UncheckedFrom: 1 << 61}, checksFence
 }
 
+func (fenced) OrderTimeout() time.Duration { return 5 * time.Second }
+
 // Symptom: a model is ready nowhere after a change of the order-giver.
 // Events: the old giver's unload on one engine is still under way when the new
 // one unloads the model from the other, which it saw ready on the first.
--- a/internal/control/orders/give.go
+++ b/internal/control/orders/give.go
@@ -45,12 +45,13 @@
 // between the check and the call; the call's context ends by the boot clock, so
 // that an order that was held up by a suspended machine is not sent later.
 func (c *Controller) send(ctx context.Context, s *service, t board.Target, step Step) {
-	callCtx, cancel := loop.WithTimeout(ctx, c.opts.Clock, c.opts.OrderTimeout)
+	timeout := c.opts.Lease.OrderTimeout()
+	callCtx, cancel := loop.WithTimeout(ctx, c.opts.Clock, timeout)
 	defer cancel()
 	order := step.Order
 	order.Giver = c.opts.Self
 	state := s.engines[t.ID]
-	grant, ok := c.opts.Lease.Check(s.name, c.opts.OrderTimeout, t.ChecksFence && !needsQuiet(order.Kind))
+	grant, ok := c.opts.Lease.Check(s.name, timeout, t.ChecksFence && !needsQuiet(order.Kind))
 	if !ok {
 		c.opts.Metrics.Counter(metricNoLease).Add(1)
 		return
@@ -59,7 +60,7 @@
 	now := c.opts.Boot.SinceBoot()
 	c.opts.Checker.Check(now < grant.Until, invariant.OneOrderGiver,
 		"order to %s of %s with fence %d after the lease's end", t.ID, s.name, grant.Fence)
-	callCtx = loop.WithBootDeadline(callCtx, c.opts.Boot, now+c.opts.OrderTimeout)
+	callCtx = loop.WithBootDeadline(callCtx, c.opts.Boot, now+timeout)
 	err := c.opts.Caller.Order(callCtx, stagecall.Target{ID: t.ID, Address: t.Address}, order)
 	state.dirty = true // also after a failure: it may have been carried out
 	step.Order = order
--- a/internal/control/orders/options.go
+++ b/internal/control/orders/options.go
@@ -26,7 +26,6 @@
 const (
 	DefaultPeriod          = time.Second
 	DefaultReadEvery       = 10 * time.Second
-	DefaultOrderTimeout    = lease.DefaultOrderTimeout
 	DefaultCallTimeout     = 2 * time.Second
 	DefaultWeightRate      = 0.2
 	DefaultWeightBurst     = 2
@@ -70,9 +69,6 @@
 	// without pending orders is read back.
 	Period    time.Duration
 	ReadEvery time.Duration
-	// OrderTimeout is the longest time that an order may be under way. The
-	// lease manager has to be given the same.
-	OrderTimeout time.Duration
 	// CallTimeout is the longest wait for the state of an engine.
 	CallTimeout time.Duration
 	Scaling     Scaling
@@ -81,7 +77,6 @@
 func (o Options) withDefaults() Options {
 	setDuration(&o.Period, DefaultPeriod)
 	setDuration(&o.ReadEvery, DefaultReadEvery)
-	setDuration(&o.OrderTimeout, DefaultOrderTimeout)
 	setDuration(&o.CallTimeout, DefaultCallTimeout)
 	setDuration(&o.KeepAfter, DefaultKeepAfter)
 	setNumber(&o.WeightRate, DefaultWeightRate)
