--- a/internal/control/profilesync/fence.go
+++ b/internal/control/profilesync/fence.go
@@ -1,15 +1,12 @@
 package profilesync
 
 import (
-	"context"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"lynxhill.example/lynxhill/internal/board"
-	"lynxhill.example/lynxhill/internal/control/loop"
-	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/gossip"
 )
 
@@ -268,58 +265,6 @@
 	return f.isolated, f.unconfirmed
 }
 
-// MayServe reports whether new work may be taken now. Unlike the row on the
-// board it also sees a pause that ended this moment; admission may ask it for
-// each request.
-func (m *Manager) MayServe() bool {
-	m.look(false)
-	isolated, unconfirmed := m.fence.flags()
-	return !isolated && !unconfirmed
-}
-
-func (m *Manager) look(tick bool) {
-	woke, changed := m.fence.look(m.o.Boot.SinceBoot(), tick)
-	if woke > 0 {
-		m.o.Logger.Log(event.ConfigPaused, "gap", woke)
-	}
-	if changed {
-		m.publishSelf()
-	}
-}
-
-// publishSelf writes the flags to the board.
-func (m *Manager) publishSelf() {
-	isolated, unconfirmed := m.fence.flags()
-	changed := m.o.Board.Self.Update(board.SelfRow, func(self board.Self, _ bool) (board.Self, bool) {
-		if self.Isolated == isolated && self.Unconfirmed == unconfirmed {
-			return self, false
-		}
-		self.Isolated, self.Unconfirmed = isolated, unconfirmed
-		return self, true
-	})
-	if !changed {
-		return
-	}
-	value := int64(0)
-	if isolated {
-		value = 1
-	}
-	m.o.Metrics.Counter(metricIsolated).Set(value)
-	m.o.Logger.Log(event.ConfigState, "isolated", isolated, "unconfirmed", unconfirmed)
-}
-
-// runFence checks periodically.
-func (m *Manager) runFence(ctx context.Context) {
-	for {
-		m.fence.learn(m.o.Board.Members.Snapshot(), m.o.Boot.SinceBoot())
-		m.look(true)
-		m.publishSelf()
-		if !loop.Sleep(ctx, m.o.Clock, fenceEvery) {
-			return
-		}
-	}
-}
-
 // majorityFor returns since when most instances hold the version: from now on,
 // if they did not a moment ago.
 func (f *fence) majorityFor(name string, version uint64, now time.Duration) time.Duration {
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -6,16 +6,10 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/gossip"
 )
 
-// sumBuckets is the number of checksums over the rows. More buckets find a
-// differing row with fewer rows sent, and cost four bytes a digest each.
-const sumBuckets = 32
-
 // rank orders the states of one incarnation: a higher one wins.
 var rank = map[string]int{
 	string(board.MemberAlive):   0,
@@ -241,46 +235,6 @@
 	v.touch(r, urgencyState, false, now)
 }
 
-// sums returns the checksums by bucket of the rows that are not dead, and
-// after them one over the configuration that the members have in force.
-func (v *view) sums() []uint32 {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	return v.sumsLocked()
-}
-
-func (v *view) sumsLocked() []uint32 {
-	sums := make([]uint32, sumBuckets+1)
-	for id, r := range v.rows {
-		if !r.dead() {
-			sums[bucketOf(id)] += rowSum(r.member)
-			sums[sumBuckets] += mix(xxhash.Sum64String(id), r.member.Profiles)
-		}
-	}
-	return sums
-}
-
-func bucketOf(id string) int { return int(xxhash.Sum64String(id) % sumBuckets) }
-
-// rowSum covers what all should agree on. Suspicions are left out: they come
-// and go faster than they spread.
-func rowSum(m gossip.Member) uint32 {
-	leaving := uint64(0)
-	if m.State == string(board.MemberLeaving) {
-		leaving = 1
-	}
-	return mix(xxhash.Sum64String(m.ID), m.Incarnation, leaving)
-}
-
-func mix(h uint64, parts ...uint64) uint32 {
-	const multiplier = 0x9e3779b97f4a7c15
-	for _, part := range parts {
-		h = (h ^ part) * multiplier
-		h ^= h >> 29
-	}
-	return uint32(h)
-}
-
 // ids returns the members in one of the states, without self, in order.
 func (v *view) ids(states ...board.MemberState) []string {
 	v.mu.Lock()
