--- /dev/null
+++ b/internal/claim/bench_test.go
@@ -0,0 +1,51 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/store/memstore"
+)
+
+func BenchmarkTicketClaim(b *testing.B) {
+	tickets := testTickets("a", 1, 1<<30)
+	text, _ := tickets.Issue()
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		req := testRequest(MintKey(text, fmt.Sprint(i)), "x", time.Second)
+		if _, err := tickets.Claim(context.Background(), req); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkDecide decides a new key on a warm view: the work of a claim at the
+// owner but for its share of the write.
+func BenchmarkDecide(b *testing.B) {
+	for _, windows := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint(windows, "windows"), func(b *testing.B) {
+			p := testPages(memstore.New(memstore.Options{}), "a", 1, func(o *PagesOptions) {
+				o.Shards, o.FlushInterval = 1, time.Microsecond
+			})
+			s := p.shards[0]
+			for i := 0; s.view.current == nil || s.view.current.number < uint64(windows); i++ {
+				if _, err := p.Claim(context.Background(), testRequest(fmt.Sprint(i), "x", time.Minute)); err != nil {
+					b.Fatal(err)
+				}
+			}
+			for p.busy() { // the flush loop owns the view
+				runtime.Gosched()
+			}
+			o := newOp(keyLife{}, entry{ID: idOf(Key{Key: "new"}), Op: opClaim, Token: "t"})
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := s.plan(context.Background(), []*op{o}, false); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/claim/flush.go
+++ b/internal/claim/flush.go
@@ -120,7 +120,8 @@
 			return s.writtenLate(p)
 		}
 		s.view.confirmed = asked
-		return s.written(obj.Version, next, value, p)
+		s.written(newWindow(current.number, obj.Version, next, len(value)), p)
+		return nil
 	case errors.Is(err, store.ErrConflict):
 		s.pages.conflicts.Add(1)
 		s.clearDoubt(p.ops)
@@ -160,22 +161,17 @@
 }
 
 // written takes over a write that was confirmed.
-func (s *shard) written(version uint64, next page, value []byte, p plan) error {
+func (s *shard) written(w *window, p plan) {
 	s.pages.writes.Add(1)
-	w, err := windowOf(s.view.current.number, version, value)
-	if err != nil {
-		return s.invalid(err)
-	}
 	s.view.current = w
 	s.settle(w)
 	s.finishWritten(p.ops)
 	s.deliver(p)
-	if next.Sealed {
+	if w.page.Sealed {
 		s.pages.opts.Logger.Log(event.ClaimSealed, "shard", s.number, "window", w.number)
 		s.noteSealed(w)
 		s.view.current = emptyWindow(w.number + 1)
 	}
-	return nil
 }
 
 // deliver finishes the ops whose answers needed no write of their own.
--- a/internal/claim/page.go
+++ b/internal/claim/page.go
@@ -123,11 +123,15 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &window{number: number, version: version, page: p, last: make(map[keyID]entry, len(p.Entries)), size: len(value)}
+	return newWindow(number, version, p, len(value)), nil
+}
+
+func newWindow(number, version uint64, p page, size int) *window {
+	w := &window{number: number, version: version, page: p, last: make(map[keyID]entry, len(p.Entries)), size: size}
 	for _, e := range p.Entries {
 		w.last[e.ID] = e
 	}
-	return w, nil
+	return w
 }
 
 // with returns a copy of the window with entries appended.
