lynxbench load and standins: load as a command, stand-ins for real processes

Cause: load could only be sent by an experiment to instances of its own process; the whole path as separate processes could not be tried. Change: `lynxbench standins DIR` runs a deployment's platform and targets, reserves ports and writes settings, addresses and tokens for instances; its control endpoint tells the recorded runs and begins faults, among them the cut of one instance through relays. Checks of profile versions are shared.

--- a/cmd/lynxbench/main.go
+++ b/cmd/lynxbench/main.go
@@ -15,10 +15,12 @@
 
 // cli is the command line.
 type cli struct {
-	Demo    demoCmd    `cmd:"" help:"Run both deployments, send requests of both, check every answer. Ends by itself."`
-	Run     runCmd     `cmd:"" help:"Run experiments: load, faults and policies compared. Status 1 if a promise was broken."`
-	Compare compareCmd `cmd:"" help:"Compare the JSON results of two runs."`
-	Faults  faultsCmd  `cmd:"" help:"List the faults that experiments may name."`
+	Demo     demoCmd     `cmd:"" help:"Run both deployments, send requests of both, check every answer. Ends by itself."`
+	Run      runCmd      `cmd:"" help:"Run experiments: load, faults and policies compared. Status 1 if a promise was broken."`
+	Load     loadCmd     `cmd:"" help:"Send a load to instances in this process or to running processes, check every answer. Status 1 if a promise was broken."`
+	Compare  compareCmd  `cmd:"" help:"Compare the JSON results of two runs."`
+	Faults   faultsCmd   `cmd:"" help:"List the faults that experiments may name."`
+	Standins standinsCmd `cmd:"" help:"Run a deployment's platform and targets for instances in other processes."`
 }
 
 func main() {
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -37,6 +37,8 @@
 	Adjust func(*config.Config)
 	Log    io.Writer // nil discards the instances' logs
 	Seed   uint64
+	// OutputTokens bounds generated answers; 0 leaves what the profiles say.
+	OutputTokens int
 }
 
 // Cluster is a running deployment with its instances.
@@ -302,7 +304,9 @@
 		return nil, err
 	}
 	admin := c.Admin()
-	for _, p := range list {
+	for i := range list {
+		p := boundTokens(list[i], c.opts.OutputTokens)
+		list[i] = p
 		reply, err := admin.SetProfile(ctx, lynxapi.ChangeRequest{Profile: p, ChangeID: client.NewKey(), WaitMS: acceptWait.Milliseconds()})
 		if err != nil {
 			return nil, fmt.Errorf("profile %s: %w", p.Name, err)
--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -303,10 +303,7 @@
 	s.Breaches = breaches(c.evidence(list), records)
 	s.Breaches.Reverted = len(wrong)
 	s.Breaches.Details = append(s.Breaches.Details, wrong...)
-	if whole := share(s.Whole, s.Requests); whole < r.MinWhole {
-		s.Breaches.TooFew = 1
-		s.Breaches.Details = append(s.Breaches.Details, fmt.Sprintf("only %.0f%% of the requests got a whole answer", 100*whole))
-	}
+	s.Breaches.checkWhole(s, r.MinWhole)
 	return s
 }
 
--- a/internal/bench/fault_instance.go
+++ b/internal/bench/fault_instance.go
@@ -174,12 +174,17 @@
 }
 
 func (f *faultRun) raceOnce(ctx context.Context, admin *client.Admin, base profile.Profile, mark int) {
+	f.cluster.race.add(changeOnce(ctx, admin, base, mark))
+}
+
+// changeOnce changes a profile from its newest version and returns what the
+// operator was told.
+func changeOnce(ctx context.Context, admin *client.Admin, base profile.Profile, mark int) raceResult {
 	ctx, cancel := context.WithTimeout(ctx, acceptWait)
 	defer cancel()
 	version, _, err := admin.NewestVersion(ctx, base.Name)
 	if err != nil {
-		f.cluster.race.add(raceResult{kind: "unread"})
-		return
+		return raceResult{kind: "unread"}
 	}
 	base.MaxInputKB = base.MaxInputKB + mark%97
 	started := time.Now()
@@ -190,5 +195,5 @@
 	if err != nil {
 		result.kind = errkind.Of(err).String()
 	}
-	f.cluster.race.add(result)
+	return result
 }
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -29,7 +29,16 @@
 	// MaxRequests bounds the load; 0 = 200,000.
 	MaxRequests int
 	// Progress is called about once a second; nil = never.
-	Progress func(sent, done int)
+	Progress func(Progress)
+}
+
+// Progress is how far a load is.
+type Progress struct {
+	Elapsed  time.Duration
+	Sent     int
+	Done     int // of them; the others are in flight
+	Whole    int // of those done
+	Attained int
 }
 
 const defaultMaxRequests = 200_000
@@ -76,9 +85,9 @@
 	items   []timedItem
 	callers map[callerKey]*client.Caller
 
-	mu      sync.Mutex // guards records and sent
-	records []Record
-	sent    int
+	mu       sync.Mutex // guards records and progress
+	records  []Record
+	progress Progress
 }
 
 type timedItem struct {
@@ -139,30 +148,40 @@
 			break
 		}
 		l.mu.Lock()
-		l.sent++
+		l.progress.Sent++
 		l.mu.Unlock()
-		sending.Go(func() {
-			record := l.send(ctx, start, it)
-			l.mu.Lock()
-			l.records = append(l.records, record)
-			l.mu.Unlock()
-		})
+		sending.Go(func() { l.note(l.send(ctx, start, it)) })
 	}
 	sending.Wait()
 	return l.records
 }
 
+func (l *load) note(r Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.records = append(l.records, r)
+	l.progress.Done++
+	if r.Whole() {
+		l.progress.Whole++
+	}
+	if r.Attained() {
+		l.progress.Attained++
+	}
+}
+
 func (l *load) reportProgress(ctx context.Context) (stop func()) {
 	if l.opts.Progress == nil {
 		return func() {}
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	start := time.Now()
 	go func() {
 		for sleep(ctx, time.Second) == nil {
 			l.mu.Lock()
-			sent, done := l.sent, len(l.records)
+			progress := l.progress
 			l.mu.Unlock()
-			l.opts.Progress(sent, done)
+			progress.Elapsed = time.Since(start)
+			l.opts.Progress(progress)
 		}
 	}()
 	return cancel
--- a/internal/bench/race.go
+++ b/internal/bench/race.go
@@ -70,19 +70,7 @@
 // that is behind an accepted version, two accepted changes of one version, or
 // instances that do not come to agree.
 func (c *Cluster) checkProfiles(ctx context.Context) []string {
-	var wrong []string
-	owner := make(map[uint64]string)
-	highest := make(map[string]uint64)
-	for _, r := range c.race.all() {
-		if r.kind != lynxapi.ChangeAccepted && r.kind != lynxapi.ChangeWritten {
-			continue
-		}
-		if other, taken := owner[r.version]; taken && other != r.changeID {
-			wrong = append(wrong, fmt.Sprintf("version %d of %s was told to two changes", r.version, r.profile))
-		}
-		owner[r.version] = r.changeID
-		highest[r.profile] = max(highest[r.profile], r.version)
-	}
+	highest, wrong := c.race.accepted()
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	for !c.agree(highest) {
