Claims: completions and indexes yield to claims when the budget is short

Cause: all three were written with the priority of requests, so that a short budget was spent on what can wait. Change: claims keep it; completions alone go as control, the index as background.

--- a/internal/claim/flush.go
+++ b/internal/claim/flush.go
@@ -61,8 +61,8 @@
 
 // callContext limits the store calls of one attempt. It does not end with any
 // single caller: the write carries the claims of many.
-func (s *shard) callContext() (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(store.WithPriority(context.Background(), store.PriorityRequest))
+func (s *shard) callContext(p store.Priority) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(store.WithPriority(context.Background(), p))
 	timer := s.pages.opts.Clock.AfterFunc(callTimeout, cancel)
 	return ctx, func() {
 		timer.Stop()
@@ -70,11 +70,22 @@
 	}
 }
 
+// priorityOf is that of the most urgent op: when the budget of store calls is
+// short, completions make room for claims that callers wait for.
+func priorityOf(batch []*op) store.Priority {
+	for _, o := range batch {
+		if !o.lazy {
+			return store.PriorityRequest
+		}
+	}
+	return store.PriorityControl
+}
+
 // attempt decides the batch on top of the view and writes once. Ops that are
 // decided are finished; the others stay for the next attempt. An error says
 // that the store did not answer.
 func (s *shard) attempt(batch []*op) error {
-	ctx, cancel := s.callContext()
+	ctx, cancel := s.callContext(priorityOf(batch))
 	defer cancel()
 	if err := s.load(ctx); err != nil {
 		return err
@@ -198,7 +209,7 @@
 	if !s.view.loaded || s.view.index.next() < s.view.indexed+indexEvery {
 		return
 	}
-	ctx, cancel := s.callContext()
+	ctx, cancel := s.callContext(store.PriorityBackground)
 	defer cancel()
 	obj, err := s.pages.opts.Store.Put(ctx, indexKey(s.number), encode(s.view.index), s.view.indexVersion)
 	if err == nil {
