Request path: calls that may not be repeated use a new connection

Cause: a kept connection that went silent unnoticed ended a booking as "may have run" though the service never heard of it. Result: TestNonIdempotentCallUsesNewConnection (fails without the change: the call waits until the deadline).

--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -119,6 +119,14 @@
 	return a.s.x.r.opts.Gate.Timeouts(choice, a.want.Query)
 }
 
+// newConnection: a kept connection may have gone silent unnoticed. A repeat must
+// not meet the same silence, and a call that cannot be repeated must not meet
+// any: it would end as "may have run" though the target never heard of it. One
+// round trip more is the price.
+func (a *attempt) newConnection() bool {
+	return a.want.Repeat || !a.s.stage.Idempotent
+}
+
 // call makes the call, settles what it proves, and gives the slot back.
 func (a *attempt) call(slot admission.Slot, choice routing.Choice, timeouts admission.Timeouts) (stagecall.Result, error) {
 	x := a.s.x
@@ -128,7 +136,7 @@
 	result, err := x.r.opts.Caller.Run(a.ctx, target, a.request(choice), stagecall.Options{
 		FirstByte:     timeouts.FirstByte,
 		Progress:      timeouts.Progress,
-		NewConnection: a.want.Repeat,
+		NewConnection: a.newConnection(),
 	}, func(frame targetapi.Frame) error { return a.onFrame(begun, frame) })
 	died := err != nil && a.targetDied(target, err)
 	endSuspect()
--- a/internal/pipeline/faults_test.go
+++ b/internal/pipeline/faults_test.go
@@ -171,6 +171,20 @@
 	})
 }
 
+// Symptom: a booking ends as "may have run" though the service never heard of it.
+// Events: the kept connection went silent before the call.
+// Cause: a call that cannot be repeated on a connection of unknown state.
+func TestNonIdempotentCallUsesNewConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(memtarget.Options{Plan: faultOnce(stageBook, memtarget.Plan{Fault: memtarget.Silent, OldConnection: true})})
+		req := w.request("book", "k")
+		out, err := w.runner.Run(t.Context(), req, nil)
+		if err != nil || string(out.Output) != wholeBooking(req) {
+			t.Errorf("got %s, %v", out.Output, err)
+		}
+	})
+}
+
 // Symptom: a booking fails although a free target was there.
 // Events: the first target refuses, or cannot be reached.
 // Cause: what is proven not run may go elsewhere under the same claim.
