--- a/cmd/lynxbench/main.go
+++ b/cmd/lynxbench/main.go
@@ -21,6 +21,8 @@
 	Compare  compareCmd  `cmd:"" help:"Compare the JSON results of two runs."`
 	Faults   faultsCmd   `cmd:"" help:"List the faults that experiments may name."`
 	Standins standinsCmd `cmd:"" help:"Run a deployment's platform and targets for instances in other processes."`
+	Fault    faultCmd    `cmd:"" help:"Begin a fault of running stand-ins."`
+	Ready    readyCmd    `cmd:"" help:"Tell by the status whether the instances of running stand-ins take requests."`
 }
 
 func main() {
--- a/cmd/lynxbench/standins.go
+++ b/cmd/lynxbench/standins.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/bench"
+	"lynxhill.example/lynxhill/internal/client"
+	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/httpserver"
 )
 
@@ -39,3 +41,40 @@
 		c.Deployment, len(standins.Layout.Targets), standins.Layout.Platform, standins.Layout.Control)
 	return standins.Run(ctx)
 }
+
+// faultCmd begins a fault of running stand-ins.
+type faultCmd struct {
+	Dir     string        `arg:"" type:"existingdir" help:"Directory of 'lynxbench standins'."`
+	Kind    string        `arg:"" help:"See 'lynxbench faults', store_*, target_*, lost_reply and poison; or instance_cut."`
+	For     time.Duration `default:"5s" help:"Length of the fault."`
+	Subject string        `help:"Id of a target or instance, or a service; default: drawn by the seed."`
+	Count   int           `help:"Targets of the service."`
+	Value   float64       `help:"Factor, share or seconds, by kind."`
+}
+
+// Run implements the command.
+func (c faultCmd) Run(ctx context.Context) error {
+	httpserver.BridgeLogs(nil)
+	attached, err := bench.Attach(c.Dir, client.TicketsNever)
+	if err != nil {
+		return err
+	}
+	return attached.Fault(ctx, bench.Fault{
+		Kind: c.Kind, For: config.Of(c.For), Subject: c.Subject, Count: c.Count, Value: c.Value,
+	})
+}
+
+// readyCmd tells whether the instances of running stand-ins take requests.
+type readyCmd struct {
+	Dir string `arg:"" type:"existingdir" help:"Directory of 'lynxbench standins'."`
+}
+
+// Run implements the command.
+func (c readyCmd) Run(ctx context.Context) error {
+	httpserver.BridgeLogs(nil)
+	attached, err := bench.Attach(c.Dir, client.TicketsNever)
+	if err != nil {
+		return err
+	}
+	return attached.Ready(ctx)
+}
--- a/internal/bench/attach.go
+++ b/internal/bench/attach.go
@@ -244,3 +244,20 @@
 	}
 	return json.NewDecoder(resp.Body).Decode(reply)
 }
+
+// Ready returns nil if every instance takes requests and sees all others and
+// all targets.
+func (a *Attached) Ready(ctx context.Context) error {
+	for _, i := range a.Layout.Instances {
+		ctx, cancel := context.WithTimeout(ctx, attachTimeout)
+		status, err := a.Admin(i).Status(ctx)
+		cancel()
+		if err != nil {
+			return fmt.Errorf("%s: %w", i.ID, err)
+		}
+		if !status.Ready || status.Alive < len(a.Layout.Instances) || status.Targets < len(a.Layout.Targets) {
+			return fmt.Errorf("%s: ready %t, sees %d instances and %d targets", i.ID, status.Ready, status.Alive, status.Targets)
+		}
+	}
+	return nil
+}
