--- a/internal/admission/fairness_test.go
+++ b/internal/admission/fairness_test.go
@@ -17,7 +17,6 @@
 type crowdTrial struct {
 	largeTimes float64 // the large one's requests, as a multiple of its share
 	oneQueue   bool    // all requests under one name: what it is without fairness
-	priorities int
 }
 
 const (
