Request path: a stage's part of the deadline ends nothing; pings every second

(1) After a connection was found lost, the repeat was refused with "the deadline passed before stage ...": it carried the stage's part of the deadline as worked out when the stage began, with seconds of the request's own deadline left. (2) The loss was found only after 2 to 4 s, by pings; the first-byte timeout was still at its ceiling of 10 s, since the engines were not measured enough. A third, that the gate's budget for repeats is spent, is not touched here. Change: the part is worked out for each attempt; an attempt refused for its part asks once more with the whole rest; pings after 1 s of silence, 1 s to answer. Result: TestPartOfDeadlineDoesNotEndTheRequest; without the second asking it fails.

--- a/internal/pipeline/failure.go
+++ b/internal/pipeline/failure.go
@@ -89,6 +89,10 @@
 		return nil
 	case s.x.over():
 		return s.endOfContext()
+	case outOfPart(err) && !s.wholeRest:
+		s.wholeRest = true
+		s.launch(s.failed != nil, false)
+		return nil
 	case s.failed == nil:
 		return err
 	case errkind.Is(err, errkind.NoTarget) && !s.forgave && s.mayRepeat(s.failed):
@@ -99,6 +103,13 @@
 	return s.giveUp()
 }
 
+// outOfPart reports that the queue refused for the stage's part of the deadline.
+// The part orders queues; only the request's own deadline ends it.
+func outOfPart(err error) bool {
+	kind := errkind.Of(err)
+	return kind == errkind.DeadlineBeforeRun || kind == errkind.DeadlineUnreachable
+}
+
 // giveUp returns the stage's error after its last failure.
 func (s *stageRun) giveUp() error {
 	return errkind.Wrap(s.failed, s.kindOf(s.failed), "stage %s", s.stage.Name)
--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -68,6 +68,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.wants = append(g.wants, want)
+	if g.clock != nil && !want.Query.Deadline.After(g.clock.Now()) {
+		return nil, errkind.New(errkind.DeadlineBeforeRun, "the stage's part has passed")
+	}
 	if g.refuse != nil {
 		if err := g.refuse(want); err != nil {
 			return nil, err
--- a/internal/pipeline/policy_test.go
+++ b/internal/pipeline/policy_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/admission"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/stagecall"
@@ -106,6 +107,34 @@
 	}
 }
 
+// Symptom: a request fails with most of its time left. Events: the first attempt
+// of a stage meets a silent connection, which takes longer to show than the
+// stage's part of the deadline; or the queue takes longer than that part.
+// Cause: the repeat is refused for the part that the first attempt had.
+func TestPartOfDeadlineDoesNotEndTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(memtarget.Options{Plan: faultOnce(stageEncode, memtarget.Plan{Fault: memtarget.Silent})})
+		w.gate.timeouts.FirstByte = 6 * time.Second // the stage's part is 5 s
+		sink, req := new(recorder), w.request("draft", "k")
+		if _, err := w.runner.Run(t.Context(), req, sink); err != nil || sink.text != wholeDraft(req) {
+			t.Errorf("silence: %q, %v", sink.text, err)
+		}
+		w = newWorld(memtarget.Options{})
+		refused := false
+		w.gate.refuse = func(admission.Want) error {
+			if refused {
+				return nil
+			}
+			refused = true
+			return errkind.New(errkind.DeadlineBeforeRun, "in the queue")
+		}
+		sink, req = new(recorder), w.request("draft", "k")
+		if _, err := w.runner.Run(t.Context(), req, sink); err != nil || sink.text != wholeDraft(req) {
+			t.Errorf("queue: %q, %v", sink.text, err)
+		}
+	})
+}
+
 // Symptom: an instance runs out of memory on one answer.
 func TestAnswerIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -33,7 +33,6 @@
 	last     bool
 	streams  bool // targets answer it as a stream
 	previous json.RawMessage
-	deadline time.Time // by when it should end
 	started  time.Time
 	claim    claim.Claim // set while a stage that is not idempotent may run
 
@@ -47,7 +46,10 @@
 	text     []byte             // of the answer so far, for a stage that streams
 	detached bool               // the caller has its answer; only the claim is served
 	failed   *stagecall.Failure // the latest
-	forgave  bool               // targets whose connections failed may be tried again
+	// wholeRest: the queue did not serve it within its part of the time, so it
+	// may take all that is left.
+	wholeRest bool
+	forgave   bool // targets whose connections failed may be tried again
 
 	hedgeTimer  *quartz.Timer
 	repeatTimer *quartz.Timer
@@ -65,7 +67,6 @@
 		last:     index == len(stages)-1,
 		streams:  stages[index].Kind == profile.KindGenerate,
 		previous: previous,
-		deadline: x.stageDeadline(index),
 		started:  x.now(),
 		signals:  make(chan signal, signalBuffer),
 		left:     make(chan struct{}),
@@ -195,10 +196,20 @@
 		Place:        s.x.r.opts.Place,
 		Region:       s.x.r.opts.Region,
 		Exclude:      s.excluded(),
-		Deadline:     s.deadline,
+		Deadline:     s.queueDeadline(),
 	}
 }
 
+// queueDeadline is by when an attempt that starts now should end. It is worked
+// out for each attempt: a repeat after a long silence would otherwise be refused
+// for the time that the first attempt had, with most of the request's time left.
+func (s *stageRun) queueDeadline() time.Time {
+	if s.wholeRest {
+		return s.x.req.Deadline
+	}
+	return s.x.stageDeadline(s.index)
+}
+
 // excluded returns the targets that this stage has tried, and those on which a
 // suspected request must not be. When no other target is left, those remain
 // whose connection failed: a connection says little of its target.
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -8,8 +8,8 @@
 
 const (
 	// idleConnTimeout closes connections that carry no call. Each open one is
-	// pinged every few seconds, about 114 bytes a ping with its answer and the
-	// headers below: 600 idle ones would cost an instance 34 KB a second.
+	// pinged every second, about 114 bytes a ping with its answer and the
+	// headers below: 600 idle ones would cost an instance 68 KB a second.
 	idleConnTimeout = 10 * time.Second
 	// pruneAbove is the number of addresses above which entries that carry no
 	// call are dropped, so that targets long gone take no memory.
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -22,8 +22,8 @@
 
 // Defaults of Options.
 const (
-	DefaultPingInterval  = 2 * time.Second
-	DefaultPingTimeout   = 2 * time.Second
+	DefaultPingInterval  = time.Second
+	DefaultPingTimeout   = time.Second
 	DefaultMaxReplyBytes = 8 << 20
 	dialTimeout          = 2 * time.Second
 	cancelTimeout        = 2 * time.Second
