Target client: fuzz target for refusals

Cause: "not run" rests on the body of a refusal, which anything between the two ends may have written. Change: a fuzz target that holds NotRun to a body that says so.

--- a/internal/target/repeat_test.go
+++ b/internal/target/repeat_test.go
@@ -296,3 +296,25 @@
 		}
 	})
 }
+
+// FuzzRefusal: whatever a target or something before it answers, "not run" is
+// believed only if the body says so.
+func FuzzRefusal(f *testing.F) {
+	f.Add([]byte(`{"code":"busy","ran":false}`), false)
+	f.Add([]byte(`{"code":"busy"}`), false)
+	f.Add([]byte(`{"code":"failed","ran":false,"request_id":"r"}`), true)
+	f.Add([]byte(`{"code":"busy","Ran":null}`), false)
+	c := New(Options{})
+	f.Fuzz(func(t *testing.T, data []byte, begun bool) {
+		x := c.begin(context.Background(), stagecall.Target{ID: "t", Address: "127.0.0.1:1"}, stagecall.Options{})
+		defer x.end()
+		failure := stagecall.FailureOf(x.refusalOf(data, wholeRequest(), "fuzz", begun))
+		said := strings.Contains(strings.ToLower(string(data)), "false") && !begun
+		if failure.NotRun && !said {
+			t.Fatalf("%q read as not run", data)
+		}
+		if failure.Class == stagecall.ClassRefused && !failure.NotRun {
+			t.Fatalf("%q is a refusal that may have run", data)
+		}
+	})
+}
