Claim tests read a shard's view only while its flush loop is at rest

Cause: under -race three tests read what the flush loop owns, and the fake of the priority test was not locked. The program itself was not at fault.

--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -22,6 +22,15 @@
 	}
 }
 
+// idle returns the only shard once its flush loop, which owns the view, has
+// ended.
+func idle(p *Pages) *shard {
+	for p.busy() {
+		runtime.Gosched()
+	}
+	return p.shards[0]
+}
+
 // BenchmarkDecide decides a new key on a warm view: the work of a claim at the
 // owner but for its share of the write.
 func BenchmarkDecide(b *testing.B) {
@@ -31,14 +40,12 @@
 				o.Shards, o.FlushInterval = 1, time.Microsecond
 			})
 			s := p.shards[0]
-			for i := 0; s.view.current == nil || s.view.current.number < uint64(windows); i++ {
+			for i := 0; idle(p).view.current == nil || s.view.current.number < uint64(windows); i++ {
 				if _, err := p.Claim(context.Background(), testRequest(fmt.Sprint(i), "x", time.Minute)); err != nil {
 					b.Fatal(err)
 				}
 			}
-			for p.busy() { // the flush loop owns the view
-				runtime.Gosched()
-			}
+			idle(p)
 			o := newOp(keyLife{}, entry{ID: idOf(Key{Key: "new"}), Op: opClaim, Token: "t"})
 			b.ReportAllocs()
 			for b.Loop() {
--- a/internal/claim/failures_test.go
+++ b/internal/claim/failures_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,7 +42,7 @@
 		st := memstore.New(memstore.Options{})
 		small := func(o *PagesOptions) { o.Shards, o.WindowBytes, o.FlushInterval = 1, 500, time.Millisecond }
 		a, sleeper := testPages(st, "a", 1, small), testPages(st, "s", 2, small)
-		for i := 0; sleeper.shards[0].view.current == nil || sleeper.shards[0].view.current.version != 0; i++ {
+		for i := 0; currentOf(sleeper) == nil || currentOf(sleeper).version != 0; i++ {
 			mustState(t, sleeper, testRequest(fmt.Sprint("s", i), "x", time.Second), Granted)
 		}
 		stopped := make(chan struct{})
@@ -143,11 +144,14 @@
 // priorityStore notes the priority of each write.
 type priorityStore struct {
 	store.Store
+	mu   sync.Mutex // guards seen
 	seen []store.Priority
 }
 
 func (s *priorityStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (store.Object, error) {
+	s.mu.Lock()
 	s.seen = append(s.seen, store.PriorityOf(ctx))
+	s.mu.Unlock()
 	return s.Store.Put(ctx, key, value, ifVersion)
 }
 
@@ -161,6 +165,8 @@
 		c.Complete(nil)
 		time.Sleep(3 * time.Second)
 		want := []store.Priority{store.PriorityRequest, store.PriorityRequest, store.PriorityControl} // format, claim, completion
+		st.mu.Lock()
+		defer st.mu.Unlock()
 		if !slices.Equal(st.seen, want) {
 			t.Errorf("priorities %v, want %v", st.seen, want)
 		}
--- a/internal/claim/pages_test.go
+++ b/internal/claim/pages_test.go
@@ -49,6 +49,13 @@
 	}
 }
 
+// currentOf returns the current window of the only shard, once its flush loop,
+// which owns it, is at rest.
+func currentOf(p *Pages) *window {
+	synctest.Wait()
+	return p.shards[0].view.current
+}
+
 func TestClaimLife(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		st := memstore.New(memstore.Options{})
@@ -96,7 +103,7 @@
 			mustState(t, a, testRequest(fmt.Sprint(i), "x", time.Second), Held)
 			mustState(t, testPages(st, "b", 2, small), testRequest(fmt.Sprint(i), "x", time.Second), Held)
 		}
-		if n := a.shards[0].view.current.number; n < 10 {
+		if n := currentOf(a).number; n < 10 {
 			t.Errorf("only %d windows", n)
 		}
 		if a.cache.size > 2000 {
@@ -192,7 +199,7 @@
 		if err != nil || len(objects) > 28 {
 			t.Errorf("%d objects left, %v", len(objects), err)
 		}
-		if n := a.shards[0].view.current.number; n < 30 {
+		if n := currentOf(a).number; n < 30 {
 			t.Errorf("only %d windows were opened", n)
 		}
 		mustState(t, testPages(st, "b", 2, small), testRequest("29-0", "x", time.Second), Held)
