--- a/cmd/lynxbench/main.go
+++ b/cmd/lynxbench/main.go
@@ -18,6 +18,7 @@
 	Demo     demoCmd     `cmd:"" help:"Run both deployments, send requests of both, check every answer. Ends by itself."`
 	Run      runCmd      `cmd:"" help:"Run experiments: load, faults and policies compared. Status 1 if a promise was broken."`
 	Load     loadCmd     `cmd:"" help:"Send a load to instances in this process or to running processes, check every answer. Status 1 if a promise was broken."`
+	Overhead overheadCmd `cmd:"" help:"Compare direct calls of targets with calls through lynxhill."`
 	Compare  compareCmd  `cmd:"" help:"Compare the JSON results of two runs."`
 	Faults   faultsCmd   `cmd:"" help:"List the faults that experiments may name."`
 	Standins standinsCmd `cmd:"" help:"Run a deployment's platform and targets for instances in other processes."`
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -39,6 +39,8 @@
 	Seed   uint64
 	// OutputTokens bounds generated answers; 0 leaves what the profiles say.
 	OutputTokens int
+	// Plain uses TCP as it is: no latency, no network faults.
+	Plain bool
 }
 
 // Cluster is a running deployment with its instances.
@@ -72,8 +74,10 @@
 // StartCluster starts the stand-ins and the instances, spread over the places.
 func StartCluster(opts ClusterOptions) (*Cluster, error) {
 	network := netfault.New()
-	opts.Fleet.Network = network
-	opts.Fleet.Latency = true
+	if !opts.Plain {
+		opts.Fleet.Network = network
+		opts.Fleet.Latency = true
+	}
 	opts.Fleet.Seed = opts.Seed
 	deployment, err := fleet.New(opts.Fleet)
 	if err != nil {
@@ -141,14 +145,17 @@
 	id := cfg.Instance.ID
 	c.Network.Revive(id)
 	c.Network.SetPlace(id, cfg.Instance.Place)
-	d, err := daemon.New(cfg, daemon.Options{
-		Dial:       c.Network.Dialer(id),
-		Listen:     listenAs(c.Network, id),
+	options := daemon.Options{
 		Seed:       c.opts.Seed*1000 + uint64(i) + 1,
 		Logger:     c.logger(),
 		Violations: c.Violations,
 		Policy:     c.opts.Policy,
-	})
+	}
+	if !c.opts.Plain {
+		options.Dial = c.Network.Dialer(id)
+		options.Listen = listenAs(c.Network, id)
+	}
+	d, err := daemon.New(cfg, options)
 	if err != nil {
 		return nil, err
 	}
