Callers know a silent or isolated instance within a part of their deadline

Symptom: while an instance was frozen, requests with a deadline of one second ended without any answer; while half of the instances were cut off, callers kept meeting isolated ones. Cause: a stream began with the first heartbeat, a second after the request; a question for addresses waited two seconds for a silent instance before the next was asked; an isolated instance answered it with the others it could still see; a silent or isolated instance was not tried last. Ruled out: the instances' own failure detection (others had it as suspect after 4 s, too late for these deadlines whatever its setting). Change: streams begin within 100 ms; the client gives one that doesn't begin a quarter of the deadline, at least 400 ms; the next server is asked for addresses after 200 ms beside the first; isolated instances refuse that question; silent and isolated ones are tried last for 5 s.

--- a/internal/callerapi/stream.go
+++ b/internal/callerapi/stream.go
@@ -96,6 +96,12 @@
 // StageDone implements pipeline.Sink.
 func (s *streamSink) StageDone(pipeline.StageReport) {}
 
+// acceptWithin is when a stream begins at the latest. A request that is refused
+// sooner gets the HTTP status of its error; a caller that hears nothing for
+// much longer than this knows that the instance or the connection is silent,
+// without waiting for a heartbeat or its deadline.
+const acceptWithin = 100 * time.Millisecond
+
 // streamWriter writes the events of one stream.
 type streamWriter struct {
 	api     *api
@@ -110,8 +116,14 @@
 func (s *streamWriter) pump(ctx context.Context, frames <-chan frameOut, ended <-chan ending) (end ending, alive bool) {
 	ticker := s.api.opts.Clock.NewTicker(s.api.opts.HeartbeatEvery)
 	defer ticker.Stop()
+	first := s.api.opts.Clock.NewTimer(acceptWithin)
+	defer first.Stop()
 	for {
 		select {
+		case <-first.C:
+			if err := s.begin(); err != nil {
+				return ending{}, false
+			}
 		case f := <-frames:
 			err := s.event(lynxapi.EventFrame, f.frame)
 			f.written <- err
@@ -158,23 +170,27 @@
 	_ = s.event(lynxapi.EventEnd, reply) // a caller that misses the end mark asks for the outcome
 }
 
-// event writes one server-sent event, before the first one the header and the
-// event accepted.
+// event writes one server-sent event.
 func (s *streamWriter) event(name string, data any) error {
-	if !s.begun {
-		s.begun = true
-		header := s.w.Header()
-		header.Set("Content-Type", "text/event-stream")
-		header.Set("Cache-Control", "no-store")
-		s.w.WriteHeader(http.StatusOK)
-		accepted := lynxapi.Accepted{RequestID: s.req.ID, Key: s.req.Key, Instance: s.api.opts.Self}
-		if err := s.write(lynxapi.EventAccepted, accepted); err != nil {
-			return err
-		}
+	if err := s.begin(); err != nil {
+		return err
 	}
 	return s.write(name, data)
 }
 
+// begin writes the header and the event accepted, once.
+func (s *streamWriter) begin() error {
+	if s.begun {
+		return nil
+	}
+	s.begun = true
+	header := s.w.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-store")
+	s.w.WriteHeader(http.StatusOK)
+	return s.write(lynxapi.EventAccepted, lynxapi.Accepted{RequestID: s.req.ID, Key: s.req.Key, Instance: s.api.opts.Self})
+}
+
 func (s *streamWriter) write(name string, data any) error {
 	raw, err := json.Marshal(data)
 	if err != nil {
--- a/internal/callerapi/stream_test.go
+++ b/internal/callerapi/stream_test.go
@@ -167,3 +167,25 @@
 		}
 	})
 }
+
+// Symptom: a request with a deadline of one second was lost at an instance that
+// had stopped moving. Cause: the caller could not tell a slow request from a
+// silent instance before the first heartbeat, a second after it had sent it.
+func TestAStreamBeginsLongBeforeItsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		v := newInstance(t, fakeHandler{serve: func(ctx context.Context, _ pipeline.Request, _ pipeline.Sink) (pipeline.Outcome, error) {
+			<-ctx.Done() // an answer that takes long
+			return pipeline.Outcome{}, errkind.Wrap(ctx.Err(), errkind.Cancelled, "the caller went away")
+		}}, Limits{}, false)
+		defer v.close()
+		sent := time.Now()
+		conn := v.dial(streamed, len(streamed))
+		defer conn.Close()
+		if _, err := conn.Read(make([]byte, 1)); err != nil {
+			t.Fatal(err)
+		}
+		if waited := time.Since(sent); waited != acceptWithin {
+			t.Fatalf("the stream began after %s", waited)
+		}
+	})
+}
--- a/internal/client/address.go
+++ b/internal/client/address.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"net/url"
@@ -19,6 +20,9 @@
 	// addressTimeout bounds one question for addresses, so that a silent
 	// instance costs little before the next is asked.
 	addressTimeout = 2 * time.Second
+	// askStagger is how long one server has to answer before the next is
+	// asked beside it.
+	askStagger = 200 * time.Millisecond
 )
 
 // addressBook keeps the address answer for as long as it says.
@@ -84,17 +88,10 @@
 	if answer, ok := c.book.fresh(time.Now()); ok {
 		return answer, nil
 	}
-	err := ErrNoServers
-	for _, server := range c.askable() {
-		answer, askErr := c.askAddress(ctx, server)
-		if askErr == nil {
-			c.book.keep(answer, time.Now())
-			return answer, nil
-		}
-		err = askErr
-		if ctx.Err() != nil || !worthAskingElsewhere(askErr) {
-			break
-		}
+	answer, err := c.askAny(ctx, c.askable())
+	if err == nil {
+		c.book.keep(answer, time.Now())
+		return answer, nil
 	}
 	if old := c.book.last(); len(old.Addresses) > 0 && worthAskingElsewhere(err) {
 		return old, nil
@@ -102,6 +99,67 @@
 	return lynxapi.AddressAnswer{}, err
 }
 
+// asked is what one server answered.
+type asked struct {
+	answer lynxapi.AddressAnswer
+	err    error
+}
+
+// askAny asks the servers in turn: the next one when one has failed, and also
+// when it has not answered for askStagger. A server that went silent would
+// otherwise cost addressTimeout of a request's deadline. The first answer
+// counts.
+func (c *Caller) askAny(ctx context.Context, servers []string) (lynxapi.AddressAnswer, error) {
+	if len(servers) == 0 {
+		return lynxapi.AddressAnswer{}, ErrNoServers
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan asked, len(servers))
+	ask := func(server string) {
+		answer, err := c.askAddress(ctx, server)
+		answers <- asked{answer, err}
+	}
+	next, waiting := 0, 0
+	var last error
+	for {
+		if next < len(servers) {
+			go ask(servers[next])
+			next++
+			waiting++
+		}
+		got, ok := awaitAnswer(answers, next < len(servers))
+		if !ok {
+			continue
+		}
+		waiting--
+		if got.err == nil {
+			return got.answer, nil
+		}
+		last = got.err
+		if ctx.Err() != nil || !worthAskingElsewhere(last) || (waiting == 0 && next == len(servers)) {
+			return lynxapi.AddressAnswer{}, last
+		}
+	}
+}
+
+// awaitAnswer waits for the next answer, or only for askStagger if there is
+// another server to ask. Every question ends with ctx or its own timeout, so
+// that an answer always comes.
+func awaitAnswer(answers <-chan asked, more bool) (asked, bool) {
+	if !more {
+		return <-answers, true
+	}
+	timer := time.NewTimer(askStagger)
+	defer timer.Stop()
+	select {
+	case got := <-answers:
+		return got, true
+	case <-timer.C:
+		return asked{}, false
+	}
+}
+
 // askable lists whom to ask: the instances last heard of, then the seeds.
 func (c *Caller) askable() []string {
 	var servers []string
@@ -142,6 +200,9 @@
 	}
 	var answer lynxapi.AddressAnswer
 	err := c.get(ctx, server, call{method: http.MethodGet, path: lynxapi.PathAddress, query: query}, &answer)
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		c.book.avoid(server, time.Now()) // it went silent
+	}
 	return answer, err
 }
 
--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -105,10 +105,11 @@
 	return readReply(c.base(server), resp, reply)
 }
 
-// noteUnreachable has a server tried last for a while that took no call. One
-// whose answer broke off is not blamed: it may have been the connection.
+// noteUnreachable has a server tried last for a while that took no call, went
+// silent or takes no work. One whose answer broke off is not blamed: it may
+// have been the connection.
 func (c *Caller) noteUnreachable(server string, err error) {
-	if IsUnreachable(err) {
+	if IsUnreachable(err) || errors.Is(err, ErrSilent) || errkind.Is(err, errkind.Isolated) {
 		c.book.avoid(server, time.Now())
 	}
 }
--- a/internal/client/send.go
+++ b/internal/client/send.go
@@ -201,14 +201,24 @@
 	return reply, s.whole(reply.Output)
 }
 
-// expectHeader gives a stream up whose first heartbeat does not come; the
-// returned function says that it came. A request that is answered whole has no
-// heartbeats: on a connection that went silent it waits for its deadline.
+// leastHeaderWait is several times what an instance takes to begin a stream.
+const leastHeaderWait = 400 * time.Millisecond
+
+// expectHeader gives a stream up that does not begin; the returned function
+// says that it has. Instances begin a stream within a tenth of a second, so
+// that a part of a short deadline is enough to know a silent one. A request
+// that is answered whole has no such sign: on a connection that went silent it
+// waits for its deadline.
 func (c *Caller) expectHeader(req lynxapi.SendRequest, giveUp context.CancelCauseFunc) (heard func()) {
 	if !req.Stream {
 		return func() {}
 	}
-	timer := time.AfterFunc(c.opts.Silence, func() { giveUp(ErrSilent) })
+	wait := c.opts.Silence
+	if req.DeadlineMS > 0 {
+		part := time.Duration(req.DeadlineMS) * time.Millisecond / 4
+		wait = min(wait, max(part, leastHeaderWait))
+	}
+	timer := time.AfterFunc(wait, func() { giveUp(ErrSilent) })
 	return func() { timer.Stop() }
 }
 
--- /dev/null
+++ b/internal/client/silent_test.go
@@ -0,0 +1,66 @@
+package client
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+)
+
+// silentInstance takes every call and answers none; held counts the calls that
+// it holds now.
+func silentInstance(t *testing.T) (addr string, held *atomic.Int32) {
+	t.Helper()
+	held = new(atomic.Int32)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		held.Add(1)
+		<-r.Context().Done()
+		held.Add(-1)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), held
+}
+
+// Symptom: requests with a deadline of one second were lost while one instance
+// was frozen. Events: the caller's address answer ran out, it asked the frozen
+// instance for a new one and waited out the limit for that. Cause: the next
+// instance was asked only after the one before had failed.
+func TestSilentInstanceDoesNotDelayTheQuestionForAddresses(t *testing.T) {
+	silent, held := silentInstance(t)
+	i := newInstance(t, whole)
+	c := newTestCaller(silent, i.addr())
+	c.book.avoid(i.addr(), time.Now()) // so that the silent one is asked first
+	answer, err := c.Address(t.Context())
+	if err != nil || len(answer.Addresses) == 0 || answer.Addresses[0].Address != i.addr() {
+		t.Fatalf("%+v %v", answer, err)
+	}
+	if held.Load() != 1 {
+		t.Fatal("the silent instance was given up before the next one was asked")
+	}
+}
+
+// Symptom: as above, with a fresh address answer. Events: the request itself
+// went to the frozen instance. Cause: a stream was given up only after two
+// and a half heartbeats, longer than the deadline.
+func TestStreamThatDoesNotBeginGoesElsewhereWithinItsDeadline(t *testing.T) {
+	silent, _ := silentInstance(t)
+	i := newInstance(t, whole)
+	c := newTestCaller(i.addr())
+	c.opts.Silence = time.Hour
+	c.book.keep(lynxapi.AddressAnswer{KeepMS: 60000, Addresses: []lynxapi.Address{
+		{Address: silent, Weight: 1e9}, {Address: i.addr(), Weight: 1e-9},
+	}}, time.Now())
+	req := lynxapi.SendRequest{Organisation: "agency", Input: json.RawMessage(`{}`), Stream: true, DeadlineMS: 20000}
+	result, err := c.Send(t.Context(), "check", req, nil)
+	if err != nil || result.Server != i.addr() || result.Attempts != 2 {
+		t.Fatalf("%+v %v", result, err)
+	}
+	if !c.book.isAvoided(silent, time.Now()) {
+		t.Fatal("the next request would go to the silent instance again")
+	}
+}
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -22,8 +22,13 @@
 	return d.serving.Serve(ctx, req, sink)
 }
 
-// Address implements callerapi.Handler.
+// Address implements callerapi.Handler. An instance that cannot confirm its
+// configuration does not answer: cut off with a few others, it would send
+// callers to those alone.
 func (d *Daemon) Address(_ context.Context, q callerapi.AddressQuestion) (lynxapi.AddressAnswer, error) {
+	if self, _ := d.board.Self.Get(board.SelfRow); !self.MayAdmit() {
+		return lynxapi.AddressAnswer{}, errkind.New(errkind.Isolated, "this instance cannot confirm its configuration; ask another")
+	}
 	answer := d.steering.Answer(q.Place, q.Region)
 	ticket, expires := d.tickets.Issue()
 	answer.Ticket = ticket
