--- a/cmd/lynxbench/main.go
+++ b/cmd/lynxbench/main.go
@@ -24,6 +24,7 @@
 	Standins standinsCmd `cmd:"" help:"Run a deployment's platform and targets for instances in other processes."`
 	Fault    faultCmd    `cmd:"" help:"Begin a fault of running stand-ins."`
 	Ready    readyCmd    `cmd:"" help:"Tell by the status whether the instances of running stand-ins take requests."`
+	Capacity capacityCmd `cmd:"" help:"Measure what instances spend on control, in growing numbers, with fitted slopes."`
 }
 
 func main() {
