Client test: a silent server notices callers that go away

Symptom: the test's server never closed, so the test ran into its limit. Cause: net/http watches a connection only once the request's body was read. Change: the silent server reads the body before it goes silent.

--- a/internal/client/silent_test.go
+++ b/internal/client/silent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,6 +20,7 @@
 	held = new(atomic.Int32)
 	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		held.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body) // only then is a caller noticed that goes away
 		<-r.Context().Done()
 		held.Add(-1)
 	}))
