--- a/internal/bench/capacity_node.go
+++ b/internal/bench/capacity_node.go
@@ -39,14 +39,14 @@
 func (c *meteredCluster) start(n int) error {
 	c.opts.Instances = n
 	for i := range n {
-		if err := c.startNode(i); err != nil {
+		if err := c.startInstance(i); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (c *meteredCluster) startNode(i int) error {
+func (c *meteredCluster) startInstance(i int) error {
 	cfg := c.settings(i)
 	m := newMeter(c.Fleet.Platform.Addr(), c.targetAddrs())
 	d, err := daemon.New(cfg, daemon.Options{
@@ -57,7 +57,7 @@
 		return err
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	node := &Node{ID: cfg.Instance.ID, Place: cfg.Instance.Place, Daemon: d, stop: stop, done: make(chan struct{})}
+	node := &Instance{ID: cfg.Instance.ID, Place: cfg.Instance.Place, Daemon: d, stop: stop, done: make(chan struct{})}
 	go func() {
 		defer close(node.done)
 		_ = d.Run(ctx) // its errors are in the log
--- a/internal/bench/capacity_sample.go
+++ b/internal/bench/capacity_sample.go
@@ -82,7 +82,7 @@
 
 func (c *meteredCluster) snapshot() snapshot {
 	s := snapshot{at: time.Now(), cpu: processorTime(), calls: make(map[string]uint64)}
-	for i, node := range c.Nodes() {
+	for i, node := range c.Instances() {
 		m := c.meters[i]
 		peers := m.toPeers.snapshot().plus(m.at(node.Daemon.PeerAddr()))
 		platform, targets := m.toPlatform.snapshot(), m.toTargets.snapshot()
@@ -204,7 +204,7 @@
 	var worst ages
 	for sleep(ctx, agesEvery) == nil {
 		isolated, view := 0, 0.0
-		for _, node := range c.Nodes() {
+		for _, node := range c.Instances() {
 			registry := node.Daemon.Metrics()
 			worst.confirm = max(worst.confirm, sum(registry, "config_confirm_age_seconds", ""))
 			isolated += int(sum(registry, "config_isolated", ""))
@@ -225,7 +225,7 @@
 func (c *meteredCluster) anatomy(ctx context.Context) map[string]float64 {
 	ctx, cancel := context.WithTimeout(ctx, anatomyTimeout)
 	defer cancel()
-	nodes := c.Nodes()
+	nodes := c.Instances()
 	asker := peer.NewClient(peer.Options{Self: "bench"})
 	defer asker.Close()
 	total := make(map[string]float64)
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"sync"
 	"time"
 
@@ -17,7 +16,6 @@
 	"lynxhill.example/lynxhill/internal/auth"
 	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/config"
-	"lynxhill.example/lynxhill/internal/daemon"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/invariant"
 	"lynxhill.example/lynxhill/internal/profile"
@@ -56,19 +54,9 @@
 
 	race raceLog
 
-	mu       sync.Mutex // guards what follows
-	nodes    []*Node
-	profiles []profile.Profile
-}
-
-// Node is one instance of a cluster.
-type Node struct {
-	ID     string
-	Place  string
-	Daemon *daemon.Daemon
-
-	stop context.CancelFunc
-	done chan struct{}
+	mu        sync.Mutex // guards what follows
+	instances []*Instance
+	profiles  []profile.Profile
 }
 
 // StartCluster starts the stand-ins and the instances, spread over the places.
@@ -90,7 +78,7 @@
 	}
 	c.makeTokens()
 	for i := range opts.Instances {
-		if _, err := c.StartNode(i); err != nil {
+		if _, err := c.StartInstance(i); err != nil {
 			c.Close()
 			return nil, err
 		}
@@ -109,70 +97,6 @@
 	}
 }
 
-// NodeID is the id of the i-th instance.
-func (c *Cluster) NodeID(i int) string {
-	return fmt.Sprintf("%s-entry-%d", c.Fleet.Name, i+1)
-}
-
-func (c *Cluster) placeOf(i int) string { return c.Fleet.Places[i%len(c.Fleet.Places)] }
-
-// settings are those of the i-th instance: shorter times than the defaults, as
-// an experiment lasts seconds.
-func (c *Cluster) settings(i int) config.Config {
-	cfg := config.Default()
-	cfg.Instance = config.Instance{ID: c.NodeID(i), Place: c.placeOf(i), Region: c.Fleet.Region}
-	cfg.Listen = config.Listen{Caller: "127.0.0.1:0", Admin: "127.0.0.1:0", Peer: "127.0.0.1:0"}
-	cfg.Platform.Endpoints = []string{"http://" + c.Fleet.Platform.Addr()}
-	cfg.Tokens.Caller = c.tokens.Caller
-	cfg.Tokens.Operator = c.tokens.Operator
-	cfg.Timings.Keep = config.Of(benchKeep)
-	if c.opts.Adjust != nil {
-		c.opts.Adjust(&cfg)
-	}
-	return cfg
-}
-
-// callerSilence is two and a half heartbeats: after that a caller gives a
-// connection up and sends its request again.
-const callerSilence = 2500 * time.Millisecond
-
-// benchKeep is how long callers keep an address answer on the bench.
-const benchKeep = 2 * time.Second
-
-// StartNode starts the i-th instance, or starts it again.
-func (c *Cluster) StartNode(i int) (*Node, error) {
-	cfg := c.settings(i)
-	id := cfg.Instance.ID
-	c.Network.Revive(id)
-	c.Network.SetPlace(id, cfg.Instance.Place)
-	options := daemon.Options{
-		Seed:       c.opts.Seed*1000 + uint64(i) + 1,
-		Logger:     c.logger(),
-		Violations: c.Violations,
-		Policy:     c.opts.Policy,
-	}
-	if !c.opts.Plain {
-		options.Dial = c.Network.Dialer(id)
-		options.Listen = listenAs(c.Network, id)
-	}
-	d, err := daemon.New(cfg, options)
-	if err != nil {
-		return nil, err
-	}
-	ctx, stop := context.WithCancel(context.Background())
-	node := &Node{ID: id, Place: cfg.Instance.Place, Daemon: d, stop: stop, done: make(chan struct{})}
-	go func() {
-		defer close(node.done)
-		_ = d.Run(ctx) // its errors are in the log
-	}()
-	c.put(i, node)
-	return node, nil
-}
-
-func listenAs(network *netfault.Network, id string) daemon.ListenFunc {
-	return func(addr string) (net.Listener, error) { return network.Listen(id, addr) }
-}
-
 func (c *Cluster) logger() *event.Logger {
 	if c.opts.Log == nil {
 		return nil
@@ -180,72 +104,11 @@
 	return event.NewLogger(log.With(log.NewLogfmtLogger(log.NewSyncWriter(c.opts.Log)), "ts", log.DefaultTimestampUTC))
 }
 
-func (c *Cluster) put(i int, node *Node) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for len(c.nodes) <= i {
-		c.nodes = append(c.nodes, nil)
-	}
-	c.nodes[i] = node
-}
-
-// Node returns the i-th instance, nil if it isn't running.
-func (c *Cluster) Node(i int) *Node {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if i >= len(c.nodes) {
-		return nil
-	}
-	return c.nodes[i]
-}
-
-// Nodes returns the running instances.
-func (c *Cluster) Nodes() []*Node {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var running []*Node
-	for _, n := range c.nodes {
-		if n != nil {
-			running = append(running, n)
-		}
-	}
-	return running
-}
-
-func (c *Cluster) take(i int) *Node {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if i >= len(c.nodes) {
-		return nil
-	}
-	node := c.nodes[i]
-	c.nodes[i] = nil
-	return node
-}
-
-// StopNode stops the i-th instance gracefully and waits for it.
-func (c *Cluster) StopNode(i int) {
-	if node := c.take(i); node != nil {
-		node.stop()
-		<-node.done
-	}
-}
-
-// KillNode ends the i-th instance as the death of its process would: every
-// connection is reset, nothing is announced.
-func (c *Cluster) KillNode(i int) {
-	if node := c.take(i); node != nil {
-		c.Network.Kill(node.ID)
-		node.Daemon.Kill()
-		<-node.done
-	}
-}
-
 // Close ends everything.
 func (c *Cluster) Close() {
 	var ending sync.WaitGroup
 	for i := range c.opts.Instances {
-		ending.Go(func() { c.KillNode(i) })
+		ending.Go(func() { c.KillInstance(i) })
 	}
 	ending.Wait()
 	c.Fleet.Close()
@@ -255,7 +118,7 @@
 // callerAddrs are the caller addresses of the running instances.
 func (c *Cluster) callerAddrs() []string {
 	var addrs []string
-	for _, n := range c.Nodes() {
+	for _, n := range c.Instances() {
 		addrs = append(addrs, n.Daemon.CallerAddr())
 	}
 	return addrs
@@ -272,7 +135,7 @@
 // Admin returns a client of the admin API.
 func (c *Cluster) Admin() *client.Admin {
 	var addrs []string
-	for _, n := range c.Nodes() {
+	for _, n := range c.Instances() {
 		addrs = append(addrs, n.Daemon.AdminAddr())
 	}
 	return client.NewAdmin(client.AdminOptions{Servers: addrs, Token: c.operator})
@@ -286,7 +149,7 @@
 
 // AwaitReady waits until every instance takes requests and sees all others.
 func (c *Cluster) AwaitReady(ctx context.Context) error {
-	for _, n := range c.Nodes() {
+	for _, n := range c.Instances() {
 		for !c.ready(n) {
 			if err := sleep(ctx, readyPoll); err != nil {
 				return fmt.Errorf("instance %s is not ready: %w", n.ID, err)
@@ -298,9 +161,9 @@
 
 const readyPoll = 20 * time.Millisecond
 
-func (c *Cluster) ready(n *Node) bool {
+func (c *Cluster) ready(n *Instance) bool {
 	b := n.Daemon.Board()
-	return n.Daemon.Ready() == nil && len(b.LiveMembers(n.ID)) >= len(c.Nodes()) && b.Targets.Len() >= len(c.Fleet.Members())
+	return n.Daemon.Ready() == nil && len(b.LiveMembers(n.ID)) >= len(c.Instances()) && b.Targets.Len() >= len(c.Fleet.Members())
 }
 
 // DeclareProfiles declares the deployment's example profiles through the admin
--- a/internal/bench/fault.go
+++ b/internal/bench/fault.go
@@ -29,7 +29,7 @@
 // faultKind starts a fault and returns how to end it.
 type faultKind struct {
 	help  string
-	begin func(f *faultRun, ctx context.Context) (end func(), err error)
+	begin func(ctx context.Context, f *faultRun) (end func(), err error)
 }
 
 // faultRun is one fault being done to one cluster.
@@ -42,32 +42,32 @@
 
 // faultKinds are the faults by name.
 var faultKinds = map[string]faultKind{
-	"instance_kill":    {"kill an instance; it is replaced when the fault ends", (*faultRun).instanceKill},
-	"instance_stop":    {"stop an instance gracefully; it is replaced when the fault ends", (*faultRun).instanceStop},
-	"instance_freeze":  {"freeze an instance's connections", (*faultRun).instanceFreeze},
-	"instance_isolate": {"cut an instance off from everything", (*faultRun).instanceIsolate},
-	"instance_silence": {"open connections of an instance go silent for good", (*faultRun).instanceSilence},
-	"rolling_restart":  {"stop and replace all instances, one after the other", (*faultRun).rollingRestart},
-	"restart_all":      {"kill all instances at once and start them again", (*faultRun).restartAll},
-	"partition":        {"cut the instances in two halves; the platform stays with the first", (*faultRun).partition},
-	"partition_oneway": {"the first half does not reach the second", (*faultRun).partitionOneWay},
-	"place_loss":       {"kill every instance and target of a place", (*faultRun).placeLoss},
-	"store_outage":     {"the platform refuses every call", (*faultRun).storeRefuses},
-	"store_hang":       {"the platform answers no call", (*faultRun).storeHangs},
-	"store_slow":       {"the platform is slow by value seconds", (*faultRun).storeSlow},
-	"lost_reply":       {"the platform loses the given share of replies after the write took effect", (*faultRun).lostReply},
-	"target_crash":     {"targets die; they come back when the fault ends", (*faultRun).targetCrash},
-	"target_leave":     {"targets leave", (*faultRun).targetLeave},
-	"target_straggle":  {"targets are slower by the factor value", (*faultRun).targetStraggle},
-	"target_fail":      {"targets fail the given share of calls", (*faultRun).targetFail},
-	"target_refuse":    {"targets refuse all calls as busy", (*faultRun).targetRefuse},
-	"target_silent":    {"open connections of targets go silent for good", (*faultRun).targetSilent},
-	"target_mixup":     {"targets mix up the given share of answers", (*faultRun).targetMixUp},
-	"target_lose":      {"targets lose the given share of replies after running", (*faultRun).targetLose},
-	"poison":           {"some requests crash every target that runs them", (*faultRun).poison},
-	"profile_race":     {"operators change the same profile at the same time", (*faultRun).profileRace},
-	"lease_pause":      {"freeze the order-giver of lynx-pool for longer than its lease", (*faultRun).leasePause},
-	"drain_place":      {"an operator drains a place", (*faultRun).drainPlace},
+	"instance_kill":    {"kill an instance; it is replaced when the fault ends", instanceKill},
+	"instance_stop":    {"stop an instance gracefully; it is replaced when the fault ends", instanceStop},
+	"instance_freeze":  {"freeze an instance's connections", instanceFreeze},
+	"instance_isolate": {"cut an instance off from everything", instanceIsolate},
+	"instance_silence": {"open connections of an instance go silent for good", instanceSilence},
+	"rolling_restart":  {"stop and replace all instances, one after the other", rollingRestart},
+	"restart_all":      {"kill all instances at once and start them again", restartAll},
+	"partition":        {"cut the instances in two halves; the platform stays with the first", partition},
+	"partition_oneway": {"the first half does not reach the second", partitionOneWay},
+	"place_loss":       {"kill every instance and target of a place", placeLoss},
+	"store_outage":     {"the platform refuses every call", storeRefuses},
+	"store_hang":       {"the platform answers no call", storeHangs},
+	"store_slow":       {"the platform is slow by value seconds", storeSlow},
+	"lost_reply":       {"the platform loses the given share of replies after the write took effect", lostReply},
+	"target_crash":     {"targets die; they come back when the fault ends", targetCrash},
+	"target_leave":     {"targets leave", targetLeave},
+	"target_straggle":  {"targets are slower by the factor value", targetStraggle},
+	"target_fail":      {"targets fail the given share of calls", targetFail},
+	"target_refuse":    {"targets refuse all calls as busy", targetRefuse},
+	"target_silent":    {"open connections of targets go silent for good", targetSilent},
+	"target_mixup":     {"targets mix up the given share of answers", targetMixUp},
+	"target_lose":      {"targets lose the given share of replies after running", targetLose},
+	"poison":           {"some requests crash every target that runs them", poison},
+	"profile_race":     {"operators change the same profile at the same time", profileRace},
+	"lease_pause":      {"freeze the order-giver of lynx-pool for longer than its lease", leasePause},
+	"drain_place":      {"an operator drains a place", drainPlace},
 }
 
 // FaultKinds lists the kinds of faults with what they do.
@@ -85,7 +85,7 @@
 	if sleep(ctx, time.Until(start.Add(f.At.Duration))) != nil {
 		return nil
 	}
-	end, err := faultKinds[f.Kind].begin(f, ctx)
+	end, err := faultKinds[f.Kind].begin(ctx, f)
 	if err != nil {
 		return fmt.Errorf("fault %s: %w", f.Kind, err)
 	}
@@ -145,47 +145,47 @@
 	}, nil
 }
 
-func (f *faultRun) targetCrash(context.Context) (func(), error) {
+func targetCrash(_ context.Context, f *faultRun) (func(), error) {
 	return f.each(func(m *fleet.Member) { m.Target.Crash() }, restartTarget)
 }
 
 func restartTarget(m *fleet.Member) { _ = m.Target.Restart() }
 
-func (f *faultRun) targetLeave(context.Context) (func(), error) {
+func targetLeave(_ context.Context, f *faultRun) (func(), error) {
 	return f.each(
 		func(m *fleet.Member) { f.cluster.Fleet.Leave(m.Instance.ID) },
 		func(m *fleet.Member) { f.cluster.Fleet.Return(m.Instance.ID) })
 }
 
-func (f *faultRun) targetStraggle(context.Context) (func(), error) {
+func targetStraggle(_ context.Context, f *faultRun) (func(), error) {
 	return f.each(
 		func(m *fleet.Member) { m.Target.Straggle(f.Value) },
 		func(m *fleet.Member) { m.Target.Straggle(1) })
 }
 
-func (f *faultRun) targetFail(context.Context) (func(), error) {
+func targetFail(_ context.Context, f *faultRun) (func(), error) {
 	return f.each(
 		func(m *fleet.Member) { m.Target.Fail(f.Value) },
 		func(m *fleet.Member) { m.Target.Fail(0) })
 }
 
-func (f *faultRun) targetRefuse(context.Context) (func(), error) {
+func targetRefuse(_ context.Context, f *faultRun) (func(), error) {
 	return f.each(
 		func(m *fleet.Member) { m.Target.Refuse(true) },
 		func(m *fleet.Member) { m.Target.Refuse(false) })
 }
 
-func (f *faultRun) targetSilent(context.Context) (func(), error) {
+func targetSilent(_ context.Context, f *faultRun) (func(), error) {
 	return f.each(func(m *fleet.Member) { m.Target.Silent() }, func(*fleet.Member) {})
 }
 
-func (f *faultRun) targetMixUp(context.Context) (func(), error) {
+func targetMixUp(_ context.Context, f *faultRun) (func(), error) {
 	return f.each(
 		func(m *fleet.Member) { m.Target.MixUp(f.Value) },
 		func(m *fleet.Member) { m.Target.MixUp(0) })
 }
 
-func (f *faultRun) targetLose(context.Context) (func(), error) {
+func targetLose(_ context.Context, f *faultRun) (func(), error) {
 	return f.each(
 		func(m *fleet.Member) { m.Target.LoseReply(f.Value) },
 		func(m *fleet.Member) { m.Target.LoseReply(0) })
@@ -194,7 +194,7 @@
 // poisonRestart is how long a crashed target stays away.
 const poisonRestart = 500 * time.Millisecond
 
-func (f *faultRun) poison(context.Context) (func(), error) {
+func poison(_ context.Context, f *faultRun) (func(), error) {
 	members := f.cluster.Fleet.Members()
 	for _, m := range members {
 		m.Target.CrashOn(crashMarker, poisonRestart)
@@ -206,11 +206,11 @@
 	}, nil
 }
 
-func (f *faultRun) storeRefuses(context.Context) (func(), error) {
+func storeRefuses(_ context.Context, f *faultRun) (func(), error) {
 	return f.outage(platform.OutageRefuse), nil
 }
 
-func (f *faultRun) storeHangs(context.Context) (func(), error) {
+func storeHangs(_ context.Context, f *faultRun) (func(), error) {
 	return f.outage(platform.OutageHang), nil
 }
 
@@ -220,14 +220,14 @@
 	return func() { server.Outage(platform.OutageNone) }
 }
 
-func (f *faultRun) storeSlow(context.Context) (func(), error) {
+func storeSlow(_ context.Context, f *faultRun) (func(), error) {
 	server := f.cluster.Fleet.Platform
 	delay := time.Duration(f.Value * float64(time.Second))
 	server.Slow(delay, delay/2)
 	return func() { server.Slow(fleet.PlatformDelay, fleet.PlatformDelay) }, nil
 }
 
-func (f *faultRun) lostReply(context.Context) (func(), error) {
+func lostReply(_ context.Context, f *faultRun) (func(), error) {
 	server := f.cluster.Fleet.Platform
 	server.LoseReplies(f.Value)
 	return func() { server.LoseReplies(0) }, nil
@@ -236,7 +236,7 @@
 // partition cuts the instances in two. The platform and the targets stay
 // reachable for the first half only, unless one way: then only the instances
 // are cut.
-func (f *faultRun) partition(context.Context) (func(), error) {
+func partition(_ context.Context, f *faultRun) (func(), error) {
 	first, second := f.halves()
 	for _, m := range f.cluster.Fleet.Members() {
 		first = append(first, f.cluster.Fleet.Owner(m.Instance.ID))
@@ -245,7 +245,7 @@
 	return f.cut(netfault.Partition{A: first, B: second}), nil
 }
 
-func (f *faultRun) partitionOneWay(context.Context) (func(), error) {
+func partitionOneWay(_ context.Context, f *faultRun) (func(), error) {
 	first, second := f.halves()
 	return f.cut(netfault.Partition{A: first, B: second, OneWay: true}), nil
 }
@@ -259,9 +259,9 @@
 	n := f.cluster.opts.Instances
 	for i := range n {
 		if i < (n+1)/2 {
-			first = append(first, f.cluster.NodeID(i))
+			first = append(first, f.cluster.InstanceID(i))
 		} else {
-			second = append(second, f.cluster.NodeID(i))
+			second = append(second, f.cluster.InstanceID(i))
 		}
 	}
 	return first, second
--- a/internal/bench/fault_instance.go
+++ b/internal/bench/fault_instance.go
@@ -13,50 +13,50 @@
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
-func (f *faultRun) instanceKill(context.Context) (func(), error) {
+func instanceKill(_ context.Context, f *faultRun) (func(), error) {
 	i := f.instance()
-	f.cluster.KillNode(i)
+	f.cluster.KillInstance(i)
 	return f.replace(i), nil
 }
 
-func (f *faultRun) instanceStop(context.Context) (func(), error) {
+func instanceStop(_ context.Context, f *faultRun) (func(), error) {
 	i := f.instance()
-	f.cluster.StopNode(i)
+	f.cluster.StopInstance(i)
 	return f.replace(i), nil
 }
 
 // replace starts an instance anew, with a new address and incarnation.
 func (f *faultRun) replace(i int) func() {
 	return func() {
-		if _, err := f.cluster.StartNode(i); err != nil {
+		if _, err := f.cluster.StartInstance(i); err != nil {
 			f.note("instance %d did not start: %v", i, err)
 		}
 	}
 }
 
-func (f *faultRun) instanceFreeze(context.Context) (func(), error) {
-	id := f.cluster.NodeID(f.instance())
+func instanceFreeze(_ context.Context, f *faultRun) (func(), error) {
+	id := f.cluster.InstanceID(f.instance())
 	f.cluster.Network.Freeze(id)
 	return func() { f.cluster.Network.Thaw(id) }, nil
 }
 
-func (f *faultRun) instanceIsolate(context.Context) (func(), error) {
-	cut := f.cluster.Network.Isolate(f.cluster.NodeID(f.instance()))
+func instanceIsolate(_ context.Context, f *faultRun) (func(), error) {
+	cut := f.cluster.Network.Isolate(f.cluster.InstanceID(f.instance()))
 	return func() { f.cluster.Network.Heal(cut) }, nil
 }
 
-func (f *faultRun) instanceSilence(context.Context) (func(), error) {
-	f.cluster.Network.Silence(f.cluster.NodeID(f.instance()))
+func instanceSilence(_ context.Context, f *faultRun) (func(), error) {
+	f.cluster.Network.Silence(f.cluster.InstanceID(f.instance()))
 	return func() {}, nil
 }
 
-func (f *faultRun) rollingRestart(ctx context.Context) (func(), error) {
+func rollingRestart(ctx context.Context, f *faultRun) (func(), error) {
 	for i := range f.cluster.opts.Instances {
 		if ctx.Err() != nil {
 			break
 		}
-		f.cluster.StopNode(i)
-		if _, err := f.cluster.StartNode(i); err != nil {
+		f.cluster.StopInstance(i)
+		if _, err := f.cluster.StartInstance(i); err != nil {
 			return nil, err
 		}
 	}
@@ -64,15 +64,15 @@
 	return func() {}, nil
 }
 
-func (f *faultRun) restartAll(context.Context) (func(), error) {
+func restartAll(_ context.Context, f *faultRun) (func(), error) {
 	n := f.cluster.opts.Instances
 	var killing sync.WaitGroup
 	for i := range n {
-		killing.Go(func() { f.cluster.KillNode(i) })
+		killing.Go(func() { f.cluster.KillInstance(i) })
 	}
 	killing.Wait()
 	for i := range n {
-		if _, err := f.cluster.StartNode(i); err != nil {
+		if _, err := f.cluster.StartInstance(i); err != nil {
 			return nil, err
 		}
 	}
@@ -80,7 +80,7 @@
 }
 
 // placeLoss kills what is in a place; it is replaced when the fault ends.
-func (f *faultRun) placeLoss(context.Context) (func(), error) {
+func placeLoss(_ context.Context, f *faultRun) (func(), error) {
 	place := f.Subject
 	if place == "" {
 		place = f.cluster.Fleet.Places[f.rng.IntN(len(f.cluster.Fleet.Places))]
@@ -99,7 +99,7 @@
 		m.Target.Crash()
 	}
 	for _, i := range instances {
-		f.cluster.KillNode(i)
+		f.cluster.KillInstance(i)
 	}
 	f.note("place %s lost: %d targets, %d instances", place, len(members), len(instances))
 	return func() {
@@ -112,7 +112,7 @@
 	}, nil
 }
 
-func (f *faultRun) drainPlace(ctx context.Context) (func(), error) {
+func drainPlace(ctx context.Context, f *faultRun) (func(), error) {
 	subject := "place/" + f.Subject
 	admin := f.cluster.Admin()
 	if _, err := admin.Drain(ctx, subject); err != nil {
@@ -122,8 +122,8 @@
 }
 
 // leasePause freezes the instance that gives orders to the engines.
-func (f *faultRun) leasePause(context.Context) (func(), error) {
-	for _, n := range f.cluster.Nodes() {
+func leasePause(_ context.Context, f *faultRun) (func(), error) {
+	for _, n := range f.cluster.Instances() {
 		if l, ok := n.Daemon.Board().Leases.Get(fleet.ServicePool); ok && l.Mine {
 			f.note("%s gives the orders and is frozen", n.ID)
 			f.cluster.Network.Freeze(n.ID)
@@ -143,7 +143,7 @@
 // profileRace lets several operators, each at another instance, change one
 // profile again and again until the fault ends. What they were told is checked
 // against what is in force when the experiment ends.
-func (f *faultRun) profileRace(ctx context.Context) (func(), error) {
+func profileRace(ctx context.Context, f *faultRun) (func(), error) {
 	ctx, stop := context.WithCancel(ctx)
 	list := f.cluster.declared()
 	if len(list) == 0 {
@@ -163,12 +163,12 @@
 
 func (f *faultRun) race(ctx context.Context, operator int, base profile.Profile) {
 	for round := 0; sleep(ctx, racePause) == nil; round++ {
-		nodes := f.cluster.Nodes()
-		if len(nodes) == 0 {
+		instances := f.cluster.Instances()
+		if len(instances) == 0 {
 			continue
 		}
-		node := nodes[(operator+round)%len(nodes)]
-		admin := client.NewAdmin(client.AdminOptions{Servers: []string{node.Daemon.AdminAddr()}, Token: f.cluster.operator})
+		instance := instances[(operator+round)%len(instances)]
+		admin := client.NewAdmin(client.AdminOptions{Servers: []string{instance.Daemon.AdminAddr()}, Token: f.cluster.operator})
 		f.raceOnce(context.WithoutCancel(ctx), admin, base, operator*1000+round)
 	}
 }
--- a/internal/bench/race.go
+++ b/internal/bench/race.go
@@ -84,10 +84,10 @@
 // agree reports whether all instances have the same versions, none below the
 // highest that an operator was told.
 func (c *Cluster) agree(highest map[string]uint64) bool {
-	nodes := c.Nodes()
+	instances := c.Instances()
 	for _, p := range c.declared() {
 		seen := make(map[uint64]bool)
-		for _, n := range nodes {
+		for _, n := range instances {
 			v, _ := n.Daemon.Board().Profiles.Get(p.Name)
 			if v.Version < highest[p.Name] {
 				return false
@@ -103,7 +103,7 @@
 
 func (c *Cluster) versions() string {
 	var parts []string
-	for _, n := range c.Nodes() {
+	for _, n := range c.Instances() {
 		for _, p := range c.declared() {
 			v, _ := n.Daemon.Board().Profiles.Get(p.Name)
 			parts = append(parts, fmt.Sprintf("%s %s@%d", n.ID, p.Name, v.Version))
--- a/internal/bench/standins_control.go
+++ b/internal/bench/standins_control.go
@@ -91,7 +91,7 @@
 		return nil, fmt.Errorf("the stand-ins have no fault %q", fault.Kind)
 	}
 	run := &faultRun{Fault: fault, cluster: s.cluster, rng: rand.New(rand.NewPCG(s.opts.Seed, 1)), note: logControl}
-	return kind.begin(run, context.Background())
+	return kind.begin(context.Background(), run)
 }
 
 // ofStandins reports whether a fault is one of the platform or of targets.
