An instance that reaches none of its targets takes itself out of service

Symptom: with half of the instances cut off, 5 to 6 in 100 requests failed, most of them with deadline_after_run and deadline_before_run. Cause: an instance that is cut off is well as far as it knows; it took requests until the fence of its configuration closed, and each waited for targets. Ruled out: a shorter fence (false alarms, see the design note on profiles; and a cut from the targets alone would never close it). Change: control/reach sees the end of every call and poll: no answer for 1.5 s and three distinct targets tried in vain mark board.Self CutOff. The door and the address answer then refuse (isolated, elsewhere); requests in flight end as stopped_midway at once, so that callers send them again in time. One answer of any target ends it. The caller client ends with key_in_progress, not with the broken connection, when an instance says to the end that the request runs.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -153,6 +153,12 @@
 	InFlight    int
 	Profiles    uint64 // highest version of the profile set that it has in force
 	Changed     time.Time
+	// Left says of a dead member that it had announced its leaving, or that an
+	// operator said that it is gone.
+	Left bool
+	// Fleet says of a dead member how many instances it may have known when it
+	// died, itself included; 0 if that is not known.
+	Fleet int
 }
 
 // ConfigObject is a configuration object as it is in force here. Deleted rows
@@ -248,6 +254,9 @@
 	// Unconfirmed is set after a pause until the profile versions have been
 	// confirmed again: nothing is admitted or dispatched meanwhile.
 	Unconfirmed bool
+	// CutOff is set while this instance reaches none of its targets; written
+	// by the reach controller.
+	CutOff bool
 	// Mark is the highest version up to which every configuration object is
 	// in force here; written by profile sync, passed on by membership.
 	Mark uint64
@@ -255,4 +264,4 @@
 
 // MayAdmit reports whether new requests are taken. A stopping or draining
 // instance still admits: kept address answers send callers to it.
-func (s Self) MayAdmit() bool { return !s.Isolated && !s.Unconfirmed }
+func (s Self) MayAdmit() bool { return !s.Isolated && !s.Unconfirmed && !s.CutOff }
--- a/internal/client/resend.go
+++ b/internal/client/resend.go
@@ -38,7 +38,7 @@
 
 func (s *sending) settle(reply lynxapi.SendReply, err error) (Result, error) {
 	if err != nil {
-		return Result{Attempts: s.attempts, Server: s.server}, err
+		return s.ended(), err
 	}
 	return s.result(reply), nil
 }
--- a/internal/client/silent_test.go
+++ b/internal/client/silent_test.go
@@ -57,7 +57,7 @@
 	c.book.keep(lynxapi.AddressAnswer{KeepMS: 60000, Addresses: []lynxapi.Address{
 		{Address: silent, Weight: 1e9}, {Address: i.addr(), Weight: 1e-9},
 	}}, time.Now())
-	req := lynxapi.SendRequest{Organisation: "agency", Input: json.RawMessage(`{}`), Stream: true, DeadlineMS: 20000}
+	req := lynxapi.SendRequest{Organisation: "agency", Input: json.RawMessage(`{}`), Stream: true, DeadlineMS: 8000}
 	result, err := c.Send(t.Context(), "check", req, nil)
 	if err != nil || result.Server != i.addr() || result.Attempts != 2 {
 		t.Fatalf("%+v %v", result, err)
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -11,6 +11,7 @@
 	"lynxhill.example/lynxhill/internal/control/loadview"
 	"lynxhill.example/lynxhill/internal/control/orders"
 	"lynxhill.example/lynxhill/internal/control/profilesync"
+	"lynxhill.example/lynxhill/internal/control/reach"
 	"lynxhill.example/lynxhill/internal/control/steering"
 	"lynxhill.example/lynxhill/internal/gossip"
 	"lynxhill.example/lynxhill/internal/membership"
@@ -49,7 +50,8 @@
 		Self: d.id(), Place: place, Hurry: d.members.Hurry, Peers: d.peers,
 	})
 	d.loads = loadview.New(loadview.Options{
-		Caller: d.targets, Board: d.board, Clock: clk, Rand: d.rand(), Logger: d.logger, Metrics: d.metrics,
+		Caller: reach.Observing(d.targets, d.reach),
+		Board:  d.board, Clock: clk, Rand: d.rand(), Logger: d.logger, Metrics: d.metrics,
 		Self: d.id(), Place: place, Region: region,
 	})
 	d.leases = lease.NewManager(lease.Options{
@@ -103,7 +105,7 @@
 func (d *Daemon) controllers() []func(context.Context) {
 	return []func(context.Context){
 		d.auth.Run, d.tls.run, d.members.Run, d.profiles.Run, d.discovery.Run, d.loads.Run, d.leases.Run,
-		d.orders.Run, d.steering.Run, d.drains.Run, d.limits.Run, d.pages.Run, d.slo.Run, d.tellLoad,
+		d.orders.Run, d.steering.Run, d.drains.Run, d.limits.Run, d.pages.Run, d.slo.Run, d.reach.Run, d.tellLoad,
 	}
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"lynxhill.example/lynxhill/internal/control/loadview"
 	"lynxhill.example/lynxhill/internal/control/orders"
 	"lynxhill.example/lynxhill/internal/control/profilesync"
+	"lynxhill.example/lynxhill/internal/control/reach"
 	"lynxhill.example/lynxhill/internal/control/steering"
 	"lynxhill.example/lynxhill/internal/crashguard"
 	"lynxhill.example/lynxhill/internal/event"
@@ -63,6 +64,7 @@
 	steering  *steering.Controller
 	drains    *drain.Controller
 	limits    *limits.Controller
+	reach     *reach.Controller
 
 	gate     *admission.ServiceGate
 	door     *admission.InstanceDoor
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -27,7 +27,7 @@
 // callers to those alone.
 func (d *Daemon) Address(_ context.Context, q callerapi.AddressQuestion) (lynxapi.AddressAnswer, error) {
 	if self, _ := d.board.Self.Get(board.SelfRow); !self.MayAdmit() {
-		return lynxapi.AddressAnswer{}, errkind.New(errkind.Isolated, "this instance cannot confirm its configuration; ask another")
+		return lynxapi.AddressAnswer{}, errkind.New(errkind.Isolated, "%s; ask another", isolation(self))
 	}
 	answer := d.steering.Answer(q.Place, q.Region)
 	ticket, expires := d.tickets.Issue()
@@ -38,6 +38,14 @@
 	return answer, nil
 }
 
+// isolation says why an instance takes no work.
+func isolation(self board.Self) string {
+	if self.CutOff {
+		return "this instance reaches none of its targets"
+	}
+	return "this instance cannot confirm its configuration"
+}
+
 // Ready implements callerapi.Handler and adminapi.Backend.
 func (d *Daemon) Ready() error {
 	self, _ := d.board.Self.Get(board.SelfRow)
@@ -45,7 +53,7 @@
 	case self.Stopping:
 		return errkind.New(errkind.Stopping, "the instance is stopping")
 	case !self.MayAdmit():
-		return errkind.New(errkind.Isolated, "the instance cannot confirm its configuration")
+		return errkind.New(errkind.Isolated, "%s", isolation(self))
 	}
 	return nil
 }
@@ -137,6 +145,7 @@
 		},
 		Handover: func(_ context.Context, _ string, records []outcome.Exported) { d.outcomes.Import(records) },
 		Burn:     d.slo.Local,
+		Claim:    d.pages.Handle,
 		Logger:   d.logger, Metrics: d.metrics,
 	}
 }
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -7,6 +7,7 @@
 	"lynxhill.example/lynxhill/internal/admission"
 	"lynxhill.example/lynxhill/internal/claim"
 	"lynxhill.example/lynxhill/internal/control/loadview"
+	"lynxhill.example/lynxhill/internal/control/reach"
 	"lynxhill.example/lynxhill/internal/control/rendezvous"
 	"lynxhill.example/lynxhill/internal/crashguard"
 	"lynxhill.example/lynxhill/internal/outcome"
@@ -22,6 +23,7 @@
 // assembleRequestPath makes what a request goes through.
 func (d *Daemon) assembleRequestPath() {
 	clk := d.opts.Clock
+	d.reach = reach.New(reach.Options{Board: d.board, Clock: clk, Logger: d.logger, Metrics: d.metrics})
 	d.gate = admission.NewGate(admission.GateOptions{
 		Board: d.board, Clock: clk, Rand: d.rand(),
 		Place: d.cfg.Instance.Place, Region: d.cfg.Instance.Region,
@@ -51,14 +53,14 @@
 	d.serving = serving.New(serving.Options{
 		Self: d.id(), Profiles: d.profile, Door: d.door, Runner: d.runner, Outcomes: d.outcomes,
 		Tickets: d.tickets, Forward: d.peers, NotSent: peer.ErrNotSent,
-		MayAdmit: d.Ready, ClaimsUp: d.platform.Up, Refused: d.reportRefused,
+		MayAdmit: d.Ready, ClaimsUp: d.platform.Up, Lost: d.reach.Lost, Refused: d.reportRefused,
 	})
 }
 
 // stageCaller calls targets and tells the load view, which is assembled later,
 // of the reports that ride on their replies.
 func (d *Daemon) stageCaller() stagecall.Caller {
-	return loadview.Observing(d.targets, func(target string, report targetapi.LoadReport) { d.loads.Observe(target, report) })
+	return loadview.Observing(reach.Observing(d.targets, d.reach), func(target string, report targetapi.LoadReport) { d.loads.Observe(target, report) })
 }
 
 func (d *Daemon) gateLimits() admission.GateLimits {
@@ -76,6 +78,7 @@
 		Owners: d.claimOwner, Shards: settings.Shards, WindowBytes: settings.WindowKB << 10,
 		FlushInterval: settings.Flush.Duration, Retention: settings.Retention.Duration,
 		OpaqueRetention: settings.OpaqueRetention.Duration,
+		Forward:         d.peers,
 		Logger:          d.logger, Metrics: d.metrics,
 	})
 	d.tickets = claim.NewTickets(claim.TicketOptions{
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -55,6 +55,9 @@
 	MayAdmit func() error
 	// ClaimsUp reports whether the store that holds claims answers.
 	ClaimsUp func() bool
+	// Lost returns a channel that is closed when this instance is found cut
+	// off from its targets; nil = never.
+	Lost func() <-chan struct{}
 	// Refused is told of requests that were refused before the Runner.
 	Refused func(req pipeline.Request, err error)
 }
@@ -79,7 +82,35 @@
 	if home, remote := s.remoteHome(req); remote {
 		return s.forward(ctx, home, req, sink)
 	}
-	return s.serveHere(ctx, req, prof, sink)
+	return s.serveUntilLost(ctx, req, prof, sink)
+}
+
+// errLost ends the wait for a request whose instance is cut off.
+var errLost = errors.New("serving: no target can be reached")
+
+// serveUntilLost serves the request here, and gives it up when this instance
+// turns out to be cut off from its targets: its caller can then send it again
+// elsewhere while there is time. A claimed stage that was dispatched goes on
+// for the record, and its claim keeps a resend from running it again.
+func (s *Server) serveUntilLost(ctx context.Context, req pipeline.Request, prof profile.Versioned, sink pipeline.Sink) (pipeline.Outcome, error) {
+	if s.opts.Lost == nil {
+		return s.serveHere(ctx, req, prof, sink)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	lost := s.opts.Lost()
+	go func() {
+		select {
+		case <-lost:
+			cancel(errLost)
+		case <-ctx.Done():
+		}
+	}()
+	out, err := s.serveHere(ctx, req, prof, sink)
+	if errkind.Is(err, errkind.Cancelled) && errors.Is(context.Cause(ctx), errLost) {
+		return out, errkind.New(errkind.StoppedMidway, "this instance no longer reaches its targets; send the request again elsewhere")
+	}
+	return out, err
 }
 
 // ServeForwarded runs a request that another instance forwarded here. It is
