Caller client: an instance's 'running' is the last word

Cause: asked for the outcome, the instance said to the end that the request was running; the client returned the broken connection from before. Change: it returns key_in_progress (may have run, ask again). Figures: the new test fails without the change (transport error) and passes with it.

--- a/internal/client/resend.go
+++ b/internal/client/resend.go
@@ -71,7 +71,9 @@
 }
 
 // ask asks for the outcome of the key until it is settled, or until a resend
-// under the same key is the better question.
+// under the same key is the better question. Time that runs out while an
+// instance says that the request is running ends with that word, not with the
+// broken connection before.
 func (s *sending) ask(ctx context.Context, cause error) (reply lynxapi.SendReply, settled bool, err error) {
 	for ctx.Err() == nil {
 		found, err := s.caller.outcome(ctx, s.req.Organisation, s.req.Key, s.tried)
@@ -84,6 +86,7 @@
 		case lynxapi.OutcomeFailed:
 			return s.failed(found)
 		case lynxapi.OutcomeRunning:
+			cause = errkind.New(errkind.KeyInProgress, "the request was still running when its time was up")
 			s.pause(ctx, stepLater, nil)
 		default:
 			return reply, false, nil // the instance that gets the resend knows more
--- a/internal/client/silent_test.go
+++ b/internal/client/silent_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
@@ -66,3 +67,17 @@
 		t.Fatal("the next request would go to the silent instance again")
 	}
 }
+
+// Symptom: a caller ended with a broken connection although an instance had
+// answered every question about its request. Events: the stream broke; asked
+// for the outcome, the instance said "running" until the deadline. Cause: the
+// error from before the questions was returned.
+func TestRunningToTheEndIsTheLastWord(t *testing.T) {
+	i := newInstance(t, func(w *eventWriter, _ lynxapi.SendRequest) { w.begin() }) // no end mark
+	i.outcome.State = lynxapi.OutcomeRunning
+	req := lynxapi.SendRequest{Organisation: "agency", Input: json.RawMessage(`{}`), Stream: true, DeadlineMS: 50}
+	_, err := newTestCaller(i.addr()).Send(t.Context(), "check", req, nil)
+	if !errkind.Is(err, errkind.KeyInProgress) {
+		t.Fatalf("%v", err)
+	}
+}
