Claims are forwarded to the preferred owner of their shard

Cause: package claim could hand claims to the shard's preferred owner, but no call between instances carried them, so every instance wrote for itself.

Change: one call, Claim, between instances.

The test of a broken connection fails when the client repeats the call. With the guard of the transport taken out it still passes, as does the one for forwarded requests: this transport repeats nothing after a reset.

--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -39,7 +39,7 @@
 }
 
 // Client calls other instances. It implements membership.Transport,
-// profilesync.Puller and outcome.Remote.
+// profilesync.Puller, outcome.Remote and claim.Forwarder.
 type Client struct {
 	o      Options
 	http   *http.Client
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -215,34 +216,50 @@
 // Cause: transports repeat what they think can be repeated.
 func TestForwardIsNotRepeatedByTheTransport(t *testing.T) {
 	var runs atomic.Int32
-	var conns []net.Conn
+	client := serveBreaking(t, func(breakLast func()) ServerOptions {
+		return ServerOptions{Forward: func(context.Context, string, pipeline.Request, pipeline.Sink) (pipeline.Outcome, error) {
+			runs.Add(1)
+			breakLast()
+			return pipeline.Outcome{}, nil
+		}}
+	})
+	_, err := client.Forward(t.Context(), "b", pipeline.Request{}, &sink{})
+	if err == nil || runs.Load() != 1 {
+		t.Errorf("ran %d times, error %v", runs.Load(), err)
+	}
+}
+
+// serveBreaking is serve with a connection that is kept open and that the
+// calls of options may break.
+func serveBreaking(t *testing.T, options func(breakLast func()) ServerOptions) *Client {
+	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(NewHandler(ServerOptions{
-		Exchange: func(context.Context, gossip.Digest) gossip.Digest { return gossip.Digest{} },
-		Forward: func(context.Context, string, pipeline.Request, pipeline.Sink) (pipeline.Outcome, error) {
-			runs.Add(1)
-			_ = conns[len(conns)-1].Close()
-			return pipeline.Outcome{}, nil
-		},
-	}), nil)
+	var mu sync.Mutex // guards conns
+	var conns []net.Conn
+	o := options(func() {
+		mu.Lock()
+		defer mu.Unlock()
+		_ = conns[len(conns)-1].Close()
+	})
+	o.Exchange = func(context.Context, gossip.Digest) gossip.Digest { return gossip.Digest{} }
+	server := NewServer(NewHandler(o), nil)
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		mu.Lock()
+		defer mu.Unlock()
 		if state == http.StateNew {
 			conns = append(conns, conn)
 		}
 	}
 	go func() { _ = server.Serve(listener) }()
-	defer server.Close()
+	t.Cleanup(func() { _ = server.Close() })
 	addr := listener.Addr().String()
 	client := NewClient(Options{Address: func(string) (string, bool) { return addr, true }})
-	defer client.Close()
+	t.Cleanup(client.Close)
 	if _, err := client.Exchange(t.Context(), addr, gossip.Digest{}); err != nil { // opens the connection that is kept
 		t.Fatal(err)
 	}
-	_, err = client.Forward(t.Context(), "b", pipeline.Request{}, &sink{})
-	if err == nil || runs.Load() != 1 {
-		t.Errorf("ran %d times, error %v", runs.Load(), err)
-	}
+	return client
 }
--- a/internal/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/internal/peer/peerpb/peerpbconnect/peer.connect.go
@@ -49,6 +49,8 @@
 	PeerHandoverProcedure = "/lynxhill.peer.v1.Peer/Handover"
 	// PeerBurnProcedure is the fully-qualified name of the Peer's Burn RPC.
 	PeerBurnProcedure = "/lynxhill.peer.v1.Peer/Burn"
+	// PeerClaimProcedure is the fully-qualified name of the Peer's Claim RPC.
+	PeerClaimProcedure = "/lynxhill.peer.v1.Peer/Claim"
 )
 
 // PeerClient is a client for the lynxhill.peer.v1.Peer service.
@@ -68,6 +70,8 @@
 	Handover(context.Context, *peerpb.HandoverRequest) (*peerpb.HandoverReply, error)
 	// Burn returns the receiver's own service-level report.
 	Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnReply, error)
+	// Claim asks the preferred owner of a shard of claims to record something.
+	Claim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
 }
 
 // NewPeerClient constructs a client for the lynxhill.peer.v1.Peer service. By default, it uses the
@@ -123,6 +127,12 @@
 			connect.WithSchema(peerMethods.ByName("Burn")),
 			connect.WithClientOptions(opts...),
 		),
+		claim: connect.NewClient[peerpb.ClaimRequest, peerpb.ClaimReply](
+			httpClient,
+			baseURL+PeerClaimProcedure,
+			connect.WithSchema(peerMethods.ByName("Claim")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -135,6 +145,7 @@
 	forward  *connect.Client[peerpb.ForwardRequest, peerpb.ForwardEvent]
 	handover *connect.Client[peerpb.HandoverRequest, peerpb.HandoverReply]
 	burn     *connect.Client[peerpb.BurnRequest, peerpb.BurnReply]
+	claim    *connect.Client[peerpb.ClaimRequest, peerpb.ClaimReply]
 }
 
 // Exchange calls lynxhill.peer.v1.Peer.Exchange.
@@ -196,6 +207,15 @@
 	return nil, err
 }
 
+// Claim calls lynxhill.peer.v1.Peer.Claim.
+func (c *peerClient) Claim(ctx context.Context, req *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	response, err := c.claim.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerHandler is an implementation of the lynxhill.peer.v1.Peer service.
 type PeerHandler interface {
 	// Exchange passes digests in both directions: the heartbeat.
@@ -213,6 +233,8 @@
 	Handover(context.Context, *peerpb.HandoverRequest) (*peerpb.HandoverReply, error)
 	// Burn returns the receiver's own service-level report.
 	Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnReply, error)
+	// Claim asks the preferred owner of a shard of claims to record something.
+	Claim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -264,6 +286,12 @@
 		connect.WithSchema(peerMethods.ByName("Burn")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerClaimHandler := connect.NewUnaryHandlerSimple(
+		PeerClaimProcedure,
+		svc.Claim,
+		connect.WithSchema(peerMethods.ByName("Claim")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lynxhill.peer.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerExchangeProcedure:
@@ -280,6 +308,8 @@
 			peerHandoverHandler.ServeHTTP(w, r)
 		case PeerBurnProcedure:
 			peerBurnHandler.ServeHTTP(w, r)
+		case PeerClaimProcedure:
+			peerClaimHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -316,3 +346,7 @@
 func (UnimplementedPeerHandler) Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnReply, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.Burn is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Claim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.Claim is not implemented"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -8,6 +8,7 @@
 
 	"connectrpc.com/connect"
 
+	"lynxhill.example/lynxhill/internal/claim"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/gossip"
@@ -32,6 +33,7 @@
 	Forward  func(ctx context.Context, from string, req pipeline.Request, sink pipeline.Sink) (pipeline.Outcome, error)
 	Handover func(ctx context.Context, from string, records []outcome.Exported)
 	Burn     func(window time.Duration) lynxapi.BurnReport
+	Claim    func(ctx context.Context, m claim.Message) (claim.Reply, error) // claim.Pages.Handle
 	Logger   *event.Logger
 	Metrics  *metrics.Registry
 }
