Routing: a target serves only its own provider

Cause: the choice looked at kind, model and drains but never compared the target's provider with the provider of the profile, so with both providers' engines in one service a request under 'old' ran on a 'new' engine and cost by provider was mislabelled. Change: a target with a provider serves only providers of that name; one without serves any; a provider without a name ('default') is served by any.

--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -114,6 +114,9 @@
 	if kind := p.Query.Stage.Kind; kind != "" && e.Target.Kind != kind {
 		return candidate{}, false
 	}
+	if !belongs(e.Target, p.Provider) {
+		return candidate{}, false
+	}
 	if slices.Contains(p.Query.Exclude, e.Target.ID) {
 		return candidate{}, false
 	}
@@ -125,6 +128,18 @@
 	return candidate{entry: e, load: load, reported: reported, local: local}, true
 }
 
+// belongs reports whether the target may answer for the provider. Targets of two
+// providers stand in one service while work moves from one to the other; without
+// this, a call for the old one could run on the new one's engine, and the costs
+// of the two would be mixed up. A target that names no provider serves any, and a
+// provider that was given no name is served by any.
+func belongs(t board.Target, provider profile.Provider) bool {
+	if t.Provider == "" || provider.Name == "" || provider.Name == profile.DefaultProviderName {
+		return true
+	}
+	return t.Provider == provider.Name
+}
+
 // usable is a candidate with room that is not ejected.
 func (c *Chooser) usable(p *Pick, e *Entry) (candidate, bool) {
 	cand, ok := c.candidate(p, e)
--- a/internal/routing/choose_test.go
+++ b/internal/routing/choose_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -110,6 +112,40 @@
 	}
 }
 
+// Symptom: the costs of provider "old" hold work that "new" did. Events: both
+// have engines in one service with the same model ready. Cause: a choice that
+// looks at models and not at whose engine it is.
+func TestTargetsServeTheirProvider(t *testing.T) {
+	owners := map[string]string{"t000": "old", "t001": "new", "t002": ""}
+	tests := []struct {
+		provider string
+		want     []string
+	}{
+		{"old", []string{"t000", "t002"}},
+		{"new", []string{"t001", "t002"}},
+		{"other", []string{"t002"}},
+		{profile.DefaultProviderName, []string{"t000", "t001", "t002"}},
+		{"", []string{"t000", "t001", "t002"}},
+	}
+	for _, policy := range Policies() {
+		for _, test := range tests {
+			b := newBoard(3, "a1")
+			for id, owner := range owners {
+				b.Targets.Update(id, func(old board.Target, _ bool) (board.Target, bool) {
+					old.Provider = owner
+					return old, true
+				})
+			}
+			p := newPick(fixedView{})
+			p.Policy, p.Provider.Name = policy, test.provider
+			got := counts(newChooser(b), p, 200)
+			if keys := slices.Sorted(maps.Keys(got)); !slices.Equal(keys, test.want) {
+				t.Errorf("%s: provider %q was served by %v, want %v", policy, test.provider, keys, test.want)
+			}
+		}
+	}
+}
+
 func TestIndexFollowsTheBoard(t *testing.T) {
 	b := newBoard(3, "a1")
 	x := NewIndex(b)
