Claims: a forwarded grant is counted by its holder alone

Change: counted only where the claim is held. The new test counts 1 at the owner and 1 at the holder without it.

--- a/internal/claim/failures_test.go
+++ b/internal/claim/failures_test.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/store"
 	"lynxhill.example/lynxhill/internal/store/memstore"
 )
@@ -172,3 +174,28 @@
 		}
 	})
 }
+
+// Symptom: twice as many claims are reported as were asked for. Cause: a claim
+// that its owner wrote for another instance is counted at both.
+func TestForwardedGrantIsCountedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		var pages []*Pages
+		counts := make([]*metrics.Registry, 2)
+		for i := range counts {
+			counts[i] = metrics.NewRegistry()
+			pages = append(pages, testPages(st, strconv.Itoa(i), uint64(i), func(o *PagesOptions) {
+				o.Owners = func(int) string { return "0" }
+				o.Forward, o.Metrics = goodLink{&pages}, counts[i]
+			}))
+		}
+		mustState(t, pages[1], testRequest("k", "x", time.Second), Granted)
+		owner, holder := counts[0].Counter(metricGranted).Value(), counts[1].Counter(metricGranted).Value()
+		if owner != 0 || holder != 1 {
+			t.Errorf("counted %d times at the owner, %d at the holder", owner, holder)
+		}
+		if written := counts[0].Counter(metricWrites).Value(); written != 1 {
+			t.Errorf("the owner wrote %d times", written)
+		}
+	})
+}
--- a/internal/claim/pages.go
+++ b/internal/claim/pages.go
@@ -229,7 +229,9 @@
 		c.Release()
 		return Answer{}, false, errkind.New(errkind.StoreUnavailable, "the claim was written after the deadline and is given up")
 	}
-	p.granted.Add(1)
+	if o.entry.Holder == p.opts.Self { // an owner's grants are counted by their holders
+		p.granted.Add(1)
+	}
 	return Answer{State: Granted, Holder: o.entry.Holder, Claim: c}, true, nil
 }
 
