Settings of claims take the measured defaults

Cause: the settings said 48 KiB windows and 5 ms between writes, against 8 KiB and 250 ms chosen by measurement (docs/design/claims.md), and won.

Change: the defaults of the settings are the constants of package claim, so that they cannot part again. claims.flush is described as what it is.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/auth"
+	"lynxhill.example/lynxhill/internal/claim"
 )
 
 // Config is the settings of one instance. Every duration is a string with its
@@ -123,7 +124,7 @@
 type Claims struct {
 	Shards          int      `toml:"shards"`
 	WindowKB        int      `toml:"window_kb"`
-	Flush           Duration `toml:"flush"`            // claims of this long are written together
+	Flush           Duration `toml:"flush"`            // least time between two writes of a shard, on average
 	Retention       Duration `toml:"retention"`        // of keys that carry their time
 	OpaqueRetention Duration `toml:"opaque_retention"` // of other keys
 }
@@ -162,11 +163,11 @@
 		},
 		Routing: Routing{RetryBudget: 0.1, HedgeBudget: 0.05, MaxAttempts: 3, MaxEjected: 0.3},
 		Claims: Claims{
-			Shards:          64,
-			WindowKB:        48,
-			Flush:           Of(5 * time.Millisecond),
-			Retention:       Of(time.Hour),
-			OpaqueRetention: Of(24 * time.Hour),
+			Shards:          claim.DefaultShards,
+			WindowKB:        claim.DefaultWindowBytes >> 10,
+			Flush:           Of(claim.DefaultFlushInterval),
+			Retention:       Of(claim.DefaultRetention),
+			OpaqueRetention: Of(claim.DefaultOpaqueRetention),
 		},
 		Log: Log{Level: "info", Format: FormatLogfmt},
 	}
