Instances share the platform's budget by the size of the fleet

Cause: every instance might ask for 40 writes and 150 reads a second, whatever the number of instances, and no setting changed that.

Change: settings platform.writes_per_second, reads_per_second (of all instances together) and watches. An instance's share follows the live instances and the claim shards that it writes for the fleet; at most an eighth, so that one that is cut off takes no more than before.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 
 	"lynxhill.example/lynxhill/internal/auth"
 	"lynxhill.example/lynxhill/internal/claim"
+	"lynxhill.example/lynxhill/internal/platform"
 )
 
 // Config is the settings of one instance. Every duration is a string with its
@@ -52,6 +53,10 @@
 	Endpoints []string `toml:"endpoints"`  // http://IP:port or https://IP:port; any may answer
 	TokenFile string   `toml:"token_file"` // file that holds the bearer token; "" = none
 	CAFile    string   `toml:"ca_file"`    // for https; "" = the system's
+	// What all instances together may ask of it; each takes a share.
+	WritesPerSecond int `toml:"writes_per_second"`
+	ReadsPerSecond  int `toml:"reads_per_second"`
+	Watches         int `toml:"watches"` // of one instance, waiting at once
 }
 
 // TLS holds the files of each listener.
@@ -149,6 +154,11 @@
 // Default returns the settings that hold where the file says nothing.
 func Default() Config {
 	return Config{
+		Platform: Platform{
+			WritesPerSecond: int(platform.DefaultFleetBudget.WritesPerSecond),
+			ReadsPerSecond:  int(platform.DefaultFleetBudget.ReadsPerSecond),
+			Watches:         platform.DefaultFleetBudget.Watches,
+		},
 		Limits: Limits{MaxBodyKB: 1024, MaxAnswerKB: 4096, MaxInFlight: 4096, MaxQueued: 1024},
 		Timings: Timings{
 			Heartbeat:     Of(time.Second),
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -43,6 +43,7 @@
 		{"no unit", "[platform]", "[timings]\nkeep = 5\n[platform]", "timings.keep"},
 		{"wrong unit", "[platform]", "[timings]\nkeep = \"5 parsecs\"\n[platform]", "timings.keep"},
 		{"out of range", "[platform]", "[claims]\nwindow_kb = 5000\n[platform]", "claims.window_kb"},
+		{"no writes", "[platform]", "[platform]\nwrites_per_second = 0", "platform.writes_per_second"},
 		{"half of TLS", "[platform]", "[tls.admin]\ncert_file = \"c\"\n[platform]", "tls.admin.key_file"},
 		{"peer CA", "[platform]", "[tls.peer]\ncert_file = \"c\"\nkey_file = \"k\"\n[platform]", "tls.peer.client_ca_file"},
 		{"token in clear", "[platform]", "[[tokens.caller]]\nhash = \"secret\"\norganisation = \"o\"\n[platform]", "tokens.caller[0].hash"},
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -119,7 +119,11 @@
 			return err
 		}
 	}
-	return nil
+	return firstFault(
+		checkInt("platform.writes_per_second", p.WritesPerSecond, 1, maxCount),
+		checkInt("platform.reads_per_second", p.ReadsPerSecond, 1, maxCount),
+		checkInt("platform.watches", p.Watches, 1, maxCount),
+	)
 }
 
 func checkEndpoint(key, value string) error {
--- a/internal/daemon/edges.go
+++ b/internal/daemon/edges.go
@@ -125,7 +125,7 @@
 	}
 	return platform.New(platform.Options{
 		Endpoints: settings.Endpoints, Dial: d.opts.Dial, TLS: tlsConfig, Token: token,
-		Clock: d.opts.Clock, Seed: d.seeds.Uint64(), Logger: d.logger, Metrics: d.metrics,
+		Clock: d.opts.Clock, Seed: d.seeds.Uint64(), Budget: d.fleetBudget().Share(0, 0), Logger: d.logger, Metrics: d.metrics,
 	}), nil
 }
 
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -91,10 +91,12 @@
 // claimOwner is the instance that had best write the claims of a shard: only a
 // hint, so that instances seldom meet in the same window.
 func (d *Daemon) claimOwner(shard int) string {
-	top := rendezvous.Top("claims/"+strconv.Itoa(shard), d.board.LiveMembers(d.id()), 1)
-	return top[0]
+	return rendezvous.Top(claimKey(shard), d.board.LiveMembers(d.id()), 1)[0]
 }
 
+// claimKey is what instances are ranked by for a shard of claims.
+func claimKey(shard int) string { return "claims/" + strconv.Itoa(shard) }
+
 // objective returns the objective of a profile, 0 if it names none.
 func (d *Daemon) objective(name string) float64 {
 	p, _ := d.profile(name)
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -16,8 +16,7 @@
 	Watches         int     // watches that wait at the same time
 }
 
-// DefaultBudget suits eight instances, and stays below the platform's limits
-// of several hundred writes and two thousand reads a second.
+// DefaultBudget is an instance's part of DefaultFleetBudget at eight instances.
 var DefaultBudget = Budget{WritesPerSecond: 40, ReadsPerSecond: 150, Watches: 8}
 
 // withDefaults fills in zero fields.
@@ -138,6 +137,16 @@
 	}
 }
 
+// setBudget changes the rates. What was saved up under the old ones is cut to
+// the new burst with the next refill.
+func (g *governor) setBudget(now time.Time, b Budget) {
+	g.reads.refill(now, g.share)
+	g.writes.refill(now, g.share)
+	g.budget = b.withDefaults()
+	g.reads.rate = g.budget.ReadsPerSecond
+	g.writes.rate = g.budget.WritesPerSecond
+}
+
 // admit asks to make a call now. probe says that the call is the one that
 // tries a platform that was down. Every admitted call ends with done.
 func (g *governor) admit(now time.Time, kind callKind, p store.Priority) (probe bool, err error) {
