Caller client: the same when the last question is cut by the deadline

Cause: the deadline may also end the question itself; that counted as no answer. Change: a question ended by the deadline leaves the last word standing.

--- a/internal/client/resend.go
+++ b/internal/client/resend.go
@@ -77,6 +77,9 @@
 func (s *sending) ask(ctx context.Context, cause error) (reply lynxapi.SendReply, settled bool, err error) {
 	for ctx.Err() == nil {
 		found, err := s.caller.outcome(ctx, s.req.Organisation, s.req.Key, s.tried)
+		if err != nil && ctx.Err() != nil {
+			break
+		}
 		if err != nil {
 			return reply, false, nil
 		}
