Request path: streams far behind the usual pace move to another target

Change: Timeouts carry the usual first byte, time a token and length; the stage looks at an overdue frame, tells the gate (Slot.Pace, ejection by two slow open streams) and resumes the answer elsewhere when that is expected to end twice as fast and 100 ms sooner. The old attempt's frames are held until the new one begins, so a failed move costs nothing. Hedges start at three medians of the first byte if that is before the 95% quantile. The cost of a moved attempt is estimated by its tokens. Ruled out: with 20 samples a stage before anything is usual no move was made (an instance has one or two calls a second of a stage).

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -45,16 +45,23 @@
 	Duration  time.Duration
 	FirstByte time.Duration // 0 if none came
 	Gap       time.Duration // longest wait between two frames, 0 if unknown
+	PerToken  time.Duration // after the first frame, 0 if unknown
+	Tokens    int           // of a whole answer, 0 if unknown
 	OK        bool
 	Refused   bool // the target said busy or leaving
 	Overload  bool // timeout or silence: a sign of overload for the limit
 	Leaving   bool // the target said that it is leaving
 	Cancelled bool // ended by us; says nothing of the target
+	Outrun    bool // cancelled because another target began first
 }
 
 // Slot is the right to make one attempt on the chosen target.
 type Slot interface {
 	Choice() routing.Choice
+	// Pace tells the time a token of a stream that is still under way, so that
+	// a straggler is ejected before the streams on it have ended. It is for
+	// streams that stand out.
+	Pace(perToken time.Duration)
 	// Done gives the slot back, once.
 	Done(result Result)
 }
@@ -81,4 +88,14 @@
 	FirstByte time.Duration
 	Progress  time.Duration
 	HedgeAt   time.Duration
+	// Usual is how the stage goes on its targets; zero while too little is
+	// measured.
+	Usual Usual
+}
+
+// Usual holds medians of a stage that streams, over all targets.
+type Usual struct {
+	FirstByte time.Duration
+	PerToken  time.Duration
+	Tokens    int // of a whole answer
 }
--- a/internal/admission/ejection.go
+++ b/internal/admission/ejection.go
@@ -6,7 +6,13 @@
 	slownessWeight = 0.2 // of a new sample in the moving mean
 	slownessClip   = 20  // one hung call must not outweigh all others for long
 	slownessMin    = 10  // samples before slowness ejects
-	maxDoublings   = 6
+	// behindLimit of signs without a call at the usual pace between them ejects a
+	// target. A slow pace is the surer sign: a call that was late to begin may
+	// have had a long prompt.
+	behindLimit  = 4
+	behindPace   = 2
+	behindStart  = 1
+	maxDoublings = 6
 )
 
 // ejection is the state of a target that may be a straggler.
@@ -14,6 +20,7 @@
 	failures  int     // in a row
 	slowness  float64 // moving mean of duration over the service's median
 	samples   int
+	behind    int       // signs of slowness since the last call at the usual pace
 	until     time.Time // left out until then
 	probation bool      // after that, one call at a time until one is well
 	times     int       // ejections in a row, for the back-off
@@ -44,6 +51,19 @@
 	return false
 }
 
+// observePace takes in how many times the usual time a call under way needs, and
+// reports whether the target stands out. sign is what it counts. Without it a straggler would be
+// found only when the streams on it end, eight times later than on others, and
+// would get new ones meanwhile.
+func (e *ejection) observePace(ratio float64, sign int, l *GateLimits) bool {
+	if ratio <= l.EjectSlowness {
+		e.behind = 0
+		return false
+	}
+	e.behind += sign
+	return e.probation || e.behind >= behindLimit
+}
+
 // allowedFailures is one on probation: a probe that fails ejects again.
 func (e *ejection) allowedFailures(l *GateLimits) int {
 	if e.probation {
@@ -91,7 +111,7 @@
 	e.times++
 	e.until = now.Add(d)
 	e.probation = true
-	e.failures, e.samples, e.slowness = 0, 0, 0
+	e.failures, e.samples, e.slowness, e.behind = 0, 0, 0, 0
 	return d
 }
 
--- a/internal/admission/ejection_test.go
+++ b/internal/admission/ejection_test.go
@@ -187,3 +187,34 @@
 		}
 	})
 }
+
+// Symptom: a straggler gets new streams for as long as the first ones on it
+// last. Cause: it is judged by calls that have ended.
+func TestStragglerIsEjectedByPaceOfOpenStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(12, GateLimits{})
+		const usual = 2 * time.Millisecond
+		for range 60 {
+			s := acquire(t, r.gate, wantOf("a", time.Time{}))
+			time.Sleep(20 * time.Millisecond)
+			s.Done(Result{OK: true, FirstByte: 4 * time.Millisecond, PerToken: usual, Tokens: 10})
+		}
+		first, second := acquire(t, r.gate, wantOf("a", time.Time{})), acquire(t, r.gate, wantOf("a", time.Time{}))
+		state := func(s Slot) *ejection { return &s.(*slot).state.ejection }
+		first.Pace(2 * usual)
+		first.Pace(8 * usual)
+		if state(first).times != 0 {
+			t.Error("one slow stream ejected its target")
+		}
+		first.Pace(8 * usual)
+		if state(first).times != 1 {
+			t.Error("the straggler was not ejected while its streams are open")
+		}
+		second.Pace(8 * usual)
+		second.Pace(usual)
+		second.Pace(8 * usual)
+		if state(second).times != 0 {
+			t.Error("a target with a stream at the usual pace in between was ejected")
+		}
+	})
+}
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -24,6 +24,8 @@
 	// hopeless is the quantile of a stage's time that must still fit into the
 	// deadline.
 	hopeless = 0.1
+	// tokensWeight is that of a new answer in the mean length.
+	tokensWeight = 0.05
 )
 
 // service is the shard of the gate for one service.
@@ -55,9 +57,14 @@
 	total     distribution
 	firstByte distribution
 	gap       distribution
-	fastest   time.Duration // cached quantiles of total
-	median    time.Duration
-	pending   int
+	perToken  distribution
+	tokens    float64 // moving mean of whole answers
+	// Cached quantiles of the distributions.
+	first   time.Duration // median of firstByte
+	pace    time.Duration // median of perToken
+	fastest time.Duration // of total
+	median  time.Duration // of total
+	pending int
 }
 
 func (st *stageStats) measure(r Result, now time.Time, l *GateLimits) {
@@ -70,13 +77,43 @@
 	if !r.OK {
 		return
 	}
+	if r.PerToken > 0 {
+		st.perToken.add(r.PerToken, now, l.Window, l.MinSamples)
+	}
+	if r.Tokens > 0 {
+		st.addTokens(float64(r.Tokens))
+	}
 	st.total.add(r.Duration, now, l.Window, l.MinSamples)
 	st.pending++
 	if st.pending >= medianEvery || st.median == 0 {
 		st.pending = 0
 		st.fastest, _ = st.total.quantile(hopeless, l.MinSamples)
 		st.median, _ = st.total.quantile(0.5, l.MinSamples)
+		st.first, _ = st.firstByte.quantile(0.5, medianEvery)
+		st.pace, _ = st.perToken.quantile(0.5, medianEvery)
+	}
+}
+
+func (st *stageStats) addTokens(tokens float64) {
+	if st.tokens == 0 {
+		st.tokens = tokens
+	}
+	st.tokens += tokensWeight * (tokens - st.tokens)
+}
+
+// slowness is how many times the usual time an ended call needed, and what that
+// counts as a sign; 0 where it says nothing. A call without tokens that took
+// long may just have been a long one: only that another target was faster tells.
+func (st *stageStats) slowness(r Result) (ratio float64, sign int) {
+	switch {
+	case r.OK && r.PerToken > 0 && st.pace > 0:
+		return float64(r.PerToken) / float64(st.pace), behindPace
+	case r.Outrun && r.FirstByte == 0 && st.first > 0:
+		return float64(r.Duration) / float64(st.first), behindStart
+	case r.OK && r.FirstByte > 0 && r.FirstByte <= st.first:
+		return 1, behindStart
 	}
+	return 0, 0
 }
 
 func (s *service) lock(c clock.Clock) {
--- a/internal/admission/slot.go
+++ b/internal/admission/slot.go
@@ -23,6 +23,9 @@
 // Choice implements Slot.
 func (s *slot) Choice() routing.Choice { return s.choice }
 
+// Pace implements Slot.
+func (s *slot) Pace(perToken time.Duration) { s.service.pace(s, perToken) }
+
 // Done implements Slot. Only the first call counts.
 func (s *slot) Done(result Result) {
 	if s.done.Swap(true) {
@@ -91,12 +94,24 @@
 		s.eject(done.choice.Target.ID, t)
 	}
 	load, _ := s.gate.options.Board.Loads.Get(done.choice.Target.ID)
+	if ratio, sign := st.slowness(r); sign > 0 && t.ejection.observePace(ratio, sign, s.limits) {
+		s.eject(done.choice.Target.ID, t)
+	}
 	t.limiter.observe(r, t.inFlight(), load.Report.Slots, s.now, s.limits)
 	t.measure(r, s.now, s.limits)
 	st.measure(r, s.now, s.limits)
 	s.all.measure(r, s.now, s.limits)
 }
 
+func (s *service) pace(of *slot, perToken time.Duration) {
+	s.lock(s.gate.options.Clock)
+	defer s.unlock()
+	usual := s.usual(s.stage(of.stage)).PerToken
+	if usual > 0 && of.state.ejection.observePace(float64(perToken)/float64(usual), behindPace, s.limits) {
+		s.eject(of.choice.Target.ID, of.state)
+	}
+}
+
 // eject leaves a straggler out unless too much of the service is out already:
 // when everything is slow, the fault isn't the targets'.
 func (s *service) eject(id string, t *targetState) {
--- a/internal/admission/timeouts.go
+++ b/internal/admission/timeouts.go
@@ -32,17 +32,39 @@
 	if query.Stage.Idempotent {
 		out.HedgeAt = s.hedgeAt(st)
 	}
+	out.Usual = s.usual(st)
 	return out
 }
 
+// usual is the stage's, or the whole service's while too little of the stage is
+// measured: a token takes much the same time in each. It returns nothing until
+// pace and first byte are both measured.
+func (s *service) usual(st *stageStats) Usual {
+	if st.pace == 0 || st.first == 0 {
+		st = &s.all
+	}
+	if st.pace == 0 || st.first == 0 {
+		return Usual{}
+	}
+	return Usual{FirstByte: st.first, PerToken: st.pace, Tokens: int(st.tokens)}
+}
+
 // hedgeAt comes from the stage over all targets: a straggler's own
-// distribution would call its slowness usual.
+// distribution would call its slowness usual. With a quarter of the targets
+// slow, the 95% quantile is theirs; the median is not, so a multiple of it
+// bounds the wait.
 func (s *service) hedgeAt(st *stageStats) time.Duration {
-	p95, known := st.firstByte.quantile(s.limits.HedgeQuantile, s.limits.MinSamples)
-	if !known {
+	wait, known := st.firstByte.quantile(s.limits.HedgeQuantile, s.limits.MinSamples)
+	bound := time.Duration(s.limits.EjectSlowness * float64(st.first))
+	switch {
+	case !known && bound == 0:
 		return 0
+	case !known:
+		wait = bound
+	case bound > 0:
+		wait = min(wait, bound)
 	}
-	return max(p95, s.limits.HedgeFloor)
+	return max(wait, s.limits.HedgeFloor)
 }
 
 func firstOf(l *GateLimits, q float64, from ...*distribution) (time.Duration, bool) {
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -19,6 +19,9 @@
 // errLeft ends an attempt whose stage no longer listens.
 var errLeft = errors.New("the stage has ended")
 
+// errOutrun ends an attempt because another one began first.
+var errOutrun = errors.New("another attempt began first")
+
 // attempt is one call of a target for a stage. Its goroutine only sends
 // signals; all decisions are the stage's.
 type attempt struct {
@@ -28,13 +31,17 @@
 	resume string // the part of the answer that came before this attempt
 	offset int    // where in the answer the next frame must begin
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
 
 	// Written by the stage.
 	choice    routing.Choice
+	slot      admission.Slot
+	usual     admission.Usual
+	pace      pace
 	begun     time.Time // when it was dispatched
 	ended     time.Time
 	hedge     bool
+	move      bool // takes over from the owner with its first frame
 	started   bool // the target is chosen
 	open      bool // not yet ended
 	delivered bool // a frame of it was taken
@@ -48,6 +55,8 @@
 	firstByte time.Duration
 	lastFrame time.Time
 	gap       time.Duration // longest wait between two frames
+	waited    time.Duration // for frames after the first
+	written   int           // tokens of those frames
 }
 
 // signalKind says what an attempt reports.
@@ -65,7 +74,9 @@
 	attempt  *attempt
 	choice   routing.Choice
 	timeouts admission.Timeouts
+	slot     admission.Slot
 	frame    targetapi.Frame
+	waited   time.Duration // for frames after the first, this one included
 	result   stagecall.Result
 	err      error
 }
@@ -101,7 +112,7 @@
 	}
 	choice := slot.Choice()
 	timeouts := a.timeouts(choice)
-	if !a.send(signal{kind: signalStarted, choice: choice, timeouts: timeouts}) || !a.s.beginDispatch() {
+	if !a.send(signal{kind: signalStarted, choice: choice, timeouts: timeouts, slot: slot}) || !a.s.beginDispatch() {
 		slot.Done(admission.Result{Cancelled: true})
 		return stagecall.Result{}, &acquireError{errLeft}
 	}
@@ -143,7 +154,11 @@
 	if err != nil && stagecall.FailureOf(err).NotRun {
 		a.s.endNotRun()
 	}
-	slot.Done(a.slotResult(x.now().Sub(begun), err, died))
+	done := a.slotResult(x.now().Sub(begun), err, died)
+	if err == nil && a.resume == "" {
+		done.Tokens = result.Tokens
+	}
+	slot.Done(done)
 	return result, err
 }
 
@@ -157,9 +172,9 @@
 	if frame.Offset != a.offset {
 		return protocolError("frame at %d, expected %d", frame.Offset, a.offset)
 	}
-	a.noteArrival(begun)
+	a.noteArrival(begun, frame.Tokens)
 	a.offset += len(frame.Text)
-	if !a.send(signal{kind: signalFrame, frame: frame}) {
+	if !a.send(signal{kind: signalFrame, frame: frame, waited: a.waited}) {
 		return cancelledError(errLeft)
 	}
 	if err := a.ctx.Err(); err != nil {
@@ -170,12 +185,16 @@
 }
 
 // noteArrival measures the target, without the time that the caller takes.
-func (a *attempt) noteArrival(begun time.Time) {
+func (a *attempt) noteArrival(begun time.Time, tokens int) {
+	now := a.s.x.now()
 	if a.firstByte == 0 {
-		a.firstByte = a.s.x.now().Sub(begun)
+		a.firstByte = now.Sub(begun)
 		return
 	}
-	a.gap = max(a.gap, a.s.x.now().Sub(a.lastFrame))
+	gap := now.Sub(a.lastFrame)
+	a.gap = max(a.gap, gap)
+	a.waited += gap
+	a.written += tokens
 }
 
 func cancelledError(err error) error {
@@ -200,6 +219,9 @@
 
 func (a *attempt) slotResult(duration time.Duration, err error, died bool) admission.Result {
 	result := admission.Result{Duration: duration, FirstByte: a.firstByte, Gap: a.gap, OK: err == nil}
+	if a.written > 0 {
+		result.PerToken = a.waited / time.Duration(a.written)
+	}
 	if err == nil {
 		if !a.s.streams {
 			result.FirstByte = duration // a whole reply comes at once
@@ -218,6 +240,7 @@
 	}
 	if died || a.ctx.Err() != nil {
 		result.Cancelled = true
+		result.Outrun = errors.Is(context.Cause(a.ctx), errOutrun)
 	}
 	return result
 }
--- a/internal/pipeline/fakes_test.go
+++ b/internal/pipeline/fakes_test.go
@@ -40,6 +40,7 @@
 	next    int
 	wants   []admission.Want
 	results []admission.Result
+	paces   []time.Duration
 }
 
 type fakeSlot struct {
@@ -49,6 +50,12 @@
 
 func (s *fakeSlot) Choice() routing.Choice { return s.choice }
 
+func (s *fakeSlot) Pace(perToken time.Duration) {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	s.gate.paces = append(s.gate.paces, perToken)
+}
+
 func (s *fakeSlot) Done(result admission.Result) {
 	s.gate.mu.Lock()
 	defer s.gate.mu.Unlock()
--- a/internal/pipeline/finish.go
+++ b/internal/pipeline/finish.go
@@ -159,6 +159,9 @@
 	if a.cost > 0 || a == s.winner || s.winner == nil || !a.started || a.notRun {
 		return a.cost
 	}
+	if a.pace.tokens > 0 && s.winner.pace.tokens > 0 {
+		return s.winner.cost * float64(a.pace.tokens) / float64(s.winner.pace.tokens)
+	}
 	full := s.winner.elapsed(s.x.now())
 	if full <= 0 {
 		return 0
--- /dev/null
+++ b/internal/pipeline/pace_test.go
@@ -0,0 +1,114 @@
+package pipeline
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/admission"
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/stagecall"
+	"lynxhill.example/lynxhill/internal/stagecall/memtarget"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+// planInTurn gives the calls of the draft stage one plan each.
+func planInTurn(plans ...memtarget.Plan) func(stagecall.Target, targetapi.RunRequest) memtarget.Plan {
+	return func(_ stagecall.Target, req targetapi.RunRequest) memtarget.Plan {
+		if req.Stage != stageDraft || len(plans) == 0 {
+			return memtarget.Plan{}
+		}
+		next := plans[0]
+		plans = plans[1:]
+		return next
+	}
+}
+
+// Symptom: one answer in twenty takes eight times as long, with eight times the
+// usual wait between its tokens. Events: a stream begins on a straggler.
+// Cause: only silence ends a stream, and a straggler is never silent.
+func TestStreamFarBehindMoves(t *testing.T) {
+	slow := memtarget.Plan{Fault: memtarget.Straggle, Slow: 100} // a frame each 250 ms instead of 2.5 ms
+	slower := memtarget.Plan{Fault: memtarget.Straggle, Slow: 115}
+	rows := []struct {
+		story   string
+		plans   []memtarget.Plan
+		refuse  bool // no slot for a move
+		runs    int
+		resumed bool
+		within  time.Duration
+	}{
+		{"the rest comes from another target", []memtarget.Plan{slow}, false, 2, true, 400 * time.Millisecond},
+		{"no other target has room: the straggler's frames are all taken", []memtarget.Plan{slow}, true, 1, false, 6 * time.Second},
+		{"the other target breaks off before its first frame", []memtarget.Plan{slow, {Fault: memtarget.LostReply}}, false, 3, true, time.Second},
+		{"the straggler breaks while the other has not begun", []memtarget.Plan{{Fault: memtarget.LostReply, Slow: 100}, slower}, false, 3, true, 2 * time.Second},
+		{"each of the others is as slow: moves are bounded", []memtarget.Plan{slow, slow, slow}, false, 3, true, 6 * time.Second},
+	}
+	for _, row := range rows {
+		t.Run(row.story, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(memtarget.Options{Plan: planInTurn(row.plans...)})
+				w.gate.timeouts.Usual = admission.Usual{FirstByte: 3 * time.Millisecond, PerToken: 2500 * time.Microsecond, Tokens: 20}
+				if row.refuse {
+					w.gate.refuse = refuseRepeats
+				}
+				req := w.request("draft", "k")
+				sink := new(recorder)
+				out, err := w.runner.Run(t.Context(), req, sink)
+				if err != nil || sink.text != wholeDraft(req) || out.Length != len(sink.text) {
+					t.Fatalf("got %q, %v", sink.text, err)
+				}
+				synctest.Wait()
+				if out.Total > row.within {
+					t.Errorf("took %v, want at most %v", out.Total, row.within)
+				}
+				runs := w.runsOf(stageDraft)
+				if len(runs) != row.runs {
+					t.Errorf("%d runs, want %d", len(runs), row.runs)
+				}
+				if last := runs[len(runs)-1].Request; (last.ResumeOffset > 0) != row.resumed {
+					t.Errorf("last run begins at %d", last.ResumeOffset)
+				}
+				w.noViolations(t)
+			})
+		})
+	}
+}
+
+// Symptom: a straggler keeps getting new streams. Cause: the gate learns of its
+// pace only when streams end.
+func TestGateLearnsOfPaceWhileStreamRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(memtarget.Options{Plan: planInTurn(memtarget.Plan{Fault: memtarget.Straggle, Slow: 100})})
+		w.gate.timeouts.Usual = admission.Usual{FirstByte: 3 * time.Millisecond, PerToken: 2500 * time.Microsecond, Tokens: 20}
+		w.gate.refuse = func(want admission.Want) error {
+			if want.Repeat && len(w.gate.paces) == 0 {
+				t.Error("a move was asked for before the gate knew why")
+			}
+			if want.Repeat {
+				return errkind.New(errkind.Overloaded, "no room")
+			}
+			return nil
+		}
+		if _, err := w.runner.Run(t.Context(), w.request("draft", "k"), new(recorder)); err != nil {
+			t.Fatal(err)
+		}
+		if len(w.gate.paces) != 1 || w.gate.paces[0] < 20*time.Millisecond {
+			t.Errorf("paces told: %v, want one far above 2.5 ms a token", w.gate.paces)
+		}
+	})
+}
+
+// A stream of a usual pace stays where it is.
+func TestUsualPaceStays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(memtarget.Options{})
+		w.gate.timeouts.Usual = admission.Usual{FirstByte: 3 * time.Millisecond, PerToken: 2 * time.Millisecond, Tokens: 20}
+		if _, err := w.runner.Run(t.Context(), w.request("draft", "k"), new(recorder)); err != nil {
+			t.Fatal(err)
+		}
+		if n := len(w.runsOf(stageDraft)); n != 1 {
+			t.Errorf("%d runs, want 1", n)
+		}
+	})
+}
--- a/internal/pipeline/signals.go
+++ b/internal/pipeline/signals.go
@@ -25,6 +25,7 @@
 func (s *stageRun) onStarted(sig signal) {
 	a := sig.attempt
 	a.choice, a.started, a.begun = sig.choice, true, s.x.now()
+	a.slot, a.usual = sig.slot, sig.timeouts.Usual
 	if s.mayHedge() && sig.timeouts.HedgeAt > 0 {
 		stopTimer(&s.hedgeTimer)
 		s.hedgeTimer = s.x.r.opts.Clock.NewTimer(sig.timeouts.HedgeAt)
@@ -50,12 +51,22 @@
 // send a frame becomes that attempt and the others are cancelled.
 func (s *stageRun) onFrame(sig signal) error {
 	a := sig.attempt
-	if s.owner == nil && a.open && !a.lost {
+	if (s.owner == nil || s.mover == a) && a.open && !a.lost {
 		s.choose(a)
 	}
 	if s.owner != a {
 		return nil
 	}
+	if s.mover != nil {
+		s.held = append(s.held, sig)
+		return nil
+	}
+	return s.take(sig)
+}
+
+// take adds a frame of the owner to the answer.
+func (s *stageRun) take(sig signal) error {
+	a := sig.attempt
 	if !s.ownFrame(sig) {
 		return errkind.New(errkind.Internal, "a frame did not fit the answer")
 	}
@@ -64,7 +75,12 @@
 	}
 	a.delivered = true
 	s.text = append(s.text, sig.frame.Text...)
-	return s.pass(sig.frame.Text)
+	a.pace.add(sig, s.x.now())
+	if err := s.pass(sig.frame.Text); err != nil {
+		return err
+	}
+	s.watchPace(a)
+	return nil
 }
 
 // ownFrame asserts that a frame is the owner's next one. The arguments of the
@@ -95,11 +111,13 @@
 // choose makes a the only attempt that may deliver.
 func (s *stageRun) choose(a *attempt) {
 	s.owner = a
+	s.mover, s.held = nil, nil
 	stopTimer(&s.hedgeTimer)
+	stopTimer(&s.paceTimer)
 	for _, other := range s.attempts {
 		if other != a && other.open {
 			other.lost = true
-			other.cancel()
+			other.cancel(errOutrun)
 		}
 	}
 }
@@ -107,14 +125,21 @@
 func (s *stageRun) onEnded(sig signal) (output json.RawMessage, done bool, err error) {
 	a := sig.attempt
 	a.open, a.ended = false, s.x.now()
-	a.cancel()
+	a.cancel(nil)
 	if a.lost {
 		a.cost = sig.result.Cost
 		return nil, false, nil
 	}
+	if err := s.endMove(a, sig.err); err != nil {
+		return nil, true, err
+	}
 	if s.owner == a {
 		s.owner = nil
 	}
+	if a.move && sig.err != nil && s.owner != nil {
+		a.notRun = stagecall.FailureOf(sig.err).NotRun
+		return nil, false, nil
+	}
 	if sig.err == nil {
 		return s.onSuccess(a, sig.result)
 	}
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -53,6 +53,10 @@
 
 	hedgeTimer  *quartz.Timer
 	repeatTimer *quartz.Timer
+	paceTimer   *quartz.Timer // the owner's next frame is overdue
+	mover       *attempt      // may take over from the owner
+	held        []signal      // frames of the owner that came since mover began
+	moves       int
 	hedged      bool
 	winner      *attempt
 	tokens      int
@@ -113,6 +117,10 @@
 		s.hedgeTimer = nil
 		s.launchHedge()
 		return nil, false, nil
+	case <-timerChan(s.paceTimer):
+		s.paceTimer = nil
+		s.checkPace()
+		return nil, false, nil
 	case <-timerChan(s.repeatTimer):
 		s.repeatTimer = nil
 		s.launch(true, false)
@@ -134,8 +142,9 @@
 func (s *stageRun) leave() {
 	stopTimer(&s.hedgeTimer)
 	stopTimer(&s.repeatTimer)
+	stopTimer(&s.paceTimer)
 	for _, a := range s.attempts {
-		a.cancel()
+		a.cancel(errLeft)
 	}
 	close(s.left)
 }
@@ -148,12 +157,12 @@
 }
 
 // launch starts an attempt.
-func (s *stageRun) launch(repeat, hedge bool) {
+func (s *stageRun) launch(repeat, hedge bool) *attempt {
 	parent := context.Context(s.x.ctx)
 	if s.claim != nil {
 		parent = s.x.work
 	}
-	ctx, cancel := context.WithCancel(parent)
+	ctx, cancel := context.WithCancelCause(parent)
 	want := admission.Want{
 		Query:    s.query(),
 		Priority: s.x.prof.Profile.Priority,
@@ -174,6 +183,7 @@
 	}
 	s.attempts = append(s.attempts, a)
 	go a.run()
+	return a
 }
 
 // boundProvider is the provider whose text the caller already has, "" while
