Steering: the usual terms for two names

Cause: 'outlook' and 'spill' need explaining. Change: distribution (what the answers for a place are drawn from) and scaleByNearness; nothing else.

--- a/internal/control/steering/choose.go
+++ b/internal/control/steering/choose.go
@@ -36,9 +36,9 @@
 	return w * part
 }
 
-// outlook is what callers of one place are answered from. It is made once for
+// distribution is what callers of one place are answered from. It is made once for
 // all callers of a place, since an answer takes only the drawing.
-type outlook struct {
+type distribution struct {
 	place, region string
 	shares        []board.SteeringAddress // with their weights in an answer
 	rates         []float64               // of the draw, by index of shares
@@ -47,21 +47,21 @@
 	spare         int // spares in an answer
 }
 
-// newOutlook prepares answers of n addresses: most of them by their share for
+// newDistribution prepares answers of n addresses: most of them by their share for
 // the place, and some spare ones with weight 0, to be used only when the others
 // fail. The spare ones lie further away, so that a caller whose whole place is
 // lost still knows somebody, and are drawn at random, so that callers of a lost
 // place spread over the rest.
-func newOutlook(all []board.SteeringAddress, place, region string, n int) *outlook {
-	o := &outlook{place: place, region: region}
-	o.shares, o.spares = split(spill(all, place, region), all)
-	o.spare = min(n/sparePart, len(o.spares))
-	o.rates, o.spareRates = weights(o.shares), weights(o.spares)
-	correct(o.shares, n-o.spare)
-	for i := range o.spares {
-		o.spares[i].Weight = 0
+func newDistribution(all []board.SteeringAddress, place, region string, n int) *distribution {
+	d := &distribution{place: place, region: region}
+	d.shares, d.spares = split(scaleByNearness(all, place, region), all)
+	d.spare = min(n/sparePart, len(d.spares))
+	d.rates, d.spareRates = weights(d.shares), weights(d.spares)
+	correct(d.shares, n-d.spare)
+	for i := range d.spares {
+		d.spares[i].Weight = 0
 	}
-	return o
+	return d
 }
 
 func weights(all []board.SteeringAddress) []float64 {
@@ -73,15 +73,15 @@
 }
 
 // answer draws n addresses, nearest first.
-func (o *outlook) answer(n int, random func() float64) []lynxapi.Address {
-	first := draw(o.shares, o.rates, n-o.spare, random)
-	second := draw(o.spares, o.spareRates, n-len(first), random)
+func (d *distribution) answer(n int, random func() float64) []lynxapi.Address {
+	first := draw(d.shares, d.rates, n-d.spare, random)
+	second := draw(d.spares, d.spareRates, n-len(first), random)
 	answer := make([]lynxapi.Address, 0, len(first)+len(second))
 	for _, a := range append(first, second...) {
 		answer = append(answer, addressOf(a))
 	}
 	sort.SliceStable(answer, func(i, j int) bool {
-		return tierOf(answer[i].Place, answer[i].Region, o.place, o.region) < tierOf(answer[j].Place, answer[j].Region, o.place, o.region)
+		return tierOf(answer[i].Place, answer[i].Region, d.place, d.region) < tierOf(answer[j].Place, answer[j].Region, d.place, d.region)
 	})
 	return answer
 }
@@ -103,9 +103,9 @@
 	return shares, spares
 }
 
-// spill scales the weights by nearness: a place with room keeps its callers,
+// scaleByNearness scales the weights by nearness: a place with room keeps its callers,
 // one without sends a share to the region, a region without to the others.
-func spill(all []board.SteeringAddress, place, region string) []board.SteeringAddress {
+func scaleByNearness(all []board.SteeringAddress, place, region string) []board.SteeringAddress {
 	scaled := append([]board.SteeringAddress(nil), all...)
 	left := 1.0
 	for tier := range tiers {
--- a/internal/control/steering/steering.go
+++ b/internal/control/steering/steering.go
@@ -20,15 +20,15 @@
 	opts Options
 	rand *loop.Rand
 
-	mu       sync.Mutex           // guards all below
-	joined   map[string]time.Time // since when each instance has been up without a break
-	computed time.Time            // when the weights of outlooks were computed
-	outlooks map[outlookKey]*outlook
+	mu            sync.Mutex           // guards all below
+	joined        map[string]time.Time // since when each instance has been up without a break
+	computed      time.Time            // when the weights of distributions were computed
+	distributions map[distributionKey]*distribution
 }
 
 // New returns a controller.
 func New(opts Options) *Controller {
-	return &Controller{opts: opts.withDefaults(), rand: loop.NewRand(opts.Rand), joined: make(map[string]time.Time), outlooks: make(map[outlookKey]*outlook)}
+	return &Controller{opts: opts.withDefaults(), rand: loop.NewRand(opts.Rand), joined: make(map[string]time.Time), distributions: make(map[distributionKey]*distribution)}
 }
 
 // Run keeps board.Steering until ctx ends.
@@ -132,32 +132,32 @@
 		s, _ = c.opts.Board.Steering.Get(board.SteeringRow)
 	}
 	return lynxapi.AddressAnswer{
-		Addresses: c.outlook(s, place, region).answer(c.opts.Addresses, c.rand.Float64),
+		Addresses: c.distribution(s, place, region).answer(c.opts.Addresses, c.rand.Float64),
 		KeepMS:    c.rand.Spread(s.Keep, c.opts.Jitter).Milliseconds(),
 	}
 }
 
-// outlook returns the outlook of the callers in a place, made at most once for
+// distribution returns the distribution of the callers in a place, made at most once for
 // each computation of the weights. Places that no instance is in share one, so
 // that callers cannot fill the memory with names.
-func (c *Controller) outlook(s board.Steering, place, region string) *outlook {
+func (c *Controller) distribution(s board.Steering, place, region string) *distribution {
 	place, region = known(s.Addresses, place, region)
-	key := outlookKey{place, region}
+	key := distributionKey{place, region}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.computed.Equal(s.Computed) {
 		c.computed = s.Computed
-		clear(c.outlooks)
+		clear(c.distributions)
 	}
-	o := c.outlooks[key]
+	o := c.distributions[key]
 	if o == nil {
-		o = newOutlook(s.Addresses, place, region, c.opts.Addresses)
-		c.outlooks[key] = o
+		o = newDistribution(s.Addresses, place, region, c.opts.Addresses)
+		c.distributions[key] = o
 	}
 	return o
 }
 
-type outlookKey struct{ place, region string }
+type distributionKey struct{ place, region string }
 
 // known returns the place and region, "" for one that no instance is in.
 func known(all []board.SteeringAddress, place, region string) (string, string) {
