--- a/internal/control/limits/limits.go
+++ b/internal/control/limits/limits.go
@@ -218,7 +218,7 @@
 		case board.MemberSuspect:
 			known++
 		case board.MemberDead:
-			if now.Sub(m.Changed) < deadHold {
+			if !m.Left && now.Sub(m.Changed) < deadHold {
 				known++
 			}
 		}
--- a/internal/control/profilesync/fence.go
+++ b/internal/control/profilesync/fence.go
@@ -202,6 +202,9 @@
 // hasLeft reports whether this life of the instance announced its leaving. The
 // caller holds mu.
 func (f *fence) hasLeft(m board.Member) bool {
+	if m.Left {
+		return true
+	}
 	incarnation, left := f.left[m.ID]
 	return left && m.Incarnation <= incarnation && m.State != board.MemberAlive
 }
--- a/internal/control/profilesync/force.go
+++ b/internal/control/profilesync/force.go
@@ -116,13 +116,30 @@
 		reply.Missing = append(reply.Missing, id)
 	}
 	sort.Strings(reply.Missing)
-	majority := 2*reply.InForce > reply.Total+forgotten
+	majority := 2*reply.InForce > reply.Total+forgotten && fewAmongTheirOwn(reply.Missing, members, forgotten)
 	if len(reply.Missing) > 0 && m.fencedSince(name, version, majority) {
 		reply.Fenced, reply.Missing = reply.Missing, nil
 	}
 	return reply, version > 0 && len(reply.Missing) == 0
 }
 
+// fewAmongTheirOwn reports whether those that lack the version are at most half
+// of the instances that each of the dead among them may have known.
+//
+// What goes wrong without it: the larger side of a split loses the store, and
+// new instances are started on the side that has it. Those are a majority of
+// all that this side knows; but the lost ones know nothing of the new ones, are
+// a majority of all that they know, and go on serving the old version.
+func fewAmongTheirOwn(missing []string, members map[string]board.Member, forgotten int) bool {
+	for _, id := range missing {
+		m := members[id]
+		if m.State == board.MemberDead && m.Fleet > 0 && 2*(len(missing)+forgotten) > m.Fleet {
+			return false
+		}
+	}
+	return true
+}
+
 // fencedSince reports whether those that lack the version have had the time
 // after which they take no work. The time is counted from when the version was
 // known here and a majority held it: until then a split-off majority without
--- a/internal/event/catalogue_membership.go
+++ b/internal/event/catalogue_membership.go
@@ -8,6 +8,7 @@
 	MembershipHealed         ID = 3004
 	MembershipLeaving        ID = 3005
 	MembershipRegisterFailed ID = 3006
+	MembershipGone           ID = 3007
 )
 
 var _ = define(
@@ -17,4 +18,5 @@
 	Definition{MembershipHealed, Info, "instance_back", "An instance that was taken for dead answered again."},
 	Definition{MembershipLeaving, Info, "leaving_announced", "This instance announced that it is leaving."},
 	Definition{MembershipRegisterFailed, Warn, "register_failed", "This instance could not refresh its entry in the platform's instance list; it tries again."},
+	Definition{MembershipGone, Info, "instance_gone", "The platform's instance list says that a dead instance is leaving: an operator declared it gone. Changes are accepted without it."},
 )
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -63,6 +63,14 @@
 	// Seq rises when the instance changes its load or its Profiles within one
 	// incarnation.
 	Seq uint64
+	// Left says of a dead member that it had announced its leaving.
+	Left bool
+	// DeadFor says of a dead member how long it has been held for dead, when
+	// the row was sent.
+	DeadFor time.Duration
+	// Fleet says of a dead member how many instances it may have known when it
+	// died, itself included; 0 if that is not known.
+	Fleet int
 }
 
 // Light reports whether the row carries no addresses: only what changes often.
--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -143,24 +143,6 @@
 	return seeds
 }
 
-// forget drops dead members that the list lacks. While the list cannot be read
-// none is dropped: after a long split they are the way back together.
-func (m *Manager) forget(listed []store.Instance, now time.Time) {
-	present := make(map[string]bool)
-	for _, in := range listed {
-		present[in.ID] = true
-	}
-	v := m.view
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for id, r := range v.rows {
-		if r.dead() && !present[id] && now.Sub(r.changed) >= m.o.ForgetAfter {
-			delete(v.rows, id)
-			v.board.Members.Delete(id)
-		}
-	}
-}
-
 // runRegister keeps this instance's entry in the platform's list fresh.
 func (m *Manager) runRegister(ctx context.Context) {
 	if m.o.Lister == nil {
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -13,7 +13,8 @@
 const (
 	lightRowBytes = 34
 	wholeRowBytes = 46
-	sumsBytes     = 4*sumBuckets + 8
+	deadBytes     = 9 // the age of a death and the like
+	sumsBytes     = 4*sumCount + 8
 )
 
 // Shares of a digest's budget.
@@ -26,6 +27,13 @@
 )
 
 func rowBytes(m gossip.Member) int {
+	if m.State == string(board.MemberDead) {
+		return deadBytes + rowBytesAlive(m)
+	}
+	return rowBytesAlive(m)
+}
+
+func rowBytesAlive(m gossip.Member) int {
 	if m.Light() {
 		return lightRowBytes + len(m.ID)
 	}
@@ -39,11 +47,11 @@
 
 // rowsFor picks the rows for a digest to a member: one's own first, the
 // receiver's if it is doubted (so that it can reassert itself), then the queue.
-func (v *view) rowsFor(to string, budget int) (rows []gossip.Member, used int) {
+func (v *view) rowsFor(to string, budget int, now time.Time) (rows []gossip.Member, used int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	add := func(r *row, whole bool) {
-		m := r.member
+		m := outgoing(r, now)
 		if !whole {
 			m = light(m)
 		}
@@ -101,16 +109,17 @@
 type difference struct {
 	buckets []int // worth repairing
 	bulk    bool  // most buckets differ: one of the two is new, or a split is healing
-	marks   bool  // only the configuration in force differs
+	marks   bool  // the configuration in force differs, and the rows do not
+	dead    bool  // the dead members differ, and the other rows do not
 }
 
-func (d difference) none() bool { return len(d.buckets) == 0 && !d.marks }
+func (d difference) none() bool { return len(d.buckets) == 0 && !d.marks && !d.dead }
 
 // compare finds the difference from a peer's sums. Buckets in which a row
 // waits to be passed on are left out unless most differ: their difference goes
 // away by itself. The caller holds mu.
-func (v *view) compare(sums []uint32) (d difference) {
-	mine := v.sumsLocked()
+func (v *view) compare(sums []uint32, now time.Time) (d difference) {
+	mine := v.sumsLocked(now)
 	if len(sums) != len(mine) {
 		return d // another version's buckets cannot be compared
 	}
@@ -135,32 +144,39 @@
 	if !d.bulk {
 		d.buckets = quiet
 	}
-	d.marks = len(d.buckets) == 0 && !marksWait && mine[sumBuckets] != sums[sumBuckets]
+	same := len(d.buckets) == 0 && !marksWait
+	d.marks = same && mine[sumMarks] != sums[sumMarks]
+	d.dead = same && mine[sumDead] != sums[sumDead]
 	return d
 }
 
 // repair returns the rows, dead ones included, of buckets that differ from the
 // peer's, from the given bucket on. Where only the configuration in force
 // differs, light rows do.
-func (v *view) repair(sums []uint32, first int, budget int) (rows []gossip.Member) {
+func (v *view) repair(sums []uint32, first, budget int, now time.Time) (rows []gossip.Member) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	d := v.compare(sums)
+	d := v.compare(sums, now)
+	var differ []*row
+	if d.dead {
+		differ = v.deadRows(first)
+	}
 	if d.marks {
 		d.buckets = allBuckets()
 	}
 	for i := range d.buckets {
-		for _, r := range v.bucket(d.buckets[(first+i)%len(d.buckets)]) {
-			m := r.member
-			if d.marks {
-				m = light(m)
-			}
-			budget -= rowBytes(m)
-			if budget < 0 {
-				return rows
-			}
-			rows = append(rows, m)
+		differ = append(differ, v.bucket(d.buckets[(first+i)%len(d.buckets)])...)
+	}
+	for _, r := range differ {
+		m := outgoing(r, now)
+		if d.marks && !r.dead() {
+			m = light(m)
 		}
+		budget -= rowBytes(m)
+		if budget < 0 {
+			return rows
+		}
+		rows = append(rows, m)
 	}
 	return rows
 }
@@ -185,10 +201,10 @@
 }
 
 // differs compares with a peer's sums.
-func (v *view) differs(sums []uint32) difference {
+func (v *view) differs(sums []uint32, now time.Time) difference {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.compare(sums)
+	return v.compare(sums, now)
 }
 
 // partList is the list of the other controllers' parts.
@@ -216,14 +232,15 @@
 // receiver's sums if they are known.
 func (m *Manager) compose(to string, theirs []uint32, budget int) gossip.Digest {
 	d := gossip.Digest{From: m.o.Self.ID}
-	rows, used := m.view.rowsFor(to, budget/memberShare)
+	now := m.o.Clock.Now()
+	rows, used := m.view.rowsFor(to, budget/memberShare, now)
 	d.Members = rows
-	d.Sums = m.view.sums()
+	d.Sums = m.view.sums(now)
 	used += sumsBytes
 	reserve := 0
 	if theirs != nil {
 		reserve = budget / repairShare
-		if m.view.differs(theirs).bulk {
+		if m.view.differs(theirs, now).bulk {
 			budget += bulkBytes
 			reserve = bulkBytes
 		}
@@ -235,7 +252,7 @@
 	}
 	if theirs != nil {
 		first := int(m.rand.Float64() * sumBuckets)
-		d.Members = append(d.Members, m.view.repair(theirs, first, budget-used)...)
+		d.Members = append(d.Members, m.view.repair(theirs, first, budget-used, now)...)
 	}
 	return d
 }
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -86,7 +86,7 @@
 // by several while they differ in most rows.
 func (m *Manager) settle(ctx context.Context, id, addr string, reply gossip.Digest) {
 	for range maxSettle {
-		d := m.view.differs(reply.Sums)
+		d := m.view.differs(reply.Sums, m.o.Clock.Now())
 		if d.none() {
 			return
 		}
@@ -172,7 +172,7 @@
 		v.setState(r, board.MemberSuspect, now)
 		m.o.Logger.Log(event.MembershipSuspect, "instance", seen.ID)
 	case board.MemberLeaving:
-		v.setState(r, board.MemberDead, now)
+		v.bury(r, true, now)
 		m.o.Logger.Log(event.MembershipLeft, "instance", seen.ID)
 	}
 }
@@ -212,7 +212,7 @@
 	r.trying = false
 	same := r.member.Incarnation == suspect.Incarnation && r.member.State == string(board.MemberSuspect)
 	if err != nil && same && ctx.Err() == nil {
-		v.setState(r, board.MemberDead, m.o.Clock.Now())
+		v.bury(r, false, m.o.Clock.Now())
 		m.o.Logger.Log(event.MembershipDead, "instance", suspect.ID)
 	}
 }
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -30,7 +30,7 @@
 	m := &Manager{
 		o:    o,
 		rand: loop.NewRand(o.Rand),
-		view: newView(self, o.Board, o.Healing, o.Clock.Now()),
+		view: newView(self, o),
 		pace: contactPace{min: o.ContactMin, max: o.ContactMax},
 	}
 	for _, p := range o.Parts {
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -67,8 +67,11 @@
 	ContactMax      time.Duration // between contacts of dead members, at last
 	ListEvery       time.Duration // between readings of the instance list
 	RegisterEvery   time.Duration // between refreshes of one's own entry
-	ForgetAfter     time.Duration // a dead member that the list lacks is dropped
-	EagerFanout     int           // extra exchanges after a configuration change
+	// ForgetAfter is when a dead member that announced its leaving is dropped,
+	// KeepDead when any other is, unless the instance list shows it still.
+	ForgetAfter time.Duration
+	KeepDead    time.Duration
+	EagerFanout int // extra exchanges after a configuration change
 	// BytesPerSecond bounds what this instance sends and receives in
 	// exchanges, by estimate.
 	BytesPerSecond int
@@ -90,6 +93,7 @@
 	defaultListEvery       = 30 * time.Second
 	defaultRegisterEvery   = 30 * time.Second
 	defaultForgetAfter     = 10 * time.Minute
+	defaultKeepDead        = 90 * time.Minute
 	defaultEagerFanout     = 3
 	defaultBytesPerSecond  = 16 << 10
 )
@@ -105,6 +109,7 @@
 	setDefault(&o.ListEvery, defaultListEvery)
 	setDefault(&o.RegisterEvery, defaultRegisterEvery)
 	setDefault(&o.ForgetAfter, defaultForgetAfter)
+	setDefault(&o.KeepDead, defaultKeepDead)
 	setDefault(&o.EagerFanout, defaultEagerFanout)
 	setDefault(&o.BytesPerSecond, defaultBytesPerSecond)
 	if o.Started.IsZero() {
--- a/internal/membership/sums.go
+++ b/internal/membership/sums.go
@@ -1,6 +1,8 @@
 package membership
 
 import (
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"lynxhill.example/lynxhill/internal/board"
@@ -11,20 +13,28 @@
 // differing row with fewer rows sent, and cost four bytes a digest each.
 const sumBuckets = 32
 
+// Places of the checksums after those of the buckets.
+const (
+	sumMarks = sumBuckets     // the configuration that the members have in force
+	sumDead  = sumBuckets + 1 // the dead members that are kept
+	sumCount = sumBuckets + 2
+)
+
 // sums returns the checksums by bucket of the rows that are not dead, and
-// after them one over the configuration that the members have in force.
-func (v *view) sums() []uint32 {
+// after them those of the other matters.
+func (v *view) sums(now time.Time) []uint32 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.sumsLocked()
+	return v.sumsLocked(now)
 }
 
-func (v *view) sumsLocked() []uint32 {
-	sums := make([]uint32, sumBuckets+1)
+func (v *view) sumsLocked(now time.Time) []uint32 {
+	sums := make([]uint32, sumCount)
+	sums[sumDead] = v.deadSum(now)
 	for id, r := range v.rows {
 		if !r.dead() {
 			sums[bucketOf(id)] += rowSum(r.member)
-			sums[sumBuckets] += mix(xxhash.Sum64String(id), r.member.Profiles)
+			sums[sumMarks] += mix(xxhash.Sum64String(id), r.member.Profiles)
 		}
 	}
 	return sums
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -44,6 +44,8 @@
 	self    string
 	healing Healing
 	board   *board.Board
+	// keepDead is how long dead members are kept.
+	keepDead time.Duration
 
 	mu       sync.Mutex // guards what follows
 	rows     map[string]*row
@@ -54,8 +56,9 @@
 	repairing bool
 }
 
-func newView(self gossip.Member, b *board.Board, healing Healing, now time.Time) *view {
-	v := &view{self: self.ID, healing: healing, board: b, rows: make(map[string]*row)}
+func newView(self gossip.Member, o Options) *view {
+	now := o.Clock.Now()
+	v := &view{self: self.ID, healing: o.Healing, board: o.Board, keepDead: o.KeepDead, rows: make(map[string]*row)}
 	v.rows[self.ID] = &row{member: self, changed: now}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -104,6 +107,8 @@
 		InFlight:    m.InFlight,
 		Profiles:    m.Profiles,
 		Changed:     r.changed,
+		Left:        r.hasLeft(),
+		Fleet:       m.Fleet,
 	})
 }
 
@@ -173,7 +178,11 @@
 }
 
 func (v *view) add(in gossip.Member, now time.Time) {
-	if in.Light() || in.State == string(board.MemberDead) {
+	if in.State == string(board.MemberDead) {
+		v.addDead(in, now)
+		return
+	}
+	if in.Light() {
 		return // the whole row comes with the repair of its bucket
 	}
 	r := &row{member: in, changed: now}
@@ -193,8 +202,12 @@
 	if in.Incarnation == old.member.Incarnation && in.Seq < old.member.Seq {
 		keepLoad(&in, old.member)
 	}
+	if in.State == string(board.MemberDead) {
+		in.Left = in.Left || old.member.State == string(board.MemberLeaving)
+	}
 	old.member = in
-	old.changed = now
+	old.changed = now.Add(-in.DeadFor)
+	old.member.DeadFor = 0
 	v.touch(old, urgencyState, restarted, now)
 }
 
@@ -209,6 +222,9 @@
 
 // refresh takes newer load and configuration of the same incarnation.
 func (v *view) refresh(old *row, in gossip.Member, now time.Time) {
+	if in.Incarnation == old.member.Incarnation && old.dead() && in.State == string(board.MemberDead) {
+		v.mergeDead(old, in, now)
+	}
 	if in.Incarnation != old.member.Incarnation || in.Seq <= old.member.Seq {
 		return
 	}
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -107,6 +107,9 @@
 		InFlight:    uint32(max(m.InFlight, 0)),
 		Profiles:    m.Profiles,
 		Seq:         m.Seq,
+		Left:        m.Left,
+		DeadForMs:   millis(m.DeadFor),
+		Fleet:       uint32(max(m.Fleet, 0)),
 	}
 }
 
@@ -124,6 +127,9 @@
 		InFlight:    int(m.GetInFlight()),
 		Profiles:    m.GetProfiles(),
 		Seq:         m.GetSeq(),
+		Left:        m.GetLeft(),
+		DeadFor:     duration(m.GetDeadForMs()),
+		Fleet:       int(m.GetFleet()),
 	}
 }
 
