--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -195,28 +195,21 @@
 		Profile: it.profile.Name, Organisation: it.organisation, Place: it.place,
 		At: it.at, Deadline: it.profile.Deadline, Poison: it.marker,
 	}
-	var last time.Time
-	deliver := func(lynxapi.Frame) error {
-		now := time.Now()
-		if last.IsZero() {
-			record.FirstToken = now.Sub(intended)
-		} else {
-			record.Gaps = append(record.Gaps, now.Sub(last))
-		}
-		last = now
-		return nil
-	}
+	received := &receiver{intended: intended}
 	result, err := caller.Send(ctx, it.profile.Name, lynxapi.SendRequest{
 		Organisation: it.organisation, Input: it.input, Prefix: it.prefix, Stream: true,
 		DeadlineMS: max(1, time.Until(intended.Add(it.profile.Deadline)).Milliseconds()),
-	}, deliver)
+	}, received.take)
 	record.Latency = time.Since(intended)
 	record.Attempts = result.Attempts
 	record.Reply = result.Reply
 	record.Keys = result.Keys
 	record.Err = err
-	if err == nil {
-		record.Broken = CheckWhole(result, it.profile.Stages[len(it.profile.Stages)-1], it.organisation, it.input)
+	record.FirstToken, record.Gaps = received.first, received.gaps
+	record.Broken = received.doubled
+	if err == nil && record.Broken == nil {
+		record.Broken = errors.Join(received.check(result),
+			CheckWhole(result, it.profile.Stages[len(it.profile.Stages)-1], it.organisation, it.input))
 	}
 	return record
 }
--- a/internal/bench/summary.go
+++ b/internal/bench/summary.go
@@ -1,17 +1,10 @@
 package bench
 
 import (
-	"errors"
-	"fmt"
-	"slices"
 	"sort"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
-
-	"lynxhill.example/lynxhill/internal/client"
-	"lynxhill.example/lynxhill/internal/errkind"
-	"lynxhill.example/lynxhill/internal/wire/targetapi"
 )
 
 // Summary is the result of one run of a load on one cluster.
@@ -42,25 +35,6 @@
 	Control      map[string]float64 `json:"control,omitempty"`
 }
 
-// Breaches counts broken promises. All must be 0.
-type Breaches struct {
-	Lost        int      `json:"lost"`          // the caller got no final answer of any kind
-	Doubled     int      `json:"doubled"`       // delivered twice, or bytes sent twice
-	Crossed     int      `json:"crossed"`       // an answer, or an earlier stage's output, of another request
-	Truncated   int      `json:"truncated"`     // accepted as whole and was not
-	Rerun       int      `json:"rerun"`         // a run beyond the first of a stage that is not idempotent
-	FalseNotRun int      `json:"false_not_run"` // told not run, but a target ran some of it
-	Invariants  int      `json:"invariants"`
-	Reverted    int      `json:"reverted"` // an accepted profile change that is not in force at the end
-	TooFew      int      `json:"too_few"`  // 1 if fewer requests than the experiment's least share got a whole answer
-	Details     []string `json:"details,omitempty"`
-}
-
-// Total is the number of broken promises.
-func (b Breaches) Total() int {
-	return b.Lost + b.Doubled + b.Crossed + b.Truncated + b.Rerun + b.FalseNotRun + b.Invariants + b.Reverted + b.TooFew
-}
-
 // StageSummary is the cost of a stage at a provider.
 type StageSummary struct {
 	Profile  string  `json:"profile"`
@@ -220,54 +194,3 @@
 	sort.Slice(list, func(i, j int) bool { return list[i].Profile < list[j].Profile })
 	return list
 }
-
-// breaches checks the promises over everything that was sent and everything
-// that the stand-ins have run.
-func breaches(e Evidence, records []Record) Breaches {
-	var b Breaches
-	ran := runsByKey(e.Runs)
-	for i := range records {
-		b.check(&records[i], ran)
-	}
-	b.Rerun = len(e.Doubled)
-	b.Crossed += e.CrossedPrevious
-	for _, v := range e.Violations {
-		b.Invariants++
-		b.Details = append(b.Details, string(v.Rule)+": "+v.Detail)
-	}
-	return b
-}
-
-type runKey struct{ organisation, key string }
-
-func runsByKey(runs []targetapi.RunRecord) map[runKey]bool {
-	ran := make(map[runKey]bool, len(runs))
-	for _, run := range runs {
-		ran[runKey{run.Organisation, run.Key}] = true
-	}
-	return ran
-}
-
-func (b *Breaches) check(r *Record, ran map[runKey]bool) {
-	switch {
-	case errors.Is(r.Broken, ErrNotOwn):
-		b.Crossed++
-	case r.Broken != nil:
-		b.Truncated++
-	case r.Err == nil:
-	case kindOf(r.Err) == noAnswer:
-		b.Lost++
-		b.Details = append(b.Details, fmt.Sprintf("lost: %s at %s after %s and %d attempts: %v", r.Profile, r.At.Round(time.Millisecond), r.Latency.Round(time.Millisecond), r.Attempts, r.Err))
-	case client.RunStateOf(r.Err) == errkind.NotRun && r.ranUnder(ran, r.Keys):
-		b.FalseNotRun++
-	}
-	// A key that was given up for another must not have run either.
-	if n := len(r.Keys); n > 1 && r.ranUnder(ran, r.Keys[:n-1]) {
-		b.FalseNotRun++
-	}
-}
-
-// ranUnder reports whether a target ran anything under one of the keys.
-func (r *Record) ranUnder(ran map[runKey]bool, keys []string) bool {
-	return slices.ContainsFunc(keys, func(key string) bool { return ran[runKey{r.Organisation, key}] })
-}
--- a/internal/bench/verify.go
+++ b/internal/bench/verify.go
@@ -11,12 +11,14 @@
 	"lynxhill.example/lynxhill/internal/standin/service"
 )
 
-// Errors of CheckWhole.
+// What can be wrong with an answer.
 var (
 	// ErrNotWhole: something of the answer is missing, repeated or altered.
 	ErrNotWhole = errors.New("bench: the answer is not whole")
 	// ErrNotOwn: the answer belongs to another request.
 	ErrNotOwn = errors.New("bench: the answer belongs to another request")
+	// ErrDoubled: a part of the answer was delivered more than once.
+	ErrDoubled = errors.New("bench: a part of the answer was delivered twice")
 )
 
 // CheckWhole verifies that a result is the whole answer to the organisation's
