--- a/internal/bench/arrivals.go
+++ b/internal/bench/arrivals.go
@@ -58,17 +58,25 @@
 	return a
 }
 
+func (a Arrivals) validate() error {
+	switch a.withDefaults().Kind {
+	case ArrivalsReplay, ArrivalsPoisson, ArrivalsBursts, ArrivalsDaily:
+		return nil
+	default:
+		return fmt.Errorf("arrivals.kind: %q is none of poisson, bursts, daily, replay", a.Kind)
+	}
+}
+
 // offsets returns the moments of all requests since the start, in order.
 func (a Arrivals) offsets(rate float64, duration time.Duration, rng *rand.Rand) ([]time.Duration, error) {
+	if err := a.validate(); err != nil {
+		return nil, err
+	}
 	a = a.withDefaults()
-	switch a.Kind {
-	case ArrivalsReplay:
+	if a.Kind == ArrivalsReplay {
 		return readOffsets(a.File, duration)
-	case ArrivalsPoisson, ArrivalsBursts, ArrivalsDaily:
-		return a.thinned(rate, duration, rng), nil
-	default:
-		return nil, fmt.Errorf("arrivals.kind: %q is none of poisson, bursts, daily, replay", a.Kind)
 	}
+	return a.thinned(rate, duration, rng), nil
 }
 
 // thinned draws a Poisson process at the highest rate and keeps each arrival
--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -86,6 +89,9 @@
 	if err := decoder.Decode(&e); err != nil {
 		return Experiment{}, fmt.Errorf("%s: %w", name, err)
 	}
+	if err := e.checkTimes(); err != nil {
+		return Experiment{}, fmt.Errorf("%s: %w", name, err)
+	}
 	e.setDefaults()
 	if err := e.validate(); err != nil {
 		return Experiment{}, fmt.Errorf("%s: %w", name, err)
@@ -93,6 +99,25 @@
 	return e, nil
 }
 
+// checkTimes refuses texts that are no durations. It comes before the defaults,
+// since such a value reads as 0: a fault "for = 5" would last until the end.
+func (e *Experiment) checkTimes() error {
+	times := map[string]Duration{
+		"load_lag": e.LoadLag, "duration": e.Duration, "settle": e.Settle, "poison_every": e.PoisonEvery,
+		"arrivals.burst_every": e.Arrivals.BurstEvery, "arrivals.burst_for": e.Arrivals.BurstFor,
+	}
+	for i, f := range e.Faults {
+		times[fmt.Sprintf("faults[%d].at", i)] = f.At
+		times[fmt.Sprintf("faults[%d].for", i)] = f.For
+	}
+	for _, key := range slices.Sorted(maps.Keys(times)) {
+		if err := times[key].Err(); err != nil {
+			return fmt.Errorf("%s: %w", key, err)
+		}
+	}
+	return nil
+}
+
 func (e *Experiment) setDefaults() {
 	if e.Seed == 0 {
 		e.Seed = 1
@@ -124,17 +149,42 @@
 	switch {
 	case e.Instances < 1 || e.Instances > maxInstances:
 		return fmt.Errorf("instances: must be 1 to %d", maxInstances)
-	case e.Duration.Duration > maxDuration:
-		return fmt.Errorf("duration: at most %s", maxDuration)
+	case e.Duration.Duration <= 0 || e.Duration.Duration > maxDuration:
+		return fmt.Errorf("duration: must be above 0 and at most %s", maxDuration)
+	case e.Settle.Duration < 0 || e.Settle.Duration > maxDuration:
+		return fmt.Errorf("settle: must be 0 to %s", maxDuration)
 	case e.Rate <= 0 || e.Rate > maxRate:
 		return fmt.Errorf("rate: must be above 0 and at most %g", maxRate)
+	case e.MinWhole < 0 || e.MinWhole > 1:
+		return fmt.Errorf("min_whole: must be 0 to 1")
 	}
+	for _, name := range e.Deployments {
+		if !slices.Contains(fleet.Names(), name) {
+			return fmt.Errorf("deployments: there is no deployment %q", name)
+		}
+	}
+	return cmp.Or(e.Arrivals.validate(), e.validateFaults(), e.validateVariants())
+}
+
+func (e *Experiment) validateFaults() error {
 	for i, f := range e.Faults {
 		if _, ok := faultKinds[f.Kind]; !ok {
 			return fmt.Errorf("faults[%d].kind: there is no fault %q", i, f.Kind)
 		}
+		if f.At.Duration < 0 || f.At.Duration >= e.Duration.Duration || f.For.Duration < 0 {
+			return fmt.Errorf("faults[%d]: must begin within the duration and not last less than nothing", i)
+		}
 	}
+	return nil
+}
+
+func (e *Experiment) validateVariants() error {
+	seen := make(map[string]bool)
 	for i, v := range e.Variants {
+		if seen[v.Name] {
+			return fmt.Errorf("variants[%d].name: there are two variants %q", i, v.Name)
+		}
+		seen[v.Name] = true
 		if _, ok := ticketUses[v.Tickets]; !ok {
 			return fmt.Errorf("variants[%d].tickets: %q is none of advised, never, always", i, v.Tickets)
 		}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"fmt"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/auth"
@@ -206,5 +207,14 @@
 	return nil
 }
 
+// Err returns an error if the text that d was read from is no duration. Files
+// that are not a Config ask this by themselves.
+func (d Duration) Err() error {
+	if d.unusable == "" {
+		return nil
+	}
+	return fmt.Errorf("%q is not a duration with its unit, such as \"250ms\"", d.unusable)
+}
+
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -257,8 +257,8 @@
 }
 
 func checkDuration(key string, value Duration, least time.Duration) error {
-	if value.unusable != "" {
-		return fault(key, "%q is not a duration with its unit, such as \"250ms\"", value.unusable)
+	if err := value.Err(); err != nil {
+		return fault(key, "%v", err)
 	}
 	if value.Duration < least || value.Duration > longest {
 		return fault(key, "%s is not between %s and %s", value, least, longest)
