--- a/internal/bench/demo.go
+++ b/internal/bench/demo.go
@@ -69,8 +69,7 @@
 	clusters map[string]*Cluster
 	profiles map[string]map[string]profile.Profile
 
-	mu       sync.Mutex // guards what follows
-	sent     int
+	mu       sync.Mutex        // guards what follows
 	attained map[string]*tally // by profile
 	broken   []string
 }
--- a/internal/bench/standins.go
+++ b/internal/bench/standins.go
@@ -183,10 +183,10 @@
 }
 
 func (s *Standins) writeLayout() error {
-	var admins, callers, configs, ids []string
+	var admins, callers, ids []string
 	for _, i := range s.Layout.Instances {
 		admins, callers = append(admins, i.Admin), append(callers, i.Caller)
-		configs, ids = append(configs, i.Config), append(ids, i.ID)
+		ids = append(ids, i.ID)
 	}
 	env := fmt.Sprintf("export LYNXCTL_SERVER=%s\nexport LYNXCTL_TOKEN=%s\nexport LYNXCTL_CALLER=%s\nINSTANCES=(%s)\nCONTROL=%s\n",
 		strings.Join(admins, ","), s.Layout.OperatorToken, strings.Join(callers, ","), strings.Join(ids, " "), s.Layout.Control)
