Nothing is admitted or dispatched on waking from a pause

Cause: admission read the row on the board that a check each 250 ms writes, so that requests which had waited in sockets during a pause were admitted under profiles that had been replaced; the gate read nothing, so that requests admitted before the pause were dispatched.

Change: the door asks MayServe for each request, the gate MayDispatch for each slot, after the wait for it. Both look for a gap on the boot clock. Isolation without a pause still ends nothing that was admitted.

--- a/internal/admission/door.go
+++ b/internal/admission/door.go
@@ -61,8 +61,12 @@
 	Board       *board.Board
 	Clock       clock.Clock
 	MaxInFlight int // 0: 2000
-	Logger      *event.Logger
-	Metrics     *metrics.Registry // may be nil
+	// MayServe is asked for each request, besides the board's row, which is
+	// refreshed by a period and so is out of date after a pause of the process.
+	// Nil: the row alone.
+	MayServe func() bool
+	Logger   *event.Logger
+	Metrics  *metrics.Registry // may be nil
 }
 
 // InstanceDoor implements Door: the instance's cap on requests in flight with
@@ -112,7 +116,7 @@
 func (d *InstanceDoor) Enter(_ context.Context, entry Entry) (func(), error) {
 	now := d.options.Clock.Now()
 	self, _ := d.options.Board.Self.Get(board.SelfRow)
-	if !self.MayAdmit() {
+	if !self.MayAdmit() || d.options.MayServe != nil && !d.options.MayServe() {
 		return nil, d.refuse(causeIsolated, errkind.Isolated, 0, "this instance cannot confirm its configuration")
 	}
 	if !entry.Deadline.IsZero() && !entry.Deadline.After(now) {
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -112,7 +112,7 @@
 		var s *slot
 		s, err = g.acquire(ctx, &want, g.service(provider.Service), provider)
 		if err == nil {
-			return s, nil
+			return g.confirmed(s)
 		}
 		if !errkind.Is(err, errkind.NoTarget) {
 			return nil, err
@@ -121,6 +121,19 @@
 	return nil, err
 }
 
+// confirmed gives the slot back if nothing may be dispatched.
+//
+// What goes wrong otherwise: a request that was admitted before the process was
+// paused is sent under a profile that was replaced meanwhile. It is asked after
+// the wait for the slot, since the pause may have been in it.
+func (g *ServiceGate) confirmed(s *slot) (Slot, error) {
+	if g.options.MayDispatch == nil || g.options.MayDispatch() {
+		return s, nil
+	}
+	s.Done(Result{Cancelled: true})
+	return nil, errkind.New(errkind.Isolated, "after a pause this instance has not confirmed its configuration yet")
+}
+
 func (g *ServiceGate) acquire(ctx context.Context, want *Want, s *service, provider profile.Provider) (*slot, error) {
 	s.lock(g.options.Clock)
 	granted, w, err := s.enter(want, provider)
--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -22,8 +22,11 @@
 	Region string
 	Policy routing.Policy
 	Limits GateLimits // zero fields take the defaults
-	Check  *invariant.Checker
-	Logger *event.Logger
+	// MayDispatch is asked for each slot; nil: always. It is false after a
+	// pause of the process until the configuration is confirmed again.
+	MayDispatch func() bool
+	Check       *invariant.Checker
+	Logger      *event.Logger
 	// Metrics may be nil.
 	Metrics *metrics.Registry
 }
--- a/internal/control/profilesync/serve.go
+++ b/internal/control/profilesync/serve.go
@@ -17,6 +17,15 @@
 	return !isolated && !unconfirmed
 }
 
+// MayDispatch reports whether work that was admitted may be sent to targets: not
+// after a pause until the configuration is confirmed. Isolation ends nothing
+// that was admitted.
+func (m *Manager) MayDispatch() bool {
+	m.look(false)
+	_, unconfirmed := m.fence.flags()
+	return !unconfirmed
+}
+
 func (m *Manager) look(tick bool) {
 	woke, changed := m.fence.look(m.o.Boot.SinceBoot(), tick)
 	if woke > 0 {
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -28,10 +28,12 @@
 		Board: d.board, Clock: clk, Rand: d.rand(),
 		Place: d.cfg.Instance.Place, Region: d.cfg.Instance.Region,
 		Policy: d.opts.Policy, Limits: d.gateLimits(),
-		Check: d.check, Logger: d.logger, Metrics: d.metrics,
+		MayDispatch: func() bool { return d.profiles.MayDispatch() }, // assembled later
+		Check:       d.check, Logger: d.logger, Metrics: d.metrics,
 	})
 	d.door = admission.NewDoor(admission.DoorOptions{
 		Board: d.board, Clock: clk, MaxInFlight: d.cfg.Limits.MaxInFlight, Logger: d.logger, Metrics: d.metrics,
+		MayServe: func() bool { return d.profiles.MayServe() }, // assembled later
 	})
 	d.guard = crashguard.New(crashguard.Options{
 		Board: d.board, Clock: clk, Alive: d.targets.Alive, Logger: d.logger, Metrics: d.metrics,
