Daemon: a graceful stop waits for claimed calls without callers

Cause: the call of a claimed stage goes on when its caller leaves, but a request without a key of its caller gives its place at the door back then, and the stop looked at the door alone. The call ended with the instance.

Change: after the last request the stop waits for pipeline.Runner.Wait, within timings.stop_grace, else until the requests' deadlines.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -133,6 +133,7 @@
 	d.members.Leave(ctx)
 	d.serveKeptAnswers(ctx)
 	d.awaitLastRequest(ctx)
+	d.awaitClaimedCalls(ctx)
 	closing, done := loop.WithTimeout(context.Background(), d.opts.Clock, lastWords)
 	defer done()
 	d.handOver(closing)
@@ -176,6 +177,24 @@
 	}
 }
 
+// awaitClaimedCalls waits for the claimed calls that go on after their caller
+// has left. Ended with the instance, such a call leaves a claim that nobody
+// completes: every resend is told "may have run" for the whole retention,
+// although the stage's answer was on its way. Each ends with the deadline of
+// its request, and all of them with the grace of the stop.
+func (d *Daemon) awaitClaimedCalls(ctx context.Context) {
+	ended := make(chan struct{})
+	go func() {
+		d.runner.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		d.logger.Log(event.DaemonStopCut, "in_flight", "claimed calls without their callers")
+	}
+}
+
 // handOver passes recent outcomes on, so that a resend finds its answer after
 // this instance is gone.
 func (d *Daemon) handOver(ctx context.Context) {
--- /dev/null
+++ b/internal/daemon/stop_test.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+
+	"lynxhill.example/lynxhill/internal/claim"
+	"lynxhill.example/lynxhill/internal/client"
+	"lynxhill.example/lynxhill/internal/standin/engine"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
+)
+
+// logLines collects the lines of an instance.
+type logLines struct {
+	mu   sync.Mutex // guards text
+	text bytes.Buffer
+}
+
+func (l *logLines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logLines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
+// Symptom: after a planned stop, a booking that went through is "may have run"
+// for its caller, however often it asks. Events: the caller's connection broke
+// while the service booked; the instance was stopped; it had no request left
+// and ended, and the call with it. Cause: claimed calls that go on without
+// their callers are not requests in flight. A streamed answer that is under
+// way shows that those are not cut either.
+func TestGracefulStopCutsNothing(t *testing.T) {
+	d := newDeployment(t)
+	var lines logLines
+	stopping, other := d.start(t, "a", 0, &lines), d.start(t, "b", 1, nil)
+	d.declare(t, stopping, other)
+	for _, m := range d.fleet.Service("booking") {
+		m.Target.Straggle(400) // the booking outlasts the note and the rest of the stop
+	}
+
+	ctx, leave := context.WithCancel(t.Context())
+	go d.sendWithoutKey(ctx, stopping, "booking")
+	var booking targetapi.RunRecord
+	await(t, "the booking is under way", func() (found bool) {
+		booking, found = d.runOf("book")
+		return found
+	})
+	leave()
+	await(t, "the caller has left", func() bool { return stopping.door.InFlight() == 0 })
+
+	caller := d.callerOf(stopping)
+	note := lynxapi.SendRequest{Organisation: testOrganisation, Key: client.NewKey(), Input: testInput("campaign"), Stream: true}
+	var result client.Result
+	var noteErr error
+	var once sync.Once
+	noted := make(chan struct{})
+	go func() {
+		defer close(noted)
+		result, noteErr = caller.Send(t.Context(), "trafficking-note", note, func(lynxapi.Frame) error {
+			once.Do(stopping.stop) // the answer has begun
+			return nil
+		})
+	}()
+	<-noted
+	if noteErr != nil || engine.CheckAnswer(result.Text, testOrganisation, note.Input) != nil {
+		t.Errorf("the stream: %q, %v", result.Text, noteErr)
+	}
+	if err := <-stopping.ended; err != nil {
+		t.Errorf("the stop: %v", err)
+	}
+
+	if run, _ := d.runOf("book"); !run.Finished || run.Cancelled {
+		t.Errorf("the booking was cut: %+v", run)
+	}
+	key := claim.Key{Organisation: testOrganisation, Key: booking.Key, Stage: "book"}
+	answer, found, err := other.claims.Lookup(t.Context(), key)
+	if err != nil || !found || answer.State != claim.Completed {
+		t.Errorf("the claim after the stop: %+v, %v, %v", answer, found, err)
+	}
+	for _, wrong := range []string{"server_failed", "daemon_stop_cut"} {
+		if strings.Contains(lines.String(), wrong) {
+			t.Errorf("the log of the stopped instance tells of %s", wrong)
+		}
+	}
+}
