Claims: a stop waits for completions on their way to the owner

Cause: with forwarding, a completion may be on its way to the shard's owner when the instance stops. If that owner does not answer, the completion was to be written here, by loops that had ended; the key then stays held.

Change: Run counts such messages among what it waits for at its end, within its three seconds. Without it the new test finds the key held.

--- a/internal/claim/failures_test.go
+++ b/internal/claim/failures_test.go
@@ -93,6 +93,36 @@
 	})
 }
 
+// deadLink is the way to an owner that grants a claim and then dies.
+type deadLink struct{ owner *Pages }
+
+func (l deadLink) ForwardClaim(ctx context.Context, _ string, m Message) (Reply, error) {
+	if m.Op == MessageClaim {
+		return l.owner.Handle(ctx, m)
+	}
+	<-ctx.Done()
+	return Reply{}, errLink
+}
+
+// Symptom: the same. Events: the completion is on its way to an owner that
+// does not answer. Cause: only what waits for the store is waited for.
+func TestStopWaitsForTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		st := memstore.New(memstore.Options{})
+		a := testPages(st, "a", 1, func(o *PagesOptions) {
+			o.Owners = func(int) string { return "owner" }
+			o.Forward = deadLink{testPages(st, "owner", 3, nil)}
+		})
+		stopped := make(chan struct{})
+		go func() { a.Run(ctx); close(stopped) }()
+		mustState(t, a, testRequest("k", "x", time.Second), Granted).Claim.Complete(json.RawMessage(`1`))
+		cancel()
+		<-stopped
+		mustState(t, testPages(st, "b", 2, nil), testRequest("k", "x", time.Second), Completed)
+	})
+}
+
 // Symptom: a key stays held by a request that was never started. Events: a
 // write is stuck on its way for longer than the call's time limit; reading
 // back shows the window as it was; then the write takes effect. Cause: the
--- a/internal/claim/forward.go
+++ b/internal/claim/forward.go
@@ -147,6 +147,7 @@
 // answer, it is recorded here as well: the second of the two changes nothing.
 func (c *granted) forwardEnd(o *op) {
 	p := c.pages
+	defer p.ending.Add(-1)
 	ctx, cancel := p.forwardContext(context.Background())
 	defer cancel()
 	m := Message{Op: string(o.entry.Op), Key: c.req.Key, Token: c.entry.Token, Body: c.req.BodyHash, Holder: p.opts.Self, Result: o.entry.Result}
--- a/internal/claim/op.go
+++ b/internal/claim/op.go
@@ -96,6 +96,7 @@
 		c.shard.record(o)
 		return
 	}
+	c.pages.ending.Add(1)
 	go c.forwardEnd(o)
 }
 
--- a/internal/claim/pages.go
+++ b/internal/claim/pages.go
@@ -117,7 +117,9 @@
 	stop   chan struct{} // closed when Run ends
 	// formatOK is set when the store's pages are known to have our shards.
 	formatOK atomic.Bool
-	once     sync.Once
+	// ending counts the completions and releases on their way to an owner.
+	ending atomic.Int64
+	once   sync.Once
 
 	randMu sync.Mutex // guards opts.Rand
 
--- a/internal/claim/retire.go
+++ b/internal/claim/retire.go
@@ -43,7 +43,7 @@
 	for _, s := range p.shards {
 		s.hurry()
 	}
-	for p.opts.Clock.Now().Before(end) && p.busy() {
+	for p.opts.Clock.Now().Before(end) && (p.ending.Load() > 0 || p.busy()) {
 		timer := p.opts.Clock.NewTimer(stopPoll)
 		<-timer.C
 	}
