--- a/internal/bench/instance.go
+++ b/internal/bench/instance.go
@@ -38,6 +38,7 @@
 	cfg.Tokens.Caller = c.tokens.Caller
 	cfg.Tokens.Operator = c.tokens.Operator
 	cfg.Timings.Keep = config.Of(benchKeep)
+	cfg.Timings.FenceAfter = config.Of(benchFenceAfter)
 	if c.opts.Adjust != nil {
 		c.opts.Adjust(&cfg)
 	}
@@ -51,6 +52,10 @@
 // benchKeep is how long callers keep an address answer on the bench.
 const benchKeep = 2 * time.Second
 
+// benchFenceAfter suits the few instances of a bench, whose confirmations are
+// about a second old, and the seconds that an experiment lasts.
+const benchFenceAfter = 4 * time.Second
+
 // StartInstance starts the i-th instance, or starts it again.
 func (c *Cluster) StartInstance(i int) (*Instance, error) {
 	cfg := c.settings(i)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -168,7 +168,7 @@
 			WriteTimeout:  Of(10 * time.Second),
 			StopGrace:     Of(0),
 			PeerHeartbeat: Of(500 * time.Millisecond),
-			FenceAfter:    Of(4 * time.Second),
+			FenceAfter:    Of(12 * time.Second),
 			LeaseTTL:      Of(10 * time.Second),
 			FileCheck:     Of(2 * time.Second),
 		},
