Repeats after faults have their own budget; silent connections end their calls together

Cause: when the connections of half a service went silent, or targets died, the repeats of what was on them used up the budget that holds back repeats of overloaded targets, and callers had to send again. Each call on a silent connection waited for its own timeout or the ping. Change: Want.Fault counts repeats after connection failures, leaving targets and moves in a budget of half of the first attempts (20 at least); timeouts, busy targets and hedges keep the strict one. A connection with repeatable calls that is silent for 300 ms is compared with a new one by asking both for the load report; if only the new one answers, its repeatable calls end at once by the connection's fault, which neither ejection nor limit counts. A test with a mock clock names the new wait, since that clock does not advance past a timer; what it asserts is unchanged.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -36,6 +36,10 @@
 	// Repeat marks a retry, resume or hedge: it is granted only within the
 	// budget for repeats, so that a fault does not multiply the load.
 	Repeat bool
+	// Fault marks a repeat that follows something other than load (a connection
+	// that broke or could not be made, a target that is leaving) or that takes
+	// over from an attempt: it has a larger budget of its own.
+	Fault bool
 	// NoWait refuses instead of queueing: for hedges.
 	NoWait bool
 }
@@ -52,7 +56,9 @@
 	Overload  bool // timeout or silence: a sign of overload for the limit
 	Leaving   bool // the target said that it is leaving
 	Cancelled bool // ended by us; says nothing of the target
-	Outrun    bool // cancelled because another target began first
+	// Connection: the connection was at fault; says nothing of the target.
+	Connection bool
+	Outrun     bool // cancelled because another target began first
 }
 
 // Slot is the right to make one attempt on the chosen target.
--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -12,7 +12,7 @@
 	at     int64 // number of the newest slice
 }
 
-type budgetSlice struct{ first, repeats int }
+type budgetSlice struct{ first, repeats, faults int }
 
 func (b *repeatBudget) advance(now time.Time, window time.Duration) {
 	number := now.UnixNano() / max(int64(window)/budgetSlices, 1)
@@ -30,12 +30,13 @@
 	return &b.slices[b.at%budgetSlices]
 }
 
-func (b *repeatBudget) totals() (first, repeats int) {
+func (b *repeatBudget) totals() (first, repeats, faults int) {
 	for _, s := range b.slices {
 		first += s.first
 		repeats += s.repeats
+		faults += s.faults
 	}
-	return first, repeats
+	return first, repeats, faults
 }
 
 func (b *repeatBudget) countFirst(now time.Time, l *GateLimits) {
@@ -46,10 +47,25 @@
 // takeRepeat counts a repeat if the budget has room for it.
 func (b *repeatBudget) takeRepeat(now time.Time, l *GateLimits) bool {
 	b.advance(now, l.RepeatWindow)
-	first, repeats := b.totals()
+	first, repeats, _ := b.totals()
 	if float64(repeats+1) > max(float64(l.RepeatMin), l.RepeatShare*float64(first)) {
 		return false
 	}
 	b.current().repeats++
 	return true
 }
+
+// takeFault counts a repeat after a fault that is not load. When the
+// connections of half a service are lost at once, as many calls have to be made
+// again, once each; that does not grow with the load as repeats after timeouts
+// do, so it must not use up their budget. It is bounded all the same: a target
+// that breaks every call would double the load.
+func (b *repeatBudget) takeFault(now time.Time, l *GateLimits) bool {
+	b.advance(now, l.RepeatWindow)
+	first, _, faults := b.totals()
+	if float64(faults+1) > max(float64(l.FaultMin), l.FaultShare*float64(first)) {
+		return false
+	}
+	b.current().faults++
+	return true
+}
--- a/internal/admission/ejection.go
+++ b/internal/admission/ejection.go
@@ -30,7 +30,7 @@
 // observe takes in a result and reports whether the target stands out.
 // typical is the stage's median over the service, 0 if unknown.
 func (e *ejection) observe(r Result, typical time.Duration, now time.Time, l *GateLimits) bool {
-	if r.Refused {
+	if r.Refused || r.Connection {
 		return false
 	}
 	if r.Cancelled && float64(r.Duration) < l.EjectSlowness*float64(typical) || r.Cancelled && typical == 0 {
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -179,3 +179,30 @@
 		}
 	})
 }
+
+// Symptom: after faults, hedges of slow targets multiply the load, or the other
+// way round repeats after faults are refused because hedges used up the budget.
+// Each kind has its own bound.
+func TestFaultsHaveTheirOwnBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(12, GateLimits{RepeatMin: 3, FaultMin: 5, MaxLimit: 256})
+		granted := func(fault bool) int {
+			n := 0
+			for range 20 {
+				w := wantOf("a", time.Time{})
+				w.Repeat, w.Fault, w.NoWait = true, fault, true
+				if s, err := r.gate.Acquire(t.Context(), w); err == nil {
+					s.Done(Result{OK: true, Duration: time.Millisecond})
+					n++
+				}
+			}
+			return n
+		}
+		if got := granted(false); got != 3 {
+			t.Errorf("%d repeats granted, want 3", got)
+		}
+		if got := granted(true); got != 5 {
+			t.Errorf("%d repeats after faults granted, want 5", got)
+		}
+	})
+}
--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -53,6 +53,10 @@
 	RepeatShare  float64
 	RepeatMin    int
 	RepeatWindow time.Duration
+	// FaultShare and FaultMin are the same for repeats after faults that are
+	// not load.
+	FaultShare float64
+	FaultMin   int
 	// Window is the sliding window of the latency distributions; MinSamples
 	// is what a distribution needs before it is used.
 	Window     time.Duration
@@ -90,6 +94,8 @@
 		RepeatShare:      0.1,
 		RepeatMin:        5,
 		RepeatWindow:     10 * time.Second,
+		FaultShare:       0.5,
+		FaultMin:         20,
 		Window:           time.Minute,
 		MinSamples:       20,
 		FirstByteFloor:   500 * time.Millisecond,
@@ -119,6 +125,8 @@
 	setFloat(&l.RepeatShare, d.RepeatShare)
 	setInt(&l.RepeatMin, d.RepeatMin)
 	setDuration(&l.RepeatWindow, d.RepeatWindow)
+	setFloat(&l.FaultShare, d.FaultShare)
+	setInt(&l.FaultMin, d.FaultMin)
 	setDuration(&l.Window, d.Window)
 	setInt(&l.MinSamples, d.MinSamples)
 	setDuration(&l.FirstByteFloor, d.FirstByteFloor)
@@ -149,6 +157,8 @@
 		return fmt.Errorf("gate limits: Queue %d is below 1", l.Queue)
 	case l.RepeatShare < 0 || l.RepeatShare > 1:
 		return fmt.Errorf("gate limits: RepeatShare %g is not between 0 and 1", l.RepeatShare)
+	case l.FaultShare < 0 || l.FaultShare > 1:
+		return fmt.Errorf("gate limits: FaultShare %g is not between 0 and 1", l.FaultShare)
 	case l.EjectShare < 0 || l.EjectShare > 0.5:
 		return fmt.Errorf("gate limits: EjectShare %g is not between 0 and 0.5", l.EjectShare)
 	case l.HedgeQuantile <= 0 || l.HedgeQuantile >= 1:
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -244,7 +244,11 @@
 		s.budget.countFirst(s.now, s.limits)
 		return nil
 	}
-	if s.budget.takeRepeat(s.now, s.limits) {
+	take := s.budget.takeRepeat
+	if want.Fault {
+		take = s.budget.takeFault
+	}
+	if take(s.now, s.limits) {
 		return nil
 	}
 	s.gate.counts.budgetRefusals.Add(1)
--- a/internal/pipeline/attempt.go
+++ b/internal/pipeline/attempt.go
@@ -229,12 +229,13 @@
 		return result
 	}
 	f := stagecall.FailureOf(err)
+	result.Connection = f.Connection
 	switch f.Class {
 	case stagecall.ClassRefused:
 		result.Refused = true
 		result.Leaving = f.Code == targetapi.CodeLeaving
 	case stagecall.ClassSilent:
-		result.Overload = true
+		result.Overload = !f.Connection
 	case stagecall.ClassCancelled, stagecall.ClassBadInput:
 		result.Cancelled = true
 	}
--- a/internal/pipeline/failure.go
+++ b/internal/pipeline/failure.go
@@ -6,6 +6,7 @@
 
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/stagecall"
+	"lynxhill.example/lynxhill/internal/wire/targetapi"
 )
 
 const (
@@ -49,6 +50,19 @@
 	return false
 }
 
+// notLoad reports failures that more load neither causes nor follows from: the
+// target could not be reached, its connection was lost, it is leaving. A wait
+// that was too long and a busy target may be load.
+func notLoad(f *stagecall.Failure) bool {
+	switch f.Class {
+	case stagecall.ClassConnect, stagecall.ClassBroken, stagecall.ClassProtocol:
+		return true
+	case stagecall.ClassRefused:
+		return f.Code != targetapi.CodeBusy
+	}
+	return f.Connection
+}
+
 // final reports failures that another target would meet too.
 func final(f *stagecall.Failure) bool {
 	return f.Class == stagecall.ClassBadInput || f.Code == stagecall.CodeTooLarge
--- a/internal/pipeline/faults_test.go
+++ b/internal/pipeline/faults_test.go
@@ -325,3 +325,32 @@
 		})
 	}
 }
+
+// Symptom: the connections of half a service are lost together, and requests
+// fail although other targets are well. Cause: their repeats share the budget
+// that holds back repeats of overloaded targets, and it is spent at once.
+func TestRepeatsAfterFaultsAreCountedApart(t *testing.T) {
+	rows := []struct {
+		plan  memtarget.Plan
+		fault bool
+	}{
+		{memtarget.Plan{Fault: memtarget.ConnectFail}, true},
+		{memtarget.Plan{Fault: memtarget.Break, AfterBytes: 20}, true},
+		{memtarget.Plan{Fault: memtarget.Refuse, Code: targetapi.CodeLeaving}, true},
+		{memtarget.Plan{Fault: memtarget.Refuse, Code: targetapi.CodeBusy}, false},
+		{memtarget.Plan{Fault: memtarget.Silent}, false},
+		{memtarget.Plan{Fault: memtarget.Fail}, false},
+	}
+	for _, row := range rows {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(memtarget.Options{Plan: faultOnce(stageDraft, row.plan)})
+			if _, err := w.runner.Run(t.Context(), w.request("draft", "k"), new(recorder)); err != nil {
+				t.Fatal(err)
+			}
+			want := w.gate.wants[len(w.gate.wants)-1]
+			if !want.Repeat || want.Fault != row.fault {
+				t.Errorf("%v: repeat %v, fault %v, want fault %v", row.plan.Fault, want.Repeat, want.Fault, row.fault)
+			}
+		})
+	}
+}
--- a/internal/pipeline/pace.go
+++ b/internal/pipeline/pace.go
@@ -85,7 +85,7 @@
 	}
 	s.moves++
 	s.x.r.opts.Metrics.Counter(metricMoves).Add(1)
-	s.mover = s.launch(true, true)
+	s.mover = s.launchWith(true, true, true)
 	s.mover.hedge, s.mover.move = false, true
 }
 
--- a/internal/pipeline/stage.go
+++ b/internal/pipeline/stage.go
@@ -156,8 +156,13 @@
 	}
 }
 
-// launch starts an attempt.
+// launch starts an attempt. A repeat that takes no hedge's place is counted by
+// the failure before it.
 func (s *stageRun) launch(repeat, hedge bool) *attempt {
+	return s.launchWith(repeat, hedge, repeat && !hedge && s.failed != nil && notLoad(s.failed))
+}
+
+func (s *stageRun) launchWith(repeat, hedge, fault bool) *attempt {
 	parent := context.Context(s.x.ctx)
 	if s.claim != nil {
 		parent = s.x.work
@@ -168,6 +173,7 @@
 		Priority: s.x.prof.Profile.Priority,
 		Provider: s.boundProvider(),
 		Repeat:   repeat,
+		Fault:    fault,
 		NoWait:   hedge,
 	}
 	a := &attempt{
--- a/internal/stagecall/stagecall.go
+++ b/internal/stagecall/stagecall.go
@@ -96,7 +96,10 @@
 	Class  FailureClass
 	Code   string // the target's refusal code, if it gave one
 	NotRun bool   // true only if the target cannot have run any of it
-	Err    error
+	// Connection says that the connection was lost or silent, which says
+	// nothing of the target.
+	Connection bool
+	Err        error
 }
 
 // Error implements error.
--- a/internal/target/call.go
+++ b/internal/target/call.go
@@ -22,6 +22,7 @@
 var (
 	errSilentFirst    = errors.New("no first byte in time")
 	errSilentProgress = errors.New("no progress in time")
+	errSilentConn     = errors.New("the connection is silent, a new one is not")
 )
 
 // call is one HTTP exchange with a target.
@@ -46,13 +47,16 @@
 	x.line = c.pool.take(target.Address, opts.NewConnection)
 	x.watch = watchdog{clock: c.opts.Clock, cancel: cancel}
 	x.watch.arm(opts.FirstByte, errSilentFirst)
+	if opts.FirstByte > 0 {
+		c.watchSilence(x)
+	}
 	return x
 }
 
 func (x *call) end() {
 	x.watch.stop()
 	x.cancel(nil)
-	x.client.pool.put(x.line)
+	x.client.pool.put(x.line, x)
 }
 
 // retire keeps later calls off this call's connection.
@@ -107,6 +111,9 @@
 	f := &stagecall.Failure{Err: err, NotRun: !x.sent.Load()}
 	cause := context.Cause(x.ctx)
 	switch {
+	case errors.Is(cause, errSilentConn):
+		f.Class, f.Err, f.Connection = stagecall.ClassSilent, cause, true
+		x.retire()
 	case errors.Is(cause, errSilentFirst), errors.Is(cause, errSilentProgress):
 		f.Class, f.Err = stagecall.ClassSilent, cause
 		x.retire()
@@ -116,6 +123,7 @@
 		f.Class = stagecall.ClassConnect
 	default:
 		f.Class = stagecall.ClassBroken
+		f.Connection = pingLost(err)
 		x.retire()
 	}
 	return f
--- a/internal/target/metrics.go
+++ b/internal/target/metrics.go
@@ -9,6 +9,7 @@
 var (
 	metricCalls          = metrics.Define("target_calls_total", "calls", "Stage calls to targets by result: ok, or the class of the failure.")
 	metricForeign        = metrics.Define("target_foreign_frames_total", "frames", "Frames and replies with the ids of another attempt; each was dropped and its connection retired.")
+	metricSilent         = metrics.Define("target_silent_connections_total", "connections", "Connections found silent by comparison with a new one; the calls on them were ended at once.")
 	metricCancelsDropped = metrics.Define("target_cancels_dropped_total", "calls", "Cancel calls left out because too many were under way.")
 )
 
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,8 +28,11 @@
 // line is a transport that serves one address, with the calls on it.
 type line struct {
 	transport *http.Transport
+	heard     atomic.Int64 // bytes read from its connections
 	calls     int
 	retired   bool
+	watched   bool // a look at its silence is due
+	live      map[*call]struct{}
 }
 
 func newPool(opts Options) *pool {
@@ -48,7 +52,8 @@
 	}
 	if l == nil {
 		idle = p.pruneLocked(idle)
-		l = &line{transport: newTransport(p.opts)}
+		l = &line{live: make(map[*call]struct{})}
+		l.transport = newTransport(p.opts, l)
 		p.lines[address] = l
 	}
 	l.calls++
@@ -58,9 +63,10 @@
 }
 
 // put gives a line back after a call.
-func (p *pool) put(l *line) {
+func (p *pool) put(l *line, x *call) {
 	p.mu.Lock()
 	l.calls--
+	delete(l.live, x)
 	idle := l.retired && l.calls == 0
 	p.mu.Unlock()
 	if idle {
@@ -125,11 +131,11 @@
 // newTransport speaks HTTP/2 without TLS and pings silent connections. The
 // retries that net/http makes on its own need a body that can be read again;
 // newRequest gives it none.
-func newTransport(opts Options) *http.Transport {
+func newTransport(opts Options, l *line) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		DialContext:        opts.Dial,
+		DialContext:        l.hearing(opts.Dial),
 		Protocols:          protocols,
 		DisableCompression: true,
 		IdleConnTimeout:    idleConnTimeout,
--- a/internal/target/repeat_test.go
+++ b/internal/target/repeat_test.go
@@ -205,7 +205,9 @@
 	})
 	t.Cleanup(func() { close(release) })
 	clk := quartz.NewMock(t)
-	c := newClient(t, Options{Clock: clk})
+	// The mock clock does not advance past a timer; the silence of a connection
+	// has its own test.
+	c := newClient(t, Options{Clock: clk, SilenceWait: time.Hour})
 	for stage, opts := range map[string]stagecall.Options{"first": {FirstByte: time.Second}, "progress": {Progress: time.Second}} {
 		req := streamRequest()
 		req.Stage, req.AttemptID = stage, stage
--- a/internal/target/silent_test.go
+++ b/internal/target/silent_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -93,3 +94,69 @@
 		t.Error("a restart was not noticed")
 	}
 }
+
+// Symptom: all calls on a connection that went silent wait for their own
+// timeouts, or two seconds for the ping, one after the other noticing the same.
+// Events: two calls are under way; the connection goes silent; new ones work.
+// Cause: nothing compares the connection with a new one. A call that may not be
+// repeated is left to the ping.
+func TestSilentConnectionEndsAllItsCalls(t *testing.T) {
+	mute := make(chan struct{})
+	var dials atomic.Int32
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+		if err != nil || dials.Add(1) > 1 {
+			return conn, err
+		}
+		return &muteConn{Conn: conn, mute: mute, closed: make(chan struct{})}, nil
+	}
+	started := make(chan struct{}, 3)
+	finish := make(chan struct{})
+	s := newServer(t, func(http.ResponseWriter, targetapi.RunRequest) {
+		started <- struct{}{}
+		<-finish
+	})
+	t.Cleanup(func() { close(finish) })
+	c := newClient(t, Options{Dial: dial, PingInterval: time.Hour, SilenceWait: 30 * time.Millisecond, ProbeTimeout: 200 * time.Millisecond})
+	ended := make(chan error, 2)
+	for range 2 {
+		go func() {
+			_, err := c.Run(testContext(t), s.target, wholeRequest(), stagecall.Options{FirstByte: time.Hour}, nil)
+			ended <- err
+		}()
+	}
+	ctx, cancel := context.WithCancel(testContext(t))
+	once := make(chan error, 1)
+	go func() {
+		_, err := c.Run(ctx, s.target, wholeRequest(), stagecall.Options{}, nil)
+		once <- err
+	}()
+	for range 3 {
+		<-started
+	}
+	close(mute)
+	for range 2 {
+		if f := stagecall.FailureOf(<-ended); f.Class != stagecall.ClassSilent || !f.Connection || f.NotRun {
+			t.Errorf("failure %+v, want silent by the connection's fault", f)
+		}
+	}
+	select {
+	case err := <-once:
+		t.Errorf("the call that may not be repeated ended: %v", err)
+	default:
+	}
+	cancel()
+	<-once
+}
+
+// A connection whose calls are only slow stays: the load report comes on it.
+func TestSlowCallsKeepTheirConnection(t *testing.T) {
+	s := newServer(t, func(w http.ResponseWriter, req targetapi.RunRequest) {
+		time.Sleep(300 * time.Millisecond)
+		writeReply(w, req)
+	})
+	c := newClient(t, Options{SilenceWait: 10 * time.Millisecond, ProbeTimeout: 5 * time.Second})
+	if _, err := c.Run(testContext(t), s.target, wholeRequest(), stagecall.Options{FirstByte: time.Hour}, nil); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -24,6 +24,8 @@
 const (
 	DefaultPingInterval  = time.Second
 	DefaultPingTimeout   = time.Second
+	DefaultSilenceWait   = 300 * time.Millisecond
+	DefaultProbeTimeout  = 300 * time.Millisecond
 	DefaultMaxReplyBytes = 8 << 20
 	dialTimeout          = 2 * time.Second
 	cancelTimeout        = 2 * time.Second
@@ -42,6 +44,8 @@
 	Clock         clock.Clock
 	PingInterval  time.Duration // silence after which a connection is pinged
 	PingTimeout   time.Duration // wait for the ping's answer before the connection is closed
+	SilenceWait   time.Duration // silence of a connection with calls after which it is compared with a new one
+	ProbeTimeout  time.Duration // wait for the answers of that comparison
 	MaxReplyBytes int64         // longest reply, and longest event of a stream
 	Logger        *event.Logger
 	Metrics       *metrics.Registry
@@ -61,6 +65,12 @@
 	if o.PingTimeout <= 0 {
 		o.PingTimeout = DefaultPingTimeout
 	}
+	if o.SilenceWait <= 0 {
+		o.SilenceWait = DefaultSilenceWait
+	}
+	if o.ProbeTimeout <= 0 {
+		o.ProbeTimeout = DefaultProbeTimeout
+	}
 	if o.MaxReplyBytes <= 0 {
 		o.MaxReplyBytes = DefaultMaxReplyBytes
 	}
