Logs: the peer server and the standard logger write numbered events

Cause: net/http wrote "timeout waiting for PING response" and the like of the peer listener to stderr, without a number; the client side of HTTP/2 has no log of its own and writes to the standard logger.

Change: event 3101 peer_server_warning for the peer server, and 1211 for whatever reaches the standard logger of lynxhilld.

Looked for and not found: event 1221 server_failed at planned stops.

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -63,7 +63,7 @@
 		admin: httpserver.New(httpserver.Options{
 			Name: "admin", Listener: d.net.admin, Handler: admin, TLS: serverConfig(d.tls.admin), Logger: d.logger,
 		}),
-		peer: peer.NewServer(peer.NewHandler(d.peerCalls()), serverConfig(d.tls.peer)),
+		peer: peer.NewServer(peer.NewHandler(d.peerCalls()), serverConfig(d.tls.peer), d.logger),
 	}
 	return nil
 }
--- a/internal/httpserver/gozero.go
+++ b/internal/httpserver/gozero.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"log"
 	"math"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -25,17 +27,26 @@
 	logx.DisableStat()
 }
 
-// BridgeLogs sends what go-zero logs to the logger. The destination is global
+// BridgeLogs sends what go-zero logs to the logger, and what is written to the
+// standard logger, as net/http's client side does. The destinations are global
 // to the process, so this is for main, not for an instance.
 func BridgeLogs(logger *event.Logger) {
 	logx.SetWriter(logBridge{logger: logger})
+	log.SetFlags(0)
+	log.SetOutput(logBridge{logger: logger})
 }
 
-// logBridge is a logx.Writer that writes numbered events.
+// logBridge is a logx.Writer and an io.Writer that writes numbered events.
 type logBridge struct {
 	logger *event.Logger
 }
 
+// Write takes a line of the standard logger.
+func (b logBridge) Write(p []byte) (int, error) {
+	b.warn(strings.TrimSpace(string(p)))
+	return len(p), nil
+}
+
 func (b logBridge) warn(v any)                      { b.logger.Log(event.LibraryWarning, "text", fmt.Sprint(v)) }
 func (b logBridge) note(v any)                      { b.logger.Log(event.LibraryNote, "text", fmt.Sprint(v)) }
 func (b logBridge) Alert(v any)                     { b.warn(v) }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -8,9 +8,12 @@
 import (
 	"crypto/tls"
 	"errors"
+	"log"
 	"net/http"
+	"strings"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/metrics"
 )
 
@@ -57,7 +60,7 @@
 
 // NewServer returns a server for the handler with the protocols and pings that
 // clients expect. The caller listens, wrapping the listener for TLS.
-func NewServer(handler http.Handler, config *tls.Config) *http.Server {
+func NewServer(handler http.Handler, config *tls.Config, logger *event.Logger) *http.Server {
 	return &http.Server{
 		Handler:           handler,
 		TLSConfig:         config,
@@ -65,5 +68,14 @@
 		HTTP2:             http2Config(),
 		ReadHeaderTimeout: pingAfter,
 		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(errorLog{logger}, "", 0),
 	}
 }
+
+// errorLog writes what net/http reports as events.
+type errorLog struct{ logger *event.Logger }
+
+func (e errorLog) Write(p []byte) (int, error) {
+	e.logger.Log(event.PeerServerWarning, "text", strings.TrimSpace(string(p)))
+	return len(p), nil
+}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := NewServer(NewHandler(o), nil)
+	server := NewServer(NewHandler(o), nil, nil)
 	go func() { _ = server.Serve(listener) }()
 	t.Cleanup(func() { _ = server.Close() })
 	addr := listener.Addr().String()
@@ -245,7 +245,7 @@
 		_ = conns[len(conns)-1].Close()
 	})
 	o.Exchange = func(context.Context, gossip.Digest) gossip.Digest { return gossip.Digest{} }
-	server := NewServer(NewHandler(o), nil)
+	server := NewServer(NewHandler(o), nil, nil)
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		mu.Lock()
 		defer mu.Unlock()
--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -7,9 +7,13 @@
 	"crypto/x509"
 	"math/big"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/go-kit/log"
+
+	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/gossip"
 )
 
@@ -42,10 +46,23 @@
 	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}, pool
 }
 
+// firstLine passes on the first line that is logged.
+type firstLine chan string
+
+func (c firstLine) Write(p []byte) (int, error) {
+	select {
+	case c <- string(p):
+	default:
+	}
+	return len(p), nil
+}
+
 func TestPeersProveThemselvesOverTLS(t *testing.T) {
 	cert, pool := selfSigned(t)
+	logged := make(firstLine, 1)
 	server := NewServer(NewHandler(ServerOptions{Exchange: func(_ context.Context, d gossip.Digest) gossip.Digest { return d }}),
-		&tls.Config{Certificates: []tls.Certificate{cert}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert})
+		&tls.Config{Certificates: []tls.Certificate{cert}, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert},
+		event.NewLogger(log.NewLogfmtLogger(logged)))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -64,4 +81,7 @@
 	if _, err := stranger.Exchange(t.Context(), addr, gossip.Digest{From: "x"}); err == nil {
 		t.Error("an exchange without a certificate was answered")
 	}
+	if line := <-logged; !strings.Contains(line, "event=3101") || !strings.Contains(line, "TLS handshake error") {
+		t.Errorf("the refusal is logged as %q", line)
+	}
 }
