--- a/internal/bench/capacity_sample.go
+++ b/internal/bench/capacity_sample.go
@@ -31,6 +31,7 @@
 	OtherCalls    float64 `json:"other_calls"`  // to peers, but exchanges
 	Polls         float64 `json:"polls"`        // of targets' loads
 
+	Claims    float64            `json:"claims"` // granted by the platform's pages
 	Reads     float64            `json:"reads"`  // at the platform
 	Writes    float64            `json:"writes"` // at the platform
 	Calls     map[string]float64 `json:"calls"`  // at the platform by kind, of all instances together
@@ -74,6 +75,7 @@
 	peers, platform, targets Traffic
 	digestBytes              float64
 	exchanges, others, polls float64
+	claims                   float64
 	calls                    map[string]uint64
 	reads, writes            uint64
 	throttled                uint64
@@ -104,6 +106,7 @@
 	s.exchanges += exchanges
 	s.others += sum(registry, "peer_calls", "") - exchanges
 	s.polls += sum(registry, "load_polls_total", "")
+	s.claims += sum(registry, "claim_granted_total", "")
 }
 
 // sum adds up the values of a metric whose labels have the prefix.
@@ -168,6 +171,7 @@
 		Exchanges:     per(b.exchanges - a.exchanges),
 		OtherCalls:    per(b.others - a.others),
 		Polls:         per(b.polls - a.polls),
+		Claims:        per(b.claims - a.claims),
 		Reads:         per(float64(b.reads - a.reads)),
 		Writes:        per(float64(b.writes - a.writes)),
 		Throttled:     b.throttled - a.throttled,
