--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -216,8 +216,11 @@
 func (s *Server) serveShared(ctx context.Context, req pipeline.Request, sink pipeline.Sink, leave func()) (pipeline.Outcome, error) {
 	caller := newDetachableSink(sink)
 	defer caller.Detach()
-	var own pipeline.Outcome // written by run, read only after Do says that run has ended
-	var ownErr error
+	// Both are written by run and read only after Do says that run has ended.
+	// A run that panics writes nothing: without the error that stands here
+	// before it, its caller would get an empty answer that says it is whole.
+	var own pipeline.Outcome
+	ownErr := errkind.New(errkind.Internal, "the run ended without an answer")
 	run := func(runCtx context.Context) outcome.Record {
 		defer leave()
 		own, ownErr = s.opts.Runner.Run(runCtx, req, caller)
@@ -225,7 +228,10 @@
 	}
 	key := outcome.Key{Organisation: req.Organisation, Key: req.Key}
 	record, shared, err := s.opts.Outcomes.Do(ctx, key, pipeline.BodyHash(req), req.ID, run)
-	if shared {
+	// Only a run gives its place back by itself. A reused key is refused by
+	// the record and runs nothing: an organisation would lose a place with
+	// each, until it is refused for its limit while it sends nothing.
+	if shared || errkind.Is(err, errkind.KeyReused) {
 		leave()
 	}
 	if err != nil {
