lynxbench overhead: where the time goes; providers by their names

Cause: the streamed profile of the comparison named a provider that no target has, and every call of it is now refused with no_target; and the comparison did not tell where added time was spent. Change: the profile names both providers; for whole calls the comparison also shows the instance's own account of the call and of its stage.

--- a/internal/bench/overhead.go
+++ b/internal/bench/overhead.go
@@ -44,6 +44,10 @@
 	Pairs   int      `json:"pairs"`
 	Direct  Quantile `json:"direct"`
 	Through Quantile `json:"through"`
+	// Instance is how long the instance had the request, by its own account,
+	// and Stage how long its stage took of that, for whole calls.
+	Instance Quantile `json:"instance"`
+	Stage    Quantile `json:"stage"`
 }
 
 // Quantile holds two quantiles in milliseconds.
@@ -116,9 +120,25 @@
 	name    string
 	targets []stagecall.Target
 	direct  func(ctx context.Context, to stagecall.Target, number uint64) (time.Duration, error)
-	through func(ctx context.Context, number uint64) (time.Duration, error)
+	through func(ctx context.Context, number uint64) (throughTimes, error)
 }
 
+// throughTimes is where the time of a call through lynxhill went.
+type throughTimes struct {
+	whole    time.Duration // as the caller saw it
+	instance time.Duration // what the instance says that it took
+	stage    time.Duration // what the instance says that the stage took
+}
+
+func (t *throughTimes) account(reply lynxapi.SendReply) {
+	t.instance = fromMillis(reply.TotalMS)
+	for _, stage := range reply.Stages {
+		t.stage += fromMillis(stage.DurationMS)
+	}
+}
+
+func fromMillis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 var errNoFirstToken = errors.New("bench: the stream had no frame")
 
 func (o *overhead) input(number uint64) json.RawMessage {
@@ -141,12 +161,14 @@
 	return time.Since(began), err
 }
 
-func (o *overhead) callThrough(ctx context.Context, number uint64) (time.Duration, error) {
+func (o *overhead) callThrough(ctx context.Context, number uint64) (times throughTimes, err error) {
 	began := time.Now()
-	_, err := o.caller.Send(ctx, overheadProfile, lynxapi.SendRequest{
+	result, err := o.caller.Send(ctx, overheadProfile, lynxapi.SendRequest{
 		Organisation: o.organisation, Input: o.input(number), DeadlineMS: overheadDeadline.Milliseconds(),
 	}, nil)
-	return time.Since(began), err
+	times.whole = time.Since(began)
+	times.account(result.Reply)
+	return times, err
 }
 
 func (o *overhead) firstDirect(ctx context.Context, to stagecall.Target, number uint64) (time.Duration, error) {
@@ -158,12 +180,14 @@
 	return watch.took(err)
 }
 
-func (o *overhead) firstThrough(ctx context.Context, number uint64) (time.Duration, error) {
+func (o *overhead) firstThrough(ctx context.Context, number uint64) (times throughTimes, err error) {
 	watch := newFirstWatch()
-	_, err := o.caller.Send(ctx, overheadGenerate, lynxapi.SendRequest{
+	result, err := o.caller.Send(ctx, overheadGenerate, lynxapi.SendRequest{
 		Organisation: o.organisation, Input: o.input(number), Stream: true, DeadlineMS: overheadDeadline.Milliseconds(),
 	}, func(lynxapi.Frame) error { return watch.frame() })
-	return watch.took(err)
+	times.whole, err = watch.took(err)
+	times.account(result.Reply)
+	return times, err
 }
 
 // firstWatch measures the time to the first frame.
@@ -206,7 +230,7 @@
 	if load == loadConcurrent {
 		workers, pause = o.opts.Concurrency, o.opts.Pause
 	}
-	pairs := pairs{direct: newHistogram(), through: newHistogram()}
+	pairs := newPairs()
 	var working sync.WaitGroup
 	for worker := range workers {
 		working.Go(func() {
@@ -219,11 +243,12 @@
 	working.Wait()
 	row := OverheadRow{
 		Call: kind.name, Load: load, Pairs: calls, Direct: quantilesOf(pairs.direct), Through: quantilesOf(pairs.through),
+		Instance: quantilesOf(pairs.instance), Stage: quantilesOf(pairs.stage),
 	}
 	return row, pairs.err()
 }
 
-func (o *overhead) pair(ctx context.Context, kind overheadKind, n int) (direct, through time.Duration, err error) {
+func (o *overhead) pair(ctx context.Context, kind overheadKind, n int) (direct time.Duration, through throughTimes, err error) {
 	callDirect := func() {
 		if err == nil {
 			direct, err = kind.direct(ctx, kind.targets[n%len(kind.targets)], o.number.Add(1))
--- a/internal/bench/overhead_setup.go
+++ b/internal/bench/overhead_setup.go
@@ -84,19 +84,28 @@
 		Name: overheadGenerate, Priority: 5, Deadline: overheadDeadline, Objective: 0.99, MaxInputKB: 16,
 		Stages: []profile.Stage{{
 			Name: "answer", Kind: profile.KindGenerate, Idempotent: true, MaxTokens: overheadTokens,
-			Providers: []profile.Provider{{Name: "both", Service: fleet.ServicePool, Model: overheadModel, Version: overheadVersion, Weight: 1}},
+			Providers: []profile.Provider{overheadProvider(fleet.ProviderOld), overheadProvider(fleet.ProviderNew)},
 		}},
 	}
 }
 
+func overheadProvider(name string) profile.Provider {
+	return profile.Provider{Name: name, Service: fleet.ServicePool, Model: overheadModel, Version: overheadVersion, Weight: 1}
+}
+
 // pairs collects the times of pairs of calls.
 type pairs struct {
 	mu              sync.Mutex // guards what follows
 	direct, through *hdrhistogram.Histogram
+	instance, stage *hdrhistogram.Histogram
 	failed          error
 }
 
-func (p *pairs) add(direct, through time.Duration, err error) {
+func newPairs() *pairs {
+	return &pairs{direct: newHistogram(), through: newHistogram(), instance: newHistogram(), stage: newHistogram()}
+}
+
+func (p *pairs) add(direct time.Duration, through throughTimes, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err != nil {
@@ -104,7 +113,9 @@
 		return
 	}
 	record(p.direct, direct)
-	record(p.through, through)
+	record(p.through, through.whole)
+	record(p.instance, through.instance)
+	record(p.stage, through.stage)
 }
 
 func (p *pairs) err() error {
@@ -157,6 +168,9 @@
 	fmt.Fprintf(out, "\n%s, %s: %d rounds of %d pairs\n", rows[0].Call, rows[0].Load, len(rows), rows[0].Pairs)
 	median := printAdded(out, "median", rows, func(q Quantile) float64 { return q.Median })
 	p99 := printAdded(out, "p99", rows, func(q Quantile) float64 { return q.P99 })
+	if rows[0].Call == overheadCall {
+		printWhere(out, rows)
+	}
 	verdict := "within"
 	if median > overheadMedianLimit || p99 > overheadP99Limit {
 		verdict = "OVER"
@@ -173,3 +187,12 @@
 		name, direct.mean, through.mean, added.mean, added.lowest, added.highest, times.mean, times.lowest, times.highest)
 	return added.mean
 }
+
+// printWhere tells where the median call spent its time.
+func printWhere(out io.Writer, rows []OverheadRow) {
+	through := overRounds(rows, func(r OverheadRow) float64 { return r.Through.Median })
+	instance := overRounds(rows, func(r OverheadRow) float64 { return r.Instance.Median })
+	stage := overRounds(rows, func(r OverheadRow) float64 { return r.Stage.Median })
+	fmt.Fprintf(out, "  median  at the caller and on the way %.2f ms, in the instance %.2f ms, of these %.2f ms in the stage\n",
+		through.mean-instance.mean, instance.mean, stage.mean)
+}
