Limits are read off the board; their own polling of the store is gone

Cause: the limits controller listed, watched and asked the store for objects that profile sync keeps on the board of every instance.

Change: it reads board.Objects. The watch, the pulls and the version in the digests' marker row are deleted, and with them the tests of that version's low bits and of the pull that a peer's digest caused: there is nothing left that they test.

--- a/internal/control/limits/bench_test.go
+++ b/internal/control/limits/bench_test.go
@@ -50,6 +50,22 @@
 	b.ReportMetric(float64(used), "B/digest")
 }
 
+// BenchmarkStep measures a look at the board after a change of one of 19,000
+// limits.
+func BenchmarkStep(b *testing.B) {
+	bd := board.New()
+	c := New(Options{Board: bd, Door: fixedUse{}, Self: "i000", Clock: quartz.NewReal()})
+	for i := range 19000 {
+		putLimit(bd, fmt.Sprintf("organisation-%05d", i), 10, 5)
+	}
+	c.Step()
+	b.ReportAllocs()
+	for b.Loop() {
+		putLimit(bd, "organisation-00007", 10, 5)
+		c.Step()
+	}
+}
+
 func benchController(organisations, instances int) *Controller {
 	bd := board.New()
 	use := fixedUse{}
--- a/internal/control/limits/limits.go
+++ b/internal/control/limits/limits.go
@@ -1,31 +1,34 @@
 // Package limits makes an organisation's limit hold over all instances without
-// a call to the platform a request: each instance gets a share of the limit,
-// by the demand that the instances tell one another.
+// a call to the platform: each instance gets a share of the limit, by the demand
+// that the instances tell one another. The limits themselves are objects of the
+// platform, which profile sync keeps on the board.
 package limits
 
 import (
 	"context"
 	"math"
-	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"golang.org/x/sync/errgroup"
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/control/loop"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/gossip"
 	"lynxhill.example/lynxhill/internal/metrics"
-	"lynxhill.example/lynxhill/internal/store"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
 const (
 	// tickInterval is how often the shares are computed.
 	tickInterval = time.Second
+	// lookInterval is how often the board's objects are looked through without
+	// a change of them, lookSettle the least time between two looks.
+	lookInterval = 30 * time.Second
+	lookSettle   = 500 * time.Millisecond
 	// deadHold is how long a dead member may still be serving unseen. It
 	// covers two regions that lose each other for an hour.
 	deadHold = 75 * time.Minute
@@ -50,15 +53,12 @@
 	Usage() []gossip.Usage
 }
 
-// Options are the parts of the controller. Board, Store, Door and Clock are
-// required.
+// Options are the parts of the controller. Board, Door and Clock are required.
 type Options struct {
 	Board   *board.Board
-	Store   store.Store
 	Door    UsageSource
 	Self    string // id of this instance
 	Clock   clock.Clock
-	Rand    *rand.Rand // for jitter; nil: one seeded from Self
 	Logger  *event.Logger
 	Metrics *metrics.Registry
 }
@@ -67,13 +67,10 @@
 type Controller struct {
 	options Options
 
-	mu      sync.Mutex // guards all below
-	rand    *rand.Rand
+	mu      sync.Mutex                           // guards all below
 	objects map[string]lynxapi.OrganisationLimit // by organisation
-	version uint64                               // of the store, up to which objects are known
-	highest uint64                               // version of the last change of a limit
-	listed  bool
-	pullBy  time.Time // zero: no pull is due before the usual one
+	taken   map[string]uint64                    // version that was taken up, by organisation
+	version uint64                               // of the last change of a limit
 	peers   map[string]*peerUse
 	heard   map[string]float64 // demand that the peers told, by organisation
 	told    []gossip.Usage     // rows for the next digests
@@ -85,14 +82,10 @@
 
 // New returns a controller.
 func New(o Options) *Controller {
-	source := o.Rand
-	if source == nil {
-		source = rand.New(rand.NewPCG(xxhash.Sum64String(o.Self), 1))
-	}
 	c := &Controller{
 		options: o,
-		rand:    source,
 		objects: make(map[string]lynxapi.OrganisationLimit),
+		taken:   make(map[string]uint64),
 		peers:   make(map[string]*peerUse),
 		heard:   make(map[string]float64),
 		crowd:   crowd{known: 1, visible: 1, heard: 1},
@@ -124,11 +117,15 @@
 
 // Run keeps limits and shares up to date until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { c.runTicks(ctx); return nil })
-	group.Go(func() error { c.runPulls(ctx); return nil })
-	group.Go(func() error { c.runWatch(ctx); return nil })
-	_ = group.Wait()
+	var wg sync.WaitGroup
+	wg.Go(func() { c.runTicks(ctx) })
+	wg.Go(func() {
+		loop.Run(ctx, loop.Options{
+			Clock: c.options.Clock, Rand: loop.NewRand(nil), Period: lookInterval, Settle: lookSettle,
+			Changed: c.options.Board.Objects.Changed,
+		}, func(context.Context) { c.Step() })
+	})
+	wg.Wait()
 }
 
 func (c *Controller) runTicks(ctx context.Context) {
@@ -250,8 +247,3 @@
 		return board.Usage{RatePerSecond: demand, Updated: now}, changed
 	})
 }
-
-// jitter returns a random duration up to spread. mu is held.
-func (c *Controller) jitter(spread time.Duration) time.Duration {
-	return time.Duration(c.rand.Float64() * float64(spread))
-}
--- a/internal/control/limits/limits_test.go
+++ b/internal/control/limits/limits_test.go
@@ -12,7 +12,6 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/gossip"
-	"lynxhill.example/lynxhill/internal/store/memstore"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
@@ -27,22 +26,23 @@
 	return rows
 }
 
-func putLimit(t *testing.T, s *memstore.Store, organisation string, rate float64, concurrent int) {
-	t.Helper()
-	key := KeyPrefix + organisation
-	old, _ := s.Get(context.Background(), key)
+// putLimit puts a limit on the board as profile sync does; the version rises.
+func putLimit(b *board.Board, organisation string, rate float64, concurrent int) {
 	value, _ := json.Marshal(lynxapi.OrganisationLimit{Organisation: organisation, RatePerSecond: rate, Concurrent: concurrent})
-	if _, err := s.Put(context.Background(), key, value, old.Version); err != nil {
-		t.Fatalf("put: %v", err)
-	}
+	putObject(b, organisation, board.ConfigObject{Value: value})
+}
+
+func putObject(b *board.Board, organisation string, object board.ConfigObject) {
+	old, _ := b.Objects.Get(KeyPrefix + organisation)
+	object.Version = old.Version + 1
+	b.AdoptObject(KeyPrefix+organisation, object)
 }
 
-func TestRunFollowsTheStore(t *testing.T) {
+func TestRunFollowsTheBoard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := memstore.New(memstore.Options{Clock: quartz.NewReal()})
-		putLimit(t, s, "a", 10, 4)
 		b := board.New()
-		c := New(Options{Board: b, Store: s, Door: fixedUse{}, Self: "i0", Clock: quartz.NewReal()})
+		putLimit(b, "a", 10, 4)
+		c := New(Options{Board: b, Door: fixedUse{}, Self: "i0", Clock: quartz.NewReal()})
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() { c.Run(ctx); close(ended) }()
@@ -50,16 +50,18 @@
 		if l, _ := b.Limits.Get("a"); l.RatePerSecond != 10 || l.Concurrent != 4 {
 			t.Errorf("limit of a lone instance %+v, want all of it", l)
 		}
-		time.Sleep(15 * time.Second) // its watch stands by now
-		putLimit(t, s, "a", 20, 0)
+		time.Sleep(15 * time.Second)
+		putLimit(b, "a", 20, 0)
 		time.Sleep(5 * time.Second)
 		if l, _ := b.Limits.Get("a"); l.RatePerSecond < 19 || l.Concurrent != 0 {
 			t.Errorf("limit %+v 5 s after the change, want 20", l)
 		}
-		o, _ := s.Get(ctx, KeyPrefix+"a")
-		if err := s.Delete(ctx, KeyPrefix+"a", o.Version); err != nil {
-			t.Fatalf("delete: %v", err)
+		putObject(b, "a", board.ConfigObject{Value: []byte("no limit")})
+		time.Sleep(2 * time.Second)
+		if l, _ := b.Limits.Get("a"); l.RatePerSecond < 19 {
+			t.Errorf("limit %+v after an object that cannot be read, want the one before", l)
 		}
+		putObject(b, "a", board.ConfigObject{Deleted: true})
 		time.Sleep(2 * time.Second)
 		if l, found := b.Limits.Get("a"); found {
 			t.Errorf("limit %+v after it was deleted", l)
@@ -135,68 +137,3 @@
 		t.Errorf("%d bytes of a budget of none", n)
 	}
 }
-
-func TestLaterComparesLowBits(t *testing.T) {
-	cases := []struct {
-		told  uint64
-		known uint64
-		later bool
-	}{
-		{5, 4, true}, {4, 4, false}, {3, 4, false},
-		{1<<32 + 1, 1<<32 - 1, true}, {1<<32 - 1, 1<<32 + 1, false},
-		{20_000_001, 20_000_000, true}, {20_000_000, 20_000_001, false},
-	}
-	for _, c := range cases {
-		if got := later(uint32(c.told), c.known); got != c.later {
-			t.Errorf("later(%d, %d) = %v", c.told, c.known, got)
-		}
-	}
-}
-
-// Symptom: an instance without a watch takes up a new limit only half a minute
-// later. A peer's digest tells it that there is a later version.
-func TestPeerTellsOfALaterVersion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := memstore.New(memstore.Options{Clock: quartz.NewReal()})
-		putLimit(t, s, "a", 10, 0)
-		var watcher, other *Controller
-		boards := make([]*board.Board, 2)
-		for i := range boards {
-			b := board.New()
-			boards[i] = b
-			for _, id := range []string{"i0", "i1", "i2", "i3", "i4"} {
-				b.Members.Put(id, board.Member{ID: id, State: board.MemberAlive})
-			}
-		}
-		watcher = New(Options{Board: boards[0], Store: s, Door: fixedUse{}, Self: "i0", Clock: quartz.NewReal()})
-		other = New(Options{Board: boards[1], Store: s, Door: fixedUse{}, Self: "i4", Clock: quartz.NewReal()})
-		ctx, cancel := context.WithCancel(context.Background())
-		go watcher.Run(ctx)
-		go other.Run(ctx)
-		time.Sleep(15 * time.Second)
-		calls := s.Counts()
-		putLimit(t, s, "a", 50, 0)
-		time.Sleep(time.Second)
-		if l := watcher.Limits(); l[0].RatePerSecond != 50 {
-			t.Errorf("the watcher has %+v a second after the change", l[0])
-		}
-		if l := other.Limits(); l[0].RatePerSecond != 10 {
-			t.Errorf("the other has %+v before it heard of the change: the test shows nothing", l[0])
-		}
-		var d gossip.Digest
-		d.From = "i0"
-		watcher.Fill(&d, "i4", 1024)
-		other.Absorb(d)
-		time.Sleep(pullSpread + time.Second)
-		if l := other.Limits(); l[0].RatePerSecond != 50 {
-			t.Errorf("the other has %+v %s after it heard of the change", l[0], pullSpread)
-		}
-		other.Absorb(d) // heard again: nothing to pull
-		time.Sleep(pullSpread + time.Second)
-		if after := s.Counts(); after.Total()-calls.Total() > 8 {
-			t.Errorf("%d calls for one change", after.Total()-calls.Total())
-		}
-		cancel()
-		synctest.Wait()
-	})
-}
--- a/internal/control/limits/overshoot_test.go
+++ b/internal/control/limits/overshoot_test.go
@@ -15,7 +15,6 @@
 	"lynxhill.example/lynxhill/internal/admission"
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/gossip"
-	"lynxhill.example/lynxhill/internal/store/memstore"
 )
 
 const (
@@ -68,15 +67,12 @@
 
 func newFleet(t *testing.T, n int) *fleet {
 	f := &fleet{rand: rand.New(rand.NewPCG(17, uint64(n)))}
-	s := memstore.New(memstore.Options{Clock: quartz.NewReal()})
-	putLimit(t, s, testOrganisation, testRate, testConcurrent)
 	for i := range n {
 		c := &core{id: fmt.Sprintf("i%02d", i), board: board.New()}
 		c.door = admission.NewDoor(admission.DoorOptions{Board: c.board, Clock: quartz.NewReal()})
-		c.limits = New(Options{Board: c.board, Store: s, Door: c.door, Self: c.id, Clock: quartz.NewReal()})
-		if err := c.limits.Pull(context.Background()); err != nil {
-			t.Fatalf("pull: %v", err)
-		}
+		c.limits = New(Options{Board: c.board, Door: c.door, Self: c.id, Clock: quartz.NewReal()})
+		putLimit(c.board, testOrganisation, testRate, testConcurrent)
+		c.limits.Step()
 		f.cores = append(f.cores, c)
 	}
 	f.show()
--- a/internal/control/limits/peers.go
+++ b/internal/control/limits/peers.go
@@ -14,8 +14,7 @@
 	rowBytes = 12
 	// marker is the organisation of the row that says that the sender has
 	// told all it had room for. Without it, silence could not be told from no
-	// use. In place of requests in flight it holds the lowest 32 bits of the
-	// version of the last change of a limit that the sender knows.
+	// use.
 	marker = ""
 	// minTold is the demand that is told, as a share of an even share.
 	minTold = 0.05
@@ -39,7 +38,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	digest.Usage = append(digest.Usage, gossip.Usage{Organisation: marker, InFlight: int(uint32(c.highest))})
+	digest.Usage = append(digest.Usage, gossip.Usage{Organisation: marker})
 	used := rowBytes
 	for _, row := range c.told {
 		size := len(row.Organisation) + rowBytes
@@ -60,10 +59,9 @@
 	now := c.options.Clock.Now()
 	use := &peerUse{at: now}
 	complete := false
-	var told uint32
 	for _, row := range digest.Usage {
 		if row.Organisation == marker {
-			complete, told = true, uint32(row.InFlight)
+			complete = true
 			continue
 		}
 		if use.rows == nil {
@@ -77,17 +75,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.replace(digest.From, use)
-	if later(told, c.version) && c.pullBy.IsZero() {
-		c.pullBy = now.Add(c.jitter(pullSpread))
-	}
-}
-
-// later compares the lowest bits of two versions, right as long as they are
-// less than two thousand million apart. A version sent whole as a float of 32
-// bits would be rounded, and half of the time up: every instance would pull
-// all the time for a version that doesn't exist.
-func later(told uint32, version uint64) bool {
-	return int32(told-uint32(version)) > 0
 }
 
 // tellRows picks the rows for the next digests. mu is held.
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -75,7 +75,7 @@
 		Self: d.id(), Place: d.cfg.Instance.Place,
 	})
 	d.limits = limits.New(limits.Options{
-		Board: d.board, Store: d.platform, Door: d.door, Self: d.id(), Clock: clk, Rand: d.rand(),
+		Board: d.board, Door: d.door, Self: d.id(), Clock: clk,
 		Logger: d.logger, Metrics: d.metrics,
 	})
 }
