--- a/internal/bench/standins.go
+++ b/internal/bench/standins.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
@@ -86,6 +87,10 @@
 // StartStandins starts the stand-ins and writes settings, addresses and tokens
 // to the directory.
 func StartStandins(opts StandinsOptions) (*Standins, error) {
+	control, err := netip.ParseAddrPort(opts.Control)
+	if err != nil || !control.Addr().IsLoopback() {
+		return nil, fmt.Errorf("control endpoint: %q is no loopback IP:port", opts.Control)
+	}
 	cluster, err := StartCluster(ClusterOptions{
 		Fleet: fleet.Options{Name: opts.Deployment, TimeScale: opts.TimeScale}, Seed: opts.Seed,
 	})
--- a/internal/bench/standins_control.go
+++ b/internal/bench/standins_control.go
@@ -68,6 +68,9 @@
 // Fault begins a fault of the platform, of targets, or faultInstanceCut, and
 // ends it after its time.
 func (s *Standins) Fault(fault Fault) error {
+	if err := fault.For.Err(); err != nil {
+		return fmt.Errorf("for: %w", err)
+	}
 	end, err := s.beginFault(fault)
 	if err != nil {
 		return err
