A crashed target is known also when its kept connection breaks under the question

Symptom: TestOwnTargetClientAgreesWithTheStandins failed with "counted as alive after the crash", in 85 of 150 runs of six processes side by side. Cause: whether a target is alive is asked over a kept connection. The crash may break that connection only while the question is on it: "connection reset by peer" (9 of 9 failures in a run of 30 with the errors printed), not "connection refused". The death was then not counted, so that a request that crashes its targets could be sent to more of them than its limit. Change: a question whose connection broke is asked once more, over a new one. Any other answer ends it as before. Ruled out: the stand-in's listener still open after the crash (the others of the 30 were refused).

--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -115,9 +115,7 @@
 // broke is no death, nor is a machine that cannot be reached: a request does
 // not cut cables.
 func (c *Client) Alive(ctx context.Context, target stagecall.Target) bool {
-	// The broken connection was retired, so this one is newer than the break.
-	// Calls that broke together share it.
-	if _, err := c.Load(ctx, target); errors.Is(err, syscall.ECONNREFUSED) {
+	if c.refusesConnections(ctx, target) {
 		return false
 	}
 	c.mu.Lock()
@@ -126,6 +124,27 @@
 	return restarted.IsZero() || c.opts.Clock.Since(restarted) > restartMemory
 }
 
+// lifeQuestions bounds how often a target is asked whether it is there. A kept
+// connection may be the next that the crash breaks: that error tells of the
+// crash's beginning, not of what the machine does now. Without the second
+// question such a crash counts as no death, and the request that caused it is
+// sent to more targets than its limit.
+const lifeQuestions = 2
+
+// refusesConnections asks for the load and reports whether nobody listens.
+func (c *Client) refusesConnections(ctx context.Context, target stagecall.Target) bool {
+	for range lifeQuestions {
+		_, err := c.Load(ctx, target)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return true
+		}
+		if err == nil || stagecall.FailureOf(err).Class != stagecall.ClassBroken {
+			return false
+		}
+	}
+	return false
+}
+
 // noteLoad notes a restart: a sequence number that fell back by more than
 // reports that overtook one another can explain.
 func (c *Client) noteLoad(address string, report *targetapi.LoadReport) {
