Settings: no routing.hedge_budget

Cause: the setting was read by nobody. Hedges, resumes and repeats share one budget at the gate, routing.retry_budget; the gate has no limit of its own for hedges.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -120,8 +120,7 @@
 
 // Routing is the policy for choosing targets.
 type Routing struct {
-	RetryBudget float64 `toml:"retry_budget"` // repeats as a share of first attempts
-	HedgeBudget float64 `toml:"hedge_budget"` // hedges as a share of first attempts
+	RetryBudget float64 `toml:"retry_budget"` // repeats, resumes and hedges as a share of first attempts
 	MaxAttempts int     `toml:"max_attempts"` // per stage
 	MaxEjected  float64 `toml:"max_ejected"`  // largest share of a service that may be ejected as stragglers
 }
@@ -172,7 +171,7 @@
 			LeaseTTL:      Of(10 * time.Second),
 			FileCheck:     Of(2 * time.Second),
 		},
-		Routing: Routing{RetryBudget: 0.1, HedgeBudget: 0.05, MaxAttempts: 3, MaxEjected: 0.3},
+		Routing: Routing{RetryBudget: 0.1, MaxAttempts: 3, MaxEjected: 0.3},
 		Claims: Claims{
 			Shards:          claim.DefaultShards,
 			WindowKB:        claim.DefaultWindowBytes >> 10,
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -212,7 +212,6 @@
 func (r Routing) validate() error {
 	return firstFault(
 		checkShare("routing.retry_budget", r.RetryBudget),
-		checkShare("routing.hedge_budget", r.HedgeBudget),
 		checkInt("routing.max_attempts", r.MaxAttempts, 1, 100),
 		checkShare("routing.max_ejected", r.MaxEjected),
 	)
