Errors: one colon between a sentence and its cause

Cause: errkind.Wrap puts ": " between the two, and 13 call sites brought their own, so that operators read "its version is 65: : store: version conflict".

Change: the call sites leave it out. Found with grep over all uses of Wrap.

--- a/internal/control/profilesync/change.go
+++ b/internal/control/profilesync/change.go
@@ -46,7 +46,7 @@
 		return rejected(c, 0), errkind.New(errkind.BadRequest, "the profile is named %q, the change %q", c.Profile.Name, c.Name)
 	}
 	if err := profile.Validate(c.Profile); err != nil {
-		return rejected(c, 0), errkind.Wrap(err, errkind.ProfileInvalid, "profile %s: ", c.Name)
+		return rejected(c, 0), errkind.Wrap(err, errkind.ProfileInvalid, "profile %s", c.Name)
 	}
 	return m.change(ctx, c, func(profile.Stored) (profile.Stored, error) {
 		return profile.Stored{Profile: c.Profile}, nil
@@ -118,7 +118,7 @@
 	ctx = store.WithPriority(ctx, store.PriorityOperator)
 	current, err := m.readProfile(ctx, c.Name)
 	if err != nil {
-		return rejected(c, 0), errkind.Wrap(err, errkind.StoreUnavailable, "nothing was written: ")
+		return rejected(c, 0), errkind.Wrap(err, errkind.StoreUnavailable, "nothing was written")
 	}
 	if version, done := current.find(c.ChangeID); done && !c.DryRun {
 		return m.written(ctx, c, current, version, nil)
--- a/internal/control/profilesync/force.go
+++ b/internal/control/profilesync/force.go
@@ -165,7 +165,7 @@
 	listed, _, err := m.o.Store.List(store.WithPriority(ctx, store.PriorityOperator), profile.KeyPrefix)
 	if err != nil {
 		return lynxapi.ChangeReply{ChangeID: changeID, State: lynxapi.ChangeUnknown},
-			errkind.Wrap(err, errkind.StoreUnavailable, "the platform could not be asked: ")
+			errkind.Wrap(err, errkind.StoreUnavailable, "the platform could not be asked")
 	}
 	for _, obj := range listed {
 		m.objects.adopt(obj, fromStore)
--- a/internal/control/profilesync/settle.go
+++ b/internal/control/profilesync/settle.go
@@ -39,7 +39,7 @@
 		case err == nil:
 			return held{version: obj.Version, stored: stored}, obj.Version, nil
 		case errors.Is(err, store.ErrTooLarge):
-			return held{}, 0, errkind.Wrap(err, errkind.TooLarge, "the profile with its history: ")
+			return held{}, 0, errkind.Wrap(err, errkind.TooLarge, "the profile with its history")
 		case errors.Is(err, store.ErrConflict):
 			return m.settleConflict(ctx, c, mayBeWritten)
 		case !errors.Is(err, store.ErrUnavailable) && !errors.Is(err, store.ErrThrottled):
--- a/internal/daemon/operations.go
+++ b/internal/daemon/operations.go
@@ -197,18 +197,18 @@
 func (o *operations) put(ctx context.Context, key string, value any, ifVersion uint64) (uint64, error) {
 	text, err := json.Marshal(value)
 	if err != nil {
-		return 0, errkind.Wrap(err, errkind.Internal, "%s: ", key)
+		return 0, errkind.Wrap(err, errkind.Internal, "%s", key)
 	}
 	object, err := o.d.platform.Put(store.WithPriority(ctx, store.PriorityOperator), key, text, ifVersion)
 	switch {
 	case err == nil:
 		return object.Version, nil
 	case errors.Is(err, store.ErrConflict):
-		return object.Version, errkind.Wrap(err, errkind.Conflict, "%s was changed meanwhile; its version is %d: ", key, object.Version)
+		return object.Version, errkind.Wrap(err, errkind.Conflict, "%s was changed meanwhile; its version is %d", key, object.Version)
 	case errors.Is(err, store.ErrUnavailable), errors.Is(err, store.ErrThrottled):
-		return 0, errkind.Wrap(err, errkind.StoreUnavailable, "%s: ", key)
+		return 0, errkind.Wrap(err, errkind.StoreUnavailable, "%s", key)
 	default:
-		return 0, errkind.Wrap(err, errkind.ChangeUnknown, "%s; list to see whether it took effect: ", key)
+		return 0, errkind.Wrap(err, errkind.ChangeUnknown, "%s; list to see whether it took effect", key)
 	}
 }
 
--- a/internal/peer/forward.go
+++ b/internal/peer/forward.go
@@ -65,11 +65,11 @@
 	case errors.As(err, &answered):
 		return pipeline.Outcome{}, answered.error
 	case errors.Is(err, ErrNotSent):
-		return pipeline.Outcome{}, errkind.Wrap(err, errkind.NoTarget, "instance %s could not be reached: ", instance)
+		return pipeline.Outcome{}, errkind.Wrap(err, errkind.NoTarget, "instance %s could not be reached", instance)
 	case context.Cause(ctx) == context.Canceled:
-		return pipeline.Outcome{}, errkind.Wrap(err, errkind.Cancelled, "forwarded to %s: ", instance)
+		return pipeline.Outcome{}, errkind.Wrap(err, errkind.Cancelled, "forwarded to %s", instance)
 	default:
-		return pipeline.Outcome{}, errkind.Wrap(err, errkind.StreamBroken, "forwarded to %s: ", instance)
+		return pipeline.Outcome{}, errkind.Wrap(err, errkind.StreamBroken, "forwarded to %s", instance)
 	}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -99,7 +99,7 @@
 	}
 	text, err := json.Marshal(record)
 	if err != nil {
-		return nil, toConnect(errkind.Wrap(err, errkind.Internal, "outcome record: "))
+		return nil, toConnect(errkind.Wrap(err, errkind.Internal, "outcome record"))
 	}
 	return &peerpb.OutcomeReply{Found: true, Record: text}, nil
 }
@@ -129,7 +129,7 @@
 	report := h.o.Burn(time.Duration(in.GetWindowMs()) * time.Millisecond)
 	text, err := json.Marshal(report)
 	if err != nil {
-		return nil, toConnect(errkind.Wrap(err, errkind.Internal, "burn report: "))
+		return nil, toConnect(errkind.Wrap(err, errkind.Internal, "burn report"))
 	}
 	return &peerpb.BurnReply{Report: text}, nil
 }
