lynxctl: a drain of an unknown subject is refused

Cause: "lynxctl drain place/nowhere" was accepted, so that a mistyped name looked drained while the place that was meant went on taking work.

Chosen over a warning in the answer, which scripts do not read.

--- a/cmd/lynxctl/fake_test.go
+++ b/cmd/lynxctl/fake_test.go
@@ -167,7 +167,13 @@
 		reply(w, lynxapi.DrainList{Drains: []lynxapi.DrainView{{Subject: "place/lac-a", By: "amal", At: time.Unix(0, 0).UTC()}}})
 		return
 	}
-	reply(w, lynxapi.DrainView{Subject: "place/lac-a"})
+	var req lynxapi.DrainRequest
+	_ = json.NewDecoder(r.Body).Decode(&req)
+	if r.Method == http.MethodPost && req.Subject != "place/lac-a" && !req.Force {
+		refuse(w, errkind.NotFound)
+		return
+	}
+	reply(w, lynxapi.DrainView{Subject: req.Subject})
 }
 
 func (f *fakeAdmin) limits(w http.ResponseWriter, r *http.Request) {
--- a/cmd/lynxctl/fleet.go
+++ b/cmd/lynxctl/fleet.go
@@ -119,6 +119,7 @@
 
 type drainCommand struct {
 	Subject string `arg:"" help:"instance/ID, place/NAME or target/ID."`
+	Force   bool   `help:"Drain it although no such instance, place or target is known yet."`
 }
 
 // Help implements kong.HelpProvider.
@@ -140,7 +141,11 @@
 	if err != nil {
 		return err
 	}
-	view, err := admin.Drain(ctx, c.Subject)
+	order := admin.Drain
+	if c.Force {
+		order = admin.ForceDrain
+	}
+	view, err := order(ctx, c.Subject)
 	if err != nil {
 		return err
 	}
--- a/cmd/lynxctl/main_test.go
+++ b/cmd/lynxctl/main_test.go
@@ -104,6 +104,7 @@
 		{"negative limit", nil, "", []string{"limit", "set", "agency-1", "--rate=-1"}, exitUsage, "negative"},
 		{"bad subject", nil, "", []string{"drain", "lac-a"}, exitUsage, "place/NAME"},
 		{"unknown profile", nil, "", []string{"profile", "get", "nobody"}, exitRefused, "not_found"},
+		{"unknown place", nil, "", []string{"drain", "place/nowhere"}, exitRefused, "not_found"},
 		{"help", nil, "", []string{"--help"}, exitOK, "Exit status"},
 	}
 	for _, c := range cases {
@@ -182,6 +183,7 @@
 		"report burn":                  "1 of 1 profile missed the objective.",
 		"report burn --format json":    `"scope": "profile"`,
 		"drain place/lac-a":            "draining place/lac-a",
+		"drain --force place/soon":     "draining place/soon",
 		"undrain place/lac-a":          "no longer draining",
 		"limit set agency-1 --rate 7":  "agency-1: 7 requests a second, 9 at once",
 		"completion -c bash":           "complete -o default",
--- a/internal/client/admin.go
+++ b/internal/client/admin.go
@@ -145,6 +145,11 @@
 	return put[lynxapi.DrainView](ctx, a, http.MethodPost, lynxapi.PathDrains, lynxapi.DrainRequest{Subject: subject})
 }
 
+// ForceDrain is Drain for a subject that no instance need know yet.
+func (a *Admin) ForceDrain(ctx context.Context, subject string) (lynxapi.DrainView, error) {
+	return put[lynxapi.DrainView](ctx, a, http.MethodPost, lynxapi.PathDrains, lynxapi.DrainRequest{Subject: subject, Force: true})
+}
+
 // Undrain ends a drain.
 func (a *Admin) Undrain(ctx context.Context, subject string) error {
 	c := call{method: http.MethodDelete, path: lynxapi.PathDrains, query: url.Values{"subject": {subject}}}
--- a/internal/daemon/operations.go
+++ b/internal/daemon/operations.go
@@ -154,28 +154,6 @@
 	}
 }
 
-// Drains lists the drains in force.
-func (o *operations) Drains(context.Context) (lynxapi.DrainList, error) {
-	var list lynxapi.DrainList
-	for _, d := range o.d.drains.List() {
-		list.Drains = append(list.Drains, lynxapi.DrainView{Subject: d.Subject, By: d.By, At: d.At})
-	}
-	return list, nil
-}
-
-// Drain orders that a subject take no new work.
-func (o *operations) Drain(ctx context.Context, operator string, req lynxapi.DrainRequest) (lynxapi.DrainView, error) {
-	if err := o.d.drains.Drain(ctx, req.Subject, operator); err != nil {
-		return lynxapi.DrainView{}, err
-	}
-	return lynxapi.DrainView{Subject: req.Subject, By: operator, At: o.d.opts.Clock.Now().UTC()}, nil
-}
-
-// Undrain takes a drain back.
-func (o *operations) Undrain(ctx context.Context, _, subject string) error {
-	return o.d.drains.Undrain(ctx, subject)
-}
-
 // Limits lists the organisations' limits.
 func (o *operations) Limits(context.Context) (lynxapi.LimitList, error) {
 	return lynxapi.LimitList{Limits: o.d.limits.Limits()}, nil
--- a/internal/wire/lynxapi/admin.go
+++ b/internal/wire/lynxapi/admin.go
@@ -158,6 +158,9 @@
 // DrainRequest orders that a subject take no new work.
 type DrainRequest struct {
 	Subject string `json:"subject"` // instance/ID, place/NAME or target/ID
+	// Force drains a subject that the answering instance does not know, which
+	// is refused as not_found otherwise.
+	Force bool `json:"force,omitempty"`
 }
 
 // DrainView is a drain in force.
