Claimed calls go on for three seconds past the deadline, for the record

Cause: a dispatched call that may not be repeated was cut at its deadline, so that a target that answered a moment later left a claim without a result and every resend was told 'may have run' for the claim's retention. Change: the work context of claimed attempts ends 3 s after the deadline; the caller still has its answer at the deadline. A test of at-most-once waits for the call that now outlives its deadline and counts the runs once more.

--- a/internal/pipeline/claimed.go
+++ b/internal/pipeline/claimed.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"time"
 
 	"lynxhill.example/lynxhill/internal/claim"
 	"lynxhill.example/lynxhill/internal/errkind"
@@ -12,6 +13,13 @@
 // holder says that its request was not run, for then the claim is free.
 const claimTries = 2
 
+// claimGrace is how long a dispatched call that may not be repeated goes on past
+// the deadline, for the record only. A target that answers a moment late has done
+// its work; cut off at the deadline, every resend would be told "may have run"
+// for the whole retention of the claim. It must stay below the grace with which
+// an instance stops.
+const claimGrace = 3 * time.Second
+
 // runClaimed runs a stage that is not idempotent: under a claim, so that of
 // all requests with the key one dispatches it.
 func (s *stageRun) runClaimed() (json.RawMessage, error) {
@@ -133,7 +141,8 @@
 	go s.drain()
 }
 
-// drain waits for the claimed attempt; it ends with the deadline at the latest.
+// drain waits for the claimed attempt; it ends claimGrace after the deadline at
+// the latest.
 func (s *stageRun) drain() {
 	defer s.x.r.background.Done()
 	defer s.x.work.stop()
--- a/internal/pipeline/faults_test.go
+++ b/internal/pipeline/faults_test.go
@@ -150,6 +150,10 @@
 				if runs := w.runsOf(stageBook); len(runs) != 1 {
 					t.Errorf("%d runs", len(runs))
 				}
+				w.runner.Wait() // the silent call goes on past the deadline
+				if runs := w.runsOf(stageBook); len(runs) != 1 {
+					t.Errorf("%d runs in the end", len(runs))
+				}
 				w.noViolations(t)
 			})
 		})
@@ -268,6 +272,46 @@
 	})
 }
 
+// Symptom: a resend is told "unknown", though the booking was made.
+// Events: the service answers shortly after the request's deadline.
+// Cause: the claimed call ended with the deadline, and its claim with no result.
+func TestClaimedCallMayAnswerAfterTheDeadline(t *testing.T) {
+	rows := []struct {
+		story    string
+		late     time.Duration
+		recorded bool
+	}{
+		{"within the grace", claimGrace - time.Second, true},
+		{"after it", claimGrace + time.Second, false},
+	}
+	for _, row := range rows {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(memtarget.Options{Plan: faultOnce(stageBook, memtarget.Plan{Service: time.Second + row.late})})
+			req := w.request("book", "k")
+			req.Deadline = req.Received.Add(time.Second)
+			if _, err := w.runner.Run(t.Context(), req, nil); !errkind.Is(err, errkind.DeadlineAfterRun) {
+				t.Errorf("%s: got %v", row.story, err)
+			}
+			if over := w.clock.Now().Sub(req.Deadline); over > 10*time.Millisecond {
+				t.Errorf("%s: the caller had its answer %v after the deadline", row.story, over)
+			}
+			w.runner.Wait()
+			if over := w.clock.Now().Sub(req.Deadline); over > claimGrace+10*time.Millisecond {
+				t.Errorf("%s: the call ended %v after the deadline", row.story, over)
+			}
+			again := w.request("book", "k")
+			out, err := w.runner.Run(t.Context(), again, nil)
+			if row.recorded && (err != nil || string(out.Output) != wholeBooking(again)) || !row.recorded && !errkind.Is(err, errkind.OutcomeUnknown) {
+				t.Errorf("%s: resend: %s, %v", row.story, out.Output, err)
+			}
+			if n := len(w.runsOf(stageBook)); n != 1 {
+				t.Errorf("%s: %d runs", row.story, n)
+			}
+			w.noViolations(t)
+		})
+	}
+}
+
 // Symptom: accelerators work for callers that are gone.
 // Events: the caller goes away during an idempotent stage.
 // Cause: work that is not cancelled with its caller.
--- a/internal/pipeline/runner.go
+++ b/internal/pipeline/runner.go
@@ -42,8 +42,8 @@
 // Run runs the request through the stages of its profile and returns its one
 // answer, or an error with a kind. When it returns, sink is not called any
 // more. When ctx ends, idempotent work is cancelled; a stage that is not
-// idempotent and was dispatched goes on until the deadline, so that a resend
-// gets its answer.
+// idempotent and was dispatched goes on until claimGrace after the deadline, so
+// that a resend gets its answer.
 func (r *Runner) Run(ctx context.Context, req Request, sink Sink) (Outcome, error) {
 	prof, ok := r.opts.Profiles(req.Profile)
 	if !ok || prof.Deleted || len(prof.Profile.Stages) == 0 {
@@ -72,7 +72,7 @@
 	bodyHash    string
 
 	// ctx ends when the caller goes away or the deadline passes; work ends
-	// only at the deadline.
+	// claimGrace after the deadline.
 	ctx  *deadlineContext
 	work *deadlineContext
 
@@ -94,7 +94,7 @@
 		fingerprint: crashguard.Fingerprint(req.Profile, req.Input),
 		bodyHash:    BodyHash(req),
 		ctx:         newDeadlineContext(ctx, r.opts.Clock, req.Deadline),
-		work:        newDeadlineContext(context.WithoutCancel(ctx), r.opts.Clock, req.Deadline),
+		work:        newDeadlineContext(context.WithoutCancel(ctx), r.opts.Clock, req.Deadline.Add(claimGrace)),
 	}
 }
 
