peers.seeds are contacted while no other instance is known

Cause: the setting was read and checked, and nobody used it. An instance that started under a new id while the instance list was down found nobody.

--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,13 +74,15 @@
 
 // runList reads the instance list, often while no other member is known.
 func (m *Manager) runList(ctx context.Context) {
-	if m.o.Lister == nil {
+	if m.o.Lister == nil && len(m.o.Seeds) == 0 {
 		return
 	}
 	soon := seedEvery
 	for {
 		wait := m.o.ListEvery
-		if m.readList(ctx) && len(m.view.ids(board.MemberAlive)) > 0 {
+		complete := m.readList(ctx)
+		m.contactSeeds(ctx)
+		if complete && len(m.view.ids(board.MemberAlive)) > 0 {
 			soon = seedEvery
 		} else {
 			wait = min(wait, soon)
@@ -104,6 +107,9 @@
 // readList contacts listed instances that were not met yet. It returns true if
 // none is left, as far as the list tells.
 func (m *Manager) readList(ctx context.Context) bool {
+	if m.o.Lister == nil {
+		return true
+	}
 	listed, err := m.o.Lister.Instances(store.WithPriority(ctx, store.PriorityBackground))
 	if err != nil {
 		return false
@@ -122,6 +128,26 @@
 	return len(listed) > 1 && len(m.unknown(listed)) == 0
 }
 
+// contactSeeds contacts some seeds while this instance knows no other.
+//
+// What goes wrong without it: an instance that starts under a new id while the
+// instance list is down finds nobody, and nobody finds it.
+func (m *Manager) contactSeeds(ctx context.Context) {
+	if len(m.view.ids(board.MemberAlive)) > 0 {
+		return
+	}
+	seeds := m.shuffled(slices.Clone(m.o.Seeds))
+	for _, addr := range seeds[:min(len(seeds), seedContacts)] {
+		if addr == m.o.Self.PeerAddr {
+			continue
+		}
+		reply, err := m.exchange(ctx, "", addr, nil, m.budget())
+		if err == nil {
+			m.settle(ctx, reply.From, addr, reply)
+		}
+	}
+}
+
 // unknown returns the listed instances that are not members yet, in random
 // order.
 func (m *Manager) unknown(listed []store.Instance) []store.Instance {
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -51,7 +51,10 @@
 	Rand      *rand.Rand
 	Transport Transport
 	Lister    store.InstanceLister
-	Parts     []gossip.Part
+	// Seeds are addresses of peer listeners that are contacted while no other
+	// member is known to be alive, besides those that the Lister shows.
+	Seeds []string
+	Parts []gossip.Part
 	// Started is when this process started. Its milliseconds are the first
 	// incarnation, so that a restarted instance outranks its earlier life.
 	// Zero: the clock's time at New.
