Half of the heartbeats go to the own place

Cause: partners were spread evenly, so that load reports of the own place, which are wanted first and are polled there, came mostly by detours.

Change: half of the heartbeats go to members of the own place, each in turn; fewer where the place has fewer than 16 others, but never less than their part by number, so that small fleets stay as they were.

--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -19,10 +19,9 @@
 // process was paused: what it believes of others is then no one's fault.
 const lateBeats = 4
 
-// runHeartbeats starts one exchange a heartbeat, with every member in turn, in
-// an order drawn anew each round, so that each is reached within one round.
+// runHeartbeats starts one exchange a heartbeat, with every member in turn.
 func (m *Manager) runHeartbeats(ctx context.Context) {
-	var order []string
+	var round turns
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	last := m.o.Clock.Now()
@@ -38,12 +37,7 @@
 		for _, suspect := range m.expired(now) {
 			wg.Go(func() { m.verify(ctx, suspect) })
 		}
-		if len(order) == 0 {
-			order = m.shuffled(m.view.ids(board.MemberAlive, board.MemberSuspect, board.MemberLeaving))
-		}
-		if len(order) > 0 {
-			id := order[0]
-			order = order[1:]
+		if id, ok := m.partner(&round); ok {
 			wg.Go(func() { m.beat(ctx, id) })
 		}
 		if id, due := m.dueContact(now); due {
--- /dev/null
+++ b/internal/membership/partners_test.go
@@ -0,0 +1,56 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/coder/quartz"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/gossip"
+)
+
+// managerOf returns the manager of one of n instances in four places.
+func managerOf(n int) *Manager {
+	m := New(Options{
+		Self: board.Member{ID: "self", Place: "p0"}, Board: board.New(), Clock: quartz.NewReal(),
+		Rand: rand.New(rand.NewPCG(3, uint64(n))),
+	})
+	var rows []gossip.Member
+	for i := 1; i < n; i++ {
+		rows = append(rows, gossip.Member{ID: fmt.Sprintf("i%03d", i), State: "alive", PeerAddr: "a", Place: fmt.Sprintf("p%d", i%4)})
+	}
+	m.view.merge(rows, m.o.Clock.Now())
+	return m
+}
+
+func TestPartnersAreOfTheOwnPlaceByHalf(t *testing.T) {
+	cases := []struct {
+		instances   int
+		least, most float64 // share within the own place
+	}{{1, 0, 0}, {8, 0.05, 0.25}, {64, 0.4, 0.55}, {370, 0.45, 0.55}}
+	for _, c := range cases {
+		m := managerOf(c.instances)
+		var round turns
+		met := make(map[string]int)
+		near := 0
+		beats := 3 * c.instances
+		for range beats {
+			id, ok := m.partner(&round)
+			if !ok {
+				continue
+			}
+			met[id]++
+			if member, _ := m.view.get(id); member.Place == "p0" {
+				near++
+			}
+		}
+		if share := float64(near) / float64(beats); share < c.least || share > c.most {
+			t.Errorf("%d instances: %.2f of the heartbeats in the own place", c.instances, share)
+		}
+		if len(met) != c.instances-1 {
+			t.Errorf("%d instances: %d others met in %d heartbeats", c.instances, len(met), beats)
+		}
+	}
+}
