lynxctl: a plan's file can name roles

Cause: the admin API and the orders know how many engines should have a role, but the plan file of lynxctl refused the table, and a plan set from a file took the roles away.

Change: [[roles]] with role and engines, also in plan list; a role without a name or with a negative number is refused by lynxctl and the API.

--- a/cmd/lynxctl/fake_test.go
+++ b/cmd/lynxctl/fake_test.go
@@ -28,7 +28,8 @@
 	state    string       // of the reply to a change
 	failWith errkind.Kind // for changes; Internal = none
 	cut      bool         // break the connection of a change
-	settled  string       // state of the change when asked; "" = not found
+	planned  []lynxapi.ModelPlan
+	settled  string // state of the change when asked; "" = not found
 }
 
 func newFakeAdmin(t *testing.T) *fakeAdmin {
@@ -191,12 +192,15 @@
 }
 
 func (f *fakeAdmin) plans(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if r.Method == http.MethodGet {
-		reply(w, lynxapi.PlacementList{})
+		reply(w, lynxapi.PlacementList{Plans: f.planned})
 		return
 	}
 	var plan lynxapi.ModelPlan
 	_ = json.NewDecoder(r.Body).Decode(&plan)
+	f.planned = []lynxapi.ModelPlan{plan}
 	reply(w, plan)
 }
 
--- a/cmd/lynxctl/main_test.go
+++ b/cmd/lynxctl/main_test.go
@@ -220,7 +220,11 @@
 func TestPlanFile(t *testing.T) {
 	f := newFakeAdmin(t)
 	good := "service = \"lynx-pool\"\n[[models]]\nmodel = \"lynx-large\"\nversion = \"2\"\nmin = 2\n"
-	lynxctl(t, f.server.URL, good, "plan", "set", "-").want(t, exitOK, "lynx-pool: 1 models")
+	lynxctl(t, f.server.URL, good, "plan", "set", "-").want(t, exitOK, "lynx-pool: 1 models, 0 roles")
+	roles := good + "[[roles]]\nrole = \"prefill\"\nengines = 3\n"
+	lynxctl(t, f.server.URL, roles, "plan", "set", "-").want(t, exitOK, "1 models, 1 roles")
+	lynxctl(t, f.server.URL, "", "plan", "list").want(t, exitOK, "lynx-pool  prefill  3")
+	lynxctl(t, f.server.URL, good+"[[roles]]\nengines = 3\n", "plan", "set", "-").want(t, exitUsage, "roles[0]")
 	lynxctl(t, f.server.URL, good+"max = 1\n", "plan", "set", "-").want(t, exitUsage, "min 2 and max 1")
 	lynxctl(t, f.server.URL, "service = \"x\"\nmodel = 1\n", "plan", "set", "-").want(t, exitUsage)
 }
--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -203,6 +203,7 @@
 		{"DELETE", "/v1/drains", ""},
 		{"PUT", "/v1/limits", `{"organisation":"acme","concurrent":-5}`},
 		{"PUT", "/v1/placements", `{"service":"s","models":[{"model":"m","version":"1","min":3,"max":2}]}`},
+		{"PUT", "/v1/placements", `{"service":"s","models":[],"roles":[{"role":"","engines":1}]}`},
 		{"PUT", "/v1/placements", `[]`},
 	}
 	for _, tt := range tests {
--- a/internal/adminapi/operations.go
+++ b/internal/adminapi/operations.go
@@ -131,6 +131,11 @@
 			return nil, errkind.New(errkind.BadRequest, "a model needs model, version and 0 <= min <= max (max 0 = any)")
 		}
 	}
+	for _, r := range plan.Roles {
+		if r.Role == "" || r.Engines < 0 {
+			return nil, errkind.New(errkind.BadRequest, "a role needs its name and engines, 0 or more")
+		}
+	}
 	return a.backend.SetPlan(c.ctx, c.operator, plan)
 }
 
