--- a/cmd/lynxctl/fake_test.go
+++ b/cmd/lynxctl/fake_test.go
@@ -42,7 +42,7 @@
 	mux.HandleFunc("POST /v1/profiles/{name}/rollback", f.rollback)
 	mux.HandleFunc("DELETE /v1/profiles/{name}", f.delete)
 	mux.HandleFunc("GET /v1/changes/{id}", f.tellChange)
-	mux.HandleFunc("GET /v1/report/burn", func(w http.ResponseWriter, _ *http.Request) { reply(w, sampleReport()) })
+	mux.HandleFunc("GET /v1/report/burn", f.burn)
 	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, _ *http.Request) {
 		reply(w, lynxapi.InstanceList{Instances: []lynxapi.InstanceView{{ID: "lh-1", State: "alive", Place: "lac-a"}}})
 	})
@@ -204,6 +204,14 @@
 	reply(w, plan)
 }
 
+func (f *fakeAdmin) burn(w http.ResponseWriter, r *http.Request) {
+	report := sampleReport()
+	if window, err := time.ParseDuration(r.URL.Query().Get(lynxapi.ParamWindow)); err == nil {
+		report.WindowS = window.Seconds()
+	}
+	reply(w, report)
+}
+
 func sampleReport() lynxapi.BurnReport {
 	return lynxapi.BurnReport{Instance: "lh-1", Instances: 3, At: time.Unix(1e9, 0).UTC(), WindowS: 3600, ShortS: 300, LongS: 3600,
 		Rows: []lynxapi.BurnRow{{Scope: "profile", Name: "creative-check", Total: 100, Attained: 98, Attainment: 0.98, Objective: 0.99, BudgetLeft: -1}}}
--- a/cmd/lynxctl/report.go
+++ b/cmd/lynxctl/report.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"time"
 
 	"lynxhill.example/lynxhill/internal/report"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
@@ -22,8 +23,9 @@
 )
 
 type burnCommand struct {
-	Format string `enum:"text,html,json," default:"" help:"text, html or json; default: as --output."`
-	File   string `name:"out" short:"o" placeholder:"FILE" help:"Write to FILE instead of the standard output."`
+	Format string        `enum:"text,html,json," default:"" help:"text, html or json; default: as --output."`
+	Window time.Duration `placeholder:"TIME" help:"Time that the report covers, such as 10m; default: the longest that is kept."`
+	File   string        `name:"out" short:"o" placeholder:"FILE" help:"Write to FILE instead of the standard output."`
 }
 
 // Help implements kong.HelpProvider.
@@ -31,18 +33,22 @@
 	return `The HTML page holds its plots and needs no other file. Examples:
 
   lynxctl report burn
+  lynxctl report burn --window 10m
   lynxctl report burn --format html -o burn.html`
 }
 
 // Run fetches and writes the report.
 func (c *burnCommand) Run(env *environment) error {
+	if c.Window < 0 {
+		return usagef("--window must not be negative")
+	}
 	ctx, cancel := env.context()
 	defer cancel()
 	admin, err := env.admin()
 	if err != nil {
 		return err
 	}
-	burn, err := reading(admin.Burn(ctx))
+	burn, err := reading(admin.BurnOver(ctx, c.Window))
 	if err != nil {
 		return err
 	}
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"lynxhill.example/lynxhill/internal/auth"
 	"lynxhill.example/lynxhill/internal/event"
@@ -41,9 +42,9 @@
 	SetPlan(ctx context.Context, operator string, plan lynxapi.ModelPlan) (lynxapi.ModelPlan, error)
 
 	// Burn returns the report merged from all instances that answer, BurnLocal
-	// the one of this instance alone.
-	Burn(ctx context.Context) (lynxapi.BurnReport, error)
-	BurnLocal(ctx context.Context) (lynxapi.BurnReport, error)
+	// the one of this instance alone. A window of 0 is the longest one.
+	Burn(ctx context.Context, window time.Duration) (lynxapi.BurnReport, error)
+	BurnLocal(ctx context.Context, window time.Duration) (lynxapi.BurnReport, error)
 
 	// Ready returns nil if the instance takes new requests, else the reason.
 	Ready() error
--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/go-kit/log"
 
@@ -23,10 +24,22 @@
 	Backend
 	changes []string
 	state   string
+	window  time.Duration
 	err     error
 }
 
-func (f *fakeBackend) note(parts ...string) { f.changes = append(f.changes, strings.Join(parts, " ")) }
+func (f *fakeBackend) note(parts ...string) {
+	f.changes = append(f.changes, strings.Join(parts, " "))
+}
+
+func (f *fakeBackend) Burn(_ context.Context, window time.Duration) (lynxapi.BurnReport, error) {
+	f.window = window
+	return lynxapi.BurnReport{}, nil
+}
+
+func (f *fakeBackend) BurnLocal(ctx context.Context, window time.Duration) (lynxapi.BurnReport, error) {
+	return f.Burn(ctx, window)
+}
 
 func (f *fakeBackend) Status(context.Context) (lynxapi.Status, error) {
 	return lynxapi.Status{Instance: "i1"}, f.err
@@ -205,6 +218,8 @@
 		{"PUT", "/v1/placements", `{"service":"s","models":[{"model":"m","version":"1","min":3,"max":2}]}`},
 		{"PUT", "/v1/placements", `{"service":"s","models":[],"roles":[{"role":"","engines":1}]}`},
 		{"PUT", "/v1/placements", `[]`},
+		{"GET", "/v1/report/burn?window=10", ""},
+		{"GET", "/v1/report/burn/local?window=-1m", ""},
 	}
 	for _, tt := range tests {
 		if got := kindOf(t, a.call(a.operator, tt.method, tt.path, tt.body)); got != "bad_request" {
@@ -216,6 +231,18 @@
 	}
 }
 
+func TestReportCoversTheWindowOfTheCall(t *testing.T) {
+	a := newAdmin(t, false)
+	for path, want := range map[string]time.Duration{
+		"/v1/report/burn": 0, "/v1/report/burn?window=10m": 10 * time.Minute, "/v1/report/burn/local?window=1m30s": 90 * time.Second,
+	} {
+		a.backend.window = -1
+		if code := a.call(a.operator, "GET", path, "").Code; code != 200 || a.backend.window != want {
+			t.Errorf("%s: status %d, window %v", path, code, a.backend.window)
+		}
+	}
+}
+
 func TestAChangeThatIsNotInForceIsAnsweredWith202(t *testing.T) {
 	a := newAdmin(t, false)
 	for state, want := range map[string]int{
--- a/internal/adminapi/operations.go
+++ b/internal/adminapi/operations.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"time"
 
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/httpserver"
@@ -17,8 +18,35 @@
 func (a *api) drains(c *call) (any, error)    { return a.backend.Drains(c.ctx) }
 func (a *api) limits(c *call) (any, error)    { return a.backend.Limits(c.ctx) }
 func (a *api) plans(c *call) (any, error)     { return a.backend.Plans(c.ctx) }
-func (a *api) burn(c *call) (any, error)      { return a.backend.Burn(c.ctx) }
-func (a *api) burnLocal(c *call) (any, error) { return a.backend.BurnLocal(c.ctx) }
+
+func (a *api) burn(c *call) (any, error) {
+	window, err := burnWindow(c)
+	if err != nil {
+		return nil, err
+	}
+	return a.backend.Burn(c.ctx, window)
+}
+
+func (a *api) burnLocal(c *call) (any, error) {
+	window, err := burnWindow(c)
+	if err != nil {
+		return nil, err
+	}
+	return a.backend.BurnLocal(c.ctx, window)
+}
+
+// burnWindow reads the window of a report, 0 if the call names none.
+func burnWindow(c *call) (time.Duration, error) {
+	text := c.query(lynxapi.ParamWindow)
+	if text == "" {
+		return 0, nil
+	}
+	window, err := time.ParseDuration(text)
+	if err != nil || window <= 0 {
+		return 0, errkind.New(errkind.BadRequest, "%s %q is not a duration above 0 with its unit, such as 10m", lynxapi.ParamWindow, text)
+	}
+	return window, nil
+}
 
 func (a *api) changeByID(c *call) (any, error) { return a.backend.Change(c.ctx, c.path("id")) }
 
--- a/internal/client/admin.go
+++ b/internal/client/admin.go
@@ -176,9 +176,17 @@
 	return put[lynxapi.ModelPlan](ctx, a, http.MethodPut, lynxapi.PathPlacements, plan)
 }
 
-// Burn returns the service-level report of all instances.
-func (a *Admin) Burn(ctx context.Context) (lynxapi.BurnReport, error) {
-	return get[lynxapi.BurnReport](ctx, a, lynxapi.PathBurn, nil)
+// Burn returns the service-level report of all instances over the longest
+// window that is kept.
+func (a *Admin) Burn(ctx context.Context) (lynxapi.BurnReport, error) { return a.BurnOver(ctx, 0) }
+
+// BurnOver is Burn over the window that ends now; 0 is the longest.
+func (a *Admin) BurnOver(ctx context.Context, window time.Duration) (lynxapi.BurnReport, error) {
+	var query url.Values
+	if window > 0 {
+		query = url.Values{lynxapi.ParamWindow: {window.String()}}
+	}
+	return get[lynxapi.BurnReport](ctx, a, lynxapi.PathBurn, query)
 }
 
 // NewestVersion returns the version of a profile, 0 if there is none.
--- a/internal/daemon/operations.go
+++ b/internal/daemon/operations.go
@@ -204,7 +204,7 @@
 }
 
 // Burn merges the reports of all instances that answer.
-func (o *operations) Burn(ctx context.Context) (lynxapi.BurnReport, error) {
+func (o *operations) Burn(ctx context.Context, window time.Duration) (lynxapi.BurnReport, error) {
 	ctx, cancel := context.WithTimeout(ctx, burnTimeout)
 	defer cancel()
 	ids := o.d.board.LiveMembers(o.d.id())
@@ -214,7 +214,7 @@
 	for i, id := range ids {
 		asking.Go(func() {
 			var err error
-			reports[i], err = o.burnOf(ctx, id)
+			reports[i], err = o.burnOf(ctx, id, window)
 			failed[i] = err != nil
 		})
 	}
@@ -222,11 +222,11 @@
 	return o.merge(ids, reports, failed), nil
 }
 
-func (o *operations) burnOf(ctx context.Context, id string) (lynxapi.BurnReport, error) {
+func (o *operations) burnOf(ctx context.Context, id string, window time.Duration) (lynxapi.BurnReport, error) {
 	if id == o.d.id() {
-		return o.BurnLocal(ctx)
+		return o.BurnLocal(ctx, window)
 	}
-	return o.d.peers.Burn(ctx, id, 0)
+	return o.d.peers.Burn(ctx, id, window)
 }
 
 func (o *operations) merge(ids []string, reports []lynxapi.BurnReport, failed []bool) lynxapi.BurnReport {
@@ -245,8 +245,8 @@
 }
 
 // BurnLocal is the report of this instance.
-func (o *operations) BurnLocal(context.Context) (lynxapi.BurnReport, error) {
-	return o.d.slo.Local(0), nil
+func (o *operations) BurnLocal(_ context.Context, window time.Duration) (lynxapi.BurnReport, error) {
+	return o.d.slo.Local(window), nil
 }
 
 // Ready tells whether the instance takes new requests.
--- a/internal/wire/lynxapi/admin.go
+++ b/internal/wire/lynxapi/admin.go
@@ -22,6 +22,10 @@
 	PathBurn            = "/v1/report/burn"             // GET: BurnReport
 	PathBurnLocal       = "/v1/report/burn/local"       // GET: BurnReport of this instance alone
 	PathMetrics         = "/debug/vars"
+
+	// ParamWindow is the query parameter of the reports for the time that they
+	// cover, such as "10m"; left out, the longest that is kept.
+	ParamWindow = "window"
 )
 
 // Profile states of a change.
