adminapi: Backend is called Operations

Change: adminapi.Operations, as its implementation in package daemon is called already. No behaviour changes.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -17,9 +17,9 @@
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
-// Backend carries out what operators ask, one method an operation. Errors have
+// Operations carries out what operators ask, one method an operation. Errors have
 // kinds. The argument operator is the name in the token.
-type Backend interface {
+type Operations interface {
 	Profiles(ctx context.Context) (lynxapi.ProfileList, error)
 	Profile(ctx context.Context, name string) (lynxapi.ProfileView, error)
 	SetProfile(ctx context.Context, operator, name string, req lynxapi.ChangeRequest) (lynxapi.ChangeReply, error)
@@ -52,13 +52,13 @@
 
 // Options of New.
 type Options struct {
-	Backend  Backend
-	Auth     *auth.Verifier
-	Logger   *event.Logger
-	Metrics  *metrics.Registry
-	Registry http.Handler // serves PathMetrics; nil = Metrics
-	Pprof    bool         // serve profiles of the process to operators
-	MaxBody  int64        // bytes; 0 = 1 MiB
+	Operations Operations
+	Auth       *auth.Verifier
+	Logger     *event.Logger
+	Metrics    *metrics.Registry
+	Registry   http.Handler // serves PathMetrics; nil = Metrics
+	Pprof      bool         // serve profiles of the process to operators
+	MaxBody    int64        // bytes; 0 = 1 MiB
 }
 
 const defaultMaxBody = 1 << 20
@@ -70,14 +70,14 @@
 )
 
 type api struct {
-	opts    Options
-	backend Backend
+	opts       Options
+	operations Operations
 }
 
 // New returns the handler of the admin listener.
 func New(opts Options) (http.Handler, error) {
-	if opts.Backend == nil || opts.Auth == nil {
-		return nil, errors.New("adminapi: Backend and Auth are required")
+	if opts.Operations == nil || opts.Auth == nil {
+		return nil, errors.New("adminapi: Operations and Auth are required")
 	}
 	if opts.Registry == nil {
 		opts.Registry = registryOf(opts.Metrics)
@@ -85,7 +85,7 @@
 	if opts.MaxBody <= 0 {
 		opts.MaxBody = defaultMaxBody
 	}
-	a := &api{opts: opts, backend: opts.Backend}
+	a := &api{opts: opts, operations: opts.Operations}
 	return httpserver.NewRouter(httpserver.RouterOptions{Routes: a.routes(), Logger: opts.Logger})
 }
 
@@ -128,7 +128,7 @@
 }
 
 func (a *api) ready(w http.ResponseWriter, _ *http.Request) {
-	if err := a.backend.Ready(); err != nil {
+	if err := a.operations.Ready(); err != nil {
 		httpserver.WriteError(w, err, "")
 		return
 	}
--- a/internal/adminapi/adminapi_test.go
+++ b/internal/adminapi/adminapi_test.go
@@ -19,81 +19,81 @@
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
-// fakeBackend records changes; what it does not override panics.
-type fakeBackend struct {
-	Backend
+// fakeOperations records changes; what it does not override panics.
+type fakeOperations struct {
+	Operations
 	changes []string
 	state   string
 	window  time.Duration
 	err     error
 }
 
-func (f *fakeBackend) note(parts ...string) {
+func (f *fakeOperations) note(parts ...string) {
 	f.changes = append(f.changes, strings.Join(parts, " "))
 }
 
-func (f *fakeBackend) Burn(_ context.Context, window time.Duration) (lynxapi.BurnReport, error) {
+func (f *fakeOperations) Burn(_ context.Context, window time.Duration) (lynxapi.BurnReport, error) {
 	f.window = window
 	return lynxapi.BurnReport{}, nil
 }
 
-func (f *fakeBackend) BurnLocal(ctx context.Context, window time.Duration) (lynxapi.BurnReport, error) {
+func (f *fakeOperations) BurnLocal(ctx context.Context, window time.Duration) (lynxapi.BurnReport, error) {
 	return f.Burn(ctx, window)
 }
 
-func (f *fakeBackend) Status(context.Context) (lynxapi.Status, error) {
+func (f *fakeOperations) Status(context.Context) (lynxapi.Status, error) {
 	return lynxapi.Status{Instance: "i1"}, f.err
 }
 
-func (f *fakeBackend) Profile(_ context.Context, name string) (lynxapi.ProfileView, error) {
+func (f *fakeOperations) Profile(_ context.Context, name string) (lynxapi.ProfileView, error) {
 	return lynxapi.ProfileView{Name: name}, f.err
 }
 
-func (f *fakeBackend) Change(_ context.Context, id string) (lynxapi.ChangeReply, error) {
+func (f *fakeOperations) Change(_ context.Context, id string) (lynxapi.ChangeReply, error) {
 	return lynxapi.ChangeReply{ChangeID: id, State: lynxapi.ChangeUnknown}, f.err
 }
 
-func (f *fakeBackend) SetProfile(_ context.Context, operator, name string, req lynxapi.ChangeRequest) (lynxapi.ChangeReply, error) {
+func (f *fakeOperations) SetProfile(_ context.Context, operator, name string, req lynxapi.ChangeRequest) (lynxapi.ChangeReply, error) {
 	f.note("set", operator, name, req.ChangeID)
 	return lynxapi.ChangeReply{State: f.state}, f.err
 }
 
-func (f *fakeBackend) DeleteProfile(_ context.Context, operator, name string, ifVersion uint64, changeID string) (lynxapi.ChangeReply, error) {
+func (f *fakeOperations) DeleteProfile(_ context.Context, operator, name string, ifVersion uint64, changeID string) (lynxapi.ChangeReply, error) {
 	f.note("delete", operator, name, changeID)
 	return lynxapi.ChangeReply{Version: ifVersion}, f.err
 }
 
-func (f *fakeBackend) Rollback(_ context.Context, operator, name string, req lynxapi.RollbackRequest) (lynxapi.ChangeReply, error) {
+func (f *fakeOperations) Rollback(_ context.Context, operator, name string, req lynxapi.RollbackRequest) (lynxapi.ChangeReply, error) {
 	f.note("rollback", operator, name, req.ChangeID)
 	return lynxapi.ChangeReply{}, f.err
 }
 
-func (f *fakeBackend) Drain(_ context.Context, operator string, req lynxapi.DrainRequest) (lynxapi.DrainView, error) {
+func (f *fakeOperations) Drain(_ context.Context, operator string, req lynxapi.DrainRequest) (lynxapi.DrainView, error) {
 	f.note("drain", operator, req.Subject)
 	return lynxapi.DrainView{Subject: req.Subject}, f.err
 }
 
-func (f *fakeBackend) Undrain(_ context.Context, operator, subject string) error {
+func (f *fakeOperations) Undrain(_ context.Context, operator, subject string) error {
 	f.note("undrain", operator, subject)
 	return f.err
 }
 
-func (f *fakeBackend) SetLimit(_ context.Context, operator string, limit lynxapi.OrganisationLimit) (lynxapi.OrganisationLimit, error) {
+func (f *fakeOperations) SetLimit(_ context.Context, operator string, limit lynxapi.OrganisationLimit) (lynxapi.OrganisationLimit, error) {
 	f.note("limit", operator, limit.Organisation)
 	return limit, f.err
 }
 
-func (f *fakeBackend) SetPlan(_ context.Context, operator string, plan lynxapi.ModelPlan) (lynxapi.ModelPlan, error) {
+func (f *fakeOperations) SetPlan(_ context.Context, operator string, plan lynxapi.ModelPlan) (lynxapi.ModelPlan, error) {
 	f.note("plan", operator, plan.Service)
 	return plan, f.err
 }
 
-func (f *fakeBackend) Ready() error { return f.err }
+func (f *fakeOperations) Ready() error { return f.err }
 
 // admin is the admin API with a token of each role.
 type admin struct {
 	t                *testing.T
-	backend          *fakeBackend
+	operations       *fakeOperations
 	handler          http.Handler
 	viewer, operator string
 	written          bytes.Buffer
@@ -101,7 +101,7 @@
 
 func newAdmin(t *testing.T, pprof bool) *admin {
 	t.Helper()
-	a := &admin{t: t, backend: &fakeBackend{state: lynxapi.ChangeAccepted}}
+	a := &admin{t: t, operations: &fakeOperations{state: lynxapi.ChangeAccepted}}
 	var viewerHash, operatorHash string
 	a.viewer, viewerHash = auth.NewToken()
 	a.operator, operatorHash = auth.NewToken()
@@ -112,7 +112,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	a.handler, err = New(Options{Backend: a.backend, Auth: verifier, Pprof: pprof,
+	a.handler, err = New(Options{Operations: a.operations, Auth: verifier, Pprof: pprof,
 		Logger: event.NewLogger(log.NewLogfmtLogger(&a.written)), Metrics: metrics.NewRegistry()})
 	if err != nil {
 		t.Fatal(err)
@@ -162,15 +162,15 @@
 			}
 		}
 	}
-	if len(a.backend.changes) != 0 {
-		t.Fatalf("refused calls changed something: %v", a.backend.changes)
+	if len(a.operations.changes) != 0 {
+		t.Fatalf("refused calls changed something: %v", a.operations.changes)
 	}
 	if n := strings.Count(a.written.String(), "operator_refused"); n == 0 {
 		t.Fatal("refused calls were not logged")
 	}
 }
 
-func TestChangesReachTheBackendAndTheAuditLog(t *testing.T) {
+func TestChangesReachTheOperationsAndTheAuditLog(t *testing.T) {
 	tests := []struct{ method, path, body, want string }{
 		{"PUT", "/v1/profiles/p", `{"profile":{"name":"p"},"change_id":"c1"}`, "set omar p c1"},
 		{"DELETE", "/v1/profiles/p?if_version=3&change_id=c2", "", "delete omar p c2"},
@@ -186,14 +186,14 @@
 			if answer := a.call(a.operator, tt.method, tt.path, tt.body); answer.Code != 200 {
 				t.Fatalf("%d %s", answer.Code, answer.Body)
 			}
-			if len(a.backend.changes) != 1 || a.backend.changes[0] != tt.want {
-				t.Fatalf("changes %v", a.backend.changes)
+			if len(a.operations.changes) != 1 || a.operations.changes[0] != tt.want {
+				t.Fatalf("changes %v", a.operations.changes)
 			}
 			audit := a.written.String()
 			if !strings.Contains(audit, "operator_changed") || !strings.Contains(audit, "operator=omar") || strings.Contains(audit, a.operator) {
 				t.Fatalf("audit %s", audit)
 			}
-			a.backend.err = errkind.New(errkind.ChangeUnknown, "no answer")
+			a.operations.err = errkind.New(errkind.ChangeUnknown, "no answer")
 			answer := a.call(a.operator, tt.method, tt.path, tt.body)
 			if kindOf(t, answer) != "change_unknown" || !strings.Contains(a.written.String(), "operator_failed") {
 				t.Fatalf("%d %s, audit %s", answer.Code, answer.Body, &a.written)
@@ -202,7 +202,7 @@
 	}
 }
 
-func TestFaultyChangesAreRefusedBeforeTheBackend(t *testing.T) {
+func TestFaultyChangesAreRefusedBeforeTheOperation(t *testing.T) {
 	a := newAdmin(t, false)
 	tests := []struct{ method, path, body string }{
 		{"PUT", "/v1/profiles/p", `{"profile":{"name":"q"},"change_id":"c"}`},
@@ -226,8 +226,8 @@
 			t.Errorf("%s %s %s: %s", tt.method, tt.path, tt.body, got)
 		}
 	}
-	if len(a.backend.changes) != 0 {
-		t.Fatalf("changes %v", a.backend.changes)
+	if len(a.operations.changes) != 0 {
+		t.Fatalf("changes %v", a.operations.changes)
 	}
 }
 
@@ -236,9 +236,9 @@
 	for path, want := range map[string]time.Duration{
 		"/v1/report/burn": 0, "/v1/report/burn?window=10m": 10 * time.Minute, "/v1/report/burn/local?window=1m30s": 90 * time.Second,
 	} {
-		a.backend.window = -1
-		if code := a.call(a.operator, "GET", path, "").Code; code != 200 || a.backend.window != want {
-			t.Errorf("%s: status %d, window %v", path, code, a.backend.window)
+		a.operations.window = -1
+		if code := a.call(a.operator, "GET", path, "").Code; code != 200 || a.operations.window != want {
+			t.Errorf("%s: status %d, window %v", path, code, a.operations.window)
 		}
 	}
 }
@@ -248,7 +248,7 @@
 	for state, want := range map[string]int{
 		lynxapi.ChangeAccepted: 200, lynxapi.ChangeDryRun: 200, lynxapi.ChangeWritten: 202, lynxapi.ChangeUnknown: 202,
 	} {
-		a.backend.state = state
+		a.operations.state = state
 		if got := a.call(a.operator, "PUT", "/v1/profiles/p", `{"profile":{"name":"p"},"change_id":"c"}`).Code; got != want {
 			t.Errorf("state %s: %d", state, got)
 		}
@@ -270,7 +270,7 @@
 			t.Errorf("%s: %d %s", path, answer.Code, answer.Body)
 		}
 	}
-	a.backend.err = errkind.New(errkind.Stopping, "stopping")
+	a.operations.err = errkind.New(errkind.Stopping, "stopping")
 	if got := kindOf(t, a.call("", "GET", "/readyz", "")); got != "stopping" {
 		t.Errorf("readyz of a stopping instance: %s", got)
 	}
--- a/internal/adminapi/operations.go
+++ b/internal/adminapi/operations.go
@@ -9,22 +9,22 @@
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
-func (a *api) profiles(c *call) (any, error)  { return a.backend.Profiles(c.ctx) }
-func (a *api) profile(c *call) (any, error)   { return a.backend.Profile(c.ctx, c.path("name")) }
-func (a *api) force(c *call) (any, error)     { return a.backend.Force(c.ctx, c.path("name")) }
-func (a *api) instances(c *call) (any, error) { return a.backend.Instances(c.ctx) }
-func (a *api) targets(c *call) (any, error)   { return a.backend.Targets(c.ctx) }
-func (a *api) status(c *call) (any, error)    { return a.backend.Status(c.ctx) }
-func (a *api) drains(c *call) (any, error)    { return a.backend.Drains(c.ctx) }
-func (a *api) limits(c *call) (any, error)    { return a.backend.Limits(c.ctx) }
-func (a *api) plans(c *call) (any, error)     { return a.backend.Plans(c.ctx) }
+func (a *api) profiles(c *call) (any, error)  { return a.operations.Profiles(c.ctx) }
+func (a *api) profile(c *call) (any, error)   { return a.operations.Profile(c.ctx, c.path("name")) }
+func (a *api) force(c *call) (any, error)     { return a.operations.Force(c.ctx, c.path("name")) }
+func (a *api) instances(c *call) (any, error) { return a.operations.Instances(c.ctx) }
+func (a *api) targets(c *call) (any, error)   { return a.operations.Targets(c.ctx) }
+func (a *api) status(c *call) (any, error)    { return a.operations.Status(c.ctx) }
+func (a *api) drains(c *call) (any, error)    { return a.operations.Drains(c.ctx) }
+func (a *api) limits(c *call) (any, error)    { return a.operations.Limits(c.ctx) }
+func (a *api) plans(c *call) (any, error)     { return a.operations.Plans(c.ctx) }
 
 func (a *api) burn(c *call) (any, error) {
 	window, err := burnWindow(c)
 	if err != nil {
 		return nil, err
 	}
-	return a.backend.Burn(c.ctx, window)
+	return a.operations.Burn(c.ctx, window)
 }
 
 func (a *api) burnLocal(c *call) (any, error) {
@@ -32,7 +32,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return a.backend.BurnLocal(c.ctx, window)
+	return a.operations.BurnLocal(c.ctx, window)
 }
 
 // burnWindow reads the window of a report, 0 if the call names none.
@@ -48,7 +48,7 @@
 	return window, nil
 }
 
-func (a *api) changeByID(c *call) (any, error) { return a.backend.Change(c.ctx, c.path("id")) }
+func (a *api) changeByID(c *call) (any, error) { return a.operations.Change(c.ctx, c.path("id")) }
 
 func (a *api) setProfile(c *call) (any, error) {
 	c.subject = c.path("name")
@@ -62,7 +62,7 @@
 	if err := checkChange(req.ChangeID, req.WaitMS); err != nil {
 		return nil, err
 	}
-	return a.backend.SetProfile(c.ctx, c.operator, c.subject, req)
+	return a.operations.SetProfile(c.ctx, c.operator, c.subject, req)
 }
 
 func (a *api) deleteProfile(c *call) (any, error) {
@@ -75,7 +75,7 @@
 	if err := checkChange(changeID, 0); err != nil {
 		return nil, err
 	}
-	return a.backend.DeleteProfile(c.ctx, c.operator, c.subject, ifVersion, changeID)
+	return a.operations.DeleteProfile(c.ctx, c.operator, c.subject, ifVersion, changeID)
 }
 
 func (a *api) rollback(c *call) (any, error) {
@@ -90,7 +90,7 @@
 	if err := checkChange(req.ChangeID, req.WaitMS); err != nil {
 		return nil, err
 	}
-	return a.backend.Rollback(c.ctx, c.operator, c.subject, req)
+	return a.operations.Rollback(c.ctx, c.operator, c.subject, req)
 }
 
 // checkChange insists on a change id: it is what tells, after a lost reply,
@@ -119,7 +119,7 @@
 	if err := checkName("subject", req.Subject); err != nil {
 		return nil, err
 	}
-	return a.backend.Drain(c.ctx, c.operator, req)
+	return a.operations.Drain(c.ctx, c.operator, req)
 }
 
 func (a *api) undrain(c *call) (any, error) {
@@ -127,7 +127,7 @@
 	if err := checkName("subject", c.subject); err != nil {
 		return nil, err
 	}
-	return struct{}{}, a.backend.Undrain(c.ctx, c.operator, c.subject)
+	return struct{}{}, a.operations.Undrain(c.ctx, c.operator, c.subject)
 }
 
 func (a *api) setLimit(c *call) (any, error) {
@@ -142,7 +142,7 @@
 	if limit.RatePerSecond < 0 || limit.Concurrent < 0 {
 		return nil, errkind.New(errkind.BadRequest, "a limit must not be negative; 0 means none")
 	}
-	return a.backend.SetLimit(c.ctx, c.operator, limit)
+	return a.operations.SetLimit(c.ctx, c.operator, limit)
 }
 
 func (a *api) setPlan(c *call) (any, error) {
@@ -164,7 +164,7 @@
 			return nil, errkind.New(errkind.BadRequest, "a role needs its name and engines, 0 or more")
 		}
 	}
-	return a.backend.SetPlan(c.ctx, c.operator, plan)
+	return a.operations.SetPlan(c.ctx, c.operator, plan)
 }
 
 func checkName(field, value string) error {
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -46,7 +46,7 @@
 	return "this instance cannot confirm its configuration"
 }
 
-// Ready implements callerapi.Handler and adminapi.Backend.
+// Ready implements callerapi.Handler and adminapi.Operations.
 func (d *Daemon) Ready() error {
 	self, _ := d.board.Self.Get(board.SelfRow)
 	switch {
--- a/internal/daemon/operations.go
+++ b/internal/daemon/operations.go
@@ -17,7 +17,7 @@
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
-// operations carries out what operators ask; it implements adminapi.Backend.
+// operations carries out what operators ask; it implements adminapi.Operations.
 type operations struct{ d *Daemon }
 
 // Profiles lists the profiles in force.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -50,7 +50,7 @@
 		return err
 	}
 	admin, err := adminapi.New(adminapi.Options{
-		Backend: &operations{d}, Auth: d.auth, Logger: d.logger, Metrics: d.metrics,
+		Operations: &operations{d}, Auth: d.auth, Logger: d.logger, Metrics: d.metrics,
 		Registry: d.metrics, Pprof: d.cfg.Debug.Pprof,
 	})
 	if err != nil {
