--- a/internal/bench/capacity_node.go
+++ b/internal/bench/capacity_node.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/daemon"
 	"lynxhill.example/lynxhill/internal/invariant"
 	"lynxhill.example/lynxhill/internal/standin/fleet"
@@ -28,7 +29,7 @@
 	}
 	c := &Cluster{
 		Fleet: deployment, Network: netfault.New(), Violations: &invariant.Collector{},
-		opts:    ClusterOptions{Fleet: options, Adjust: opts.Adjust, Seed: opts.Seed, Log: opts.Log},
+		opts:    ClusterOptions{Fleet: options, Adjust: adjustFrom(opts.Adjust), Seed: opts.Seed, Log: opts.Log},
 		callers: make(map[string]string),
 	}
 	c.makeTokens()
@@ -83,3 +84,14 @@
 	}
 	return sleep(ctx, time.Until(until))
 }
+
+// adjustFrom gives the instances the times of the default settings, which the
+// bench otherwise shortens, and then those of the run.
+func adjustFrom(adjust func(*config.Config)) func(*config.Config) {
+	return func(cfg *config.Config) {
+		cfg.Timings = config.Default().Timings
+		if adjust != nil {
+			adjust(cfg)
+		}
+	}
+}
