Digests carry no drains

Cause: gossip.Digest.Drains was filled and read by nobody: drains come with the configuration objects.

The sample of the test of all fields loses it with the field, and the capacity report its column.

--- a/internal/bench/capacity_sample.go
+++ b/internal/bench/capacity_sample.go
@@ -259,7 +259,6 @@
 		"usage":    {Usage: d.Usage},
 		"refusals": {Refusals: d.Refusals},
 		"burn":     {Burn: d.Burn},
-		"drains":   {Drains: d.Drains},
 		"total":    d,
 	}
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -15,7 +15,6 @@
 	Loads    []Load
 	Usage    []Usage
 	Refusals []Refusal
-	Drains   []Drain
 	Burn     []Burn
 	// Sums are checksums of the sender's membership rows by bucket, so that
 	// two instances find the rows on which they differ without sending all.
@@ -125,13 +124,6 @@
 	TTL         time.Duration
 }
 
-// Drain is an operator's order by the version of its object.
-type Drain struct {
-	Subject string
-	Version uint64
-	Active  bool
-}
-
 // Burn is a sender's own counts of a profile against its objective in one
 // window, so that reports need no store call a request.
 type Burn struct {
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -41,7 +41,6 @@
 		Loads:    mapped(d.Loads, loadToProto),
 		Usage:    mapped(d.Usage, usageToProto),
 		Refusals: mapped(d.Refusals, refusalToProto),
-		Drains:   mapped(d.Drains, drainToProto),
 		Burn:     mapped(d.Burn, burnToProto),
 		Sums:     d.Sums,
 		Config:   configToProto(d.Config),
@@ -56,7 +55,6 @@
 		Loads:    mapped(d.GetLoads(), loadFromProto),
 		Usage:    mapped(d.GetUsage(), usageFromProto),
 		Refusals: mapped(d.GetRefusals(), refusalFromProto),
-		Drains:   mapped(d.GetDrains(), drainFromProto),
 		Burn:     mapped(d.GetBurn(), burnFromProto),
 		Sums:     d.GetSums(),
 		Config:   configFromProto(d.GetConfig()),
@@ -199,14 +197,6 @@
 	return gossip.Refusal{Fingerprint: r.GetFingerprint(), Targets: r.GetTargets(), TTL: duration(r.GetTtlMs())}
 }
 
-func drainToProto(d gossip.Drain) *peerpb.Drain {
-	return &peerpb.Drain{Subject: d.Subject, Version: d.Version, Active: d.Active}
-}
-
-func drainFromProto(d *peerpb.Drain) gossip.Drain {
-	return gossip.Drain{Subject: d.GetSubject(), Version: d.GetVersion(), Active: d.GetActive()}
-}
-
 func burnToProto(b gossip.Burn) *peerpb.Burn {
 	return &peerpb.Burn{Profile: b.Profile, Window: b.Window, Total: b.Total, Missed: b.Missed}
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -48,7 +48,6 @@
 			ModelsKnown: true, Models: []gossip.LoadedModel{{Model: "m", Version: "1", Adapters: []string{"x"}, Ready: true}}, Role: "decode"}},
 		Usage:    []gossip.Usage{{Organisation: "o", RatePerSecond: 1.5, InFlight: 2}},
 		Refusals: []gossip.Refusal{{Fingerprint: "f", Targets: []string{"t"}, TTL: time.Second}},
-		Drains:   []gossip.Drain{{Subject: "place/lac-a", Version: 3, Active: true}},
 		Burn:     []gossip.Burn{{Profile: "p", Window: 60, Total: 2, Missed: 1}},
 		Sums:     []uint32{1, 2},
 		Config:   gossip.Config{Confirmed: true, ConfirmAge: time.Second, Serving: true, Loaded: true, Heard: []gossip.Heard{{Member: 5, Age: time.Second}}},
