Requests that may be repeated are not forwarded to their ticket's home

Symptom: in the experiment of a frozen instance during an outage of the store, reads ended at their deadline with the broken connection of their first attempt. Cause: while the store is down callers make all keys under tickets. A resend of a read was forwarded to the frozen home, although a ticket matters only for a stage that may run once. Change: only profiles with such a stage are forwarded. The new test fails without the change.

--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -70,8 +70,8 @@
 // New returns a server.
 func New(opts Options) *Server { return &Server{opts: opts} }
 
-// Serve runs the request, here or at the instance whose ticket its key was
-// minted under, and delivers the answer to sink or in the outcome. Errors have
+// Serve runs the request, here or, if it has a stage that may run once, at the
+// instance whose ticket its key was minted under, and delivers the answer to sink or in the outcome. Errors have
 // kinds. A zero or later Deadline than the profile's is replaced by that.
 func (s *Server) Serve(ctx context.Context, req pipeline.Request, sink pipeline.Sink) (pipeline.Outcome, error) {
 	prof, err := s.profileOf(req)
@@ -79,7 +79,7 @@
 		return pipeline.Outcome{}, err
 	}
 	req.Deadline = deadlineOf(req, prof)
-	if home, remote := s.remoteHome(req); remote {
+	if home, remote := s.remoteHome(req); remote && runsOnce(prof) != "" {
 		return s.forward(ctx, home, req, sink)
 	}
 	return s.serveUntilLost(ctx, req, prof, sink)
@@ -157,7 +157,8 @@
 }
 
 // remoteHome returns the instance under whose ticket the key was minted, if it
-// is another one.
+// is another one. Requests that may be repeated need not go there: a frozen
+// home would keep them until their deadline for nothing.
 func (s *Server) remoteHome(req pipeline.Request) (string, bool) {
 	ticket, ok := claim.TicketOf(req.Key)
 	if !ok {
@@ -179,13 +180,22 @@
 	if _, ticketed := claim.TicketOf(req.Key); ticketed || s.opts.ClaimsUp() {
 		return nil
 	}
+	if stage := runsOnce(prof); stage != "" {
+		err := errkind.New(errkind.StoreUnavailable, "the store that keeps stage %s from running twice is down; nothing was started", stage)
+		return errkind.WithRetryAfter(err, retryAfterOutage)
+	}
+	return nil
+}
+
+// runsOnce returns the first stage that may not be repeated, "" if there is
+// none.
+func runsOnce(prof profile.Versioned) string {
 	for _, stage := range prof.Profile.Stages {
 		if !stage.Idempotent {
-			err := errkind.New(errkind.StoreUnavailable, "the store that keeps stage %s from running twice is down; nothing was started", stage.Name)
-			return errkind.WithRetryAfter(err, retryAfterOutage)
+			return stage.Name
 		}
 	}
-	return nil
+	return ""
 }
 
 func (s *Server) serveHere(ctx context.Context, req pipeline.Request, prof profile.Versioned, sink pipeline.Sink) (pipeline.Outcome, error) {
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -75,6 +75,22 @@
 	f.door.check(0, 0)
 }
 
+// The symptom would be a read that waits out its deadline. Events: the store is
+// down, so that callers make keys under tickets; an instance freezes, and its
+// callers send their reads again elsewhere, which forwards them to the frozen
+// one. Cause: a ticket says only where a stage that may run once has run.
+func TestRequestsThatMayBeRepeatedAreNotForwarded(t *testing.T) {
+	f := newFixture(t)
+	req := request("read")
+	req.Key = ticketed("other")
+	if err := f.serveOnce(t, req); err != nil {
+		t.Error(err)
+	}
+	if len(f.forward.homes) != 0 || f.runner.count() != 1 {
+		t.Errorf("forwarded to %v, %d runs here", f.forward.homes, f.runner.count())
+	}
+}
+
 // The symptom would be a request that two instances send round between them
 // until its deadline. Cause: they disagree about a ticket's issuer.
 func TestForwardedRequestsAreNotForwardedAgain(t *testing.T) {
@@ -117,7 +133,7 @@
 	} {
 		for _, key := range []string{"here", ticketed("other")} {
 			f := newFixture(t)
-			req := request("read")
+			req := request("book")
 			req.Key, req.Received, req.Deadline = key, received, row.asked
 			if err := f.serveOnce(t, req); err != nil {
 				t.Fatal(err)
