The question for an outcome does not wait out an outage

Cause: a caller whose connection broke or went silent asks another instance for the outcome of its key; that one looks the key up in the store, without a limit of its own, or asks the holder of the claim, which was frozen. The caller's deadline passed over the question, and it ended with the broken connection. Change: the question is bounded to 500 ms. The caller then sends its request again and gets an answer of its own kind: the result, or outcome_unknown.

--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/callerapi"
@@ -67,12 +68,21 @@
 	if d.outcomes.Running(key) {
 		return lynxapi.OutcomeReply{Key: key.Key, State: lynxapi.OutcomeRunning}, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, outcomeWait)
+	defer cancel()
 	if reply, found, err := d.claimedOutcome(ctx, key); found || err != nil {
 		return reply, err
 	}
 	return lynxapi.OutcomeReply{Key: key.Key, State: lynxapi.OutcomeNoRecord}, nil
 }
 
+// outcomeWait bounds a question that the store or the holder of a claim has to
+// answer. During an outage, or when the holder is frozen, there is no answer,
+// and the caller would spend the rest of its deadline on the question and end
+// with the broken connection that made it ask. Told after a part of a short
+// deadline, it can send the request again, and gets an answer of its own kind.
+const outcomeWait = 500 * time.Millisecond
+
 // claimedOutcome looks the key up under every stage that is claimed.
 func (d *Daemon) claimedOutcome(ctx context.Context, key outcome.Key) (lynxapi.OutcomeReply, bool, error) {
 	for _, stage := range d.claimedStages() {
