Gate: leaving marks by board.Target.MarkLeaving; the unused way for load reports is gone

Cause: the gate marked targets as leaving by itself, without the moment of the sign, so that a refusal sent before a target was live again marked it anew. ObserveLoad had no caller but tests; the load view takes reports. Change: MarkLeaving with the begin of the refused call as the sign; ObserveLoad removed.

--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -17,7 +17,7 @@
 		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
 			r := newRig(n, GateLimits{})
 			for id := range r.board.Targets.Snapshot() {
-				r.gate.ObserveLoad(targetapi.LoadReport{Target: id, Seq: 1, Slots: 8, Running: 3, MeanMS: 100})
+				r.report(targetapi.LoadReport{Target: id, Seq: 1, Slots: 8, Running: 3, MeanMS: 100})
 			}
 			want := wantOf("a", time.Time{})
 			b.ReportAllocs()
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -13,7 +13,6 @@
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/routing"
-	"lynxhill.example/lynxhill/internal/wire/targetapi"
 )
 
 var (
@@ -245,38 +244,16 @@
 	return n
 }
 
-// ObserveLoad writes a load report that rode on a response to the board,
-// unless a later one is there. A report without models keeps those known.
-func (g *ServiceGate) ObserveLoad(report targetapi.LoadReport) {
-	now := g.options.Clock.Now()
-	at := time.UnixMilli(report.AtMS)
-	if report.AtMS == 0 || at.After(now) {
-		at = now
-	}
-	g.options.Board.Loads.Update(report.Target, func(old board.Load, found bool) (board.Load, bool) {
-		if found && report.Seq <= old.Report.Seq && report.AtMS <= old.Report.AtMS {
-			return old, false
-		}
-		if len(report.Models) == 0 {
-			report.Models = old.Report.Models
-		}
-		return board.Load{Report: report, Received: now, At: at}, true
-	})
-	if report.Leaving {
-		g.markLeaving(report.Target)
-	}
-}
-
 // markLeaving writes the first sign that a target is leaving to the board, so
-// that all of the instance leaves it out of choice.
-func (g *ServiceGate) markLeaving(id string) {
-	now := g.options.Clock.Now()
+// that all of the instance leaves it out of choice. The sign is as old as the
+// call at least: one that was sent before the target was known to be live again
+// says nothing of now.
+func (g *ServiceGate) markLeaving(id string, sent time.Time) {
 	marked := g.options.Board.Targets.Update(id, func(old board.Target, found bool) (board.Target, bool) {
-		if !found || old.Leaving {
+		if !found {
 			return old, false
 		}
-		old.Leaving, old.LeavingSince = true, now
-		return old, true
+		return old.MarkLeaving(sent, g.options.Clock.Now())
 	})
 	if marked {
 		g.options.Logger.Log(event.AdmissionTargetLeaving, "target", id)
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -46,6 +46,12 @@
 	r.board.Targets.Put(id, board.Target{ID: id, Service: "pool", Kind: profile.KindGenerate, Place: "a", Region: "r"})
 }
 
+// report puts a load report on the board, as the load view does.
+func (r *rig) report(report targetapi.LoadReport) {
+	now := r.gate.options.Clock.Now()
+	r.board.Loads.Put(report.Target, board.Load{Report: report, Received: now, At: now})
+}
+
 func wantOf(organisation string, deadline time.Time) Want {
 	stage := profile.Stage{
 		Name:       "draft",
@@ -138,22 +144,24 @@
 	})
 }
 
-func TestObserveLoad(t *testing.T) {
+// Symptom: a target that comes back stays left out, because of a refusal that
+// was sent before it came back. Events: calls are refused as leaving; the target
+// is live again; a late refusal arrives.
+func TestRefusalAsLeavingMarksTheTarget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(1, GateLimits{})
-		at := time.Now().UnixMilli()
-		r.gate.ObserveLoad(targetapi.LoadReport{Target: "t000", Seq: 2, AtMS: at, Running: 3, Models: []targetapi.LoadedModel{{Model: "m"}}})
-		r.gate.ObserveLoad(targetapi.LoadReport{Target: "t000", Seq: 1, AtMS: at - 10, Running: 9})
-		if load, _ := r.board.Loads.Get("t000"); load.Report.Running != 3 {
-			t.Errorf("an earlier report took the place of a later one: %+v", load.Report)
-		}
-		r.gate.ObserveLoad(targetapi.LoadReport{Target: "t000", Seq: 3, AtMS: at + 10, Running: 4, Leaving: true})
-		load, _ := r.board.Loads.Get("t000")
-		if load.Report.Running != 4 || len(load.Report.Models) != 1 {
-			t.Errorf("load %+v, want the third report with the models of the first", load.Report)
-		}
-		if target, _ := r.board.Targets.Get("t000"); !target.Leaving {
-			t.Error("a report of leaving did not mark the target")
+		early, late := acquire(t, r.gate, wantOf("a", time.Time{})), acquire(t, r.gate, wantOf("a", time.Time{}))
+		time.Sleep(time.Second)
+		early.Done(Result{Refused: true, Leaving: true})
+		target, _ := r.board.Targets.Get("t000")
+		if !target.Leaving || !target.LeavingSince.Equal(time.Now()) || !target.Sign().Equal(time.Now().Add(-time.Second)) {
+			t.Errorf("after a refusal as leaving: %+v", target)
+		}
+		target.Leaving, target.LiveSince = false, time.Now()
+		r.board.Targets.Put("t000", target)
+		late.Done(Result{Refused: true, Leaving: true})
+		if target, _ = r.board.Targets.Get("t000"); target.Leaving {
+			t.Error("a refusal sent before the target was live again marked it")
 		}
 	})
 }
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -159,7 +159,7 @@
 	case 5, 6, 7:
 		k.r.addTarget(id)
 	default:
-		k.r.gate.ObserveLoad(targetapi.LoadReport{Target: id, Seq: uint64(i + 1), Running: k.rand.IntN(9), Slots: 1 + k.rand.IntN(soakMaxLimit), MeanMS: 75})
+		k.r.report(targetapi.LoadReport{Target: id, Seq: uint64(i + 1), Running: k.rand.IntN(9), Slots: 1 + k.rand.IntN(soakMaxLimit), MeanMS: 75})
 	}
 }
 
--- a/internal/admission/slot.go
+++ b/internal/admission/slot.go
@@ -81,7 +81,7 @@
 	s.pump()
 	s.unlock()
 	if r.Leaving {
-		s.gate.markLeaving(done.choice.Target.ID)
+		s.gate.markLeaving(done.choice.Target.ID, done.began)
 	}
 }
 
