Bench: a restart of all instances keeps their addresses

Cause: restart_all started every instance at a new port. Callers know the addresses that they were given at first and those of their last address answer; all were gone at once, which says nothing of lynxhill. Change: an instance's caller port is reserved (as a stand-in's is); a replacement gets a new one, a restart keeps it. The rest is not mended: no instance runs for 3 s, since the bench waits for the killed ones to end, callers stop after 8 attempts (2.1 s), and the shortest deadline is 1 s.

--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -21,6 +21,7 @@
 	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/routing"
 	"lynxhill.example/lynxhill/internal/standin/fleet"
+	"lynxhill.example/lynxhill/internal/standin/loopback"
 	"lynxhill.example/lynxhill/internal/standin/netfault"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
@@ -56,6 +57,7 @@
 
 	mu        sync.Mutex // guards what follows
 	instances []*Instance
+	ports     map[int]*loopback.Port // callers' addresses, by instance
 	profiles  []profile.Profile
 }
 
@@ -74,7 +76,7 @@
 	}
 	c := &Cluster{
 		Fleet: deployment, Network: network, Violations: &invariant.Collector{},
-		opts: opts, callers: make(map[string]string),
+		opts: opts, callers: make(map[string]string), ports: make(map[int]*loopback.Port),
 	}
 	c.makeTokens()
 	for i := range opts.Instances {
@@ -111,6 +113,9 @@
 		ending.Go(func() { c.KillInstance(i) })
 	}
 	ending.Wait()
+	for _, port := range c.ports {
+		port.Release()
+	}
 	c.Fleet.Close()
 	c.Network.Close()
 }
--- a/internal/bench/instance.go
+++ b/internal/bench/instance.go
@@ -8,6 +8,7 @@
 
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/daemon"
+	"lynxhill.example/lynxhill/internal/standin/loopback"
 	"lynxhill.example/lynxhill/internal/standin/netfault"
 )
 
@@ -56,9 +57,41 @@
 // about a second old, and the seconds that an experiment lasts.
 const benchFenceAfter = 4 * time.Second
 
-// StartInstance starts the i-th instance, or starts it again.
+// StartInstance starts the i-th instance, or its replacement, at an address
+// that no instance had before.
 func (c *Cluster) StartInstance(i int) (*Instance, error) {
+	port, err := loopback.ReservePort()
+	if err != nil {
+		return nil, err
+	}
+	c.setPort(i, port)
+	return c.startAt(i, port.Addr())
+}
+
+// RestartInstance starts the i-th instance again at the address that it had,
+// as the supervisor of its machine does with a process that has died.
+func (c *Cluster) RestartInstance(i int) (*Instance, error) {
+	return c.startAt(i, c.portOf(i).Addr())
+}
+
+func (c *Cluster) setPort(i int, port *loopback.Port) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.ports[i]; old != nil {
+		old.Release()
+	}
+	c.ports[i] = port
+}
+
+func (c *Cluster) portOf(i int) *loopback.Port {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ports[i]
+}
+
+func (c *Cluster) startAt(i int, callerAddr string) (*Instance, error) {
 	cfg := c.settings(i)
+	cfg.Listen.Caller = callerAddr
 	id := cfg.Instance.ID
 	c.Network.Revive(id)
 	c.Network.SetPlace(id, cfg.Instance.Place)
