--- a/internal/control/profilesync/fence.go
+++ b/internal/control/profilesync/fence.go
@@ -34,6 +34,7 @@
 	known       map[string]bool          // instances that count for a majority, without self
 	left        map[string]uint64        // incarnation of instances that announced their leaving
 	hasOthers   bool                     // the instance list shows others, whether or not they were met
+	met         bool                     // others were known in this life
 	lastTick    time.Duration
 	wokeAt      time.Duration
 	loaded      bool // the configuration was current at least once
@@ -158,7 +159,7 @@
 // never met another counts as alone only if the instance list agrees.
 func (f *fence) majoritySince(since time.Duration) bool {
 	if len(f.known) == 0 {
-		return !f.hasOthers
+		return f.met || !f.hasOthers // those that were met have left
 	}
 	count := 1
 	for id := range f.known {
@@ -187,6 +188,7 @@
 			f.known[id] = true
 		}
 	}
+	f.met = f.met || len(f.known) > 0
 	for id := range f.left {
 		if _, listed := members[id]; !listed {
 			delete(f.left, id)
--- a/internal/control/profilesync/isolation_test.go
+++ b/internal/control/profilesync/isolation_test.go
@@ -176,3 +176,45 @@
 		}
 	})
 }
+
+// Symptom: an instance that had just started confirmed itself on waking from a
+// pause. Events: it had loaded its configuration from a peer and was paused
+// before its next check; the instance list lagged. Cause: it counted as alone
+// until the check took in its members.
+func TestPauseRightAfterTheStartIsConfirmedByOthers(t *testing.T) {
+	settled(t, 4, func(f *fleet) {
+		n := f.nodes[3]
+		f.crash(3)
+		f.start(3)
+		f.until(10*time.Second, "serves", n.serves)
+		f.net.Pause(n.addr)
+		time.Sleep(10 * time.Second)
+		f.net.Resume(n.addr)
+		if n.serves() {
+			f.t.Error("serves on waking")
+		}
+		f.until(10*time.Second, "serves again", n.serves)
+	})
+}
+
+// Symptom: the last instance of a deployment refused all work when the store
+// went away. Events: it had been started beside another one, which was stopped
+// in order. Cause: what the instance list had shown at the start still counted.
+func TestLastInstanceServesWithoutTheStore(t *testing.T) {
+	settled(t, 2, func(f *fleet) {
+		f.set(0, "check", 1, 0, "c1", time.Minute)
+		f.crash(1)
+		f.start(1) // its first reading of the list shows the other one
+		f.until(10*time.Second, "serves", f.nodes[1].serves)
+		f.nodes[0].members.Leave(context.Background())
+		time.Sleep(2 * time.Second)
+		f.crash(0)
+		f.store.RemoveInstance(f.nodes[0].id)
+		time.Sleep(15 * time.Minute)
+		f.outage(true)
+		time.Sleep(10 * time.Minute)
+		if !f.nodes[1].serves() {
+			f.t.Error("takes no work")
+		}
+	})
+}
--- a/internal/control/profilesync/part.go
+++ b/internal/control/profilesync/part.go
@@ -39,6 +39,11 @@
 
 // Absorb implements gossip.Part.
 func (m *Manager) Absorb(d gossip.Digest) {
+	if !m.fence.metAnyone() {
+		// The check by a period may be a quarter of a second away; until then
+		// this instance would count as alone, and confirm itself after a pause.
+		m.fence.learn(m.o.Board.Members.Snapshot(), m.o.Boot.SinceBoot())
+	}
 	m.look(false)
 	started := m.o.Boot.SinceBoot() - d.Transit
 	held := true
