Pace tests: held frames are released, one late frame is no straggler

Breaking the release of held frames and the check of the pace by hand showed that no test held them; both do now. Found by breaking each new mechanism once; one break is still not caught: that a byte on the old connection during the comparison clears it of silence.

--- a/internal/pipeline/pace_test.go
+++ b/internal/pipeline/pace_test.go
@@ -1,11 +1,13 @@
 package pipeline
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/admission"
+	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/stagecall"
 	"lynxhill.example/lynxhill/internal/stagecall/memtarget"
@@ -41,6 +43,7 @@
 		{"the rest comes from another target", []memtarget.Plan{slow}, false, 2, true, 400 * time.Millisecond},
 		{"no other target has room: the straggler's frames are all taken", []memtarget.Plan{slow}, true, 1, false, 6 * time.Second},
 		{"the other target breaks off before its first frame", []memtarget.Plan{slow, {Fault: memtarget.LostReply}}, false, 3, true, time.Second},
+		{"the other target breaks off after frames of the straggler were held back", []memtarget.Plan{slow, {Fault: memtarget.LostReply, Service: 6 * time.Second}}, false, 3, true, time.Second},
 		{"the straggler breaks while the other has not begun", []memtarget.Plan{{Fault: memtarget.LostReply, Slow: 100}, slower}, false, 3, true, 2 * time.Second},
 		{"each of the others is as slow: moves are bounded", []memtarget.Plan{slow, slow, slow}, false, 3, true, 6 * time.Second},
 	}
@@ -112,3 +115,64 @@
 		}
 	})
 }
+
+// Symptom: the end of an answer is missing. Events: a move is under way and the
+// straggler's last frames are held back; the straggler ends before the other
+// target has begun. Cause: what was held back is dropped.
+func TestStragglerEndsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		slow := memtarget.Plan{Fault: memtarget.Straggle, Slow: 15} // frames at 250, 500 and 750 ms
+		w := newWorld(memtarget.Options{Frames: 3, Plan: planInTurn(slow, memtarget.Plan{Service: 1450 * time.Millisecond})})
+		w.gate.timeouts.Usual = admission.Usual{FirstByte: 3 * time.Millisecond, PerToken: 2500 * time.Microsecond, Tokens: 20}
+		req := w.request("draft", "k")
+		sink := new(recorder)
+		out, err := w.runner.Run(t.Context(), req, sink)
+		if err != nil || sink.text != wholeDraft(req) || out.Length != len(sink.text) {
+			t.Errorf("got %q, %v", sink.text, err)
+		}
+		if n := len(w.runsOf(stageDraft)); n != 2 || len(sink.offsets) < 3 {
+			t.Errorf("%d runs, frames %v: want a move that came too late", n, sink.offsets)
+		}
+		w.noViolations(t)
+	})
+}
+
+// stallingCaller streams tokens at an even pace with one pause among them.
+type stallingCaller struct {
+	stagecall.Caller
+	clock clock.Clock
+}
+
+func (c stallingCaller) Run(ctx context.Context, target stagecall.Target, req targetapi.RunRequest, opts stagecall.Options, onFrame func(targetapi.Frame) error) (stagecall.Result, error) {
+	if !req.Stream {
+		return c.Caller.Run(ctx, target, req, opts, onFrame)
+	}
+	const frames, stallAt = 20, 10
+	for i := range frames {
+		pause := 10 * time.Millisecond
+		if i == stallAt {
+			pause = 90 * time.Millisecond
+		}
+		<-c.clock.NewTimer(pause).C
+		frame := targetapi.Frame{RequestID: req.RequestID, AttemptID: req.AttemptID, Offset: i, Text: "w", Tokens: 1}
+		if err := onFrame(frame); err != nil {
+			return stagecall.Result{}, err
+		}
+	}
+	return stagecall.Result{Length: frames, Tokens: frames}, nil
+}
+
+// One late frame of a stream that was fast does not make its target a straggler.
+func TestOneLateFrameIsNoStraggler(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(memtarget.Options{})
+		w.runner.opts.Caller = stallingCaller{Caller: w.fleet, clock: w.clock}
+		w.gate.timeouts.Usual = admission.Usual{FirstByte: 20 * time.Millisecond, PerToken: 20 * time.Millisecond, Tokens: 400}
+		if _, err := w.runner.Run(t.Context(), w.request("draft", "k"), new(recorder)); err != nil {
+			t.Fatal(err)
+		}
+		if len(w.gate.paces) != 0 {
+			t.Errorf("paces told: %v", w.gate.paces)
+		}
+	})
+}
