--- a/internal/admission/budget.go
+++ b/internal/admission/budget.go
@@ -2,7 +2,11 @@
 
 import "time"
 
-const budgetSlices = 10
+const (
+	budgetSlices = 10
+	// hedgePart is the part of the budget that hedges may use.
+	hedgePart = 0.5
+)
 
 // repeatBudget grants repeats as a share of the first attempts of a sliding
 // window. Without it, a slow service gets twice or thrice its load just when
@@ -12,7 +16,8 @@
 	at     int64 // number of the newest slice
 }
 
-type budgetSlice struct{ first, repeats, faults int }
+// budgetSlice counts hedges in repeats too.
+type budgetSlice struct{ first, repeats, hedges, faults int }
 
 func (b *repeatBudget) advance(now time.Time, window time.Duration) {
 	number := now.UnixNano() / max(int64(window)/budgetSlices, 1)
@@ -30,13 +35,14 @@
 	return &b.slices[b.at%budgetSlices]
 }
 
-func (b *repeatBudget) totals() (first, repeats, faults int) {
+func (b *repeatBudget) totals() (total budgetSlice) {
 	for _, s := range b.slices {
-		first += s.first
-		repeats += s.repeats
-		faults += s.faults
+		total.first += s.first
+		total.repeats += s.repeats
+		total.hedges += s.hedges
+		total.faults += s.faults
 	}
-	return first, repeats, faults
+	return total
 }
 
 func (b *repeatBudget) countFirst(now time.Time, l *GateLimits) {
@@ -47,14 +53,28 @@
 // takeRepeat counts a repeat if the budget has room for it.
 func (b *repeatBudget) takeRepeat(now time.Time, l *GateLimits) bool {
 	b.advance(now, l.RepeatWindow)
-	first, repeats, _ := b.totals()
-	if float64(repeats+1) > max(float64(l.RepeatMin), l.RepeatShare*float64(first)) {
+	total := b.totals()
+	if float64(total.repeats+1) > max(float64(l.RepeatMin), l.RepeatShare*float64(total.first)) {
 		return false
 	}
 	b.current().repeats++
 	return true
 }
 
+// takeHedge counts a hedge, of which the budget holds half at most. When
+// everything is a little slow, hedges would otherwise use up all of it, and a
+// call whose reply was lost could not be made again: it would wait out its
+// deadline.
+func (b *repeatBudget) takeHedge(now time.Time, l *GateLimits) bool {
+	b.advance(now, l.RepeatWindow)
+	total := b.totals()
+	if float64(total.hedges+1) > hedgePart*max(float64(l.RepeatMin), l.RepeatShare*float64(total.first)) || !b.takeRepeat(now, l) {
+		return false
+	}
+	b.current().hedges++
+	return true
+}
+
 // takeFault counts a repeat after a fault that is not load. When the
 // connections of half a service are lost at once, as many calls have to be made
 // again, once each; that does not grow with the load as repeats after timeouts
@@ -62,8 +82,8 @@
 // that breaks every call would double the load.
 func (b *repeatBudget) takeFault(now time.Time, l *GateLimits) bool {
 	b.advance(now, l.RepeatWindow)
-	first, _, faults := b.totals()
-	if float64(faults+1) > max(float64(l.FaultMin), l.FaultShare*float64(first)) {
+	total := b.totals()
+	if float64(total.faults+1) > max(float64(l.FaultMin), l.FaultShare*float64(total.first)) {
 		return false
 	}
 	b.current().faults++
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -193,12 +193,12 @@
 // Each kind has its own bound.
 func TestFaultsHaveTheirOwnBudget(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := newRig(12, GateLimits{RepeatMin: 3, FaultMin: 5, MaxLimit: 256})
-		granted := func(fault bool) int {
+		r := newRig(12, GateLimits{RepeatMin: 6, FaultMin: 5, MaxLimit: 256})
+		granted := func(fault, hedge bool) int {
 			n := 0
 			for range 20 {
 				w := wantOf("a", time.Time{})
-				w.Repeat, w.Fault, w.NoWait = true, fault, true
+				w.Repeat, w.Fault, w.NoWait = true, fault, hedge
 				if s, err := r.gate.Acquire(t.Context(), w); err == nil {
 					s.Done(Result{OK: true, Duration: time.Millisecond})
 					n++
@@ -206,10 +206,13 @@
 			}
 			return n
 		}
-		if got := granted(false); got != 3 {
-			t.Errorf("%d repeats granted, want 3", got)
+		if got := granted(false, true); got != 3 {
+			t.Errorf("%d hedges granted, want half of the budget, 3", got)
 		}
-		if got := granted(true); got != 5 {
+		if got := granted(false, false); got != 3 {
+			t.Errorf("%d repeats granted after the hedges, want the other 3", got)
+		}
+		if got := granted(true, true); got != 5 {
 			t.Errorf("%d repeats after faults granted, want 5", got)
 		}
 	})
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -245,8 +245,11 @@
 		return nil
 	}
 	take := s.budget.takeRepeat
-	if want.Fault {
+	switch {
+	case want.Fault:
 		take = s.budget.takeFault
+	case want.NoWait:
+		take = s.budget.takeHedge
 	}
 	if take(s.now, s.limits) {
 		return nil
