config_isolated is 1 while the configuration is unconfirmed too

Cause: the metric said whether an instance takes no new work because it cannot confirm its configuration, and left out the time since its start or a pause, in which it refuses as isolated as well.

Change: the metric asks MayServe when it is read, so that it is true on waking too. The event tells the two apart, as before.

--- a/internal/control/profilesync/isolation_test.go
+++ b/internal/control/profilesync/isolation_test.go
@@ -8,6 +8,7 @@
 
 	"lynxhill.example/lynxhill/internal/control/profilesync"
 	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/store/memstore"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
@@ -177,6 +178,36 @@
 	})
 }
 
+// Symptom: a new instance refused all work as isolated while its metric
+// config_isolated was 0. Cause: the metric left out the time before the
+// configuration is confirmed.
+func TestIsolatedMetricCoversTheUnconfirmed(t *testing.T) {
+	settled(t, 4, func(f *fleet) {
+		registry := metrics.NewRegistry()
+		n := f.nodes[3]
+		f.options.Metrics = registry
+		f.crash(3)
+		f.start(3)
+		shown := func() string { return registry.Value(metrics.Definition{Name: "config_isolated"}) }
+		if v := shown(); v != "1" {
+			f.t.Errorf("%s at the start", v)
+		}
+		f.until(10*time.Second, "serves", n.serves)
+		if v := shown(); v != "0" {
+			f.t.Errorf("%s while it serves", v)
+		}
+		f.net.Pause(n.addr)
+		time.Sleep(10 * time.Second)
+		f.net.Resume(n.addr)
+		if v := shown(); v != "1" {
+			f.t.Errorf("%s on waking", v)
+		}
+		f.until(10*time.Second, "serves again", n.serves)
+		f.cutOff([]int{3})
+		f.until(30*time.Second, "isolated", func() bool { return shown() == "1" })
+	})
+}
+
 // Symptom: an instance that had just started confirmed itself on waking from a
 // pause. Events: it had loaded its configuration from a peer and was paused
 // before its next check; the instance list lagged. Cause: it counted as alone
--- a/internal/control/profilesync/options.go
+++ b/internal/control/profilesync/options.go
@@ -102,7 +102,7 @@
 var (
 	metricAdopted  = metrics.Define("config_adopted", "objects", "Configuration objects that came into force here, by where they came from.")
 	metricMark     = metrics.Define("config_mark", "version", "Highest version up to which this instance holds every object, by prefix.")
-	metricIsolated = metrics.Define("config_isolated", "0 or 1", "Whether this instance takes no new work because it cannot confirm its configuration.")
+	metricIsolated = metrics.Define("config_isolated", "0 or 1", "Whether this instance takes no new work because it cannot confirm its configuration: it is isolated, or unconfirmed since its start or a pause.")
 	metricAge      = metrics.Define("config_confirm_age_seconds", "seconds", "Age of the newest contact with the store, direct or through peers.")
 	metricChanges  = metrics.Define("config_changes", "changes", "Changes of profiles by operators at this instance, by result.")
 )
@@ -130,6 +130,7 @@
 		refresh: make(chan struct{}, 1),
 	}
 	m.publishSelf()
+	o.Metrics.Func(metricIsolated, func() any { return m.refuses() })
 	o.Metrics.Func(metricMark, func() any { return m.objects.marks() })
 	o.Metrics.Func(metricAge, func() any { return m.fence.confirmAge(o.Boot.SinceBoot()).Seconds() })
 	return m
--- a/internal/control/profilesync/serve.go
+++ b/internal/control/profilesync/serve.go
@@ -36,6 +36,14 @@
 	}
 }
 
+// refuses is 1 while no new work is taken, else 0.
+func (m *Manager) refuses() int {
+	if m.MayServe() {
+		return 0
+	}
+	return 1
+}
+
 // publishSelf writes the flags to the board.
 func (m *Manager) publishSelf() {
 	isolated, unconfirmed := m.fence.flags()
@@ -49,11 +57,6 @@
 	if !changed {
 		return
 	}
-	value := int64(0)
-	if isolated {
-		value = 1
-	}
-	m.o.Metrics.Counter(metricIsolated).Set(value)
 	m.o.Logger.Log(event.ConfigState, "isolated", isolated, "unconfirmed", unconfirmed)
 }
 
