A suspicion by hearsay starts anew, whatever the age of the death

Cause: since dead rows carry their age, the word of a death that is taken as a suspicion was as old as the death, so that its time was over at once and the member was tried without the time to reassert itself. Live members were still saved by that trial.

Change: the suspicion begins when it is heard. The test was seen to fail before.

--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -167,6 +167,7 @@
 		return in
 	}
 	in.State = string(board.MemberSuspect)
+	in.DeadFor, in.Left, in.Fleet = 0, false, 0 // the suspicion begins here
 	return in
 }
 
