--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -28,6 +28,8 @@
 	tokens   auth.Tokens
 	caller   string // token
 	operator string // token
+	// grace is timings.stop_grace of the instances.
+	grace time.Duration
 }
 
 func newDeployment(t *testing.T) *deployment {
@@ -68,6 +70,7 @@
 	cfg.Tokens.Caller, cfg.Tokens.Operator = d.tokens.Caller, d.tokens.Operator
 	cfg.Timings.Keep = config.Of(50 * time.Millisecond)
 	cfg.Timings.PeerHeartbeat = config.Of(50 * time.Millisecond)
+	cfg.Timings.StopGrace = config.Of(d.grace)
 	options := Options{Seed: 1 + uint64(place)}
 	if output != nil {
 		options.Logger = event.NewLogger(log.NewLogfmtLogger(log.NewSyncWriter(output)))
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"lynxhill.example/lynxhill/internal/claim"
 	"lynxhill.example/lynxhill/internal/client"
@@ -47,16 +48,7 @@
 		m.Target.Straggle(400) // the booking outlasts the note and the rest of the stop
 	}
 
-	ctx, leave := context.WithCancel(t.Context())
-	go d.sendWithoutKey(ctx, stopping, "booking")
-	var booking targetapi.RunRecord
-	await(t, "the booking is under way", func() (found bool) {
-		booking, found = d.runOf("book")
-		return found
-	})
-	leave()
-	await(t, "the caller has left", func() bool { return stopping.door.InFlight() == 0 })
-
+	booking := d.abandonBooking(t, stopping)
 	caller := d.callerOf(stopping)
 	note := lynxapi.SendRequest{Organisation: testOrganisation, Key: client.NewKey(), Input: testInput("campaign"), Stream: true}
 	var result client.Result
@@ -92,3 +84,42 @@
 		}
 	}
 }
+
+// abandonBooking sends a booking whose caller leaves while it is under way.
+func (d *deployment) abandonBooking(t *testing.T, to *running) (booking targetapi.RunRecord) {
+	t.Helper()
+	ctx, leave := context.WithCancel(t.Context())
+	go d.sendWithoutKey(ctx, to, "booking")
+	await(t, "the booking is under way", func() (found bool) {
+		booking, found = d.runOf("book")
+		return found
+	})
+	leave()
+	await(t, "the caller has left", func() bool { return to.door.InFlight() == 0 })
+	return booking
+}
+
+// Symptom: an instance does not end, although timings.stop_grace is over.
+// Events: a service does not answer a booking whose caller has left. Cause: a
+// wait for claimed calls without an end.
+func TestStopGraceBoundsTheWaitForClaimedCalls(t *testing.T) {
+	d := newDeployment(t)
+	d.grace = time.Millisecond
+	var lines logLines
+	stopping := d.start(t, "a", 0, &lines)
+	d.declare(t, stopping)
+	for _, m := range d.fleet.Service("booking") {
+		m.Target.Straggle(10_000) // past every deadline
+	}
+	d.abandonBooking(t, stopping)
+	stopping.stop()
+	if err := <-stopping.ended; err != nil {
+		t.Errorf("the stop: %v", err)
+	}
+	if run, _ := d.runOf("book"); run.Finished {
+		t.Error("the stop waited for the booking")
+	}
+	if !strings.Contains(lines.String(), "daemon_stop_cut") {
+		t.Error("the log does not tell that the stop was cut")
+	}
+}
