Less control traffic at size; one cut for one burst of refusals; bounded outcome questions

Idle connections between instances were pinged every 5 s from both ends, 27 B/s for each other instance. scripts/processes.sh found instances refusing their own calls for 6 to 8 s after an outage, and callers that lost a request to an unbounded outcome question. Change: the platform client takes compressed answers (the stand-in gives them); pings between instances after 15 s; heartbeats every second, the interval that docs/design/membership.md was measured with; refusals within 250 ms halve the budget once; a question for an outcome is given up after 500 ms. Ruled out: reading the list less often (a target whose leaving shows nowhere else would get work for longer). Figures: the new budget test fails without the change (share 0.1 instead of 0.5).

--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -119,6 +119,12 @@
 	return c.outcome(ctx, organisation, key, nil)
 }
 
+// outcomeTimeout bounds one question for an outcome. It is asked when a stream
+// has broken off, and the instance asked may be the next silent one: without a
+// bound it would cost the rest of the deadline, in which a resend would be
+// answered.
+const outcomeTimeout = 500 * time.Millisecond
+
 func (c *Caller) outcome(ctx context.Context, organisation, key string, tried []string) (lynxapi.OutcomeReply, error) {
 	answer, err := c.Address(ctx)
 	if err != nil {
@@ -134,7 +140,12 @@
 		path:   pathOf(lynxapi.PathOutcome, ":key", key),
 		query:  url.Values{"organisation": {organisation}},
 	}
-	err = c.get(ctx, address.Address, what, &reply)
+	limited, cancel := context.WithTimeout(ctx, outcomeTimeout)
+	defer cancel()
+	err = c.get(limited, address.Address, what, &reply)
+	if err != nil && limited.Err() != nil && ctx.Err() == nil {
+		c.book.avoid(address.Address, time.Now()) // it went silent
+	}
 	if err == nil && reply.Key != key {
 		return lynxapi.OutcomeReply{}, errkind.New(errkind.Internal, "the outcome is that of another key")
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -166,7 +166,7 @@
 			BodyTimeout:   Of(10 * time.Second),
 			WriteTimeout:  Of(10 * time.Second),
 			StopGrace:     Of(0),
-			PeerHeartbeat: Of(500 * time.Millisecond),
+			PeerHeartbeat: Of(time.Second),
 			FenceAfter:    Of(12 * time.Second),
 			LeaseTTL:      Of(10 * time.Second),
 			FileCheck:     Of(2 * time.Second),
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -21,9 +21,11 @@
 const (
 	// maxMessageBytes bounds any one message, both sent and received.
 	maxMessageBytes = 8 << 20
+	// headerWait is how long a caller may take for its header.
+	headerWait = 5 * time.Second
 	// pingAfter is the silence after which a connection is pinged, pingWait
 	// how long the answer may take before the connection is given up.
-	pingAfter = 5 * time.Second
+	pingAfter = 15 * time.Second
 	pingWait  = 3 * time.Second
 	// heartbeatEvery is how often a forwarded request shows that it lives.
 	heartbeatEvery = 2 * time.Second
@@ -66,7 +68,7 @@
 		TLSConfig:         config,
 		Protocols:         protocols(config),
 		HTTP2:             http2Config(),
-		ReadHeaderTimeout: pingAfter,
+		ReadHeaderTimeout: headerWait,
 		IdleTimeout:       idleTimeout,
 		ErrorLog:          log.New(errorLog{logger}, "", 0),
 	}
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -49,6 +49,9 @@
 	// rateRecovery is the part of the budget won back each second after the
 	// platform throttled.
 	rateRecovery = 0.05
+	// throttleWindow is how long refusals count as one sign: those of calls
+	// that were under way together say nothing new.
+	throttleWindow = 250 * time.Millisecond
 )
 
 // callKind is a kind of call, as the budget counts it.
@@ -116,6 +119,7 @@
 
 	share     float64   // part of the rates in use, lowered when throttled
 	shareAt   time.Time // when share was last adjusted
+	cutAt     time.Time // when throttling last lowered it
 	failures  int       // in a row
 	down      bool
 	probing   bool
@@ -207,9 +211,7 @@
 	case resultFailed:
 		g.failed(now, probe)
 	case resultThrottled:
-		g.adjust(now)
-		g.share = math.Max(minRate, g.share/2)
-		g.reads.tokens, g.writes.tokens = g.reads.tokens/2, g.writes.tokens/2
+		g.cut(now)
 		g.answered(now)
 	case resultOK:
 		g.answered(now)
@@ -220,6 +222,19 @@
 	}
 }
 
+// cut halves the rates, once for all refusals within throttleWindow. After an
+// outage the platform refuses a burst of calls at once; halving for each of
+// them would leave the instance at a tenth of its budget for many seconds.
+func (g *governor) cut(now time.Time) {
+	if !g.cutAt.IsZero() && now.Sub(g.cutAt) < throttleWindow {
+		return
+	}
+	g.cutAt = now
+	g.adjust(now)
+	g.share = math.Max(minRate, g.share/2)
+	g.reads.tokens, g.writes.tokens = g.reads.tokens/2, g.writes.tokens/2
+}
+
 func (g *governor) failed(now time.Time, probe bool) {
 	g.failures++
 	switch {
--- a/internal/platform/budget_test.go
+++ b/internal/platform/budget_test.go
@@ -251,3 +251,22 @@
 	}
 	return calls
 }
+
+// Symptom: after an outage instances refused their own calls for seconds, far
+// below the platform's limits. Events: calls that had hung were answered
+// together, a dozen of them by the rate limit. Cause: each refusal halved the
+// budget once more.
+func TestRefusalsOfOneBurstSlowDownOnce(t *testing.T) {
+	g := newGovernor(Budget{WritesPerSecond: 100, ReadsPerSecond: 100, Watches: 1}, 1)
+	for range 12 {
+		if _, err := g.admit(start, callWrite, store.PriorityOperator); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 12 {
+		g.done(start, callWrite, false, resultThrottled)
+	}
+	if g.share != 0.5 {
+		t.Fatalf("the share in use is %g", g.share)
+	}
+}
--- a/internal/platform/transport.go
+++ b/internal/platform/transport.go
@@ -16,7 +16,9 @@
 )
 
 // newTransport returns a transport without HTTP/2, whose own retries could
-// not be told apart from ours.
+// not be told apart from ours. It accepts compressed answers: the instance list
+// of 972 entries is 160 KB plain, and instances that read it every two seconds
+// would spend five times their bytes for all of control on it.
 func newTransport(opts Options) *http.Transport {
 	dial := opts.Dial
 	if dial == nil {
@@ -32,7 +34,6 @@
 		MaxConnsPerHost:     connsPerHost,
 		IdleConnTimeout:     keepAlive,
 		Protocols:           protocols,
-		DisableCompression:  true,
 	}
 }
 
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -202,5 +202,5 @@
 	mux.HandleFunc("GET "+platformapi.PathWatch, s.guarded(KindWatch, s.handleWatch))
 	mux.HandleFunc("GET "+platformapi.PathInstances, s.guarded(KindInstances, s.handleInstances))
 	mux.HandleFunc("POST "+platformapi.PathInstances, s.guarded(KindRegister, s.handleRegister))
-	return mux
+	return compressed(mux)
 }
