Admission: Admitter for the part that was named after an entrance

Cause: 'door' is a picture; the usual term for what decides on a request's entry is admission. No behaviour changes.

--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -18,12 +18,12 @@
 	Deadline     time.Time
 }
 
-// Door admits requests to the instance.
-type Door interface {
-	// Enter admits a request or refuses it at once with OrganisationLimit,
+// Admitter admits requests to the instance.
+type Admitter interface {
+	// Admit admits a request or refuses it at once with OrganisationLimit,
 	// Overloaded, Isolated or DeadlineUnreachable. The caller runs leave when
 	// the request has ended.
-	Enter(ctx context.Context, entry Entry) (leave func(), err error)
+	Admit(ctx context.Context, entry Entry) (leave func(), err error)
 }
 
 // Want asks for a slot on a target for one attempt.
--- a/internal/admission/door.go
+++ b/internal/admission/admitter.go
@@ -22,7 +22,7 @@
 	priorities = 10
 	// shareOfFree bounds an organisation's requests in flight, as a multiple of
 	// the places that are free: one organisation alone takes four fifths of
-	// the door, and gives way as others come. A fixed part kept for others
+	// the admitter, and gives way as others come. A fixed part kept for others
 	// would be too small when they are many, and wasted when they are few.
 	shareOfFree = 4
 	// refusalPause is the RetryAfter of a refusal by the cap.
@@ -30,10 +30,10 @@
 )
 
 var (
-	metricEntered  = metrics.Define("door_entered_total", "requests", "Requests admitted to the instance.")
-	metricRefused  = metrics.Define("door_refused_total", "requests", "Requests refused at the entry, by cause.")
-	metricInFlight = metrics.Define("door_in_flight", "requests", "Requests in flight at the instance.")
-	metricActive   = metrics.Define("door_active_organisations", "organisations", "Organisations with requests in flight.")
+	metricEntered  = metrics.Define("admission_entered_total", "requests", "Requests admitted to the instance.")
+	metricRefused  = metrics.Define("admission_refused_total", "requests", "Requests refused at the entry, by cause.")
+	metricInFlight = metrics.Define("admission_in_flight", "requests", "Requests in flight at the instance.")
+	metricActive   = metrics.Define("admission_active_organisations", "organisations", "Organisations with requests in flight.")
 )
 
 // States of shedding.
@@ -46,7 +46,7 @@
 // shedOverRoom is the room at which shedding counts as over.
 const shedOverRoom = 0.5
 
-// Causes of refusal, the labels of door_refused_total.
+// Causes of refusal, the labels of admission_refused_total.
 const (
 	causeIsolated    = "isolated"
 	causeDeadline    = "deadline"
@@ -56,8 +56,8 @@
 	causeConcurrency = "concurrency"
 )
 
-// DoorOptions are the parts of a door. Board and Clock are required.
-type DoorOptions struct {
+// AdmitterOptions are the parts of a admitter. Board and Clock are required.
+type AdmitterOptions struct {
 	Board       *board.Board
 	Clock       clock.Clock
 	MaxInFlight int // 0: 2000
@@ -69,10 +69,10 @@
 	Metrics  *metrics.Registry // may be nil
 }
 
-// InstanceDoor implements Door: the instance's cap on requests in flight with
+// InstanceAdmitter implements Admitter: the instance's cap on requests in flight with
 // shedding by priority and fair share, and the organisations' limits.
-type InstanceDoor struct {
-	options       DoorOptions
+type InstanceAdmitter struct {
+	options       AdmitterOptions
 	inFlight      atomic.Int64
 	active        atomic.Int64 // organisations with requests in flight
 	shedding      atomic.Int32 // one of the shed states
@@ -81,12 +81,12 @@
 	refused       *expvar.Map
 }
 
-// NewDoor returns a door over the board.
-func NewDoor(o DoorOptions) *InstanceDoor {
+// NewAdmitter returns a admitter over the board.
+func NewAdmitter(o AdmitterOptions) *InstanceAdmitter {
 	if o.MaxInFlight <= 0 {
 		o.MaxInFlight = defaultMaxInFlight
 	}
-	d := &InstanceDoor{
+	d := &InstanceAdmitter{
 		options:       o,
 		organisations: newOrganisations(),
 		entered:       o.Metrics.Counter(metricEntered),
@@ -98,22 +98,22 @@
 }
 
 // InFlight returns the number of requests in flight.
-func (d *InstanceDoor) InFlight() int { return int(d.inFlight.Load()) }
+func (d *InstanceAdmitter) InFlight() int { return int(d.inFlight.Load()) }
 
 // Room returns the free share of the cap, 0 to 1.
-func (d *InstanceDoor) Room() float64 {
+func (d *InstanceAdmitter) Room() float64 {
 	return max(0, 1-float64(d.inFlight.Load())/float64(d.options.MaxInFlight))
 }
 
 // Usage returns the demand and the requests in flight of every organisation
 // that asked lately, in no order. Demand counts refused requests too.
-func (d *InstanceDoor) Usage() []gossip.Usage {
+func (d *InstanceAdmitter) Usage() []gossip.Usage {
 	return d.organisations.usage(d.options.Clock.Now())
 }
 
-// Enter implements Door. A refusal costs two table look-ups and waits for
+// Admit implements Admitter. A refusal costs two table look-ups and waits for
 // nothing.
-func (d *InstanceDoor) Enter(_ context.Context, entry Entry) (func(), error) {
+func (d *InstanceAdmitter) Admit(_ context.Context, entry Entry) (func(), error) {
 	now := d.options.Clock.Now()
 	self, _ := d.options.Board.Self.Get(board.SelfRow)
 	if !self.MayAdmit() || d.options.MayServe != nil && !d.options.MayServe() {
@@ -138,7 +138,7 @@
 }
 
 // admit runs under the lock of the organisation's shard.
-func (d *InstanceDoor) admit(org *organisation, entry Entry, limit board.Limit, now time.Time) error {
+func (d *InstanceAdmitter) admit(org *organisation, entry Entry, limit board.Limit, now time.Time) error {
 	org.shard.mu.Lock()
 	defer org.shard.mu.Unlock()
 	org.users--
@@ -161,7 +161,7 @@
 }
 
 // reserve takes a place of the cap or returns the cause of the refusal.
-func (d *InstanceDoor) reserve(org *organisation, priority int) string {
+func (d *InstanceAdmitter) reserve(org *organisation, priority int) string {
 	roof := d.roof(priority)
 	for {
 		taken := d.inFlight.Load()
@@ -180,13 +180,13 @@
 }
 
 // roof is how many requests in flight a priority may meet and still enter.
-func (d *InstanceDoor) roof(priority int) float64 {
+func (d *InstanceAdmitter) roof(priority int) float64 {
 	rank := min(max(priority, 0), priorities-1) + 1
 	fill := lowestFill + (1-lowestFill)*float64(rank)/priorities
 	return max(1, fill*float64(d.options.MaxInFlight))
 }
 
-func (d *InstanceDoor) leave(org *organisation) {
+func (d *InstanceAdmitter) leave(org *organisation) {
 	org.shard.mu.Lock()
 	org.inFlight--
 	if org.inFlight == 0 {
@@ -197,7 +197,7 @@
 	d.noteShedding()
 }
 
-func (d *InstanceDoor) refuse(cause string, kind errkind.Kind, after time.Duration, text string) error {
+func (d *InstanceAdmitter) refuse(cause string, kind errkind.Kind, after time.Duration, text string) error {
 	d.refused.Add(cause, 1)
 	err := errkind.New(kind, "%s", text)
 	if after > 0 {
@@ -208,11 +208,11 @@
 
 // noteShed marks that requests are being shed. The log is told once, by the
 // next noteShedding: this runs under a lock.
-func (d *InstanceDoor) noteShed() { d.shedding.CompareAndSwap(shedNot, shedUntold) }
+func (d *InstanceAdmitter) noteShed() { d.shedding.CompareAndSwap(shedNot, shedUntold) }
 
 // noteShedding logs the begin of shedding and, once half of the cap is free,
 // its end.
-func (d *InstanceDoor) noteShedding() {
+func (d *InstanceAdmitter) noteShedding() {
 	state := d.shedding.Load()
 	switch {
 	case state == shedNot:
--- a/internal/admission/door_test.go
+++ b/internal/admission/admitter_test.go
@@ -12,15 +12,15 @@
 	"lynxhill.example/lynxhill/internal/errkind"
 )
 
-func newTestDoor(maxInFlight int) (*InstanceDoor, *board.Board) {
+func newTestAdmitter(maxInFlight int) (*InstanceAdmitter, *board.Board) {
 	b := board.New()
-	return NewDoor(DoorOptions{Board: b, Clock: quartz.NewReal(), MaxInFlight: maxInFlight}), b
+	return NewAdmitter(AdmitterOptions{Board: b, Clock: quartz.NewReal(), MaxInFlight: maxInFlight}), b
 }
 
 // enterMany enters until the first refusal, n times at most.
-func enterMany(d *InstanceDoor, organisation string, priority, n int) (leaves []func(), err error) {
+func enterMany(d *InstanceAdmitter, organisation string, priority, n int) (leaves []func(), err error) {
 	for range n {
-		leave, err := d.Enter(context.Background(), Entry{Organisation: organisation, Priority: priority})
+		leave, err := d.Admit(context.Background(), Entry{Organisation: organisation, Priority: priority})
 		if err != nil {
 			return leaves, err
 		}
@@ -29,8 +29,8 @@
 	return leaves, nil
 }
 
-func TestDoorKeepsRoomForOthers(t *testing.T) {
-	d, _ := newTestDoor(100)
+func TestAdmitterKeepsRoomForOthers(t *testing.T) {
+	d, _ := newTestAdmitter(100)
 	large, err := enterMany(d, "large", 9, 200)
 	if !errkind.Is(err, errkind.Overloaded) || errkind.RetryAfter(err) == 0 || len(large) != 80 {
 		t.Fatalf("one organisation got %d of 100 places (%v), want 80", len(large), err)
@@ -48,8 +48,8 @@
 	}
 }
 
-func TestDoorShedsByPriority(t *testing.T) {
-	d, _ := newTestDoor(100)
+func TestAdmitterShedsByPriority(t *testing.T) {
+	d, _ := newTestAdmitter(100)
 	for _, name := range []string{"a", "b", "c", "d"} {
 		if _, err := enterMany(d, name, 9, 21); err != nil {
 			t.Fatalf("filling: %v", err)
@@ -63,9 +63,9 @@
 	}
 }
 
-func TestDoorLimits(t *testing.T) {
+func TestAdmitterLimits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d, b := newTestDoor(100)
+		d, b := newTestAdmitter(100)
 		b.Limits.Put("a", board.Limit{Concurrent: 3})
 		leaves, err := enterMany(d, "a", 5, 10)
 		if len(leaves) != 3 || !errkind.Is(err, errkind.OrganisationLimit) {
@@ -94,8 +94,8 @@
 	})
 }
 
-func TestDoorIsolated(t *testing.T) {
-	d, b := newTestDoor(10)
+func TestAdmitterIsolated(t *testing.T) {
+	d, b := newTestAdmitter(10)
 	b.Self.Put(board.SelfRow, board.Self{Isolated: true})
 	if _, err := enterMany(d, "a", 5, 1); !errkind.Is(err, errkind.Isolated) {
 		t.Errorf("isolated: %v", err)
--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -56,12 +56,12 @@
 	}
 }
 
-// BenchmarkDoor measures Enter and leave, with a limit for each organisation,
+// BenchmarkAdmitter measures Enter and leave, with a limit for each organisation,
 // and the memory of the organisations.
-func BenchmarkDoor(b *testing.B) {
+func BenchmarkAdmitter(b *testing.B) {
 	for _, n := range []int{100, 1000, 5000, 19000} {
 		b.Run(fmt.Sprintf("organisations=%d", n), func(b *testing.B) {
-			d, bd := newTestDoor(1000)
+			d, bd := newTestAdmitter(1000)
 			entries := make([]Entry, n)
 			for i := range n {
 				entries[i] = Entry{Organisation: fmt.Sprintf("org-%d", i), Priority: 5}
@@ -83,21 +83,21 @@
 	}
 }
 
-func enterLeave(b *testing.B, d *InstanceDoor, e Entry) {
-	leave, err := d.Enter(context.Background(), e)
+func enterLeave(b *testing.B, d *InstanceAdmitter, e Entry) {
+	leave, err := d.Admit(context.Background(), e)
 	if err != nil {
 		b.Fatal(err)
 	}
 	leave()
 }
 
-// BenchmarkDoorRefusal measures what a refused request costs.
-func BenchmarkDoorRefusal(b *testing.B) {
-	d, bd := newTestDoor(1000)
+// BenchmarkAdmitterRefusal measures what a refused request costs.
+func BenchmarkAdmitterRefusal(b *testing.B) {
+	d, bd := newTestAdmitter(1000)
 	bd.Limits.Put("a", board.Limit{Concurrent: -1})
 	b.ReportAllocs()
 	for b.Loop() {
-		if _, err := d.Enter(context.Background(), Entry{Organisation: "a"}); err == nil {
+		if _, err := d.Admit(context.Background(), Entry{Organisation: "a"}); err == nil {
 			b.Fatal("entered")
 		}
 	}
--- a/internal/admission/fairness_test.go
+++ b/internal/admission/fairness_test.go
@@ -12,7 +12,7 @@
 	"lynxhill.example/lynxhill/internal/board"
 )
 
-// crowdTrial drives door and gate with one large organisation and several
+// crowdTrial drives admitter and gate with one large organisation and several
 // small ones in virtual time.
 type crowdTrial struct {
 	largeTimes float64 // the large one's requests, as a multiple of its share
@@ -63,41 +63,41 @@
 func (tr crowdTrial) run(t *testing.T) (small, worst, large float64) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(crowdTargets, GateLimits{StartLimit: crowdSlots, MaxLimit: crowdSlots, Overcommit: 1})
-		door, _ := newTestDoor(4 * crowdTargets * crowdSlots)
+		admitter, _ := newTestAdmitter(4 * crowdTargets * crowdSlots)
 		a := &attainment{sent: make(map[string]int), met: make(map[string]int)}
 		capacity := crowdTargets * crowdSlots / crowdService.Seconds()
 		each := crowdFill * capacity / (crowdSmall + 1)
 		var group sync.WaitGroup
-		group.Go(func() { tr.send(&group, r, door, a, "large", each*tr.largeTimes, 100) })
+		group.Go(func() { tr.send(&group, r, admitter, a, "large", each*tr.largeTimes, 100) })
 		for i := range crowdSmall {
-			group.Go(func() { tr.send(&group, r, door, a, fmt.Sprintf("small-%d", i), each, uint64(i)) })
+			group.Go(func() { tr.send(&group, r, admitter, a, fmt.Sprintf("small-%d", i), each, uint64(i)) })
 		}
 		group.Wait()
 		small, worst, large = a.share()
-		if r.gate.InFlight() != 0 || r.gate.Waiting() != 0 || door.InFlight() != 0 {
-			t.Errorf("left over: %d slots, %d waiters, %d requests", r.gate.InFlight(), r.gate.Waiting(), door.InFlight())
+		if r.gate.InFlight() != 0 || r.gate.Waiting() != 0 || admitter.InFlight() != 0 {
+			t.Errorf("left over: %d slots, %d waiters, %d requests", r.gate.InFlight(), r.gate.Waiting(), admitter.InFlight())
 		}
 	})
 	return small, worst, large
 }
 
-func (tr crowdTrial) send(group *sync.WaitGroup, r *rig, door *InstanceDoor, a *attainment, organisation string, rate float64, seed uint64) {
+func (tr crowdTrial) send(group *sync.WaitGroup, r *rig, admitter *InstanceAdmitter, a *attainment, organisation string, rate float64, seed uint64) {
 	source := rand.New(rand.NewPCG(seed, 9))
 	began := time.Now()
 	for time.Since(began) < crowdRun {
 		time.Sleep(time.Duration(source.ExpFloat64() / rate * float64(time.Second)))
 		service := time.Duration((0.5 + source.Float64()) * float64(crowdService))
-		group.Go(func() { a.count(organisation, tr.request(r, door, organisation, service)) })
+		group.Go(func() { a.count(organisation, tr.request(r, admitter, organisation, service)) })
 	}
 }
 
 // request returns whether the request was answered within its deadline.
-func (tr crowdTrial) request(r *rig, door *InstanceDoor, organisation string, service time.Duration) bool {
+func (tr crowdTrial) request(r *rig, admitter *InstanceAdmitter, organisation string, service time.Duration) bool {
 	if tr.oneQueue {
 		organisation = "all"
 	}
 	deadline := time.Now().Add(crowdDeadline)
-	leave, err := door.Enter(context.Background(), Entry{Organisation: organisation, Priority: 5, Deadline: deadline})
+	leave, err := admitter.Admit(context.Background(), Entry{Organisation: organisation, Priority: 5, Deadline: deadline})
 	if err != nil {
 		return false
 	}
--- a/internal/admission/property_test.go
+++ b/internal/admission/property_test.go
@@ -27,11 +27,11 @@
 }
 
 // soak is one random run: thousands of attempts by several organisations on a
-// few targets with faults, through door and gate.
+// few targets with faults, through admitter and gate.
 type soak struct {
 	t         *testing.T
 	r         *rig
-	door      *InstanceDoor
+	admitter  *InstanceAdmitter
 	rand      *rand.Rand
 	mu        sync.Mutex // guards all below
 	running   map[string]int
@@ -43,7 +43,7 @@
 const (
 	soakTargets    = 5
 	soakMaxLimit   = 6
-	soakDoor       = 60
+	soakInFlight   = 60
 	soakConcurrent = 9 // limit of organisation o0
 	soakAttempts   = 1500
 )
@@ -109,13 +109,13 @@
 
 func (k *soak) attempt(p soakPlan) {
 	deadline := time.Now().Add(p.deadline)
-	leave, err := k.door.Enter(context.Background(), Entry{Organisation: p.organisation, Priority: p.priority, Deadline: deadline})
+	leave, err := k.admitter.Admit(context.Background(), Entry{Organisation: p.organisation, Priority: p.priority, Deadline: deadline})
 	if err != nil {
 		return
 	}
 	defer leave()
-	if n := k.door.InFlight(); n > soakDoor {
-		k.fail("%d requests in flight, cap %d", n, soakDoor)
+	if n := k.admitter.InFlight(); n > soakInFlight {
+		k.fail("%d requests in flight, cap %d", n, soakInFlight)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -167,9 +167,9 @@
 	problem := ""
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(soakTargets, GateLimits{StartLimit: 3, MaxLimit: soakMaxLimit, Overcommit: 1, Queue: 20, EjectBase: 50 * time.Millisecond, EjectMax: time.Second})
-		door, b := newTestDoor(soakDoor)
+		admitter, b := newTestAdmitter(soakInFlight)
 		b.Limits.Put("o0", board.Limit{Concurrent: soakConcurrent})
-		k := &soak{t: t, r: r, door: door, rand: rand.New(rand.NewPCG(seed, 1)), running: make(map[string]int), organised: make(map[string]int)}
+		k := &soak{t: t, r: r, admitter: admitter, rand: rand.New(rand.NewPCG(seed, 1)), running: make(map[string]int), organised: make(map[string]int)}
 		var group sync.WaitGroup
 		for i := range soakAttempts {
 			time.Sleep(time.Duration(k.rand.IntN(7)) * time.Millisecond)
@@ -180,8 +180,8 @@
 			group.Go(func() { k.attempt(p) })
 		}
 		group.Wait()
-		if r.gate.InFlight() != 0 || r.gate.Waiting() != 0 || door.InFlight() != 0 || door.active.Load() != 0 {
-			k.fail("left over: %d slots, %d waiters, %d requests, %d organisations", r.gate.InFlight(), r.gate.Waiting(), door.InFlight(), door.active.Load())
+		if r.gate.InFlight() != 0 || r.gate.Waiting() != 0 || admitter.InFlight() != 0 || admitter.active.Load() != 0 {
+			k.fail("left over: %d slots, %d waiters, %d requests, %d organisations", r.gate.InFlight(), r.gate.Waiting(), admitter.InFlight(), admitter.active.Load())
 		}
 		for id, target := range r.gate.service("pool").targets {
 			if target.inFlight() != 0 {
@@ -199,7 +199,7 @@
 	return problem
 }
 
-// TestSoak runs 12 times 1,500 attempts through door and gate: no slot leaks,
+// TestSoak runs 12 times 1,500 attempts through admitter and gate: no slot leaks,
 // no bound is passed, nobody waits beyond its deadline, every refusal has a
 // kind.
 func TestSoak(t *testing.T) {
--- a/internal/control/limits/bench_test.go
+++ b/internal/control/limits/bench_test.go
@@ -54,7 +54,7 @@
 // limits.
 func BenchmarkStep(b *testing.B) {
 	bd := board.New()
-	c := New(Options{Board: bd, Door: fixedUse{}, Self: "i000", Clock: quartz.NewReal()})
+	c := New(Options{Board: bd, Admitter: fixedUse{}, Self: "i000", Clock: quartz.NewReal()})
 	for i := range 19000 {
 		putLimit(bd, fmt.Sprintf("organisation-%05d", i), 10, 5)
 	}
@@ -69,7 +69,7 @@
 func benchController(organisations, instances int) *Controller {
 	bd := board.New()
 	use := fixedUse{}
-	c := New(Options{Board: bd, Door: use, Self: "i000", Clock: quartz.NewReal()})
+	c := New(Options{Board: bd, Admitter: use, Self: "i000", Clock: quartz.NewReal()})
 	name := func(i int) string { return fmt.Sprintf("organisation-%05d", i%organisations) }
 	for i := range organisations {
 		c.objects[name(i)] = lynxapi.OrganisationLimit{RatePerSecond: 10, Concurrent: 5}
--- a/internal/control/limits/limits.go
+++ b/internal/control/limits/limits.go
@@ -48,19 +48,19 @@
 	metricHeard   = metrics.Define("limits_peers_heard", "instances", "Instances whose use by organisations is known.")
 )
 
-// UsageSource tells the use of this instance; *admission.InstanceDoor is one.
+// UsageSource tells the use of this instance; *admission.InstanceAdmitter is one.
 type UsageSource interface {
 	Usage() []gossip.Usage
 }
 
-// Options are the parts of the controller. Board, Door and Clock are required.
+// Options are the parts of the controller. Board, Admitter and Clock are required.
 type Options struct {
-	Board   *board.Board
-	Door    UsageSource
-	Self    string // id of this instance
-	Clock   clock.Clock
-	Logger  *event.Logger
-	Metrics *metrics.Registry
+	Board    *board.Board
+	Admitter UsageSource
+	Self     string // id of this instance
+	Clock    clock.Clock
+	Logger   *event.Logger
+	Metrics  *metrics.Registry
 }
 
 // Controller writes board.Limits and board.Usage.
@@ -141,11 +141,11 @@
 	}
 }
 
-// Tick computes the shares anew from the board, the door and what peers told.
+// Tick computes the shares anew from the board, the admitter and what peers told.
 func (c *Controller) Tick() {
 	now := c.options.Clock.Now()
 	usage := make(map[string]gossip.Usage)
-	for _, row := range c.options.Door.Usage() {
+	for _, row := range c.options.Admitter.Usage() {
 		usage[row.Organisation] = row
 	}
 	c.mu.Lock()
--- a/internal/control/limits/limits_test.go
+++ b/internal/control/limits/limits_test.go
@@ -42,7 +42,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := board.New()
 		putLimit(b, "a", 10, 4)
-		c := New(Options{Board: b, Door: fixedUse{}, Self: "i0", Clock: quartz.NewReal()})
+		c := New(Options{Board: b, Admitter: fixedUse{}, Self: "i0", Clock: quartz.NewReal()})
 		ctx, cancel := context.WithCancel(context.Background())
 		ended := make(chan struct{})
 		go func() { c.Run(ctx); close(ended) }()
@@ -116,7 +116,7 @@
 func TestDigestsFitTheBudget(t *testing.T) {
 	b := board.New()
 	use := fixedUse{}
-	c := New(Options{Board: b, Door: use, Self: "i0", Clock: quartz.NewReal()})
+	c := New(Options{Board: b, Admitter: use, Self: "i0", Clock: quartz.NewReal()})
 	for i := range 19000 {
 		name := fmt.Sprintf("org-%05d", i)
 		c.objects[name] = lynxapi.OrganisationLimit{RatePerSecond: 10}
--- a/internal/control/limits/overshoot_test.go
+++ b/internal/control/limits/overshoot_test.go
@@ -27,14 +27,14 @@
 	smallShareLoss   = 0.85
 )
 
-// core is one instance: door, limits and board.
+// core is one instance: admitter, limits and board.
 type core struct {
-	id     string
-	board  *board.Board
-	door   *admission.InstanceDoor
-	limits *Controller
-	side   int
-	down   bool
+	id       string
+	board    *board.Board
+	admitter *admission.InstanceAdmitter
+	limits   *Controller
+	side     int
+	down     bool
 }
 
 // fleet drives cores in virtual time.
@@ -69,8 +69,8 @@
 	f := &fleet{rand: rand.New(rand.NewPCG(17, uint64(n)))}
 	for i := range n {
 		c := &core{id: fmt.Sprintf("i%02d", i), board: board.New()}
-		c.door = admission.NewDoor(admission.DoorOptions{Board: c.board, Clock: quartz.NewReal()})
-		c.limits = New(Options{Board: c.board, Door: c.door, Self: c.id, Clock: quartz.NewReal()})
+		c.admitter = admission.NewAdmitter(admission.AdmitterOptions{Board: c.board, Clock: quartz.NewReal()})
+		c.limits = New(Options{Board: c.board, Admitter: c.admitter, Self: c.id, Clock: quartz.NewReal()})
 		putLimit(c.board, testOrganisation, testRate, testConcurrent)
 		c.limits.Step()
 		f.cores = append(f.cores, c)
@@ -136,7 +136,7 @@
 		n++
 	}
 	for range n {
-		leave, err := c.door.Enter(context.Background(), admission.Entry{Organisation: testOrganisation, Priority: 5})
+		leave, err := c.admitter.Admit(context.Background(), admission.Entry{Organisation: testOrganisation, Priority: 5})
 		if err != nil {
 			continue
 		}
--- a/internal/control/profilesync/wake_test.go
+++ b/internal/control/profilesync/wake_test.go
@@ -25,7 +25,7 @@
 		first := f.set(0, "check", 1, 0, "c1", time.Minute)
 		n := f.nodes[4]
 		n.board.Targets.Put("t1", board.Target{ID: "t1", Service: "pool", Kind: profile.KindGenerate})
-		door := admission.NewDoor(admission.DoorOptions{Board: n.board, Clock: f.clock, MayServe: n.sync.MayServe})
+		admitter := admission.NewAdmitter(admission.AdmitterOptions{Board: n.board, Clock: f.clock, MayServe: n.sync.MayServe})
 		gate := admission.NewGate(admission.GateOptions{
 			Board: n.board, Clock: f.clock, Rand: rand.New(rand.NewPCG(1, 1)), MayDispatch: n.sync.MayDispatch,
 			Limits: admission.GateLimits{StartLimit: 1, MaxLimit: 1},
@@ -51,7 +51,7 @@
 		reply := f.set(0, "check", 2, first.Version, "c2", time.Minute)
 		time.Sleep(time.Hour)
 		f.net.Resume(n.addr)
-		if _, err := door.Enter(context.Background(), admission.Entry{Organisation: "a"}); !errkind.Is(err, errkind.Isolated) {
+		if _, err := admitter.Admit(context.Background(), admission.Entry{Organisation: "a"}); !errkind.Is(err, errkind.Isolated) {
 			t.Errorf("admitted on waking: %v", err)
 		}
 		running.Done(admission.Result{OK: true, Duration: time.Second})
@@ -59,7 +59,7 @@
 			t.Errorf("dispatched on waking: %v", err)
 		}
 		f.until(5*time.Second, "admits and dispatches again", func() bool {
-			leave, err := door.Enter(context.Background(), admission.Entry{Organisation: "a"})
+			leave, err := admitter.Admit(context.Background(), admission.Entry{Organisation: "a"})
 			if err != nil {
 				return false
 			}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -75,7 +75,7 @@
 		Self: d.id(), Place: d.cfg.Instance.Place,
 	})
 	d.limits = limits.New(limits.Options{
-		Board: d.board, Door: d.door, Self: d.id(), Clock: clk,
+		Board: d.board, Admitter: d.admitter, Self: d.id(), Clock: clk,
 		Logger: d.logger, Metrics: d.metrics,
 	})
 }
@@ -114,7 +114,7 @@
 	ticker := d.opts.Clock.NewTicker(loadEvery)
 	defer ticker.Stop()
 	for {
-		d.members.SetLoad(d.door.Room(), d.door.InFlight())
+		d.members.SetLoad(d.admitter.Room(), d.admitter.InFlight())
 		select {
 		case <-ctx.Done():
 			return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -67,7 +67,7 @@
 	reach     *reach.Controller
 
 	gate     *admission.ServiceGate
-	door     *admission.InstanceDoor
+	admitter *admission.InstanceAdmitter
 	pages    *claim.Pages
 	tickets  *claim.Tickets
 	claims   claim.Claimer
--- a/internal/daemon/operations.go
+++ b/internal/daemon/operations.go
@@ -125,7 +125,7 @@
 	status := lynxapi.Status{
 		Instance: o.d.id(), Place: o.d.cfg.Instance.Place, Ready: o.d.Ready() == nil,
 		Isolated: self.Isolated, Stopping: self.Stopping, StoreUp: o.d.platform.Up(),
-		InFlight: o.d.door.InFlight(), Violations: int(o.d.violations.count.Load()),
+		InFlight: o.d.admitter.InFlight(), Violations: int(o.d.violations.count.Load()),
 		StoreCalls: o.d.platform.Calls(), UptimeS: o.d.opts.Clock.Now().Sub(o.d.started).Seconds(),
 	}
 	o.addCounts(&status)
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -31,7 +31,7 @@
 		MayDispatch: func() bool { return d.profiles.MayDispatch() }, // assembled later
 		Check:       d.check, Logger: d.logger, Metrics: d.metrics,
 	})
-	d.door = admission.NewDoor(admission.DoorOptions{
+	d.admitter = admission.NewAdmitter(admission.AdmitterOptions{
 		Board: d.board, Clock: clk, MaxInFlight: d.cfg.Limits.MaxInFlight, Logger: d.logger, Metrics: d.metrics,
 		MayServe: func() bool { return d.profiles.MayServe() }, // assembled later
 	})
@@ -53,7 +53,7 @@
 		Report:      d.report, Logger: d.logger, Metrics: d.metrics,
 	})
 	d.serving = serving.New(serving.Options{
-		Self: d.id(), Profiles: d.profile, Door: d.door, Runner: d.runner, Outcomes: d.outcomes,
+		Self: d.id(), Profiles: d.profile, Admitter: d.admitter, Runner: d.runner, Outcomes: d.outcomes,
 		Tickets: d.tickets, Forward: d.peers, NotSent: peer.ErrNotSent,
 		MayAdmit: d.Ready, ClaimsUp: d.platform.Up, Lost: d.reach.Lost, Refused: d.reportRefused,
 	})
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -126,7 +126,7 @@
 // here, then those who still may come are served, and only then does the
 // instance stop being reachable for its peers.
 func (d *Daemon) stop() {
-	d.logger.Log(event.DaemonStopping, "in_flight", d.door.InFlight())
+	d.logger.Log(event.DaemonStopping, "in_flight", d.admitter.InFlight())
 	d.markStopping()
 	ctx, cancel := d.stopContext()
 	defer cancel()
@@ -169,9 +169,9 @@
 }
 
 func (d *Daemon) awaitLastRequest(ctx context.Context) {
-	for d.door.InFlight() > 0 {
+	for d.admitter.InFlight() > 0 {
 		if !loop.Sleep(ctx, d.opts.Clock, drainPoll) {
-			d.logger.Log(event.DaemonStopCut, "in_flight", d.door.InFlight())
+			d.logger.Log(event.DaemonStopCut, "in_flight", d.admitter.InFlight())
 			return
 		}
 	}
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -95,7 +95,7 @@
 		return found
 	})
 	leave()
-	await(t, "the caller has left", func() bool { return to.door.InFlight() == 0 })
+	await(t, "the caller has left", func() bool { return to.admitter.InFlight() == 0 })
 	return booking
 }
 
--- a/internal/event/catalogue_admission.go
+++ b/internal/event/catalogue_admission.go
@@ -11,6 +11,6 @@
 var _ = define(
 	Definition{AdmissionTargetEjected, Warn, "target_ejected", "A target failed or was slow far beyond its service and gets no calls for the time given; look at the target if it comes again."},
 	Definition{AdmissionTargetLeaving, Info, "target_leaving_seen", "A target itself said that it is leaving; it gets no new calls."},
-	Definition{AdmissionShedding, Warn, "door_shedding", "The instance is near its limit of requests in flight and refuses low priorities and organisations above their fair share."},
-	Definition{AdmissionShedOver, Info, "door_shedding_over", "The instance takes all requests again."},
+	Definition{AdmissionShedding, Warn, "shedding", "The instance is near its limit of requests in flight and refuses low priorities and organisations above their fair share."},
+	Definition{AdmissionShedOver, Info, "shedding_over", "The instance takes all requests again."},
 )
--- a/internal/serving/fakes_test.go
+++ b/internal/serving/fakes_test.go
@@ -22,7 +22,7 @@
 // fixture is a Server over fakes, with the real registry of outcomes.
 type fixture struct {
 	server   *Server
-	door     *fakeDoor
+	admitter *fakeAdmitter
 	runner   *fakeRunner
 	forward  *fakeForwarder
 	refused  []error
@@ -33,9 +33,9 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{door: &fakeDoor{t: t}, runner: &fakeRunner{}, forward: &fakeForwarder{}, claimsUp: true, lost: make(chan struct{})}
+	f := &fixture{admitter: &fakeAdmitter{t: t}, runner: &fakeRunner{}, forward: &fakeForwarder{}, claimsUp: true, lost: make(chan struct{})}
 	f.server = New(Options{
-		Self: "self", Profiles: profiles, Door: f.door, Runner: f.runner,
+		Self: "self", Profiles: profiles, Admitter: f.admitter, Runner: f.runner,
 		Outcomes: outcome.NewRegistry(outcome.Options{}), Tickets: homes{}, Forward: f.forward, NotSent: errNotSent,
 		MayAdmit: func() error { return f.admit }, ClaimsUp: func() bool { return f.claimsUp },
 		Lost:    func() <-chan struct{} { return f.lost },
@@ -75,8 +75,8 @@
 	}
 }
 
-// fakeDoor counts who is in.
-type fakeDoor struct {
+// fakeAdmitter counts who is in.
+type fakeAdmitter struct {
 	t  *testing.T
 	mu sync.Mutex // guards the fields below
 
@@ -85,7 +85,7 @@
 	refuse          error
 }
 
-func (d *fakeDoor) Enter(_ context.Context, entry admission.Entry) (func(), error) {
+func (d *fakeAdmitter) Admit(_ context.Context, entry admission.Entry) (func(), error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.refuse != nil {
@@ -99,7 +99,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		if left {
-			d.t.Error("a place at the door was given back twice")
+			d.t.Error("a place at admission was given back twice")
 		}
 		left = true
 		d.inside--
@@ -107,7 +107,7 @@
 }
 
 // check asserts how many have entered and how many are still in.
-func (d *fakeDoor) check(entered, inside int) {
+func (d *fakeAdmitter) check(entered, inside int) {
 	d.t.Helper()
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -1,5 +1,5 @@
 // Package serving takes a request that the caller API has checked to its
-// answer: it enters the door, finds the request's home, shares the run with
+// answer: it is admitted, finds the request's home, shares the run with
 // other requests of the same key, and runs the pipeline.
 package serving
 
@@ -43,7 +43,7 @@
 type Options struct {
 	Self     string // id of this instance
 	Profiles func(name string) (profile.Versioned, bool)
-	Door     admission.Door
+	Admitter admission.Admitter
 	Runner   Runner
 	Outcomes Outcomes
 	Tickets  Tickets
@@ -203,7 +203,7 @@
 		s.opts.Refused(req, err)
 		return pipeline.Outcome{}, err
 	}
-	leave, err := s.opts.Door.Enter(ctx, admission.Entry{
+	leave, err := s.opts.Admitter.Admit(ctx, admission.Entry{
 		Organisation: req.Organisation,
 		Profile:      req.Profile,
 		Priority:     prof.Profile.Priority,
@@ -222,7 +222,7 @@
 
 // serveShared runs the request once for all callers with its key. The run goes
 // on when its first caller goes away, so that a resend finds the answer; the
-// place that the run takes at the door is given back when the run ends.
+// place that the run takes at admission is given back when the run ends.
 func (s *Server) serveShared(ctx context.Context, req pipeline.Request, sink pipeline.Sink, leave func()) (pipeline.Outcome, error) {
 	caller := newDetachableSink(sink)
 	defer caller.Detach()
--- a/internal/serving/serving_test.go
+++ b/internal/serving/serving_test.go
@@ -27,7 +27,7 @@
 	if errkind.RetryAfter(err) != retryAfterOutage || len(f.refused) != 1 {
 		t.Errorf("retry after %s, %d refusals reported", errkind.RetryAfter(err), len(f.refused))
 	}
-	f.door.check(0, 0)
+	f.admitter.check(0, 0)
 	if f.runner.count() != 0 {
 		t.Fatal("a stage was run")
 	}
@@ -40,7 +40,7 @@
 	if err := f.serveOnce(t, req); err != nil {
 		t.Errorf("a key under a ticket: %v", err)
 	}
-	f.door.check(2, 0)
+	f.admitter.check(2, 0)
 	if f.runner.count() != 2 {
 		t.Errorf("%d runs, want 2", f.runner.count())
 	}
@@ -72,7 +72,7 @@
 	if fmt.Sprint(f.forward.homes) != "[other other other]" || f.runner.count() != 0 {
 		t.Errorf("forwarded to %v, %d runs here", f.forward.homes, f.runner.count())
 	}
-	f.door.check(0, 0)
+	f.admitter.check(0, 0)
 }
 
 // The symptom would be a read that waits out its deadline. Events: the store is
@@ -143,9 +143,9 @@
 					t.Errorf("%s: deadline %s after the request, want %s", name, run.Deadline.Sub(received), row.want.Sub(received))
 				}
 			}
-			for _, entry := range f.door.entries {
+			for _, entry := range f.admitter.entries {
 				if !entry.Deadline.Equal(row.want) {
-					t.Errorf("%s: the door was told another deadline", name)
+					t.Errorf("%s: the admitter was told another deadline", name)
 				}
 			}
 		}
@@ -163,12 +163,12 @@
 		f.admit = errkind.New(errkind.Isolated, "no configuration yet")
 		wantKind(t, f.serveOnce(t, request(name)), errkind.Isolated)
 	}
-	f.door.check(0, 0)
+	f.admitter.check(0, 0)
 }
 
-func TestRefusalAtTheDoorRunsNothing(t *testing.T) {
+func TestRefusalAtAdmissionRunsNothing(t *testing.T) {
 	f := newFixture(t)
-	f.door.refuse = errkind.New(errkind.OrganisationLimit, "enough")
+	f.admitter.refuse = errkind.New(errkind.OrganisationLimit, "enough")
 	wantKind(t, f.serveOnce(t, request("read")), errkind.OrganisationLimit)
 	if f.runner.count() != 0 || len(f.refused) != 1 {
 		t.Errorf("%d runs, %d refusals reported", f.runner.count(), len(f.refused))
--- a/internal/serving/shared_test.go
+++ b/internal/serving/shared_test.go
@@ -54,12 +54,12 @@
 		if f.runner.count() != 1 || repeated != 4 {
 			t.Errorf("%d runs, %d of 5 answers are another's", f.runner.count(), repeated)
 		}
-		f.door.check(5, 0)
+		f.admitter.check(5, 0)
 		out, err := f.serve(t.Context(), request("book"), &connection{t: t})
 		if err != nil || !out.Repeated || f.runner.count() != 1 {
 			t.Errorf("a resend after the end: %+v, %v, %d runs", out, err, f.runner.count())
 		}
-		f.door.check(6, 0)
+		f.admitter.check(6, 0)
 	})
 }
 
@@ -78,12 +78,12 @@
 		if c.text != "abab" {
 			t.Errorf("delivered %q before it left, want abab", c.text)
 		}
-		f.door.check(1, 1) // the run still takes its place
+		f.admitter.check(1, 1) // the run still takes its place
 		out, err := f.serve(t.Context(), request("book"), &connection{t: t})
 		if err != nil || !out.Repeated || f.runner.count() != 1 {
 			t.Errorf("the resend: %+v, %v, %d runs", out, err, f.runner.count())
 		}
-		f.door.check(2, 0)
+		f.admitter.check(2, 0)
 	})
 }
 
@@ -112,7 +112,7 @@
 		req.KeyGiven = false
 		_, err := f.serve(ctx, req, &connection{t: t})
 		wantKind(t, err, errkind.Cancelled)
-		f.door.check(1, 0)
+		f.admitter.check(1, 0)
 	})
 }
 
@@ -124,12 +124,12 @@
 		return pipeline.Outcome{}, errkind.New(errkind.Overloaded, "no room")
 	}
 	wantKind(t, f.serveOnce(t, request("book")), errkind.Overloaded)
-	f.door.check(1, 0)
+	f.admitter.check(1, 0)
 	f.runner.script = nil
 	if err := f.serveOnce(t, request("book")); err != nil {
 		t.Error(err)
 	}
-	f.door.check(2, 0)
+	f.admitter.check(2, 0)
 }
 
 // An error that may have run is the outcome: a resend gets it, not a new run.
@@ -143,13 +143,13 @@
 	if f.runner.count() != 1 {
 		t.Errorf("%d runs", f.runner.count())
 	}
-	f.door.check(2, 0)
+	f.admitter.check(2, 0)
 }
 
 // The symptom would be an organisation that is refused for its limit while it
 // sends nothing. Events: one of its programs uses a key twice with different
 // bodies; each such request is refused. Cause: the refusal comes from the
-// record, no run begins that would give the place at the door back.
+// record, no run begins that would give the place at admission back.
 func TestReusedKeyGivesItsPlaceBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t)
@@ -159,10 +159,10 @@
 		go func() { _, _ = f.serve(t.Context(), request("book"), &connection{t: t}) }()
 		synctest.Wait()
 		wantKind(t, f.serveOnce(t, other), errkind.KeyReused) // while the first runs
-		f.door.check(2, 1)
+		f.admitter.check(2, 1)
 		time.Sleep(time.Minute)
 		wantKind(t, f.serveOnce(t, other), errkind.KeyReused) // and after
-		f.door.check(3, 0)
+		f.admitter.check(3, 0)
 	})
 }
 
@@ -173,7 +173,7 @@
 	f := newFixture(t)
 	f.runner.script = func(context.Context, pipeline.Request, pipeline.Sink) (pipeline.Outcome, error) { panic("defect") }
 	wantKind(t, f.serveOnce(t, request("book")), errkind.Internal)
-	f.door.check(1, 0)
+	f.admitter.check(1, 0)
 }
 
 // The symptom would be callers that wait out their deadline at an instance
@@ -192,7 +192,7 @@
 			t.Errorf("told after %s with %q delivered", took, c.text)
 		}
 		time.Sleep(time.Minute)
-		f.door.check(1, 0)
+		f.admitter.check(1, 0)
 		if f.runner.count() != 1 {
 			t.Errorf("%d runs", f.runner.count())
 		}
