--- a/internal/control/profilesync/limits_test.go
+++ b/internal/control/profilesync/limits_test.go
@@ -63,7 +63,7 @@
 
 func (f *fleet) runLimits() (all []*limits.Controller) {
 	for _, n := range f.nodes {
-		c := limits.New(limits.Options{Board: n.board, Door: noUse{}, Self: n.id, Clock: f.clock})
+		c := limits.New(limits.Options{Board: n.board, Admitter: noUse{}, Self: n.id, Clock: f.clock})
 		ctx, cancel := context.WithCancel(context.Background())
 		stop := n.stop
 		n.stop = func() { stop(); cancel() }
