Profile tests: independent runs go side by side

Change: the subtests of three tests are parallel. Nothing is run less. Figures, on a busy machine of 12 cores: 68 s before, 32 s after (75 to 81 s of processor time in both). Random runs of 3 to 5 instances passed under the race detector; the other two tests did not finish there within 100 s.

--- a/internal/control/profilesync/measure_test.go
+++ b/internal/control/profilesync/measure_test.go
@@ -181,6 +181,7 @@
 func TestWaysToAcceptCompared(t *testing.T) {
 	for _, fenceAfter := range []time.Duration{6 * time.Second, 12 * time.Second, 10 * time.Hour} {
 		t.Run(fenceAfter.String(), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { compareAcceptance(t, fenceAfter) })
 		})
 	}
--- a/internal/control/profilesync/random_test.go
+++ b/internal/control/profilesync/random_test.go
@@ -24,6 +24,7 @@
 	sizes := []int{3, 3, 4, 5, 5, 7, 8, 8, 8, 12, 16, 50}
 	for seed, n := range sizes {
 		t.Run(fmt.Sprintf("%d instances, seed %d", n, seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { randomRun(t, n, uint64(seed)) })
 		})
 	}
--- a/internal/control/profilesync/split_test.go
+++ b/internal/control/profilesync/split_test.go
@@ -60,6 +60,7 @@
 	}
 	for _, s := range shapes {
 		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
 			settled(t, 8, func(f *fleet) {
 				first := f.set(0, "check", 1, 0, "c1", time.Minute)
 				f.cutOff(s.cut)
