Caller client: refused connections do not use the attempts up

Cause: an attempt that reached no instance counted like one that was answered. Change: with a known deadline only attempts that may have reached an instance count. Figures: the new test fails without the change (2 attempts).

--- a/internal/client/send.go
+++ b/internal/client/send.go
@@ -80,6 +80,7 @@
 	splice   splice
 	tried    []string
 	attempts int
+	unsent   int // of them, those that certainly reached no instance
 	server   string
 }
 
@@ -91,10 +92,13 @@
 		if err == nil {
 			return s.result(reply), nil
 		}
+		if IsUnreachable(err) {
+			s.unsent++
+		}
 		worst = worse(worst, RunStateOf(err))
 		err, told = s.lastWord(ctx, err, told)
 		next := stepAfter(err)
-		if next == stepStop || s.attempts >= s.caller.opts.MaxAttempts || s.expired(time.Now()) || ctx.Err() != nil {
+		if next == stepStop || s.triedEnough() || s.expired(time.Now()) || ctx.Err() != nil {
 			return s.ended(), s.final(err, worst)
 		}
 		if next == stepAsk {
@@ -111,6 +115,18 @@
 	}
 }
 
+// triedEnough bounds the attempts. Those that reached no instance count only
+// for a request whose deadline is not known: while all instances are replaced
+// at once, refused connections would use the attempts up in two seconds of a
+// deadline of five.
+func (s *sending) triedEnough() bool {
+	counted := s.attempts
+	if !s.deadline.IsZero() {
+		counted -= s.unsent
+	}
+	return counted >= s.caller.opts.MaxAttempts
+}
+
 // lastWord returns the error to go by and the last one that an instance
 // answered with. An attempt that ended only because the time was up says less
 // than what an instance said before.
--- a/internal/client/silent_test.go
+++ b/internal/client/silent_test.go
@@ -81,3 +81,23 @@
 		t.Fatalf("%v", err)
 	}
 }
+
+// Symptom: while all instances were replaced, callers ended after two seconds
+// of a deadline of five. Events: eight connections were refused. Cause: an
+// attempt that reached nobody counted like one that was answered.
+func TestRefusedConnectionsDoNotUseTheAttemptsUp(t *testing.T) {
+	dead := closedAddress(t)
+	c := newTestCaller(dead)
+	c.opts.MaxAttempts = 2
+	req := lynxapi.SendRequest{Organisation: "agency", Input: json.RawMessage(`{}`), Stream: true, DeadlineMS: 100}
+	result, err := c.Send(t.Context(), "check", req, nil)
+	if !IsUnreachable(err) || result.Attempts <= 2 {
+		t.Fatalf("%d attempts: %v", result.Attempts, err)
+	}
+	c.opts.MaxAttempts = 3
+	req.DeadlineMS = 0 // the deadline is the profile's, not known here
+	result, err = c.Send(t.Context(), "check", req, nil)
+	if !IsUnreachable(err) || result.Attempts != 3 {
+		t.Fatalf("without a deadline %d attempts: %v", result.Attempts, err)
+	}
+}
