--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -217,9 +217,12 @@
 // kindOf names the error of a record for the tables.
 func kindOf(err error) string {
 	var transport *client.TransportError
-	if errors.As(err, &transport) {
+	if errors.As(err, &transport) && transport.Sent {
 		return noAnswer
 	}
+	if transport != nil {
+		return unreachable
+	}
 	if err == nil {
 		return ""
 	}
@@ -232,3 +235,8 @@
 // noAnswer is the name for a caller that got neither an answer nor an error
 // of an instance.
 const noAnswer = "no_answer"
+
+// unreachable is the name for a caller none of whose attempts reached an
+// instance. It knows as surely as from an instance's word that its request was
+// not run, and is checked against the runs like one that was told so.
+const unreachable = "unreachable"
