Serving: forwarded requests are given up too when the instance is cut off

Cause: only requests that callers sent here were; a forwarded one waited out its deadline. Change: ServeForwarded waits like Serve. Figures: the new test fails with the old call and passes with the new one.

--- a/internal/serving/serving.go
+++ b/internal/serving/serving.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return pipeline.Outcome{}, err
 	}
-	return s.serveHere(ctx, req, prof, sink)
+	return s.serveUntilLost(ctx, req, prof, sink)
 }
 
 // forward runs the request at its home. Only the home knows whether the key
--- a/internal/serving/shared_test.go
+++ b/internal/serving/shared_test.go
@@ -198,3 +198,20 @@
 		}
 	})
 }
+
+// The same for a request that came from another instance under a ticket.
+func TestCutOffInstanceSendsForwardedRequestsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t)
+		f.runner.script = streaming
+		time.AfterFunc(1500*time.Millisecond, func() { close(f.lost) })
+		started := time.Now()
+		_, err := f.server.ServeForwarded(t.Context(), request("book"), &connection{t: t})
+		wantKind(t, err, errkind.StoppedMidway)
+		if took := time.Since(started); took != 1500*time.Millisecond {
+			t.Errorf("told after %s", took)
+		}
+		time.Sleep(time.Minute)
+		f.admitter.check(1, 0)
+	})
+}
