--- a/internal/board/table.go
+++ b/internal/board/table.go
@@ -101,6 +101,28 @@
 	return all
 }
 
+// Entry is a row with its key.
+type Entry[V any] struct {
+	Key   string
+	Value V
+}
+
+// Entries copies all rows into one slice, in no order. A snapshot takes an
+// allocation for each row of more than 128 bytes, which this does not. Rows
+// written while it runs may or may not be in.
+func (t *Table[V]) Entries() []Entry[V] {
+	all := make([]Entry[V], 0, t.Len())
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.RLock()
+		for k, v := range s.rows {
+			all = append(all, Entry[V]{k, v})
+		}
+		s.mu.RUnlock()
+	}
+	return all
+}
+
 // Len returns the number of rows.
 func (t *Table[V]) Len() int {
 	n := 0
--- a/internal/control/loadview/gossip.go
+++ b/internal/control/loadview/gossip.go
@@ -3,7 +3,7 @@
 import (
 	"math/bits"
 	"slices"
-	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -53,7 +53,7 @@
 // candidate is a row that may go into a digest.
 type candidate struct {
 	target string
-	load   board.Load
+	load   *board.Load // not copied, since sorting moves candidates
 	*passing
 }
 
@@ -62,13 +62,12 @@
 func (c *Controller) Fill(digest *gossip.Digest, to string, budget int) int {
 	now := c.opts.Clock.Now()
 	receiver, _ := c.opts.Board.Members.Get(to)
-	loads := c.opts.Board.Loads.Snapshot()
-	targets := c.opts.Board.Targets.Snapshot()
+	loads := c.opts.Board.Loads.Entries()
 	limit := resends * bits.Len(uint(c.opts.Board.Members.Len()+1))
 
 	c.spread.mu.Lock()
 	defer c.spread.mu.Unlock()
-	byClass := c.candidates(loads, targets, receiver, now, limit)
+	byClass := c.candidates(loads, receiver, now, limit)
 	used := 0
 	for class, share := range []float64{firstShare, firstShare + secondShare, 1} {
 		until := int(share * float64(budget))
@@ -79,14 +78,15 @@
 
 // candidates returns the rows worth passing on, by class and those passed
 // on least first. c.spread.mu is held.
-func (c *Controller) candidates(loads map[string]board.Load, targets map[string]board.Target, receiver board.Member, now time.Time, limit int) [3][]candidate {
+func (c *Controller) candidates(loads []board.Entry[board.Load], receiver board.Member, now time.Time, limit int) [3][]candidate {
 	var found [3][]candidate
-	for id, load := range loads {
-		t, known := targets[id]
+	for i := range loads {
+		id, load := loads[i].Key, &loads[i].Value
+		t, known := c.opts.Board.Targets.Get(id)
 		if !known || load.Report.Seq == 0 || load.Via == receiver.ID && receiver.ID != "" || now.Sub(load.At) > c.opts.PassOnAge {
 			continue
 		}
-		p := c.spread.passing(id, load, now)
+		p := c.spread.passing(id, *load, now)
 		if p.sent >= limit {
 			continue
 		}
@@ -94,19 +94,20 @@
 		found[class] = append(found[class], candidate{target: id, load: load, passing: p})
 	}
 	for _, rows := range found {
-		sort.Slice(rows, func(i, j int) bool { return before(rows[i], rows[j]) })
+		slices.SortFunc(rows, compare)
 	}
 	return found
 }
 
-func before(a, b candidate) bool {
+// compare orders rows: passed on least first, then the newest.
+func compare(a, b candidate) int {
 	if a.sent != b.sent {
-		return a.sent < b.sent
+		return a.sent - b.sent
 	}
-	if !a.load.At.Equal(b.load.At) {
-		return a.load.At.After(b.load.At)
+	if newest := b.load.At.Compare(a.load.At); newest != 0 {
+		return newest
 	}
-	return a.target < b.target
+	return strings.Compare(a.target, b.target)
 }
 
 // nearness is 0 for a target in the member's place, 1 in its region, else 2.
