--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -25,6 +25,7 @@
 	Timings  Timings  `toml:"timings"`
 	Routing  Routing  `toml:"routing"`
 	Claims   Claims   `toml:"claims"`
+	Ingress  Ingress  `toml:"ingress"`
 	Log      Log      `toml:"log"`
 	Debug    Debug    `toml:"debug"`
 }
@@ -179,7 +180,8 @@
 			Retention:       Of(claim.DefaultRetention),
 			OpaqueRetention: Of(claim.DefaultOpaqueRetention),
 		},
-		Log: Log{Level: "info", Format: FormatLogfmt},
+		Ingress: defaultIngress(),
+		Log:     Log{Level: "info", Format: FormatLogfmt},
 	}
 }
 
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -20,7 +20,7 @@
 // Validate checks the settings. The error names the key.
 func (c *Config) Validate() error {
 	checks := []func() error{
-		c.Instance.validate, c.Listen.validate, c.Platform.validate, c.TLS.validate, c.Tokens.validate,
+		c.Instance.validate, c.Ingress.validate, c.validateListen, c.Platform.validate, c.TLS.validate, c.Tokens.validate,
 		c.Peers.validate, c.Limits.validate, c.Timings.validate, c.Routing.validate, c.Claims.validate, c.Log.validate,
 	}
 	for _, check := range checks {
@@ -35,6 +35,12 @@
 // instances of a machine would have the same, and each would take the others'
 // heartbeats for its own.
 func (c *Config) validateID() error {
+	if c.Ingress.Enabled() {
+		if c.Instance.ID == "" {
+			return fault("instance.id", "is missing; an instance that serves plain requests needs a name")
+		}
+		return nil
+	}
 	port := netip.MustParseAddrPort(c.Listen.callerAddress()).Port()
 	if c.Instance.ID == "" && port == 0 {
 		return fault("instance.id", "is missing; with port 0 in listen.caller the instance needs a name of its own")
@@ -56,6 +62,15 @@
 	return nil
 }
 
+// validateListen checks the listeners. An instance that serves plain requests
+// has those of [ingress] instead of the caller and admin API.
+func (c *Config) validateListen() error {
+	if c.Ingress.Enabled() {
+		return checkAddress("listen.peer", c.Listen.Peer, true)
+	}
+	return c.Listen.validate()
+}
+
 func (l Listen) validate() error {
 	required := []struct{ key, value string }{
 		{"listen.caller", l.Caller}, {"listen.admin", l.Admin}, {"listen.peer", l.Peer},
--- /dev/null
+++ b/internal/control/routesync/peers.go
@@ -0,0 +1,153 @@
+package routesync
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/store"
+)
+
+// rowBytes is the estimated size of a row of a digest without its name.
+const rowBytes = 12
+
+// pullTimeout bounds one pull with all its pages.
+const pullTimeout = time.Second
+
+// source is a peer that holds more than this instance.
+type source struct {
+	instance string
+	version  uint64
+}
+
+// Fill implements gossip.Part: it tells up to which versions peers can pull
+// from this instance.
+func (m *Manager) Fill(d *gossip.Digest, _ string, budget int) int {
+	m.mu.Lock()
+	rows := []gossip.ProfileVersion{
+		{Name: RoutesPrefix, Version: m.routes.object.Version},
+		{Name: TargetsPrefix, Version: m.targets.shared()},
+	}
+	m.mu.Unlock()
+	used := 0
+	for _, row := range rows {
+		size := rowBytes + len(row.Name)
+		if row.Version > 0 && used+size <= budget {
+			d.Profiles = append(d.Profiles, row)
+			used += size
+		}
+	}
+	return used
+}
+
+// Absorb implements gossip.Part: it has pulled in the background what the
+// sender holds above the versions here. It does not block.
+func (m *Manager) Absorb(d gossip.Digest) {
+	if d.From == m.o.Self || m.o.Puller == nil {
+		return
+	}
+	for _, row := range d.Profiles {
+		if sources := m.pulls[row.Name]; sources != nil && row.Version > m.seen(row.Name) {
+			replace(sources, source{d.From, row.Version})
+		}
+	}
+}
+
+// replace puts the newest source in place of one that still waits.
+func replace(sources chan source, s source) {
+	for {
+		select {
+		case sources <- s:
+			return
+		default:
+		}
+		select {
+		case <-sources:
+		default:
+		}
+	}
+}
+
+// seen returns the version above which peers are asked.
+func (m *Manager) seen(prefix string) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if prefix == RoutesPrefix {
+		return m.routes.seen()
+	}
+	return m.targets.mark
+}
+
+// Since answers a peer's pull: the objects of the prefix above the version
+// after by rising version, deleted targets of the last 60 s included; the
+// version up to which the peer then holds everything, 0 if this instance does
+// not know the whole; and whether it should ask again from there.
+func (m *Manager) Since(prefix string, after uint64) (objects []store.Object, version uint64, more bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case prefix == RoutesPrefix:
+		return m.routes.since(after), m.routes.object.Version, false
+	case prefix == TargetsPrefix && m.targets.known:
+		m.targets.forget(m.o.Boot.SinceBoot())
+		return m.targets.since(after)
+	default:
+		return nil, 0, false
+	}
+}
+
+// runPulls pulls one prefix, from one peer at a time, until ctx ends.
+func (m *Manager) runPulls(ctx context.Context, prefix string, sources <-chan source) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-sources:
+			m.pull(ctx, prefix, s)
+		}
+	}
+}
+
+// pull fetches what the peer holds above the versions here and merges it. If
+// only its first pages came, they are merged too, and the next pull starts from
+// the same version: the peer promises completeness with the last page only.
+func (m *Manager) pull(ctx context.Context, prefix string, s source) {
+	after := m.seen(prefix)
+	if s.version <= after {
+		return
+	}
+	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, pullTimeout)
+	defer cancel()
+	objects, version, err := m.pages(ctx, prefix, s.instance, after)
+	if err != nil {
+		m.o.Logger.Log(event.RoutePullFailed, "prefix", prefix, "instance", s.instance, "err", err)
+	}
+	if len(objects) > 0 || version > 0 {
+		m.adopt(prefix, answer{objects: objects, version: version, peer: s.instance})
+	}
+}
+
+// errStuck says that a peer promised more and did not get on.
+var errStuck = errors.New("routesync: the peer sends the same page again")
+
+// pages pulls until the peer has no more. With an error it returns what came
+// and version 0.
+func (m *Manager) pages(ctx context.Context, prefix, instance string, after uint64) (objects []store.Object, version uint64, err error) {
+	for {
+		page, version, more, err := m.o.Puller.Pull(ctx, instance, prefix, after)
+		if err != nil {
+			return objects, 0, err
+		}
+		objects = append(objects, page...)
+		switch {
+		case !more:
+			return objects, version, nil
+		case version <= after:
+			return objects, 0, errStuck
+		}
+		after = version
+	}
+}
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,336 @@
+// Package edge assembles an instance that serves plain HTTP requests on a
+// platform that declares routes and targets. It is what package daemon is for
+// the product's own caller and admin API: membership, the agreement on the
+// configuration, the dispatcher of stage work and the request path are the same
+// product's; claims, tickets, orders and leases are not run, since the platform
+// makes them needless here (see docs/design/platform.md).
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/quartz"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/bootclock"
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/config"
+	"lynxhill.example/lynxhill/internal/control/routesync"
+	"lynxhill.example/lynxhill/internal/crashguard"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/exchange"
+	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/forwarding"
+	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/ingress"
+	"lynxhill.example/lynxhill/internal/membership"
+	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/peer"
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/route"
+	"lynxhill.example/lynxhill/internal/stagework"
+	"lynxhill.example/lynxhill/internal/store"
+)
+
+// Platform is the platform's store as an instance uses it.
+type Platform interface {
+	store.Store
+	// Deregister takes an instance off the list.
+	Deregister(ctx context.Context, id string) error
+}
+
+// Adapter is what translates between the product and the platform; package
+// platform at the root provides it.
+type Adapter struct {
+	Platform Platform
+	Codec    relay.Codec
+	Decoder  relay.Decoder
+	// Stages returns the client of stage targets over the connections.
+	Stages func(*exchange.Pool) relay.StageClient
+	// AnswerID returns the id of the attempt that a target's answer names.
+	AnswerID func(http.Header) string
+	// ReadyPath and AddressPath are where the platform and callers ask.
+	ReadyPath, AddressPath string
+}
+
+// Options configure an instance beside its settings. Zero values stand for the
+// real world.
+type Options struct {
+	Clock  clock.Clock
+	Boot   clock.Boot
+	Seed   uint64 // of random choices; 0 = drawn
+	Logger *event.Logger
+	// Dial connects to targets and other instances.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Listen opens a listener.
+	Listen func(network, address string) (net.Listener, error)
+}
+
+// Instance is one instance.
+type Instance struct {
+	cfg     config.Config
+	o       Options
+	adapter Adapter
+	board   *board.Board
+	metrics *metrics.Registry
+
+	pool       *exchange.Pool
+	peers      *peer.Client
+	members    *membership.Manager
+	routes     *routesync.Manager
+	dispatcher *stagework.Dispatcher
+	finder     *stagework.Finder
+	guard      *crashguard.Guard
+	ingress    *ingress.Ingress
+
+	wokeAt  atomic.Int64 // boot time of the last waking that is not confirmed, ns; 0 = none
+	servers []*http.Server
+	listens []net.Listener
+}
+
+// Times of an instance.
+const (
+	heartbeatEvery = 500 * time.Millisecond
+	suspectAfter   = 1500 * time.Millisecond
+	listEvery      = 10 * time.Second
+	registerEvery  = 30 * time.Second
+	// crashLimit is how many targets may die under one request.
+	crashLimit = 3
+	crashKeep  = time.Minute
+	// takeAfterStop is how long new requests are taken once the instance is
+	// stopping: callers still hold its address.
+	takeAfterStop = 2500 * time.Millisecond
+	// quietAfterStop is the shortest time between the order to stop and the
+	// end.
+	quietAfterStop = 2500 * time.Millisecond
+	// lastMargin is kept of the time to stop for the end of the process.
+	lastMargin = 400 * time.Millisecond
+	stopPoll   = 25 * time.Millisecond
+)
+
+// New assembles an instance and opens its listeners; Run serves. Errors say
+// which setting is unusable.
+func New(cfg config.Config, adapter Adapter, o Options) (*Instance, error) {
+	if o.Clock == nil {
+		o.Clock = quartz.NewReal()
+	}
+	if o.Boot == nil {
+		o.Boot = bootclock.Clock{}
+	}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	if o.Listen == nil {
+		o.Listen = net.Listen
+	}
+	i := &Instance{cfg: cfg, o: o, adapter: adapter, board: board.New(), metrics: metrics.NewRegistry()}
+	i.o.Logger = o.Logger.With("instance", cfg.Instance.ID)
+	i.assembleControl()
+	i.assembleRequestPath()
+	if err := i.openServers(); err != nil {
+		i.closeServers()
+		return nil, err
+	}
+	return i, nil
+}
+
+func (i *Instance) id() string { return i.cfg.Instance.ID }
+
+func (i *Instance) rand() *rand.Rand {
+	i.o.Seed++
+	return rand.New(rand.NewPCG(i.o.Seed, 0x9e3779b97f4a7c15))
+}
+
+// assembleControl makes what keeps members and configuration.
+func (i *Instance) assembleControl() {
+	i.peers = peer.NewClient(peer.Options{
+		Dial: i.o.Dial, Self: i.id(), Address: i.peerAddress, Logger: i.o.Logger, Metrics: i.metrics,
+	})
+	i.guard = crashguard.New(crashguard.Options{
+		Board: i.board, Clock: i.o.Clock, Limit: crashLimit, Keep: crashKeep,
+		Alive: i.targetAlive, Logger: i.o.Logger, Metrics: i.metrics,
+	})
+	i.routes = routesync.New(routesync.Options{
+		Self: i.id(), Store: i.adapter.Platform, Decoder: i.adapter.Decoder, Puller: i.peers,
+		Clock: i.o.Clock, Boot: i.o.Boot, Rand: i.rand(), Logger: i.o.Logger, Metrics: i.metrics,
+		OnTable:   func(*route.Table) { i.targetsChanged() },
+		OnTargets: i.retarget,
+		Hurry:     func() { i.members.Hurry() },
+	})
+	i.members = membership.New(membership.Options{
+		Self: board.Member{
+			ID: i.id(), State: board.MemberAlive, CallerAddr: i.cfg.Ingress.Listen, AdminAddr: i.cfg.Ingress.Listen,
+			PeerAddr: i.cfg.Listen.Peer, Place: i.cfg.Instance.Place, Region: i.cfg.Instance.Region,
+		},
+		Board: i.board, Clock: i.o.Clock, Boot: i.o.Boot, Rand: i.rand(), Transport: i.peers,
+		Lister: i.adapter.Platform, Seeds: i.cfg.Peers.Seeds,
+		Parts:          []gossip.Part{i.routes, i.guard},
+		HeartbeatEvery: heartbeatEvery, SuspectAfter: suspectAfter,
+		ListEvery: listEvery, RegisterEvery: registerEvery,
+		Logger: i.o.Logger, Metrics: i.metrics,
+	})
+}
+
+// assembleRequestPath makes what carries requests.
+func (i *Instance) assembleRequestPath() {
+	i.pool = exchange.New(exchange.Options{Dial: i.o.Dial, AnswerID: i.adapter.AnswerID})
+	i.dispatcher = stagework.New(stagework.Options{
+		Client: i.adapter.Stages(i.pool), Clock: i.o.Clock, Logger: i.o.Logger,
+	})
+	i.finder = stagework.NewFinder(stagework.FinderOptions{
+		Self: i.id(), Local: i.dispatcher, Remote: i.peers,
+		Members: func() []string { return i.board.LiveMembers(i.id()) },
+		Clock:   i.o.Clock, Logger: i.o.Logger,
+	})
+	forwarder := forwarding.New(forwarding.Options{
+		Codec: i.adapter.Codec, Exchange: i.pool, Targets: i.routes.Targets, Work: i.finder,
+		Budget: forwarding.NewBudget(forwarding.BudgetOptions{
+			Ratio: i.cfg.Ingress.RetryRatio, Extra: i.cfg.Ingress.RetryExtra,
+			Window: i.cfg.Ingress.RetryWindow.Duration, Instances: i.instances, Clock: i.o.Clock,
+		}),
+		Loads:   forwarding.NewLoads(i.o.Clock, i.cfg.Instance.Place, i.rand()),
+		Crashes: i.guard, Place: i.cfg.Instance.Place, Clock: i.o.Clock, Rand: i.rand(), Logger: i.o.Logger,
+	})
+	i.ingress = ingress.New(ingress.Options{
+		Codec: i.adapter.Codec, Forwarder: forwarder, Table: i.routes.Table,
+		Confirmed: i.confirmed, Serving: i.serving, Addresses: i.addresses,
+		AddressTTL: i.cfg.Ingress.AddressTTL.Duration, TakeAfterStop: takeAfterStop,
+		Clock: i.o.Clock, Logger: i.o.Logger,
+	})
+}
+
+// openServers opens the listeners.
+func (i *Instance) openServers() error {
+	control := i.ingress.ControlServer(i.adapter.ReadyPath, i.adapter.AddressPath)
+	peers := peer.NewServer(peer.NewHandler(peer.ServerOptions{
+		Exchange: i.exchange, Probe: i.members.HandleProbe, Profiles: i.routes.Since, Work: i.takeWork,
+		Logger: i.o.Logger, Metrics: i.metrics,
+	}), nil, i.o.Logger)
+	for _, l := range []struct {
+		address string
+		server  *http.Server
+	}{
+		{i.cfg.Ingress.Listen, i.ingress.Server()},
+		{i.cfg.Ingress.Readiness, control},
+		{i.cfg.Ingress.Addresses, control},
+		{i.cfg.Listen.Peer, peers},
+	} {
+		if l.address == "" {
+			continue
+		}
+		listener, err := i.o.Listen("tcp", l.address)
+		if err != nil {
+			return err
+		}
+		i.servers = append(i.servers, l.server)
+		i.listens = append(i.listens, listener)
+	}
+	return nil
+}
+
+func (i *Instance) closeServers() {
+	for _, l := range i.listens {
+		_ = l.Close()
+	}
+	for _, s := range i.servers {
+		_ = s.Close()
+	}
+}
+
+// exchange serves a heartbeat.
+func (i *Instance) exchange(ctx context.Context, d gossip.Digest) gossip.Digest {
+	return i.members.Handle(ctx, d)
+}
+
+// takeWork takes a job of another instance.
+func (i *Instance) takeWork(job stagework.Job) (stagework.Assignment, *stagework.Refusal) {
+	t, refusal := i.dispatcher.Submit(job)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return t, nil
+}
+
+func (i *Instance) peerAddress(instance string) (string, bool) {
+	m, ok := i.board.Members.Get(instance)
+	return m.PeerAddr, ok && m.PeerAddr != ""
+}
+
+// targetsChanged tells the dispatcher of new routes or targets.
+func (i *Instance) targetsChanged() {
+	i.dispatcher.SetTargets(i.routes.Table(), i.routes.Targets())
+}
+
+// retarget takes in a change of targets; connections to those that are gone
+// are closed, since another service may get their address.
+func (i *Instance) retarget(before, now *fleet.View) {
+	for _, t := range before.All() {
+		if _, listed := now.Get(t.ID); !listed {
+			i.pool.CloseIdle(t.Address)
+		}
+	}
+	i.targetsChanged()
+}
+
+// instances is how many instances share what is shared.
+func (i *Instance) instances() int {
+	return max(len(i.board.LiveMembers(i.id())), 1)
+}
+
+// Run serves until ctx ends, then stops gracefully.
+func (i *Instance) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var parts sync.WaitGroup
+	for _, run := range []func(context.Context){i.routes.Run, i.members.Run, i.watchSuspension} {
+		parts.Go(func() { run(background) })
+	}
+	failed := make(chan error, len(i.servers))
+	for k, s := range i.servers {
+		parts.Go(func() {
+			if err := s.Serve(i.listens[k]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
+	}
+	i.o.Logger.Log(event.IngressListening, "address", i.cfg.Ingress.Listen, "peer", i.cfg.Listen.Peer)
+	var err error
+	select {
+	case <-ctx.Done():
+		i.stop()
+	case err = <-failed:
+	}
+	i.ingress.Cut()
+	i.closeServers()
+	i.dispatcher.Close()
+	stop()
+	parts.Wait()
+	return err
+}
+
+// stop finishes what is in flight, as far as the time to stop allows.
+func (i *Instance) stop() {
+	began := i.o.Clock.Now()
+	i.ingress.Stop()
+	i.o.Logger.Log(event.IngressStopping, "in_flight", i.ingress.InFlight())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	go func() { _ = i.adapter.Platform.Deregister(ctx, i.id()) }()
+	i.members.Leave(ctx)
+	for {
+		waited := i.o.Clock.Now().Sub(began)
+		idle := i.ingress.InFlight() == 0 && i.dispatcher.Jobs() == 0
+		if idle && waited >= quietAfterStop || waited >= i.cfg.Ingress.Grace.Duration-lastMargin {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	i.o.Logger.Log(event.IngressStopped, "cut", i.ingress.InFlight())
+}
--- /dev/null
+++ b/internal/event/catalogue_forwarding.go
@@ -0,0 +1,26 @@
+package event
+
+// Events of packages forwarding and ingress.
+const (
+	ForwardAnswered      ID = 4210
+	ForwardFailed        ID = 4211
+	ForwardAttemptFailed ID = 4212
+	ForwardStreamBroke   ID = 4213
+	IngressRefused       ID = 4220
+	IngressListening     ID = 4221
+	IngressStopping      ID = 4222
+	IngressStopped       ID = 4223
+	IngressWoke          ID = 4224
+)
+
+var _ = define(
+	Definition{ForwardAnswered, Debug, "forward_answered", "A plain request got a target's answer. The line holds the version of the routes, the target and the times."},
+	Definition{ForwardFailed, Info, "forward_failed", "A plain request got an answer of this instance's own, or a failure; outcome says why, ran whether a target may have run it."},
+	Definition{ForwardAttemptFailed, Info, "forward_attempt_failed", "A target refused or failed a plain request; sent says whether a byte of it may have reached the target."},
+	Definition{ForwardStreamBroke, Info, "forward_stream_broke", "A target's stream broke off; it is resumed at another if the route allows it."},
+	Definition{IngressRefused, Info, "ingress_refused", "A plain request was refused before a route was found for it; reason says why."},
+	Definition{IngressListening, Info, "ingress_listening", "The instance listens for plain requests."},
+	Definition{IngressStopping, Info, "ingress_stopping", "The instance is stopping: it is not named to callers any more and finishes what it has."},
+	Definition{IngressStopped, Info, "ingress_stopped", "The instance has stopped; cut is the number of requests that were not finished."},
+	Definition{IngressWoke, Warn, "ingress_woke", "The process did not run for a while; what it knows is confirmed anew."},
+)
--- /dev/null
+++ b/internal/event/catalogue_routesync.go
@@ -0,0 +1,24 @@
+package event
+
+// Events of route sync.
+const (
+	RoutesAdopted      ID = 3351
+	RoutesNotNewer     ID = 3352
+	RoutesUnreadable   ID = 3353
+	TargetsChanged     ID = 3354
+	TargetUnreadable   ID = 3355
+	RouteStoreLost     ID = 3356
+	RouteStoreRegained ID = 3357
+	RoutePullFailed    ID = 3358
+)
+
+var _ = define(
+	Definition{RoutesAdopted, Info, "routes_adopted", "A version of the table of routes is in force on this instance."},
+	Definition{RoutesNotNewer, Warn, "routes_not_newer", "A table of routes was offered, or deleted, whose version is not above the one in force; that one stays. If an operator wrote it, write it again with a higher version."},
+	Definition{RoutesUnreadable, Error, "routes_unreadable", "The offered table of routes cannot be read; the one before stays in force here. Write the table again."},
+	Definition{TargetsChanged, Info, "targets_changed", "Targets were added, changed or removed on this instance."},
+	Definition{TargetUnreadable, Error, "target_unreadable", "An entry of the target list cannot be read; the target stays as it was here. Write the entry again."},
+	Definition{RouteStoreLost, Warn, "route_store_lost", "The platform does not answer for routes and targets, or turns this instance away; what is known stays in use, and peers are asked."},
+	Definition{RouteStoreRegained, Info, "route_store_regained", "The platform answers again for routes and targets."},
+	Definition{RoutePullFailed, Debug, "route_pull_failed", "Routes or targets could not be fetched from a peer; the next exchange names another one."},
+)
--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,594 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/memnet"
+)
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// peer is the target's side of a connection.
+type peer struct {
+	net.Conn
+	br *bufio.Reader
+}
+
+// request reads a request; false at the end of the connection.
+func (p *peer) request() bool {
+	req, err := http.ReadRequest(p.br)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, req.Body)
+	return err == nil
+}
+
+// answers sends one of the given answers to each request, then closes.
+func (p *peer) answers(list ...string) {
+	for _, answer := range list {
+		if !p.request() {
+			return
+		}
+		io.WriteString(p, answer)
+	}
+}
+
+// reset ends the connection with a reset.
+func (p *peer) reset() {
+	p.Conn.(*net.TCPConn).SetLinger(0)
+	p.Close()
+}
+
+// serve runs script for each connection to l, which it closes afterwards.
+func serve(t *testing.T, l net.Listener, script func(p *peer)) string {
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				script(&peer{c, bufio.NewReader(c)})
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// serveTCP is serve on a loopback port.
+func serveTCP(t *testing.T, script func(p *peer)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return serve(t, l, script)
+}
+
+// serveMemory is serve in memory for synctest, with a pool that dials it.
+func serveMemory(t *testing.T, opts Options, script func(p *peer)) *Pool {
+	l := memnet.Listen()
+	serve(t, l, script)
+	opts.Dial = l.Dial
+	return New(opts)
+}
+
+// get does one exchange and returns the body with the error of Do or Read.
+func get(t *testing.T, p *Pool, r Request) (string, error) {
+	if r.Method == "" {
+		r.Method = "GET"
+	}
+	if r.Address == "" {
+		r.Address = "target:1"
+	}
+	r.URI = "/"
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	resp, err := p.Do(ctx, r)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+func wantBody(t *testing.T, p *Pool, r Request, want string) {
+	t.Helper()
+	if got, err := get(t, p, r); err != nil || got != want {
+		t.Fatalf("body %q, error %v; want %q", got, err, want)
+	}
+}
+
+func wantSent(t *testing.T, err error, sent bool) {
+	t.Helper()
+	var e *Error
+	if !errors.As(err, &e) || e.Sent != sent {
+		t.Fatalf("error %v; want an Error with Sent=%v", err, sent)
+	}
+}
+
+func wantStats(t *testing.T, p *Pool, want Stats) {
+	t.Helper()
+	if got := p.Stats(); got != want {
+		t.Fatalf("stats %+v; want %+v", got, want)
+	}
+}
+
+func TestHeadOnTheWire(t *testing.T) {
+	for _, c := range []struct {
+		r    Request
+		want string // "" = refused
+	}{
+		{Request{Method: "GET", URI: "/a%2F../b?x=%zz", Host: "Some.Host:80"}, "GET /a%2F../b?x=%zz HTTP/1.1\r\nHost: Some.Host:80\r\n\r\n"},
+		{Request{Method: "PUT", URI: "*"}, "PUT * HTTP/1.1\r\nHost: a:1\r\nContent-Length: 0\r\n\r\n"},
+		{Request{Method: "GET", URI: "/", Body: []byte("xyz"), Header: http.Header{"x-Odd": {"1", "2"}, "Content-Length": {"3"}}},
+			"GET / HTTP/1.1\r\nHost: a:1\r\nContent-Length: 3\r\nx-Odd: 1\r\nx-Odd: 2\r\n\r\n"},
+		{r: Request{Method: "GET", URI: "/ HTTP/1.1\r\nX: y"}},
+		{r: Request{Method: "GET", URI: "/\x00"}},
+		{r: Request{Method: "GET", URI: ""}},
+		{r: Request{Method: "G ET", URI: "/"}},
+		{r: Request{Method: "CONNECT", URI: "/"}},
+		{r: Request{Method: "GET", URI: "/", Host: "h\r\nX: y"}},
+		{r: Request{Method: "GET", URI: "/", Header: http.Header{"X": {"a\r\nY: b"}}}},
+		{r: Request{Method: "GET", URI: "/", Header: http.Header{"X": {"a\x00"}}}},
+		{r: Request{Method: "GET", URI: "/", Header: http.Header{"X: y\r\nZ": {"a"}}}},
+		{r: Request{Method: "GET", URI: "/", Header: http.Header{"content-length": {"7"}}}},
+		{r: Request{Method: "GET", URI: "/", Header: http.Header{"Transfer-Encoding": {"chunked"}}}},
+		{r: Request{Method: "GET", URI: "/", Header: http.Header{"Host": {"b"}}}},
+	} {
+		c.r.Address = "a:1"
+		got, err := encodeHead(c.r)
+		if string(got) != c.want || (err == nil) != (c.want != "") {
+			t.Errorf("%+v: %q, %v; want %q", c.r, got, err, c.want)
+		}
+		if c.want == "" {
+			_, err := New(Options{}).Do(t.Context(), c.r)
+			wantSent(t, err, false)
+		}
+	}
+}
+
+func TestWhichConnectionsAreKept(t *testing.T) {
+	for _, c := range []struct {
+		name, method, answer, body string
+		header                     http.Header
+		kept                       bool
+	}{
+		{"length", "POST", okAnswer, "ok", nil, true},
+		{"chunks", "GET", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX: y\r\n\r\n", "ok", nil, true},
+		{"no content", "GET", "HTTP/1.1 204 No\r\n\r\n", "", nil, true},
+		{"not modified", "GET", "HTTP/1.1 304 No\r\nContent-Length: 9\r\n\r\n", "", nil, true},
+		{"HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n", "", nil, true},
+		{"interim heads", "GET", "HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + okAnswer, "ok", nil, true},
+		{"target closes", "GET", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", "ok", nil, false},
+		{"caller closes", "GET", okAnswer, "ok", http.Header{"connection": {"x, Close"}}, false},
+		{"HTTP/1.0", "GET", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nok", "ok", nil, false},
+		{"no idle time", "GET", "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok", "ok", nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := serveTCP(t, func(p *peer) { p.answers(c.answer, c.answer, c.answer) })
+			p := New(Options{})
+			for range 2 {
+				wantBody(t, p, Request{Address: address, Method: c.method, Header: c.header}, c.body)
+			}
+			wantBody(t, p, Request{Address: address, Method: c.method, Header: c.header, Fresh: true}, c.body)
+			if c.kept {
+				wantStats(t, p, Stats{Dialed: 2, Reused: 1})
+			} else {
+				wantStats(t, p, Stats{Dialed: 3})
+			}
+		})
+	}
+}
+
+func TestDeadKeptConnection(t *testing.T) {
+	// Symptom: a request is carried out twice, or lost without need.
+	// Events: (a) the target closes a connection while it is idle; (b) it
+	// closes it after it has read the next request.
+	// Cause: (a) is seen before the reuse; (b) must be told as sent, and a
+	// transport that sends it again by itself would repeat it.
+	var requests atomic.Int32
+	idleClosed := make(chan struct{})
+	address := serveTCP(t, func(p *peer) {
+		p.answers(okAnswer)
+		if requests.Add(1) == 1 {
+			p.Close()
+			close(idleClosed)
+			return
+		}
+		if p.request() {
+			requests.Add(1)
+		}
+		p.reset()
+	})
+	p := New(Options{})
+	wantBody(t, p, Request{Address: address}, "ok")
+	<-idleClosed
+	time.Sleep(20 * time.Millisecond) // the end crosses the loopback
+	wantBody(t, p, Request{Address: address}, "ok")
+	wantStats(t, p, Stats{Dialed: 2, Stale: 1})
+	_, err := get(t, p, Request{Address: address, Method: "POST", Body: []byte("pay")})
+	wantSent(t, err, true)
+	if requests.Load() != 3 {
+		t.Fatalf("target saw %d requests, want 3", requests.Load())
+	}
+	wantStats(t, p, Stats{Dialed: 2, Reused: 1, Stale: 1})
+}
+
+func TestDialFailureIsNotSent(t *testing.T) {
+	// Symptom: a request that no target has seen isn't tried elsewhere.
+	// Events: the dial is refused; the dial gets no answer.
+	// Cause: told like a lost answer. The dial's own end of time mustn't look
+	// like the end of the caller's context, who would give up.
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	_, err = get(t, New(Options{}), Request{Address: l.Addr().String()})
+	wantSent(t, err, false)
+	synctest.Test(t, func(t *testing.T) {
+		p, start := New(Options{Dial: memnet.Listen().Dial}), time.Now()
+		_, err := get(t, p, Request{})
+		wantSent(t, err, false)
+		if time.Since(start) != DefaultDialTimeout || !errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("after %v: %v", time.Since(start), err)
+		}
+	})
+}
+
+func TestAnswerBeforeEndOfRequest(t *testing.T) {
+	// Symptom: a request hangs, or the rest of a request reads as the next one.
+	// Events: the target refuses a long body by its head and stops reading.
+	// Cause: waiting for the write before reading, or going on writing and
+	// keeping the connection afterwards.
+	for _, answer := range []string{okAnswer, "HTTP/1.1 204 No\r\n\r\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			var rest int64
+			var end error
+			p := serveMemory(t, Options{}, func(p *peer) {
+				http.ReadRequest(p.br)
+				io.WriteString(p, answer)
+				time.Sleep(time.Second)
+				rest, end = io.Copy(io.Discard, p.br)
+			})
+			if _, err := get(t, p, Request{Method: "POST", Body: make([]byte, 1<<20)}); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(2 * time.Second)
+			synctest.Wait()
+			if rest > 4096 || end != nil || len(p.idle) != 0 {
+				t.Fatalf("%d bytes after the answer, end %v, kept %d", rest, end, len(p.idle))
+			}
+		})
+	}
+}
+
+func TestAnswerToAnotherAttempt(t *testing.T) {
+	// Symptom: a caller gets another caller's answer.
+	// Events: the target answers attempt 1 once more when attempt 2 is on its
+	// kept connection; the copy comes first.
+	// Cause: HTTP/1.1 pairs answers with requests by order alone.
+	other := "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nother"
+	chunked := "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n"
+	mine := "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 4\r\n\r\nmine"
+	// Read with the wrong end of the answer before it, a body is an answer.
+	asBody := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n%s", len(mine), mine)
+	toHEAD := fmt.Sprintf("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: %d\r\n\r\n", strings.Index(asBody, mine))
+	for _, c := range []struct {
+		name, first, method, late string
+		mismatched                uint64
+		ok                        bool
+	}{
+		{"length", "GET", "GET", other + mine, 1, true},
+		{"chunks, three", "GET", "GET", chunked + other + chunked + mine, 3, true},
+		{"four", "GET", "GET", other + other + other + other + mine, 4, false},
+		{"none follows", "GET", "GET", other, 1, false},
+		{"no length", "GET", "GET", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\n" + mine, 1, false},
+		{"too long", "GET", "GET", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2000000\r\n\r\n" + strings.Repeat("x", 2000000) + mine, 1, false},
+		{"after HEAD", "HEAD", "GET", toHEAD + asBody, 1, false},
+		{"HEAD", "GET", "HEAD", asBody, 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := serveTCP(t, func(p *peer) {
+				p.answers("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n", c.late)
+			})
+			p := New(Options{AnswerID: func(h http.Header) string { return h.Get("Id") }})
+			wantBody(t, p, Request{Address: address, Method: c.first, ID: "1"}, "")
+			got, err := get(t, p, Request{Address: address, Method: c.method, ID: "2"})
+			if c.ok && (err != nil || got != "mine") {
+				t.Fatalf("%q, %v", got, err)
+			}
+			if !c.ok {
+				wantSent(t, err, true)
+			}
+			wantStats(t, p, Stats{Dialed: 1, Reused: 1, Mismatched: c.mismatched})
+			if len(p.idle) != 0 {
+				t.Fatal("the connection was kept")
+			}
+		})
+	}
+}
+
+func TestBytesAfterAnswer(t *testing.T) {
+	// Symptom: a request gets an answer that was made before it.
+	// Events: a target sends more than the answer, with it or a while later.
+	// Cause: stray bytes read as the head of the next answer.
+	for _, delay := range []time.Duration{0, 20 * time.Millisecond} {
+		address := serveTCP(t, func(p *peer) {
+			p.request()
+			stray := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+			if delay == 0 {
+				io.WriteString(p, okAnswer+stray)
+			} else {
+				io.WriteString(p, okAnswer)
+				time.Sleep(delay)
+				io.WriteString(p, stray)
+			}
+			p.request()
+		})
+		p := New(Options{})
+		for range 2 {
+			wantBody(t, p, Request{Address: address}, "ok")
+			time.Sleep(3 * delay)
+		}
+		if s := p.Stats(); s.Dialed != 2 || s.Reused != 0 {
+			t.Fatalf("stats %+v", s)
+		}
+	}
+}
+
+func TestEndOfBody(t *testing.T) {
+	// Symptom: a cut answer is handed on as a whole one.
+	// Events: the connection ends, in order or by a reset, amid an answer.
+	// Cause: the end of the connection taken for the end of the answer.
+	chunks := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, c := range []struct {
+		name, answer string
+		reset, whole bool
+	}{
+		{"length short", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", false, false},
+		{"amid a chunk", chunks + "9\r\nok", false, false},
+		{"after a chunk", chunks + "2\r\nok\r\n", false, false},
+		{"amid the last chunk", chunks + "2\r\nok\r\n0\r\n", false, false},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\nok", false, true},
+		{"no length, HTTP/1.0", "HTTP/1.0 200 OK\r\n\r\nok", false, true},
+		{"no length, reset", "HTTP/1.1 200 OK\r\n\r\nok", true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			address := serveTCP(t, func(p *peer) {
+				p.answers(c.answer)
+				time.Sleep(20 * time.Millisecond) // a reset drops unread bytes
+				if c.reset {
+					p.reset()
+				}
+			})
+			p := New(Options{})
+			got, err := get(t, p, Request{Address: address})
+			if got != "ok" || (err == nil) != c.whole || len(p.idle) != 0 {
+				t.Fatalf("%q, %v", got, err)
+			}
+		})
+	}
+}
+
+func TestResetMetByWriter(t *testing.T) {
+	// Symptom: as above, rarely, and only for long requests.
+	// Events: a target resets the connection amid an answer without length
+	// while the request is still being written.
+	// Cause: the kernel reports a reset once; if the write takes it, the read
+	// sees a clean end.
+	read := make(chan struct{})
+	address := serveTCP(t, func(p *peer) {
+		http.ReadRequest(p.br)
+		io.WriteString(p, "HTTP/1.1 200 OK\r\n\r\nok")
+		<-read
+		p.reset()
+	})
+	resp, err := New(Options{}).Do(t.Context(), Request{Address: address, Method: "POST", URI: "/", Body: make([]byte, 64<<20)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	io.ReadFull(resp.Body, make([]byte, 2))
+	close(read)
+	<-resp.Body.(*body).x.written
+	if n, err := resp.Body.Read(make([]byte, 9)); n != 0 || err == nil || err == io.EOF {
+		t.Fatalf("%d bytes, %v", n, err)
+	}
+}
+
+func TestCancelClosesConnection(t *testing.T) {
+	// Symptom: a target works on for callers that have gone; goroutines pile up.
+	// Events: the context ends in any phase of an exchange.
+	// Cause: a blocked read or write that nothing interrupts. synctest fails
+	// if a goroutine outlives the test.
+	for _, phase := range []string{"dial", "write", "head", "body", "close"} {
+		t.Run(phase, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				closed := make(chan struct{})
+				p := serveMemory(t, Options{}, func(p *peer) {
+					defer close(closed)
+					if phase != "write" {
+						p.request()
+					} else {
+						p.Read(make([]byte, 3))
+					}
+					if phase == "body" || phase == "close" {
+						io.WriteString(p, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok")
+					}
+					time.Sleep(time.Minute)
+					if _, err := io.Copy(io.Discard, p.br); err != nil {
+						t.Error(err)
+					}
+				})
+				if phase == "dial" {
+					p = New(Options{Dial: memnet.Listen().Dial, DialTimeout: time.Hour})
+					close(closed)
+				}
+				cause := errors.New("caller has gone")
+				ctx, cancel := context.WithCancelCause(t.Context())
+				time.AfterFunc(time.Second, func() { cancel(cause) })
+				start := time.Now()
+				resp, err := p.Do(ctx, Request{Address: "target:1", Method: "POST", URI: "/", Body: []byte("x")})
+				if resp != nil {
+					if phase == "close" {
+						resp.Body.Close()
+					}
+					_, err = io.ReadAll(resp.Body)
+				} else {
+					wantSent(t, err, phase != "dial")
+				}
+				if phase == "close" {
+					if time.Since(start) != 0 || err == nil {
+						t.Fatalf("after %v: %v", time.Since(start), err)
+					}
+				} else if time.Since(start) != time.Second || !errors.Is(err, context.Canceled) || !errors.Is(err, cause) {
+					t.Fatalf("after %v: %v", time.Since(start), err)
+				}
+				<-closed
+				cancel(nil)
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+func TestCancelAtTheEnd(t *testing.T) {
+	// Symptom: a request fails on a kept connection, closed by our own side.
+	// Events: the context ends just as the answer does.
+	// Cause: the connection is kept although its closing has begun.
+	ctx, cancel := context.WithCancel(t.Context())
+	address := serveTCP(t, func(p *peer) { p.answers("HTTP/1.1 204 No\r\n\r\n") })
+	p := New(Options{AnswerID: func(http.Header) string { cancel(); return "" }})
+	if _, err := p.Do(ctx, Request{Address: address, Method: "GET", URI: "/"}); err != nil || len(p.idle) != 0 {
+		t.Fatalf("%v, kept %d", err, len(p.idle))
+	}
+}
+
+func TestAnswersRefused(t *testing.T) {
+	// Symptom: memory fills, or bytes that aren't HTTP are read as answers.
+	// Events: an endless head, endless 1xx heads, 101, a malformed head.
+	// Cause: a target's answer trusted without bounds.
+	interim := "HTTP/1.1 100 Go\r\n\r\n"
+	for _, answer := range []string{
+		"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 1<<20) + "\r\n\r\n",
+		strings.Repeat(interim, 1<<16) + okAnswer,
+		"HTTP/1.1 101 Go\r\nUpgrade: x\r\n\r\n",
+		"HTTP/1.1 +09 Odd\r\n\r\n",
+		"what?\r\n\r\n",
+		"",
+	} {
+		address := serveTCP(t, func(p *peer) { p.answers(answer) })
+		_, err := get(t, New(Options{}), Request{Address: address})
+		wantSent(t, err, true)
+	}
+}
+
+func TestIdleTime(t *testing.T) {
+	for value, want := range map[string]time.Duration{
+		"": 10 * time.Second, "max=5": 10 * time.Second, "timeout=x": 10 * time.Second, "timeout=99": 10 * time.Second,
+		"timeout=5, max=9": 4 * time.Second, "max=9, Timeout=\"3\"": 2 * time.Second, "timeout=2": time.Second, "timeout=1": time.Second / 2,
+		"timeout=0": 0,
+	} {
+		if got := idleTime(http.Header{"Keep-Alive": {value}}, 10*time.Second); got != want {
+			t.Errorf("%q: %v, want %v", value, got, want)
+		}
+	}
+}
+
+func TestIdleConnectionsEnd(t *testing.T) {
+	// Symptom: connections pile up, or a request meets the target's close.
+	// Events: connections aren't used for long; there are more than MaxIdle;
+	// the target is gone.
+	// Cause: idle connections that nothing closes.
+	synctest.Test(t, func(t *testing.T) {
+		var open atomic.Int32
+		p := serveMemory(t, Options{MaxIdle: 2}, func(p *peer) {
+			open.Add(1)
+			defer open.Add(-1)
+			p.answers(okAnswer, okAnswer, okAnswer, okAnswer)
+		})
+		want := func(n int32) {
+			t.Helper()
+			synctest.Wait()
+			if open.Load() != n {
+				t.Fatalf("%d connections open, want %d", open.Load(), n)
+			}
+		}
+		for range 3 {
+			wantBody(t, p, Request{Fresh: true}, "ok")
+		}
+		want(2)
+		time.Sleep(6 * time.Second)
+		wantBody(t, p, Request{}, "ok") // the last one lives on
+		time.Sleep(6 * time.Second)
+		want(1)
+		p.CloseIdle("target:1")
+		want(0)
+		wantStats(t, p, Stats{Dialed: 3, Reused: 1})
+	})
+}
+
+func TestManyAtOnce(t *testing.T) {
+	// Symptom: under load a caller gets another caller's body.
+	// Events: many exchanges with bodies of all lengths, some given up midway.
+	// Cause: a connection shared or kept too early. Run with -race.
+	address := serveTCP(t, func(p *peer) {
+		for {
+			req, err := http.ReadRequest(p.br)
+			if err != nil {
+				return
+			}
+			b, _ := io.ReadAll(req.Body)
+			fmt.Fprintf(p, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(b), b)
+		}
+	})
+	p := New(Options{MaxIdle: 8})
+	errs := make(chan error, 16)
+	for g := range cap(errs) {
+		go func() {
+			errs <- func() error {
+				for i := range 100 {
+					want := bytes.Repeat([]byte{byte('a' + g)}, g*i*20)
+					resp, err := p.Do(t.Context(), Request{Address: address, Method: "POST", URI: "/", Body: want})
+					if err != nil {
+						return err
+					}
+					if i%10 == 3 {
+						resp.Body.Close()
+						continue
+					}
+					if got, err := io.ReadAll(resp.Body); err != nil || !bytes.Equal(got, want) {
+						return fmt.Errorf("%d bytes of %d: %v", len(got), len(want), err)
+					}
+				}
+				return nil
+			}()
+		}()
+	}
+	for range cap(errs) {
+		if err := <-errs; err != nil {
+			t.Error(err)
+		}
+	}
+	if s := p.Stats(); s.Reused == 0 || s.Dialed+s.Reused != 1600 {
+		t.Errorf("stats %+v", s)
+	}
+}
--- /dev/null
+++ b/internal/forwarding/forwarder.go
@@ -0,0 +1,255 @@
+// Package forwarding carries one plain HTTP request from its caller to a target
+// and the answer back: it chooses, repeats what may be repeated, resumes
+// streams, and gives the final answer when nothing more can be done.
+//
+// Two promises hold on every path. An answer that says "not run" is given only
+// if no byte of the request reached a target, or every target that was reached
+// said that it did not run it. A request that is not repeatable is sent again
+// only under the same condition.
+package forwarding
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/crashguard"
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/exchange"
+	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/route"
+	"lynxhill.example/lynxhill/internal/stagework"
+)
+
+// Worker hands work to the dispatcher; stagework.Finder implements it.
+type Worker interface {
+	Submit(ctx context.Context, job stagework.Job) (stagework.Assignment, *stagework.Refusal, error)
+}
+
+// Options configure a Forwarder.
+type Options struct {
+	Codec    relay.Codec
+	Exchange *exchange.Pool
+	Targets  func() *fleet.View
+	Work     Worker
+	Budget   *Budget
+	Loads    *Loads
+	Crashes  *crashguard.Guard
+	Place    string
+	Clock    clock.Clock
+	Rand     *rand.Rand
+	Logger   *event.Logger
+}
+
+// Forwarder carries requests. It is safe for concurrent use.
+type Forwarder struct {
+	o Options
+
+	mu sync.Mutex // guards the source of random numbers
+}
+
+// New returns a forwarder.
+func New(o Options) *Forwarder { return &Forwarder{o: o} }
+
+// Inbound is a request with what the configuration says of it.
+type Inbound struct {
+	Request      *relay.Request
+	Table        *route.Table
+	Route        *route.Route
+	Organisation *route.Organisation // nil = none
+	Arrived      time.Time
+}
+
+// flight is one request on its way.
+type flight struct {
+	*Forwarder
+	Inbound
+	w        http.ResponseWriter
+	service  string
+	until    time.Time // when the final answer is due
+	sends    int       // targets that the request was sent to
+	ran      bool      // a target may have run it
+	tried    []string  // ids of targets
+	last     string    // id of the last one
+	status   int       // of the answer
+	outcome  string    // for the log
+	headSent bool
+}
+
+// answerMargin is how long before its time is up a request gets its answer.
+const answerMargin = 15 * time.Millisecond
+
+// Serve carries the request and writes its answer. It ends the connection by
+// panicking with http.ErrAbortHandler if an answer that has begun can't be
+// ended as it should.
+func (f *Forwarder) Serve(ctx context.Context, w http.ResponseWriter, in Inbound) {
+	fl := &flight{Forwarder: f, Inbound: in, w: w, service: in.Route.Pick(f.float())}
+	fl.until = in.Arrived.Add(fl.patience())
+	defer fl.logEnd()
+	if f.o.Crashes.Refused(fl.fingerprint()) {
+		fl.refuse(errkind.New(errkind.Overloaded, "targets died while running this request"), time.Second)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, fl.until.Add(-answerMargin))
+	defer cancel()
+	f.o.Budget.Request(fl.service)
+	if s := in.Table.Services[fl.service]; s != nil && s.Engine != nil {
+		fl.serveEngine(ctx)
+		return
+	}
+	fl.servePlain(ctx)
+}
+
+func (f *Forwarder) float() float64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.o.Rand.Float64()
+}
+
+// longestWait bounds requests that say nothing of time.
+const longestWait = time.Minute
+
+// patience is how long the request may take: as long as its caller waits and
+// the route allows.
+func (fl *flight) patience() time.Duration {
+	wait := longestWait
+	if fl.Request.Wait > 0 {
+		wait = min(wait, fl.Request.Wait)
+	}
+	if fl.Route.Timeout > 0 {
+		wait = min(wait, fl.Route.Timeout)
+	}
+	return wait
+}
+
+// left is what remains of the caller's own time, for targets. 0 = not bounded.
+func (fl *flight) left() time.Duration {
+	if fl.Request.Wait <= 0 {
+		return 0
+	}
+	return max(fl.Arrived.Add(fl.Request.Wait).Sub(fl.o.Clock.Now()), time.Millisecond)
+}
+
+// fingerprint identifies the request whatever its id: path, caller and body.
+func (fl *flight) fingerprint() string {
+	organisation := ""
+	if fl.Organisation != nil {
+		organisation = fl.Organisation.Name
+	}
+	return crashguard.Fingerprint(fl.Request.Host+fl.Request.URI+"\x00"+organisation, fl.Request.Body)
+}
+
+// attempts is how many targets the request may be sent to.
+func (fl *flight) attempts() int { return max(fl.Route.MaxAttempts, 1) }
+
+// mayRepeat reports whether the request may be sent to one more target, and
+// takes that from the budget. ranHere says that the last target may have run it.
+func (fl *flight) mayRepeat(ranHere bool) bool {
+	if ranHere {
+		fl.ran = true
+		if !fl.Route.Repeatable() || fl.sends >= fl.attempts() {
+			return false
+		}
+	}
+	return fl.o.Budget.Spend(fl.service)
+}
+
+// maxSends bounds how often a request is sent when every target refuses it.
+const maxSends = 4
+
+// call is what is added to the request for the target.
+func (fl *flight) call(t fleet.Target, inputs []string, resumeAt string) relay.Call {
+	c := relay.Call{Target: t, Left: fl.left(), Inputs: inputs, Priority: -1, ResumeAt: resumeAt}
+	if fl.Organisation != nil {
+		c.Organisation = fl.Organisation.Name
+	}
+	if fl.Table.Services[fl.service] != nil && fl.Table.Services[fl.service].Engine != nil {
+		c.Priority = min(max(route.Priority(fl.Route, fl.Organisation), 0), 9)
+	}
+	return c
+}
+
+// send makes one exchange with the target.
+func (fl *flight) send(ctx context.Context, c relay.Call) (*exchange.Response, relay.Answer, error) {
+	fl.sends++
+	fl.last = c.Target.ID
+	fl.tried = append(fl.tried, c.Target.ID)
+	resp, err := fl.o.Exchange.Do(ctx, exchange.Request{
+		Address: c.Target.Address,
+		Method:  fl.Request.Method,
+		URI:     fl.Request.URI,
+		Host:    fl.Request.Host,
+		ID:      fl.Request.ID,
+		Header:  fl.o.Codec.Outgoing(fl.Request, c),
+		Body:    fl.Request.Body,
+	})
+	if err != nil {
+		fl.logAttempt(c, 0, err)
+		return nil, relay.Answer{}, err
+	}
+	a := fl.o.Codec.Answer(&http.Response{StatusCode: resp.Status, Header: resp.Header})
+	if a.NotRun || resp.Status >= http.StatusInternalServerError {
+		fl.logAttempt(c, resp.Status, nil)
+	}
+	return resp, a, nil
+}
+
+// wasSent reports whether a byte of the request may have reached the target.
+func wasSent(err error) bool {
+	var e *exchange.Error
+	return !errors.As(err, &e) || e.Sent
+}
+
+// fail gives the final answer for a request that no target answered.
+func (fl *flight) fail(ctx context.Context, cause error) {
+	now := fl.o.Clock.Now()
+	switch {
+	case ctx.Err() != nil && now.Before(fl.until.Add(-2*answerMargin)):
+		fl.outcome = "caller left"
+		panic(http.ErrAbortHandler)
+	case ctx.Err() != nil && fl.ran:
+		fl.refuse(errkind.New(errkind.DeadlineAfterRun, "no answer in time"), -1)
+	case ctx.Err() != nil:
+		fl.refuse(errkind.New(errkind.DeadlineUnreachable, "no target in time"), comeBack)
+	case fl.ran:
+		fl.refuse(errkind.Wrap(cause, errkind.TargetFailed, "the target failed"), -1)
+	default:
+		fl.refuse(errkind.Wrap(cause, errkind.TargetRefused, "no target took the request"), comeBack)
+	}
+}
+
+// comeBack is when a caller may come back if nothing better is known.
+const comeBack = 150 * time.Millisecond
+
+// refuse writes an answer of our own. A status that promises that the request
+// was not run is given only if it wasn't.
+func (fl *flight) refuse(err error, retryAfter time.Duration) {
+	fl.status = WriteError(fl.w, fl.o.Codec, fl.Request, err, retryAfter)
+	if fl.outcome == "" {
+		fl.outcome = err.Error()
+	}
+}
+
+// WriteError writes an answer of our own and returns its status.
+func WriteError(w http.ResponseWriter, codec relay.Codec, req *relay.Request, err error, retryAfter time.Duration) int {
+	body := errkind.BodyOf(err, "")
+	if req != nil {
+		body = errkind.BodyOf(err, req.ID)
+	}
+	status := errkind.Of(err).Answer().Status
+	codec.Own(w.Header(), req, retryAfter)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	text, err := json.Marshal(body)
+	if err == nil {
+		_, _ = w.Write(text)
+	}
+	return status
+}
--- /dev/null
+++ b/internal/ingress/ingress.go
@@ -0,0 +1,257 @@
+// Package ingress is the listener for callers' plain HTTP requests: it reads a
+// request whole, finds its route and the holder of its key, and hands it to
+// package forwarding. It also answers whether the instance is ready, and where
+// callers may connect.
+package ingress
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/forwarding"
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/route"
+)
+
+// Defaults that hold until a configuration is known, and times of the listener.
+const (
+	defaultMaxHeader  = 64 << 10
+	defaultMaxBody    = 4 << 20
+	defaultHeaderTime = 5 * time.Second
+	defaultIdle       = 20 * time.Second
+	// idleMargin is added to the idle time that callers are told: one that
+	// still uses a connection then must not find it closed.
+	idleMargin = 2 * time.Second
+	bodyTime   = 10 * time.Second
+	// unknownYet is when a caller may come back to an instance that does not
+	// know its configuration yet.
+	unknownYet = 200 * time.Millisecond
+)
+
+// Forwarder carries requests; forwarding.Forwarder implements it.
+type Forwarder interface {
+	Serve(ctx context.Context, w http.ResponseWriter, in forwarding.Inbound)
+}
+
+// Options configure an Ingress.
+type Options struct {
+	Codec     relay.Codec
+	Forwarder Forwarder
+	// Table returns the routes in force, nil until some are known.
+	Table func() *route.Table
+	// Confirmed reports whether the instance may answer that there is no such
+	// route or key: its routes are not known to be old.
+	Confirmed func() bool
+	// Serving reports whether the instance takes requests at all.
+	Serving func() bool
+	// Addresses returns the addresses to name to a caller in the place.
+	Addresses func(place string) []string
+	// AddressTTL is how long a caller may keep them.
+	AddressTTL time.Duration
+	// TakeAfterStop is how long new requests are still taken once the instance
+	// is stopping.
+	TakeAfterStop time.Duration
+	Clock         clock.Clock
+	Logger        *event.Logger
+}
+
+// Ingress serves callers. It is safe for concurrent use.
+type Ingress struct {
+	o        Options
+	inFlight atomic.Int64
+	stopping atomic.Int64 // when it began, Unix nanoseconds; 0 = not
+	cancel   context.CancelFunc
+	base     context.Context
+}
+
+// New returns an ingress that takes requests.
+func New(o Options) *Ingress {
+	base, cancel := context.WithCancel(context.Background())
+	return &Ingress{o: o, base: base, cancel: cancel}
+}
+
+// Server returns the server of callers' requests.
+func (g *Ingress) Server() *http.Server {
+	s := g.server(http.HandlerFunc(g.serve))
+	s.IdleTimeout = defaultIdle
+	if t := g.o.Table(); t != nil && t.Limits.IdleTimeout > 0 {
+		s.IdleTimeout = t.Limits.IdleTimeout + idleMargin
+	}
+	return s
+}
+
+// ControlServer returns the server of readiness and address questions on the
+// paths.
+func (g *Ingress) ControlServer(readyPath, addressPath string) *http.Server {
+	mux := http.NewServeMux()
+	mux.HandleFunc(readyPath, g.serveReady)
+	mux.HandleFunc(addressPath, g.serveAddresses)
+	return g.server(mux)
+}
+
+func (g *Ingress) server(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: defaultHeaderTime,
+		IdleTimeout:       defaultIdle,
+		MaxHeaderBytes:    defaultMaxHeader,
+		BaseContext:       func(net.Listener) context.Context { return g.base },
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+}
+
+// Stop makes the instance finish what it has: it is not ready any more, and
+// answers say that their connection ends.
+func (g *Ingress) Stop() {
+	g.stopping.CompareAndSwap(0, g.o.Clock.Now().UnixNano())
+}
+
+// Cut ends the requests in flight at once.
+func (g *Ingress) Cut() { g.cancel() }
+
+// InFlight returns the number of requests that have no answer yet.
+func (g *Ingress) InFlight() int { return int(g.inFlight.Load()) }
+
+// Stopping reports whether Stop was called.
+func (g *Ingress) Stopping() bool { return g.stopping.Load() != 0 }
+
+// closed reports whether new requests are refused since the instance is
+// stopping.
+func (g *Ingress) closed() bool {
+	since := g.stopping.Load()
+	return since != 0 && g.o.Clock.Now().Sub(time.Unix(0, since)) > g.o.TakeAfterStop
+}
+
+// serveReady tells whether the instance takes requests.
+func (g *Ingress) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if g.Stopping() || g.o.Table() == nil || !g.o.Serving() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// serveAddresses tells where callers may connect.
+func (g *Ingress) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	addresses := g.o.Addresses(r.URL.Query().Get("zone"))
+	if len(addresses) == 0 {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	kind, body := g.o.Codec.Addresses(addresses, g.o.AddressTTL)
+	w.Header().Set("Content-Type", kind)
+	_, _ = w.Write(body)
+}
+
+// serve takes one request of a caller.
+func (g *Ingress) serve(w http.ResponseWriter, r *http.Request) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	arrived := g.o.Clock.Now()
+	if g.Stopping() {
+		w.Header().Set("Connection", "close")
+	}
+	in, err := g.admit(w, r)
+	if err != nil {
+		g.refuse(w, in.Request, err)
+		return
+	}
+	in.Arrived = arrived
+	g.o.Forwarder.Serve(r.Context(), w, in)
+}
+
+// admit reads the request and finds what the configuration says of it. The
+// body is read whole first: an answer before that would leave the connection
+// with bytes that belong to no request.
+func (g *Ingress) admit(w http.ResponseWriter, r *http.Request) (forwarding.Inbound, error) {
+	var in forwarding.Inbound
+	table := g.o.Table()
+	req, err := g.o.Codec.Request(r)
+	if err != nil {
+		return in, errkind.Wrap(err, errkind.BadRequest, "request")
+	}
+	in.Request = req
+	if req.Body, err = readBody(w, r, table); err != nil {
+		return in, err
+	}
+	switch {
+	case g.closed():
+		return in, errkind.New(errkind.Stopping, "this instance is stopping")
+	case table == nil || !g.o.Serving():
+		return in, errkind.WithRetryAfter(errkind.New(errkind.Isolated, "the configuration is not known yet"), unknownYet)
+	}
+	in.Table = table
+	if in.Route = table.Match(req.Host, req.Path); in.Route == nil {
+		return in, g.unknown(errkind.NotFound, "no such route")
+	}
+	err = g.authorise(&in)
+	return in, err
+}
+
+// authorise finds the organisation whose key the request carries.
+func (g *Ingress) authorise(in *forwarding.Inbound) error {
+	if !in.Table.Keyed() {
+		return nil
+	}
+	in.Organisation = in.Table.Holder(in.Request.Key)
+	if in.Organisation == nil && !in.Route.Anonymous {
+		return g.unknown(errkind.Unauthenticated, "no such key")
+	}
+	return nil
+}
+
+// unknown is the answer for what the routes in force do not have. An instance
+// that may have missed a change does not say so: the caller would not come
+// again.
+func (g *Ingress) unknown(kind errkind.Kind, text string) error {
+	if !g.o.Confirmed() {
+		return errkind.WithRetryAfter(errkind.New(errkind.Isolated, "%s here, but the configuration may be old", text), unknownYet)
+	}
+	return errkind.New(kind, "%s", text)
+}
+
+// readBody reads the whole body within the limits in force.
+func readBody(w http.ResponseWriter, r *http.Request, table *route.Table) ([]byte, error) {
+	if r.Body == nil || r.ContentLength == 0 {
+		return nil, nil
+	}
+	limit := int64(defaultMaxBody)
+	if table != nil && table.Limits.MaxBodyBytes > 0 {
+		limit = table.Limits.MaxBodyBytes
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTime))
+	defer control.SetReadDeadline(time.Time{})
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return nil, errkind.New(errkind.TooLarge, "the body exceeds %d bytes", limit)
+	case err != nil:
+		return nil, errkind.Wrap(err, errkind.BadRequest, "body")
+	}
+	return body, nil
+}
+
+// refuse gives an answer of our own.
+func (g *Ingress) refuse(w http.ResponseWriter, req *relay.Request, err error) {
+	after := errkind.RetryAfter(err)
+	if after == 0 {
+		after = -1
+	}
+	id := ""
+	if req != nil {
+		id = req.ID
+	}
+	status := forwarding.WriteError(w, g.o.Codec, req, err, after)
+	g.o.Logger.Log(event.IngressRefused, "request", id, "status", status, "reason", err)
+}
--- a/internal/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/internal/peer/peerpb/peerpbconnect/peer.connect.go
@@ -51,6 +51,8 @@
 	PeerBurnProcedure = "/lynxhill.peer.v1.Peer/Burn"
 	// PeerClaimProcedure is the fully-qualified name of the Peer's Claim RPC.
 	PeerClaimProcedure = "/lynxhill.peer.v1.Peer/Claim"
+	// PeerWorkProcedure is the fully-qualified name of the Peer's Work RPC.
+	PeerWorkProcedure = "/lynxhill.peer.v1.Peer/Work"
 )
 
 // PeerClient is a client for the lynxhill.peer.v1.Peer service.
@@ -72,6 +74,9 @@
 	Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnReply, error)
 	// Claim asks the preferred owner of a shard of claims to record something.
 	Claim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
+	// Work hands the work before a request's last call to the instance that
+	// schedules it. The stream lives as long as the request.
+	Work(context.Context) (*connect.BidiStreamForClientSimple[peerpb.WorkUp, peerpb.WorkDown], error)
 }
 
 // NewPeerClient constructs a client for the lynxhill.peer.v1.Peer service. By default, it uses the
@@ -133,6 +138,12 @@
 			connect.WithSchema(peerMethods.ByName("Claim")),
 			connect.WithClientOptions(opts...),
 		),
+		work: connect.NewClient[peerpb.WorkUp, peerpb.WorkDown](
+			httpClient,
+			baseURL+PeerWorkProcedure,
+			connect.WithSchema(peerMethods.ByName("Work")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -146,6 +157,7 @@
 	handover *connect.Client[peerpb.HandoverRequest, peerpb.HandoverReply]
 	burn     *connect.Client[peerpb.BurnRequest, peerpb.BurnReply]
 	claim    *connect.Client[peerpb.ClaimRequest, peerpb.ClaimReply]
+	work     *connect.Client[peerpb.WorkUp, peerpb.WorkDown]
 }
 
 // Exchange calls lynxhill.peer.v1.Peer.Exchange.
@@ -216,6 +228,11 @@
 	return nil, err
 }
 
+// Work calls lynxhill.peer.v1.Peer.Work.
+func (c *peerClient) Work(ctx context.Context) (*connect.BidiStreamForClientSimple[peerpb.WorkUp, peerpb.WorkDown], error) {
+	return c.work.CallBidiStreamSimple(ctx)
+}
+
 // PeerHandler is an implementation of the lynxhill.peer.v1.Peer service.
 type PeerHandler interface {
 	// Exchange passes digests in both directions: the heartbeat.
@@ -235,6 +252,9 @@
 	Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnReply, error)
 	// Claim asks the preferred owner of a shard of claims to record something.
 	Claim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
+	// Work hands the work before a request's last call to the instance that
+	// schedules it. The stream lives as long as the request.
+	Work(context.Context, *connect.BidiStream[peerpb.WorkUp, peerpb.WorkDown]) error
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -292,6 +312,12 @@
 		connect.WithSchema(peerMethods.ByName("Claim")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerWorkHandler := connect.NewBidiStreamHandler(
+		PeerWorkProcedure,
+		svc.Work,
+		connect.WithSchema(peerMethods.ByName("Work")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lynxhill.peer.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerExchangeProcedure:
@@ -310,6 +336,8 @@
 			peerBurnHandler.ServeHTTP(w, r)
 		case PeerClaimProcedure:
 			peerClaimHandler.ServeHTTP(w, r)
+		case PeerWorkProcedure:
+			peerWorkHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -350,3 +378,7 @@
 func (UnimplementedPeerHandler) Claim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.Claim is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Work(context.Context, *connect.BidiStream[peerpb.WorkUp, peerpb.WorkDown]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.Work is not implemented"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,7 @@
 	"lynxhill.example/lynxhill/internal/peer/peerpb"
 	"lynxhill.example/lynxhill/internal/peer/peerpb/peerpbconnect"
 	"lynxhill.example/lynxhill/internal/pipeline"
+	"lynxhill.example/lynxhill/internal/stagework"
 	"lynxhill.example/lynxhill/internal/store"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
@@ -34,8 +35,10 @@
 	Handover func(ctx context.Context, from string, records []outcome.Exported)
 	Burn     func(window time.Duration) lynxapi.BurnReport
 	Claim    func(ctx context.Context, m claim.Message) (claim.Reply, error) // claim.Pages.Handle
-	Logger   *event.Logger
-	Metrics  *metrics.Registry
+	// Work takes a job of another instance; stagework.Dispatcher.Submit.
+	Work    func(job stagework.Job) (stagework.Assignment, *stagework.Refusal)
+	Logger  *event.Logger
+	Metrics *metrics.Registry
 }
 
 // service implements the generated handler.
--- /dev/null
+++ b/internal/peer/work.go
@@ -0,0 +1,299 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"lynxhill.example/lynxhill/internal/peer/peerpb"
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/route"
+	"lynxhill.example/lynxhill/internal/stagework"
+)
+
+// Times of a job at another instance.
+const (
+	// workTaken is how long a dispatcher may take to say that it has the job.
+	workTaken = 400 * time.Millisecond
+	// workBeat is how often a dispatcher shows that it lives while a job waits,
+	// workSilent the silence after which the job is handed to another.
+	workBeat   = 250 * time.Millisecond
+	workSilent = 900 * time.Millisecond
+)
+
+var errWorkSilent = errors.New("peer: the dispatcher is silent")
+
+// Work implements stagework.Remote.
+func (c *Client) Work(ctx context.Context, instance string, job stagework.Job) (stagework.Assignment, *stagework.Refusal, error) {
+	p, err := c.of(instance)
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	silence := time.AfterFunc(workTaken, func() { cancel(errWorkSilent) })
+	stream, err := p.Work(ctx)
+	if err == nil {
+		err = stream.Send(&peerpb.WorkUp{Job: jobToProto(job, time.Now())})
+	}
+	var first *peerpb.WorkDown
+	if err == nil {
+		first, err = stream.Receive()
+	}
+	silence.Stop()
+	if err != nil {
+		cancel(err)
+		c.o.Metrics.Labelled(metricCalls).Add("work_failed", 1)
+		return nil, nil, fromConnect(err)
+	}
+	c.o.Metrics.Labelled(metricCalls).Add("work_ok", 1)
+	if first.GetReason() != "" {
+		cancel(nil)
+		return nil, refusalOf(first), nil
+	}
+	w := &remoteWork{stream: stream, cancel: cancel, decisions: make(chan stagework.Decision, 16)}
+	if first.GetTarget() != "" {
+		w.decisions <- decisionOf(first)
+	}
+	go w.read()
+	return w, nil, nil
+}
+
+// remoteWork is a job at another instance's dispatcher.
+type remoteWork struct {
+	stream    *connect.BidiStreamForClientSimple[peerpb.WorkUp, peerpb.WorkDown]
+	cancel    context.CancelCauseFunc
+	decisions chan stagework.Decision
+
+	mu    sync.Mutex // serialises Send
+	ended bool
+}
+
+var _ stagework.Assignment = (*remoteWork)(nil)
+
+// read passes decisions on until the stream ends or falls silent.
+func (w *remoteWork) read() {
+	silence := time.AfterFunc(workSilent, func() { w.cancel(errWorkSilent) })
+	defer silence.Stop()
+	for {
+		m, err := w.stream.Receive()
+		if err != nil {
+			w.put(stagework.Decision{Lost: true})
+			return
+		}
+		silence.Reset(workSilent)
+		if m.GetTarget() != "" || m.GetReason() != "" {
+			w.put(decisionOf(m))
+		}
+	}
+}
+
+func (w *remoteWork) put(d stagework.Decision) {
+	select {
+	case w.decisions <- d:
+	default: // the owner has gone
+	}
+}
+
+// Decisions implements stagework.Assignment.
+func (w *remoteWork) Decisions() <-chan stagework.Decision { return w.decisions }
+
+// Begun implements stagework.Assignment.
+func (w *remoteWork) Begun() { w.send(peerpb.WorkEvent_WORK_EVENT_BEGUN) }
+
+// Rejected implements stagework.Assignment.
+func (w *remoteWork) Rejected(gone, failed bool) {
+	switch {
+	case gone:
+		w.send(peerpb.WorkEvent_WORK_EVENT_GONE)
+	case failed:
+		w.send(peerpb.WorkEvent_WORK_EVENT_FAILED)
+	default:
+		w.send(peerpb.WorkEvent_WORK_EVENT_REJECTED)
+	}
+}
+
+// Broke implements stagework.Assignment.
+func (w *remoteWork) Broke() { w.send(peerpb.WorkEvent_WORK_EVENT_BROKE) }
+
+// End implements stagework.Assignment.
+func (w *remoteWork) End() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
+	}
+	w.ended = true
+	_ = w.stream.CloseRequest()
+	w.cancel(nil)
+}
+
+// send passes an event on. One that fails shows as a lost dispatcher.
+func (w *remoteWork) send(e peerpb.WorkEvent) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ended {
+		_ = w.stream.Send(&peerpb.WorkUp{Event: e})
+	}
+}
+
+// Work serves a job of another instance: its end is the end of the stream.
+func (h *service) Work(ctx context.Context, stream *connect.BidiStream[peerpb.WorkUp, peerpb.WorkDown]) error {
+	h.count("work")
+	first, err := stream.Receive()
+	if err != nil {
+		return err
+	}
+	if h.o.Work == nil || first.GetJob() == nil {
+		return connect.NewError(connect.CodeUnimplemented, errors.New("no stage work here"))
+	}
+	t, refusal := h.o.Work(jobFromProto(first.GetJob(), time.Now()))
+	if refusal != nil {
+		return stream.Send(workRefusalToProto(refusal))
+	}
+	defer t.End()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			m, err := stream.Receive()
+			if err != nil {
+				return
+			}
+			applyEvent(t, m.GetEvent())
+		}
+	}()
+	return sendDecisions(ctx, stream, t, ended)
+}
+
+// sendDecisions passes the job's decisions on, and signs of life between them.
+func sendDecisions(ctx context.Context, stream *connect.BidiStream[peerpb.WorkUp, peerpb.WorkDown], t stagework.Assignment, ended <-chan struct{}) error {
+	beat := time.NewTicker(workBeat)
+	defer beat.Stop()
+	// A placement that is made at once is the first message: it saves one.
+	select {
+	case d := <-t.Decisions():
+		if done, err := sendDecision(stream, d); done || err != nil {
+			return err
+		}
+	default:
+		if err := stream.Send(&peerpb.WorkDown{}); err != nil {
+			return err
+		}
+	}
+	for {
+		select {
+		case d := <-t.Decisions():
+			if done, err := sendDecision(stream, d); done || err != nil {
+				return err
+			}
+		case <-beat.C:
+			if err := stream.Send(&peerpb.WorkDown{}); err != nil {
+				return err
+			}
+		case <-ended:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func sendDecision(stream *connect.BidiStream[peerpb.WorkUp, peerpb.WorkDown], d stagework.Decision) (done bool, err error) {
+	if d.Refusal != nil {
+		return true, stream.Send(workRefusalToProto(d.Refusal))
+	}
+	return false, stream.Send(&peerpb.WorkDown{Target: d.Target, Address: d.Address, Inputs: d.Inputs, HasInputs: d.Inputs != nil})
+}
+
+func applyEvent(t stagework.Assignment, e peerpb.WorkEvent) {
+	switch e {
+	case peerpb.WorkEvent_WORK_EVENT_BEGUN:
+		t.Begun()
+	case peerpb.WorkEvent_WORK_EVENT_REJECTED:
+		t.Rejected(false, false)
+	case peerpb.WorkEvent_WORK_EVENT_GONE:
+		t.Rejected(true, false)
+	case peerpb.WorkEvent_WORK_EVENT_FAILED:
+		t.Rejected(false, true)
+	case peerpb.WorkEvent_WORK_EVENT_BROKE:
+		t.Broke()
+	}
+}
+
+func workRefusalToProto(r *stagework.Refusal) *peerpb.WorkDown {
+	return &peerpb.WorkDown{Reason: r.Reason, RetryAfterMs: uint32(max(r.RetryAfter.Milliseconds(), 0))}
+}
+
+func refusalOf(m *peerpb.WorkDown) *stagework.Refusal {
+	return &stagework.Refusal{Reason: m.GetReason(), RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond}
+}
+
+func decisionOf(m *peerpb.WorkDown) stagework.Decision {
+	if m.GetReason() != "" {
+		return stagework.Decision{Refusal: refusalOf(m)}
+	}
+	d := stagework.Decision{Placement: stagework.Placement{Target: m.GetTarget(), Address: m.GetAddress(), Inputs: m.GetInputs()}}
+	if m.GetHasInputs() && d.Inputs == nil {
+		d.Inputs = []string{}
+	}
+	return d
+}
+
+// jobToProto turns moments into what is left of time: clocks of instances
+// differ.
+func jobToProto(j stagework.Job, now time.Time) *peerpb.WorkJob {
+	out := &peerpb.WorkJob{
+		Id: j.ID, Key: j.Key, Organisation: j.Organisation, Priority: int32(j.Priority),
+		AimMs: j.Aim.Sub(now).Milliseconds(), DeadlineMs: j.Deadline.Sub(now).Milliseconds(),
+		Service: j.Service, Place: j.Place, Avoid: j.Avoid,
+	}
+	for i, s := range j.Stages {
+		stage := &peerpb.WorkStage{Service: s.Service, ResultBytes: uint64(max(s.ResultBytes, 0))}
+		for _, a := range s.After {
+			stage.After = append(stage.After, uint32(a))
+		}
+		if i < len(j.Pieces) {
+			stage.Pieces = uint32(j.Pieces[i])
+		}
+		out.Stages = append(out.Stages, stage)
+	}
+	if p := j.Prompt; p != nil {
+		out.Prompt = &peerpb.WorkPrompt{Model: p.Model, TokensIn: uint32(p.TokensIn), TokensOut: uint32(p.TokensOut), LikelyOut: uint32(p.LikelyOut)}
+		for _, q := range p.Parts {
+			out.Prompt.PartIds = append(out.Prompt.PartIds, q.ID)
+			out.Prompt.PartTokens = append(out.Prompt.PartTokens, uint32(q.Tokens))
+		}
+	}
+	return out
+}
+
+func jobFromProto(m *peerpb.WorkJob, now time.Time) stagework.Job {
+	j := stagework.Job{
+		ID: m.GetId(), Key: m.GetKey(), Organisation: m.GetOrganisation(), Priority: int(m.GetPriority()),
+		Aim:      now.Add(time.Duration(m.GetAimMs()) * time.Millisecond),
+		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
+		Service:  m.GetService(), Place: m.GetPlace(), Avoid: m.GetAvoid(),
+	}
+	for _, s := range m.GetStages() {
+		stage := route.Stage{Service: s.GetService(), ResultBytes: int64(s.GetResultBytes())}
+		for _, a := range s.GetAfter() {
+			stage.After = append(stage.After, int(a))
+		}
+		j.Stages = append(j.Stages, stage)
+		j.Pieces = append(j.Pieces, int(s.GetPieces()))
+	}
+	if p := m.GetPrompt(); p != nil {
+		j.Prompt = &relay.Prompt{Model: p.GetModel(), TokensIn: int(p.GetTokensIn()), TokensOut: int(p.GetTokensOut()), LikelyOut: int(p.GetLikelyOut())}
+		for i, id := range p.GetPartIds() {
+			part := relay.PromptPart{ID: id}
+			if i < len(p.GetPartTokens()) {
+				part.Tokens = int(p.GetPartTokens()[i])
+			}
+			j.Prompt.Parts = append(j.Prompt.Parts, part)
+		}
+	}
+	return j
+}
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -78,6 +78,9 @@
 	Outgoing(req *Request, call Call) http.Header
 	// Answer reads the head of a target's answer.
 	Answer(r *http.Response) Answer
+	// AnswerHeader returns the header of a target's answer as its caller gets
+	// it: without what concerns one connection.
+	AnswerHeader(h http.Header) http.Header
 	// Own sets the header of an answer that the system gives by itself.
 	// retryAfter is when the caller may come back; negative = not said.
 	Own(h http.Header, req *Request, retryAfter time.Duration)
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -1,4 +1,5 @@
-// Package relay carries one plain HTTP request from its caller to a target and
-// the answer back: route, key, stages, choice of target, repeats, the stream as
-// it comes. It decides; the wire is behind Codec, StageClient and exchange.
+// Package relay holds the types of plain HTTP requests on their way from a
+// caller to a target, and the interfaces behind which the wire lies: Codec for
+// the messages, StageClient for stage targets, Decoder for the configuration.
+// Package forwarding carries the requests.
 package relay
--- /dev/null
+++ b/internal/stagework/dispatcher.go
@@ -0,0 +1,258 @@
+package stagework
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/route"
+)
+
+// Times of the dispatcher.
+const (
+	// wakeEvery is how often the plan is made anew while jobs wait.
+	wakeEvery = 20 * time.Millisecond
+	// freeAfter is how long results to be given up are gathered, so that one
+	// call names many.
+	freeAfter = 25 * time.Millisecond
+	freeTime  = time.Second
+)
+
+// Options of a Dispatcher.
+type Options struct {
+	Client relay.StageClient
+	Clock  clock.Clock
+	Logger *event.Logger
+}
+
+// Dispatcher carries out what a Planner decides. It is safe for concurrent use.
+type Dispatcher struct {
+	o    Options
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu      sync.Mutex // guards all below
+	planner *Planner
+	waking  bool
+	freeing map[string][]string // results to give up, by address
+}
+
+// New returns a dispatcher without targets. Close ends its calls.
+func New(o Options) *Dispatcher {
+	ctx, stop := context.WithCancel(context.Background())
+	d := &Dispatcher{o: o, ctx: ctx, stop: stop, freeing: make(map[string][]string)}
+	d.planner = NewPlanner(d.release)
+	return d
+}
+
+// Close ends the calls in progress.
+func (d *Dispatcher) Close() { d.stop() }
+
+// SetTargets takes in the declared services and their targets.
+func (d *Dispatcher) SetTargets(table *route.Table, view *fleet.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.planner.SetTargets(table, view)
+	d.proceed()
+}
+
+// Counts returns what was seen since the start.
+func (d *Dispatcher) Counts() Counts {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.planner.counts
+}
+
+// Jobs returns how many jobs have not ended.
+func (d *Dispatcher) Jobs() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.planner.jobs)
+}
+
+// Decision is a placement or, if Refusal is set, the end of a job.
+type Decision struct {
+	Placement
+	Refusal *Refusal
+	// Lost says that the dispatcher is not reached any more; the job may be
+	// handed to another.
+	Lost bool
+}
+
+// Assignment is a job at a dispatcher, here or on another instance.
+type Assignment interface {
+	// Decisions gives the job's placements; after one was rejected there is
+	// another. It is never closed.
+	Decisions() <-chan Decision
+	// Begun tells that the engine's answer has begun.
+	Begun()
+	// Rejected tells that the engine did not run the request, so that another
+	// is wanted. gone says that inputs were gone, failed that the engine did
+	// not answer as it should.
+	Rejected(gone, failed bool)
+	// Broke tells that the engine failed the request after it had begun.
+	Broke()
+	// End tells that the job is over, whatever its state.
+	End()
+}
+
+// Ticket is the Assignment of a job at the dispatcher of this instance.
+type Ticket struct {
+	d         *Dispatcher
+	j         *job
+	decisions chan Decision
+}
+
+// decisionsKept is more than a job can get: one for each engine that it may be
+// sent to, and a refusal.
+const decisionsKept = 64
+
+// Submit takes a job. The refusal says why it is not taken.
+func (d *Dispatcher) Submit(in Job) (*Ticket, *Refusal) {
+	t := &Ticket{d: d, decisions: make(chan Decision, decisionsKept)}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	j, refusal := d.planner.submit(in, t.decide, d.o.Clock.Now())
+	if refusal != nil {
+		return nil, refusal
+	}
+	t.j = j
+	d.proceed()
+	return t, nil
+}
+
+func (t *Ticket) decide(p Placement, r *Refusal) {
+	select {
+	case t.decisions <- Decision{Placement: p, Refusal: r}:
+	default: // the owner has not read any of them: it is gone
+	}
+}
+
+// Decisions implements Assignment.
+func (t *Ticket) Decisions() <-chan Decision { return t.decisions }
+
+// Begun implements Assignment.
+func (t *Ticket) Begun() { t.tell(func(p *Planner, now time.Time) { p.begun(t.j, now) }) }
+
+// Rejected implements Assignment.
+func (t *Ticket) Rejected(gone, failed bool) {
+	t.tell(func(p *Planner, now time.Time) { p.rejected(t.j, gone, failed, now) })
+}
+
+// Broke implements Assignment.
+func (t *Ticket) Broke() { t.tell(func(p *Planner, now time.Time) { p.broke(t.j, now) }) }
+
+// End implements Assignment.
+func (t *Ticket) End() { t.tell(func(p *Planner, _ time.Time) { p.cancel(t.j) }) }
+
+func (t *Ticket) tell(what func(p *Planner, now time.Time)) {
+	t.d.mu.Lock()
+	defer t.d.mu.Unlock()
+	what(t.d.planner, t.d.o.Clock.Now())
+	t.d.proceed()
+}
+
+// proceed makes the plan and starts its calls. The lock is held.
+func (d *Dispatcher) proceed() {
+	for _, c := range d.planner.plan(d.o.Clock.Now()) {
+		go d.make(c, c.server.target, entries(c, c.sent))
+	}
+	if len(d.planner.jobs) > 0 && !d.waking {
+		d.waking = true
+		d.o.Clock.AfterFunc(wakeEvery, d.wake)
+	}
+}
+
+func (d *Dispatcher) wake() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.waking = false
+	d.proceed()
+}
+
+// entries returns the pieces of a call as the client takes them.
+func entries(c *call, now time.Time) []relay.Piece {
+	list := make([]relay.Piece, 0, len(c.pieces))
+	for _, q := range c.pieces {
+		j := q.unit.job
+		e := relay.Piece{ID: j.ID, Stage: q.unit.stage, Number: q.number, Left: max(j.Deadline.Sub(now), time.Millisecond)}
+		for _, a := range q.unit.after {
+			for _, in := range a.pieces {
+				e.Inputs = append(e.Inputs, in.handle)
+			}
+		}
+		if e.Inputs == nil {
+			e.Key = j.Key
+		}
+		list = append(list, e)
+	}
+	return list
+}
+
+// make makes a call and takes in how it ended.
+func (d *Dispatcher) make(c *call, target fleet.Target, pieces []relay.Piece) {
+	limit := time.Duration(hangFactor*float64(c.expected)) + hangMargin
+	ctx, cancel := context.WithTimeout(d.ctx, limit)
+	defer cancel()
+	results, full, err := d.o.Client.Run(ctx, target, pieces)
+	if err != nil || len(results) != len(pieces) {
+		results = nil
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.o.Clock.Now()
+	d.logCall(c, results, full, err, now)
+	d.planner.finished(c, results, full, now)
+	d.proceed()
+}
+
+func (d *Dispatcher) logCall(c *call, results []relay.PieceResult, full bool, err error, now time.Time) {
+	if err == nil && !full && allMade(results) {
+		return
+	}
+	faults := make(map[string]int)
+	for _, r := range results {
+		faults[r.Fault.String()]++
+	}
+	d.o.Logger.Log(event.StageCallFailed, "target", c.server.target.ID, "pieces", len(c.pieces), "full", full,
+		"took_ms", now.Sub(c.sent).Milliseconds(), "expected_ms", c.expected.Milliseconds(),
+		"room", faults["room"], "gone", faults["gone"], "late", faults["late"], "error", faults["error"], "err", err)
+}
+
+func allMade(results []relay.PieceResult) bool {
+	for _, r := range results {
+		if r.Fault != relay.PieceMade {
+			return false
+		}
+	}
+	return true
+}
+
+// release gathers results to give up. The lock is held.
+func (d *Dispatcher) release(address string, handles []string) {
+	first := len(d.freeing) == 0
+	d.freeing[address] = append(d.freeing[address], handles...)
+	if first {
+		d.o.Clock.AfterFunc(freeAfter, d.free)
+	}
+}
+
+// free gives up the results that were gathered. A call that fails is not
+// repeated: results end by themselves after their lifetime.
+func (d *Dispatcher) free() {
+	d.mu.Lock()
+	gathered := d.freeing
+	d.freeing = make(map[string][]string)
+	d.mu.Unlock()
+	for address, handles := range gathered {
+		go func() {
+			ctx, cancel := context.WithTimeout(d.ctx, freeTime)
+			defer cancel()
+			_ = d.o.Client.Free(ctx, address, handles)
+		}()
+	}
+}
--- /dev/null
+++ b/internal/stagework/engine.go
@@ -0,0 +1,255 @@
+package stagework
+
+import (
+	"container/list"
+	"math"
+	"slices"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/control/rendezvous"
+	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/route"
+)
+
+// Weights of the choice of an engine, in milliseconds of delay that are as bad.
+const (
+	// readWeight is for a thousand tokens of a shared part that have to be read
+	// though some engine has them.
+	readWeight = 60.0
+	// moveWeight is for a megabyte of results that lie in another place.
+	moveWeight = 20.0
+	// placeWeight is for an answer that comes from another place than the
+	// caller's instance.
+	placeWeight = 2.0
+	// lateWeight multiplies the delay beyond the aim.
+	lateWeight = 20.0
+	// spreadWeight is for a full engine against an empty one.
+	spreadWeight = 120.0
+	// firstRate is the reading speed assumed before one was seen, in tokens a
+	// millisecond.
+	firstRate  = 40.0
+	rateWeight = 0.1
+	// keptShare is the share of an engine's memory that is believed to keep
+	// prompt parts.
+	keptShare = 0.7
+)
+
+// engine is a model engine as the dispatcher sees it.
+type engine struct {
+	target   fleet.Target
+	gone     bool
+	running  int     // placed and not ended
+	tokens   int64   // in memory for them
+	reading  int     // prompt tokens of placed jobs whose answer has not begun
+	slow     float64 // time to the first event against what was predicted
+	fails    int
+	pausedTo time.Time
+	parts    map[string]*list.Element // prompt parts believed to be kept
+	order    *list.List               // of *part, least recently used first
+	kept     int64                    // tokens of them
+}
+
+// part is a prompt part that an engine keeps.
+type part struct {
+	id     string
+	tokens int
+}
+
+func newEngine(t fleet.Target) *engine {
+	return &engine{target: t, slow: 1, parts: make(map[string]*list.Element), order: list.New()}
+}
+
+// missing returns the tokens of the prompt that the engine has to read: all
+// after the first part that it does not keep. shared are those of them that
+// other requests have too.
+func (e *engine) missing(p *relay.Prompt) (all, shared int) {
+	kept := 0
+	for i, part := range p.Parts {
+		if _, ok := e.parts[part.ID]; !ok {
+			for _, rest := range p.Parts[i:] {
+				shared += rest.Tokens
+			}
+			break
+		}
+		kept += part.Tokens
+	}
+	return max(p.TokensIn-kept, 0), shared
+}
+
+// keep notes the prompt's parts as kept by the engine.
+func (e *engine) keep(p *relay.Prompt, capacity int64) {
+	for _, q := range p.Parts {
+		if at, ok := e.parts[q.ID]; ok {
+			e.order.MoveToBack(at)
+			continue
+		}
+		e.parts[q.ID] = e.order.PushBack(&part{id: q.ID, tokens: q.Tokens})
+		e.kept += int64(q.Tokens)
+	}
+	for e.kept > capacity && e.order.Len() > 0 {
+		oldest := e.order.Remove(e.order.Front()).(*part)
+		delete(e.parts, oldest.id)
+		e.kept -= int64(oldest.tokens)
+	}
+}
+
+// failed keeps the engine from new work for a while.
+func (e *engine) failed(now time.Time) {
+	pause := time.Duration(float64(suspectMin) * math.Pow(2, float64(min(e.fails, 8))))
+	e.fails++
+	e.pausedTo = now.Add(min(pause, suspectMax))
+}
+
+// pool is the engines of a service.
+type pool struct {
+	name    string
+	limits  route.Engine
+	engines map[string]*engine
+	rate    float64 // tokens read in a millisecond by one engine
+	first   float64 // milliseconds to the first event, beside reading
+}
+
+// usable returns the engines that take work, those under suspicion only if
+// there are no others. Engines in avoid come last of all.
+func (p *pool) usable(now time.Time, avoid []string) []*engine {
+	var good, suspect, avoided []*engine
+	for _, e := range p.engines {
+		switch {
+		case e.gone || e.target.Draining:
+		case slices.Contains(avoid, e.target.ID):
+			avoided = append(avoided, e)
+		case now.Before(e.pausedTo):
+			suspect = append(suspect, e)
+		default:
+			good = append(good, e)
+		}
+	}
+	for _, list := range [][]*engine{good, suspect, avoided} {
+		if len(list) > 0 {
+			slices.SortFunc(list, func(a, b *engine) int { return compare(a.target.ID, b.target.ID) })
+			return list
+		}
+	}
+	return nil
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// predict is the time to the first event in milliseconds if the job went to
+// the engine now.
+func (p *pool) predict(e *engine, missing int) float64 {
+	queue := 0.0
+	if over := e.running - p.limits.Slots; p.limits.Slots > 0 && over >= 0 {
+		queue = p.first * float64(over+1)
+	}
+	return (float64(e.reading+missing)/p.rate + p.first + queue) * e.slow
+}
+
+// choose returns the engine with the least cost for the job, with the prompt
+// tokens that it has to read.
+func (p *pool) choose(j *job, now time.Time) (*engine, int) {
+	var best *engine
+	bestCost, bestMissing := math.Inf(1), 0
+	home := p.home(j.session, now, j.Avoid)
+	for _, e := range p.usable(now, j.Avoid) {
+		cost, missing := p.cost(e, j, home, now)
+		if cost < bestCost {
+			best, bestCost, bestMissing = e, cost, missing
+		}
+	}
+	return best, bestMissing
+}
+
+func (p *pool) cost(e *engine, j *job, home *engine, now time.Time) (float64, int) {
+	missing, shared := 0, 0
+	if j.Prompt != nil {
+		missing, shared = e.missing(j.Prompt)
+	}
+	first := p.predict(e, missing)
+	cost := first
+	if late := first - float64(j.Aim.Sub(now).Milliseconds()); late > 0 && now.Before(j.Aim) {
+		cost += lateWeight * late
+	}
+	if e != home {
+		cost += readWeight * float64(shared) / 1000
+	}
+	cost += moveWeight * float64(j.resultsElsewhere(e.target.Place)) / 1e6
+	if e.target.Place != j.Place {
+		cost += placeWeight
+	}
+	if p.limits.Slots > 0 {
+		cost += spreadWeight * math.Pow(float64(e.running)/float64(p.limits.Slots), 2)
+	}
+	if p.limits.MemoryTokens > 0 {
+		cost += spreadWeight * math.Pow(float64(e.tokens)/float64(p.limits.MemoryTokens), 4)
+	}
+	return cost, missing
+}
+
+// resultsElsewhere is the bytes of the job's results that lie outside place.
+func (j *job) resultsElsewhere(place string) int64 {
+	var bytes int64
+	for _, u := range j.leaves() {
+		for _, q := range u.pieces {
+			if q.state == pieceMade && q.server.target.Place != place {
+				bytes += u.bytes
+			}
+		}
+	}
+	return bytes
+}
+
+// home is the engine where the session's parts are expected when nothing is
+// known about them: rendezvous hashing, so that a new dispatcher sends most
+// sessions where the one before did. Engines under suspicion are left out.
+func (p *pool) home(session string, now time.Time, avoid []string) *engine {
+	if session == "" {
+		return nil
+	}
+	var best *engine
+	var bestScore uint64
+	for _, e := range p.usable(now, avoid) {
+		if score := rendezvous.Score(session, e.target.ID); best == nil || score > bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+// begun notes that the engine's answer to the job has begun.
+func (p *pool) begun(j *job, now time.Time) {
+	e := j.engine
+	e.reading -= j.missing
+	took := float64(now.Sub(j.placed).Microseconds()) / 1000
+	if predicted := float64(j.missing)/p.rate + p.first; predicted > 0 {
+		e.slow += rateWeight * (clamp(took/predicted, 0.5, 10) - e.slow)
+	}
+	p.learn(j.missing, took)
+	e.fails = 0
+	if j.Prompt != nil {
+		e.keep(j.Prompt, int64(float64(p.limits.MemoryTokens)*keptShare))
+	}
+}
+
+// learn takes in how long an engine took to the first event. Small prompts tell
+// of the fixed part, large ones of the reading speed.
+func (p *pool) learn(missing int, took float64) {
+	const small = 500
+	if missing < small {
+		p.first += rateWeight * (clamp(took, 1, 2000) - p.first)
+		return
+	}
+	rate := float64(missing) / max(took-p.first, 1)
+	p.rate += rateWeight * (clamp(rate, 1, 1000) - p.rate)
+}
+
+func clamp(x, low, high float64) float64 { return min(max(x, low), high) }
--- /dev/null
+++ b/internal/stagework/job.go
@@ -0,0 +1,167 @@
+package stagework
+
+import (
+	"time"
+
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/route"
+)
+
+// Job is a request's work before its last call, as its owner hands it to a
+// dispatcher.
+type Job struct {
+	ID           string // of the caller's attempt
+	Key          string // names the inputs of the first stages
+	Organisation string
+	Priority     int       // 0 is the most urgent
+	Aim          time.Time // the first event is on time until then
+	Deadline     time.Time // the caller waits until then
+	Stages       []route.Stage
+	Pieces       []int  // of each stage; missing ones are 0
+	Service      string // of the engine
+	Prompt       *relay.Prompt
+	Place        string   // of the instance that holds the request
+	Avoid        []string // engines that have failed this request
+}
+
+// pieces returns the number of pieces of a stage.
+func (j *Job) pieces(stage int) int {
+	if stage >= len(j.Pieces) {
+		return 0
+	}
+	return j.Pieces[stage]
+}
+
+// Placement is what a dispatcher decides for a job.
+type Placement struct {
+	Target  string // id of the engine
+	Address string
+	Inputs  []string // results for the engine; nil if the request has no stages
+}
+
+// Refusal says why a job is not done.
+type Refusal struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+// Reasons of refusals.
+const (
+	ReasonLate     = "cannot be done in time"
+	ReasonNoTarget = "no target takes work"
+	ReasonFailed   = "pieces failed too often"
+)
+
+// call is a call of a stage target that the planner wants made.
+type call struct {
+	number            int
+	server            *server
+	pieces            []*piece
+	sent              time.Time
+	nominal, expected time.Duration
+}
+
+// pieceState is how far a piece is.
+type pieceState int
+
+const (
+	pieceWaiting pieceState = iota
+	pieceRunning
+	pieceMade
+)
+
+// piece is one piece of a unit.
+type piece struct {
+	unit   *unit
+	number int
+	state  pieceState
+	server *server // that runs it or holds its result
+	handle string
+	made   time.Time
+	tries  int
+}
+
+// unit is one stage of one job.
+type unit struct {
+	job       *job
+	stage     int
+	service   *service
+	bytes     int64 // of one result
+	pieces    []*piece
+	waiting   int
+	unmade    int
+	after     []*unit
+	followers []*unit
+	reserved  bool // room is set aside for all its results
+	freed     bool
+}
+
+// done reports whether all its results are there.
+func (u *unit) done() bool { return u.unmade == 0 }
+
+// ready reports whether its pieces can be made now.
+func (u *unit) ready() bool {
+	for _, a := range u.after {
+		if !a.done() {
+			return false
+		}
+	}
+	return u.waiting > 0
+}
+
+// jobState is how far a job is.
+type jobState int
+
+const (
+	jobStaging jobState = iota
+	jobPlaced           // an engine was chosen, its answer has not begun
+	jobRunning          // the engine's answer has begun
+	jobEnded
+)
+
+// job is a Job with its progress.
+type job struct {
+	Job
+	units   []*unit // of the stages that have pieces
+	state   jobState
+	engine  *engine
+	session string // id of the part that names the session, "" = none
+	arrived time.Time
+	placed  time.Time
+	missing int // prompt tokens that the engine has to read
+	notify  func(Placement, *Refusal)
+}
+
+// leaves are the units whose results the engine reads.
+func (j *job) leaves() []*unit {
+	var leaves []*unit
+	for _, u := range j.units {
+		if len(u.followers) == 0 {
+			leaves = append(leaves, u)
+		}
+	}
+	return leaves
+}
+
+// staged reports whether all results are there.
+func (j *job) staged() bool {
+	for _, u := range j.units {
+		if !u.done() && !u.passed() {
+			return false
+		}
+	}
+	return true
+}
+
+// passed reports whether the unit's results were used by all that need them.
+func (u *unit) passed() bool {
+	if len(u.followers) == 0 {
+		return false
+	}
+	for _, f := range u.followers {
+		if !f.done() && !f.passed() {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/stagework/planner.go
@@ -0,0 +1,525 @@
+package stagework
+
+import (
+	"slices"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/route"
+)
+
+// Limits of a job's patience.
+const (
+	// maxTries is how often one piece is begun.
+	maxTries = 6
+	// lifetimeMargin is taken off the stated lifetime of a result.
+	lifetimeMargin = 200 * time.Millisecond
+	// comeBack bounds the time after which a refused caller may come back.
+	comeBackMin = 200 * time.Millisecond
+	comeBackMax = 3 * time.Second
+)
+
+// Planner holds the state of the stage targets and engines and decides what is
+// done next. It is not safe for concurrent use; Dispatcher holds its lock.
+// Every method is given the time.
+type Planner struct {
+	services map[string]*service
+	pools    map[string]*pool
+	jobs     map[*job]struct{}
+	calls    int
+	// release gets results that are no longer needed.
+	release func(address string, handles []string)
+	counts  Counts
+}
+
+// Counts is what the planner has seen since its start.
+type Counts struct {
+	Jobs, Placed, Refused, Calls, Pieces       int
+	Room, Gone, Late, Errors, Full, Hung, Redo int
+}
+
+// NewPlanner returns a planner that knows no target.
+func NewPlanner(release func(address string, handles []string)) *Planner {
+	return &Planner{
+		services: make(map[string]*service),
+		pools:    make(map[string]*pool),
+		jobs:     make(map[*job]struct{}),
+		release:  release,
+	}
+}
+
+// SetTargets takes in the services that are declared and their targets.
+func (p *Planner) SetTargets(table *route.Table, view *fleet.View) {
+	if table == nil {
+		return
+	}
+	for name, declared := range table.Services {
+		if declared.Pieces != nil {
+			p.setServers(name, *declared.Pieces, view)
+		}
+		if declared.Engine != nil {
+			p.setEngines(name, *declared.Engine, view)
+		}
+	}
+}
+
+func (p *Planner) setServers(name string, limits route.Pieces, view *fleet.View) {
+	v := p.services[name]
+	if v == nil {
+		v = &service{name: name, servers: make(map[string]*server), pace: 1}
+		p.services[name] = v
+	}
+	v.limits = limits
+	for id, s := range v.servers {
+		t, listed := view.Get(id)
+		if !listed {
+			s.gone = true
+			if s.calls == 0 {
+				delete(v.servers, id)
+			}
+			continue
+		}
+		s.target, s.gone = t, false
+	}
+	for _, t := range view.Ready(name) {
+		if v.servers[t.ID] == nil {
+			v.servers[t.ID] = &server{target: t, service: v, pace: v.pace}
+		}
+	}
+}
+
+func (p *Planner) setEngines(name string, limits route.Engine, view *fleet.View) {
+	o := p.pools[name]
+	if o == nil {
+		o = &pool{name: name, engines: make(map[string]*engine), rate: firstRate, first: 50}
+		p.pools[name] = o
+	}
+	o.limits = limits
+	for id, e := range o.engines {
+		t, listed := view.Get(id)
+		if !listed {
+			e.gone = true
+			if e.running == 0 {
+				delete(o.engines, id)
+			}
+			continue
+		}
+		e.target, e.gone = t, false
+	}
+	for _, t := range view.Ready(name) {
+		if o.engines[t.ID] == nil {
+			o.engines[t.ID] = newEngine(t)
+		}
+	}
+}
+
+// submit takes a job. It returns nil and the refusal if it can't be done.
+func (p *Planner) submit(in Job, notify func(Placement, *Refusal), now time.Time) (*job, *Refusal) {
+	p.counts.Jobs++
+	j := &job{Job: in, arrived: now, notify: notify}
+	if in.Prompt != nil && len(in.Prompt.Parts) > 0 {
+		j.session = in.Prompt.Parts[len(in.Prompt.Parts)-1].ID
+		if n := len(in.Prompt.Parts); n > 1 {
+			j.session = in.Prompt.Parts[n-2].ID
+		}
+	}
+	if refusal := p.build(j, now); refusal != nil {
+		p.counts.Refused++
+		return nil, refusal
+	}
+	p.jobs[j] = struct{}{}
+	return j, nil
+}
+
+// build makes the job's units and checks that it can be done in time.
+func (p *Planner) build(j *job, now time.Time) *Refusal {
+	if p.pools[j.Service] == nil {
+		return &Refusal{Reason: ReasonNoTarget, RetryAfter: comeBackMin}
+	}
+	byStage := make([]*unit, len(j.Stages))
+	for i, st := range j.Stages {
+		n := j.pieces(i)
+		if n == 0 {
+			continue
+		}
+		v := p.services[st.Service]
+		if v == nil {
+			return &Refusal{Reason: ReasonNoTarget, RetryAfter: comeBackMin}
+		}
+		u := &unit{job: j, stage: i, service: v, bytes: st.ResultBytes, waiting: n, unmade: n}
+		for k := range n {
+			u.pieces = append(u.pieces, &piece{unit: u, number: k})
+		}
+		byStage[i] = u
+		j.units = append(j.units, u)
+	}
+	for i, u := range byStage {
+		if u == nil {
+			continue
+		}
+		for _, a := range j.Stages[i].After {
+			if a < len(byStage) && byStage[a] != nil {
+				u.after = append(u.after, byStage[a])
+				byStage[a].followers = append(byStage[a].followers, u)
+			}
+		}
+	}
+	if end := now.Add(p.remaining(j, now, true)); end.After(j.Deadline) {
+		return &Refusal{Reason: ReasonLate, RetryAfter: clampTime(end.Sub(j.Deadline), comeBackMin, comeBackMax)}
+	}
+	for _, u := range j.units {
+		u.service.units = append(u.service.units, u)
+	}
+	return nil
+}
+
+func clampTime(d, low, high time.Duration) time.Duration { return min(max(d, low), high) }
+
+// remaining is the time that the job needs until the engine's first event;
+// queues says whether to count the wait for calls.
+func (p *Planner) remaining(j *job, now time.Time, queues bool) time.Duration {
+	longest := time.Duration(0)
+	for _, u := range j.units {
+		if len(u.followers) == 0 {
+			longest = max(longest, p.path(u, now, queues))
+		}
+	}
+	o := p.pools[j.Service]
+	if o == nil {
+		return longest
+	}
+	tokens := 0
+	if j.Prompt != nil {
+		tokens = j.Prompt.TokensIn
+	}
+	return longest + time.Duration((float64(tokens)/o.rate+o.first)*float64(time.Millisecond))
+}
+
+// path is the time until the unit's results are there.
+func (p *Planner) path(u *unit, now time.Time, queues bool) time.Duration {
+	if u.done() {
+		return 0
+	}
+	before := time.Duration(0)
+	for _, a := range u.after {
+		before = max(before, p.path(a, now, queues))
+	}
+	own := u.service.expect(min(len(u.pieces), u.service.batch()))
+	if u.waiting == 0 {
+		own = max(u.latestEnd().Sub(now), 0)
+	} else if queues {
+		own += u.service.wait(u.service.waiting(u.job.Priority), now)
+	}
+	return before + own
+}
+
+// latestEnd is when the calls that make the unit's pieces are expected to end.
+func (u *unit) latestEnd() time.Time {
+	var end time.Time
+	for _, q := range u.pieces {
+		if q.state == pieceRunning && q.server.busyTill.After(end) {
+			end = q.server.busyTill
+		}
+	}
+	return end
+}
+
+// cancel ends a job that is not needed any more, whatever its state.
+func (p *Planner) cancel(j *job) {
+	if j.state == jobEnded {
+		return
+	}
+	if j.engine != nil {
+		p.unplace(j)
+	}
+	j.state = jobEnded
+	delete(p.jobs, j)
+	for _, u := range j.units {
+		p.free(u)
+		u.service.drop(u)
+	}
+}
+
+// drop takes the unit out of the list of those that wait.
+func (v *service) drop(u *unit) {
+	if at := slices.Index(v.units, u); at >= 0 {
+		v.units = slices.Delete(v.units, at, at+1)
+	}
+}
+
+// free gives up the unit's results and its room. Results of pieces that still
+// run are given up when their call ends.
+func (p *Planner) free(u *unit) {
+	if u.freed {
+		return
+	}
+	u.freed = true
+	if u.reserved {
+		u.reserved = false
+		u.service.reserved -= int64(len(u.pieces)) * u.bytes
+	}
+	for _, q := range u.pieces {
+		if q.state == pieceMade {
+			p.forget(q, true)
+		}
+	}
+}
+
+// forget gives up one result; tell says whether its maker has to be told.
+func (p *Planner) forget(q *piece, tell bool) {
+	q.server.room -= q.unit.bytes
+	if tell && !q.server.gone {
+		p.release(q.server.target.Address, []string{q.handle})
+	}
+	q.handle = ""
+}
+
+// unplace takes the job off its engine.
+func (p *Planner) unplace(j *job) {
+	e := j.engine
+	e.running--
+	e.tokens -= j.size()
+	if j.state == jobPlaced {
+		e.reading -= j.missing
+	}
+	j.engine = nil
+}
+
+// size is the memory that the job takes at an engine, in tokens.
+func (j *job) size() int64 {
+	if j.Prompt == nil {
+		return 0
+	}
+	out := j.Prompt.TokensOut
+	if j.Prompt.LikelyOut > 0 {
+		out = min(out, j.Prompt.LikelyOut)
+	}
+	return int64(j.Prompt.TokensIn + out/2)
+}
+
+// place chooses an engine for a job whose results are all there.
+func (p *Planner) place(j *job, now time.Time) {
+	o := p.pools[j.Service]
+	e, missing := o.choose(j, now)
+	if e == nil {
+		p.refuse(j, Refusal{Reason: ReasonNoTarget, RetryAfter: comeBackMin})
+		return
+	}
+	j.engine, j.missing, j.placed, j.state = e, missing, now, jobPlaced
+	e.running++
+	e.tokens += j.size()
+	e.reading += missing
+	p.counts.Placed++
+	j.notify(Placement{Target: e.target.ID, Address: e.target.Address, Inputs: j.inputs()}, nil)
+}
+
+// inputs are the results that the engine reads; nil if the request has no
+// stages at all.
+func (j *job) inputs() []string {
+	if len(j.Stages) == 0 {
+		return nil
+	}
+	inputs := []string{}
+	for _, u := range j.leaves() {
+		for _, q := range u.pieces {
+			inputs = append(inputs, q.handle)
+		}
+	}
+	return inputs
+}
+
+// refuse gives a job up.
+func (p *Planner) refuse(j *job, r Refusal) {
+	p.counts.Refused++
+	p.cancel(j)
+	j.notify(Placement{}, &r)
+}
+
+// begun is told when the engine's answer has begun: it has read its inputs.
+func (p *Planner) begun(j *job, now time.Time) {
+	if j.state != jobPlaced {
+		return
+	}
+	p.pools[j.Service].begun(j, now)
+	j.state = jobRunning
+	for _, u := range j.units {
+		p.free(u)
+	}
+}
+
+// rejected is told when the engine did not take the job, or failed it before
+// its answer began and it may be tried again. gone says that inputs were gone.
+func (p *Planner) rejected(j *job, gone, failed bool, now time.Time) {
+	if j.state != jobPlaced {
+		return
+	}
+	e := j.engine
+	p.unplace(j)
+	j.state = jobStaging
+	switch {
+	case gone:
+		for _, u := range j.leaves() {
+			p.redo(u, now)
+		}
+	case failed:
+		e.failed(now)
+		j.Avoid = append(j.Avoid, e.target.ID)
+	default:
+		j.Avoid = append(j.Avoid, e.target.ID)
+		e.pausedTo = now.Add(fullPause)
+	}
+}
+
+// broke is told when the engine failed the job for good.
+func (p *Planner) broke(j *job, now time.Time) {
+	if j.engine != nil {
+		j.engine.failed(now)
+	}
+}
+
+// redo has a unit's results made again, which are gone or not to be had.
+func (p *Planner) redo(u *unit, now time.Time) {
+	if u.freed {
+		u.freed = false
+	}
+	for _, q := range u.pieces {
+		if q.state == pieceMade {
+			p.counts.Redo++
+			if q.handle != "" {
+				p.forget(q, true)
+			}
+			p.again(q)
+		}
+	}
+	for _, a := range u.after {
+		if a.freed {
+			p.redo(a, now)
+		}
+	}
+}
+
+// again puts a piece back among those that wait.
+func (p *Planner) again(q *piece) {
+	u := q.unit
+	if q.state == pieceMade {
+		u.unmade++
+	}
+	q.state, q.server, q.handle = pieceWaiting, nil, ""
+	u.waiting++
+	if !slices.Contains(u.service.units, u) {
+		u.service.units = append(u.service.units, u)
+	}
+}
+
+// finished is told how a call ended. results is nil if it failed.
+func (p *Planner) finished(c *call, results []relay.PieceResult, full bool, now time.Time) {
+	s := c.server
+	s.calls--
+	switch {
+	case full:
+		p.counts.Full++
+		s.pausedTo = now.Add(fullPause)
+		s.busyTill = now.Add(fullPause)
+	case results == nil:
+		p.counts.Errors++
+		s.busyTill = now
+		if took := now.Sub(c.sent); took > c.expected {
+			s.pace = max(s.pace, float64(took)/float64(c.nominal))
+		}
+		s.failed(now)
+	default:
+		s.busyTill = now
+		s.succeeded(c.nominal, now.Sub(c.sent))
+		s.service.pace += 0.1 * (clamp(float64(now.Sub(c.sent))/float64(c.nominal), 0.3, 1.5) - s.service.pace)
+	}
+	for i, q := range c.pieces {
+		var r relay.PieceResult
+		switch {
+		case full:
+			r.Fault = relay.PieceError
+			q.tries--
+		case results == nil:
+			r.Fault = relay.PieceError
+		default:
+			r = results[i]
+		}
+		p.took(q, s, r, now)
+	}
+	if s.gone && s.calls == 0 {
+		delete(s.service.servers, s.target.ID)
+	}
+}
+
+// took takes in what became of one piece.
+func (p *Planner) took(q *piece, s *server, r relay.PieceResult, now time.Time) {
+	u := q.unit
+	if r.Fault != relay.PieceMade || u.job.state == jobEnded || u.freed {
+		s.room -= u.bytes
+	}
+	if u.job.state == jobEnded || u.freed {
+		if r.Fault == relay.PieceMade {
+			p.release(s.target.Address, []string{r.Handle})
+		}
+		return
+	}
+	switch r.Fault {
+	case relay.PieceMade:
+		q.state, q.handle, q.made = pieceMade, r.Handle, now
+		if u.unmade--; u.unmade == 0 {
+			p.completed(u)
+		}
+		return
+	case relay.PieceRoom:
+		p.counts.Room++
+		s.noRoomTo = now.Add(roomPause)
+		q.tries--
+	case relay.PieceGone:
+		p.counts.Gone++
+		p.lostInputs(u, now)
+	case relay.PieceLate:
+		p.counts.Late++
+	default:
+		if r.Fault == relay.PieceError {
+			p.counts.Errors++
+		}
+	}
+	p.again(q)
+}
+
+// lostInputs finds which results before the unit are gone and has them made
+// again: those of targets that are gone or failing, else those that are old,
+// else all.
+func (p *Planner) lostInputs(u *unit, now time.Time) {
+	var suspects, all []*piece
+	for _, a := range u.after {
+		for _, q := range a.pieces {
+			if q.state != pieceMade || now.Sub(q.made) < 5*time.Millisecond {
+				continue
+			}
+			all = append(all, q)
+			if q.server.gone || q.server.fails > 0 || now.Sub(q.made) > a.service.limits.ResultLifetime/2 {
+				suspects = append(suspects, q)
+			}
+		}
+	}
+	if len(suspects) == 0 {
+		suspects = all
+	}
+	for _, q := range suspects {
+		p.counts.Redo++
+		p.forget(q, true)
+		p.again(q)
+	}
+}
+
+// completed frees what the unit's results were made from, once all that need it
+// are made.
+func (p *Planner) completed(u *unit) {
+	u.service.drop(u)
+	for _, a := range u.after {
+		if a.passed() {
+			p.free(a)
+		}
+	}
+}
--- /dev/null
+++ b/internal/stagework/service.go
@@ -0,0 +1,165 @@
+package stagework
+
+import (
+	"math"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/route"
+)
+
+// Times and factors of the view of stage targets.
+const (
+	// paceWeight is the weight of the newest call in a target's pace.
+	paceWeight = 0.4
+	// A call that takes longer than hangFactor times what is expected, plus
+	// hangMargin, is given up: its pieces are made elsewhere. Without this a
+	// target that hangs holds its pieces until the caller has gone.
+	hangFactor = 1.8
+	hangMargin = 250 * time.Millisecond
+	// suspectMin and suspectMax bound how long a target that failed gets no
+	// work; the time doubles with each failure in a row.
+	suspectMin = 400 * time.Millisecond
+	suspectMax = 4 * time.Second
+	// fullPause is how long a target that had no free place gets no work.
+	fullPause = 40 * time.Millisecond
+	// roomShare is the share of a target's stated room that is used: sizes of
+	// results are approximate.
+	roomShare = 0.97
+	// roomPause is how long a target without room for a result gets none that
+	// is large.
+	roomPause = 250 * time.Millisecond
+)
+
+// server is a stage target as the dispatcher sees it.
+type server struct {
+	target   fleet.Target
+	service  *service
+	gone     bool
+	calls    int
+	busyTill time.Time
+	room     int64   // of results that run or lie there
+	pace     float64 // what its calls take, against what is stated
+	fails    int
+	pausedTo time.Time
+	noRoomTo time.Time
+}
+
+// usable reports whether the server may get a call now.
+func (s *server) usable(now time.Time) bool {
+	return !s.gone && !s.target.Draining && s.calls < max(s.service.limits.Slots, 1) && !now.Before(s.pausedTo)
+}
+
+// alive reports whether the server counts as capacity.
+func (s *server) alive(now time.Time) bool {
+	return !s.gone && !s.target.Draining && now.After(s.pausedTo.Add(-suspectMin))
+}
+
+// fits reports whether a result of the size has room.
+func (s *server) fits(bytes int64, now time.Time) bool {
+	if now.Before(s.noRoomTo) && bytes > s.service.limits.ResultRoom/100 {
+		return false
+	}
+	return s.room+bytes <= int64(float64(s.service.limits.ResultRoom)*roomShare)
+}
+
+// succeeded takes in how long a call took.
+func (s *server) succeeded(nominal, took time.Duration) {
+	s.fails = 0
+	if nominal <= 0 {
+		return
+	}
+	s.pace += paceWeight * (float64(took)/float64(nominal) - s.pace)
+}
+
+// failed keeps the server from work for a while.
+func (s *server) failed(now time.Time) {
+	pause := time.Duration(float64(suspectMin) * math.Pow(2, float64(min(s.fails, 8))))
+	s.fails++
+	s.pausedTo = now.Add(min(pause, suspectMax))
+}
+
+// service is a stage service.
+type service struct {
+	name    string
+	limits  route.Pieces
+	servers map[string]*server
+	units   []*unit // with pieces that wait, in no order
+	// reserved is the room set aside for units, from before their first piece
+	// is made until their results are freed.
+	reserved int64
+	// pace is what calls take against what is stated, over all servers.
+	pace float64
+}
+
+// callTime is what a call with n pieces takes, as stated.
+func (v *service) callTime(n int) time.Duration {
+	return v.limits.CallTime + time.Duration(n)*v.limits.ItemTime
+}
+
+// expect is what a call with n pieces takes on a server like most.
+func (v *service) expect(n int) time.Duration {
+	return time.Duration(float64(v.callTime(n)) * v.pace)
+}
+
+// servers that count as capacity.
+func (v *service) alive(now time.Time) int {
+	n := 0
+	for _, s := range v.servers {
+		if s.alive(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// batch is the largest number of pieces of a call.
+func (v *service) batch() int { return max(v.limits.Batch, 1) }
+
+// admits reports whether the unit's results can all be given room such that
+// every unit that was admitted before can still be finished.
+//
+// What goes wrong without it: targets fill up with results of many half-made
+// requests, none of which gets room for its last piece. One notices it by
+// refusals for want of room while no call is in progress. Room is therefore
+// set aside for whole units, less one result a target for what cannot be
+// divided.
+func (v *service) admits(u *unit, now time.Time) bool {
+	need := int64(len(u.pieces)) * u.bytes
+	if v.reserved == 0 {
+		return true
+	}
+	n := int64(v.alive(now))
+	total := n*int64(float64(v.limits.ResultRoom)*roomShare) - n*u.bytes
+	return v.reserved+need <= total
+}
+
+// wait estimates how long a newcomer waits for a call, given the pieces that
+// wait before it.
+func (v *service) wait(before int, now time.Time) time.Duration {
+	n := v.alive(now)
+	if n == 0 {
+		return suspectMax
+	}
+	first := time.Duration(math.MaxInt64)
+	for _, s := range v.servers {
+		if s.alive(now) {
+			first = min(first, max(s.busyTill.Sub(now), 0))
+		}
+	}
+	rounds := before / (n * v.batch())
+	partial := float64(before%(n*v.batch())) / float64(n*v.batch())
+	full := float64(v.expect(v.batch()))
+	return first + time.Duration(full*(float64(rounds)+partial))
+}
+
+// waiting counts the pieces that wait with the priority or a more urgent one.
+func (v *service) waiting(priority int) int {
+	n := 0
+	for _, u := range v.units {
+		if u.job.Priority <= priority {
+			n += u.waiting
+		}
+	}
+	return n
+}
