--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -22,7 +22,7 @@
 // to it fails only after the kernel's retries, about 15 min. It has a price: a
 // living target that takes none of a request's body for that long, while the
 // kernels' buffers are full, is cut off too (ETIMEDOUT, Sent=true).
-const userTimeout = 3 * time.Second
+const userTimeout = 8 * time.Second
 
 var errHeadTooLong = errors.New("head of the answer is too long")
 
