A watch of the store waits 0.8 of the time in touch

Ruled out: peers' word alone (all watches fall silent together); the pull between instances (it ran within 0.2 s once one knew). Change: wait 2.4 s where an instance is out of touch after 3 s; the answer 'unknown' is given while the last answer of the store is at most 2 s older than that.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -163,6 +163,7 @@
 		OnTable:   func(*route.Table) { i.targetsChanged() },
 		OnTargets: i.retarget,
 		Hurry:     func() { i.members.Hurry() },
+		WatchWait: i.watchWait(),
 	})
 	i.members = membership.New(membership.Options{
 		Self: board.Member{
--- a/internal/edge/facts.go
+++ b/internal/edge/facts.go
@@ -14,10 +14,14 @@
 
 // Times of what an instance believes.
 const (
-	// confirmWithin is the age of the store's last answer up to which an
-	// instance says that there is no such route or key. A quiet watch answers
-	// every routesync.Options.WatchWait.
-	confirmWithin = 18 * time.Second
+	// watchShare is the part of the time after which an instance is out of
+	// touch that a watch of the store waits. A store that forgets its history
+	// may leave watches without a word of the changes made meanwhile; only a
+	// watch that ends by itself and is begun anew shows them.
+	watchShare = 0.8
+	// confirmMargin is added to a quiet watch's wait: an instance whose last
+	// answer of the store is older does not say that a route or key is unknown.
+	confirmMargin = 2 * time.Second
 	// suspensionTick is how often the clock is looked at, suspensionGap the
 	// gap from which on the process is held to have been suspended.
 	suspensionTick = 200 * time.Millisecond
@@ -28,14 +32,19 @@
 )
 
 // confirmed reports whether the routes are not known to be old.
-func (i *Instance) confirmed() bool { return i.routes.ConfirmedAge() < confirmWithin }
+func (i *Instance) confirmed() bool { return i.routes.ConfirmedAge() < i.watchWait()+confirmMargin }
+
+// watchWait is how long a watch of the store waits.
+func (i *Instance) watchWait() time.Duration {
+	return time.Duration(watchShare * float64(i.cfg.Ingress.Touch.Duration))
+}
 
 // serving reports whether the instance takes requests.
 func (i *Instance) serving() bool {
 	if i.routes.Table() == nil {
 		return false
 	}
-	if i.cfg.Ingress.FailClosed && i.routes.ConfirmedAge() > i.cfg.Ingress.Revocation.Duration+confirmWithin {
+	if i.cfg.Ingress.FailClosed && i.routes.ConfirmedAge() > i.cfg.Ingress.Revocation.Duration+i.watchWait() {
 		return false
 	}
 	return !i.waking()
