--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -127,6 +127,8 @@
 	engine  *engine
 	session string // id of the part that names the session, "" = none
 	arrived time.Time
+	ownTime time.Duration // what it needs until the first event if nothing waits
+	late    bool          // it cannot be on time; it gets what the others leave
 	placed  time.Time
 	missing int // prompt tokens that the engine has to read
 	notify  func(Placement, *Refusal)
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -240,7 +240,7 @@
 
 func (p *Planner) rank(u *unit, now time.Time) rank {
 	start := u.job.Aim.Add(-p.downstream(u))
-	return rank{late: now.After(start), priority: u.job.Priority, start: start}
+	return rank{late: u.job.late || now.After(start), priority: u.job.Priority, start: start}
 }
 
 // downstream is the time from the start of the unit's call to the engine's
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -132,6 +132,24 @@
 	return j, nil
 }
 
+// judgeNew decides whether the new job can be on time, and refuses it if it
+// cannot even be late. Jobs that have to give way to it are refused or late in
+// their turn.
+func (p *Planner) judgeNew(j *job, now time.Time) *Refusal {
+	j.ownTime = p.remaining(j, now, false)
+	p.judge(j, now)
+	if !j.late {
+		for _, u := range j.units {
+			u.service.load.add(float64(len(u.pieces))*u.service.pieceTime(u.bytes).Seconds(), now)
+		}
+		return nil
+	}
+	if ok, after := p.takeLate(j, now); !ok {
+		return &Refusal{Reason: ReasonLate, RetryAfter: after}
+	}
+	return nil
+}
+
 // build makes the job's units and checks that it can be done in time.
 func (p *Planner) build(j *job, now time.Time) *Refusal {
 	if p.pools[j.Service] == nil {
@@ -168,6 +186,9 @@
 	if end := now.Add(p.remaining(j, now, true)); end.After(j.Deadline) {
 		return &Refusal{Reason: ReasonLate, RetryAfter: clampTime(end.Sub(j.Deadline), comeBackMin, comeBackMax)}
 	}
+	if refusal := p.judgeNew(j, now); refusal != nil {
+		return refusal
+	}
 	for _, u := range j.units {
 		u.service.units = append(u.service.units, u)
 	}
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -90,6 +90,7 @@
 	reserved int64
 	// pace is what calls take against what is stated, over all servers.
 	pace float64
+	load loadMeter
 }
 
 // callTime is what a call with n pieces takes, as stated.
