--- a/cmd/lynxhilld/run.go
+++ b/cmd/lynxhilld/run.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -12,6 +14,7 @@
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/httpserver"
+	"lynxhill.example/lynxhill/internal/logsink"
 )
 
 // runCmd runs an instance.
@@ -31,9 +34,15 @@
 	if err != nil {
 		return err
 	}
-	logger := newLogger(cfg.Log, os.Stderr)
-	httpserver.BridgeLogs(logger)
-	instance, err := newDaemon(cfg, logger)
+	// A reader of the log that goes away must not take the instance along: a
+	// write to it would end the process by SIGPIPE, which shows as an instance
+	// that is gone without a last line whenever the collector restarts. Ignored,
+	// the write fails and the lines are counted as left out.
+	signal.Ignore(syscall.SIGPIPE)
+	logs := openLog(cfg, logOutput(cfg))
+	defer logs.close()
+	httpserver.BridgeLogs(logs.logger)
+	instance, err := newDaemon(cfg, logs.logger)
 	if err != nil {
 		return err
 	}
@@ -82,13 +91,56 @@
 	}
 }
 
-// newLogger returns the logger of the settings.
-func newLogger(cfg config.Log, out *os.File) *event.Logger {
-	writer := log.NewSyncWriter(out)
-	base := log.NewLogfmtLogger(writer)
+// flushTime bounds how long the end of the process waits for the output to
+// take the last lines. A reader of the log that hangs must not hold up a stop.
+const flushTime = 200 * time.Millisecond
+
+// logOutput returns where log lines go. An instance that serves plain requests
+// writes some lines for each request that fails; they are what it has to say,
+// and a collector reads them from the standard output, so that the standard
+// error holds only why it could not start or crashed. Other instances write
+// few lines, and keep to the standard error, where their operators read them.
+func logOutput(cfg config.Config) io.Writer {
+	if cfg.Ingress.Enabled() {
+		return os.Stdout
+	}
+	return os.Stderr
+}
+
+// openedLog is the logger with what its lines pass through.
+type openedLog struct {
+	logger *event.Logger
+	sink   *logsink.Sink
+}
+
+// openLog returns the log of the settings, which never holds up its callers.
+func openLog(cfg config.Config, out io.Writer) openedLog {
+	sink := logsink.New(out, logsink.Options{Notes: func(w io.Writer) *event.Logger {
+		return newLogger(newFormat(cfg.Log, w)).With("instance", cfg.Instance.ID)
+	}})
+	allowed := level.Allow(level.ParseDefault(cfg.Log.Level, level.InfoValue()))
+	return openedLog{logger: newLogger(level.NewFilter(newFormat(cfg.Log, sink), allowed)), sink: sink}
+}
+
+// close gives the output a while to take the last lines.
+func (l openedLog) close() {
+	ctx, cancel := context.WithTimeout(context.Background(), flushTime)
+	defer cancel()
+	_ = l.sink.Flush(ctx)
+	l.sink.Close()
+}
+
+// newFormat returns a logger that writes in the format of the settings.
+func newFormat(cfg config.Log, out io.Writer) log.Logger {
 	if cfg.Format == config.FormatJSON {
-		base = log.NewJSONLogger(writer)
+		return log.NewJSONLogger(out)
 	}
-	base = level.NewFilter(base, level.Allow(level.ParseDefault(cfg.Level, level.InfoValue())))
+	return log.NewLogfmtLogger(out)
+}
+
+// newLogger returns a logger whose lines hold their time. It is added outside
+// of a filter of levels, so that lines begin with the level: package logsink
+// and lynxctl explain know them by that.
+func newLogger(base log.Logger) *event.Logger {
 	return event.NewLogger(log.With(base, "ts", log.DefaultTimestampUTC))
 }
--- /dev/null
+++ b/deploy/pathtest/path_test.go
@@ -0,0 +1,337 @@
+package pathtest
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"lynxhill.example/lynxhill/deploy/emulator"
+)
+
+// TestCalm: without any fault each request is served, at the first attempt, by whatever instance and server.
+func TestCalm(t *testing.T) {
+	r := start(t, plan{instances: 3})
+	stop := r.load(12, emulator.ClientOptions{}, mixed()...)
+	time.Sleep(2 * time.Second)
+	r.allServed("calm", stop())
+	r.check()
+}
+
+// TestGracefulStop.
+//
+// Symptom: answers break off at each roll-out. Events: an instance is told to stop while requests run there and
+// clients still hold its address. Cause: it closes its listener or its connections before they have what they
+// asked for, or it is named to clients for too long.
+func TestGracefulStop(t *testing.T) {
+	r := start(t, plan{instances: 3})
+	leaving := r.instances[1]
+	stop := r.load(12, emulator.ClientOptions{Retries: 3}, append(mixed(), ask(emulator.Idempotent, "/slow/x"), ask(emulator.NonIdempotent, "/slowonce/x"))...)
+	time.Sleep(time.Second)
+	var long []emulator.Attempt
+	done := make(chan emulator.Attempt, 8)
+	for n := range 8 { // they run beyond the order to stop
+		go func() {
+			done <- leaving.direct.Do(t.Context(), ask(emulator.NonIdempotent, "/slowonce/"+string(rune('a'+n))))
+		}()
+	}
+	time.Sleep(300 * time.Millisecond)
+	leaving.stop()
+	told := time.Now()
+	r.until(time.Second, "the leaving instance isn't ready and isn't named", func() bool {
+		return !leaving.ready() && r.instances[0].known() == 2 && r.instances[2].known() == 2
+	})
+	for range 8 {
+		long = append(long, <-done)
+	}
+	r.allServed("in flight at the order to stop", long)
+	select {
+	case err := <-leaving.ended:
+		leaving.ended <- nil // for the end of the test
+		if err != nil {
+			t.Errorf("ended with %v", err)
+		}
+	case <-time.After(time.Until(told.Add(graceTime))):
+		t.Errorf("it still runs %v after the order to stop", graceTime)
+	}
+	time.Sleep(500 * time.Millisecond)
+	all := stop()
+	r.check()
+	for _, a := range all { // a closed door, or a promise that it did not run
+		if !served(a) && a.Status != 0 && a.Status != 503 {
+			t.Errorf("around the stop: %s got %d", a.Ask.Path, a.Status)
+		}
+	}
+	if share := shareServed(all); share < 0.97 {
+		t.Errorf("only %.3f of the attempts were served", share)
+	}
+}
+
+func shareServed(attempts []emulator.Attempt) float64 {
+	n := 0
+	for _, a := range attempts {
+		if served(a) {
+			n++
+		}
+	}
+	return float64(n) / float64(max(len(attempts), 1))
+}
+
+// dispatcher is the instance that has called stage servers most.
+func (r *rig) dispatcher() *instance {
+	best, most := r.instances[0], -1
+	for _, i := range r.instances {
+		i.mu.Lock()
+		calls := 0
+		for _, s := range r.world.Servers("cut") {
+			calls += i.dialed[s.Address]
+		}
+		i.mu.Unlock()
+		if calls > most {
+			best, most = i, calls
+		}
+	}
+	return best
+}
+
+// TestDispatcherKilled.
+//
+// Symptom: requests with stages hang at all instances after one of them died. Events: the instance that hands out
+// stage work is killed; jobs of the others wait there. Cause: nobody takes its role over, or the others don't
+// notice that the jobs they gave it are lost.
+func TestDispatcherKilled(t *testing.T) {
+	r := start(t, plan{instances: 3})
+	warm := r.load(4, emulator.ClientOptions{}, staged())
+	time.Sleep(700 * time.Millisecond)
+	r.allServed("before the kill", warm())
+	dead := r.dispatcher()
+	var addresses []string
+	for _, i := range r.instances {
+		if i != dead {
+			addresses = append(addresses, i.address)
+		}
+	}
+	direct := make(chan struct{})
+	go func() { // what the dead instance itself has in flight
+		defer close(direct)
+		dead.direct.Do(t.Context(), ask(emulator.NonIdempotent, "/slowonce/x"))
+	}()
+	stop := r.load(8, emulator.ClientOptions{Addresses: addresses}, staged(), staged(), ask(emulator.NonIdempotent, "/once/x"), talk("/talk/x"))
+	time.Sleep(300 * time.Millisecond)
+	dead.kill()
+	killed := time.Now()
+	time.Sleep(5 * time.Second)
+	all := stop()
+	<-direct
+	r.check()
+	r.allServed("later than 3 s after the kill", slices.DeleteFunc(slices.Clone(all), func(a emulator.Attempt) bool { return a.Sent.Before(killed.Add(3 * time.Second)) }))
+	if share := shareServed(all); share < 0.9 {
+		t.Errorf("only %.3f of the attempts at the living instances were served", share)
+	}
+	if len(r.instances) == 3 && r.instances[0] != dead && r.instances[0].known() != 2 {
+		t.Error("the dead instance is still named to clients")
+	}
+}
+
+// TestTargetCrash.
+//
+// Symptom: requests fail for seconds after a server died though others are free. Events: a server of each service
+// ends in mid-request, its entry stays, and a new one takes its address. Cause: what can be repeated isn't, or the
+// dead server is chosen again and again.
+func TestTargetCrash(t *testing.T) {
+	r := start(t, plan{instances: 3})
+	stop := r.load(10, emulator.ClientOptions{}, mixed()...)
+	time.Sleep(500 * time.Millisecond)
+	var dead []*emulator.Server
+	for _, service := range []string{"plain", "talk", "cut"} {
+		dead = append(dead, r.world.Servers(service)[0])
+		r.world.Crash(dead[len(dead)-1].ID)
+	}
+	crashed := time.Now()
+	time.Sleep(1200 * time.Millisecond)
+	for _, s := range dead {
+		if _, err := r.world.Add(s.Service, s.Zone, s.Address); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(800 * time.Millisecond)
+	all := stop()
+	r.check()
+	for _, a := range all {
+		repeatable := a.Ask.Kind == emulator.Idempotent || a.Ask.Resume
+		if !served(a) && (repeatable || a.Sent.After(crashed.Add(100*time.Millisecond))) {
+			t.Errorf("%s, sent %v after the crash: status %d, %v", a.Ask.Path, a.Sent.Sub(crashed), a.Status, a.Err)
+		}
+	}
+}
+
+// TestTargetDrains.
+//
+// Symptom: requests break off each time a server is replaced. Events: a server says that it leaves, or only its
+// entry goes; it ends some seconds later. Cause: an instance sends it requests still, by an old list or a kept
+// connection.
+func TestTargetDrains(t *testing.T) {
+	r := start(t, plan{instances: 3})
+	stop := r.load(10, emulator.ClientOptions{}, mixed()...)
+	time.Sleep(400 * time.Millisecond)
+	leaving := make(map[string]time.Time) // id -> acknowledged
+	for _, service := range []string{"plain", "talk", "cut"} {
+		s := r.world.Servers(service)[0]
+		if err := r.world.Drain(s.ID); err != nil {
+			t.Fatal(err)
+		}
+		leaving[s.ID] = time.Now()
+	}
+	removed := r.world.Servers("plain")[1]
+	r.world.Remove(removed.ID)
+	leaving[removed.ID] = time.Now()
+	time.Sleep(2700 * time.Millisecond)
+	all := stop()
+	for _, run := range r.world.Journal.Runs() {
+		if at, ok := leaving[run.Server]; ok && run.Began.After(at.Add(drainTime)) {
+			t.Errorf("%s run by %s %v after it left", run.Path, run.Service, run.Began.Sub(at))
+		}
+	}
+	for _, piece := range r.world.Journal.Pieces() {
+		if at, ok := leaving[piece.Server]; ok && piece.Began.After(at.Add(drainTime)) {
+			t.Errorf("a piece made %v after its server left", piece.Began.Sub(at))
+		}
+	}
+	r.allServed("while servers leave", all)
+	r.check()
+}
+
+// TestClientLeaves.
+//
+// Symptom: servers are busy with answers that nobody reads. Events: a client closes its connection, or its stream,
+// before the end. Cause: the end isn't passed on to the server at work.
+func TestClientLeaves(t *testing.T) {
+	r := start(t, plan{instances: 2})
+	for _, s := range r.world.Servers("talk") {
+		s.SetFaults(emulator.Faults{Slow: 30})
+	}
+	asks := []emulator.Ask{ask(emulator.Idempotent, "/slow/x"), ask(emulator.NonIdempotent, "/slowonce/x"), talk("/talk/x"), talk("/resume/x"), staged()}
+	for i := range asks {
+		asks[i].GiveUp = 350 * time.Millisecond
+	}
+	stop := r.load(10, emulator.ClientOptions{}, asks...)
+	time.Sleep(1500 * time.Millisecond)
+	left := make(map[string]time.Time)
+	for _, a := range stop() {
+		if a.GaveUp {
+			left[a.ID] = a.Ended
+		}
+	}
+	r.check()
+	seen := 0
+	for _, run := range r.world.Journal.Runs() {
+		at, ok := left[run.Attempt]
+		if !ok {
+			continue
+		}
+		seen++
+		if late := run.Ended.Sub(at); late > leaveTime {
+			t.Errorf("%s: at work until %v after the client left", run.Path, late)
+		}
+		if late := run.Began.Sub(at); late > leaveTime {
+			t.Errorf("%s: begun %v after the client left", run.Path, late)
+		}
+	}
+	if seen < 20 {
+		t.Errorf("only %d runs were left by their clients", seen)
+	}
+}
+
+// TestStreamsResumed.
+//
+// Symptom: events are missing or come twice in a long answer. Events: a model server breaks off in the middle of
+// an event, resets or ends. Cause: the part of an event that had come is passed on, or the next server goes on at
+// the wrong event; where a stream may not be resumed, its broken end looks whole.
+func TestStreamsResumed(t *testing.T) {
+	r := start(t, plan{instances: 2, change: func(d *emulator.Deployment) {
+		d.Pools[0].Places = []emulator.Place{{Zone: "z1", Count: 2}, {Zone: "z2", Count: 2}}
+		d.Config.Routes[1].MaxAttempts = 6 // more than the servers that may fail one request
+	}})
+	servers := r.world.Servers("talk")
+	servers[0].SetFaults(emulator.Faults{BreakOff: 0.5})
+	servers[1].SetFaults(emulator.Faults{BreakOff: 0.3, Reset: true})
+	resumable, plain := talk("/resume/x", "Token-Counts", "40,60"), talk("/talk/x", "Token-Counts", "40,60")
+	stop := r.load(8, emulator.ClientOptions{}, resumable, resumable, plain)
+	time.Sleep(time.Second)
+	r.world.Crash(servers[2].ID)
+	time.Sleep(time.Second)
+	all := stop()
+	r.check()
+	resumed, cut := 0, 0
+	starts := make(map[string]int)
+	for _, run := range r.world.Journal.Runs() {
+		starts[run.Attempt]++
+	}
+	for _, a := range all {
+		switch {
+		case a.Ask.Resume && (!served(a) || len(a.Events) != 15):
+			t.Errorf("resumable: status %d, %d events, %v, %d runs", a.Status, len(a.Events), a.Err, starts[a.ID])
+		case a.Ask.Resume && starts[a.ID] > 1:
+			resumed++
+		case !a.Ask.Resume && a.Complete && a.Status == 200 && len(a.Events) != 15:
+			t.Errorf("a broken stream looks whole after %d events", len(a.Events))
+		case !a.Complete && a.Status == 200:
+			cut++
+		}
+	}
+	if resumed == 0 || cut == 0 {
+		t.Errorf("%d streams were resumed, %d were cut", resumed, cut)
+	}
+}
+
+// TestFaultyServers.
+//
+// Symptom: a payment is made twice, or a client gets another's answer. Events: servers are full, lose answers,
+// break off, reset or hang, answer twice or too early, without a length, or with bytes to spare. Cause: a refusal
+// is given though a server may have run the request; a failed exchange is repeated, by the product or its library;
+// or a connection is used again though the last answer may not have ended.
+func TestFaultyServers(t *testing.T) {
+	long, once, idem := ask(emulator.NonIdempotent, "/once/long"), ask(emulator.NonIdempotent, "/once/x"), ask(emulator.Idempotent, "/idem/x")
+	long.Body = []byte(strings.Repeat("a long body ", 30000))
+	stream := talk("/talk/x")
+	once.Deadline, idem.Deadline, stream.Deadline = time.Second, time.Second, time.Second
+	cases := []struct {
+		name    string
+		retries int
+		faults  []emulator.Faults // of the servers in turn
+		asks    []emulator.Ask
+		share   float64 // is served at least
+		status  int     // has to be seen
+		repeats bool    // some request has to run twice
+	}{
+		{"full, and some lose answers", 2, []emulator.Faults{{LoseAnswer: 0.3, BreakOff: 0.1, Reset: true}, {LoseAnswer: 0.3, BreakOff: 0.1}},
+			[]emulator.Ask{ask(emulator.NonIdempotent, "/tight/x")}, 0.01, 503, false},
+		{"lose answers, break off, hang", 2, []emulator.Faults{{LoseAnswer: 0.5}, {LoseAnswer: 0.5, Reset: true}, {LoseAnswer: 0.2, BreakOff: 0.2, Grey: 0.2}},
+			[]emulator.Ask{once, once, idem, stream}, 0.2, 502, true},
+		{"answers without a clear end", 0, []emulator.Faults{{LateSecond: 0.4, Extra: 0.3, LateAfter: 30 * time.Millisecond}, {NoLength: 0.4, BreakOff: 0.3, Reset: true}, {EarlyAnswer: 0.5, LateSecond: 0.2, NoLength: 0.1, BreakOff: 0.1}},
+			append(mixed(), long), 0.7, 200, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := start(t, plan{instances: 3})
+			for n, s := range slices.Concat(r.world.Servers("plain"), r.world.Servers("talk"), r.world.Servers("tight")) {
+				s.SetFaults(c.faults[n%len(c.faults)])
+			}
+			stop := r.load(14, emulator.ClientOptions{Retries: c.retries}, c.asks...)
+			time.Sleep(2 * time.Second)
+			all := stop()
+			r.check()
+			runs, repeats, statuses := make(map[string]int), false, make(map[int]int)
+			for _, run := range r.world.Journal.Runs() {
+				runs[run.Attempt]++
+				repeats = repeats || runs[run.Attempt] > 1
+			}
+			for _, a := range all {
+				statuses[a.Status]++
+			}
+			if share := shareServed(all); share < c.share || statuses[c.status] == 0 || c.repeats && !repeats || statuses[400]+statuses[401]+statuses[404] > 0 {
+				t.Errorf("%.3f were served, repeats %v, answers by status: %v", share, repeats, statuses)
+			}
+		})
+	}
+}
--- a/internal/control/routesync/routesync_test.go
+++ b/internal/control/routesync/routesync_test.go
@@ -123,6 +123,30 @@
 	})
 }
 
+// Symptom: targets that lived were removed during an outage. Events: the store
+// came back, listed none of them, and went away again within the grace; or a
+// peer told of their deletion, and the store's list had them. Cause: the grace
+// ran out whatever the store said or did not say.
+func TestTheListAfterAnOutageDecides(t *testing.T) {
+	inWorld(t, func(w *world) {
+		n := w.node("x", true)
+		n.link.cut()
+		time.Sleep(10 * time.Second)
+		w.remove("targets/a")
+		n.link.restore()
+		time.Sleep(1100 * time.Millisecond)
+		n.link.cut()
+		time.Sleep(5 * time.Second)
+		w.want(n, "away again", "1: a b")
+		w.put("targets/a", "1:1")
+		wrong := store.Object{Key: "targets/b", Version: 4, Deleted: true}
+		n.adopt(TargetsPrefix, answer{objects: []store.Object{wrong}, version: 4, peer: "y"})
+		n.link.restore()
+		time.Sleep(10 * time.Second)
+		w.want(n, "back for good", "1: a b")
+	})
+}
+
 // Symptom: an instance that pulls kept a dead target for ever. Events: its
 // peer doubted the deletion while it told of newer versions, and believed it
 // two seconds later. Cause: the deletion's version lay below the one up to
@@ -180,7 +204,9 @@
 					t.Errorf("confirmed %v ago", age)
 				}
 				w.tell("peer", "x") // again: puts nothing off
-				time.Sleep(2 * time.Second)
+				time.Sleep(1990 * time.Millisecond)
+				w.want(n, "in the grace", row.want)
+				time.Sleep(10 * time.Millisecond)
 				w.want(n, "later", row.later)
 			})
 		})
@@ -204,6 +230,7 @@
 			n.Absorb(gossip.Digest{From: "old", Profiles: []gossip.ProfileVersion{{Name: RoutesPrefix, Version: 99}, {Name: TargetsPrefix, Version: 99}}})
 			objects, version, _ := old.Since(TargetsPrefix, 0)
 			n.adopt(TargetsPrefix, answer{objects: objects, version: version, peer: "old"})
+			n.adopt(RoutesPrefix, answer{objects: []store.Object{{Key: TableKey, Version: 2, Value: []byte("9")}}, version: 2, peer: "old"})
 			w.want(n, "after the old word", "2: -b")
 			time.Sleep(2 * tombstoneLife)
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -184,6 +184,7 @@
 	i.pool = exchange.New(exchange.Options{Dial: i.o.Dial, AnswerID: i.adapter.AnswerID})
 	i.dispatcher = stagework.New(stagework.Options{
 		Client: i.adapter.Stages(i.pool), Clock: i.o.Clock, Logger: i.o.Logger,
+		Reuse: i.cfg.Ingress.ReuseWindow.Duration,
 	})
 	i.finder = stagework.NewFinder(stagework.FinderOptions{
 		Self: i.id(), Local: i.dispatcher, Remote: i.peers,
--- /dev/null
+++ b/internal/explain/text.go
@@ -0,0 +1,122 @@
+package explain
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode"
+)
+
+// WriteText writes the story for people. Values are quoted where they hold
+// anything but visible characters, as callers choose some of them and could
+// else write to the reader's terminal.
+func (s Story) WriteText(out io.Writer) error {
+	w := &textWriter{out: out}
+	s.writeHead(w)
+	seen := make(map[int]bool)
+	for _, step := range s.Steps {
+		writeStep(w, step, !seen[step.Event])
+		seen[step.Event] = true
+	}
+	if s.MoreSteps > 0 {
+		w.printf("  and %d more lines of the request\n", s.MoreSteps)
+	}
+	s.writeContext(w)
+	if s.Unreadable > 0 {
+		w.printf("\n%d lines that hold this id could not be read\n", s.Unreadable)
+	}
+	return w.err
+}
+
+// textWriter keeps the first error.
+type textWriter struct {
+	out io.Writer
+	err error
+}
+
+func (w *textWriter) printf(format string, args ...any) {
+	if w.err == nil {
+		_, w.err = fmt.Fprintf(w.out, format, args...)
+	}
+}
+
+func (s Story) writeHead(w *textWriter) {
+	last := s.Steps[len(s.Steps)-1]
+	w.printf("request %s: %s from %s, %s UTC, over %v\n", clean(s.Request), counted(len(s.Steps)+s.MoreSteps, "line"),
+		strings.Join(s.instances(), ", "), s.Steps[0].Time.UTC().Format("2006-01-02 15:04:05.000"), last.After.Round(time.Millisecond))
+	w.printf("last: %s on %s: %s\n\n", clean(last.Name), clean(last.Instance), pairs(last.Outcome))
+}
+
+func counted(n int, what string) string {
+	if n == 1 {
+		return "1 " + what
+	}
+	return fmt.Sprintf("%d %ss", n, what)
+}
+
+// instances returns those that wrote lines of the request, by name.
+func (s Story) instances() []string {
+	var names []string
+	for _, step := range s.Steps {
+		names = append(names, clean(step.Instance))
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// noMeaning stands where the catalogue has nothing.
+const noMeaning = "This version of lynxctl does not know the event."
+
+func writeStep(w *textWriter, step Step, explain bool) {
+	w.printf("%s\n", heading(step))
+	if explain {
+		text := step.Meaning
+		if text == "" {
+			text = noMeaning
+		}
+		w.printf("               %s\n", text)
+	}
+	w.printf("      inputs   %s\n      outcome  %s\n", pairs(step.Inputs), pairs(step.Outcome))
+}
+
+func heading(step Step) string {
+	return fmt.Sprintf("%+9.3f s  %s  %s (%d, %s)", step.After.Seconds(), clean(step.Instance), clean(step.Name), step.Event, clean(step.Level))
+}
+
+func (s Story) writeContext(w *textWriter) {
+	if len(s.Context) == 0 {
+		w.printf("\nno context in the %v before these lines\n", s.Around)
+		return
+	}
+	w.printf("\ncontext, in the %v before these lines:\n", s.Around)
+	for _, step := range s.Context {
+		w.printf("%s  %s\n", heading(step), pairs(slices.Concat(step.Inputs, step.Outcome)))
+	}
+	if s.MoreContext > 0 {
+		w.printf("  and %d more; --around shortens the time\n", s.MoreContext)
+	}
+}
+
+// pairs writes fields as logfmt does.
+func pairs(fields []Field) string {
+	if len(fields) == 0 {
+		return "-"
+	}
+	words := make([]string, 0, len(fields))
+	for _, f := range fields {
+		words = append(words, clean(f.Key)+"="+clean(f.Value))
+	}
+	return strings.Join(words, " ")
+}
+
+// clean quotes what is not a plain word.
+func clean(text string) string {
+	odd := func(r rune) bool { return r <= ' ' || r == '"' || r == '=' || !unicode.IsPrint(r) }
+	if text == "" || strings.ContainsFunc(text, odd) {
+		return strconv.Quote(text)
+	}
+	return text
+}
--- a/internal/stagework/day_test.go
+++ b/internal/stagework/day_test.go
@@ -175,7 +175,7 @@
 	stages := []route.Stage{{Service: "cut", ResultBytes: 15 * mb / 8}}
 	inWorld(t, map[string]group{"cut": {1, limits(2, 50*ms, 5*ms, 4*mb)}}, func(w *world) {
 		requirePlaced(t, w.serveAll(20, 0, func(i int) Job { return newJob(i, 30*time.Second, 60*time.Second, stages, 2) })...)
-		if n := w.farm.servers["cut0"].noRoom; n > 0 {
+		if n := w.farm.server("cut0").noRoom; n > 0 {
 			t.Errorf("%d pieces were sent to a server without room", n)
 		}
 	})
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -27,6 +27,9 @@
 	Client relay.StageClient
 	Clock  clock.Clock
 	Logger *event.Logger
+	// Reuse is the time within which it is a waste to read a prompt part that
+	// was read before.
+	Reuse time.Duration
 }
 
 // Dispatcher carries out what a Planner decides. It is safe for concurrent use.
@@ -46,6 +49,9 @@
 	ctx, stop := context.WithCancel(context.Background())
 	d := &Dispatcher{o: o, ctx: ctx, stop: stop, freeing: make(map[string][]string)}
 	d.planner = NewPlanner(d.release)
+	if o.Reuse > 0 {
+		d.planner.reuse = o.Reuse
+	}
 	return d
 }
 
--- a/internal/stagework/engine.go
+++ b/internal/stagework/engine.go
@@ -17,8 +17,13 @@
 	// readWeight is for a thousand tokens of a shared part that have to be read
 	// though some engine has them.
 	readWeight = 60.0
+	// firstWeight is for the time to the first event as long as it is on time.
+	firstWeight = 0.2
+	// homeWeight is for an engine that is not the one where a new dispatcher
+	// would expect the session.
+	homeWeight = 3.0
 	// moveWeight is for a megabyte of results that lie in another place.
-	moveWeight = 20.0
+	moveWeight = 28.0
 	// placeWeight is for an answer that comes from another place than the
 	// caller's instance.
 	placeWeight = 2.0
@@ -61,22 +66,49 @@
 }
 
 // missing returns the tokens of the prompt that the engine has to read: all
-// after the first part that it does not keep. shared are those of them that
-// other requests have too.
-func (e *engine) missing(p *relay.Prompt) (all, shared int) {
+// after the first part that it does not keep. again are those of them that
+// some engine has read lately: reading them once more is a waste.
+func (o *pool) missing(e *engine, p *relay.Prompt, now time.Time) (all, again int) {
 	kept := 0
 	for i, part := range p.Parts {
 		if _, ok := e.parts[part.ID]; !ok {
 			for _, rest := range p.Parts[i:] {
-				shared += rest.Tokens
+				if o.recent(rest.ID, now) {
+					again += rest.Tokens
+				}
 			}
 			break
 		}
 		kept += part.Tokens
 	}
-	return max(p.TokensIn-kept, 0), shared
+	return max(p.TokensIn-kept, 0), again
 }
 
+// recent reports whether the part was used by any engine lately.
+func (o *pool) recent(id string, now time.Time) bool {
+	at, ok := o.used[id]
+	return ok && now.Sub(at) < o.reuse
+}
+
+// use notes that the prompt's parts are used now.
+func (o *pool) use(p *relay.Prompt, now time.Time) {
+	for _, q := range p.Parts {
+		o.used[q.ID] = now
+	}
+	if len(o.used) < maxUsed {
+		return
+	}
+	for id, at := range o.used {
+		if now.Sub(at) >= o.reuse {
+			delete(o.used, id)
+		}
+	}
+}
+
+// maxUsed is the number of prompt parts from which on those that were not used
+// lately are forgotten.
+const maxUsed = 8192
+
 // keep notes the prompt's parts as kept by the engine.
 func (e *engine) keep(p *relay.Prompt, capacity int64) {
 	for _, q := range p.Parts {
@@ -108,6 +140,8 @@
 	engines map[string]*engine
 	rate    float64 // tokens read in a millisecond by one engine
 	first   float64 // milliseconds to the first event, beside reading
+	reuse   time.Duration
+	used    map[string]time.Time // prompt parts by their last use
 }
 
 // usable returns the engines that take work, those under suspicion only if
@@ -170,17 +204,18 @@
 }
 
 func (p *pool) cost(e *engine, j *job, home *engine, now time.Time) (float64, int) {
-	missing, shared := 0, 0
+	missing, again := 0, 0
 	if j.Prompt != nil {
-		missing, shared = e.missing(j.Prompt)
+		missing, again = p.missing(e, j.Prompt, now)
 	}
 	first := p.predict(e, missing)
-	cost := first
+	cost := firstWeight * first
 	if late := first - float64(j.Aim.Sub(now).Milliseconds()); late > 0 && now.Before(j.Aim) {
 		cost += lateWeight * late
 	}
+	cost += readWeight * float64(again) / 1000
 	if e != home {
-		cost += readWeight * float64(shared) / 1000
+		cost += homeWeight
 	}
 	cost += moveWeight * float64(j.resultsElsewhere(e.target.Place)) / 1e6
 	if e.target.Place != j.Place {
@@ -237,6 +272,7 @@
 	e.fails = 0
 	if j.Prompt != nil {
 		e.keep(j.Prompt, int64(float64(p.limits.MemoryTokens)*keptShare))
+		p.use(j.Prompt, now)
 	}
 }
 
--- a/internal/stagework/farm_test.go
+++ b/internal/stagework/farm_test.go
@@ -171,6 +171,13 @@
 	return bytes
 }
 
+// holds is used for those who have no lock.
+func (f *farm) holds(id string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.used(id)
+}
+
 // Free implements relay.StageClient.
 func (f *farm) Free(_ context.Context, address string, handles []string) error {
 	f.drop(func(m *madeResult, handle string) bool {
@@ -199,6 +206,13 @@
 	return f.drop(func(m *madeResult, _ string) bool { return m.job == job && m.stage == stage })
 }
 
+// server returns a copy of a server's state.
+func (f *farm) server(id string) stageServer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return *f.servers[id]
+}
+
 // change changes a server.
 func (f *farm) change(id string, how func(s *stageServer)) {
 	f.mu.Lock()
--- a/internal/stagework/faults_test.go
+++ b/internal/stagework/faults_test.go
@@ -39,7 +39,7 @@
 	inWorld(t, cuts(3), func(w *world) {
 		w.farm.servers["cut0"].hung = true
 		requirePlaced(t, w.serveAll(40, 40*ms, func(i int) Job { return newJob(i, time.Second, 1500*ms, cutOnly(1024), 2) })...)
-		if len(w.farm.servers["cut0"].begun) == 0 {
+		if len(w.farm.server("cut0").begun) == 0 {
 			t.Error("the hung server got no call: nothing was tested")
 		}
 	})
@@ -75,7 +75,7 @@
 				t.Errorf("%+v was sent %d times", id, len(n))
 			}
 		}
-		if w.farm.servers["cut0"].noRoom == 0 {
+		if w.farm.server("cut0").noRoom == 0 {
 			t.Error("no piece was refused: nothing was tested")
 		}
 	})
@@ -141,10 +141,10 @@
 	inWorld(t, cuts(1), func(w *world) {
 		ticket, _ := w.submit(newJob(1, time.Second, 2*time.Second, cutOnly(1024), 3))
 		time.Sleep(60 * ms)
-		before := w.farm.used("cut0")
+		before := w.farm.holds("cut0")
 		ticket.End()
 		time.Sleep(time.Second)
-		if after := w.farm.used("cut0"); before == 0 || after != 0 {
+		if after := w.farm.holds("cut0"); before == 0 || after != 0 {
 			t.Errorf("%d bytes while the call was in progress, %d later", before, after)
 		}
 	})
@@ -155,12 +155,11 @@
 // or, once known as slow, never again.
 func TestASlowServerGetsOnlyWhatItEndsFirst(t *testing.T) {
 	inWorld(t, cuts(4), func(w *world) {
-		slow := w.farm.servers["cut0"]
-		slow.factor = 5
+		w.farm.servers["cut0"].factor = 5
 		arrive := func(name string, n int, pause time.Duration) (calls int, endings []ending) {
-			before := len(slow.begun)
+			before := len(w.farm.server("cut0").begun)
 			endings = w.serveAll(n, pause, func(i int) Job { return newJob(fmt.Sprint(name, i), 900*ms, 20*time.Second, cutOnly(1024), 2) })
-			return len(slow.begun) - before, endings
+			return len(w.farm.server("cut0").begun) - before, endings
 		}
 		if learned, _ := arrive("learn", 40, 50*ms); learned == 0 {
 			t.Error("it got no call: nothing was tested")
@@ -273,11 +272,11 @@
 				time.Sleep(210 * ms) // a call is in progress
 				began := time.Now()
 				requirePlaced(t, w.serve(newJob("urgent", time.Minute, 2*time.Minute, stages, 3, 1)))
-				sent := w.farm.sent[pieceID{"job urgent", 0, 0}][0]
-				if i := slices.IndexFunc(w.farm.servers["cut0"].begun, began.Before); w.farm.servers["cut0"].begun[i] != sent {
-					t.Errorf("it was sent %v after a call for others", sent.Sub(w.farm.servers["cut0"].begun[i]))
-				}
 				<-done
+				sent, begun := w.farm.sent[pieceID{"job urgent", 0, 0}][0], w.farm.server("cut0").begun
+				if next := begun[slices.IndexFunc(begun, began.Before)]; next != sent {
+					t.Errorf("it was sent %v after a call for others", sent.Sub(next))
+				}
 			})
 		})
 	}
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -303,8 +303,8 @@
 		}
 	}
 	o := p.pools[j.Service]
-	if o == nil {
-		return ""
+	if o == nil || j.session == "" || !o.recent(j.session, now) {
+		return "" // any engine will do: it follows the results
 	}
 	if e, _ := o.choose(j, now); e != nil {
 		return e.target.Place
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -28,6 +28,9 @@
 	pools    map[string]*pool
 	jobs     map[*job]struct{}
 	calls    int
+	// reuse is the time within which it is a waste to read a prompt part that
+	// was read before.
+	reuse time.Duration
 	// release gets results that are no longer needed.
 	release func(address string, handles []string)
 	counts  Counts
@@ -39,9 +42,14 @@
 	Room, Gone, Late, Errors, Full, Hung, Redo int
 }
 
-// NewPlanner returns a planner that knows no target.
+// defaultReuse is Planner.reuse where the settings say nothing.
+const defaultReuse = 10 * time.Second
+
+// NewPlanner returns a planner that knows no target. Results to be given up are
+// handed to release.
 func NewPlanner(release func(address string, handles []string)) *Planner {
 	return &Planner{
+		reuse:    defaultReuse,
 		services: make(map[string]*service),
 		pools:    make(map[string]*pool),
 		jobs:     make(map[*job]struct{}),
@@ -92,7 +100,7 @@
 func (p *Planner) setEngines(name string, limits route.Engine, view *fleet.View) {
 	o := p.pools[name]
 	if o == nil {
-		o = &pool{name: name, engines: make(map[string]*engine), rate: firstRate, first: 50}
+		o = &pool{name: name, engines: make(map[string]*engine), rate: firstRate, first: 50, reuse: p.reuse, used: make(map[string]time.Time)}
 		p.pools[name] = o
 	}
 	o.limits = limits
@@ -331,6 +339,12 @@
 	e.running++
 	e.tokens += j.size()
 	e.reading += missing
+	if j.Prompt != nil {
+		// Those that come next are to find the parts here, though they are read
+		// only now.
+		e.keep(j.Prompt, int64(float64(o.limits.MemoryTokens)*keptShare))
+		o.use(j.Prompt, now)
+	}
 	p.counts.Placed++
 	j.notify(Placement{Target: e.target.ID, Address: e.target.Address, Inputs: j.inputs()}, nil)
 }
