--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -153,14 +153,18 @@
 		return nil
 	}
 	units := p.admit(v, now)
+	waits := make(map[*server]int) // pieces that wait for a busy target
 	var calls []*call
 	for len(free) > 0 {
 		top := firstWaiting(units)
 		if top == nil {
 			break
 		}
-		s := p.pickServer(free, top, now)
-		if s == nil {
+		s := p.pickServer(free, top, waits, now)
+		if s == nil || !slices.Contains(free, s) {
+			if s != nil {
+				waits[s] += top.waiting
+			}
 			units = without(units, top)
 			continue
 		}
@@ -271,21 +275,42 @@
 	return slices.DeleteFunc(slices.Clone(units), func(r ranked) bool { return r.unit == u })
 }
 
-// pickServer chooses the target for the unit's next pieces: the fastest, and
-// among equals one in the place where the engine will be, or where the
-// request's other results lie. nil means that waiting is better than any.
-func (p *Planner) pickServer(free []*server, u *unit, now time.Time) *server {
+// Weights of the choice of a stage target, in the unit of the choice of an
+// engine.
+const (
+	// waitWeight is for a millisecond of waiting for a target that is busy, at
+	// a service without load; it grows with the load, since a target that is
+	// left idle is lost capacity.
+	waitWeight     = 0.25
+	waitLoadWeight = 0.75
+	// slowWeight is for a target that takes twice as long as others.
+	slowWeight = 100.0
+	// waitMargin is kept between the end of the wait and the last moment to
+	// start.
+	waitMargin = 60 * time.Millisecond
+)
+
+// pickServer chooses the target for the unit's next pieces: one that is soon
+// free, is not slow, and lies in the place of the unit's inputs, or of the
+// engine that will read its results. It may be a target that is busy, if there
+// is time to wait for it. nil means that waiting is better than any.
+func (p *Planner) pickServer(free []*server, u *unit, waits map[*server]int, now time.Time) *server {
 	place := p.placeOf(u.job, now)
+	last := u.job.Aim.Add(-p.downstream(u) - waitMargin)
+	v := u.service
+	perMS := waitWeight + waitLoadWeight*min(v.load.load(v.alive(now), now), 1)
 	var best *server
 	bestCost := math.Inf(1)
-	for _, s := range free {
-		if !s.fits(u.bytes, now) || p.betterElsewhere(s, now) {
+	for _, s := range v.sortedServers() {
+		wait := time.Duration(0)
+		if slices.Contains(free, s) {
+			if !s.fits(u.bytes, now) || p.betterElsewhere(s, now) {
+				continue
+			}
+		} else if wait = s.busyTill.Sub(now); !s.worthWaiting(now) || now.Add(wait).After(last) || waits[s]+u.waiting > v.batch() {
 			continue
 		}
-		cost := s.paceAt(now)
-		if place != "" && s.target.Place != place {
-			cost += 0.05 + float64(u.bytes)/float64(max(u.service.limits.ResultRoom, 1))
-		}
+		cost := perMS*float64(wait.Milliseconds()) + moveWeight*u.moved(s.target.Place, place)/1e6 + slowWeight*(s.paceAt(now)/v.pace-1)
 		if cost < bestCost {
 			best, bestCost = s, cost
 		}
@@ -293,9 +318,46 @@
 	return best
 }
 
-// placeOf is the place where the job's results are wanted.
+// sortedServers returns the targets by id, so that runs repeat.
+func (v *service) sortedServers() []*server {
+	list := make([]*server, 0, len(v.servers))
+	for _, s := range v.servers {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b *server) int { return compare(a.target.ID, b.target.ID) })
+	return list
+}
+
+// worthWaiting reports whether the target is well and makes a call whose end is
+// known.
+func (s *server) worthWaiting(now time.Time) bool {
+	return !s.gone && !s.target.Draining && s.calls > 0 && s.fails == 0 && s.busyTill.After(now) &&
+		s.paceAt(now) < slowFactor*s.service.pace
+}
+
+// moved is the bytes that cross places if the unit's waiting pieces are made in
+// the place at: each piece fetches all its inputs, and results that only the
+// engine reads go to where that is.
+func (u *unit) moved(at, engine string) float64 {
+	bytes := 0.0
+	for _, a := range u.after {
+		for _, q := range a.pieces {
+			if q.state == pieceMade && q.server.target.Place != at {
+				bytes += float64(a.bytes) * float64(u.waiting)
+			}
+		}
+	}
+	if len(u.followers) == 0 && engine != "" && engine != at {
+		bytes += float64(u.bytes) * float64(u.waiting)
+	}
+	return bytes
+}
+
+// placeOf is the place where the results that the job's engine reads are
+// wanted: where others of them lie, or that of the engine that has the
+// session's parts. "" means that any will do: the engine follows the results.
 func (p *Planner) placeOf(j *job, now time.Time) string {
-	for _, u := range j.units {
+	for _, u := range j.leaves() {
 		for _, q := range u.pieces {
 			if q.server != nil && u.large() {
 				return q.server.target.Place
@@ -304,7 +366,7 @@
 	}
 	o := p.pools[j.Service]
 	if o == nil || j.session == "" || !o.recent(j.session, now) {
-		return "" // any engine will do: it follows the results
+		return ""
 	}
 	if e, _ := o.choose(j, now); e != nil {
 		return e.target.Place
