--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -71,9 +71,10 @@
 		}
 		select {
 		case d := <-ef.work.Decisions():
-			if !d.Lost {
+			if d.Lost == "" {
 				return d, nil
 			}
+			ef.o.Work.Lost(d.Lost)
 			ef.endWork()
 			if ef.lost++; ef.lost > maxLost {
 				return d, errNoTarget
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"lynxhill.example/lynxhill/internal/peer/peerpb"
+	"lynxhill.example/lynxhill/internal/peer/peerpb/peerpbconnect"
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/route"
 	"lynxhill.example/lynxhill/internal/stagework"
@@ -33,16 +34,7 @@
 		return nil, nil, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	silence := time.AfterFunc(workTaken, func() { cancel(errWorkSilent) })
-	stream, err := p.Work(ctx)
-	if err == nil {
-		err = stream.Send(&peerpb.WorkUp{Job: jobToProto(job, time.Now())})
-	}
-	var first *peerpb.WorkDown
-	if err == nil {
-		first, err = stream.Receive()
-	}
-	silence.Stop()
+	stream, first, err := startWork(ctx, p, job, cancel)
 	if err != nil {
 		cancel(err)
 		c.o.Metrics.Labelled(metricCalls).Add("work_failed", 1)
@@ -53,7 +45,7 @@
 		cancel(nil)
 		return nil, refusalOf(first), nil
 	}
-	w := &remoteWork{stream: stream, cancel: cancel, decisions: make(chan stagework.Decision, 16)}
+	w := &remoteWork{instance: instance, stream: stream, cancel: cancel, decisions: make(chan stagework.Decision, 16)}
 	if first.GetTarget() != "" {
 		w.decisions <- decisionOf(first)
 	}
@@ -61,9 +53,31 @@
 	return w, nil, nil
 }
 
+// startWork hands the job over and waits until it is taken or refused.
+func startWork(ctx context.Context, p peerpbconnect.PeerClient, job stagework.Job, cancel context.CancelCauseFunc) (*workStream, *peerpb.WorkDown, error) {
+	stream, err := p.Work(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	silence := time.AfterFunc(workTaken, func() {
+		cancel(errWorkSilent)
+		_ = stream.CloseRequest()
+	})
+	defer silence.Stop()
+	if err := stream.Send(&peerpb.WorkUp{Job: jobToProto(job, time.Now())}); err != nil {
+		return nil, nil, err
+	}
+	first, err := stream.Receive()
+	return stream, first, err
+}
+
+// workStream is the owner's side of a job's stream.
+type workStream = connect.BidiStreamForClientSimple[peerpb.WorkUp, peerpb.WorkDown]
+
 // remoteWork is a job at another instance's dispatcher.
 type remoteWork struct {
-	stream    *connect.BidiStreamForClientSimple[peerpb.WorkUp, peerpb.WorkDown]
+	instance  string
+	stream    *workStream
 	cancel    context.CancelCauseFunc
 	decisions chan stagework.Decision
 
@@ -75,12 +89,18 @@
 
 // read passes decisions on until the stream ends or falls silent.
 func (w *remoteWork) read() {
-	silence := time.AfterFunc(workSilent, func() { w.cancel(errWorkSilent) })
+	silence := time.AfterFunc(workSilent, func() {
+		// The cancelled context alone does not end Receive: the transport still
+		// waits for the rest of the request.
+		w.cancel(errWorkSilent)
+		_ = w.stream.CloseRequest()
+	})
 	defer silence.Stop()
+	defer w.cancel(nil)
 	for {
 		m, err := w.stream.Receive()
 		if err != nil {
-			w.put(stagework.Decision{Lost: true})
+			w.put(stagework.Decision{Lost: w.instance})
 			return
 		}
 		silence.Reset(workSilent)
@@ -126,8 +146,10 @@
 		return
 	}
 	w.ended = true
+	// What was told before must arrive, so the stream is not reset: the other
+	// side ends it, or the timer does.
 	_ = w.stream.CloseRequest()
-	w.cancel(nil)
+	time.AfterFunc(workSilent, func() { w.cancel(nil) })
 }
 
 // send passes an event on. One that fails shows as a lost dispatcher.
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -18,7 +18,7 @@
 	wakeEvery = 20 * time.Millisecond
 	// freeAfter is how long results to be given up are gathered, so that one
 	// call names many.
-	freeAfter = 25 * time.Millisecond
+	freeAfter = 8 * time.Millisecond
 	freeTime  = time.Second
 )
 
@@ -84,9 +84,9 @@
 type Decision struct {
 	Placement
 	Refusal *Refusal
-	// Lost says that the dispatcher is not reached any more; the job may be
-	// handed to another.
-	Lost bool
+	// Lost names the instance whose dispatcher is not reached any more; the job
+	// may be handed to another. "" = it is reached.
+	Lost string
 }
 
 // Assignment is a job at a dispatcher, here or on another instance.
@@ -259,6 +259,10 @@
 			ctx, cancel := context.WithTimeout(d.ctx, freeTime)
 			defer cancel()
 			_ = d.o.Client.Free(ctx, address, handles)
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.planner.released(handles)
+			d.proceed()
 		}()
 	}
 }
--- a/internal/stagework/engine.go
+++ b/internal/stagework/engine.go
@@ -73,9 +73,7 @@
 	for i, part := range p.Parts {
 		if _, ok := e.parts[part.ID]; !ok {
 			for _, rest := range p.Parts[i:] {
-				if o.recent(rest.ID, now) {
-					again += rest.Tokens
-				}
+				again += int(float64(rest.Tokens) * o.wasted(rest.ID, now))
 			}
 			break
 		}
@@ -86,20 +84,44 @@
 
 // recent reports whether the part was used by any engine lately.
 func (o *pool) recent(id string, now time.Time) bool {
-	at, ok := o.used[id]
-	return ok && now.Sub(at) < o.reuse
+	u, ok := o.used[id]
+	return ok && now.Sub(u.at) < o.reuse
+}
+
+// wasted is the share of a part's reading at one more engine that is a waste:
+// none if no engine has read it lately, and little if it is used so often that
+// many later requests will find it there.
+func (o *pool) wasted(id string, now time.Time) float64 {
+	if !o.recent(id, now) {
+		return 0
+	}
+	u := o.used[id]
+	uses := u.uses * math.Exp(-float64(now.Sub(u.at))/float64(o.reuse))
+	return 1 / (1 + uses/float64(max(len(o.engines), 1)))
+}
+
+// partUse is how a prompt part was used by all engines.
+type partUse struct {
+	at   time.Time
+	uses float64 // within about one reuse time, fading
 }
 
 // use notes that the prompt's parts are used now.
 func (o *pool) use(p *relay.Prompt, now time.Time) {
 	for _, q := range p.Parts {
-		o.used[q.ID] = now
+		u := o.used[q.ID]
+		if !u.at.IsZero() {
+			u.uses *= math.Exp(-float64(now.Sub(u.at)) / float64(o.reuse))
+		}
+		u.uses++
+		u.at = now
+		o.used[q.ID] = u
 	}
 	if len(o.used) < maxUsed {
 		return
 	}
-	for id, at := range o.used {
-		if now.Sub(at) >= o.reuse {
+	for id, u := range o.used {
+		if now.Sub(u.at) >= o.reuse {
 			delete(o.used, id)
 		}
 	}
@@ -141,7 +163,7 @@
 	rate    float64 // tokens read in a millisecond by one engine
 	first   float64 // milliseconds to the first event, beside reading
 	reuse   time.Duration
-	used    map[string]time.Time // prompt parts by their last use
+	used    map[string]partUse // prompt parts
 }
 
 // usable returns the engines that take work, those under suspicion only if
@@ -272,7 +294,6 @@
 	e.fails = 0
 	if j.Prompt != nil {
 		e.keep(j.Prompt, int64(float64(p.limits.MemoryTokens)*keptShare))
-		p.use(j.Prompt, now)
 	}
 }
 
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -94,6 +95,11 @@
 	return rendezvous.Top(dispatcherKey, usable, maxCandidates)
 }
 
+var errLost = errors.New("lost while the job waited")
+
+// Lost tells that the dispatcher of an instance was lost while it had a job.
+func (f *Finder) Lost(instance string) { f.Avoid(instance, errLost) }
+
 // Avoid leaves an instance out for a while.
 func (f *Finder) Avoid(instance string, err error) {
 	f.mu.Lock()
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -79,7 +79,7 @@
 // whose maker is gone.
 func (p *Planner) expire(now time.Time) {
 	for _, j := range p.staging() {
-		if now.Add(p.remaining(j, now, false)).After(j.Deadline) {
+		if now.Add(p.remaining(j, now)).After(j.Deadline) {
 			p.refuse(j, Refusal{Reason: ReasonLate, RetryAfter: comeBackMin})
 			continue
 		}
@@ -130,8 +130,8 @@
 			}
 			if q.server.gone || now.Sub(q.made) > u.service.limits.ResultLifetime-lifetimeMargin {
 				p.counts.Redo++
-				p.forget(q, true)
-				p.again(q)
+				p.forget(q)
+				p.again(q, now)
 			}
 		}
 	}
@@ -212,8 +212,7 @@
 				blocked = true
 				continue
 			}
-			r.reserved = true
-			v.reserved += int64(len(r.pieces)) * r.bytes
+			v.reserve(r.unit)
 		}
 		admitted = append(admitted, r)
 	}
@@ -233,9 +232,9 @@
 	if len(u.followers) > 0 || u.reserved || !u.large() {
 		return false
 	}
-	own := time.Duration(holdFactor * float64(p.path(u, now, true)))
+	own := time.Duration(holdFactor * float64(p.path(u, now)))
 	for _, other := range u.job.units {
-		if other != u && len(other.followers) == 0 && p.path(other, now, false) > own {
+		if other != u && len(other.followers) == 0 && p.path(other, now) > own {
 			return true
 		}
 	}
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -27,6 +27,7 @@
 	services map[string]*service
 	pools    map[string]*pool
 	jobs     map[*job]struct{}
+	leaving  map[string]leaving // by handle
 	calls    int
 	// reuse is the time within which it is a waste to read a prompt part that
 	// was read before.
@@ -53,6 +54,7 @@
 		services: make(map[string]*service),
 		pools:    make(map[string]*pool),
 		jobs:     make(map[*job]struct{}),
+		leaving:  make(map[string]leaving),
 		release:  release,
 	}
 }
@@ -100,7 +102,7 @@
 func (p *Planner) setEngines(name string, limits route.Engine, view *fleet.View) {
 	o := p.pools[name]
 	if o == nil {
-		o = &pool{name: name, engines: make(map[string]*engine), rate: firstRate, first: 50, reuse: p.reuse, used: make(map[string]time.Time)}
+		o = &pool{name: name, engines: make(map[string]*engine), rate: firstRate, first: 50, reuse: p.reuse, used: make(map[string]partUse)}
 		p.pools[name] = o
 	}
 	o.limits = limits
@@ -144,7 +146,7 @@
 // cannot even be late. Jobs that have to give way to it are refused or late in
 // their turn.
 func (p *Planner) judgeNew(j *job, now time.Time) *Refusal {
-	j.ownTime = p.remaining(j, now, false)
+	j.ownTime = p.remaining(j, now)
 	p.judge(j, now)
 	if !j.late {
 		for _, u := range j.units {
@@ -180,18 +182,8 @@
 		byStage[i] = u
 		j.units = append(j.units, u)
 	}
-	for i, u := range byStage {
-		if u == nil {
-			continue
-		}
-		for _, a := range j.Stages[i].After {
-			if a < len(byStage) && byStage[a] != nil {
-				u.after = append(u.after, byStage[a])
-				byStage[a].followers = append(byStage[a].followers, u)
-			}
-		}
-	}
-	if end := now.Add(p.remaining(j, now, true)); end.After(j.Deadline) {
+	j.link(byStage)
+	if end := now.Add(p.remaining(j, now)); end.After(j.Deadline) {
 		return &Refusal{Reason: ReasonLate, RetryAfter: clampTime(end.Sub(j.Deadline), comeBackMin, comeBackMax)}
 	}
 	if refusal := p.judgeNew(j, now); refusal != nil {
@@ -203,15 +195,34 @@
 	return nil
 }
 
+// link joins the units to those whose results they need. A unit whose results
+// are declared to be for a stage that this request leaves out is dropped:
+// nobody reads them.
+func (j *job) link(byStage []*unit) {
+	followed := make(map[int]bool)
+	for i, st := range j.Stages {
+		for _, a := range st.After {
+			followed[a] = true
+			if a < len(byStage) && byStage[a] != nil && byStage[i] != nil {
+				byStage[i].after = append(byStage[i].after, byStage[a])
+				byStage[a].followers = append(byStage[a].followers, byStage[i])
+			}
+		}
+	}
+	j.units = slices.DeleteFunc(j.units, func(u *unit) bool {
+		return followed[u.stage] && len(u.followers) == 0
+	})
+}
+
 func clampTime(d, low, high time.Duration) time.Duration { return min(max(d, low), high) }
 
-// remaining is the time that the job needs until the engine's first event;
-// queues says whether to count the wait for calls.
-func (p *Planner) remaining(j *job, now time.Time, queues bool) time.Duration {
+// remaining is the time that the job needs until the engine's first event if
+// nothing waits before it.
+func (p *Planner) remaining(j *job, now time.Time) time.Duration {
 	longest := time.Duration(0)
 	for _, u := range j.units {
 		if len(u.followers) == 0 {
-			longest = max(longest, p.path(u, now, queues))
+			longest = max(longest, p.path(u, now))
 		}
 	}
 	o := p.pools[j.Service]
@@ -225,20 +236,18 @@
 	return longest + time.Duration((float64(tokens)/o.rate+o.first)*float64(time.Millisecond))
 }
 
-// path is the time until the unit's results are there.
-func (p *Planner) path(u *unit, now time.Time, queues bool) time.Duration {
+// path is the time until the unit's results are there if nothing waits.
+func (p *Planner) path(u *unit, now time.Time) time.Duration {
 	if u.done() {
 		return 0
 	}
 	before := time.Duration(0)
 	for _, a := range u.after {
-		before = max(before, p.path(a, now, queues))
+		before = max(before, p.path(a, now))
 	}
 	own := u.service.expect(min(len(u.pieces), u.service.batch()))
 	if u.waiting == 0 {
 		own = max(u.latestEnd().Sub(now), 0)
-	} else if queues {
-		own += u.service.wait(u.service.waiting(u.job.Priority), now)
 	}
 	return before + own
 }
@@ -266,7 +275,6 @@
 	delete(p.jobs, j)
 	for _, u := range j.units {
 		p.free(u)
-		u.service.drop(u)
 	}
 }
 
@@ -284,26 +292,50 @@
 		return
 	}
 	u.freed = true
+	u.service.drop(u)
 	if u.reserved {
 		u.reserved = false
-		u.service.reserved -= int64(len(u.pieces)) * u.bytes
+		u.service.reserved -= u.size()
 	}
 	for _, q := range u.pieces {
 		if q.state == pieceMade {
-			p.forget(q, true)
+			p.forget(q)
 		}
 	}
 }
 
-// forget gives up one result; tell says whether its maker has to be told.
-func (p *Planner) forget(q *piece, tell bool) {
-	q.server.room -= q.unit.bytes
-	if tell && !q.server.gone {
-		p.release(q.server.target.Address, []string{q.handle})
-	}
+// forget gives up one result. Its room counts as taken until its maker has
+// been told: a piece sent there before would be refused for want of room.
+func (p *Planner) forget(q *piece) {
+	p.giveUp(q.server, q.handle, q.unit.bytes)
 	q.handle = ""
 }
 
+func (p *Planner) giveUp(s *server, handle string, bytes int64) {
+	if s.gone {
+		s.room -= bytes
+		return
+	}
+	p.leaving[handle] = leaving{server: s, bytes: bytes}
+	p.release(s.target.Address, []string{handle})
+}
+
+// leaving is a result that its maker is being told to give up.
+type leaving struct {
+	server *server
+	bytes  int64
+}
+
+// released is told that the maker of results has been told to give them up.
+func (p *Planner) released(handles []string) {
+	for _, h := range handles {
+		if l, ok := p.leaving[h]; ok {
+			l.server.room -= l.bytes
+			delete(p.leaving, h)
+		}
+	}
+}
+
 // unplace takes the job off its engine.
 func (p *Planner) unplace(j *job) {
 	e := j.engine
@@ -415,35 +447,40 @@
 
 // redo has a unit's results made again, which are gone or not to be had.
 func (p *Planner) redo(u *unit, now time.Time) {
-	if u.freed {
-		u.freed = false
-	}
+	u.freed = false
 	for _, q := range u.pieces {
 		if q.state == pieceMade {
 			p.counts.Redo++
 			if q.handle != "" {
-				p.forget(q, true)
+				p.forget(q)
 			}
-			p.again(q)
+			p.again(q, now)
 		}
 	}
-	for _, a := range u.after {
-		if a.freed {
-			p.redo(a, now)
-		}
+	u.enqueue()
+}
+
+// enqueue puts the unit among those that wait.
+func (u *unit) enqueue() {
+	if u.waiting > 0 && !slices.Contains(u.service.units, u) {
+		u.service.units = append(u.service.units, u)
 	}
 }
 
-// again puts a piece back among those that wait.
-func (p *Planner) again(q *piece) {
+// again puts a piece back among those that wait. What it is made from was
+// given up if all pieces had been made, and is made again too.
+func (p *Planner) again(q *piece, now time.Time) {
 	u := q.unit
 	if q.state == pieceMade {
 		u.unmade++
 	}
 	q.state, q.server, q.handle = pieceWaiting, nil, ""
 	u.waiting++
-	if !slices.Contains(u.service.units, u) {
-		u.service.units = append(u.service.units, u)
+	u.enqueue()
+	for _, a := range u.after {
+		if a.freed {
+			p.redo(a, now)
+		}
 	}
 }
 
@@ -489,12 +526,12 @@
 // took takes in what became of one piece.
 func (p *Planner) took(q *piece, s *server, r relay.PieceResult, now time.Time) {
 	u := q.unit
-	if r.Fault != relay.PieceMade || u.job.state == jobEnded || u.freed {
+	if r.Fault != relay.PieceMade {
 		s.room -= u.bytes
 	}
 	if u.job.state == jobEnded || u.freed {
 		if r.Fault == relay.PieceMade {
-			p.release(s.target.Address, []string{r.Handle})
+			p.giveUp(s, r.Handle, u.bytes)
 		}
 		return
 	}
@@ -519,7 +556,7 @@
 			p.counts.Errors++
 		}
 	}
-	p.again(q)
+	p.again(q, now)
 }
 
 // lostInputs finds which results before the unit are gone and has them made
@@ -543,8 +580,8 @@
 	}
 	for _, q := range suspects {
 		p.counts.Redo++
-		p.forget(q, true)
-		p.again(q)
+		p.forget(q)
+		p.again(q, now)
 	}
 }
 
