--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -206,9 +206,9 @@
 	})
 	blocked := false
 	admitted := ready[:0]
-	for _, r := range ready {
+	for k, r := range ready {
 		if !r.reserved {
-			if blocked && r.large() || !v.admits(r.unit, now) {
+			if blocked && r.large() || !v.admits(r.unit, now) && !v.yield(r, ready[k+1:], now) {
 				blocked = true
 				continue
 			}
@@ -219,6 +219,24 @@
 	return admitted
 }
 
+// yield takes room back from less urgent units of which no piece was begun,
+// the last first, until the unit fits, and reports whether it does. Room is set
+// aside before a unit's turn, which keeps the order of equals steady; it must
+// not hold back what is more urgent.
+func (v *service) yield(r ranked, later []ranked, now time.Time) bool {
+	for k := len(later) - 1; k >= 0; k-- {
+		u := later[k]
+		if !u.reserved || u.job.Priority <= r.job.Priority || u.waiting < len(u.pieces) {
+			continue
+		}
+		v.unreserve(u.unit)
+		if v.admits(r.unit, now) {
+			return true
+		}
+	}
+	return false
+}
+
 // large reports whether the unit's results take a noticeable part of a target's
 // room.
 func (u *unit) large() bool {
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -155,6 +155,17 @@
 	}
 }
 
+// unreserve takes back the room of the unit and of those after it that have not
+// begun.
+func (v *service) unreserve(u *unit) {
+	for _, w := range u.chain() {
+		if w.reserved && w.waiting == len(w.pieces) {
+			w.reserved = false
+			v.reserved -= w.size()
+		}
+	}
+}
+
 // size is the room that all results of the unit take.
 func (u *unit) size() int64 { return int64(len(u.pieces)) * u.bytes }
 
