Cells of stage targets, dispatchers on large instances, few watchers of the store

Ruled out: a lease for the dispatcher (two at once cost efficiency only); steering callers. Change: places are grouped into cells with three targets of each service; a session belongs to a cell by weighted rendezvous hashing; candidates have at least half the processor time of the largest instance; eight instances watch, the others hear by gossip at once and list themselves when they have not heard.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -159,6 +159,9 @@
 	// Fleet says of a dead member how many instances it may have known when it
 	// died, itself included; 0 if that is not known.
 	Fleet int
+	// Capacity is the processor time that the instance has, in cores; 0 if it
+	// does not say.
+	Capacity float64
 }
 
 // ConfigObject is a configuration object as it is in force here. Deleted rows
--- a/internal/control/routesync/feed.go
+++ b/internal/control/routesync/feed.go
@@ -64,6 +64,10 @@
 // runFeed lists and watches until ctx ends.
 func (m *Manager) runFeed(ctx context.Context, f *feed) {
 	for ctx.Err() == nil {
+		if m.hears(f) {
+			loop.Sleep(ctx, m.o.Clock, hearEvery)
+			continue
+		}
 		turn, done := f.begin(ctx)
 		err := m.step(turn, f)
 		if turn.Err() == nil {
@@ -73,6 +77,31 @@
 	}
 }
 
+// hearEvery is how often an instance that does not watch looks whether it still
+// hears from those that do.
+const hearEvery = 100 * time.Millisecond
+
+// hears reports whether the feed may rest: others watch, and what they said is
+// not old. A feed that rested goes on from what was heard.
+//
+// What goes wrong without it: every instance's watches are calls that the store
+// counts, whose rates grow more slowly than the fleet; one notices it by
+// refused calls of everybody.
+func (m *Manager) hears(f *feed) bool {
+	if f.asked() || m.o.Watcher() || !m.Known() || m.ConfirmedAge() > m.o.WatchWait+callTimeout {
+		return false
+	}
+	f.after, f.listed = m.seen(f.prefix), true
+	return true
+}
+
+// asked reports whether Recheck was called and not yet followed.
+func (f *feed) asked() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.relist
+}
+
 func (m *Manager) step(ctx context.Context, f *feed) error {
 	if !f.listed {
 		return m.list(ctx, f)
--- a/internal/control/routesync/health.go
+++ b/internal/control/routesync/health.go
@@ -97,7 +97,7 @@
 func (m *Manager) answered(prefix string, at time.Duration) {
 	now := m.o.Boot.SinceBoot()
 	m.change(func() {
-		m.confirmed.Store(max(m.confirmed.Load(), int64(at)))
+		m.confirm(int64(at))
 		if m.health.answer(prefix, now) && m.health.reported {
 			m.health.reported = false
 			m.log(event.RouteStoreRegained, "prefix", prefix)
--- a/internal/control/routesync/options.go
+++ b/internal/control/routesync/options.go
@@ -83,6 +83,9 @@
 	// change is told after they return.
 	OnTable   func(*route.Table)
 	OnTargets func(old, new *fleet.View)
+	// Watcher reports whether this instance watches the store itself. Others
+	// hear from it, and list only when they have not heard for long. nil = yes.
+	Watcher func() bool
 	// Hurry asks membership for extra exchanges at once; may be nil.
 	Hurry func()
 }
@@ -100,6 +103,9 @@
 	setDefault(&o.RetryMin, defaultRetryMin)
 	setDefault(&o.RetryMax, defaultRetryMax)
 	setDefault(&o.ReturnGrace, defaultReturnGrace)
+	if o.Watcher == nil {
+		o.Watcher = func() bool { return true }
+	}
 	if o.Hurry == nil {
 		o.Hurry = func() {}
 	}
@@ -181,8 +187,8 @@
 }
 
 // ConfirmedAge returns the age, by the boot clock, of the newest answer that
-// the store gave to this instance directly; the longest duration if it never
-// did. A list counts from its start and a watch at most from the end of its
+// the store gave to this instance, or to a peer that held no more than this
+// instance does; the longest duration if there was none. A list counts from its start and a watch at most from the end of its
 // wait: a reply that lay in a buffer while this process stood still is old.
 func (m *Manager) ConfirmedAge() time.Duration {
 	at := time.Duration(m.confirmed.Load())
--- a/internal/control/routesync/peers.go
+++ b/internal/control/routesync/peers.go
@@ -32,6 +32,9 @@
 		{Name: TargetsPrefix, Version: m.targets.shared()},
 	}
 	m.mu.Unlock()
+	if age := m.ConfirmedAge(); age < maxHeardAge {
+		d.Config = gossip.Config{Confirmed: true, ConfirmAge: age}
+	}
 	used := 0
 	for _, row := range rows {
 		size := rowBytes + len(row.Name)
@@ -49,6 +52,7 @@
 	if d.From == m.o.Self || m.o.Puller == nil {
 		return
 	}
+	m.hear(d)
 	for _, row := range d.Profiles {
 		if sources := m.pulls[row.Name]; sources != nil && row.Version > m.seen(row.Name) {
 			replace(sources, source{d.From, row.Version})
@@ -56,6 +60,35 @@
 	}
 }
 
+// maxHeardAge is the age from which on the word that the store answered is not
+// passed on.
+const maxHeardAge = time.Minute
+
+// hear takes in how old the sender's newest answer of the store is. It counts
+// here if the sender holds nothing that is missing here.
+func (m *Manager) hear(d gossip.Digest) {
+	if !d.Config.Confirmed {
+		return
+	}
+	for _, row := range d.Profiles {
+		if m.pulls[row.Name] != nil && row.Version > m.seen(row.Name) {
+			return
+		}
+	}
+	m.confirm(int64(m.o.Boot.SinceBoot() - d.Config.ConfirmAge - d.Transit))
+}
+
+// confirm notes that the store's answer of the time, on the boot clock, is held
+// here.
+func (m *Manager) confirm(at int64) {
+	for {
+		known := m.confirmed.Load()
+		if at <= known || m.confirmed.CompareAndSwap(known, at) {
+			return
+		}
+	}
+}
+
 // replace puts the newest source in place of one that still waits.
 func replace(sources chan source, s source) {
 	for {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"lynxhill.example/lynxhill/internal/bootclock"
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/config"
+	"lynxhill.example/lynxhill/internal/control/rendezvous"
 	"lynxhill.example/lynxhill/internal/control/routesync"
 	"lynxhill.example/lynxhill/internal/crashguard"
 	"lynxhill.example/lynxhill/internal/event"
@@ -90,6 +91,7 @@
 	guard      *crashguard.Guard
 	ingress    *ingress.Ingress
 
+	cells   atomic.Pointer[[]stagework.Cell]
 	wokeAt  atomic.Int64 // boot time of the last waking that is not confirmed, ns; 0 = none
 	servers []*http.Server
 	listens []net.Listener
@@ -160,15 +162,20 @@
 	i.routes = routesync.New(routesync.Options{
 		Self: i.id(), Store: i.adapter.Platform, Decoder: i.adapter.Decoder, Puller: i.peers,
 		Clock: i.o.Clock, Boot: i.o.Boot, Rand: i.rand(), Logger: i.o.Logger, Metrics: i.metrics,
-		OnTable:   func(*route.Table) { i.targetsChanged() },
+		OnTable: func(*route.Table) {
+			i.targetsChanged()
+			i.passOn()
+		},
 		OnTargets: i.retarget,
 		Hurry:     func() { i.members.Hurry() },
 		WatchWait: i.watchWait(),
+		Watcher:   i.watcher,
 	})
 	i.members = membership.New(membership.Options{
 		Self: board.Member{
 			ID: i.id(), State: board.MemberAlive, CallerAddr: i.cfg.Ingress.Listen, AdminAddr: i.cfg.Ingress.Listen,
 			PeerAddr: i.cfg.Listen.Peer, Place: i.cfg.Instance.Place, Region: i.cfg.Instance.Region,
+			Capacity: i.cfg.Ingress.ProcessorShare * max(i.cfg.Ingress.ProcessorCores, 1),
 		},
 		Board: i.board, Clock: i.o.Clock, Boot: i.o.Boot, Rand: i.rand(), Transport: i.peers,
 		Lister: i.adapter.Platform, Seeds: i.cfg.Peers.Seeds,
@@ -188,8 +195,9 @@
 	})
 	i.finder = stagework.NewFinder(stagework.FinderOptions{
 		Self: i.id(), Local: i.dispatcher, Remote: i.peers,
-		Members: func() []string { return i.board.LiveMembers(i.id()) },
-		Clock:   i.o.Clock, Logger: i.o.Logger,
+		Members:  func() []string { return i.board.LiveMembers(i.id()) },
+		Capacity: i.capacity, Cells: i.currentCells,
+		Clock: i.o.Clock, Logger: i.o.Logger,
 	})
 	forwarder := forwarding.New(forwarding.Options{
 		Codec: i.adapter.Codec, Exchange: i.pool, Targets: i.routes.Targets, Work: i.finder,
@@ -267,7 +275,43 @@
 
 // targetsChanged tells the dispatcher of new routes or targets.
 func (i *Instance) targetsChanged() {
-	i.dispatcher.SetTargets(i.routes.Table(), i.routes.Targets())
+	table, view := i.routes.Table(), i.routes.Targets()
+	cells := stagework.Cells(table, view)
+	i.cells.Store(&cells)
+	i.dispatcher.SetTargets(table, view)
+}
+
+// currentCells returns the parts into which the stage targets are divided.
+func (i *Instance) currentCells() []stagework.Cell {
+	if cells := i.cells.Load(); cells != nil {
+		return *cells
+	}
+	return []stagework.Cell{{Weight: 1}}
+}
+
+// capacity is the processor time of an instance.
+func (i *Instance) capacity(instance string) float64 {
+	if instance == i.id() {
+		return i.cfg.Ingress.ProcessorShare * max(i.cfg.Ingress.ProcessorCores, 1)
+	}
+	m, _ := i.board.Members.Get(instance)
+	return m.Capacity
+}
+
+// watchers is how many instances watch the store; others hear from them.
+const watchers = 8
+
+// watcher reports whether this instance watches the store.
+func (i *Instance) watcher() bool {
+	return rendezvous.Position("edge/watcher", i.id(), i.board.LiveMembers(i.id())) < watchers
+}
+
+// passOn has a change told to the others at once, if there are any that do not
+// watch the store themselves.
+func (i *Instance) passOn() {
+	if i.instances() > watchers {
+		i.members.Hurry()
+	}
 }
 
 // retarget takes in a change of targets; connections to those that are gone
@@ -279,6 +323,7 @@
 		}
 	}
 	i.targetsChanged()
+	i.passOn()
 }
 
 // instances is how many instances share what is shared.
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -70,6 +70,9 @@
 	// Fleet says of a dead member how many instances it may have known when it
 	// died, itself included; 0 if that is not known.
 	Fleet int
+	// Capacity is the processor time that the instance has, in cores; 0 if it
+	// does not say.
+	Capacity float64
 }
 
 // Light reports whether the row carries no addresses: only what changes often.
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -42,6 +42,7 @@
 
 func light(m gossip.Member) gossip.Member {
 	m.CallerAddr, m.AdminAddr, m.PeerAddr, m.Place, m.Region = "", "", "", "", ""
+	m.Capacity = 0
 	return m
 }
 
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -26,6 +26,7 @@
 		Place:       o.Self.Place,
 		Region:      o.Self.Region,
 		Room:        1,
+		Capacity:    o.Self.Capacity,
 	}
 	m := &Manager{
 		o:    o,
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -109,6 +109,7 @@
 		Changed:     r.changed,
 		Left:        r.hasLeft(),
 		Fleet:       m.Fleet,
+		Capacity:    m.Capacity,
 	})
 }
 
@@ -214,7 +215,7 @@
 
 func keepAddresses(in *gossip.Member, old gossip.Member) {
 	in.CallerAddr, in.AdminAddr, in.PeerAddr = old.CallerAddr, old.AdminAddr, old.PeerAddr
-	in.Place, in.Region = old.Place, old.Region
+	in.Place, in.Region, in.Capacity = old.Place, old.Region, old.Capacity
 }
 
 func keepLoad(in *gossip.Member, old gossip.Member) {
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -108,6 +108,7 @@
 		Left:        m.Left,
 		DeadForMs:   millis(m.DeadFor),
 		Fleet:       uint32(max(m.Fleet, 0)),
+		Capacity:    float32(m.Capacity),
 	}
 }
 
@@ -128,6 +129,7 @@
 		Left:        m.GetLeft(),
 		DeadFor:     duration(m.GetDeadForMs()),
 		Fleet:       int(m.GetFleet()),
+		Capacity:    float64(m.GetCapacity()),
 	}
 }
 
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -38,21 +38,43 @@
 	ctx  context.Context
 	stop context.CancelFunc
 
-	mu      sync.Mutex // guards all below
+	mu       sync.Mutex          // guards all below
+	planners map[string]*Planner // by cell
+	table    *route.Table
+	view     *fleet.View
+	waking   bool
+	freeing  map[freed][]string // results to give up
+}
+
+// freed is where results are given up: at an address, for a planner.
+type freed struct {
 	planner *Planner
-	waking  bool
-	freeing map[string][]string // results to give up, by address
+	address string
 }
 
 // New returns a dispatcher without targets. Close ends its calls.
 func New(o Options) *Dispatcher {
 	ctx, stop := context.WithCancel(context.Background())
-	d := &Dispatcher{o: o, ctx: ctx, stop: stop, freeing: make(map[string][]string)}
-	d.planner = NewPlanner(d.release)
-	if o.Reuse > 0 {
-		d.planner.reuse = o.Reuse
+	return &Dispatcher{o: o, ctx: ctx, stop: stop, planners: make(map[string]*Planner), freeing: make(map[freed][]string)}
+}
+
+// planner returns the planner of the cell. It is made with the cell's first
+// job: an instance schedules for few cells. The lock is held.
+func (d *Dispatcher) planner(cell Cell) *Planner {
+	if p, ok := d.planners[cell.Name()]; ok {
+		return p
+	}
+	var p *Planner
+	p = NewPlanner(func(address string, handles []string) { d.release(freed{p, address}, handles) })
+	p.cell = cell
+	if d.o.Reuse > 0 {
+		p.reuse = d.o.Reuse
+	}
+	if d.view != nil {
+		p.SetTargets(d.table, cell.within(d.view))
 	}
-	return d
+	d.planners[cell.Name()] = p
+	return p
 }
 
 // Close ends the calls in progress.
@@ -62,22 +84,33 @@
 func (d *Dispatcher) SetTargets(table *route.Table, view *fleet.View) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.planner.SetTargets(table, view)
-	d.proceed()
+	d.table, d.view = table, view
+	for _, p := range d.planners {
+		p.SetTargets(table, p.cell.within(view))
+		d.proceed(p)
+	}
 }
 
 // Counts returns what was seen since the start.
 func (d *Dispatcher) Counts() Counts {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.planner.counts
+	var all Counts
+	for _, p := range d.planners {
+		all = all.plus(p.counts)
+	}
+	return all
 }
 
 // Jobs returns how many jobs have not ended.
 func (d *Dispatcher) Jobs() int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return len(d.planner.jobs)
+	n := 0
+	for _, p := range d.planners {
+		n += len(p.jobs)
+	}
+	return n
 }
 
 // Decision is a placement or, if Refusal is set, the end of a job.
@@ -109,6 +142,7 @@
 // Ticket is the Assignment of a job at the dispatcher of this instance.
 type Ticket struct {
 	d         *Dispatcher
+	p         *Planner
 	j         *job
 	decisions chan Decision
 }
@@ -122,12 +156,13 @@
 	t := &Ticket{d: d, decisions: make(chan Decision, decisionsKept)}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	j, refusal := d.planner.submit(in, t.decide, d.o.Clock.Now())
+	t.p = d.planner(Cell{Places: in.Cell})
+	j, refusal := t.p.submit(in, t.decide, d.o.Clock.Now())
 	if refusal != nil {
 		return nil, refusal
 	}
 	t.j = j
-	d.proceed()
+	d.proceed(t.p)
 	return t, nil
 }
 
@@ -158,16 +193,16 @@
 func (t *Ticket) tell(what func(p *Planner, now time.Time)) {
 	t.d.mu.Lock()
 	defer t.d.mu.Unlock()
-	what(t.d.planner, t.d.o.Clock.Now())
-	t.d.proceed()
+	what(t.p, t.d.o.Clock.Now())
+	t.d.proceed(t.p)
 }
 
 // proceed makes the plan and starts its calls. The lock is held.
-func (d *Dispatcher) proceed() {
-	for _, c := range d.planner.plan(d.o.Clock.Now()) {
-		go d.make(c, c.server.target, entries(c, c.sent))
+func (d *Dispatcher) proceed(p *Planner) {
+	for _, c := range p.plan(d.o.Clock.Now()) {
+		go d.make(p, c, c.server.target, entries(c, c.sent))
 	}
-	if len(d.planner.jobs) > 0 && !d.waking {
+	if len(p.jobs) > 0 && !d.waking {
 		d.waking = true
 		d.o.Clock.AfterFunc(wakeEvery, d.wake)
 	}
@@ -177,7 +212,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.waking = false
-	d.proceed()
+	for _, p := range d.planners {
+		if len(p.jobs) > 0 {
+			d.proceed(p)
+		}
+	}
 }
 
 // entries returns the pieces of a call as the client takes them.
@@ -200,7 +239,7 @@
 }
 
 // make makes a call and takes in how it ended.
-func (d *Dispatcher) make(c *call, target fleet.Target, pieces []relay.Piece) {
+func (d *Dispatcher) make(p *Planner, c *call, target fleet.Target, pieces []relay.Piece) {
 	limit := time.Duration(hangFactor*float64(c.expected)) + hangMargin
 	ctx, cancel := context.WithTimeout(d.ctx, limit)
 	defer cancel()
@@ -212,8 +251,8 @@
 	defer d.mu.Unlock()
 	now := d.o.Clock.Now()
 	d.logCall(c, results, full, err, now)
-	d.planner.finished(c, results, full, now)
-	d.proceed()
+	p.finished(c, results, full, now)
+	d.proceed(p)
 }
 
 func (d *Dispatcher) logCall(c *call, results []relay.PieceResult, full bool, err error, now time.Time) {
@@ -239,9 +278,9 @@
 }
 
 // release gathers results to give up. The lock is held.
-func (d *Dispatcher) release(address string, handles []string) {
+func (d *Dispatcher) release(at freed, handles []string) {
 	first := len(d.freeing) == 0
-	d.freeing[address] = append(d.freeing[address], handles...)
+	d.freeing[at] = append(d.freeing[at], handles...)
 	if first {
 		d.o.Clock.AfterFunc(freeAfter, d.free)
 	}
@@ -252,17 +291,17 @@
 func (d *Dispatcher) free() {
 	d.mu.Lock()
 	gathered := d.freeing
-	d.freeing = make(map[string][]string)
+	d.freeing = make(map[freed][]string)
 	d.mu.Unlock()
-	for address, handles := range gathered {
+	for at, handles := range gathered {
 		go func() {
 			ctx, cancel := context.WithTimeout(d.ctx, freeTime)
 			defer cancel()
-			_ = d.o.Client.Free(ctx, address, handles)
+			_ = d.o.Client.Free(ctx, at.address, handles)
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			d.planner.released(handles)
-			d.proceed()
+			at.planner.released(handles)
+			d.proceed(at.planner)
 		}()
 	}
 }
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,8 +33,13 @@
 	Remote Remote
 	// Members returns the ids of the instances that are alive and not leaving.
 	Members func() []string
-	Clock   clock.Clock
-	Logger  *event.Logger
+	// Capacity returns an instance's processor time, in cores; 0 if unknown.
+	// nil = all have the same.
+	Capacity func(instance string) float64
+	// Cells returns the parts into which the targets are divided. nil = one.
+	Cells  func() []Cell
+	Clock  clock.Clock
+	Logger *event.Logger
 }
 
 // Finder finds the dispatcher: the instance that ranks first among those
@@ -51,10 +57,37 @@
 	return &Finder{o: o, avoided: make(map[string]time.Time)}
 }
 
-// Submit hands the job to the dispatcher, to the next one if that does not
-// answer, and at last to this instance's own.
+// Submit hands the job to the dispatcher of the cell that its session belongs
+// to. If that refuses it for lack of time, a second cell is asked.
 func (f *Finder) Submit(ctx context.Context, job Job) (Assignment, *Refusal, error) {
-	for _, instance := range f.candidates() {
+	cells := f.cells()
+	key := job.session()
+	if key == "" {
+		key = job.ID
+	}
+	ranked := rankCells(key, cells)
+	a, refusal, err := f.submitTo(ctx, ranked[0], job)
+	if refusal != nil && refusal.Reason == ReasonLate && len(ranked) > 1 {
+		second, late, err := f.submitTo(ctx, ranked[1], job)
+		if err == nil && late == nil {
+			return second, nil, nil
+		}
+	}
+	return a, refusal, err
+}
+
+func (f *Finder) cells() []Cell {
+	if f.o.Cells == nil {
+		return []Cell{{Weight: 1}}
+	}
+	return f.o.Cells()
+}
+
+// submitTo hands the job to the cell's dispatcher, to the next one if that does
+// not answer, and at last to this instance's own.
+func (f *Finder) submitTo(ctx context.Context, cell Cell, job Job) (Assignment, *Refusal, error) {
+	job.Cell = cell.Places
+	for _, instance := range f.candidates(cell) {
 		if instance == f.o.Self {
 			break
 		}
@@ -78,7 +111,13 @@
 // itself.
 const maxCandidates = 3
 
-func (f *Finder) candidates() []string {
+// largeInstance is the part of the largest instance's processor time that makes an
+// instance fit for a dispatcher.
+const largeInstance = 0.5
+
+// candidates returns the instances to ask for the cell, best first: of those
+// with much processor time. A small instance would be late with every decision.
+func (f *Finder) candidates(cell Cell) []string {
 	now := f.o.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -92,11 +131,24 @@
 		}
 		usable = append(usable, m)
 	}
-	return rendezvous.Top(dispatcherKey, usable, maxCandidates)
+	return rendezvous.Top(dispatcherKey+cell.Name(), f.large(usable), maxCandidates)
 }
 
 var errLost = errors.New("lost while the job waited")
 
+// large returns the members with at least largeInstance of the processor time
+// of the largest.
+func (f *Finder) large(members []string) []string {
+	if f.o.Capacity == nil {
+		return members
+	}
+	most := 0.0
+	for _, m := range members {
+		most = max(most, f.o.Capacity(m))
+	}
+	return slices.DeleteFunc(members, func(m string) bool { return f.o.Capacity(m) < largeInstance*most })
+}
+
 // Lost tells that the dispatcher of an instance was lost while it had a job.
 func (f *Finder) Lost(instance string) { f.Avoid(instance, errLost) }
 
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -21,6 +21,7 @@
 	Service      string // of the engine
 	Prompt       *relay.Prompt
 	Place        string   // of the instance that holds the request
+	Cell         []string // places whose targets do the work; nil = all
 	Avoid        []string // engines that have failed this request
 }
 
@@ -32,6 +33,15 @@
 	return j.Pieces[stage]
 }
 
+// session names the prompt part by which requests of one session are kept
+// together: the last but one, since the last belongs to the request alone.
+func (j *Job) session() string {
+	if j.Prompt == nil || len(j.Prompt.Parts) == 0 {
+		return ""
+	}
+	return j.Prompt.Parts[max(len(j.Prompt.Parts)-2, 0)].ID
+}
+
 // Placement is what a dispatcher decides for a job.
 type Placement struct {
 	Target  string // id of the engine
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -35,6 +35,7 @@
 	// release gets results that are no longer needed.
 	release func(address string, handles []string)
 	counts  Counts
+	cell    Cell
 }
 
 // Counts is what the planner has seen since its start.
@@ -46,6 +47,15 @@
 // defaultReuse is Planner.reuse where the settings say nothing.
 const defaultReuse = 10 * time.Second
 
+// plus adds counts.
+func (c Counts) plus(o Counts) Counts {
+	return Counts{
+		Jobs: c.Jobs + o.Jobs, Placed: c.Placed + o.Placed, Refused: c.Refused + o.Refused,
+		Calls: c.Calls + o.Calls, Pieces: c.Pieces + o.Pieces, Room: c.Room + o.Room, Gone: c.Gone + o.Gone,
+		Late: c.Late + o.Late, Errors: c.Errors + o.Errors, Full: c.Full + o.Full, Hung: c.Hung + o.Hung, Redo: c.Redo + o.Redo,
+	}
+}
+
 // NewPlanner returns a planner that knows no target. Results to be given up are
 // handed to release.
 func NewPlanner(release func(address string, handles []string)) *Planner {
@@ -127,13 +137,8 @@
 // submit takes a job. It returns nil and the refusal if it can't be done.
 func (p *Planner) submit(in Job, notify func(Placement, *Refusal), now time.Time) (*job, *Refusal) {
 	p.counts.Jobs++
-	j := &job{Job: in, arrived: now, notify: notify}
-	if in.Prompt != nil && len(in.Prompt.Parts) > 0 {
-		j.session = in.Prompt.Parts[len(in.Prompt.Parts)-1].ID
-		if n := len(in.Prompt.Parts); n > 1 {
-			j.session = in.Prompt.Parts[n-2].ID
-		}
-	}
+	in.Aim = earlier(in.Aim, in.Deadline)
+	j := &job{Job: in, arrived: now, notify: notify, session: in.session()}
 	if refusal := p.build(j, now); refusal != nil {
 		p.counts.Refused++
 		return nil, refusal
@@ -142,6 +147,13 @@
 	return j, nil
 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // judgeNew decides whether the new job can be on time, and refuses it if it
 // cannot even be late. Jobs that have to give way to it are refused or late in
 // their turn.
