--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -188,7 +188,7 @@
 func (t *Ticket) Broke() { t.tell(func(p *Planner, now time.Time) { p.broke(t.j, now) }) }
 
 // End implements Assignment.
-func (t *Ticket) End() { t.tell(func(p *Planner, _ time.Time) { p.cancel(t.j) }) }
+func (t *Ticket) End() { t.tell(func(p *Planner, now time.Time) { p.cancel(t.j, now) }) }
 
 func (t *Ticket) tell(what func(p *Planner, now time.Time)) {
 	t.d.mu.Lock()
--- a/internal/stagework/forecast.go
+++ b/internal/stagework/forecast.go
@@ -7,9 +7,10 @@
 
 // Factors of the forecast.
 const (
-	// holdTime is about how long a result lies until it is given up, beside
-	// the call that makes it.
-	holdTime = 250 * time.Millisecond
+	// firstHold is how long a result is taken to lie after its call before one
+	// was seen; holdWeight is the weight of the newest.
+	firstHold  = 250 * time.Millisecond
+	holdWeight = 0.02
 	// loadWindow is the time over which the load by jobs that can be on time is
 	// measured.
 	loadWindow = 2 * time.Second
@@ -68,7 +69,7 @@
 	if v.limits.ResultRoom <= 0 {
 		return piece
 	}
-	inRoom := float64(bytes) / float64(v.limits.ResultRoom) * float64(call+holdTime)
+	inRoom := float64(bytes) / float64(v.limits.ResultRoom) * float64(call+v.hold)
 	return max(piece, time.Duration(inRoom))
 }
 
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -80,11 +80,11 @@
 func (p *Planner) expire(now time.Time) {
 	for _, j := range p.staging() {
 		if now.Add(p.remaining(j, now)).After(j.Deadline) {
-			p.refuse(j, Refusal{Reason: ReasonLate, RetryAfter: comeBackMin})
+			p.refuse(j, Refusal{Reason: ReasonLate, RetryAfter: comeBackMin}, now)
 			continue
 		}
 		if p.tried(j) {
-			p.refuse(j, Refusal{Reason: ReasonFailed, RetryAfter: comeBackMin})
+			p.refuse(j, Refusal{Reason: ReasonFailed, RetryAfter: comeBackMin}, now)
 			continue
 		}
 		p.remake(j, now)
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -87,7 +87,7 @@
 func (p *Planner) setServers(name string, limits route.Pieces, view *fleet.View) {
 	v := p.services[name]
 	if v == nil {
-		v = &service{name: name, servers: make(map[string]*server), pace: 1}
+		v = &service{name: name, servers: make(map[string]*server), pace: 1, hold: firstHold}
 		p.services[name] = v
 	}
 	v.limits = limits
@@ -276,7 +276,7 @@
 }
 
 // cancel ends a job that is not needed any more, whatever its state.
-func (p *Planner) cancel(j *job) {
+func (p *Planner) cancel(j *job, now time.Time) {
 	if j.state == jobEnded {
 		return
 	}
@@ -286,7 +286,7 @@
 	j.state = jobEnded
 	delete(p.jobs, j)
 	for _, u := range j.units {
-		p.free(u)
+		p.free(u, now)
 	}
 }
 
@@ -299,7 +299,7 @@
 
 // free gives up the unit's results and its room. Results of pieces that still
 // run are given up when their call ends.
-func (p *Planner) free(u *unit) {
+func (p *Planner) free(u *unit, now time.Time) {
 	if u.freed {
 		return
 	}
@@ -311,6 +311,7 @@
 	}
 	for _, q := range u.pieces {
 		if q.state == pieceMade {
+			u.service.hold += time.Duration(holdWeight * float64(now.Sub(q.made)-u.service.hold))
 			p.forget(q)
 		}
 	}
@@ -376,7 +377,7 @@
 	o := p.pools[j.Service]
 	e, missing := o.choose(j, now)
 	if e == nil {
-		p.refuse(j, Refusal{Reason: ReasonNoTarget, RetryAfter: comeBackMin})
+		p.refuse(j, Refusal{Reason: ReasonNoTarget, RetryAfter: comeBackMin}, now)
 		return
 	}
 	j.engine, j.missing, j.placed, j.state = e, missing, now, jobPlaced
@@ -409,9 +410,9 @@
 }
 
 // refuse gives a job up.
-func (p *Planner) refuse(j *job, r Refusal) {
+func (p *Planner) refuse(j *job, r Refusal, now time.Time) {
 	p.counts.Refused++
-	p.cancel(j)
+	p.cancel(j, now)
 	j.notify(Placement{}, &r)
 }
 
@@ -423,7 +424,7 @@
 	p.pools[j.Service].begun(j, now)
 	j.state = jobRunning
 	for _, u := range j.units {
-		p.free(u)
+		p.free(u, now)
 	}
 }
 
@@ -551,7 +552,7 @@
 	case relay.PieceMade:
 		q.state, q.handle, q.made = pieceMade, r.Handle, now
 		if u.unmade--; u.unmade == 0 {
-			p.completed(u)
+			p.completed(u, now)
 		}
 		return
 	case relay.PieceRoom:
@@ -599,11 +600,11 @@
 
 // completed frees what the unit's results were made from, once all that need it
 // are made.
-func (p *Planner) completed(u *unit) {
+func (p *Planner) completed(u *unit, now time.Time) {
 	u.service.drop(u)
 	for _, a := range u.after {
 		if a.passed() {
-			p.free(a)
+			p.free(a, now)
 		}
 	}
 }
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -92,6 +92,8 @@
 	// pace is what calls take against what is stated, over all servers.
 	pace float64
 	load loadMeter
+	// hold is how long results lie after their call, on average.
+	hold time.Duration
 }
 
 // callTime is what a call with n pieces takes, as stated.
