--- a/internal/stagework/engine_test.go
+++ b/internal/stagework/engine_test.go
@@ -61,7 +61,7 @@
 	j, id := c.place(session, turn, tokens, avoid...)
 	c.now = c.now.Add(firstEvent + time.Duration(j.missing)*ms/40)
 	c.begun(j, c.now)
-	c.cancel(j, time.Now())
+	c.cancel(j, c.now)
 	return id
 }
 
@@ -127,7 +127,7 @@
 	if j.engine == nil || j.engine.target.ID == home {
 		t.Errorf("after a failure the job has engine %+v", j.engine)
 	}
-	c.cancel(j)
+	c.cancel(j, c.now)
 	if got := c.serve("s", 2, 2000); got == home {
 		t.Error("the next request went to the engine that failed")
 	}
@@ -148,7 +148,7 @@
 	for _, reading := range []int{0, 1000, 80_000} { // the last is two seconds
 		e.reading = reading
 		j, id := c.place("s", 2, 2000)
-		c.cancel(j)
+		c.cancel(j, c.now)
 		if late := reading > 40_000; (id == home) == late {
 			t.Errorf("with %d tokens to be read before it at %s the job went to %s", reading, home, id)
 		}
