--- a/internal/control/routesync/peers.go
+++ b/internal/control/routesync/peers.go
@@ -32,17 +32,20 @@
 		{Name: TargetsPrefix, Version: m.targets.shared()},
 	}
 	m.mu.Unlock()
-	if age := m.ConfirmedAge(); age < maxHeardAge {
-		d.Config = gossip.Config{Confirmed: true, ConfirmAge: age}
-	}
-	used := 0
+	used, told := 0, 0
 	for _, row := range rows {
 		size := rowBytes + len(row.Name)
 		if row.Version > 0 && used+size <= budget {
 			d.Profiles = append(d.Profiles, row)
 			used += size
+			told++
 		}
 	}
+	// The receiver compares the versions before it takes the store's answer for
+	// its own, so the age goes only with all of them.
+	if age := m.ConfirmedAge(); told == len(rows) && age < maxHeardAge {
+		d.Config = gossip.Config{Confirmed: true, ConfirmAge: age}
+	}
 	return used
 }
 
--- a/internal/edge/facts.go
+++ b/internal/edge/facts.go
@@ -41,7 +41,7 @@
 
 // serving reports whether the instance takes requests.
 func (i *Instance) serving() bool {
-	if i.routes.Table() == nil {
+	if !i.routes.Known() {
 		return false
 	}
 	if i.cfg.Ingress.FailClosed && i.routes.ConfirmedAge() > i.cfg.Ingress.Revocation.Duration+i.watchWait() {
--- a/internal/event/catalogue_stagework.go
+++ b/internal/event/catalogue_stagework.go
@@ -4,9 +4,11 @@
 const (
 	StageCallFailed ID = 4201
 	DispatcherLost  ID = 4202
+	StageJobRefused ID = 4203
 )
 
 var _ = define(
 	Definition{StageCallFailed, Warn, "stage_call_failed", "A call of a stage target failed or did not make all its pieces. room, gone, late and error count the pieces by fault; they are made again elsewhere."},
+	Definition{StageJobRefused, Info, "stage_job_refused", "The dispatcher did not take a request's stage work; the line holds its forecast beside the time that the request has, and how many jobs it had."},
 	Definition{DispatcherLost, Warn, "dispatcher_lost", "The instance that schedules stage work did not answer; it is left out for a while and the next one is asked."},
 )
--- a/internal/forwarding/budget.go
+++ b/internal/forwarding/budget.go
@@ -7,8 +7,13 @@
 	"lynxhill.example/lynxhill/internal/clock"
 )
 
-// budgetSlots is how finely the window of a Budget is divided.
-const budgetSlots = 10
+// budgetParts is how finely the window of a Budget is divided. One more slot is
+// kept: with as many as parts, a repeat at the end of a slot would be forgotten
+// when the slot's place is used again, up to a part before the window has passed.
+const (
+	budgetParts = 10
+	budgetSlots = budgetParts + 1
+)
 
 // budgetCaution is the share of the budget that is used: windows of the
 // instances do not begin at the same moment.
@@ -75,7 +80,7 @@
 // window returns the service's window with the slots that have passed emptied.
 func (b *Budget) window(service string) *budgetWindow {
 	w := b.services[service]
-	now := b.o.Clock.Now().UnixNano() / max(int64(b.o.Window)/budgetSlots, 1)
+	now := b.o.Clock.Now().UnixNano() / max(int64(b.o.Window)/budgetParts, 1)
 	if w == nil {
 		w = &budgetWindow{newest: now}
 		b.services[service] = w
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -20,6 +20,7 @@
 	stream stream
 	avoid  []string
 	lost   int // dispatchers that were lost
+	skips  int // engines that were not tried
 }
 
 // maxLost bounds how many dispatchers are tried for one request.
@@ -89,7 +90,7 @@
 func (ef *engineFlight) job() stagework.Job {
 	j := stagework.Job{
 		ID: ef.Request.ID, Key: ef.Request.PieceKey, Priority: ef.priority(),
-		Aim: ef.Arrived.Add(ef.aim()), Deadline: ef.until,
+		Aim: ef.Arrived.Add(ef.aim()), Deadline: ef.firstBy(),
 		Stages: ef.Route.Stages, Pieces: ef.Request.Pieces, Service: ef.service,
 		Prompt: ef.Request.Prompt, Place: ef.o.Place, Avoid: ef.avoid,
 	}
@@ -111,9 +112,8 @@
 // its final answer, false if another engine is to be asked for.
 func (ef *engineFlight) attempt(ctx context.Context, p stagework.Placement) bool {
 	target := fleet.Target{ID: p.Target, Address: p.Address, Service: ef.service}
-	if known, ok := ef.o.Targets().Get(p.Target); ok && known.Draining {
-		// The dispatcher has not heard of it yet.
-		return ef.rejected(ctx, target, false, errNoTarget)
+	if !ef.o.Targets().Usable(p.Target) {
+		return ef.skipped(ctx)
 	}
 	resp, head, err := ef.send(ctx, ef.call(target, p.Inputs, ef.stream.resumeAt()))
 	switch {
@@ -145,6 +145,21 @@
 	return ef.broke(ctx, target, err)
 }
 
+// maxSkips bounds how often the dispatcher is asked for another engine since
+// the one that it named takes no work.
+const maxSkips = 5
+
+// skipped asks for another engine instead of one that leaves or is gone, of
+// which the dispatcher has not heard yet, or that is not known here yet.
+func (ef *engineFlight) skipped(ctx context.Context) bool {
+	if ef.skips++; ef.skips > maxSkips {
+		ef.failStream(ctx, errNoTarget)
+		return true
+	}
+	ef.work.Rejected(false, false)
+	return false
+}
+
 // rejected asks for another engine after one that did not run the request.
 func (ef *engineFlight) rejected(ctx context.Context, target fleet.Target, gone bool, err error) bool {
 	if ctx.Err() != nil || ef.sends >= maxSends || !ef.mayRepeat(false) {
@@ -174,6 +189,9 @@
 func (ef *engineFlight) failedAnswer(ctx context.Context, target fleet.Target, resp *exchange.Response, head relay.Answer) bool {
 	a := &answer{target: target, resp: resp, head: head}
 	ef.readAnswer(a)
+	if promises(resp.Status) && !ef.Route.Repeatable() {
+		a.err = errFaulty
+	}
 	if ef.stream.begun() || a.err != nil || resp.Status >= http.StatusInternalServerError && ef.Route.Repeatable() && ef.sends < ef.attempts() {
 		return ef.failed(ctx, target, true, errFaulty)
 	}
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -131,6 +131,16 @@
 	return wait
 }
 
+// firstBy is when the caller is gone if nothing of the answer has come.
+func (fl *flight) firstBy() time.Time {
+	if fl.Route.FirstWait > 0 {
+		if by := fl.Arrived.Add(fl.Route.FirstWait - answerMargin); by.Before(fl.until) {
+			return by
+		}
+	}
+	return fl.until
+}
+
 // left is what remains of the caller's own time, for targets. 0 = not bounded.
 func (fl *flight) left() time.Duration {
 	if fl.Request.Wait <= 0 {
--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -88,9 +88,25 @@
 	if a.err != nil || a.notRun {
 		return false
 	}
+	if promises(a.resp.Status) && !fl.Route.Repeatable() {
+		// The target does not say that it did not run the request; the caller
+		// would take the status for that.
+		a.err = errFaulty
+		return false
+	}
 	return a.resp.Status < http.StatusInternalServerError || !fl.Route.Repeatable()
 }
 
+// promises reports whether callers take the status for the promise that the
+// request was not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
 // passable reports whether the answer can be given to the caller: it is whole,
 // and the target's own.
 func (a *answer) passable() bool { return a.err == nil && !a.notRun && a.resp != nil }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -157,7 +157,10 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	arrived := g.o.Clock.Now()
-	if g.Stopping() {
+	if g.Stopping() || len(r.TransferEncoding) > 0 {
+		// A request in chunks may have said a length too, which the library
+		// drops unseen. What lies within that length must not be read as the
+		// next request (RFC 9112, 6.1), so the connection ends with the answer.
 		w.Header().Set("Connection", "close")
 	}
 	in, err := g.admit(w, r)
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -129,7 +129,7 @@
 type StageReport struct {
 	Queued   int
 	Busy     bool
-	FreeRoom int64 // bytes
+	FreeRoom int64 // bytes, at most
 }
 
 // StageClient calls stage targets.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -40,6 +40,7 @@
 	Kind          Kind
 	Timeout       time.Duration // longest time that a request is kept waiting; 0 = not bounded
 	TargetLatency time.Duration // within which an answer (the first event of a stream) is on time
+	FirstWait     time.Duration // callers leave if nothing of a stream has come by then; 0 = not said
 	EventGap      time.Duration // longest pause between events of a stream that is on time
 	Priority      int           // 0 is the most urgent
 	Services      []WeightedService
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -74,9 +74,35 @@
 		p.SetTargets(d.table, cell.within(d.view))
 	}
 	d.planners[cell.Name()] = p
+	d.askTargets(p)
 	return p
 }
 
+// reportTime bounds the question for a target's report.
+const reportTime = 500 * time.Millisecond
+
+// askTargets asks the stage targets what lies there: a dispatcher that takes
+// over from another does not know the results of its requests. Without this its
+// first pieces are refused for want of room. The lock is held.
+func (d *Dispatcher) askTargets(p *Planner) {
+	for _, v := range p.services {
+		for _, s := range v.servers {
+			target := s.target
+			go func() {
+				ctx, cancel := context.WithTimeout(d.ctx, reportTime)
+				defer cancel()
+				report, err := d.o.Client.Report(ctx, target)
+				if err != nil {
+					return
+				}
+				d.mu.Lock()
+				defer d.mu.Unlock()
+				s.reported(report.FreeRoom, d.o.Clock.Now())
+			}()
+		}
+	}
+}
+
 // Close ends the calls in progress.
 func (d *Dispatcher) Close() { d.stop() }
 
@@ -159,6 +185,7 @@
 	t.p = d.planner(Cell{Places: in.Cell})
 	j, refusal := t.p.submit(in, t.decide, d.o.Clock.Now())
 	if refusal != nil {
+		d.logRefusal(t.p, in, refusal)
 		return nil, refusal
 	}
 	t.j = j
@@ -268,6 +295,14 @@
 		"room", faults["room"], "gone", faults["gone"], "late", faults["late"], "error", faults["error"], "err", err)
 }
 
+// logRefusal writes what a refusal rests on.
+func (d *Dispatcher) logRefusal(p *Planner, in Job, r *Refusal) {
+	now := d.o.Clock.Now()
+	d.o.Logger.Log(event.StageJobRefused, "request", in.ID, "cell", p.cell.Name(), "reason", r.Reason,
+		"retry_after_ms", r.RetryAfter.Milliseconds(), "aim_ms", in.Aim.Sub(now).Milliseconds(),
+		"deadline_ms", in.Deadline.Sub(now).Milliseconds(), "forecast_ms", r.Forecast.Milliseconds(), "jobs", len(p.jobs))
+}
+
 func allMade(results []relay.PieceResult) bool {
 	for _, r := range results {
 		if r.Fault != relay.PieceMade {
--- a/internal/stagework/farm_test.go
+++ b/internal/stagework/farm_test.go
@@ -27,7 +27,6 @@
 // farm is a relay.StageClient: stage servers in virtual time. A server takes
 // room for results when a call begins, and works on after a call is given up.
 type farm struct {
-	relay.StageClient
 	t          *testing.T
 	mu         sync.Mutex // guards all, with what the servers hold
 	servers    map[string]*stageServer
@@ -178,6 +177,16 @@
 	return f.used(id)
 }
 
+// Report implements relay.StageClient.
+func (f *farm) Report(_ context.Context, t fleet.Target) (relay.StageReport, error) {
+	taken := f.holds(t.ID)
+	s := f.server(t.ID)
+	if s.limits.Batch == 0 {
+		return relay.StageReport{}, errors.New("no such server")
+	}
+	return relay.StageReport{Busy: s.working > 0, FreeRoom: s.room - taken}, nil
+}
+
 // Free implements relay.StageClient.
 func (f *farm) Free(_ context.Context, address string, handles []string) error {
 	f.drop(func(m *madeResult, handle string) bool {
--- a/internal/stagework/forecast.go
+++ b/internal/stagework/forecast.go
@@ -226,6 +226,19 @@
 	return worst
 }
 
+// judgeEvery is how often a late job is judged anew.
+const judgeEvery = 150 * time.Millisecond
+
+// hopeless reports whether a late job of which nothing was begun is better
+// given up now than later.
+func (p *Planner) hopeless(j *job, now time.Time) bool {
+	if !j.late || j.committed() || now.Sub(j.judged) < judgeEvery {
+		return false
+	}
+	ok, _ := p.takeLate(j, now)
+	return !ok
+}
+
 // loadMeter measures the load of a service by jobs that can be on time.
 type loadMeter struct {
 	work float64 // seconds of one target, fading
@@ -254,8 +267,9 @@
 
 // takeLate decides whether a late job is worth waiting: whether what the others
 // leave of the targets' time is enough for it and for the late ones before it.
-// If not, the second value is when its caller may come back.
+// The second value is how long it would take.
 func (p *Planner) takeLate(j *job, now time.Time) (bool, time.Duration) {
+	j.judged = now
 	f := newForecast(now)
 	for other := range p.jobs {
 		if other.state == jobStaging && other != j {
@@ -268,5 +282,5 @@
 	}
 	end := p.end(j, f)
 	limit := j.arrived.Add(time.Duration(latestShare * float64(j.Deadline.Sub(j.arrived))))
-	return !end.After(limit), clampTime(end.Sub(now), comeBackMin, comeBackMax)
+	return !end.After(limit), end.Sub(now)
 }
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -53,6 +53,8 @@
 type Refusal struct {
 	Reason     string
 	RetryAfter time.Duration
+	// Forecast is how long the job would have taken, where that is the reason.
+	Forecast time.Duration
 }
 
 // Reasons of refusals.
@@ -138,6 +140,7 @@
 	session string // id of the part that names the session, "" = none
 	arrived time.Time
 	ownTime time.Duration // what it needs until the first event if nothing waits
+	judged  time.Time     // when a late job was last judged
 	late    bool          // it cannot be on time; it gets what the others leave
 	placed  time.Time
 	missing int // prompt tokens that the engine has to read
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -79,7 +79,7 @@
 // whose maker is gone.
 func (p *Planner) expire(now time.Time) {
 	for _, j := range p.staging() {
-		if now.Add(p.remaining(j, now)).After(j.Deadline) {
+		if p.hopeless(j, now) || now.Add(p.remaining(j, now)).After(j.Deadline) {
 			p.refuse(j, Refusal{Reason: ReasonLate, RetryAfter: comeBackMin}, now)
 			continue
 		}
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -166,8 +166,8 @@
 		}
 		return nil
 	}
-	if ok, after := p.takeLate(j, now); !ok {
-		return &Refusal{Reason: ReasonLate, RetryAfter: after}
+	if ok, takes := p.takeLate(j, now); !ok {
+		return &Refusal{Reason: ReasonLate, RetryAfter: clampTime(takes, comeBackMin, comeBackMax), Forecast: takes}
 	}
 	return nil
 }
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -44,6 +44,9 @@
 	fails    int
 	pausedTo time.Time
 	noRoomTo time.Time
+	// foreign is room that results of other dispatchers take, until foreignTo.
+	foreign   int64
+	foreignTo time.Time
 }
 
 // usable reports whether the server may get a call now.
@@ -61,7 +64,18 @@
 	if now.Before(s.noRoomTo) && bytes > s.service.limits.ResultRoom/100 {
 		return false
 	}
-	return s.room+bytes <= int64(float64(s.service.limits.ResultRoom)*roomShare)
+	taken := s.room
+	if now.Before(s.foreignTo) {
+		taken += s.foreign
+	}
+	return taken+bytes <= int64(float64(s.service.limits.ResultRoom)*roomShare)
+}
+
+// reported takes in a report of the target: what is taken there and not by this
+// dispatcher.
+func (s *server) reported(freeRoom int64, now time.Time) {
+	s.foreign = max(s.service.limits.ResultRoom-freeRoom-s.room, 0)
+	s.foreignTo = now.Add(s.service.limits.ResultLifetime)
 }
 
 // succeeded takes in how long a call took.
