--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/auth"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/httpserver"
 	"lynxhill.example/lynxhill/internal/metrics"
@@ -82,9 +83,7 @@
 	if opts.Registry == nil {
 		opts.Registry = registryOf(opts.Metrics)
 	}
-	if opts.MaxBody <= 0 {
-		opts.MaxBody = defaultMaxBody
-	}
+	defaults.Positive(&opts.MaxBody, defaultMaxBody)
 	a := &api{opts: opts, operations: opts.Operations}
 	return httpserver.NewRouter(httpserver.RouterOptions{Routes: a.routes(), Logger: opts.Logger})
 }
--- a/internal/admission/admitter.go
+++ b/internal/admission/admitter.go
@@ -8,6 +8,7 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/gossip"
@@ -83,9 +84,7 @@
 
 // NewAdmitter returns a admitter over the board.
 func NewAdmitter(o AdmitterOptions) *InstanceAdmitter {
-	if o.MaxInFlight <= 0 {
-		o.MaxInFlight = defaultMaxInFlight
-	}
+	defaults.Positive(&o.MaxInFlight, defaultMaxInFlight)
 	d := &InstanceAdmitter{
 		options:       o,
 		organisations: newOrganisations(),
--- a/internal/admission/distribution.go
+++ b/internal/admission/distribution.go
@@ -52,3 +52,19 @@
 	}
 	return time.Duration(v * float64(time.Second)), true
 }
+
+// silences are the distributions of how long calls bring nothing. Failed calls
+// count too.
+type silences struct {
+	firstByte distribution // until the first byte
+	gap       distribution // longest wait between two frames
+}
+
+func (s *silences) addSilences(r Result, now time.Time, l *GateLimits) {
+	if r.FirstByte > 0 {
+		s.firstByte.add(r.FirstByte, now, l.Window, l.MinSamples)
+	}
+	if r.Gap > 0 {
+		s.gap.add(r.Gap, now, l.Window, l.MinSamples)
+	}
+}
--- a/internal/admission/options.go
+++ b/internal/admission/options.go
@@ -7,6 +7,7 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/invariant"
 	"lynxhill.example/lynxhill/internal/metrics"
@@ -116,31 +117,31 @@
 // WithDefaults fills in zero fields.
 func (l GateLimits) WithDefaults() GateLimits {
 	d := DefaultGateLimits()
-	setInt(&l.StartLimit, d.StartLimit)
-	setInt(&l.MaxLimit, d.MaxLimit)
-	setFloat(&l.Overcommit, d.Overcommit)
-	setFloat(&l.LatencyTolerance, d.LatencyTolerance)
-	setDuration(&l.FreshLoad, d.FreshLoad)
-	setInt(&l.Queue, d.Queue)
-	setFloat(&l.RepeatShare, d.RepeatShare)
-	setInt(&l.RepeatMin, d.RepeatMin)
-	setDuration(&l.RepeatWindow, d.RepeatWindow)
-	setFloat(&l.FaultShare, d.FaultShare)
-	setInt(&l.FaultMin, d.FaultMin)
-	setDuration(&l.Window, d.Window)
-	setInt(&l.MinSamples, d.MinSamples)
-	setDuration(&l.FirstByteFloor, d.FirstByteFloor)
-	setDuration(&l.FirstByteCeil, d.FirstByteCeil)
-	setDuration(&l.ProgressFloor, d.ProgressFloor)
-	setDuration(&l.ProgressCeil, d.ProgressCeil)
-	setDuration(&l.HedgeFloor, d.HedgeFloor)
-	setFloat(&l.HedgeQuantile, d.HedgeQuantile)
-	setFloat(&l.EjectShare, d.EjectShare)
-	setDuration(&l.EjectBase, d.EjectBase)
-	setDuration(&l.EjectMax, d.EjectMax)
-	setInt(&l.EjectFailures, d.EjectFailures)
-	setFloat(&l.EjectSlowness, d.EjectSlowness)
-	setDuration(&l.LeavingGrace, d.LeavingGrace)
+	defaults.Set(&l.StartLimit, d.StartLimit)
+	defaults.Set(&l.MaxLimit, d.MaxLimit)
+	defaults.Set(&l.Overcommit, d.Overcommit)
+	defaults.Set(&l.LatencyTolerance, d.LatencyTolerance)
+	defaults.Set(&l.FreshLoad, d.FreshLoad)
+	defaults.Set(&l.Queue, d.Queue)
+	defaults.Set(&l.RepeatShare, d.RepeatShare)
+	defaults.Set(&l.RepeatMin, d.RepeatMin)
+	defaults.Set(&l.RepeatWindow, d.RepeatWindow)
+	defaults.Set(&l.FaultShare, d.FaultShare)
+	defaults.Set(&l.FaultMin, d.FaultMin)
+	defaults.Set(&l.Window, d.Window)
+	defaults.Set(&l.MinSamples, d.MinSamples)
+	defaults.Set(&l.FirstByteFloor, d.FirstByteFloor)
+	defaults.Set(&l.FirstByteCeil, d.FirstByteCeil)
+	defaults.Set(&l.ProgressFloor, d.ProgressFloor)
+	defaults.Set(&l.ProgressCeil, d.ProgressCeil)
+	defaults.Set(&l.HedgeFloor, d.HedgeFloor)
+	defaults.Set(&l.HedgeQuantile, d.HedgeQuantile)
+	defaults.Set(&l.EjectShare, d.EjectShare)
+	defaults.Set(&l.EjectBase, d.EjectBase)
+	defaults.Set(&l.EjectMax, d.EjectMax)
+	defaults.Set(&l.EjectFailures, d.EjectFailures)
+	defaults.Set(&l.EjectSlowness, d.EjectSlowness)
+	defaults.Set(&l.LeavingGrace, d.LeavingGrace)
 	return l
 }
 
@@ -166,21 +167,3 @@
 	}
 	return nil
 }
-
-func setInt(v *int, d int) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
-func setFloat(v *float64, d float64) {
-	if *v == 0 {
-		*v = d
-	}
-}
-
-func setDuration(v *time.Duration, d time.Duration) {
-	if *v == 0 {
-		*v = d
-	}
-}
--- a/internal/admission/service.go
+++ b/internal/admission/service.go
@@ -54,11 +54,10 @@
 
 // stageStats are the distributions of a stage over all targets.
 type stageStats struct {
-	total     distribution
-	firstByte distribution
-	gap       distribution
-	perToken  distribution
-	tokens    float64 // moving mean of whole answers
+	silences
+	total    distribution
+	perToken distribution
+	tokens   float64 // moving mean of whole answers
 	// Cached quantiles of the distributions.
 	first   time.Duration // median of firstByte
 	pace    time.Duration // median of perToken
@@ -68,12 +67,7 @@
 }
 
 func (st *stageStats) measure(r Result, now time.Time, l *GateLimits) {
-	if r.FirstByte > 0 {
-		st.firstByte.add(r.FirstByte, now, l.Window, l.MinSamples)
-	}
-	if r.Gap > 0 {
-		st.gap.add(r.Gap, now, l.Window, l.MinSamples)
-	}
+	st.addSilences(r, now, l)
 	if !r.OK {
 		return
 	}
--- a/internal/admission/target.go
+++ b/internal/admission/target.go
@@ -13,14 +13,13 @@
 // targetState is what this instance knows of a target from its own calls. It
 // is guarded by the lock of its service.
 type targetState struct {
-	starts    []time.Time // of the attempts in flight
-	limiter   limiter
-	ejection  ejection
-	duration  distribution
-	firstByte distribution
-	gap       distribution
-	median    time.Duration
-	pending   int // samples since median was computed
+	silences
+	starts   []time.Time // of the attempts in flight
+	limiter  limiter
+	ejection ejection
+	duration distribution
+	median   time.Duration
+	pending  int // samples since median was computed
 }
 
 func (t *targetState) inFlight() int { return len(t.starts) }
@@ -49,12 +48,7 @@
 }
 
 func (t *targetState) measure(r Result, now time.Time, l *GateLimits) {
-	if r.FirstByte > 0 {
-		t.firstByte.add(r.FirstByte, now, l.Window, l.MinSamples)
-	}
-	if r.Gap > 0 {
-		t.gap.add(r.Gap, now, l.Window, l.MinSamples)
-	}
+	t.addSilences(r, now, l)
 	if !r.OK {
 		return
 	}
--- a/internal/bench/arrivals.go
+++ b/internal/bench/arrivals.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/config"
+	"lynxhill.example/lynxhill/internal/defaults"
 )
 
 // Kinds of arrivals.
@@ -43,12 +44,8 @@
 )
 
 func (a Arrivals) withDefaults() Arrivals {
-	if a.Kind == "" {
-		a.Kind = ArrivalsPoisson
-	}
-	if a.BurstFactor <= 0 {
-		a.BurstFactor = defaultBurstFactor
-	}
+	defaults.Set(&a.Kind, ArrivalsPoisson)
+	defaults.Positive(&a.BurstFactor, defaultBurstFactor)
 	if a.BurstEvery.Duration <= 0 {
 		a.BurstEvery = config.Of(defaultBurstEvery)
 	}
--- a/internal/bench/attach.go
+++ b/internal/bench/attach.go
@@ -20,6 +20,7 @@
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/invariant"
 	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
@@ -134,7 +135,7 @@
 		if len(wrong) == 0 {
 			return nil
 		}
-		if sleep(ctx, 10*readyPoll) != nil {
+		if sleep.For(ctx, 10*readyPoll) != nil {
 			return wrong
 		}
 	}
--- a/internal/bench/attach_load.go
+++ b/internal/bench/attach_load.go
@@ -11,6 +11,7 @@
 	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/standin/fleet"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
@@ -95,7 +96,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	var changing sync.WaitGroup
 	changing.Go(func() {
-		for mark := 1; sleep(ctx, every) == nil; mark++ {
+		for mark := 1; sleep.For(ctx, every) == nil; mark++ {
 			race.add(changeOnce(context.WithoutCancel(ctx), a.adminFrom(mark), base, mark))
 		}
 	})
--- a/internal/bench/capacity_node.go
+++ b/internal/bench/capacity_node.go
@@ -7,6 +7,7 @@
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/daemon"
 	"lynxhill.example/lynxhill/internal/invariant"
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/standin/fleet"
 	"lynxhill.example/lynxhill/internal/standin/netfault"
 )
@@ -82,7 +83,7 @@
 	if _, err := prepare(ctx, c.Cluster); err != nil {
 		return err
 	}
-	return sleep(ctx, time.Until(until))
+	return sleep.For(ctx, time.Until(until))
 }
 
 // adjustFrom gives the instances the times of the default settings, which the
--- a/internal/bench/capacity_sample.go
+++ b/internal/bench/capacity_sample.go
@@ -11,6 +11,7 @@
 	"lynxhill.example/lynxhill/internal/gossip"
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/peer"
+	"lynxhill.example/lynxhill/internal/sleep"
 )
 
 // CapacityPoint is what was measured at one size. Values are a second and an
@@ -150,7 +151,7 @@
 // measureBaseline measures the stand-ins alone.
 func measureBaseline(ctx context.Context, window time.Duration) (baseline, error) {
 	start, cpu := time.Now(), processorTime()
-	if err := sleep(ctx, window); err != nil {
+	if err := sleep.For(ctx, window); err != nil {
 		return baseline{}, err
 	}
 	cores := (processorTime() - cpu).Seconds() / time.Since(start).Seconds()
@@ -206,7 +207,7 @@
 // watchAges looks at the instances' ages until ctx ends.
 func (c *meteredCluster) watchAges(ctx context.Context) ages {
 	var worst ages
-	for sleep(ctx, agesEvery) == nil {
+	for sleep.For(ctx, agesEvery) == nil {
 		isolated, view := 0, 0.0
 		for _, node := range c.Instances() {
 			registry := node.Daemon.Metrics()
--- a/internal/bench/cluster.go
+++ b/internal/bench/cluster.go
@@ -20,6 +20,7 @@
 	"lynxhill.example/lynxhill/internal/invariant"
 	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/routing"
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/standin/fleet"
 	"lynxhill.example/lynxhill/internal/standin/loopback"
 	"lynxhill.example/lynxhill/internal/standin/netfault"
@@ -156,7 +157,7 @@
 func (c *Cluster) AwaitReady(ctx context.Context) error {
 	for _, n := range c.Instances() {
 		for !c.ready(n) {
-			if err := sleep(ctx, readyPoll); err != nil {
+			if err := sleep.For(ctx, readyPoll); err != nil {
 				return fmt.Errorf("instance %s is not ready: %w", n.ID, err)
 			}
 		}
@@ -198,14 +199,3 @@
 
 // acceptWait is how long a change may take to be accepted.
 const acceptWait = 10 * time.Second
-
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/bench/experiment_run.go
+++ b/internal/bench/experiment_run.go
@@ -10,6 +10,7 @@
 
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/standin/fleet"
 )
 
@@ -134,7 +135,7 @@
 		Run:         fmt.Sprintf("%s/%s/%d", r.Name, r.variant.Name, r.repetition),
 		PoisonEvery: r.PoisonEvery.Duration,
 	})
-	_ = sleep(ctx, r.Settle.Duration)
+	_ = sleep.For(ctx, r.Settle.Duration)
 	endFaults()
 	faults.Wait()
 	if err == nil {
--- a/internal/bench/fault.go
+++ b/internal/bench/fault.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/standin/fleet"
 	"lynxhill.example/lynxhill/internal/standin/netfault"
 	"lynxhill.example/lynxhill/internal/standin/platform"
@@ -82,7 +83,7 @@
 
 // run waits for the fault's moment, begins it, and ends it.
 func (f *faultRun) run(ctx context.Context, start time.Time) error {
-	if sleep(ctx, time.Until(start.Add(f.At.Duration))) != nil {
+	if sleep.For(ctx, time.Until(start.Add(f.At.Duration))) != nil {
 		return nil
 	}
 	end, err := faultKinds[f.Kind].begin(ctx, f)
@@ -91,7 +92,7 @@
 	}
 	f.note("%s began", f.Kind)
 	if f.For.Duration > 0 {
-		_ = sleep(ctx, f.For.Duration)
+		_ = sleep.For(ctx, f.For.Duration)
 	} else {
 		<-ctx.Done()
 	}
--- a/internal/bench/fault_instance.go
+++ b/internal/bench/fault_instance.go
@@ -9,6 +9,7 @@
 	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/standin/fleet"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
@@ -164,7 +165,7 @@
 }
 
 func (f *faultRun) race(ctx context.Context, operator int, base profile.Profile) {
-	for round := 0; sleep(ctx, racePause) == nil; round++ {
+	for round := 0; sleep.For(ctx, racePause) == nil; round++ {
 		instances := f.cluster.Instances()
 		if len(instances) == 0 {
 			continue
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -9,8 +9,10 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/client"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
@@ -100,9 +102,7 @@
 type callerKey struct{ organisation, place string }
 
 func newLoad(c System, list []profile.Profile, opts LoadOptions) (*load, error) {
-	if opts.MaxRequests <= 0 {
-		opts.MaxRequests = defaultMaxRequests
-	}
+	defaults.Positive(&opts.MaxRequests, defaultMaxRequests)
 	rng := rand.New(rand.NewPCG(opts.Seed, 7))
 	offsets, err := opts.Arrivals.offsets(opts.Rate, opts.Duration, rng)
 	if err != nil {
@@ -144,7 +144,7 @@
 	defer stop()
 	var sending sync.WaitGroup
 	for _, it := range l.items {
-		if sleep(ctx, time.Until(start.Add(it.at))) != nil {
+		if sleep.For(ctx, time.Until(start.Add(it.at))) != nil {
 			break
 		}
 		l.mu.Lock()
@@ -176,7 +176,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	start := time.Now()
 	go func() {
-		for sleep(ctx, time.Second) == nil {
+		for sleep.For(ctx, time.Second) == nil {
 			l.mu.Lock()
 			progress := l.progress
 			l.mu.Unlock()
--- a/internal/bench/overhead.go
+++ b/internal/bench/overhead.go
@@ -12,6 +12,7 @@
 
 	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/stagecall"
 	"lynxhill.example/lynxhill/internal/standin/fleet"
 	"lynxhill.example/lynxhill/internal/target"
@@ -236,7 +237,7 @@
 		working.Go(func() {
 			for n := worker; n < calls && pairs.err() == nil; n += workers {
 				pairs.add(o.pair(ctx, kind, n))
-				_ = sleep(ctx, pause)
+				_ = sleep.For(ctx, pause)
 			}
 		})
 	}
--- a/internal/bench/race.go
+++ b/internal/bench/race.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/profile"
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
@@ -74,7 +75,7 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
 	for !c.agree(highest) {
-		if sleep(ctx, readyPoll) != nil {
+		if sleep.For(ctx, readyPoll) != nil {
 			return append(wrong, "instances do not agree on the profiles in force: "+c.versions())
 		}
 	}
--- a/internal/bench/workload.go
+++ b/internal/bench/workload.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"strings"
 
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/standin/fleet"
 )
@@ -46,18 +47,10 @@
 )
 
 func (l Lengths) withDefaults() Lengths {
-	if l.InputWords <= 0 {
-		l.InputWords = defaultInputWords
-	}
-	if l.InputSigma <= 0 {
-		l.InputSigma = defaultInputSigma
-	}
-	if l.Prefixes <= 0 {
-		l.Prefixes = defaultPrefixes
-	}
-	if l.PrefixWords <= 0 {
-		l.PrefixWords = defaultPrefixWords
-	}
+	defaults.Positive(&l.InputWords, defaultInputWords)
+	defaults.Positive(&l.InputSigma, defaultInputSigma)
+	defaults.Positive(&l.Prefixes, defaultPrefixes)
+	defaults.Positive(&l.PrefixWords, defaultPrefixWords)
 	return l
 }
 
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -14,6 +14,7 @@
 	"github.com/coder/quartz"
 	"lynxhill.example/lynxhill/internal/auth"
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/httpserver"
@@ -64,21 +65,11 @@
 )
 
 func (l Limits) withDefaults() Limits {
-	if l.MaxBody <= 0 {
-		l.MaxBody = defaultMaxBody
-	}
-	if l.MaxAnswer <= 0 {
-		l.MaxAnswer = defaultMaxAnswer
-	}
-	if l.MaxInFlight <= 0 {
-		l.MaxInFlight = defaultMaxInFlight
-	}
-	if l.BodyTimeout <= 0 {
-		l.BodyTimeout = httpserver.DefaultBodyTimeout
-	}
-	if l.WriteTimeout <= 0 {
-		l.WriteTimeout = httpserver.DefaultWriteTimeout
-	}
+	defaults.Positive(&l.MaxBody, defaultMaxBody)
+	defaults.Positive(&l.MaxAnswer, defaultMaxAnswer)
+	defaults.Positive(&l.MaxInFlight, defaultMaxInFlight)
+	defaults.Positive(&l.BodyTimeout, httpserver.DefaultBodyTimeout)
+	defaults.Positive(&l.WriteTimeout, httpserver.DefaultWriteTimeout)
 	return l
 }
 
@@ -117,9 +108,7 @@
 	if opts.Clock == nil {
 		opts.Clock = quartz.NewReal()
 	}
-	if opts.HeartbeatEvery <= 0 {
-		opts.HeartbeatEvery = defaultHeartbeatEvery
-	}
+	defaults.Positive(&opts.HeartbeatEvery, defaultHeartbeatEvery)
 	opts.Limits = opts.Limits.withDefaults()
 	a := &api{opts: opts}
 	return httpserver.NewRouter(httpserver.RouterOptions{
--- a/internal/claim/pages.go
+++ b/internal/claim/pages.go
@@ -13,6 +13,7 @@
 	"github.com/coder/quartz"
 
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/metrics"
@@ -78,23 +79,16 @@
 	if o.Owners == nil {
 		o.Owners = func(int) string { return o.Self }
 	}
-	setDefault(&o.Shards, DefaultShards)
-	setDefault(&o.WindowBytes, DefaultWindowBytes)
-	setDefault(&o.FlushInterval, DefaultFlushInterval)
-	setDefault(&o.Retention, DefaultRetention)
-	setDefault(&o.OpaqueRetention, DefaultOpaqueRetention)
-	setDefault(&o.MaxSkew, DefaultMaxSkew)
-	setDefault(&o.LazyInterval, DefaultLazyInterval)
-	setDefault(&o.MaxResult, DefaultMaxResult)
-	setDefault(&o.CacheBytes, DefaultCacheBytes)
-	setDefault(&o.MaxPending, DefaultMaxPending)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	defaults.Set(&o.Shards, DefaultShards)
+	defaults.Set(&o.WindowBytes, DefaultWindowBytes)
+	defaults.Set(&o.FlushInterval, DefaultFlushInterval)
+	defaults.Set(&o.Retention, DefaultRetention)
+	defaults.Set(&o.OpaqueRetention, DefaultOpaqueRetention)
+	defaults.Set(&o.MaxSkew, DefaultMaxSkew)
+	defaults.Set(&o.LazyInterval, DefaultLazyInterval)
+	defaults.Set(&o.MaxResult, DefaultMaxResult)
+	defaults.Set(&o.CacheBytes, DefaultCacheBytes)
+	defaults.Set(&o.MaxPending, DefaultMaxPending)
 }
 
 var (
--- a/internal/claim/tickets.go
+++ b/internal/claim/tickets.go
@@ -13,6 +13,7 @@
 	"github.com/coder/quartz"
 
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/metrics"
@@ -78,9 +79,9 @@
 	if opts.Clock == nil {
 		opts.Clock = quartz.NewReal()
 	}
-	setDefault(&opts.Lifetime, DefaultTicketLifetime)
-	setDefault(&opts.MaxKeys, DefaultMaxKeys)
-	setDefault(&opts.MaxResult, DefaultMaxResult)
+	defaults.Set(&opts.Lifetime, DefaultTicketLifetime)
+	defaults.Set(&opts.MaxKeys, DefaultMaxKeys)
+	defaults.Set(&opts.MaxResult, DefaultMaxResult)
 	secret := make([]byte, secretBytes)
 	if _, err := io.ReadFull(opts.Secret, secret); err != nil {
 		panic("claim: no secret for tickets: " + err.Error())
--- a/internal/client/caller.go
+++ b/internal/client/caller.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 
 	"lynxhill.example/lynxhill/internal/claim"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
@@ -58,18 +59,10 @@
 )
 
 func (o CallerOptions) withDefaults() CallerOptions {
-	if o.MaxAttempts <= 0 {
-		o.MaxAttempts = DefaultMaxAttempts
-	}
-	if o.Silence <= 0 {
-		o.Silence = DefaultSilence
-	}
-	if o.MinBackoff <= 0 {
-		o.MinBackoff = DefaultMinBackoff
-	}
-	if o.MaxBackoff <= 0 {
-		o.MaxBackoff = DefaultMaxBackoff
-	}
+	defaults.Positive(&o.MaxAttempts, DefaultMaxAttempts)
+	defaults.Positive(&o.Silence, DefaultSilence)
+	defaults.Positive(&o.MinBackoff, DefaultMinBackoff)
+	defaults.Positive(&o.MaxBackoff, DefaultMaxBackoff)
 	return o
 }
 
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -26,6 +26,7 @@
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
 
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/errkind"
 )
 
@@ -83,9 +84,7 @@
 // HTTP/2 a connection that went silent would be shared by all calls until its
 // ping failed.
 func newHTTPClient(config *tls.Config, dialTimeout time.Duration) *http.Client {
-	if dialTimeout <= 0 {
-		dialTimeout = defaultDialTimeout
-	}
+	defaults.Positive(&dialTimeout, defaultDialTimeout)
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &http.Client{
 		Transport: &http.Transport{
--- a/internal/client/resend.go
+++ b/internal/client/resend.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 
 	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
@@ -138,5 +139,5 @@
 	if told := errkind.RetryAfter(err); told > 0 {
 		wait = told + rand.N(told/4+1)
 	}
-	sleep(ctx, wait)
+	_ = sleep.For(ctx, wait)
 }
--- a/internal/client/stream.go
+++ b/internal/client/stream.go
@@ -1,7 +1,6 @@
 package client
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -215,13 +214,3 @@
 	}
 	return err
 }
-
-// sleep waits, or returns early when ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/control/discovery/options.go
+++ b/internal/control/discovery/options.go
@@ -10,6 +10,7 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/store"
@@ -67,20 +68,12 @@
 	if o.Lister == nil {
 		o.Lister = o.Store
 	}
-	setDuration(&o.ListEvery, DefaultListEvery)
-	setDuration(&o.SlowListEvery, DefaultSlowListEvery)
-	setDuration(&o.ListLag, DefaultListLag)
-	setDuration(&o.MissingGrace, DefaultMissingGrace)
-	setDuration(&o.KeepMissing, DefaultKeepMissing)
-	setDuration(&o.AnswerWithin, DefaultAnswerWithin)
-	if o.Listers <= 0 {
-		o.Listers = DefaultListers
-	}
+	defaults.Positive(&o.ListEvery, DefaultListEvery)
+	defaults.Positive(&o.SlowListEvery, DefaultSlowListEvery)
+	defaults.Positive(&o.ListLag, DefaultListLag)
+	defaults.Positive(&o.MissingGrace, DefaultMissingGrace)
+	defaults.Positive(&o.KeepMissing, DefaultKeepMissing)
+	defaults.Positive(&o.AnswerWithin, DefaultAnswerWithin)
+	defaults.Positive(&o.Listers, DefaultListers)
 	return o
 }
-
-func setDuration(d *time.Duration, fallback time.Duration) {
-	if *d <= 0 {
-		*d = fallback
-	}
-}
--- a/internal/control/lease/options.go
+++ b/internal/control/lease/options.go
@@ -18,6 +18,7 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/profile"
@@ -71,18 +72,10 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Duration <= 0 {
-		o.Duration = DefaultDuration
-	}
-	if o.Margin <= 0 {
-		o.Margin = o.Duration / marginPart
-	}
-	if o.OrderTimeout <= 0 {
-		o.OrderTimeout = o.Duration / orderPart
-	}
-	if o.Candidates <= 0 {
-		o.Candidates = DefaultCandidates
-	}
+	defaults.Positive(&o.Duration, DefaultDuration)
+	defaults.Positive(&o.Margin, o.Duration/marginPart)
+	defaults.Positive(&o.OrderTimeout, o.Duration/orderPart)
+	defaults.Positive(&o.Candidates, DefaultCandidates)
 	if o.Services == nil {
 		o.Services = func() []string { return engineServices(o.Board) }
 	}
--- a/internal/control/loadview/options.go
+++ b/internal/control/loadview/options.go
@@ -10,6 +10,7 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/stagecall"
@@ -60,23 +61,13 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDuration(&o.PollEvery, DefaultPollEvery)
-	setDuration(&o.CachePollEvery, DefaultCachePollEvery)
-	setDuration(&o.CallTimeout, DefaultCallTimeout)
-	setDuration(&o.Transit, DefaultTransit)
-	setDuration(&o.MaxLag, DefaultMaxLag)
-	setDuration(&o.PassOnAge, DefaultPassOnAge)
-	if o.PollersPerTarget <= 0 {
-		o.PollersPerTarget = DefaultPollersPerTarget
-	}
-	if o.MaxPrefixes <= 0 {
-		o.MaxPrefixes = DefaultMaxPrefixes
-	}
+	defaults.Positive(&o.PollEvery, DefaultPollEvery)
+	defaults.Positive(&o.CachePollEvery, DefaultCachePollEvery)
+	defaults.Positive(&o.CallTimeout, DefaultCallTimeout)
+	defaults.Positive(&o.Transit, DefaultTransit)
+	defaults.Positive(&o.MaxLag, DefaultMaxLag)
+	defaults.Positive(&o.PassOnAge, DefaultPassOnAge)
+	defaults.Positive(&o.PollersPerTarget, DefaultPollersPerTarget)
+	defaults.Positive(&o.MaxPrefixes, DefaultMaxPrefixes)
 	return o
 }
-
-func setDuration(d *time.Duration, fallback time.Duration) {
-	if *d <= 0 {
-		*d = fallback
-	}
-}
--- a/internal/control/orders/options.go
+++ b/internal/control/orders/options.go
@@ -12,6 +12,7 @@
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/control/lease"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/invariant"
 	"lynxhill.example/lynxhill/internal/metrics"
@@ -75,23 +76,15 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDuration(&o.Period, DefaultPeriod)
-	setDuration(&o.ReadEvery, DefaultReadEvery)
-	setDuration(&o.CallTimeout, DefaultCallTimeout)
-	setDuration(&o.KeepAfter, DefaultKeepAfter)
-	setNumber(&o.WeightRate, DefaultWeightRate)
-	setNumber(&o.WeightBurst, DefaultWeightBurst)
-	setNumber(&o.ModelsPerEngine, DefaultModelsPerEngine)
-	setNumber(&o.MinReady, DefaultMinReady)
-	setNumber(&o.ChangingShare, DefaultChangingShare)
+	defaults.Positive(&o.Period, DefaultPeriod)
+	defaults.Positive(&o.ReadEvery, DefaultReadEvery)
+	defaults.Positive(&o.CallTimeout, DefaultCallTimeout)
+	defaults.Positive(&o.KeepAfter, DefaultKeepAfter)
+	defaults.Positive(&o.WeightRate, DefaultWeightRate)
+	defaults.Positive(&o.WeightBurst, DefaultWeightBurst)
+	defaults.Positive(&o.ModelsPerEngine, DefaultModelsPerEngine)
+	defaults.Positive(&o.MinReady, DefaultMinReady)
+	defaults.Positive(&o.ChangingShare, DefaultChangingShare)
 	o.Scaling = o.Scaling.withDefaults()
 	return o
 }
-
-func setDuration(d *time.Duration, fallback time.Duration) { setNumber(d, fallback) }
-
-func setNumber[N int | float64 | time.Duration](n *N, fallback N) {
-	if *n <= 0 {
-		*n = fallback
-	}
-}
--- a/internal/control/orders/scaling.go
+++ b/internal/control/orders/scaling.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"lynxhill.example/lynxhill/internal/defaults"
 )
 
 // Scaling says how the number of engines of a model version follows demand.
@@ -19,11 +21,11 @@
 }
 
 func (s Scaling) withDefaults() Scaling {
-	setNumber(&s.High, 0.8)
-	setNumber(&s.Low, 0.3)
-	setNumber(&s.Target, 0.6)
-	setDuration(&s.UpAfter, 20*time.Second)
-	setDuration(&s.DownAfter, 5*time.Minute)
+	defaults.Positive(&s.High, 0.8)
+	defaults.Positive(&s.Low, 0.3)
+	defaults.Positive(&s.Target, 0.6)
+	defaults.Positive(&s.UpAfter, 20*time.Second)
+	defaults.Positive(&s.DownAfter, 5*time.Minute)
 	return s
 }
 
--- a/internal/control/profilesync/force.go
+++ b/internal/control/profilesync/force.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/control/loop"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/profile"
@@ -35,7 +36,7 @@
 			m.o.Logger.Log(event.ProfileAccepted, "profile", c.Name, "version", version, "fenced", len(reply.Force.Fenced))
 			return reply, nil
 		}
-		if !m.o.Clock.Now().Before(deadline) || !m.pause(ctx, acceptEvery) {
+		if !m.o.Clock.Now().Before(deadline) || !loop.Sleep(ctx, m.o.Clock, acceptEvery) {
 			return reply, nil
 		}
 		if m.o.Clock.Since(known.askedAt) >= askEvery && m.objects.markOf(profile.KeyPrefix) >= version {
@@ -62,17 +63,6 @@
 	return ids
 }
 
-func (m *Manager) pause(ctx context.Context, d time.Duration) bool {
-	timer := m.o.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // Force tells where the version of a profile that this instance holds is in
 // force.
 func (m *Manager) Force(name string) lynxapi.ForceReply {
--- a/internal/control/profilesync/options.go
+++ b/internal/control/profilesync/options.go
@@ -17,6 +17,7 @@
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/invariant"
 	"lynxhill.example/lynxhill/internal/metrics"
@@ -82,23 +83,16 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.WatchersPerPlace, defaultWatchersPerPlace)
-	setDefault(&o.Service, defaultService)
-	setDefault(&o.FenceAfter, defaultFenceAfter)
-	setDefault(&o.FenceMargin, defaultFenceMargin)
-	setDefault(&o.PauseAfter, defaultPauseAfter)
-	setDefault(&o.WatchWait, defaultWatchWait)
-	setDefault(&o.SettleFor, defaultSettleFor)
+	defaults.Set(&o.WatchersPerPlace, defaultWatchersPerPlace)
+	defaults.Set(&o.Service, defaultService)
+	defaults.Set(&o.FenceAfter, defaultFenceAfter)
+	defaults.Set(&o.FenceMargin, defaultFenceMargin)
+	defaults.Set(&o.PauseAfter, defaultPauseAfter)
+	defaults.Set(&o.WatchWait, defaultWatchWait)
+	defaults.Set(&o.SettleFor, defaultSettleFor)
 	return o
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 var (
 	metricAdopted  = metrics.Define("config_adopted", "objects", "Configuration objects that came into force here, by where they came from.")
 	metricMark     = metrics.Define("config_mark", "version", "Highest version up to which this instance holds every object, by prefix.")
--- a/internal/control/steering/options.go
+++ b/internal/control/steering/options.go
@@ -9,6 +9,7 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/metrics"
 )
@@ -45,20 +46,10 @@
 }
 
 func (o Options) withDefaults() Options {
-	if o.Keep <= 0 {
-		o.Keep = DefaultKeep
-	}
-	if o.Jitter <= 0 {
-		o.Jitter = DefaultJitter
-	}
-	if o.Ramp <= 0 {
-		o.Ramp = DefaultRamp
-	}
-	if o.Addresses <= 0 {
-		o.Addresses = DefaultAddresses
-	}
-	if o.Period <= 0 {
-		o.Period = DefaultPeriod
-	}
+	defaults.Positive(&o.Keep, DefaultKeep)
+	defaults.Positive(&o.Jitter, DefaultJitter)
+	defaults.Positive(&o.Ramp, DefaultRamp)
+	defaults.Positive(&o.Addresses, DefaultAddresses)
+	defaults.Positive(&o.Period, DefaultPeriod)
 	return o
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -218,6 +218,7 @@
 
 // openServers opens the listeners.
 func (i *Instance) openServers() error {
+	callers := i.ingress.Server()
 	control := i.ingress.ControlServer(i.adapter.ReadyPath, i.adapter.AddressPath)
 	peers := peer.NewServer(peer.NewHandler(peer.ServerOptions{
 		Exchange: i.exchange, Probe: i.members.HandleProbe, Profiles: i.routes.Since, Work: i.takeWork,
@@ -227,7 +228,7 @@
 		address string
 		server  *http.Server
 	}{
-		{i.cfg.Ingress.Listen, i.ingress.Server()},
+		{i.cfg.Ingress.Listen, callers},
 		{i.cfg.Ingress.Readiness, control},
 		{i.cfg.Ingress.Addresses, control},
 		{i.cfg.Listen.Peer, peers},
@@ -239,6 +240,9 @@
 		if err != nil {
 			return err
 		}
+		if l.server == callers {
+			listener = ingress.WatchHeads(listener)
+		}
 		i.servers = append(i.servers, l.server)
 		i.listens = append(i.listens, listener)
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -79,9 +79,10 @@
 	return &Ingress{o: o, base: base, cancel: cancel}
 }
 
-// Server returns the server of callers' requests.
+// Server returns the server of callers' requests, for a listener of WatchHeads.
 func (g *Ingress) Server() *http.Server {
 	s := g.server(http.HandlerFunc(g.serve))
+	s.ConnContext = withConn
 	s.IdleTimeout = defaultIdle
 	if t := g.o.Table(); t != nil && t.Limits.IdleTimeout > 0 {
 		s.IdleTimeout = t.Limits.IdleTimeout + idleMargin
@@ -156,11 +157,9 @@
 func (g *Ingress) serve(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
+	defer nextHead(r.Context())
 	arrived := g.o.Clock.Now()
-	if g.Stopping() || len(r.TransferEncoding) > 0 {
-		// A request in chunks may have said a length too, which the library
-		// drops unseen. What lies within that length must not be read as the
-		// next request (RFC 9112, 6.1), so the connection ends with the answer.
+	if bothLengths(r.Context(), len(r.TransferEncoding) > 0) || g.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
 	in, err := g.admit(w, r)
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -38,8 +38,8 @@
 		m.parts.add(p)
 	}
 	o.Metrics.Func(metricMembers, func() any { return m.countByState() })
-	o.Metrics.Func(metricRefuted, func() any { refuted, _ := m.view.counts(); return refuted })
-	o.Metrics.Func(metricFalse, func() any { _, revived := m.view.counts(); return revived })
+	o.Metrics.Func(metricRefutations, func() any { refuted, _ := m.view.counts(); return refuted })
+	o.Metrics.Func(metricRevivals, func() any { _, revived := m.view.counts(); return revived })
 	return m
 }
 
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -13,6 +13,7 @@
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/control/loop"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/gossip"
 	"lynxhill.example/lynxhill/internal/metrics"
@@ -102,19 +103,19 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.Service, defaultService)
-	setDefault(&o.HeartbeatEvery, defaultHeartbeatEvery)
-	setDefault(&o.ExchangeTimeout, defaultExchangeTimeout)
-	setDefault(&o.SuspectAfter, defaultSuspectAfter)
-	setDefault(&o.IndirectProbes, defaultIndirectProbes)
-	setDefault(&o.ContactMin, defaultContactMin)
-	setDefault(&o.ContactMax, defaultContactMax)
-	setDefault(&o.ListEvery, defaultListEvery)
-	setDefault(&o.RegisterEvery, defaultRegisterEvery)
-	setDefault(&o.ForgetAfter, defaultForgetAfter)
-	setDefault(&o.KeepDead, defaultKeepDead)
-	setDefault(&o.EagerFanout, defaultEagerFanout)
-	setDefault(&o.BytesPerSecond, defaultBytesPerSecond)
+	defaults.Set(&o.Service, defaultService)
+	defaults.Set(&o.HeartbeatEvery, defaultHeartbeatEvery)
+	defaults.Set(&o.ExchangeTimeout, defaultExchangeTimeout)
+	defaults.Set(&o.SuspectAfter, defaultSuspectAfter)
+	defaults.Set(&o.IndirectProbes, defaultIndirectProbes)
+	defaults.Set(&o.ContactMin, defaultContactMin)
+	defaults.Set(&o.ContactMax, defaultContactMax)
+	defaults.Set(&o.ListEvery, defaultListEvery)
+	defaults.Set(&o.RegisterEvery, defaultRegisterEvery)
+	defaults.Set(&o.ForgetAfter, defaultForgetAfter)
+	defaults.Set(&o.KeepDead, defaultKeepDead)
+	defaults.Set(&o.EagerFanout, defaultEagerFanout)
+	defaults.Set(&o.BytesPerSecond, defaultBytesPerSecond)
 	if o.Started.IsZero() {
 		o.Started = o.Clock.Now()
 	}
@@ -125,19 +126,12 @@
 	return o
 }
 
-func setDefault[T comparable](value *T, fallback T) {
-	var zero T
-	if *value == zero {
-		*value = fallback
-	}
-}
-
 var (
-	metricExchanges = metrics.Define("membership_exchanges", "exchanges", "Digest exchanges that this instance started, by result.")
-	metricProbes    = metrics.Define("membership_indirect_probes", "probes", "Probes through other instances before a suspicion, by result.")
-	metricMembers   = metrics.Define("membership_members", "instances", "Members by state, this instance included.")
-	metricRefuted   = metrics.Define("membership_refutations", "times", "Times this instance reasserted itself against a suspicion.")
-	metricFalse     = metrics.Define("membership_revivals", "times", "Members taken for dead that came back under the next incarnation.")
+	metricExchanges   = metrics.Define("membership_exchanges", "exchanges", "Digest exchanges that this instance started, by result.")
+	metricProbes      = metrics.Define("membership_indirect_probes", "probes", "Probes through other instances before a suspicion, by result.")
+	metricMembers     = metrics.Define("membership_members", "instances", "Members by state, this instance included.")
+	metricRefutations = metrics.Define("membership_refutations", "times", "Times this instance reasserted itself against a suspicion.")
+	metricRevivals    = metrics.Define("membership_revivals", "times", "Members taken for dead that came back under the next incarnation.")
 )
 
 // Manager keeps the membership list.
--- a/internal/pipeline/options.go
+++ b/internal/pipeline/options.go
@@ -10,6 +10,7 @@
 	"lynxhill.example/lynxhill/internal/claim"
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/crashguard"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/invariant"
 	"lynxhill.example/lynxhill/internal/metrics"
@@ -58,12 +59,8 @@
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(1, uint64(o.Clock.Now().UnixNano())))
 	}
-	if o.MaxAnswerBytes <= 0 {
-		o.MaxAnswerBytes = DefaultMaxAnswerBytes
-	}
-	if o.MaxAttempts <= 0 {
-		o.MaxAttempts = DefaultMaxAttempts
-	}
+	defaults.Positive(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	defaults.Positive(&o.MaxAttempts, DefaultMaxAttempts)
 	return o
 }
 
--- a/internal/platform/budget.go
+++ b/internal/platform/budget.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/store"
 )
 
@@ -21,15 +22,9 @@
 
 // withDefaults fills in zero fields.
 func (b Budget) withDefaults() Budget {
-	if b.WritesPerSecond <= 0 {
-		b.WritesPerSecond = DefaultBudget.WritesPerSecond
-	}
-	if b.ReadsPerSecond <= 0 {
-		b.ReadsPerSecond = DefaultBudget.ReadsPerSecond
-	}
-	if b.Watches <= 0 {
-		b.Watches = DefaultBudget.Watches
-	}
+	defaults.Positive(&b.WritesPerSecond, DefaultBudget.WritesPerSecond)
+	defaults.Positive(&b.ReadsPerSecond, DefaultBudget.ReadsPerSecond)
+	defaults.Positive(&b.Watches, DefaultBudget.Watches)
 	return b
 }
 
--- a/internal/slo/merge.go
+++ b/internal/slo/merge.go
@@ -41,22 +41,27 @@
 	name  string
 }
 
-func mergeRows(rows []lynxapi.BurnRow) []lynxapi.BurnRow {
-	at := make(map[rowKey]int, len(rows))
-	var merged []lynxapi.BurnRow
+// mergeBy adds rows with the same key up, in the order of their first ones.
+func mergeBy[K comparable, R any](rows []R, keyOf func(R) K, add func(sum *R, row R)) []R {
+	at := make(map[K]int, len(rows))
+	var merged []R
 	for _, row := range rows {
-		key := rowKey{row.Scope, row.Name}
+		key := keyOf(row)
 		i, known := at[key]
 		if !known {
 			at[key] = len(merged)
 			merged = append(merged, row)
 			continue
 		}
-		addRow(&merged[i], row)
+		add(&merged[i], row)
 	}
 	return merged
 }
 
+func mergeRows(rows []lynxapi.BurnRow) []lynxapi.BurnRow {
+	return mergeBy(rows, func(row lynxapi.BurnRow) rowKey { return rowKey{row.Scope, row.Name} }, addRow)
+}
+
 // addRow adds the counts and sketches of row to sum; finish derives the rest.
 func addRow(sum *lynxapi.BurnRow, row lynxapi.BurnRow) {
 	sum.Total += row.Total
@@ -174,19 +179,9 @@
 }
 
 func mergeCosts(costs []lynxapi.CostRow) []lynxapi.CostRow {
-	at := make(map[profileCostKey]int, len(costs))
-	var merged []lynxapi.CostRow
-	for _, c := range costs {
-		key := profileCostKey{c.Profile, costKey{c.Stage, c.Provider}}
-		i, known := at[key]
-		if !known {
-			at[key] = len(merged)
-			merged = append(merged, c)
-			continue
-		}
-		addCost(&merged[i], c)
-	}
-	return merged
+	return mergeBy(costs, func(c lynxapi.CostRow) profileCostKey {
+		return profileCostKey{c.Profile, costKey{c.Stage, c.Provider}}
+	}, addCost)
 }
 
 func addCost(sum *lynxapi.CostRow, c lynxapi.CostRow) {
--- a/internal/slo/merge_test.go
+++ b/internal/slo/merge_test.go
@@ -44,9 +44,9 @@
 	return steps
 }
 
-// comparable strips a report of what says who reported, and rounds floats whose
+// withoutReporter strips a report of what says who reported, and rounds floats whose
 // last bits depend on the order of addition.
-func comparable(r lynxapi.BurnReport) lynxapi.BurnReport {
+func withoutReporter(r lynxapi.BurnReport) lynxapi.BurnReport {
 	r.Instance, r.Instances = "", 0
 	for i := range r.Rows {
 		row := &r.Rows[i]
@@ -88,13 +88,13 @@
 	properties.Property("the parts merged equal the whole", prop.ForAll(inBubble(func(seed uint64, count int) bool {
 		whole, parts := reportsOf(seed, count)
 		merged := Merge(parts)
-		return merged.Instances == 3 && reflect.DeepEqual(comparable(merged), comparable(Merge([]lynxapi.BurnReport{whole})))
+		return merged.Instances == 3 && reflect.DeepEqual(withoutReporter(merged), withoutReporter(Merge([]lynxapi.BurnReport{whole})))
 	}), gen.UInt64(), gen.IntRange(1, 120)))
 	properties.Property("the order and grouping of merges do not matter", prop.ForAll(inBubble(func(seed uint64, count int) bool {
 		_, p := reportsOf(seed, count)
 		left := Merge([]lynxapi.BurnReport{Merge([]lynxapi.BurnReport{p[0], p[1]}), p[2]})
 		right := Merge([]lynxapi.BurnReport{p[2], Merge([]lynxapi.BurnReport{p[1], p[0]})})
-		return reflect.DeepEqual(comparable(left), comparable(right))
+		return reflect.DeepEqual(withoutReporter(left), withoutReporter(right))
 	}), gen.UInt64(), gen.IntRange(1, 120)))
 	properties.TestingRun(t)
 }
--- a/internal/slo/slo.go
+++ b/internal/slo/slo.go
@@ -16,6 +16,7 @@
 	"github.com/coder/quartz"
 
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/metrics"
@@ -76,16 +77,10 @@
 	if o.Objectives == nil {
 		o.Objectives = func(string) float64 { return DefaultObjective }
 	}
-	if o.Windows.Short <= 0 {
-		o.Windows.Short = DefaultShortWindow
-	}
-	if o.Windows.Long <= 0 {
-		o.Windows.Long = DefaultLongWindow
-	}
+	defaults.Positive(&o.Windows.Short, DefaultShortWindow)
+	defaults.Positive(&o.Windows.Long, DefaultLongWindow)
 	o.Windows.Long = max(o.Windows.Long, minLongWindow)
-	if o.MaxOrganisations <= 0 {
-		o.MaxOrganisations = DefaultMaxOrganisations
-	}
+	defaults.Positive(&o.MaxOrganisations, DefaultMaxOrganisations)
 	return o
 }
 
@@ -156,9 +151,7 @@
 // when it was refused.
 func (t *Tracker) Observe(s Sample) {
 	now := t.clock.Now()
-	if s.Place == "" {
-		s.Place = t.place
-	}
+	defaults.Set(&s.Place, t.place)
 	o := t.observationOf(s)
 	t.count(o)
 	t.profiles[shardOf(s.Profile)].observe(now, t.windows, s, o)
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/standin/loopback"
 	"lynxhill.example/lynxhill/internal/standin/targetbase"
 	"lynxhill.example/lynxhill/internal/wire/targetapi"
@@ -63,24 +64,14 @@
 
 func (o *Options) setDefaults() {
 	o.Time.setDefaults()
-	if o.Slots <= 0 {
-		o.Slots = DefaultSlots
-	}
-	if o.FrameTokens <= 0 {
-		o.FrameTokens = DefaultFrameTokens
-	}
-	if o.CacheTokens <= 0 {
-		o.CacheTokens = DefaultCacheTokens
-	}
-	if o.Role == "" {
-		o.Role = RoleMixed
-	}
+	defaults.Positive(&o.Slots, DefaultSlots)
+	defaults.Positive(&o.FrameTokens, DefaultFrameTokens)
+	defaults.Positive(&o.CacheTokens, DefaultCacheTokens)
+	defaults.Set(&o.Role, RoleMixed)
 	if o.Weights == nil {
 		o.Weights = NewWeightStore(DefaultLoadTime)
 	}
-	if o.Price <= 0 {
-		o.Price = DefaultPrice
-	}
+	defaults.Positive(&o.Price, DefaultPrice)
 }
 
 // Server is an engine. The embedded Target has the common fault switches.
--- a/internal/standin/engine/timemodel.go
+++ b/internal/standin/engine/timemodel.go
@@ -1,6 +1,10 @@
 package engine
 
-import "time"
+import (
+	"time"
+
+	"lynxhill.example/lynxhill/internal/defaults"
+)
 
 // TimeModel says how long the parts of a run take. The zero value gets the
 // defaults.
@@ -23,18 +27,10 @@
 )
 
 func (m *TimeModel) setDefaults() {
-	if m.PerToken <= 0 {
-		m.PerToken = DefaultPerToken
-	}
-	if m.BatchSlope <= 0 {
-		m.BatchSlope = DefaultBatchSlope
-	}
-	if m.PrefillPerToken <= 0 {
-		m.PrefillPerToken = DefaultPrefillPerToken
-	}
-	if m.Scale <= 0 {
-		m.Scale = 1
-	}
+	defaults.Positive(&m.PerToken, DefaultPerToken)
+	defaults.Positive(&m.BatchSlope, DefaultBatchSlope)
+	defaults.Positive(&m.PrefillPerToken, DefaultPrefillPerToken)
+	defaults.Positive(&m.Scale, 1)
 }
 
 // Prefill returns the time to read a prompt of which some tokens are cached.
--- a/internal/standin/engine/weightstore.go
+++ b/internal/standin/engine/weightstore.go
@@ -5,7 +5,7 @@
 	"sync"
 	"time"
 
-	"lynxhill.example/lynxhill/internal/standin/targetbase"
+	"lynxhill.example/lynxhill/internal/sleep"
 )
 
 // WeightStore is the store of weights that engines share. It serves one load
@@ -31,7 +31,7 @@
 // fetch waits until weights of a size (1 is a model) have come through. It
 // returns false if ctx ended first.
 func (s *WeightStore) fetch(ctx context.Context, size float64) bool {
-	return targetbase.Sleep(ctx, time.Until(s.reserve(size)))
+	return sleep.For(ctx, time.Until(s.reserve(size))) == nil
 }
 
 func (s *WeightStore) reserve(size float64) time.Time {
--- a/internal/standin/fleet/deployment.go
+++ b/internal/standin/fleet/deployment.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/standin/engine"
 	"lynxhill.example/lynxhill/internal/standin/loopback"
 	"lynxhill.example/lynxhill/internal/standin/netfault"
@@ -74,18 +75,12 @@
 )
 
 func (o *Options) setDefaults() {
-	if o.Scale <= 0 {
-		o.Scale = 1
-	}
-	if o.TimeScale <= 0 {
-		o.TimeScale = DefaultTimeScale
-	}
+	defaults.Positive(&o.Scale, 1)
+	defaults.Positive(&o.TimeScale, DefaultTimeScale)
 	if o.Models == nil {
 		o.Models = Models(o.Name)
 	}
-	if o.WeightLoadTime <= 0 {
-		o.WeightLoadTime = engine.DefaultLoadTime
-	}
+	defaults.Positive(&o.WeightLoadTime, engine.DefaultLoadTime)
 	if o.Platform.Limits == (platform.Limits{}) {
 		o.Platform.Limits = platform.Limits{
 			WritesPerSecond: PlatformWritesPerSecond,
--- a/internal/standin/loopback/server.go
+++ b/internal/standin/loopback/server.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"lynxhill.example/lynxhill/internal/defaults"
 )
 
 // Defaults of Options.
@@ -68,9 +70,7 @@
 	if opts.Listen == nil {
 		opts.Listen = func(addr string) (net.Listener, error) { return net.Listen("tcp", addr) }
 	}
-	if opts.MaxConns <= 0 {
-		opts.MaxConns = DefaultMaxConns
-	}
+	defaults.Positive(&opts.MaxConns, DefaultMaxConns)
 	port, err := ReservePort()
 	if err != nil {
 		return nil, err
--- a/internal/standin/netfault/dial.go
+++ b/internal/standin/netfault/dial.go
@@ -5,7 +5,8 @@
 	"fmt"
 	"net"
 	"syscall"
-	"time"
+
+	"lynxhill.example/lynxhill/internal/sleep"
 )
 
 // Listen opens a listener of an owner. The address is as for net.Listen.
@@ -62,7 +63,7 @@
 				return dialError(addr, err)
 			}
 		case !waited && now.delay(owner, peer) > 0:
-			if err := sleep(ctx, 2*now.delay(owner, peer)); err != nil {
+			if err := sleep.For(ctx, 2*now.delay(owner, peer)); err != nil {
 				return dialError(addr, err)
 			}
 			waited = true
@@ -81,17 +82,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func dialError(addr string, cause error) error {
 	return &net.OpError{Op: "dial", Net: "tcp", Err: fmt.Errorf("%s: %w", addr, cause)}
 }
--- a/internal/standin/netfault/netfault_test.go
+++ b/internal/standin/netfault/netfault_test.go
@@ -76,6 +76,17 @@
 	}
 }
 
+// talking returns the address of an echo of b, and a line of a's to it that has
+// been used.
+func talking(t *testing.T, n *Network) (addr string, l *line) {
+	t.Helper()
+	addr = echo(t, n, "b")
+	l = dial(t, n, "a", addr)
+	l.send(t, "x")
+	l.want(t, "x")
+	return addr, l
+}
+
 func network(t *testing.T) *Network {
 	n := New()
 	t.Cleanup(n.Close)
@@ -239,10 +250,7 @@
 
 func TestRefusingCutResets(t *testing.T) {
 	n := network(t)
-	addr := echo(t, n, "b")
-	l := dial(t, n, "a", addr)
-	l.send(t, "x")
-	l.want(t, "x")
+	addr, l := talking(t, n)
 	cut := n.Cut(Partition{A: []string{"a"}, B: []string{"b"}, Refuse: true})
 	if _, err := l.r.ReadByte(); err == nil {
 		t.Fatal("connection survived")
@@ -260,10 +268,7 @@
 // not even of a hang-up, while new connections work.
 func TestSilenceIsForGoodAndForOldConnectionsOnly(t *testing.T) {
 	n := network(t)
-	addr := echo(t, n, "b")
-	old := dial(t, n, "a", addr)
-	old.send(t, "x")
-	old.want(t, "x")
+	addr, old := talking(t, n)
 	n.Silence("b")
 	old.send(t, "lost")
 	old.nothing(t)
@@ -276,10 +281,7 @@
 
 func TestFreezeBlocksAndThawLosesNothing(t *testing.T) {
 	n := network(t)
-	addr := echo(t, n, "b")
-	l := dial(t, n, "a", addr)
-	l.send(t, "x")
-	l.want(t, "x")
+	_, l := talking(t, n)
 	n.Freeze("b")
 	l.send(t, "one")
 	l.nothing(t)
@@ -308,10 +310,7 @@
 
 func TestKillAndRevive(t *testing.T) {
 	n := network(t)
-	addr := echo(t, n, "b")
-	l := dial(t, n, "a", addr)
-	l.send(t, "x")
-	l.want(t, "x")
+	addr, l := talking(t, n)
 	n.Kill("b")
 	if _, err := l.r.ReadByte(); !errors.Is(err, syscall.ECONNRESET) {
 		t.Fatalf("peer of the killed: %v", err)
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/standin/loopback"
 	"lynxhill.example/lynxhill/internal/wire/platformapi"
 )
@@ -40,18 +41,10 @@
 }
 
 func (o *Options) setDefaults() {
-	if o.InstanceTTL <= 0 {
-		o.InstanceTTL = DefaultInstanceTTL
-	}
-	if o.MaxValue <= 0 {
-		o.MaxValue = DefaultMaxValue
-	}
-	if o.MaxStore <= 0 {
-		o.MaxStore = DefaultMaxStore
-	}
-	if o.History <= 0 {
-		o.History = DefaultHistory
-	}
+	defaults.Positive(&o.InstanceTTL, DefaultInstanceTTL)
+	defaults.Positive(&o.MaxValue, DefaultMaxValue)
+	defaults.Positive(&o.MaxStore, DefaultMaxStore)
+	defaults.Positive(&o.History, DefaultHistory)
 }
 
 // Server is the platform.
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -7,6 +7,7 @@
 	"math"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/standin/loopback"
 	"lynxhill.example/lynxhill/internal/standin/targetbase"
 	"lynxhill.example/lynxhill/internal/wire/targetapi"
@@ -46,18 +47,10 @@
 }
 
 func (o *Options) setDefaults() {
-	if o.Kind == "" {
-		o.Kind = KindService
-	}
-	if o.Median <= 0 {
-		o.Median = DefaultMedian
-	}
-	if o.Spread <= 0 {
-		o.Spread = DefaultSpread
-	}
-	if o.Cost <= 0 {
-		o.Cost = DefaultCost
-	}
+	defaults.Set(&o.Kind, KindService)
+	defaults.Positive(&o.Median, DefaultMedian)
+	defaults.Positive(&o.Spread, DefaultSpread)
+	defaults.Positive(&o.Cost, DefaultCost)
 }
 
 // Server is a service. The embedded Target has the common fault switches.
--- a/internal/standin/targetbase/call.go
+++ b/internal/standin/targetbase/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/wire/targetapi"
 )
 
@@ -44,22 +45,7 @@
 // Sleep waits for the duration times the straggle factor. It returns false
 // when the run must stop.
 func (c *Call) Sleep(d time.Duration) bool {
-	return Sleep(c.Ctx, time.Duration(float64(d)*c.Plan.Slow))
-}
-
-// Sleep waits for d or until ctx ends, then it returns false.
-func Sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return sleep.For(c.Ctx, time.Duration(float64(d)*c.Plan.Slow)) == nil
 }
 
 // Finish marks the run as done in the ledger.
--- a/internal/standin/targetbase/target.go
+++ b/internal/standin/targetbase/target.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/standin/loopback"
 	"lynxhill.example/lynxhill/internal/wire/targetapi"
 )
@@ -68,12 +69,8 @@
 
 // New starts a target.
 func New(opts Options) (*Target, error) {
-	if opts.Slots <= 0 {
-		opts.Slots = DefaultSlots
-	}
-	if opts.MaxQueue <= 0 {
-		opts.MaxQueue = DefaultMaxQueue
-	}
+	defaults.Positive(&opts.Slots, DefaultSlots)
+	defaults.Positive(&opts.MaxQueue, DefaultMaxQueue)
 	t := &Target{
 		id:       opts.ID,
 		slots:    opts.Slots,
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -14,6 +14,7 @@
 	"github.com/coder/quartz"
 
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/stagecall"
@@ -59,21 +60,11 @@
 	if o.Clock == nil {
 		o.Clock = quartz.NewReal()
 	}
-	if o.PingInterval <= 0 {
-		o.PingInterval = DefaultPingInterval
-	}
-	if o.PingTimeout <= 0 {
-		o.PingTimeout = DefaultPingTimeout
-	}
-	if o.SilenceWait <= 0 {
-		o.SilenceWait = DefaultSilenceWait
-	}
-	if o.ProbeTimeout <= 0 {
-		o.ProbeTimeout = DefaultProbeTimeout
-	}
-	if o.MaxReplyBytes <= 0 {
-		o.MaxReplyBytes = DefaultMaxReplyBytes
-	}
+	defaults.Positive(&o.PingInterval, DefaultPingInterval)
+	defaults.Positive(&o.PingTimeout, DefaultPingTimeout)
+	defaults.Positive(&o.SilenceWait, DefaultSilenceWait)
+	defaults.Positive(&o.ProbeTimeout, DefaultProbeTimeout)
+	defaults.Positive(&o.MaxReplyBytes, DefaultMaxReplyBytes)
 	return o
 }
 
