--- a/cmd/lynxctl/change.go
+++ b/cmd/lynxctl/change.go
@@ -9,6 +9,7 @@
 
 	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/sleep"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
@@ -33,33 +34,29 @@
 // change makes a change of a profile and shows what became of it.
 func (e *environment) change(flags changeFlags, name string, send sendChange) error {
 	e.Timeout = max(e.Timeout, flags.Wait+replyMargin)
-	ctx, cancel := e.context()
-	defer cancel()
-	admin, err := e.admin()
-	if err != nil {
-		return err
-	}
-	s := &settling{ctx: ctx, admin: admin, id: flags.id()}
-	version, err := s.version(flags.condition, name)
-	if err != nil {
-		return err
-	}
-	until := time.Now().Add(flags.Wait)
-	reply, err := send(s, version)
-	if err != nil && unsettled(err) {
-		reply, err = s.settle(err)
-	}
-	if err != nil {
-		return err
-	}
-	return e.showChange(s.await(reply, until))
+	return e.withAdmin(func(ctx context.Context, admin *client.Admin) error {
+		s := &settling{ctx: ctx, admin: admin, id: flags.id()}
+		version, err := s.version(flags.condition, name)
+		if err != nil {
+			return err
+		}
+		until := time.Now().Add(flags.Wait)
+		reply, err := send(s, version)
+		if err != nil && unsettled(err) {
+			reply, err = s.settle(err)
+		}
+		if err != nil {
+			return err
+		}
+		return e.showChange(s.await(reply, until))
+	})
 }
 
 // await asks again until a written change is in force everywhere, or until the
 // time is up.
 func (s *settling) await(reply lynxapi.ChangeReply, until time.Time) lynxapi.ChangeReply {
 	for reply.State == lynxapi.ChangeWritten && time.Now().Before(until) && s.ctx.Err() == nil {
-		pause(s.ctx, settleInterval)
+		_ = sleep.For(s.ctx, settleInterval)
 		again, err := s.admin.Change(s.ctx, s.id)
 		if err != nil {
 			continue // another try may reach an instance that knows
@@ -70,15 +67,6 @@
 	return reply
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func (s *settling) version(c condition, name string) (uint64, error) {
 	if !c.needsCurrent() {
 		return c.version(0, name)
@@ -109,7 +97,7 @@
 		if err == nil && reply.State != lynxapi.ChangeUnknown {
 			return reply, nil
 		}
-		pause(ctx, settleInterval)
+		_ = sleep.For(ctx, settleInterval)
 	}
 	return lynxapi.ChangeReply{}, fmt.Errorf("%w; ask again: lynxctl change %s", cause, s.id)
 }
@@ -166,15 +154,11 @@
 
 // Run tells what became of a change.
 func (c *changeCommand) Run(env *environment) error {
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	reply, err := reading(admin.Change(ctx, c.ID))
-	if err != nil {
-		return err
-	}
-	return env.showChange(reply)
+	return env.withAdmin(func(ctx context.Context, admin *client.Admin) error {
+		reply, err := reading(admin.Change(ctx, c.ID))
+		if err != nil {
+			return err
+		}
+		return env.showChange(reply)
+	})
 }
--- a/cmd/lynxctl/environment.go
+++ b/cmd/lynxctl/environment.go
@@ -51,6 +51,30 @@
 	return client.NewAdmin(client.AdminOptions{Servers: e.Server, Token: token, TLS: config}), nil
 }
 
+// withAdmin calls work with a client of the admin API, and with a context that
+// ends with --timeout and on an interrupt.
+func (e *environment) withAdmin(work func(ctx context.Context, admin *client.Admin) error) error {
+	ctx, cancel := e.context()
+	defer cancel()
+	admin, err := e.admin()
+	if err != nil {
+		return err
+	}
+	return work(ctx, admin)
+}
+
+// display asks with a call that changes nothing, such as (*client.Admin).Status,
+// and shows the answer: as JSON, or by text.
+func display[M any](env *environment, ask func(*client.Admin, context.Context) (M, error), text func(M)) error {
+	return env.withAdmin(func(ctx context.Context, admin *client.Admin) error {
+		message, err := reading(ask(admin, ctx))
+		if err != nil {
+			return err
+		}
+		return env.show(message, func() { text(message) })
+	})
+}
+
 // caller returns a client of the caller API.
 func (e *environment) caller(opts client.CallerOptions) (*client.Caller, error) {
 	opts.Servers = e.Caller
@@ -134,6 +158,15 @@
 	_ = tab.Flush()
 }
 
+// rowsOf returns a row of a table for each of all.
+func rowsOf[T any](all []T, row func(T) []string) [][]string {
+	rows := make([][]string, 0, len(all))
+	for _, one := range all {
+		rows = append(rows, row(one))
+	}
+	return rows
+}
+
 // failure is the JSON form of an error.
 type failure struct {
 	Error      string           `json:"error"`
--- a/cmd/lynxctl/fleet.go
+++ b/cmd/lynxctl/fleet.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
@@ -12,23 +14,12 @@
 
 // Run lists the instances.
 func (c *instancesCommand) Run(env *environment) error {
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	list, err := reading(admin.Instances(ctx))
-	if err != nil {
-		return err
-	}
-	return env.show(list, func() {
-		rows := make([][]string, 0, len(list.Instances))
-		for _, i := range list.Instances {
-			rows = append(rows, []string{i.ID, i.State, i.Place, i.Region, i.CallerAddr, i.AdminAddr,
-				fmt.Sprintf("%.2f", i.Room), fmt.Sprint(i.InFlight), yes(i.Draining)})
-		}
-		env.table([]string{"INSTANCE", "STATE", "PLACE", "REGION", "CALLER", "ADMIN", "ROOM", "IN FLIGHT", "DRAINING"}, rows)
+	return display(env, (*client.Admin).Instances, func(list lynxapi.InstanceList) {
+		env.table([]string{"INSTANCE", "STATE", "PLACE", "REGION", "CALLER", "ADMIN", "ROOM", "IN FLIGHT", "DRAINING"},
+			rowsOf(list.Instances, func(i lynxapi.InstanceView) []string {
+				return []string{i.ID, i.State, i.Place, i.Region, i.CallerAddr, i.AdminAddr,
+					fmt.Sprintf("%.2f", i.Room), fmt.Sprint(i.InFlight), yesOrNo(i.Draining)}
+			}))
 	})
 }
 
@@ -39,27 +30,21 @@
 
 // Run lists the targets.
 func (c *targetsCommand) Run(env *environment) error {
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	list, err := reading(admin.Targets(ctx))
-	if err != nil {
-		return err
-	}
-	list.Targets = c.only(list.Targets)
-	return env.show(list, func() {
-		rows := make([][]string, 0, len(list.Targets))
-		for _, t := range list.Targets {
-			rows = append(rows, []string{t.ID, t.Service, t.Kind, orDash(t.Provider), t.Place, t.Address, yes(t.Leaving),
-				fmt.Sprintf("%d/%d", t.Running, t.Slots), fmt.Sprint(t.Queued), fmt.Sprintf("%.0f ms", t.LoadAge), orDash(strings.Join(t.Models, " "))})
-		}
-		env.table([]string{"TARGET", "SERVICE", "KIND", "PROVIDER", "PLACE", "ADDRESS", "LEAVING", "RUNNING", "QUEUED", "LOAD AGE", "MODELS"}, rows)
+	return display(env, c.read, func(list lynxapi.TargetList) {
+		env.table([]string{"TARGET", "SERVICE", "KIND", "PROVIDER", "PLACE", "ADDRESS", "LEAVING", "RUNNING", "QUEUED", "LOAD AGE", "MODELS"},
+			rowsOf(list.Targets, func(t lynxapi.TargetView) []string {
+				return []string{t.ID, t.Service, t.Kind, orDash(t.Provider), t.Place, t.Address, yesOrNo(t.Leaving),
+					fmt.Sprintf("%d/%d", t.Running, t.Slots), fmt.Sprint(t.Queued), fmt.Sprintf("%.0f ms", t.LoadAge), orDash(strings.Join(t.Models, " "))}
+			}))
 	})
 }
 
+func (c *targetsCommand) read(admin *client.Admin, ctx context.Context) (lynxapi.TargetList, error) {
+	list, err := admin.Targets(ctx)
+	list.Targets = c.only(list.Targets)
+	return list, err
+}
+
 func (c *targetsCommand) only(all []lynxapi.TargetView) []lynxapi.TargetView {
 	kept := make([]lynxapi.TargetView, 0, len(all))
 	for _, t := range all {
@@ -74,22 +59,12 @@
 
 // Run shows the status of the answering instance.
 func (c *statusCommand) Run(env *environment) error {
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	status, err := reading(admin.Status(ctx))
-	if err != nil {
-		return err
-	}
-	return env.show(status, func() { printStatus(env, status) })
+	return display(env, (*client.Admin).Status, func(status lynxapi.Status) { printStatus(env, status) })
 }
 
 func printStatus(env *environment, s lynxapi.Status) {
 	env.printf("instance    %s in %s, up %v\n", s.Instance, s.Place, (time.Duration(s.UptimeS) * time.Second).String())
-	env.printf("ready       %s%s%s\n", yes(s.Ready), note(s.Isolated, ", isolated"), note(s.Stopping, ", stopping"))
+	env.printf("ready       %s%s%s\n", yesOrNo(s.Ready), textIf(s.Isolated, ", isolated"), textIf(s.Stopping, ", stopping"))
 	env.printf("store       %s, %d calls\n", map[bool]string{true: "up", false: "down"}[s.StoreUp], s.StoreCalls)
 	env.printf("instances   %d alive of %d known\n", s.Alive, s.Members)
 	env.printf("targets     %d, %d leaving\n", s.Targets, s.Leaving)
@@ -103,14 +78,14 @@
 	}
 }
 
-func note(on bool, text string) string {
+func textIf(on bool, text string) string {
 	if on {
 		return text
 	}
 	return ""
 }
 
-func yes(on bool) string {
+func yesOrNo(on bool) string {
 	if on {
 		return "yes"
 	}
@@ -135,21 +110,17 @@
 	if err := checkSubject(c.Subject); err != nil {
 		return err
 	}
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	order := admin.Drain
-	if c.Force {
-		order = admin.ForceDrain
-	}
-	view, err := order(ctx, c.Subject)
-	if err != nil {
-		return err
-	}
-	return env.show(view, func() { env.printf("draining %s\n", view.Subject) })
+	return env.withAdmin(func(ctx context.Context, admin *client.Admin) error {
+		order := admin.Drain
+		if c.Force {
+			order = admin.ForceDrain
+		}
+		view, err := order(ctx, c.Subject)
+		if err != nil {
+			return err
+		}
+		return env.show(view, func() { env.printf("draining %s\n", view.Subject) })
+	})
 }
 
 type undrainCommand struct {
@@ -161,16 +132,12 @@
 	if err := checkSubject(c.Subject); err != nil {
 		return err
 	}
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	if err := admin.Undrain(ctx, c.Subject); err != nil {
-		return err
-	}
-	return env.show(lynxapi.DrainRequest{Subject: c.Subject}, func() { env.printf("no longer draining %s\n", c.Subject) })
+	return env.withAdmin(func(ctx context.Context, admin *client.Admin) error {
+		if err := admin.Undrain(ctx, c.Subject); err != nil {
+			return err
+		}
+		return env.show(lynxapi.DrainRequest{Subject: c.Subject}, func() { env.printf("no longer draining %s\n", c.Subject) })
+	})
 }
 
 // checkSubject refuses a subject of no known sort before it is sent.
@@ -186,21 +153,9 @@
 
 // Run lists the drains.
 func (c *drainsCommand) Run(env *environment) error {
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	list, err := reading(admin.Drains(ctx))
-	if err != nil {
-		return err
-	}
-	return env.show(list, func() {
-		rows := make([][]string, 0, len(list.Drains))
-		for _, d := range list.Drains {
-			rows = append(rows, []string{d.Subject, orDash(d.By), d.At.Format(time.RFC3339)})
-		}
-		env.table([]string{"SUBJECT", "BY", "AT"}, rows)
+	return display(env, (*client.Admin).Drains, func(list lynxapi.DrainList) {
+		env.table([]string{"SUBJECT", "BY", "AT"}, rowsOf(list.Drains, func(d lynxapi.DrainView) []string {
+			return []string{d.Subject, orDash(d.By), d.At.Format(time.RFC3339)}
+		}))
 	})
 }
--- a/cmd/lynxctl/limits.go
+++ b/cmd/lynxctl/limits.go
@@ -33,22 +33,18 @@
 	if (c.Rate != nil && *c.Rate < 0) || (c.Concurrent != nil && *c.Concurrent < 0) {
 		return usagef("--rate and --concurrent must not be negative")
 	}
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	limit, err := c.changed(ctx, admin)
-	if err != nil {
-		return err
-	}
-	limit, err = admin.SetLimit(ctx, limit)
-	if err != nil {
-		return err
-	}
-	return env.show(limit, func() {
-		env.printf("%s: %s requests a second, %s at once\n", limit.Organisation, orNone(limit.RatePerSecond), orNone(float64(limit.Concurrent)))
+	return env.withAdmin(func(ctx context.Context, admin *client.Admin) error {
+		limit, err := c.changed(ctx, admin)
+		if err != nil {
+			return err
+		}
+		limit, err = admin.SetLimit(ctx, limit)
+		if err != nil {
+			return err
+		}
+		return env.show(limit, func() {
+			env.printf("%s: %s requests a second, %s at once\n", limit.Organisation, orNone(limit.RatePerSecond), orNone(float64(limit.Concurrent)))
+		})
 	})
 }
 
@@ -87,21 +83,10 @@
 
 // Run lists the limits.
 func (c *limitList) Run(env *environment) error {
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	list, err := reading(admin.Limits(ctx))
-	if err != nil {
-		return err
-	}
-	return env.show(list, func() {
-		rows := make([][]string, 0, len(list.Limits))
-		for _, l := range list.Limits {
-			rows = append(rows, []string{l.Organisation, orNone(l.RatePerSecond), orNone(float64(l.Concurrent)), fmt.Sprint(l.IfVersion)})
-		}
-		env.table([]string{"ORGANISATION", "A SECOND", "AT ONCE", "VERSION"}, rows)
+	return display(env, (*client.Admin).Limits, func(list lynxapi.LimitList) {
+		env.table([]string{"ORGANISATION", "A SECOND", "AT ONCE", "VERSION"},
+			rowsOf(list.Limits, func(l lynxapi.OrganisationLimit) []string {
+				return []string{l.Organisation, orNone(l.RatePerSecond), orNone(float64(l.Concurrent)), fmt.Sprint(l.IfVersion)}
+			}))
 	})
 }
--- a/cmd/lynxctl/plans.go
+++ b/cmd/lynxctl/plans.go
@@ -64,21 +64,17 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	if plan.IfVersion, err = c.version(ctx, admin, plan.Service); err != nil {
-		return err
-	}
-	plan, err = admin.SetPlan(ctx, plan)
-	if err != nil {
-		return err
-	}
-	return env.show(plan, func() {
-		env.printf("%s: %d models, %d roles\n", plan.Service, len(plan.Models), len(plan.Roles))
+	return env.withAdmin(func(ctx context.Context, admin *client.Admin) error {
+		if plan.IfVersion, err = c.version(ctx, admin, plan.Service); err != nil {
+			return err
+		}
+		plan, err = admin.SetPlan(ctx, plan)
+		if err != nil {
+			return err
+		}
+		return env.show(plan, func() {
+			env.printf("%s: %d models, %d roles\n", plan.Service, len(plan.Models), len(plan.Roles))
+		})
 	})
 }
 
@@ -141,17 +137,7 @@
 
 // Run lists the plans.
 func (c *planList) Run(env *environment) error {
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	list, err := reading(admin.Plans(ctx))
-	if err != nil {
-		return err
-	}
-	return env.show(list, func() {
+	return display(env, (*client.Admin).Plans, func(list lynxapi.PlacementList) {
 		var rows [][]string
 		for _, p := range list.Plans {
 			for _, m := range p.Models {
--- a/cmd/lynxctl/profile.go
+++ b/cmd/lynxctl/profile.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"strings"
 	"time"
@@ -114,23 +115,19 @@
 
 // Run shows the profile as a file that set takes back.
 func (c *profileGet) Run(env *environment) error {
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	view, err := reading(admin.Profile(ctx, c.Name))
-	if err != nil {
-		return err
-	}
-	text, err := profile.Marshal(view.Profile)
-	if err != nil {
-		return err
-	}
-	return env.show(view, func() {
-		env.printf("# version %d, change %s, by %s at %s\n", view.Version, view.ChangeID, orDash(view.Operator), view.At.Format(time.RFC3339))
-		env.printf("%s", text)
+	return env.withAdmin(func(ctx context.Context, admin *client.Admin) error {
+		view, err := reading(admin.Profile(ctx, c.Name))
+		if err != nil {
+			return err
+		}
+		text, err := profile.Marshal(view.Profile)
+		if err != nil {
+			return err
+		}
+		return env.show(view, func() {
+			env.printf("# version %d, change %s, by %s at %s\n", view.Version, view.ChangeID, orDash(view.Operator), view.At.Format(time.RFC3339))
+			env.printf("%s", text)
+		})
 	})
 }
 
@@ -138,23 +135,12 @@
 
 // Run lists the profiles.
 func (c *profileList) Run(env *environment) error {
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	list, err := reading(admin.Profiles(ctx))
-	if err != nil {
-		return err
-	}
-	return env.show(list, func() {
-		rows := make([][]string, 0, len(list.Profiles))
-		for _, p := range list.Profiles {
-			rows = append(rows, []string{p.Name, fmt.Sprint(p.Version), fmt.Sprint(p.Profile.Priority), p.Profile.Deadline.String(),
-				fmt.Sprint(p.Profile.Objective), stageNames(p.Profile), orDash(p.Operator), p.At.Format(time.RFC3339)})
-		}
-		env.table([]string{"NAME", "VERSION", "PRIORITY", "DEADLINE", "OBJECTIVE", "STAGES", "BY", "AT"}, rows)
+	return display(env, (*client.Admin).Profiles, func(list lynxapi.ProfileList) {
+		env.table([]string{"NAME", "VERSION", "PRIORITY", "DEADLINE", "OBJECTIVE", "STAGES", "BY", "AT"},
+			rowsOf(list.Profiles, func(p lynxapi.ProfileView) []string {
+				return []string{p.Name, fmt.Sprint(p.Version), fmt.Sprint(p.Profile.Priority), p.Profile.Deadline.String(),
+					fmt.Sprint(p.Profile.Objective), stageNames(p.Profile), orDash(p.Operator), p.At.Format(time.RFC3339)}
+			}))
 	})
 }
 
--- a/cmd/lynxctl/report.go
+++ b/cmd/lynxctl/report.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
 	"os"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/report"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
@@ -42,16 +44,17 @@
 	if c.Window < 0 {
 		return usagef("--window must not be negative")
 	}
-	ctx, cancel := env.context()
-	defer cancel()
-	admin, err := env.admin()
-	if err != nil {
-		return err
-	}
-	burn, err := reading(admin.BurnOver(ctx, c.Window))
-	if err != nil {
-		return err
-	}
+	return env.withAdmin(func(ctx context.Context, admin *client.Admin) error {
+		burn, err := reading(admin.BurnOver(ctx, c.Window))
+		if err != nil {
+			return err
+		}
+		return c.deliver(env, burn)
+	})
+}
+
+// deliver writes the report to the file, or to the standard output.
+func (c *burnCommand) deliver(env *environment, burn lynxapi.BurnReport) error {
 	if c.File == "" {
 		return c.write(env, env.stdout, burn)
 	}
--- a/cmd/lynxctl/request.go
+++ b/cmd/lynxctl/request.go
@@ -30,11 +30,10 @@
 		return err
 	}
 	return env.show(answer, func() {
-		rows := make([][]string, 0, len(answer.Addresses))
-		for _, a := range answer.Addresses {
-			rows = append(rows, []string{a.ID, a.Address, a.Place, a.Region, fmt.Sprintf("%.2f", a.Weight)})
-		}
-		env.table([]string{"INSTANCE", "ADDRESS", "PLACE", "REGION", "WEIGHT"}, rows)
+		env.table([]string{"INSTANCE", "ADDRESS", "PLACE", "REGION", "WEIGHT"},
+			rowsOf(answer.Addresses, func(a lynxapi.Address) []string {
+				return []string{a.ID, a.Address, a.Place, a.Region, fmt.Sprintf("%.2f", a.Weight)}
+			}))
 		env.printf("keep for %v\n", time.Duration(answer.KeepMS)*time.Millisecond)
 	})
 }
@@ -149,9 +148,9 @@
 		}
 		fmt.Fprintf(env.stderr, "key %s, instance %s, version %d, %.0f ms%s, %d tokens%s%s\n",
 			reply.Key, orDash(reply.Instance), reply.ProfileVersion, reply.TotalMS,
-			note(reply.FirstTokenMS > 0, fmt.Sprintf(", first token %.0f ms", reply.FirstTokenMS)), reply.Tokens,
-			note(result.Attempts > 1, fmt.Sprintf(", %d attempts", result.Attempts)),
-			note(reply.Repeated, ", answer of an earlier request with this key"))
+			textIf(reply.FirstTokenMS > 0, fmt.Sprintf(", first token %.0f ms", reply.FirstTokenMS)), reply.Tokens,
+			textIf(result.Attempts > 1, fmt.Sprintf(", %d attempts", result.Attempts)),
+			textIf(reply.Repeated, ", answer of an earlier request with this key"))
 		c.showStages(env, reply.Stages)
 	})
 }
--- /dev/null
+++ b/deploy/soak/verdict.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"lynxhill.example/lynxhill/deploy/emulator"
+)
+
+// result of a run.
+type result struct {
+	cut                                   time.Time // when it was interrupted
+	broken                                []string  // promises
+	wrong                                 []string  // in the soak itself; there is no verdict then
+	asked, served, runs, pieces           int
+	faults, unserved, uncounted, revokeds map[string]int
+	revokedLate                           time.Duration
+}
+
+// counts reports whether what ended then counts: nothing does that ended after an interrupt.
+func (r result) counts(ended time.Time) bool { return r.cut.IsZero() || ended.Before(r.cut) }
+
+// judge compares what clients saw with what servers did.
+func judge(o options, places []place, w *emulator.World, l *load, h *hurter, cut time.Time) result {
+	r := result{
+		cut: cut, wrong: h.wrong, runs: len(w.Journal.Runs()), pieces: len(w.Journal.Pieces()), faults: h.counts,
+		unserved: make(map[string]int), uncounted: make(map[string]int), revokeds: make(map[string]int),
+	}
+	kills, err := readKills(o.dir)
+	if err != nil {
+		r.wrong = append(r.wrong, "wrong: "+err.Error())
+	}
+	for _, a := range l.asked {
+		r.count(a)
+	}
+	attempts, ends := make(map[string]emulator.Attempt), make(map[string]time.Time) // ends are deadlines, by path
+	for _, c := range l.clients {
+		for _, a := range c.Attempts() { // in their order
+			attempts[a.ID] = a
+			if ends[a.Ask.Path].IsZero() {
+				ends[a.Ask.Path] = a.Sent.Add(a.Ask.Deadline)
+			}
+		}
+	}
+	for _, v := range w.Check(l.clients...) {
+		a := attempts[v.Attempt] // zero if no client sent it
+		r.weigh(v, a, l.instancesOf(a, places), kills, fmt.Sprintf("%s at %.2f s, ended %v before its deadline", a.Ask.Path,
+			a.Sent.Sub(l.zero).Seconds(), ends[a.Ask.Path].Sub(a.Ended).Round(time.Millisecond)))
+	}
+	return r
+}
+
+// weigh adds a broken promise to an attempt at some instances, unless it ended after the interrupt, or was lost with an
+// instance that was killed meanwhile.
+func (r *result) weigh(v emulator.Violation, a emulator.Attempt, at []string, kills map[string][]time.Time, where string) {
+	const slack = 100 * time.Millisecond // by which the script may note a kill before it is done
+	died := slices.ContainsFunc(at, func(id string) bool {
+		return slices.ContainsFunc(kills[id], func(kill time.Time) bool { return kill.After(a.Sent.Add(-slack)) && kill.Before(a.Ended) })
+	})
+	switch {
+	case a.ID != "" && !r.counts(a.Ended):
+		r.uncounted["interrupted, "+v.Name]++
+	case v.Name == emulator.NameLost && died:
+		r.uncounted["lost with a killed instance"]++
+	default:
+		r.broken = append(r.broken, fmt.Sprintf("broken: %s %s %s, at %v: %s", v.Name, v.Attempt, where, at, v.Detail))
+	}
+}
+
+// count adds one request to the shares.
+func (r *result) count(a asked) {
+	served := a.last.Complete && a.last.Status == http.StatusOK
+	how := fmt.Sprintf("status %d", a.last.Status)
+	if !a.last.Complete {
+		how += map[bool]string{false: " broke off", true: " at the deadline"}[a.last.GaveUp]
+	}
+	switch {
+	case !r.counts(a.last.Ended):
+		r.uncounted["interrupted"]++
+	case a.leaving:
+		r.uncounted["client leaves early"]++
+	case !a.revoked.IsZero():
+		r.revokeds[how]++
+		if served {
+			r.revokedLate = max(r.revokedLate, a.last.Sent.Sub(a.revoked))
+		}
+	default:
+		r.asked++
+		if served {
+			r.served++
+			return
+		}
+		r.unserved[strings.SplitN(a.last.Ask.Path, "/", 3)[1]+", "+how]++
+	}
+}
+
+// instancesOf are the instances that an attempt was sent to.
+func (l *load) instancesOf(a emulator.Attempt, places []place) (ids []string) {
+	for _, c := range l.contacts[a.Ask.Path] {
+		n := slices.IndexFunc(places, func(i place) bool { return i.Listen == c.address })
+		if n >= 0 && !c.at.Before(a.Sent) && !c.at.After(a.Ended) {
+			ids = append(ids, places[n].ID)
+		}
+	}
+	return ids
+}
+
+// readKills reads when the script killed instances, by id.
+func readKills(dir string) (map[string][]time.Time, error) {
+	kills := make(map[string][]time.Time)
+	text, err := os.ReadFile(filepath.Join(dir, "signals.txt"))
+	for line := range strings.Lines(string(text)) {
+		var seconds, micros int64
+		var id, name string
+		if _, err := fmt.Sscanf(line, "%d.%d %s %s", &seconds, &micros, &id, &name); err != nil {
+			return nil, fmt.Errorf("signals.txt: %q: %w", line, err)
+		}
+		if name == "KILL" {
+			kills[id] = append(kills[id], time.Unix(seconds, micros*1000))
+		}
+	}
+	return kills, err
+}
+
+// String is the result for people, and for the script, which looks for "broken:" and "wrong:".
+func (r result) String() string {
+	lines := []string{
+		fmt.Sprintf("served %.4f: %d of %d requests; %d runs, %d pieces at targets", float64(r.served)/float64(max(r.asked, 1)), r.served, r.asked, r.runs, r.pieces),
+		fmt.Sprintf("not served: %v", r.unserved),
+		fmt.Sprintf("not counted: %v", r.uncounted),
+		fmt.Sprintf("with a revoked key: %v; the latest was served %v after", r.revokeds, r.revokedLate.Round(time.Millisecond)),
+		fmt.Sprintf("faults: %v", r.faults),
+		fmt.Sprintf("promises broken: %d", len(r.broken)),
+	}
+	if !r.cut.IsZero() {
+		lines = append(lines, "interrupted while the load ran: what ended later isn't counted")
+	}
+	return strings.Join(slices.Concat(lines, r.broken, r.wrong), "\n") + "\n"
+}
--- /dev/null
+++ b/deploy/soak/world.go
@@ -0,0 +1,113 @@
+package main
+
+import (
+	"context"
+	_ "embed" // of the configuration
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"lynxhill.example/lynxhill/deploy/emulator"
+)
+
+// worldJSON holds the first configuration, and the pools of servers in the emulator's own terms.
+//
+//go:embed world.json
+var worldJSON []byte
+
+// openStores gives each instance its own way to the store, so that faults can be those of one.
+func openStores(w *emulator.World, places []place) error {
+	for n := range places {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		places[n].Store = l.Addr().String()
+		front := http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			r.RemoteAddr = places[n].ID + ":" + r.RemoteAddr
+			w.Store.ServeHTTP(rw, r)
+		})
+		go func() { _ = (&http.Server{Handler: front}).Serve(l) }() // ends with the process
+	}
+	return nil
+}
+
+// serveWorld runs the stand-ins and the load, and writes the result. It stays until a signal, so that instances can stop
+// in an orderly way. A signal before the result interrupts the load.
+func serveWorld(o options) error {
+	whole, end := context.WithTimeout(context.Background(), o.duration+2*time.Minute)
+	defer end()
+	ctx, stop := signal.NotifyContext(whole, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	source := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(o.seed, n)) }
+	d := emulator.Deployment{Random: source(1)}
+	if err := json.Unmarshal(worldJSON, &d); err != nil {
+		return err
+	}
+	w, err := emulator.NewWorld(d)
+	if err != nil {
+		return err
+	}
+	defer w.Close()
+	places := choosePlaces(o.instances)
+	err = openStores(w, places)
+	text, _ := json.Marshal(places) // strings only
+	if err := errors.Join(err, writeWhole(o.dir, "plan.json", text)); err != nil {
+		return err
+	}
+	for begun := false; !begun; {
+		_, err := os.Stat(filepath.Join(o.dir, "go"))
+		if begun = err == nil; !pause(ctx, 10*time.Millisecond) {
+			return writeWhole(o.dir, "result.txt", []byte("interrupted before the load began\n"))
+		}
+	}
+	l := newLoad(places, d.Config, o.rate, source(2))
+	h := &hurter{world: w, places: places, load: l, random: source(3), leaving: make(map[string]bool), counts: make(map[string]int)}
+	cut := soak(ctx, o, l, h)
+	ended, forget := signal.NotifyContext(whole, syscall.SIGINT, syscall.SIGTERM)
+	defer forget()
+	if !settled(w, 10*time.Second) {
+		h.wrong = append(h.wrong, "wrong: servers are still at work 10 s after the load")
+	}
+	if err := writeWhole(o.dir, "result.txt", []byte(judge(o, places, w, l, h, cut).String())); err != nil {
+		return err
+	}
+	<-ended.Done()
+	return nil
+}
+
+// soak runs load and faults. It returns when the load was interrupted, else zero.
+func soak(ctx context.Context, o options, l *load, h *hurter) (cut time.Time) {
+	loading, end := context.WithTimeout(ctx, o.duration)
+	defer end()
+	hurting, endFaults := context.WithTimeout(loading, o.duration-3*time.Second)
+	defer endFaults()
+	var working sync.WaitGroup
+	working.Go(func() { h.run(hurting) })
+	working.Go(func() { l.run(loading) })
+	<-loading.Done()
+	if errors.Is(loading.Err(), context.Canceled) {
+		cut = time.Now()
+	}
+	working.Wait() // also for the asks on their way
+	return cut
+}
+
+// settled waits until the servers are at work no more.
+func settled(w *emulator.World, limit time.Duration) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if !slices.ContainsFunc(w.Journal.Runs(), func(run emulator.Run) bool { return run.Ended.IsZero() }) {
+			return true
+		}
+	}
+	return false
+}
