--- a/internal/config/ingress.go
+++ b/internal/config/ingress.go
@@ -12,7 +12,7 @@
 	Listen    string `toml:"listen"`    // callers' requests; "" = the instance serves no plain requests
 	Readiness string `toml:"readiness"` // the platform's question whether the instance is ready
 	Addresses string `toml:"addresses"` // callers' question where to connect; "" = not answered here
-	Control   string `toml:"control"`   // reserved: nobody outside calls it
+	Control   string `toml:"control"`   // a second address for other instances, where peers.seeds point; "" = none
 
 	AddressTTL Duration `toml:"address_ttl"` // how long callers may keep an address
 	Grace      Duration `toml:"grace"`       // from the order to stop to the end of the process
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -12,6 +12,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -190,12 +191,12 @@
 func (i *Instance) assembleRequestPath() {
 	i.pool = exchange.New(exchange.Options{Dial: i.o.Dial, AnswerID: i.adapter.AnswerID})
 	i.dispatcher = stagework.New(stagework.Options{
-		Client: i.adapter.Stages(i.pool), Clock: i.o.Clock, Logger: i.o.Logger,
+		Self: i.id(), Client: i.adapter.Stages(i.pool), Clock: i.o.Clock, Logger: i.o.Logger,
 		Reuse: i.cfg.Ingress.ReuseWindow.Duration,
 	})
 	i.finder = stagework.NewFinder(stagework.FinderOptions{
 		Self: i.id(), Local: i.dispatcher, Remote: i.peers,
-		Members:  func() []string { return i.board.LiveMembers(i.id()) },
+		Members:  i.dispatchers,
 		Capacity: i.capacity, Cells: i.currentCells,
 		Clock: i.o.Clock, Logger: i.o.Logger,
 	})
@@ -232,6 +233,7 @@
 		{i.cfg.Ingress.Readiness, control},
 		{i.cfg.Ingress.Addresses, control},
 		{i.cfg.Listen.Peer, peers},
+		{i.cfg.Ingress.Control, peers}, // where the settings' seeds point
 	} {
 		if l.address == "" {
 			continue
@@ -265,6 +267,9 @@
 
 // takeWork takes a job of another instance.
 func (i *Instance) takeWork(job stagework.Job) (stagework.Assignment, *stagework.Refusal) {
+	if i.ingress.Stopping() {
+		return nil, nil
+	}
 	t, refusal := i.dispatcher.Submit(job)
 	if refusal != nil {
 		return nil, refusal
@@ -293,6 +298,16 @@
 	return []stagework.Cell{{Weight: 1}}
 }
 
+// dispatchers returns the instances that may schedule: all that are alive, this
+// one unless it is stopping.
+func (i *Instance) dispatchers() []string {
+	live := i.board.LiveMembers(i.id())
+	if i.ingress.Stopping() {
+		live = slices.DeleteFunc(live, func(id string) bool { return id == i.id() })
+	}
+	return live
+}
+
 // capacity is the processor time of an instance.
 func (i *Instance) capacity(instance string) float64 {
 	if instance == i.id() {
@@ -375,6 +390,7 @@
 	defer cancel()
 	go func() { _ = i.adapter.Platform.Deregister(ctx, i.id()) }()
 	i.members.Leave(ctx)
+	i.dispatcher.HandBack()
 	for {
 		waited := i.o.Clock.Now().Sub(began)
 		idle := i.ingress.InFlight() == 0 && i.dispatcher.Jobs() == 0
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -115,7 +115,9 @@
 	if !ef.o.Targets().Usable(p.Target) {
 		return ef.skipped(ctx)
 	}
-	resp, head, err := ef.send(ctx, ef.call(target, p.Inputs, ef.stream.resumeAt()))
+	sending, headOut, cancel := ef.untilHead()
+	defer cancel()
+	resp, head, err := ef.send(sending, ef.call(target, p.Inputs, ef.stream.resumeAt()))
 	switch {
 	case err != nil && !wasSent(err):
 		return ef.failed(ctx, target, false, err)
@@ -134,7 +136,8 @@
 	}
 	ef.ran = true
 	ef.work.Begun()
-	err = ef.stream.pass(ctx, resp)
+	headOut()
+	err = ef.stream.pass(sending, resp)
 	if err == nil {
 		return true
 	}
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -74,6 +74,7 @@
 	*Forwarder
 	Inbound
 	w        http.ResponseWriter
+	base     context.Context // lasts a little longer than until
 	service  string
 	until    time.Time // when the final answer is due
 	sends    int       // targets that the request was sent to
@@ -99,7 +100,10 @@
 		fl.refuse(errkind.New(errkind.Overloaded, "targets died while running this request"), time.Second)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, fl.until.Add(-answerMargin))
+	base, end := context.WithDeadline(ctx, fl.until.Add(2*answerMargin))
+	defer end()
+	fl.base = base
+	ctx, cancel := context.WithDeadline(base, fl.until.Add(-answerMargin))
 	defer cancel()
 	f.o.Budget.Request(fl.service)
 	if s := in.Table.Services[fl.service]; s != nil && s.Engine != nil {
@@ -188,6 +192,24 @@
 	return c
 }
 
+// untilHead returns the context for an exchange whose answer is passed on as it
+// comes: up to the head it ends in time for an answer of our own. Call headOut
+// once the head was passed on.
+//
+// What goes wrong without it: a stream that comes to its end in its last
+// milliseconds is torn by the margin, which is of no use any more. One notices
+// it by streams that break off just before their deadline at sound targets.
+func (fl *flight) untilHead() (ctx context.Context, headOut func(), cancel func()) {
+	ctx, cancelCause := context.WithCancelCause(fl.base)
+	timer := fl.o.Clock.AfterFunc(fl.until.Add(-answerMargin).Sub(fl.o.Clock.Now()), func() {
+		cancelCause(context.DeadlineExceeded)
+	})
+	return ctx, func() { timer.Stop() }, func() {
+		timer.Stop()
+		cancelCause(nil)
+	}
+}
+
 // send makes one exchange with the target.
 func (fl *flight) send(ctx context.Context, c relay.Call) (*exchange.Response, relay.Answer, error) {
 	fl.sends++
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -35,7 +35,8 @@
 	Handover func(ctx context.Context, from string, records []outcome.Exported)
 	Burn     func(window time.Duration) lynxapi.BurnReport
 	Claim    func(ctx context.Context, m claim.Message) (claim.Reply, error) // claim.Pages.Handle
-	// Work takes a job of another instance; stagework.Dispatcher.Submit.
+	// Work takes a job of another instance; stagework.Dispatcher.Submit. Neither
+	// result is set if the instance takes no jobs.
 	Work    func(job stagework.Job) (stagework.Assignment, *stagework.Refusal)
 	Logger  *event.Logger
 	Metrics *metrics.Registry
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -172,8 +172,11 @@
 		return connect.NewError(connect.CodeUnimplemented, errors.New("no stage work here"))
 	}
 	t, refusal := h.o.Work(jobFromProto(first.GetJob(), time.Now()))
-	if refusal != nil {
+	switch {
+	case refusal != nil:
 		return stream.Send(workRefusalToProto(refusal))
+	case t == nil:
+		return connect.NewError(connect.CodeUnavailable, errors.New("this instance is stopping"))
 	}
 	defer t.End()
 	ended := make(chan struct{})
@@ -224,6 +227,9 @@
 }
 
 func sendDecision(stream *connect.BidiStream[peerpb.WorkUp, peerpb.WorkDown], d stagework.Decision) (done bool, err error) {
+	if d.Lost != "" {
+		return true, connect.NewError(connect.CodeUnavailable, errors.New("the job is given back"))
+	}
 	if d.Refusal != nil {
 		return true, stream.Send(workRefusalToProto(d.Refusal))
 	}
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -24,6 +24,7 @@
 
 // Options of a Dispatcher.
 type Options struct {
+	Self   string // instance id
 	Client relay.StageClient
 	Clock  clock.Clock
 	Logger *event.Logger
@@ -189,13 +190,34 @@
 		return nil, refusal
 	}
 	t.j = j
+	j.lost = func() { t.put(Decision{Lost: d.o.Self}) }
 	d.proceed(t.p)
 	return t, nil
 }
 
-func (t *Ticket) decide(p Placement, r *Refusal) {
+// HandBack gives the jobs of which nothing was begun back to their owners, who
+// hand them to the next dispatcher. It is for an instance that is stopping: two
+// dispatchers that go on beside each other for the time of a stop fill the same
+// targets without knowing of each other. Begun jobs are finished here.
+func (d *Dispatcher) HandBack() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.o.Clock.Now()
+	for _, p := range d.planners {
+		for _, j := range p.staging() {
+			if len(j.units) > 0 && !j.committed() {
+				p.cancel(j, now)
+				j.lost()
+			}
+		}
+	}
+}
+
+func (t *Ticket) decide(p Placement, r *Refusal) { t.put(Decision{Placement: p, Refusal: r}) }
+
+func (t *Ticket) put(d Decision) {
 	select {
-	case t.decisions <- Decision{Placement: p, Refusal: r}:
+	case t.decisions <- d:
 	default: // the owner has not read any of them: it is gone
 	}
 }
--- a/internal/stagework/engine_test.go
+++ b/internal/stagework/engine_test.go
@@ -158,8 +158,9 @@
 
 // remote is a Remote whose instances answer or don't.
 type remote struct {
-	silent []string
-	asked  map[string]int
+	silent    []string
+	unknowing []string // they answer that there is no target
+	asked     map[string]int
 }
 
 func (r *remote) Work(_ context.Context, instance string, _ Job) (Assignment, *Refusal, error) {
@@ -167,6 +168,9 @@
 	if slices.Contains(r.silent, instance) {
 		return nil, nil, errors.New("silent")
 	}
+	if slices.Contains(r.unknowing, instance) {
+		return nil, &Refusal{Reason: ReasonNoTarget}, nil
+	}
 	return nil, &Refusal{Reason: instance}, nil // tells who answered
 }
 
@@ -212,6 +216,22 @@
 	})
 }
 
+// Symptom: requests of all instances are refused for want of targets, though
+// all but one know them.
+// Events: the instance that schedules is killed and started again while the
+// store does not answer it; the others hand their jobs to it.
+// Cause: the refusal of one that knows nothing was taken for final.
+func TestFinderDoesNotTakeTheWordOfOneThatKnowsNothing(t *testing.T) {
+	inFinder(t, func(f *Finder, r *remote, ranked []string) {
+		for unknowing, want := range []string{ranked[0], ranked[1], "self"} {
+			r.unknowing = ranked[:unknowing]
+			if got := answers(t, f); got != want {
+				t.Errorf("with %d that know nothing %s answered instead of %s", unknowing, got, want)
+			}
+		}
+	})
+}
+
 func TestFinderAvoidsALostDispatcherForAWhile(t *testing.T) {
 	inFinder(t, func(f *Finder, r *remote, ranked []string) {
 		r.silent = ranked[:1]
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -92,6 +92,11 @@
 			break
 		}
 		a, refusal, err := f.o.Remote.Work(ctx, instance, job)
+		if refusal != nil && refusal.Reason == ReasonNoTarget {
+			// An instance that has just started may not know the targets yet;
+			// its refusal must not be everybody's.
+			err = errUnknowing
+		}
 		if err == nil {
 			return a, refusal, nil
 		}
@@ -134,6 +139,8 @@
 	return rendezvous.Top(dispatcherKey+cell.Name(), f.large(usable), maxCandidates)
 }
 
+var errUnknowing = errors.New("it knows no target")
+
 var errLost = errors.New("lost while the job waited")
 
 // large returns the members with at least largeInstance of the processor time
--- /dev/null
+++ b/internal/stagework/handback_test.go
@@ -0,0 +1,77 @@
+package stagework
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/coder/quartz"
+
+	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/route"
+)
+
+// busyTargets is a relay.StageClient whose calls do not end by themselves.
+type busyTargets struct{}
+
+func (busyTargets) Run(ctx context.Context, _ fleet.Target, _ []relay.Piece) ([]relay.PieceResult, bool, error) {
+	<-ctx.Done()
+	return nil, false, ctx.Err()
+}
+
+func (busyTargets) Free(context.Context, string, []string) error { return nil }
+
+func (busyTargets) Report(context.Context, fleet.Target) (relay.StageReport, error) {
+	return relay.StageReport{}, context.DeadlineExceeded
+}
+
+// Symptom: pieces refused for want of room for seconds around each planned stop
+// of an instance.
+// Events: the instance that schedules is stopped in order and has jobs that
+// wait; the others already use the next dispatcher.
+// Cause: the waiting jobs stayed, so two dispatchers filled the same targets.
+func TestAStoppingDispatcherGivesBackWhatHasNotBegun(t *testing.T) {
+	c := quartz.NewMock(t)
+	d := New(Options{Self: "a", Client: busyTargets{}, Clock: c})
+	defer d.Close()
+	table := (&route.Table{Services: map[string]*route.Service{
+		"cut": {Name: "cut", Pieces: &route.Pieces{Slots: 1, Batch: 1, CallTime: 100 * time.Millisecond, ResultRoom: 1 << 20, ResultLifetime: time.Minute}},
+		"lm":  {Name: "lm", Engine: &route.Engine{Slots: 8}},
+	}}).Build()
+	d.SetTargets(table, fleet.NewView(1, []fleet.Target{{ID: "s", Service: "cut", Address: "at s"}, {ID: "e", Service: "lm", Address: "at e"}}))
+	submit := func(id string) *Ticket {
+		ticket, refusal := d.Submit(Job{
+			ID: id, Key: "k", Service: "lm", Aim: c.Now().Add(time.Minute), Deadline: c.Now().Add(time.Minute),
+			Stages: []route.Stage{{Service: "cut", ResultBytes: 1}}, Pieces: []int{1}, Prompt: &relay.Prompt{TokensIn: 1},
+		})
+		if refusal != nil {
+			t.Fatalf("job %s is refused: %s", id, refusal.Reason)
+		}
+		return ticket
+	}
+	// The first job's piece is being made; the second waits for the target.
+	d.mu.Lock()
+	d.planner(Cell{}).services["cut"].limits.ResultRoom = 1 // room for one
+	d.mu.Unlock()
+	begun, waiting := submit("1"), submit("2")
+	d.HandBack()
+	select {
+	case got := <-waiting.Decisions():
+		if got.Lost != "a" {
+			t.Errorf("the waiting job got %+v", got)
+		}
+	default:
+		t.Error("the waiting job was not given back")
+	}
+	select {
+	case got := <-begun.Decisions():
+		if got.Lost != "" {
+			t.Error("the job whose piece is being made was given back")
+		}
+	default:
+	}
+	if n := d.Jobs(); n > 1 {
+		t.Errorf("%d jobs are left, the begun one at most", n)
+	}
+}
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -145,6 +145,7 @@
 	placed  time.Time
 	missing int // prompt tokens that the engine has to read
 	notify  func(Placement, *Refusal)
+	lost    func() // gives the job back to its owner
 }
 
 // leaves are the units whose results the engine reads.
