Stage work: the comments of results.go stand with their functions again

Cause: the split of planner.go moved the functions and left their doc comments behind. Ruled out: nothing else moved; no line of code is changed here. Conclusion: a split is read once more as a whole.

--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -289,13 +289,6 @@
 	}
 }
 
-// drop takes the unit out of the list of those that wait.
-// free gives up the unit's results and its room. Results of pieces that still
-// run are given up when their call ends.
-// forget gives up one result. Its room counts as taken until its maker has
-// been told: a piece sent there before would be refused for want of room.
-// leaving is a result that its maker is being told to give up.
-// released is told that the maker of results has been told to give them up.
 // unplace takes the job off its engine.
 func (p *Planner) unplace(j *job) {
 	e := j.engine
@@ -404,15 +397,3 @@
 		j.engine.failed(now)
 	}
 }
-
-// redo has a unit's results made again, which are gone or not to be had.
-// enqueue puts the unit among those that wait.
-// again puts a piece back among those that wait. What it is made from was
-// given up if all pieces had been made, and is made again too.
-// finished is told how a call ended. results is nil if it failed.
-// took takes in what became of one piece.
-// lostInputs finds which results before the unit are gone and has them made
-// again: those of targets that are gone or failing, else those that are old,
-// else all.
-// completed frees what the unit's results were made from, once all that need it
-// are made.
--- a/internal/stagework/results.go
+++ b/internal/stagework/results.go
@@ -7,12 +7,15 @@
 	"lynxhill.example/lynxhill/internal/relay"
 )
 
+// drop takes the unit out of the list of those that wait.
 func (v *service) drop(u *unit) {
 	if at := slices.Index(v.units, u); at >= 0 {
 		v.units = slices.Delete(v.units, at, at+1)
 	}
 }
 
+// free gives up the unit's results and its room. Results of pieces that still
+// run are given up when their call ends.
 func (p *Planner) free(u *unit, now time.Time) {
 	if u.freed {
 		return
@@ -31,11 +34,15 @@
 	}
 }
 
+// forget gives up one result.
 func (p *Planner) forget(q *piece) {
 	p.giveUp(q.server, q.handle, q.unit.bytes)
 	q.handle = ""
 }
 
+// giveUp has the maker of a result told to give it up. Its room counts as taken
+// until the maker has been told: a piece sent there before would be refused for
+// want of room.
 func (p *Planner) giveUp(s *server, handle string, bytes int64) {
 	if s.gone {
 		s.room -= bytes
@@ -45,11 +52,13 @@
 	p.release(s.target.Address, []string{handle})
 }
 
+// leaving is a result that its maker is being told to give up.
 type leaving struct {
 	server *server
 	bytes  int64
 }
 
+// released is told that the maker of results has been told to give them up.
 func (p *Planner) released(handles []string) {
 	for _, h := range handles {
 		if l, ok := p.leaving[h]; ok {
@@ -59,6 +68,7 @@
 	}
 }
 
+// redo has a unit's results made again, which are gone or not to be had.
 func (p *Planner) redo(u *unit, now time.Time) {
 	u.freed = false
 	for _, q := range u.pieces {
@@ -73,12 +83,15 @@
 	u.enqueue()
 }
 
+// enqueue puts the unit among those that wait.
 func (u *unit) enqueue() {
 	if u.waiting > 0 && !slices.Contains(u.service.units, u) {
 		u.service.units = append(u.service.units, u)
 	}
 }
 
+// again puts a piece back among those that wait. What it is made from was
+// given up if all pieces had been made, and is made again too.
 func (p *Planner) again(q *piece, now time.Time) {
 	u := q.unit
 	if q.state == pieceMade {
@@ -94,6 +107,7 @@
 	}
 }
 
+// finished is told how a call ended. results is nil if it failed.
 func (p *Planner) finished(c *call, results []relay.PieceResult, full bool, now time.Time) {
 	s := c.server
 	s.calls--
@@ -132,6 +146,7 @@
 	}
 }
 
+// took takes in what became of one piece.
 func (p *Planner) took(q *piece, s *server, r relay.PieceResult, now time.Time) {
 	u := q.unit
 	if r.Fault != relay.PieceMade {
@@ -167,6 +182,9 @@
 	p.again(q, now)
 }
 
+// lostInputs finds which results before the unit are gone and has them made
+// again: those of targets that are gone or failing, else those that are old,
+// else all.
 func (p *Planner) lostInputs(u *unit, now time.Time) {
 	var suspects, all []*piece
 	for _, a := range u.after {
@@ -190,6 +208,8 @@
 	}
 }
 
+// completed frees what the unit's results were made from, once all that need it
+// are made.
 func (p *Planner) completed(u *unit, now time.Time) {
 	u.service.drop(u)
 	for _, a := range u.after {
