Peer: the jobs of a silent owner end at the dispatcher after 2.2 s

Cause: an owner that falls silent without closing its connections (cut off, frozen) was noticed by the dispatcher only when the connection was found dead, up to 18 s later; until then its pieces were made and its results took room. The owner now shows every third message that it lives, and the dispatcher ends the jobs of one that does not. Ruled out: pings of the connection, since idle connections between all instances would have to be pinged every second. Test: TestTheJobsOfASilentOwnerEnd (before: nothing within 5 s).

--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -23,6 +23,11 @@
 	// workSilent the silence after which the job is handed to another.
 	workBeat   = 250 * time.Millisecond
 	workSilent = 900 * time.Millisecond
+	// ownerBeat is after how many messages of the dispatcher the owner shows
+	// that it lives, ownerSilent the silence after which the dispatcher ends
+	// the job: it is more than two signs that did not arrive.
+	ownerBeat   = 3
+	ownerSilent = 2200 * time.Millisecond
 )
 
 var errWorkSilent = errors.New("peer: the dispatcher is silent")
@@ -97,13 +102,16 @@
 	})
 	defer silence.Stop()
 	defer w.cancel(nil)
-	for {
+	for received := 1; ; received++ {
 		m, err := w.stream.Receive()
 		if err != nil {
 			w.put(stagework.Decision{Lost: w.instance})
 			return
 		}
 		silence.Reset(workSilent)
+		if received%ownerBeat == 0 {
+			w.send(peerpb.WorkEvent_WORK_EVENT_UNSPECIFIED)
+		}
 		if m.GetTarget() != "" || m.GetReason() != "" {
 			w.put(decisionOf(m))
 		}
@@ -161,7 +169,10 @@
 	}
 }
 
-// Work serves a job of another instance: its end is the end of the stream.
+// Work serves a job of another instance: its end is the end of the stream, or
+// the silence of its owner. Without the latter the jobs of an instance that is
+// cut off are worked on, and their results take room, until the connection is
+// found dead.
 func (h *service) Work(ctx context.Context, stream *connect.BidiStream[peerpb.WorkUp, peerpb.WorkDown]) error {
 	h.count("work")
 	first, err := stream.Receive()
@@ -179,6 +190,10 @@
 		return connect.NewError(connect.CodeUnavailable, errors.New("this instance is stopping"))
 	}
 	defer t.End()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(ownerSilent, cancel)
+	defer silence.Stop()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -187,6 +202,7 @@
 			if err != nil {
 				return
 			}
+			silence.Reset(ownerSilent)
 			applyEvent(t, m.GetEvent())
 		}
 	}()
--- a/internal/peer/work_test.go
+++ b/internal/peer/work_test.go
@@ -224,3 +224,24 @@
 	a.Begun()
 	a.End()
 }
+
+// Symptom: pieces are refused for want of room for up to 18 s after an instance
+// was cut off. Events: an instance that has handed jobs over falls silent
+// without closing its connections. Cause: its jobs stayed at the dispatcher,
+// their pieces were made and their results lay at their makers, until the
+// connection was found dead.
+func TestTheJobsOfASilentOwnerEnd(t *testing.T) {
+	s, client, w := serveScripted(t)
+	work(t, client)
+	select { // an owner that lives keeps its job however long it waits
+	case told := <-s.told:
+		t.Fatalf("told %q by an owner that lives", told)
+	case <-time.After(ownerSilent + workBeat):
+	}
+	w.silent.Store(true)
+	began := time.Now()
+	expectTold(t, s, "end")
+	if took := time.Since(began); took > ownerSilent+workBeat {
+		t.Errorf("the job ended after %v", took)
+	}
+}
