Stage work: an instance that is cut off sends callers to the others

Cause: an instance that reaches neither the others nor the store, but callers and targets, scheduled its requests by itself beside the others' dispatcher: calls queued behind each other at the targets, which then counted as slow. Now it refuses stage work at once, not run, with a time to come back of 50 ms, until membership holds the others for dead or the store answers (then they are down, not cut off). What is left is in part that two instances schedule for a while after the cut.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -93,6 +93,7 @@
 	ingress    *ingress.Ingress
 
 	cells   atomic.Pointer[[]stagework.Cell]
+	askedAt atomic.Int64 // the last word of another instance before the store was asked, ns; 0 = never
 	wokeAt  atomic.Int64 // boot time of the last waking that is not confirmed, ns; 0 = none
 	servers []*http.Server
 	listens []net.Listener
@@ -197,7 +198,7 @@
 	i.finder = stagework.NewFinder(stagework.FinderOptions{
 		Self: i.id(), Local: i.dispatcher, Remote: i.peers,
 		Members:  i.dispatchers,
-		Capacity: i.capacity, Cells: i.currentCells,
+		Capacity: i.capacity, Cells: i.currentCells, Alone: i.alone,
 		Clock: i.o.Clock, Logger: i.o.Logger,
 	})
 	forwarder := forwarding.New(forwarding.Options{
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -226,8 +226,11 @@
 		return
 	}
 	kind := errkind.DeadlineUnreachable
-	if r.Reason == stagework.ReasonNoTarget {
+	switch r.Reason {
+	case stagework.ReasonNoTarget:
 		kind = errkind.NoTarget
+	case stagework.ReasonAlone:
+		kind = errkind.Isolated
 	}
 	ef.refuse(errkind.New(kind, "%s", r.Reason), r.RetryAfter)
 }
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -59,6 +59,16 @@
 	return m.compose(d.From, d.Sums, m.budget())
 }
 
+// Silence returns how long, by the boot clock, no other instance has sent a
+// digest or answered one; 0 if none ever has.
+func (m *Manager) Silence() time.Duration {
+	heard := m.heard.Load()
+	if heard == 0 {
+		return 0
+	}
+	return m.o.Boot.SinceBoot() - time.Duration(heard)
+}
+
 // budget is the estimated size of one digest: an instance starts one exchange
 // a heartbeat and answers one on average, each with a digest both ways.
 func (m *Manager) budget() int {
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/board"
@@ -140,6 +141,8 @@
 	rand *loop.Rand
 	view *view
 
+	heard atomic.Int64 // when the last digest of another came, boot time in ns
+
 	parts partList
 	pace  contactPace
 	hurry board.Signal // a controller has rows that should not wait
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -36,6 +36,9 @@
 	// Capacity returns an instance's processor time, in cores; 0 if unknown.
 	// nil = all have the same.
 	Capacity func(instance string) float64
+	// Alone reports whether this instance reaches neither the others, which it
+	// believes alive, nor the platform's store. nil = it never is.
+	Alone func() bool
 	// Cells returns the parts into which the targets are divided. nil = one.
 	Cells  func() []Cell
 	Clock  clock.Clock
@@ -88,6 +91,9 @@
 func (f *Finder) submitTo(ctx context.Context, cell Cell, job Job) (Assignment, *Refusal, error) {
 	job.Cell = cell.Places
 	for _, instance := range f.candidates(cell) {
+		if refusal := f.refuseAlone(&job); refusal != nil {
+			return nil, refusal, nil
+		}
 		if instance == f.o.Self {
 			break
 		}
@@ -112,6 +118,21 @@
 	return t, nil, nil
 }
 
+// elsewhere is when a caller that is sent to another instance may come back.
+const elsewhere = 50 * time.Millisecond
+
+// refuseAlone refuses stage work in an instance that is cut off from the
+// others: it would schedule beside their dispatcher and fill the same targets.
+// One notices that by calls that find a target full and by pieces refused for
+// want of room on both sides. Callers reach the other instances. Once
+// membership holds the others for dead, this instance schedules by itself.
+func (f *Finder) refuseAlone(job *Job) *Refusal {
+	if f.o.Alone == nil || !job.hasPieces() || !f.o.Alone() {
+		return nil
+	}
+	return &Refusal{Reason: ReasonAlone, RetryAfter: elsewhere}
+}
+
 // maxCandidates bounds how many instances are asked before one schedules by
 // itself.
 const maxCandidates = 3
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -33,6 +33,16 @@
 	return j.Pieces[stage]
 }
 
+// hasPieces reports whether the job has stage work.
+func (j *Job) hasPieces() bool {
+	for _, n := range j.Pieces {
+		if n > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // session names the prompt part by which requests of one session are kept
 // together: the last but one, since the last belongs to the request alone.
 func (j *Job) session() string {
@@ -62,6 +72,7 @@
 	ReasonLate     = "cannot be done in time"
 	ReasonNoTarget = "no target takes work"
 	ReasonFailed   = "pieces failed too often"
+	ReasonAlone    = "the other instances are not reached"
 )
 
 // call is a call of a stage target that the planner wants made.
