Stage work: one dispatcher again soon after an instance returns

Cause: (1) an instance that was cut off held the first one for dead for seconds after its return and handed its jobs to the second, which took them; (2) one that stood in for a killed or frozen one went on with its jobs beside it. Now the one asked names the instance that ranks first, unless the owner insists since it did not reach that; and one that stood in gives back what has not begun. Tests: TestTheOneAskedNamesTheFirst, TestLeadIsLostOnceAndNotByAMoment.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -194,6 +194,7 @@
 	i.dispatcher = stagework.New(stagework.Options{
 		Self: i.id(), Client: i.adapter.Stages(i.pool), Clock: i.o.Clock, Logger: i.o.Logger,
 		Reuse: i.cfg.Ingress.ReuseWindow.Duration,
+		First: func(c stagework.Cell) bool { return i.finder.First(c) },
 	})
 	i.finder = stagework.NewFinder(stagework.FinderOptions{
 		Self: i.id(), Local: i.dispatcher, Remote: i.peers,
@@ -271,11 +272,7 @@
 	if i.ingress.Stopping() {
 		return nil, nil
 	}
-	t, refusal := i.dispatcher.Submit(job)
-	if refusal != nil {
-		return nil, refusal
-	}
-	return t, nil
+	return i.finder.Take(job)
 }
 
 func (i *Instance) peerAddress(instance string) (string, bool) {
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -268,11 +268,11 @@
 }
 
 func workRefusalToProto(r *stagework.Refusal) *peerpb.WorkDown {
-	return &peerpb.WorkDown{Reason: r.Reason, RetryAfterMs: uint32(max(r.RetryAfter.Milliseconds(), 0))}
+	return &peerpb.WorkDown{Reason: r.Reason, RetryAfterMs: uint32(max(r.RetryAfter.Milliseconds(), 0)), Elsewhere: r.Elsewhere}
 }
 
 func refusalOf(m *peerpb.WorkDown) *stagework.Refusal {
-	return &stagework.Refusal{Reason: m.GetReason(), RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond}
+	return &stagework.Refusal{Reason: m.GetReason(), RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, Elsewhere: m.GetElsewhere()}
 }
 
 func decisionOf(m *peerpb.WorkDown) stagework.Decision {
@@ -292,7 +292,7 @@
 	out := &peerpb.WorkJob{
 		Id: j.ID, Key: j.Key, Organisation: j.Organisation, Priority: int32(j.Priority),
 		AimMs: j.Aim.Sub(now).Milliseconds(), DeadlineMs: j.Deadline.Sub(now).Milliseconds(),
-		Service: j.Service, Place: j.Place, Avoid: j.Avoid, Cell: j.Cell,
+		Service: j.Service, Place: j.Place, Avoid: j.Avoid, Cell: j.Cell, Insist: j.Insist,
 	}
 	for i, s := range j.Stages {
 		stage := &peerpb.WorkStage{Service: s.Service, ResultBytes: uint64(max(s.ResultBytes, 0))}
@@ -319,7 +319,7 @@
 		ID: m.GetId(), Key: m.GetKey(), Organisation: m.GetOrganisation(), Priority: int(m.GetPriority()),
 		Aim:      now.Add(time.Duration(m.GetAimMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
-		Service:  m.GetService(), Place: m.GetPlace(), Avoid: m.GetAvoid(), Cell: m.GetCell(),
+		Service:  m.GetService(), Place: m.GetPlace(), Avoid: m.GetAvoid(), Cell: m.GetCell(), Insist: m.GetInsist(),
 	}
 	for _, s := range m.GetStages() {
 		stage := route.Stage{Service: s.GetService(), ResultBytes: int64(s.GetResultBytes())}
--- a/internal/peer/work_test.go
+++ b/internal/peer/work_test.go
@@ -71,11 +71,11 @@
 		ID: "i", Key: "k", Organisation: "o", Priority: 2, Aim: now.Add(-time.Minute), Deadline: now.Add(time.Hour),
 		Stages: []route.Stage{{Service: "s", After: []int{1}, ResultBytes: 1 << 40}, {Service: "t", ResultBytes: 3}}, Pieces: []int{3, 4}, Service: "lm",
 		Prompt: &relay.Prompt{Model: "m", TokensIn: 5, TokensOut: 6, LikelyOut: 7, Parts: []relay.PromptPart{{ID: "p", Tokens: 8}, {ID: "q", Tokens: 9}}},
-		Place:  "z", Avoid: []string{"e", "f"}, Cell: []string{"x", "y"},
+		Place:  "z", Avoid: []string{"e", "f"}, Cell: []string{"x", "y"}, Insist: true,
 	}
 	requireAllSet(t, reflect.ValueOf(want), "Job")
 	requireAllSet(t, reflect.ValueOf(*want.Prompt), "Job.Prompt")
-	refusal := stagework.Refusal{Reason: stagework.ReasonLate, RetryAfter: 1500 * time.Millisecond}
+	refusal := stagework.Refusal{Reason: stagework.ReasonLate, RetryAfter: 1500 * time.Millisecond, Elsewhere: "c"}
 	jobs := make(chan stagework.Job, 1)
 	client, _ := serve(t, ServerOptions{Work: func(j stagework.Job) (stagework.Assignment, *stagework.Refusal) {
 		jobs <- j
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -31,6 +31,9 @@
 	// Reuse is the time within which it is a waste to read a prompt part that
 	// was read before.
 	Reuse time.Duration
+	// First reports whether this instance is the one that should schedule for
+	// the cell. nil = it always is.
+	First func(Cell) bool
 }
 
 // Dispatcher carries out what a Planner decides. It is safe for concurrent use.
@@ -202,13 +205,18 @@
 func (d *Dispatcher) HandBack() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	now := d.o.Clock.Now()
 	for _, p := range d.planners {
-		for _, j := range p.staging() {
-			if len(j.units) > 0 && !j.committed() {
-				p.cancel(j, now)
-				j.lost()
-			}
+		d.handBack(p)
+	}
+}
+
+// handBack gives the planner's jobs back. The lock is held.
+func (d *Dispatcher) handBack(p *Planner) {
+	now := d.o.Clock.Now()
+	for _, j := range p.staging() {
+		if len(j.units) > 0 && !j.committed() {
+			p.cancel(j, now)
+			j.lost()
 		}
 	}
 }
@@ -262,12 +270,19 @@
 	defer d.mu.Unlock()
 	d.waking = false
 	for _, p := range d.planners {
-		if len(p.jobs) > 0 {
-			d.proceed(p)
+		if len(p.jobs) == 0 {
+			continue
+		}
+		if p.lead.lost(d.first(p), d.o.Clock.Now()) {
+			d.handBack(p)
 		}
+		d.proceed(p)
 	}
 }
 
+// first reports whether this instance should schedule for the planner's cell.
+func (d *Dispatcher) first(p *Planner) bool { return d.o.First == nil || d.o.First(p.cell) }
+
 // entries returns the pieces of a call as the client takes them.
 func entries(c *call, now time.Time) []relay.Piece {
 	list := make([]relay.Piece, 0, len(c.pieces))
--- a/internal/stagework/engine_test.go
+++ b/internal/stagework/engine_test.go
@@ -160,10 +160,11 @@
 type remote struct {
 	silent    []string
 	unknowing []string // they answer that there is no target
+	names     map[string]string // whom an instance names that is asked without insistence
 	asked     map[string]int
 }
 
-func (r *remote) Work(_ context.Context, instance string, _ Job) (Assignment, *Refusal, error) {
+func (r *remote) Work(_ context.Context, instance string, j Job) (Assignment, *Refusal, error) {
 	r.asked[instance]++
 	if slices.Contains(r.silent, instance) {
 		return nil, nil, errors.New("silent")
@@ -171,6 +172,9 @@
 	if slices.Contains(r.unknowing, instance) {
 		return nil, &Refusal{Reason: ReasonNoTarget}, nil
 	}
+	if first, ok := r.names[instance]; ok && !j.Insist {
+		return nil, &Refusal{Reason: ReasonNotFirst, Elsewhere: first}, nil
+	}
 	return nil, &Refusal{Reason: instance}, nil // tells who answered
 }
 
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -90,19 +90,16 @@
 // not answer, and at last to this instance's own.
 func (f *Finder) submitTo(ctx context.Context, cell Cell, job Job) (Assignment, *Refusal, error) {
 	job.Cell = cell.Places
-	for _, instance := range f.candidates(cell) {
+	candidates, skipped := f.candidates(cell)
+	job.Insist = skipped
+	for _, instance := range candidates {
 		if refusal := f.refuseAlone(&job); refusal != nil {
 			return nil, refusal, nil
 		}
 		if instance == f.o.Self {
 			break
 		}
-		a, refusal, err := f.o.Remote.Work(ctx, instance, job)
-		if refusal != nil && refusal.Reason == ReasonNoTarget {
-			// An instance that has just started may not know the targets yet;
-			// its refusal must not be everybody's.
-			err = errUnknowing
-		}
+		a, refusal, err := f.ask(ctx, instance, job)
 		if err == nil {
 			return a, refusal, nil
 		}
@@ -110,7 +107,13 @@
 			return nil, nil, ctx.Err()
 		}
 		f.Avoid(instance, err)
+		job.Insist = true
 	}
+	return f.local(job)
+}
+
+// local hands the job to this instance's own dispatcher.
+func (f *Finder) local(job Job) (Assignment, *Refusal, error) {
 	t, refusal := f.o.Local.Submit(job)
 	if refusal != nil {
 		return nil, refusal, nil
@@ -118,6 +121,61 @@
 	return t, nil, nil
 }
 
+// ask hands the job to the instance. One that knows of another that ranks
+// before it names that; only if that one is not reached does it take the job.
+// An instance that was cut off holds the first one for dead for a while after
+// its return: without this its jobs would have a second dispatcher.
+func (f *Finder) ask(ctx context.Context, instance string, job Job) (Assignment, *Refusal, error) {
+	a, refusal, err := f.work(ctx, instance, job)
+	if err != nil || refusal == nil || refusal.Reason != ReasonNotFirst {
+		return a, refusal, err
+	}
+	job.Insist = true
+	if first := refusal.Elsewhere; first != f.o.Self {
+		a, refusal, err = f.work(ctx, first, job)
+		if err == nil {
+			f.reached(first)
+			return a, refusal, nil
+		}
+		f.Avoid(first, err)
+	}
+	return f.work(ctx, instance, job)
+}
+
+// work hands the job to the instance. An instance that has just started may not
+// know the targets yet; its refusal must not be everybody's.
+func (f *Finder) work(ctx context.Context, instance string, job Job) (Assignment, *Refusal, error) {
+	a, refusal, err := f.o.Remote.Work(ctx, instance, job)
+	if refusal != nil && refusal.Reason == ReasonNoTarget {
+		return nil, nil, errUnknowing
+	}
+	return a, refusal, err
+}
+
+// Take takes a job of another instance. It names the instance that ranks first
+// if that is not this one and the job's owner does not insist.
+func (f *Finder) Take(job Job) (Assignment, *Refusal) {
+	if first := f.first(Cell{Places: job.Cell}); first != f.o.Self && !job.Insist {
+		return nil, &Refusal{Reason: ReasonNotFirst, Elsewhere: first}
+	}
+	t, refusal := f.o.Local.Submit(job)
+	if refusal != nil {
+		return nil, refusal
+	}
+	return t, nil
+}
+
+// First reports whether this instance ranks first for the cell.
+func (f *Finder) First(cell Cell) bool { return f.first(cell) == f.o.Self }
+
+// first is the instance that ranks first among those that this one reaches.
+func (f *Finder) first(cell Cell) string {
+	if candidates, _ := f.candidates(cell); len(candidates) > 0 {
+		return candidates[0]
+	}
+	return f.o.Self
+}
+
 // elsewhere is when a caller that is sent to another instance may come back.
 const elsewhere = 50 * time.Millisecond
 
@@ -143,7 +201,8 @@
 
 // candidates returns the instances to ask for the cell, best first: of those
 // with much processor time. A small instance would be late with every decision.
-func (f *Finder) candidates(cell Cell) []string {
+// skipped reports whether some were left out that were not reached of late.
+func (f *Finder) candidates(cell Cell) (best []string, skipped bool) {
 	now := f.o.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -151,13 +210,21 @@
 	for _, m := range f.o.Members() {
 		if until, ok := f.avoided[m]; ok {
 			if now.Before(until) {
+				skipped = true
 				continue
 			}
 			delete(f.avoided, m)
 		}
 		usable = append(usable, m)
 	}
-	return rendezvous.Top(dispatcherKey+cell.Name(), f.large(usable), maxCandidates)
+	return rendezvous.Top(dispatcherKey+cell.Name(), f.large(usable), maxCandidates), skipped
+}
+
+// reached takes the instance in again.
+func (f *Finder) reached(instance string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.avoided, instance)
 }
 
 var errUnknowing = errors.New("it knows no target")
--- /dev/null
+++ b/internal/stagework/finder_test.go
@@ -0,0 +1,88 @@
+package stagework
+
+import (
+	"testing"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/route"
+)
+
+// Symptom: after a cut has healed, calls find targets full and take twice as
+// long as expected.
+// Events: an instance that was cut off holds the first one for dead for a while
+// and hands its jobs to the second, which knows better.
+// Cause: the second one took them, so that two dispatchers filled the targets.
+func TestTheOneAskedNamesTheFirst(t *testing.T) {
+	inFinder(t, func(f *Finder, r *remote, ranked []string) {
+		first, second := ranked[0], ranked[1]
+		r.names = map[string]string{second: first}
+		f.o.Members = func() []string { return ranked[1:] }
+		if got := answers(t, f); got != first {
+			t.Errorf("%s answered, the first is reached", got)
+		}
+		r.silent = ranked[:1]
+		if got := answers(t, f); got != second {
+			t.Errorf("%s answered, the first is silent", got)
+		}
+		asked := r.asked[first]
+		f.o.Members = func() []string { return ranked }
+		if got := answers(t, f); got != second || r.asked[first] != asked {
+			t.Errorf("%s answered, the first was asked %d times more, it was silent just now", got, r.asked[first]-asked)
+		}
+		if _, refusal := f.Take(Job{}); refusal == nil || refusal.Reason != ReasonNotFirst || refusal.Elsewhere != second {
+			t.Errorf("a job that is for another gets %+v", refusal)
+		}
+		if _, refusal := f.Take(Job{Insist: true}); refusal == nil || refusal.Reason != ReasonNoTarget {
+			t.Errorf("an owner that insists gets %+v", refusal)
+		}
+	})
+}
+
+// Symptom: stage targets are full and refuse pieces for want of room while one
+// instance is cut off from the others, though callers and targets reach it.
+// Events: its calls to dispatchers end in time-outs.
+// Cause: it scheduled its requests by itself, beside the others' dispatcher.
+func TestACutOffInstanceRefusesStageWork(t *testing.T) {
+	inFinder(t, func(f *Finder, r *remote, ranked []string) {
+		r.silent = ranked[:2]
+		alone := true
+		f.o.Alone = func() bool { return alone }
+		staged := Job{
+			Service: "lm", Stages: []route.Stage{{Service: "cut"}}, Pieces: []int{1}, Prompt: &relay.Prompt{},
+			Aim: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second),
+		}
+		_, refusal, err := f.Submit(t.Context(), staged)
+		if err != nil || refusal == nil || refusal.Reason != ReasonAlone || refusal.RetryAfter > 100*ms || len(r.asked) > 0 {
+			t.Errorf("refusal %+v, error %v, asked %v", refusal, err, r.asked)
+		}
+		if got := answers(t, f); got != "self" {
+			t.Errorf("%s answered a request without stages", got)
+		}
+		alone = false // the others are dead
+		if _, refusal, _ = f.Submit(t.Context(), staged); refusal == nil || refusal.Reason != ReasonNoTarget {
+			t.Errorf("its own dispatcher, which knows no stage target, did not get the job: %+v", refusal)
+		}
+	})
+}
+
+func TestLeadIsLostOnceAndNotByAMoment(t *testing.T) {
+	var l lead
+	at := time.Unix(0, 0)
+	for i, step := range []struct {
+		after time.Duration
+		first bool
+		lost  bool
+	}{
+		{0, false, false}, {time.Second, false, false}, // it never led
+		{0, true, false}, {0, false, false}, {leadLostAfter / 2, true, false}, // another for a moment
+		{0, false, false}, {leadLostAfter, false, false}, {ms, false, true},
+		{time.Second, false, false}, // once
+		{0, true, false}, {0, false, false}, {2 * leadLostAfter, false, true},
+	} {
+		at = at.Add(step.after)
+		if got := l.lost(step.first, at); got != step.lost {
+			t.Errorf("step %d: lost %v", i, got)
+		}
+	}
+}
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -23,6 +23,7 @@
 	Place        string   // of the instance that holds the request
 	Cell         []string // places whose targets do the work; nil = all
 	Avoid        []string // engines that have failed this request
+	Insist       bool     // the owner does not reach an instance that ranks before the one it asks
 }
 
 // pieces returns the number of pieces of a stage.
@@ -65,6 +66,8 @@
 	RetryAfter time.Duration
 	// Forecast is how long the job would have taken, where that is the reason.
 	Forecast time.Duration
+	// Elsewhere names the instance that ranks first, where that is the reason.
+	Elsewhere string
 }
 
 // Reasons of refusals.
@@ -73,6 +76,7 @@
 	ReasonNoTarget = "no target takes work"
 	ReasonFailed   = "pieces failed too often"
 	ReasonAlone    = "the other instances are not reached"
+	ReasonNotFirst = "another instance ranks first"
 )
 
 // call is a call of a stage target that the planner wants made.
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -35,6 +35,7 @@
 	release func(address string, handles []string)
 	counts  Counts
 	cell    Cell
+	lead    lead
 }
 
 // Counts is what the planner has seen since its start.
