Stage work: the next dispatcher goes on with the results of a lost one

Cause: when the dispatcher was killed, frozen or cut off, all results of its requests lay at their makers until their lifetime ended (4 s of lost room), and the next one had the same pieces made again; and one that stood in went on with all jobs of which something was begun. Now the owner of a job is told what was made and hands it to the next dispatcher; one that gives jobs back does so with their results, as soon as none of a job's pieces is being made. Ruled out: freeing the results of an owner or dispatcher that is only silent, since they may be in use elsewhere; they are left to their lifetime.

--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -19,8 +19,9 @@
 	work   stagework.Assignment
 	stream stream
 	avoid  []string
-	lost   int // dispatchers that were lost
-	skips  int // engines that were not tried
+	lost   int              // dispatchers that were lost
+	skips  int              // engines that were not tried
+	made   []stagework.Made // what the dispatcher before had made
 }
 
 // maxLost bounds how many dispatchers are tried for one request.
@@ -56,6 +57,13 @@
 	}
 }
 
+// moveWork takes the results of a dispatcher that is lost along to the next.
+func (ef *engineFlight) moveWork() {
+	ef.made = ef.work.Made()
+	ef.work.Moved()
+	ef.work = nil
+}
+
 // decide waits for the dispatcher's next decision. A dispatcher that is lost is
 // replaced.
 func (ef *engineFlight) decide(ctx context.Context) (stagework.Decision, error) {
@@ -76,7 +84,7 @@
 				return d, nil
 			}
 			ef.o.Work.Lost(d.Lost)
-			ef.endWork()
+			ef.moveWork()
 			if ef.lost++; ef.lost > maxLost {
 				return d, errNoTarget
 			}
@@ -92,7 +100,7 @@
 		ID: ef.Request.ID, Key: ef.Request.PieceKey, Priority: ef.priority(),
 		Aim: ef.Arrived.Add(ef.aim()), Deadline: ef.firstBy(),
 		Stages: ef.Route.Stages, Pieces: ef.Request.Pieces, Service: ef.service,
-		Prompt: ef.Request.Prompt, Place: ef.o.Place, Avoid: ef.avoid,
+		Prompt: ef.Request.Prompt, Place: ef.o.Place, Avoid: ef.avoid, Made: ef.made,
 	}
 	if ef.Organisation != nil {
 		j.Organisation = ef.Organisation.Name
@@ -216,6 +224,7 @@
 	// The results were given up when the answer began: a new job makes them
 	// again.
 	ef.endWork()
+	ef.made = nil
 	return false
 }
 
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -50,7 +50,7 @@
 		cancel(nil)
 		return nil, refusalOf(first), nil
 	}
-	w := &remoteWork{instance: instance, stream: stream, cancel: cancel, decisions: make(chan stagework.Decision, 16)}
+	w := &remoteWork{instance: instance, stream: stream, cancel: cancel, decisions: make(chan stagework.Decision, 16), results: newResults()}
 	if first.GetTarget() != "" {
 		w.decisions <- decisionOf(first)
 	}
@@ -85,6 +85,7 @@
 	stream    *workStream
 	cancel    context.CancelCauseFunc
 	decisions chan stagework.Decision
+	results   *results
 
 	mu    sync.Mutex // serialises Send
 	ended bool
@@ -94,24 +95,22 @@
 
 // read passes decisions on until the stream ends or falls silent.
 func (w *remoteWork) read() {
-	silence := time.AfterFunc(workSilent, func() {
-		// The cancelled context alone does not end Receive: the transport still
-		// waits for the rest of the request.
-		w.cancel(errWorkSilent)
-		_ = w.stream.CloseRequest()
-	})
+	silence := time.AfterFunc(workSilent, func() { w.put(stagework.Decision{Lost: w.instance}) })
 	defer silence.Stop()
 	defer w.cancel(nil)
 	for received := 1; ; received++ {
 		m, err := w.stream.Receive()
 		if err != nil {
-			w.put(stagework.Decision{Lost: w.instance})
+			if silence.Stop() {
+				w.put(stagework.Decision{Lost: w.instance})
+			}
 			return
 		}
 		silence.Reset(workSilent)
 		if received%ownerBeat == 0 {
 			w.send(peerpb.WorkEvent_WORK_EVENT_UNSPECIFIED)
 		}
+		w.results.keep(m.GetMade(), time.Now())
 		if m.GetTarget() != "" || m.GetReason() != "" {
 			w.put(decisionOf(m))
 		}
@@ -146,6 +145,19 @@
 // Broke implements stagework.Assignment.
 func (w *remoteWork) Broke() { w.send(peerpb.WorkEvent_WORK_EVENT_BROKE) }
 
+// Made implements stagework.Assignment.
+func (w *remoteWork) Made() []stagework.Made { return w.results.all(time.Now()) }
+
+// Dispatcher implements stagework.Assignment.
+func (w *remoteWork) Dispatcher() string { return w.instance }
+
+// Moved implements stagework.Assignment. A dispatcher that stands still must
+// read this once it goes on, before the end.
+func (w *remoteWork) Moved() {
+	w.send(peerpb.WorkEvent_WORK_EVENT_MOVED)
+	w.End()
+}
+
 // End implements stagework.Assignment.
 func (w *remoteWork) End() {
 	w.mu.Lock()
@@ -192,7 +204,10 @@
 	defer t.End()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	silence := time.AfterFunc(ownerSilent, cancel)
+	silence := time.AfterFunc(ownerSilent, func() {
+		t.Moved() // its owner may only be cut off from here and go on with the results elsewhere
+		cancel()
+	})
 	defer silence.Stop()
 	ended := make(chan struct{})
 	go func() {
@@ -246,6 +261,9 @@
 	if d.Lost != "" {
 		return true, connect.NewError(connect.CodeUnavailable, errors.New("the job is given back"))
 	}
+	if d.Made != nil {
+		return false, stream.Send(&peerpb.WorkDown{Made: madeToProto(d.Made)})
+	}
 	if d.Refusal != nil {
 		return true, stream.Send(workRefusalToProto(d.Refusal))
 	}
@@ -264,6 +282,8 @@
 		t.Rejected(false, true)
 	case peerpb.WorkEvent_WORK_EVENT_BROKE:
 		t.Broke()
+	case peerpb.WorkEvent_WORK_EVENT_MOVED:
+		t.Moved()
 	}
 }
 
@@ -293,6 +313,7 @@
 		Id: j.ID, Key: j.Key, Organisation: j.Organisation, Priority: int32(j.Priority),
 		AimMs: j.Aim.Sub(now).Milliseconds(), DeadlineMs: j.Deadline.Sub(now).Milliseconds(),
 		Service: j.Service, Place: j.Place, Avoid: j.Avoid, Cell: j.Cell, Insist: j.Insist,
+		Made: madeToProto(j.Made),
 	}
 	for i, s := range j.Stages {
 		stage := &peerpb.WorkStage{Service: s.Service, ResultBytes: uint64(max(s.ResultBytes, 0))}
@@ -320,6 +341,7 @@
 		Aim:      now.Add(time.Duration(m.GetAimMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
 		Service:  m.GetService(), Place: m.GetPlace(), Avoid: m.GetAvoid(), Cell: m.GetCell(), Insist: m.GetInsist(),
+		Made: madeFromProto(m.GetMade()),
 	}
 	for _, s := range m.GetStages() {
 		stage := route.Stage{Service: s.GetService(), ResultBytes: int64(s.GetResultBytes())}
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -150,6 +150,8 @@
 	// Lost names the instance whose dispatcher is not reached any more; the job
 	// may be handed to another. "" = it is reached.
 	Lost string
+	// Made are results made since the last decision, where it is nothing else.
+	Made []Made
 }
 
 // Assignment is a job at a dispatcher, here or on another instance.
@@ -167,6 +169,14 @@
 	Broke()
 	// End tells that the job is over, whatever its state.
 	End()
+	// Moved tells that the job goes on at another dispatcher, which takes over
+	// what Made returns.
+	Moved()
+	// Made returns the results that are known to be made, once the dispatcher
+	// is lost.
+	Made() []Made
+	// Dispatcher is the instance whose dispatcher has the job.
+	Dispatcher() string
 }
 
 // Ticket is the Assignment of a job at the dispatcher of this instance.
@@ -175,6 +185,7 @@
 	p         *Planner
 	j         *job
 	decisions chan Decision
+	kept      []Made // results of a job that was given back
 }
 
 // decisionsKept is more than a job can get: one for each engine that it may be
@@ -182,7 +193,13 @@
 const decisionsKept = 64
 
 // Submit takes a job. The refusal says why it is not taken.
-func (d *Dispatcher) Submit(in Job) (*Ticket, *Refusal) {
+func (d *Dispatcher) Submit(in Job) (*Ticket, *Refusal) { return d.submit(in, false) }
+
+// SubmitRemote is Submit for a job of another instance, whose decisions also
+// say what was made: this instance may die with what it knows.
+func (d *Dispatcher) SubmitRemote(in Job) (*Ticket, *Refusal) { return d.submit(in, true) }
+
+func (d *Dispatcher) submit(in Job, remote bool) (*Ticket, *Refusal) {
 	t := &Ticket{d: d, decisions: make(chan Decision, decisionsKept)}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -193,31 +210,28 @@
 		return nil, refusal
 	}
 	t.j = j
-	j.lost = func() { t.put(Decision{Lost: d.o.Self}) }
+	j.lost = func(results []Made) {
+		t.kept = results
+		t.put(Decision{Lost: d.o.Self})
+	}
+	if remote {
+		j.made = func(made []Made) { t.put(Decision{Made: made}) }
+	}
 	d.proceed(t.p)
 	return t, nil
 }
 
-// HandBack gives the jobs of which nothing was begun back to their owners, who
-// hand them to the next dispatcher. It is for an instance that is stopping: two
+// HandBack gives the jobs that have no engine yet back to their owners, with
+// their results, each once none of its pieces is being made. The owners hand
+// them to the next dispatcher. It is for an instance that is stopping: two
 // dispatchers that go on beside each other for the time of a stop fill the same
-// targets without knowing of each other. Begun jobs are finished here.
+// targets without knowing of each other.
 func (d *Dispatcher) HandBack() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.planners {
-		d.handBack(p)
-	}
-}
-
-// handBack gives the planner's jobs back. The lock is held.
-func (d *Dispatcher) handBack(p *Planner) {
-	now := d.o.Clock.Now()
-	for _, j := range p.staging() {
-		if len(j.units) > 0 && !j.committed() {
-			p.cancel(j, now)
-			j.lost()
-		}
+		p.leave()
+		d.proceed(p)
 	}
 }
 
@@ -247,6 +261,19 @@
 // End implements Assignment.
 func (t *Ticket) End() { t.tell(func(p *Planner, now time.Time) { p.cancel(t.j, now) }) }
 
+// Moved implements Assignment.
+func (t *Ticket) Moved() { t.tell(func(p *Planner, now time.Time) { p.move(t.j, now) }) }
+
+// Made implements Assignment.
+func (t *Ticket) Made() []Made {
+	t.d.mu.Lock()
+	defer t.d.mu.Unlock()
+	return t.kept
+}
+
+// Dispatcher implements Assignment.
+func (t *Ticket) Dispatcher() string { return t.d.o.Self }
+
 func (t *Ticket) tell(what func(p *Planner, now time.Time)) {
 	t.d.mu.Lock()
 	defer t.d.mu.Unlock()
@@ -274,7 +301,7 @@
 			continue
 		}
 		if p.lead.lost(d.first(p), d.o.Clock.Now()) {
-			d.handBack(p)
+			p.leave()
 		}
 		d.proceed(p)
 	}
--- a/internal/stagework/engine_test.go
+++ b/internal/stagework/engine_test.go
@@ -159,7 +159,7 @@
 // remote is a Remote whose instances answer or don't.
 type remote struct {
 	silent    []string
-	unknowing []string // they answer that there is no target
+	unknowing []string          // they answer that there is no target
 	names     map[string]string // whom an instance names that is asked without insistence
 	asked     map[string]int
 }
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -158,7 +158,7 @@
 	if first := f.first(Cell{Places: job.Cell}); first != f.o.Self && !job.Insist {
 		return nil, &Refusal{Reason: ReasonNotFirst, Elsewhere: first}
 	}
-	t, refusal := f.o.Local.Submit(job)
+	t, refusal := f.o.Local.SubmitRemote(job)
 	if refusal != nil {
 		return nil, refusal
 	}
--- a/internal/stagework/forecast.go
+++ b/internal/stagework/forecast.go
@@ -55,6 +55,9 @@
 
 func (f *forecast) count(j *job, sign int) {
 	for _, u := range j.units {
+		if u.freed {
+			continue
+		}
 		q := f.at(u.service)
 		q.work += float64(sign*u.waiting) * u.service.pieceTime(u.bytes).Seconds()
 		q.pieces += sign * u.waiting
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -23,6 +23,7 @@
 	Place        string   // of the instance that holds the request
 	Cell         []string // places whose targets do the work; nil = all
 	Avoid        []string // engines that have failed this request
+	Made         []Made   // results that the dispatcher before had made
 	Insist       bool     // the owner does not reach an instance that ranks before the one it asks
 }
 
@@ -34,6 +35,17 @@
 	return j.Pieces[stage]
 }
 
+// Made is the result of a piece. The owner of a job keeps what its dispatcher
+// has made: if that is lost, the next one goes on from there. Without this the
+// results of a dispatcher that died take room at their makers until their
+// lifetime ends, while the next one makes them again.
+type Made struct {
+	Stage, Number int
+	Target        string // id of its maker
+	Handle        string
+	Age           time.Duration
+}
+
 // hasPieces reports whether the job has stage work.
 func (j *Job) hasPieces() bool {
 	for _, n := range j.Pieces {
@@ -160,7 +172,9 @@
 	placed  time.Time
 	missing int // prompt tokens that the engine has to read
 	notify  func(Placement, *Refusal)
-	lost    func() // gives the job back to its owner
+	made    func([]Made) // tells the owner of results; nil = it is not told
+	lost    func([]Made) // gives the job back to its owner with its results
+	leaving bool         // it is given back once none of its pieces is being made
 }
 
 // leaves are the units whose results the engine reads.
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -55,6 +55,7 @@
 func (p *Planner) plan(now time.Time) []*call {
 	p.expire(now)
 	p.placeAll(now)
+	p.giveBack(now)
 	var calls []*call
 	for _, v := range p.sorted() {
 		calls = append(calls, p.fill(v, now)...)
@@ -194,7 +195,7 @@
 func (p *Planner) admit(v *service, now time.Time) []ranked {
 	var ready []ranked
 	for _, u := range v.units {
-		if u.ready() && !p.held(u, now) {
+		if u.ready() && !u.job.leaving && !p.held(u, now) {
 			ready = append(ready, ranked{unit: u, rank: p.rank(u, now)})
 		}
 	}
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -195,18 +195,27 @@
 		j.units = append(j.units, u)
 	}
 	j.link(byStage)
-	if end := now.Add(p.remaining(j, now)); end.After(j.Deadline) {
-		return &Refusal{Reason: ReasonLate, RetryAfter: clampTime(end.Sub(j.Deadline), comeBackMin, comeBackMax)}
-	}
-	if refusal := p.judgeNew(j, now); refusal != nil {
+	p.adopt(j, now)
+	if refusal := p.refuseLate(j, now); refusal != nil {
+		p.abandon(j, now)
 		return refusal
 	}
 	for _, u := range j.units {
-		u.service.units = append(u.service.units, u)
+		if !u.freed {
+			u.enqueue()
+		}
 	}
 	return nil
 }
 
+// refuseLate returns the refusal of a new job that can't be done in time.
+func (p *Planner) refuseLate(j *job, now time.Time) *Refusal {
+	if end := now.Add(p.remaining(j, now)); end.After(j.Deadline) {
+		return &Refusal{Reason: ReasonLate, RetryAfter: clampTime(end.Sub(j.Deadline), comeBackMin, comeBackMax)}
+	}
+	return p.judgeNew(j, now)
+}
+
 // link joins the units to those whose results they need. A unit whose results
 // are declared to be for a stage that this request leaves out is dropped:
 // nobody reads them.
--- a/internal/stagework/results.go
+++ b/internal/stagework/results.go
@@ -27,7 +27,7 @@
 		u.service.reserved -= u.size()
 	}
 	for _, q := range u.pieces {
-		if q.state == pieceMade {
+		if q.state == pieceMade && q.handle != "" {
 			u.service.hold += time.Duration(holdWeight * float64(now.Sub(q.made)-u.service.hold))
 			p.forget(q)
 		}
@@ -128,6 +128,7 @@
 		s.succeeded(c.nominal, now.Sub(c.sent))
 		s.service.pace += 0.1 * (clamp(float64(now.Sub(c.sent))/float64(c.nominal), 0.3, 1.5) - s.service.pace)
 	}
+	defer c.tellOwners(now)
 	for i, q := range c.pieces {
 		var r relay.PieceResult
 		switch {
