Stage work: room is learnt from refusals, and jobs given back name the next

A refusal now tells what is taken there by others, for 0.5 s. (2) jobs that were given back counted as lost, so that the one that gave them back was left out as well as the first, and a third scheduled. A dispatcher that gives back now names the instance that ranks first. (3) each 2 s all requests asked a dead dispatcher again and waited 0.4 s; now one does. Ruled out: free room of reports, which comes in whole megabytes and says nothing of targets with 0.93 MB.

--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -80,10 +80,14 @@
 		}
 		select {
 		case d := <-ef.work.Decisions():
-			if d.Lost == "" {
+			switch {
+			case d.Lost != "":
+				ef.o.Work.Lost(d.Lost)
+			case d.Next != "":
+				ef.o.Work.Reached(d.Next)
+			default:
 				return d, nil
 			}
-			ef.o.Work.Lost(d.Lost)
 			ef.moveWork()
 			if ef.lost++; ef.lost > maxLost {
 				return d, errNoTarget
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -31,6 +31,8 @@
 // Worker hands work to the dispatcher; stagework.Finder implements it.
 type Worker interface {
 	Submit(ctx context.Context, job stagework.Job) (stagework.Assignment, *stagework.Refusal, error)
+	// Reached tells that an instance that was lost is to be asked again.
+	Reached(instance string)
 	// Lost tells that the dispatcher of an instance was lost while it had a job.
 	Lost(instance string)
 }
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -111,7 +111,7 @@
 			w.send(peerpb.WorkEvent_WORK_EVENT_UNSPECIFIED)
 		}
 		w.results.keep(m.GetMade(), time.Now())
-		if m.GetTarget() != "" || m.GetReason() != "" {
+		if m.GetTarget() != "" || m.GetReason() != "" || m.GetElsewhere() != "" {
 			w.put(decisionOf(m))
 		}
 	}
@@ -258,8 +258,8 @@
 }
 
 func sendDecision(stream *connect.BidiStream[peerpb.WorkUp, peerpb.WorkDown], d stagework.Decision) (done bool, err error) {
-	if d.Lost != "" {
-		return true, connect.NewError(connect.CodeUnavailable, errors.New("the job is given back"))
+	if d.Next != "" {
+		return true, stream.Send(&peerpb.WorkDown{Elsewhere: d.Next})
 	}
 	if d.Made != nil {
 		return false, stream.Send(&peerpb.WorkDown{Made: madeToProto(d.Made)})
@@ -299,6 +299,9 @@
 	if m.GetReason() != "" {
 		return stagework.Decision{Refusal: refusalOf(m)}
 	}
+	if m.GetElsewhere() != "" {
+		return stagework.Decision{Next: m.GetElsewhere()}
+	}
 	d := stagework.Decision{Placement: stagework.Placement{Target: m.GetTarget(), Address: m.GetAddress(), Inputs: m.GetInputs()}}
 	if m.GetHasInputs() && d.Inputs == nil {
 		d.Inputs = []string{}
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -31,9 +31,9 @@
 	// Reuse is the time within which it is a waste to read a prompt part that
 	// was read before.
 	Reuse time.Duration
-	// First reports whether this instance is the one that should schedule for
-	// the cell. nil = it always is.
-	First func(Cell) bool
+	// First returns the instance that should schedule for the cell. nil = this
+	// one should.
+	First func(Cell) string
 }
 
 // Dispatcher carries out what a Planner decides. It is safe for concurrent use.
@@ -150,6 +150,9 @@
 	// Lost names the instance whose dispatcher is not reached any more; the job
 	// may be handed to another. "" = it is reached.
 	Lost string
+	// Next names the instance that ranks first: the dispatcher gives the job
+	// back and it is to be handed to that one. "" = it does not.
+	Next string
 	// Made are results made since the last decision, where it is nothing else.
 	Made []Made
 }
@@ -212,7 +215,7 @@
 	t.j = j
 	j.lost = func(results []Made) {
 		t.kept = results
-		t.put(Decision{Lost: d.o.Self})
+		t.put(Decision{Next: d.next(t.p)})
 	}
 	if remote {
 		j.made = func(made []Made) { t.put(Decision{Made: made}) }
@@ -300,15 +303,20 @@
 		if len(p.jobs) == 0 {
 			continue
 		}
-		if p.lead.lost(d.first(p), d.o.Clock.Now()) {
+		if p.lead.lost(d.next(p) == d.o.Self, d.o.Clock.Now()) {
 			p.leave()
 		}
 		d.proceed(p)
 	}
 }
 
-// first reports whether this instance should schedule for the planner's cell.
-func (d *Dispatcher) first(p *Planner) bool { return d.o.First == nil || d.o.First(p.cell) }
+// next returns the instance that should schedule for the planner's cell.
+func (d *Dispatcher) next(p *Planner) string {
+	if d.o.First == nil {
+		return d.o.Self
+	}
+	return d.o.First(p.cell)
+}
 
 // entries returns the pieces of a call as the client takes them.
 func entries(c *call, now time.Time) []relay.Piece {
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -16,6 +17,13 @@
 // out.
 const avoidFor = 2 * time.Second
 
+// probeTime is how long the one request that asks it again may take.
+const probeTime = 500 * time.Millisecond
+
+// forgetAfter is how long after that time it is remembered that it must be asked
+// by one request first.
+const forgetAfter = time.Minute
+
 // dispatcherKey is what the instances are ranked for.
 const dispatcherKey = "stagework/dispatcher"
 
@@ -134,7 +142,6 @@
 	if first := refusal.Elsewhere; first != f.o.Self {
 		a, refusal, err = f.work(ctx, first, job)
 		if err == nil {
-			f.reached(first)
 			return a, refusal, nil
 		}
 		f.Avoid(first, err)
@@ -149,13 +156,16 @@
 	if refusal != nil && refusal.Reason == ReasonNoTarget {
 		return nil, nil, errUnknowing
 	}
+	if err == nil {
+		f.Reached(instance)
+	}
 	return a, refusal, err
 }
 
 // Take takes a job of another instance. It names the instance that ranks first
 // if that is not this one and the job's owner does not insist.
 func (f *Finder) Take(job Job) (Assignment, *Refusal) {
-	if first := f.first(Cell{Places: job.Cell}); first != f.o.Self && !job.Insist {
+	if first := f.First(Cell{Places: job.Cell}); first != f.o.Self && !job.Insist {
 		return nil, &Refusal{Reason: ReasonNotFirst, Elsewhere: first}
 	}
 	t, refusal := f.o.Local.SubmitRemote(job)
@@ -165,13 +175,12 @@
 	return t, nil
 }
 
-// First reports whether this instance ranks first for the cell.
-func (f *Finder) First(cell Cell) bool { return f.first(cell) == f.o.Self }
-
-// first is the instance that ranks first among those that this one reaches.
-func (f *Finder) first(cell Cell) string {
-	if candidates, _ := f.candidates(cell); len(candidates) > 0 {
-		return candidates[0]
+// First returns the instance that ranks first for the cell among those that
+// this one reaches.
+func (f *Finder) First(cell Cell) string {
+	usable, _ := f.usable(f.o.Clock.Now())
+	if best := f.rank(cell, usable); len(best) > 0 {
+		return best[0]
 	}
 	return f.o.Self
 }
@@ -199,29 +208,46 @@
 // instance fit for a dispatcher.
 const largeInstance = 0.5
 
-// candidates returns the instances to ask for the cell, best first: of those
-// with much processor time. A small instance would be late with every decision.
-// skipped reports whether some were left out that were not reached of late.
+// candidates returns the instances to ask for the cell, best first. skipped
+// reports whether some were left out that were not reached of late.
 func (f *Finder) candidates(cell Cell) (best []string, skipped bool) {
 	now := f.o.Clock.Now()
+	usable, skipped := f.usable(now)
+	best = f.rank(cell, usable)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range best {
+		if _, ok := f.avoided[m]; ok {
+			// It may be reached again. One request finds out; others would
+			// wait for it in vain.
+			f.avoided[m] = now.Add(probeTime)
+		}
+	}
+	return best, skipped
+}
+
+// usable returns the members that are not left out.
+func (f *Finder) usable(now time.Time) (usable []string, skipped bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var usable []string
 	for _, m := range f.o.Members() {
-		if until, ok := f.avoided[m]; ok {
-			if now.Before(until) {
-				skipped = true
-				continue
-			}
-			delete(f.avoided, m)
+		if now.Before(f.avoided[m]) {
+			skipped = true
+			continue
 		}
 		usable = append(usable, m)
 	}
-	return rendezvous.Top(dispatcherKey+cell.Name(), f.large(usable), maxCandidates), skipped
+	return usable, skipped
 }
 
-// reached takes the instance in again.
-func (f *Finder) reached(instance string) {
+// rank returns the best of the members for the cell, of those with much
+// processor time. A small instance would be late with every decision.
+func (f *Finder) rank(cell Cell, members []string) []string {
+	return rendezvous.Top(dispatcherKey+cell.Name(), f.large(members), maxCandidates)
+}
+
+// Reached takes an instance in again that was left out.
+func (f *Finder) Reached(instance string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.avoided, instance)
@@ -249,8 +275,10 @@
 
 // Avoid leaves an instance out for a while.
 func (f *Finder) Avoid(instance string, err error) {
+	now := f.o.Clock.Now()
 	f.mu.Lock()
-	f.avoided[instance] = f.o.Clock.Now().Add(avoidFor)
+	maps.DeleteFunc(f.avoided, func(_ string, until time.Time) bool { return now.Sub(until) > forgetAfter })
+	f.avoided[instance] = now.Add(avoidFor)
 	f.mu.Unlock()
 	f.o.Logger.Log(event.DispatcherLost, "dispatcher", instance, "err", err)
 }
--- a/internal/stagework/handback_test.go
+++ b/internal/stagework/handback_test.go
@@ -33,7 +33,7 @@
 // Cause: the waiting jobs stayed, so two dispatchers filled the same targets.
 func TestAStoppingDispatcherGivesBackWhatHasNotBegun(t *testing.T) {
 	c := quartz.NewMock(t)
-	d := New(Options{Self: "a", Client: busyTargets{}, Clock: c})
+	d := New(Options{Self: "a", Client: busyTargets{}, Clock: c, First: func(Cell) string { return "b" }})
 	defer d.Close()
 	table := (&route.Table{Services: map[string]*route.Service{
 		"cut": {Name: "cut", Pieces: &route.Pieces{Slots: 1, Batch: 1, CallTime: 100 * time.Millisecond, ResultRoom: 1 << 20, ResultLifetime: time.Minute}},
@@ -58,7 +58,7 @@
 	d.HandBack()
 	select {
 	case got := <-waiting.Decisions():
-		if got.Lost != "a" {
+		if got.Next != "b" {
 			t.Errorf("the waiting job got %+v", got)
 		}
 	default:
@@ -66,7 +66,7 @@
 	}
 	select {
 	case got := <-begun.Decisions():
-		if got.Lost != "" {
+		if got.Next != "" {
 			t.Error("the job whose piece is being made was given back")
 		}
 	default:
--- a/internal/stagework/results.go
+++ b/internal/stagework/results.go
@@ -129,6 +129,7 @@
 		s.service.pace += 0.1 * (clamp(float64(now.Sub(c.sent))/float64(c.nominal), 0.3, 1.5) - s.service.pace)
 	}
 	defer c.tellOwners(now)
+	noRoom := false
 	for i, q := range c.pieces {
 		var r relay.PieceResult
 		switch {
@@ -141,6 +142,10 @@
 			r = results[i]
 		}
 		p.took(q, s, r, now)
+		noRoom = noRoom || r.Fault == relay.PieceRoom
+	}
+	if noRoom {
+		s.refusedRoom(now)
 	}
 	if s.gone && s.calls == 0 {
 		delete(s.service.servers, s.target.ID)
@@ -168,7 +173,6 @@
 		return
 	case relay.PieceRoom:
 		p.counts.Room++
-		s.noRoomTo = now.Add(roomPause)
 		q.tries--
 	case relay.PieceGone:
 		p.counts.Gone++
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -27,9 +27,9 @@
 	// roomShare is the share of a target's stated room that is used: sizes of
 	// results are approximate.
 	roomShare = 0.97
-	// roomPause is how long a target without room for a result gets none that
-	// is large.
-	roomPause = 250 * time.Millisecond
+	// roomLearnt is how long a target that refused for want of room is taken to
+	// hold results that this dispatcher does not know.
+	roomLearnt = 500 * time.Millisecond
 )
 
 // server is a stage target as the dispatcher sees it.
@@ -43,7 +43,6 @@
 	pace     float64 // what its calls take, against what is stated
 	fails    int
 	pausedTo time.Time
-	noRoomTo time.Time
 	// foreign is room that results of other dispatchers take, until foreignTo.
 	foreign   int64
 	foreignTo time.Time
@@ -61,9 +60,6 @@
 
 // fits reports whether a result of the size has room.
 func (s *server) fits(bytes int64, now time.Time) bool {
-	if now.Before(s.noRoomTo) && bytes > s.service.limits.ResultRoom/100 {
-		return false
-	}
 	taken := s.room
 	if now.Before(s.foreignTo) {
 		taken += s.foreign
@@ -71,6 +67,15 @@
 	return taken+bytes <= int64(float64(s.service.limits.ResultRoom)*roomShare)
 }
 
+// refusedRoom takes in that results did not fit that should have: what is left
+// of the room beside the known ones is taken by others, such as those of a
+// dispatcher that died. Without this the target is sent pieces again at once,
+// in calls that are refused within milliseconds.
+func (s *server) refusedRoom(now time.Time) {
+	s.foreign = max(int64(float64(s.service.limits.ResultRoom)*roomShare)-s.room, 0)
+	s.foreignTo = now.Add(roomLearnt)
+}
+
 // reported takes in a report of the target: what is taken there and not by this
 // dispatcher.
 func (s *server) reported(freeRoom int64, now time.Time) {
