--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -194,7 +194,7 @@
 	i.dispatcher = stagework.New(stagework.Options{
 		Self: i.id(), Client: i.adapter.Stages(i.pool), Clock: i.o.Clock, Logger: i.o.Logger,
 		Reuse: i.cfg.Ingress.ReuseWindow.Duration,
-		First: func(c stagework.Cell) string { return i.finder.First(c) },
+		First: func(c stagework.Cell) (string, bool) { return i.finder.First(c) },
 	})
 	i.finder = stagework.NewFinder(stagework.FinderOptions{
 		Self: i.id(), Local: i.dispatcher, Remote: i.peers,
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -315,7 +315,7 @@
 	out := &peerpb.WorkJob{
 		Id: j.ID, Key: j.Key, Organisation: j.Organisation, Priority: int32(j.Priority),
 		AimMs: j.Aim.Sub(now).Milliseconds(), DeadlineMs: j.Deadline.Sub(now).Milliseconds(),
-		Service: j.Service, Place: j.Place, Avoid: j.Avoid, Cell: j.Cell, Insist: j.Insist,
+		Service: j.Service, Place: j.Place, Avoid: j.Avoid, Cell: j.Cell, Insist: uint32(j.Insist),
 		Made: madeToProto(j.Made),
 	}
 	for i, s := range j.Stages {
@@ -343,7 +343,7 @@
 		ID: m.GetId(), Key: m.GetKey(), Organisation: m.GetOrganisation(), Priority: int(m.GetPriority()),
 		Aim:      now.Add(time.Duration(m.GetAimMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
-		Service:  m.GetService(), Place: m.GetPlace(), Avoid: m.GetAvoid(), Cell: m.GetCell(), Insist: m.GetInsist(),
+		Service:  m.GetService(), Place: m.GetPlace(), Avoid: m.GetAvoid(), Cell: m.GetCell(), Insist: stagework.Insistence(m.GetInsist()),
 		Made: madeFromProto(m.GetMade()),
 	}
 	for _, s := range m.GetStages() {
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -31,9 +31,9 @@
 	// Reuse is the time within which it is a waste to read a prompt part that
 	// was read before.
 	Reuse time.Duration
-	// First returns the instance that should schedule for the cell. nil = this
-	// one should.
-	First func(Cell) string
+	// First returns the instance that should schedule for the cell, and
+	// whether that is sure to be there. nil = this one should.
+	First func(Cell) (instance string, sure bool)
 }
 
 // Dispatcher carries out what a Planner decides. It is safe for concurrent use.
@@ -215,7 +215,8 @@
 	t.j = j
 	j.lost = func(results []Made) {
 		t.kept = results
-		t.put(Decision{Next: d.next(t.p)})
+		next, _ := d.first(t.p)
+		t.put(Decision{Next: next})
 	}
 	if remote {
 		j.made = func(made []Made) { t.put(Decision{Made: made}) }
@@ -233,7 +234,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for _, p := range d.planners {
-		p.leave()
+		p.leave(true)
 		d.proceed(p)
 	}
 }
@@ -303,17 +304,18 @@
 		if len(p.jobs) == 0 {
 			continue
 		}
-		if p.lead.lost(d.next(p) == d.o.Self, d.o.Clock.Now()) {
-			p.leave()
+		first, sure := d.first(p)
+		if p.lead.lost(sure && first != d.o.Self, d.o.Clock.Now()) {
+			p.leave(false)
 		}
 		d.proceed(p)
 	}
 }
 
-// next returns the instance that should schedule for the planner's cell.
-func (d *Dispatcher) next(p *Planner) string {
+// first returns the instance that should schedule for the planner's cell.
+func (d *Dispatcher) first(p *Planner) (instance string, sure bool) {
 	if d.o.First == nil {
-		return d.o.Self
+		return d.o.Self, true
 	}
 	return d.o.First(p.cell)
 }
--- a/internal/stagework/engine_test.go
+++ b/internal/stagework/engine_test.go
@@ -172,7 +172,7 @@
 	if slices.Contains(r.unknowing, instance) {
 		return nil, &Refusal{Reason: ReasonNoTarget}, nil
 	}
-	if first, ok := r.names[instance]; ok && !j.Insist {
+	if first, ok := r.names[instance]; ok && j.Insist != InsistTried {
 		return nil, &Refusal{Reason: ReasonNotFirst, Elsewhere: first}, nil
 	}
 	return nil, &Refusal{Reason: instance}, nil // tells who answered
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -20,8 +20,10 @@
 // probeTime is how long the one request that asks it again may take.
 const probeTime = 500 * time.Millisecond
 
-// forgetAfter is how long after that time it is remembered that it must be asked
-// by one request first.
+// sureFor is how long an instance counts as reached after an answer.
+const sureFor = time.Second
+
+// forgetAfter is how long what is known of an instance is kept.
 const forgetAfter = time.Minute
 
 // dispatcherKey is what the instances are ranked for.
@@ -59,13 +61,15 @@
 type Finder struct {
 	o FinderOptions
 
-	mu      sync.Mutex // guards avoided
-	avoided map[string]time.Time
+	mu       sync.Mutex // guards all below
+	avoided  map[string]time.Time
+	answered map[string]time.Time // when an instance last answered
+	members  []string             // at the last look
 }
 
 // NewFinder returns a finder.
 func NewFinder(o FinderOptions) *Finder {
-	return &Finder{o: o, avoided: make(map[string]time.Time)}
+	return &Finder{o: o, avoided: make(map[string]time.Time), answered: make(map[string]time.Time)}
 }
 
 // Submit hands the job to the dispatcher of the cell that its session belongs
@@ -99,7 +103,9 @@
 func (f *Finder) submitTo(ctx context.Context, cell Cell, job Job) (Assignment, *Refusal, error) {
 	job.Cell = cell.Places
 	candidates, skipped := f.candidates(cell)
-	job.Insist = skipped
+	if skipped {
+		job.Insist = InsistRemembered
+	}
 	for _, instance := range candidates {
 		if refusal := f.refuseAlone(&job); refusal != nil {
 			return nil, refusal, nil
@@ -115,7 +121,7 @@
 			return nil, nil, ctx.Err()
 		}
 		f.Avoid(instance, err)
-		job.Insist = true
+		job.Insist = InsistRemembered
 	}
 	return f.local(job)
 }
@@ -138,7 +144,7 @@
 	if err != nil || refusal == nil || refusal.Reason != ReasonNotFirst {
 		return a, refusal, err
 	}
-	job.Insist = true
+	job.Insist = InsistTried
 	if first := refusal.Elsewhere; first != f.o.Self {
 		a, refusal, err = f.work(ctx, first, job)
 		if err == nil {
@@ -157,15 +163,24 @@
 		return nil, nil, errUnknowing
 	}
 	if err == nil {
-		f.Reached(instance)
+		f.reached(instance)
 	}
 	return a, refusal, err
 }
 
+// reached takes in that an instance has answered.
+func (f *Finder) reached(instance string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.avoided, instance)
+	f.answered[instance] = f.o.Clock.Now()
+}
+
 // Take takes a job of another instance. It names the instance that ranks first
-// if that is not this one and the job's owner does not insist.
+// if that is not this one, unless the job's owner insists and knows better.
 func (f *Finder) Take(job Job) (Assignment, *Refusal) {
-	if first := f.First(Cell{Places: job.Cell}); first != f.o.Self && !job.Insist {
+	first, sure := f.First(Cell{Places: job.Cell})
+	if first != f.o.Self && (job.Insist == InsistNot || job.Insist == InsistRemembered && sure) {
 		return nil, &Refusal{Reason: ReasonNotFirst, Elsewhere: first}
 	}
 	t, refusal := f.o.Local.SubmitRemote(job)
@@ -176,13 +191,19 @@
 }
 
 // First returns the instance that ranks first for the cell among those that
-// this one reaches.
-func (f *Finder) First(cell Cell) string {
-	usable, _ := f.usable(f.o.Clock.Now())
-	if best := f.rank(cell, usable); len(best) > 0 {
-		return best[0]
+// this one believes alive. sure reports whether that has answered of late, or is
+// this one.
+func (f *Finder) First(cell Cell) (first string, sure bool) {
+	now := f.o.Clock.Now()
+	usable, _ := f.usable(now)
+	best := f.rank(cell, usable)
+	if len(best) == 0 || best[0] == f.o.Self {
+		return f.o.Self, true
 	}
-	return f.o.Self
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ok := f.answered[best[0]]
+	return best[0], ok && now.Sub(at) < sureFor
 }
 
 // elsewhere is when a caller that is sent to another instance may come back.
@@ -226,11 +247,21 @@
 	return best, skipped
 }
 
-// usable returns the members that are not left out.
+// usable returns the members that are not left out. One that has become a member
+// again is not.
 func (f *Finder) usable(now time.Time) (usable []string, skipped bool) {
+	members := f.o.Members()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, m := range f.o.Members() {
+	if !slices.Equal(members, f.members) {
+		for _, m := range members {
+			if !slices.Contains(f.members, m) {
+				delete(f.avoided, m)
+			}
+		}
+		f.members = slices.Clone(members)
+	}
+	for _, m := range members {
 		if now.Before(f.avoided[m]) {
 			skipped = true
 			continue
@@ -277,7 +308,9 @@
 func (f *Finder) Avoid(instance string, err error) {
 	now := f.o.Clock.Now()
 	f.mu.Lock()
-	maps.DeleteFunc(f.avoided, func(_ string, until time.Time) bool { return now.Sub(until) > forgetAfter })
+	old := func(_ string, at time.Time) bool { return now.Sub(at) > forgetAfter }
+	maps.DeleteFunc(f.avoided, old)
+	maps.DeleteFunc(f.answered, old)
 	f.avoided[instance] = now.Add(avoidFor)
 	f.mu.Unlock()
 	f.o.Logger.Log(event.DispatcherLost, "dispatcher", instance, "err", err)
--- a/internal/stagework/finder_test.go
+++ b/internal/stagework/finder_test.go
@@ -26,15 +26,38 @@
 			t.Errorf("%s answered, the first is silent", got)
 		}
 		asked := r.asked[first]
+		r.names = nil
 		f.o.Members = func() []string { return ranked }
-		if got := answers(t, f); got != second || r.asked[first] != asked {
-			t.Errorf("%s answered, the first was asked %d times more, it was silent just now", got, r.asked[first]-asked)
-		}
-		if _, refusal := f.Take(Job{}); refusal == nil || refusal.Reason != ReasonNotFirst || refusal.Elsewhere != second {
-			t.Errorf("a job that is for another gets %+v", refusal)
+		r.silent = ranked[:1]
+		answers(t, f) // it has become a member again, so it is asked
+		if got := answers(t, f); got != second || r.asked[first] != asked+1 {
+			t.Errorf("%s answered, the first was asked %d times more", got, r.asked[first]-asked)
 		}
-		if _, refusal := f.Take(Job{Insist: true}); refusal == nil || refusal.Reason != ReasonNoTarget {
-			t.Errorf("an owner that insists gets %+v", refusal)
+	})
+}
+
+// Symptom: an instance that stood in goes on scheduling beside the first for
+// seconds after its return.
+// Events: owners that did not reach the first of late insist.
+// Cause: the one asked took their word though the first answered it meanwhile.
+func TestWhoTakesAJobThatIsForAnother(t *testing.T) {
+	inFinder(t, func(f *Finder, r *remote, ranked []string) {
+		for _, c := range []struct {
+			insist  Insistence
+			answers bool // the first has answered this instance
+			want    string
+		}{
+			{InsistNot, false, ReasonNotFirst}, {InsistRemembered, false, ReasonNoTarget}, {InsistTried, false, ReasonNoTarget},
+			{InsistNot, true, ReasonNotFirst}, {InsistRemembered, true, ReasonNotFirst}, {InsistTried, true, ReasonNoTarget},
+		} {
+			time.Sleep(sureFor)
+			if c.answers {
+				answers(t, f)
+			}
+			_, refusal := f.Take(Job{Insist: c.insist})
+			if refusal == nil || refusal.Reason != c.want || c.want == ReasonNotFirst && refusal.Elsewhere != ranked[0] {
+				t.Errorf("%+v: %+v", c, refusal) // one that it takes finds no target
+			}
 		}
 	})
 }
@@ -66,22 +89,19 @@
 	})
 }
 
-func TestLeadIsLostOnceAndNotByAMoment(t *testing.T) {
+func TestLeadIsNotLostByAMoment(t *testing.T) {
 	var l lead
 	at := time.Unix(0, 0)
 	for i, step := range []struct {
-		after time.Duration
-		first bool
-		lost  bool
+		after   time.Duration
+		another bool
+		lost    bool
 	}{
-		{0, false, false}, {time.Second, false, false}, // it never led
-		{0, true, false}, {0, false, false}, {leadLostAfter / 2, true, false}, // another for a moment
-		{0, false, false}, {leadLostAfter, false, false}, {ms, false, true},
-		{time.Second, false, false}, // once
-		{0, true, false}, {0, false, false}, {2 * leadLostAfter, false, true},
+		{0, false, false}, {0, true, false}, {leadLostAfter / 2, false, false}, // another for a moment
+		{0, true, false}, {leadLostAfter, true, false}, {ms, true, true}, {ms, true, true}, {ms, false, false},
 	} {
 		at = at.Add(step.after)
-		if got := l.lost(step.first, at); got != step.lost {
+		if got := l.lost(step.another, at); got != step.lost {
 			t.Errorf("step %d: lost %v", i, got)
 		}
 	}
--- a/internal/stagework/handback_test.go
+++ b/internal/stagework/handback_test.go
@@ -33,7 +33,7 @@
 // Cause: the waiting jobs stayed, so two dispatchers filled the same targets.
 func TestAStoppingDispatcherGivesBackWhatHasNotBegun(t *testing.T) {
 	c := quartz.NewMock(t)
-	d := New(Options{Self: "a", Client: busyTargets{}, Clock: c, First: func(Cell) string { return "b" }})
+	d := New(Options{Self: "a", Client: busyTargets{}, Clock: c, First: func(Cell) (string, bool) { return "b", true }})
 	defer d.Close()
 	table := (&route.Table{Services: map[string]*route.Service{
 		"cut": {Name: "cut", Pieces: &route.Pieces{Slots: 1, Batch: 1, CallTime: 100 * time.Millisecond, ResultRoom: 1 << 20, ResultLifetime: time.Minute}},
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -24,7 +24,7 @@
 	Cell         []string // places whose targets do the work; nil = all
 	Avoid        []string // engines that have failed this request
 	Made         []Made   // results that the dispatcher before had made
-	Insist       bool     // the owner does not reach an instance that ranks before the one it asks
+	Insist       Insistence
 }
 
 // pieces returns the number of pieces of a stage.
@@ -35,6 +35,19 @@
 	return j.Pieces[stage]
 }
 
+// Insistence says why a job comes to an instance that may not rank first.
+type Insistence int
+
+// Degrees of insistence.
+const (
+	// InsistNot is for an instance that the owner holds for the first.
+	InsistNot Insistence = iota
+	// InsistRemembered is where the owner did not reach another of late.
+	InsistRemembered
+	// InsistTried is where the owner tried the one that was named, in vain.
+	InsistTried
+)
+
 // Made is the result of a piece. The owner of a job keeps what its dispatcher
 // has made: if that is lost, the next one goes on from there. Without this the
 // results of a dispatcher that died take room at their makers until their
--- a/internal/stagework/moving.go
+++ b/internal/stagework/moving.go
@@ -112,10 +112,11 @@
 }
 
 // leave has the jobs that have no engine yet given back, each as soon as none
-// of its pieces is being made.
-func (p *Planner) leave() {
+// of its pieces is being made. Jobs whose owners do not reach the instance that
+// ranks first stay unless all have to go.
+func (p *Planner) leave(all bool) {
 	for _, j := range p.staging() {
-		if len(j.units) > 0 {
+		if len(j.units) > 0 && (all || j.Insist != InsistTried) {
 			j.leaving = true
 		}
 	}
--- a/internal/stagework/moving_test.go
+++ b/internal/stagework/moving_test.go
@@ -111,7 +111,7 @@
 	j, _ := p.submit(stagedJob("r", 2, now), nil, now)
 	j.lost = func(results []Made) { back, given = results, given+1 }
 	calls := p.plan(now)
-	p.leave()
+	p.leave(false)
 	if p.plan(now); given != 0 {
 		t.Fatal("given back while its pieces were being made")
 	}
