lynxbench: an interrupted run says so and counts nothing that the interrupt caused

Cause: the signal's context ended the callers, so that their requests counted as lost, ended the wait for the agreement on profiles (reverted), and left few whole answers (too few). Ruled out: a time limit that passes is no interrupt. Limit: a request that fails for a real reason at the same moment is not counted.

--- a/internal/bench/experiment.go
+++ b/internal/bench/experiment.go
@@ -200,6 +200,9 @@
 	Experiment Experiment `json:"experiment"`
 	Started    time.Time  `json:"started"`
 	Summaries  []Summary  `json:"summaries"`
+	// Interrupted: the run was ended before its time, and nothing is counted
+	// that ended after that. It proves nothing about the whole run.
+	Interrupted bool `json:"interrupted,omitempty"`
 }
 
 // Broken is the number of broken promises over all runs.
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -69,7 +69,8 @@
 // Attained reports whether that was within the deadline.
 func (r *Record) Attained() bool { return r.Whole() && r.Latency <= r.Deadline }
 
-// RunLoad sends the load and returns a record for every request. Latencies
+// RunLoad sends the load and returns a record for every request, but for those
+// that an interrupt of ctx cut off or kept from being sent. Latencies
 // count from the moment at which a request was meant to be sent, so that a
 // stall of the system or of the bench itself shows in them.
 func RunLoad(ctx context.Context, c System, list []profile.Profile, opts LoadOptions) ([]Record, error) {
@@ -150,12 +151,19 @@
 		l.mu.Lock()
 		l.progress.Sent++
 		l.mu.Unlock()
-		sending.Go(func() { l.note(l.send(ctx, start, it)) })
+		sending.Go(func() { l.sendAndNote(ctx, start, it) })
 	}
 	sending.Wait()
 	return l.records
 }
 
+// sendAndNote leaves no record of a request that an interrupt cut off.
+func (l *load) sendAndNote(ctx context.Context, start time.Time, it timedItem) {
+	if r := l.send(ctx, start, it); !r.cutOff(ctx) {
+		l.note(r)
+	}
+}
+
 func (l *load) note(r Record) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/bench/print.go
+++ b/internal/bench/print.go
@@ -11,6 +11,9 @@
 // Print writes the results as tables.
 func (r Results) Print(out io.Writer) {
 	fmt.Fprintf(out, "\n%s: %s\n\n", r.Experiment.Name, r.Experiment.About)
+	if r.Interrupted {
+		fmt.Fprintf(out, "interrupted: only what ended before the interrupt is counted\n\n")
+	}
 	r.printAttainment(out)
 	r.printPromises(out)
 	r.printCosts(out)
