One file watcher, one set of goroutines by key, one set-up for virtual-time tests

Cause: auth and tlsconf had a watcher each; lease and loadview the same code for one goroutine a key; five packages' tests the same pauses and fleets. Now internal/filewatch, loop.Tasks and internal/virtualtest. No behaviour changes, the tests assert what they did. Ruled out: joining the Options tables (callers would change) and messages of different protocols. Left: a token file that is removed stays unnoticed, as before.

--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -7,22 +7,17 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
-	"os"
 	"strings"
 	"sync"
 	"time"
 
-	"github.com/coder/quartz"
-
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/filewatch"
 )
 
-const (
-	bearer           = "Bearer "
-	defaultPollEvery = 2 * time.Second
-)
+const bearer = "Bearer "
 
 // Options of a Verifier.
 type Options struct {
@@ -39,23 +34,11 @@
 
 	mu   sync.RWMutex // guards sets and seen
 	sets sets
-	seen fileState
-}
-
-// fileState tells whether a file was replaced since it was read.
-type fileState struct {
-	modified time.Time
-	size     int64
+	seen filewatch.State
 }
 
 // New returns a verifier, or an error if a token or the file is unusable.
 func New(opts Options) (*Verifier, error) {
-	if opts.Clock == nil {
-		opts.Clock = quartz.NewReal()
-	}
-	if opts.PollEvery <= 0 {
-		opts.PollEvery = defaultPollEvery
-	}
 	v := &Verifier{opts: opts}
 	return v, v.Reload()
 }
@@ -115,7 +98,7 @@
 // so that a half-written file locks nobody out.
 func (v *Verifier) Reload() error {
 	all := v.opts.Tokens
-	state := v.stat()
+	state := v.files().State()
 	if v.opts.File != "" {
 		fromFile, err := ReadFile(v.opts.File)
 		if err != nil {
@@ -136,50 +119,26 @@
 
 // Run reads the token file again whenever it changes, until ctx ends.
 func (v *Verifier) Run(ctx context.Context) {
-	if v.opts.File == "" {
-		<-ctx.Done()
-		return
-	}
-	ticker := v.opts.Clock.NewTicker(v.opts.PollEvery)
-	defer ticker.Stop()
-	var failed fileState
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			failed = v.poll(failed)
-		}
-	}
+	filewatch.Watch{
+		Files: v.files(), Every: v.opts.PollEvery, Clock: v.opts.Clock,
+		Used: v.used, Reload: v.Reload, Done: v.reloaded,
+	}.Run(ctx)
 }
 
-// poll reloads a changed file; it returns the state of a file that could not
-// be used, so that one bad file is logged once.
-func (v *Verifier) poll(failed fileState) fileState {
-	now := v.stat()
+func (v *Verifier) files() filewatch.Files { return filewatch.Files{v.opts.File} }
+
+func (v *Verifier) used() filewatch.State {
 	v.mu.RLock()
-	same := now == v.seen
-	v.mu.RUnlock()
-	if same || now == failed {
-		return failed
-	}
-	if err := v.Reload(); err != nil {
-		v.opts.Logger.Log(event.TokensUnusable, "file", v.opts.File, "error", err)
-		return now
-	}
-	v.opts.Logger.Log(event.TokensReloaded, "file", v.opts.File)
-	return fileState{}
+	defer v.mu.RUnlock()
+	return v.seen
 }
 
-func (v *Verifier) stat() fileState {
-	if v.opts.File == "" {
-		return fileState{}
-	}
-	info, err := os.Stat(v.opts.File)
+func (v *Verifier) reloaded(err error) {
 	if err != nil {
-		return fileState{}
+		v.opts.Logger.Log(event.TokensUnusable, "file", v.opts.File, "error", err)
+		return
 	}
-	return fileState{modified: info.ModTime(), size: info.Size()}
+	v.opts.Logger.Log(event.TokensReloaded, "file", v.opts.File)
 }
 
 // sets holds the tokens by kind.
--- a/internal/control/discovery/discovery_test.go
+++ b/internal/control/discovery/discovery_test.go
@@ -41,6 +41,22 @@
 	}
 }
 
+// withTargets runs a test in virtual time in which the controller of instance
+// i-0 has read a list with the live targets.
+func withTargets(t *testing.T, ids []string, body func(t *testing.T, s *memstore.Store, b *board.Board, c *Controller)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New(memstore.Options{})
+		for _, id := range ids {
+			s.SetInstance(engine(id, platformapi.StateLive))
+		}
+		b := board.New()
+		c, stop := start(s, b, "i-0")
+		defer stop()
+		time.Sleep(5 * time.Second)
+		body(t, s, b, c)
+	})
+}
+
 func leaving(b *board.Board, id string) bool {
 	t, _ := b.Targets.Get(id)
 	return t.Leaving
@@ -107,12 +123,7 @@
 	}
 	for name, sign := range signs {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := memstore.New(memstore.Options{})
-				s.SetInstance(engine("t-1", platformapi.StateLive))
-				b := board.New()
-				c, stop := start(s, b, "i-0")
-				defer stop()
+			withTargets(t, []string{"t-1"}, func(t *testing.T, s *memstore.Store, b *board.Board, c *Controller) {
 				time.Sleep(time.Minute)
 				if leaving(b, "t-1") {
 					t.Fatal("marked before the sign")
@@ -131,15 +142,7 @@
 // Events: the platform comes back from an outage with an empty list.
 // Cause: the empty list was believed.
 func TestEmptyListKeepsTargetsThatAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := memstore.New(memstore.Options{})
-		for _, id := range []string{"t-1", "t-2"} {
-			s.SetInstance(engine(id, platformapi.StateLive))
-		}
-		b := board.New()
-		_, stop := start(s, b, "i-0")
-		defer stop()
-		time.Sleep(5 * time.Second)
+	withTargets(t, []string{"t-1", "t-2"}, func(t *testing.T, s *memstore.Store, b *board.Board, _ *Controller) {
 		defer report(b, "t-1", func() bool { return false })()
 		s.RemoveInstance("t-1")
 		s.RemoveInstance("t-2")
@@ -157,13 +160,7 @@
 // Events: the target itself says that it is leaving; the platform does not know
 // and goes on listing it live. Cause: the list alone cleared the mark.
 func TestListAloneDoesNotClear(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := memstore.New(memstore.Options{})
-		s.SetInstance(engine("t-1", platformapi.StateLive))
-		b := board.New()
-		_, stop := start(s, b, "i-0")
-		defer stop()
-		time.Sleep(5 * time.Second)
+	withTargets(t, []string{"t-1"}, func(t *testing.T, _ *memstore.Store, b *board.Board, _ *Controller) {
 		defer report(b, "t-1", func() bool { return true })()
 		time.Sleep(2 * time.Second)
 		for range 1200 {
@@ -180,13 +177,7 @@
 // that did not see the target come back yet, passes the old mark on.
 // Cause: the old mark was taken for a new sign.
 func TestOldMarkOfPeerIsIgnoredAfterReturn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s := memstore.New(memstore.Options{})
-		s.SetInstance(engine("t-1", platformapi.StateLive))
-		b := board.New()
-		c, stop := start(s, b, "i-0")
-		defer stop()
-		time.Sleep(5 * time.Second)
+	withTargets(t, []string{"t-1"}, func(t *testing.T, _ *memstore.Store, b *board.Board, c *Controller) {
 		defer report(b, "t-1", func() bool { return false })()
 		c.Refused("t-1")
 		given := time.Now()
--- a/internal/control/lease/manager.go
+++ b/internal/control/lease/manager.go
@@ -35,10 +35,9 @@
 	rand *loop.Rand
 	life string // names this run of the process in tokens
 
-	mu      sync.Mutex // guards grants and writes
-	grants  map[string]Grant
-	writes  uint64
-	running sync.WaitGroup
+	mu     sync.Mutex // guards grants and writes
+	grants map[string]Grant
+	writes uint64
 }
 
 // NewManager returns a manager that holds nothing until Run.
@@ -56,33 +55,11 @@
 // Run contends for the leases of all services until ctx ends, then gives back
 // those that it holds.
 func (m *Manager) Run(ctx context.Context) {
-	started := make(map[string]context.CancelFunc)
+	contentions := loop.NewTasks(m.serve)
 	loop.Run(ctx, loop.Options{
 		Clock: m.opts.Clock, Rand: m.rand, Period: servicesPeriod, Jitter: jitter,
-	}, func(ctx context.Context) { m.reconcile(ctx, started) })
-	for _, stop := range started {
-		stop()
-	}
-	m.running.Wait()
-}
-
-// reconcile starts and stops the contention for services as they come and go.
-func (m *Manager) reconcile(ctx context.Context, started map[string]context.CancelFunc) {
-	wanted := make(map[string]bool)
-	for _, service := range m.opts.Services() {
-		wanted[service] = true
-		if started[service] == nil {
-			serviceCtx, stop := context.WithCancel(ctx)
-			started[service] = stop
-			m.running.Go(func() { m.serve(serviceCtx, service) })
-		}
-	}
-	for service, stop := range started {
-		if !wanted[service] {
-			stop()
-			delete(started, service)
-		}
-	}
+	}, func(ctx context.Context) { contentions.Keep(ctx, m.opts.Services()) })
+	contentions.Stop()
 }
 
 // serve contends for one lease until ctx ends.
--- a/internal/control/lease/random_test.go
+++ b/internal/control/lease/random_test.go
@@ -17,6 +17,7 @@
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/store"
 	"lynxhill.example/lynxhill/internal/store/memstore"
+	"lynxhill.example/lynxhill/internal/virtualtest"
 )
 
 // The history of a lease: taking it, or passing the check before an order.
@@ -57,51 +58,29 @@
 
 func (h *history) now() time.Duration { return time.Since(h.began) }
 
-// pauses stops a node at its next call to the outside, as a process that is
-// stopped has no effect on others.
-type pauses struct {
-	mu    sync.Mutex // guards until
-	until time.Time
-}
-
-func (p *pauses) pause(d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.until = time.Now().Add(d)
-}
-
-func (p *pauses) wait() {
-	p.mu.Lock()
-	until := p.until
-	p.mu.Unlock()
-	if d := time.Until(until); d > 0 {
-		time.Sleep(d)
-	}
-}
-
 // recordedStore is one node's way to the store: it pauses with the node and
 // records what the node took.
 type recordedStore struct {
 	Store
-	*pauses
+	pause   *virtualtest.Pause
 	history *history
 	client  int
 	node    string
 }
 
 func (s *recordedStore) Get(ctx context.Context, key string) (store.Object, error) {
-	s.wait()
+	s.pause.Wait()
 	object, err := s.Store.Get(ctx, key)
-	s.wait()
+	s.pause.Wait()
 	return object, err
 }
 
 func (s *recordedStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (store.Object, error) {
-	s.wait()
+	s.pause.Wait()
 	call := s.history.now()
 	object, err := s.Store.Put(ctx, key, value, ifVersion)
 	end := s.history.now()
-	s.wait()
+	s.pause.Wait()
 	taken, _ := parse(value, 0, 0)
 	switch {
 	case taken.Released:
@@ -116,18 +95,18 @@
 // randomNode is a manager under faults.
 type randomNode struct {
 	*node
-	pauses *pauses
+	pause *virtualtest.Pause
 }
 
 func startRandom(i, n int, s Store, h *history, rng *rand.Rand) *randomNode {
 	id := ids(n)[i]
-	p := &pauses{}
+	p := &virtualtest.Pause{}
 	drift := 1 + 0.04*(rng.Float64()-0.5)
 	began := time.Now()
 	b := board.New()
 	nd := &node{id: id, board: b, done: make(chan struct{})}
 	nd.manager = NewManager(Options{
-		Store: &recordedStore{Store: s, pauses: p, history: h, client: i, node: id},
+		Store: &recordedStore{Store: s, pause: p, history: h, client: i, node: id},
 		Board: b, Clock: quartz.NewReal(), Self: id, Rand: rand.New(rand.NewPCG(rng.Uint64(), 1)),
 		Boot: clock.BootFunc(func() time.Duration {
 			return time.Duration(float64(time.Since(began)) * drift)
@@ -140,7 +119,7 @@
 		defer close(nd.done)
 		nd.manager.Run(ctx)
 	}()
-	return &randomNode{node: nd, pauses: p}
+	return &randomNode{node: nd, pause: p}
 }
 
 // seeMembers gives the node a view in which some of the others are missing.
@@ -271,7 +250,7 @@
 			chosen = nd
 		}
 	}
-	chosen.pauses.pause(time.Duration(rng.Int64N(int64(40 * time.Second))))
+	chosen.pause.For(time.Duration(rng.Int64N(int64(40 * time.Second))))
 }
 
 // waitFor returns how long it takes until an instance other than the old holder
@@ -291,7 +270,7 @@
 
 func TestTakeOverTimes(t *testing.T) {
 	for name, end := range map[string]func(*randomNode){
-		"died":    func(nd *randomNode) { nd.pauses.pause(time.Hour) },
+		"died":    func(nd *randomNode) { nd.pause.For(time.Hour) },
 		"drained": func(nd *randomNode) { nd.board.Self.Put(board.SelfRow, board.Self{Draining: true}) },
 	} {
 		var worst [2]time.Duration
--- a/internal/control/loadview/loadview.go
+++ b/internal/control/loadview/loadview.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/board"
@@ -30,11 +29,10 @@
 
 // Controller keeps board.Loads and board.Prefixes. It is a gossip.Part.
 type Controller struct {
-	opts    Options
-	rand    *loop.Rand
-	polling sync.WaitGroup
-	ages    ages
-	spread  spread
+	opts   Options
+	rand   *loop.Rand
+	ages   ages
+	spread spread
 }
 
 // New returns a controller.
@@ -49,48 +47,28 @@
 // Run polls this instance's share of the targets until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	c.opts.Metrics.Func(metricViewAge, func() any { return c.MeanAge().Milliseconds() })
-	started := make(map[string]context.CancelFunc)
+	polls := loop.NewTasks(c.poll)
 	loop.Run(ctx, loop.Options{
 		Clock: c.opts.Clock, Rand: c.rand, Period: assignPeriod, Jitter: jitter,
-	}, func(ctx context.Context) { c.assign(ctx, started) })
-	for _, stop := range started {
-		stop()
-	}
-	c.polling.Wait()
+	}, func(ctx context.Context) { c.assign(ctx, polls) })
+	polls.Stop()
 }
 
-// assign starts and stops the polling of targets as the members change.
-func (c *Controller) assign(ctx context.Context, started map[string]context.CancelFunc) {
+// assign starts and stops the polling of targets as the members change, and
+// drops what is remembered of targets that are off the board.
+func (c *Controller) assign(ctx context.Context, polls *loop.Tasks) {
 	targets := c.opts.Board.Targets.Snapshot()
 	f := fleetOf(c.opts.Board, c.opts.Self, c.opts.Place, c.opts.Region)
+	var own []string
 	for id, t := range targets {
-		wanted := f.polls(c.opts.Self, t, c.opts.PollersPerTarget)
-		stop := started[id]
-		switch {
-		case wanted && stop == nil:
-			targetCtx, stop := context.WithCancel(ctx)
-			started[id] = stop
-			c.polling.Go(func() { c.poll(targetCtx, id) })
-		case !wanted && stop != nil:
-			stop()
-			delete(started, id)
-		}
-	}
-	c.stopGone(started, targets)
-	c.opts.Metrics.Counter(metricPolled).Set(int64(len(started)))
-}
-
-// stopGone ends the polling of targets that are off the board and drops what
-// is remembered of them.
-func (c *Controller) stopGone(started map[string]context.CancelFunc, targets map[string]board.Target) {
-	for id, stop := range started {
-		if _, there := targets[id]; !there {
-			stop()
-			delete(started, id)
+		if f.polls(c.opts.Self, t, c.opts.PollersPerTarget) {
+			own = append(own, id)
 		}
 	}
+	polls.Keep(ctx, own)
 	c.ages.retain(targets)
 	c.spread.retain(targets)
+	c.opts.Metrics.Counter(metricPolled).Set(int64(polls.Len()))
 }
 
 // poll asks one target for its load, and an engine for its cache events, until
--- a/internal/control/orders/random_test.go
+++ b/internal/control/orders/random_test.go
@@ -20,73 +20,53 @@
 	"lynxhill.example/lynxhill/internal/stagecall"
 	"lynxhill.example/lynxhill/internal/store"
 	"lynxhill.example/lynxhill/internal/store/memstore"
+	"lynxhill.example/lynxhill/internal/virtualtest"
 	"lynxhill.example/lynxhill/internal/wire/targetapi"
 )
 
-// paused stops an instance at its next call to the outside.
-type paused struct {
-	mu    sync.Mutex // guards until
-	until time.Time
-}
-
-func (p *paused) pause(d time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.until = time.Now().Add(d)
-}
-
-func (p *paused) wait() {
-	p.mu.Lock()
-	d := time.Until(p.until)
-	p.mu.Unlock()
-	if d > 0 {
-		time.Sleep(d)
-	}
-}
-
 type pausedStore struct {
 	lease.Store
-	*paused
+	pause *virtualtest.Pause
 }
 
 func (s pausedStore) Get(ctx context.Context, key string) (store.Object, error) {
-	s.wait()
+	s.pause.Wait()
 	object, err := s.Store.Get(ctx, key)
-	s.wait()
+	s.pause.Wait()
 	return object, err
 }
 
 func (s pausedStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (store.Object, error) {
-	s.wait()
+	s.pause.Wait()
 	object, err := s.Store.Put(ctx, key, value, ifVersion)
-	s.wait()
+	s.pause.Wait()
 	return object, err
 }
 
 type pausedCaller struct {
 	*fakeEngines
-	*paused
+	pause *virtualtest.Pause
 }
 
 func (c pausedCaller) Order(ctx context.Context, t stagecall.Target, o targetapi.Order) error {
-	c.wait()
+	c.pause.Wait()
 	err := c.fakeEngines.Order(ctx, t, o)
-	c.wait()
+	c.pause.Wait()
 	return err
 }
 
 func (c pausedCaller) State(ctx context.Context, t stagecall.Target) (targetapi.LoadReport, error) {
-	c.wait()
+	c.pause.Wait()
 	report, err := c.fakeEngines.State(ctx, t)
-	c.wait()
+	c.pause.Wait()
 	return report, err
 }
 
 // giver is an instance with its lease manager and orders controller.
 type giver struct {
-	board  *board.Board
-	lease  *lease.Manager
-	paused *paused
+	board *board.Board
+	lease *lease.Manager
+	pause *virtualtest.Pause
 }
 
 // trial is one random run.
@@ -121,20 +101,20 @@
 }
 
 func (x *trial) startGiver(ctx context.Context, i, instances int) *giver {
-	g := &giver{board: boardWith(x.engines), paused: &paused{}}
+	g := &giver{board: boardWith(x.engines), pause: &virtualtest.Pause{}}
 	for j := range instances {
 		id := fmt.Sprintf("i-%02d", j)
 		g.board.Members.Put(id, board.Member{ID: id, State: board.MemberAlive})
 	}
 	began, drift := time.Now(), 1+0.04*(x.rng.Float64()-0.5)
 	boot := clock.BootFunc(func() time.Duration { return time.Duration(float64(time.Since(began)) * drift) })
-	self, reached := fmt.Sprintf("i-%02d", i), pausedStore{x.store, g.paused}
+	self, reached := fmt.Sprintf("i-%02d", i), pausedStore{x.store, g.pause}
 	g.lease = lease.NewManager(lease.Options{
 		Store: reached, Board: g.board, Clock: quartz.NewReal(), Boot: boot, Self: self,
 		Rand: rand.New(rand.NewPCG(x.rng.Uint64(), 1)),
 	})
 	c := New(Options{
-		Caller: pausedCaller{x.engines, g.paused}, Store: reached, Board: g.board, Lease: g.lease, Boot: boot,
+		Caller: pausedCaller{x.engines, g.pause}, Store: reached, Board: g.board, Lease: g.lease, Boot: boot,
 		Clock: quartz.NewReal(), Self: self, WeightRate: 1, Checker: invariant.New(x.broken),
 		Rand: rand.New(rand.NewPCG(x.rng.Uint64(), 2)), ReadEvery: 3 * time.Second, KeepAfter: 20 * time.Second,
 	})
@@ -208,7 +188,7 @@
 			chosen = g
 		}
 	}
-	chosen.paused.pause(time.Duration(x.rng.Int64N(int64(40 * time.Second))))
+	chosen.pause.For(time.Duration(x.rng.Int64N(int64(40 * time.Second))))
 }
 
 // drainHolder makes the holder give its lease back with orders under way.
--- a/internal/control/profilesync/fleet_test.go
+++ b/internal/control/profilesync/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -22,6 +21,7 @@
 	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/store"
 	"lynxhill.example/lynxhill/internal/store/memstore"
+	"lynxhill.example/lynxhill/internal/virtualtest"
 )
 
 // fleet is a number of instances with membership and profile sync, an
@@ -136,7 +136,8 @@
 	}
 	f.store.SetFaults(memstore.Faults{Delay: 2 * time.Millisecond, Jitter: 3 * time.Millisecond})
 	for i := range n {
-		f.nodes = append(f.nodes, &node{id: fmt.Sprintf("lynxhill-%03d", i), addr: fmt.Sprintf("10.0.%d.%d:7300", i/250, i%250)})
+		self := virtualtest.Member(i)
+		f.nodes = append(f.nodes, &node{id: self.ID, addr: self.PeerAddr})
 	}
 	for i := range f.nodes {
 		f.start(i)
@@ -161,10 +162,7 @@
 	o.Rand = rand.New(rand.NewPCG(uint64(n.life), uint64(i)))
 	n.sync = profilesync.New(o)
 	n.members = membership.New(membership.Options{
-		Self: board.Member{
-			ID: n.id, CallerAddr: "c" + n.addr, AdminAddr: "a" + n.addr, PeerAddr: n.addr,
-			Place: fmt.Sprintf("place-%d", i%4), Region: "tunis",
-		},
+		Self:  virtualtest.Member(i),
 		Board: n.board, Clock: f.clock, Boot: boot, Rand: rand.New(rand.NewPCG(uint64(i), uint64(n.life))),
 		Transport: client, Lister: n.link, Parts: []gossip.Part{n.sync},
 	})
@@ -203,15 +201,7 @@
 
 func (f *fleet) until(limit time.Duration, what string, ok func() bool) time.Duration {
 	f.t.Helper()
-	const step = 20 * time.Millisecond
-	for waited := time.Duration(0); waited <= limit; waited += step {
-		if ok() {
-			return waited
-		}
-		time.Sleep(step)
-	}
-	f.t.Fatalf("%s: not within %v", what, limit)
-	return 0
+	return virtualtest.Until(f.t, 20*time.Millisecond, limit, what, ok)
 }
 
 func (n *node) version(name string) uint64 {
--- a/internal/control/profilesync/measure_test.go
+++ b/internal/control/profilesync/measure_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"sort"
@@ -12,12 +11,9 @@
 
 	"lynxhill.example/lynxhill/internal/control/profilesync"
 	"lynxhill.example/lynxhill/internal/gossip"
+	"lynxhill.example/lynxhill/internal/virtualtest"
 )
 
-// measureSize adds a fleet to the sizes that are measured: 370 is the size to
-// design for, and takes a minute of real time.
-var measureSize = flag.Int("measure-size", 0, "further number of instances to measure")
-
 func (f *fleet) traffic() (digests, bytes int) {
 	for _, n := range f.nodes {
 		t := f.net.Traffic(n.addr)
@@ -37,11 +33,7 @@
 // TestTimeToForce shows how long a written change takes to be in force on each
 // instance, and to be accepted.
 func TestTimeToForce(t *testing.T) {
-	sizes := []int{8, 64}
-	if *measureSize > 0 {
-		sizes = append(sizes, *measureSize)
-	}
-	for _, n := range sizes {
+	for _, n := range virtualtest.Sizes(8, 64) {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			settled(t, n, func(f *fleet) { measureForce(t, f) })
 		})
@@ -225,11 +217,7 @@
 // TestStoreOutageAtSizeFencesNobody shows the bytes that the signs of life take
 // while the store is down, which stand in for its confirmation.
 func TestStoreOutageAtSizeFencesNobody(t *testing.T) {
-	sizes := []int{64}
-	if *measureSize > 0 {
-		sizes = append(sizes, *measureSize)
-	}
-	for _, n := range sizes {
+	for _, n := range virtualtest.Sizes(64) {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			settled(t, n, func(f *fleet) {
 				f.set(0, "check", 1, 0, "c1", time.Minute)
--- /dev/null
+++ b/internal/filewatch/filewatch_test.go
@@ -0,0 +1,56 @@
+package filewatch
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// Symptom: a replaced file is not taken, or a bad one fills the log.
+// Events: a file is replaced by a bad one, which stays; then by a good one; in
+// the end it is removed, which is no reason to read. Cause: looks that compare with the wrong state.
+func TestRunReloadsWhatWasReplaced(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "file")
+	steps := []struct {
+		text             string // "" removes the file
+		reloads, refused int    // up to here
+	}{{"first", 0, 0}, {"bad", 1, 1}, {"good one", 2, 1}, {"", 2, 1}}
+	synctest.Test(t, func(t *testing.T) {
+		var used State
+		reloads, refused := 0, 0
+		w := Watch{Files: Files{1: path}, Used: func() State { return used }}
+		w.Reload = func() error {
+			state := w.Files.State()
+			if text, err := os.ReadFile(path); err != nil || string(text) == "bad" {
+				return errors.New("unusable")
+			}
+			used = state
+			return nil
+		}
+		w.Done = func(err error) {
+			reloads++
+			if err != nil {
+				refused++
+			}
+		}
+		for i, step := range steps {
+			if step.text == "" {
+				_ = os.Remove(path)
+			} else if err := os.WriteFile(path, []byte(step.text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if i == 0 {
+				used = w.Files.State()
+				go w.Run(t.Context())
+			}
+			time.Sleep(5*DefaultEvery + DefaultEvery/2)
+			synctest.Wait()
+			if reloads != step.reloads || refused != step.refused {
+				t.Errorf("after %q: %d reloads, %d refused, want %+v", step.text, reloads, refused, step)
+			}
+		}
+	})
+}
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
@@ -16,6 +15,7 @@
 	"lynxhill.example/lynxhill/internal/membership"
 	"lynxhill.example/lynxhill/internal/peer/mempeer"
 	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/virtualtest"
 )
 
 // list is the platform's instance list.
@@ -77,7 +77,8 @@
 		clock:   clock,
 	}
 	for i := range n {
-		f.nodes = append(f.nodes, &node{id: fmt.Sprintf("lynxhill-%03d", i), addr: fmt.Sprintf("10.0.%d.%d:7300", i/250, i%250)})
+		self := virtualtest.Member(i)
+		f.nodes = append(f.nodes, &node{id: self.ID, addr: self.PeerAddr})
 	}
 	for i := range f.nodes {
 		f.start(i)
@@ -89,10 +90,7 @@
 	n := f.nodes[i]
 	n.board = board.New()
 	o := f.options
-	o.Self = board.Member{
-		ID: n.id, CallerAddr: "c" + n.addr, AdminAddr: "a" + n.addr, PeerAddr: n.addr,
-		Place: fmt.Sprintf("place-%d", i%4), Region: "tunis",
-	}
+	o.Self = virtualtest.Member(i)
 	o.Board, o.Clock, o.Lister = n.board, f.clock, f.list
 	o.Rand = rand.New(rand.NewPCG(7, uint64(i)))
 	o.Transport = f.net.Client(n.addr, nil)
@@ -150,15 +148,7 @@
 // until advances until ok holds and returns how long that took.
 func (f *fleet) until(limit time.Duration, what string, ok func() bool) time.Duration {
 	f.t.Helper()
-	const step = 100 * time.Millisecond
-	for waited := time.Duration(0); waited <= limit; waited += step {
-		if ok() {
-			return waited
-		}
-		time.Sleep(step)
-	}
-	f.t.Fatalf("%s: not within %v", what, limit)
-	return 0
+	return virtualtest.Until(f.t, 100*time.Millisecond, limit, what, ok)
 }
 
 func upTo(n int) []int { return span(0, n) }
--- a/internal/membership/measure_test.go
+++ b/internal/membership/measure_test.go
@@ -1,7 +1,6 @@
 package membership_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -9,12 +8,9 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/membership"
+	"lynxhill.example/lynxhill/internal/virtualtest"
 )
 
-// measureSize adds a fleet to the sizes that are measured: 370 is the size to
-// design for, and takes a minute of real time.
-var measureSize = flag.Int("measure-size", 0, "further number of instances to measure")
-
 // total sums the traffic of all instances; each digest is counted at its
 // sender and at its receiver.
 func (f *fleet) total() (digests, bytes int) {
@@ -29,11 +25,7 @@
 // TestBytesStayWithinTheBudget shows the bytes an instance sends and receives
 // in exchanges, by marshalled size, while its load changes all the time.
 func TestBytesStayWithinTheBudget(t *testing.T) {
-	sizes := []int{8, 16, 32, 64}
-	if *measureSize > 0 {
-		sizes = append(sizes, *measureSize)
-	}
-	for _, n := range sizes {
+	for _, n := range virtualtest.Sizes(8, 16, 32, 64) {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { measureBytes(t, n) })
 		})
--- a/internal/tlsconf/tlsconf.go
+++ b/internal/tlsconf/tlsconf.go
@@ -13,14 +13,11 @@
 	"sync"
 	"time"
 
-	"github.com/coder/quartz"
-
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/filewatch"
 )
 
-const defaultPollEvery = 2 * time.Second
-
 // Options of a Reloader. File names are of PEM files.
 type Options struct {
 	Name     string // of the listener, for the log
@@ -40,7 +37,7 @@
 
 	mu      sync.RWMutex // guards current and seen
 	current material
-	seen    fileStates
+	seen    filewatch.State
 }
 
 // material is what the files hold.
@@ -49,34 +46,22 @@
 	pool        *x509.CertPool // nil without a CA
 }
 
-// fileStates tells whether any of the three files was replaced.
-type fileStates [3]struct {
-	modified time.Time
-	size     int64
-}
-
 // New reads the files; an unusable one is an error.
 func New(opts Options) (*Reloader, error) {
-	if opts.Clock == nil {
-		opts.Clock = quartz.NewReal()
-	}
-	if opts.PollEvery <= 0 {
-		opts.PollEvery = defaultPollEvery
-	}
 	r := &Reloader{opts: opts}
 	return r, r.Reload()
 }
 
 // Reload reads the files again. On an error the old material stays in use.
 func (r *Reloader) Reload() error {
-	states := r.stat()
+	state := r.files().State()
 	fresh, err := read(r.opts)
 	if err != nil {
 		return err
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.current, r.seen = fresh, states
+	r.current, r.seen = fresh, state
 	return nil
 }
 
@@ -102,48 +87,28 @@
 
 // Run reads the files again whenever one changes, until ctx ends.
 func (r *Reloader) Run(ctx context.Context) {
-	ticker := r.opts.Clock.NewTicker(r.opts.PollEvery)
-	defer ticker.Stop()
-	var failed fileStates
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			failed = r.poll(failed)
-		}
-	}
+	filewatch.Watch{
+		Files: r.files(), Every: r.opts.PollEvery, Clock: r.opts.Clock,
+		Used: r.used, Reload: r.Reload, Done: r.reloaded,
+	}.Run(ctx)
+}
+
+func (r *Reloader) files() filewatch.Files {
+	return filewatch.Files{r.opts.CertFile, r.opts.KeyFile, r.opts.ClientCAFile}
 }
 
-// poll reloads changed files; it returns the state of files that could not be
-// used, so that one bad set is logged once. While certificate and key are
-// replaced one after the other they may not match for a moment; the next poll
-// sees the second file change and succeeds.
-func (r *Reloader) poll(failed fileStates) fileStates {
-	now := r.stat()
+func (r *Reloader) used() filewatch.State {
 	r.mu.RLock()
-	same := now == r.seen
-	r.mu.RUnlock()
-	if same || now == failed {
-		return failed
-	}
-	if err := r.Reload(); err != nil {
-		r.opts.Logger.Log(event.CertificatesUnusable, "listener", r.opts.Name, "error", err)
-		return now
-	}
-	r.opts.Logger.Log(event.CertificatesReloaded, "listener", r.opts.Name)
-	return fileStates{}
+	defer r.mu.RUnlock()
+	return r.seen
 }
 
-func (r *Reloader) stat() fileStates {
-	var states fileStates
-	for i, name := range []string{r.opts.CertFile, r.opts.KeyFile, r.opts.ClientCAFile} {
-		if info, err := os.Stat(name); err == nil {
-			states[i].modified = info.ModTime()
-			states[i].size = info.Size()
-		}
+func (r *Reloader) reloaded(err error) {
+	if err != nil {
+		r.opts.Logger.Log(event.CertificatesUnusable, "listener", r.opts.Name, "error", err)
+		return
 	}
-	return states
+	r.opts.Logger.Log(event.CertificatesReloaded, "listener", r.opts.Name)
 }
 
 func (r *Reloader) material() material {
