--- /dev/null
+++ b/internal/stagework/bench_test.go
@@ -0,0 +1,121 @@
+package stagework
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/route"
+)
+
+// benchStages is three pieces of a megabyte, from which one is made.
+var benchStages = []route.Stage{{Service: "enc", ResultBytes: 1e6}, {Service: "enc", ResultBytes: 1e5, After: []int{0}}}
+
+func benchPrompt(n int) *relay.Prompt {
+	parts := []relay.PromptPart{{ID: "common", Tokens: 800}, {ID: fmt.Sprint("session", n%300), Tokens: 1200}, {ID: fmt.Sprint("own", n), Tokens: 200}}
+	return &relay.Prompt{Parts: parts, TokensIn: 2200, TokensOut: 300}
+}
+
+func benchJob(n int, now time.Time) Job {
+	return Job{
+		ID: fmt.Sprintf("job %04d", n), Aim: now.Add(20 * time.Second), Deadline: now.Add(time.Minute), Stages: benchStages,
+		Pieces: []int{3, 1}, Service: "lm", Place: "p0", Prompt: benchPrompt(n), Priority: n % 3,
+	}
+}
+
+// benchPlanner is a planner with jobs that wait before stage targets, and engines.
+func benchPlanner(b *testing.B, jobs, targets, enginesN int, now time.Time) *Planner {
+	table, list := engines(enginesN)
+	enc := limits(8, 20*time.Millisecond, 5*time.Millisecond, 8e9)
+	table.Services["enc"] = &route.Service{Name: "enc", Pieces: &enc}
+	for n := range targets {
+		id := fmt.Sprintf("enc%02d", n)
+		list = append(list, fleet.Target{ID: id, Service: "enc", Address: id, Place: fmt.Sprint("p", n%2)})
+	}
+	p := NewPlanner(func(string, []string) {})
+	p.SetTargets(table, fleet.NewView(1, list))
+	for n := range jobs {
+		if _, refusal := p.submit(benchJob(n, now), func(Placement, *Refusal) {}, now); refusal != nil {
+			b.Fatalf("job %d: %+v", n, refusal)
+		}
+	}
+	return p
+}
+
+// undo takes the calls of a plan back.
+func undo(calls []*call) {
+	for _, c := range calls {
+		c.server.calls, c.server.busyTill = 0, time.Time{}
+		for _, q := range c.pieces {
+			q.state, q.server, q.tries = pieceWaiting, nil, 0
+			q.unit.waiting++
+			c.server.room -= q.unit.bytes
+		}
+	}
+}
+
+// BenchmarkPlan makes the plan while all targets are busy, as at most wakes, and while all are free. Names are jobs
+// and targets.
+func BenchmarkPlan(b *testing.B) {
+	now := time.Now()
+	for _, size := range [][2]int{{50, 5}, {50, 40}, {200, 5}, {200, 40}} {
+		for _, busy := range []bool{true, false} {
+			b.Run(fmt.Sprintf("%d_%d/busy=%t", size[0], size[1], busy), func(b *testing.B) {
+				p := benchPlanner(b, size[0], size[1], 12, now)
+				if busy {
+					p.plan(now)
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					undo(p.plan(now))
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkJudge takes one more job and ends it. In overload all have 300 ms, too little for most.
+func BenchmarkJudge(b *testing.B) {
+	now := time.Now()
+	for _, jobs := range []int{50, 200} {
+		for _, overload := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/overload=%t", jobs, overload), func(b *testing.B) {
+				p := benchPlanner(b, jobs, 5, 12, now)
+				b.ReportAllocs()
+				for b.Loop() {
+					for j := range p.jobs {
+						j.late = false
+						if overload {
+							j.Aim = now.Add(300 * time.Millisecond)
+						}
+					}
+					if j, _ := p.submit(benchJob(jobs, now), func(Placement, *Refusal) {}, now); j != nil {
+						p.cancel(j, now)
+					}
+				}
+			})
+		}
+	}
+}
+
+// BenchmarkChoose chooses an engine among those that have read prompts of 300 sessions.
+func BenchmarkChoose(b *testing.B) {
+	now := time.Now()
+	for _, n := range []int{12, 112} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			o := benchPlanner(b, 0, 1, n, now).pools["lm"]
+			for k := range 10 * n {
+				o.engines[fmt.Sprint("lm", k%n)].keep(benchPrompt(k), 1e6)
+				o.use(benchPrompt(k), now)
+			}
+			in := benchJob(7, now)
+			j := &job{Job: in, session: in.session()}
+			b.ReportAllocs()
+			for b.Loop() {
+				o.choose(j, now)
+			}
+		})
+	}
+}
