--- a/cmd/lynxhilld/daemon.go
+++ b/cmd/lynxhilld/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/url"
+	"runtime/debug"
 
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/daemon"
@@ -39,7 +40,7 @@
 		AnswerID:    platform.AnswerID,
 		ReadyPath:   platform.ReadinessPath,
 		AddressPath: platform.AddressPath,
-	}, edge.Options{Logger: logger})
+	}, edge.Options{Logger: logger, LimitMemory: debug.SetMemoryLimit})
 	if err != nil {
 		return nil, settingsError{err}
 	}
--- a/cmd/lynxhilld/run.go
+++ b/cmd/lynxhilld/run.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/coder/quartz"
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
@@ -52,9 +53,31 @@
 	signals := make(chan os.Signal, 8)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	defer c.followSettings(cfg, instance, logs.logger)()
 	return runUntilSignal(instance, signals)
 }
 
+// followSettings has the settings file read again while the instance runs, if
+// that takes changed settings. The returned function ends it.
+func (c runCmd) followSettings(cfg config.Config, instance runner, logger *event.Logger) func() {
+	taking, ok := instance.(reloader)
+	if !ok {
+		return func() {}
+	}
+	file := &settingsFile{
+		path: c.Config, every: cfg.Timings.FileCheck.Duration, clock: quartz.NewReal(),
+		logger: logger.With("instance", cfg.Instance.ID), instance: taking,
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	go file.run(ctx, hangups)
+	return func() {
+		signal.Stop(hangups)
+		stop()
+	}
+}
+
 // errInterrupted ends the program at once.
 type errInterrupted struct{}
 
@@ -64,8 +87,8 @@
 // it gracefully. A supervisor that repeats SIGTERM must not cut requests in
 // flight, so more of them change nothing; a person who presses Ctrl-C again
 // means it, so the second SIGINT quits. SIGHUP, which would end the process by
-// default when its terminal closes, changes nothing: token and certificate
-// files are read again by themselves.
+// default when its terminal closes, changes nothing here: token and certificate
+// files are read again by themselves, and followSettings hears the signal too.
 func runUntilSignal(instance runner, signals <-chan os.Signal) error {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/deploy/soak/main.go
+++ b/deploy/soak/main.go
@@ -23,7 +23,7 @@
 )
 
 const (
-	applyTime = 2 * time.Second // of the settings: within which a change of routes is in force
+	applyTime = 2 * time.Second // within which a change of routes is in force
 	touchTime = 2 * time.Second // of the settings: after which an instance is out of touch
 	askTime   = 3 * time.Second // each client's deadline
 	host      = "a.example"
@@ -104,15 +104,13 @@
 //go:embed settings.toml.tmpl
 var settings string
 
-// writeSettings writes two files for each instance: for the first start of the whole system, and for starts afterwards.
+// writeSettings writes a file for each instance.
 func writeSettings(o options) error {
 	places, err := readPlaces(o)
 	for _, i := range places {
-		for name, first := range map[string]bool{i.ID + ".first.toml": true, i.ID + ".toml": false} {
-			var text bytes.Buffer
-			made := template.Must(template.New("").Parse(settings)).Execute(&text, map[string]any{"at": i, "first": first, "apply": applyTime, "touch": touchTime})
-			err = errors.Join(err, made, writeWhole(o.dir, name, text.Bytes()))
-		}
+		var text bytes.Buffer
+		made := template.Must(template.New("").Parse(settings)).Execute(&text, map[string]any{"at": i, "touch": touchTime})
+		err = errors.Join(err, made, writeWhole(o.dir, i.ID+".toml", text.Bytes()))
 	}
 	return err
 }
--- a/internal/config/ingress.go
+++ b/internal/config/ingress.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"math"
 	"net/netip"
 	"time"
 )
@@ -13,12 +14,11 @@
 	Readiness string `toml:"readiness"` // the platform's question whether the instance is ready
 	Addresses string `toml:"addresses"` // callers' question where to connect; "" = not answered here
 	Control   string `toml:"control"`   // a second address for other instances, where peers.seeds point; "" = none
+	Metrics   string `toml:"metrics"`   // where operators read metrics as text; "" = nowhere
 
 	AddressTTL Duration `toml:"address_ttl"` // how long callers may keep an address
 	Grace      Duration `toml:"grace"`       // from the order to stop to the end of the process
-	Drain      Duration `toml:"drain"`       // within which a leaving target gets no more work
 	Touch      Duration `toml:"touch"`       // after which a cut-off instance is out of touch
-	Apply      Duration `toml:"apply"`       // within which a change of routes is in force
 	FailClosed bool     `toml:"fail_closed"` // refuse keys that were not confirmed for Revocation
 	Revocation Duration `toml:"revocation"`
 
@@ -26,14 +26,12 @@
 	RetryWindow Duration `toml:"retry_window"` // over which they count
 	RetryExtra  float64  `toml:"retry_extra"`  // repeats beside those, of all instances together
 
-	PassTime    Duration `toml:"pass_time"`    // within which an event of a stream has to be passed on
 	ReuseWindow Duration `toml:"reuse_window"` // within which prompt parts are worth being kept
 
-	MemoryMB       int     `toml:"memory_mb"` // of the process; 0 = not bounded
-	Descriptors    int     `toml:"descriptors"`
+	MemoryMB       int     `toml:"memory_mb"`       // of the process, MiB; 0 = not bounded
+	Descriptors    int     `toml:"descriptors"`     // open files and sockets of the process; 0 = not bounded
 	ProcessorShare float64 `toml:"processor_share"` // of a core
 	ProcessorCores float64 `toml:"processor_cores"`
-	FirstStart     bool    `toml:"first_start"` // the whole system starts for the first time
 }
 
 // Enabled reports whether the instance serves plain requests.
@@ -43,14 +41,11 @@
 	return Ingress{
 		AddressTTL:  Of(2 * time.Second),
 		Grace:       Of(8 * time.Second),
-		Drain:       Of(2 * time.Second),
 		Touch:       Of(3 * time.Second),
-		Apply:       Of(2 * time.Second),
 		Revocation:  Of(5 * time.Second),
 		RetryRatio:  0.1,
 		RetryWindow: Of(10 * time.Second),
 		RetryExtra:  10,
-		PassTime:    Of(100 * time.Millisecond),
 		ReuseWindow: Of(10 * time.Second),
 	}
 }
@@ -66,6 +61,11 @@
 			return err
 		}
 	}
+	if i.Metrics != "" {
+		if err := checkAddress("ingress.metrics", i.Metrics, true); err != nil {
+			return err
+		}
+	}
 	if netip.MustParseAddrPort(i.Listen).Addr().IsUnspecified() {
 		return fault("ingress.listen", "%q is no address that callers could connect to", i.Listen)
 	}
@@ -73,14 +73,13 @@
 		return fault("ingress.retry_ratio", "and retry_extra must not be negative")
 	}
 	return firstFault(
+		checkInt("ingress.memory_mb", i.MemoryMB, 0, math.MaxInt32),
+		checkInt("ingress.descriptors", i.Descriptors, 0, math.MaxInt32),
 		checkDuration("ingress.address_ttl", i.AddressTTL, shortest),
 		checkDuration("ingress.grace", i.Grace, shortest),
-		checkDuration("ingress.drain", i.Drain, shortest),
 		checkDuration("ingress.touch", i.Touch, shortest),
-		checkDuration("ingress.apply", i.Apply, shortest),
 		checkDuration("ingress.revocation", i.Revocation, shortest),
 		checkDuration("ingress.retry_window", i.RetryWindow, shortest),
-		checkDuration("ingress.pass_time", i.PassTime, shortest),
 		checkDuration("ingress.reuse_window", i.ReuseWindow, shortest),
 	)
 }
--- a/internal/docscheck/docscheck_test.go
+++ b/internal/docscheck/docscheck_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	_ "lynxhill.example/lynxhill/internal/daemon" // registers the metrics of all its packages
+	_ "lynxhill.example/lynxhill/internal/edge"   // and of plain requests
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/metrics"
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -73,26 +73,35 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Listen opens a listener.
 	Listen func(network, address string) (net.Listener, error)
+	// LimitMemory sets the runtime's limit in bytes, see debug.SetMemoryLimit.
+	// nil: it is left alone, since it is one for all instances of a process.
+	LimitMemory func(bytes int64) int64
 }
 
 // Instance is one instance.
 type Instance struct {
-	cfg     config.Config
+	cfg     config.Config // at the start
+	running config.Config // cfg with what Reload changed
+	inForce atomic.Pointer[config.Ingress]
 	o       Options
 	adapter Adapter
 	board   *board.Board
 	metrics *metrics.Registry
 
 	pool       *exchange.Pool
+	stages     *timedStages
 	peers      *peer.Client
 	members    *membership.Manager
 	routes     *routesync.Manager
 	dispatcher *stagework.Dispatcher
 	finder     *stagework.Finder
 	guard      *crashguard.Guard
+	loads      *forwarding.Loads
+	forwarder  currentForwarder
 	ingress    *ingress.Ingress
 
 	cells   atomic.Pointer[[]stagework.Cell]
+	looked  atomic.Int64 // boot time of the last look at the clock, ns
 	askedAt atomic.Int64 // the last word of another instance before the store was asked, ns; 0 = never
 	wokeAt  atomic.Int64 // boot time of the last waking that is not confirmed, ns; 0 = none
 	servers []*http.Server
@@ -134,7 +143,9 @@
 	if o.Listen == nil {
 		o.Listen = net.Listen
 	}
-	i := &Instance{cfg: cfg, o: o, adapter: adapter, board: board.New(), metrics: metrics.NewRegistry()}
+	i := &Instance{cfg: cfg, running: cfg, o: o, adapter: adapter, board: board.New(), metrics: metrics.NewRegistry()}
+	i.inForce.Store(&cfg.Ingress)
+	i.looked.Store(int64(o.Boot.SinceBoot()))
 	i.o.Logger = o.Logger.With("instance", cfg.Instance.ID)
 	i.assembleControl()
 	i.assembleRequestPath()
@@ -162,7 +173,7 @@
 		Alive: i.targetAlive, Logger: i.o.Logger, Metrics: i.metrics,
 	})
 	i.routes = routesync.New(routesync.Options{
-		Self: i.id(), Store: i.adapter.Platform, Decoder: i.adapter.Decoder, Puller: i.peers,
+		Self: i.id(), Store: watchedStore{i.adapter.Platform, i.watchWait}, Decoder: i.adapter.Decoder, Puller: i.peers,
 		Clock: i.o.Clock, Boot: i.o.Boot, Rand: i.rand(), Logger: i.o.Logger, Metrics: i.metrics,
 		OnTable: func(*route.Table) {
 			i.targetsChanged()
@@ -191,8 +202,9 @@
 // assembleRequestPath makes what carries requests.
 func (i *Instance) assembleRequestPath() {
 	i.pool = exchange.New(exchange.Options{Dial: i.o.Dial, AnswerID: i.adapter.AnswerID})
+	i.stages = &timedStages{StageClient: i.adapter.Stages(i.pool), clock: i.o.Clock}
 	i.dispatcher = stagework.New(stagework.Options{
-		Self: i.id(), Client: i.adapter.Stages(i.pool), Clock: i.o.Clock, Logger: i.o.Logger,
+		Self: i.id(), Client: i.stages, Clock: i.o.Clock, Logger: i.o.Logger,
 		Reuse: i.cfg.Ingress.ReuseWindow.Duration,
 		First: func(c stagework.Cell) (string, bool) { return i.finder.First(c) },
 	})
@@ -202,27 +214,21 @@
 		Capacity: i.capacity, Cells: i.currentCells, Alone: i.alone,
 		Clock: i.o.Clock, Logger: i.o.Logger,
 	})
-	forwarder := forwarding.New(forwarding.Options{
-		Codec: i.adapter.Codec, Exchange: i.pool, Targets: i.routes.Targets, Work: i.finder,
-		Budget: forwarding.NewBudget(forwarding.BudgetOptions{
-			Ratio: i.cfg.Ingress.RetryRatio, Extra: i.cfg.Ingress.RetryExtra,
-			Window: i.cfg.Ingress.RetryWindow.Duration, Instances: i.instances, Clock: i.o.Clock,
-		}),
-		Loads:   forwarding.NewLoads(i.o.Clock, i.cfg.Instance.Place, i.rand()),
-		Crashes: i.guard, Place: i.cfg.Instance.Place, Clock: i.o.Clock, Rand: i.rand(), Logger: i.o.Logger,
-	})
+	i.loads = forwarding.NewLoads(i.o.Clock, i.cfg.Instance.Place, i.rand())
+	i.forwarder.Store(i.newForwarder())
 	i.ingress = ingress.New(ingress.Options{
-		Codec: i.adapter.Codec, Forwarder: forwarder, Table: i.routes.Table,
+		Codec: i.adapter.Codec, Forwarder: &i.forwarder, Table: i.routes.Table,
 		Confirmed: i.confirmed, Serving: i.serving, Addresses: i.addresses,
-		AddressTTL: i.cfg.Ingress.AddressTTL.Duration, TakeAfterStop: takeAfterStop,
-		Clock: i.o.Clock, Logger: i.o.Logger,
+		AddressTTL:    func() time.Duration { return i.settings().AddressTTL.Duration },
+		TakeAfterStop: takeAfterStop,
+		Clock:         i.o.Clock, Logger: i.o.Logger, Metrics: i.metrics,
 	})
+	i.bound()
+	i.publish()
 }
 
 // openServers opens the listeners.
 func (i *Instance) openServers() error {
-	callers := i.ingress.Server()
-	control := i.ingress.ControlServer(i.adapter.ReadyPath, i.adapter.AddressPath)
 	peers := peer.NewServer(peer.NewHandler(peer.ServerOptions{
 		Exchange: i.exchange, Probe: i.members.HandleProbe, Profiles: i.routes.Since, Work: i.takeWork,
 		Logger: i.o.Logger, Metrics: i.metrics,
@@ -230,22 +236,28 @@
 	for _, l := range []struct {
 		address string
 		server  *http.Server
+		bounded func(net.Listener) net.Listener
 	}{
-		{i.cfg.Ingress.Listen, callers},
-		{i.cfg.Ingress.Readiness, control},
-		{i.cfg.Ingress.Addresses, control},
-		{i.cfg.Listen.Peer, peers},
-		{i.cfg.Ingress.Control, peers}, // where the settings' seeds point
+		{i.cfg.Ingress.Listen, i.ingress.Server(), i.ingress.CallerListener},
+		{i.cfg.Ingress.Readiness, i.ingress.ReadyServer(i.adapter.ReadyPath), i.ingress.ReadyListener},
+		{i.cfg.Ingress.Addresses, i.ingress.AddressServer(i.adapter.AddressPath), i.ingress.AddressListener},
+		{i.cfg.Listen.Peer, peers, nil},
+		{i.cfg.Ingress.Control, peers, nil}, // where the settings' seeds point
+		{i.cfg.Ingress.Metrics, i.metricsServer(), nil},
 	} {
 		if l.address == "" {
 			continue
 		}
 		listener, err := i.o.Listen("tcp", l.address)
+		if err != nil && l.address == i.cfg.Ingress.Metrics {
+			i.o.Logger.Log(event.MetricsUnavailable, "address", l.address, "err", err) // requests go on without
+			continue
+		}
 		if err != nil {
 			return err
 		}
-		if l.server == callers {
-			listener = ingress.WatchHeads(listener)
+		if l.bounded != nil {
+			listener = l.bounded(listener)
 		}
 		i.servers = append(i.servers, l.server)
 		i.listens = append(i.listens, listener)
@@ -392,7 +404,7 @@
 	for {
 		waited := i.o.Clock.Now().Sub(began)
 		idle := i.ingress.InFlight() == 0 && i.dispatcher.Jobs() == 0
-		if idle && waited >= quietAfterStop || waited >= i.cfg.Ingress.Grace.Duration-lastMargin {
+		if idle && waited >= quietAfterStop || waited >= i.settings().Grace.Duration-lastMargin {
 			break
 		}
 		time.Sleep(stopPoll)
--- a/internal/edge/facts.go
+++ b/internal/edge/facts.go
@@ -36,18 +36,23 @@
 
 // watchWait is how long a watch of the store waits.
 func (i *Instance) watchWait() time.Duration {
-	return time.Duration(watchShare * float64(i.cfg.Ingress.Touch.Duration))
+	return time.Duration(watchShare * float64(i.settings().Touch.Duration))
 }
 
 // serving reports whether the instance takes requests.
 func (i *Instance) serving() bool {
-	if !i.routes.Known() {
-		return false
-	}
-	if i.cfg.Ingress.FailClosed && i.routes.ConfirmedAge() > i.cfg.Ingress.Revocation.Duration+i.watchWait() {
-		return false
-	}
-	return !i.waking()
+	i.look()
+	return i.routes.Known() && !i.keysLapsed() && !i.waking()
+}
+
+// keysLapsed reports whether keys that were taken away may still be known here,
+// and the settings say that nothing is served then. The store confirms no more
+// often than its watches end, so an instance that hears from it all the while is
+// let have that much time.
+func (i *Instance) keysLapsed() bool {
+	s := i.settings()
+	allowed := max(s.Revocation.Duration, i.watchWait()+confirmMargin)
+	return s.FailClosed && i.routes.ConfirmedAge() > allowed
 }
 
 // waking reports whether the instance was suspended and has not heard since
@@ -58,7 +63,7 @@
 		return false
 	}
 	since := i.o.Boot.SinceBoot() - woke
-	if i.routes.ConfirmedAge() < since || since > wakingTime {
+	if i.routes.ConfirmedAge() <= since || since > wakingTime {
 		i.wokeAt.CompareAndSwap(int64(woke), 0)
 		return false
 	}
@@ -70,20 +75,29 @@
 func (i *Instance) watchSuspension(ctx context.Context) {
 	tick := time.NewTicker(suspensionTick)
 	defer tick.Stop()
-	last := i.o.Boot.SinceBoot()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+			i.look()
 		}
-		now := i.o.Boot.SinceBoot()
-		if gap := now - last; gap > suspensionGap {
-			i.wokeAt.Store(int64(now))
-			i.routes.Recheck()
-			i.o.Logger.Log(event.IngressWoke, "gap_ms", gap.Milliseconds())
-		}
-		last = now
+	}
+}
+
+// look compares the time with that of the look before. Each request looks too:
+// timers stand still while a machine is suspended, so the first requests after
+// it woke come before the tick. They would be served by a configuration that may
+// have been replaced long ago.
+func (i *Instance) look() {
+	now, last := i.o.Boot.SinceBoot(), i.looked.Load()
+	gap := now - time.Duration(last)
+	if gap > suspensionGap {
+		i.wokeAt.Store(int64(now)) // before others find that somebody has looked
+	}
+	if i.looked.CompareAndSwap(last, int64(now)) && gap > suspensionGap {
+		i.routes.Recheck()
+		i.o.Logger.Log(event.IngressWoke, "gap_ms", gap.Milliseconds())
 	}
 }
 
--- /dev/null
+++ b/internal/edge/metrics.go
@@ -0,0 +1,103 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	runtime "runtime/metrics"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/ingress/telemetry"
+	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/stagework"
+)
+
+// MetricsPath is where the metrics listener answers.
+const MetricsPath = "/metrics"
+
+// metricsTime bounds a question for metrics.
+const metricsTime = 5 * time.Second
+
+var (
+	metricCalls   = metrics.Define("edge_stage_call_ms_total", "calls", "Calls of stage targets, by result (ok, full, failed) and time: at most le ms, all; sum_ms is the sum of the times.")
+	metricWork    = metrics.Define("edge_stage_work_total", "jobs, calls and pieces", "What this instance scheduled, by what it was and how it ended.")
+	metricTargets = metrics.Define("edge_target_connections_total", "connections", "Connections to targets: dialed, reused, stale (a kept one was dropped), mismatched (an answer to another attempt was read over).")
+	metricAge     = metrics.Define("edge_configuration_age_seconds", "seconds", "Age of the newest word of the store that the configuration is what is in force here; -1 = there was none.")
+	metricVersion = metrics.Define("edge_routes_version", "version", "Version of the routes in force; 0 = none.")
+	metricHeap    = metrics.Define("edge_memory_bytes", "bytes", "Memory that the runtime has from the system.")
+)
+
+// publish makes the instance's metrics readable. Nothing is computed before
+// somebody reads them.
+func (i *Instance) publish() {
+	i.metrics.Func(metricCalls, func() any { return i.stages.values() })
+	i.metrics.Func(metricWork, func() any { return workValues(i.dispatcher.Counts()) })
+	i.metrics.Func(metricTargets, func() any {
+		s := i.pool.Stats()
+		return map[string]uint64{"dialed": s.Dialed, "reused": s.Reused, "stale": s.Stale, "mismatched": s.Mismatched}
+	})
+	i.metrics.Func(metricAge, func() any {
+		if !i.routes.Known() {
+			return -1
+		}
+		return i.routes.ConfirmedAge().Seconds()
+	})
+	i.metrics.Func(metricVersion, func() any {
+		if table := i.routes.Table(); table != nil {
+			return table.Version
+		}
+		return 0
+	})
+	i.metrics.Func(metricHeap, func() any {
+		samples := []runtime.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+		runtime.Read(samples)
+		return samples[0].Value.Uint64() - samples[1].Value.Uint64()
+	})
+}
+
+func workValues(c stagework.Counts) map[string]int {
+	return map[string]int{
+		"jobs": c.Jobs, "placed": c.Placed, "refused": c.Refused, "calls": c.Calls, "pieces": c.Pieces,
+		"room": c.Room, "gone": c.Gone, "late": c.Late, "errors": c.Errors, "full": c.Full, "hung": c.Hung, "redo": c.Redo,
+	}
+}
+
+// metricsServer returns the server of the metrics listener.
+func (i *Instance) metricsServer() *http.Server {
+	mux := http.NewServeMux()
+	mux.Handle(MetricsPath, telemetry.Handler(i.metrics))
+	return &http.Server{Handler: mux, ReadHeaderTimeout: metricsTime, WriteTimeout: metricsTime, IdleTimeout: metricsTime}
+}
+
+// timedStages counts how long calls of stage targets take.
+type timedStages struct {
+	relay.StageClient
+	clock            clock.Clock
+	ok, full, failed telemetry.Histogram
+}
+
+// Run implements relay.StageClient.
+func (s *timedStages) Run(ctx context.Context, t fleet.Target, pieces []relay.Piece) ([]relay.PieceResult, bool, error) {
+	began := s.clock.Now()
+	results, full, err := s.StageClient.Run(ctx, t, pieces)
+	took := s.clock.Now().Sub(began)
+	switch {
+	case full:
+		s.full.Add(took)
+	case err != nil:
+		s.failed.Add(took)
+	default:
+		s.ok.Add(took)
+	}
+	return results, full, err
+}
+
+func (s *timedStages) values() map[string]int64 {
+	values := make(map[string]int64)
+	s.ok.Into(values, "ok")
+	s.full.Into(values, "full")
+	s.failed.Into(values, "failed")
+	return values
+}
--- /dev/null
+++ b/internal/edge/settings.go
@@ -0,0 +1,137 @@
+package edge
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/config"
+	"lynxhill.example/lynxhill/internal/forwarding"
+	"lynxhill.example/lynxhill/internal/ingress"
+	"lynxhill.example/lynxhill/internal/store"
+)
+
+// liveKeys are the settings that may change while an instance runs. What else
+// differs takes effect at the next start.
+var liveKeys = []string{
+	"ingress.address_ttl", "ingress.grace", "ingress.touch", "ingress.fail_closed", "ingress.revocation",
+	"ingress.retry_ratio", "ingress.retry_window", "ingress.retry_extra",
+	"ingress.memory_mb", "ingress.descriptors",
+}
+
+// retryKeys are those of the retry budget.
+var retryKeys = []string{"ingress.retry_ratio", "ingress.retry_window", "ingress.retry_extra"}
+
+// settings returns the settings of the ingress that are in force. Of settings
+// that are no live keys it holds what the instance began with.
+func (i *Instance) settings() *config.Ingress { return i.inForce.Load() }
+
+// Reload puts in force what can change while the instance runs. It returns the
+// keys that are now in force and differ from before, and those that take effect
+// at the next start. Requests in flight go on with what they began with. It must
+// not be called by two goroutines at once.
+func (i *Instance) Reload(cfg config.Config) (changed, restart []string) {
+	for _, key := range config.Differences(i.running, cfg) {
+		if slices.Contains(liveKeys, key) {
+			changed = append(changed, key)
+			continue
+		}
+		restart = append(restart, key)
+	}
+	if len(changed) == 0 {
+		return nil, restart
+	}
+	i.running.Ingress = withLive(i.running.Ingress, cfg.Ingress)
+	live := i.running.Ingress
+	i.inForce.Store(&live)
+	i.bound()
+	if slices.ContainsFunc(changed, func(key string) bool { return slices.Contains(retryKeys, key) }) {
+		i.forwarder.Store(i.newForwarder())
+	}
+	return changed, restart
+}
+
+// withLive returns running with the live keys of next.
+func withLive(running, next config.Ingress) config.Ingress {
+	running.AddressTTL = next.AddressTTL
+	running.Grace = next.Grace
+	running.Touch = next.Touch
+	running.FailClosed = next.FailClosed
+	running.Revocation = next.Revocation
+	running.RetryRatio = next.RetryRatio
+	running.RetryWindow = next.RetryWindow
+	running.RetryExtra = next.RetryExtra
+	running.MemoryMB = next.MemoryMB
+	running.Descriptors = next.Descriptors
+	return running
+}
+
+// memoryShare is the part of the process's memory that the runtime may use. The
+// rest holds the program itself and what the kernel keeps for its sockets.
+const memoryShare = 0.8
+
+// bound puts the bounds of memory and descriptors in force.
+//
+// Beside the bound of what callers can make the instance hold, the runtime is
+// told its limit: by itself it lets garbage grow to as much as is in use, and
+// the process is killed although little of its memory is needed.
+func (i *Instance) bound() {
+	s := i.settings()
+	i.ingress.SetBounds(ingress.BoundsOf(s.MemoryMB, s.Descriptors))
+	if i.o.LimitMemory == nil {
+		return
+	}
+	limit := int64(math.MaxInt64)
+	if s.MemoryMB > 0 {
+		limit = int64(memoryShare * float64(s.MemoryMB) * (1 << 20))
+	}
+	i.o.LimitMemory(limit)
+}
+
+// currentForwarder hands each request to the forwarder of the settings in
+// force when it came.
+type currentForwarder struct {
+	atomic.Pointer[forwarding.Forwarder]
+}
+
+// Serve implements ingress.Forwarder.
+func (c *currentForwarder) Serve(ctx context.Context, w http.ResponseWriter, in forwarding.Inbound) {
+	c.Load().Serve(ctx, w, in)
+}
+
+// newForwarder returns a forwarder with a budget of its own, by the settings in
+// force.
+//
+// A new budget knows nothing of the repeats that the one before has allowed, so
+// both together could allow the extra repeats twice. It begins as that of an
+// instance that joins does, with the part that is kept for those.
+func (i *Instance) newForwarder() *forwarding.Forwarder {
+	s := i.settings()
+	return forwarding.New(forwarding.Options{
+		Codec: i.adapter.Codec, Exchange: i.pool, Targets: i.routes.Targets, Work: i.finder,
+		Budget: forwarding.NewBudget(forwarding.BudgetOptions{
+			Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow.Duration,
+			Instances: i.instances, Clock: i.o.Clock,
+		}),
+		Loads: i.loads, Crashes: i.guard, Place: i.cfg.Instance.Place,
+		Clock: i.o.Clock, Rand: i.rand(), Logger: i.o.Logger,
+	})
+}
+
+// watchedStore lets no watch wait for longer than the settings in force say.
+// Package routesync is told that once; a wait that gets longer takes effect at
+// the next start, and a shorter one at the next watch.
+type watchedStore struct {
+	Platform
+	wait func() time.Duration
+}
+
+// Watch implements store.Watcher.
+func (s watchedStore) Watch(ctx context.Context, prefix string, after uint64) ([]store.Object, uint64, bool, error) {
+	wait := s.wait()
+	wait = min(wait, store.WatchWait(ctx, wait))
+	return s.Platform.Watch(store.WithWatchWait(ctx, wait), prefix, after)
+}
--- a/internal/ingress/headwatch.go
+++ b/internal/ingress/headwatch.go
@@ -18,13 +18,20 @@
 type headWatch struct {
 	net.Conn
 
-	mu   sync.Mutex // guards all below
-	head []byte     // of the request that is being read, as far as it has come
-	done bool       // its end has come
+	mu    sync.Mutex // guards all below
+	head  []byte     // of the request that is being read, as far as it has come
+	done  bool       // its end has come
+	taken hold       // for a long head
 }
 
-// headWatched bounds the head that is looked at.
-const headWatched = defaultMaxHeader
+const (
+	// headWatched bounds the head that is looked at.
+	headWatched = defaultMaxHeader
+	// shortHead is how long a head may be before it counts as held. It is kept
+	// twice, here and by the library.
+	shortHead  = 4 << 10
+	headCopies = 2
+)
 
 var (
 	headEnd     = []byte("\r\n\r\n")
@@ -40,6 +47,9 @@
 		return n, err
 	}
 	h.head = append(h.head, p[:n]...)
+	if full := h.countHead(); full != nil {
+		return 0, full
+	}
 	if end := bytes.Index(h.head, headEnd); end >= 0 {
 		h.head, h.done = h.head[:end], true
 	}
@@ -49,6 +59,48 @@
 	return n, err
 }
 
+// countHead counts a long head as held. One beyond the bound ends the
+// connection, since there is no request yet that could be refused. The error is
+// a failed read, to which the library gives no answer: for any other it says
+// that the request is malformed, and the caller would not come again. The lock
+// is held.
+func (h *headWatch) countHead() error {
+	want := headCopies * int64(len(h.head)-shortHead)
+	if h.taken.allowance == nil || want <= h.taken.bytes {
+		return nil
+	}
+	if full := h.taken.add(want - h.taken.bytes); full != nil {
+		return &net.OpError{Op: "read", Err: full}
+	}
+	return nil
+}
+
+// release gives back what a long head took. The lock is held.
+func (h *headWatch) release() {
+	if h.taken.bytes > 0 {
+		h.taken.end()
+		h.taken.bytes = 0
+		h.head = nil
+	}
+}
+
+// Close implements net.Conn.
+func (h *headWatch) Close() error {
+	h.mu.Lock()
+	h.release()
+	h.taken.allowance = nil
+	h.mu.Unlock()
+	return h.Conn.Close()
+}
+
+// CloseWrite ends what is sent, see boundConn.
+func (h *headWatch) CloseWrite() error {
+	if half, ok := h.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // saysLength reports whether the head of the request says a length, or was not
 // seen: it came in one piece with the request before.
 func (h *headWatch) saysLength() bool {
@@ -61,14 +113,15 @@
 func (h *headWatch) next() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.release()
 	h.head, h.done = h.head[:0], false
 }
 
 // watchedListener hands out connections that notice lengths.
-type watchedListener struct{ net.Listener }
-
-// WatchHeads returns the listener for the server of callers' requests.
-func WatchHeads(l net.Listener) net.Listener { return watchedListener{l} }
+type watchedListener struct {
+	net.Listener
+	held *allowance
+}
 
 // Accept implements net.Listener.
 func (l watchedListener) Accept() (net.Conn, error) {
@@ -76,26 +129,26 @@
 	if err != nil {
 		return nil, err
 	}
-	return &headWatch{Conn: conn}, nil
+	return &headWatch{Conn: conn, taken: hold{allowance: l.held}}, nil
 }
 
-type headWatchKey struct{}
+type connKey struct{}
 
 // withConn keeps the connection for the handler.
 func withConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, headWatchKey{}, conn)
+	return context.WithValue(ctx, connKey{}, conn)
 }
 
 // bothLengths reports whether a request in chunks may have said a length too.
 // On a connection that is not watched it may.
 func bothLengths(ctx context.Context, chunked bool) bool {
-	watch, ok := ctx.Value(headWatchKey{}).(*headWatch)
+	watch, ok := ctx.Value(connKey{}).(*headWatch)
 	return chunked && (!ok || watch.saysLength())
 }
 
 // nextHead is called when a request was answered.
 func nextHead(ctx context.Context) {
-	if watch, ok := ctx.Value(headWatchKey{}).(*headWatch); ok {
+	if watch, ok := ctx.Value(connKey{}).(*headWatch); ok {
 		watch.next()
 	}
 }
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"expvar"
 	"io"
 	"log"
 	"net"
@@ -18,6 +19,7 @@
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/forwarding"
+	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/route"
 )
@@ -32,6 +34,10 @@
 	// still uses a connection then must not find it closed.
 	idleMargin = 2 * time.Second
 	bodyTime   = 10 * time.Second
+	// answerTime bounds a request with its answer, so that a caller who takes no
+	// answer does not hold its request for ever. It is above the longest time
+	// that a request may take, so only such callers meet it.
+	answerTime = 70 * time.Second
 	// unknownYet is when a caller may come back to an instance that does not
 	// know its configuration yet.
 	unknownYet = 200 * time.Millisecond
@@ -56,10 +62,12 @@
 	// Addresses returns the addresses to name to a caller in the place.
 	Addresses func(place string) []string
 	// AddressTTL is how long a caller may keep them.
-	AddressTTL time.Duration
+	AddressTTL func() time.Duration
 	// TakeAfterStop is how long new requests are still taken once the instance
 	// is stopping.
 	TakeAfterStop time.Duration
+	Bounds        Bounds            // see SetBounds
+	Metrics       *metrics.Registry // nil = nobody reads them
 	Clock         clock.Clock
 	Logger        *event.Logger
 }
@@ -68,6 +76,12 @@
 type Ingress struct {
 	o        Options
 	inFlight atomic.Int64
+	held     allowance
+	times    histograms
+	refused  *expvar.Map
+	callers  *connections
+	ready    *connections // that ask for readiness
+	where    *connections // that ask for addresses
 	stopping atomic.Int64 // when it began, Unix nanoseconds; 0 = not
 	cancel   context.CancelFunc
 	base     context.Context
@@ -76,13 +90,34 @@
 // New returns an ingress that takes requests.
 func New(o Options) *Ingress {
 	base, cancel := context.WithCancel(context.Background())
-	return &Ingress{o: o, base: base, cancel: cancel}
+	g := &Ingress{o: o, base: base, cancel: cancel}
+	g.callers = g.connections("callers")
+	g.ready = g.connections("readiness")
+	g.where = g.connections("addresses")
+	g.SetBounds(o.Bounds)
+	g.publish()
+	return g
 }
 
-// Server returns the server of callers' requests, for a listener of WatchHeads.
+func (g *Ingress) connections(name string) *connections {
+	return &connections{name: name, clock: g.o.Clock, logger: g.o.Logger, full: g.fullAnswer()}
+}
+
+// SetBounds changes what callers can make this instance hold. What is held
+// already stays.
+func (g *Ingress) SetBounds(b Bounds) {
+	g.held.limit.Store(b.Held)
+	g.callers.setLimit(b.Connections)
+	g.ready.setLimit(b.Questions)
+	g.where.setLimit(b.Questions)
+}
+
+// Server returns the server of callers' requests, for CallerListener.
 func (g *Ingress) Server() *http.Server {
 	s := g.server(http.HandlerFunc(g.serve))
 	s.ConnContext = withConn
+	s.ConnState = g.callers.stateChanged
+	s.WriteTimeout = answerTime
 	s.IdleTimeout = defaultIdle
 	if t := g.o.Table(); t != nil && t.Limits.IdleTimeout > 0 {
 		s.IdleTimeout = t.Limits.IdleTimeout + idleMargin
@@ -90,13 +125,37 @@
 	return s
 }
 
-// ControlServer returns the server of readiness and address questions on the
-// paths.
-func (g *Ingress) ControlServer(readyPath, addressPath string) *http.Server {
+// CallerListener returns l with what the server of callers' requests wants to
+// know of its connections.
+func (g *Ingress) CallerListener(l net.Listener) net.Listener {
+	return watchedListener{boundListener{l, g.callers}, &g.held}
+}
+
+// ReadyServer returns the server of the question for readiness on the path, for
+// ReadyListener.
+func (g *Ingress) ReadyServer(path string) *http.Server {
+	return g.questions(path, g.serveReady, g.ready)
+}
+
+// ReadyListener returns l bounded.
+func (g *Ingress) ReadyListener(l net.Listener) net.Listener { return boundListener{l, g.ready} }
+
+// AddressServer returns the server of the question for addresses on the path,
+// for AddressListener.
+func (g *Ingress) AddressServer(path string) *http.Server {
+	return g.questions(path, g.serveAddresses, g.where)
+}
+
+// AddressListener returns l bounded.
+func (g *Ingress) AddressListener(l net.Listener) net.Listener { return boundListener{l, g.where} }
+
+func (g *Ingress) questions(path string, h http.HandlerFunc, bound *connections) *http.Server {
 	mux := http.NewServeMux()
-	mux.HandleFunc(readyPath, g.serveReady)
-	mux.HandleFunc(addressPath, g.serveAddresses)
-	return g.server(mux)
+	mux.HandleFunc(path, h)
+	s := g.server(mux)
+	s.ConnState = bound.stateChanged
+	s.WriteTimeout = defaultIdle
+	return s
 }
 
 func (g *Ingress) server(h http.Handler) *http.Server {
@@ -148,7 +207,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	kind, body := g.o.Codec.Addresses(addresses, g.o.AddressTTL)
+	kind, body := g.o.Codec.Addresses(addresses, g.o.AddressTTL())
 	w.Header().Set("Content-Type", kind)
 	_, _ = w.Write(body)
 }
@@ -158,23 +217,28 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	defer nextHead(r.Context())
+	abortIfCut(r.Context())
+	hold := hold{allowance: &g.held}
+	defer hold.end()
 	arrived := g.o.Clock.Now()
 	if bothLengths(r.Context(), len(r.TransferEncoding) > 0) || g.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	in, err := g.admit(w, r)
+	in, err := g.admit(w, r, &hold)
 	if err != nil {
 		g.refuse(w, in.Request, err)
 		return
 	}
 	in.Arrived = arrived
+	defer g.countTime(in.Route.Kind, arrived)
 	g.o.Forwarder.Serve(r.Context(), w, in)
 }
 
 // admit reads the request and finds what the configuration says of it. The
 // body is read whole first: an answer before that would leave the connection
-// with bytes that belong to no request.
-func (g *Ingress) admit(w http.ResponseWriter, r *http.Request) (forwarding.Inbound, error) {
+// with bytes that belong to no request. Only where there is no room for it is it
+// left, see leaveBody.
+func (g *Ingress) admit(w http.ResponseWriter, r *http.Request, hold *hold) (forwarding.Inbound, error) {
 	var in forwarding.Inbound
 	table := g.o.Table()
 	req, err := g.o.Codec.Request(r)
@@ -182,7 +246,13 @@
 		return in, errkind.Wrap(err, errkind.BadRequest, "request")
 	}
 	in.Request = req
-	if req.Body, err = readBody(w, r, table); err != nil {
+	if err = hold.add(requestCost); err == nil {
+		req.Body, err = readBody(w, r, table, hold)
+	}
+	if errors.Is(err, errFull) {
+		leaveBody(w, r)
+	}
+	if err != nil {
 		return in, err
 	}
 	switch {
@@ -222,7 +292,7 @@
 }
 
 // readBody reads the whole body within the limits in force.
-func readBody(w http.ResponseWriter, r *http.Request, table *route.Table) ([]byte, error) {
+func readBody(w http.ResponseWriter, r *http.Request, table *route.Table, hold *hold) ([]byte, error) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -233,9 +303,11 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(bodyTime))
 	defer control.SetReadDeadline(time.Time{})
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(w, counted{r.Body, hold}, limit))
 	var large *http.MaxBytesError
 	switch {
+	case errors.Is(err, errFull):
+		return nil, err
 	case errors.As(err, &large):
 		return nil, errkind.New(errkind.TooLarge, "the body exceeds %d bytes", limit)
 	case err != nil:
@@ -254,6 +326,7 @@
 	if req != nil {
 		id = req.ID
 	}
+	g.countRefused(err)
 	status := forwarding.WriteError(w, g.o.Codec, req, err, after)
 	g.o.Logger.Log(event.IngressRefused, "request", id, "status", status, "reason", err)
 }
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -269,7 +269,7 @@
 began=$EPOCHREALTIME
 start_world
 "$dir/bin/soak" --dir "$dir" settings
-for id in "${ids[@]}"; do start_instance "$id" "$id.first"; done
+for id in "${ids[@]}"; do start_instance "$id" "$id"; done
 "$dir/bin/soak" --dir "$dir" ready
 say "$instances instances are ready; seed $seed, directory $dir"
 began=$EPOCHREALTIME
