Peer: results of an owner that is dead are given up at once again

It now looks: if it hears others, the owner is the silent one and the results are given up. Ruled out: telling both cases apart by the lateness of the timer, which is blind to a cut. Test: TestTheJobsOfASilentOwnerEnd, both cases; before, the first one was told "moved".

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -231,6 +231,7 @@
 func (i *Instance) openServers() error {
 	peers := peer.NewServer(peer.NewHandler(peer.ServerOptions{
 		Exchange: i.exchange, Probe: i.members.HandleProbe, Profiles: i.routes.Since, Work: i.takeWork,
+		CutOff: func() bool { return i.members.Silence() >= aloneAfter },
 		Logger: i.o.Logger, Metrics: i.metrics,
 	}), nil, i.o.Logger)
 	for _, l := range []struct {
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -37,7 +37,9 @@
 	Claim    func(ctx context.Context, m claim.Message) (claim.Reply, error) // claim.Pages.Handle
 	// Work takes a job of another instance; stagework.Dispatcher.Submit. Neither
 	// result is set if the instance takes no jobs.
-	Work    func(job stagework.Job) (stagework.Assignment, *stagework.Refusal)
+	Work func(job stagework.Job) (stagework.Assignment, *stagework.Refusal)
+	// CutOff reports whether this instance hears no other. nil = it always does.
+	CutOff  func() bool
 	Logger  *event.Logger
 	Metrics *metrics.Registry
 }
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -184,7 +184,8 @@
 // Work serves a job of another instance: its end is the end of the stream, or
 // the silence of its owner. Without the latter the jobs of an instance that is
 // cut off are worked on, and their results take room, until the connection is
-// found dead.
+// found dead. If it is this instance that is cut off or stood still, the owner
+// goes on elsewhere with the results: they are not given up.
 func (h *service) Work(ctx context.Context, stream *connect.BidiStream[peerpb.WorkUp, peerpb.WorkDown]) error {
 	h.count("work")
 	first, err := stream.Receive()
@@ -205,7 +206,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	silence := time.AfterFunc(ownerSilent, func() {
-		t.Moved() // its owner may only be cut off from here and go on with the results elsewhere
+		if h.o.CutOff != nil && h.o.CutOff() {
+			t.Moved()
+		}
 		cancel()
 	})
 	defer silence.Stop()
--- a/internal/peer/work_test.go
+++ b/internal/peer/work_test.go
@@ -234,18 +234,31 @@
 // without closing its connections. Cause: its jobs stayed at the dispatcher,
 // their pieces were made and their results lay at their makers, until the
 // connection was found dead.
+//
+// Where it is the dispatcher that is cut off or stood still, the results must
+// not be given up: the owner goes on with them elsewhere.
 func TestTheJobsOfASilentOwnerEnd(t *testing.T) {
-	s, client, w := serveScripted(t)
-	work(t, client)
-	select { // an owner that lives keeps its job however long it waits
-	case told := <-s.told:
-		t.Fatalf("told %q by an owner that lives", told)
-	case <-time.After(ownerSilent + workBeat):
-	}
-	w.silent.Store(true)
-	began := time.Now()
-	expectTold(t, s, "moved", "end") // its owner may go on with the results elsewhere
-	if took := time.Since(began); took > ownerSilent+workBeat {
-		t.Errorf("the job ended after %v", took)
+	for _, cutOff := range []bool{false, true} {
+		s := &scripted{make(chan stagework.Decision, 8), make(chan string, 64)}
+		_, addr := serve(t, ServerOptions{
+			Work:   func(stagework.Job) (stagework.Assignment, *stagework.Refusal) { return s, nil },
+			CutOff: func() bool { return cutOff },
+		})
+		client, w := throughWire(t, addr)
+		work(t, client)
+		select { // an owner that lives keeps its job however long it waits
+		case told := <-s.told:
+			t.Fatalf("told %q by an owner that lives", told)
+		case <-time.After(ownerSilent + workBeat):
+		}
+		w.silent.Store(true)
+		began := time.Now()
+		if cutOff {
+			expectTold(t, s, "moved")
+		}
+		expectTold(t, s, "end")
+		if took := time.Since(began); took > ownerSilent+workBeat {
+			t.Errorf("the job ended after %v", took)
+		}
 	}
 }
