--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -222,22 +222,22 @@
 	return record
 }
 
-// kindOf names the error of a record for the tables.
+// kindOf names the error of a record for the tables. A kind that the client put
+// around a broken call is no instance's word: an attempt may have run and nobody
+// told the caller, so that it counts as lost.
 func kindOf(err error) string {
 	var transport *client.TransportError
-	if errors.As(err, &transport) && transport.Sent {
-		return noAnswer
-	}
-	if transport != nil {
-		return unreachable
-	}
-	if err == nil {
+	broken := errors.As(err, &transport) || errors.Is(err, client.ErrNoServers)
+	kind := errkind.Of(err)
+	switch {
+	case err == nil:
 		return ""
+	case transport != nil && client.IsUnreachable(err):
+		return unreachable
+	case broken || kind == errkind.Internal:
+		return noAnswer
 	}
-	if kind := errkind.Of(err); kind != errkind.Internal {
-		return kind.String()
-	}
-	return noAnswer
+	return kind.String()
 }
 
 // noAnswer is the name for a caller that got neither an answer nor an error
--- a/internal/bench/promises_unreachable_test.go
+++ b/internal/bench/promises_unreachable_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"lynxhill.example/lynxhill/internal/client"
+	"lynxhill.example/lynxhill/internal/errkind"
 )
 
 // Symptom: a restart of all instances counted callers as left without an
@@ -22,9 +23,12 @@
 	if b.FalseNotRun != 1 || b.Lost != 0 {
 		t.Fatalf("a run under the key is counted as %+v", b)
 	}
-	sent := Record{Organisation: "a", Keys: []string{"k"}, Err: &client.TransportError{Sent: true, Err: errors.New("reset")}}
-	b.check(&sent, nil)
-	if b.Lost != 1 {
-		t.Fatalf("a caller that may have reached an instance is counted as %+v", b)
+	sent := &client.TransportError{Sent: true, Err: errors.New("reset")}
+	for _, err := range []error{sent, errkind.Wrap(unsent.Err, errkind.OutcomeUnknown, "an earlier attempt may have run")} {
+		b = Breaches{}
+		b.check(&Record{Organisation: "a", Keys: []string{"k"}, Err: err}, map[runKey]bool{{"a", "k"}: true})
+		if b.Lost != 1 || b.FalseNotRun != 0 {
+			t.Fatalf("a caller that may have reached an instance is counted as %+v", b)
+		}
 	}
 }
--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -60,23 +60,36 @@
 // RunStateOf says what an error of this package tells about the request; err
 // must not be nil.
 func RunStateOf(err error) errkind.RunState {
-	var transport *TransportError
-	if errors.As(err, &transport) {
-		if transport.Sent {
-			return errkind.MayHaveRun
-		}
-		return errkind.NotRun
+	if transport, ok := bare(err); ok && transport.Sent {
+		return errkind.MayHaveRun
 	}
-	if errors.Is(err, ErrNoServers) {
+	if IsUnreachable(err) {
 		return errkind.NotRun
 	}
 	return errkind.Of(err).RunState()
 }
 
-// IsUnreachable reports whether the call was never received by a server.
+// IsUnreachable reports whether the request was never received by a server, in
+// none of its attempts.
 func IsUnreachable(err error) bool {
+	if transport, ok := bare(err); ok {
+		return !transport.Sent
+	}
+	return errors.Is(err, ErrNoServers) && errkind.Of(err) == errkind.Internal
+}
+
+// bare returns the broken call that err reports, unless a kind was put around
+// it: that speaks for all attempts, the call for the last one.
+//
+// What goes wrong without it: an attempt may have run, the last one reached
+// nobody, and the caller is told not_run. It sends its booking under a new key,
+// and one finds it booked twice.
+func bare(err error) (*TransportError, bool) {
 	var transport *TransportError
-	return errors.Is(err, ErrNoServers) || (errors.As(err, &transport) && !transport.Sent)
+	if !errors.As(err, &transport) || errkind.Of(err) != errkind.Of(transport) {
+		return nil, false
+	}
+	return transport, true
 }
 
 // newHTTPClient returns a client that speaks HTTP/1.1 only: cancelling a call
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -196,6 +196,28 @@
 	}
 }
 
+// Symptom: a booking was sent under a new key and booked twice. Events: the
+// first attempt may have run, the last one reached no instance. Cause: the
+// refused connection inside the error was looked at before the kind around it.
+func TestTheOutermostErrorTellsWhetherTheRequestMayHaveRun(t *testing.T) {
+	var one *sending
+	unsent := &TransportError{Err: context.DeadlineExceeded}
+	for _, c := range []struct {
+		err   error
+		state errkind.RunState
+	}{
+		{one.final(unsent, errkind.MayHaveRun), errkind.MayHaveRun},
+		{one.final(ErrNoServers, errkind.MayHaveRun), errkind.MayHaveRun},
+		{one.final(unsent, errkind.NotRun), errkind.NotRun},
+		{fmt.Errorf("send: %w", unsent), errkind.NotRun},
+		{ErrNoServers, errkind.NotRun},
+	} {
+		if state := RunStateOf(c.err); state != c.state || IsUnreachable(c.err) != (state == errkind.NotRun) {
+			t.Errorf("%v: run state %s, unreachable %t", c.err, state, IsUnreachable(c.err))
+		}
+	}
+}
+
 // Symptom: a request whose deadline had passed midway was reported as one that
 // could not be started. Events: the first attempt ran into its deadline; it was
 // sent again with no time left and refused. Cause: the last error was shown.
--- a/internal/client/send.go
+++ b/internal/client/send.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptrace"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/errkind"
@@ -197,7 +198,7 @@
 	defer giveUp(nil)
 	base := c.base(server)
 	what := call{method: http.MethodPost, path: pathOf(lynxapi.PathRequests, ":profile", profileName), body: req}
-	heard := c.expectHeader(req, giveUp)
+	ctx, heard := c.expectHeader(ctx, req, giveUp)
 	resp, err := send(ctx, c.http.Do, base, c.opts.Token, what)
 	heard()
 	if err != nil {
@@ -225,17 +226,34 @@
 // that a part of a short deadline is enough to know a silent one. A request
 // that is answered whole has no such sign: on a connection that went silent it
 // waits for its deadline.
-func (c *Caller) expectHeader(req lynxapi.SendRequest, giveUp context.CancelCauseFunc) (heard func()) {
+//
+// A connection that was used before may have gone silent since; one sees its
+// requests late by a quarter of their deadline. The instance is then often well
+// and its next connection works, so such a one is given less time.
+func (c *Caller) expectHeader(ctx context.Context, req lynxapi.SendRequest, giveUp context.CancelCauseFunc) (sending context.Context, heard func()) {
 	if !req.Stream {
-		return func() {}
-	}
-	wait := c.opts.Silence
-	if req.DeadlineMS > 0 {
-		part := time.Duration(req.DeadlineMS) * time.Millisecond / 4
-		wait = min(wait, max(part, leastHeaderWait))
+		return ctx, func() {}
 	}
+	began, wait := time.Now(), c.headerWait(req)
 	timer := time.AfterFunc(wait, func() { giveUp(ErrSilent) })
-	return func() { timer.Stop() }
+	connected := func(info httptrace.GotConnInfo) {
+		if info.Reused {
+			timer.Reset(min(wait, leastHeaderWait))
+			return
+		}
+		timer.Reset(wait - time.Since(began)) // also after a kept one that was found closed
+	}
+	sending = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: connected})
+	return sending, func() { timer.Stop() }
+}
+
+// headerWait is how long a new connection's stream may take to begin.
+func (c *Caller) headerWait(req lynxapi.SendRequest) time.Duration {
+	if req.DeadlineMS <= 0 {
+		return c.opts.Silence
+	}
+	part := time.Duration(req.DeadlineMS) * time.Millisecond / 4
+	return min(c.opts.Silence, max(part, leastHeaderWait))
 }
 
 // explainSilence replaces the error of a cancelled call by its cause.
--- a/internal/client/silent_test.go
+++ b/internal/client/silent_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/http/httptrace"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/errkind"
@@ -68,6 +71,41 @@
 	}
 }
 
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// Symptom: after a connection of an instance went silent, the slowest requests
+// took a quarter of their deadline longer. Events: the next request went out on
+// it. Cause: it was waited on like a new one, whose stream may begin late.
+func TestKeptConnectionThatIsSilentIsGivenUpSoon(t *testing.T) {
+	for _, c := range []struct {
+		deadlineMS int64
+		want       time.Duration
+		reused     []bool // of the connections that the transport takes
+	}{
+		{8000, 2 * time.Second, []bool{false}},
+		{8000, leastHeaderWait, []bool{true}},
+		{0, leastHeaderWait, []bool{true}},
+		{8000, 2 * time.Second, []bool{true, false}}, // the first was found closed
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			caller, start := NewCaller(CallerOptions{}), time.Now()
+			caller.http.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
+				for _, reused := range c.reused {
+					httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{Reused: reused})
+				}
+				<-r.Context().Done()
+				return nil, r.Context().Err()
+			})
+			_, err := caller.sendTo(t.Context(), "a", "check", lynxapi.SendRequest{Stream: true, DeadlineMS: c.deadlineMS}, &splice{})
+			if took := time.Since(start); !errors.Is(err, ErrSilent) || took != c.want {
+				t.Errorf("%+v: %v after %v", c, err, took)
+			}
+		})
+	}
+}
+
 // Symptom: a caller ended with a broken connection although an instance had
 // answered every question about its request. Events: the stream broke; asked
 // for the outcome, the instance said "running" until the deadline. Cause: the
