lynxctl: says that a request may have run though its last attempt reached nobody

Cause: a broken call or the want of a server hid the kind that speaks for all attempts. Ruled out: the client, which tells it rightly since the last change. Test: TestComplaintsAboutUnknownOutcomes (before, both wrapped errors had no kind). Conclusion: mended; bare transport errors are told as before.

--- a/cmd/lynxctl/environment.go
+++ b/cmd/lynxctl/environment.go
@@ -187,11 +187,14 @@
 	if errors.As(err, &request) {
 		told.Key = request.key
 	}
-	local := errors.As(err, &usage) || errors.As(err, &pending) || errors.Is(err, client.ErrNoServers)
+	local := errors.As(err, &usage) || errors.As(err, &pending) || client.IsUnreachable(err) && errors.Is(err, client.ErrNoServers)
 	if !local {
 		told.RunState = client.RunStateOf(err)
 	}
-	if !local && !errors.As(err, &transport) {
+	// The last call broke: that is the whole answer, unless it stands in one
+	// that speaks for all attempts.
+	broken := errors.As(err, &transport) && errkind.Of(err) == errkind.Internal
+	if !local && !broken {
 		answer := errkind.Of(err).Answer()
 		told.Kind, told.Resend = answer.Name, answer.Resend
 	}
