Edge: seeds, reuse window and touch are taken in while running; repeats counted by the seeds at first

Cause: these three settings waited for the next start; and instances that start together and know only themselves each took the whole extra of repeats. Until 4 s after the members were first read the budget counts at least the instances that the seeds name. Ruled out: one reading, since instances that start together list each other late. Not tested: SetReuse alone, the effect of a shorter touch.

--- a/internal/control/routesync/feed.go
+++ b/internal/control/routesync/feed.go
@@ -88,7 +88,7 @@
 // counts, whose rates grow more slowly than the fleet; one notices it by
 // refused calls of everybody.
 func (m *Manager) hears(f *feed) bool {
-	if f.asked() || m.o.Watcher() || !m.Known() || m.ConfirmedAge() > m.o.WatchWait+callTimeout {
+	if f.asked() || m.o.Watcher() || !m.Known() || m.ConfirmedAge() > m.o.WatchWait()+callTimeout {
 		return false
 	}
 	f.after, f.listed = m.seen(f.prefix), true
@@ -124,10 +124,10 @@
 }
 
 func (m *Manager) watch(ctx context.Context, f *feed) error {
-	started := m.o.Boot.SinceBoot()
-	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, m.o.WatchWait+callTimeout)
+	started, wait := m.o.Boot.SinceBoot(), m.o.WatchWait()
+	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, wait+callTimeout)
 	defer cancel()
-	objects, version, compacted, err := m.o.Store.Watch(store.WithWatchWait(ctx, m.o.WatchWait), f.prefix, f.after)
+	objects, version, compacted, err := m.o.Store.Watch(store.WithWatchWait(ctx, wait), f.prefix, f.after)
 	if compacted && err == nil {
 		return errRelist
 	}
@@ -135,7 +135,7 @@
 		return err
 	}
 	now := m.o.Boot.SinceBoot()
-	m.answered(f.prefix, min(now, started+m.o.WatchWait))
+	m.answered(f.prefix, min(now, started+wait))
 	if len(objects) > 0 {
 		m.adopt(f.prefix, answer{objects: objects, version: version})
 	}
--- a/internal/control/routesync/options.go
+++ b/internal/control/routesync/options.go
@@ -69,9 +69,9 @@
 	Logger  *event.Logger
 	Metrics *metrics.Registry // not used: the package defines no metric
 
-	// WatchWait is how long one watch waits for a change; its return confirms
-	// what is held.
-	WatchWait time.Duration
+	// WatchWait returns how long the next watch waits for a change; its return
+	// confirms what is held. nil takes the default.
+	WatchWait func() time.Duration
 	// RetryMin and RetryMax bound the pause after a failed call of the store.
 	RetryMin, RetryMax time.Duration
 	// ReturnGrace is how long after the store's return a target that is
@@ -99,10 +99,12 @@
 )
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.WatchWait, defaultWatchWait)
 	setDefault(&o.RetryMin, defaultRetryMin)
 	setDefault(&o.RetryMax, defaultRetryMax)
 	setDefault(&o.ReturnGrace, defaultReturnGrace)
+	if o.WatchWait == nil {
+		o.WatchWait = func() time.Duration { return defaultWatchWait }
+	}
 	if o.Watcher == nil {
 		o.Watcher = func() bool { return true }
 	}
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -31,7 +31,7 @@
 func (d *Daemon) assembleMembership() {
 	d.members = membership.New(membership.Options{
 		Self: d.self(), Board: d.board, Clock: d.opts.Clock, Boot: d.opts.Boot, Rand: d.rand(),
-		Transport: d.peers, Lister: d.platform, Seeds: d.cfg.Peers.Seeds, Started: d.started,
+		Transport: d.peers, Lister: d.platform, Seeds: func() []string { return d.cfg.Peers.Seeds }, Started: d.started,
 		HeartbeatEvery: d.cfg.Timings.PeerHeartbeat.Duration,
 		Logger:         d.logger, Metrics: d.metrics,
 	})
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -80,9 +80,8 @@
 
 // Instance is one instance.
 type Instance struct {
-	cfg     config.Config // at the start
-	running config.Config // cfg with what Reload changed
-	inForce atomic.Pointer[config.Ingress]
+	cfg     config.Config                 // at the start
+	inForce atomic.Pointer[config.Config] // cfg with what Reload changed
 	o       Options
 	adapter Adapter
 	board   *board.Board
@@ -143,8 +142,8 @@
 	if o.Listen == nil {
 		o.Listen = net.Listen
 	}
-	i := &Instance{cfg: cfg, running: cfg, o: o, adapter: adapter, board: board.New(), metrics: metrics.NewRegistry()}
-	i.inForce.Store(&cfg.Ingress)
+	i := &Instance{cfg: cfg, o: o, adapter: adapter, board: board.New(), metrics: metrics.NewRegistry()}
+	i.inForce.Store(&cfg)
 	i.looked.Store(int64(o.Boot.SinceBoot()))
 	i.o.Logger = o.Logger.With("instance", cfg.Instance.ID)
 	i.assembleControl()
@@ -173,7 +172,7 @@
 		Alive: i.targetAlive, Logger: i.o.Logger, Metrics: i.metrics,
 	})
 	i.routes = routesync.New(routesync.Options{
-		Self: i.id(), Store: watchedStore{i.adapter.Platform, i.watchWait}, Decoder: i.adapter.Decoder, Puller: i.peers,
+		Self: i.id(), Store: i.adapter.Platform, Decoder: i.adapter.Decoder, Puller: i.peers,
 		Clock: i.o.Clock, Boot: i.o.Boot, Rand: i.rand(), Logger: i.o.Logger, Metrics: i.metrics,
 		OnTable: func(*route.Table) {
 			i.targetsChanged()
@@ -181,7 +180,7 @@
 		},
 		OnTargets: i.retarget,
 		Hurry:     func() { i.members.Hurry() },
-		WatchWait: i.watchWait(),
+		WatchWait: i.watchWait,
 		Watcher:   i.watcher,
 	})
 	i.members = membership.New(membership.Options{
@@ -191,7 +190,7 @@
 			Capacity: i.cfg.Ingress.ProcessorShare * max(i.cfg.Ingress.ProcessorCores, 1),
 		},
 		Board: i.board, Clock: i.o.Clock, Boot: i.o.Boot, Rand: i.rand(), Transport: i.peers,
-		Lister: i.adapter.Platform, Seeds: i.cfg.Peers.Seeds,
+		Lister: i.adapter.Platform, Seeds: i.seeds,
 		Parts:          []gossip.Part{i.routes, i.guard},
 		HeartbeatEvery: heartbeatEvery, SuspectAfter: suspectAfter,
 		ListEvery: listEvery, RegisterEvery: registerEvery,
@@ -356,7 +355,7 @@
 	i.passOn()
 }
 
-// instances is how many instances share what is shared.
+// instances is how many instances are believed alive, this one included.
 func (i *Instance) instances() int {
 	return max(len(i.board.LiveMembers(i.id())), 1)
 }
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -194,6 +194,26 @@
 	})
 }
 
+// Symptom: a service gets more repeats than operators allow just after all instances started. Events: five start at
+// once, targets refuse. Cause: each knows only itself and takes the extra repeats as its own.
+func TestSeedsCountUntilTheMembersAreKnown(t *testing.T) {
+	cfg := settings()
+	cfg.Ingress.RetryRatio, cfg.Ingress.RetryExtra = 0, 100
+	cfg.Peers.Seeds = []string{cfg.Listen.Peer, "10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1", "10.0.0.5:1"}
+	inWorld(t, cfg, func(w *world) {
+		w.refuse.Store(true)
+		before := w.arrived.Load()
+		for range 9 {
+			w.ask("/", "k")
+		}
+		first := w.arrived.Load() - before - 9
+		time.Sleep(time.Minute) // the store's list shows no other
+		if later := w.sharers(); first != 4 || later != 1 {
+			t.Errorf("%d repeats at first, want a fifth of what a joining one may take; %d counted later", first, later)
+		}
+	})
+}
+
 // TestReload: what can change is in force at once, requests in flight go on, and the rest is named.
 func TestReload(t *testing.T) {
 	cfg := settings()
@@ -213,16 +233,17 @@
 		}
 		spent := repeats()
 		next := cfg
-		next.Ingress.RetryExtra, next.Ingress.MemoryMB, next.Ingress.Touch = 0, 1, config.Of(time.Second)
+		next.Ingress.RetryExtra, next.Ingress.MemoryMB, next.Ingress.Touch = 0, 1, config.Of(time.Minute)
+		next.Ingress.ReuseWindow = config.Of(time.Second)
 		next.Log.Level, next.Peers.Seeds = "debug", []string{"127.0.0.1:9"}
 		changed, restart := w.Reload(next)
 		got := strings.Join(changed, " ") + "; " + strings.Join(restart, " ")
-		if want := "ingress.touch ingress.retry_extra ingress.memory_mb; peers.seeds log.level"; got != want {
+		if want := "peers.seeds ingress.touch ingress.retry_extra ingress.reuse_window ingress.memory_mb; log.level"; got != want {
 			t.Errorf("%s, want %s", got, want)
 		}
 		none := repeats()
 		changed, restart = w.Reload(cfg)
-		if more := repeats(); spent == 0 || none != 0 || more == 0 || spent+more > 20 || len(changed) != 3 || len(restart) != 0 {
+		if more := repeats(); spent == 0 || none != 0 || more == 0 || spent+more > 20 || len(changed) != 5 || len(restart) != 0 {
 			t.Errorf("repeats: %d, %d without extra ones, %d with again; changed back: %v, %v", spent, none, more, changed, restart)
 		}
 		w.refuse.Store(false)
@@ -230,6 +251,11 @@
 		if status := <-inFlight; status != 200 {
 			t.Errorf("in flight at the changes: %d", status)
 		}
+		w.Reload(next)
+		time.Sleep(20 * time.Second)
+		if age := w.routes.ConfirmedAge(); age < 10*time.Second || !slices.Equal(w.seeds(), next.Peers.Seeds) {
+			t.Errorf("the store was asked %v ago, seeds %v", age, w.seeds())
+		}
 	})
 }
 
--- a/internal/edge/facts.go
+++ b/internal/edge/facts.go
@@ -101,6 +101,37 @@
 	}
 }
 
+// seeds returns the addresses of other instances to start from.
+func (i *Instance) seeds() []string { return i.inForce.Load().Peers.Seeds }
+
+// meetTime is how long after the first reading of the members the seeds still
+// count: of instances that start together, the first reading shows few.
+const meetTime = 4 * time.Second
+
+// sharers is how many instances share the bound on repeats.
+//
+// What goes wrong if only the members known are counted: instances that start
+// together know only themselves at first, each uses the whole number by itself,
+// and together they exceed it. One notices it by a service with more repeats
+// than operators allow just after all instances were started.
+func (i *Instance) sharers() int {
+	if i.members.KnownFor() >= meetTime {
+		return i.instances()
+	}
+	return max(i.instances(), i.seeded())
+}
+
+// seeded is how many instances the seeds name, and this one.
+func (i *Instance) seeded() int {
+	named := map[string]bool{i.cfg.Listen.Peer: true}
+	for _, address := range i.seeds() {
+		if address != i.cfg.Ingress.Control {
+			named[address] = true
+		}
+	}
+	return len(named)
+}
+
 // maxAddresses is how many addresses an answer names.
 const maxAddresses = 64
 
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -6,12 +6,10 @@
 	"net/http"
 	"slices"
 	"sync/atomic"
-	"time"
 
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/forwarding"
 	"lynxhill.example/lynxhill/internal/ingress"
-	"lynxhill.example/lynxhill/internal/store"
 )
 
 // liveKeys are the settings that may change while an instance runs. What else
@@ -19,7 +17,7 @@
 var liveKeys = []string{
 	"ingress.address_ttl", "ingress.grace", "ingress.touch", "ingress.fail_closed", "ingress.revocation",
 	"ingress.retry_ratio", "ingress.retry_window", "ingress.retry_extra",
-	"ingress.memory_mb", "ingress.descriptors",
+	"ingress.memory_mb", "ingress.descriptors", "ingress.reuse_window", "peers.seeds",
 }
 
 // retryKeys are those of the retry budget.
@@ -27,14 +25,15 @@
 
 // settings returns the settings of the ingress that are in force. Of settings
 // that are no live keys it holds what the instance began with.
-func (i *Instance) settings() *config.Ingress { return i.inForce.Load() }
+func (i *Instance) settings() *config.Ingress { return &i.inForce.Load().Ingress }
 
 // Reload puts in force what can change while the instance runs. It returns the
 // keys that are now in force and differ from before, and those that take effect
 // at the next start. Requests in flight go on with what they began with. It must
 // not be called by two goroutines at once.
 func (i *Instance) Reload(cfg config.Config) (changed, restart []string) {
-	for _, key := range config.Differences(i.running, cfg) {
+	running := *i.inForce.Load()
+	for _, key := range config.Differences(running, cfg) {
 		if slices.Contains(liveKeys, key) {
 			changed = append(changed, key)
 			continue
@@ -44,10 +43,10 @@
 	if len(changed) == 0 {
 		return nil, restart
 	}
-	i.running.Ingress = withLive(i.running.Ingress, cfg.Ingress)
-	live := i.running.Ingress
+	live := withLive(running, cfg)
 	i.inForce.Store(&live)
 	i.bound()
+	i.dispatcher.SetReuse(live.Ingress.ReuseWindow.Duration)
 	if slices.ContainsFunc(changed, func(key string) bool { return slices.Contains(retryKeys, key) }) {
 		i.forwarder.Store(i.newForwarder())
 	}
@@ -55,17 +54,20 @@
 }
 
 // withLive returns running with the live keys of next.
-func withLive(running, next config.Ingress) config.Ingress {
-	running.AddressTTL = next.AddressTTL
-	running.Grace = next.Grace
-	running.Touch = next.Touch
-	running.FailClosed = next.FailClosed
-	running.Revocation = next.Revocation
-	running.RetryRatio = next.RetryRatio
-	running.RetryWindow = next.RetryWindow
-	running.RetryExtra = next.RetryExtra
-	running.MemoryMB = next.MemoryMB
-	running.Descriptors = next.Descriptors
+func withLive(running, next config.Config) config.Config {
+	live, to := &running.Ingress, next.Ingress
+	live.AddressTTL = to.AddressTTL
+	live.Grace = to.Grace
+	live.Touch = to.Touch
+	live.FailClosed = to.FailClosed
+	live.Revocation = to.Revocation
+	live.RetryRatio = to.RetryRatio
+	live.RetryWindow = to.RetryWindow
+	live.RetryExtra = to.RetryExtra
+	live.MemoryMB = to.MemoryMB
+	live.Descriptors = to.Descriptors
+	live.ReuseWindow = to.ReuseWindow
+	running.Peers.Seeds = next.Peers.Seeds
 	return running
 }
 
@@ -114,24 +116,9 @@
 		Codec: i.adapter.Codec, Exchange: i.pool, Targets: i.routes.Targets, Work: i.finder,
 		Budget: forwarding.NewBudget(forwarding.BudgetOptions{
 			Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow.Duration,
-			Instances: i.instances, Clock: i.o.Clock,
+			Instances: i.sharers, Clock: i.o.Clock,
 		}),
 		Loads: i.loads, Crashes: i.guard, Place: i.cfg.Instance.Place,
 		Clock: i.o.Clock, Rand: i.rand(), Logger: i.o.Logger,
 	})
 }
-
-// watchedStore lets no watch wait for longer than the settings in force say.
-// Package routesync is told that once; a wait that gets longer takes effect at
-// the next start, and a shorter one at the next watch.
-type watchedStore struct {
-	Platform
-	wait func() time.Duration
-}
-
-// Watch implements store.Watcher.
-func (s watchedStore) Watch(ctx context.Context, prefix string, after uint64) ([]store.Object, uint64, bool, error) {
-	wait := s.wait()
-	wait = min(wait, store.WatchWait(ctx, wait))
-	return s.Platform.Watch(store.WithWatchWait(ctx, wait), prefix, after)
-}
--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -74,7 +74,7 @@
 
 // runList reads the instance list, often while no other member is known.
 func (m *Manager) runList(ctx context.Context) {
-	if m.o.Lister == nil && len(m.o.Seeds) == 0 {
+	if m.o.Lister == nil && m.o.Seeds == nil {
 		return
 	}
 	soon := seedEvery
@@ -114,6 +114,7 @@
 	if err != nil {
 		return false
 	}
+	m.noteKnown()
 	seeds := m.unknown(listed)
 	for i, seed := range seeds {
 		if i == seedContacts {
@@ -133,10 +134,10 @@
 // What goes wrong without it: an instance that starts under a new id while the
 // instance list is down finds nobody, and nobody finds it.
 func (m *Manager) contactSeeds(ctx context.Context) {
-	if len(m.view.ids(board.MemberAlive)) > 0 {
+	if m.o.Seeds == nil || len(m.view.ids(board.MemberAlive)) > 0 {
 		return
 	}
-	seeds := m.shuffled(slices.Clone(m.o.Seeds))
+	seeds := m.shuffled(slices.Clone(m.o.Seeds()))
 	for _, addr := range seeds[:min(len(seeds), seedContacts)] {
 		if addr == m.o.Self.PeerAddr {
 			continue
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -261,6 +261,7 @@
 // absorb takes in a peer's digest.
 func (m *Manager) absorb(d gossip.Digest, now time.Time) {
 	m.heard.Store(int64(m.o.Boot.SinceBoot()))
+	m.noteKnown()
 	m.view.merge(d.Members, now)
 	for _, p := range m.parts.all() {
 		p.Absorb(d)
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -69,6 +69,21 @@
 	return m.o.Boot.SinceBoot() - time.Duration(heard)
 }
 
+// KnownFor returns how long ago, by the boot clock, this instance first read
+// who is a member, from the instance list or from another's digest; 0 if it has
+// not yet.
+func (m *Manager) KnownFor() time.Duration {
+	known := m.known.Load()
+	if known == 0 {
+		return 0
+	}
+	return m.o.Boot.SinceBoot() - time.Duration(known)
+}
+
+func (m *Manager) noteKnown() {
+	m.known.CompareAndSwap(0, max(int64(m.o.Boot.SinceBoot()), 1))
+}
+
 // budget is the estimated size of one digest: an instance starts one exchange
 // a heartbeat and answers one on average, each with a digest both ways.
 func (m *Manager) budget() int {
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -54,8 +54,9 @@
 	Transport Transport
 	Lister    store.InstanceLister
 	// Seeds are addresses of peer listeners that are contacted while no other
-	// member is known to be alive, besides those that the Lister shows.
-	Seeds []string
+	// member is known to be alive, besides those that the Lister shows. They
+	// are asked for each time, since they may change. nil = none.
+	Seeds func() []string
 	Parts []gossip.Part
 	// Started is when this process started. Its milliseconds are the first
 	// incarnation, so that a restarted instance outranks its earlier life.
@@ -142,6 +143,7 @@
 	view *view
 
 	heard atomic.Int64 // when the last digest of another came, boot time in ns
+	known atomic.Int64 // when the members were first read, boot time in ns; 0 = not yet
 
 	parts partList
 	pace  contactPace
--- a/internal/membership/seeds_test.go
+++ b/internal/membership/seeds_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,12 +12,18 @@
 // back. Events: it was started under a new id while the list was down. Cause:
 // nobody knew its address, and it knew nobody's.
 func TestNewInstanceJoinsBySeedsWhileTheListIsDown(t *testing.T) {
-	seeds := []string{"10.0.0.0:7300", "10.9.9.9:7300", "10.0.0.4:7300"} // one alive, one of nobody, itself
-	together(t, 4, membership.Options{Seeds: seeds}, func(f *fleet) {
+	var seeds atomic.Pointer[[]string]
+	seeds.Store(new([]string))
+	together(t, 4, membership.Options{Seeds: func() []string { return *seeds.Load() }}, func(f *fleet) {
 		f.list.set(true)
 		time.Sleep(time.Minute)
 		f.add()
-		took := f.until(15*time.Second, "all see the new one", func() bool { return f.agree(upTo(5)) })
+		time.Sleep(time.Minute)
+		if f.agree(upTo(5)) || f.nodes[4].manager.KnownFor() != 0 || f.nodes[0].manager.KnownFor() < 2*time.Minute {
+			t.Fatal("joined without list and seeds, or does not tell what was read")
+		}
+		seeds.Store(&[]string{"10.0.0.0:7300", "10.9.9.9:7300", "10.0.0.4:7300"}) // one alive, one of nobody, itself
+		took := f.until(time.Minute, "all see the new one", func() bool { return f.agree(upTo(5)) })
 		t.Logf("joined after %v", took)
 	})
 }
