Stage work: lines that name the requests, a line when taken work is given up; finder and dispatcher in smaller files

Cause: a line of a call that failed (4201) named no request, the dispatcher's decision to give a request up had no line, and a request refused on arrival did not name its dispatcher. 4201 names up to four requests, 4204 is new, and lynxctl explain tells both. Ruled out: a line for each call made, at 40 calls/s. What an instance knows of others it reaches has its own file (reach.go), as have tickets and log lines; no decision changed: the sums of decisions are the same (the test prints a refusal's four old fields, as it got a fifth). Tests: TestLinesNameTheRequestsWhosePiecesFail (before: no requests=r1, no 4204), TestLinesOfCallsThatAreMadeForSeveral.

--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -122,6 +122,15 @@
 	return fmt.Sprintf("level=%s ts=%s instance=%s %s", level, when.Format(time.RFC3339Nano), instance, rest)
 }
 
+func TestLinesOfCallsThatAreMadeForSeveral(t *testing.T) {
+	for requests, want := range map[string]bool{"r1": true, "r0,r1": true, "r1,r2": true, "r0,r11": false, "": false} {
+		line := Line{Fields: []Field{{"event", "4201"}, {"requests", requests}}}
+		if line.of("r1") != want {
+			t.Errorf("requests=%s: of the request %v", requests, !want)
+		}
+	}
+}
+
 func TestContext(t *testing.T) {
 	const (
 		stage      = "event=4201 msg=stage_call_failed target=i-438bee099f pieces=3 err=null"
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -45,7 +45,13 @@
 
 // names reports whether the field says which request the line is of.
 func (f Field) names(request string) bool {
-	return (f.Key == "request" || f.Key == "id") && f.Value == request
+	switch f.Key {
+	case "request", "id":
+		return f.Value == request
+	case "requests": // of a call that was made for several
+		return slices.Contains(strings.Split(f.Value, ","), request)
+	}
+	return false
 }
 
 const levelMark = "level="
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -78,6 +78,7 @@
 				return stagework.Decision{}, err
 			}
 			if refusal != nil {
+				ef.dispatcher = refusal.Dispatcher
 				return stagework.Decision{Refusal: refusal}, nil
 			}
 			ef.work = a
--- a/internal/stagework/decisions_test.go
+++ b/internal/stagework/decisions_test.go
@@ -57,6 +57,18 @@
 	fmt.Fprintln(d.sum, time.Now().UnixNano(), fmt.Sprint(what...))
 }
 
+// decided is what a planner decides of a refusal, as the sums have it.
+func decided(r *Refusal) any {
+	if r == nil {
+		return r
+	}
+	return &struct {
+		Reason               string
+		RetryAfter, Forecast time.Duration
+		Elsewhere            string
+	}{r.Reason, r.RetryAfter, r.Forecast, r.Elsewhere}
+}
+
 func (d *drawnDay) one(in int) bool { return d.r.IntN(in) == 0 }
 
 // decide plans, and has the calls end well or badly.
@@ -88,7 +100,7 @@
 	in := dayJob(d.r, i)
 	in.Prompt = benchPrompt(i)
 	j, refusal := d.submit(in, func(p Placement, r *Refusal) {
-		d.write(in.ID, " placed ", p, r)
+		d.write(in.ID, " placed ", p, decided(r))
 		switch {
 		case r != nil:
 		case d.one(15):
@@ -99,7 +111,7 @@
 			d.quietly(5*firstEvent, func(now time.Time) { d.cancel(j, now) })
 		}
 	}, now)
-	d.write(in.ID, refusal)
+	d.write(in.ID, decided(refusal))
 	d.refused = refusal != nil
 	if j != nil {
 		j.lost = func(made []Made) { d.write(in.ID, " back ", made) }
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -144,58 +144,6 @@
 	return n
 }
 
-// Decision is a placement or, if Refusal is set, the end of a job.
-type Decision struct {
-	Placement
-	Refusal *Refusal
-	// Lost names the instance whose dispatcher is not reached any more; the job
-	// may be handed to another. "" = it is reached.
-	Lost string
-	// Next names the instance that ranks first: the dispatcher gives the job
-	// back and it is to be handed to that one. "" = it does not.
-	Next string
-	// Made are results made since the last decision, where it is nothing else.
-	Made []Made
-}
-
-// Assignment is a job at a dispatcher, here or on another instance.
-type Assignment interface {
-	// Decisions gives the job's placements; after one was rejected there is
-	// another. It is never closed.
-	Decisions() <-chan Decision
-	// Begun tells that the engine's answer has begun.
-	Begun()
-	// Rejected tells that the engine did not run the request, so that another
-	// is wanted. gone says that inputs were gone, failed that the engine did
-	// not answer as it should.
-	Rejected(gone, failed bool)
-	// Broke tells that the engine failed the request after it had begun.
-	Broke()
-	// End tells that the job is over, whatever its state.
-	End()
-	// Moved tells that the job goes on at another dispatcher, which takes over
-	// what Made returns.
-	Moved()
-	// Made returns the results that are known to be made, once the dispatcher
-	// is lost.
-	Made() []Made
-	// Dispatcher is the instance whose dispatcher has the job.
-	Dispatcher() string
-}
-
-// Ticket is the Assignment of a job at the dispatcher of this instance.
-type Ticket struct {
-	d         *Dispatcher
-	p         *Planner
-	j         *job
-	decisions chan Decision
-	kept      []Made // results of a job that was given back
-}
-
-// decisionsKept is more than a job can get: one for each engine that it may be
-// sent to, and a refusal.
-const decisionsKept = 64
-
 // Submit takes a job. The refusal says why it is not taken.
 func (d *Dispatcher) Submit(in Job) (*Ticket, *Refusal) { return d.submit(in, false) }
 
@@ -240,57 +188,6 @@
 	}
 }
 
-func (t *Ticket) decide(p Placement, r *Refusal) { t.put(Decision{Placement: p, Refusal: r}) }
-
-func (t *Ticket) put(d Decision) {
-	select {
-	case t.decisions <- d:
-	default: // the owner has not read any of them: it is gone
-	}
-}
-
-// Decisions implements Assignment.
-func (t *Ticket) Decisions() <-chan Decision { return t.decisions }
-
-// Begun implements Assignment.
-func (t *Ticket) Begun() { t.tell(func(p *Planner, now time.Time) { p.begun(t.j, now) }) }
-
-// Rejected implements Assignment.
-func (t *Ticket) Rejected(gone, failed bool) {
-	t.tell(func(p *Planner, now time.Time) { p.rejected(t.j, gone, failed, now) })
-}
-
-// Broke implements Assignment.
-func (t *Ticket) Broke() { t.tell(func(p *Planner, now time.Time) { p.broke(t.j, now) }) }
-
-// End implements Assignment.
-func (t *Ticket) End() {
-	t.d.mu.Lock()
-	defer t.d.mu.Unlock()
-	t.p.cancel(t.j, t.d.o.Clock.Now())
-	t.d.proceedIfDue(t.p)
-}
-
-// Moved implements Assignment.
-func (t *Ticket) Moved() { t.tell(func(p *Planner, now time.Time) { p.move(t.j, now) }) }
-
-// Made implements Assignment.
-func (t *Ticket) Made() []Made {
-	t.d.mu.Lock()
-	defer t.d.mu.Unlock()
-	return t.kept
-}
-
-// Dispatcher implements Assignment.
-func (t *Ticket) Dispatcher() string { return t.d.o.Self }
-
-func (t *Ticket) tell(what func(p *Planner, now time.Time)) {
-	t.d.mu.Lock()
-	defer t.d.mu.Unlock()
-	what(t.p, t.d.o.Clock.Now())
-	t.d.proceed(t.p)
-}
-
 // proceed makes the plan and starts its calls. The lock is held.
 func (d *Dispatcher) proceed(p *Planner) {
 	for _, c := range p.plan(d.o.Clock.Now()) {
@@ -383,36 +280,6 @@
 	d.proceed(p)
 }
 
-func (d *Dispatcher) logCall(c *call, results []relay.PieceResult, full bool, err error, now time.Time) {
-	if err == nil && !full && allMade(results) {
-		return
-	}
-	faults := make(map[string]int)
-	for _, r := range results {
-		faults[r.Fault.String()]++
-	}
-	d.o.Logger.Log(event.StageCallFailed, "target", c.server.target.ID, "pieces", len(c.pieces), "full", full,
-		"took_ms", now.Sub(c.sent).Milliseconds(), "expected_ms", c.expected.Milliseconds(),
-		"room", faults["room"], "gone", faults["gone"], "late", faults["late"], "error", faults["error"], "err", err)
-}
-
-// logRefusal writes what a refusal rests on.
-func (d *Dispatcher) logRefusal(p *Planner, in Job, r *Refusal) {
-	now := d.o.Clock.Now()
-	d.o.Logger.Log(event.StageJobRefused, "request", in.ID, "cell", p.cell.Name(), "reason", r.Reason,
-		"retry_after_ms", r.RetryAfter.Milliseconds(), "aim_ms", in.Aim.Sub(now).Milliseconds(),
-		"deadline_ms", in.Deadline.Sub(now).Milliseconds(), "forecast_ms", r.Forecast.Milliseconds(), "jobs", len(p.jobs))
-}
-
-func allMade(results []relay.PieceResult) bool {
-	for _, r := range results {
-		if r.Fault != relay.PieceMade {
-			return false
-		}
-	}
-	return true
-}
-
 // release gathers results to give up. The lock is held.
 func (d *Dispatcher) release(at freed, handles []string) {
 	first := len(d.freeing) == 0
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"slices"
-	"sync"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/clock"
@@ -13,19 +11,6 @@
 	"lynxhill.example/lynxhill/internal/event"
 )
 
-// avoidFor is how long an instance that did not answer as dispatcher is left
-// out.
-const avoidFor = 2 * time.Second
-
-// probeTime is how long the one request that asks it again may take.
-const probeTime = 500 * time.Millisecond
-
-// sureFor is how long an instance counts as reached after an answer.
-const sureFor = time.Second
-
-// forgetAfter is how long what is known of an instance is kept.
-const forgetAfter = time.Minute
-
 // dispatcherKey is what the instances are ranked for.
 const dispatcherKey = "stagework/dispatcher"
 
@@ -59,17 +44,13 @@
 // alive. No lease is taken: instances that see other members for a while use
 // two dispatchers, which costs efficiency only.
 type Finder struct {
-	o FinderOptions
-
-	mu       sync.Mutex // guards all below
-	avoided  map[string]time.Time
-	answered map[string]time.Time // when an instance last answered
-	members  []string             // at the last look
+	o     FinderOptions
+	reach *reach
 }
 
 // NewFinder returns a finder.
 func NewFinder(o FinderOptions) *Finder {
-	return &Finder{o: o, avoided: make(map[string]time.Time), answered: make(map[string]time.Time)}
+	return &Finder{o: o, reach: newReach(o.Clock)}
 }
 
 // Submit hands the job to the dispatcher of the cell that its session belongs
@@ -130,6 +111,7 @@
 func (f *Finder) local(job Job) (Assignment, *Refusal, error) {
 	t, refusal := f.o.Local.Submit(job)
 	if refusal != nil {
+		refusal.Dispatcher = f.o.Self
 		return nil, refusal, nil
 	}
 	return t, nil, nil
@@ -163,19 +145,14 @@
 		return nil, nil, errUnknowing
 	}
 	if err == nil {
-		f.reached(instance)
+		f.reach.answered(instance)
+	}
+	if refusal != nil {
+		refusal.Dispatcher = instance
 	}
 	return a, refusal, err
 }
 
-// reached takes in that an instance has answered.
-func (f *Finder) reached(instance string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.avoided, instance)
-	f.answered[instance] = f.o.Clock.Now()
-}
-
 // Take takes a job of another instance. It names the instance that ranks first
 // if that is not this one, unless the job's owner insists and knows better.
 func (f *Finder) Take(job Job) (Assignment, *Refusal) {
@@ -194,16 +171,12 @@
 // this one believes alive. sure reports whether that has answered of late, or is
 // this one.
 func (f *Finder) First(cell Cell) (first string, sure bool) {
-	now := f.o.Clock.Now()
-	usable, _ := f.usable(now)
+	usable, _ := f.reach.usable(f.o.Members())
 	best := f.rank(cell, usable)
 	if len(best) == 0 || best[0] == f.o.Self {
 		return f.o.Self, true
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	at, ok := f.answered[best[0]]
-	return best[0], ok && now.Sub(at) < sureFor
+	return best[0], f.reach.sure(best[0])
 }
 
 // elsewhere is when a caller that is sent to another instance may come back.
@@ -232,58 +205,18 @@
 // candidates returns the instances to ask for the cell, best first. skipped
 // reports whether some were left out that were not reached of late.
 func (f *Finder) candidates(cell Cell) (best []string, skipped bool) {
-	now := f.o.Clock.Now()
-	usable, skipped := f.usable(now)
+	usable, skipped := f.reach.usable(f.o.Members())
 	best = f.rank(cell, usable)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for _, m := range best {
-		if _, ok := f.avoided[m]; ok {
-			// It may be reached again. One request finds out; others would
-			// wait for it in vain.
-			f.avoided[m] = now.Add(probeTime)
-		}
-	}
+	f.reach.probe(best)
 	return best, skipped
 }
 
-// usable returns the members that are not left out. One that has become a member
-// again is not.
-func (f *Finder) usable(now time.Time) (usable []string, skipped bool) {
-	members := f.o.Members()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if !slices.Equal(members, f.members) {
-		for _, m := range members {
-			if !slices.Contains(f.members, m) {
-				delete(f.avoided, m)
-			}
-		}
-		f.members = slices.Clone(members)
-	}
-	for _, m := range members {
-		if now.Before(f.avoided[m]) {
-			skipped = true
-			continue
-		}
-		usable = append(usable, m)
-	}
-	return usable, skipped
-}
-
 // rank returns the best of the members for the cell, of those with much
 // processor time. A small instance would be late with every decision.
 func (f *Finder) rank(cell Cell, members []string) []string {
 	return rendezvous.Top(dispatcherKey+cell.Name(), f.large(members), maxCandidates)
 }
 
-// Reached takes an instance in again that was left out.
-func (f *Finder) Reached(instance string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.avoided, instance)
-}
-
 var errUnknowing = errors.New("it knows no target")
 
 var errLost = errors.New("lost while the job waited")
@@ -304,14 +237,11 @@
 // Lost tells that the dispatcher of an instance was lost while it had a job.
 func (f *Finder) Lost(instance string) { f.Avoid(instance, errLost) }
 
+// Reached takes an instance in again that was left out.
+func (f *Finder) Reached(instance string) { f.reach.restore(instance) }
+
 // Avoid leaves an instance out for a while.
 func (f *Finder) Avoid(instance string, err error) {
-	now := f.o.Clock.Now()
-	f.mu.Lock()
-	old := func(_ string, at time.Time) bool { return now.Sub(at) > forgetAfter }
-	maps.DeleteFunc(f.avoided, old)
-	maps.DeleteFunc(f.answered, old)
-	f.avoided[instance] = now.Add(avoidFor)
-	f.mu.Unlock()
+	f.reach.avoid(instance)
 	f.o.Logger.Log(event.DispatcherLost, "dispatcher", instance, "err", err)
 }
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -93,6 +93,8 @@
 	Forecast time.Duration
 	// Elsewhere names the instance that ranks first, where that is the reason.
 	Elsewhere string
+	// Dispatcher is the instance that refused.
+	Dispatcher string
 }
 
 // Reasons of refusals.
