--- a/internal/stagework/faults_test.go
+++ b/internal/stagework/faults_test.go
@@ -281,3 +281,21 @@
 		})
 	}
 }
+
+// Symptom: an instance ends with a stack overflow.
+// Events: a request comes on a route whose stages need each other, or themselves.
+// Cause: what follows a unit was walked without end.
+func TestStagesInACircle(t *testing.T) {
+	now := time.Unix(0, 0)
+	for _, after := range [][]int{{1}, {0}, {-1}, {7}, {1, 0, 1}} {
+		p := twoStages(func([]string) {})
+		in := stagedJob("r", 1, now)
+		in.Stages[0].After = after
+		if _, refusal := p.submit(in, nil, now); refusal != nil {
+			t.Fatal(refusal.Reason)
+		}
+		if calls := p.plan(now); len(calls) != 1 {
+			t.Errorf("after %v: %d calls, want one", after, len(calls))
+		}
+	}
+}
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -239,13 +239,17 @@
 
 // link joins the units to those whose results they need. A unit whose results
 // are declared to be for a stage that this request leaves out is dropped:
-// nobody reads them.
+// nobody reads them. A need that closes a circle is left out: what follows
+// units would never end, and the process with it.
 func (j *job) link(byStage []*unit) {
 	followed := make(map[int]bool)
 	for i, st := range j.Stages {
 		for _, a := range st.After {
+			if a < 0 || a >= len(byStage) || byStage[i].leadsTo(byStage[a]) {
+				continue
+			}
 			followed[a] = true
-			if a < len(byStage) && byStage[a] != nil && byStage[i] != nil {
+			if byStage[a] != nil && byStage[i] != nil {
 				byStage[i].after = append(byStage[i].after, byStage[a])
 				byStage[a].followers = append(byStage[a].followers, byStage[i])
 			}
@@ -261,6 +265,15 @@
 	}
 }
 
+// leadsTo reports whether the results of the unit are needed, directly or not,
+// for the other. It leads to itself; nil leads nowhere.
+func (u *unit) leadsTo(other *unit) bool {
+	if u == nil || other == nil {
+		return false
+	}
+	return u == other || slices.ContainsFunc(u.followers, func(f *unit) bool { return f.leadsTo(other) })
+}
+
 func clampTime(d, low, high time.Duration) time.Duration { return min(max(d, low), high) }
 
 // remaining is the time that the job needs until the engine's first event if
