--- a/deploy/pathtest/config_test.go
+++ b/deploy/pathtest/config_test.go
@@ -234,3 +234,43 @@
 	t.Cleanup(server.CloseClientConnections)
 	return server.Listener.Addr().String()
 }
+
+// TestAllKilledWhileTheStoreIsAway. Symptom: after a loss of power of everything, callers are told that their key or
+// route is unknown, or nobody serves for long after the store has returned. Events: all instances are killed at one
+// moment, in flight requests among them, and start again while the store is silent. Cause: nobody is left to be asked,
+// and what is not known is taken for empty; or the store is asked ever less often.
+func TestAllKilledWhileTheStoreIsAway(t *testing.T) {
+	r := start(t, 3, nil)
+	before := slices.Clone(r.instances)
+	var inFlight sync.WaitGroup
+	for _, i := range before {
+		for _, a := range mixed() {
+			inFlight.Go(func() { i.direct.Do(t.Context(), a) })
+		}
+	}
+	time.Sleep(20 * time.Millisecond)
+	r.world.Store.SetFault("", emulator.StoreFault{Down: emulator.DownSilent})
+	for _, i := range before {
+		i.kill()
+	}
+	inFlight.Wait()
+	again := []*instance{r.add(), r.add(), r.add()}
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, i := range again {
+			if got := i.status(t, "/idem/x", "k"); got != 503 || i.ready() {
+				t.Fatalf("%s answers %d while nobody knows a configuration", i.id, got)
+			}
+		}
+	}
+	r.world.Store.ClearFaults()
+	r.until(recoverTime, "all serve again", func() bool {
+		return !slices.ContainsFunc(again, func(i *instance) bool { return !i.ready() || i.status(t, "/idem/x", "k") != 200 })
+	})
+	attempts := r.load(2, emulator.ClientOptions{Addresses: []string{again[0].address, again[2].address}}, mixed()...)
+	time.Sleep(500 * time.Millisecond)
+	r.allServed("after the return", attempts())
+	r.check()
+}
+
+// recoverTime is the time for all to serve again once the store is back.
+const recoverTime = 5 * time.Second
