Ingress, forwarding: the stop's window and the budget of repeats follow the steady clock

Ruled out: other users of the time of day on this path (searched for; the incarnation of an instance is one on purpose). Tests: TestTheBudgetIsTimedByTheSteadyClock (before: a slot far from 0), TestAStopIsTimedByTheSteadyClock (did not compile before, as the type changed).

--- a/internal/forwarding/budget.go
+++ b/internal/forwarding/budget.go
@@ -115,9 +115,11 @@
 	return w
 }
 
-// slot is the number of the present slot.
+// slot is the number of the present slot since the budget began. It does not
+// follow the time of day: if that steps forward, what was spent within the
+// window would be forgotten.
 func (b *Budget) slot() int64 {
-	return b.o.Clock.Now().UnixNano() / max(int64(b.o.Window)/budgetParts, 1)
+	return int64(b.o.Clock.Now().Sub(b.begun)) / max(int64(b.o.Window)/budgetParts, 1)
 }
 
 // advance begins the slots that have come since, with so many requests in each.
--- a/internal/forwarding/budget_test.go
+++ b/internal/forwarding/budget_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -143,3 +144,12 @@
 		}
 	}
 }
+
+// Symptom: more repeats than operators allow, within a window. Events: the time of day steps forward. Cause: what was
+// spent was counted by the time of day, so that the step left it behind.
+func TestTheBudgetIsTimedByTheSteadyClock(t *testing.T) {
+	b := NewBudget(BudgetOptions{Window: 10 * time.Second, Clock: quartz.NewReal(), Instances: func() int { return 1 }})
+	if slot := b.slot(); slot != 0 || !strings.Contains(b.begun.String(), "m=") {
+		t.Errorf("slot %d at the begin, which is %v", slot, b.begun)
+	}
+}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -80,9 +80,9 @@
 	times    histograms
 	refused  *expvar.Map
 	callers  *connections
-	ready    *connections // that ask for readiness
-	where    *connections // that ask for addresses
-	stopping atomic.Int64 // when it began, Unix nanoseconds; 0 = not
+	ready    *connections              // that ask for readiness
+	where    *connections              // that ask for addresses
+	stopping atomic.Pointer[time.Time] // when it began, by the steady clock; nil = not
 	cancel   context.CancelFunc
 	base     context.Context
 }
@@ -172,7 +172,8 @@
 // Stop makes the instance finish what it has: it is not ready any more, and
 // answers say that their connection ends.
 func (g *Ingress) Stop() {
-	g.stopping.CompareAndSwap(0, g.o.Clock.Now().UnixNano())
+	began := g.o.Clock.Now()
+	g.stopping.CompareAndSwap(nil, &began)
 }
 
 // Cut ends the requests in flight at once.
@@ -182,13 +183,13 @@
 func (g *Ingress) InFlight() int { return int(g.inFlight.Load()) }
 
 // Stopping reports whether Stop was called.
-func (g *Ingress) Stopping() bool { return g.stopping.Load() != 0 }
+func (g *Ingress) Stopping() bool { return g.stopping.Load() != nil }
 
 // closed reports whether new requests are refused since the instance is
 // stopping.
 func (g *Ingress) closed() bool {
 	since := g.stopping.Load()
-	return since != 0 && g.o.Clock.Now().Sub(time.Unix(0, since)) > g.o.TakeAfterStop
+	return since != nil && g.o.Clock.Now().Sub(*since) > g.o.TakeAfterStop
 }
 
 // serveReady tells whether the instance takes requests.
--- a/internal/ingress/ingress_test.go
+++ b/internal/ingress/ingress_test.go
@@ -101,3 +101,13 @@
 		})
 	}
 }
+
+// Symptom: an instance that stops refuses callers that still hold its address, or takes them up to its end. Events: the
+// time of day steps by seconds meanwhile. Cause: the moment of the order was kept as a time of day.
+func TestAStopIsTimedByTheSteadyClock(t *testing.T) {
+	g := New(Options{Codec: fakeCodec{}, Clock: quartz.NewReal()})
+	g.Stop()
+	if began := g.stopping.Load(); !strings.Contains(began.String(), "m=") {
+		t.Errorf("%v has no reading of the steady clock", began)
+	}
+}
