Stage work: a call takes whole units, and those for which its target is the best

Cause: a target was chosen for the first unit by the bytes that cross places, and the call then filled with whatever came next: pieces were made far from what they read (a stage of six pieces that each read four results of 60 kB moves 1.4 MB a request), and units were divided over two calls. Tests: TestACallTakesWhatLiesInItsPlace (16 results cross without the change), TestARequestsPiecesAreNotDivided.

--- a/internal/stagework/calls.go
+++ b/internal/stagework/calls.go
@@ -2,6 +2,32 @@
 
 import "time"
 
+// group returns the units, by rank, whose pieces go together in a call of the
+// target: the first one, and those after it that fit whole and for which no
+// other target is better.
+//
+// What goes wrong if the call is filled with whatever comes next: pieces are
+// made in another place than what they read, and all of it crosses places. Of a
+// stage with 6 pieces that each read 4 results of 60 kB that is 1.4 MB a
+// request; it is noticed by the bytes between places. What goes wrong if a unit
+// is divided: it ends with the later of two calls, and where those are made in
+// different places each piece of the next stage fetches results from both.
+func (p *Planner) group(r *round, s *candidate, units []*unit) []*unit {
+	group := units[:1:1]
+	room := r.v.batch() - units[0].waiting
+	for _, u := range units[1:] {
+		if room <= 0 {
+			break
+		}
+		if u.waiting == 0 || u.waiting > room || p.pickServer(r, u) != s {
+			continue
+		}
+		group = append(group, u)
+		room -= u.waiting
+	}
+	return group
+}
+
 // call forms a call for the target of the pieces that come first, up to its
 // batch, also while other targets are free. Most of a call's time is its fixed
 // part: pieces shared out over all free targets start no sooner than in one
--- a/internal/stagework/calls_test.go
+++ b/internal/stagework/calls_test.go
@@ -43,3 +43,59 @@
 		}
 	})
 }
+
+// Pattern: requests of several places wait for a stage whose pieces each read all
+// results of the one before. Symptom: a call is filled with what comes next, and
+// the results of all places cross to one of them. Grounds: with a free target in
+// each place nothing has to cross.
+func TestACallTakesWhatLiesInItsPlace(t *testing.T) {
+	services := map[string]group{
+		"cut":  {2, limits(8, 120*ms, 10*ms, 64*mb)},
+		"look": {2, limits(16, 300*ms, 10*ms, 64*mb)},
+	}
+	stages := []route.Stage{{Service: "cut", ResultBytes: mb}, {Service: "look", After: []int{0}, ResultBytes: 1000}}
+	inWorld(t, services, func(w *world) {
+		ends := w.serveAll(12, 40*ms, func(i int) Job { return newJob(i, 4*time.Second, 5*time.Second, stages, 4, 2) })
+		requirePlaced(t, ends...)
+		if crossed := w.crossed(); crossed > 0 {
+			t.Errorf("%d results were read in another place than they were made", crossed)
+		}
+	})
+}
+
+// Pattern: a request's pieces are more than what is left of a call. Symptom: it
+// waits for the end of two calls. Grounds: of two requests with 5 pieces each and
+// a batch of 8, the second fits whole in a call of its own at the free target.
+func TestARequestsPiecesAreNotDivided(t *testing.T) {
+	services := map[string]group{
+		"cut":  {1, limits(8, 120*ms, 10*ms, 64*mb)},
+		"look": {2, limits(8, 120*ms, 10*ms, 64*mb)},
+	}
+	stages := []route.Stage{{Service: "cut", ResultBytes: 10}, {Service: "look", After: []int{0}, ResultBytes: 10}}
+	inWorld(t, services, func(w *world) {
+		requirePlaced(t, w.serveAll(3, 5*ms, func(i int) Job { return newJob(i, 3*time.Second, 4*time.Second, stages, 2, 5) })...)
+		makers := make(map[string]map[string]bool)
+		w.farm.mu.Lock()
+		defer w.farm.mu.Unlock()
+		for _, m := range w.farm.made {
+			if m.stage == 1 {
+				if makers[m.job] == nil {
+					makers[m.job] = make(map[string]bool)
+				}
+				makers[m.job][m.server] = true
+			}
+		}
+		for id, servers := range makers {
+			if len(servers) != 1 {
+				t.Errorf("the pieces of %s were made by %d targets", id, len(servers))
+			}
+		}
+	})
+}
+
+// crossed is how many results pieces have read that lay in another place.
+func (w *world) crossed() int {
+	w.farm.mu.Lock()
+	defer w.farm.mu.Unlock()
+	return w.farm.crossed
+}
--- a/internal/stagework/farm_test.go
+++ b/internal/stagework/farm_test.go
@@ -34,6 +34,7 @@
 	made       map[string]*madeResult // by handle, also those that are gone
 	sent       map[pieceID][]time.Time
 	violations int
+	crossed    int // results that pieces have read from another place
 }
 
 // madeResult is a result that a server holds or has held.
@@ -119,6 +120,7 @@
 			results = append(results, relay.PieceResult{Fault: relay.PieceRoom})
 		default:
 			handle := fmt.Sprintf("%s#%d", id, len(f.made))
+			f.crossed += f.elsewhere(id, p.Inputs)
 			f.made[handle] = &madeResult{pieceID{p.ID, p.Stage, p.Number}, id, stage.ResultBytes, time.Now().Add(time.Hour)}
 			results = append(results, relay.PieceResult{Handle: handle})
 			work += s.limits.ItemTime
@@ -135,6 +137,17 @@
 	return results, work
 }
 
+// elsewhere counts the results that lie in another place than the server. The
+// places of servers alternate by their number.
+func (f *farm) elsewhere(id string, handles []string) (n int) {
+	for _, h := range handles {
+		if m := f.made[h]; m != nil && (m.server[len(m.server)-1]-id[len(id)-1])%2 != 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // intact checks that the handles are exactly those of all pieces of the job's
 // stages, each once, and reports whether all are still there.
 func (f *farm) intact(j Job, stages []int, handles []string) bool {
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -165,7 +165,7 @@
 			units = withWaiting(units[1:])
 			continue
 		}
-		if c := p.call(r, s, units); c != nil {
+		if c := p.call(r, s, p.group(r, s, units)); c != nil {
 			calls = append(calls, c)
 		}
 		units = withWaiting(units)
