Stage work: a target waits for room rather than begin a call with few of the pieces that wait

Cause: in a burst a target's room (35 results of 60 kB) is full of results that the next stage is reading. Each time some were given up a call of 4 to 9 pieces began while 30 to 90 waited: 280 ms of a target for 4 pieces (lines of a scratch copy: pieces=4 group=12 room=4). Targets were always busy at 147 pieces a second, where calls of 17 would make about 200. Change: a call is put off for at most half a call's fixed time if less than half of what could be in it has room. Test: TestACallWaitsForRoomOfTheResultsBefore; without the wait two of its cases fail.

--- a/internal/stagework/calls.go
+++ b/internal/stagework/calls.go
@@ -2,6 +2,23 @@
 
 import "time"
 
+// Factors of the wait for room.
+const (
+	// roomFull is the share of the pieces that could be in a call from which on
+	// it is not put off for want of room.
+	roomFull = 0.5
+	// roomWait is how long a target waits for room after its last call, in fixed
+	// times of a call.
+	roomWait = 0.5
+)
+
+// load is what goes together in a call.
+type load struct {
+	units []*unit // by rank
+	fit   int     // pieces for which there is room
+	short int     // pieces that would be in the call if there were room
+}
+
 // group returns the units, by rank, whose pieces go together in a call of the
 // target: the first one, and those after it that fit whole and for which no
 // other target is better.
@@ -12,20 +29,49 @@
 // request; it is noticed by the bytes between places. What goes wrong if a unit
 // is divided: it ends with the later of two calls, and where those are made in
 // different places each piece of the next stage fetches results from both.
-func (p *Planner) group(r *round, s *candidate, units []*unit) []*unit {
-	group := units[:1:1]
-	room := r.v.batch() - units[0].waiting
+func (p *Planner) group(r *round, s *candidate, units []*unit) load {
+	first := units[0]
+	g := load{units: []*unit{first}, fit: first.waiting}
+	room := s.freeRoom(r.now) - first.needs()
+	if room < 0 {
+		g.short = min(int((-room+first.bytes-1)/first.bytes), first.waiting)
+		g.fit -= g.short
+	}
 	for _, u := range units[1:] {
-		if room <= 0 {
+		left := r.v.batch() - g.fit - g.short
+		if left <= 0 {
 			break
 		}
-		if u.waiting == 0 || u.waiting > room || p.pickServer(r, u) != s {
+		if u.waiting == 0 || u.waiting > left || p.pickServer(r, u) != s {
+			continue
+		}
+		if u.needs() > room {
+			g.short += u.waiting
 			continue
 		}
-		group = append(group, u)
-		room -= u.waiting
+		g.units = append(g.units, u)
+		g.fit += u.waiting
+		room -= u.needs()
 	}
-	return group
+	return g
+}
+
+// needs is the room of the unit's waiting pieces.
+func (u *unit) needs() int64 { return int64(u.waiting) * u.bytes }
+
+// awaitsRoom reports whether the target rather waits for results to be given up
+// than begins a call with the few pieces for which it has room.
+//
+// What goes wrong without it: in a burst a target's room is full of results
+// that the next stage is reading. Each time a few of them are given up, a call
+// begins with as many pieces, and takes nearly as long as a full one: targets
+// are always busy with a third of what they could make, and one notices calls of
+// 4 pieces while 90 wait. The room of a call comes free when the next stage
+// ends, which takes about a call's time; what is waited for is the difference.
+func (s *candidate) awaitsRoom(g load, now time.Time) bool {
+	enough := roomFull * float64(g.fit+g.short)
+	idle := now.Sub(s.busyTill)
+	return float64(g.fit) < enough && s.room > 0 && idle < time.Duration(roomWait*float64(s.service.limits.CallTime))
 }
 
 // call forms a call for the target of the pieces that come first, up to its
@@ -34,8 +80,7 @@
 // call, and the targets are busy when the next pieces come.
 func (p *Planner) call(r *round, s *candidate, units []*unit) *call {
 	v, now := r.v, r.now
-	s.free = false
-	r.free--
+	r.keep(s)
 	c := &call{number: p.calls, server: s.server, sent: now}
 	p.calls++
 	for _, u := range units {
--- a/internal/stagework/calls_test.go
+++ b/internal/stagework/calls_test.go
@@ -99,3 +99,43 @@
 	defer w.farm.mu.Unlock()
 	return w.farm.crossed
 }
+
+// Pattern: a burst of requests whose results lie at their makers until the next
+// stage has read them, and fill the room. Symptom: targets are always busy with
+// calls of a few pieces, as many as results were given up. Grounds: with room for
+// half of what waits a call begins at once; with less it waits for half of a
+// call's fixed time of 100 ms after the one before, in which the next stage
+// usually ends, and not for ever.
+func TestACallWaitsForRoomOfTheResultsBefore(t *testing.T) {
+	for name, c := range map[string]struct {
+		room int64 // that is free, in results
+		idle time.Duration
+		want int // pieces of the call
+	}{
+		"room for a third":             {room: 3, want: 0},
+		"room for a third, after 45ms": {room: 3, idle: 45 * ms, want: 0},
+		"room for a third, after 50ms": {room: 3, idle: 50 * ms, want: 2},
+		"room for half":                {room: 4, want: 4},
+		"room for all":                 {room: 8, want: 8},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := twoStages(func([]string) {})
+			target := p.services["cut"].servers["c1"]
+			target.busyTill = now.Add(-c.idle)
+			target.room = target.freeRoom(now) - c.room*100
+			for i := range 4 {
+				if _, refusal := p.submit(stagedJob(string(rune('a'+i)), 2, now), nil, now); refusal != nil {
+					t.Fatal(refusal.Reason)
+				}
+			}
+			got := 0
+			for _, call := range p.plan(now) {
+				got += len(call.pieces)
+			}
+			if got != c.want {
+				t.Errorf("a call of %d pieces, want %d", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -165,7 +165,12 @@
 			units = withWaiting(units[1:])
 			continue
 		}
-		if c := p.call(r, s, p.group(r, s, units)); c != nil {
+		g := p.group(r, s, units)
+		if s.awaitsRoom(g, now) {
+			r.keep(s) // a plan is made when results have been given up
+			continue
+		}
+		if c := p.call(r, s, g.units); c != nil {
 			calls = append(calls, c)
 		}
 		units = withWaiting(units)
--- a/internal/stagework/round.go
+++ b/internal/stagework/round.go
@@ -78,6 +78,12 @@
 	r.perMS = waitWeight + waitLoadWeight*min(r.v.load.load(r.alive, r.now), 1)
 }
 
+// keep keeps a free target from calls in this plan.
+func (r *round) keep(c *candidate) {
+	c.free = false
+	r.free--
+}
+
 // betterElsewhere reports whether a slow target's call would end after the same
 // pieces had been made by others, which are busy now.
 func (r *round) betterElsewhere(c *candidate) bool {
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -63,12 +63,15 @@
 }
 
 // fits reports whether a result of the size has room.
-func (s *server) fits(bytes int64, now time.Time) bool {
+func (s *server) fits(bytes int64, now time.Time) bool { return bytes <= s.freeRoom(now) }
+
+// freeRoom is what is left of the room, below 0 if more is taken than counts.
+func (s *server) freeRoom(now time.Time) int64 {
 	taken := s.room
 	if now.Before(s.foreignTo) {
 		taken += s.foreign
 	}
-	return taken+bytes <= int64(float64(s.service.limits.ResultRoom)*roomShare)
+	return int64(float64(s.service.limits.ResultRoom)*roomShare) - taken
 }
 
 // refusedRoom takes in that results did not fit that should have: what is left
