Stage work: a call waits for what comes to its target a moment later, if that saves waiting

When the calls of the stage before end is known, but a target began its call for the first results of one and made those of the next, due a moment later, wait for its end. Change: Planner weighs, for each moment at which known units come, what they would wait against what those that are there lose by it, and what the longer call costs them.

--- a/internal/stagework/decisions_test.go
+++ b/internal/stagework/decisions_test.go
@@ -177,7 +177,7 @@
 	}
 	for _, v := range d.byName {
 		d.r2.Shuffle(len(v.units), func(i, k int) { v.units[i], v.units[k] = v.units[k], v.units[i] })
-		v.candidates, v.ready, v.rest = nil, nil, nil
+		v.candidates, v.ready, v.rest, v.soon = nil, nil, nil, nil
 	}
 }
 
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -148,8 +148,9 @@
 	followers []*unit
 	reserved  bool // room is set aside for all its results
 	freed     bool
-	rank      rank // in the newest plan that had a use for it
-	queued    int  // number among the units that were put to wait at the service
+	readyAt   time.Time // when a plan first found it ready
+	rank      rank      // in the newest plan that had a use for it
+	queued    int       // number among the units that were put to wait at the service
 }
 
 // done reports whether all its results are there.
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -170,6 +170,11 @@
 			r.keep(s) // a plan is made when results have been given up
 			continue
 		}
+		if hold := r.holdFor(s, g.units); hold > 0 {
+			p.dueBy(now.Add(hold))
+			r.keep(s)
+			continue
+		}
 		if c := p.call(r, s, g.units); c != nil {
 			calls = append(calls, c)
 		}
@@ -215,6 +220,7 @@
 	for _, u := range v.units {
 		if u.ready() && !u.job.leaving && !p.held(u, now) {
 			u.rank = p.rank(u, now)
+			u.sawReady(now)
 			ready = append(ready, u)
 		} else {
 			rest = append(rest, u)
--- a/internal/stagework/round.go
+++ b/internal/stagework/round.go
@@ -16,6 +16,8 @@
 	free    int         // targets that may get a call
 	waiting int         // pieces of all units that wait
 	perMS   float64     // cost of a millisecond of waiting for a busy target
+	looked  bool        // next is worked out
+	next    []coming    // units that get ready soon, the next first
 }
 
 // candidate is a target with what a plan knows of it.
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -118,6 +118,7 @@
 	// Memory of the newest round, used again by the next.
 	candidates  []candidate
 	ready, rest []*unit
+	soon        []coming
 	// reserved is the room set aside for units, from before their first piece
 	// is made until their results are freed.
 	reserved int64
