--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -142,6 +142,9 @@
 	Free(ctx context.Context, address string, handles []string) error
 	// Report asks a target for its report.
 	Report(ctx context.Context, t fleet.Target) (StageReport, error)
+	// Kept asks a model engine which prompt parts it keeps, in no order that
+	// means anything. It costs the engine some of its time.
+	Kept(ctx context.Context, engine fleet.Target) ([]PromptPart, error)
 }
 
 // Decoder reads the configuration as the platform's store holds it.
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -83,31 +83,6 @@
 	return p
 }
 
-// reportTime bounds the question for a target's report.
-const reportTime = 500 * time.Millisecond
-
-// askTargets asks the stage targets what lies there: a dispatcher that takes
-// over from another does not know the results of its requests. Without this its
-// first pieces are refused for want of room. The lock is held.
-func (d *Dispatcher) askTargets(p *Planner) {
-	for _, v := range p.services {
-		for _, s := range v.servers {
-			target := s.target
-			go func() {
-				ctx, cancel := context.WithTimeout(d.ctx, reportTime)
-				defer cancel()
-				report, err := d.o.Client.Report(ctx, target)
-				if err != nil {
-					return
-				}
-				d.mu.Lock()
-				defer d.mu.Unlock()
-				s.reported(report.FreeRoom, d.o.Clock.Now())
-			}()
-		}
-	}
-}
-
 // Close ends the calls in progress.
 func (d *Dispatcher) Close() { d.stop() }
 
--- a/internal/stagework/engine.go
+++ b/internal/stagework/engine.go
@@ -339,7 +339,7 @@
 	p.learn(j.missing, took)
 	e.fails = 0
 	if j.Prompt != nil {
-		e.keep(j.Prompt, int64(float64(p.limits.MemoryTokens)*keptShare))
+		e.keep(j.Prompt, p.capacity())
 	}
 }
 
--- a/internal/stagework/farm_test.go
+++ b/internal/stagework/farm_test.go
@@ -33,6 +33,7 @@
 	jobs       map[string]Job
 	made       map[string]*madeResult // by handle, also those that are gone
 	sent       map[pieceID][]time.Time
+	kept       map[string][]relay.PromptPart // by engine
 	violations int
 	crossed    int // results that pieces have read from another place
 }
@@ -200,6 +201,13 @@
 	return relay.StageReport{Busy: s.working > 0, FreeRoom: s.room - taken}, nil
 }
 
+// Kept implements relay.StageClient.
+func (f *farm) Kept(_ context.Context, t fleet.Target) ([]relay.PromptPart, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.kept[t.ID], nil
+}
+
 // Free implements relay.StageClient.
 func (f *farm) Free(_ context.Context, address string, handles []string) error {
 	f.drop(func(m *madeResult, handle string) bool {
--- a/internal/stagework/handback_test.go
+++ b/internal/stagework/handback_test.go
@@ -22,6 +22,8 @@
 
 func (busyTargets) Free(context.Context, string, []string) error { return nil }
 
+func (busyTargets) Kept(context.Context, fleet.Target) ([]relay.PromptPart, error) { return nil, nil }
+
 func (busyTargets) Report(context.Context, fleet.Target) (relay.StageReport, error) {
 	return relay.StageReport{}, context.DeadlineExceeded
 }
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -374,7 +374,7 @@
 	if j.Prompt != nil {
 		// Those that come next are to find the parts here, though they are read
 		// only now.
-		e.keep(j.Prompt, int64(float64(o.limits.MemoryTokens)*keptShare))
+		e.keep(j.Prompt, o.capacity())
 		o.use(j.Prompt, now)
 	}
 	p.counts.Placed++
