Stage work: switches for the new policies; lynxbench stages knows them

Change: MixedCalls, NoRoomWait, NoLookahead; putsOff is a function of its own. Ruled out: nothing; decisions are unchanged.

--- a/internal/bench/stages/variant.go
+++ b/internal/bench/stages/variant.go
@@ -32,6 +32,9 @@
 		{"each-by-itself", stagework.Policy{EachByItself: true}},
 		{"no-early-refusal", stagework.Policy{NoEarlyRefusal: true}},
 		{"no-margin", stagework.Policy{NoMargin: true}},
+		{"mixed-calls", stagework.Policy{MixedCalls: true}},
+		{"no-room-wait", stagework.Policy{NoRoomWait: true}},
+		{"no-lookahead", stagework.Policy{NoLookahead: true}},
 	}
 }
 
--- a/internal/stagework/calls.go
+++ b/internal/stagework/calls.go
@@ -30,6 +30,9 @@
 // is divided: it ends with the later of two calls, and where those are made in
 // different places each piece of the next stage fetches results from both.
 func (p *Planner) group(r *round, s *candidate, units []*unit) load {
+	if p.policy.MixedCalls {
+		return load{units: units, fit: r.waiting}
+	}
 	first := units[0]
 	g := load{units: []*unit{first}, fit: first.waiting}
 	room := s.freeRoom(r.now) - first.needs()
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -166,12 +166,7 @@
 			continue
 		}
 		g := p.group(r, s, units)
-		if s.awaitsRoom(g, now) {
-			r.keep(s) // a plan is made when results have been given up
-			continue
-		}
-		if hold := r.holdFor(s, g.units); hold > 0 {
-			p.dueBy(now.Add(hold))
+		if p.putsOff(r, s, g) {
 			r.keep(s)
 			continue
 		}
@@ -183,6 +178,22 @@
 	return calls
 }
 
+// putsOff reports whether the call waits for room or for more pieces. There is a
+// plan when results have been given up, or more pieces are ready.
+func (p *Planner) putsOff(r *round, s *candidate, g load) bool {
+	if !p.policy.NoRoomWait && s.awaitsRoom(g, r.now) {
+		return true
+	}
+	if p.policy.NoLookahead {
+		return false
+	}
+	hold := r.holdFor(s, g.units)
+	if hold > 0 {
+		p.dueBy(r.now.Add(hold))
+	}
+	return hold > 0
+}
+
 // withWaiting returns the units from the first on that has pieces that wait.
 func withWaiting(units []*unit) []*unit {
 	for len(units) > 0 && units[0].waiting == 0 {
--- a/internal/stagework/policy.go
+++ b/internal/stagework/policy.go
@@ -52,6 +52,15 @@
 	// NoMargin takes a job for on time if it is forecast to end just at its aim.
 	// What goes wrong: see margin.
 	NoMargin bool
+	// MixedCalls fills a call with what comes next by rank, wherever its inputs
+	// lie, and divides units. What goes wrong: see Planner.group.
+	MixedCalls bool
+	// NoRoomWait begins a call as soon as one piece has room. What goes wrong:
+	// see candidate.awaitsRoom.
+	NoRoomWait bool
+	// NoLookahead begins a call though more of its pieces come a moment later.
+	// What goes wrong: see round.holdFor.
+	NoLookahead bool
 }
 
 // With is the policy with the parts switched off that o switches off too.
@@ -61,6 +70,8 @@
 		AnyPlace: p.AnyPlace || o.AnyPlace, LeastLoaded: p.LeastLoaded || o.LeastLoaded,
 		NoTakeover: p.NoTakeover || o.NoTakeover, EachByItself: p.EachByItself || o.EachByItself,
 		NoEarlyRefusal: p.NoEarlyRefusal || o.NoEarlyRefusal, NoMargin: p.NoMargin || o.NoMargin,
+		MixedCalls: p.MixedCalls || o.MixedCalls, NoRoomWait: p.NoRoomWait || o.NoRoomWait,
+		NoLookahead: p.NoLookahead || o.NoLookahead,
 	}
 }
 
