Stage work: first stages gather for a third of a call's fixed time while requests come fast

Ruled out: the wait while few come (it needs a piece to be expected in the wait), of units of which a part has begun, and of calls that are 0.6 full.

--- a/cmd/lynxbench/stages.go
+++ b/cmd/lynxbench/stages.go
@@ -15,7 +15,7 @@
 type stagesCmd struct {
 	Seed             uint64   `default:"1" help:"First seed of callers and faults."`
 	Seeds            int      `default:"1" help:"Days to play, each with the next seed; the table has their means. 1 to 50."`
-	Policy           []string `placeholder:"NAME" help:"Only these baselines beside the kept policy: no-forecast, no-room, any-place, least-loaded, no-takeover, each-by-itself, no-early-refusal, no-margin, mixed-calls, no-room-wait, no-lookahead; joined by + to leave out several at once. Default: all, one by one."`
+	Policy           []string `placeholder:"NAME" help:"Only these baselines beside the kept policy: no-forecast, no-room, any-place, least-loaded, no-takeover, each-by-itself, no-early-refusal, no-margin, mixed-calls, no-room-wait, no-lookahead, no-gathering; joined by + to leave out several at once. Default: all, one by one."`
 	Compare          bool     `help:"Print the differences to the kept policy too, lowest and highest over the seeds."`
 	Load             float64  `default:"1" help:"Multiplies the callers' rate; more than 0, at most 4."`
 	LoseDispatcherAt float64  `default:"18" placeholder:"S" help:"The first instance dies after this many seconds of the 40 of a day (default 18); 0 = never."`
--- a/internal/bench/stages/stages_test.go
+++ b/internal/bench/stages/stages_test.go
@@ -165,7 +165,7 @@
 	want := stagework.Policy{
 		NoForecast: true, NoRoom: true, AnyPlace: true, LeastLoaded: true,
 		NoTakeover: true, EachByItself: true, NoEarlyRefusal: true, NoMargin: true,
-		MixedCalls: true, NoRoomWait: true, NoLookahead: true,
+		MixedCalls: true, NoRoomWait: true, NoLookahead: true, NoGathering: true,
 	}
 	if err != nil || len(chosen) != 2 || chosen[1].Policy != want || all != want {
 		t.Errorf("%+v %v", chosen, err)
--- a/internal/bench/stages/variant.go
+++ b/internal/bench/stages/variant.go
@@ -35,6 +35,7 @@
 		{"mixed-calls", stagework.Policy{MixedCalls: true}},
 		{"no-room-wait", stagework.Policy{NoRoomWait: true}},
 		{"no-lookahead", stagework.Policy{NoLookahead: true}},
+		{"no-gathering", stagework.Policy{NoGathering: true}},
 	}
 }
 
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -184,14 +184,18 @@
 	if !p.policy.NoRoomWait && s.awaitsRoom(g, r.now) {
 		return true
 	}
-	if p.policy.NoLookahead {
-		return false
+	until := r.now
+	if !p.policy.NoLookahead {
+		until = until.Add(r.holdFor(s, g.units))
+	}
+	if at := r.gatherUntil(g); !p.policy.NoGathering && at.After(until) {
+		until = at
 	}
-	hold := r.holdFor(s, g.units)
-	if hold > 0 {
-		p.dueBy(r.now.Add(hold))
+	if !until.After(r.now) {
+		return false
 	}
-	return hold > 0
+	p.dueBy(until)
+	return true
 }
 
 // withWaiting returns the units from the first on that has pieces that wait.
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -162,6 +162,7 @@
 	}
 	p.jobs[j] = struct{}{}
 	p.stage(j)
+	j.countArrival(now)
 	return j, nil
 }
 
--- a/internal/stagework/policy.go
+++ b/internal/stagework/policy.go
@@ -61,6 +61,9 @@
 	// NoLookahead begins a call though more of its pieces come a moment later.
 	// What goes wrong: see round.holdFor.
 	NoLookahead bool
+	// NoGathering begins calls of first stages with what is there. What goes
+	// wrong: see round.gatherUntil.
+	NoGathering bool
 }
 
 // With is the policy with the parts switched off that o switches off too.
@@ -71,7 +74,7 @@
 		NoTakeover: p.NoTakeover || o.NoTakeover, EachByItself: p.EachByItself || o.EachByItself,
 		NoEarlyRefusal: p.NoEarlyRefusal || o.NoEarlyRefusal, NoMargin: p.NoMargin || o.NoMargin,
 		MixedCalls: p.MixedCalls || o.MixedCalls, NoRoomWait: p.NoRoomWait || o.NoRoomWait,
-		NoLookahead: p.NoLookahead || o.NoLookahead,
+		NoLookahead: p.NoLookahead || o.NoLookahead, NoGathering: p.NoGathering || o.NoGathering,
 	}
 }
 
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -125,6 +125,8 @@
 	// pace is what calls take against what is stated, over all servers.
 	pace float64
 	load loadMeter
+	// arrivals counts pieces of requests' first stages.
+	arrivals loadMeter
 	// hold is how long results lie after their call, on average.
 	hold time.Duration
 }
