--- a/internal/stagework/ask.go
+++ b/internal/stagework/ask.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/fleet"
@@ -21,13 +23,14 @@
 // their prompt parts, which are read a second time while another engine has
 // them; one notices it by tokens read again after each restart.
 func (d *Dispatcher) askTargets(p *Planner) {
-	for _, v := range p.services {
-		for _, s := range v.servers {
+	for _, v := range p.byName {
+		for _, s := range v.order {
 			go d.askRoom(s, s.target)
 		}
 	}
-	for _, o := range p.pools {
-		for _, e := range o.engines {
+	for _, name := range slices.Sorted(maps.Keys(p.pools)) {
+		o := p.pools[name]
+		for _, e := range o.order {
 			go d.askKept(o, e, e.target)
 		}
 	}
--- a/internal/stagework/round.go
+++ b/internal/stagework/round.go
@@ -5,6 +5,10 @@
 	"time"
 )
 
+// slowFactor is the pace against the service's from which on a target is given
+// work only if it would still end first.
+const slowFactor = 1.4
+
 // round is what a plan works out about a service's targets before it forms
 // calls. Each unit is compared with each target; what does not depend on the
 // unit is worked out once here, and only for the target that got a call again.
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -28,6 +28,12 @@
 	// roomShare is the share of a target's stated room that is used: sizes of
 	// results are approximate.
 	roomShare = 0.97
+	// paceHalfLife is how fast a target's pace is forgotten while it has no
+	// calls, so that one that has recovered is tried again.
+	paceHalfLife = 2 * time.Second
+	// paceForgotten is the time after which nothing is left of it: a half to
+	// this many half-lives is 0 in a float64.
+	paceForgotten = 1100 * paceHalfLife
 	// roomLearnt is how long a target that refused for want of room is taken to
 	// hold results that this dispatcher does not know.
 	roomLearnt = 500 * time.Millisecond
@@ -106,6 +112,19 @@
 	s.pausedTo = now.Add(min(pause, suspectMax))
 }
 
+// paceAt is the target's pace, which is forgotten while it has no calls.
+func (s *server) paceAt(now time.Time) float64 {
+	usual := s.service.pace
+	idle := now.Sub(s.busyTill)
+	switch {
+	case idle <= 0:
+		return s.pace
+	case s.pace == usual || idle > paceForgotten:
+		return usual
+	}
+	return usual + (s.pace-usual)*math.Pow(0.5, float64(idle)/float64(paceHalfLife))
+}
+
 // service is a stage service.
 type service struct {
 	name    string
