--- a/internal/stagework/calls.go
+++ b/internal/stagework/calls.go
@@ -12,8 +12,8 @@
 	roomWait = 0.5
 )
 
-// load is what goes together in a call.
-type load struct {
+// draft is a call that is being put together.
+type draft struct {
 	units []*unit // by rank
 	fit   int     // pieces for which there is room
 	short int     // pieces that would be in the call if there were room
@@ -29,12 +29,12 @@
 // request; it is noticed by the bytes between places. What goes wrong if a unit
 // is divided: it ends with the later of two calls, and where those are made in
 // different places each piece of the next stage fetches results from both.
-func (p *Planner) group(r *round, s *candidate, units []*unit) load {
+func (p *Planner) group(r *round, s *candidate, units []*unit) draft {
 	if p.policy.MixedCalls {
-		return load{units: units, fit: r.waiting}
+		return draft{units: units, fit: r.waiting}
 	}
 	first := units[0]
-	g := load{units: []*unit{first}, fit: first.waiting}
+	g := draft{units: []*unit{first}, fit: first.waiting}
 	room := s.freeRoom(r.now) - first.needs()
 	if room < 0 {
 		g.short = min(int((-room+first.bytes-1)/first.bytes), first.waiting)
@@ -71,7 +71,7 @@
 // are always busy with a third of what they could make, and one notices calls of
 // 4 pieces while 90 wait. The room of a call comes free when the next stage
 // ends, which takes about a call's time; what is waited for is the difference.
-func (s *candidate) awaitsRoom(g load, now time.Time) bool {
+func (s *candidate) awaitsRoom(g draft, now time.Time) bool {
 	enough := roomFull * float64(g.fit+g.short)
 	idle := now.Sub(s.busyTill)
 	return float64(g.fit) < enough && s.room > 0 && idle < time.Duration(roomWait*float64(s.service.limits.CallTime))
--- a/internal/stagework/gather.go
+++ b/internal/stagework/gather.go
@@ -24,7 +24,7 @@
 // calls of two or three pieces of eight, and a burst begins with no target free.
 // Of later stages the planner knows what comes (holdFor); of callers it knows
 // the rate at which they came, and when few come nothing waits.
-func (r *round) gatherUntil(g load) time.Time {
+func (r *round) gatherUntil(g draft) time.Time {
 	v := r.v
 	wait := time.Duration(gatherShare * float64(v.limits.CallTime))
 	if float64(g.fit) >= gatherFull*float64(v.batch()) || v.arrivals.perSecond(r.now)*wait.Seconds() < gatherLeast {
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -157,7 +157,7 @@
 
 // putsOff reports whether the call waits for room or for more pieces. There is a
 // plan when results have been given up, or more pieces are ready.
-func (p *Planner) putsOff(r *round, s *candidate, g load) bool {
+func (p *Planner) putsOff(r *round, s *candidate, g draft) bool {
 	if !p.policy.NoRoomWait && s.awaitsRoom(g, r.now) {
 		return true
 	}
