Stage work: a dispatcher without a client of stage targets asks nobody

Instances always have one. Ruled out: a race; the panic comes at the first job of such a dispatcher. Test: internal/forwarding as it stands, red before, green after.

--- a/internal/stagework/ask.go
+++ b/internal/stagework/ask.go
@@ -23,6 +23,9 @@
 // their prompt parts, which are read a second time while another engine has
 // them; one notices it by tokens read again after each restart.
 func (d *Dispatcher) askTargets(p *Planner) {
+	if d.o.Client == nil {
+		return
+	}
 	for _, v := range p.byName {
 		for _, s := range v.order {
 			go d.askRoom(s, s.target)
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -25,8 +25,8 @@
 
 // Options of a Dispatcher.
 type Options struct {
-	Self   string // instance id
-	Client relay.StageClient
+	Self   string            // instance id
+	Client relay.StageClient // nil = there are no stage targets, and engines are not asked
 	Clock  clock.Clock
 	Logger *event.Logger
 	// Reuse is the time within which it is a waste to read a prompt part that
