Store calls: a few instances ask, the others only when told nothing for long

Cause: at 295 instances the calls of the store grow with the fleet. Change: control/watchers decides who asks (eight; twice as many for every 3 s without word; whoever hears nobody at once; nobody in the first 1.5 s, when all are alone). The list of instances is read at 2, 4, 8 .. 60 s and may be old; an entry costs one call and is written again if a list lacks it; watches of a prefix begin 100 ms apart. A counter by kind.

--- a/internal/control/routesync/feed.go
+++ b/internal/control/routesync/feed.go
@@ -28,11 +28,12 @@
 // feed is the loop of one prefix.
 type feed struct {
 	prefix   string
-	after    uint64 // version to watch on from
-	listed   bool   // after is valid
-	answered bool   // the store has answered in this life
-	fails    int    // failed calls since the last good watch
-	relists  int    // lists that a watch asked for since the last good watch
+	after    uint64        // version to watch on from
+	listed   bool          // after is valid
+	answered bool          // the store has answered in this life
+	began    time.Duration // boot time at which the last watch began
+	fails    int           // failed calls since the last good watch
+	relists  int           // lists that a watch asked for since the last good watch
 
 	mu     sync.Mutex // guards what follows
 	relist bool       // Recheck was called
@@ -81,14 +82,14 @@
 // hears from those that do.
 const hearEvery = 100 * time.Millisecond
 
-// hears reports whether the feed may rest: others watch, and what they said is
-// not old. A feed that rested goes on from what was heard.
+// hears reports whether the feed may rest, since others ask the store. A feed
+// that rested goes on from what was heard.
 //
 // What goes wrong without it: every instance's watches are calls that the store
 // counts, whose rates grow more slowly than the fleet; one notices it by
 // refused calls of everybody.
 func (m *Manager) hears(f *feed) bool {
-	if f.asked() || m.o.Watcher() || !m.Known() || m.ConfirmedAge() > m.o.WatchWait()+callTimeout {
+	if f.asked() || !m.Known() || m.o.Asks(m.ConfirmedAge()) {
 		return false
 	}
 	f.after, f.listed = m.seen(f.prefix), true
@@ -124,7 +125,8 @@
 }
 
 func (m *Manager) watch(ctx context.Context, f *feed) error {
-	started, wait := m.o.Boot.SinceBoot(), m.o.WatchWait()
+	started, wait := m.o.Boot.SinceBoot(), m.watchWait()
+	f.began = started
 	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, wait+callTimeout)
 	defer cancel()
 	objects, version, compacted, err := m.o.Store.Watch(store.WithWatchWait(ctx, wait), f.prefix, f.after)
@@ -148,10 +150,29 @@
 	return nil
 }
 
+// quickWait is how long a watch waits while word of the store is overdue: its
+// return is that word, and others wait for it too.
+const quickWait = 200 * time.Millisecond
+
+// watchWait returns how long the next watch waits.
+func (m *Manager) watchWait() time.Duration {
+	wait := m.o.WatchWait()
+	if m.ConfirmedAge() > m.Patience() {
+		return min(wait, quickWait)
+	}
+	return wait
+}
+
+// Patience is the age from which word of the store is overdue: a watch that
+// found nothing, and a call's time.
+func (m *Manager) Patience() time.Duration { return m.o.WatchWait() + callTimeout }
+
 // pause returns how long to wait before the next call. After a failure the
 // next call is a list: changes may have been missed, and the list decides.
 func (m *Manager) pause(f *feed, err error) time.Duration {
 	switch {
+	case err == nil && f.listed:
+		return max(0, m.o.WatchGap-(m.o.Boot.SinceBoot()-f.began))
 	case err == nil:
 		return 0
 	case errors.Is(err, errTooSoon):
--- a/internal/control/routesync/options.go
+++ b/internal/control/routesync/options.go
@@ -72,6 +72,11 @@
 	// WatchWait returns how long the next watch waits for a change; its return
 	// confirms what is held. nil takes the default.
 	WatchWait func() time.Duration
+	// WatchGap is the shortest time between the beginnings of two watches of a
+	// prefix. Changes come in series, as when the targets of a service are
+	// replaced, and each ends the watches of all that wait. The first of a series
+	// is told at once, the others at most this much later. 0 = no pause.
+	WatchGap time.Duration
 	// RetryMin and RetryMax bound the pause after a failed call of the store.
 	RetryMin, RetryMax time.Duration
 	// ReturnGrace is how long after the store's return a target that is
@@ -83,9 +88,10 @@
 	// change is told after they return.
 	OnTable   func(*route.Table)
 	OnTargets func(old, new *fleet.View)
-	// Watcher reports whether this instance watches the store itself. Others
-	// hear from it, and list only when they have not heard for long. nil = yes.
-	Watcher func() bool
+	// Asks reports whether this instance asks the store itself, given the age of
+	// the newest answer of the store that it knows of. Others hear from those
+	// that do. nil = it always does.
+	Asks func(age time.Duration) bool
 	// Hurry asks membership for extra exchanges at once; may be nil.
 	Hurry func()
 }
@@ -105,8 +111,8 @@
 	if o.WatchWait == nil {
 		o.WatchWait = func() time.Duration { return defaultWatchWait }
 	}
-	if o.Watcher == nil {
-		o.Watcher = func() bool { return true }
+	if o.Asks == nil {
+		o.Asks = func(time.Duration) bool { return true }
 	}
 	if o.Hurry == nil {
 		o.Hurry = func() {}
--- /dev/null
+++ b/internal/control/watchers/watchers.go
@@ -0,0 +1,73 @@
+// Package watchers decides which instances ask the platform's store for news of
+// routes and targets. The others hear of it from them, by digests.
+//
+// Every call of the store is paid for and counts toward rates that grow more
+// slowly than the fleet. The fleet's calls are therefore bounded by a number: a
+// few instances watch, and while no word of the store comes, more of them ask,
+// twice as many every StepEvery. Without the bound all instances ask at once as
+// soon as the store is away for longer than Patience; with 295 of them, two
+// feeds each and a pause of half a second that is over 1,000 calls a second.
+package watchers
+
+import (
+	"time"
+
+	"lynxhill.example/lynxhill/internal/control/rendezvous"
+)
+
+// Watchers is how many instances watch the store while all is well.
+//
+// The bound protects the store from a fleet of any size. It costs time: word
+// that an instance hears is older than what it would see itself, by the pause
+// between two answers of the watchers and the digests' way through the fleet.
+const Watchers = 8
+
+// StepEvery is the time without word of the store in which the number of
+// instances that may ask doubles. From 8 to 295 it takes six steps, 18 s; a
+// store that is away for 9 s is asked by 16 to 32 of them.
+const StepEvery = 3 * time.Second
+
+// settleTime is how long an instance that has just started waits for members
+// before it takes itself for a watcher. Instances that start together each know
+// only themselves at first, and all of them would watch.
+const settleTime = 1500 * time.Millisecond
+
+// cutOffAfter is the silence of all other instances after which none of them can
+// be relied upon for news.
+const cutOffAfter = 2 * time.Second
+
+// Facts are what an instance believes at a moment.
+type Facts struct {
+	Self    string
+	Members []string // alive, with or without Self
+	// Running is how long the instance runs.
+	Running time.Duration
+	// Others reports whether the settings name other instances.
+	Others bool
+	// Silence is how long no other instance was heard; 0 = none ever was.
+	Silence time.Duration
+	// Patience is the age from which word of the store is overdue.
+	Patience time.Duration
+}
+
+// Asks reports whether the instance asks the store itself. age is that of the
+// newest answer of the store that it knows of.
+func (f Facts) Asks(age time.Duration) bool {
+	if f.Silence >= cutOffAfter && age > f.Patience {
+		return true
+	}
+	if f.Others && f.Running < settleTime {
+		return false
+	}
+	return rendezvous.Position("control/watchers", f.Self, f.Members) < allowed(age-f.Patience)
+}
+
+// allowed is how many instances ask once the word of the store is overdue by
+// that much.
+func allowed(overdue time.Duration) int {
+	const most = 20 // doublings; more instances than any fleet has
+	if overdue < 0 {
+		return Watchers
+	}
+	return Watchers << min(int(overdue/StepEvery), most)
+}
--- /dev/null
+++ b/internal/control/watchers/watchers_test.go
@@ -0,0 +1,90 @@
+package watchers
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+func members(n int) []string {
+	var ids []string
+	for i := range n {
+		ids = append(ids, fmt.Sprintf("i-%03d", i))
+	}
+	return ids
+}
+
+// asking counts the instances of a fleet that ask.
+func asking(n int, age time.Duration, change func(*Facts)) int {
+	count := 0
+	for _, id := range members(n) {
+		f := Facts{Self: id, Members: members(n), Running: time.Minute, Others: true, Silence: 100 * time.Millisecond, Patience: 6 * time.Second}
+		change(&f)
+		if f.Asks(age) {
+			count++
+		}
+	}
+	return count
+}
+
+func same(*Facts) {}
+
+// Symptom: the store refuses calls of everybody while it comes back after an
+// outage.
+// Events: the store is away for 9 s; from 6 s on no instance has fresh word of
+// it, and all of 295 ask.
+// Cause: each instance decided by the age of its own word alone.
+func TestAnOutageDoesNotMakeEveryInstanceAsk(t *testing.T) {
+	for _, n := range []int{8, 58, 295} {
+		for _, c := range []struct {
+			age  time.Duration
+			most int
+		}{{time.Second, 8}, {5900 * time.Millisecond, 8}, {7 * time.Second, 8}, {9 * time.Second, 16}, {13 * time.Second, 32}} {
+			if got, want := asking(n, c.age, same), min(c.most, n); got != want {
+				t.Errorf("%d instances, word %v old: %d ask, want %d", n, c.age, got, want)
+			}
+		}
+	}
+}
+
+// Symptom: an instance serves routes that were replaced long ago.
+// Events: the watchers lose the store for good, others reach it.
+// Cause: nobody but the first in rank ever asks.
+func TestInTheEndEveryInstanceAsks(t *testing.T) {
+	if got := asking(295, 6*time.Second+6*StepEvery, same); got != 295 {
+		t.Errorf("%d of 295 ask after six steps", got)
+	}
+	if got := asking(295, math.MaxInt64, same); got != 295 {
+		t.Errorf("%d of 295 ask that never heard", got)
+	}
+}
+
+// Symptom: an instance that reaches the store and no other instance goes on
+// with an old configuration for half a minute.
+// Events: its links to the others are cut; its rank is low.
+// Cause: it waited for its turn as if it could still hear from the others.
+func TestWhoHearsNobodyAsksAtOnce(t *testing.T) {
+	silent := func(f *Facts) { f.Silence = 3 * time.Second }
+	if got := asking(295, 6100*time.Millisecond, silent); got != 295 {
+		t.Errorf("%d of 295 ask that hear nobody", got)
+	}
+	if got := asking(295, time.Second, silent); got != 8 {
+		t.Errorf("%d ask though their word is fresh, want 8", got)
+	}
+}
+
+// Symptom: hundreds of watches in the first second after all instances started,
+// each ended by every target that registers.
+// Events: 295 instances start together, each alone in its own list of members.
+// Cause: who is alone ranks first.
+func TestNobodyWatchesBeforeItCouldMeetOthers(t *testing.T) {
+	alone := func(f *Facts) { f.Members, f.Running = nil, time.Second }
+	if got := asking(295, time.Second, alone); got != 0 {
+		t.Errorf("%d of 295 watch in their first second", got)
+	}
+	only := func(f *Facts) { f.Members, f.Running, f.Others = nil, 0, false }
+	if got := asking(1, time.Second, only); got != 1 {
+		t.Error("an instance without others must watch at once")
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -23,8 +23,8 @@
 	"lynxhill.example/lynxhill/internal/bootclock"
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/config"
-	"lynxhill.example/lynxhill/internal/control/rendezvous"
 	"lynxhill.example/lynxhill/internal/control/routesync"
+	"lynxhill.example/lynxhill/internal/control/watchers"
 	"lynxhill.example/lynxhill/internal/crashguard"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/exchange"
@@ -84,6 +84,7 @@
 	inForce atomic.Pointer[config.Config] // cfg with what Reload changed
 	o       Options
 	adapter Adapter
+	began   time.Duration // boot time at New
 	board   *board.Board
 	metrics *metrics.Registry
 
@@ -111,8 +112,17 @@
 const (
 	heartbeatEvery = 500 * time.Millisecond
 	suspectAfter   = 1500 * time.Millisecond
-	listEvery      = 10 * time.Second
-	registerEvery  = 30 * time.Second
+	// listEvery is how often each instance reads the list of instances. Two
+	// parts of a fleet that do not know of each other meet once any instance of
+	// either reads it: with n instances that is every listEvery/n.
+	listEvery = time.Minute
+	// registerEvery is how often an instance writes its entry, which does not
+	// lapse. A list without it has it written again at once.
+	registerEvery = 10 * time.Minute
+	// watchGap bounds the calls that changes in series cost: ten a second for
+	// each of the few instances that watch, and kind of objects. Targets that
+	// leave are told seconds before they end.
+	watchGap = 100 * time.Millisecond
 	// crashLimit is how many targets may die under one request.
 	crashLimit = 3
 	crashKeep  = time.Minute
@@ -142,10 +152,11 @@
 	if o.Listen == nil {
 		o.Listen = net.Listen
 	}
-	i := &Instance{cfg: cfg, o: o, adapter: adapter, board: board.New(), metrics: metrics.NewRegistry()}
+	i := &Instance{cfg: cfg, o: o, adapter: adapter, began: o.Boot.SinceBoot(), board: board.New(), metrics: metrics.NewRegistry()}
 	i.inForce.Store(&cfg)
 	i.looked.Store(int64(o.Boot.SinceBoot()))
 	i.o.Logger = o.Logger.With("instance", cfg.Instance.ID)
+	i.adapter.Platform = newCountedPlatform(adapter.Platform, i.metrics)
 	i.assembleControl()
 	i.assembleRequestPath()
 	if err := i.openServers(); err != nil {
@@ -181,7 +192,8 @@
 		OnTargets: i.retarget,
 		Hurry:     func() { i.members.Hurry() },
 		WatchWait: i.watchWait,
-		Watcher:   i.watcher,
+		WatchGap:  watchGap,
+		Asks:      i.asksStore,
 	})
 	i.members = membership.New(membership.Options{
 		Self: board.Member{
@@ -327,18 +339,23 @@
 	return m.Capacity
 }
 
-// watchers is how many instances watch the store; others hear from them.
-const watchers = 8
-
-// watcher reports whether this instance watches the store.
-func (i *Instance) watcher() bool {
-	return rendezvous.Position("edge/watcher", i.id(), i.board.LiveMembers(i.id())) < watchers
+// asksStore reports whether this instance asks the store for news itself, age
+// being that of the newest word of it.
+func (i *Instance) asksStore(age time.Duration) bool {
+	return watchers.Facts{
+		Self:     i.id(),
+		Members:  i.board.LiveMembers(i.id()),
+		Running:  i.o.Boot.SinceBoot() - i.began,
+		Others:   i.seeded() > 1,
+		Silence:  i.members.Silence(),
+		Patience: i.routes.Patience(),
+	}.Asks(age)
 }
 
 // passOn has a change told to the others at once, if there are any that do not
 // watch the store themselves.
 func (i *Instance) passOn() {
-	if i.instances() > watchers {
+	if i.instances() > watchers.Watchers {
 		i.members.Hurry()
 	}
 }
--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -72,22 +72,27 @@
 	m.settle(ctx, id, target.PeerAddr, reply)
 }
 
-// runList reads the instance list, often while no other member is known.
+// runList reads the instance list: soon and then less and less often after the
+// start, every ListEvery in calm times, and soon again once it shows instances
+// that were not met.
+//
+// The list is a way to meet and no heartbeat: digests carry everything else. At
+// size each reading of every instance is a call that the platform counts; with a
+// reading every 10 s, 295 instances made 30 calls a second for ever.
 func (m *Manager) runList(ctx context.Context) {
 	if m.o.Lister == nil && m.o.Seeds == nil {
 		return
 	}
-	soon := seedEvery
+	soon, strangers := seedEvery, 0
 	for {
-		wait := m.o.ListEvery
-		complete := m.readList(ctx)
+		found := m.readList(ctx)
 		m.contactSeeds(ctx)
-		if complete && len(m.view.ids(board.MemberAlive)) > 0 {
+		if found > strangers {
 			soon = seedEvery
-		} else {
-			wait = min(wait, soon)
-			soon = min(2*soon, m.o.ListEvery)
 		}
+		strangers = found
+		wait := min(soon, m.o.ListEvery)
+		soon = min(2*soon, m.o.ListEvery)
 		if !loop.Sleep(ctx, m.o.Clock, m.rand.Spread(wait, listJitter)) {
 			return
 		}
@@ -95,8 +100,8 @@
 }
 
 const (
-	// seedEvery is the time between readings of the list while it shows
-	// instances that were not met; it doubles each time up to ListEvery.
+	// seedEvery is the time from the first reading of the list to the second;
+	// it doubles each time up to ListEvery.
 	seedEvery  = 2 * time.Second
 	listJitter = 0.5
 	// seedContacts bounds the unknown instances contacted after one reading;
@@ -104,17 +109,20 @@
 	seedContacts = 3
 )
 
-// readList contacts listed instances that were not met yet. It returns true if
-// none is left, as far as the list tells.
-func (m *Manager) readList(ctx context.Context) bool {
+// readList contacts listed instances that were not met yet, and has this
+// instance's entry written again if it is missing. It returns how many listed
+// instances are still not met, 0 if the list can't be read. An old list will do:
+// it is read again, and who is too new to be on it is met by digests.
+func (m *Manager) readList(ctx context.Context) (strangers int) {
 	if m.o.Lister == nil {
-		return true
+		return 0
 	}
-	listed, err := m.o.Lister.Instances(store.WithPriority(ctx, store.PriorityBackground))
+	listed, err := m.o.Lister.Instances(store.WithOld(store.WithPriority(ctx, store.PriorityBackground)))
 	if err != nil {
-		return false
+		return 0
 	}
 	m.noteKnown()
+	m.askEntry(listed)
 	seeds := m.unknown(listed)
 	for i, seed := range seeds {
 		if i == seedContacts {
@@ -126,7 +134,7 @@
 		}
 	}
 	m.forget(listed, m.o.Clock.Now())
-	return len(listed) > 1 && len(m.unknown(listed)) == 0
+	return len(m.unknown(listed))
 }
 
 // contactSeeds contacts some seeds while this instance knows no other.
@@ -170,23 +178,62 @@
 	return seeds
 }
 
+// entryAge is how old this instance's entry must be before a list without it
+// says that it is gone: the list lags.
+const entryAge = 10 * time.Second
+
+// askEntry has the entry written again if the list lacks it although it was
+// written a while ago.
+//
+// What goes wrong without it: the removal by this instance's life before, whose
+// answer was lost, is carried out after the new life has written its entry. One
+// notices an instance that none of those started later ever contacts.
+func (m *Manager) askEntry(listed []store.Instance) {
+	written := m.written.Load()
+	if written == 0 || m.o.Boot.SinceBoot()-time.Duration(written) < entryAge {
+		return
+	}
+	if !slices.ContainsFunc(listed, func(in store.Instance) bool { return in.ID == m.o.Self.ID }) {
+		m.unlisted.Notify()
+	}
+}
+
 // runRegister keeps this instance's entry in the platform's list fresh.
 func (m *Manager) runRegister(ctx context.Context) {
 	if m.o.Lister == nil {
 		return
 	}
+	retry := seedEvery
 	for {
+		unlisted := m.unlisted.Wait()
 		wait := m.o.RegisterEvery
 		if err := m.register(ctx); err != nil {
 			m.o.Logger.Log(event.MembershipRegisterFailed, "err", err)
-			wait = min(wait, seedEvery)
+			wait = min(wait, retry)
+			retry = min(2*retry, m.o.RegisterEvery)
+		} else {
+			retry = seedEvery
+			m.written.Store(max(int64(m.o.Boot.SinceBoot()), 1))
 		}
-		if !loop.Sleep(ctx, m.o.Clock, m.rand.Spread(wait, listJitter)) {
+		if !m.rest(ctx, m.rand.Spread(wait, listJitter), unlisted) {
 			return
 		}
 	}
 }
 
+// rest waits for the time or the signal; false = ctx ended.
+func (m *Manager) rest(ctx context.Context, wait time.Duration, signal <-chan struct{}) bool {
+	timer := m.o.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+	case <-signal:
+	}
+	return true
+}
+
 func (m *Manager) register(ctx context.Context) error {
 	self, _ := m.view.get(m.o.Self.ID)
 	state := platformapi.StateLive
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -71,7 +71,7 @@
 	IndirectProbes  int           // instances asked before one is suspected
 	ContactMin      time.Duration // between contacts of dead members, at first
 	ContactMax      time.Duration // between contacts of dead members, at last
-	ListEvery       time.Duration // between readings of the instance list
+	ListEvery       time.Duration // between readings of the instance list, once the fleet has met
 	RegisterEvery   time.Duration // between refreshes of one's own entry
 	// ForgetAfter is when a dead member that announced its leaving is dropped,
 	// KeepDead when any other is, unless the instance list shows it still.
@@ -145,6 +145,9 @@
 	heard atomic.Int64 // when the last digest of another came, boot time in ns
 	known atomic.Int64 // when the members were first read, boot time in ns; 0 = not yet
 
+	written  atomic.Int64 // when this instance's entry was last written, boot time in ns; 0 = not yet
+	unlisted board.Signal // the instance list lacks this instance's entry
+
 	parts partList
 	pace  contactPace
 	hurry board.Signal // a controller has rows that should not wait
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -80,6 +80,21 @@
 	return fallback
 }
 
+type oldKey struct{}
+
+// WithOld lets the reads under ctx (Get, List and Instances, no watch) return
+// data that may be seconds old, where the platform offers such reads for less
+// than others. It is for what is read again later or corrected by other means.
+func WithOld(ctx context.Context) context.Context {
+	return context.WithValue(ctx, oldKey{}, true)
+}
+
+// MayBeOld reports whether WithOld was set.
+func MayBeOld(ctx context.Context) bool {
+	old, _ := ctx.Value(oldKey{}).(bool)
+	return old
+}
+
 // Reader reads objects.
 type Reader interface {
 	// Get returns the object or ErrNotFound.
