Membership: instances of the platform's list count as alive until they are met

Cause: instances that start together know 7 to 37 of 58, and 148 of 295, after half a second; 6 and 10 of them are somebody's dispatcher, and 2 still are from 1.5 to 4 s. The last ones met after 9 s (58) and 12 s (295): rows wait in a queue that a digest empties by six, and buckets with a waiting row were left out of repairs. Ruled out: no target or dispatcher is needed for it: the platform's list has all entries of the lives before, with addresses and, now, processor time. Change: listed instances are taken for alive for 4 s if they are more than those that were met (membership/listed.go); while the queue is long its rows are repaired too.

--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -123,6 +123,7 @@
 	}
 	m.noteKnown()
 	m.askEntry(listed)
+	m.view.assume(listed, m.o.Service, m.o.Clock.Now())
 	seeds := m.unknown(listed)
 	for i, seed := range seeds {
 		if i == seedContacts {
@@ -249,5 +250,7 @@
 		Place:   self.Place,
 		Region:  self.Region,
 		State:   state,
+
+		Capacity: self.Capacity,
 	})
 }
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -116,20 +116,28 @@
 
 func (d difference) none() bool { return len(d.buckets) == 0 && !d.marks && !d.dead }
 
+// longQueue is the number of rows waiting to be passed on from which their
+// difference does not go away soon: a digest carries about six of them, and each
+// is passed on a dozen times.
+const longQueue = 24
+
 // compare finds the difference from a peer's sums. Buckets in which a row
 // waits to be passed on are left out unless most differ: their difference goes
-// away by itself. The caller holds mu.
+// away by itself. While the queue is long, as after a common start, nothing is
+// left out: with 58 instances that started together the last ones met after 9 s,
+// with 295 after 12 s, when they had waited for the queue. The caller holds mu.
 func (v *view) compare(sums []uint32, now time.Time) (d difference) {
 	mine := v.sumsLocked(now)
 	if len(sums) != len(mine) {
 		return d // another version's buckets cannot be compared
 	}
 	waiting := make(map[int]bool)
-	marksWait := false
+	marksWait, queued := false, 0
 	for id, r := range v.rows {
 		if r.left > 0 && id != v.self && r.urgency > urgencyLoad {
 			waiting[bucketOf(id)] = waiting[bucketOf(id)] || r.urgency == urgencyState
 			marksWait = true
+			queued++
 		}
 	}
 	var quiet []int
@@ -141,8 +149,9 @@
 			}
 		}
 	}
-	d.bulk = len(d.buckets) > sumBuckets/2
-	if !d.bulk {
+	long := queued >= longQueue
+	d.bulk = len(d.buckets) > sumBuckets/2 || long && len(d.buckets) > sumBuckets/8
+	if !d.bulk && !long {
 		d.buckets = quiet
 	}
 	same := len(d.buckets) == 0 && !marksWait
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -34,6 +34,7 @@
 			m.view.restartSuspicions(now)
 		}
 		last = now
+		m.view.doubtListed(now)
 		for _, suspect := range m.expired(now) {
 			wg.Go(func() { m.verify(ctx, suspect) })
 		}
--- /dev/null
+++ b/internal/membership/listed.go
@@ -0,0 +1,66 @@
+package membership
+
+import (
+	"time"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/wire/platformapi"
+)
+
+// listedFor is how long an instance of the platform's list counts as alive that
+// was not met. Digests need 4 s until each of 295 instances that start together
+// knows each other; one that is not met by then is held for gone.
+const listedFor = 4 * time.Second
+
+// listedMembers are instances of the platform's list that count as alive until
+// they were met or their time is over. They are on the board only, for the
+// instance's own decisions: digests pass on what was met.
+//
+// What goes wrong without it: instances that start together, as after a loss of
+// power, know a few others each for the first seconds, so that they choose
+// different dispatchers, which fill the same targets beside each other, and name
+// few addresses to callers. One notices it by calls that find a target full and
+// by dispatchers that differ from instance to instance. The list still has the
+// entries of their lives before: all of them know the same members with their
+// first reading.
+type listedMembers map[string]time.Time // until when
+
+// assume takes the listed instances that were not met for alive, if they are
+// more than those that were met. Otherwise the digests of those that were met
+// say more than the list, which still has the entries of dead ones.
+func (v *view) assume(listed []store.Instance, service string, now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	var strangers []store.Instance
+	for _, in := range listed {
+		if _, met := v.rows[in.ID]; !met && in.Service == service && in.Peer != "" && in.State == platformapi.StateLive {
+			strangers = append(strangers, in)
+		}
+	}
+	if len(strangers) < len(v.rows) {
+		return
+	}
+	for _, in := range strangers {
+		v.listed[in.ID] = now.Add(listedFor)
+		v.board.Members.Put(in.ID, board.Member{
+			ID: in.ID, State: board.MemberAlive, CallerAddr: in.Address, AdminAddr: in.Address, PeerAddr: in.Peer,
+			Place: in.Place, Region: in.Region, Room: 1, Capacity: in.Capacity, Changed: now,
+		})
+	}
+}
+
+// doubtListed drops the listed members whose time is over.
+func (v *view) doubtListed(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, until := range v.listed {
+		if now.After(until) {
+			delete(v.listed, id)
+			v.board.Members.Delete(id)
+		}
+	}
+}
+
+// met notes that a member has a row of its own. The caller holds mu.
+func (v *view) met(id string) { delete(v.listed, id) }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -52,13 +52,14 @@
 	refuted  int64
 	revived  int64
 	loadSent time.Time
+	listed   listedMembers
 	// repairing is set while rows of a bulk repair are taken in.
 	repairing bool
 }
 
 func newView(self gossip.Member, o Options) *view {
 	now := o.Clock.Now()
-	v := &view{self: self.ID, healing: o.Healing, board: o.Board, keepDead: o.KeepDead, rows: make(map[string]*row)}
+	v := &view{self: self.ID, healing: o.Healing, board: o.Board, keepDead: o.KeepDead, rows: make(map[string]*row), listed: make(listedMembers)}
 	v.rows[self.ID] = &row{member: self, changed: now}
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -94,6 +95,7 @@
 
 func (v *view) publish(r *row) {
 	m := r.member
+	v.met(m.ID)
 	v.board.Members.Put(m.ID, board.Member{
 		ID:          m.ID,
 		Incarnation: m.Incarnation,
--- a/internal/wire/platformapi/platformapi.go
+++ b/internal/wire/platformapi/platformapi.go
@@ -58,6 +58,9 @@
 	// ChecksFence says that the engine refuses orders with an old fencing
 	// number.
 	ChecksFence bool `json:"checks_fence"`
+	// Capacity is an instance's processor time in cores; 0 = not told. lynxhill
+	// only.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // InstanceList is the answer of PathInstances.
