Stage work: jobs wait for dispatchers that are starting

Cause: of instances that start together those that are up first are refused a connection by the three that rank first; they left them out for two seconds and scheduled by themselves or asked the next in rank, so that several dispatchers filled the same targets. Ruled out: a shorter time of leaving out: within it concurrent requests still go to the next in rank. Change: one that says at once that it is not there is not left out; if none of the three is there, they are asked again every 100 ms, five times, before an instance schedules by itself. Figures: in virtual time a job of an instance whose dispatchers start 300 ms later goes to the first after 300 ms; before, to itself at once.

--- a/internal/stagework/engine_test.go
+++ b/internal/stagework/engine_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -159,6 +160,7 @@
 // remote is a Remote whose instances answer or don't.
 type remote struct {
 	silent    []string
+	starting  bool              // connections to all are refused
 	unknowing []string          // they answer that there is no target
 	names     map[string]string // whom an instance names that is asked without insistence
 	asked     map[string]int
@@ -166,6 +168,9 @@
 
 func (r *remote) Work(_ context.Context, instance string, j Job) (Assignment, *Refusal, error) {
 	r.asked[instance]++
+	if r.starting {
+		return nil, nil, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
+	}
 	if slices.Contains(r.silent, instance) {
 		return nil, nil, errors.New("silent")
 	}
@@ -195,7 +200,10 @@
 // answers returns who took the job: the reason of the refusal of another
 // instance, "self" for the finder's own.
 func answers(t *testing.T, f *Finder) string {
-	a, refusal, err := f.Submit(t.Context(), newJob(1, time.Second, 2*time.Second, nil))
+	// The test's own context was made outside the bubble of virtual time.
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	a, refusal, err := f.Submit(ctx, newJob(1, time.Second, 2*time.Second, nil))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"syscall"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/clock"
@@ -79,20 +80,51 @@
 	return f.o.Cells()
 }
 
+// Times of a job for which no dispatcher is there yet.
+const (
+	// startPause is the pause before the candidates are asked again.
+	startPause = 100 * time.Millisecond
+	// startTries is how often they are. Instances that start together are up
+	// within half a second of each other.
+	startTries = 5
+)
+
 // submitTo hands the job to the cell's dispatcher, to the next one if that does
-// not answer, and at last to this instance's own.
+// not answer, and at last to this instance's own. Where all that are asked say
+// at once that they are not there, they are starting, and are asked again: each
+// of the others would else schedule for the same targets by itself. One notices
+// that by calls that find a target full in the second after a common start.
 func (f *Finder) submitTo(ctx context.Context, cell Cell, job Job) (Assignment, *Refusal, error) {
 	job.Cell = cell.Places
+	for range startTries {
+		a, refusal, err := f.tryCandidates(ctx, cell, job)
+		if !errors.Is(err, errStarting) {
+			return a, refusal, err
+		}
+		if !f.pause(ctx, startPause) {
+			return nil, nil, ctx.Err()
+		}
+	}
+	return f.local(job)
+}
+
+// errStarting says that none of the candidates is there yet.
+var errStarting = errors.New("no dispatcher has started")
+
+// tryCandidates asks the cell's candidates in turn, and this instance's own
+// dispatcher if it is one of them or if the others are silent.
+func (f *Finder) tryCandidates(ctx context.Context, cell Cell, job Job) (Assignment, *Refusal, error) {
 	candidates, skipped := f.candidates(cell)
 	if skipped {
 		job.Insist = InsistRemembered
 	}
+	starting := len(candidates) > 0
 	for _, instance := range candidates {
 		if refusal := f.refuseAlone(&job); refusal != nil {
 			return nil, refusal, nil
 		}
 		if instance == f.o.Self {
-			break
+			return f.local(job)
 		}
 		a, refusal, err := f.ask(ctx, instance, job)
 		if err == nil {
@@ -101,12 +133,39 @@
 		if ctx.Err() != nil {
 			return nil, nil, ctx.Err()
 		}
-		f.Avoid(instance, err)
+		if !notThere(err) {
+			f.Avoid(instance, err)
+			starting = false
+		}
 		job.Insist = InsistRemembered
 	}
+	if starting {
+		return nil, nil, errStarting
+	}
 	return f.local(job)
 }
 
+// pause waits; false = ctx ended.
+func (f *Finder) pause(ctx context.Context, d time.Duration) bool {
+	timer := f.o.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// notThere reports whether the error says at once that an instance does not
+// run, or does not know its targets yet. Asking it again costs a millisecond,
+// unlike one that is silent, so that it is not left out: of instances that start
+// together those that are up first would leave out the dispatcher, and several
+// others would take its jobs for two seconds.
+func notThere(err error) bool {
+	return errors.Is(err, errUnknowing) || errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // local hands the job to this instance's own dispatcher.
 func (f *Finder) local(job Job) (Assignment, *Refusal, error) {
 	t, refusal := f.o.Local.Submit(job)
--- a/internal/stagework/finder_test.go
+++ b/internal/stagework/finder_test.go
@@ -1,9 +1,11 @@
 package stagework
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/control/rendezvous"
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/route"
 )
@@ -106,3 +108,31 @@
 		}
 	}
 }
+
+// Symptom: calls find targets full and pieces are refused for room in the
+// seconds after all instances started.
+// Events: the dispatcher and the next two in rank start 300 ms after others,
+// which have requests at once.
+// Cause: instances that were refused a connection scheduled by themselves, and
+// left the dispatcher out for two seconds.
+func TestJobsWaitForADispatcherThatStarts(t *testing.T) {
+	inFinder(t, func(f *Finder, r *remote, ranked []string) {
+		f.o.Self = "d" // none of the three
+		f.o.Members = func() []string { return append([]string{"d"}, ranked...) }
+		ranked = rendezvous.Top(dispatcherKey, f.o.Members(), 4)
+		if at := slices.Index(ranked, "d"); at < 3 {
+			f.o.Self = ranked[3]
+		}
+		r.starting = true
+		time.AfterFunc(300*ms, func() { r.starting = false })
+		began := time.Now()
+		if got := answers(t, f); got != ranked[0] || time.Since(began) > 400*ms {
+			t.Errorf("%s answered after %v, the first was up after 300 ms", got, time.Since(began))
+		}
+		r.starting = true
+		began = time.Now()
+		if got := answers(t, f); got != "self" || time.Since(began) != startTries*startPause {
+			t.Errorf("%s answered after %v though nobody starts", got, time.Since(began))
+		}
+	})
+}
