Stage work: jobs wait until a started instance knows the members

Change: for a second at most, a job waits until the list was read; a job whose owner names this instance is taken meanwhile.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -222,7 +222,7 @@
 	i.finder = stagework.NewFinder(stagework.FinderOptions{
 		Self: i.id(), Local: i.dispatcher, Remote: i.peers,
 		Members:  i.dispatchers,
-		Capacity: i.capacity, Cells: i.currentCells, Alone: i.alone,
+		Capacity: i.capacity, Cells: i.currentCells, Alone: i.alone, Meeting: i.meeting,
 		Clock: i.o.Clock, Logger: i.o.Logger,
 	})
 	i.loads = forwarding.NewLoads(i.o.Clock, i.cfg.Instance.Place, i.rand())
@@ -345,7 +345,7 @@
 	return watchers.Facts{
 		Self:     i.id(),
 		Members:  i.board.LiveMembers(i.id()),
-		Running:  i.o.Boot.SinceBoot() - i.began,
+		Running:  i.running(),
 		Others:   i.seeded() > 1,
 		Silence:  i.members.Silence(),
 		Patience: i.routes.Patience(),
--- a/internal/edge/facts.go
+++ b/internal/edge/facts.go
@@ -108,6 +108,19 @@
 // count: of instances that start together, the first reading shows few.
 const meetTime = 4 * time.Second
 
+// meetingTime is how long an instance that has started waits at most for the
+// list of instances before it decides who schedules stage work.
+const meetingTime = time.Second
+
+// meeting reports whether this instance has started and does not know yet who
+// the others are.
+func (i *Instance) meeting() bool {
+	return !i.members.ListRead() && i.running() < meetingTime && i.seeded() > 1
+}
+
+// running is how long this instance runs.
+func (i *Instance) running() time.Duration { return i.o.Boot.SinceBoot() - i.began }
+
 // sharers is how many instances share the bound on repeats.
 //
 // What goes wrong if only the members known are counted: instances that start
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -80,6 +80,9 @@
 	return m.o.Boot.SinceBoot() - time.Duration(known)
 }
 
+// ListRead reports whether the instance list was read in this life.
+func (m *Manager) ListRead() bool { return m.listRead.Load() }
+
 func (m *Manager) noteKnown() {
 	m.known.CompareAndSwap(0, max(int64(m.o.Boot.SinceBoot()), 1))
 }
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -145,6 +145,7 @@
 	heard atomic.Int64 // when the last digest of another came, boot time in ns
 	known atomic.Int64 // when the members were first read, boot time in ns; 0 = not yet
 
+	listRead atomic.Bool  // the instance list was read in this life
 	written  atomic.Int64 // when this instance's entry was last written, boot time in ns; 0 = not yet
 	unlisted board.Signal // the instance list lacks this instance's entry
 
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -35,6 +35,9 @@
 	// Alone reports whether this instance reaches neither the others, which it
 	// believes alive, nor the platform's store. nil = it never is.
 	Alone func() bool
+	// Meeting reports whether this instance has started and does not know yet
+	// who the others are; it does not for long. nil = it always knows.
+	Meeting func() bool
 	// Cells returns the parts into which the targets are divided. nil = one.
 	Cells  func() []Cell
 	Clock  clock.Clock
@@ -87,6 +90,8 @@
 	// startTries is how often they are. Instances that start together are up
 	// within half a second of each other.
 	startTries = 5
+	// meetingPoll is how often it is looked whether the members are known.
+	meetingPoll = 20 * time.Millisecond
 )
 
 // submitTo hands the job to the cell's dispatcher, to the next one if that does
@@ -96,6 +101,9 @@
 // that by calls that find a target full in the second after a common start.
 func (f *Finder) submitTo(ctx context.Context, cell Cell, job Job) (Assignment, *Refusal, error) {
 	job.Cell = cell.Places
+	if err := f.awaitMembers(ctx); err != nil {
+		return nil, nil, err
+	}
 	for range startTries {
 		a, refusal, err := f.tryCandidates(ctx, cell, job)
 		if !errors.Is(err, errStarting) {
@@ -108,6 +116,23 @@
 	return f.local(job)
 }
 
+// awaitMembers waits until this instance knows who the others are.
+//
+// What goes wrong without it: an instance that has just started knows its targets
+// from the first other that it met, takes itself for the dispatcher, and goes on
+// with what it began for seconds. One notices it by small instances whose calls
+// find targets full right after their start.
+func (f *Finder) awaitMembers(ctx context.Context) error {
+	for f.meeting() {
+		if !f.pause(ctx, meetingPoll) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+func (f *Finder) meeting() bool { return f.o.Meeting != nil && f.o.Meeting() }
+
 // errStarting says that none of the candidates is there yet.
 var errStarting = errors.New("no dispatcher has started")
 
@@ -216,6 +241,9 @@
 // if that is not this one, unless the job's owner insists and knows better.
 func (f *Finder) Take(job Job) (Assignment, *Refusal) {
 	first, sure := f.First(Cell{Places: job.Cell})
+	if f.meeting() {
+		first = f.o.Self // the job's owner knows more of the members
+	}
 	if first != f.o.Self && (job.Insist == InsistNot || job.Insist == InsistRemembered && sure) {
 		return nil, &Refusal{Reason: ReasonNotFirst, Elsewhere: first}
 	}
--- a/internal/stagework/finder_test.go
+++ b/internal/stagework/finder_test.go
@@ -136,3 +136,27 @@
 		}
 	})
 }
+
+// Symptom: small instances schedule stage work in the seconds after a common
+// start, beside the dispatcher, and their requests wait for 3 s.
+// Events: an instance learns its targets from another one and gets a request
+// before it has read who the others are.
+// Cause: it knew of nobody who ranks before it.
+func TestJobsWaitUntilTheMembersAreKnown(t *testing.T) {
+	inFinder(t, func(f *Finder, r *remote, ranked []string) {
+		meeting := true
+		f.o.Meeting = func() bool { return meeting }
+		f.o.Members = func() []string { return []string{f.o.Self} }
+		time.AfterFunc(150*ms, func() {
+			meeting = false
+			f.o.Members = func() []string { return ranked }
+		})
+		if _, refusal := f.Take(Job{}); refusal == nil || refusal.Reason != ReasonNoTarget {
+			t.Errorf("a job whose owner knows the members: %+v, want it taken (and no target found)", refusal)
+		}
+		began := time.Now()
+		if got := answers(t, f); got != ranked[0] || time.Since(began) > 200*ms {
+			t.Errorf("%s answered after %v, the members were known after 150 ms", got, time.Since(began))
+		}
+	})
+}
