Membership: a listed instance counts as alive once in a life; tests of the list

Cause, found by its test: an instance alone with the entry of one that is gone held it for alive again with each reading of the list (2, 4, 8 s after its start). Ruled out: dropping the entry, which belongs to another instance. Change: who was once taken for alive without being met is not again. Rig of fleets in a file of its own.

--- /dev/null
+++ b/internal/edge/fleet_rig_test.go
@@ -0,0 +1,230 @@
+package edge
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/config"
+	"lynxhill.example/lynxhill/internal/control/routesync"
+	"lynxhill.example/lynxhill/internal/exchange"
+	"lynxhill.example/lynxhill/internal/memnet"
+	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/stagework"
+	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/store/memstore"
+	"lynxhill.example/lynxhill/internal/virtualtest"
+)
+
+// hosts is a network in memory: listeners by address.
+type hosts struct {
+	mu        sync.Mutex // guards listeners
+	listeners map[string]*memnet.Listener
+}
+
+// socket is one instance's way to the network and the store, until its power
+// is lost.
+type socket struct {
+	*hosts
+	mu      sync.Mutex // guards what follows
+	off     bool
+	opened  []net.Conn
+	serving []string // addresses
+}
+
+func (s *socket) listen(_, address string) (net.Listener, error) {
+	s.hosts.mu.Lock()
+	defer s.hosts.mu.Unlock()
+	l := memnet.Listen()
+	s.listeners[address] = l
+	s.serving = append(s.serving, address)
+	return l, nil
+}
+
+func (s *socket) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	s.hosts.mu.Lock()
+	l := s.listeners[address]
+	s.hosts.mu.Unlock()
+	if l == nil || s.isOff() {
+		return nil, net.ErrClosed
+	}
+	conn, err := l.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opened = append(s.opened, conn)
+	return conn, nil
+}
+
+func (s *socket) isOff() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.off
+}
+
+// losePower ends all that reaches or leaves the instance.
+func (s *socket) losePower() {
+	s.mu.Lock()
+	s.off = true
+	opened := s.opened
+	s.mu.Unlock()
+	s.hosts.mu.Lock()
+	for _, address := range s.serving {
+		_ = s.listeners[address].Close()
+		delete(s.listeners, address)
+	}
+	s.hosts.mu.Unlock()
+	for _, conn := range opened {
+		_ = conn.Close()
+	}
+}
+
+// reachable is the store as an instance reaches it.
+type reachable struct {
+	wire
+	*socket
+}
+
+func (r reachable) Instances(ctx context.Context) ([]store.Instance, error) {
+	if r.isOff() {
+		return nil, store.ErrUnavailable
+	}
+	return r.wire.Instances(ctx)
+}
+
+func (r reachable) Register(ctx context.Context, self store.Instance) error {
+	if r.isOff() {
+		return store.ErrUnavailable
+	}
+	return r.wire.Register(ctx, self)
+}
+
+func (r reachable) Deregister(_ context.Context, id string) error {
+	if !r.isOff() {
+		r.wire.RemoveInstance(id)
+	}
+	return nil
+}
+
+// fleetOf is a number of instances in virtual time with one store.
+type fleetOf struct {
+	t     *testing.T
+	store *memstore.Store
+	net   *hosts
+	all   []*member
+	dead  []*member // that lost power
+	began time.Time
+}
+
+// dispatchers returns the instances that somebody takes for the dispatcher.
+func (f *fleetOf) dispatchers() map[string]bool {
+	firsts := make(map[string]bool)
+	for _, m := range f.all {
+		first, _ := m.finder.First(stagework.Cell{Weight: 1})
+		firsts[first] = true
+	}
+	return firsts
+}
+
+// member is an instance of a fleet and how to end it.
+type member struct {
+	*Instance
+	socket *socket
+	kill   context.CancelFunc
+	ended  chan error
+}
+
+const fleetPlaces = 6
+
+// inFleet runs the test with n instances that start together.
+func inFleet(t *testing.T, n int, test func(*fleetOf)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fleetOf{t: t, began: time.Now(), store: memstore.New(memstore.Options{WatchWait: time.Hour}), net: &hosts{listeners: make(map[string]*memnet.Listener)}}
+		f.put(routesync.TableKey, "x")
+		f.put("targets/a", "10.0.0.1:1")
+		for i := range n {
+			f.all = append(f.all, f.start(i))
+		}
+		test(f)
+		for _, m := range append(f.dead, f.all...) {
+			m.kill()
+		}
+		for _, m := range f.dead {
+			<-m.ended // with the error that its listeners were closed
+		}
+		for _, m := range f.all {
+			if err := <-m.ended; err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
+func (f *fleetOf) put(key, value string) {
+	f.t.Helper()
+	if _, err := f.store.Put(f.t.Context(), key, []byte(value), 0); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func peerAddressOf(i int) string { return fmt.Sprintf("10.1.%d.%d:1", i/250, i%250) }
+
+// start starts the i-th instance.
+func (f *fleetOf) start(i int) *member {
+	cfg := settings()
+	cfg.Instance.ID = fmt.Sprintf("i-%03d", i)
+	cfg.Instance.Place = fmt.Sprintf("place-%d", i%fleetPlaces)
+	cfg.Listen.Peer = peerAddressOf(i)
+	cfg.Ingress.Listen, cfg.Ingress.Metrics = "c"+cfg.Listen.Peer, ""
+	cfg.Ingress.Touch = config.Of(5 * time.Second)
+	cfg.Ingress.Grace = config.Of(8 * time.Second)
+	cfg.Peers.Seeds = []string{peerAddressOf(0), peerAddressOf(1), peerAddressOf(2)}
+	way := &socket{hosts: f.net}
+	p, began := reachable{wire{Store: f.store}, way}, time.Now()
+	in, err := New(cfg, Adapter{
+		Platform: p, Codec: p, Decoder: p, ReadyPath: "/ready", AddressPath: "/where",
+		Stages: func(*exchange.Pool) relay.StageClient { return p }, AnswerID: func(http.Header) string { return "" },
+	}, Options{
+		Seed: uint64(i + 1), Dial: way.dial, Listen: way.listen,
+		Boot: clock.BootFunc(func() time.Duration { return time.Since(began) }),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	m := &member{Instance: in, socket: way, kill: stop, ended: make(chan error, 1)}
+	go func() { m.ended <- in.Run(ctx) }()
+	return m
+}
+
+// calls returns the calls of the store since the start, by what was done.
+func (f *fleetOf) calls() map[string]int64 {
+	sums := make(map[string]int64)
+	for _, m := range f.all {
+		m.metrics.Labelled(metricStoreCalls).Do(func(v expvar.KeyValue) {
+			n := v.Value.(*expvar.Int).Value()
+			sums[v.Key] += n
+			sums["all"] += n
+		})
+	}
+	return sums
+}
+
+// until waits until each instance fulfils the condition and returns how long
+// that took.
+func (f *fleetOf) until(limit time.Duration, what string, each func(*member) bool) time.Duration {
+	f.t.Helper()
+	return virtualtest.Until(f.t, 20*time.Millisecond, limit, what, func() bool {
+		return !slices.ContainsFunc(f.all, func(m *member) bool { return !each(m) })
+	})
+}
--- a/internal/membership/fleet_test.go
+++ b/internal/membership/fleet_test.go
@@ -77,8 +77,7 @@
 		clock:   clock,
 	}
 	for i := range n {
-		self := virtualtest.Member(i)
-		f.nodes = append(f.nodes, &node{id: self.ID, addr: self.PeerAddr})
+		f.declare(i)
 	}
 	for i := range f.nodes {
 		f.start(i)
@@ -86,6 +85,12 @@
 	return f
 }
 
+// declare makes the i-th instance, which does not run yet.
+func (f *fleet) declare(i int) {
+	self := virtualtest.Member(i)
+	f.nodes = append(f.nodes, &node{id: self.ID, addr: self.PeerAddr, stop: func() {}})
+}
+
 func (f *fleet) start(i int) {
 	n := f.nodes[i]
 	n.board = board.New()
--- a/internal/membership/listed.go
+++ b/internal/membership/listed.go
@@ -24,7 +24,9 @@
 // by dispatchers that differ from instance to instance. The list still has the
 // entries of their lives before: all of them know the same members with their
 // first reading.
-type listedMembers map[string]time.Time // until when
+//
+// Each is taken for alive once in this life: the entries of dead ones stay.
+type listedMembers map[string]time.Time // until when; the zero time once that is over
 
 // assume takes the listed instances that were not met for alive, if they are
 // more than those that were met. Otherwise the digests of those that were met
@@ -42,6 +44,9 @@
 		return
 	}
 	for _, in := range strangers {
+		if _, before := v.listed[in.ID]; before {
+			continue
+		}
 		v.listed[in.ID] = now.Add(listedFor)
 		v.board.Members.Put(in.ID, board.Member{
 			ID: in.ID, State: board.MemberAlive, CallerAddr: in.Address, AdminAddr: in.Address, PeerAddr: in.Peer,
@@ -55,12 +60,16 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for id, until := range v.listed {
-		if now.After(until) {
-			delete(v.listed, id)
+		if !until.IsZero() && now.After(until) {
+			v.listed[id] = time.Time{}
 			v.board.Members.Delete(id)
 		}
 	}
 }
 
 // met notes that a member has a row of its own. The caller holds mu.
-func (v *view) met(id string) { delete(v.listed, id) }
+func (v *view) met(id string) {
+	if _, listed := v.listed[id]; listed {
+		v.listed[id] = time.Time{}
+	}
+}
