Control loops: one wait that a signal can cut short

Cause: the new waits of membership and of the finder repeated the loop package's. Ruled out: nothing else waits for a signal and a time in these packages. Change: loop.SleepOr, which Sleep and Run use too.

--- a/internal/control/loop/loop.go
+++ b/internal/control/loop/loop.go
@@ -65,22 +65,18 @@
 		if !Sleep(ctx, o.Clock, o.Settle) {
 			return
 		}
-		wait(ctx, o, changed)
-	}
-}
-
-func wait(ctx context.Context, o Options, changed <-chan struct{}) {
-	timer := o.Clock.NewTimer(o.Rand.Spread(o.Period, o.Jitter))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	case <-changed:
+		SleepOr(ctx, o.Clock, o.Rand.Spread(o.Period, o.Jitter), changed)
 	}
 }
 
 // Sleep waits for d and returns false if ctx ended first.
 func Sleep(ctx context.Context, c clock.Clock, d time.Duration) bool {
+	return SleepOr(ctx, c, d, nil)
+}
+
+// SleepOr waits for d or until woken is closed, and returns false if ctx ended
+// first. woken may be nil.
+func SleepOr(ctx context.Context, c clock.Clock, d time.Duration, woken <-chan struct{}) bool {
 	if d <= 0 {
 		return ctx.Err() == nil
 	}
@@ -91,6 +87,8 @@
 		return false
 	case <-timer.C:
 		return true
+	case <-woken:
+		return true
 	}
 }
 
--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -217,25 +217,12 @@
 			retry = seedEvery
 			m.written.Store(max(int64(m.o.Boot.SinceBoot()), 1))
 		}
-		if !m.rest(ctx, m.rand.Spread(wait, listJitter), unlisted) {
+		if !loop.SleepOr(ctx, m.o.Clock, m.rand.Spread(wait, listJitter), unlisted) {
 			return
 		}
 	}
 }
 
-// rest waits for the time or the signal; false = ctx ended.
-func (m *Manager) rest(ctx context.Context, wait time.Duration, signal <-chan struct{}) bool {
-	timer := m.o.Clock.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-	case <-signal:
-	}
-	return true
-}
-
 func (m *Manager) register(ctx context.Context) error {
 	self, _ := m.view.get(m.o.Self.ID)
 	state := platformapi.StateLive
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/control/loop"
 	"lynxhill.example/lynxhill/internal/control/rendezvous"
 	"lynxhill.example/lynxhill/internal/event"
 )
@@ -109,7 +110,7 @@
 		if !errors.Is(err, errStarting) {
 			return a, refusal, err
 		}
-		if !f.pause(ctx, startPause) {
+		if !loop.Sleep(ctx, f.o.Clock, startPause) {
 			return nil, nil, ctx.Err()
 		}
 	}
@@ -124,7 +125,7 @@
 // find targets full right after their start.
 func (f *Finder) awaitMembers(ctx context.Context) error {
 	for f.meeting() {
-		if !f.pause(ctx, meetingPoll) {
+		if !loop.Sleep(ctx, f.o.Clock, meetingPoll) {
 			return ctx.Err()
 		}
 	}
@@ -170,18 +171,6 @@
 	return f.local(job)
 }
 
-// pause waits; false = ctx ended.
-func (f *Finder) pause(ctx context.Context, d time.Duration) bool {
-	timer := f.o.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // notThere reports whether the error says at once that an instance does not
 // run, or does not know its targets yet. Asking it again costs a millisecond,
 // unlike one that is silent, so that it is not left out: of instances that start
