Peers: a refused connection to a dispatcher is told as such

The error of the first send was returned, which only says that the stream has ended; the finder takes it for a silent dispatcher and leaves it out for two seconds. Ruled out: the dispatcher's listener (the connection is refused, as the test shows). Change: after such a send the stream's own error is read.

--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"sync"
 	"time"
 
@@ -69,7 +70,9 @@
 		_ = stream.CloseRequest()
 	})
 	defer silence.Stop()
-	if err := stream.Send(&peerpb.WorkUp{Job: jobToProto(job, time.Now())}); err != nil {
+	// A send that fails says only that the stream has ended; why is what Receive
+	// returns. The caller has to know of a refused connection.
+	if err := stream.Send(&peerpb.WorkUp{Job: jobToProto(job, time.Now())}); err != nil && !errors.Is(err, io.EOF) {
 		return nil, nil, err
 	}
 	first, err := stream.Receive()
--- a/internal/peer/work_test.go
+++ b/internal/peer/work_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"reflect"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -262,3 +264,25 @@
 		}
 	}
 }
+
+// Symptom: after a common start an instance leaves out the dispatcher for two
+// seconds that is up 20 ms after it (dispatcher_lost with "write envelope: EOF").
+// Events: the connection to it is refused.
+// Cause: the error of the send was returned, which says only that the stream has
+// ended, and not that of the connection.
+func TestARefusedConnectionIsToldToTheOwner(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	if err := listener.Close(); err != nil {
+		t.Fatal(err)
+	}
+	client := NewClient(Options{Address: func(string) (string, bool) { return address, true }})
+	for range 20 { // whether the send or the connection fails first differs
+		if _, _, err := client.Work(t.Context(), "b", stagework.Job{ID: "j"}); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Fatalf("the owner is told %v, want that the connection was refused", err)
+		}
+	}
+}
