Tests of the store's calls at size: rates, a start without store, watchers lost

Cause: what fewer calls must not cost had no test: a common start within the store's rates, a start while it is down, all watchers that lose the store or die, an instance cut off from others. Ruled out: nothing. Conclusion: tests only.

--- a/internal/edge/fleet_rig_test.go
+++ b/internal/edge/fleet_rig_test.go
@@ -36,6 +36,8 @@
 	*hosts
 	mu      sync.Mutex // guards what follows
 	off     bool
+	alone   bool // reaches no other instance
+	noStore bool // reaches no store
 	opened  []net.Conn
 	serving []string // addresses
 }
@@ -53,7 +55,7 @@
 	s.hosts.mu.Lock()
 	l := s.listeners[address]
 	s.hosts.mu.Unlock()
-	if l == nil || s.isOff() {
+	if l == nil || s.has(&s.off) || s.has(&s.alone) {
 		return nil, net.ErrClosed
 	}
 	conn, err := l.Dial(ctx, network, address)
@@ -66,51 +68,86 @@
 	return conn, nil
 }
 
-func (s *socket) isOff() bool {
+// has reads one of the socket's faults.
+func (s *socket) has(fault *bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.off
+	return *fault
 }
 
-// losePower ends all that reaches or leaves the instance.
-func (s *socket) losePower() {
+// strike sets one of the socket's faults and cuts its connections.
+func (s *socket) strike(fault *bool) {
 	s.mu.Lock()
-	s.off = true
+	*fault = true
 	opened := s.opened
 	s.mu.Unlock()
-	s.hosts.mu.Lock()
-	for _, address := range s.serving {
-		_ = s.listeners[address].Close()
-		delete(s.listeners, address)
-	}
-	s.hosts.mu.Unlock()
 	for _, conn := range opened {
 		_ = conn.Close()
 	}
 }
 
+// storeGone reports whether the instance reaches no store.
+func (s *socket) storeGone() bool { return s.has(&s.off) || s.has(&s.noStore) }
+
+// losePower ends all that reaches or leaves the instance.
+func (s *socket) losePower() {
+	for _, l := range s.hosts.hide(s) {
+		_ = l.Close()
+	}
+	s.strike(&s.off)
+}
+
+// hide takes the socket's listeners out of the network; they stay open.
+func (h *hosts) hide(s *socket) (hidden []*memnet.Listener) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, address := range s.serving {
+		hidden = append(hidden, h.listeners[address])
+		delete(h.listeners, address)
+	}
+	return hidden
+}
+
 // reachable is the store as an instance reaches it.
 type reachable struct {
 	wire
 	*socket
 }
 
+func (r reachable) List(ctx context.Context, prefix string) ([]store.Object, uint64, error) {
+	if r.storeGone() {
+		return nil, 0, store.ErrUnavailable
+	}
+	return r.wire.List(ctx, prefix)
+}
+
+func (r reachable) Watch(ctx context.Context, prefix string, after uint64) ([]store.Object, uint64, bool, error) {
+	if r.storeGone() {
+		return nil, 0, false, store.ErrUnavailable
+	}
+	objects, version, compacted, err := r.wire.Watch(ctx, prefix, after)
+	if r.storeGone() {
+		return nil, 0, false, store.ErrUnavailable
+	}
+	return objects, version, compacted, err
+}
+
 func (r reachable) Instances(ctx context.Context) ([]store.Instance, error) {
-	if r.isOff() {
+	if r.storeGone() {
 		return nil, store.ErrUnavailable
 	}
 	return r.wire.Instances(ctx)
 }
 
 func (r reachable) Register(ctx context.Context, self store.Instance) error {
-	if r.isOff() {
+	if r.storeGone() {
 		return store.ErrUnavailable
 	}
 	return r.wire.Register(ctx, self)
 }
 
 func (r reachable) Deregister(_ context.Context, id string) error {
-	if !r.isOff() {
+	if !r.storeGone() {
 		r.wire.RemoveInstance(id)
 	}
 	return nil
@@ -146,10 +183,16 @@
 
 const fleetPlaces = 6
 
+// readsAt and writesAt are the store's rates, a second, as they are for 295
+// instances, in proportion; no less than for eight.
+func readsAt(n int) float64 { return max(2000, 16000*float64(n)/295) }
+
+func writesAt(n int) float64 { return max(400, 3200*float64(n)/295) }
+
 // inFleet runs the test with n instances that start together.
 func inFleet(t *testing.T, n int, test func(*fleetOf)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleetOf{t: t, began: time.Now(), store: memstore.New(memstore.Options{WatchWait: time.Hour}), net: &hosts{listeners: make(map[string]*memnet.Listener)}}
+		f := &fleetOf{t: t, began: time.Now(), store: memstore.New(memstore.Options{WatchWait: time.Hour, ReadsPerSecond: readsAt(n), WritesPerSecond: writesAt(n)}), net: &hosts{listeners: make(map[string]*memnet.Listener)}}
 		f.put(routesync.TableKey, "x")
 		f.put("targets/a", "10.0.0.1:1")
 		for i := range n {
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -117,3 +118,109 @@
 	}
 	return d
 }
+
+// Symptom: instances that start together are refused by the store and serve
+// late.
+// Events: a fleet starts within the store's rates of calls.
+// Cause: each instance makes more calls at its start than its share of them.
+func TestAFleetStartsWithinTheStoresRates(t *testing.T) {
+	for _, n := range fleetSizes() {
+		inFleet(t, n, func(f *fleetOf) {
+			serving := f.until(time.Second, "all serve", func(m *member) bool { return m.serving() })
+			time.Sleep(5 * time.Second)
+			if refused := f.store.Counts().Refused; refused > 0 {
+				t.Errorf("%d instances: %d calls refused, all served after %v", n, refused, serving)
+			}
+		})
+	}
+}
+
+// Symptom: an instance that starts while the store is down refuses everything,
+// or schedules beside the others.
+// Events: the store is away; one of eight instances is replaced.
+// Cause: nothing but the store tells it of routes, targets and members.
+func TestAStartWhileTheStoreIsDown(t *testing.T) {
+	inFleet(t, 8, func(f *fleetOf) {
+		time.Sleep(14 * time.Second)
+		f.store.SetFaults(memstore.Faults{Outage: true})
+		f.all[5].socket.losePower()
+		f.dead = append(f.dead, f.all[5])
+		time.Sleep(4 * time.Second)
+		f.all[5] = f.start(5)
+		f.until(3*time.Second, "it serves", func(m *member) bool { return m.serving() && m.instances() == 8 })
+		if got := len(f.dispatchers()); got != 1 {
+			t.Errorf("%d dispatchers", got)
+		}
+	})
+}
+
+// watching returns the instances that watch the store.
+func (f *fleetOf) watching() (list []*member) {
+	for _, m := range f.all {
+		if m.asksStore(0) {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
+// knowsTarget reports whether the instance knows the second target.
+func knowsTarget(m *member) bool { return len(m.routes.Targets().All()) == 2 }
+
+// Symptom: a change is in force nowhere though most instances reach the store.
+// Events: all instances that watch lose the store and nothing else; a target is
+// added.
+// Cause: the others rely on them. The bound of the fleet's calls costs this time
+// in the worst case: until the word is overdue and the next in rank ask.
+func TestWatchersThatAllLoseTheStoreAreReplaced(t *testing.T) {
+	inFleet(t, 58, func(f *fleetOf) {
+		time.Sleep(14 * time.Second)
+		for _, m := range f.watching() {
+			m.socket.strike(&m.socket.noStore)
+		}
+		f.put("targets/b", "10.0.0.2:1")
+		took := f.until(11*time.Second, "all know the target", knowsTarget)
+		t.Logf("after %v", took)
+	})
+}
+
+// Symptom: requests go to a target that left, or an old route is served, right
+// after a machine is lost.
+// Events: all instances that watch lose their power; a target is added.
+// Cause: until membership holds them for dead nobody takes their place.
+func TestWatchersThatAllDieAreReplaced(t *testing.T) {
+	inFleet(t, 58, func(f *fleetOf) {
+		time.Sleep(14 * time.Second)
+		lost := f.watching()
+		for _, m := range lost {
+			m.socket.losePower()
+		}
+		f.put("targets/b", "10.0.0.2:1")
+		f.dead = lost
+		f.all = slices.DeleteFunc(f.all, func(m *member) bool { return slices.Contains(lost, m) })
+		took := f.until(11*time.Second, "all know the target", knowsTarget)
+		t.Logf("after %v", took)
+	})
+}
+
+// Symptom: an instance that reaches the store serves an old configuration for
+// half a minute.
+// Events: it is cut off from all other instances, and does not watch; a target
+// is added.
+// Cause: it waits for word of the others.
+func TestWhoIsCutOffFromTheOthersAsksTheStore(t *testing.T) {
+	inFleet(t, 58, func(f *fleetOf) {
+		time.Sleep(14 * time.Second)
+		var cut *member
+		for _, m := range f.all {
+			if !m.asksStore(0) {
+				cut = m
+			}
+		}
+		cut.socket.strike(&cut.socket.alone)
+		f.net.hide(cut.socket)
+		f.put("targets/b", "10.0.0.2:1")
+		took := virtualtest.Until(t, 20*time.Millisecond, 8*time.Second, "it knows the target", func() bool { return knowsTarget(cut) })
+		t.Logf("after %v", took)
+	})
+}
