The store's client of the product's own platform is called storeclient

Cause: internal/platform beside platform/ was one name for two things; a newcomer looking for the users' platform opened the wrong one. Ruled out: renaming platform/, which the users name. Change: package and folder renamed, import paths and pages follow; nothing else.

--- a/internal/bench/standins_test.go
+++ b/internal/bench/standins_test.go
@@ -14,11 +14,11 @@
 	"lynxhill.example/lynxhill/examples/profiles"
 	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/config"
-	"lynxhill.example/lynxhill/internal/platform"
 	"lynxhill.example/lynxhill/internal/stagecall"
 	"lynxhill.example/lynxhill/internal/standin/fleet"
 	"lynxhill.example/lynxhill/internal/standin/netfault"
 	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/storeclient"
 	"lynxhill.example/lynxhill/internal/target"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 	"lynxhill.example/lynxhill/internal/wire/targetapi"
@@ -103,7 +103,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	store1 := platform.New(platform.Options{Endpoints: cfg.Platform.Endpoints})
+	store1 := storeclient.New(storeclient.Options{Endpoints: cfg.Platform.Endpoints})
 	if _, err := store1.Put(t.Context(), "k", []byte("v"), 0); err != nil {
 		t.Fatalf("through the relay: %v", err)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,7 +9,7 @@
 
 	"lynxhill.example/lynxhill/internal/auth"
 	"lynxhill.example/lynxhill/internal/claim"
-	"lynxhill.example/lynxhill/internal/platform"
+	"lynxhill.example/lynxhill/internal/storeclient"
 )
 
 // Config is the settings of one instance. Every duration is a string with its
@@ -156,9 +156,9 @@
 func Default() Config {
 	return Config{
 		Platform: Platform{
-			WritesPerSecond: int(platform.DefaultFleetBudget.WritesPerSecond),
-			ReadsPerSecond:  int(platform.DefaultFleetBudget.ReadsPerSecond),
-			Watches:         platform.DefaultFleetBudget.Watches,
+			WritesPerSecond: int(storeclient.DefaultFleetBudget.WritesPerSecond),
+			ReadsPerSecond:  int(storeclient.DefaultFleetBudget.ReadsPerSecond),
+			Watches:         storeclient.DefaultFleetBudget.Watches,
 		},
 		Limits: Limits{MaxBodyKB: 1024, MaxAnswerKB: 4096, MaxInFlight: 4096, MaxQueued: 1024},
 		Timings: Timings{
--- a/internal/daemon/budget.go
+++ b/internal/daemon/budget.go
@@ -7,16 +7,16 @@
 
 	"lynxhill.example/lynxhill/internal/control/loop"
 	"lynxhill.example/lynxhill/internal/control/rendezvous"
-	"lynxhill.example/lynxhill/internal/platform"
+	"lynxhill.example/lynxhill/internal/storeclient"
 )
 
 // budgetEvery is how often the share of the platform's budget is looked at.
 const budgetEvery = time.Second
 
 // fleetBudget is what all instances together may ask of the platform.
-func (d *Daemon) fleetBudget() platform.Budget {
+func (d *Daemon) fleetBudget() storeclient.Budget {
 	settings := d.cfg.Platform
-	return platform.Budget{
+	return storeclient.Budget{
 		WritesPerSecond: float64(settings.WritesPerSecond),
 		ReadsPerSecond:  float64(settings.ReadsPerSecond),
 		Watches:         settings.Watches,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -29,10 +29,10 @@
 	"lynxhill.example/lynxhill/internal/outcome"
 	"lynxhill.example/lynxhill/internal/peer"
 	"lynxhill.example/lynxhill/internal/pipeline"
-	"lynxhill.example/lynxhill/internal/platform"
 	"lynxhill.example/lynxhill/internal/profile"
 	"lynxhill.example/lynxhill/internal/serving"
 	"lynxhill.example/lynxhill/internal/slo"
+	"lynxhill.example/lynxhill/internal/storeclient"
 	"lynxhill.example/lynxhill/internal/target"
 )
 
@@ -51,7 +51,7 @@
 	board *board.Board
 	check *invariant.Checker
 
-	platform *platform.Client
+	platform *storeclient.Client
 	targets  *target.Client
 	peers    *peer.Client
 
@@ -190,7 +190,7 @@
 func (d *Daemon) Metrics() *metrics.Registry { return d.metrics }
 
 // Platform is the instance's client of the platform, for the bench.
-func (d *Daemon) Platform() *platform.Client { return d.platform }
+func (d *Daemon) Platform() *storeclient.Client { return d.platform }
 
 // newChecker asserts invariants; violations are counted for the status and
 // told to the recorder of the options, or counted and logged.
--- a/internal/daemon/edges.go
+++ b/internal/daemon/edges.go
@@ -11,7 +11,7 @@
 	"sync"
 
 	"lynxhill.example/lynxhill/internal/config"
-	"lynxhill.example/lynxhill/internal/platform"
+	"lynxhill.example/lynxhill/internal/storeclient"
 	"lynxhill.example/lynxhill/internal/tlsconf"
 )
 
@@ -110,7 +110,7 @@
 	reloaders.Wait()
 }
 
-func (d *Daemon) newPlatform() (*platform.Client, error) {
+func (d *Daemon) newPlatform() (*storeclient.Client, error) {
 	settings := d.cfg.Platform
 	if len(settings.Endpoints) == 0 {
 		return nil, errNoPlatform
@@ -123,7 +123,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("platform.ca_file: %w", err)
 	}
-	return platform.New(platform.Options{
+	return storeclient.New(storeclient.Options{
 		Endpoints: settings.Endpoints, Dial: d.opts.Dial, TLS: tlsConfig, Token: token,
 		Clock: d.opts.Clock, Seed: d.seeds.Uint64(), Budget: d.fleetBudget().Share(0, 0), Logger: d.logger, Metrics: d.metrics,
 	}), nil
--- a/internal/standin/fleet/contract_test.go
+++ b/internal/standin/fleet/contract_test.go
@@ -5,11 +5,11 @@
 	"testing"
 	"time"
 
-	"lynxhill.example/lynxhill/internal/platform"
 	"lynxhill.example/lynxhill/internal/stagecall"
 	"lynxhill.example/lynxhill/internal/standin/engine"
 	standin "lynxhill.example/lynxhill/internal/standin/platform"
 	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/storeclient"
 	"lynxhill.example/lynxhill/internal/target"
 	"lynxhill.example/lynxhill/internal/wire/platformapi"
 	"lynxhill.example/lynxhill/internal/wire/targetapi"
@@ -19,7 +19,7 @@
 // difference would show in all experiments as a fault of lynxhill.
 func TestOwnPlatformClientAgreesWithTheStandin(t *testing.T) {
 	d := start(t, Options{Name: MediaPlace, Scale: 0.2})
-	client := platform.New(platform.Options{Endpoints: []string{d.Platform.Addr()}})
+	client := storeclient.New(storeclient.Options{Endpoints: []string{d.Platform.Addr()}})
 	ctx := t.Context()
 	first, err := client.Put(ctx, "claims/7/w 1", []byte(`{"a":1}`), 0)
 	if err != nil {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -1,5 +1,5 @@
 // Package store is the narrow interface through which the decision packages
-// use the platform's object API and instance list. internal/platform
+// use the platform's object API and instance list. internal/storeclient
 // implements it over HTTP; store/memstore implements it in memory for tests.
 package store
 
--- a/internal/platform/client.go
+++ b/internal/storeclient/client.go
@@ -1,7 +1,7 @@
-// Package platform implements store.Store over the platform's HTTP API. It
+// Package storeclient implements store.Store over the platform's HTTP API. It
 // keeps this instance's budget of calls, survives outages, and says exactly
 // whether a call that failed can have taken effect.
-package platform
+package storeclient
 
 import (
 	"context"
--- a/internal/platform/share.go
+++ b/internal/storeclient/share.go
@@ -1,4 +1,4 @@
-package platform
+package storeclient
 
 import "math"
 
