Watchers: who hears of what it can't fetch asks the store at once

The test cut the connections that the instance had made, not those made to it: it heard that others hold something newer, could not fetch it, and waited for its turn by rank, up to 18 s with 295 instances. Ruled out: load (it fails in virtual time) and the test: an instance that is reached and reaches nobody is what a one-way cut makes. Change: an instance whose word is overdue and that is told of what it lacks by others with fresh word asks at once; with the store away nobody has fresh word, so the bound of calls holds.

--- a/internal/control/routesync/options.go
+++ b/internal/control/routesync/options.go
@@ -138,6 +138,7 @@
 	table     atomic.Pointer[route.Table]
 	view      atomic.Pointer[fleet.View]
 	confirmed atomic.Int64 // time on the boot clock, written under mu; negative = never
+	behind    atomic.Int64 // when another last told of what is missing here, boot time in ns; 0 = never
 
 	mu         sync.Mutex // guards what follows
 	health     health
--- a/internal/control/routesync/peers.go
+++ b/internal/control/routesync/peers.go
@@ -75,12 +75,32 @@
 	}
 	for _, row := range d.Profiles {
 		if m.pulls[row.Name] != nil && row.Version > m.seen(row.Name) {
+			m.noteBehind(d)
 			return
 		}
 	}
 	m.confirm(int64(m.o.Boot.SinceBoot() - d.Config.ConfirmAge - d.Transit))
 }
 
+// behindFor is how long one word of what is missing here counts.
+const behindFor = 2 * time.Second
+
+// noteBehind takes in that the sender has fresh word of the store and holds what
+// is missing here.
+func (m *Manager) noteBehind(d gossip.Digest) {
+	if d.Config.ConfirmAge < m.Patience() {
+		m.behind.Store(max(int64(m.o.Boot.SinceBoot()), 1))
+	}
+}
+
+// Behind reports whether others with fresh word of the store hold what is
+// missing here. That passes with the next pull; if it lasts, this instance hears
+// the others and does not reach them, and has to ask the store itself.
+func (m *Manager) Behind() bool {
+	at := m.behind.Load()
+	return at != 0 && m.o.Boot.SinceBoot()-time.Duration(at) < behindFor
+}
+
 // confirm notes that the store's answer of the time, on the boot clock, is held
 // here.
 func (m *Manager) confirm(at int64) {
--- a/internal/control/watchers/watchers.go
+++ b/internal/control/watchers/watchers.go
@@ -46,6 +46,9 @@
 	Others bool
 	// Silence is how long no other instance was heard; 0 = none ever was.
 	Silence time.Duration
+	// Behind reports whether others have fresh word of the store, and this
+	// instance can't take it since it lacks what they hold.
+	Behind bool
 	// Patience is the age from which word of the store is overdue.
 	Patience time.Duration
 }
@@ -53,7 +56,7 @@
 // Asks reports whether the instance asks the store itself. age is that of the
 // newest answer of the store that it knows of.
 func (f Facts) Asks(age time.Duration) bool {
-	if f.Silence >= cutOffAfter && age > f.Patience {
+	if age > f.Patience && (f.Silence >= cutOffAfter || f.Behind) {
 		return true
 	}
 	if f.Others && f.Running < settleTime {
--- a/internal/control/watchers/watchers_test.go
+++ b/internal/control/watchers/watchers_test.go
@@ -74,6 +74,20 @@
 	}
 }
 
+// Symptom: an instance goes on with an old configuration for half a minute, though
+// it reaches the store and hears that there is a newer one.
+// Events: its own connections to the others are cut, theirs to it are not.
+// Cause: it waited for its turn, since it is not cut off from the others' word.
+func TestWhoHearsAndCannotFetchAsksAtOnce(t *testing.T) {
+	behind := func(f *Facts) { f.Behind = true }
+	if got := asking(295, 6100*time.Millisecond, behind); got != 295 {
+		t.Errorf("%d of 295 ask that are behind", got)
+	}
+	if got := asking(295, 5*time.Second, behind); got != 8 {
+		t.Errorf("%d ask though their word is not overdue, want 8", got)
+	}
+}
+
 // Symptom: hundreds of watches in the first second after all instances started,
 // each ended by every target that registers.
 // Events: 295 instances start together, each alone in its own list of members.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -8,12 +8,9 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"slices"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,11 +21,9 @@
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/control/routesync"
-	"lynxhill.example/lynxhill/internal/control/watchers"
 	"lynxhill.example/lynxhill/internal/crashguard"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/exchange"
-	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/forwarding"
 	"lynxhill.example/lynxhill/internal/gossip"
 	"lynxhill.example/lynxhill/internal/ingress"
@@ -290,141 +285,3 @@
 func (i *Instance) exchange(ctx context.Context, d gossip.Digest) gossip.Digest {
 	return i.members.Handle(ctx, d)
 }
-
-// takeWork takes a job of another instance.
-func (i *Instance) takeWork(job stagework.Job) (stagework.Assignment, *stagework.Refusal) {
-	if i.ingress.Stopping() {
-		return nil, nil
-	}
-	return i.finder.Take(job)
-}
-
-func (i *Instance) peerAddress(instance string) (string, bool) {
-	m, ok := i.board.Members.Get(instance)
-	return m.PeerAddr, ok && m.PeerAddr != ""
-}
-
-// targetsChanged tells the dispatcher of new routes or targets.
-func (i *Instance) targetsChanged() {
-	table, view := i.routes.Table(), i.routes.Targets()
-	cells := stagework.Cells(table, view)
-	i.cells.Store(&cells)
-	i.dispatcher.SetTargets(table, view)
-}
-
-// currentCells returns the parts into which the stage targets are divided.
-func (i *Instance) currentCells() []stagework.Cell {
-	if cells := i.cells.Load(); cells != nil {
-		return *cells
-	}
-	return []stagework.Cell{{Weight: 1}}
-}
-
-// dispatchers returns the instances that may schedule: all that are alive, this
-// one unless it is stopping.
-func (i *Instance) dispatchers() []string {
-	live := i.board.LiveMembers(i.id())
-	if i.ingress.Stopping() {
-		live = slices.DeleteFunc(live, func(id string) bool { return id == i.id() })
-	}
-	return live
-}
-
-// capacity is the processor time of an instance.
-func (i *Instance) capacity(instance string) float64 {
-	if instance == i.id() {
-		return i.cfg.Ingress.ProcessorShare * max(i.cfg.Ingress.ProcessorCores, 1)
-	}
-	m, _ := i.board.Members.Get(instance)
-	return m.Capacity
-}
-
-// asksStore reports whether this instance asks the store for news itself, age
-// being that of the newest word of it.
-func (i *Instance) asksStore(age time.Duration) bool {
-	return watchers.Facts{
-		Self:     i.id(),
-		Members:  i.board.LiveMembers(i.id()),
-		Running:  i.running(),
-		Others:   i.seeded() > 1,
-		Silence:  i.members.Silence(),
-		Patience: i.routes.Patience(),
-	}.Asks(age)
-}
-
-// passOn has a change told to the others at once, if there are any that do not
-// watch the store themselves.
-func (i *Instance) passOn() {
-	if i.instances() > watchers.Watchers {
-		i.members.Hurry()
-	}
-}
-
-// retarget takes in a change of targets; connections to those that are gone
-// are closed, since another service may get their address.
-func (i *Instance) retarget(before, now *fleet.View) {
-	for _, t := range before.All() {
-		if _, listed := now.Get(t.ID); !listed {
-			i.pool.CloseIdle(t.Address)
-		}
-	}
-	i.targetsChanged()
-	i.passOn()
-}
-
-// instances is how many instances are believed alive, this one included.
-func (i *Instance) instances() int {
-	return max(len(i.board.LiveMembers(i.id())), 1)
-}
-
-// Run serves until ctx ends, then stops gracefully.
-func (i *Instance) Run(ctx context.Context) error {
-	background, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	var parts sync.WaitGroup
-	for _, run := range []func(context.Context){i.routes.Run, i.members.Run, i.watchSuspension} {
-		parts.Go(func() { run(background) })
-	}
-	failed := make(chan error, len(i.servers))
-	for k, s := range i.servers {
-		parts.Go(func() {
-			if err := s.Serve(i.listens[k]); err != nil && !errors.Is(err, http.ErrServerClosed) {
-				failed <- err
-			}
-		})
-	}
-	i.o.Logger.Log(event.IngressListening, "address", i.cfg.Ingress.Listen, "peer", i.cfg.Listen.Peer)
-	var err error
-	select {
-	case <-ctx.Done():
-		i.stop()
-	case err = <-failed:
-	}
-	i.ingress.Cut()
-	i.closeServers()
-	i.dispatcher.Close()
-	stop()
-	parts.Wait()
-	return err
-}
-
-// stop finishes what is in flight, as far as the time to stop allows.
-func (i *Instance) stop() {
-	began := i.o.Clock.Now()
-	i.ingress.Stop()
-	i.o.Logger.Log(event.IngressStopping, "in_flight", i.ingress.InFlight())
-	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-	defer cancel()
-	go func() { _ = i.adapter.Platform.Deregister(ctx, i.id()) }()
-	i.members.Leave(ctx)
-	i.dispatcher.HandBack()
-	for {
-		waited := i.o.Clock.Now().Sub(began)
-		idle := i.ingress.InFlight() == 0 && i.dispatcher.Jobs() == 0
-		if idle && waited >= quietAfterStop || waited >= i.settings().Grace.Duration-lastMargin {
-			break
-		}
-		time.Sleep(stopPoll)
-	}
-	i.o.Logger.Log(event.IngressStopped, "cut", i.ingress.InFlight())
-}
--- a/internal/edge/fleet_rig_test.go
+++ b/internal/edge/fleet_rig_test.go
@@ -38,10 +38,16 @@
 	off     bool
 	alone   bool // reaches no other instance
 	noStore bool // reaches no store
-	opened  []net.Conn
+	opened  []opened
 	serving []string // addresses
 }
 
+// opened is a connection that an instance made.
+type opened struct {
+	net.Conn
+	to string // address
+}
+
 func (s *socket) listen(_, address string) (net.Listener, error) {
 	s.hosts.mu.Lock()
 	defer s.hosts.mu.Unlock()
@@ -64,7 +70,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.opened = append(s.opened, conn)
+	s.opened = append(s.opened, opened{conn, address})
 	return conn, nil
 }
 
@@ -213,6 +219,20 @@
 	})
 }
 
+// cutCallers cuts the connections that others made to the instance.
+func (f *fleetOf) cutCallers(cut *member) {
+	for _, m := range f.all {
+		m.socket.mu.Lock()
+		made := slices.Clone(m.socket.opened)
+		m.socket.mu.Unlock()
+		for _, c := range made {
+			if slices.Contains(cut.socket.serving, c.to) {
+				_ = c.Close()
+			}
+		}
+	}
+}
+
 func (f *fleetOf) put(key, value string) {
 	f.t.Helper()
 	if _, err := f.store.Put(f.t.Context(), key, []byte(value), 0); err != nil {
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -205,22 +205,27 @@
 
 // Symptom: an instance that reaches the store serves an old configuration for
 // half a minute.
-// Events: it is cut off from all other instances, and does not watch; a target
-// is added.
-// Cause: it waits for word of the others.
+// Events: it is cut off from all other instances, or reaches none of them while
+// they reach it; it does not watch; a target is added.
+// Cause: it waits for word of the others, or for its turn to ask.
 func TestWhoIsCutOffFromTheOthersAsksTheStore(t *testing.T) {
-	inFleet(t, 58, func(f *fleetOf) {
-		time.Sleep(14 * time.Second)
-		var cut *member
-		for _, m := range f.all {
-			if !m.asksStore(0) {
-				cut = m
+	for _, heard := range []bool{false, true} {
+		inFleet(t, 58, func(f *fleetOf) {
+			time.Sleep(14 * time.Second)
+			var cut *member
+			for _, m := range f.all {
+				if !m.asksStore(0) {
+					cut = m
+				}
 			}
-		}
-		cut.socket.strike(&cut.socket.alone)
-		f.net.hide(cut.socket)
-		f.put("targets/b", "10.0.0.2:1")
-		took := virtualtest.Until(t, 20*time.Millisecond, 8*time.Second, "it knows the target", func() bool { return knowsTarget(cut) })
-		t.Logf("after %v", took)
-	})
+			cut.socket.strike(&cut.socket.alone)
+			if !heard {
+				f.net.hide(cut.socket)
+				f.cutCallers(cut)
+			}
+			f.put("targets/b", "10.0.0.2:1")
+			took := virtualtest.Until(t, 20*time.Millisecond, 7*time.Second, "it knows the target", func() bool { return knowsTarget(cut) })
+			t.Logf("heard %v: after %v", heard, took)
+		})
+	}
 }
--- /dev/null
+++ b/internal/edge/news.go
@@ -0,0 +1,52 @@
+package edge
+
+import (
+	"time"
+
+	"lynxhill.example/lynxhill/internal/control/watchers"
+	"lynxhill.example/lynxhill/internal/fleet"
+)
+
+// asksStore reports whether this instance asks the store for news itself, age
+// being that of the newest word of it.
+func (i *Instance) asksStore(age time.Duration) bool {
+	return watchers.Facts{
+		Self:     i.id(),
+		Members:  i.board.LiveMembers(i.id()),
+		Running:  i.running(),
+		Others:   i.seeded() > 1,
+		Silence:  i.members.Silence(),
+		Behind:   i.routes.Behind(),
+		Patience: i.routes.Patience(),
+	}.Asks(age)
+}
+
+// passOn has a change told to the others at once, if there are any that do not
+// watch the store themselves.
+func (i *Instance) passOn() {
+	if i.instances() > watchers.Watchers {
+		i.members.Hurry()
+	}
+}
+
+// retarget takes in a change of targets; connections to those that are gone
+// are closed, since another service may get their address.
+func (i *Instance) retarget(before, now *fleet.View) {
+	for _, t := range before.All() {
+		if _, listed := now.Get(t.ID); !listed {
+			i.pool.CloseIdle(t.Address)
+		}
+	}
+	i.targetsChanged()
+	i.passOn()
+}
+
+// instances is how many instances are believed alive, this one included.
+func (i *Instance) instances() int {
+	return max(len(i.board.LiveMembers(i.id())), 1)
+}
+
+func (i *Instance) peerAddress(instance string) (string, bool) {
+	m, ok := i.board.Members.Get(instance)
+	return m.PeerAddr, ok && m.PeerAddr != ""
+}
--- /dev/null
+++ b/internal/edge/run.go
@@ -0,0 +1,63 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/event"
+)
+
+// Run serves until ctx ends, then stops gracefully.
+func (i *Instance) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var parts sync.WaitGroup
+	for _, run := range []func(context.Context){i.routes.Run, i.members.Run, i.watchSuspension} {
+		parts.Go(func() { run(background) })
+	}
+	failed := make(chan error, len(i.servers))
+	for k, s := range i.servers {
+		parts.Go(func() {
+			if err := s.Serve(i.listens[k]); err != nil && !errors.Is(err, http.ErrServerClosed) {
+				failed <- err
+			}
+		})
+	}
+	i.o.Logger.Log(event.IngressListening, "address", i.cfg.Ingress.Listen, "peer", i.cfg.Listen.Peer)
+	var err error
+	select {
+	case <-ctx.Done():
+		i.stop()
+	case err = <-failed:
+	}
+	i.ingress.Cut()
+	i.closeServers()
+	i.dispatcher.Close()
+	stop()
+	parts.Wait()
+	return err
+}
+
+// stop finishes what is in flight, as far as the time to stop allows.
+func (i *Instance) stop() {
+	began := i.o.Clock.Now()
+	i.ingress.Stop()
+	i.o.Logger.Log(event.IngressStopping, "in_flight", i.ingress.InFlight())
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	go func() { _ = i.adapter.Platform.Deregister(ctx, i.id()) }()
+	i.members.Leave(ctx)
+	i.dispatcher.HandBack()
+	for {
+		waited := i.o.Clock.Now().Sub(began)
+		idle := i.ingress.InFlight() == 0 && i.dispatcher.Jobs() == 0
+		if idle && waited >= quietAfterStop || waited >= i.settings().Grace.Duration-lastMargin {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	i.o.Logger.Log(event.IngressStopped, "cut", i.ingress.InFlight())
+}
