Membership: a listed instance has no admin address until it is met

Cause, found by reading the change again: the address of callers was shown as the admin API's. Ruled out: an effect on requests; only the product's own status page shows the field. Change: left empty.

--- a/internal/membership/listed.go
+++ b/internal/membership/listed.go
@@ -30,7 +30,8 @@
 
 // assume takes the listed instances that were not met for alive, if they are
 // more than those that were met. Otherwise the digests of those that were met
-// say more than the list, which still has the entries of dead ones.
+// say more than the list, which still has the entries of dead ones. The list has
+// no address of the admin API, so theirs stays empty until they are met.
 func (v *view) assume(listed []store.Instance, service string, now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -49,7 +50,7 @@
 		}
 		v.listed[in.ID] = now.Add(listedFor)
 		v.board.Members.Put(in.ID, board.Member{
-			ID: in.ID, State: board.MemberAlive, CallerAddr: in.Address, AdminAddr: in.Address, PeerAddr: in.Peer,
+			ID: in.ID, State: board.MemberAlive, CallerAddr: in.Address, PeerAddr: in.Peer,
 			Place: in.Place, Region: in.Region, Room: 1, Capacity: in.Capacity, Changed: now,
 		})
 	}
