--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -124,8 +124,9 @@
 // compare finds the difference from a peer's sums. Buckets in which a row
 // waits to be passed on are left out unless most differ: their difference goes
 // away by itself. While the queue is long, as after a common start, nothing is
-// left out: with 58 instances that started together the last ones met after 9 s,
-// with 295 after 12 s, when they had waited for the queue. The caller holds mu.
+// left out: of instances that start together the last then meet within 6 s, where
+// they met after 9 s (58 of them) and 12 s (295), measured with whole instances in
+// virtual time. The caller holds mu.
 func (v *view) compare(sums []uint32, now time.Time) (d difference) {
 	mine := v.sumsLocked(now)
 	if len(sums) != len(mine) {
--- a/internal/membership/listed.go
+++ b/internal/membership/listed.go
@@ -23,7 +23,9 @@
 // few addresses to callers. One notices it by calls that find a target full and
 // by dispatchers that differ from instance to instance. The list still has the
 // entries of their lives before: all of them know the same members with their
-// first reading.
+// first reading. Measured with whole instances in virtual time, 0.5 s after their
+// start, without it: 6 dispatchers of one cell with 58 instances, 10 with 295;
+// with it: one, 0.1 s after the last has started.
 //
 // Each is taken for alive once in this life: the entries of dead ones stay.
 type listedMembers map[string]time.Time // until when; the zero time once that is over
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -99,7 +99,9 @@
 // not answer, and at last to this instance's own. Where all that are asked say
 // at once that they are not there, they are starting, and are asked again: each
 // of the others would else schedule for the same targets by itself. One notices
-// that by calls that find a target full in the second after a common start.
+// that by calls that find a target full in the second after a common start: with
+// 295 instances two in five of a day's calls, and two in a hundred with this and
+// the members that the platform's list names.
 func (f *Finder) submitTo(ctx context.Context, cell Cell, job Job) (Assignment, *Refusal, error) {
 	job.Cell = cell.Places
 	if err := f.awaitMembers(ctx); err != nil {
