Own interface: an order to evacuate a place, beside those that drain instances and targets

Cause: an operator could drain a place's instances, and a target at a time; nothing kept new work from all targets of a zone. Ruled out: letting place/NAME mean targets too: who stops a zone's instances for an update does not want its targets idle.

--- a/cmd/lynxctl/fleet.go
+++ b/cmd/lynxctl/fleet.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
@@ -93,7 +95,7 @@
 }
 
 type drainCommand struct {
-	Subject string `arg:"" help:"instance/ID, place/NAME or target/ID."`
+	Subject string `arg:"" help:"instance/ID, place/NAME, target/ID or targets-in/PLACE."`
 	Force   bool   `help:"Drain it although no such instance, place or target is known yet."`
 }
 
@@ -102,7 +104,8 @@
 	return `Work in flight is not cut. Examples:
 
   lynxctl drain target/lynx-pool-3
-  lynxctl drain place/lac-a`
+  lynxctl drain place/lac-a         # its instances
+  lynxctl drain targets-in/lac-a    # its targets`
 }
 
 // Run orders the drain.
@@ -124,7 +127,7 @@
 }
 
 type undrainCommand struct {
-	Subject string `arg:"" help:"instance/ID, place/NAME or target/ID."`
+	Subject string `arg:"" help:"instance/ID, place/NAME, target/ID or targets-in/PLACE."`
 }
 
 // Run ends the drain.
@@ -143,8 +146,8 @@
 // checkSubject refuses a subject of no known sort before it is sent.
 func checkSubject(subject string) error {
 	sort, name, _ := strings.Cut(subject, "/")
-	if name == "" || (sort != "instance" && sort != "place" && sort != "target") {
-		return usagef("%q is none of instance/ID, place/NAME and target/ID", subject)
+	if name == "" || !slices.Contains(board.DrainSubjects, sort+"/") {
+		return usagef("%q is none of instance/ID, place/NAME, target/ID and targets-in/PLACE", subject)
 	}
 	return nil
 }
--- a/internal/bench/fault.go
+++ b/internal/bench/fault.go
@@ -69,6 +69,7 @@
 	"profile_race":     {"operators change the same profile at the same time", profileRace},
 	"lease_pause":      {"freeze the order-giver of lynx-pool for longer than its lease", leasePause},
 	"drain_place":      {"an operator drains a place", drainPlace},
+	"evacuate_place":   {"an operator keeps new work from the targets of a place", evacuatePlace},
 }
 
 // FaultKinds lists the kinds of faults with what they do.
--- a/internal/bench/fault_instance.go
+++ b/internal/bench/fault_instance.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/profile"
@@ -116,7 +117,16 @@
 }
 
 func drainPlace(ctx context.Context, f *faultRun) (func(), error) {
-	subject := "place/" + f.Subject
+	return drainSubject(ctx, f, board.DrainPlace+f.Subject)
+}
+
+func evacuatePlace(ctx context.Context, f *faultRun) (func(), error) {
+	return drainSubject(ctx, f, board.DrainTargetsIn+f.Subject)
+}
+
+// drainSubject has an operator drain the subject, and take that back when the
+// fault ends.
+func drainSubject(ctx context.Context, f *faultRun, subject string) (func(), error) {
 	admin := f.cluster.Admin()
 	if _, err := admin.Drain(ctx, subject); err != nil {
 		return nil, err
--- a/internal/board/members.go
+++ b/internal/board/members.go
@@ -30,9 +30,21 @@
 	return ok
 }
 
-// Subjects of drains.
+// Beginnings of the subjects of drains.
 const (
 	DrainInstance = "instance/"
 	DrainPlace    = "place/"
 	DrainTarget   = "target/"
+	// DrainTargetsIn evacuates a place: its targets get no new work, whatever
+	// its instances do.
+	DrainTargetsIn = "targets-in/"
 )
+
+// DrainSubjects are the beginnings of all subjects of drains.
+var DrainSubjects = []string{DrainInstance, DrainPlace, DrainTarget, DrainTargetsIn}
+
+// TargetDrained reports whether an operator's order keeps new work from the
+// target.
+func (b *Board) TargetDrained(t Target) bool {
+	return b.Drained(DrainTarget+t.ID) || b.Drained(DrainTargetsIn+t.Place)
+}
--- a/internal/control/drain/operator.go
+++ b/internal/control/drain/operator.go
@@ -49,12 +49,12 @@
 }
 
 func validate(subject string) error {
-	for _, prefix := range []string{board.DrainInstance, board.DrainPlace, board.DrainTarget} {
+	for _, prefix := range board.DrainSubjects {
 		if name, ok := strings.CutPrefix(subject, prefix); ok && name != "" && !strings.Contains(name, "/") {
 			return nil
 		}
 	}
-	return errkind.New(errkind.BadRequest, "%q is not instance/ID, place/NAME or target/ID", subject)
+	return errkind.New(errkind.BadRequest, "%q is not instance/ID, place/NAME, target/ID or targets-in/PLACE", subject)
 }
 
 // retry brings the object to the wanted state. The state wanted is all that the
--- a/internal/control/orders/controller.go
+++ b/internal/control/orders/controller.go
@@ -149,9 +149,8 @@
 			r := state.report
 			e.Models, e.Role, e.Running, e.Queued, e.Slots = r.Models, r.Role, r.Running, r.Queued, r.Slots
 			fresh := now.Sub(state.at) <= 2*c.opts.ReadEvery
-			drained := c.opts.Board.Drained(board.DrainTarget + t.ID)
 			e.Refuses = now.Before(state.retryAt)
-			e.Usable = fresh && !t.Leaving && !r.Leaving && !drained
+			e.Usable = fresh && !t.Leaving && !r.Leaving && !c.opts.Board.TargetDrained(t)
 		}
 		engines = append(engines, e)
 	}
--- a/internal/daemon/operations_drain.go
+++ b/internal/daemon/operations_drain.go
@@ -43,8 +43,10 @@
 		_, known := b.Targets.Get(id)
 		return known
 	}
-	if place, ok := strings.CutPrefix(subject, board.DrainPlace); ok {
-		return o.knowsPlace(place)
+	for _, prefix := range []string{board.DrainPlace, board.DrainTargetsIn} {
+		if place, ok := strings.CutPrefix(subject, prefix); ok {
+			return o.knowsPlace(place)
+		}
 	}
 	return true
 }
--- a/internal/routing/choose_test.go
+++ b/internal/routing/choose_test.go
@@ -164,6 +164,18 @@
 	if n := len(x.Service("pool").All); n != 1 {
 		t.Errorf("after a delete %d targets, want 1", n)
 	}
+	b.Drains.Put("targets-in/b1", board.Drain{})
+	if n := len(x.Service("pool").All); n != 1 {
+		t.Errorf("the evacuation of another place took targets out: %d, want 1", n)
+	}
+	b.Drains.Put("targets-in/a1", board.Drain{})
+	if x.Service("pool") != nil && len(x.Service("pool").All) != 0 {
+		t.Errorf("after the place's evacuation %d targets, want none", len(x.Service("pool").All))
+	}
+	b.Drains.Delete("targets-in/a1")
+	if n := len(x.Service("pool").All); n != 1 {
+		t.Errorf("after it was taken back %d targets, want 1", n)
+	}
 }
 
 func TestPlaceFirst(t *testing.T) {
--- a/internal/routing/index.go
+++ b/internal/routing/index.go
@@ -10,10 +10,6 @@
 	"lynxhill.example/lynxhill/internal/board"
 )
 
-// drainPrefix begins the subject of an operator's drain of one target. Drains
-// of a place or an instance concern instances only.
-const drainPrefix = "target/"
-
 // Entry is a target that takes new work, with its hash for rendezvous hashing.
 type Entry struct {
 	Target board.Target
@@ -76,7 +72,7 @@
 		services: make(map[string]*Service),
 	}
 	for id, t := range x.board.Targets.Snapshot() {
-		if t.Leaving || x.drained(id) {
+		if t.Leaving || x.board.TargetDrained(t) {
 			continue
 		}
 		v.add(&Entry{Target: t, hash: xxhash.Sum64String(id)})
@@ -87,11 +83,6 @@
 	return v
 }
 
-func (x *Index) drained(id string) bool {
-	_, found := x.board.Drains.Get(drainPrefix + id)
-	return found
-}
-
 func (v *indexView) add(e *Entry) {
 	s := v.services[e.Target.Service]
 	if s == nil {
--- a/internal/wire/lynxapi/admin.go
+++ b/internal/wire/lynxapi/admin.go
@@ -161,7 +161,7 @@
 
 // DrainRequest orders that a subject take no new work.
 type DrainRequest struct {
-	Subject string `json:"subject"` // instance/ID, place/NAME or target/ID
+	Subject string `json:"subject"` // instance/ID, place/NAME, target/ID or targets-in/PLACE
 	// Force drains a subject that the answering instance does not know, which
 	// is refused as not_found otherwise.
 	Force bool `json:"force,omitempty"`
