Evacuation of zones: orders of the platform are heeded by all instances

Cause: nothing read the orders (evacuations/ZONE). Ruled out: dropping the targets from the list: what runs there goes on, results there are still read, and they come back without being found anew; so they count as targets that take no new work, which every decision already heeds. Change: a third feed of routesync (orders never lapse, deletions are believed at once, peers pass them on, an instance serves once it knows them); jobs that wait in a cell without targets go back to their owners and to another cell; a zone that is given back counts as cold for as long as a target does after its start. Watched only where the settings say that the platform has such orders.

--- a/internal/config/ingress.go
+++ b/internal/config/ingress.go
@@ -28,6 +28,13 @@
 
 	ReuseWindow Duration `toml:"reuse_window"` // within which prompt parts are worth being kept
 
+	// Evacuations says that the platform has orders to evacuate availability
+	// zones. They are not watched where it has not.
+	Evacuations bool `toml:"evacuations"`
+	// ColdOverage is by how much the declared rate of a target that has just
+	// started may be exceeded; what is tolerated beyond that is kept back.
+	ColdOverage float64 `toml:"cold_overage"`
+
 	MemoryMB       int     `toml:"memory_mb"`       // of the process, MiB; 0 = not bounded
 	Descriptors    int     `toml:"descriptors"`     // open files and sockets of the process; 0 = not bounded
 	ProcessorShare float64 `toml:"processor_share"` // of a core
@@ -47,6 +54,7 @@
 		RetryWindow: Of(10 * time.Second),
 		RetryExtra:  10,
 		ReuseWindow: Of(10 * time.Second),
+		ColdOverage: 1,
 	}
 }
 
@@ -69,6 +77,9 @@
 	if netip.MustParseAddrPort(i.Listen).Addr().IsUnspecified() {
 		return fault("ingress.listen", "%q is no address that callers could connect to", i.Listen)
 	}
+	if i.ColdOverage < 1 {
+		return fault("ingress.cold_overage", "must be 1 at least")
+	}
 	if i.RetryRatio < 0 || i.RetryExtra < 0 {
 		return fault("ingress.retry_ratio", "and retry_extra must not be negative")
 	}
--- a/internal/control/routesync/health.go
+++ b/internal/control/routesync/health.go
@@ -74,7 +74,7 @@
 	lost, known := false, false
 	m.change(func() {
 		lost = m.health.fail(prefix, now)
-		known = m.routes.known() && m.targets.known
+		known = m.knows()
 		m.reportLoss(prefix, err, now)
 	})
 	if lost || !known {
--- a/internal/control/routesync/options.go
+++ b/internal/control/routesync/options.go
@@ -92,6 +92,9 @@
 	// the newest answer of the store that it knows of. Others hear from those
 	// that do. nil = it always does.
 	Asks func(age time.Duration) bool
+	// Evacuations reports whether the platform has orders to evacuate places.
+	// Where it has not they are not watched, which saves the calls.
+	Evacuations bool
 	// Hurry asks membership for extra exchanges at once; may be nil.
 	Hurry func()
 }
@@ -140,12 +143,14 @@
 	confirmed atomic.Int64 // time on the boot clock, written under mu; negative = never
 	behind    atomic.Int64 // when another last told of what is missing here, boot time in ns; 0 = never
 
-	mu         sync.Mutex // guards what follows
-	health     health
-	routes     routes
-	targets    *targets
-	queue      []func() // log lines and callbacks, in order
-	delivering bool
+	mu      sync.Mutex // guards what follows
+	health  health
+	routes  routes
+	targets *targets
+	// evacuations says in which places targets take no new work.
+	evacuations *evacuations
+	queue       []func() // log lines and callbacks, in order
+	delivering  bool
 }
 
 var _ gossip.Part = (*Manager)(nil)
@@ -154,19 +159,32 @@
 func New(o Options) *Manager {
 	o = o.withDefaults()
 	m := &Manager{
-		o:       o,
-		rand:    loop.NewRand(o.Rand),
-		feeds:   []*feed{{prefix: RoutesPrefix}, {prefix: TargetsPrefix}},
-		pulls:   map[string]chan source{RoutesPrefix: make(chan source, 1), TargetsPrefix: make(chan source, 1)},
-		wake:    make(chan struct{}, 1),
-		health:  health{grace: o.ReturnGrace, failing: make(map[string]time.Duration)},
-		targets: newTargets(),
+		o:           o,
+		rand:        loop.NewRand(o.Rand),
+		pulls:       make(map[string]chan source),
+		wake:        make(chan struct{}, 1),
+		health:      health{grace: o.ReturnGrace, failing: make(map[string]time.Duration)},
+		targets:     newTargets(),
+		evacuations: newEvacuations(),
+	}
+	for _, prefix := range o.prefixes() {
+		m.feeds = append(m.feeds, &feed{prefix: prefix})
+		m.pulls[prefix] = make(chan source, 1)
 	}
 	m.view.Store(fleet.NewView(0, nil))
 	m.confirmed.Store(-1)
 	return m
 }
 
+// prefixes returns what is kept.
+func (o Options) prefixes() []string {
+	prefixes := []string{RoutesPrefix, TargetsPrefix}
+	if o.Evacuations {
+		prefixes = append(prefixes, EvacuationsPrefix)
+	}
+	return prefixes
+}
+
 // Run lists, watches and pulls until ctx ends, and returns when all of that
 // has stopped. It is called once.
 func (m *Manager) Run(ctx context.Context) {
@@ -187,12 +205,17 @@
 // Targets returns the targets known, never nil. It never blocks.
 func (m *Manager) Targets() *fleet.View { return m.view.Load() }
 
-// Known reports whether the table and the whole list of targets are known,
-// each from the store or from a peer that knew it.
+// Known reports whether the table, the whole list of targets and the
+// evacuations are known, each from the store or from a peer that knew it.
 func (m *Manager) Known() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.routes.known() && m.targets.known
+	return m.knows()
+}
+
+// knows is Known for who holds mu.
+func (m *Manager) knows() bool {
+	return m.routes.known() && m.targets.known && (m.evacuations.known || !m.o.Evacuations)
 }
 
 // ConfirmedAge returns the age, by the boot clock, of the newest answer that
--- a/internal/control/routesync/peers.go
+++ b/internal/control/routesync/peers.go
@@ -31,6 +31,9 @@
 		{Name: RoutesPrefix, Version: m.routes.object.Version},
 		{Name: TargetsPrefix, Version: m.targets.shared()},
 	}
+	if m.o.Evacuations {
+		rows = append(rows, gossip.ProfileVersion{Name: EvacuationsPrefix, Version: m.evacuations.mark})
+	}
 	m.mu.Unlock()
 	used, told := 0, 0
 	for _, row := range rows {
@@ -131,10 +134,14 @@
 func (m *Manager) seen(prefix string) uint64 {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if prefix == RoutesPrefix {
+	switch prefix {
+	case RoutesPrefix:
 		return m.routes.seen()
+	case EvacuationsPrefix:
+		return m.evacuations.mark
+	default:
+		return m.targets.mark
 	}
-	return m.targets.mark
 }
 
 // Since answers a peer's pull: the objects of the prefix above the version
@@ -147,6 +154,8 @@
 	switch {
 	case prefix == RoutesPrefix:
 		return m.routes.since(after), m.routes.object.Version, false
+	case prefix == EvacuationsPrefix && m.evacuations.known:
+		return m.evacuations.since(after), m.evacuations.mark, false
 	case prefix == TargetsPrefix && m.targets.known:
 		m.targets.forget(m.o.Boot.SinceBoot())
 		return m.targets.since(after)
--- a/internal/control/routesync/rig_test.go
+++ b/internal/control/routesync/rig_test.go
@@ -25,21 +25,29 @@
 	"lynxhill.example/lynxhill/internal/store/memstore"
 )
 
+// coldTime is how long the targets of the rig's service are cold.
+const coldTime = 3 * time.Second
+
 // plain decodes tables that are a number and targets that are an address, with
-// a "-" before it while they drain. "bad" is neither.
+// a "-" before it while they drain, "@" and their place behind it, and "*" and
+// the time for which they stay cold. "bad" is neither.
 type plain struct{}
 
 func (plain) Table(value []byte) (*route.Table, error) {
 	version, err := strconv.ParseInt(string(value), 10, 64)
-	return (&route.Table{Version: version}).Build(), err
+	services := map[string]*route.Service{"s": {Name: "s", ColdTime: coldTime}}
+	return (&route.Table{Version: version, Services: services}).Build(), err
 }
 
 func (plain) Target(id string, value []byte) (fleet.Target, error) {
 	if string(value) == "bad" {
 		return fleet.Target{}, errors.New("bad")
 	}
-	address, draining := strings.CutPrefix(string(value), "-")
-	return fleet.Target{ID: id, Service: "s", Address: address, Draining: draining}, nil
+	text, draining := strings.CutPrefix(string(value), "-")
+	text, cold, _ := strings.Cut(text, "*")
+	address, place, _ := strings.Cut(text, "@")
+	left, _ := time.ParseDuration(cold)
+	return fleet.Target{ID: id, Service: "s", Address: address, Place: place, Draining: draining, ColdFor: left}, nil
 }
 
 // link is one instance's way to the store, with faults of its own.
@@ -117,6 +125,8 @@
 	store *memstore.Store
 	nodes map[string]*node
 	boot  clock.Boot
+	// orders reports whether nodes watch orders to evacuate places.
+	orders bool
 }
 
 type node struct {
@@ -166,7 +176,8 @@
 		OnTargets: func(old, new *fleet.View) {
 			locked(func() { n.views = append(n.views, text(old)+" > "+text(new)) })
 		},
-		Hurry: func() { locked(func() { n.hurry++ }) },
+		Hurry:       func() { locked(func() { n.hurry++ }) },
+		Evacuations: w.orders,
 	})
 	w.nodes[id] = n
 	go n.Run(w.t.Context())
--- a/internal/control/routesync/routes.go
+++ b/internal/control/routesync/routes.go
@@ -24,11 +24,14 @@
 // adopt merges an answer.
 func (m *Manager) adopt(prefix string, a answer) {
 	m.change(func() {
-		if prefix == RoutesPrefix {
+		switch prefix {
+		case RoutesPrefix:
 			m.adoptRoutes(a)
-			return
+		case EvacuationsPrefix:
+			m.adoptEvacuations(a)
+		default:
+			m.adoptTargets(a)
 		}
-		m.adoptTargets(a)
 	})
 }
 
--- a/internal/control/routesync/targets.go
+++ b/internal/control/routesync/targets.go
@@ -168,7 +168,7 @@
 	if err != nil {
 		m.log(event.TargetUnreadable, "target", obj.Key, "store_version", obj.Version, "source", a.source(), "err", err)
 	} else {
-		next.target, next.listed = target, true
+		next.target, next.listed = m.coldAt(target, next.target), true
 	}
 	t.entries[obj.Key] = next
 	delete(t.buried, obj.Key)
@@ -177,6 +177,25 @@
 	}
 }
 
+// coldMargin is added to the time for which a target says that it stays cold,
+// and is how much two such words may differ and still mean the same moment: a
+// cold target tells what is left with each heartbeat.
+const coldMargin = 500 * time.Millisecond
+
+// coldAt returns the target with the moment until which it is cold, given what
+// was known of it.
+func (m *Manager) coldAt(t, before fleet.Target) fleet.Target {
+	if t.ColdFor == 0 {
+		return t
+	}
+	t.ColdUntil = m.o.Clock.Now().Add(t.ColdFor + coldMargin)
+	t.ColdFor = 0
+	if d := t.ColdUntil.Sub(before.ColdUntil); d.Abs() <= coldMargin {
+		t.ColdUntil = before.ColdUntil
+	}
+	return t
+}
+
 // removeMissing takes it that the store holds no more than it listed. It
 // returns whether anything is missing.
 func (m *Manager) removeMissing(present map[string]bool, a answer, now time.Duration) bool {
@@ -239,10 +258,11 @@
 		if !e.listed {
 			continue
 		}
-		listed = append(listed, e.target)
-		if before, found := old.Get(e.target.ID); !found {
+		target := m.inForce(e.target)
+		listed = append(listed, target)
+		if before, found := old.Get(target.ID); !found {
 			added++
-		} else if before != e.target {
+		} else if before != target {
 			changed++
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -184,11 +184,12 @@
 			i.targetsChanged()
 			i.passOn()
 		},
-		OnTargets: i.retarget,
-		Hurry:     func() { i.members.Hurry() },
-		WatchWait: i.watchWait,
-		WatchGap:  watchGap,
-		Asks:      i.asksStore,
+		OnTargets:   i.retarget,
+		Hurry:       func() { i.members.Hurry() },
+		WatchWait:   i.watchWait,
+		WatchGap:    watchGap,
+		Asks:        i.asksStore,
+		Evacuations: i.cfg.Ingress.Evacuations,
 	})
 	i.members = membership.New(membership.Options{
 		Self: board.Member{
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -42,7 +42,8 @@
 }
 
 func (wire) Target(id string, value []byte) (fleet.Target, error) {
-	return fleet.Target{ID: id, Service: "s", Address: string(value), Slots: 9}, nil
+	address, place, _ := strings.Cut(string(value), "@")
+	return fleet.Target{ID: id, Service: "s", Address: address, Place: place, Slots: 9}, nil
 }
 
 func (wire) Request(r *http.Request) (*relay.Request, error) {
--- a/internal/edge/fleet_rig_test.go
+++ b/internal/edge/fleet_rig_test.go
@@ -167,6 +167,8 @@
 	all   []*member
 	dead  []*member // that lost power
 	began time.Time
+	// evacuations reports whether instances watch orders to evacuate zones.
+	evacuations bool
 }
 
 // dispatchers returns the instances that somebody takes for the dispatcher.
@@ -196,9 +198,15 @@
 func writesAt(n int) float64 { return max(400, 3200*float64(n)/295) }
 
 // inFleet runs the test with n instances that start together.
-func inFleet(t *testing.T, n int, test func(*fleetOf)) {
+func inFleet(t *testing.T, n int, test func(*fleetOf)) { playFleet(t, n, false, test) }
+
+// inFleetWithOrders is inFleet with instances that watch orders to evacuate
+// zones.
+func inFleetWithOrders(t *testing.T, n int, test func(*fleetOf)) { playFleet(t, n, true, test) }
+
+func playFleet(t *testing.T, n int, evacuations bool, test func(*fleetOf)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &fleetOf{t: t, began: time.Now(), store: memstore.New(memstore.Options{WatchWait: time.Hour, ReadsPerSecond: readsAt(n), WritesPerSecond: writesAt(n)}), net: &hosts{listeners: make(map[string]*memnet.Listener)}}
+		f := &fleetOf{t: t, began: time.Now(), store: memstore.New(memstore.Options{WatchWait: time.Hour, ReadsPerSecond: readsAt(n), WritesPerSecond: writesAt(n)}), net: &hosts{listeners: make(map[string]*memnet.Listener)}, evacuations: evacuations}
 		f.put(routesync.TableKey, "x")
 		f.put("targets/a", "10.0.0.1:1")
 		for i := range n {
@@ -240,6 +248,17 @@
 	}
 }
 
+func (f *fleetOf) remove(key string) {
+	f.t.Helper()
+	object, err := f.store.Get(f.t.Context(), key)
+	if err == nil {
+		err = f.store.Delete(f.t.Context(), key, object.Version)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
 func peerAddressOf(i int) string { return fmt.Sprintf("10.1.%d.%d:1", i/250, i%250) }
 
 // start starts the i-th instance.
@@ -252,6 +271,7 @@
 	cfg.Ingress.Touch = config.Of(5 * time.Second)
 	cfg.Ingress.Grace = config.Of(8 * time.Second)
 	cfg.Peers.Seeds = []string{peerAddressOf(0), peerAddressOf(1), peerAddressOf(2)}
+	cfg.Ingress.Evacuations = f.evacuations
 	way := &socket{hosts: f.net}
 	p, began := reachable{wire{Store: f.store}, way}, time.Now()
 	in, err := New(cfg, Adapter{
--- a/internal/edge/fleet_test.go
+++ b/internal/edge/fleet_test.go
@@ -229,3 +229,72 @@
 		})
 	}
 }
+
+// evacuationFleets are the sizes at which an order to evacuate is tested.
+func evacuationFleets() []int { return virtualtest.Sizes(8, 78) }
+
+// evacuationWithin is the time within which an order has to be in force.
+const evacuationWithin = 5 * time.Second
+
+// Symptom: targets of an evacuated zone get requests for longer than operators
+// allow.
+// Events: a zone is evacuated; a third of the instances do not reach the store,
+// the watchers among them; one instance starts meanwhile, and the order is taken
+// back.
+// Cause: orders are not passed on, or an instance serves before it knows them.
+func TestAnEvacuationIsInForceEverywhere(t *testing.T) {
+	for _, n := range evacuationFleets() {
+		inFleetWithOrders(t, n, func(f *fleetOf) {
+			time.Sleep(8 * time.Second)
+			f.put("targets/b", "10.0.0.2:1@north")
+			evacuated := func(m *member) bool { return !m.routes.Targets().Usable("b") && m.routes.Targets().Usable("a") }
+			given := func(m *member) bool { return m.routes.Targets().Usable("b") }
+			f.until(2*time.Second, "all know the target", given)
+			for k, m := range f.all {
+				if k%3 == 0 {
+					m.socket.strike(&m.socket.noStore)
+				}
+			}
+			f.put("evacuations/north", "{}")
+			told := f.until(evacuationWithin, "all have the order", evacuated)
+			late := f.start(n)
+			f.all = append(f.all, late)
+			virtualtest.Until(t, 10*time.Millisecond, 3*time.Second, "the new instance serves", late.serving)
+			if !evacuated(late) {
+				t.Errorf("%d instances: one that serves does not know of the order", n)
+			}
+			f.remove("evacuations/north")
+			back := f.until(evacuationWithin, "all have it back", given)
+			t.Logf("%d instances: told after %v, taken back after %v", n, told, back)
+		})
+	}
+}
+
+// Symptom: an order that was in force is forgotten by instances that lost power.
+// Events: two zones are evacuated, all instances lose power, the store is away
+// for some of them when they start again.
+// Cause: what they knew is gone, and they serve before they have read it anew.
+func TestInstancesThatLostPowerKeepToAnEvacuation(t *testing.T) {
+	inFleetWithOrders(t, 8, func(f *fleetOf) {
+		f.put("targets/b", "10.0.0.2:1@north")
+		f.put("targets/c", "10.0.0.3:1@south")
+		f.put("evacuations/north", "{}")
+		f.put("evacuations/south", "{}")
+		time.Sleep(6 * time.Second)
+		f.losePower()
+		for i := range 8 {
+			m := f.start(i)
+			m.socket.mu.Lock()
+			m.socket.noStore = i%2 == 0
+			m.socket.mu.Unlock()
+			f.all = append(f.all, m)
+		}
+		f.until(5*time.Second, "all serve", func(m *member) bool {
+			v := m.routes.Targets()
+			if m.serving() && (v.Usable("b") || v.Usable("c") || !v.Usable("a")) {
+				t.Errorf("%s serves and does not know of the orders", m.id())
+			}
+			return m.serving()
+		})
+	})
+}
--- a/internal/edge/news.go
+++ b/internal/edge/news.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/control/watchers"
@@ -41,6 +42,23 @@
 	i.passOn()
 }
 
+// everHeardOf returns all instances that were heard of in this life, dead ones
+// and this one included, in order; nil until this instance has had time to hear
+// of all.
+func (i *Instance) everHeardOf() []string {
+	if i.seeded() > 1 && i.members.KnownFor() < meetTime {
+		return nil
+	}
+	ids := []string{i.id()}
+	for id := range i.board.Members.Snapshot() {
+		if id != i.id() {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // instances is how many instances are believed alive, this one included.
 func (i *Instance) instances() int {
 	return max(len(i.board.LiveMembers(i.id())), 1)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 )
 
 // Target is one running copy of a service's server.
@@ -15,9 +16,18 @@
 	Address  string // IP:port
 	Place    string
 	Slots    int
-	Draining bool // takes no new work
+	Draining bool // takes no new work: it leaves, or its place is evacuated
+	// ColdFor is how much longer the target was cold when it said so; 0 = it is
+	// not, or ColdUntil tells.
+	ColdFor time.Duration
+	// ColdUntil is the moment until which the target has to be spared; zero = it
+	// was not cold.
+	ColdUntil time.Time
 }
 
+// Cold reports whether the target has to be spared at the moment.
+func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
+
 // View is the targets at one moment. It never changes.
 type View struct {
 	Revision  uint64 // of the store, newest change seen
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -91,9 +91,14 @@
 type Service struct {
 	Name            string
 	HealthPath      string
-	ConnectionLimit int     // of one target, from all instances together
-	Engine          *Engine // of model engines, else nil
-	Pieces          *Pieces // of stage services, else nil
+	ConnectionLimit int // of one target, from all instances together
+	// ColdTime is how long a target is cold after its start; 0 = targets of the
+	// service never are. ColdRate is how many requests a second it bears then,
+	// from all instances together; 0 = it is not bounded.
+	ColdTime time.Duration
+	ColdRate float64
+	Engine   *Engine // of model engines, else nil
+	Pieces   *Pieces // of stage services, else nil
 }
 
 // Engine is what a model engine of a service can do.
--- a/internal/stagework/build.go
+++ b/internal/stagework/build.go
@@ -29,6 +29,10 @@
 	}
 	j.link(byStage)
 	p.adopt(j, now)
+	if p.dissolved && !p.able(j) {
+		p.abandon(j, now)
+		return &Refusal{Reason: ReasonNoTarget, RetryAfter: comeBackMin}
+	}
 	if refusal := p.refuseLate(j, now); refusal != nil {
 		p.abandon(j, now)
 		return refusal
--- a/internal/stagework/cells.go
+++ b/internal/stagework/cells.go
@@ -27,6 +27,11 @@
 // Name identifies the cell among instances.
 func (c Cell) Name() string { return strings.Join(c.Places, ",") }
 
+// among reports whether the cell is one of the cells.
+func (c Cell) among(cells []Cell) bool {
+	return slices.ContainsFunc(cells, func(o Cell) bool { return o.Name() == c.Name() })
+}
+
 // Cells divides the places, in order, into cells that have at least cellMin
 // targets of each stage service and engine service. All instances with the same
 // view come to the same cells; while views differ, two dispatchers may schedule
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -77,6 +77,7 @@
 	}
 	if d.view != nil {
 		p.SetTargets(d.table, cell.within(d.view))
+		p.setDissolved(!cell.among(Cells(d.table, d.view)))
 	}
 	d.planners[cell.Name()] = p
 	d.askTargets(p)
@@ -91,8 +92,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table, d.view = table, view
+	cells := Cells(table, view)
 	for _, p := range d.planners {
 		p.SetTargets(table, p.cell.within(view))
+		p.setDissolved(!p.cell.among(cells))
 		d.proceed(p)
 	}
 }
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -68,7 +68,7 @@
 	}
 	ranked := rankCells(key, cells)
 	a, refusal, err := f.submitTo(ctx, ranked[0], job)
-	if refusal != nil && refusal.Reason == ReasonLate && len(ranked) > 1 {
+	if refusal != nil && refusal.otherCellMay() && len(ranked) > 1 {
 		second, late, err := f.submitTo(ctx, ranked[1], job)
 		if err == nil && late == nil {
 			return second, nil, nil
@@ -108,6 +108,9 @@
 		return nil, nil, err
 	}
 	for range startTries {
+		if cells := f.cells(); !cell.among(cells) && !within(cell, cells) {
+			return nil, &Refusal{Reason: ReasonNoTarget, RetryAfter: comeBackMin, Dispatcher: f.o.Self}, nil
+		}
 		a, refusal, err := f.tryCandidates(ctx, cell, job)
 		if !errors.Is(err, errStarting) {
 			return a, refusal, err
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -289,6 +289,7 @@
 	e.running++
 	e.tokens += j.size()
 	e.reading += missing
+	o.countSent(e, j, now)
 	if j.Prompt != nil {
 		// Those that come next are to find the parts here, though they are read
 		// only now.
