Cold targets: shares of what they bear, by instance

Cause: a target that has just started bears cold_per_s requests a second from all instances together; nothing kept to that. Shares by who is held for alive: the sum grows with every part of the fleet that is cut off. Change: internal/coldstart: the share follows from the names of all instances ever heard of; up to as many instances as the limit allows requests have one a second each, by rendezvous hashing; nothing in the first second of a life. Owners keep to it when they send, dispatchers choose engines by it. The tolerance is kept back for lists that differ. Besides, an engine gets no more in a second than it would bear cold while others take work, since it may become cold and tell that a heartbeat later. Not covered: stage services that declare such a rate; their calls last 200 ms and more, one at a time.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/bootclock"
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/coldstart"
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/control/routesync"
 	"lynxhill.example/lynxhill/internal/crashguard"
@@ -92,6 +93,7 @@
 	finder     *stagework.Finder
 	guard      *crashguard.Guard
 	loads      *forwarding.Loads
+	cold       *coldstart.Allowance
 	forwarder  currentForwarder
 	ingress    *ingress.Ingress
 
@@ -210,8 +212,12 @@
 func (i *Instance) assembleRequestPath() {
 	i.pool = exchange.New(exchange.Options{Dial: i.o.Dial, AnswerID: i.adapter.AnswerID})
 	i.stages = &timedStages{StageClient: i.adapter.Stages(i.pool), clock: i.o.Clock}
+	i.cold = coldstart.NewAllowance(coldstart.Options{
+		Self: i.id(), Instances: i.everHeardOf, Clock: i.o.Clock,
+		Overage: func() float64 { return i.settings().ColdOverage },
+	})
 	i.dispatcher = stagework.New(stagework.Options{
-		Self: i.id(), Client: i.stages, Clock: i.o.Clock, Logger: i.o.Logger,
+		Self: i.id(), Client: i.stages, Clock: i.o.Clock, Logger: i.o.Logger, Cold: i.cold,
 		Reuse: i.cfg.Ingress.ReuseWindow.Duration,
 		First: func(c stagework.Cell) (string, bool) { return i.finder.First(c) },
 	})
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -17,7 +17,7 @@
 var liveKeys = []string{
 	"ingress.address_ttl", "ingress.grace", "ingress.touch", "ingress.fail_closed", "ingress.revocation",
 	"ingress.retry_ratio", "ingress.retry_window", "ingress.retry_extra",
-	"ingress.memory_mb", "ingress.descriptors", "ingress.reuse_window", "peers.seeds",
+	"ingress.cold_overage", "ingress.memory_mb", "ingress.descriptors", "ingress.reuse_window", "peers.seeds",
 }
 
 // retryKeys are those of the retry budget.
@@ -67,6 +67,7 @@
 	live.MemoryMB = to.MemoryMB
 	live.Descriptors = to.Descriptors
 	live.ReuseWindow = to.ReuseWindow
+	live.ColdOverage = to.ColdOverage
 	running.Peers.Seeds = next.Peers.Seeds
 	return running
 }
@@ -118,7 +119,7 @@
 			Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow.Duration,
 			Instances: i.sharers, Clock: i.o.Clock,
 		}),
-		Loads: i.loads, Crashes: i.guard, Place: i.cfg.Instance.Place,
+		Loads: i.loads, Crashes: i.guard, Cold: i.cold, Place: i.cfg.Instance.Place,
 		Clock: i.o.Clock, Rand: i.rand(), Logger: i.o.Logger,
 	})
 }
--- a/internal/forwarding/crashes.go
+++ b/internal/forwarding/crashes.go
@@ -98,7 +98,7 @@
 		defer fl.apart.Unlock()
 		tried = slices.Concat(tried, fl.keptOff())
 	}
-	target, ok = fl.o.Loads.Choose(fl.o.Targets().Ready(fl.service), tried)
+	target, ok = fl.chooseWarm(tried)
 	if !ok {
 		return target, nil, false
 	}
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -140,6 +140,9 @@
 		return false
 	}
 	defer endSuspect()
+	if !ef.takeCold(p.Target) {
+		return ef.skipped(ctx)
+	}
 	sending, headOut, cancel := ef.untilHead(ctx)
 	defer cancel()
 	resp, head, err := ef.send(sending, ef.call(target, p.Inputs, ef.stream.resumeAt()))
@@ -179,7 +182,8 @@
 const maxSkips = 5
 
 // skipped asks for another engine instead of one that leaves or is gone, of
-// which the dispatcher has not heard yet, or that is not known here yet.
+// which the dispatcher has not heard yet, that is not known here yet, or that is
+// cold and gets no more from here now.
 func (ef *engineFlight) skipped(ctx context.Context) bool {
 	if ef.skips++; ef.skips > maxSkips {
 		ef.failStream(ctx, errNoTarget)
--- a/internal/stagework/engine.go
+++ b/internal/stagework/engine.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/coldstart"
 	"lynxhill.example/lynxhill/internal/control/rendezvous"
 	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/relay"
@@ -58,6 +59,7 @@
 	parts    map[string]*list.Element // prompt parts believed to be kept
 	order    *list.List               // of *part, least recently used first
 	kept     int64                    // tokens of them
+	sent     coldstart.Window         // jobs placed here, by owner while it is cold, and of all
 }
 
 // part is a prompt part that an engine keeps.
@@ -194,6 +196,10 @@
 	// at least maxUsed.
 	forgetAt int
 	policy   Policy
+	// coldRate is how many requests a second a cold engine bears; 0 = it is not
+	// bounded. shares says who may send them.
+	coldRate float64
+	shares   ColdShares
 }
 
 // standing is how far an engine comes into question.
@@ -206,26 +212,26 @@
 	standingNone
 )
 
-func (e *engine) standing(now time.Time, avoid []string) standing {
+func (p *pool) standing(e *engine, j *job, now time.Time) standing {
 	switch {
-	case e.gone || e.target.Draining:
+	case e.gone || e.target.Draining || p.spared(e, j, now):
 		return standingNone
-	case slices.Contains(avoid, e.target.ID):
+	case slices.Contains(j.Avoid, e.target.ID):
 		return standingAvoided
-	case now.Before(e.pausedTo):
+	case now.Before(e.pausedTo) || p.crowded(e, now):
 		return standingSuspect
 	}
 	return standingGood
 }
 
 // usable returns the engines that take work by id, those under suspicion only
-// if there are no others. Engines in avoid come last of all. The list is valid
-// until the next call.
-func (p *pool) usable(now time.Time, avoid []string) []*engine {
+// if there are no others. Engines that the job avoids come last of all. The list
+// is valid until the next call.
+func (p *pool) usable(j *job, now time.Time) []*engine {
 	for wanted := standingGood; wanted < standingNone; wanted++ {
 		p.list = p.list[:0]
 		for _, e := range p.order {
-			if e.standing(now, avoid) == wanted {
+			if p.standing(e, j, now) == wanted {
 				p.list = append(p.list, e)
 			}
 		}
@@ -261,7 +267,7 @@
 func (p *pool) choose(j *job, now time.Time) (*engine, int) {
 	var best *engine
 	bestCost, bestMissing := math.Inf(1), 0
-	usable := p.usable(now, j.Avoid)
+	usable := p.usable(j, now)
 	home := home(j.session, usable)
 	var wastes []int
 	if j.Prompt != nil {
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -59,8 +59,9 @@
 }
 
 // Submit hands the job to the dispatcher of the cell that its session belongs
-// to. If that refuses it for lack of time, a second cell is asked.
+// to. If that refuses it for lack of time or of targets, a second cell is asked.
 func (f *Finder) Submit(ctx context.Context, job Job) (Assignment, *Refusal, error) {
+	job.Owner = f.o.Self
 	cells := f.cells()
 	key := job.session()
 	if key == "" {
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -13,6 +13,7 @@
 	ID           string // of the caller's attempt
 	Key          string // names the inputs of the first stages
 	Organisation string
+	Owner        string    // instance that holds the request and sends it to the engine
 	Priority     int       // 0 is the most urgent
 	Aim          time.Time // the first event is on time until then
 	Deadline     time.Time // the caller waits until then
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -43,8 +43,14 @@
 	release func(address string, handles []string)
 	counts  Counts
 	cell    Cell
-	lead    lead
-	policy  Policy
+	// dissolved is set while the cell is not one of those into which the targets
+	// are divided.
+	dissolved bool
+	// coldShares says what owners of jobs may send to cold engines; nil = all
+	// that they want.
+	coldShares ColdShares
+	lead       lead
+	policy     Policy
 }
 
 // Counts is what the planner has seen since its start. Errors are pieces that
@@ -93,6 +99,7 @@
 		}
 		if declared.Engine != nil {
 			p.setEngines(name, *declared.Engine, view)
+			p.pools[name].coldRate = declared.ColdRate
 		}
 	}
 }
@@ -127,7 +134,7 @@
 func (p *Planner) setEngines(name string, limits route.Engine, view *fleet.View) {
 	o := p.pools[name]
 	if o == nil {
-		o = &pool{name: name, engines: make(map[string]*engine), rate: firstRate, first: 50, reuse: p.reuse, used: make(map[string]partUse), policy: p.policy}
+		o = &pool{name: name, engines: make(map[string]*engine), rate: firstRate, first: 50, reuse: p.reuse, used: make(map[string]partUse), policy: p.policy, shares: p.coldShares}
 		p.pools[name] = o
 	}
 	o.limits = limits
