Cells: kept while targets come and go

Cause, by a line for each call in a scratch copy: six booking targets crash at 10.0 s, two of five are left in lac-b; the zone's cell joins lac-a's at 13.5 s and leaves it at 14.5 s. Each time two dispatchers have jobs for the same targets; paces learnt from calls that queued behind each other's (1.38 of what is stated) have requests refused until 18 s. Conclusion: the division is kept (stagework.Division), since it needs no number that fits one deployment.

--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -17,12 +17,13 @@
 // targetsChanged tells the dispatcher of new routes or targets.
 func (i *Instance) targetsChanged() {
 	table, view := i.routes.Table(), i.routes.Targets()
-	cells := stagework.Cells(table, view)
-	i.cells.Store(&cells)
 	i.dispatcher.SetTargets(table, view)
+	cells := i.dispatcher.Cells()
+	i.cells.Store(&cells)
 }
 
-// currentCells returns the parts into which the stage targets are divided.
+// currentCells returns the parts into which the stage targets are divided. It
+// does not wait for the dispatcher, which may be making a plan.
 func (i *Instance) currentCells() []stagework.Cell {
 	if cells := i.cells.Load(); cells != nil {
 		return *cells
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -49,6 +49,8 @@
 	planners map[string]*Planner // by cell
 	table    *route.Table
 	view     *fleet.View
+	division Division
+	cells    []Cell // of the newest view
 	waking   bool
 	freeing  map[freed][]string // results to give up
 }
@@ -79,7 +81,7 @@
 	}
 	if d.view != nil {
 		p.SetTargets(d.table, cell.within(d.view))
-		p.setDissolved(!cell.among(Cells(d.table, d.view)))
+		p.setDissolved(!cell.among(d.cells))
 	}
 	d.planners[cell.Name()] = p
 	d.askTargets(p)
@@ -94,14 +96,24 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table, d.view = table, view
-	cells := Cells(table, view)
+	d.cells = d.division.Next(table, view)
 	for _, p := range d.planners {
 		p.SetTargets(table, p.cell.within(view))
-		p.setDissolved(!p.cell.among(cells))
+		p.setDissolved(!p.cell.among(d.cells))
 		d.proceed(p)
 	}
 }
 
+// Cells returns the parts into which the targets are divided now.
+func (d *Dispatcher) Cells() []Cell {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.cells == nil {
+		return []Cell{{Weight: 1}}
+	}
+	return d.cells
+}
+
 // Counts returns what was seen since the start.
 func (d *Dispatcher) Counts() Counts {
 	d.mu.Lock()
--- a/internal/stagework/dissolved.go
+++ b/internal/stagework/dissolved.go
@@ -3,14 +3,14 @@
 import "slices"
 
 // setDissolved takes in whether the cell is not one of those into which the
-// targets are divided any more. Jobs that can still be done here stay: cells
-// also change while targets come and go, and moving jobs about costs more than
-// a dispatcher too many. Those that can't be done go back to their owners, who
-// take them to another cell.
+// targets are divided any more. Its jobs then go back to their owners with what
+// was made of them, and from there to the dispatchers of other cells.
 //
 // What goes wrong without it: the place of a cell is evacuated, and the jobs
 // that wait there are refused when their time is up, though other cells have
-// targets. One notices refusals seconds after the order, all of one cell.
+// targets; one notices refusals seconds after the order, all of one cell. Or the
+// targets belong to another cell now, and two dispatchers fill them, neither of
+// which knows of the other; one notices calls that take longer than they should.
 func (p *Planner) setDissolved(dissolved bool) {
 	p.dissolved = dissolved
 	if !dissolved {
@@ -18,9 +18,7 @@
 	}
 	p.dueNow()
 	for _, j := range p.staging() {
-		if !p.able(j) {
-			j.leaving = true
-		}
+		j.leaving = true
 	}
 }
 
