Forecast: kinds of requests share what is short

Cause, in a cell in virtual time: requests of the kind with 100 ms more to its aim and one stage less are taken until the queue is just as long as they bear, so that the other kind finds it too long each time. Both have one priority, that of their organisation. Ruled out: that it gives way to others: hardly any of those that are dropped for another's sake is one (a victim chosen by its work for the service that is short, not by all of its work, changes nothing in the curve; kept, since only that work helps).

--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -107,7 +107,7 @@
 // job is the request as the dispatcher gets it.
 func (ef *engineFlight) job() stagework.Job {
 	j := stagework.Job{
-		ID: ef.Request.ID, Key: ef.Request.PieceKey, Priority: ef.priority(),
+		ID: ef.Request.ID, Key: ef.Request.PieceKey, Route: ef.Route.Name, Priority: ef.priority(),
 		Aim: ef.Arrived.Add(ef.aim()), Deadline: ef.firstBy(),
 		Stages: ef.Route.Stages, Pieces: ef.Request.Pieces, Service: ef.service,
 		Prompt: ef.Request.Prompt, Place: ef.o.Place, Made: ef.made,
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -322,7 +322,7 @@
 		Id: j.ID, Key: j.Key, Organisation: j.Organisation, Priority: int32(j.Priority),
 		AimMs: j.Aim.Sub(now).Milliseconds(), DeadlineMs: j.Deadline.Sub(now).Milliseconds(),
 		Service: j.Service, Place: j.Place, Avoid: j.Avoid, Cell: j.Cell, Insist: uint32(j.Insist),
-		Made: madeToProto(j.Made), Owner: j.Owner,
+		Made: madeToProto(j.Made), Owner: j.Owner, Route: j.Route,
 	}
 	for i, s := range j.Stages {
 		stage := &peerpb.WorkStage{Service: s.Service, ResultBytes: uint64(max(s.ResultBytes, 0))}
@@ -350,7 +350,7 @@
 		Aim:      now.Add(time.Duration(m.GetAimMs()) * time.Millisecond),
 		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
 		Service:  m.GetService(), Place: m.GetPlace(), Avoid: m.GetAvoid(), Cell: m.GetCell(), Insist: stagework.Insistence(m.GetInsist()),
-		Made: madeFromProto(m.GetMade()), Owner: m.GetOwner(),
+		Made: madeFromProto(m.GetMade()), Owner: m.GetOwner(), Route: m.GetRoute(),
 	}
 	for _, s := range m.GetStages() {
 		stage := route.Stage{Service: s.GetService(), ResultBytes: int64(s.GetResultBytes())}
--- a/internal/peer/work_test.go
+++ b/internal/peer/work_test.go
@@ -73,7 +73,7 @@
 func TestEveryFieldOfAJobArrives(t *testing.T) {
 	now := time.Now()
 	want := stagework.Job{
-		ID: "i", Key: "k", Organisation: "o", Owner: "w", Priority: 2, Aim: now.Add(-time.Minute), Deadline: now.Add(time.Hour),
+		ID: "i", Key: "k", Organisation: "o", Owner: "w", Route: "r", Priority: 2, Aim: now.Add(-time.Minute), Deadline: now.Add(time.Hour),
 		Stages: []route.Stage{{Service: "s", After: []int{1}, ResultBytes: 1 << 40}, {Service: "t", ResultBytes: 3}}, Pieces: []int{3, 4}, Service: "lm",
 		Prompt: &relay.Prompt{Model: "m", TokensIn: 5, TokensOut: 6, LikelyOut: 7, Parts: []relay.PromptPart{{ID: "p", Tokens: 8}, {ID: "q", Tokens: 9}}},
 		Place:  "z", Avoid: []string{"e", "f"}, Cell: []string{"x", "y"}, Insist: stagework.InsistTried,
--- a/internal/stagework/forecast.go
+++ b/internal/stagework/forecast.go
@@ -31,7 +31,6 @@
 // forecast is the work that lies ahead of a job at each service, in time of
 // one target, and the pieces.
 type forecast struct {
-	number int
 	now    time.Time
 	margin float64
 	ahead  []queueAhead // by the service's number
@@ -49,8 +48,7 @@
 }
 
 func (p *Planner) newForecast(now time.Time) *forecast {
-	p.forecasts++
-	return &forecast{number: p.forecasts, now: now, margin: p.policy.margin(), ahead: make([]queueAhead, len(p.services))}
+	return &forecast{now: now, margin: p.policy.margin(), ahead: make([]queueAhead, len(p.services))}
 }
 
 func (f *forecast) at(v *service) *queueAhead {
@@ -92,24 +90,6 @@
 	return max(piece, time.Duration(inRoom))
 }
 
-// work is the time of targets that the job takes in all.
-func (j *job) work() time.Duration {
-	total := time.Duration(0)
-	for _, u := range j.units {
-		total += time.Duration(len(u.pieces)) * u.service.pieceTime(u.bytes)
-	}
-	return total
-}
-
-// weight is the work of the job, which the search for a victim asks for again
-// and again.
-func (f *forecast) weight(j *job) time.Duration {
-	if j.weighed != f.number {
-		j.weight, j.weighed = j.work(), f.number
-	}
-	return j.weight
-}
-
 // end forecasts the time until the engine's first event if the job follows what
 // lies ahead.
 func (f *forecast) end(j *job) time.Duration {
@@ -121,9 +101,16 @@
 }
 
 // onTime reports whether the job's first event comes by its aim, with a margin.
-func (f *forecast) onTime(j *job) bool {
+// What it would have to wait weighs more while its kind has more of the service
+// that it waits for than others. short may be nil.
+func (f *forecast) onTime(j *job, short *service) bool {
 	end := f.end(j)
-	return end+time.Duration(f.margin*float64(end)) <= j.Aim.Sub(f.now)
+	needed := end + time.Duration(f.margin*float64(end))
+	if short != nil {
+		waits := max(end-j.ownTime, 0)
+		needed += time.Duration(short.shares.surplus(j.Route, f.now) * float64(waits))
+	}
+	return needed <= j.Aim.Sub(f.now)
 }
 
 // engineTime is the time from the last result to the engine's first event.
@@ -166,8 +153,9 @@
 
 // judge decides about a new job: it is on time, or another one that has not
 // been begun has to be late instead, or it is late itself. Of jobs that cannot
-// all be on time the one that takes most of the targets' time is dropped, so
-// that the largest number are (the rule of Moore and Hodgson for one machine).
+// all be on time the one that takes most of the time of the targets that are
+// short is dropped, so that the largest number are (the rule of Moore and Hodgson
+// for one machine).
 func (p *Planner) judge(j *job, now time.Time) {
 	f := p.newForecast(now)
 	waiting := make([]*job, 0, len(p.urgent.jobs)+1)
@@ -184,12 +172,13 @@
 	waiting = slices.Insert(waiting, at, j)
 	var taken []*job
 	for _, next := range waiting {
-		if f.onTime(next) {
+		short := f.longestWait(next)
+		if f.onTime(next, short) {
 			f.add(next)
 			taken = append(taken, next)
 			continue
 		}
-		victim := p.victim(next, taken, f)
+		victim := p.victim(next, short, taken, f)
 		if victim != next {
 			f.drop(victim)
 			f.add(next)
@@ -197,6 +186,9 @@
 			taken = append(taken, next)
 		}
 		victim.late = true
+		if short != nil {
+			short.shares.of(victim.Route, now).late++
+		}
 	}
 }
 
@@ -211,20 +203,31 @@
 	return compare(a.ID, b.ID)
 }
 
-// victim is the job that is late for next to be on time: the largest among
-// those as urgent or less, if next is then on time; else next itself.
-func (p *Planner) victim(next *job, taken []*job, f *forecast) *job {
-	worst := next
+// victim is the job that is late for next to be on time: the one with the most
+// work for the service that next waits for longest among those as urgent or less,
+// if next is then on time; else next itself.
+//
+// What goes wrong where all work counts, not that of the service alone: the job
+// with the most work needs other targets, so that its loss helps nobody, and next
+// is late though a job of its own sort could have given way.
+func (p *Planner) victim(next *job, short *service, taken []*job, f *forecast) *job {
+	if short == nil {
+		return next
+	}
+	worst, most := next, next.workAt(short)
 	for _, t := range taken {
-		if t.Priority >= next.Priority && f.weight(t) > f.weight(worst) {
-			worst = t
+		if t.Priority < next.Priority {
+			continue
+		}
+		if work := t.workAt(short); work > most {
+			worst, most = t, work
 		}
 	}
 	if worst == next {
 		return next
 	}
 	f.drop(worst)
-	onTime := f.onTime(next)
+	onTime := f.onTime(next, short)
 	f.add(worst)
 	if !onTime {
 		return next
@@ -232,6 +235,33 @@
 	return worst
 }
 
+// longestWait is the service for whose targets the job would wait longest; nil
+// if it has nothing to wait for.
+func (f *forecast) longestWait(j *job) (short *service) {
+	longest := time.Duration(-1)
+	for _, u := range j.units {
+		if u.waiting == 0 || u.freed {
+			continue
+		}
+		q := f.at(u.service)
+		if wait := q.firstFree + time.Duration(q.work/float64(max(q.alive, 1))); wait > longest {
+			short, longest = u.service, wait
+		}
+	}
+	return short
+}
+
+// workAt is the time of the service's targets that the job still takes.
+func (j *job) workAt(v *service) time.Duration {
+	work := time.Duration(0)
+	for _, u := range j.units {
+		if u.service == v {
+			work += time.Duration(u.waiting) * v.pieceTime(u.bytes)
+		}
+	}
+	return work
+}
+
 // judgeEvery is how often a late job is judged anew.
 const judgeEvery = 150 * time.Millisecond
 
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -13,6 +13,7 @@
 	ID           string // of the caller's attempt
 	Key          string // names the inputs of the first stages
 	Organisation string
+	Route        string    // kind of request, among which what is short is shared out
 	Owner        string    // instance that holds the request and sends it to the engine
 	Priority     int       // 0 is the most urgent
 	Aim          time.Time // the first event is on time until then
@@ -191,8 +192,6 @@
 	judged  time.Time     // when a late job was last judged
 	late    bool          // it cannot be on time; it gets what the others leave
 	placed  time.Time
-	weight  time.Duration // work in the forecast of the number weighed
-	weighed int
 	missing int // prompt tokens that the engine has to read
 	notify  func(Placement, *Refusal)
 	made    func([]Made) // tells the owner of results; nil = it is not told
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -24,18 +24,17 @@
 // done next. It is not safe for concurrent use; Dispatcher holds its lock.
 // Every method is given the time.
 type Planner struct {
-	services  map[string]*service
-	byName    []*service // services by name, so that runs repeat
-	pools     map[string]*pool
-	jobs      map[*job]struct{}
-	arrived   line               // by arrival
-	urgent    line               // by urgency
-	staged    []*job             // memory of staging
-	dueAt     time.Time          // when the next plan may decide something if nothing happens; zero = now
-	leaving   map[string]leaving // by handle
-	calls     int
-	forecasts int
-	all       *forecast // of all that wait, nil = none is valid
+	services map[string]*service
+	byName   []*service // services by name, so that runs repeat
+	pools    map[string]*pool
+	jobs     map[*job]struct{}
+	arrived  line               // by arrival
+	urgent   line               // by urgency
+	staged   []*job             // memory of staging
+	dueAt    time.Time          // when the next plan may decide something if nothing happens; zero = now
+	leaving  map[string]leaving // by handle
+	calls    int
+	all      *forecast // of all that wait, nil = none is valid
 	// reuse is the time within which it is a waste to read a prompt part that
 	// was read before.
 	reuse time.Duration
@@ -185,6 +184,7 @@
 // their turn.
 func (p *Planner) judgeNew(j *job, now time.Time) *Refusal {
 	j.ownTime = p.remaining(j, now)
+	j.countAsked(now)
 	if !p.policy.NoForecast {
 		p.judge(j, now)
 	}
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -142,8 +142,9 @@
 	// is made until their results are freed.
 	reserved int64
 	// pace is what calls take against what is stated, over all servers.
-	pace float64
-	load loadMeter
+	pace   float64
+	load   loadMeter
+	shares shares
 	// arrivals counts pieces of requests' first stages.
 	arrivals loadMeter
 	// hold is how long results lie after their call, on average.
