Calls wait for room until 0.65 of what could be in them fits

Ruled out: that the room cannot hold more: it fits 113 results, two full calls, and what is waited for is the end of the next stage's call. Ways, cell in virtual time at 2 and 3 times the rate of one kind, on time as a part of what the targets make in full calls: 0.5: 0.889 and 0.898; 0.6: 0.894 and 0.913; 0.65: 0.903 and 0.922; 0.7: 0.903 and 0.919; a longer wait (0.8 of a call's fixed time): 0.889 and 0.902. From 0.7 on TestCallersThatRepeatAtOnceInABurst fails (0.921 of those that repeat at once, 0.813 of the patient). Test: TestWhatIsOnTimeStaysFlatInAnOverload, red before with 0.889 of the 0.9 that the aim asks for. Conclusion: 0.65 kept.

--- a/internal/stagework/calls.go
+++ b/internal/stagework/calls.go
@@ -5,8 +5,11 @@
 // Factors of the wait for room.
 const (
 	// roomFull is the share of the pieces that could be in a call from which on
-	// it is not put off for want of room.
-	roomFull = 0.5
+	// it is not put off for want of room. Of 0.5, 0.6, 0.65, 0.7 and 0.8 the third
+	// has 0.903 and 0.922 of what the targets can make on time at twice and three
+	// times the calm rate of one kind, where 0.5 has 0.889 and 0.898; from 0.7 on
+	// callers that repeat at once get more than a tenth more than patient ones.
+	roomFull = 0.65
 	// roomWait is how long a target waits for room after its last call, in fixed
 	// times of a call.
 	roomWait = 0.5
--- a/internal/stagework/overload_test.go
+++ b/internal/stagework/overload_test.go
@@ -84,11 +84,9 @@
 // surge is what became of a load with a burst, by kind and second.
 type surge struct {
 	kinds map[string][]tally
-	// billing is what the targets of the scarcest service made in the burst.
-	calls, pieces int
 }
 
-// overload plays the demands, those that burst with the factor.
+// surgeOf plays the demands, those that burst with the factor.
 func surgeOf(w *world, seed uint64, factor float64) *surge {
 	s := &surge{kinds: make(map[string][]tally)}
 	var mu sync.Mutex // guards s
@@ -105,7 +103,7 @@
 				}
 				time.Sleep(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
 				job := newJob(fmt.Sprint(kind.name, n), kind.aim, kind.deadline, kind.stages, kind.pieces(r)...)
-				job.Priority = 1
+				job.Priority, job.Route = 1, kind.name
 				second := int(time.Since(began) / time.Second)
 				wg.Go(func() {
 					e, _, _ := w.insist(job, 2, false)
@@ -118,43 +116,83 @@
 	}
 	arrivals.Wait()
 	wg.Wait()
-	w.farm.mu.Lock()
-	defer w.farm.mu.Unlock()
-	for id, t := range w.farm.sent {
-		if id.stage == 1 && t[0].Sub(began) > overloadFrom && t[0].Sub(began) < overloadTo {
-			s.pieces++
-		}
-	}
-	for n := range zoneServices()["billing"].servers {
-		for _, at := range w.farm.servers[fmt.Sprint("billing", n)].begun {
-			if d := at.Sub(began); d > overloadFrom && d < overloadTo {
-				s.calls++
-			}
-		}
-	}
 	return s
 }
 
 var measureOverload = flag.Bool("measure-overload", false, "print the curve of what is served in a burst")
 
+// billingCapacity is what the billing targets make in full calls, in pieces a
+// second.
+func billingCapacity() float64 {
+	g := zoneServices()["billing"]
+	call := g.limits.CallTime + time.Duration(g.limits.Batch)*g.limits.ItemTime
+	return float64(g.servers*g.limits.Batch) / call.Seconds()
+}
+
+// piecesOfBilling is what a request that needs billing asks for there.
+const piecesOfBilling = 6
+
+// goodput is the billing work of the requests that are on time, of those that
+// came between two seconds, as a part of the capacity.
+func (s *surge) goodput(from, to int) float64 {
+	onTime := between(s.kinds["check"], from, to).onTime + between(s.kinds["draft"], from, to).onTime
+	return float64(onTime*piecesOfBilling) / float64(to-from) / billingCapacity()
+}
+
 // TestOverloadCurve prints what is served in a burst.
 func TestOverloadCurve(t *testing.T) {
 	if !*measureOverload {
 		t.Skip("-measure-overload")
 	}
 	for _, factor := range []float64{1, 1.5, 2, 2.5, 3, 4} {
-		for seed := range uint64(2) {
+		for seed := range uint64(loadSeeds) {
 			inWorld(t, zoneServices(), func(w *world) {
 				s := surgeOf(w, seed, factor)
-				line := fmt.Sprintf("factor %.1f seed %d:", factor, seed)
+				line := fmt.Sprintf("factor %.1f seed %d: goodput %.3f", factor, seed, s.goodput(3, 10))
 				for _, kind := range zoneDemands() {
 					c := between(s.kinds[kind.name], 3, 10)
 					line += fmt.Sprintf("  %s %.2f (late %.2f refused %.2f)", kind.name, c.share(),
 						float64(c.late)/float64(c.asked), float64(c.refused)/float64(c.asked))
 				}
-				t.Logf("%s  billing: %.1f pieces a call, %.0f pieces/s, busy %.2f", line, float64(s.pieces)/float64(s.calls),
-					float64(s.pieces)/7, (float64(s.calls)*0.2+float64(s.pieces)*0.0033)/7/4)
+				t.Logf("%s", line)
 			})
 		}
 	}
 }
+
+// Symptom: in a burst of twice to three times the calm rate most of the kind that
+// bursts is late, and of one that needs the same targets a quarter is on time.
+// Events: a zone's cell gets 2 and 3 times the rate of one kind for 7 s, all
+// requests with the same priority. Calm load takes 0.55 of what billing makes in
+// full calls.
+// Cause: as many are taken as come, in calls that are not full; of two kinds the
+// one with less time to spare finds the queue too long each time.
+// What is on time has to stay at nine tenths of what the targets can make, and no
+// kind may have under two thirds of the share of another that needs the same.
+func TestWhatIsOnTimeStaysFlatInAnOverload(t *testing.T) {
+	const least, alike = 0.9, 2.0 / 3
+	for _, factor := range []float64{2, 3} {
+		goodput, check, draft := 0.0, 0.0, 0.0
+		for seed := range uint64(loadSeeds) {
+			inWorld(t, zoneServices(), func(w *world) {
+				s := surgeOf(w, seed, factor)
+				goodput += s.goodput(3, 10) / loadSeeds
+				check += between(s.kinds["check"], 3, 10).share() / loadSeeds
+				draft += between(s.kinds["draft"], 3, 10).share() / loadSeeds
+				if review := between(s.kinds["review"], 0, 16); review.share() < 0.98 {
+					t.Errorf("factor %v, seed %d: a kind whose targets are not short has %+v", factor, seed, review)
+				}
+				if after := between(s.kinds["check"], 12, 16); after.share() < 0.98 {
+					t.Errorf("factor %v, seed %d: two seconds after the burst %+v", factor, seed, after)
+				}
+			})
+		}
+		t.Logf("factor %v: on time %.3f of what can be made, %.2f and %.2f of the kinds", factor, goodput, check, draft)
+		if goodput < least {
+			t.Errorf("factor %v: on time is %.3f of what can be made, want %v", factor, goodput, least)
+		}
+		if draft < alike*check {
+			t.Errorf("factor %v: %.2f of one kind is on time, %.2f of another", factor, draft, check)
+		}
+	}
+}
