--- a/internal/control/routesync/evacuations_test.go
+++ b/internal/control/routesync/evacuations_test.go
@@ -163,11 +163,7 @@
 				}
 				time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
 			}
-			for _, n := range w.nodes {
-				n.link.restore()
-			}
-			time.Sleep(20 * time.Second)
-			want := w.node("fresh", true).evacuated()
+			want := w.settle().evacuated()
 			for id, n := range w.nodes {
 				if got := n.evacuated(); got != want {
 					t.Errorf("seed %d, %s: %s, want %s", seed, id, got, want)
--- a/internal/control/routesync/rig_test.go
+++ b/internal/control/routesync/rig_test.go
@@ -185,6 +185,16 @@
 	return n
 }
 
+// settle gives all nodes the store back, waits until they have heard of all, and
+// returns a node that starts then.
+func (w *world) settle() *node {
+	for _, n := range w.nodes {
+		n.link.restore()
+	}
+	time.Sleep(20 * time.Second)
+	return w.node("fresh", true)
+}
+
 // tell has one node's digest reach the other.
 func (w *world) tell(from, to string) {
 	d := gossip.Digest{From: from}
--- a/internal/control/routesync/routesync_test.go
+++ b/internal/control/routesync/routesync_test.go
@@ -380,12 +380,7 @@
 				}
 				time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
 			}
-			for _, n := range w.nodes {
-				n.link.restore()
-			}
-			time.Sleep(20 * time.Second)
-			fresh := w.node("fresh", true)
-			want := fmt.Sprintf("%d: %s", version, text(fresh.Targets()))
+			want := fmt.Sprintf("%d: %s", version, text(w.settle().Targets()))
 			for id, n := range w.nodes {
 				w.want(n, fmt.Sprintf("seed %d, %s", seed, id), want)
 				if !slices.IsSorted(n.tables) {
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -11,8 +11,6 @@
 
 	"lynxhill.example/lynxhill/internal/peer/peerpb"
 	"lynxhill.example/lynxhill/internal/peer/peerpb/peerpbconnect"
-	"lynxhill.example/lynxhill/internal/relay"
-	"lynxhill.example/lynxhill/internal/route"
 	"lynxhill.example/lynxhill/internal/stagework"
 )
 
@@ -314,61 +312,3 @@
 	}
 	return d
 }
-
-// jobToProto turns moments into what is left of time: clocks of instances
-// differ.
-func jobToProto(j stagework.Job, now time.Time) *peerpb.WorkJob {
-	out := &peerpb.WorkJob{
-		Id: j.ID, Key: j.Key, Organisation: j.Organisation, Priority: int32(j.Priority),
-		AimMs: j.Aim.Sub(now).Milliseconds(), DeadlineMs: j.Deadline.Sub(now).Milliseconds(),
-		Service: j.Service, Place: j.Place, Avoid: j.Avoid, Cell: j.Cell, Insist: uint32(j.Insist),
-		Made: madeToProto(j.Made), Owner: j.Owner, Route: j.Route,
-	}
-	for i, s := range j.Stages {
-		stage := &peerpb.WorkStage{Service: s.Service, ResultBytes: uint64(max(s.ResultBytes, 0))}
-		for _, a := range s.After {
-			stage.After = append(stage.After, uint32(a))
-		}
-		if i < len(j.Pieces) {
-			stage.Pieces = uint32(j.Pieces[i])
-		}
-		out.Stages = append(out.Stages, stage)
-	}
-	if p := j.Prompt; p != nil {
-		out.Prompt = &peerpb.WorkPrompt{Model: p.Model, TokensIn: uint32(p.TokensIn), TokensOut: uint32(p.TokensOut), LikelyOut: uint32(p.LikelyOut)}
-		for _, q := range p.Parts {
-			out.Prompt.PartIds = append(out.Prompt.PartIds, q.ID)
-			out.Prompt.PartTokens = append(out.Prompt.PartTokens, uint32(q.Tokens))
-		}
-	}
-	return out
-}
-
-func jobFromProto(m *peerpb.WorkJob, now time.Time) stagework.Job {
-	j := stagework.Job{
-		ID: m.GetId(), Key: m.GetKey(), Organisation: m.GetOrganisation(), Priority: int(m.GetPriority()),
-		Aim:      now.Add(time.Duration(m.GetAimMs()) * time.Millisecond),
-		Deadline: now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
-		Service:  m.GetService(), Place: m.GetPlace(), Avoid: m.GetAvoid(), Cell: m.GetCell(), Insist: stagework.Insistence(m.GetInsist()),
-		Made: madeFromProto(m.GetMade()), Owner: m.GetOwner(), Route: m.GetRoute(),
-	}
-	for _, s := range m.GetStages() {
-		stage := route.Stage{Service: s.GetService(), ResultBytes: int64(s.GetResultBytes())}
-		for _, a := range s.GetAfter() {
-			stage.After = append(stage.After, int(a))
-		}
-		j.Stages = append(j.Stages, stage)
-		j.Pieces = append(j.Pieces, int(s.GetPieces()))
-	}
-	if p := m.GetPrompt(); p != nil {
-		j.Prompt = &relay.Prompt{Model: p.GetModel(), TokensIn: int(p.GetTokensIn()), TokensOut: int(p.GetTokensOut()), LikelyOut: int(p.GetLikelyOut())}
-		for i, id := range p.GetPartIds() {
-			part := relay.PromptPart{ID: id}
-			if i < len(p.GetPartTokens()) {
-				part.Tokens = int(p.GetPartTokens()[i])
-			}
-			j.Prompt.Parts = append(j.Prompt.Parts, part)
-		}
-	}
-	return j
-}
