Emulator: evacuated zones and cold servers, with tests of the whole path

Cause: the emulator knew neither, so that no test without a bench had servers that count what they get while they are cold, or that a zone gets nothing.

--- a/deploy/emulator/config.go
+++ b/deploy/emulator/config.go
@@ -53,6 +53,8 @@
 	ConnectionLimit int           `json:"connection_limit"`
 	Protocol        string        `json:"protocol"`
 	TLS             bool          `json:"tls"`
+	ColdStartS      float64       `json:"cold_start_s"`
+	ColdPerS        float64       `json:"cold_per_s"`
 	InferenceEngine *EngineConfig `json:"inference_engine,omitempty"`
 	Pieces          *PieceConfig  `json:"pieces,omitempty"`
 }
--- a/deploy/emulator/target.go
+++ b/deploy/emulator/target.go
@@ -42,6 +42,7 @@
 	gate    gate
 	ended   chan struct{}
 	close   sync.Once // closes ended
+	spared  spared
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -123,6 +124,7 @@
 		t.refuse(w, r, http.StatusMisdirectedRequest)
 		return false
 	}
+	t.spare(r)
 	if r.Method == http.MethodGet && r.URL.Path == t.options.HealthPath {
 		t.health(w, r)
 		return false
--- a/deploy/pathtest/rig_test.go
+++ b/deploy/pathtest/rig_test.go
@@ -30,6 +30,8 @@
 	drainTime = time.Second            // within which a leaving server gets no more work
 	leaveTime = 500 * time.Millisecond // within which work for a client that left ends
 	graceTime = 6 * time.Second
+	coldTime  = 2 * time.Second // for which a server is cold after its start
+	coldRate  = 6               // requests in a second that it bears then
 )
 
 // instance is one instance of the product, with what it listens on and dials through.
@@ -114,7 +116,7 @@
 			routeOf("/slowonce/", emulator.NonIdempotent, "slow"), routeOf("/tight/", emulator.NonIdempotent, "tight"),
 		},
 		Services: []emulator.ServiceConfig{
-			{Name: "talk", HealthPath: "/health", InferenceEngine: &emulator.EngineConfig{Slots: 12, KVCacheTokens: 10000, Stride: 4, Models: []emulator.ModelName{{Name: "m"}}}},
+			{Name: "talk", HealthPath: "/health", ColdStartS: coldTime.Seconds(), ColdPerS: coldRate, InferenceEngine: &emulator.EngineConfig{Slots: 12, KVCacheTokens: 10000, Stride: 4, Models: []emulator.ModelName{{Name: "m"}}}},
 			{Name: "cut", HealthPath: "/health", Pieces: &emulator.PieceConfig{Slots: 2, Queue: 4, Batch: 4, CallLatencyMs: 10, ItemLatencyMs: 2, HeadroomMb: 1, HandleTTLS: 4}},
 			{Name: "plain", HealthPath: "/health"}, {Name: "slow", HealthPath: "/health"}, {Name: "tight", HealthPath: "/health"},
 		},
@@ -161,6 +163,7 @@
 	cfg.Ingress.Listen, cfg.Ingress.Readiness, cfg.Ingress.Addresses = i.address, i.readiness, i.addresses
 	cfg.Ingress.AddressTTL, cfg.Ingress.Grace, cfg.Ingress.RetryExtra = config.Of(500*time.Millisecond), config.Of(graceTime), 1000
 	cfg.Ingress.Touch = config.Of(touchTime)
+	cfg.Ingress.Evacuations = true
 	r.must(cfg.Validate())
 	made, err := edge.New(cfg, edge.Adapter{
 		Platform: platform.NewStore(platform.StoreOptions{Endpoint: r.store, Dial: i.dial}),
