Shares of kinds: those that are not asked for are forgotten

Cause, by reading: the kinds of a service were kept for good and looked at with each judgement; deployments declare thousands of routes. Ruled out: a change of decisions: what is forgotten is under the number from which on a kind counts. Tests: TestSurplus, TestKindsAreForgotten (red before: 1,000 kinds). Conclusion: kept.

--- a/internal/stagework/shares.go
+++ b/internal/stagework/shares.go
@@ -16,6 +16,8 @@
 	// sharesLeast is the number of requests within sharesFade from which on a
 	// kind counts.
 	sharesLeast = 2.0
+	// sharesNone is the number below which a kind is forgotten.
+	sharesNone = 0.01
 )
 
 // shares counts at one service how large a part of each kind of request is held
@@ -65,9 +67,13 @@
 		return 0
 	}
 	worst := own.onTime()
-	for _, k := range s.kinds {
-		if k.fade(now); k.asked >= sharesLeast {
+	for name, k := range s.kinds {
+		k.fade(now)
+		switch {
+		case k.asked >= sharesLeast:
 			worst = min(worst, k.onTime())
+		case k.asked < sharesNone:
+			delete(s.kinds, name) // deployments may declare thousands of routes
 		}
 	}
 	return fairWait * (own.onTime() - worst)
