--- a/cmd/lynxbench/main.go
+++ b/cmd/lynxbench/main.go
@@ -26,6 +26,7 @@
 	Ready    readyCmd    `cmd:"" help:"Tell by the status whether the instances of running stand-ins take requests."`
 	Capacity capacityCmd `cmd:"" help:"Measure what instances spend on control, in growing numbers, with fitted slopes."`
 	Stages   stagesCmd   `cmd:"" help:"Compare the scheduling policies of stage work, each with its baseline, in virtual time."`
+	Fluid    fluidCmd    `cmd:"" help:"Print what a deployment could serve on time at most, by its sheet alone."`
 }
 
 func main() {
