--- a/internal/bench/fluid/sheet.go
+++ b/internal/bench/fluid/sheet.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"time"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -135,11 +134,6 @@
 	return -1
 }
 
-// full is the time of a full call.
-func (v Service) full() time.Duration {
-	return v.Call.Duration + time.Duration(v.Batch)*v.Item.Duration
-}
-
 // cost is the time of one target that a piece takes in full calls, in seconds:
 // its part of the fixed time, and its own.
 func (v Service) cost(work float64) float64 {
