Engines: crowded ones go before those that fail

Cause: an engine that got as much in a second as it would bear cold counted as a suspect; with all of them crowded the one that breaks off and the one that had crashed were as good as the others, and requests used up their four sends there. Ruled out: load: it fails with little, and the untouched code beside it does not. Change: crowded engines come after good ones and before those under suspicion.

--- a/internal/stagework/coldengines.go
+++ b/internal/stagework/coldengines.go
@@ -21,8 +21,9 @@
 }
 
 // crowded reports whether the engine got as much within the last second as it
-// would bear if it were cold. Such an engine gets more only if no other takes
-// work.
+// would bear if it were cold. Such an engine gets more only if no other that is
+// well takes work; it goes before those under suspicion, since else those that
+// fail get as much as those that are well as soon as all are crowded.
 //
 // What goes wrong without it: engines become cold in the middle of their work,
 // and tell it a heartbeat later. Until then one of which many requests share a
--- a/internal/stagework/coldengines_test.go
+++ b/internal/stagework/coldengines_test.go
@@ -82,6 +82,25 @@
 	}
 }
 
+// Symptom: streams that may be resumed end after eleven of fifteen events.
+// Events: all engines get more than they would bear cold; one of them fails what
+// it gets.
+// Cause: crowded engines were held for suspects, so that the one that fails was as
+// good as the others, and requests used up their attempts there.
+func TestCrowdedEnginesGoBeforeThoseThatFail(t *testing.T) {
+	const rate = 3
+	c := coldChooser(t, 3, 0, rate)
+	for k := range 3 * rate {
+		c.place("s", k, 100)
+	}
+	c.pools["lm"].engines["lm1"].failed(c.now)
+	for k := range 6 {
+		if _, id := c.place("t", k, 100); id == "lm1" {
+			t.Error("a request was placed at the engine that fails")
+		}
+	}
+}
+
 // Symptom: an engine crashes though no target was told to be cold.
 // Events: engines become cold in the middle of their work, and tell it 2 s
 // later; much of the traffic shares one prompt part.
--- a/internal/stagework/engine.go
+++ b/internal/stagework/engine.go
@@ -184,6 +184,7 @@
 
 const (
 	standingGood    standing = iota
+	standingCrowded          // it has got as much as it would bear if it were cold
 	standingSuspect          // it failed or was full a moment ago
 	standingAvoided          // it has failed this request
 	standingNone
@@ -195,14 +196,16 @@
 		return standingNone
 	case slices.Contains(j.Avoid, e.target.ID):
 		return standingAvoided
-	case now.Before(e.pausedTo) || p.crowded(e, now):
+	case now.Before(e.pausedTo):
 		return standingSuspect
+	case p.crowded(e, now):
+		return standingCrowded
 	}
 	return standingGood
 }
 
-// usable returns the engines that take work by id, those under suspicion only
-// if there are no others. Engines that the job avoids come last of all. The list
+// usable returns the engines that take work by id, crowded ones and then those
+// under suspicion only if there are no others. Engines that the job avoids come last of all. The list
 // is valid until the next call.
 func (p *pool) usable(j *job, now time.Time) []*engine {
 	for wanted := standingGood; wanted < standingNone; wanted++ {
