Test of the wait for room: by the share that is in force

Why it was wrong: it pinned the old number. In its place half and three fifths wait, and three quarters begin: as strict, on both sides of the share. Conclusion: the package's tests pass.

--- a/internal/stagework/calls_test.go
+++ b/internal/stagework/calls_test.go
@@ -103,7 +103,7 @@
 // Pattern: a burst of requests whose results lie at their makers until the next
 // stage has read them, and fill the room. Symptom: targets are always busy with
 // calls of a few pieces, as many as results were given up. Grounds: with room for
-// half of what waits a call begins at once; with less it waits for half of a
+// roomFull of what waits a call begins at once; with less it waits for half of a
 // call's fixed time of 100 ms after the one before, in which the next stage
 // usually ends, and not for ever.
 func TestACallWaitsForRoomOfTheResultsBefore(t *testing.T) {
@@ -115,7 +115,9 @@
 		"room for a third":             {room: 3, want: 0},
 		"room for a third, after 45ms": {room: 3, idle: 45 * ms, want: 0},
 		"room for a third, after 50ms": {room: 3, idle: 50 * ms, want: 2},
-		"room for half":                {room: 4, want: 4},
+		"room for half":                {room: 4, want: 0},
+		"room for three fifths":        {room: 5, want: 0},
+		"room for three quarters":      {room: 6, want: 6},
 		"room for all":                 {room: 8, want: 8},
 	} {
 		t.Run(name, func(t *testing.T) {
