Sight: what targets ask in their answers is read, logged and counted

Cause: not decided by this commit; no decision reads what is kept here yet. Change: each answer of a target, whatever call it is to (requests, stage calls, reports, results given up), passes one place: exchange.Options.OnSend. Ruled out: reading it in forwarding and in the stage client apart: the answers to free and report would be missed.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -46,6 +46,9 @@
 	Limits *Table[Limit]
 	// Refused by request fingerprint: requests that crash targets.
 	Refused *Table[Refusal]
+	// Notices by target id: what targets ask in their answers; written by the
+	// notice keeper.
+	Notices *Table[Notice]
 	// Self holds one row, SelfRow: what this instance may do now.
 	Self *Table[Self]
 }
@@ -72,6 +75,7 @@
 		Steering:   NewTable[Steering](),
 		Limits:     NewTable[Limit](),
 		Refused:    NewTable[Refusal](),
+		Notices:    NewTable[Notice](),
 		Self:       NewTable[Self](),
 	}
 }
@@ -120,6 +124,25 @@
 	return t.LeavingSign
 }
 
+// Notice is what a target asked, in its newest answers, of all who send it
+// requests.
+type Notice struct {
+	// Leaving is set once the target said that it leaves. It is never taken
+	// back: one that starts again has another id.
+	Leaving bool
+	Limit   TargetLimit
+	// PausedTo is until when the target wants nothing from this instance; zero =
+	// it has not said so.
+	PausedTo time.Time
+}
+
+// TargetLimit is what a target last said about how many requests it takes.
+type TargetLimit struct {
+	Named bool    // false = the target names no limit, or none any more
+	Rate  float64 // requests a second from all instances together
+	At    time.Time
+}
+
 // Load is a target's load report with when it reached this instance.
 type Load struct {
 	Report   targetapi.LoadReport
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -30,6 +30,7 @@
 	"lynxhill.example/lynxhill/internal/ingress"
 	"lynxhill.example/lynxhill/internal/membership"
 	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/notice"
 	"lynxhill.example/lynxhill/internal/peer"
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/route"
@@ -94,6 +95,7 @@
 	guard      *crashguard.Guard
 	loads      *forwarding.Loads
 	cold       *coldstart.Allowance
+	notices    *notice.Keeper
 	forwarder  currentForwarder
 	ingress    *ingress.Ingress
 
@@ -210,7 +212,8 @@
 
 // assembleRequestPath makes what carries requests.
 func (i *Instance) assembleRequestPath() {
-	i.pool = exchange.New(exchange.Options{Dial: i.o.Dial, AnswerID: i.adapter.AnswerID})
+	i.notices = notice.New(notice.Options{Board: i.board, Clock: i.o.Clock, Logger: i.o.Logger, Metrics: i.metrics})
+	i.pool = exchange.New(exchange.Options{Dial: i.o.Dial, AnswerID: i.adapter.AnswerID, OnSend: i.listen})
 	i.stages = &timedStages{StageClient: i.adapter.Stages(i.pool), clock: i.o.Clock}
 	i.cold = coldstart.NewAllowance(coldstart.Options{
 		Self: i.id(), Instances: i.everHeardOf, Clock: i.o.Clock,
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -53,6 +54,16 @@
 func (wire) Outgoing(*relay.Request, relay.Call) http.Header { return http.Header{} }
 func (wire) Own(http.Header, *relay.Request, time.Duration)  {}
 func (wire) AnswerHeader(h http.Header) http.Header          { return h }
+func (wire) Notice(status int, h http.Header) (n fleet.Notice) {
+	n.Leaving = h.Get("Leaving") != ""
+	if rate, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		n.Limit = &rate
+	}
+	if pause, err := time.ParseDuration(h.Get("Pause")); err == nil {
+		n.Pause = pause
+	}
+	return n
+}
 func (wire) Answer(r *http.Response) relay.Answer {
 	return relay.Answer{Signed: true, NotRun: r.StatusCode == 503}
 }
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -62,6 +62,11 @@
 	// connection, between its check and the request, is told only by this.
 	AnswerID func(http.Header) string
 
+	// OnSend is called with each request that is about to be sent. What it
+	// returns is given the status and header of the request's own answer, if one
+	// comes. Nil = nobody listens.
+	OnSend func(Request) (onAnswer func(status int, h http.Header))
+
 	// Unacked returns how many bytes written to the connection the machine at its
 	// other end has not acknowledged, 0 if that isn't known. Default asks the
 	// kernel.
@@ -92,6 +97,7 @@
 // answer while the body is still being written.
 type Request struct {
 	Address string // host:port to connect to
+	Target  string // id of the target that is meant, for OnSend; "" = not known
 	Method  string // any but CONNECT
 	URI     string // request target, sent byte for byte
 	Host    string // Host header, sent byte for byte; "" = Address
@@ -170,6 +176,9 @@
 	if opts.AnswerID == nil {
 		opts.AnswerID = func(http.Header) string { return "" }
 	}
+	if opts.OnSend == nil {
+		opts.OnSend = func(Request) func(int, http.Header) { return func(int, http.Header) {} }
+	}
 	return &Pool{opts: opts, idle: make(map[string][]*conn)}
 }
 
@@ -195,11 +204,13 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	onAnswer := p.opts.OnSend(r)
 	x := p.begin(ctx, c, r, head)
 	resp, err := x.answer()
 	if err != nil {
 		return nil, x.fail(err)
 	}
+	onAnswer(resp.StatusCode, resp.Header)
 	body, err := x.body(resp)
 	if err != nil {
 		return nil, x.fail(err)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -28,6 +28,19 @@
 // Cold reports whether the target has to be spared at the moment.
 func (t Target) Cold(now time.Time) bool { return now.Before(t.ColdUntil) }
 
+// Notice is what a target asks, in an answer, of those who send it requests.
+type Notice struct {
+	Leaving bool // it leaves and wants no new work
+	// Limit is how many requests a second the target takes from all instances
+	// together; nil = it names no limit.
+	Limit *float64
+	// Pause is for how long a target that turned the request away wants nothing
+	// more from this instance; 0 = it does not say.
+	Pause time.Duration
+	// Unreadable is what the target said and could not be read; "" = nothing.
+	Unreadable string
+}
+
 // View is the targets at one moment. It never changes.
 type View struct {
 	Revision  uint64 // of the store, newest change seen
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -245,6 +245,7 @@
 	resp, err := fl.o.Exchange.Do(ctx, exchange.Request{
 		Fresh: fl.fresh, SilentAfter: fl.silentAfter(),
 		Address: c.Target.Address,
+		Target:  c.Target.ID,
 		Method:  fl.Request.Method,
 		URI:     fl.Request.URI,
 		Host:    fl.Request.Host,
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -78,6 +78,9 @@
 	Outgoing(req *Request, call Call) http.Header
 	// Answer reads the head of a target's answer.
 	Answer(r *http.Response) Answer
+	// Notice reads what the head of a target's answer asks of those who send it
+	// requests. An answer of another target at the same address asks nothing.
+	Notice(status int, h http.Header) fleet.Notice
 	// AnswerHeader returns the header of a target's answer as its caller gets
 	// it: without what concerns one connection.
 	AnswerHeader(h http.Header) http.Header
