Package allowance: shares of what targets bear, for any rate and span

Cause: what cold targets bear is shared out by the instances' names alone; a limit that a target names needs the same with another span. Change: coldstart becomes allowance; the span and the number of requests at a rate are a Bound. Shares, senders (the same keys) and windows are as they were; what is remembered of limits, targets and keys is bounded. Conclusion: allowance and stagework tests pass unchanged but for names.

--- a/internal/coldstart/allowance.go
+++ b/internal/allowance/allowance.go
@@ -1,4 +1,4 @@
-package coldstart
+package allowance
 
 import (
 	"sync"
@@ -13,14 +13,12 @@
 	// Instances returns the ids of all instances that were ever heard of, dead
 	// ones and this one included, in order; nil while they are not known.
 	Instances func() []string
-	// Overage is by how much a target's declared rate may be exceeded; below 1
-	// counts as 1.
-	Overage func() float64
-	Clock   clock.Clock
+	Bound     Bound
+	Clock     clock.Clock
 }
 
-// Allowance is what this instance may send to cold targets. It is safe for
-// concurrent use.
+// Allowance is what this instance may send to targets of one bound. It is safe
+// for concurrent use.
 type Allowance struct {
 	o     Options
 	began time.Time
@@ -34,11 +32,14 @@
 
 // NewAllowance returns the allowance of an instance that starts now.
 func NewAllowance(o Options) *Allowance {
-	return &Allowance{o: o, began: o.Clock.Now(), shares: make(map[int]*Shares)}
+	return &Allowance{o: o, began: o.Clock.Now(), shares: make(map[int]*Shares), sent: NewWindow(o.Bound.Span)}
 }
 
+// Span is the time over which requests are counted.
+func (a *Allowance) Span() time.Duration { return a.o.Bound.Span }
+
 // Share returns how many requests the instance, this one or another, may send
-// in a Span to a cold target of a service with the declared rate.
+// in a Span to the target with the rate.
 func (a *Allowance) Share(instance, target string, rate float64) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -46,9 +47,12 @@
 }
 
 func (a *Allowance) share(instance, target string, rate float64) int {
-	limit := Limit(rate, a.o.Overage())
+	limit := a.o.Bound.Requests(rate)
 	s := a.shares[limit]
 	if s == nil {
+		if len(a.shares) >= maxLimits {
+			clear(a.shares)
+		}
 		s = &Shares{}
 		a.shares[limit] = s
 	}
@@ -56,6 +60,9 @@
 	return s.Share(instance, target)
 }
 
+// maxLimits is how many different limits are remembered with their shares.
+const maxLimits = 64
+
 // knownFor is how long the instances are taken to be the same: a dispatcher asks
 // for many targets with each placement.
 const knownFor = 250 * time.Millisecond
@@ -67,7 +74,7 @@
 	return a.instances
 }
 
-// May reports whether this instance may send a request to the cold target now.
+// May reports whether this instance may send a request to the target now.
 func (a *Allowance) May(target string, rate float64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -75,7 +82,7 @@
 }
 
 func (a *Allowance) may(target string, rate float64, now time.Time) bool {
-	return now.Sub(a.began) >= Span && a.sent.Count(target, now) < a.share(a.o.Self, target, rate)
+	return now.Sub(a.began) >= a.o.Bound.Span && a.sent.Count(target, now) < a.share(a.o.Self, target, rate)
 }
 
 // Take is May and, if so, counts the request, which is to be sent at once.
--- a/internal/coldstart/coldstart_test.go
+++ b/internal/allowance/allowance_test.go
@@ -1,4 +1,4 @@
-package coldstart
+package allowance
 
 import (
 	"fmt"
@@ -21,12 +21,12 @@
 	return list
 }
 
-func TestLimit(t *testing.T) {
+func TestColdRequests(t *testing.T) {
 	for _, c := range []struct {
 		rate, overage float64
 		want          int
 	}{{15, 1.5, 22}, {15, 1, 15}, {15, 0, 15}, {0.5, 1.5, 0}, {2, 1.25, 2}, {4, 1.25, 5}} {
-		if got := Limit(c.rate, c.overage); got != c.want {
+		if got := coldRequests(c.rate, c.overage); got != c.want {
 			t.Errorf("rate %v, overage %v: %d, want %d", c.rate, c.overage, got, c.want)
 		}
 	}
@@ -92,7 +92,7 @@
 		}
 		life.Allowance = NewAllowance(Options{
 			Self: all[i], Clock: mock, Instances: func() []string { return life.heard },
-			Overage: func() float64 { return 1.5 },
+			Bound: Cold(func() float64 { return 1.5 }),
 		})
 		return life
 	}
@@ -150,6 +150,9 @@
 		sum := 0
 		now := time.Unix(0, 0)
 		windows := make([]Window, dispatchers)
+		for k := range windows {
+			windows[k] = NewWindow(ColdSpan)
+		}
 		for k := range windows {
 			for windows[k].Count("target", now) < each {
 				windows[k].Add("target", now)
@@ -167,18 +170,18 @@
 	mock := quartz.NewMock(t)
 	a := NewAllowance(Options{
 		Self: "i-000", Clock: mock, Instances: func() []string { return names(1) },
-		Overage: func() float64 { return 1 },
+		Bound: Cold(func() float64 { return 1 }),
 	})
 	if a.Take("target", 15) {
 		t.Error("sent at once")
 	}
-	mock.Set(mock.Now().Add(Span))
+	mock.Set(mock.Now().Add(ColdSpan))
 	for k := range 20 {
 		if took := a.Take("target", 15); took != (k < 15) {
 			t.Errorf("request %d: taken %v", k, took)
 		}
 	}
-	mock.Set(mock.Now().Add(Span))
+	mock.Set(mock.Now().Add(ColdSpan))
 	if !a.Take("target", 15) {
 		t.Error("nothing is sent a span later")
 	}
--- a/internal/coldstart/coldstart.go
+++ b/internal/allowance/shares.go
@@ -1,35 +1,16 @@
-// Package coldstart shares out among the instances what targets that have just
-// started may get: few requests a second, summed over all instances, beyond
-// which such a target crashes. It does no I/O and is given the time.
-//
-// The share follows from the names of the instances alone. Nothing is agreed
-// for it and nothing is counted together, so that the sum keeps to the bound
-// while instances are cut off from each other, hold each other for dead, die
-// and start again: an instance that is down leaves its share unused. Two things
-// would break that, and both are kept from it. Instances whose lists differ
-// rank differently; each that only one of two lists names adds one sender at
-// most, which is what the bound's tolerance is kept for. An instance that
-// starts again does not know what it sent a moment ago, so it sends nothing to
-// cold targets in its first Span.
-package coldstart
+package allowance
 
 import (
-	"math"
+	"maps"
 	"slices"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/control/rendezvous"
 )
 
-// Span is the time over which requests are counted. It is a second and a
-// little, since the bound holds for any second and timers are not exact.
-const Span = 1050 * time.Millisecond
-
-// Limit is how many requests all instances together may send to a target in a
-// Span: the declared rate times what operators let it be exceeded by.
-func Limit(rate, overage float64) int {
-	return int(math.Floor(rate * max(overage, 1)))
-}
+// maxSenders is how many targets' senders are remembered; they are worked out
+// again if there are more.
+const maxSenders = 4096
 
 // Shares knows which instance may send how much to which target. It is not safe
 // for concurrent use.
@@ -42,14 +23,14 @@
 // Set takes in the instances, alive or not, in order, and the limit of a
 // target. Dead ones count: who holds them for dead may be cut off from them.
 func (s *Shares) Set(instances []string, limit int) {
-	if limit == s.limit && slices.Equal(instances, s.instances) {
+	if limit == s.limit && slices.Equal(instances, s.instances) && len(s.senders) < maxSenders {
 		return
 	}
 	s.instances, s.limit, s.senders = slices.Clone(instances), limit, make(map[string][]string)
 }
 
 // Share returns how many requests the instance may send to the target in a
-// Span: an equal part of the limit, or where there are more instances than it
+// span: an equal part of the limit, or where there are more instances than it
 // allows requests, one request for as many instances as it allows.
 func (s *Shares) Share(instance, target string) int {
 	if !slices.Contains(s.instances, instance) {
@@ -69,15 +50,19 @@
 	return 0
 }
 
-// Window counts what was sent within the last Span, by whatever key. It is not
+// Window counts what was sent within the last span, by whatever key. It is not
 // safe for concurrent use.
 type Window struct {
+	span time.Duration
 	sent map[string][]time.Time
 }
 
+// NewWindow returns a window in which nothing was sent.
+func NewWindow(span time.Duration) Window { return Window{span: span} }
+
 // Count returns how much was sent for the key.
 func (w *Window) Count(key string, now time.Time) int {
-	times := slices.DeleteFunc(w.sent[key], func(at time.Time) bool { return now.Sub(at) >= Span })
+	times := slices.DeleteFunc(w.sent[key], func(at time.Time) bool { return now.Sub(at) >= w.span })
 	if len(times) == 0 {
 		delete(w.sent, key)
 		return 0
@@ -91,5 +76,12 @@
 	if w.sent == nil {
 		w.sent = make(map[string][]time.Time)
 	}
+	if len(w.sent) >= maxKeys {
+		maps.DeleteFunc(w.sent, func(_ string, times []time.Time) bool { return now.Sub(times[len(times)-1]) >= w.span })
+	}
 	w.sent[key] = append(w.sent[key], now)
 }
+
+// maxKeys is the number of keys from which on those that nothing was sent for
+// lately are dropped.
+const maxKeys = 4096
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -16,10 +16,10 @@
 
 	"github.com/coder/quartz"
 
+	"lynxhill.example/lynxhill/internal/allowance"
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/bootclock"
 	"lynxhill.example/lynxhill/internal/clock"
-	"lynxhill.example/lynxhill/internal/coldstart"
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/control/routesync"
 	"lynxhill.example/lynxhill/internal/crashguard"
@@ -94,7 +94,7 @@
 	finder     *stagework.Finder
 	guard      *crashguard.Guard
 	loads      *forwarding.Loads
-	cold       *coldstart.Allowance
+	cold       *allowance.Allowance
 	notices    *notice.Keeper
 	forwarder  currentForwarder
 	ingress    *ingress.Ingress
@@ -215,9 +215,9 @@
 	i.notices = notice.New(notice.Options{Board: i.board, Clock: i.o.Clock, Logger: i.o.Logger, Metrics: i.metrics})
 	i.pool = exchange.New(exchange.Options{Dial: i.o.Dial, AnswerID: i.adapter.AnswerID, OnSend: i.listen})
 	i.stages = &timedStages{StageClient: i.adapter.Stages(i.pool), clock: i.o.Clock}
-	i.cold = coldstart.NewAllowance(coldstart.Options{
+	i.cold = allowance.NewAllowance(allowance.Options{
 		Self: i.id(), Instances: i.everHeardOf, Clock: i.o.Clock,
-		Overage: func() float64 { return i.settings().ColdOverage },
+		Bound: allowance.Cold(func() float64 { return i.settings().ColdOverage }),
 	})
 	i.dispatcher = stagework.New(stagework.Options{
 		Self: i.id(), Client: i.stages, Clock: i.o.Clock, Logger: i.o.Logger, Cold: i.cold,
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -19,8 +19,8 @@
 
 	"golang.org/x/sync/singleflight"
 
+	"lynxhill.example/lynxhill/internal/allowance"
 	"lynxhill.example/lynxhill/internal/clock"
-	"lynxhill.example/lynxhill/internal/coldstart"
 	"lynxhill.example/lynxhill/internal/crashguard"
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
@@ -49,7 +49,7 @@
 	Budget   *Budget
 	Loads    *Loads
 	Crashes  *crashguard.Guard
-	Cold     *coldstart.Allowance // nil = cold targets are not spared
+	Cold     *allowance.Allowance // nil = cold targets are not spared
 	Place    string
 	Clock    clock.Clock
 	Rand     *rand.Rand
--- a/internal/stagework/coldengines.go
+++ b/internal/stagework/coldengines.go
@@ -3,7 +3,7 @@
 import "time"
 
 // ColdShares says how many requests an instance may send within
-// coldstart.Span to a cold target of a service with the declared rate.
+// allowance.ColdSpan to a cold target of a service with the declared rate.
 type ColdShares interface {
 	Share(instance, target string, rate float64) int
 }
@@ -12,7 +12,7 @@
 const allOwners = ""
 
 // spared reports whether the engine is cold and the job's owner has no share of
-// it left. The owner would not send the request there (coldstart.Allowance).
+// it left. The owner would not send the request there (allowance.Allowance).
 func (p *pool) spared(e *engine, j *job, now time.Time) bool {
 	if p.coldRate <= 0 || p.shares == nil || !e.target.Cold(now) {
 		return false
--- a/internal/stagework/coldengines_test.go
+++ b/internal/stagework/coldengines_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"lynxhill.example/lynxhill/internal/coldstart"
+	"lynxhill.example/lynxhill/internal/allowance"
 	"lynxhill.example/lynxhill/internal/fleet"
 )
 
@@ -46,7 +46,7 @@
 	if atCold > 1 {
 		t.Errorf("%d jobs of one owner at the cold engine, its share is 1", atCold)
 	}
-	c.now = c.now.Add(coldstart.Span)
+	c.now = c.now.Add(allowance.ColdSpan)
 	all := 0
 	for k := range 20 {
 		in := Job{ID: fmt.Sprint("o", k), Owner: fmt.Sprint("i-", k), Service: "lm", Aim: c.now.Add(time.Second), Deadline: c.now.Add(time.Minute)}
--- a/internal/stagework/engine.go
+++ b/internal/stagework/engine.go
@@ -6,7 +6,7 @@
 	"slices"
 	"time"
 
-	"lynxhill.example/lynxhill/internal/coldstart"
+	"lynxhill.example/lynxhill/internal/allowance"
 	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/route"
@@ -36,7 +36,7 @@
 	parts    map[string]*list.Element // prompt parts believed to be kept
 	order    *list.List               // of *part, least recently used first
 	kept     int64                    // tokens of them
-	sent     coldstart.Window         // jobs placed here, by owner while it is cold, and of all
+	sent     allowance.Window         // jobs placed here, by owner while it is cold, and of all
 }
 
 // part is a prompt part that an engine keeps.
@@ -46,7 +46,7 @@
 }
 
 func newEngine(t fleet.Target) *engine {
-	return &engine{target: t, slow: 1, parts: make(map[string]*list.Element), order: list.New()}
+	return &engine{target: t, slow: 1, sent: allowance.NewWindow(allowance.ColdSpan), parts: make(map[string]*list.Element), order: list.New()}
 }
 
 // missing returns the tokens of the prompt that the engine has to read: all
