Failing tests: a target's word that it leaves, and for how long it wants nothing (DRAIN)

Symptom: as reported: requests reach a target seconds after an answer told the instance that it leaves; a target that turns requests away with a time gets more within it. Events: the store is away and entries still say ready, as in the incident; targets of engines, stages and plain services alike. Also: results given up count against a target's limit in the emulator: they are requests too.

--- a/deploy/emulator/asks.go
+++ b/deploy/emulator/asks.go
@@ -134,19 +134,14 @@
 
 // heed records a request, and breaches of what the server has asked.
 func (t *Target) heed(r *http.Request) {
-	if r.Method != http.MethodPost || r.URL.Path == "/lynxhill/stage-free" {
+	if r.Method != http.MethodPost {
 		return
 	}
 	a, now, from, id := &t.asks, time.Now(), machine(r), r.Header.Get("Attempt-Id")
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if told, ok := a.toldLeaving[from]; ok && now.Sub(told) > a.leaveWithin {
-		t.options.Journal.violate(NameLeaving, id, "%s at %s from %s, %v after it was told", r.URL.Path, t.options.Instance, from, now.Sub(told))
-	}
-	if at, ok := a.pausedAt[from]; ok && now.Sub(at) > pauseHeard && now.Sub(at) < a.pause {
-		if a.afterward[from]++; a.afterward[from] > pauseExtra {
-			t.options.Journal.violate(NamePause, id, "%d requests at %s from %s, which it turned away for %v", a.afterward[from], t.options.Instance, from, a.pause)
-		}
+	if r.URL.Path != "/lynxhill/stage-free" {
+		t.heedLeaving(r, now, from, id)
 	}
 	if !a.limited || now.Before(a.countFrom) {
 		return
@@ -157,3 +152,17 @@
 		t.options.Journal.violate(NameLimit, id, "%d requests in %v at %s, which takes %v a second; %v allowed", len(a.arrived), limitWindow, t.options.Instance, a.limit, allowed)
 	}
 }
+
+// heedLeaving records a request to a server that leaves, or that wants nothing
+// from the machine. The lock is held.
+func (t *Target) heedLeaving(r *http.Request, now time.Time, from, id string) {
+	a := &t.asks
+	if told, ok := a.toldLeaving[from]; ok && now.Sub(told) > a.leaveWithin {
+		t.options.Journal.violate(NameLeaving, id, "%s at %s from %s, %v after it was told", r.URL.Path, t.options.Instance, from, now.Sub(told))
+	}
+	if at, ok := a.pausedAt[from]; ok && now.Sub(at) > pauseHeard && now.Sub(at) < a.pause {
+		if a.afterward[from]++; a.afterward[from] > pauseExtra {
+			t.options.Journal.violate(NamePause, id, "%d requests at %s from %s, which it turned away for %v", a.afterward[from], t.options.Instance, from, a.pause)
+		}
+	}
+}
--- a/deploy/pathtest/asks_test.go
+++ b/deploy/pathtest/asks_test.go
@@ -36,3 +36,42 @@
 	r.check()
 	r.allServed("all the while", all)
 }
+
+// TestLeavingIsHeardFromAnswers. Symptom: requests reach a target seconds after an answer had told the instance that it
+// leaves. Events: the store is away; one target of each sort of service begins to leave and says so in its answers, while
+// its entry still says that it is ready; one instance reaches no other. Cause: not known; that only the entry is read is
+// the first of three hypotheses.
+func TestLeavingIsHeardFromAnswers(t *testing.T) {
+	r := start(t, 3, nil)
+	stop := r.load(12, emulator.ClientOptions{}, mixed()...)
+	time.Sleep(500 * time.Millisecond)
+	r.world.Store.SetFault("", emulator.StoreFault{Down: emulator.Down503})
+	for _, service := range []string{"talk", "cut", "plain"} {
+		r.world.Servers(service)[0].AskLeaving(drainTime)
+	}
+	time.Sleep(drainTime + 3*time.Second)
+	r.world.Store.SetFault("", emulator.StoreFault{})
+	time.Sleep(2 * time.Second) // the entries still say that they are ready
+	all := stop()
+	r.check()
+	r.allServed("all the while", all)
+}
+
+// TestPauseIsHeeded. Symptom: a target that turns requests away, and says for how long it wants none, gets as many from
+// the same instance all the while. Events: one target of each sort of service turns everything away for a time. Cause: not
+// known; the time is passed on to callers and read by nobody.
+func TestPauseIsHeeded(t *testing.T) {
+	const pause = 3 * time.Second
+	r := start(t, 3, nil)
+	stop := r.load(12, emulator.ClientOptions{}, mixed()...)
+	time.Sleep(500 * time.Millisecond)
+	for _, service := range []string{"talk", "cut", "plain"} {
+		s := r.world.Servers(service)[0]
+		s.TurnAway(pause)
+		defer s.TurnAway(0)
+	}
+	time.Sleep(2*pause + time.Second)
+	all := stop()
+	r.check()
+	r.allServed("all the while", all)
+}
