A target that says in an answer that it leaves gets no new work at once

Symptom: requests reach a target 2.8 to 5.5 s after an answer had told the instance that it leaves (2 s allowed); answers break off when it ends. Cause: that a target leaves was taken from its entry alone, which nobody reads while the store is away. Change: the word marks the target in the view from which all choices are made (plain targets, engines, stage calls, cells), in the same step in which the answer's head is read, and is told to the others at once. It is never taken back: not by a newer entry, which may have been written before, nor by the store's return; a target that starts again has another id. Why it holds: every path takes its targets from the view, and engines named by another instance's dispatcher are looked up in it before they are sent to.

--- a/deploy/pathtest/asks_test.go
+++ b/deploy/pathtest/asks_test.go
@@ -39,8 +39,9 @@
 
 // TestLeavingIsHeardFromAnswers. Symptom: requests reach a target seconds after an answer had told the instance that it
 // leaves. Events: the store is away; one target of each sort of service begins to leave and says so in its answers, while
-// its entry still says that it is ready; one instance reaches no other. Cause: not known; that only the entry is read is
-// the first of three hypotheses.
+// its entry still says that it is ready. Cause: that a target leaves was taken from its entry alone. Proof: the lines
+// of each instance say that it has heard, and its requests went on until the word marked the target in the view from which
+// all choices are made.
 func TestLeavingIsHeardFromAnswers(t *testing.T) {
 	r := start(t, 3, nil)
 	stop := r.load(12, emulator.ClientOptions{}, mixed()...)
--- a/internal/control/routesync/evacuations.go
+++ b/internal/control/routesync/evacuations.go
@@ -114,16 +114,23 @@
 	return mark
 }
 
-// inForce returns the target as the orders in force have it: one in a place
-// that is evacuated takes no new work, as one that leaves, and one in a place
-// that was given back counts as cold until entries can tell whether it is.
+// inForce returns the target as the orders in force, and its own word, have it:
+// one that has said that it leaves, or in a place that is evacuated, takes no new
+// work, and one in a place that was given back counts as cold until entries can
+// tell whether it is.
 //
-// What goes wrong without the second: targets may have become cold while their
+// What goes wrong without the first: while the store is away an entry goes on to
+// say that the target is ready, and what the target says itself in each answer
+// changes nothing. One notices answers that are broken off when it ends, and
+// requests that are not reached any more. A newer entry does not take the word
+// back: it may have been written before.
+//
+// What goes wrong without the last: targets may have become cold while their
 // place was evacuated, and their entries tell it seconds later. The place has
 // capacity to spare, so that much of the work returns at once; one notices
 // targets that crash right after their place was given back.
 func (m *Manager) inForce(t fleet.Target) fleet.Target {
-	t.Draining = t.Draining || m.evacuations.holds(t.Place)
+	t.Draining = t.Draining || m.evacuations.holds(t.Place) || m.o.Leaves != nil && m.o.Leaves(t.ID)
 	ended, given := m.evacuations.ended[t.Place]
 	if !given || !m.routes.known() {
 		return t
--- a/internal/control/routesync/options.go
+++ b/internal/control/routesync/options.go
@@ -97,6 +97,9 @@
 	Evacuations bool
 	// Hurry asks membership for extra exchanges at once; may be nil.
 	Hurry func()
+	// Leaves reports whether a target has said itself that it leaves. Its entry
+	// says so too, but not while the store is away. nil = none has.
+	Leaves func(target string) bool
 }
 
 // Defaults of Options.
--- a/internal/control/routesync/targets.go
+++ b/internal/control/routesync/targets.go
@@ -279,6 +279,9 @@
 	}
 }
 
+// Reconsider makes the view of targets anew after Options.Leaves has changed.
+func (m *Manager) Reconsider() { m.change(func() { m.publish("target") }) }
+
 // runDoubts removes targets whose grace has run out until ctx ends.
 func (m *Manager) runDoubts(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -196,6 +196,7 @@
 		},
 		OnTargets:   i.retarget,
 		Hurry:       func() { i.members.Hurry() },
+		Leaves:      i.notices.Leaves,
 		WatchWait:   i.watchWait,
 		WatchGap:    watchGap,
 		Asks:        i.asksStore,
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -20,9 +20,13 @@
 	}
 }
 
-// noticed has the others told of what a target asks, which they may hear only
+// noticed takes in something new that a target asks: one that leaves is given no
+// new work from here at once, and the others are told what they may hear only
 // with answers of their own.
-func (i *Instance) noticed(string, board.Notice) {
+func (i *Instance) noticed(before, after board.Notice) {
+	if after.Leaving && !before.Leaving {
+		i.routes.Reconsider()
+	}
 	if i.instances() > 1 {
 		i.members.Hurry()
 	}
--- a/internal/edge/notices_test.go
+++ b/internal/edge/notices_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/store/memstore"
 	"lynxhill.example/lynxhill/internal/virtualtest"
 )
 
@@ -85,3 +86,44 @@
 	f.dead = append(f.dead, old)
 	f.all[i] = f.start(i)
 }
+
+// Symptom: requests reach a target seconds after it has said in answers that it leaves.
+// Events: no instance reaches the store; one instance hears the word, another one is cut off from all others and hears it
+// too; an instance starts meanwhile; the store returns with the entry as it was. Cause: only entries told that targets
+// leave, or a newer entry takes the word back.
+func TestLeavingIsKnownToAllWithoutTheStore(t *testing.T) {
+	const known = 2 * time.Second
+	for _, n := range noticeFleets() {
+		inFleet(t, n, func(f *fleetOf) {
+			f.put("targets/b", "10.0.0.2:1@p")
+			f.until(8*time.Second, "all know the target", func(m *member) bool { return m.routes.Targets().Usable("b") })
+			time.Sleep(8 * time.Second)
+			f.store.SetFaults(memstore.Faults{Outage: true})
+			alone := f.all[2]
+			alone.socket.strike(&alone.socket.alone)
+			for _, m := range []*member{f.all[1], alone} {
+				m.heard("b", fleet.Notice{Leaving: true})
+				if m.routes.Targets().Usable("b") {
+					t.Error("an instance gives a target work after it was told that it leaves")
+				}
+			}
+			told := f.until(known, "all know that it leaves", func(m *member) bool { return !m.routes.Targets().Usable("b") })
+			late := f.start(n)
+			f.all = append(f.all, late)
+			virtualtest.Until(t, 10*time.Millisecond, 5*time.Second, "the new instance serves", late.serving)
+			if late.routes.Targets().Usable("b") {
+				t.Errorf("%d instances: one that serves does not know that the target leaves", n)
+			}
+			f.store.SetFaults(memstore.Faults{})
+			f.remove("targets/b")
+			f.put("targets/b", "10.0.0.2:1@p")
+			time.Sleep(8 * time.Second)
+			for _, m := range f.all {
+				if m.routes.Targets().Usable("b") || !m.routes.Targets().Usable("a") {
+					t.Errorf("%s after the store's return: b %v, a %v", m.id(), m.routes.Targets().Usable("b"), m.routes.Targets().Usable("a"))
+				}
+			}
+			t.Logf("%d instances: told after %v", n, told)
+		})
+	}
+}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -44,7 +44,7 @@
 	Clock clock.Clock
 	// OnChange is called, with no lock held, after a target has asked for
 	// something new. nil = nobody has to know.
-	OnChange func(target string, asked board.Notice)
+	OnChange func(before, after board.Notice)
 	Logger   *event.Logger
 	Metrics  *metrics.Registry
 }
@@ -67,7 +67,7 @@
 		o.Clock = quartz.NewReal()
 	}
 	if o.OnChange == nil {
-		o.OnChange = func(string, board.Notice) {}
+		o.OnChange = func(_, _ board.Notice) {}
 	}
 	return &Keeper{o: o}
 }
@@ -82,6 +82,12 @@
 	return row.Limit.Rate, true
 }
 
+// Leaves reports whether the target has said that it leaves.
+func (k *Keeper) Leaves(target string) bool {
+	row, _ := k.row(target)
+	return row.Leaving
+}
+
 // row returns what the target asks. Most of the time no target asks for
 // anything, and each choice of a target looks at all of them.
 func (k *Keeper) row(target string) (board.Notice, bool) {
@@ -173,7 +179,7 @@
 		return after, true
 	})
 	if k.report(target, before, after) {
-		k.o.OnChange(target, after)
+		k.o.OnChange(before, after)
 	}
 }
 
