A target that wants nothing from an instance for a time gets nothing for so long

Symptom: a target that turns a request away with 503 and says for how long it wants none gets more from the same instance within that time, as many as there is load for. Change: the time is kept for this instance alone (another has not been turned away). A caller whose service has no other target is told to come back when the first of the pauses ends. Ruled out: heeding a Retry-After with other statuses than 503 (they ask nothing of this instance), or telling it to the others.

--- a/deploy/pathtest/asks_test.go
+++ b/deploy/pathtest/asks_test.go
@@ -59,8 +59,9 @@
 }
 
 // TestPauseIsHeeded. Symptom: a target that turns requests away, and says for how long it wants none, gets as many from
-// the same instance all the while. Events: one target of each sort of service turns everything away for a time. Cause: not
-// known; the time is passed on to callers and read by nobody.
+// the same instance all the while. Events: one target of each sort of service turns everything away for a time. Cause: the
+// time was passed on to callers and read by nobody. Proof: refusals went on at the rate of the load until targets that want
+// nothing were left out of each choice.
 func TestPauseIsHeeded(t *testing.T) {
 	const pause = 3 * time.Second
 	r := start(t, 3, nil)
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -111,7 +111,7 @@
 		Aim: ef.Arrived.Add(ef.aim()), Deadline: ef.firstBy(),
 		Stages: ef.Route.Stages, Pieces: ef.Request.Pieces, Service: ef.service,
 		Prompt: ef.Request.Prompt, Place: ef.o.Place, Made: ef.made,
-		Avoid: slices.Concat(ef.avoid, ef.keptOff()),
+		Avoid: slices.Concat(ef.avoid, ef.keptOff(), ef.pausedTargets()),
 	}
 	if ef.Organisation != nil {
 		j.Organisation = ef.Organisation.Name
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -46,6 +46,9 @@
 	// Limit returns how many requests a second the target takes from all
 	// instances together. named is false if it names no limit.
 	Limit(target string) (rate float64, named bool)
+	// Pause returns until when the target wants nothing from this instance; zero
+	// = it does not say.
+	Pause(target string) time.Time
 }
 
 // Options configure a Forwarder.
--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -39,7 +39,7 @@
 		target, endSuspect, ok := fl.choose()
 		if !ok {
 			if last == nil && !fl.ran {
-				fl.refuse(errkind.New(errkind.NoTarget, "service %s", fl.service), comeBack)
+				fl.refuse(errkind.New(errkind.NoTarget, "service %s", fl.service), fl.nextPauseEnd())
 				return
 			}
 			break
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -88,6 +88,16 @@
 	return row.Leaving
 }
 
+// Pause returns until when the target wants nothing from this instance; zero = it
+// has not said so, or the time is over.
+func (k *Keeper) Pause(target string) time.Time {
+	row, _ := k.row(target)
+	if !k.o.Clock.Now().Before(row.PausedTo) {
+		return time.Time{}
+	}
+	return row.PausedTo
+}
+
 // row returns what the target asks. Most of the time no target asks for
 // anything, and each choice of a target looks at all of them.
 func (k *Keeper) row(target string) (board.Notice, bool) {
--- a/internal/stagework/bounds.go
+++ b/internal/stagework/bounds.go
@@ -19,6 +19,9 @@
 	// Limit returns how many requests a second the target takes from all
 	// instances together. named is false if it names no limit.
 	Limit(target string) (rate float64, named bool)
+	// Pause returns until when the target wants nothing from this instance; zero
+	// = it does not say.
+	Pause(target string) time.Time
 }
 
 // Bounds is what targets bear beside their places for work. Requests for engines
@@ -39,6 +42,14 @@
 	return b.Asks.Limit(target)
 }
 
+// pause returns until when the target wants nothing from this instance.
+func (b Bounds) pause(target string) time.Time {
+	if b.Asks == nil {
+		return time.Time{}
+	}
+	return b.Asks.Pause(target)
+}
+
 // window returns the memory of what is sent to a target that names a limit.
 func (b Bounds) window() allowance.Window {
 	if b.Limited == nil {
@@ -94,10 +105,13 @@
 	}
 }
 
-// spared reports whether this instance has no share left of the limit that the
-// stage target names.
+// spared reports whether the stage target wants nothing from this instance now,
+// or the instance has no share left of the limit that it names.
 func (s *server) spared(now time.Time) bool {
 	b := s.service.bounds
+	if !b.pause(s.target.ID).IsZero() {
+		return true
+	}
 	return b.used(b.Self, s.target.ID, &s.limited, now)
 }
 
--- a/internal/stagework/bounds_test.go
+++ b/internal/stagework/bounds_test.go
@@ -130,6 +130,8 @@
 	return rate, ok
 }
 
+func (n named) Pause(string) time.Time { return time.Time{} }
+
 // two lets each instance send two requests in a span to a target that names a
 // limit.
 type two struct{}
--- a/internal/stagework/line.go
+++ b/internal/stagework/line.go
@@ -88,7 +88,12 @@
 		return
 	}
 	for _, s := range v.order {
-		if s.idle() && !s.spared(now) {
+		if !s.idle() {
+			continue
+		}
+		if pause := v.bounds.pause(s.target.ID); !pause.IsZero() {
+			p.dueBy(pause)
+		} else if !s.spared(now) {
 			p.dueBy(s.pausedTo)
 		}
 	}
