Calls beside requests keep to a target's limit too

Cause: looked for the class elsewhere: results that are given up and questions of a new dispatcher are calls as well, and a call to give up results follows each request that has read some: twenty of them after one call of a stage target. Change: at a target that names a limit results are given up together every 2 s; a target in need is not asked for its room or prompt parts. Figures: a stage target under a limit gets one call to give up results where 20 requests came within a second (test). Conclusion: nothing changes for targets that ask nothing; stagework tests as they were.

--- a/internal/stagework/ask.go
+++ b/internal/stagework/ask.go
@@ -21,20 +21,26 @@
 // refused for want of room, where the results of the dispatcher before lie. What
 // goes wrong without the engines': sessions are sent to engines that do not keep
 // their prompt parts, which are read a second time while another engine has
-// them; one notices it by tokens read again after each restart.
+// them; one notices it by tokens read again after each restart. A target that
+// names a limit or wants nothing for a while is not asked: what it takes is kept
+// for requests.
 func (d *Dispatcher) askTargets(p *Planner) {
 	if d.o.Client == nil {
 		return
 	}
 	for _, v := range p.byName {
 		for _, s := range v.order {
-			go d.askRoom(s, s.target)
+			if !d.o.Bounds.inNeed(s.target.ID) {
+				go d.askRoom(s, s.target)
+			}
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(p.pools)) {
 		o := p.pools[name]
 		for _, e := range o.order {
-			go d.askKept(o, e, e.target)
+			if !d.o.Bounds.inNeed(e.target.ID) {
+				go d.askKept(o, e, e.target)
+			}
 		}
 	}
 }
--- a/internal/stagework/bounds.go
+++ b/internal/stagework/bounds.go
@@ -50,6 +50,13 @@
 	return b.Asks.Pause(target)
 }
 
+// inNeed reports whether the target names a limit or wants nothing from this
+// instance.
+func (b Bounds) inNeed(target string) bool {
+	_, named := b.limit(target)
+	return named || !b.pause(target).IsZero()
+}
+
 // window returns the memory of what is sent to a target that names a limit.
 func (b Bounds) window() allowance.Window {
 	if b.Limited == nil {
--- a/internal/stagework/bounds_test.go
+++ b/internal/stagework/bounds_test.go
@@ -202,5 +202,8 @@
 		if n := w.begun("cut")[limited]; n > 2 {
 			t.Errorf("%d calls of the target that names a limit, the share is 2", n)
 		}
+		if n := w.farm.frees[limited]; n > 1 {
+			t.Errorf("%d calls to give up results of a second at the target that names a limit", n)
+		}
 	})
 }
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -20,7 +20,10 @@
 	// freeAfter is how long results to be given up are gathered, so that one
 	// call names many.
 	freeAfter = 8 * time.Millisecond
-	freeTime  = time.Second
+	// freeLimitedAfter is freeAfter for a target that names a limit, which each
+	// call counts against.
+	freeLimitedAfter = 2 * time.Second
+	freeTime         = time.Second
 )
 
 // Options of a Dispatcher.
@@ -51,9 +54,13 @@
 	division Division
 	cells    []Cell // of the newest view
 	waking   bool
-	freeing  map[freed][]string // results to give up
+	freeing  gathered // results to give up
+	freeLate gathered // those at targets that name a limit
 }
 
+// gathered is results to give up together.
+type gathered map[freed][]string
+
 // freed is where results are given up: at an address, for a planner.
 type freed struct {
 	planner *Planner
@@ -63,7 +70,7 @@
 // New returns a dispatcher without targets. Close ends its calls.
 func New(o Options) *Dispatcher {
 	ctx, stop := context.WithCancel(context.Background())
-	return &Dispatcher{o: o, ctx: ctx, stop: stop, planners: make(map[string]*Planner), freeing: make(map[freed][]string)}
+	return &Dispatcher{o: o, ctx: ctx, stop: stop, planners: make(map[string]*Planner), freeing: make(gathered), freeLate: make(gathered)}
 }
 
 // planner returns the planner of the cell. It is made with the cell's first
@@ -273,21 +280,35 @@
 
 // release gathers results to give up. The lock is held.
 func (d *Dispatcher) release(at freed, handles []string) {
-	first := len(d.freeing) == 0
-	d.freeing[at] = append(d.freeing[at], handles...)
+	waiting, after := &d.freeing, freeAfter
+	if id, listed := d.atAddress(at.address); listed {
+		if _, named := d.o.Bounds.limit(id); named {
+			waiting, after = &d.freeLate, freeLimitedAfter
+		}
+	}
+	first := len(*waiting) == 0
+	(*waiting)[at] = append((*waiting)[at], handles...)
 	if first {
-		d.o.Clock.AfterFunc(freeAfter, d.free)
+		d.o.Clock.AfterFunc(after, func() { d.free(waiting) })
+	}
+}
+
+// atAddress returns the id of the target at the address. The lock is held.
+func (d *Dispatcher) atAddress(address string) (string, bool) {
+	if d.view == nil {
+		return "", false
 	}
+	return d.view.AtAddress(address)
 }
 
 // free gives up the results that were gathered. A call that fails is not
 // repeated: results end by themselves after their lifetime.
-func (d *Dispatcher) free() {
+func (d *Dispatcher) free(waiting *gathered) {
 	d.mu.Lock()
-	gathered := d.freeing
-	d.freeing = make(map[freed][]string)
+	all := *waiting
+	*waiting = make(gathered)
 	d.mu.Unlock()
-	for at, handles := range gathered {
+	for at, handles := range all {
 		go func() {
 			ctx, cancel := context.WithTimeout(d.ctx, freeTime)
 			defer cancel()
--- a/internal/stagework/farm_test.go
+++ b/internal/stagework/farm_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -34,6 +35,7 @@
 	made       map[string]*madeResult // by handle, also those that are gone
 	sent       map[pieceID][]time.Time
 	kept       map[string][]relay.PromptPart // by engine
+	frees      map[string]int                // calls to give up results, by server
 	violations int
 	crossed    int // results that pieces have read from another place
 }
@@ -210,6 +212,12 @@
 
 // Free implements relay.StageClient.
 func (f *farm) Free(_ context.Context, address string, handles []string) error {
+	f.mu.Lock()
+	if f.frees == nil {
+		f.frees = make(map[string]int)
+	}
+	f.frees[strings.TrimPrefix(address, "at ")]++
+	f.mu.Unlock()
 	f.drop(func(m *madeResult, handle string) bool {
 		return slices.Contains(handles, handle) && "at "+m.server == address
 	})
