--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -13,7 +13,7 @@
 
 // kinds are the faults of the schedule; what stands twice comes twice as often.
 var kinds = []string{
-	"target-drain", "target-remove", "target-crash", "target-crash", "target-replace", "target-spoil", "target-slow", "entry-lost",
+	"target-drain", "target-remove", "target-crash", "target-crash", "target-replace", "target-spoil", "target-slow", "entry-lost", "target-limit", "target-leaving",
 	"store-down", "store-down", "store-slow", "store-lossy", "store-compact", "config-route", "config-route",
 }
 
@@ -85,7 +85,7 @@
 func (h *hurter) hurtTarget(kind string, s *emulator.Server, draw int, until func(func())) {
 	well := func() { s.SetFaults(emulator.Faults{}) }
 	add := func(address string) { h.must(h.world.Add(s.Service, s.Zone, address)) }
-	h.leaving[s.ID] = !slices.Contains([]string{"target-spoil", "target-slow", "entry-lost"}, kind)
+	h.leaving[s.ID] = !slices.Contains([]string{"target-spoil", "target-slow", "entry-lost", "target-limit"}, kind)
 	switch kind {
 	case "target-spoil":
 		s.SetFaults(emulator.Faults{BreakOff: 0.15, LoseAnswer: 0.15, Reset: draw%2 == 0, Extra: 0.05, NoLength: 0.1})
@@ -96,6 +96,13 @@
 	case "entry-lost": // as after lost heartbeats; the server goes on
 		h.world.Expire(s.ID)
 		until(func() { _ = h.world.Register(s.ID) }) // it may have been ended meanwhile
+	case "target-limit": // it names what it takes in its answers
+		s.AskLimit(float64(1+draw%5), touchTime)
+		h.working.Go(func() { time.Sleep(touchTime + 5*time.Second); s.EndLimit() })
+	case "target-leaving": // it says so in its answers, and its entry does not for a while
+		s.AskLeaving(leaveTime)
+		until(func() { _ = h.world.Drain(s.ID) })
+		add("")
 	case "target-drain":
 		h.must(nil, h.world.Drain(s.ID))
 		add("")
--- a/deploy/soak/main.go
+++ b/deploy/soak/main.go
@@ -26,6 +26,7 @@
 	applyTime = 2 * time.Second // within which a change of routes is in force
 	touchTime = 2 * time.Second // of the settings: after which an instance is out of touch
 	askTime   = 3 * time.Second // each client's deadline
+	leaveTime = 2 * time.Second // within which a target that says that it leaves gets nothing more
 	host      = "a.example"
 )
 
