Failing tests: the store comes back from an older copy

Symptom: after a drill in which the store comes back from a copy of before, changes are in force nowhere and an evacuated zone is not given back, until its revisions have passed the old ones. Events: 1,000 changes are lost with a route, a key that was taken away, servers that left and started, an evacuation; the operator and the servers write again 1.5 s later and go on. Cause, by reading: revisions are held to rise for ever; whatever bears a lower one is old news. Change: the emulator's store can be copied and come back in a new era, which its answers bear; the operator and the servers write again. Ruled out: that the older copy is taken (routes and keys of before): what was in force stays, for the same reason.

--- a/deploy/emulator/cold.go
+++ b/deploy/emulator/cold.go
@@ -55,6 +55,7 @@
 // Evacuate orders that the servers of a zone get nothing more; what comes later
 // than the bound is recorded as a breach.
 func (w *World) Evacuate(zone string, within time.Duration) error {
+	w.order(zone, true)
 	_, err := w.Store.Put("evacuations", zone, struct{}{})
 	by := time.Now().Add(within)
 	w.inZone(zone, func(s *Server) { s.bar(by) })
@@ -64,9 +65,17 @@
 // TakeBack ends the evacuation of a zone.
 func (w *World) TakeBack(zone string) {
 	w.inZone(zone, func(s *Server) { s.bar(time.Time{}) })
+	w.order(zone, false)
 	w.Store.Delete("evacuations", zone)
 }
 
+// order notes what the operator ordered last.
+func (w *World) order(zone string, evacuated bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.evacuated[zone] = evacuated
+}
+
 func (w *World) inZone(zone string, do func(*Server)) {
 	for _, s := range w.Servers("") {
 		if s.Zone == zone {
--- a/deploy/emulator/store.go
+++ b/deploy/emulator/store.go
@@ -73,6 +73,7 @@
 
 	mu        sync.Mutex
 	now       view
+	era       int64 // rises by one each time the store comes back from a copy
 	stale     view
 	history   []change
 	compacted int64 // the newest revision whose change is gone
@@ -245,7 +246,7 @@
 
 // since returns the changes of a kind (and name, unless "") after a revision.
 func (s *Store) since(revision int64, kind, name string) ([]StoreEvent, error) {
-	if revision < s.compacted {
+	if revision < s.compacted || revision > s.now.revision {
 		return nil, errGone
 	}
 	events := []StoreEvent{}
--- a/deploy/emulator/store_http.go
+++ b/deploy/emulator/store_http.go
@@ -72,6 +72,9 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	s.mu.Unlock()
 	fault, _ := s.faultOf(r.RemoteAddr)
 	if !s.reached(w, r, fault) {
 		return
@@ -206,6 +209,9 @@
 	for expired := false; ; {
 		answer, changed := s.tryWatch(from, kind, name, expired)
 		if changed == nil {
+			s.mu.Lock()
+			w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+			s.mu.Unlock()
 			answer.give(w)
 			return
 		}
--- a/deploy/emulator/world.go
+++ b/deploy/emulator/world.go
@@ -52,6 +52,7 @@
 	http     *http.Server
 	listener *tracked
 	entry    serverEntry
+	lapsed   bool // its entry was taken away
 }
 
 // serverEntry is a server in the store.
@@ -84,6 +85,8 @@
 	configs []Config // all, the newest last
 	servers map[string]*Server
 	timers  []*time.Timer
+	// evacuated are the zones that were evacuated; false = and given back.
+	evacuated map[string]bool
 }
 
 // NewWorld starts a deployment: its store, with config/main and the entries of
@@ -97,7 +100,7 @@
 	}
 	w := &World{
 		Journal: NewJournal(), Registry: NewRegistry(), plan: plan, random: plan.Random,
-		configs: []Config{plan.Config}, servers: make(map[string]*Server),
+		configs: []Config{plan.Config}, servers: make(map[string]*Server), evacuated: make(map[string]bool),
 	}
 	plan.Store.Random = w.derive()
 	w.Store = NewStore(plan.Store)
@@ -267,7 +270,14 @@
 }
 
 // Expire removes the entry of a server that goes on, as after lost beats.
-func (w *World) Expire(id string) { w.Store.Delete("servers", id) }
+func (w *World) Expire(id string) {
+	w.mu.Lock()
+	if s := w.servers[id]; s != nil {
+		s.lapsed = true
+	}
+	w.mu.Unlock()
+	w.Store.Delete("servers", id)
+}
 
 func (w *World) announce(id string, change func(*serverEntry)) error {
 	w.mu.Lock()
@@ -277,6 +287,7 @@
 		return fmt.Errorf("server %s doesn't run", id)
 	}
 	change(&s.entry)
+	s.lapsed = false
 	s.entry.Sequence++
 	_, err := w.Store.Put("servers", id, s.entry)
 	return err
