A request waits until it is known whether its instance is cut off

Cause: the request that first notices a second without a heartbeat has the store asked, and was refused before that had had time to answer: what is open counted as cut off. Change: three answers instead of two: good, open, lost. Ruled out: asking the store ahead of each second of silence (calls of every instance for nothing).

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -104,9 +104,12 @@
 	cells   atomic.Pointer[[]stagework.Cell]
 	looked  atomic.Int64 // boot time of the last look at the clock, ns
 	askedAt atomic.Int64 // the last word of another instance before the store was asked, ns; 0 = never
-	wokeAt  atomic.Int64 // boot time of the last waking that is not confirmed, ns; 0 = none
-	servers []*http.Server
-	listens []net.Listener
+	// storeAsked is the boot time at which the store was asked for that, ns; 0 =
+	// never.
+	storeAsked atomic.Int64
+	wokeAt     atomic.Int64 // boot time of the last waking that is not confirmed, ns; 0 = none
+	servers    []*http.Server
+	listens    []net.Listener
 }
 
 // Times of an instance.
@@ -237,7 +240,7 @@
 	i.finder = stagework.NewFinder(stagework.FinderOptions{
 		Self: i.id(), Local: i.dispatcher, Remote: i.peers,
 		Members:  i.dispatchers,
-		Capacity: i.capacity, Cells: i.currentCells, Alone: i.alone, Meeting: i.meeting,
+		Capacity: i.capacity, Cells: i.currentCells, Contact: i.contact, Meeting: i.meeting,
 		Clock: i.o.Clock, Logger: i.o.Logger,
 	})
 	i.loads = forwarding.NewLoads(i.o.Clock, i.cfg.Instance.Place, i.rand())
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -33,9 +33,9 @@
 	// Capacity returns an instance's processor time, in cores; 0 if unknown.
 	// nil = all have the same.
 	Capacity func(instance string) float64
-	// Alone reports whether this instance reaches neither the others, which it
-	// believes alive, nor the platform's store. nil = it never is.
-	Alone func() bool
+	// Contact reports whether this instance reaches the others, which it believes
+	// alive, or the platform's store. nil = it always does.
+	Contact func() Contact
 	// Meeting reports whether this instance has started and does not know yet
 	// who the others are; it does not for long. nil = it always knows.
 	Meeting func() bool
@@ -45,6 +45,16 @@
 	Logger *event.Logger
 }
 
+// Contact is whether an instance reaches anybody.
+type Contact int
+
+// Contacts of an instance.
+const (
+	ContactGood Contact = iota
+	ContactOpen         // the others are silent, and the store was asked a moment ago
+	ContactLost         // neither the others nor the store answer
+)
+
 // Finder finds the dispatcher: the instance that ranks first among those
 // alive. No lease is taken: instances that see other members for a while use
 // two dispatchers, which costs efficiency only.
@@ -152,8 +162,9 @@
 	}
 	starting := len(candidates) > 0
 	for _, instance := range candidates {
-		if refusal := f.refuseAlone(&job); refusal != nil {
-			return nil, refusal, nil
+		refusal, err := f.refuseAlone(ctx, &job)
+		if refusal != nil || err != nil {
+			return nil, refusal, err
 		}
 		if instance == f.o.Self {
 			return f.local(job)
@@ -268,14 +279,28 @@
 // others: it would schedule beside their dispatcher and fill the same targets.
 // One notices that by calls that find a target full and by pieces refused for
 // want of room on both sides. Callers reach the other instances. Once
-// membership holds the others for dead, this instance schedules by itself.
-func (f *Finder) refuseAlone(job *Job) *Refusal {
-	if f.o.Alone == nil || !job.hasPieces() || !f.o.Alone() {
-		return nil
+// membership holds the others for dead, this instance schedules by itself. While
+// it is open whether it is cut off the job waits.
+func (f *Finder) refuseAlone(ctx context.Context, job *Job) (*Refusal, error) {
+	if f.o.Contact == nil || !job.hasPieces() {
+		return nil, nil
+	}
+	for {
+		switch f.o.Contact() {
+		case ContactGood:
+			return nil, nil
+		case ContactLost:
+			return &Refusal{Reason: ReasonAlone, RetryAfter: elsewhere}, nil
+		}
+		if !loop.Sleep(ctx, f.o.Clock, contactPoll) {
+			return nil, ctx.Err()
+		}
 	}
-	return &Refusal{Reason: ReasonAlone, RetryAfter: elsewhere}
 }
 
+// contactPoll is how often it is looked whether the store has answered.
+const contactPoll = 5 * time.Millisecond
+
 // maxCandidates bounds how many instances are asked before one schedules by
 // itself.
 const maxCandidates = 3
--- a/internal/stagework/finder_test.go
+++ b/internal/stagework/finder_test.go
@@ -1,6 +1,7 @@
 package stagework
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -72,7 +73,7 @@
 	inFinder(t, func(f *Finder, r *remote, ranked []string) {
 		r.silent = ranked[:2]
 		alone := true
-		f.o.Alone = func() bool { return alone }
+		f.o.Contact = func() Contact { return map[bool]Contact{false: ContactGood, true: ContactLost}[alone] }
 		staged := Job{
 			Service: "lm", Stages: []route.Stage{{Service: "cut"}}, Pieces: []int{1}, Prompt: &relay.Prompt{},
 			Aim: time.Now().Add(time.Second), Deadline: time.Now().Add(time.Second),
@@ -160,3 +161,41 @@
 		}
 	})
 }
+
+// Symptom: of the requests that come when the only other instances have died one is refused, "the other instances are not
+// reached", a millisecond after it came.
+// Events: a request first notices that nobody was heard for a second; the store, asked whether this instance is cut off,
+// answers a moment later, or does not.
+// Cause: what was open counted as cut off.
+func TestAJobWaitsWhileItIsOpenWhoIsCutOff(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		then Contact
+		want string
+	}{{"the store answers", ContactGood, ""}, {"the store does not answer", ContactLost, ReasonAlone}} {
+		inFinder(t, func(f *Finder, r *remote, ranked []string) {
+			began := time.Now()
+			f.o.Contact = func() Contact {
+				if time.Since(began) < 100*ms {
+					return ContactOpen
+				}
+				return c.then
+			}
+			job := Job{ID: "x", Stages: []route.Stage{{Service: "cut"}}, Pieces: []int{1}}
+			// The test's own context was made outside the bubble of virtual time.
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			_, refusal, err := f.Submit(ctx, job)
+			if took := time.Since(began); err != nil || took < 100*ms || took > 200*ms {
+				t.Errorf("%s: %v after %v", c.name, err, took)
+			}
+			want := c.want
+			if want == "" {
+				want = ranked[0] // who answers
+			}
+			if refusal == nil || refusal.Reason != want {
+				t.Errorf("%s: %+v, want %s", c.name, refusal, want)
+			}
+		})
+	}
+}
