--- a/internal/control/routesync/era_test.go
+++ b/internal/control/routesync/era_test.go
@@ -186,3 +186,20 @@
 		}
 	})
 }
+
+// TestAnEntryIsDoubtedThoughNoCallFailed: the store was away for so short a time that nobody noticed; the era alone tells.
+func TestAnEntryIsDoubtedThoughNoCallFailed(t *testing.T) {
+	inWorld(t, func(w *world) {
+		n := w.node("x", true)
+		copied := w.store.Copy()
+		w.put("targets/c", "1:3#1")
+		w.want(n, "before", "1: a b c")
+		w.store.Return(copied)
+		time.Sleep(time.Second)
+		w.want(n, "the copy is back", "1: a b c")
+		w.put("targets/c", "1:3#2")
+		time.Sleep(2 * defaultReturnGrace)
+		w.want(n, "written again", "1: a b c")
+		w.count(n, event.RouteStoreLost, 0)
+	})
+}
