--- a/internal/control/routesync/era.go
+++ b/internal/control/routesync/era.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/store"
 )
 
@@ -69,6 +70,24 @@
 	return store.EraOf(object.Version) > store.EraOf(known.Version)
 }
 
+// outlasts reports whether what is known of a target is newer than the word that
+// the store holds of it since it came back from a copy: the target counts its
+// words, and has said more.
+func (e entry) outlasts(obj store.Object, word fleet.Target) bool {
+	return inNewEra(obj, e.object) && word.Sequence > 0 && word.Sequence <= e.sequence
+}
+
+// keepLeaving returns the word of a target that does not count its words as it
+// is taken when the store has come back from a copy: one that leaves still does.
+// The count itself is no part of what is in force.
+func (e entry) keepLeaving(obj store.Object, word fleet.Target) fleet.Target {
+	if inNewEra(obj, e.object) && word.Sequence == 0 {
+		word.Draining = word.Draining || e.target.Draining
+	}
+	word.Sequence = 0
+	return word
+}
+
 // settleOrders ends the orders that the store has lacked for orderGrace since it
 // came back, once they were heard of since. It returns when there is more to do,
 // 0 = nothing that is known. The caller holds mu.
--- a/internal/control/routesync/targets.go
+++ b/internal/control/routesync/targets.go
@@ -163,22 +163,18 @@
 // target as it was.
 func (m *Manager) put(obj store.Object, a answer) {
 	t := m.targets
-	next := t.entries[obj.Key]
+	old := t.entries[obj.Key]
+	next := old
 	next.object = obj
 	target, err := m.o.Decoder.Target(strings.TrimPrefix(obj.Key, TargetsPrefix), obj.Value)
-	old := t.entries[obj.Key]
 	switch {
 	case err != nil:
 		m.log(event.TargetUnreadable, "target", obj.Key, "store_version", obj.Version, "source", a.source(), "err", err)
-	case inNewEra(obj, old.object) && target.Sequence > 0 && target.Sequence <= old.sequence:
-		// The copy's word of the target, which has said more since.
+	case old.outlasts(obj, target):
 		next.object.Deleted = old.object.Deleted
 	default:
-		if inNewEra(obj, old.object) && target.Sequence == 0 {
-			target.Draining = target.Draining || old.target.Draining
-		}
-		next.sequence, target.Sequence = target.Sequence, 0
-		next.target, next.listed = m.coldAt(target, next.target), true
+		next.sequence = target.Sequence
+		next.target, next.listed = m.coldAt(old.keepLeaving(obj, target), old.target), true
 	}
 	t.entries[obj.Key] = next
 	if next.object.Deleted {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -222,7 +222,7 @@
 
 // assembleRequestPath makes what carries requests.
 func (i *Instance) assembleRequestPath() {
-	i.pool = exchange.New(exchange.Options{Dial: i.o.Dial, AnswerID: i.adapter.AnswerID, OnSend: i.listen})
+	i.pool = exchange.New(exchange.Options{Dial: i.o.Dial, AnswerID: i.adapter.AnswerID, OnSend: i.heedAnswer})
 	i.stages = &timedStages{StageClient: i.adapter.Stages(i.pool), clock: i.o.Clock}
 	i.cold = allowance.NewAllowance(allowance.Options{
 		Self: i.id(), Instances: i.everHeardOf, Clock: i.o.Clock,
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -7,9 +7,9 @@
 	"lynxhill.example/lynxhill/internal/exchange"
 )
 
-// listen is told of each request to a target, whatever its kind, and returns
+// heedAnswer is told of each request to a target, whatever its kind, and returns
 // what is told its answer.
-func (i *Instance) listen(r exchange.Request) func(status int, h http.Header) {
+func (i *Instance) heedAnswer(r exchange.Request) func(status int, h http.Header) {
 	target := r.Target
 	if target == "" {
 		target, _ = i.routes.Targets().AtAddress(r.Address)
