--- a/deploy/pathtest/asks_test.go
+++ b/deploy/pathtest/asks_test.go
@@ -13,7 +13,7 @@
 // TestLimitIsKept. Symptom: a target that says in its answers how many requests a second it takes gets several times as
 // many, for as long as it says so. Events: one target of each sort of service names a limit while three instances have
 // work for all of them. Cause: nothing read the limit: what a target asked in an answer was passed on to the caller and
-// kept by nobody. Proof: arrivals did not depend on the limit at any of the three sorts; with shares of it at the last
+// kept by nobody. Proof: instances that had logged the limit went on far above it, at all three sorts; with shares of it at the last
 // step before a request is sent they keep to it.
 func TestLimitIsKept(t *testing.T) {
 	const limit = 2
