Stop: record completions of claims although the store was away

What callers saw: a booking ran to its end, and every resend of its key was told "may have run" for the whole retention. The instance had been stopped while the store was away for some seconds (TestGracefulStopCutsNothing: "the claim after the stop is in state 2 without a result").

Cause: three times that did not know of each other. After an outage the store client holds calls of control priority back for up to 10 s, or tries the store again only after a wait of up to 30 s; completions are written with that priority; the claim pages wait 3 s at the end of a stop and then drop what is left, without a line in the log.

Change: a stop drains the claim pages before it closes its peer server, within the one limit for all that follows the last request (8 s, before: 5 s and then 3 s). It writes with the priority of requests, tells the store client that the instance is stopping (no spread, probes at most 500 ms apart), hands what the store did not take within 3 s to two other instances, and logs what nobody took. Messages of other instances are refused meanwhile, so that their senders record for themselves.

--- /dev/null
+++ b/internal/claim/drain_test.go
@@ -0,0 +1,98 @@
+package claim
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/store/memstore"
+)
+
+// heldBackStore refuses writes of low priority, as the store client does for
+// some seconds after an outage.
+type heldBackStore struct{ store.Store }
+
+func (s heldBackStore) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (store.Object, error) {
+	if store.PriorityOf(ctx) == store.PriorityControl {
+		return store.Object{}, store.ErrThrottled
+	}
+	return s.Store.Put(ctx, key, value, ifVersion)
+}
+
+// runUntilStopped runs Pages and returns a function that stops it and waits.
+func runUntilStopped(t *testing.T, p *Pages) (stop func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { p.Run(ctx); close(ended) }()
+	return func() { cancel(); <-ended }
+}
+
+// Guards against completions that a stopping instance drops because its store
+// client holds back calls of their priority.
+func TestStopDoesNotWaitForLowPriorityCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		a := testPages(st, "a", 1, func(o *PagesOptions) { o.Store = heldBackStore{st} })
+		stop := runUntilStopped(t, a)
+		mustState(t, a, testRequest("k", "x", time.Second), Granted).Claim.Complete(json.RawMessage(`1`))
+		time.Sleep(5 * time.Second)
+		stop()
+		mustState(t, testPages(st, "b", 2, nil), testRequest("k", "x", time.Second), Completed)
+	})
+}
+
+// Guards against completions and releases that end with an instance that stops
+// while the store is away.
+func TestStopHandsOverWhatTheStoreDoesNotTake(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		var pages []*Pages
+		for i, self := range []string{"0", "1", "2"} {
+			pages = append(pages, testPages(st, self, uint64(i), func(o *PagesOptions) {
+				o.Forward = goodLink{&pages}
+				o.Peers = func() []string { return []string{"1", "2"} }
+			}))
+		}
+		stop := runUntilStopped(t, pages[0])
+		done := mustState(t, pages[0], testRequest("done", "x", time.Second), Granted)
+		released := mustState(t, pages[0], testRequest("released", "x", time.Second), Granted)
+		st.SetFaults(memstore.Faults{Outage: true})
+		done.Claim.Complete(json.RawMessage(`1`))
+		released.Claim.Release()
+		stop()
+		st.SetFaults(memstore.Faults{})
+		time.Sleep(5 * time.Second)
+		fresh := testPages(st, "b", 9, nil)
+		if answer := mustState(t, fresh, testRequest("done", "x", time.Second), Completed); string(answer.Result) != "1" {
+			t.Errorf("result %q", answer.Result)
+		}
+		mustState(t, fresh, testRequest("released", "x", time.Second), Granted)
+	})
+}
+
+// Guards against a stop that loses completions without a trace.
+func TestStopLogsLostRecords(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		var lines bytes.Buffer
+		a := testPages(st, "a", 1, func(o *PagesOptions) {
+			o.Logger = event.NewLogger(log.NewLogfmtLogger(log.NewSyncWriter(&lines)))
+		})
+		stop := runUntilStopped(t, a)
+		c := mustState(t, a, testRequest("k", "x", time.Second), Granted).Claim
+		st.SetFaults(memstore.Faults{Outage: true})
+		c.Complete(nil)
+		stop()
+		if !strings.Contains(lines.String(), "claim_records_lost records=1") {
+			t.Errorf("the log: %s", &lines)
+		}
+	})
+}
--- a/internal/claim/flush.go
+++ b/internal/claim/flush.go
@@ -26,7 +26,7 @@
 	var batch []*op
 	backoff := minBackoff
 	for attempt := 1; ; attempt++ {
-		batch = append(s.unfinished(batch), s.take()...)
+		batch = s.nextBatch(batch)
 		if len(batch) == 0 && len(s.view.doubt) == 0 {
 			return true
 		}
@@ -71,8 +71,12 @@
 }
 
 // priorityOf is that of the most urgent op: when the budget of store calls is
-// short, completions make room for claims that callers wait for.
-func priorityOf(batch []*op) store.Priority {
+// short, completions make room for claims that callers wait for. Those of a
+// stopping instance cannot wait.
+func (s *shard) priorityOf(batch []*op) store.Priority {
+	if s.pages.draining.Load() {
+		return store.PriorityRequest
+	}
 	for _, o := range batch {
 		if !o.lazy {
 			return store.PriorityRequest
@@ -85,7 +89,7 @@
 // decided are finished; the others stay for the next attempt. An error says
 // that the store did not answer.
 func (s *shard) attempt(batch []*op) error {
-	ctx, cancel := s.callContext(priorityOf(batch))
+	ctx, cancel := s.callContext(s.priorityOf(batch))
 	defer cancel()
 	if err := s.load(ctx); err != nil {
 		return err
--- a/internal/claim/forward.go
+++ b/internal/claim/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strings"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/errkind"
@@ -25,8 +26,14 @@
 	MessageClaim    = string(opClaim)
 	MessageComplete = string(opComplete)
 	MessageRelease  = string(opRelease)
+	// MessageKeepComplete and MessageKeepRelease hand over what a stopping
+	// instance could not write. They are answered before they are written.
+	MessageKeepComplete = keepPrefix + MessageComplete
+	MessageKeepRelease  = keepPrefix + MessageRelease
 )
 
+const keepPrefix = "keep-"
+
 // Reply is the answer to a Message.
 type Reply struct {
 	State     State           `json:"state"`
@@ -135,11 +142,14 @@
 	e.Token = p.token()
 	second := newOp(first.life, e)
 	second.supersedes = first.entry.Token
+	second.source = first.source
 	answer, _, err := p.submit(ctx, s, second, req)
 	if certain || err == nil || errkind.Is(err, errkind.KeyReused) {
 		return answer, err
 	}
-	s.record(releaseOf(first.entry, first.life, p.opts.Clock.Now()))
+	release := releaseOf(first.entry, first.life, p.opts.Clock.Now())
+	release.source = first.source
+	s.record(release)
 	return Answer{}, errkind.New(errkind.OutcomeUnknown, "the claim was not confirmed; the stage was not started")
 }
 
@@ -150,8 +160,7 @@
 	defer p.ending.Add(-1)
 	ctx, cancel := p.forwardContext(context.Background())
 	defer cancel()
-	m := Message{Op: string(o.entry.Op), Key: c.req.Key, Token: c.entry.Token, Body: c.req.BodyHash, Holder: p.opts.Self, Result: o.entry.Result}
-	if _, err := p.opts.Forward.ForwardClaim(ctx, c.owner, m); err != nil {
+	if _, err := p.opts.Forward.ForwardClaim(ctx, c.owner, o.message(string(o.entry.Op))); err != nil {
 		p.avoidOwner(c.owner)
 		c.shard.record(o)
 	}
@@ -159,33 +168,48 @@
 
 // Handle carries out a message of another instance.
 func (p *Pages) Handle(ctx context.Context, m Message) (Reply, error) {
+	if p.draining.Load() {
+		return Reply{}, errkind.New(errkind.StoreUnavailable, "the instance is stopping")
+	}
 	now := p.opts.Clock.Now()
 	life, err := p.opts.lifeOf(m.Key.Key, now)
 	if err != nil {
 		return Reply{}, err
 	}
+	kind, handedOver := strings.CutPrefix(m.Op, keepPrefix)
 	o := newOp(life, entry{
-		ID: idOf(m.Key), Op: opKind(m.Op), Token: m.Token, Holder: m.Holder,
+		ID: idOf(m.Key), Op: opKind(kind), Token: m.Token, Holder: m.Holder,
 		Body: shortHash(m.Body), At: millis(now), Keep: millis(life.keep),
 	})
+	o.source = source{key: m.Key, bodyHash: m.Body}
 	s := p.shards[o.entry.ID.shard(p.opts.Shards)]
 	switch {
 	case m.Token == "" || m.Holder == "":
 		return Reply{}, errkind.New(errkind.BadRequest, "a claim message without token or holder")
 	case m.Op == MessageClaim:
 		return p.handleClaim(ctx, s, o, m)
-	case m.Op == MessageComplete && len(m.Result) <= p.opts.MaxResult:
+	case o.entry.Op == opComplete && len(m.Result) <= p.opts.MaxResult:
 		o.entry.Result = m.Result
 		o.lazy = true
-		s.record(o)
-		return Reply{State: Completed}, nil
-	case m.Op == MessageRelease:
-		s.record(o)
-		return Reply{}, nil
+		return Reply{State: Completed}, p.handleEnd(s, o, handedOver)
+	case o.entry.Op == opRelease:
+		return Reply{}, p.handleEnd(s, o, handedOver)
 	}
 	return Reply{}, errkind.New(errkind.BadRequest, "unknown claim message")
 }
 
+// handleEnd records a completion or a release of another instance. An error
+// says that the sender still owes it.
+func (p *Pages) handleEnd(s *shard, o *op, handedOver bool) error {
+	if handedOver && !s.add(o) {
+		return errkind.New(errkind.StoreUnavailable, "too many claims wait for the store")
+	}
+	if !handedOver {
+		s.record(o)
+	}
+	return nil
+}
+
 func (p *Pages) handleClaim(ctx context.Context, s *shard, o *op, m Message) (Reply, error) {
 	answer, _, err := p.submit(ctx, s, o, Request{Key: m.Key, BodyHash: m.Body, Deadline: m.Deadline})
 	if err != nil {
--- a/internal/claim/op.go
+++ b/internal/claim/op.go
@@ -23,6 +23,7 @@
 	// supersedes is the token of an attempt of the same request that this
 	// instance handed to an owner and gave up; its claim may be replaced.
 	supersedes string
+	source     source
 	lazy       bool // may wait for another write to ride on
 	due        time.Time
 	done       chan struct{} // closed when result is set
@@ -37,6 +38,21 @@
 	inDoubt   bool // part of a write whose outcome is not known yet
 }
 
+// source is what an entry holds only as hashes. It lets another instance make
+// the same entry.
+type source struct {
+	key      Key
+	bodyHash string
+}
+
+// message is the op as it is sent to another instance.
+func (o *op) message(kind string) Message {
+	return Message{
+		Op: kind, Key: o.source.key, Body: o.source.bodyHash,
+		Token: o.entry.Token, Holder: o.entry.Holder, Result: o.entry.Result,
+	}
+}
+
 func newOp(life keyLife, e entry) *op {
 	return &op{entry: e, life: life, done: make(chan struct{})}
 }
@@ -113,6 +129,7 @@
 	}
 	o := newOp(c.life, e)
 	o.lazy = true
+	o.source = c.source()
 	c.end(o)
 }
 
@@ -121,9 +138,13 @@
 	if c.ended.Swap(true) {
 		return
 	}
-	c.end(releaseOf(c.entry, c.life, c.pages.opts.Clock.Now()))
+	o := releaseOf(c.entry, c.life, c.pages.opts.Clock.Now())
+	o.source = c.source()
+	c.end(o)
 }
 
+func (c *granted) source() source { return source{key: c.req.Key, bodyHash: c.req.BodyHash} }
+
 func releaseOf(e entry, life keyLife, now time.Time) *op {
 	e.Op = opRelease
 	e.At = millis(now)
--- a/internal/claim/pages.go
+++ b/internal/claim/pages.go
@@ -59,6 +59,9 @@
 	// Forward, if set, carries claims to the shard's preferred owner, which
 	// groups those of many instances into one write. Nil: written here.
 	Forward Forwarder
+	// Peers returns the other living instances, the preferred ones first. At
+	// its end Pages hands them what the store did not take. Nil: none.
+	Peers func() []string
 	// OpaqueRetention is how long a key without a time is remembered; sent
 	// again later, it runs a second time.
 	OpaqueRetention time.Duration
@@ -76,6 +79,9 @@
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(uint64(o.Clock.Now().UnixNano()), 3))
 	}
+	if o.Peers == nil {
+		o.Peers = func() []string { return nil }
+	}
 	if o.Owners == nil {
 		o.Owners = func(int) string { return o.Self }
 	}
@@ -109,6 +115,8 @@
 	shards []*shard
 	cache  *windowCache
 	stop   chan struct{} // closed when Run ends
+	// draining is set when this instance stops: it takes no more messages.
+	draining atomic.Bool
 	// formatOK is set when the store's pages are known to have our shards.
 	formatOK atomic.Bool
 	// ending counts the completions and releases on their way to an owner.
@@ -164,6 +172,7 @@
 		ID: id, Op: opClaim, Token: p.token(), Holder: p.opts.Self,
 		Body: shortHash(req.BodyHash), At: millis(now), Keep: millis(life.keep),
 	})
+	o.source = source{key: req.Key, bodyHash: req.BodyHash}
 	s := p.shards[id.shard(p.opts.Shards)]
 	owner := p.ownerOf(s)
 	if owner == "" {
--- a/internal/claim/retire.go
+++ b/internal/claim/retire.go
@@ -13,15 +13,11 @@
 	// removalInterval is how often the owner of a shard looks for windows past
 	// their retention.
 	removalInterval = 10 * time.Minute
-	// stopGrace is how long Run waits at its end for what is not written yet.
-	stopGrace = 3 * time.Second
-	stopPoll  = 50 * time.Millisecond
 )
 
 // Run removes old windows of the shards that this instance is the preferred
-// owner of, until ctx ends. Then it waits some seconds for completions and
-// releases to be written and stops the flush loops; later claims get
-// StoreUnavailable at their deadline.
+// owner of, until ctx ends. Then it drains for some seconds and stops the flush
+// loops; later claims get StoreUnavailable at their deadline.
 func (p *Pages) Run(ctx context.Context) {
 	defer p.once.Do(func() { close(p.stop) })
 	for {
@@ -29,7 +25,7 @@
 		select {
 		case <-ctx.Done():
 			timer.Stop()
-			p.drain()
+			p.drainAtEnd()
 			return
 		case <-timer.C:
 			p.removeOld(ctx)
@@ -37,43 +33,6 @@
 	}
 }
 
-// drain lets the flush loops write at once what may usually wait.
-func (p *Pages) drain() {
-	end := p.opts.Clock.Now().Add(stopGrace)
-	for _, s := range p.shards {
-		s.hurry()
-	}
-	for p.opts.Clock.Now().Before(end) && (p.ending.Load() > 0 || p.busy()) {
-		timer := p.opts.Clock.NewTimer(stopPoll)
-		<-timer.C
-	}
-}
-
-func (p *Pages) busy() bool {
-	for _, s := range p.shards {
-		s.mu.Lock()
-		flushing := s.flushing
-		s.mu.Unlock()
-		if flushing {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *shard) hurry() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.pages.opts.Clock.Now()
-	for _, o := range s.pending {
-		o.due = now
-	}
-	select {
-	case s.wake <- struct{}{}:
-	default:
-	}
-}
-
 func (p *Pages) removeOld(ctx context.Context) {
 	ctx = store.WithPriority(ctx, store.PriorityBackground)
 	for shard := range p.shards {
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -86,7 +86,9 @@
 	for _, o := range ops {
 		o.inDoubt = false
 		if o.abandoned && o.entry.Op == opClaim {
-			releases = append(releases, releaseOf(o.entry, o.life, s.pages.opts.Clock.Now()))
+			release := releaseOf(o.entry, o.life, s.pages.opts.Clock.Now())
+			release.source = o.source
+			releases = append(releases, release)
 		}
 		o.finish(o.onWrite)
 	}
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 
 	mu       sync.Mutex // guards the fields below
 	pending  []*op
+	batch    []*op // taken from pending by the flush loop; some may be finished
 	flushing bool
 	wake     chan struct{} // buffered: the loop looks at pending again
 	// paid is when the writes so far are made up for, at one for each flush
@@ -50,7 +52,7 @@
 	now := s.pages.opts.Clock.Now()
 	for _, o := range ops {
 		o.due = now
-		if o.lazy {
+		if o.lazy && !s.pages.draining.Load() {
 			o.due = now.Add(s.pages.opts.LazyInterval)
 		}
 	}
@@ -95,6 +97,7 @@
 func (s *shard) nextFlush() (wait time.Duration, more bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.batch = nil
 	s.dropAbandoned()
 	if len(s.pending) == 0 {
 		s.flushing = false
@@ -150,9 +153,9 @@
 	return true
 }
 
-// take removes the pending ops. It leaves those that would make one write too
-// large.
-func (s *shard) take() []*op {
+// nextBatch returns what is left of the last batch and the pending ops. It
+// leaves those that would make one write too large.
+func (s *shard) nextBatch(last []*op) []*op {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.dropAbandoned()
@@ -161,12 +164,23 @@
 		size += entryOverhead + len(s.pending[n].entry.Result)
 		n++
 	}
-	batch := append([]*op(nil), s.pending[:n]...)
+	last = slices.DeleteFunc(last, func(o *op) bool { return o.finished })
+	s.batch = slices.Concat(last, s.pending[:n])
 	rest := copy(s.pending, s.pending[n:])
 	clear(s.pending[rest:])
 	s.pending = s.pending[:rest]
 	s.pages.pending.Add(int64(-n))
-	return batch
+	return slices.Clone(s.batch)
+}
+
+// unwritten returns the completions and releases that the store does not have
+// yet.
+func (s *shard) unwritten() []*op {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(slices.Concat(s.batch, s.pending), func(o *op) bool {
+		return o.finished || (o.entry.Op != opComplete && o.entry.Op != opRelease)
+	})
 }
 
 // entryOverhead is about the stored size of an entry without its result.
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -81,6 +81,7 @@
 		FlushInterval: settings.Flush.Duration, Retention: settings.Retention.Duration,
 		OpaqueRetention: settings.OpaqueRetention.Duration,
 		Forward:         d.peers,
+		Peers:           d.otherMembers,
 		Logger:          d.logger, Metrics: d.metrics,
 	})
 	d.tickets = claim.NewTickets(claim.TicketOptions{
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +23,8 @@
 	// request is done.
 	drainPoll = 50 * time.Millisecond
 	// lastWords bounds what a stopping instance does after its last request:
-	// hand over outcomes, close connections.
-	lastWords = 5 * time.Second
+	// record claims, hand over outcomes, close connections.
+	lastWords = 8 * time.Second
 	// maxHandover is how many outcomes a stopping instance passes on.
 	maxHandover = 5000
 )
@@ -136,6 +137,8 @@
 	d.awaitClaimedCalls(ctx)
 	closing, done := loop.WithTimeout(context.Background(), d.opts.Clock, lastWords)
 	defer done()
+	d.platform.SetStopping()
+	d.pages.Drain(closing)
 	d.handOver(closing)
 	_ = d.servers.caller.Shutdown(closing)
 	_ = d.servers.admin.Shutdown(closing)
@@ -202,16 +205,24 @@
 	if len(records) == 0 {
 		return
 	}
-	for _, id := range d.board.LiveMembersIn(d.cfg.Instance.Place, d.id()) {
-		if id != d.id() && d.peers.Handover(ctx, id, records) == nil {
+	for _, id := range d.otherMembers() {
+		if d.peers.Handover(ctx, id, records) == nil {
 			return
 		}
 	}
-	for _, id := range d.board.LiveMembers(d.id()) {
-		if id != d.id() && d.peers.Handover(ctx, id, records) == nil {
-			return
+}
+
+// otherMembers are the other living instances, those of the own availability
+// zone first.
+func (d *Daemon) otherMembers() []string {
+	near := d.board.LiveMembersIn(d.cfg.Instance.Place, d.id())
+	var others []string
+	for _, id := range append(near, d.board.LiveMembers(d.id())...) {
+		if id != d.id() && !slices.Contains(others, id) {
+			others = append(others, id)
 		}
 	}
+	return others
 }
 
 // Kill closes every listener and connection at once, as the death of the
--- /dev/null
+++ b/internal/daemon/stop_store_test.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/claim"
+	"lynxhill.example/lynxhill/internal/standin/platform"
+)
+
+// Guards against a booking that has run and stays "may have run" because the
+// store was away while its instance stopped.
+func TestStopRecordsCompletionsDespiteStoreOutage(t *testing.T) {
+	for _, away := range []time.Duration{3 * time.Second, 5 * time.Second, 8 * time.Second} {
+		t.Run(fmt.Sprint(away), func(t *testing.T) {
+			t.Parallel()
+			d := newDeployment(t)
+			var lines logLines
+			stopping, other := d.start(t, "a", 0, &lines), d.start(t, "b", 1, nil)
+			d.declare(t, stopping, other)
+			for _, m := range d.fleet.Service("booking") {
+				m.Target.Straggle(400)
+			}
+			booking := d.abandonBooking(t, stopping)
+			d.fleet.Platform.Outage(platform.OutageRefuse)
+			back := make(chan struct{})
+			time.AfterFunc(away, func() {
+				d.fleet.Platform.Outage(platform.OutageNone)
+				close(back)
+			})
+			stopping.stop()
+			if err := <-stopping.ended; err != nil {
+				t.Errorf("the stop: %v", err)
+			}
+			if strings.Contains(lines.String(), "claim_records_lost") {
+				t.Error("the stop lost the completion")
+			}
+			<-back
+			d.awaitCompleted(t, other, claim.Key{Organisation: testOrganisation, Key: booking.Key, Stage: "book"})
+		})
+	}
+}
+
+// awaitCompleted polls while the store client of the instance has not yet seen
+// the end of an outage.
+func (d *deployment) awaitCompleted(t *testing.T, at *running, key claim.Key) {
+	t.Helper()
+	for limit := time.Now().Add(45 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		answer, found, err := at.claims.Lookup(t.Context(), key)
+		if err != nil && time.Now().Before(limit) {
+			continue
+		}
+		if err != nil || !found || answer.State != claim.Completed {
+			t.Errorf("the claim after the stop: %+v, %v, %v", answer, found, err)
+		}
+		return
+	}
+}
--- a/internal/event/catalogue_claim.go
+++ b/internal/event/catalogue_claim.go
@@ -11,6 +11,8 @@
 	ClaimDropped       ID = 2107
 	ClaimTicketsFull   ID = 2108
 	ClaimFormat        ID = 2109
+	ClaimHandedOver    ID = 2110
+	ClaimUnrecorded    ID = 2111
 )
 
 var _ = define(
@@ -23,4 +25,6 @@
 	Definition{ClaimDropped, Warn, "claim_record_dropped", "Completions or releases were dropped while the store was down; resends of their keys will be told outcome_unknown."},
 	Definition{ClaimTicketsFull, Warn, "claim_tickets_full", "The memory for keys under this instance's tickets is full; further ones are claimed in the platform. Fewer keys per ticket or more instances make room."},
 	Definition{ClaimFormat, Error, "claim_shards_differ", "The platform's claims were written with another number of shards than this instance's settings say; it refuses claims, since it would not find the recorded ones. Set claims.shards as it was."},
+	Definition{ClaimHandedOver, Info, "claim_records_handed_over", "A stopping instance gave other instances the completions and releases that the store did not take."},
+	Definition{ClaimUnrecorded, Error, "claim_records_lost", "A stopping instance ended with completions or releases that neither the store nor another instance took; resends of their keys will be told outcome_unknown."},
 )
--- a/internal/storeclient/budget.go
+++ b/internal/storeclient/budget.go
@@ -34,6 +34,9 @@
 	failuresToDown = 3
 	minBackoff     = 250 * time.Millisecond
 	maxBackoff     = 30 * time.Second
+	// stoppingBackoff is the longest wait between the probes of a stopping
+	// instance.
+	stoppingBackoff = 500 * time.Millisecond
 	// returnSpread is the time over which the instances' less important calls
 	// come back after an outage.
 	returnSpread = 10 * time.Second
@@ -122,6 +125,9 @@
 	nextProbe time.Time
 	// resume holds, after an outage, when each priority may call again.
 	resume map[store.Priority]time.Time
+	// stopping says that the instance is about to end: it cannot wait for its
+	// turn after an outage.
+	stopping bool
 }
 
 func newGovernor(b Budget, seed uint64) *governor {
@@ -248,6 +254,9 @@
 // that probes stay rare, and half is drawn, so that instances that lost the
 // platform together try it apart.
 func (g *governor) schedule(now time.Time) {
+	if g.stopping {
+		g.backoff = min(g.backoff, stoppingBackoff)
+	}
 	half := g.backoff / 2
 	g.nextProbe = now.Add(half + time.Duration(g.rng.Int64N(int64(half))))
 }
@@ -266,11 +275,23 @@
 	g.writes.refill(now, 0)
 	g.reads.tokens = g.reads.burst() * 0.5
 	g.writes.tokens = g.writes.burst() * 0.5
+	if g.stopping {
+		return
+	}
 	g.resume[store.PriorityControl] = now.Add(g.draw(returnSpread))
 	g.resume[store.PriorityBackground] = now.Add(returnSpread + g.draw(2*returnSpread))
 	g.resume[store.PriorityRequest] = now.Add(g.draw(time.Second))
 }
 
+// setStopping ends every wait that is longer than a stopping instance has.
+func (g *governor) setStopping(now time.Time) {
+	g.stopping = true
+	clear(g.resume)
+	if g.down {
+		g.schedule(now)
+	}
+}
+
 func (g *governor) draw(limit time.Duration) time.Duration {
 	return time.Duration(g.rng.Int64N(int64(limit)))
 }
--- a/internal/storeclient/budget_test.go
+++ b/internal/storeclient/budget_test.go
@@ -270,3 +270,25 @@
 		t.Fatalf("the share in use is %g", g.share)
 	}
 }
+
+// Guards against a stopping instance that ends before its turn after an outage
+// comes, or before its next probe.
+func TestStoppingInstanceDoesNotWaitForItsTurn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	g := newGovernor(DefaultBudget, 1)
+	for range failuresToDown {
+		g.done(now, callWrite, false, resultFailed)
+	}
+	g.backoff = maxBackoff
+	g.schedule(now)
+	g.setStopping(now)
+	now = now.Add(stoppingBackoff)
+	probe, err := g.admit(now, callWrite, store.PriorityControl)
+	if !probe || err != nil {
+		t.Fatalf("no probe within %v: %v", stoppingBackoff, err)
+	}
+	g.done(now, callWrite, true, resultOK)
+	if _, err := g.admit(now, callWrite, store.PriorityControl); err != nil {
+		t.Errorf("the call after the probe: %v", err)
+	}
+}
--- a/internal/storeclient/share.go
+++ b/internal/storeclient/share.go
@@ -43,6 +43,14 @@
 	return math.Min(most, math.Max(even, least)+perShard*float64(shards))
 }
 
+// SetStopping tells the client that the instance is about to end. After an
+// outage its calls no longer wait for their turn.
+func (c *Client) SetStopping() {
+	c.governorMu.Lock()
+	defer c.governorMu.Unlock()
+	c.governor.setStopping(c.clock.Now())
+}
+
 // SetBudget changes the budget, for a fleet whose size has changed. Calls
 // under way go on.
 func (c *Client) SetBudget(b Budget) {
