Claims: an owner confirms a completion only when it is written

What callers would see: a booking has run and its resends are told "may have run" for the whole retention, after the instance that writes the shard's claims for others was killed.

Cause: the owner answered that a completion was taken while it was only in its memory, where it waits up to a second for a write to ride on; the sender forgot it then. A full queue (claim_record_dropped) was confirmed as well.

Evidence: TestOwnerKilledBeforeItWritesACompletion kills the owner half a second after the completion was sent; with the early answer put back it finds the claim held for good.

Change: the owner answers when the record is written, or after 1.5 s that it is not; the sender keeps the record until then and writes it itself otherwise. An owner whose store is slow is no longer taken for one that does not answer.

--- a/internal/claim/drain.go
+++ b/internal/claim/drain.go
@@ -111,7 +111,7 @@
 		if copies == handOverCopies || ctx.Err() != nil {
 			break
 		}
-		callCtx, cancel := p.forwardContext(ctx)
+		callCtx, cancel := p.forwardContext(ctx, forwardTimeout)
 		_, err := p.opts.Forward.ForwardClaim(callCtx, peer, o.message(keepPrefix+string(o.entry.Op)))
 		cancel()
 		if err == nil {
--- a/internal/claim/drain_test.go
+++ b/internal/claim/drain_test.go
@@ -96,3 +96,59 @@
 		}
 	})
 }
+
+// mortalOwner is an owner that can be killed: its store calls and the calls
+// made to it fail from then on, those under way too.
+type mortalOwner struct {
+	store.Store
+	pages *Pages
+	dead  chan struct{}
+}
+
+func (m *mortalOwner) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (store.Object, error) {
+	select {
+	case <-m.dead:
+		return store.Object{}, store.ErrUnavailable
+	default:
+		return m.Store.Put(ctx, key, value, ifVersion)
+	}
+}
+
+func (m *mortalOwner) ForwardClaim(ctx context.Context, _ string, msg Message) (Reply, error) {
+	type answer struct {
+		reply Reply
+		err   error
+	}
+	answered := make(chan answer, 1)
+	go func() {
+		reply, err := m.pages.Handle(ctx, msg)
+		answered <- answer{reply, err}
+	}()
+	select {
+	case a := <-answered:
+		return a.reply, a.err
+	case <-m.dead:
+		return Reply{}, errLink
+	}
+}
+
+// Guards against completions and releases that an owner confirms, and that die
+// with it before they are written.
+func TestOwnerKilledBeforeItWritesACompletion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		owner := &mortalOwner{Store: st, dead: make(chan struct{})}
+		owner.pages = testPages(st, "owner", 1, func(o *PagesOptions) { o.Store = owner })
+		holder := testPages(st, "holder", 2, func(o *PagesOptions) {
+			o.Owners = func(int) string { return "owner" }
+			o.Forward = owner
+		})
+		defer runUntilStopped(t, owner.pages)()
+		defer runUntilStopped(t, holder)()
+		mustState(t, holder, testRequest("k", "x", time.Second), Granted).Claim.Complete(json.RawMessage(`1`))
+		time.Sleep(DefaultLazyInterval / 2)
+		close(owner.dead)
+		time.Sleep(10 * time.Second)
+		mustState(t, testPages(st, "b", 3, nil), testRequest("k", "x", time.Second), Completed)
+	})
+}
--- a/internal/claim/forward.go
+++ b/internal/claim/forward.go
@@ -54,6 +54,11 @@
 	// forwardTimeout is how long an owner has to answer before the claim is
 	// written without it.
 	forwardTimeout = time.Second
+	// endWait is how long an owner tries to write a completion, which it may
+	// hold back for LazyInterval, before it leaves it to the sender as well.
+	endWait = 1500 * time.Millisecond
+	// endTimeout is how long the sender waits for that answer.
+	endTimeout = 2 * time.Second
 	// avoidAfterFailure is how long nothing is forwarded to an instance that
 	// did not answer.
 	avoidAfterFailure = 5 * time.Second
@@ -92,9 +97,9 @@
 }
 
 // forwardContext limits a forwarded message.
-func (p *Pages) forwardContext(ctx context.Context) (context.Context, context.CancelFunc) {
+func (p *Pages) forwardContext(ctx context.Context, limit time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
-	timer := p.opts.Clock.AfterFunc(forwardTimeout, cancel)
+	timer := p.opts.Clock.AfterFunc(limit, cancel)
 	return ctx, func() {
 		timer.Stop()
 		cancel()
@@ -110,7 +115,7 @@
 		limit = req.Deadline
 	}
 	m := Message{Op: MessageClaim, Key: req.Key, Body: req.BodyHash, Token: o.entry.Token, Holder: p.opts.Self, Deadline: limit}
-	callCtx, cancel := p.forwardContext(ctx)
+	callCtx, cancel := p.forwardContext(ctx, forwardTimeout)
 	defer cancel()
 	reply, err := p.opts.Forward.ForwardClaim(callCtx, owner, m)
 	switch {
@@ -154,16 +159,21 @@
 }
 
 // forwardEnd tells the owner that a claim has ended. If the owner does not
-// answer, it is recorded here as well: the second of the two changes nothing.
+// confirm that it is written, it is recorded here as well: the second of the
+// two changes nothing.
 func (c *granted) forwardEnd(o *op) {
 	p := c.pages
 	defer p.ending.Add(-1)
-	ctx, cancel := p.forwardContext(context.Background())
+	ctx, cancel := p.forwardContext(context.Background(), endTimeout)
 	defer cancel()
-	if _, err := p.opts.Forward.ForwardClaim(ctx, c.owner, o.message(string(o.entry.Op))); err != nil {
+	_, err := p.opts.Forward.ForwardClaim(ctx, c.owner, o.message(string(o.entry.Op)))
+	if err == nil {
+		return
+	}
+	if !errkind.Is(err, errkind.StoreUnavailable) {
 		p.avoidOwner(c.owner)
-		c.shard.record(o)
 	}
+	c.shard.record(o)
 }
 
 // Handle carries out a message of another instance.
@@ -191,23 +201,35 @@
 	case o.entry.Op == opComplete && len(m.Result) <= p.opts.MaxResult:
 		o.entry.Result = m.Result
 		o.lazy = true
-		return Reply{State: Completed}, p.handleEnd(s, o, handedOver)
+		return Reply{State: Completed}, p.handleEnd(ctx, s, o, handedOver)
 	case o.entry.Op == opRelease:
-		return Reply{}, p.handleEnd(s, o, handedOver)
+		return Reply{}, p.handleEnd(ctx, s, o, handedOver)
 	}
 	return Reply{}, errkind.New(errkind.BadRequest, "unknown claim message")
 }
 
 // handleEnd records a completion or a release of another instance. An error
-// says that the sender still owes it.
-func (p *Pages) handleEnd(s *shard, o *op, handedOver bool) error {
-	if handedOver && !s.add(o) {
+// says that the sender still owes it. It returns when the record is written,
+// unless the sender is stopping and cannot wait for that.
+func (p *Pages) handleEnd(ctx context.Context, s *shard, o *op, handedOver bool) error {
+	if !s.add(o) {
 		return errkind.New(errkind.StoreUnavailable, "too many claims wait for the store")
 	}
-	if !handedOver {
-		s.record(o)
+	if handedOver {
+		return nil
+	}
+	timer := p.opts.Clock.NewTimer(endWait)
+	defer timer.Stop()
+	select {
+	case <-o.done:
+		return nil
+	case <-timer.C:
+		return errkind.New(errkind.StoreUnavailable, "the record is not written yet")
+	case <-ctx.Done():
+		return errkind.New(errkind.StoreUnavailable, "the record is not written yet")
+	case <-p.stop:
+		return errkind.New(errkind.StoreUnavailable, "the instance has stopped")
 	}
-	return nil
 }
 
 func (p *Pages) handleClaim(ctx context.Context, s *shard, o *op, m Message) (Reply, error) {
