Client: do not take a connection for silent that has just answered

What callers saw: a streamed request ended with "the stream was silent too long" after 0.4 s, although the instance had taken it at once and was answering. In TestGracefulStopCutsNothing the stop was then never begun, and the test hung.

Cause: a stream on a kept connection has 0.4 s to begin, since such a connection may have gone silent since its last use. The client asks for addresses on the same connection just before, so nearly every request is held to the 0.4 s. The message does not say which of the limits ended it; it is not the 5 s of a stream that has begun.

Evidence: 130 copies of the test binary at once, 2 runs each, 5 failed, 442 to 545 ms after the request was sent. With times printed at both ends (150 copies, 3 failed): the connection had been idle for 0 ms, the instance entered the handler in the same millisecond and began the stream after 204 to 280 ms instead of 100; the client read it 186 to 343 ms after that, or had given up by then. So it is a busy machine, not a silent connection.

Change: a connection that was idle for under 0.1 s is treated as a new one. A connection that goes silent within that time costs one request a quarter of its deadline, as one that goes silent during the request does.

Failed before: TestConnectionThatJustAnsweredIsNotTakenForSilent (0.4 s instead of 2 s). TestGracefulStopCutsNothing: 130 copies at once, 3 runs each, all 390 pass.

--- a/internal/client/send.go
+++ b/internal/client/send.go
@@ -218,8 +218,12 @@
 	return reply, s.whole(reply.Output)
 }
 
-// leastHeaderWait is several times what an instance takes to begin a stream.
-const leastHeaderWait = 400 * time.Millisecond
+const (
+	// leastHeaderWait is several times what an instance takes to begin a stream.
+	leastHeaderWait = 400 * time.Millisecond
+	// provenFor is how long an answer shows that its connection works.
+	provenFor = 100 * time.Millisecond
+)
 
 // expectHeader gives a stream up that does not begin; the returned function
 // says that it has. Instances begin a stream within a tenth of a second, so
@@ -229,7 +233,9 @@
 //
 // A connection that was used before may have gone silent since; one sees its
 // requests late by a quarter of their deadline. The instance is then often well
-// and its next connection works, so such a one is given less time.
+// and its next connection works, so such a one is given less time, unless it
+// has answered just now, say the question for addresses: then a stream that
+// does not begin tells of a busy instance.
 func (c *Caller) expectHeader(ctx context.Context, req lynxapi.SendRequest, giveUp context.CancelCauseFunc) (sending context.Context, heard func()) {
 	if !req.Stream {
 		return ctx, func() {}
@@ -237,7 +243,8 @@
 	began, wait := time.Now(), c.headerWait(req)
 	timer := time.AfterFunc(wait, func() { giveUp(ErrSilent) })
 	connected := func(info httptrace.GotConnInfo) {
-		if info.Reused {
+		proven := info.WasIdle && info.IdleTime < provenFor
+		if info.Reused && !proven {
 			timer.Reset(min(wait, leastHeaderWait))
 			return
 		}
--- a/internal/client/silent_test.go
+++ b/internal/client/silent_test.go
@@ -106,6 +106,31 @@
 	}
 }
 
+// Guards against requests that are given up at a busy instance on a connection
+// that has answered just before.
+func TestConnectionThatJustAnsweredIsNotTakenForSilent(t *testing.T) {
+	for _, c := range []struct {
+		idle time.Duration
+		want time.Duration
+	}{
+		{provenFor - time.Millisecond, 2 * time.Second},
+		{provenFor, leastHeaderWait},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			caller, start := NewCaller(CallerOptions{}), time.Now()
+			caller.http.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
+				httptrace.ContextClientTrace(r.Context()).GotConn(httptrace.GotConnInfo{Reused: true, WasIdle: true, IdleTime: c.idle})
+				<-r.Context().Done()
+				return nil, r.Context().Err()
+			})
+			_, err := caller.sendTo(t.Context(), "a", "check", lynxapi.SendRequest{Stream: true, DeadlineMS: 8000}, &splice{})
+			if took := time.Since(start); !errors.Is(err, ErrSilent) || took != c.want {
+				t.Errorf("idle for %v: %v after %v, want %v", c.idle, err, took, c.want)
+			}
+		})
+	}
+}
+
 // Symptom: a caller ended with a broken connection although an instance had
 // answered every question about its request. Events: the stream broke; asked
 // for the outcome, the instance said "running" until the deadline. Cause: the
