forwarding: a stream that broke off waits for a repeat

What callers saw: a resumable stream was cut after some events and not resumed (TestStreamsResumed: "7 events, unexpected EOF, 1 runs").

Cause: an instance that has just started gains its part of the extra repeats evenly over its first window. A stream that broke off before the next repeat was gained was cut at once, though its caller had bytes of the answer and no promise that would let it come again.

Evidence: the budget's state printed at each refusal (70 copies of the test binary, 2 runs each; then 8 copies, 3 runs each, three times): all eight refusals came 81 to 179 ms after the start, with 0 or 1 repeats spent and 0.82 to 1.8 gained; the next one came within 0.2 s. The bound of all instances was never near.

Change: a stream that has begun waits up to 1 s for a repeat, within the request's time. The bound is unchanged. Requests of which the caller has nothing yet are answered at once, as before.

Failed before: TestBrokenStreamWaitsForARepeat/gained_soon. TestStreamsResumed: 4 of 70 copies (2 runs each) failed before, now 0 of 70 copies (3 runs each) and 0 of 8 copies (15 runs each) by a cut stream.

--- a/internal/claim/drain.go
+++ b/internal/claim/drain.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/control/loop"
 	"lynxhill.example/lynxhill/internal/event"
 )
 
@@ -39,11 +40,11 @@
 		s.hurry()
 	}
 	end := p.opts.Clock.Now().Add(storeGrace)
-	for p.busy() && p.opts.Clock.Now().Before(end) && p.sleep(ctx, stopPoll) {
+	for p.busy() && p.opts.Clock.Now().Before(end) && loop.Sleep(ctx, p.opts.Clock, stopPoll) {
 	}
 	for p.owes() {
 		p.handOver(ctx)
-		if !p.owes() || !p.sleep(ctx, stopPoll) {
+		if !p.owes() || !loop.Sleep(ctx, p.opts.Clock, stopPoll) {
 			break
 		}
 	}
@@ -123,18 +124,6 @@
 	}
 }
 
-// sleep returns false if ctx ended first.
-func (p *Pages) sleep(ctx context.Context, d time.Duration) bool {
-	timer := p.opts.Clock.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // finish ends an op whose record another instance has taken over.
 func (s *shard) finish(o *op) {
 	s.mu.Lock()
--- a/internal/forwarding/budget.go
+++ b/internal/forwarding/budget.go
@@ -1,12 +1,14 @@
 package forwarding
 
 import (
+	"context"
 	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/control/loop"
 	"lynxhill.example/lynxhill/internal/event"
 )
 
@@ -132,9 +134,40 @@
 func (b *Budget) Spend(service string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !b.trySpend(service) {
+		b.stats.Refused++
+		return false
+	}
+	return true
+}
+
+// spendPoll is how often SpendWithin looks again.
+const spendPoll = 20 * time.Millisecond
+
+// SpendWithin is Spend that waits for a repeat, at most for limit and until ctx
+// ends.
+func (b *Budget) SpendWithin(ctx context.Context, service string, limit time.Duration) bool {
+	for until := b.o.Clock.Now().Add(limit); ; {
+		b.mu.Lock()
+		spent := b.trySpend(service)
+		b.mu.Unlock()
+		if spent {
+			return true
+		}
+		if !b.o.Clock.Now().Before(until) || !loop.Sleep(ctx, b.o.Clock, spendPoll) {
+			break
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stats.Refused++
+	return false
+}
+
+// trySpend takes a repeat if one is left. b.mu is held.
+func (b *Budget) trySpend(service string) bool {
 	w := b.window(service)
 	if float64(sum(w.repeats[:])+1) > b.o.Ratio*w.weightedRequests()+b.extra() {
-		b.stats.Refused++
 		return false
 	}
 	w.repeats[w.newest%budgetSlots]++
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -242,7 +242,7 @@
 	if ef.base.Err() == nil {
 		ef.suspectCrash(target, err)
 	}
-	if ctx.Err() != nil || !ef.Route.Resumable || !ef.mayRepeat(true) {
+	if ctx.Err() != nil || !ef.Route.Resumable || !ef.mayResume(ctx) {
 		ef.failStream(ctx, err)
 		return true
 	}
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -205,6 +205,22 @@
 // mayRepeat reports whether the request may be sent to one more target, and
 // takes that from the budget. ranHere says that the last target may have run it.
 func (fl *flight) mayRepeat(ranHere bool) bool {
+	return fl.repeatable(ranHere) && fl.o.Budget.Spend(fl.service)
+}
+
+// resumeWait is how long a stream that broke off waits for the budget. Its
+// caller has a part of the answer and no promise, and bears a pause better than
+// a cut.
+const resumeWait = time.Second
+
+// mayResume is mayRepeat for a stream that has begun.
+func (fl *flight) mayResume(ctx context.Context) bool {
+	return fl.repeatable(true) && fl.o.Budget.SpendWithin(ctx, fl.service, resumeWait)
+}
+
+// repeatable reports whether anything but the budget keeps the request from
+// being sent to one more target.
+func (fl *flight) repeatable(ranHere bool) bool {
 	if ranHere {
 		fl.ran = true
 		if !fl.Route.Repeatable() || fl.sends >= fl.attempts() {
@@ -212,7 +228,7 @@
 		}
 	}
 	fl.awaitVerdict()
-	return !fl.o.Crashes.Refused(fl.fingerprint()) && fl.o.Budget.Spend(fl.service)
+	return !fl.o.Crashes.Refused(fl.fingerprint())
 }
 
 // maxSends bounds how often a request is sent when every target refuses it.
--- /dev/null
+++ b/internal/forwarding/resume_test.go
@@ -0,0 +1,57 @@
+package forwarding
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/coder/quartz"
+
+	"lynxhill.example/lynxhill/internal/route"
+)
+
+// Guards against streams that are cut at an instance that has just started and
+// gets its next repeat a moment later.
+func TestBrokenStreamWaitsForARepeat(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		extra float64 // a fifth of it is gained over the first window
+		whole bool
+		cutBy time.Duration // after the start
+	}{
+		{"gained soon", 60, true, 0},
+		{"gained late", 10, false, 1200 * time.Millisecond},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				broken := false
+				r := newRig(t, 2, func(_ *machine, conn net.Conn, _ string) {
+					if !broken {
+						broken = true
+						_, _ = io.WriteString(conn, wholeAnswer[:58])
+						_ = conn.Close()
+						return
+					}
+					_, _ = io.WriteString(conn, wholeAnswer)
+				})
+				r.Forwarder.o.Budget = NewBudget(BudgetOptions{
+					Extra: c.extra, Window: 10 * time.Second, Instances: func() int { return 1 }, Clock: quartz.NewReal(),
+				})
+				began := time.Now()
+				time.Sleep(100 * time.Millisecond)
+				w, cut := r.call(t.Context(), inbound(route.Streaming, true, true), "body", 5*time.Second)
+				whole := !cut && w.Code == http.StatusOK && strings.HasSuffix(w.Body.String(), "id: 1\nyes\n\n")
+				if whole != c.whole {
+					t.Errorf("whole %v, want %v: status %d, body %q", whole, c.whole, w.Code, w.Body)
+				}
+				if took := time.Since(began); !c.whole && took > c.cutBy {
+					t.Errorf("cut after %v, want %v at most", took, c.cutBy)
+				}
+			})
+		})
+	}
+}
