forwarding: do not cut an answer for an attempt that cannot finish

What callers saw: a request of 1.2 s work with a deadline of 3 s got 504 around a stop (TestGracefulStop: "/slow/x got 504").

Cause: an attempt at a plain target is cut at the latest when half of the remaining time has passed, so that another target can be asked. With 3 s left and a usual time of 1.2 s that is 1.5 s: an answer that is 0.3 s later than usual is cut, and the attempts after it have 1.5, 0.7 and 0.4 s for 1.2 s of work.

Evidence: 24 copies of the test, each stopped (SIGSTOP) for 0.8 s, at 1.3 to 4.1 s: 10 failed, only by /slow/x with 504.

Change: an attempt is bounded only if the next one would have 1.5 times the usual time. Services that answer fast against their deadline are asked again as before.

--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -23,6 +23,8 @@
 	// patienceFactor times as long as most, and at least patienceMin.
 	patienceFactor = 4
 	patienceMin    = 150 * time.Millisecond
+	// An attempt is cut only if the next one has repeatFactor times the mean left.
+	repeatFactor = 1.5
 )
 
 var (
@@ -140,7 +142,8 @@
 	return a
 }
 
-// attemptTime bounds one attempt, if another may follow; 0 = not bounded.
+// attemptTime bounds one attempt, if another may follow and would have time to be
+// answered; 0 = not bounded.
 func (fl *flight) attemptTime() time.Duration {
 	if !fl.Route.Repeatable() || fl.sends+1 >= fl.attempts() {
 		return 0
@@ -150,7 +153,11 @@
 		return 0
 	}
 	left := fl.until.Sub(fl.o.Clock.Now())
-	return min(max(patienceFactor*mean, patienceMin), left/2)
+	patience := min(max(patienceFactor*mean, patienceMin), left/2)
+	if float64(left-patience) < repeatFactor*float64(mean) {
+		return 0
+	}
+	return patience
 }
 
 // readAnswer reads the body, as far as it is to be kept, and judges the answer.
