forwarding: a target that was slow for a moment is asked again

What callers saw: some targets of a plain service got nothing any more, though they were well (TestLimitIsKept, off the list since, failed in 16 of 60 copies of the test binary at once: "the target of plain that named a limit got nothing at all").

Cause: what is kept of a target's time is the mean of its own answers, which changes with its answers only. A target that was slow once, say at a busy start, scored worse than all others, got nothing, and so was held for slow for good; the first answer alone made the mean. Other marks against a target fade; this did not.

Targets without a limit starved beside it.

Change: kept is how much slower than its service a target was at that time; it fades to 1 with a half-life of 2 s, as faults do, and one answer counts at most four means. Failed before: TestLoadsShares/slow (0 of 300 requests 20 s later).

--- a/internal/forwarding/loads.go
+++ b/internal/forwarding/loads.go
@@ -14,9 +14,11 @@
 // Factors of the view of plain targets.
 const (
 	loadKeep     = 2 * time.Second // how long a report counts
-	timeWeight   = 0.15            // of the newest answer in a target's mean time
+	timeWeight   = 0.15            // of the newest answer in a target's slowness
 	faultWeight  = 0.15            // of the newest outcome in a target's share of faults
 	faultHalf    = 2 * time.Second // in which the share halves while nothing is sent there
+	slowHalf     = 2 * time.Second // in which a slowness beyond 1 halves while nothing is sent there
+	slowMost     = 4.0             // means that an answer counts at most, so that one is not taken for many
 	pauseMin     = 300 * time.Millisecond
 	pauseMax     = 4 * time.Second
 	placePenalty = 0.15 // of a target in another place, in requests in flight a slot
@@ -41,8 +43,9 @@
 	inFlight int
 	reported relay.Load
 	at       time.Time // of the report
-	meanMS   float64
-	faults   float64 // share of answers that are faults, newest first
+	slowness float64   // time of its answers, in means of its service at that time; 0 = no answer yet
+	slowAt   time.Time // of the last of them
+	faults   float64   // share of answers that are faults, newest first
 	faultAt  time.Time
 	fails    int // connections that failed in a row
 	pausedTo time.Time
@@ -103,9 +106,8 @@
 	if t.Place != l.place {
 		score += placePenalty
 	}
-	if mean := l.means[t.Service]; mean > 0 && k.meanMS > 1.5*mean {
-		score *= k.meanMS / mean
-		score += min(k.meanMS/mean-1, 4)
+	if slowness := k.slownessAt(now); slowness > 1.5 {
+		score = score*slowness + slowness - 1
 	}
 	score += faultPenalty * k.faultsAt(now)
 	if now.Before(k.pausedTo) {
@@ -122,6 +124,15 @@
 	return k.faults * math.Pow(0.5, float64(now.Sub(k.faultAt))/float64(faultHalf))
 }
 
+// slownessAt approaches 1 while no answers come: a target that was slow for a moment
+// would otherwise never be asked again.
+func (k *targetLoad) slownessAt(now time.Time) float64 {
+	if k.slowness == 0 {
+		return 1
+	}
+	return 1 + (k.slowness-1)*math.Pow(0.5, float64(now.Sub(k.slowAt))/float64(slowHalf))
+}
+
 // Outcome is how an attempt at a target ended.
 type Outcome int
 
@@ -148,7 +159,7 @@
 	case Answered:
 		k.fails = 0
 		l.fault(k, 0, now)
-		l.timed(k, t.Service, took)
+		l.timed(k, t.Service, took, now)
 	case Faulty:
 		k.fails = 0
 		l.fault(k, 1, now)
@@ -170,16 +181,14 @@
 	k.faultAt = now
 }
 
-func (l *Loads) timed(k *targetLoad, service string, took time.Duration) {
+func (l *Loads) timed(k *targetLoad, service string, took time.Duration, now time.Time) {
 	ms := float64(took.Microseconds()) / 1000
-	if k.meanMS == 0 {
-		k.meanMS = ms
-	}
-	k.meanMS += timeWeight * (ms - k.meanMS)
 	mean := l.means[service]
 	if mean == 0 {
 		mean = ms
 	}
+	was := k.slownessAt(now)
+	k.slowness, k.slowAt = was+timeWeight*(min(ms/mean, slowMost)-was), now
 	l.means[service] = mean + timeWeight/4*(ms-mean)
 }
 
--- a/internal/forwarding/loads_test.go
+++ b/internal/forwarding/loads_test.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// firstSlow has the first target answer slowly while the others answer as usual.
+func (r *loadsRig) firstSlow() {
+	for range 10 {
+		r.Done(r.targets[1], Answered, 10*time.Millisecond, nil)
+		r.Done(r.targets[2], Answered, 10*time.Millisecond, nil)
+		r.Done(r.targets[0], Answered, 100*time.Millisecond, nil)
+	}
+}
+
 // share is how many of 300 requests, one after the other, the first target gets.
 func (r *loadsRig) share() (n int) {
 	for range 300 {
@@ -57,6 +66,7 @@
 		{"callers left", func(r *loadsRig) { r.first(Abandoned, nil) }, 60, 140, 60, 140},
 		{"full of others' work", func(r *loadsRig) { r.first(Answered, &relay.Load{Running: 4, Waiting: 3, Slots: 4}) }, 0, 15, 40, 140},
 		{"refused", func(r *loadsRig) { r.first(Refused, nil) }, 0, 15, 40, 140},
+		{"slow", (*loadsRig).firstSlow, 0, 15, 40, 140},
 		{"far away", func(r *loadsRig) { r.targets[0].Place = "far" }, 0, 15, 0, 15},
 	}
 	for _, c := range cases {
