Stop: log outcomes that no other instance took

A stopping instance gives its recent outcomes to the first living instance that answers. If none did, they ended with it, and nothing told so: the same silence that hid the lost completions of claims. Event 1005 tells how many.

Looked at beside, by reading: a lease that is not given back at a stop runs out by itself, and the next holder plans orders anew from what engines report. Keys under a ticket live in the memory of their instance by design and end with it; their outcomes are handed over.

TestStopWithoutPeersLogsItsOutcomes failed before (no such line).

--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -210,6 +210,7 @@
 			return
 		}
 	}
+	d.logger.Log(event.OutcomesLost, "records", len(records))
 }
 
 // otherMembers are the other living instances, those of the own availability
--- a/internal/daemon/stop_store_test.go
+++ b/internal/daemon/stop_store_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/claim"
+	"lynxhill.example/lynxhill/internal/client"
 	"lynxhill.example/lynxhill/internal/standin/platform"
+	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
 // Guards against a booking that has run and stays "may have run" because the
@@ -58,3 +60,22 @@
 		return
 	}
 }
+
+// Guards against a stop that loses its outcomes without a trace.
+func TestStopWithoutPeersLogsItsOutcomes(t *testing.T) {
+	d := newDeployment(t)
+	var lines logLines
+	alone := d.start(t, "a", 0, &lines)
+	d.declare(t, alone)
+	req := lynxapi.SendRequest{Organisation: testOrganisation, Key: client.NewKey(), Input: testInput("two lines")}
+	if _, err := d.callerOf(alone).Send(t.Context(), "booking", req, nil); err != nil {
+		t.Fatal(err)
+	}
+	alone.stop()
+	if err := <-alone.ended; err != nil {
+		t.Errorf("the stop: %v", err)
+	}
+	if !strings.Contains(lines.String(), "outcomes_not_handed_over records=1") {
+		t.Errorf("the log: %s", &lines)
+	}
+}
--- a/internal/event/catalogue_daemon.go
+++ b/internal/event/catalogue_daemon.go
@@ -6,6 +6,7 @@
 	DaemonStopping ID = 1002
 	DaemonStopped  ID = 1003
 	DaemonStopCut  ID = 1004
+	OutcomesLost   ID = 1005
 )
 
 var _ = define(
@@ -13,4 +14,5 @@
 	Definition{DaemonStopping, Info, "daemon_stopping", "A graceful stop has begun: no new callers are sent here, those with a kept address answer are still served."},
 	Definition{DaemonStopped, Info, "daemon_stopped", "The instance has stopped."},
 	Definition{DaemonStopCut, Error, "daemon_stop_cut", "The longest time for a graceful stop ran out with requests in flight; they were cut. Raise timings.stop_grace."},
+	Definition{OutcomesLost, Warn, "outcomes_not_handed_over", "A stopping instance gave its recent outcomes to no other instance; resends find only what the claims record."},
 )
