forwarding: resume a stream that breaks off late

What callers saw: a resumable stream that broke off was cut instead of resumed, at an instance that had repeats left.

Cause: the job of the resumed stream asks the dispatcher for an engine within the time in which callers wait for the first event, counted from the arrival. A stream that breaks off later than that is refused as "cannot be done in time" and cut, although its caller has events and goes on waiting.

Change: once the answer has begun, the aim and the deadline of the job count from now, within the request's time.

Failed before: TestStreamThatBrokeOffLateIsResumed (cut after 2 s of 5).

--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -106,9 +106,10 @@
 
 // job is the request as the dispatcher gets it.
 func (ef *engineFlight) job() stagework.Job {
+	aim, deadline := ef.nextEventBy()
 	j := stagework.Job{
 		ID: ef.Request.ID, Key: ef.Request.PieceKey, Route: ef.Route.Name, Priority: ef.priority(),
-		Aim: ef.Arrived.Add(ef.aim()), Deadline: ef.firstBy(),
+		Aim: aim, Deadline: deadline,
 		Stages: ef.Route.Stages, Pieces: ef.Request.Pieces, Service: ef.service,
 		Prompt: ef.Request.Prompt, Place: ef.o.Place, Made: ef.made,
 		Avoid: slices.Concat(ef.avoid, ef.keptOff(), ef.pausedTargets()),
@@ -119,6 +120,20 @@
 	return j
 }
 
+// nextEventBy returns when the caller's next event is on time, and when the caller
+// is gone without it. Both count from the arrival until the answer has begun.
+func (ef *engineFlight) nextEventBy() (aim, deadline time.Time) {
+	if !ef.stream.begun() {
+		return ef.Arrived.Add(ef.aim()), ef.firstBy()
+	}
+	now := ef.o.Clock.Now()
+	deadline = ef.until
+	if ef.Route.FirstWait > 0 && now.Add(ef.Route.FirstWait).Before(deadline) {
+		deadline = now.Add(ef.Route.FirstWait)
+	}
+	return now.Add(ef.aim()), deadline
+}
+
 // aim is the time within which the first event is on time.
 func (fl *flight) aim() time.Duration {
 	if fl.Route.TargetLatency > 0 {
--- a/internal/forwarding/resume_test.go
+++ b/internal/forwarding/resume_test.go
@@ -55,3 +55,27 @@
 		})
 	}
 }
+
+// Guards against streams that are cut because they broke off later than callers
+// wait for the first event.
+func TestStreamThatBrokeOffLateIsResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		broken := false
+		r := newRig(t, 2, func(_ *machine, conn net.Conn, _ string) {
+			if !broken {
+				broken = true
+				_, _ = io.WriteString(conn, wholeAnswer[:58])
+				time.Sleep(2 * time.Second)
+				_ = conn.Close()
+				return
+			}
+			_, _ = io.WriteString(conn, wholeAnswer)
+		})
+		in := inbound(route.Streaming, true, true)
+		in.Route.FirstWait = time.Second
+		w, cut := r.call(t.Context(), in, "body", 5*time.Second)
+		if cut || w.Code != http.StatusOK || !strings.HasSuffix(w.Body.String(), "id: 1\nyes\n\n") {
+			t.Errorf("cut %v, status %d, body %q", cut, w.Code, w.Body)
+		}
+	})
+}
