Stop: drain claims once, within a part of its limit

Found by reading the drain again: an instance that could record nothing used up the whole limit of what follows its last request, so that outcomes were handed over and connections closed with no time left; then the end of the claim pages drained once more for 4 s beyond the limit and logged the loss a second time. The line that tells of records handed over was written at each try, also when nothing was taken.

Change: the drain has 6 of the 8 s; the pages drain at their end only if no stop did so before; the line is written only when something was taken.

Failed before: TestStopEndsThoughNobodyTakesItsClaims (two lines for one record).

--- a/internal/claim/drain.go
+++ b/internal/claim/drain.go
@@ -53,7 +53,11 @@
 	}
 }
 
+// drainAtEnd drains for an instance that ends without a graceful stop.
 func (p *Pages) drainAtEnd() {
+	if p.draining.Load() {
+		return
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	timer := p.opts.Clock.AfterFunc(storeGrace+handOverGrace, cancel)
@@ -103,7 +107,10 @@
 		})
 	}
 	calls.Wait()
-	p.opts.Logger.Log(event.ClaimHandedOver, "records", len(ops), "left", len(p.unwritten()))
+	left := len(p.unwritten())
+	if left < len(ops) {
+		p.opts.Logger.Log(event.ClaimHandedOver, "records", len(ops)-left, "left", left)
+	}
 }
 
 func (p *Pages) handOverOne(ctx context.Context, o *op, peers []string) {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -25,6 +25,8 @@
 	// lastWords bounds what a stopping instance does after its last request:
 	// record claims, hand over outcomes, close connections.
 	lastWords = 8 * time.Second
+	// claimWords is the part of lastWords for recording claims.
+	claimWords = 6 * time.Second
 	// maxHandover is how many outcomes a stopping instance passes on.
 	maxHandover = 5000
 )
@@ -137,8 +139,7 @@
 	d.awaitClaimedCalls(ctx)
 	closing, done := loop.WithTimeout(context.Background(), d.opts.Clock, lastWords)
 	defer done()
-	d.platform.SetStopping()
-	d.pages.Drain(closing)
+	d.drainClaims(closing)
 	d.handOver(closing)
 	_ = d.servers.caller.Shutdown(closing)
 	_ = d.servers.admin.Shutdown(closing)
@@ -198,6 +199,15 @@
 	}
 }
 
+// drainClaims records what the claims still owe. It leaves time for what comes
+// after it.
+func (d *Daemon) drainClaims(ctx context.Context) {
+	d.platform.SetStopping()
+	ctx, cancel := loop.WithTimeout(ctx, d.opts.Clock, claimWords)
+	defer cancel()
+	d.pages.Drain(ctx)
+}
+
 // handOver passes recent outcomes on, so that a resend finds its answer after
 // this instance is gone.
 func (d *Daemon) handOver(ctx context.Context) {
--- a/internal/daemon/stop_store_test.go
+++ b/internal/daemon/stop_store_test.go
@@ -79,3 +79,24 @@
 		t.Errorf("the log: %s", &lines)
 	}
 }
+
+// Guards against a stop that goes on recording claims beyond its limit and logs
+// what it lost more than once.
+func TestStopEndsThoughNobodyTakesItsClaims(t *testing.T) {
+	d := newDeployment(t)
+	var lines logLines
+	alone := d.start(t, "a", 0, &lines)
+	d.declare(t, alone)
+	for _, m := range d.fleet.Service("booking") {
+		m.Target.Straggle(400)
+	}
+	d.abandonBooking(t, alone)
+	d.fleet.Platform.Outage(platform.OutageRefuse)
+	alone.stop()
+	if err := <-alone.ended; err != nil {
+		t.Errorf("the stop: %v", err)
+	}
+	if n := strings.Count(lines.String(), "claim_records_lost records=1"); n != 1 {
+		t.Errorf("the log tells %d times of the lost completion: %s", n, &lines)
+	}
+}
