--- a/internal/forwarding/resume_test.go
+++ b/internal/forwarding/resume_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,6 +15,21 @@
 	"lynxhill.example/lynxhill/internal/route"
 )
 
+// breaksOffOnce gives the head of an answer, breaks off after a while, and gives all
+// later requests the whole answer.
+func breaksOffOnce(after time.Duration) func(*machine, net.Conn, string) {
+	var broken atomic.Bool
+	return func(_ *machine, conn net.Conn, _ string) {
+		if broken.Swap(true) {
+			_, _ = io.WriteString(conn, wholeAnswer)
+			return
+		}
+		_, _ = io.WriteString(conn, wholeAnswer[:58])
+		time.Sleep(after)
+		_ = conn.Close()
+	}
+}
+
 // Guards against streams that are cut at an instance that has just started and
 // gets its next repeat a moment later.
 func TestBrokenStreamWaitsForARepeat(t *testing.T) {
@@ -28,16 +44,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				broken := false
-				r := newRig(t, 2, func(_ *machine, conn net.Conn, _ string) {
-					if !broken {
-						broken = true
-						_, _ = io.WriteString(conn, wholeAnswer[:58])
-						_ = conn.Close()
-						return
-					}
-					_, _ = io.WriteString(conn, wholeAnswer)
-				})
+				r := newRig(t, 2, breaksOffOnce(0))
 				r.Forwarder.o.Budget = NewBudget(BudgetOptions{
 					Extra: c.extra, Window: 10 * time.Second, Instances: func() int { return 1 }, Clock: quartz.NewReal(),
 				})
@@ -60,17 +67,7 @@
 // wait for the first event.
 func TestStreamThatBrokeOffLateIsResumed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		broken := false
-		r := newRig(t, 2, func(_ *machine, conn net.Conn, _ string) {
-			if !broken {
-				broken = true
-				_, _ = io.WriteString(conn, wholeAnswer[:58])
-				time.Sleep(2 * time.Second)
-				_ = conn.Close()
-				return
-			}
-			_, _ = io.WriteString(conn, wholeAnswer)
-		})
+		r := newRig(t, 2, breaksOffOnce(2*time.Second))
 		in := inbound(route.Streaming, true, true)
 		in.Route.FirstWait = time.Second
 		w, cut := r.call(t.Context(), in, "body", 5*time.Second)
