--- a/internal/forwarding/loads.go
+++ b/internal/forwarding/loads.go
@@ -18,7 +18,7 @@
 	faultWeight  = 0.15            // of the newest outcome in a target's share of faults
 	faultHalf    = 2 * time.Second // in which the share halves while nothing is sent there
 	slowHalf     = 2 * time.Second // in which a slowness beyond 1 halves while nothing is sent there
-	slowMost     = 4.0             // means that an answer counts at most, so that one is not taken for many
+	slowMost     = 4.0             // most that one answer counts, in means, so that one is not taken for many
 	pauseMin     = 300 * time.Millisecond
 	pauseMax     = 4 * time.Second
 	placePenalty = 0.15 // of a target in another place, in requests in flight a slot
--- a/internal/membership/heartbeat.go
+++ b/internal/membership/heartbeat.go
@@ -38,15 +38,15 @@
 		for _, suspect := range m.expired(now) {
 			wg.Go(func() { m.verify(ctx, suspect) })
 		}
-		for i := range 1 + m.extraBeats() {
-			budget := m.budget()
-			if i > 0 {
-				budget = min(budget, eagerBudget)
-			}
+		beat := func(budget int) {
 			if id, ok := m.partner(&round); ok {
 				wg.Go(func() { m.beat(ctx, id, budget) })
 			}
 		}
+		beat(m.budget())
+		for range m.extraBeats() {
+			beat(min(eagerBudget, m.budget()))
+		}
 		if id, due := m.dueContact(now); due {
 			wg.Go(func() { m.contactDead(ctx, id) })
 		}
@@ -61,7 +61,7 @@
 	return ids
 }
 
-// beat exchanges digests with a member. If the exchange fails or takes longer than
+// beat exchanges digests of up to budget bytes with a member. If the exchange fails or takes longer than
 // half of ExchangeTimeout, beat asks other members to probe the member, and suspects
 // it if the exchange and all probes fail. Calls to a machine without power run into
 // their timeouts, so probes that overlap with the exchange shorten the detection.
--- a/internal/membership/unanswered.go
+++ b/internal/membership/unanswered.go
@@ -50,17 +50,18 @@
 // answeredFirst moves the members that answered within outcomeRetention to the front
 // and those that did not to the end.
 func (c *callOutcomes) answeredFirst(ids []string, now time.Duration) []string {
+	const answered, notCalled, unanswered = 0, 1, 2
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	order := func(id string) int {
 		last, known := c.latest[id]
 		switch {
 		case !known || now-last.at > outcomeRetention:
-			return 1
+			return notCalled
 		case last.ok:
-			return 0
+			return answered
 		}
-		return 2
+		return unanswered
 	}
 	slices.SortStableFunc(ids, func(a, b string) int { return order(a) - order(b) })
 	return ids
