Claims: copy completions to another instance while the store is away

What callers would see: a booking has run, its instance is killed during an outage of the store, and each resend is told "may have run" for the whole retention.

Cause: the same as at a stop, a completion that one process alone holds in memory, for as long as the outage lasts and up to 10 s after it.

Evidence: TestKilledInstanceLeavesCopiesOfItsCompletions kills the instance 5 s into an outage; the claim stays held for good on the code before.

Change: after six failed attempts, about a second, the flush loop gives one other instance a copy of each waiting completion and release, by the message that a stop uses. Copies are not copied again. Both instances write after the outage; the second finds the record complete and writes nothing, for up to two reads of the store (by reading, not measured).

What remains: an instance that is killed within that second, or together with the one that has the copy.

--- a/internal/claim/drain.go
+++ b/internal/claim/drain.go
@@ -114,9 +114,16 @@
 }
 
 func (p *Pages) handOverOne(ctx context.Context, o *op, peers []string) {
-	copies := 0
+	if p.giveCopies(ctx, o, peers, handOverCopies) > 0 {
+		p.shards[o.entry.ID.shard(p.opts.Shards)].finish(o)
+	}
+}
+
+// giveCopies gives up to most of the peers a copy of the op and returns how many
+// took it.
+func (p *Pages) giveCopies(ctx context.Context, o *op, peers []string, most int) (copies int) {
 	for _, peer := range peers {
-		if copies == handOverCopies || ctx.Err() != nil {
+		if copies == most || ctx.Err() != nil {
 			break
 		}
 		callCtx, cancel := p.forwardContext(ctx, forwardTimeout)
@@ -126,9 +133,32 @@
 			copies++
 		}
 	}
-	if copies > 0 {
-		p.shards[o.entry.ID.shard(p.opts.Shards)].finish(o)
+	return copies
+}
+
+// copyOut gives another instance a copy of each completion and release that waits
+// while the store is away. Held by one process only, they would end with it.
+func (s *shard) copyOut(batch []*op) {
+	p := s.pages
+	peers := p.opts.Peers()
+	if len(peers) == 0 || p.opts.Forward == nil {
+		return
+	}
+	var fresh []*op
+	for _, o := range batch {
+		if !o.copied && (o.entry.Op == opComplete || o.entry.Op == opRelease) {
+			o.copied = true
+			fresh = append(fresh, o)
+		}
 	}
+	if len(fresh) == 0 {
+		return
+	}
+	go func() {
+		for _, o := range fresh {
+			p.giveCopies(context.Background(), o, peers, 1)
+		}
+	}()
 }
 
 // finish ends an op whose record another instance has taken over.
--- a/internal/claim/drain_test.go
+++ b/internal/claim/drain_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -152,3 +153,31 @@
 		mustState(t, testPages(st, "b", 3, nil), testRequest("k", "x", time.Second), Completed)
 	})
 }
+
+// Guards against completions that die with their instance while the store is
+// away.
+func TestKilledInstanceLeavesCopiesOfItsCompletions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		var pages []*Pages
+		dead := make(chan struct{})
+		for i, self := range []string{"0", "1"} {
+			pages = append(pages, testPages(st, self, uint64(i), func(o *PagesOptions) {
+				o.Forward = goodLink{&pages}
+				o.Peers = func() []string { return []string{strconv.Itoa(1 - i)} }
+				if i == 0 {
+					o.Store = &mortalOwner{Store: st, dead: dead}
+				}
+			}))
+			defer runUntilStopped(t, pages[i])()
+		}
+		c := mustState(t, pages[0], testRequest("k", "x", time.Second), Granted).Claim
+		st.SetFaults(memstore.Faults{Outage: true})
+		c.Complete(json.RawMessage(`1`))
+		time.Sleep(5 * time.Second)
+		close(dead)
+		st.SetFaults(memstore.Faults{})
+		time.Sleep(5 * time.Second)
+		mustState(t, testPages(st, "b", 3, nil), testRequest("k", "x", time.Second), Completed)
+	})
+}
--- a/internal/claim/flush.go
+++ b/internal/claim/flush.go
@@ -17,7 +17,7 @@
 	minBackoff      = 20 * time.Millisecond
 	maxBackoff      = time.Second
 	// warnAttempts is the number of failed attempts after which the log says
-	// that claims wait.
+	// that claims wait, and other instances are given copies of completions.
 	warnAttempts = 6
 )
 
@@ -40,6 +40,9 @@
 		if err != nil {
 			wait, backoff = backoff, min(backoff*2, maxBackoff)
 			s.warn(attempt, err)
+			if attempt >= warnAttempts {
+				s.copyOut(batch)
+			}
 		}
 		if !s.sleep(wait/2+s.pages.jitter(wait), false) {
 			return false
--- a/internal/claim/forward.go
+++ b/internal/claim/forward.go
@@ -26,8 +26,8 @@
 	MessageClaim    = string(opClaim)
 	MessageComplete = string(opComplete)
 	MessageRelease  = string(opRelease)
-	// MessageKeepComplete and MessageKeepRelease hand over what a stopping
-	// instance could not write. They are answered before they are written.
+	// MessageKeepComplete and MessageKeepRelease hand over what an instance
+	// could not write. They are answered before they are written.
 	MessageKeepComplete = keepPrefix + MessageComplete
 	MessageKeepRelease  = keepPrefix + MessageRelease
 )
@@ -210,8 +210,9 @@
 
 // handleEnd records a completion or a release of another instance. An error
 // says that the sender still owes it. It returns when the record is written,
-// unless the sender is stopping and cannot wait for that.
+// unless it is handed over because the store does not take it.
 func (p *Pages) handleEnd(ctx context.Context, s *shard, o *op, handedOver bool) error {
+	o.copied = handedOver
 	if !s.add(o) {
 		return errkind.New(errkind.StoreUnavailable, "too many claims wait for the store")
 	}
--- a/internal/claim/op.go
+++ b/internal/claim/op.go
@@ -25,8 +25,11 @@
 	supersedes string
 	source     source
 	lazy       bool // may wait for another write to ride on
-	due        time.Time
-	done       chan struct{} // closed when result is set
+	// copied says that another instance has a copy, or is one. Used by the flush
+	// loop alone once the op is queued.
+	copied bool
+	due    time.Time
+	done   chan struct{} // closed when result is set
 	// onWrite is the result if the write of the last plan succeeds; used by the
 	// flush loop alone.
 	onWrite opResult
