Claims: an outdated view does not drop a completion

What callers saw: a booking has run and its claim stays open, without a line in any log.

Cause: a completion counts only for the attempt that holds the key. Which one does was taken from the view of the shard as it was last read: if that showed another attempt, the completion was dropped and confirmed. Only if the view showed nothing was it read anew. An attempt that replaced one of an owner that did not answer within a second, or that followed a release, is not in an older view.

Evidence, lines added to a scratch copy: the completion of attempt 2 is made, the drain hands it over, and the other instance finds it of no effect, as the last record that it has seen is the claim of attempt 1; nothing is owed any more and the stop ends.

Change: a completion or release of another attempt than the one in the view has the view read anew; only one of the same attempt that has ended needs no read.

Failed before: TestOutdatedViewDoesNotDropACompletion.

--- a/internal/claim/decide.go
+++ b/internal/claim/decide.go
@@ -25,10 +25,11 @@
 	default:
 		// A completion or release counts only for the attempt that holds the
 		// key: a release that came late must not free a later attempt's claim.
-		if found && last.Op == opClaim && last.Token == o.entry.Token {
-			return decision{appends: true}
+		if found && last.Token == o.entry.Token {
+			return decision{appends: last.Op == opClaim}
 		}
-		return decision{current: !found}
+		// The attempt may have claimed the key since the view was read.
+		return decision{current: true}
 	}
 }
 
--- a/internal/claim/drain_test.go
+++ b/internal/claim/drain_test.go
@@ -181,3 +181,22 @@
 		mustState(t, testPages(st, "b", 3, nil), testRequest("k", "x", time.Second), Completed)
 	})
 }
+
+// Guards against completions that are dropped by an instance whose view of the
+// shard is older than the claim.
+func TestOutdatedViewDoesNotDropACompletion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		a, outdated := testPages(st, "a", 1, nil), testPages(st, "b", 2, nil)
+		req := testRequest("k", "x", time.Minute)
+		mustState(t, outdated, req, Granted).Claim.Release()
+		time.Sleep(time.Second)
+		claimed := mustState(t, a, req, Granted).Claim.(*granted)
+		m := Message{Op: MessageKeepComplete, Key: req.Key, Body: req.BodyHash, Token: claimed.entry.Token, Holder: "a", Result: json.RawMessage(`1`)}
+		if _, err := outdated.Handle(t.Context(), m); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(5 * time.Second)
+		mustState(t, testPages(st, "c", 3, nil), req, Completed)
+	})
+}
