Claims: an owner does not confirm a write of unknown outcome

Found by reading the change again: an owner confirmed a completion as soon as it was done with it, also when it had given it up without knowing whether it was written (the window is past its retention, or was confirmed too late). The sender forgot it then. It is told the error now and records for itself.

Failed before: TestOwnerDoesNotConfirmAnUnknownWrite.

--- a/internal/claim/drain_test.go
+++ b/internal/claim/drain_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/go-kit/log"
 
+	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/store"
 	"lynxhill.example/lynxhill/internal/store/memstore"
@@ -200,3 +201,27 @@
 		mustState(t, testPages(st, "c", 3, nil), req, Completed)
 	})
 }
+
+// Guards against an owner that confirms a completion of which it does not know
+// whether it was written.
+func TestOwnerDoesNotConfirmAnUnknownWrite(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := memstore.New(memstore.Options{})
+		owner := testPages(st, "owner", 1, nil)
+		defer runUntilStopped(t, owner)()
+		req := testRequest("k", "x", time.Minute)
+		token := mustState(t, owner, req, Granted).Claim.(*granted).entry.Token
+		confirmed := make(chan error, 1)
+		go func() {
+			_, err := owner.Handle(t.Context(), Message{Op: MessageComplete, Key: req.Key, Body: req.BodyHash, Token: token, Holder: "a"})
+			confirmed <- err
+		}()
+		synctest.Wait()
+		s := owner.shards[idOf(req.Key).shard(owner.opts.Shards)]
+		s.view.doubt = s.unwritten()
+		s.giveUpDoubt()
+		if err := <-confirmed; !errkind.Is(err, errkind.OutcomeUnknown) {
+			t.Errorf("confirmed with %v", err)
+		}
+	})
+}
--- a/internal/claim/forward.go
+++ b/internal/claim/forward.go
@@ -223,7 +223,7 @@
 	defer timer.Stop()
 	select {
 	case <-o.done:
-		return nil
+		return s.resultOf(o).err
 	case <-timer.C:
 		return errkind.New(errkind.StoreUnavailable, "the record is not written yet")
 	case <-ctx.Done():
