Routesync: do not probe the store right after it has answered

Cause: the check counts all calls between the return and the moment at which all instances know what followed, 0.02 to 0.54 s. By kind, the return itself takes up to 38 (lists and watches of the watchers). The rest are readings of the instance list, which are frequent during the first seconds of a fleet, and up to 6 probes. A watcher probes the store each second, also when it has just answered a list or a watch, which tells the same.

Change: a watcher probes only after about a second without an answer to any of its calls. The interval between two answers stays as it was, so a loss is found as soon as before.

TestNoProbesWhileTheStoreAnswersOtherCalls fails before (10 probes in 10 s although an answer came every 0.5 s). TestAFleetIsInTheNewEraAtOnce is unchanged.

Not excluded: the readings of the list in that interval depend on chance; 48 is exceeded if 10 or more of them fall into it.

--- a/internal/control/routesync/probe.go
+++ b/internal/control/routesync/probe.go
@@ -15,18 +15,34 @@
 	probeTimeout = 800 * time.Millisecond
 )
 
-// runProbes probes the store periodically while Options.Probes allows it. A pending
-// watch looks the same whether nothing changes or the store's answers no longer
-// arrive. A failed probe reports the loss to the other instances within a second or
-// two, so that they ask the store instead.
+// runProbes probes the store while Options.Probes allows it and no other call has
+// been answered for about probeEvery. A pending watch looks the same whether nothing
+// changes or the store's answers no longer arrive. A failed probe reports the loss to
+// the other instances within a second or two, so that they ask the store instead.
 func (m *Manager) runProbes(ctx context.Context) {
-	for loop.Sleep(ctx, m.o.Clock, m.rand.Spread(probeEvery, 0.1)) {
+	for m.sleepUnanswered(ctx, m.rand.Spread(probeEvery, 0.1)) {
 		if m.Known() && m.o.Probes(m.ConfirmedAge()) {
 			m.probe(ctx)
 		}
 	}
 }
 
+// sleepUnanswered sleeps for d, and then until the store has not answered a list or
+// watch for d. It returns false if ctx ends.
+func (m *Manager) sleepUnanswered(ctx context.Context, d time.Duration) bool {
+	for left := d; left > 0; left = d - m.sinceAnswer() {
+		if !loop.Sleep(ctx, m.o.Clock, left) {
+			return false
+		}
+	}
+	return true
+}
+
+// sinceAnswer returns the time since the store last answered a list or watch.
+func (m *Manager) sinceAnswer() time.Duration {
+	return m.o.Boot.SinceBoot() - time.Duration(m.answeredAt.Load())
+}
+
 // probe reads ProbeKey once. An object that does not exist counts as an answer.
 func (m *Manager) probe(ctx context.Context) {
 	started := m.o.Boot.SinceBoot()
--- a/internal/control/routesync/probe_test.go
+++ b/internal/control/routesync/probe_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/store"
@@ -49,3 +50,36 @@
 		})
 	}
 }
+
+// Guards against probes that ask what the store has just answered.
+func TestNoProbesWhileTheStoreAnswersOtherCalls(t *testing.T) {
+	for _, c := range []struct {
+		every      time.Duration // between answers to other calls
+		least, end int           // probes in 10 s: least <= n < end
+	}{
+		{500 * time.Millisecond, 0, 1},
+		{time.Hour, 9, 12},
+		{3 * time.Second, 5, 9},
+	} {
+		inWorld(t, func(w *world) {
+			n := w.node("a", true)
+			n.o.ProbeKey = "instances/a"
+			probes := 0
+			n.link.set(func() {
+				n.link.get = func(context.Context) error { probes++; return nil }
+			})
+			n.answered(TargetsPrefix, n.o.Boot.SinceBoot())
+			go n.runProbes(w.t.Context())
+			for at := time.Duration(0); at < 10*time.Second; at += 100 * time.Millisecond {
+				time.Sleep(100 * time.Millisecond)
+				if (at+100*time.Millisecond)%c.every == 0 {
+					n.answered(TargetsPrefix, n.o.Boot.SinceBoot())
+				}
+			}
+			synctest.Wait()
+			if probes < c.least || probes >= c.end {
+				t.Errorf("an answer every %v: %d probes in 10 s, want %d to %d", c.every, probes, c.least, c.end-1)
+			}
+		})
+	}
+}
