Target: a pause of this process does not end calls on its connections

A booking that ran and was answered stays "may have run".

Cause: not the stop. The booking's own call ended with "http2: client connection lost". net/http bounds the wait for the answer to a ping by wall time. A process that does not run for longer than that finds the time over when it goes on, and closes the connection with all its calls before it reads the answer that has arrived meanwhile. A call that may not be repeated is then in doubt.

Change: net/http still sends the pings, but its time limit is off. The connection itself counts looks in a row that heard nothing, four within the time that the ping had before. A look that comes late does not count: the process was paused. The reason is a typed error now, no longer found by its text.

Elsewhere: connections between instances (pinged after 15 s of silence, 3 s) and of callers (10 s, 5 s) still have net/http's limit.

--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -135,13 +135,13 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Transport{
-		DialContext:        l.hearing(opts.Dial),
+		DialContext:        l.hearing(opts),
 		Protocols:          protocols,
 		DisableCompression: true,
 		IdleConnTimeout:    idleConnTimeout,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: opts.PingInterval,
-			PingTimeout:     opts.PingTimeout,
+			PingTimeout:     pingTimeoutOff,
 		},
 	}
 }
--- a/internal/target/silence.go
+++ b/internal/target/silence.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strings"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/stagecall"
@@ -24,35 +23,20 @@
 
 type dialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// hearing returns dial with its connections counting what they read.
-func (l *line) hearing(dial dialFunc) dialFunc {
+// hearing returns dial with its connections counting what they read, and closing
+// when they are lost.
+func (l *line) hearing(opts Options) dialFunc {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
-		conn, err := dial(ctx, network, addr)
+		conn, err := opts.Dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return &hearingConn{Conn: conn, line: l}, nil
+		c := &hearingConn{Conn: conn, line: l, every: (opts.PingInterval + opts.PingTimeout) / lostLooks}
+		c.lookLater(0, 0)
+		return c, nil
 	}
 }
 
-type hearingConn struct {
-	net.Conn
-	line *line
-}
-
-// Read implements net.Conn.
-func (c *hearingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.line.heard.Add(int64(n))
-	return n, err
-}
-
-// pingLost reports net/http's error for a connection whose ping had no answer.
-// It has no type.
-func pingLost(err error) bool {
-	return strings.Contains(err.Error(), "client connection lost")
-}
-
 // watchSilence has the call's line looked at while the call lasts. It is for
 // calls that may be repeated: one that may not is left to the ping, which says
 // for sure that the connection is lost.
