Target: calls that may not be repeated outlast a stall of their connection

Cause: a connection that heard nothing for two seconds was closed with all its calls. For those that may be repeated that is the way to an answer elsewhere. One that may not be repeated gains nothing: its outcome is unknown from then on, although its target, paused or short of processor time, may answer a second later.

Change: when the pings stay unanswered, the connection gets no further calls and those that may be repeated end, as before. While others remain it is closed only after five times as long (10 s), or when they end.

--- a/internal/target/call.go
+++ b/internal/target/call.go
@@ -123,7 +123,7 @@
 		f.Class = stagecall.ClassConnect
 	default:
 		f.Class = stagecall.ClassBroken
-		f.Connection = errors.Is(err, errConnLost)
+		f.Connection = errors.Is(err, errConnLost) || errors.Is(cause, errConnLost)
 		x.retire()
 	}
 	return f
--- a/internal/target/lost.go
+++ b/internal/target/lost.go
@@ -19,6 +19,10 @@
 	// lostLooks is the number of looks in a row that have to hear nothing before a
 	// connection counts as lost.
 	lostLooks = 4
+	// heldLooks is that number while the connection has calls that may not be
+	// repeated. Ending one leaves its outcome unknown for good, and its target may
+	// only have been paused.
+	heldLooks = 5 * lostLooks
 )
 
 // hearingConn counts what is read from it, and closes when it is lost.
@@ -88,7 +92,7 @@
 	case took < 2*c.every:
 		silent++
 	}
-	if silent >= lostLooks {
+	if silent >= lostLooks && (silent >= heldLooks || !c.line.giveUp(errConnLost)) {
 		c.lost.Store(true)
 		_ = c.Close()
 		return
--- a/internal/target/lost_test.go
+++ b/internal/target/lost_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -77,3 +78,81 @@
 	}
 	return n, err
 }
+
+// Guards against a call that may not be repeated ending as "may have run" because
+// its target was paused for longer than the pings wait. Other calls do not wait.
+func TestStalledConnectionKeepsCallsThatMayNotBeRepeated(t *testing.T) {
+	gate := &stall{open: make(chan struct{})}
+	close(gate.open)
+	dialled := 0
+	dial := func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := new(net.Dialer).DialContext(ctx, network, addr)
+		if dialled++; err != nil || dialled > 1 {
+			return conn, err
+		}
+		return stalledConn{conn, gate}, nil
+	}
+	started, finish := make(chan struct{}, 3), make(chan struct{})
+	s := newServer(t, func(w http.ResponseWriter, req targetapi.RunRequest) {
+		started <- struct{}{}
+		<-finish
+		writeReply(w, req)
+	})
+	c := newClient(t, Options{Dial: dial, PingInterval: 200 * time.Millisecond, PingTimeout: 200 * time.Millisecond, SilenceWait: time.Hour})
+	run := func(opts stagecall.Options) chan error {
+		ended := make(chan error, 1)
+		go func() {
+			_, err := c.Run(testContext(t), s.target, wholeRequest(), opts, nil)
+			ended <- err
+		}()
+		<-started
+		return ended
+	}
+	once, repeatable := run(stagecall.Options{}), run(stagecall.Options{FirstByte: time.Hour})
+	gate.close()
+	if f := stagecall.FailureOf(<-repeatable); f.Class != stagecall.ClassBroken || !f.Connection {
+		t.Errorf("the call that may be repeated: %+v", f)
+	}
+	later := run(stagecall.Options{})
+	close(finish)
+	if err := <-later; err != nil {
+		t.Errorf("a call that came later: %v", err)
+	}
+	time.Sleep(300 * time.Millisecond)
+	gate.reopen()
+	if err := <-once; err != nil {
+		t.Errorf("the call that may not be repeated: %v", err)
+	}
+}
+
+// stall holds back what connections read while it is closed.
+type stall struct {
+	mu   sync.Mutex // guards open
+	open chan struct{}
+}
+
+func (s *stall) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open = make(chan struct{})
+}
+
+func (s *stall) reopen() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	close(s.open)
+}
+
+type stalledConn struct {
+	net.Conn
+	stall *stall
+}
+
+func (c stalledConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.stall.mu.Lock()
+	open := c.stall.open
+	c.stall.mu.Unlock()
+	<-open
+	return n, err
+}
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -1,7 +1,9 @@
 package target
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +29,8 @@
 
 // line is a transport that serves one address, with the calls on it.
 type line struct {
+	pool      *pool
+	address   string
 	transport *http.Transport
 	heard     atomic.Int64 // bytes read from its connections
 	calls     int
@@ -52,7 +56,7 @@
 	}
 	if l == nil {
 		idle = p.pruneLocked(idle)
-		l = &line{live: make(map[*call]struct{})}
+		l = &line{pool: p, address: address, live: make(map[*call]struct{})}
 		l.transport = newTransport(p.opts, l)
 		p.lines[address] = l
 	}
@@ -82,6 +86,22 @@
 	closeAll(idle)
 }
 
+// giveUp keeps further calls off the line, ends its calls that may be repeated with
+// the reason, and reports whether others remain.
+func (l *line) giveUp(reason error) (held bool) {
+	p := l.pool
+	p.mu.Lock()
+	idle := p.retireLocked(l.address, l, nil)
+	calls := slices.Collect(maps.Keys(l.live))
+	held = l.calls > len(l.live)
+	p.mu.Unlock()
+	closeAll(idle)
+	for _, x := range calls {
+		x.cancel(reason)
+	}
+	return held
+}
+
 // retireLocked adds the line to idle if its connection can be closed now, which
 // is left to the time after the lock.
 func (p *pool) retireLocked(address string, l *line, idle []*line) []*line {
--- a/internal/target/silence.go
+++ b/internal/target/silence.go
@@ -68,7 +68,8 @@
 	wait := c.opts.SilenceWait
 	if l.heard.Load() == heard {
 		if c.isSilent(target, l, heard) {
-			c.endCalls(target, l)
+			l.giveUp(errSilentConn)
+			c.opts.Metrics.Counter(metricSilent).Add(1)
 			return
 		}
 		wait *= silenceBackoff
@@ -82,7 +83,7 @@
 	defer cancel()
 	timer := c.opts.Clock.AfterFunc(c.opts.ProbeTimeout, cancel)
 	defer timer.Stop()
-	fresh := &line{}
+	fresh := &line{pool: c.pool, address: target.Address}
 	fresh.transport = newTransport(c.opts, fresh)
 	defer fresh.transport.CloseIdleConnections()
 	answered := make(chan bool, 1)
@@ -107,18 +108,3 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return err == nil
 }
-
-// endCalls ends the calls of a silent connection and keeps others off it.
-func (c *Client) endCalls(target stagecall.Target, l *line) {
-	c.pool.retire(target.Address, l)
-	c.pool.mu.Lock()
-	calls := make([]*call, 0, len(l.live))
-	for x := range l.live {
-		calls = append(calls, x)
-	}
-	c.pool.mu.Unlock()
-	for _, x := range calls {
-		x.cancel(errSilentConn)
-	}
-	c.opts.Metrics.Counter(metricSilent).Add(1)
-}
