Target: look at connections that are heard half as often

Change: while a connection is heard, which its pings bring about, the next look comes after two intervals, and counts for two if it hears nothing. The time until a connection counts as lost stays 2 s from the look before.

The tests of lost, silent and stalled connections pass, 4 of 4.

--- a/internal/target/lost.go
+++ b/internal/target/lost.go
@@ -16,9 +16,12 @@
 // connections whose answers have arrived and are not read yet.
 const (
 	pingTimeoutOff = 24 * time.Hour
-	// lostLooks is the number of looks in a row that have to hear nothing before a
-	// connection counts as lost.
+	// lostLooks is the number of intervals in a row in which nothing was heard before
+	// a connection counts as lost.
 	lostLooks = 4
+	// calmLooks is the number of intervals between looks while it is heard, which
+	// the pings bring about.
+	calmLooks = lostLooks / 2
 	// heldLooks is that number while the connection has calls that may not be
 	// repeated. Ending one leaves its outcome unknown for good, and its target may
 	// only have been paused.
@@ -29,7 +32,7 @@
 type hearingConn struct {
 	net.Conn
 	line  *line
-	every time.Duration // between looks
+	every time.Duration // interval of the looks
 
 	heard atomic.Int64 // bytes read
 	lost  atomic.Bool
@@ -70,27 +73,35 @@
 	return c.Conn.Close()
 }
 
-// lookLater looks at the connection after one interval. heard is what had been
-// read and silent the number of looks that heard nothing up to now.
+// lookLater looks at the connection after the interval, or several while it was
+// heard. heard is what had been read and silent the intervals without any up to now.
 func (c *hearingConn) lookLater(heard int64, silent int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return
 	}
-	began := time.Now()
-	c.timer = time.AfterFunc(c.every, func() { c.look(heard, silent, time.Since(began)) })
+	intervals := 1
+	if silent == 0 {
+		intervals = calmLooks
+	}
+	began, wait := time.Now(), time.Duration(intervals)*c.every
+	c.timer = time.AfterFunc(wait, func() {
+		late := time.Since(began) >= 2*wait
+		c.look(heard, silent, intervals, late)
+	})
 }
 
-// look closes the connection once enough looks have heard nothing. One that comes
-// late does not count: the process was paused, and what has arrived is not read yet.
-func (c *hearingConn) look(heard int64, silent int, took time.Duration) {
+// look closes the connection once enough intervals passed without anything heard.
+// Those of a late look do not count: the process was paused, and what has arrived is
+// not read yet.
+func (c *hearingConn) look(heard int64, silent, intervals int, late bool) {
 	now := c.heard.Load()
 	switch {
 	case now != heard:
 		silent = 0
-	case took < 2*c.every:
-		silent++
+	case !late:
+		silent += intervals
 	}
 	if silent >= lostLooks && (silent >= heldLooks || !c.line.giveUp(errConnLost)) {
 		c.lost.Store(true)
