--- a/internal/target/lost.go
+++ b/internal/target/lost.go
@@ -19,13 +19,13 @@
 	// lostLooks is the number of intervals in a row in which nothing was heard before
 	// a connection counts as lost.
 	lostLooks = 4
-	// calmLooks is the number of intervals between looks while it is heard, which
-	// the pings bring about.
-	calmLooks = lostLooks / 2
 	// heldLooks is that number while the connection has calls that may not be
 	// repeated. Ending one leaves its outcome unknown for good, and its target may
 	// only have been paused.
 	heldLooks = 5 * lostLooks
+	// calmLooks is the number of intervals between looks while the connection is
+	// heard, which the pings bring about.
+	calmLooks = lostLooks / 2
 )
 
 // hearingConn counts what is read from it, and closes when it is lost.
