Target: a test that a look after a pause does not count

It fails if late looks count. TestPauseDoesNotEndCalls alone would not show it any more, since calls that may not be repeated are kept for longer.

--- a/internal/target/lost_test.go
+++ b/internal/target/lost_test.go
@@ -156,3 +156,17 @@
 	<-open
 	return n, err
 }
+
+// Guards against a connection counting as lost because this process was paused.
+func TestLateLookDoesNotCount(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		conn, _ := net.Pipe()
+		c := &hearingConn{Conn: conn, line: &line{pool: newPool(Options{}), transport: &http.Transport{}}, every: time.Hour}
+		c.lookLater(0, lostLooks-1)
+		c.look(0, lostLooks-1, 1, late)
+		if c.lost.Load() == late {
+			t.Errorf("late %v: lost %v", late, c.lost.Load())
+		}
+		_ = c.Close()
+	}
+}
