memstore: the store's return loses entries of instances, too

The stand-in kept the instance list across a return from a copy, so that no test could show what becomes of an entry that the copy lacks. TestEntriesOfInstancesOutlastTheStoresReturn starts an instance after the copy was made and waits for its entry; it fails if an instance does not look for its entry on the list.

--- a/internal/edge/era_test.go
+++ b/internal/edge/era_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
+
+	"lynxhill.example/lynxhill/internal/store"
 )
 
 // eraWithin is the time within which all instances have to be in the new era, from the store's return.
@@ -49,3 +52,30 @@
 		})
 	}
 }
+
+// Guards against an instance whose entry the store has lost staying off the
+// platform's list: those that start later would not find it.
+func TestEntriesOfInstancesOutlastTheStoresReturn(t *testing.T) {
+	inFleet(t, 8, func(f *fleetOf) {
+		time.Sleep(8 * time.Second)
+		copied := f.store.Copy()
+		f.all = append(f.all, f.start(8))
+		time.Sleep(12 * time.Second)
+		f.store.Return(copied)
+		if f.listed("i-008") {
+			t.Fatal("the entry is not lost")
+		}
+		took := f.until(listEvery*3/2+2*time.Second, "listed again", func(*member) bool { return f.listed("i-008") })
+		t.Logf("listed again after %v", took)
+	})
+}
+
+// listed reports whether the platform's list has the instance.
+func (f *fleetOf) listed(id string) bool {
+	f.t.Helper()
+	instances, err := f.store.Instances(f.t.Context())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return slices.ContainsFunc(instances, func(i store.Instance) bool { return i.ID == id })
+}
--- a/internal/store/memstore/copy.go
+++ b/internal/store/memstore/copy.go
@@ -2,21 +2,23 @@
 
 import (
 	"maps"
+	"slices"
 
 	"lynxhill.example/lynxhill/internal/store"
 )
 
 // Copy is the state of a store at a moment.
 type Copy struct {
-	objects map[string]store.Object
-	version uint64
+	objects   map[string]store.Object
+	version   uint64
+	instances map[string][]listing
 }
 
 // Copy returns the store's state now.
 func (s *Store) Copy() Copy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Copy{objects: maps.Clone(s.objects), version: s.version}
+	return Copy{objects: maps.Clone(s.objects), version: s.version, instances: cloneInstances(s.instances)}
 }
 
 // Return brings the store back to an older state in a new era: what was written
@@ -32,6 +34,15 @@
 	}
 	s.version = store.VersionAt(era, store.RevisionOf(c.version))
 	s.compacted = s.version
+	s.instances = cloneInstances(c.instances)
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
+
+func cloneInstances(instances map[string][]listing) map[string][]listing {
+	clone := make(map[string][]listing, len(instances))
+	for id, history := range instances {
+		clone[id] = slices.Clone(history)
+	}
+	return clone
+}
