--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -137,11 +137,22 @@
 	return err
 }
 
+// framingOf returns what determines the end of the response.
+func framingOf(resp *http.Response) Framing {
+	switch {
+	case slices.Contains(resp.TransferEncoding, "chunked"):
+		return FramedByChunks
+	case resp.Body == http.NoBody:
+		return NoBody
+	case resp.ContentLength >= 0:
+		return FramedByLength
+	}
+	return FramedByConnection
+}
+
 // delimited reports whether the response itself determines its end, rather than the
 // end of the connection.
-func delimited(resp *http.Response) bool {
-	return resp.Body == http.NoBody || resp.ContentLength >= 0 || slices.Contains(resp.TransferEncoding, "chunked")
-}
+func delimited(resp *http.Response) bool { return framingOf(resp) != FramedByConnection }
 
 // fail closes the connection and returns the error of Do.
 func (x *exchange) fail(err error) *Error {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -122,6 +122,7 @@
 	Status        int
 	Header        http.Header
 	ContentLength int64 // as declared; -1 = not declared
+	Framing       Framing
 
 	// Body returns io.EOF only if the response is complete: the declared length
 	// or the last chunk was read or, with neither, the target closed the
@@ -133,6 +134,22 @@
 	Body io.ReadCloser
 }
 
+// Framing says what determines the end of a response.
+type Framing int
+
+// The values of Framing.
+const (
+	FramedByConnection Framing = iota // the end of the connection, also if the response broke off
+	FramedByLength
+	FramedByChunks
+	NoBody // the response has no body
+)
+
+// String returns the framing as it is written to logs.
+func (f Framing) String() string {
+	return [...]string{"connection", "length", "chunks", "none"}[f]
+}
+
 // Error is the type of every error of Do.
 type Error struct {
 	// Sent is false if no byte of the request was written to a connection: only
@@ -224,6 +241,7 @@
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
 		ContentLength: resp.ContentLength,
+		Framing:       framingOf(resp),
 		Body:          body,
 	}, nil
 }
--- a/internal/forwarding/stream.go
+++ b/internal/forwarding/stream.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/eventstream"
 	"lynxhill.example/lynxhill/internal/exchange"
 )
 
@@ -34,6 +35,10 @@
 	started bool   // the head was sent
 	last    string // id of the last event that was forwarded
 	events  int    // number of events that were forwarded
+
+	// Of the response that is or was forwarded last.
+	framing exchange.Framing
+	scanner eventstream.Scanner
 }
 
 func newStream(fl *flight) stream {
@@ -58,6 +63,7 @@
 func (s *stream) forward(ctx context.Context, resp *exchange.Response) error {
 	defer resp.Body.Close()
 	s.head(resp)
+	s.framing, s.scanner = resp.Framing, eventstream.Scanner{}
 	var err error
 	if s.fl.Route.Resumable {
 		err = s.forwardEvents(resp.Body)
@@ -94,6 +100,7 @@
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := body.Read(buffer)
+		s.scan(buffer[:n])
 		if n > 0 {
 			if werr := s.write(buffer[:n]); werr != nil {
 				return werr
@@ -108,6 +115,14 @@
 	}
 }
 
+// scan passes data of the response to the scanner.
+func (s *stream) scan(data []byte) {
+	for len(data) > 0 {
+		n, _ := s.scanner.Scan(data)
+		data = data[n:]
+	}
+}
+
 // forwardEvents forwards complete events only: an event that is cut off in the
 // middle is sent again by the target that resumes the stream.
 func (s *stream) forwardEvents(body io.Reader) error {
@@ -115,6 +130,7 @@
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := body.Read(buffer)
+		s.scan(buffer[:n])
 		pending = append(pending, buffer[:n]...)
 		whole, werr := s.forwardCompleteEvents(pending)
 		if werr != nil {
