--- a/deploy/emulator/client.go
+++ b/deploy/emulator/client.go
@@ -225,7 +225,11 @@
 	defer response.Body.Close()
 	a.Status, a.Header = response.StatusCode, response.Header
 	if strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream") {
-		err = a.readEvents(bufio.NewReader(response.Body))
+		var inside bool
+		inside, err = a.readEvents(bufio.NewReader(response.Body))
+		if framed := response.ContentLength >= 0 || len(response.TransferEncoding) > 0; inside && !framed {
+			err = io.ErrUnexpectedEOF
+		}
 	} else {
 		var body []byte
 		body, err = io.ReadAll(response.Body)
@@ -235,16 +239,18 @@
 	return err
 }
 
-// readEvents reads events to the end; one that isn't ended doesn't count.
-func (a *Attempt) readEvents(from *bufio.Reader) error {
+// readEvents reads events to the end; one that isn't ended doesn't count. inside
+// reports whether there was such a one.
+func (a *Attempt) readEvents(from *bufio.Reader) (inside bool, err error) {
 	var e Event
 	for {
 		line, err := from.ReadString('\n')
+		inside = inside || line != ""
 		if err != nil {
 			if errors.Is(err, io.EOF) {
-				return nil
+				return inside, nil
 			}
-			return err
+			return inside, err
 		}
 		line = strings.TrimSuffix(line, "\n")
 		switch name, value, _ := strings.Cut(line, ": "); name {
@@ -255,7 +261,7 @@
 		case "":
 			e.At = time.Now()
 			a.Events = append(a.Events, e)
-			e = Event{}
+			e, inside = Event{}, false
 		}
 	}
 }
--- a/deploy/emulator/faults.go
+++ b/deploy/emulator/faults.go
@@ -24,6 +24,9 @@
 	Grey        float64 // hangs after it began to run
 	Fail        float64 // runs and is answered with 500
 	Shed        float64 // is refused with 503 without running
+	// BreakOffUnframed: a stream with neither length nor chunks ends inside an event,
+	// other answers as by BreakOff with a reset.
+	BreakOffUnframed float64
 
 	Reset     bool          // BreakOff and LoseAnswer reset instead of closing
 	Hang      bool          // all requests hang; health checks don't
@@ -46,6 +49,7 @@
 	mannerHang
 	mannerFail
 	mannerShed
+	mannerBreakOffUnframed
 )
 
 // pick chooses the manner for a draw between 0 and 1.
@@ -53,7 +57,7 @@
 	if f.Hang {
 		return mannerHang
 	}
-	shares := []float64{f.BreakOff, f.Extra, f.LateSecond, f.NoLength, f.EarlyAnswer, f.LoseAnswer, f.Grey, f.Fail, f.Shed}
+	shares := []float64{f.BreakOff, f.Extra, f.LateSecond, f.NoLength, f.EarlyAnswer, f.LoseAnswer, f.Grey, f.Fail, f.Shed, f.BreakOffUnframed}
 	for i, share := range shares {
 		if draw < share {
 			return mannerBreakOff + manner(i)
@@ -101,6 +105,13 @@
 	switch p.manner {
 	case mannerLose:
 		return nil
+	case mannerBreakOffUnframed:
+		if length >= 0 {
+			p.manner, p.faults.Reset = mannerBreakOff, true
+			break
+		}
+		p.left = max(p.left, 1)
+		return p.beginRaw(status, length)
 	case mannerExtra, mannerLateSecond, mannerNoLength:
 		return p.beginRaw(status, length)
 	}
@@ -113,7 +124,7 @@
 		return err
 	}
 	h := p.w.Header()
-	p.chunked = length < 0 && p.manner != mannerNoLength
+	p.chunked = length < 0 && p.manner != mannerNoLength && p.manner != mannerBreakOffUnframed
 	if p.chunked {
 		h.Set("Transfer-Encoding", "chunked")
 	}
@@ -150,6 +161,8 @@
 		return nil
 	case p.chunked:
 		return p.raw(fmt.Appendf(nil, "%x\r\n%s\r\n", len(b), b))
+	case p.manner == mannerBreakOffUnframed:
+		return p.writeUnframed(b)
 	case p.conn != nil:
 		return p.raw(b)
 	}
@@ -171,9 +184,22 @@
 	return nil
 }
 
+// writeUnframed writes an event of a stream that ends inside an event.
+func (p *reply) writeUnframed(b []byte) error {
+	if len(b) <= p.left {
+		p.left -= len(b)
+		return p.raw(b)
+	}
+	if err := p.raw(b[:max(p.left, 1)]); err != nil {
+		return err
+	}
+	_ = p.conn.Close() // nothing is left to do if it fails
+	return errSpoilt
+}
+
 // finish ends the answer as complete, or as its fault says.
 func (p *reply) finish() error {
-	if p.manner == mannerLose || p.manner == mannerBreakOff {
+	if p.manner == mannerLose || p.manner == mannerBreakOff || p.manner == mannerBreakOffUnframed {
 		p.abort()
 		return errSpoilt
 	}
--- a/deploy/emulator/world_test.go
+++ b/deploy/emulator/world_test.go
@@ -171,6 +171,7 @@
 		{"extra", Faults{Extra: 1}, true, Whole},
 		{"late second", Faults{LateSecond: 1}, true, Whole},
 		{"no length", Faults{NoLength: 1}, true, Whole},
+		{"break off unframed", Faults{BreakOffUnframed: 1}, false, Broken},
 		{"early", Faults{EarlyAnswer: 1}, true, Whole},
 		{"lost", Faults{LoseAnswer: 1}, false, Broken},
 		{"lost by reset", Faults{LoseAnswer: 1, Reset: true}, false, Broken},
--- a/deploy/pathtest/path_test.go
+++ b/deploy/pathtest/path_test.go
@@ -284,3 +284,33 @@
 		})
 	}
 }
+
+// Guards against streams that broke off without a length or chunks reaching their callers as complete.
+func TestUnframedStreamsBreakOff(t *testing.T) {
+	r := start(t, 3, nil)
+	for _, s := range r.world.Servers("talk") {
+		s.SetFaults(emulator.Faults{BreakOffUnframed: 0.3, NoLength: 0.3})
+	}
+	stop := r.load(14, emulator.ClientOptions{}, talk("/talk/x"), talk("/resume/x"), staged())
+	time.Sleep(2 * time.Second)
+	all := stop()
+	r.check()
+	var whole, cut, resumed int
+	runs := make(map[string]int)
+	for _, run := range r.world.Journal.Runs() {
+		runs[run.Attempt]++
+	}
+	for _, a := range all {
+		switch {
+		case served(a) && runs[a.ID] > 1:
+			resumed++
+		case served(a):
+			whole++
+		default:
+			cut++
+		}
+	}
+	if whole == 0 || cut == 0 || resumed == 0 {
+		t.Errorf("%d streams were whole, %d cut, %d resumed", whole, cut, resumed)
+	}
+}
--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -144,7 +144,7 @@
 	h.leaving[s.ID] = !slices.Contains([]string{"target-spoil", "target-slow", "entry-lost", "target-limit", "target-grey", "target-hang", "target-ill", "target-flap", "target-cold"}, kind)
 	switch kind {
 	case "target-spoil":
-		s.SetFaults(emulator.Faults{BreakOff: 0.15, LoseAnswer: 0.15, Reset: draw%2 == 0, Extra: 0.05, NoLength: 0.1})
+		s.SetFaults(emulator.Faults{BreakOff: 0.15, LoseAnswer: 0.15, Reset: draw%2 == 0, Extra: 0.05, NoLength: 0.1, BreakOffUnframed: 0.15})
 		until(well)
 	case "target-slow":
 		s.SetFaults(emulator.Faults{Slow: 4})
