A stream that ends inside an event has been broken off

Cause: the end of a response's body was taken for the end of its stream, whatever stood before it. Where the response has neither a length nor chunks, the body ends with the connection, also when the target broke off; a sender that returns early closes its chunks properly as well. forwardBytes and forwardEvents both did so, the second wrote the part of the event.

Change: eventstream.Reader returns an error in place of io.EOF where a stream ends inside an event, or without any event and by its connection alone. All streams are read through it, those of plain services too (TestAStreamOfAPlainServiceCutInsideAnEventIsNotComplete: one byte missing passed as complete before). Events are split by the same Scanner, so that streams whose lines end with CR, or with mixed ends, are forwarded as they arrive and can be resumed; they were held back to their end before.

A stream that breaks off between two events of such a response can't be told from a complete one.

--- a/internal/event/catalogue_forwarding.go
+++ b/internal/event/catalogue_forwarding.go
@@ -2,20 +2,19 @@
 
 // Events of packages forwarding and ingress.
 const (
-	ForwardAnswered         ID = 4210
-	ForwardFailed           ID = 4211
-	ForwardAttemptFailed    ID = 4212
-	ForwardStreamBroke      ID = 4213
-	ForwardLate             ID = 4214
-	ForwardLateLeftOut      ID = 4215
-	ForwardBudgetShared     ID = 4216
-	ForwardStreamUnfinished ID = 4217
-	IngressRefused          ID = 4220
-	IngressListening        ID = 4221
-	IngressStopping         ID = 4222
-	IngressStopped          ID = 4223
-	IngressWoke             ID = 4224
-	IngressUnknown          ID = 4225
+	ForwardAnswered      ID = 4210
+	ForwardFailed        ID = 4211
+	ForwardAttemptFailed ID = 4212
+	ForwardStreamBroke   ID = 4213
+	ForwardLate          ID = 4214
+	ForwardLateLeftOut   ID = 4215
+	ForwardBudgetShared  ID = 4216
+	IngressRefused       ID = 4220
+	IngressListening     ID = 4221
+	IngressStopping      ID = 4222
+	IngressStopped       ID = 4223
+	IngressWoke          ID = 4224
+	IngressUnknown       ID = 4225
 )
 
 var _ = define(
@@ -23,7 +22,6 @@
 	Definition{ForwardFailed, Info, "forward_failed", "A plain request was answered by this instance itself, or failed; outcome gives the reason, ran whether a target may have run it, dispatcher the instance that scheduled it. Times are in milliseconds: read_ms until the request was read, wait_ms spent waiting for a placement, first_ms from its arrival to the first bytes of the response, ms in total."},
 	Definition{ForwardAttemptFailed, Info, "forward_attempt_failed", "A target refused or failed a plain request; sent says whether a byte of it may have reached the target."},
 	Definition{ForwardStreamBroke, Info, "forward_stream_broke", "A target's stream was interrupted; it is resumed at another target if the route allows it. framing says what determines the end of its response (length, chunks or the connection), unfinished is the number of bytes after its last complete event."},
-	Definition{ForwardStreamUnfinished, Info, "forward_stream_unfinished", "A target's stream ended inside an event and was taken for complete; framing and unfinished are those of forward_stream_broke."},
 	Definition{ForwardLate, Info, "forward_late", "A plain request was answered by a target, but later than its route's target latency (for a stream, the first event was late); the fields are those of a failure. At most 10 such lines a second are written."},
 	Definition{ForwardLateLeftOut, Info, "forward_late_left_out", "The given number of late responses of this second were logged at level debug only."},
 	Definition{ForwardBudgetShared, Info, "forward_budget_shared", "The number of instances that share the budget of extra repeats changed; known is the current count of instances, part this instance's allowance for a window beyond its share of the requests, age the time since its budget was created."},
--- a/internal/eventstream/scanner_test.go
+++ b/internal/eventstream/scanner_test.go
@@ -1,7 +1,6 @@
 package eventstream
 
 import (
-	"net/http"
 	"slices"
 	"strings"
 	"testing"
@@ -35,7 +34,7 @@
 		{"CR LF", []string{"id: 1\r\ndata\r\n\r\n", "id: 2\r\n\r\n"}, "", false},
 		{"CR", []string{"id: 1\rdata\r\r", "id: 2\r\r"}, "", false},
 		{"mixed", []string{"id: 1\r\ndata\n\r\n", "id: 2\n\n", "id: 3\r\n\n"}, "", false},
-		{"empty lines", []string{"\n", "id: 1\n\n", "\n"}, "", false},
+		{"empty lines", []string{"\nid: 1\n\n", "\r\n\nid: 2\n\n"}, "\n", false},
 		{"empty", nil, "", false},
 		{"comment", []string{"id: 1\n\n"}, ": alive\n", false},
 		{"in a comment", []string{"id: 1\n\n"}, ": ali", true},
@@ -69,17 +68,3 @@
 		}
 	}
 }
-
-func TestIs(t *testing.T) {
-	for stated, want := range map[string]bool{
-		"": true, "text/event-stream": true, "Text/Event-Stream; charset=utf-8": true, "application/json": false, "text/plain": false,
-	} {
-		h := http.Header{}
-		if stated != "" {
-			h.Set("Content-Type", stated)
-		}
-		if Is(h) != want {
-			t.Errorf("%q: %v", stated, !want)
-		}
-	}
-}
--- a/internal/forwarding/bench_test.go
+++ b/internal/forwarding/bench_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/coder/quartz"
 
+	"lynxhill.example/lynxhill/internal/eventstream"
 	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/route"
 )
@@ -58,7 +59,7 @@
 				if resumable {
 					pass = s.forwardEvents
 				}
-				if err := pass(io.MultiReader(body...)); err != nil {
+				if err := pass(eventstream.NewReader(io.MultiReader(body...), true)); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -185,9 +185,6 @@
 	ef.assignment.AnswerStarted()
 	headForwarded()
 	err = ef.stream.forward(sending, resp)
-	if err == nil && ef.stream.scanner.Inside() {
-		ef.logStreamUnfinished(target)
-	}
 	if err == nil {
 		ef.o.CrashGuard.RecordSuccess(ef.fingerprint())
 		return true
--- a/internal/forwarding/log.go
+++ b/internal/forwarding/log.go
@@ -94,11 +94,5 @@
 // logStreamBroken logs a stream that broke off.
 func (ef *engineFlight) logStreamBroken(t fleet.Target, err error) {
 	ef.o.Logger.Log(event.ForwardStreamBroke, "request", ef.Request.ID, "target", t.ID, "events", ef.stream.events,
-		"last", ef.stream.last, "resumable", ef.Route.Resumable, "framing", ef.stream.framing, "unfinished", ef.stream.scanner.Unfinished(), "err", err)
-}
-
-// logStreamUnfinished logs a stream that ended inside an event.
-func (ef *engineFlight) logStreamUnfinished(t fleet.Target) {
-	ef.o.Logger.Log(event.ForwardStreamUnfinished, "request", ef.Request.ID, "target", t.ID, "framing", ef.stream.framing,
-		"unfinished", ef.stream.scanner.Unfinished(), "resumable", ef.Route.Resumable)
+		"last", ef.stream.last, "resumable", ef.Route.Resumable, "framing", ef.stream.framing, "unfinished", ef.stream.unfinished(), "err", err)
 }
--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/eventstream"
 	"lynxhill.example/lynxhill/internal/exchange"
 	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/relay"
@@ -80,7 +81,7 @@
 	resp   *exchange.Response
 	head   relay.ResponseHead
 	body   []byte
-	rest   io.ReadCloser // the unread rest of a response that exceeds bufferLimit
+	rest   io.Reader // the unread rest of a response that exceeds bufferLimit
 	notRun bool
 	err    error
 	cancel context.CancelFunc // ends the attempt
@@ -176,7 +177,11 @@
 		_ = a.resp.Body.Close()
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(a.resp.Body, bufferLimit+1))
+	var from io.Reader = a.resp.Body
+	if fl.sendsEvents(a.resp.Header) {
+		from = eventstream.NewReader(from, a.resp.Framing != exchange.FramedByConnection)
+	}
+	body, err := io.ReadAll(io.LimitReader(from, bufferLimit+1))
 	if err != nil {
 		a.err = errTruncated
 		_ = a.resp.Body.Close()
@@ -184,7 +189,7 @@
 	}
 	a.body = body
 	if len(body) > bufferLimit {
-		a.rest = a.resp.Body
+		a.rest = from
 		return
 	}
 	_ = a.resp.Body.Close()
@@ -231,7 +236,7 @@
 		return
 	}
 	defer a.cancel()
-	defer a.rest.Close()
+	defer a.resp.Body.Close()
 	if _, err := io.Copy(fl.w, a.rest); err != nil || ctx.Err() != nil {
 		// The caller must not take a truncated response for a complete one.
 		fl.outcome = "answer broke off"
--- a/internal/forwarding/stream.go
+++ b/internal/forwarding/stream.go
@@ -1,7 +1,6 @@
 package forwarding
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +11,7 @@
 
 	"lynxhill.example/lynxhill/internal/eventstream"
 	"lynxhill.example/lynxhill/internal/exchange"
+	"lynxhill.example/lynxhill/internal/route"
 )
 
 // errCallerLeft marks a failed write to the caller.
@@ -38,7 +38,7 @@
 
 	// Of the response that is or was forwarded last.
 	framing exchange.Framing
-	scanner eventstream.Scanner
+	reader  *eventstream.Reader // nil = it is no stream of events
 }
 
 func newStream(fl *flight) stream {
@@ -63,12 +63,17 @@
 func (s *stream) forward(ctx context.Context, resp *exchange.Response) error {
 	defer resp.Body.Close()
 	s.head(resp)
-	s.framing, s.scanner = resp.Framing, eventstream.Scanner{}
+	s.framing, s.reader = resp.Framing, nil
+	var body io.Reader = resp.Body
+	if s.fl.sendsEvents(resp.Header) {
+		s.reader = eventstream.NewReader(body, resp.Framing != exchange.FramedByConnection)
+		body = s.reader
+	}
 	var err error
 	if s.fl.Route.Resumable {
-		err = s.forwardEvents(resp.Body)
+		err = s.forwardEvents(body)
 	} else {
-		err = s.forwardBytes(resp.Body)
+		err = s.forwardBytes(body)
 	}
 	if err != nil && ctx.Err() != nil && !errors.Is(err, errCallerLeft) {
 		return fmt.Errorf("%w: %w", ctx.Err(), err)
@@ -76,6 +81,22 @@
 	return err
 }
 
+// unfinished returns the number of bytes after the last complete event.
+func (s *stream) unfinished() int {
+	if s.reader == nil {
+		return 0
+	}
+	return s.reader.Unfinished()
+}
+
+// sendsEvents reports whether the response with the header is a stream of events.
+func (fl *flight) sendsEvents(h http.Header) bool {
+	if h.Get("Content-Type") == "" {
+		return fl.Route.Kind == route.Streaming
+	}
+	return eventstream.Is(h)
+}
+
 // head forwards the response head of the first target; it does nothing for
 // further targets.
 func (s *stream) head(resp *exchange.Response) {
@@ -100,7 +121,6 @@
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := body.Read(buffer)
-		s.scan(buffer[:n])
 		if n > 0 {
 			if werr := s.write(buffer[:n]); werr != nil {
 				return werr
@@ -115,28 +135,27 @@
 	}
 }
 
-// scan passes data of the response to the scanner.
-func (s *stream) scan(data []byte) {
-	for len(data) > 0 {
-		n, _ := s.scanner.Scan(data)
-		data = data[n:]
-	}
-}
-
 // forwardEvents forwards complete events only: an event that is cut off in the
 // middle is sent again by the target that resumes the stream.
 func (s *stream) forwardEvents(body io.Reader) error {
-	var pending []byte
+	var pending []byte // start of an event that is not complete
+	var scanner eventstream.Scanner
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := body.Read(buffer)
-		s.scan(buffer[:n])
-		pending = append(pending, buffer[:n]...)
-		whole, werr := s.forwardCompleteEvents(pending)
-		if werr != nil {
+		var out []byte
+		for data := buffer[:n]; len(data) > 0; {
+			size, ended := scanner.Scan(data)
+			pending = append(pending, data[:size]...)
+			data = data[size:]
+			if ended {
+				out = s.appendNew(out, pending)
+				pending = pending[:0]
+			}
+		}
+		if werr := s.write(out); werr != nil {
 			return werr
 		}
-		pending = append(pending[:0], pending[whole:]...)
 		switch {
 		case errors.Is(err, io.EOF):
 			return s.write(pending)
@@ -148,44 +167,17 @@
 	}
 }
 
-// eventEnds are the byte sequences that end an event of a stream.
-var eventEnds = [][]byte{[]byte("\n\n"), []byte("\r\n\r\n")}
-
-// forwardCompleteEvents forwards the complete events at the start of pending and
-// returns how many bytes they occupy.
-func (s *stream) forwardCompleteEvents(pending []byte) (int, error) {
-	taken := 0
-	var out []byte
-	for {
-		size := eventSize(pending[taken:])
-		if size == 0 {
-			break
-		}
-		block := pending[taken : taken+size]
-		taken += size
-		id, ok := s.fl.o.Codec.EventID(block)
-		if ok && !after(id, s.last) {
-			continue // already forwarded
-		}
-		if ok {
-			s.last = id
-		}
-		s.events++
-		out = append(out, block...)
+// appendNew appends a complete event to out unless it was forwarded already.
+func (s *stream) appendNew(out, block []byte) []byte {
+	id, ok := s.fl.o.Codec.EventID(block)
+	if ok && !after(id, s.last) {
+		return out
 	}
-	return taken, s.write(out)
-}
-
-// eventSize returns the length of the event at the start of data, including its
-// end; 0 if the event is not complete.
-func eventSize(data []byte) int {
-	size := 0
-	for _, end := range eventEnds {
-		if at := bytes.Index(data, end); at >= 0 && (size == 0 || at+len(end) < size) {
-			size = at + len(end)
-		}
+	if ok {
+		s.last = id
 	}
-	return size
+	s.events++
+	return append(out, block...)
 }
 
 // after reports whether the event with the id follows the last one. It is true
--- a/internal/forwarding/stream_cut_test.go
+++ b/internal/forwarding/stream_cut_test.go
@@ -96,3 +96,23 @@
 		})
 	}
 }
+
+// Guards against a stream of a plain service that broke off inside an event reaching its caller as complete.
+func TestAStreamOfAPlainServiceCutInsideAnEventIsNotComplete(t *testing.T) {
+	event := "data: " + strings.Repeat("x", 1000) + "\n\n"
+	for _, events := range []int{1, 2 * bufferLimit / len(event)} {
+		for _, cut := range []int{0, 1, 2, len(event) / 2} { // bytes that are missing
+			synctest.Test(t, func(t *testing.T) {
+				all := strings.Repeat(event, events)
+				r := newRig(t, 1, func(_ *memoryTarget, conn net.Conn, _ string) {
+					writeFramed(conn, "connection", all, len(all)-cut)
+				})
+				w, aborted := r.call(t.Context(), inbound(route.Streaming, false, false), "body", time.Second)
+				complete := !aborted && w.Code == http.StatusOK
+				if complete != (cut == 0) || complete && w.Body.String() != all {
+					t.Errorf("%d events, %d bytes missing: aborted %v, status %d, %d bytes", events, cut, aborted, w.Code, w.Body.Len())
+				}
+			})
+		}
+	}
+}
