A response that is aborted reaches a caller of HTTP/1.0 as a reset

The same class of fault as streams that end inside an event: the end of a connection taken for the end of an answer, here by our own callers. To HTTP/1.0 a response without a length ends with its connection; an aborted one was closed regularly and looked complete.

Change: the connection of an aborted request of HTTP/1.0 ends with a reset. HTTP/1.1 is unchanged: the last chunk is missing there.

TestAbortedResponseIsNotComplete fails without it (read to a regular end); 20 of 20 runs pass with it.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -236,6 +236,9 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	defer nextHead(r.Context())
+	if !r.ProtoAtLeast(1, 1) {
+		defer resetAborted(r.Context())
+	}
 	abortIfEvicted(r.Context())
 	reserved := reservation{memoryLimit: &g.held}
 	defer reserved.end()
