An instance reaches targets through another one when its own way is lost

Each request waited for a dial's limit, or on a kept connection that hung, and was refused a second or more after it came.

Change: package targetpath dials targets. A dial that fails, or takes over 0.2 s, is also made through another instance (a relay), by a tunnel (peer API, Tunnel) that carries the bytes of one connection; it leads from the relay to the target directly, never through a second one. If the relay connects, further connections to this target take tunnels until two successive probes succeed. An instance that hears nothing from any target while relays reach two, or three are reached by nobody, counts as cut off: it closes its idle connections, says so in its digests, and is no relay. If nobody reaches targets, requests are rejected at once with Retry-After. A request that stays unacknowledged for 0.3 s starts a search at once. What decides about requests (deadlines, limits, retries, at most once, order of callers) stays where it was; a connection through a tunnel ends with io.EOF only if the target closed it, so that an unframed answer that broke off in the tunnel isn't complete. Whether a target has crashed is asked by the same way: an instance whose dials are refused took all targets for crashed, and the others with it.

Ruled out: a move of the request itself to another instance. It would need every promise a second time there; the bytes of a connection need none.

TCP_USER_TIMEOUT decides when keep-alive probes give up (8 s), not their count; the comment that said 5 s is corrected.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -194,6 +194,8 @@
 	Capacity float64
 	// StoreLost reports whether the instance's calls of the store are failing.
 	StoreLost bool
+	// TargetsLost reports whether the instance can't connect to targets by itself.
+	TargetsLost bool
 }
 
 // ConfigObject is a configuration object in the version that is in force here. Deleted
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -38,6 +38,7 @@
 	"lynxhill.example/lynxhill/internal/route"
 	"lynxhill.example/lynxhill/internal/stagework"
 	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/targetpath"
 )
 
 // Platform is the platform's store as an instance uses it.
@@ -94,6 +95,7 @@
 	metrics   *metrics.Registry
 
 	pool       *exchange.Pool
+	paths      *targetpath.Manager
 	stages     *timedStages
 	peers      *peer.Client
 	members    *membership.Manager
@@ -191,6 +193,7 @@
 	i.peers = peer.NewClient(peer.Options{
 		Dial: i.o.Dial, Self: i.id(), Address: i.peerAddress, Logger: i.o.Logger, Metrics: i.metrics,
 	})
+	i.paths = i.newPaths()
 	i.guard = crashguard.New(crashguard.Options{
 		Board: i.board, Clock: i.o.Clock, Limit: crashLimit, TTL: crashRetention,
 		Alive: i.targetAlive, Logger: i.o.Logger, Metrics: i.metrics,
@@ -223,7 +226,7 @@
 			Capacity: i.cfg.Ingress.ProcessorShare * max(i.cfg.Ingress.ProcessorCores, 1),
 		},
 		Board: i.board, Clock: i.o.Clock, Boot: i.o.Boot, Rand: i.rand(), Transport: i.peers,
-		Lister: i.adapter.Platform, Seeds: i.seeds, StoreLost: i.routes.StoreLost,
+		Lister: i.adapter.Platform, Seeds: i.seeds, StoreLost: i.routes.StoreLost, TargetsLost: i.paths.Lost,
 		Parts:          []gossip.Participant{i.routes, i.guard, i.notices},
 		HeartbeatEvery: heartbeatEvery, SuspectAfter: suspectAfter,
 		ListEvery: listEvery, RegisterEvery: registerEvery,
@@ -234,7 +237,8 @@
 // assembleRequestPath creates the components that handle requests.
 func (i *Instance) assembleRequestPath() {
 	i.pool = exchange.New(exchange.Options{
-		Dial: i.o.Dial, AttemptID: i.adapter.ResponseAttemptID, OnSend: i.trackRequest, Unacked: i.o.Unacked,
+		Dial: i.paths.Dial, AttemptID: i.adapter.ResponseAttemptID, OnSend: i.trackRequest,
+		OnUnacked: i.paths.Suspect, Unacked: i.o.Unacked,
 	})
 	i.stages = &timedStages{StageClient: i.adapter.NewStageClient(i.pool), clock: i.o.Clock}
 	i.cold = allowance.NewAllowance(allowance.Options{
@@ -272,8 +276,9 @@
 func (i *Instance) openServers() error {
 	peers := peer.NewServer(peer.NewHandler(peer.ServerOptions{
 		Exchange: i.exchange, Probe: i.members.HandleProbe, Profiles: i.routes.Since, Work: i.acceptJob,
-		CutOff: func() bool { return i.members.Silence() >= silenceThreshold },
-		Logger: i.o.Logger, Metrics: i.metrics,
+		Tunnels: i.paths.Server(),
+		CutOff:  func() bool { return i.members.Silence() >= silenceThreshold },
+		Logger:  i.o.Logger, Metrics: i.metrics,
 	}), nil, i.o.Logger)
 	for _, l := range []struct {
 		address string
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -36,6 +36,7 @@
 	i.ingress.CancelRequests()
 	i.closeServers()
 	i.dispatcher.Close()
+	i.paths.Close()
 	stop()
 	parts.Wait()
 	return err
@@ -53,7 +54,7 @@
 	i.dispatcher.ReturnJobs()
 	for {
 		waited := i.o.Clock.Now().Sub(began)
-		idle := i.ingress.InFlight() == 0 && i.dispatcher.Jobs() == 0
+		idle := i.ingress.InFlight() == 0 && i.dispatcher.Jobs() == 0 && i.paths.Served() == 0
 		if idle && waited >= minStopTime || waited >= i.settings().Grace.Duration-stopMargin {
 			break
 		}
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"syscall"
 	"time"
 
@@ -175,11 +174,7 @@
 // that refuses the connection is considered crashed: one that does not respond may be
 // cut off.
 func (i *Instance) targetAlive(ctx context.Context, t stagecall.Target) bool {
-	dial := i.o.Dial
-	if dial == nil {
-		dial = new(net.Dialer).DialContext
-	}
-	conn, err := dial(ctx, "tcp", t.Address)
+	conn, err := i.paths.Dial(ctx, "tcp", t.Address)
 	if err != nil {
 		return !errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/internal/exchange/acks.go
+++ b/internal/exchange/acks.go
@@ -72,6 +72,24 @@
 	s.timer.Reset(s.x.request.AckTimeout / ackChecks)
 }
 
+// suspectAfter is how long a request may stay unacknowledged until Options.OnUnacked is
+// called: a few round trips and one retransmission.
+const suspectAfter = 300 * time.Millisecond
+
+// monitorSilence calls Options.OnUnacked if the request is not acknowledged in time. The
+// returned function ends that.
+func (x *exchange) monitorSilence() (stop func()) {
+	if x.pool.opts.OnUnacked == nil || x.conn.heard == nil {
+		return func() {}
+	}
+	timer := time.AfterFunc(suspectAfter, func() {
+		if x.pool.opts.Unacked(x.conn.Conn) > 0 {
+			x.pool.opts.OnUnacked(x.conn.address)
+		}
+	})
+	return func() { timer.Stop() }
+}
+
 func (s *ackMonitor) stop() {
 	if s == nil {
 		return
@@ -97,6 +115,9 @@
 // don't count: its host has acknowledged those before. The result is 0 if the
 // connection is not a socket.
 func unacked(nc net.Conn) (bytes int) {
+	if checked, ok := nc.(Checked); ok {
+		return checked.Unacked()
+	}
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
 		return 0
--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -78,6 +78,7 @@
 // by its ID, skipped and counted.
 func (x *exchange) answer() (*http.Response, error) {
 	defer x.acks.stop()
+	defer x.monitorSilence()()
 	for n := 0; ; n++ {
 		resp, err := x.readHead()
 		if err != nil {
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -11,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,6 +35,7 @@
 	br       *bufio.Reader // reads from the conn
 	headLeft int64         // bytes that may still be read of a head, -1 = not limited
 	usedHead bool          // a HEAD request was sent on it
+	heard    *atomic.Int64 // Pool.heard; nil = the connection is Checked
 
 	expires time.Time   // end of its idle time; guarded by Pool.mu
 	timer   *time.Timer // closes it at expires; guarded by Pool.mu
@@ -42,16 +44,24 @@
 // Read implements net.Conn. It returns errHeadTooLong once headLeft bytes are read.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headLeft < 0 {
-		return c.Conn.Read(p)
+		return c.read(p)
 	}
 	if c.headLeft == 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := c.Conn.Read(p[:min(int64(len(p)), c.headLeft)])
+	n, err := c.read(p[:min(int64(len(p)), c.headLeft)])
 	c.headLeft -= int64(n)
 	return n, err
 }
 
+func (c *conn) read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && c.heard != nil {
+		c.heard.Store(time.Now().UnixNano())
+	}
+	return n, err
+}
+
 // connect returns an idle connection that is usable or, if there is none, a new
 // one.
 func (p *Pool) connect(ctx context.Context, r Request) (*conn, error) {
@@ -92,14 +102,32 @@
 	p.dialed.Add(1)
 	setUserTimeout(nc)
 	c := &conn{Conn: nc, address: address, headLeft: -1}
+	if _, checked := nc.(Checked); !checked {
+		c.heard = &p.heard
+	}
 	c.br = bufio.NewReader(c)
 	return c, nil
 }
 
-func defaultDialer() *net.Dialer {
-	return &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3,
-	}}
+// dialer's keep-alive probes detect that an idle connection's host is unreachable, once
+// userTimeout has passed: it decides, not the number of probes.
+var dialer = net.Dialer{KeepAliveConfig: net.KeepAliveConfig{
+	Enable: true, Idle: 2 * time.Second, Interval: time.Second, Count: 3,
+}}
+
+// DialTCP opens a TCP connection with keep-alive probes.
+func DialTCP(ctx context.Context, network, address string) (net.Conn, error) {
+	return dialer.DialContext(ctx, network, address)
+}
+
+// Checked is a connection that is not a socket and reports its state itself.
+type Checked interface {
+	net.Conn
+	// Usable reports whether a request may be sent: the connection is open and nothing
+	// unread has arrived.
+	Usable() bool
+	// Unacked returns how many bytes that were written have not reached the target.
+	Unacked() int
 }
 
 // setUserTimeout sets userTimeout on a TCP connection. Failures are ignored, since
@@ -123,6 +151,9 @@
 // unexpected byte would be read as the start of its response. A connection that is
 // not a socket, such as a pipe in memory, is assumed to be usable.
 func (c *conn) usable() bool {
+	if checked, ok := c.Conn.(Checked); ok {
+		return checked.Usable()
+	}
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
@@ -224,6 +255,27 @@
 	delete(p.idle, address)
 }
 
+// CloseIdleWhere closes the idle connections for which match returns true. match must not
+// use the pool.
+func (p *Pool) CloseIdleWhere(match func(address string, c net.Conn) bool) {
+	p.mu.Lock()
+	var matching []*conn
+	for address, list := range p.idle {
+		for _, c := range list {
+			if match(address, c.Conn) {
+				matching = append(matching, c)
+			}
+		}
+	}
+	for _, c := range matching {
+		p.remove(c)
+	}
+	p.mu.Unlock()
+	for _, c := range matching {
+		c.Close()
+	}
+}
+
 // idleTime returns how long a connection may stay idle after a response with
 // header h: limit, or less if the target closes it sooner (Options.IdleTimeout).
 func idleTime(h http.Header, limit time.Duration) time.Duration {
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -39,8 +39,8 @@
 
 // Options configure a Pool. A field with the zero value has its default.
 type Options struct {
-	// Dial opens a connection and must return when its context ends. The default
-	// is a net.Dialer whose keep-alive probes detect an unreachable host in 5 s.
+	// Dial opens a connection and must return when its context ends. The default is
+	// DialTCP. A connection that is not a socket should implement Checked.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	// DialTimeout is the timeout of a dial.
@@ -72,6 +72,11 @@
 	// request, if one arrives. Nil = no callback.
 	OnSend func(Request) (onAnswer func(status int, h http.Header))
 
+	// OnUnacked is called with the address of a target whose host has not acknowledged a
+	// request for suspectAfter; nil = no callback. Connections that implement Checked
+	// don't count.
+	OnUnacked func(address string)
+
 	// Unacked returns how many bytes written to the connection the remote host has
 	// not acknowledged, 0 if that isn't known. The default asks the kernel.
 	Unacked func(net.Conn) int
@@ -86,6 +91,7 @@
 	idle map[string][]*conn // by address; the most recently used one is last
 
 	dialed, reused, stale, mismatched atomic.Uint64
+	heard                             atomic.Int64 // when a byte was last received, Unix ns
 }
 
 // Stats holds the counters of a Pool since its creation.
@@ -177,7 +183,7 @@
 // New returns a pool without connections.
 func New(opts Options) *Pool {
 	if opts.Dial == nil {
-		opts.Dial = defaultDialer().DialContext
+		opts.Dial = DialTCP
 	}
 	if opts.DialTimeout <= 0 {
 		opts.DialTimeout = DefaultDialTimeout
@@ -203,6 +209,16 @@
 	return &Pool{opts: opts, idle: make(map[string][]*conn)}
 }
 
+// LastHeard returns when a byte was last received on a connection that is not Checked; the
+// zero time = never.
+func (p *Pool) LastHeard() time.Time {
+	at := p.heard.Load()
+	if at == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, at)
+}
+
 // Stats returns a snapshot of the counters.
 func (p *Pool) Stats() Stats {
 	return Stats{
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -65,6 +65,7 @@
 	ColdLimits   *allowance.Allowance // rate limits of cold targets; nil = not limited
 	StatedLimits *allowance.Allowance // rate limits stated by targets; nil if Notices is nil
 	Notices      TargetNotices        // nil = targets ask for no limits or pauses
+	Reachable    func() bool          // whether any target can be reached; nil = always
 	Zone         string
 	Clock        clock.Clock
 	Rand         *rand.Rand
@@ -124,6 +125,10 @@
 // from this instance, so that the response still reaches the caller in time.
 const responseMargin = 15 * time.Millisecond
 
+// unreachableRetryAfter is the retry delay given to callers while no target can be
+// reached: about the time after which a path that is back is used again.
+const unreachableRetryAfter = time.Second
+
 // Serve forwards the request and writes its response. If a response that has
 // begun can't be completed, it panics with http.ErrAbortHandler, which closes
 // the connection.
@@ -136,6 +141,10 @@
 		fl.refuse(errkind.New(errkind.Overloaded, "targets died while running this request"), time.Second)
 		return
 	}
+	if f.o.Reachable != nil && !f.o.Reachable() {
+		fl.refuse(errkind.New(errkind.NoTarget, "no target can be reached"), unreachableRetryAfter)
+		return
+	}
 	base, end := context.WithDeadline(ctx, fl.deadline.Add(2*responseMargin))
 	defer end()
 	fl.base = base
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -60,8 +60,8 @@
 	FreeShare     float64
 	InFlight      int
 	ConfigVersion uint64
-	// Seq increases when the load, ConfigVersion or StoreLost of the instance change
-	// within one incarnation.
+	// Seq increases when the load, ConfigVersion, StoreLost or TargetsLost of the instance
+	// change within one incarnation.
 	Seq uint64
 	// Left is set on a dead member that had announced its leaving, or that an operator
 	// declared gone.
@@ -77,6 +77,8 @@
 	Capacity float64
 	// StoreLost reports whether the instance's calls of the store are failing.
 	StoreLost bool
+	// TargetsLost reports whether the instance can't connect to targets by itself.
+	TargetsLost bool
 }
 
 // Light reports whether the row has no addresses, only the fields that change often.
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -243,7 +243,7 @@
 // compose creates a digest for a member within budget bytes. remoteSums are the
 // receiver's checksums if they are known.
 func (m *Manager) compose(to string, remoteSums []uint32, budget int) gossip.Digest {
-	m.syncStoreLost()
+	m.syncLost()
 	d := gossip.Digest{From: m.o.Self.ID}
 	now := m.o.Clock.Now()
 	rows, used := m.view.rowsFor(to, budget/memberBudgetDivisor, now)
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -139,20 +139,18 @@
 	return true
 }
 
-// syncStoreLost updates in this instance's row whether it has lost the store.
-func (m *Manager) syncStoreLost() {
-	if m.o.StoreLost == nil {
-		return
-	}
-	lost := m.o.StoreLost()
+// syncLost updates in this instance's row whether it has lost the store or the targets.
+func (m *Manager) syncLost() {
+	store := m.o.StoreLost != nil && m.o.StoreLost()
+	targets := m.o.TargetsLost != nil && m.o.TargetsLost()
 	v := m.view
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	self := v.rows[v.self]
-	if lost == self.member.StoreLost {
+	if store == self.member.StoreLost && targets == self.member.TargetsLost {
 		return
 	}
-	self.member.StoreLost = lost
+	self.member.StoreLost, self.member.TargetsLost = store, targets
 	self.member.Seq++
 	v.enqueue(self, urgencyState, false, m.o.Clock.Now())
 }
--- a/internal/membership/options.go
+++ b/internal/membership/options.go
@@ -61,6 +61,9 @@
 	// StoreLost reports whether this instance's calls of the store are failing.
 	// Digests carry the result. nil: never reported.
 	StoreLost func() bool
+	// TargetsLost reports whether this instance can't connect to targets by itself.
+	// Digests carry the result. nil: never reported.
+	TargetsLost func() bool
 	// Started is when this process started. Its Unix time in milliseconds is the
 	// first incarnation, so that a restarted instance supersedes its earlier run.
 	// Zero: the clock's time at New.
--- a/internal/membership/sums.go
+++ b/internal/membership/sums.go
@@ -41,12 +41,19 @@
 }
 
 // configSum returns the checksum of a member's configuration in force and of whether
-// it has lost the store.
+// it has lost the store or the targets.
 func configSum(m gossip.Member) uint32 {
+	lost := uint64(0)
 	if m.StoreLost {
-		return mix(xxhash.Sum64String(m.ID), m.ConfigVersion, 1)
+		lost |= 1
 	}
-	return mix(xxhash.Sum64String(m.ID), m.ConfigVersion)
+	if m.TargetsLost {
+		lost |= 2
+	}
+	if lost == 0 {
+		return mix(xxhash.Sum64String(m.ID), m.ConfigVersion)
+	}
+	return mix(xxhash.Sum64String(m.ID), m.ConfigVersion, lost)
 }
 
 func bucketOf(id string) int { return int(xxhash.Sum64String(id) % sumBuckets) }
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -115,6 +115,7 @@
 		KnownInstances: m.KnownInstances,
 		Capacity:       m.Capacity,
 		StoreLost:      m.StoreLost,
+		TargetsLost:    m.TargetsLost,
 	})
 }
 
@@ -229,7 +230,8 @@
 }
 
 func keepLoad(in *gossip.Member, old gossip.Member) {
-	in.FreeShare, in.InFlight, in.ConfigVersion, in.StoreLost, in.Seq = old.FreeShare, old.InFlight, old.ConfigVersion, old.StoreLost, old.Seq
+	in.FreeShare, in.InFlight, in.ConfigVersion, in.Seq = old.FreeShare, old.InFlight, old.ConfigVersion, old.Seq
+	in.StoreLost, in.TargetsLost = old.StoreLost, old.TargetsLost
 }
 
 // refresh adopts newer load and configuration of the same incarnation.
@@ -244,11 +246,12 @@
 	if in.ConfigVersion != old.member.ConfigVersion {
 		u = urgencyConfig
 	}
-	if in.StoreLost != old.member.StoreLost {
+	if in.StoreLost != old.member.StoreLost || in.TargetsLost != old.member.TargetsLost {
 		u = urgencyState
 	}
 	m := &old.member
-	m.FreeShare, m.InFlight, m.ConfigVersion, m.StoreLost, m.Seq = in.FreeShare, in.InFlight, in.ConfigVersion, in.StoreLost, in.Seq
+	m.FreeShare, m.InFlight, m.ConfigVersion, m.Seq = in.FreeShare, in.InFlight, in.ConfigVersion, in.Seq
+	m.StoreLost, m.TargetsLost = in.StoreLost, in.TargetsLost
 	v.enqueue(old, u, false, now)
 }
 
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -112,6 +112,7 @@
 		Fleet:       uint32(max(m.KnownInstances, 0)),
 		Capacity:    float32(m.Capacity),
 		StoreLost:   m.StoreLost,
+		TargetsLost: m.TargetsLost,
 	}
 }
 
@@ -134,6 +135,7 @@
 		KnownInstances: int(m.GetFleet()),
 		Capacity:       float64(m.GetCapacity()),
 		StoreLost:      m.GetStoreLost(),
+		TargetsLost:    m.GetTargetsLost(),
 	}
 }
 
--- a/internal/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/internal/peer/peerpb/peerpbconnect/peer.connect.go
@@ -2,8 +2,8 @@
 //
 // Source: peer.proto
 
-// Calls between instances of lynxhill. Fields are only ever added: an instance
-// of an older version ignores what it does not know.
+// Calls between instances of lynxhill. Fields are only ever added: an instance of an
+// older version ignores unknown fields.
 package peerpbconnect
 
 import (
@@ -53,30 +53,34 @@
 	PeerClaimProcedure = "/lynxhill.peer.v1.Peer/Claim"
 	// PeerWorkProcedure is the fully-qualified name of the Peer's Work RPC.
 	PeerWorkProcedure = "/lynxhill.peer.v1.Peer/Work"
+	// PeerTunnelProcedure is the fully-qualified name of the Peer's Tunnel RPC.
+	PeerTunnelProcedure = "/lynxhill.peer.v1.Peer/Tunnel"
 )
 
 // PeerClient is a client for the lynxhill.peer.v1.Peer service.
 type PeerClient interface {
-	// Exchange passes digests in both directions: the heartbeat.
+	// Exchange exchanges digests in both directions: the heartbeat.
 	Exchange(context.Context, *peerpb.Digest) (*peerpb.Digest, error)
-	// Probe asks the receiver to exchange with a third instance.
+	// Probe asks the receiver to exchange digests with a third instance.
 	Probe(context.Context, *peerpb.ProbeRequest) (*peerpb.ProbeReply, error)
 	// Profiles returns the configuration objects of a prefix above a version.
 	Profiles(context.Context, *peerpb.ProfilesRequest) (*peerpb.ProfilesReply, error)
-	// Outcome waits for the outcome of an idempotency key, as long as the
-	// call's deadline allows.
+	// Outcome waits for the outcome of an idempotency key until the call's deadline.
 	Outcome(context.Context, *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error)
-	// Forward runs a request at the receiver and streams its answer.
+	// Forward runs a request at the receiver and streams its response.
 	Forward(context.Context, *peerpb.ForwardRequest) (*connect.ServerStreamForClient[peerpb.ForwardEvent], error)
-	// Handover passes on outcomes of finished requests before the sender stops.
+	// Handover sends the outcomes of finished requests before the sender stops.
 	Handover(context.Context, *peerpb.HandoverRequest) (*peerpb.HandoverReply, error)
-	// Burn returns the receiver's own service-level report.
+	// Burn returns the receiver's own report on its service-level objectives.
 	Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnReply, error)
-	// Claim asks the preferred owner of a shard of claims to record something.
+	// Claim asks the preferred owner of a shard of claims to record a change.
 	Claim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
-	// Work hands the work before a request's last call to the instance that
-	// schedules it. The stream lives as long as the request.
+	// Work submits the stages before a request's last call to the instance that schedules
+	// them, its dispatcher. The stream lasts as long as the request.
 	Work(context.Context) (*connect.BidiStreamForClientSimple[peerpb.WorkUp, peerpb.WorkDown], error)
+	// Tunnel opens a connection to a target at the receiver and carries its bytes, for a
+	// sender that can't connect to the target itself.
+	Tunnel(context.Context) (*connect.BidiStreamForClientSimple[peerpb.TunnelUp, peerpb.TunnelDown], error)
 }
 
 // NewPeerClient constructs a client for the lynxhill.peer.v1.Peer service. By default, it uses the
@@ -144,6 +148,12 @@
 			connect.WithSchema(peerMethods.ByName("Work")),
 			connect.WithClientOptions(opts...),
 		),
+		tunnel: connect.NewClient[peerpb.TunnelUp, peerpb.TunnelDown](
+			httpClient,
+			baseURL+PeerTunnelProcedure,
+			connect.WithSchema(peerMethods.ByName("Tunnel")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -158,6 +168,7 @@
 	burn     *connect.Client[peerpb.BurnRequest, peerpb.BurnReply]
 	claim    *connect.Client[peerpb.ClaimRequest, peerpb.ClaimReply]
 	work     *connect.Client[peerpb.WorkUp, peerpb.WorkDown]
+	tunnel   *connect.Client[peerpb.TunnelUp, peerpb.TunnelDown]
 }
 
 // Exchange calls lynxhill.peer.v1.Peer.Exchange.
@@ -233,28 +244,35 @@
 	return c.work.CallBidiStreamSimple(ctx)
 }
 
+// Tunnel calls lynxhill.peer.v1.Peer.Tunnel.
+func (c *peerClient) Tunnel(ctx context.Context) (*connect.BidiStreamForClientSimple[peerpb.TunnelUp, peerpb.TunnelDown], error) {
+	return c.tunnel.CallBidiStreamSimple(ctx)
+}
+
 // PeerHandler is an implementation of the lynxhill.peer.v1.Peer service.
 type PeerHandler interface {
-	// Exchange passes digests in both directions: the heartbeat.
+	// Exchange exchanges digests in both directions: the heartbeat.
 	Exchange(context.Context, *peerpb.Digest) (*peerpb.Digest, error)
-	// Probe asks the receiver to exchange with a third instance.
+	// Probe asks the receiver to exchange digests with a third instance.
 	Probe(context.Context, *peerpb.ProbeRequest) (*peerpb.ProbeReply, error)
 	// Profiles returns the configuration objects of a prefix above a version.
 	Profiles(context.Context, *peerpb.ProfilesRequest) (*peerpb.ProfilesReply, error)
-	// Outcome waits for the outcome of an idempotency key, as long as the
-	// call's deadline allows.
+	// Outcome waits for the outcome of an idempotency key until the call's deadline.
 	Outcome(context.Context, *peerpb.OutcomeRequest) (*peerpb.OutcomeReply, error)
-	// Forward runs a request at the receiver and streams its answer.
+	// Forward runs a request at the receiver and streams its response.
 	Forward(context.Context, *peerpb.ForwardRequest, *connect.ServerStream[peerpb.ForwardEvent]) error
-	// Handover passes on outcomes of finished requests before the sender stops.
+	// Handover sends the outcomes of finished requests before the sender stops.
 	Handover(context.Context, *peerpb.HandoverRequest) (*peerpb.HandoverReply, error)
-	// Burn returns the receiver's own service-level report.
+	// Burn returns the receiver's own report on its service-level objectives.
 	Burn(context.Context, *peerpb.BurnRequest) (*peerpb.BurnReply, error)
-	// Claim asks the preferred owner of a shard of claims to record something.
+	// Claim asks the preferred owner of a shard of claims to record a change.
 	Claim(context.Context, *peerpb.ClaimRequest) (*peerpb.ClaimReply, error)
-	// Work hands the work before a request's last call to the instance that
-	// schedules it. The stream lives as long as the request.
+	// Work submits the stages before a request's last call to the instance that schedules
+	// them, its dispatcher. The stream lasts as long as the request.
 	Work(context.Context, *connect.BidiStream[peerpb.WorkUp, peerpb.WorkDown]) error
+	// Tunnel opens a connection to a target at the receiver and carries its bytes, for a
+	// sender that can't connect to the target itself.
+	Tunnel(context.Context, *connect.BidiStream[peerpb.TunnelUp, peerpb.TunnelDown]) error
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -318,6 +336,12 @@
 		connect.WithSchema(peerMethods.ByName("Work")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerTunnelHandler := connect.NewBidiStreamHandler(
+		PeerTunnelProcedure,
+		svc.Tunnel,
+		connect.WithSchema(peerMethods.ByName("Tunnel")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lynxhill.peer.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerExchangeProcedure:
@@ -338,6 +362,8 @@
 			peerClaimHandler.ServeHTTP(w, r)
 		case PeerWorkProcedure:
 			peerWorkHandler.ServeHTTP(w, r)
+		case PeerTunnelProcedure:
+			peerTunnelHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -382,3 +408,7 @@
 func (UnimplementedPeerHandler) Work(context.Context, *connect.BidiStream[peerpb.WorkUp, peerpb.WorkDown]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.Work is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Tunnel(context.Context, *connect.BidiStream[peerpb.TunnelUp, peerpb.TunnelDown]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.Tunnel is not implemented"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -38,6 +38,8 @@
 	// Work accepts a job of another instance; stagework.Dispatcher.Submit. Both results
 	// are nil if the instance accepts no jobs.
 	Work func(job stagework.Job) (stagework.Assignment, *stagework.Refusal)
+	// Tunnels opens connections to targets for other instances.
+	Tunnels TunnelServer
 	// CutOff reports whether this instance receives nothing from any other. nil = never.
 	CutOff  func() bool
 	Logger  *event.Logger
