Tunnel: instances name a target by its id

A relay looks the target up in its own list: an address may have been used again by another target, and instances may know a target by different addresses. It dialed what the other one named before.

--- a/internal/edge/paths.go
+++ b/internal/edge/paths.go
@@ -9,6 +9,7 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/exchange"
+	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/targetpath"
 )
 
@@ -20,7 +21,7 @@
 	}
 	return targetpath.New(targetpath.Options{
 		Zone: i.cfg.Instance.Zone, Dial: dial, Open: i.openTunnel, Relays: i.relays,
-		Listed:     i.targetAddresses,
+		Targets:    func() *fleet.View { return i.routes.Targets() },
 		LastHeard:  func() time.Time { return i.pool.LastHeard() },
 		IsStopping: func() bool { return i.ingress.Stopping() },
 		OnLost:     i.targetsLost, OnRestored: i.targetsRestored,
@@ -29,12 +30,12 @@
 }
 
 // openTunnel connects to a target through another instance.
-func (i *Instance) openTunnel(ctx context.Context, instance, address string) (targetpath.Conn, error) {
-	conn, err := i.peers.OpenTunnel(ctx, instance, address)
+func (i *Instance) openTunnel(ctx context.Context, instance string, target fleet.Target) (targetpath.Conn, error) {
+	conn, err := i.peers.OpenTunnel(ctx, instance, target.ID)
 	if err != nil {
 		return nil, err
 	}
-	conn.OnClosing(func() { i.closeUnusable(address) })
+	conn.OnClosing(func() { i.closeUnusable(target.Address) })
 	return conn, nil
 }
 
@@ -58,15 +59,6 @@
 	return relays
 }
 
-func (i *Instance) targetAddresses() []string {
-	all := i.routes.Targets().All()
-	addresses := make([]string, len(all))
-	for n, t := range all {
-		addresses[n] = t.Address
-	}
-	return addresses
-}
-
 // targetsLost closes the idle direct connections, on which a request would wait in vain, and
 // tells the other instances.
 func (i *Instance) targetsLost() {
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -21,12 +21,12 @@
 	errTunnelSilent = errors.New("peer: the tunnel is silent")
 )
 
-// OpenTunnel connects to the target's address through another instance. The connection
+// OpenTunnel connects to the target with the id through another instance. The connection
 // behaves like one of this instance's own: it ends with io.EOF only if the target closed
 // it regularly, and Close closes the one to the target. If the instance could not connect,
 // the error is or wraps syscall.ECONNREFUSED, os.ErrDeadlineExceeded or
 // ErrTunnelUnavailable.
-func (c *Client) OpenTunnel(ctx context.Context, instance, address string) (*TunnelConn, error) {
+func (c *Client) OpenTunnel(ctx context.Context, instance, target string) (*TunnelConn, error) {
 	peerAddress, err := c.addressOf(instance)
 	if err != nil {
 		return nil, err
@@ -40,7 +40,7 @@
 	open, stopOpening := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, stopOpening)
 	stream, end, err := hedge(open, c, peerAddress, func(ctx context.Context, l *link) (*tunnelStream, error) {
-		return c.startTunnel(ctx, l, address, timeout)
+		return c.startTunnel(ctx, l, target, timeout)
 	})
 	if err != nil || !stop() {
 		end()
@@ -48,20 +48,20 @@
 		return nil, fmt.Errorf("through %s: %w", instance, errors.Join(err, ctx.Err()))
 	}
 	c.o.Metrics.Labelled(metricCalls).Add("tunnel_ok", 1)
-	return newTunnelConn(instance, address, stream, end), nil
+	return newTunnelConn(instance, target, stream, end), nil
 }
 
 // tunnelStream is the sender's side of the stream of a tunnel.
 type tunnelStream = connect.BidiStreamForClientSimple[peerpb.TunnelUp, peerpb.TunnelDown]
 
 // startTunnel asks for a tunnel and waits until the connection is open.
-func (c *Client) startTunnel(ctx context.Context, l *link, address string, timeout time.Duration) (*tunnelStream, error) {
+func (c *Client) startTunnel(ctx context.Context, l *link, target string, timeout time.Duration) (*tunnelStream, error) {
 	observed, observation := observe(ctx)
 	stream, err := l.client.Tunnel(observed)
 	if err != nil {
 		return nil, err
 	}
-	if err := stream.Send(&peerpb.TunnelUp{Address: address, DialTimeoutMs: uint32(timeout.Milliseconds())}); err != nil && !errors.Is(err, io.EOF) {
+	if err := stream.Send(&peerpb.TunnelUp{Target: target, DialTimeoutMs: uint32(timeout.Milliseconds())}); err != nil && !errors.Is(err, io.EOF) {
 		return nil, err
 	}
 	first, err := stream.Receive()
@@ -81,7 +81,7 @@
 	net.Conn // the near end of the pipe
 	far      net.Conn
 	instance string
-	address  string
+	target   string
 	stream   *tunnelStream
 	cancel   context.CancelFunc
 	silence  *time.Timer
@@ -96,9 +96,9 @@
 	end error      // why nothing more is received; io.EOF = the target closed the connection
 }
 
-func newTunnelConn(instance, address string, stream *tunnelStream, cancel context.CancelFunc) *TunnelConn {
+func newTunnelConn(instance, target string, stream *tunnelStream, cancel context.CancelFunc) *TunnelConn {
 	near, far := net.Pipe()
-	t := &TunnelConn{Conn: near, far: far, instance: instance, address: address, stream: stream, cancel: cancel}
+	t := &TunnelConn{Conn: near, far: far, instance: instance, target: target, stream: stream, cancel: cancel}
 	t.silence = time.AfterFunc(tunnelSilenceTimeout, func() { t.finish(errTunnelSilent) })
 	go t.sendRequests()
 	go t.receiveResponses()
@@ -145,8 +145,8 @@
 	return t.Conn.Close()
 }
 
-// RemoteAddr implements net.Conn; it returns the address of the target.
-func (t *TunnelConn) RemoteAddr() net.Addr { return tunnelAddr(t.address) }
+// RemoteAddr implements net.Conn; it returns the id of the target.
+func (t *TunnelConn) RemoteAddr() net.Addr { return tunnelAddr(t.target) }
 
 type tunnelAddr string
 
--- a/internal/peer/tunnel_server.go
+++ b/internal/peer/tunnel_server.go
@@ -25,16 +25,16 @@
 
 // TunnelServer opens connections to targets for other instances.
 type TunnelServer interface {
-	// Open connects to the target's address by this instance's own way only. It returns
-	// ErrTunnelUnavailable if it opens no connection to that address.
-	Open(ctx context.Context, address string) (net.Conn, error)
+	// Open connects to the target with the id, by this instance's own way only. It returns
+	// ErrTunnelUnavailable if it opens no connection to that target.
+	Open(ctx context.Context, target string) (net.Conn, error)
 	// Stopping reports whether this instance is stopping.
 	Stopping() bool
 }
 
-// ErrTunnelUnavailable is returned for a tunnel to an address to which the other instance
-// opens no connections, or none at present.
-var ErrTunnelUnavailable = errors.New("peer: the instance opens no tunnel to the address")
+// ErrTunnelUnavailable is returned for a tunnel to a target to which the other instance opens
+// no connections, or none at present.
+var ErrTunnelUnavailable = errors.New("peer: the instance opens no tunnel to the target")
 
 // Tunnel serves a tunnel to a target. It ends with the stream or with the target's
 // connection.
@@ -48,7 +48,7 @@
 		return connect.NewError(connect.CodeUnimplemented, errors.New("no tunnels here"))
 	}
 	dialCtx, cancelDial := context.WithTimeout(ctx, time.Duration(first.GetDialTimeoutMs())*time.Millisecond)
-	conn, err := h.o.Tunnels.Open(dialCtx, first.GetAddress())
+	conn, err := h.o.Tunnels.Open(dialCtx, first.GetTarget())
 	cancelDial()
 	if err != nil {
 		return stream.Send(&peerpb.TunnelDown{Failure: tunnelFailureOf(err)})
--- a/internal/targetpath/dial.go
+++ b/internal/targetpath/dial.go
@@ -162,7 +162,7 @@
 		return
 	}
 	m.lastSearch = time.Now()
-	listed := m.o.Listed()
+	listed := m.addresses()
 	m.o.Rand.Shuffle(len(listed), func(a, b int) { listed[a], listed[b] = listed[b], listed[a] })
 	var chosen []string
 	for _, address := range listed {
--- a/internal/targetpath/manager.go
+++ b/internal/targetpath/manager.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/metrics"
 )
 
@@ -52,11 +53,12 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Open connects to a target through another instance. Errors are those of
 	// peer.Client.OpenTunnel.
-	Open func(ctx context.Context, instance, address string) (Conn, error)
+	Open func(ctx context.Context, instance string, target fleet.Target) (Conn, error)
 	// Relays returns the other instances that are alive and not leaving.
 	Relays func() []Relay
-	// Listed returns the addresses of the targets.
-	Listed func() []string
+	// Targets returns the targets. Instances may know a target by different addresses; they
+	// name it by its id to each other.
+	Targets func() *fleet.View
 	// LastHeard returns when a byte was last received on a direct connection to a target.
 	LastHeard func() time.Time
 	// IsStopping reports whether this instance is stopping.
@@ -106,7 +108,7 @@
 
 // Lost reports whether this instance can't connect to most targets by itself.
 func (m *Manager) Lost() bool {
-	listed := len(m.o.Listed())
+	listed := len(m.o.Targets().All())
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.lost || listed > 0 && 2*m.lostPathsLocked() > listed
@@ -121,6 +123,16 @@
 	return !lost || len(m.relays()) > 0
 }
 
+// addresses returns the addresses of all targets.
+func (m *Manager) addresses() []string {
+	all := m.o.Targets().All()
+	addresses := make([]string, len(all))
+	for n, t := range all {
+		addresses[n] = t.Address
+	}
+	return addresses
+}
+
 func (m *Manager) lostPaths() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/targetpath/manager_test.go
+++ b/internal/targetpath/manager_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/peer"
 )
 
@@ -55,6 +56,15 @@
 	return all
 }
 
+// listed is the view of targets; the id of a target is its address with an x.
+func listed() *fleet.View {
+	var all []fleet.Target
+	for _, address := range targets() {
+		all = append(all, fleet.Target{ID: address + "x", Address: address})
+	}
+	return fleet.NewView(1, all)
+}
+
 func newRig(t *testing.T) *rig {
 	n := &network{
 		direct: make(map[string]dialState), relays: map[string]map[string]dialState{"r1": {}, "r2": {}, "r3": {}},
@@ -62,7 +72,7 @@
 	}
 	r := &rig{network: n}
 	r.Manager = New(Options{
-		Zone: "z1", Dial: n.dial, Open: n.open, Listed: targets, IsStopping: func() bool { return false },
+		Zone: "z1", Dial: n.dial, Open: n.open, Targets: listed, IsStopping: func() bool { return false },
 		Relays:     n.listRelays,
 		LastHeard:  func() time.Time { n.mu.Lock(); defer n.mu.Unlock(); return n.heard },
 		OnLost:     func() { n.mu.Lock(); defer n.mu.Unlock(); n.lost++ },
@@ -115,7 +125,8 @@
 func (tunnel) Usable() bool { return true }
 func (tunnel) Unacked() int { return 0 }
 
-func (n *network) open(ctx context.Context, instance, address string) (Conn, error) {
+func (n *network) open(ctx context.Context, instance string, target fleet.Target) (Conn, error) {
+	address := target.Address
 	n.mu.Lock()
 	n.tunnels[instance]++
 	s, absent := n.relays[instance][address], n.absent[instance]
@@ -370,18 +381,18 @@
 			}
 			return err
 		}
-		if err := open("t1"); err != nil || r.Served() != 0 {
+		if err := open("t1x"); err != nil || r.Served() != 0 {
 			t.Errorf("t1: %v, %d served", err, r.Served())
 		}
 		if err := open("elsewhere"); !errors.Is(err, peer.ErrTunnelUnavailable) {
 			t.Errorf("elsewhere: %v", err)
 		}
 		r.direct["t1"] = hangs
-		if err := open("t1"); err == nil || len(r.tunnels) > 0 {
+		if err := open("t1x"); err == nil || len(r.tunnels) > 0 {
 			t.Errorf("t1: %v, tunnels %v", err, r.tunnels)
 		}
 		_, _, _ = r.connect("t1")
-		if err := open("t1"); !errors.Is(err, peer.ErrTunnelUnavailable) {
+		if err := open("t1x"); !errors.Is(err, peer.ErrTunnelUnavailable) {
 			t.Errorf("t1, known to be lost: %v", err)
 		}
 	})
--- a/internal/targetpath/probe.go
+++ b/internal/targetpath/probe.go
@@ -78,7 +78,7 @@
 
 // probeTargets chooses the targets to dial and forgets expired failures.
 func (m *Manager) probeTargets() (chosen []string) {
-	listed := m.o.Listed()
+	listed := m.addresses()
 	isListed := make(map[string]bool, len(listed))
 	for _, address := range listed {
 		isListed[address] = true
--- a/internal/targetpath/relay.go
+++ b/internal/targetpath/relay.go
@@ -90,10 +90,12 @@
 }
 
 func (m *Manager) dialThroughRelay(ctx context.Context, address string) dialed {
-	relays := m.relays()
-	if len(relays) == 0 {
+	relays, view := m.relays(), m.o.Targets()
+	id, listed := view.AtAddress(address)
+	if !listed || len(relays) == 0 {
 		return dialed{err: errNoRelay}
 	}
+	target, _ := view.Get(id)
 	ctx, cancel := context.WithCancel(ctx)
 	results := make(chan dialed, len(relays))
 	running, refused := 0, 0
@@ -105,7 +107,7 @@
 		relays = relays[1:]
 		running++
 		go func() {
-			conn, err := m.o.Open(ctx, relay, address)
+			conn, err := m.o.Open(ctx, relay, target)
 			if err != nil {
 				results <- dialed{relay: relay, err: err}
 				return
--- a/internal/targetpath/serve.go
+++ b/internal/targetpath/serve.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -32,9 +31,14 @@
 
 // Open implements peer.TunnelServer. It connects to listed targets only, and only by this
 // instance's own way, so that a connection leads through one relay at most.
-func (s Server) Open(ctx context.Context, address string) (net.Conn, error) {
+func (s Server) Open(ctx context.Context, target string) (net.Conn, error) {
 	m := s.m
-	if lost, _, _ := m.state(address); lost || m.o.IsStopping() || !slices.Contains(m.o.Listed(), address) {
+	t, listed := m.o.Targets().Get(target)
+	if !listed || m.o.IsStopping() {
+		return nil, peer.ErrTunnelUnavailable
+	}
+	address := t.Address
+	if lost, _, _ := m.state(address); lost {
 		return nil, peer.ErrTunnelUnavailable
 	}
 	if m.served.Add(1) > maxServed {
