Target paths: targets that have left do not count as unreachable

A dial to a target that is not listed any more, such as the release of a result at a host that is gone, was tried through relays and counted towards the loss of all targets. TestTargetsThatLeftAreNoPartition fails without the change.

--- a/internal/targetpath/dial.go
+++ b/internal/targetpath/dial.go
@@ -134,8 +134,9 @@
 // recordFailures records a direct dial that failed and one through relays that failed too,
 // or was not made (nil) because there is no relay or too little time.
 func (m *Manager) recordFailures(address string, began time.Time, direct, relay error) {
+	_, listed := m.o.Targets().AtAddress(address)
 	switch {
-	case errors.Is(direct, context.Canceled):
+	case !listed || errors.Is(direct, context.Canceled):
 	case errors.Is(direct, syscall.ECONNREFUSED) && (relay == nil || errors.Is(relay, syscall.ECONNREFUSED)):
 		m.recordRefused(address)
 	case relay != nil || time.Since(began) >= relayDelay:
--- a/internal/targetpath/manager_test.go
+++ b/internal/targetpath/manager_test.go
@@ -252,6 +252,22 @@
 	}
 }
 
+// Guards against an instance that counts as partitioned because of targets that have left.
+func TestTargetsThatLeftAreNoPartition(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		for n := range 5 {
+			address := fmt.Sprint("left", n)
+			r.direct[address] = hangs
+			if _, _, err := r.connect(address); err == nil {
+				t.Error("connected to " + address)
+			}
+		}
+		if r.Lost() || len(r.tunnels) > 0 {
+			t.Errorf("lost %v, tunnels %v", r.Lost(), r.tunnels)
+		}
+	})
+}
+
 // Guards against a single unreachable target being taken for the loss of all while others answer.
 func TestOnlyTheLostTargetLeadsThroughARelay(t *testing.T) {
 	run(t, func(t *testing.T, r *rig) {
--- a/internal/targetpath/relay.go
+++ b/internal/targetpath/relay.go
@@ -62,10 +62,9 @@
 
 // mayUseRelay reports whether the target may be tried through a relay.
 func (m *Manager) mayUseRelay(address string) bool {
-	if _, _, dead := m.state(address); dead {
-		return false
-	}
-	return len(m.relays()) > 0
+	_, listed := m.o.Targets().AtAddress(address)
+	_, _, dead := m.state(address)
+	return listed && !dead && len(m.relays()) > 0
 }
 
 // exclude stops the use of a relay for a while.
