--- a/internal/targetpath/manager_test.go
+++ b/internal/targetpath/manager_test.go
@@ -255,13 +255,17 @@
 // Guards against an instance that counts as partitioned because of targets that have left.
 func TestTargetsThatLeftAreNoPartition(t *testing.T) {
 	run(t, func(t *testing.T, r *rig) {
+		var dials sync.WaitGroup
 		for n := range 5 {
 			address := fmt.Sprint("left", n)
 			r.direct[address] = hangs
-			if _, _, err := r.connect(address); err == nil {
-				t.Error("connected to " + address)
-			}
+			dials.Go(func() {
+				if _, _, err := r.connect(address); err == nil {
+					t.Error("connected to " + address)
+				}
+			})
 		}
+		dials.Wait()
 		if r.Lost() || len(r.tunnels) > 0 {
 			t.Errorf("lost %v, tunnels %v", r.Lost(), r.tunnels)
 		}
