Target paths: what the test of targets that left shows

A failed dial to such a target starts a search, and the targets that answer it show that nothing is lost. What the change saves is that search.

--- a/internal/targetpath/manager_test.go
+++ b/internal/targetpath/manager_test.go
@@ -252,13 +252,15 @@
 	}
 }
 
-// Guards against an instance that counts as partitioned because of targets that have left.
+// Guards against targets that have left being taken for a sign that this instance may be partitioned.
 func TestTargetsThatLeftAreNoPartition(t *testing.T) {
 	run(t, func(t *testing.T, r *rig) {
 		var dials sync.WaitGroup
 		for n := range 5 {
 			address := fmt.Sprint("left", n)
+			r.network.mu.Lock()
 			r.direct[address] = hangs
+			r.network.mu.Unlock()
 			dials.Go(func() {
 				if _, _, err := r.connect(address); err == nil {
 					t.Error("connected to " + address)
@@ -266,8 +268,8 @@
 			})
 		}
 		dials.Wait()
-		if r.Lost() || len(r.tunnels) > 0 {
-			t.Errorf("lost %v, tunnels %v", r.Lost(), r.tunnels)
+		if r.Lost() || len(r.tunnels) > 0 || r.dials != 5 {
+			t.Errorf("lost %v, tunnels %v, %d dials", r.Lost(), r.tunnels, r.dials)
 		}
 	})
 }
