--- a/internal/targetpath/manager.go
+++ b/internal/targetpath/manager.go
@@ -80,7 +80,7 @@
 	mu         sync.Mutex           // guards the fields below
 	paths      map[string]*path     // by address; only those with recent failures
 	excluded   map[string]time.Time // until when a relay is not used, by instance
-	lastDial   time.Time            // when a direct dial last succeeded
+	lastDial   time.Time            // when a direct dial last succeeded, or of New
 	lost       bool                 // this instance reaches no target itself
 	answered   int                  // successive probes that succeeded while lost
 	searching  map[string]bool      // targets that are being tried in the background
@@ -93,7 +93,7 @@
 
 // New returns a Manager.
 func New(o Options) *Manager {
-	m := &Manager{o: o, paths: make(map[string]*path), excluded: make(map[string]time.Time), searching: make(map[string]bool)}
+	m := &Manager{o: o, paths: make(map[string]*path), excluded: make(map[string]time.Time), searching: make(map[string]bool), lastDial: time.Now()}
 	o.Metrics.Func(metricLost, func() any { return m.lostPaths() })
 	o.Metrics.Func(metricTunnels, func() any { return m.served.Load() })
 	return m
