A refusal shows a crash only if another target accepts a connection

Cause: a refused connection was proof of a crash. It is none if every target refuses: then the way to them is what failed.

Change: after a refusal a few other targets are dialed; only if one accepts, the refusing one counts as crashed. TestReachesOther.

--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -171,12 +171,12 @@
 }
 
 // targetAlive reports whether a process listens at the target's address. Only a target
-// that refuses the connection is considered crashed: one that does not respond may be
-// cut off.
+// that refuses the connection, while another one accepts one, is considered crashed: one that
+// does not respond may be cut off, and if all refuse, this instance may be.
 func (i *Instance) targetAlive(ctx context.Context, t stagecall.Target) bool {
 	conn, err := i.paths.Dial(ctx, "tcp", t.Address)
 	if err != nil {
-		return !errors.Is(err, syscall.ECONNREFUSED)
+		return !errors.Is(err, syscall.ECONNREFUSED) || !i.paths.ReachesOther(ctx, t.Address)
 	}
 	_ = conn.Close()
 	return true
--- a/internal/targetpath/dial.go
+++ b/internal/targetpath/dial.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -203,3 +204,38 @@
 	defer m.mu.Unlock()
 	delete(m.searching, address)
 }
+
+// otherCount is the number of targets that ReachesOther dials.
+const otherCount = 3
+
+// ReachesOther reports whether any of a few targets other than that with the address can be
+// connected to, or there is no other one. If none can, the refusal of a target does not show
+// that it is dead.
+func (m *Manager) ReachesOther(ctx context.Context, address string) bool {
+	others := slices.DeleteFunc(m.addresses(), func(a string) bool { return a == address })
+	if len(others) == 0 {
+		return true
+	}
+	m.mu.Lock()
+	m.o.Rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	m.mu.Unlock()
+	others = others[:min(len(others), otherCount)]
+	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
+	defer cancel()
+	results := make(chan dialed, len(others))
+	for _, other := range others {
+		go func() {
+			conn, err := m.Dial(ctx, "tcp", other)
+			results <- dialed{conn: conn, err: err}
+		}()
+	}
+	reached := false
+	for range others {
+		if d := <-results; d.err == nil {
+			reached = true
+			_ = d.conn.Close()
+			cancel()
+		}
+	}
+	return reached
+}
--- a/internal/targetpath/manager_test.go
+++ b/internal/targetpath/manager_test.go
@@ -388,6 +388,24 @@
 	})
 }
 
+// Guards against targets that count as crashed because nobody reaches any of them.
+func TestReachesOther(t *testing.T) {
+	run(t, func(t *testing.T, r *rig) {
+		if r.direct["t1"] = refuses; !r.ReachesOther(t.Context(), "t1") {
+			t.Error("reaches no other target though only t1 refuses")
+		}
+		for _, from := range []string{"", "r1", "r2", "r3"} {
+			r.all(from, refuses)
+		}
+		if r.ReachesOther(t.Context(), "t1") {
+			t.Error("reaches another target though all refuse")
+		}
+		if r.all("r2", connects); !r.ReachesOther(t.Context(), "t1") {
+			t.Error("reaches no other target though a relay does")
+		}
+	})
+}
+
 // Guards against a connection that leads through two relays, and against tunnels to what is no target.
 func TestServerUsesItsOwnWayOnly(t *testing.T) {
 	run(t, func(t *testing.T, r *rig) {
