Target paths: relays that open no tunnel do not use up the tries

A relay that opens no tunnel answers at once; only those that dial the target count now, and a target counts as unreached only if one did.

--- a/internal/edge/fleet_harness_test.go
+++ b/internal/edge/fleet_harness_test.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +46,8 @@
 	poweredOff       bool
 	isolated         bool // cannot reach other instances
 	side             int  // side of the partition; the sides cannot reach each other; guarded by memoryNetwork.mu
+	targetsLost      bool // cannot open connections to targets: dials hang, or are refused if targetsRefuse
+	targetsRefuse    bool
 	storeUnreachable bool // cannot reach the store
 	storeSilent      bool // Get, List and Watch calls of the store hang until their context ends
 	toStore          storeConns
@@ -82,6 +86,13 @@
 		}
 		return nil, os.ErrDeadlineExceeded
 	}
+	if strings.HasPrefix(address, targetNetwork) && s.has(&s.targetsLost) {
+		if s.has(&s.targetsRefuse) {
+			return nil, syscall.ECONNREFUSED
+		}
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if l == nil || otherSide || s.has(&s.poweredOff) || s.has(&s.isolated) {
 		return nil, net.ErrClosed
 	}
--- a/internal/targetpath/manager_test.go
+++ b/internal/targetpath/manager_test.go
@@ -342,6 +342,18 @@
 			})
 		})
 	}
+	t.Run("many absent", func(t *testing.T) {
+		run(t, func(t *testing.T, r *rig) {
+			r.all("", hangs)
+			for n := range 20 {
+				id := fmt.Sprint("absent", n)
+				r.network.relays[id], r.absent[id] = map[string]dialState{}, true
+			}
+			if relay, took, err := r.connect("t1"); relay == "" || took > 400*time.Millisecond || err != nil {
+				t.Errorf("through %q after %v: %v", relay, took, err)
+			}
+		})
+	})
 	t.Run("one refuses", func(t *testing.T) {
 		run(t, func(t *testing.T, r *rig) {
 			r.all("", refuses)
@@ -400,7 +412,7 @@
 		if r.ReachesOther(t.Context(), "t1") {
 			t.Error("reaches another target though all refuse")
 		}
-		if r.all("r2", connects); !r.ReachesOther(t.Context(), "t1") {
+		if r.all("r1", connects); !r.ReachesOther(t.Context(), "t1") {
 			t.Error("reaches no other target though a relay does")
 		}
 	})
--- a/internal/targetpath/relay.go
+++ b/internal/targetpath/relay.go
@@ -8,6 +8,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"lynxhill.example/lynxhill/internal/fleet"
 )
 
 const (
@@ -80,14 +82,26 @@
 	m.excluded[instance] = now.Add(excludeTime)
 }
 
-// dialRelays connects to the target through one of up to maxRelays relays. The error is or
-// wraps errNoRelay if there is none, syscall.ECONNREFUSED if the target refused all of
-// them.
+// dialRelays connects to the target through a relay, see dialThroughRelay.
 func (m *Manager) dialRelays(ctx context.Context, address string) (net.Conn, error) {
 	d := m.dialThroughRelay(ctx, address)
 	return d.conn, d.err
 }
 
+// relayDial is a dial of one target through relays.
+type relayDial struct {
+	m       *Manager
+	ctx     context.Context
+	target  fleet.Target
+	relays  []string // not tried yet
+	dials   int      // relays that may still dial the target
+	results chan dialed
+	running int
+}
+
+// dialThroughRelay connects to the target through one of up to maxRelays relays. Relays that
+// open no connection don't count. The error is errNoRelay if no relay dialed the target,
+// syscall.ECONNREFUSED if the target refused all of them.
 func (m *Manager) dialThroughRelay(ctx context.Context, address string) dialed {
 	relays, view := m.relays(), m.o.Targets()
 	id, listed := view.AtAddress(address)
@@ -96,76 +110,79 @@
 	}
 	target, _ := view.Get(id)
 	ctx, cancel := context.WithCancel(ctx)
-	results := make(chan dialed, len(relays))
-	running, refused := 0, 0
-	next := func() {
-		if len(relays) == 0 {
-			return
-		}
-		relay := relays[0]
-		relays = relays[1:]
-		running++
-		go func() {
-			conn, err := m.o.Open(ctx, relay, target)
-			if err != nil {
-				results <- dialed{relay: relay, err: err}
-				return
-			}
-			results <- dialed{conn: &relayedConn{Conn: conn, manager: m, address: address}, relay: relay}
-		}()
-	}
-	relays = relays[:min(len(relays), maxRelays)]
-	next()
+	defer cancel() // the context of a connection outlives that of its dial
+	d := &relayDial{m: m, ctx: ctx, target: target, relays: relays, dials: maxRelays, results: make(chan dialed, len(relays))}
+	defer func() { go d.closeRest() }()
+	return d.run()
+}
+
+// run dials until a relay connects to the target, enough relays failed or none is left.
+func (d *relayDial) run() dialed {
+	d.next()
 	hedge := time.NewTicker(relayHedgeDelay)
 	defer hedge.Stop()
 	var timedOut []string // relays that did not connect to the target
-	var last error
-	for running > 0 {
+	refused := 0
+	last := errNoRelay
+	for d.running > 0 {
 		select {
 		case <-hedge.C:
-			next()
-		case d := <-results:
-			running--
-			if d.err == nil {
+			d.next()
+			continue
+		case r := <-d.results:
+			d.running--
+			switch {
+			case r.err == nil:
 				for _, relay := range timedOut {
-					m.exclude(relay)
+					d.m.exclude(relay)
 				}
-				go func() {
-					for range running {
-						closeUnused(results)
-					}
-				}()
-				// The context of the connection outlives that of the dial.
-				cancel()
-				return d
-			}
-			last = d.err
-			switch {
-			case ctx.Err() != nil:
-			case errors.Is(d.err, syscall.ECONNREFUSED):
+				return r
+			case d.ctx.Err() != nil:
+				last = r.err
+			case errors.Is(r.err, syscall.ECONNREFUSED):
+				last = r.err
 				if refused++; refused >= minRefusals {
-					cancel()
-					go func() {
-						for range running {
-							closeUnused(results)
-						}
-					}()
-					return d
+					return r
 				}
-				next()
-			case isTimeout(d.err):
-				timedOut = append(timedOut, d.relay)
-				next()
+			case isTimeout(r.err):
+				last = r.err
+				timedOut = append(timedOut, r.relay)
 			default:
-				m.exclude(d.relay)
-				next()
+				d.m.exclude(r.relay)
+				d.dials++
 			}
+			d.next()
 		}
 	}
-	cancel()
 	return dialed{err: last}
 }
 
+// next dials through the next relay, if there is one.
+func (d *relayDial) next() {
+	if len(d.relays) == 0 || d.dials == 0 || d.ctx.Err() != nil {
+		return
+	}
+	relay := d.relays[0]
+	d.relays = d.relays[1:]
+	d.dials--
+	d.running++
+	go func() {
+		conn, err := d.m.o.Open(d.ctx, relay, d.target)
+		if err != nil {
+			d.results <- dialed{relay: relay, err: err}
+			return
+		}
+		d.results <- dialed{conn: &relayedConn{Conn: conn, manager: d.m, address: d.target.Address}, relay: relay}
+	}()
+}
+
+// closeRest closes the connections of dials that are not needed any more.
+func (d *relayDial) closeRest() {
+	for range d.running {
+		closeUnused(d.results)
+	}
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
