Target paths: the digest of an instance that lost no path costs no list of targets

Each exchange of digests made a list of all targets to find out whether most are lost; with 600 targets that is one of some 90 KB (worked out).

--- a/internal/targetpath/manager.go
+++ b/internal/targetpath/manager.go
@@ -108,10 +108,10 @@
 
 // Lost reports whether this instance can't connect to most targets by itself.
 func (m *Manager) Lost() bool {
-	listed := len(m.o.Targets().All())
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.lost || listed > 0 && 2*m.lostPathsLocked() > listed
+	lost := m.lostPathsLocked()
+	return m.lost || lost > 0 && 2*lost > len(m.o.Targets().All())
 }
 
 // Reachable reports whether this instance reaches any target, by itself or through another
