A stream's head is not forwarded once its time is over

Cause: the exchange is cancelled a margin before the deadline, unless the head was forwarded before. Where the head arrived at that very moment, it was forwarded, and the rest could not follow.

Change: headForwarded reports whether the exchange was cancelled already; the caller then gets the error response for which the margin is kept. TestHeadIsNotForwardedAfterItsTime.

--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -181,9 +181,12 @@
 	case resp.Status/100 != 2:
 		return ef.failedResponse(ctx, target, resp, head)
 	}
+	if !headForwarded() {
+		_ = resp.Body.Close()
+		return ef.failed(ctx, target, true, ctx.Err())
+	}
 	ef.mayHaveRun = true
 	ef.assignment.AnswerStarted()
-	headForwarded()
 	err = ef.stream.forward(sending, resp)
 	if err == nil {
 		ef.o.CrashGuard.RecordSuccess(ef.fingerprint())
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -264,7 +264,9 @@
 // untilHead returns the context for an exchange whose response is streamed to the
 // caller. Until headForwarded is called, the context ends with ctx, which leaves
 // responseMargin for an error response of this instance. Call headForwarded when
-// the head is forwarded: from then on only fl.base ends the exchange.
+// the head is forwarded: from then on only fl.base ends the exchange. It returns
+// false if the context has ended already: the head must not be forwarded then, since
+// the rest of the response would not follow.
 //
 // Without it, a stream that completes in the last milliseconds of its time is cut
 // off by the margin, although an error response can't be sent any more. The
@@ -275,10 +277,10 @@
 // same moment either may fire first: a request whose exchange had ended before
 // its own deadline was seen to pass was answered 502 instead of 504, or sent once
 // more.
-func (fl *flight) untilHead(ctx context.Context) (sending context.Context, headForwarded func(), cancel func()) {
+func (fl *flight) untilHead(ctx context.Context) (sending context.Context, headForwarded func() bool, cancel func()) {
 	sending, cancelCause := context.WithCancelCause(fl.base)
 	stop := context.AfterFunc(ctx, func() { cancelCause(ctx.Err()) })
-	return sending, func() { stop() }, func() {
+	return sending, stop, func() {
 		stop()
 		cancelCause(nil)
 	}
--- a/internal/forwarding/stream_end_test.go
+++ b/internal/forwarding/stream_end_test.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -31,3 +32,25 @@
 		}
 	})
 }
+
+// Guards against a stream whose head is forwarded, and which then breaks off, because the head arrived just when the
+// time for it ended.
+func TestHeadIsNotForwardedAfterItsTime(t *testing.T) {
+	for _, ended := range []bool{false, true} {
+		ctx, end := context.WithCancel(t.Context())
+		fl := &flight{base: t.Context()}
+		sending, headForwarded, cancel := fl.untilHead(ctx)
+		if ended {
+			end()
+			<-sending.Done()
+		}
+		if headForwarded() == ended {
+			t.Errorf("time ended %v: the head is forwarded %v", ended, !ended)
+		}
+		end()
+		if !ended && sending.Err() != nil {
+			t.Error("the stream ends with the time for its head")
+		}
+		cancel()
+	}
+}
