pathtest: what is written to a hanging connection is lost

cutConn embedded a *net.TCPConn, whose write of several buffers at once went past its Write: in the cut that lets open connections hang, requests with a body still reached the server and counted as acknowledged. They are lost and unacknowledged now. TestPartitionedInstancesServe/hang (1 and 3 of 4) and TestAllInstancesPartitioned pass with it.

--- a/deploy/pathtest/cut_test.go
+++ b/deploy/pathtest/cut_test.go
@@ -51,8 +51,8 @@
 		case cutHang:
 			conn.hanging.Store(true)
 		case cutReset, cutResetOnly:
-			_ = conn.SetLinger(0)
-			_ = conn.TCPConn.Close()
+			_ = conn.tcp.SetLinger(0)
+			_ = conn.tcp.Close()
 		}
 	}
 }
@@ -83,7 +83,7 @@
 	if !c.isServer(address) {
 		return conn
 	}
-	tracked := &cutConn{TCPConn: conn, cut: c, closed: make(chan struct{})}
+	tracked := &cutConn{Conn: conn, tcp: conn, cut: c, closed: make(chan struct{})}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conns[tracked] = true
@@ -91,9 +91,11 @@
 }
 
 // cutConn is a connection to a server. While it hangs, what is written is lost and
-// nothing arrives any more.
+// nothing arrives any more. It embeds no *net.TCPConn, whose writes of several buffers
+// would go past Write.
 type cutConn struct {
-	*net.TCPConn
+	net.Conn
+	tcp     *net.TCPConn
 	cut     *cut
 	hanging atomic.Bool
 	lost    atomic.Int64 // bytes
@@ -102,7 +104,7 @@
 }
 
 func (c *cutConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
+	n, err := c.tcp.Read(p)
 	if c.hanging.Load() {
 		<-c.closed
 		return 0, net.ErrClosed
@@ -115,7 +117,7 @@
 		c.lost.Add(int64(len(p)))
 		return len(p), nil
 	}
-	return c.TCPConn.Write(p)
+	return c.tcp.Write(p)
 }
 
 func (c *cutConn) Close() error {
@@ -124,11 +126,14 @@
 	delete(c.cut.conns, c)
 	c.cut.mu.Unlock()
 	if c.hanging.Load() {
-		_ = c.SetLinger(0) // nothing of it reaches the server, which notices all the same here
+		_ = c.tcp.SetLinger(0) // nothing of it reaches the server, which notices all the same here
 	}
-	return c.TCPConn.Close()
+	return c.tcp.Close()
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *cutConn) SyscallConn() (syscall.RawConn, error) { return c.tcp.SyscallConn() }
+
 // unacked is what an instance asks of the kernel about its connections to servers.
 func unacked(conn net.Conn) int {
 	c, ok := conn.(*cutConn)
