--- a/internal/event/catalogue_forwarding.go
+++ b/internal/event/catalogue_forwarding.go
@@ -9,6 +9,7 @@
 	ForwardLate          ID = 4214
 	ForwardLateLeftOut   ID = 4215
 	ForwardBudgetShared  ID = 4216
+	ForwardStreamResumed ID = 4217
 	IngressRefused       ID = 4220
 	IngressListening     ID = 4221
 	IngressStopping      ID = 4222
@@ -21,10 +22,11 @@
 	Definition{ForwardAnswered, Debug, "forward_answered", "A plain request was answered by a target. The fields give the version of the routes, the target and the times, as those of a failure do."},
 	Definition{ForwardFailed, Info, "forward_failed", "A plain request was answered by this instance itself, or failed; outcome gives the reason, ran whether a target may have run it, dispatcher the instance that scheduled it. Times are in milliseconds: read_ms until the request was read, wait_ms spent waiting for a placement, first_ms from its arrival to the first bytes of the response, ms in total."},
 	Definition{ForwardAttemptFailed, Info, "forward_attempt_failed", "A target refused or failed a plain request; sent says whether a byte of it may have reached the target."},
-	Definition{ForwardStreamBroke, Info, "forward_stream_broke", "A target's stream was interrupted; it is resumed at another target if the route allows it. framing says what determines the end of its response (length, chunks or the connection), unfinished is the number of bytes after its last complete event."},
+	Definition{ForwardStreamBroke, Info, "forward_stream_broke", "A target's stream was interrupted; it is resumed at another target if the route allows it. build is the target's software version, framing says what determines the end of its response (length, chunks or the connection), unfinished is the number of bytes after its last complete event."},
 	Definition{ForwardLate, Info, "forward_late", "A plain request was answered by a target, but later than its route's target latency (for a stream, the first event was late); the fields are those of a failure. At most 10 such lines a second are written."},
 	Definition{ForwardLateLeftOut, Info, "forward_late_left_out", "The given number of late responses of this second were logged at level debug only."},
 	Definition{ForwardBudgetShared, Info, "forward_budget_shared", "The number of instances that share the budget of extra repeats changed; known is the current count of instances, part this instance's allowance for a window beyond its share of the requests, age the time since its budget was created."},
+	Definition{ForwardStreamResumed, Info, "forward_stream_resumed", "A target continues a stream after the event given by after. resumes is the caller's attempt that the stream began with, empty if it broke off within this response; began is the software version that its first event came from, empty if that is not known, build that of the target."},
 	Definition{IngressRefused, Info, "ingress_refused", "A plain request was refused before its route was determined; reason gives the cause."},
 	Definition{IngressListening, Info, "ingress_listening", "The instance listens for plain requests."},
 	Definition{IngressStopping, Info, "ingress_stopping", "The instance is stopping: it is no longer listed to callers and finishes its requests in flight."},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,6 +12,7 @@
 type Target struct {
 	ID       string // of this run; a restarted server has another
 	Service  string
+	Build    string // version of its software, not of its weights; "" = not stated, which counts as a version of its own
 	Address  string // IP:port
 	Zone     string
 	Slots    int
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -149,10 +149,11 @@
 // attempt sends the request to the engine of the placement. It returns true if
 // the request is finished, false if the dispatcher has to choose another engine.
 func (ef *engineFlight) attempt(ctx context.Context, p stagework.Placement) bool {
-	target := fleet.Target{ID: p.Target, Address: p.Address, Service: ef.service}
-	if !ef.o.Targets().Usable(p.Target) {
+	target, listed := ef.o.Targets().Get(p.Target)
+	if !listed || target.Draining {
 		return ef.skipped(ctx)
 	}
+	target.Address, target.Service = p.Address, ef.service
 	endSuspect, ok := ef.beginAttempt(p.Target)
 	if !ok {
 		ef.assignment.Rejected(false, false)
@@ -187,7 +188,8 @@
 	}
 	ef.mayHaveRun = true
 	ef.assignment.AnswerStarted()
-	err = ef.stream.forward(sending, resp)
+	ef.logResumed(target)
+	err = ef.stream.forward(sending, resp, target)
 	if err == nil {
 		ef.o.CrashGuard.RecordSuccess(ef.fingerprint())
 		return true
--- a/internal/forwarding/log.go
+++ b/internal/forwarding/log.go
@@ -94,5 +94,15 @@
 // logStreamBroken logs a stream that broke off.
 func (ef *engineFlight) logStreamBroken(t fleet.Target, err error) {
 	ef.o.Logger.Log(event.ForwardStreamBroke, "request", ef.Request.ID, "target", t.ID, "events", ef.stream.events,
-		"last", ef.stream.last, "resumable", ef.Route.Resumable, "framing", ef.stream.framing, "unfinished", ef.stream.unfinished(), "err", err)
+		"build", t.Build, "last", ef.stream.last, "resumable", ef.Route.Resumable, "framing", ef.stream.framing, "unfinished", ef.stream.unfinished(), "err", err)
+}
+
+// logResumed logs that the target continues a stream. It does nothing for a run that
+// begins one.
+func (ef *engineFlight) logResumed(t fleet.Target) {
+	if ef.stream.last == "" {
+		return
+	}
+	ef.o.Logger.Log(event.ForwardStreamResumed, "request", ef.Request.ID, "resumes", ef.Request.Resumes, "after", ef.stream.last,
+		"began", ef.stream.build, "target", t.ID, "build", t.Build)
 }
--- a/internal/forwarding/stream.go
+++ b/internal/forwarding/stream.go
@@ -11,6 +11,7 @@
 
 	"lynxhill.example/lynxhill/internal/eventstream"
 	"lynxhill.example/lynxhill/internal/exchange"
+	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/route"
 )
 
@@ -35,8 +36,10 @@
 	started bool   // the head was sent
 	last    string // id of the last event that was forwarded
 	events  int    // number of events that were forwarded
+	build   string // software version of the target that the first of them came from; "" = none was forwarded
 
 	// Of the response that is or was forwarded last.
+	target  fleet.Target
 	framing exchange.Framing
 	reader  *eventstream.Reader // nil = it is no stream of events
 }
@@ -58,10 +61,11 @@
 	return s.last
 }
 
-// forward forwards the response to the caller as it arrives. It returns nil if
-// the response is complete.
-func (s *stream) forward(ctx context.Context, resp *exchange.Response) error {
+// forward forwards the target's response to the caller as it arrives. It returns nil
+// if the response is complete.
+func (s *stream) forward(ctx context.Context, resp *exchange.Response, target fleet.Target) error {
 	defer resp.Body.Close()
+	s.target = target
 	s.head(resp)
 	s.framing, s.reader = resp.Framing, nil
 	var body io.Reader = resp.Body
@@ -176,6 +180,9 @@
 	if ok {
 		s.last = id
 	}
+	if s.events == 0 {
+		s.build = s.target.Build
+	}
 	s.events++
 	return append(out, block...)
 }
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -42,6 +42,7 @@
 	Pieces      []int   // number of pieces of each stage; missing entries are 0
 	PieceKey    string
 	LastEventID string // id of the last event that the caller received; "" = a new stream
+	Resumes     string // id of the caller's attempt that brought the first event of the stream; "" = not stated
 }
 
 // Call holds what the system adds to a request when it sends it to a target.
