Emulator: servers of several software versions, clients that take streams up

Cause: the stand-ins started all servers as v1, clients named no attempt that began a stream, and the checker compared no versions, so no test could show the incident. Change: versions by server (Pool.Versions, AddVersion), Resumes sent as the platform's clients do, Ask.BreakAfter, and the check 'version': all events of a stream, over all its attempts, come from one version of one service.

--- a/deploy/emulator/check.go
+++ b/deploy/emulator/check.go
@@ -1,6 +1,8 @@
 package emulator
 
 import (
+	"cmp"
+	"errors"
 	"fmt"
 	"slices"
 )
@@ -13,6 +15,7 @@
 	NameUnasked = "unasked"         // a server ran what no client asked for
 	NameOrder   = "order"           // events are missing, doubled or of two runs
 	NameLost    = "lost"            // a sound server's answer was lost
+	NameVersion = "version"         // a stream holds events of two versions of a service's software
 )
 
 // Violation is a broken promise.
@@ -56,6 +59,7 @@
 		c.answer(a)
 		c.lost(a)
 	}
+	c.versions(attempts)
 	for _, piece := range journal.Pieces() {
 		c.piece(piece)
 	}
@@ -169,10 +173,34 @@
 	}
 }
 
+// versions checks that all events of a stream, over all its attempts, come from one
+// version of one service.
+func (c *checker) versions(attempts []Attempt) {
+	type origin struct{ service, version string }
+	began := make(map[string]origin) // by the attempt that brought the first event
+	for _, a := range attempts {     // in the order of each client
+		stream := cmp.Or(a.Resumes, a.ID)
+		for _, e := range a.Events {
+			run, ok := c.runs[e.Run]
+			if !ok {
+				continue
+			}
+			from := origin{run.Service, run.Version}
+			first, known := began[stream]
+			if !known {
+				began[stream] = from
+			} else if first != from {
+				c.report(NameVersion, a.ID, "event %d is of %s %s, the stream %s began at %s %s", e.ID, from.service, from.version, stream, first.service, first.version)
+				break
+			}
+		}
+	}
+}
+
 // lost checks that a request that reached sound servers only was answered.
 func (c *checker) lost(a Attempt) {
 	runs := c.byID[a.ID]
-	if a.Complete || a.GaveUp || len(runs) == 0 {
+	if a.Complete || a.GaveUp || len(runs) == 0 || errors.Is(a.Err, errBroken) {
 		return
 	}
 	for _, run := range runs {
--- a/deploy/emulator/client.go
+++ b/deploy/emulator/client.go
@@ -40,6 +40,7 @@
 	Resume             bool   // the route has stream_resumption
 	Deadline           time.Duration
 	GiveUp             time.Duration // leaves each attempt after that; 0 never
+	BreakAfter         int           // events after which the connection of the stream's first attempt breaks; 0 never
 	Header             http.Header   // Model, Token-Counts and others
 }
 
@@ -55,7 +56,8 @@
 type Attempt struct {
 	ID          string
 	Ask         Ask
-	From        int // Last-Event-Id
+	From        int    // Last-Event-Id
+	Resumes     string // the attempt that brought the first event of the stream; "" if this one may be
 	Sent, Ended time.Time
 	Status      int // 0: no answer
 	Header      http.Header
@@ -111,9 +113,9 @@
 func (c *Client) Do(ctx context.Context, ask Ask) Attempt {
 	ctx, cancel := context.WithTimeout(ctx, ask.Deadline)
 	defer cancel()
-	from := 0
+	from, began := 0, ""
 	for n := 0; ; n++ {
-		a := c.try(ctx, ask, n > 0, from)
+		a := c.try(ctx, ask, n > 0, from, began)
 		c.mu.Lock()
 		c.attempts = append(c.attempts, a)
 		c.mu.Unlock()
@@ -126,6 +128,7 @@
 		}
 		if len(a.Events) > 0 {
 			from = a.Events[len(a.Events)-1].ID
+			began = cmp.Or(began, a.ID)
 		}
 		if !c.aggressive.Load() && sleep(ctx, a.pause(ctx)) != nil {
 			return a
@@ -161,8 +164,8 @@
 }
 
 // try sends one attempt.
-func (c *Client) try(ctx context.Context, ask Ask, again bool, from int) Attempt {
-	a := Attempt{ID: c.newID(), Ask: ask, From: from, Sent: time.Now()}
+func (c *Client) try(ctx context.Context, ask Ask, again bool, from int, began string) Attempt {
+	a := Attempt{ID: c.newID(), Ask: ask, From: from, Resumes: began, Sent: time.Now()}
 	end, _ := ctx.Deadline()
 	if ask.GiveUp > 0 {
 		limited, cancel := context.WithTimeout(ctx, ask.GiveUp)
@@ -213,6 +216,7 @@
 	}
 	if a.From > 0 {
 		r.Header.Set("Last-Event-Id", strconv.Itoa(a.From))
+		r.Header.Set("Resumes", a.Resumes)
 	}
 	transport := c.kept
 	if again || !a.repeatable() && len(a.Ask.Body) == 0 { // Go itself repeats requests without a body
@@ -239,6 +243,9 @@
 	return err
 }
 
+// errBroken is the end of a connection by Ask.BreakAfter.
+var errBroken = errors.New("the client's connection broke")
+
 // readEvents reads events to the end; one that isn't ended doesn't count. inside
 // reports whether there was such a one.
 func (a *Attempt) readEvents(from *bufio.Reader) (inside bool, err error) {
@@ -262,6 +269,9 @@
 			e.At = time.Now()
 			a.Events = append(a.Events, e)
 			e, inside = Event{}, false
+			if a.Resumes == "" && a.Ask.BreakAfter > 0 && len(a.Events) == a.Ask.BreakAfter {
+				return inside, errBroken
+			}
 		}
 	}
 }
--- a/deploy/emulator/journal.go
+++ b/deploy/emulator/journal.go
@@ -33,6 +33,7 @@
 	Attempt  string // Attempt-Id
 	Server   string // instance
 	Service  string
+	Version  string // of the server's software
 	Tenant   string // the header Tenant
 	Method   string
 	Path     string      // path and query
--- a/deploy/emulator/target.go
+++ b/deploy/emulator/target.go
@@ -26,6 +26,7 @@
 type TargetOptions struct {
 	Instance   string // id of this incarnation
 	Service    string
+	Version    string // of its software
 	Address    string // IP:PORT
 	HealthPath string
 	Slots      int // requests at work at a time
@@ -211,7 +212,7 @@
 func (t *Target) start(w http.ResponseWriter, r *http.Request, priority, weight int) *work {
 	faults, m := t.draw()
 	run := &Run{
-		Attempt: r.Header.Get("Attempt-Id"), Server: t.options.Instance, Service: t.options.Service,
+		Attempt: r.Header.Get("Attempt-Id"), Server: t.options.Instance, Service: t.options.Service, Version: t.options.Version,
 		Tenant: r.Header.Get("Tenant"), Method: r.Method, Path: r.URL.RequestURI(), Header: r.Header.Clone(),
 		Crossing: m == mannerEarly,
 	}
--- a/deploy/emulator/world.go
+++ b/deploy/emulator/world.go
@@ -23,8 +23,9 @@
 type Pool struct {
 	Service    string
 	Places     []Place
-	Slots      int // of plain services
-	Queue      int // of plain services and model servers
+	Slots      int      // of plain services
+	Queue      int      // of plain services and model servers
+	Versions   []string // of the software of the first servers, by turns; nil: all have firstVersion
 	LoadHeader bool
 	Plain      ServiceOptions
 	Engine     EngineOptions
@@ -45,6 +46,7 @@
 // Server is one server of a World.
 type Server struct {
 	ID, Service, Zone, Address string
+	Version                    string // of its software
 
 	*Target
 	handler  http.Handler
@@ -133,17 +135,26 @@
 		return err
 	}
 	for _, pool := range w.plan.Pools {
+		started := 0
 		for _, place := range pool.Places {
 			for range place.Count {
-				if _, err := w.Add(pool.Service, place.Zone, ""); err != nil {
+				version := firstVersion
+				if len(pool.Versions) > 0 {
+					version = pool.Versions[started%len(pool.Versions)]
+				}
+				if _, err := w.AddVersion(pool.Service, place.Zone, "", version); err != nil {
 					return err
 				}
+				started++
 			}
 		}
 	}
 	return nil
 }
 
+// firstVersion is the software's version of servers of which nothing else is said.
+const firstVersion = "v1"
+
 // derive returns a source of random numbers of its own.
 func (w *World) derive() *rand.Rand {
 	w.mu.Lock()
@@ -180,9 +191,14 @@
 	return w.Store.Put("config", "main", config)
 }
 
-// Add starts a server of a service, at an address or at a free one (""), and
-// registers it.
+// Add is AddVersion with firstVersion.
 func (w *World) Add(service, zone, address string) (*Server, error) {
+	return w.AddVersion(service, zone, address, firstVersion)
+}
+
+// AddVersion starts a server of a service with a version of its software, at an address
+// or at a free one (""), and registers it.
+func (w *World) AddVersion(service, zone, address, version string) (*Server, error) {
 	pool := slices.IndexFunc(w.plan.Pools, func(p Pool) bool { return p.Service == service })
 	config := w.Config()
 	c := slices.IndexFunc(config.Services, func(s ServiceConfig) bool { return s.Name == service })
@@ -195,7 +211,7 @@
 	}
 	source := w.derive()
 	s := &Server{
-		ID: fmt.Sprintf("i-%08x", source.Uint32()), Service: service, Zone: zone, Address: l.Addr().String(),
+		ID: fmt.Sprintf("i-%08x", source.Uint32()), Service: service, Zone: zone, Address: l.Addr().String(), Version: version,
 		listener: &tracked{Listener: l, limit: config.Services[c].ConnectionLimit, open: make(map[net.Conn]bool)},
 	}
 	w.build(s, w.plan.Pools[pool], config.Services[c], source)
@@ -210,7 +226,7 @@
 // build makes the handler that the service's configuration asks for.
 func (w *World) build(s *Server, pool Pool, c ServiceConfig, source *rand.Rand) {
 	o := TargetOptions{
-		Instance: s.ID, Service: s.Service, Address: s.Address, HealthPath: c.HealthPath, Slots: pool.Slots, Queue: pool.Queue,
+		Instance: s.ID, Service: s.Service, Version: s.Version, Address: s.Address, HealthPath: c.HealthPath, Slots: pool.Slots, Queue: pool.Queue,
 		LoadHeader: pool.LoadHeader, Random: source, Journal: w.Journal, OnCrash: func() { w.Crash(s.ID) },
 	}
 	switch {
@@ -231,7 +247,7 @@
 		s.Target, s.handler, s.close = plain.Target, plain, plain.Close
 	}
 	s.entry.Service, s.entry.Address, s.entry.Zone = s.Service, s.Address, s.Zone
-	s.entry.Version, s.entry.Slots, s.entry.State, s.entry.Sequence = "v1", o.Slots, "ready", 1
+	s.entry.Version, s.entry.Slots, s.entry.State, s.entry.Sequence = s.Version, o.Slots, "ready", 1
 }
 
 func stageOptions(o StageOptions, c PieceConfig, registry *Registry) StageOptions {
@@ -335,7 +351,7 @@
 		return nil, fmt.Errorf("server %s doesn't run", id)
 	}
 	w.Crash(id)
-	return w.Add(service, s.Zone, s.Address)
+	return w.AddVersion(service, s.Zone, s.Address, s.Version)
 }
 
 // after runs do later, unless the World is closed.
--- a/deploy/emulator/world_test.go
+++ b/deploy/emulator/world_test.go
@@ -116,7 +116,7 @@
 		if a := c.Do(t.Context(), staged); a.Status != 400 || a.Header.Get("Not-Executed") == "" {
 			t.Errorf("without inputs: %d", a.Status)
 		}
-		a := c.try(t.Context(), Ask{Method: "GET", Path: "/health"}, false, 0)
+		a := c.try(t.Context(), Ask{Method: "GET", Path: "/health"}, false, 0, "")
 		if id := w.Servers("talk")[0].ID; a.Status != 200 || a.Header.Get("Instance-Id") != id {
 			t.Errorf("health: %d %v", a.Status, a.Header)
 		}
