--- a/deploy/emulator/client.go
+++ b/deploy/emulator/client.go
@@ -136,6 +136,18 @@
 	}
 }
 
+// TakeUp sends one attempt that goes on with a stream after an event, and names in Resumes
+// what the caller says.
+func (c *Client) TakeUp(ctx context.Context, ask Ask, after int, resumes string) Attempt {
+	ctx, cancel := context.WithTimeout(ctx, ask.Deadline)
+	defer cancel()
+	a := c.try(ctx, ask, true, after, resumes)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.attempts = append(c.attempts, a)
+	return a
+}
+
 // mayRetry says whether the protocol lets the client try again.
 func (a Attempt) mayRetry() bool {
 	switch a.Status {
@@ -216,7 +228,9 @@
 	}
 	if a.From > 0 {
 		r.Header.Set("Last-Event-Id", strconv.Itoa(a.From))
-		r.Header.Set("Resumes", a.Resumes)
+		if a.Resumes != "" {
+			r.Header.Set("Resumes", a.Resumes)
+		}
 	}
 	transport := c.kept
 	if again || !a.repeatable() && len(a.Ask.Body) == 0 { // Go itself repeats requests without a body
--- a/deploy/pathtest/cut_test.go
+++ b/deploy/pathtest/cut_test.go
@@ -26,6 +26,7 @@
 // cut is a cut of the way from an instance to the servers.
 type cut struct {
 	isServer func(address string) bool
+	only     string // the address to which the way is cut; "" = to all servers
 
 	mu    sync.Mutex
 	kind  cutKind
@@ -47,6 +48,9 @@
 	}
 	c.ended = make(chan struct{})
 	for conn := range c.conns {
+		if c.only != "" && c.only != conn.address {
+			continue
+		}
 		switch kind {
 		case cutHang:
 			conn.hanging.Store(true)
@@ -60,9 +64,9 @@
 // hinder does to a new connection what the cut does.
 func (c *cut) hinder(ctx context.Context, address string) error {
 	c.mu.Lock()
-	kind, ended := c.kind, c.ended
+	kind, ended, other := c.kind, c.ended, c.only != "" && c.only != address
 	c.mu.Unlock()
-	if kind == noCut || !c.isServer(address) {
+	if kind == noCut || other || !c.isServer(address) {
 		return nil
 	}
 	if kind == cutRefuse || kind == cutResetOnly {
@@ -83,7 +87,7 @@
 	if !c.isServer(address) {
 		return conn
 	}
-	tracked := &cutConn{Conn: conn, tcp: conn, cut: c, closed: make(chan struct{})}
+	tracked := &cutConn{Conn: conn, tcp: conn, address: address, cut: c, closed: make(chan struct{})}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conns[tracked] = true
@@ -96,6 +100,7 @@
 type cutConn struct {
 	net.Conn
 	tcp     *net.TCPConn
+	address string
 	cut     *cut
 	hanging atomic.Bool
 	lost    atomic.Int64 // bytes
--- a/deploy/pathtest/rig_test.go
+++ b/deploy/pathtest/rig_test.go
@@ -37,6 +37,7 @@
 // instance is one instance of the product, with what it listens on and dials through.
 type instance struct {
 	id, address, readiness, addresses string
+	peer                              string // address for other instances
 	ip                                string // tells the store who calls
 	listeners                         map[string]net.Listener
 	stop                              context.CancelFunc
@@ -46,6 +47,7 @@
 	killed                            time.Time
 	dialed                            map[string]int // by address
 	cut                               cut            // of the way to the servers
+	others                            cut            // of the way to the store and to other instances
 }
 
 func (i *instance) dial(ctx context.Context, kind, address string) (net.Conn, error) {
@@ -56,14 +58,19 @@
 	if dead {
 		return nil, net.ErrClosed
 	}
-	if err := i.cut.hinder(ctx, address); err != nil {
-		return nil, err
+	for _, c := range []*cut{&i.cut, &i.others} {
+		if err := c.hinder(ctx, address); err != nil {
+			return nil, err
+		}
 	}
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(i.ip)}, Timeout: time.Second}
 	conn, err := dialer.DialContext(ctx, kind, address)
 	if err != nil {
 		return nil, err
 	}
+	if !i.cut.isServer(address) {
+		return i.others.track(address, conn.(*net.TCPConn)), nil
+	}
 	return i.cut.track(address, conn.(*net.TCPConn)), nil
 }
 
@@ -136,9 +143,15 @@
 // start starts a deployment with some instances; it ends with the test. front, if any, returns the address of a store
 // in front of the World's.
 func start(t *testing.T, instances int, front func(*emulator.World) string) *rig {
+	t.Helper()
+	return startWith(t, instances, front, pools())
+}
+
+// startWith is start with pools of servers.
+func startWith(t *testing.T, instances int, front func(*emulator.World) string, pools []emulator.Pool) *rig {
 	t.Helper()
 	w, err := emulator.NewWorld(emulator.Deployment{
-		Config: configuration(), Pools: pools(), Random: rand.New(rand.NewPCG(11, 13)),
+		Config: configuration(), Pools: pools, Random: rand.New(rand.NewPCG(11, 13)),
 		HeartbeatInterval: 300 * time.Millisecond, DrainTimeout: 3 * time.Second,
 	})
 	if err != nil {
@@ -165,9 +178,11 @@
 		listeners: make(map[string]net.Listener), dialed: make(map[string]int),
 		cut: cut{conns: make(map[*cutConn]bool), isServer: r.isServer},
 	}
+	i.others = cut{conns: make(map[*cutConn]bool), isServer: func(address string) bool { return !r.isServer(address) }}
 	i.address, i.readiness, i.addresses = i.open(r.T), i.open(r.T), i.open(r.T)
 	cfg := config.Default()
-	cfg.Instance, cfg.Listen.Peer = config.Instance{ID: i.id, Zone: "z1", Region: "r"}, i.open(r.T)
+	i.peer = i.open(r.T)
+	cfg.Instance, cfg.Listen.Peer = config.Instance{ID: i.id, Zone: "z1", Region: "r"}, i.peer
 	cfg.Platform.Endpoints = []string{"http://" + r.store}
 	cfg.Ingress.Listen, cfg.Ingress.Readiness, cfg.Ingress.AddressListen = i.address, i.readiness, i.addresses
 	cfg.Ingress.AddressTTL, cfg.Ingress.Grace, cfg.Ingress.RetryExtra = config.DurationOf(500*time.Millisecond), config.DurationOf(graceTime), 1000
