A stream that broke off goes on only at its software version

Cause: the version of a target took no part in the choice of the engine that resumes; engines could only be excluded, and that as a last resort. Change: the first event that is forwarded binds the job to its target's build (stagework.Binding). Dispatchers place a bound job on nothing else, refuse it at once when no engine of the build takes work any more, and are chosen among the cells that have such engines. The owner excludes the others by id, for dispatchers of an older build, and checks each placement before it sends. A head, or a part of an event, binds nothing.

--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -119,9 +119,26 @@
 	if ef.Organisation != nil {
 		j.Organisation = ef.Organisation.Name
 	}
+	ef.bind(&j)
 	return j
 }
 
+// bind restricts the job to engines of the software version that the stream began at.
+// It also excludes all others by id, for dispatchers that do not know the restriction.
+func (ef *engineFlight) bind(j *stagework.Job) {
+	if !ef.stream.bound() {
+		return
+	}
+	j.Binding = &stagework.Binding{Build: ef.stream.build}
+	for _, t := range ef.o.Targets().Ready(ef.service) {
+		if t.Build == ef.stream.build {
+			j.Binding.Zones = append(j.Binding.Zones, t.Zone)
+		} else {
+			j.ExcludedEngines = append(j.ExcludedEngines, t.ID)
+		}
+	}
+}
+
 // nextEventTimes returns the target time and the deadline of the next event to the
 // caller; without an event by the deadline the caller gives up. Both are relative
 // to the arrival of the request until the response has begun, and to the present
@@ -150,7 +167,7 @@
 // the request is finished, false if the dispatcher has to choose another engine.
 func (ef *engineFlight) attempt(ctx context.Context, p stagework.Placement) bool {
 	target, listed := ef.o.Targets().Get(p.Target)
-	if !listed || target.Draining {
+	if !listed || target.Draining || ef.stream.bound() && target.Build != ef.stream.build {
 		return ef.skipped(ctx)
 	}
 	target.Address, target.Service = p.Address, ef.service
--- a/internal/forwarding/stream.go
+++ b/internal/forwarding/stream.go
@@ -51,6 +51,10 @@
 // begun reports whether the response head was sent to the caller.
 func (s *stream) begun() bool { return s.started }
 
+// bound reports whether events of a software version were forwarded, so that the stream
+// can go on at that version only.
+func (s *stream) bound() bool { return s.events > 0 }
+
 // resumeAt returns the id of the event after which the next target has to resume.
 // It returns "" before the first event: the caller's own header then says where to
 // start.
--- a/internal/peer/work_convert.go
+++ b/internal/peer/work_convert.go
@@ -18,6 +18,9 @@
 		Service: j.Service, Place: j.Zone, Avoid: j.ExcludedEngines, Cell: j.Cell, Insist: uint32(j.RankOverride),
 		Made: madeToProto(j.Results), Owner: j.Owner, Route: j.Route,
 	}
+	if j.Binding != nil {
+		out.Build = &j.Binding.Build
+	}
 	for i, s := range j.Stages {
 		stage := &peerpb.WorkStage{Service: s.Service, ResultBytes: uint64(max(s.ResultBytes, 0))}
 		for _, a := range s.After {
@@ -46,6 +49,9 @@
 		Service:     m.GetService(), Zone: m.GetPlace(), ExcludedEngines: m.GetAvoid(), Cell: m.GetCell(), RankOverride: stagework.RankOverride(m.GetInsist()),
 		Results: madeFromProto(m.GetMade()), Owner: m.GetOwner(), Route: m.GetRoute(),
 	}
+	if m.Build != nil {
+		j.Binding = &stagework.Binding{Build: m.GetBuild()}
+	}
 	for _, s := range m.GetStages() {
 		stage := route.Stage{Service: s.GetService(), ResultBytes: int64(s.GetResultBytes())}
 		for _, a := range s.GetAfter() {
--- a/internal/peer/work_test.go
+++ b/internal/peer/work_test.go
@@ -76,7 +76,7 @@
 		ID: "i", Key: "k", Organisation: "o", Owner: "w", Route: "r", Priority: 2, OnTimeUntil: now.Add(-time.Minute), Deadline: now.Add(time.Hour),
 		Stages: []route.Stage{{Service: "s", After: []int{1}, ResultBytes: 1 << 40}, {Service: "t", ResultBytes: 3}}, Pieces: []int{3, 4}, Service: "lm",
 		Prompt: &relay.Prompt{Model: "m", TokensIn: 5, TokensOut: 6, ExpectedOut: 7, Parts: []relay.PromptPart{{ID: "p", Tokens: 8}, {ID: "q", Tokens: 9}}},
-		Zone:   "z", ExcludedEngines: []string{"e", "f"}, Cell: []string{"x", "y"}, RankOverride: stagework.OverrideUnreachable,
+		Zone:   "z", ExcludedEngines: []string{"e", "f"}, Cell: []string{"x", "y"}, RankOverride: stagework.OverrideUnreachable, Binding: &stagework.Binding{Build: "v1"},
 		Results: []stagework.ResultRef{{Stage: 1, Number: 2, Target: "t", Handle: "h", Age: time.Second}},
 	}
 	requireAllSet(t, reflect.ValueOf(want), "Job")
--- a/internal/stagework/build.go
+++ b/internal/stagework/build.go
@@ -10,6 +10,9 @@
 	if j.pool = p.pools[j.Service]; j.pool == nil {
 		return &Refusal{Reason: ReasonNoTarget, RetryAfter: retryAfterMin}
 	}
+	if j.pool.lacksBuild(j) {
+		return &Refusal{Reason: ReasonNoBuild}
+	}
 	byStage := make([]*workUnit, len(j.Stages))
 	for i, st := range j.Stages {
 		n := j.pieces(i)
--- a/internal/stagework/engine.go
+++ b/internal/stagework/engine.go
@@ -198,7 +198,7 @@
 
 func (p *pool) eligibility(e *engine, j *job, now time.Time) eligibility {
 	switch {
-	case e.removed || e.info.Draining || p.rateLimited(e, j, now):
+	case !e.takesWork() || !j.Binding.allows(e.info.Build) || p.rateLimited(e, j, now):
 		return ineligible
 	case slices.Contains(j.ExcludedEngines, e.info.ID):
 		return eligibleExcluded
@@ -210,6 +210,17 @@
 	return eligible
 }
 
+// takesWork reports whether the engine is listed and not leaving.
+func (e *engine) takesWork() bool { return !e.removed && !e.info.Draining }
+
+// lacksBuild reports whether engines are known, but none of the software version to
+// which the job is bound takes work.
+func (p *pool) lacksBuild(j *job) bool {
+	return j.Binding != nil && len(p.byID) > 0 && !slices.ContainsFunc(p.byID, func(e *engine) bool {
+		return e.takesWork() && j.Binding.allows(e.info.Build)
+	})
+}
+
 // usable returns the engines of the best eligibility that any engine has, by
 // ID: those at their cold rate only if no other is left, then those in backoff,
 // and engines that the job excludes last of all. The result is valid until the
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -63,7 +63,10 @@
 // is tried.
 func (f *Finder) Submit(ctx context.Context, job Job) (Assignment, *Refusal, error) {
 	job.Owner = f.o.Self
-	cells := f.cells()
+	cells := job.Binding.cells(f.cells())
+	if len(cells) == 0 {
+		return nil, &Refusal{Reason: ReasonNoBuild, Dispatcher: f.o.Self}, nil
+	}
 	key := job.session()
 	if key == "" {
 		key = job.ID
@@ -79,6 +82,16 @@
 	return a, refusal, err
 }
 
+// cells returns the cells that have engines to which the job is bound.
+func (b *Binding) cells(all []Cell) []Cell {
+	if b == nil {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(c Cell) bool {
+		return len(b.Zones) == 0 || c.Zones != nil && !slices.ContainsFunc(b.Zones, func(zone string) bool { return slices.Contains(c.Zones, zone) })
+	})
+}
+
 func (f *Finder) cells() []Cell {
 	if f.o.Cells == nil {
 		return []Cell{{Weight: 1}}
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -25,6 +25,7 @@
 	Zone            string      // availability zone of the owner
 	Cell            []string    // zones whose targets may do the work; nil = all
 	ExcludedEngines []string    // engines that have failed this request
+	Binding         *Binding    // nil = any engine may run the job
 	Results         []ResultRef // results produced under the previous dispatcher
 	RankOverride    RankOverride
 }
@@ -36,6 +37,18 @@
 	return j.Pieces[stage]
 }
 
+// Binding restricts a job to the engines of one software version: its caller has
+// received events of that version, and those of another do not fit them.
+type Binding struct {
+	Build string
+	// Zones are those in which the owner lists such engines. They are for the owner's
+	// Finder only and not sent to dispatchers.
+	Zones []string
+}
+
+// allows reports whether an engine of the build may run the job.
+func (b *Binding) allows(build string) bool { return b == nil || b.Build == build }
+
 // RankOverride says why an owner sends a job to an instance that may not rank
 // first.
 type RankOverride int
@@ -109,6 +122,7 @@
 const (
 	ReasonLate     = "cannot be done in time"
 	ReasonNoTarget = "no target takes work"
+	ReasonNoBuild  = "no target of the stream's software version takes work"
 	ReasonFailed   = "pieces failed too often"
 	ReasonIsolated = "the other instances are not reached"
 	ReasonNotFirst = "another instance ranks first"
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -59,8 +59,8 @@
 }
 
 // expire refuses jobs that cannot meet their deadline even without any
-// queueing, late jobs that are not worth keeping, and jobs with a piece that
-// has no attempts left. It also requeues pieces whose results have expired or
+// queueing, late jobs that are not worth keeping, jobs bound to a software version
+// that no engine has any more, and jobs with a piece that has no attempts left. It also requeues pieces whose results have expired or
 // whose target was removed.
 func (p *Planner) expire(now time.Time) {
 	p.invalidateForecast()
@@ -71,6 +71,10 @@
 			p.refuse(j, Refusal{Reason: ReasonLate, RetryAfter: retryAfterMin}, now)
 			continue
 		}
+		if j.pool.lacksBuild(j) {
+			p.refuse(j, Refusal{Reason: ReasonNoBuild}, now)
+			continue
+		}
 		if p.attemptsExhausted(j) {
 			p.refuse(j, Refusal{Reason: ReasonFailed, RetryAfter: retryAfterMin}, now)
 			continue
