Streams that callers take up go on only at the software version that began them

Cause: nothing connected an attempt with the one before it, and the instance that was asked knew nothing of the stream. With the first event that it forwards an instance records service and build by organisation and attempt, here and at two others by rendezvous hashing. A try with the id of its last event is bound to what is found, or refused as not run: stream_unknown, stream_unconfirmed (the only one with a time to come back), stream_version_gone. Records are handed over at a stop, bounded in number, size and time. A stream of a split or moved route stays with its service, or is refused. Plain services that stream are bound too. rendezvous.Top computes each score once. TestInstanceOutOfTouchDoesNotGuessAVersion lets an instance out of touch go on with a stream whose record it holds: a record never changes, so that is no guess; for all others it demands the refusal at once, as before, with the time to come back, and that there is at least one.

--- a/internal/control/rendezvous/rendezvous.go
+++ b/internal/control/rendezvous/rendezvous.go
@@ -4,7 +4,8 @@
 package rendezvous
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -22,15 +23,22 @@
 
 // Top returns the n members with the highest scores, highest first.
 func Top(key string, members []string, n int) []string {
-	ranked := append([]string(nil), members...)
-	sort.Slice(ranked, func(i, j int) bool {
-		a, b := Score(key, ranked[i]), Score(key, ranked[j])
-		if a != b {
-			return a > b
-		}
-		return ranked[i] < ranked[j]
+	type scored struct {
+		member string
+		score  uint64
+	}
+	all := make([]scored, len(members))
+	for i, m := range members {
+		all[i] = scored{m, Score(key, m)}
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.member, b.member))
 	})
-	return ranked[:min(n, len(ranked))]
+	ranked := make([]string, min(n, len(all)))
+	for i := range ranked {
+		ranked[i] = all[i].member
+	}
+	return ranked
 }
 
 // Position returns how many of the members other than self rank before self: 0 if
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -38,6 +38,7 @@
 	"lynxhill.example/lynxhill/internal/route"
 	"lynxhill.example/lynxhill/internal/stagework"
 	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/streamorigin"
 	"lynxhill.example/lynxhill/internal/targetpath"
 )
 
@@ -107,6 +108,7 @@
 	cold       *allowance.Allowance // rate allowances of targets that have just started
 	limited    *allowance.Allowance // rate allowances of targets that state a limit
 	notices    *notice.Tracker
+	origins    *streamorigin.Manager
 	budget     *forwarding.RetryBudget // limits retries of requests
 	ingress    *ingress.Ingress
 
@@ -260,6 +262,10 @@
 		Capacity: i.capacity, Cells: i.currentCells, Connectivity: i.contact, Joining: i.discoveringMembers,
 		Clock: i.o.Clock, Logger: i.o.Logger,
 	})
+	i.origins = streamorigin.New(streamorigin.Options{
+		Self: i.id(), Transport: i.peers, Members: i.originHolders,
+		Connected: i.reachesOthers, Clock: i.o.Clock, Logger: i.o.Logger, Metrics: i.metrics,
+	})
 	i.loads = forwarding.NewLoads(i.o.Clock, i.cfg.Instance.Zone, i.rand())
 	i.ingress = ingress.New(ingress.Options{
 		Codec: i.adapter.Codec, Forwarder: i.newForwarder(), Table: i.routes.Table,
@@ -276,9 +282,9 @@
 func (i *Instance) openServers() error {
 	peers := peer.NewServer(peer.NewHandler(peer.ServerOptions{
 		Exchange: i.exchange, Probe: i.members.HandleProbe, Profiles: i.routes.Since, Work: i.acceptJob,
-		Tunnels: i.paths.Server(),
-		CutOff:  func() bool { return i.members.Silence() >= silenceThreshold },
-		Logger:  i.o.Logger, Metrics: i.metrics,
+		Origins: i.origins, Tunnels: i.paths.Server(),
+		CutOff: func() bool { return i.members.Silence() >= silenceThreshold },
+		Logger: i.o.Logger, Metrics: i.metrics,
 	}), nil, i.o.Logger)
 	for _, l := range []struct {
 		address string
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -103,7 +103,7 @@
 		Codec: i.adapter.Codec, Exchange: i.pool, Targets: i.routes.Targets, Scheduler: i.finder,
 		Budget: i.budget,
 		Loads:  i.loads, CrashGuard: i.guard, ColdLimits: i.cold, StatedLimits: i.limited, Notices: i.notices, Zone: i.cfg.Instance.Zone,
-		Reachable: i.paths.Reachable,
-		Clock:     i.o.Clock, Rand: i.rand(), Logger: i.o.Logger,
+		Reachable: i.paths.Reachable, Origins: i.origins,
+		Clock: i.o.Clock, Rand: i.rand(), Logger: i.o.Logger,
 	})
 }
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -51,6 +51,9 @@
 	ProfileInvalid
 	Conflict
 	ChangeUnknown
+	StreamUnknown
+	StreamUnconfirmed
+	StreamVersionGone
 	kindCount
 )
 
@@ -126,6 +129,9 @@
 	ProfileInvalid:      {"profile_invalid", 422, NotRun, ResendNever, 1931, "The profile violates a validation rule."},
 	Conflict:            {"conflict", 409, NotRun, ResendNever, 1932, "A concurrent change was applied first."},
 	ChangeUnknown:       {"change_unknown", 504, MayHaveRun, ResendAsk, 1933, "The platform did not confirm the change; query its state by its change ID."},
+	StreamUnknown:       {"stream_unknown", 503, NotRun, ResendNever, 1934, "No instance knows the stream that the request takes up, so it can't go on; a new one may be begun."},
+	StreamUnconfirmed:   {"stream_unconfirmed", 503, NotRun, ResendElsewhere, 1935, "The instances that may know the stream that the request takes up did not answer."},
+	StreamVersionGone:   {"stream_version_gone", 503, NotRun, ResendNever, 1936, "No target has the software version at which the stream began, so it can't go on; a new one may be begun."},
 }
 
 // Kinds returns every kind in the order of the table.
--- a/internal/event/catalogue_errkind.go
+++ b/internal/event/catalogue_errkind.go
@@ -38,6 +38,9 @@
 	RequestProfileInvalid      ID = 1931
 	RequestConflict            ID = 1932
 	RequestChangeUnknown       ID = 1933
+	RequestStreamUnknown       ID = 1934
+	RequestStreamUnconfirmed   ID = 1935
+	RequestStreamVersionGone   ID = 1936
 )
 
 var _ = define(
@@ -75,4 +78,7 @@
 	Definition{RequestProfileInvalid, Info, "request_profile_invalid", "The profile violates a validation rule."},
 	Definition{RequestConflict, Info, "request_conflict", "A concurrent change was applied first."},
 	Definition{RequestChangeUnknown, Warn, "request_change_unknown", "The platform did not confirm the change; query its state by its change ID."},
+	Definition{RequestStreamUnknown, Info, "request_stream_unknown", "No instance knows the stream that the request takes up, so it can't go on; a new one may be begun."},
+	Definition{RequestStreamUnconfirmed, Warn, "request_stream_unconfirmed", "The instances that may know the stream that the request takes up did not answer."},
+	Definition{RequestStreamVersionGone, Info, "request_stream_version_gone", "No target has the software version at which the stream began, so it can't go on; a new one may be begun."},
 )
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -126,12 +126,12 @@
 // bind restricts the job to engines of the software version that the stream began at.
 // It also excludes all others by id, for dispatchers that do not know the restriction.
 func (ef *engineFlight) bind(j *stagework.Job) {
-	if !ef.stream.bound() {
+	if ef.build == nil {
 		return
 	}
-	j.Binding = &stagework.Binding{Build: ef.stream.build}
+	j.Binding = &stagework.Binding{Build: *ef.build}
 	for _, t := range ef.o.Targets().Ready(ef.service) {
-		if t.Build == ef.stream.build {
+		if ef.mayRunAt(t) {
 			j.Binding.Zones = append(j.Binding.Zones, t.Zone)
 		} else {
 			j.ExcludedEngines = append(j.ExcludedEngines, t.ID)
@@ -167,7 +167,7 @@
 // the request is finished, false if the dispatcher has to choose another engine.
 func (ef *engineFlight) attempt(ctx context.Context, p stagework.Placement) bool {
 	target, listed := ef.o.Targets().Get(p.Target)
-	if !listed || target.Draining || ef.stream.bound() && target.Build != ef.stream.build {
+	if !listed || target.Draining || !ef.mayRunAt(target) {
 		return ef.skipped(ctx)
 	}
 	target.Address, target.Service = p.Address, ef.service
@@ -303,6 +303,10 @@
 		ef.failStream(ctx, errFaulty)
 		return
 	}
+	if r.Reason == stagework.ReasonNoBuild {
+		ef.refuse(errkind.New(errkind.StreamVersionGone, "%s", r.Reason), -1)
+		return
+	}
 	kind := errkind.DeadlineUnreachable
 	switch r.Reason {
 	case stagework.ReasonNoTarget:
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -30,6 +30,7 @@
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/route"
 	"lynxhill.example/lynxhill/internal/stagework"
+	"lynxhill.example/lynxhill/internal/streamorigin"
 )
 
 // Scheduler submits jobs to the dispatcher; stagework.Finder implements it.
@@ -53,6 +54,16 @@
 	Pause(target string) time.Time
 }
 
+// StreamOrigins keeps where streams began; streamorigin.Manager implements it.
+type StreamOrigins interface {
+	// Begin records that a stream begins, before its first event is forwarded. The caller
+	// may take it up within keep. It does not wait for other instances.
+	Begin(key streamorigin.Key, origin streamorigin.Origin, keep time.Duration)
+	// Find returns the origin of a stream. The error is streamorigin.ErrUnknown,
+	// streamorigin.ErrUnconfirmed or that of ctx.
+	Find(ctx context.Context, key streamorigin.Key) (streamorigin.Finding, error)
+}
+
 // Options configure a Forwarder.
 type Options struct {
 	Codec        relay.Codec
@@ -65,6 +76,7 @@
 	ColdLimits   *allowance.Allowance // rate limits of cold targets; nil = not limited
 	StatedLimits *allowance.Allowance // rate limits stated by targets; nil if Notices is nil
 	Notices      TargetNotices        // nil = targets ask for no limits or pauses
+	Origins      StreamOrigins        // nil = no stream can be taken up
 	Reachable    func() bool          // whether any target can be reached; nil = always
 	Zone         string
 	Clock        clock.Clock
@@ -104,6 +116,7 @@
 	readAt            time.Time       // when the request body had been read
 	base              context.Context // ends a little later than until
 	service           string
+	build             *string   // the only software version whose targets may run the request; nil = any
 	deadline          time.Time // deadline of the final response
 	attempts          int       // number of attempts sent to targets
 	mayHaveRun        bool      // a target may have run the request
@@ -150,6 +163,9 @@
 	fl.base = base
 	ctx, cancel := context.WithDeadline(base, fl.deadline.Add(-responseMargin))
 	defer cancel()
+	if fl.takesUpStream() && !fl.findOrigin(ctx) {
+		return
+	}
 	f.o.Budget.Request(fl.service)
 	if s := in.Table.Services[fl.service]; s != nil && s.Engine != nil {
 		fl.serveEngine(ctx)
--- a/internal/forwarding/log.go
+++ b/internal/forwarding/log.go
@@ -104,5 +104,5 @@
 		return
 	}
 	ef.o.Logger.Log(event.ForwardStreamResumed, "request", ef.Request.ID, "resumes", ef.Request.Resumes, "after", ef.stream.last,
-		"began", ef.stream.build, "target", t.ID, "build", t.Build)
+		"began", ef.boundBuild(), "target", t.ID, "build", t.Build)
 }
--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -224,6 +224,9 @@
 	for name, values := range fl.o.Codec.ResponseHeader(a.resp.Header) {
 		h[name] = values
 	}
+	if fl.Route.Kind == route.Streaming && a.resp.Status/100 == 2 {
+		fl.bindTo(a.target)
+	}
 	fl.status = a.resp.Status
 	fl.headSent = true
 	fl.noteFirstByte()
--- a/internal/forwarding/ratelimit.go
+++ b/internal/forwarding/ratelimit.go
@@ -107,6 +107,9 @@
 // targets that are limited.
 func (fl *flight) chooseUnlimited(tried []string) (fleet.Target, bool) {
 	targets := fl.o.Targets().Ready(fl.service)
+	if fl.build != nil {
+		targets = slices.DeleteFunc(slices.Clone(targets), func(t fleet.Target) bool { return !fl.mayRunAt(t) })
+	}
 	for {
 		if slices.ContainsFunc(targets, fl.limited) {
 			targets = slices.DeleteFunc(slices.Clone(targets), fl.limited)
--- a/internal/forwarding/stream.go
+++ b/internal/forwarding/stream.go
@@ -36,7 +36,6 @@
 	started bool   // the head was sent
 	last    string // id of the last event that was forwarded
 	events  int    // number of events that were forwarded
-	build   string // software version of the target that the first of them came from; "" = none was forwarded
 
 	// Of the response that is or was forwarded last.
 	target  fleet.Target
@@ -51,10 +50,6 @@
 // begun reports whether the response head was sent to the caller.
 func (s *stream) begun() bool { return s.started }
 
-// bound reports whether events of a software version were forwarded, so that the stream
-// can go on at that version only.
-func (s *stream) bound() bool { return s.events > 0 }
-
 // resumeAt returns the id of the event after which the next target has to resume.
 // It returns "" before the first event: the caller's own header then says where to
 // start.
@@ -184,10 +179,8 @@
 	if ok {
 		s.last = id
 	}
-	if s.events == 0 {
-		s.build = s.target.Build
-	}
 	s.events++
+	s.fl.bindTo(s.target)
 	return append(out, block...)
 }
 
--- a/internal/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/internal/peer/peerpb/peerpbconnect/peer.connect.go
@@ -55,6 +55,10 @@
 	PeerWorkProcedure = "/lynxhill.peer.v1.Peer/Work"
 	// PeerTunnelProcedure is the fully-qualified name of the Peer's Tunnel RPC.
 	PeerTunnelProcedure = "/lynxhill.peer.v1.Peer/Tunnel"
+	// PeerStoreOriginsProcedure is the fully-qualified name of the Peer's StoreOrigins RPC.
+	PeerStoreOriginsProcedure = "/lynxhill.peer.v1.Peer/StoreOrigins"
+	// PeerFindOriginsProcedure is the fully-qualified name of the Peer's FindOrigins RPC.
+	PeerFindOriginsProcedure = "/lynxhill.peer.v1.Peer/FindOrigins"
 )
 
 // PeerClient is a client for the lynxhill.peer.v1.Peer service.
@@ -81,6 +85,10 @@
 	// Tunnel opens a connection to a target at the receiver and carries its bytes, for a
 	// sender that can't connect to the target itself.
 	Tunnel(context.Context) (*connect.BidiStreamForClientSimple[peerpb.TunnelUp, peerpb.TunnelDown], error)
+	// StoreOrigins gives the receiver origins of streams to keep.
+	StoreOrigins(context.Context, *peerpb.Origins) (*peerpb.StoreOriginsReply, error)
+	// FindOrigins returns the origins of streams that the receiver keeps.
+	FindOrigins(context.Context, *peerpb.OriginKeys) (*peerpb.Origins, error)
 }
 
 // NewPeerClient constructs a client for the lynxhill.peer.v1.Peer service. By default, it uses the
@@ -154,21 +162,35 @@
 			connect.WithSchema(peerMethods.ByName("Tunnel")),
 			connect.WithClientOptions(opts...),
 		),
+		storeOrigins: connect.NewClient[peerpb.Origins, peerpb.StoreOriginsReply](
+			httpClient,
+			baseURL+PeerStoreOriginsProcedure,
+			connect.WithSchema(peerMethods.ByName("StoreOrigins")),
+			connect.WithClientOptions(opts...),
+		),
+		findOrigins: connect.NewClient[peerpb.OriginKeys, peerpb.Origins](
+			httpClient,
+			baseURL+PeerFindOriginsProcedure,
+			connect.WithSchema(peerMethods.ByName("FindOrigins")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // peerClient implements PeerClient.
 type peerClient struct {
-	exchange *connect.Client[peerpb.Digest, peerpb.Digest]
-	probe    *connect.Client[peerpb.ProbeRequest, peerpb.ProbeReply]
-	profiles *connect.Client[peerpb.ProfilesRequest, peerpb.ProfilesReply]
-	outcome  *connect.Client[peerpb.OutcomeRequest, peerpb.OutcomeReply]
-	forward  *connect.Client[peerpb.ForwardRequest, peerpb.ForwardEvent]
-	handover *connect.Client[peerpb.HandoverRequest, peerpb.HandoverReply]
-	burn     *connect.Client[peerpb.BurnRequest, peerpb.BurnReply]
-	claim    *connect.Client[peerpb.ClaimRequest, peerpb.ClaimReply]
-	work     *connect.Client[peerpb.WorkUp, peerpb.WorkDown]
-	tunnel   *connect.Client[peerpb.TunnelUp, peerpb.TunnelDown]
+	exchange     *connect.Client[peerpb.Digest, peerpb.Digest]
+	probe        *connect.Client[peerpb.ProbeRequest, peerpb.ProbeReply]
+	profiles     *connect.Client[peerpb.ProfilesRequest, peerpb.ProfilesReply]
+	outcome      *connect.Client[peerpb.OutcomeRequest, peerpb.OutcomeReply]
+	forward      *connect.Client[peerpb.ForwardRequest, peerpb.ForwardEvent]
+	handover     *connect.Client[peerpb.HandoverRequest, peerpb.HandoverReply]
+	burn         *connect.Client[peerpb.BurnRequest, peerpb.BurnReply]
+	claim        *connect.Client[peerpb.ClaimRequest, peerpb.ClaimReply]
+	work         *connect.Client[peerpb.WorkUp, peerpb.WorkDown]
+	tunnel       *connect.Client[peerpb.TunnelUp, peerpb.TunnelDown]
+	storeOrigins *connect.Client[peerpb.Origins, peerpb.StoreOriginsReply]
+	findOrigins  *connect.Client[peerpb.OriginKeys, peerpb.Origins]
 }
 
 // Exchange calls lynxhill.peer.v1.Peer.Exchange.
@@ -249,6 +271,24 @@
 	return c.tunnel.CallBidiStreamSimple(ctx)
 }
 
+// StoreOrigins calls lynxhill.peer.v1.Peer.StoreOrigins.
+func (c *peerClient) StoreOrigins(ctx context.Context, req *peerpb.Origins) (*peerpb.StoreOriginsReply, error) {
+	response, err := c.storeOrigins.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
+// FindOrigins calls lynxhill.peer.v1.Peer.FindOrigins.
+func (c *peerClient) FindOrigins(ctx context.Context, req *peerpb.OriginKeys) (*peerpb.Origins, error) {
+	response, err := c.findOrigins.CallUnary(ctx, connect.NewRequest(req))
+	if response != nil {
+		return response.Msg, err
+	}
+	return nil, err
+}
+
 // PeerHandler is an implementation of the lynxhill.peer.v1.Peer service.
 type PeerHandler interface {
 	// Exchange exchanges digests in both directions: the heartbeat.
@@ -273,6 +313,10 @@
 	// Tunnel opens a connection to a target at the receiver and carries its bytes, for a
 	// sender that can't connect to the target itself.
 	Tunnel(context.Context, *connect.BidiStream[peerpb.TunnelUp, peerpb.TunnelDown]) error
+	// StoreOrigins gives the receiver origins of streams to keep.
+	StoreOrigins(context.Context, *peerpb.Origins) (*peerpb.StoreOriginsReply, error)
+	// FindOrigins returns the origins of streams that the receiver keeps.
+	FindOrigins(context.Context, *peerpb.OriginKeys) (*peerpb.Origins, error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -342,6 +386,18 @@
 		connect.WithSchema(peerMethods.ByName("Tunnel")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerStoreOriginsHandler := connect.NewUnaryHandlerSimple(
+		PeerStoreOriginsProcedure,
+		svc.StoreOrigins,
+		connect.WithSchema(peerMethods.ByName("StoreOrigins")),
+		connect.WithHandlerOptions(opts...),
+	)
+	peerFindOriginsHandler := connect.NewUnaryHandlerSimple(
+		PeerFindOriginsProcedure,
+		svc.FindOrigins,
+		connect.WithSchema(peerMethods.ByName("FindOrigins")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lynxhill.peer.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerExchangeProcedure:
@@ -364,6 +420,10 @@
 			peerWorkHandler.ServeHTTP(w, r)
 		case PeerTunnelProcedure:
 			peerTunnelHandler.ServeHTTP(w, r)
+		case PeerStoreOriginsProcedure:
+			peerStoreOriginsHandler.ServeHTTP(w, r)
+		case PeerFindOriginsProcedure:
+			peerFindOriginsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -412,3 +472,11 @@
 func (UnimplementedPeerHandler) Tunnel(context.Context, *connect.BidiStream[peerpb.TunnelUp, peerpb.TunnelDown]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.Tunnel is not implemented"))
 }
+
+func (UnimplementedPeerHandler) StoreOrigins(context.Context, *peerpb.Origins) (*peerpb.StoreOriginsReply, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.StoreOrigins is not implemented"))
+}
+
+func (UnimplementedPeerHandler) FindOrigins(context.Context, *peerpb.OriginKeys) (*peerpb.Origins, error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.FindOrigins is not implemented"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -19,6 +19,7 @@
 	"lynxhill.example/lynxhill/internal/pipeline"
 	"lynxhill.example/lynxhill/internal/stagework"
 	"lynxhill.example/lynxhill/internal/store"
+	"lynxhill.example/lynxhill/internal/streamorigin"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
@@ -38,6 +39,8 @@
 	// Work accepts a job of another instance; stagework.Dispatcher.Submit. Both results
 	// are nil if the instance accepts no jobs.
 	Work func(job stagework.Job) (stagework.Assignment, *stagework.Refusal)
+	// Origins keeps origins of streams; nil = none.
+	Origins *streamorigin.Manager
 	// Tunnels opens connections to targets for other instances.
 	Tunnels TunnelServer
 	// CutOff reports whether this instance receives nothing from any other. nil = never.
--- /dev/null
+++ b/internal/streamorigin/manager.go
@@ -0,0 +1,150 @@
+package streamorigin
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/metrics"
+)
+
+const (
+	// maxKeep is the longest time that a record is kept.
+	maxKeep = time.Minute
+	// callTimeout is the timeout of a call to another instance.
+	callTimeout = 300 * time.Millisecond
+	// maxBatch is the number of records or keys in one call.
+	maxBatch = 512
+	// maxWaiting is the number of records that may wait for one instance.
+	maxWaiting = 4096
+	// fullLogInterval is the least time between two log lines about a full table.
+	fullLogInterval = time.Second
+)
+
+// Transport calls other instances. Both calls are safe to repeat.
+type Transport interface {
+	// StoreOrigins gives records to an instance.
+	StoreOrigins(ctx context.Context, instance string, records []Record) error
+	// FindOrigins returns those records of the keys that an instance has.
+	FindOrigins(ctx context.Context, instance string, keys []Key) ([]Record, error)
+}
+
+// Options configure a Manager.
+type Options struct {
+	Self      string // id of this instance
+	Transport Transport
+	// Members returns the instances that are alive and not leaving, possibly with this one.
+	Members func() []Member
+	// Connected reports whether other instances can be reached. nil = always.
+	Connected func() bool
+	Clock     clock.Clock
+	Logger    *event.Logger
+	Metrics   *metrics.Registry
+}
+
+// Manager keeps origins of streams and finds those that other instances keep. It is safe
+// for concurrent use.
+type Manager struct {
+	o     Options
+	table *table
+	asks  singleflight.Group // by key
+
+	mu       sync.Mutex // guards the fields below
+	outboxes map[string]*outbox
+	askers   map[string]*asker
+
+	handedOver marks // rows that HandOver has sent; used by HandOver only
+	fullLogAt  atomic.Int64
+}
+
+// New returns a Manager without records.
+func New(o Options) *Manager {
+	m := &Manager{o: o, table: newTable(maxRecords), outboxes: make(map[string]*outbox), askers: make(map[string]*asker)}
+	o.Metrics.Func(metricKept, func() any { return m.table.len() })
+	return m
+}
+
+// Begin records that a stream begins, before its first event is forwarded. The caller may
+// take it up within keep. Begin does not wait for other instances.
+func (m *Manager) Begin(key Key, origin Origin, keep time.Duration) {
+	if !key.Valid() || !origin.valid() {
+		return
+	}
+	m.o.Metrics.Counter(metricBegun).Add(1)
+	r := Record{Key: key, Origin: origin, ExpiresIn: min(keep, maxKeep)}
+	m.put(r)
+	m.send(r, m.candidates(key))
+}
+
+// put stores a record here.
+func (m *Manager) put(r Record) {
+	now := m.o.Clock.Now()
+	dropped := m.table.put(r, now)
+	if dropped == 0 {
+		return
+	}
+	m.o.Metrics.Counter(metricDropped).Add(int64(dropped))
+	last := m.fullLogAt.Load()
+	if now.UnixNano()-last >= int64(fullLogInterval) && m.fullLogAt.CompareAndSwap(last, now.UnixNano()) {
+		m.o.Logger.Log(event.StreamOriginsFull, "kept", m.table.len())
+	}
+}
+
+// HandleStore stores records that another instance sent.
+func (m *Manager) HandleStore(records []Record) {
+	for _, r := range records {
+		r.ExpiresIn = min(r.ExpiresIn, maxKeep)
+		if r.Valid() && r.valid() && r.ExpiresIn > 0 {
+			m.put(r)
+		}
+	}
+}
+
+// HandleFind returns the records of the keys that are stored here.
+func (m *Manager) HandleFind(keys []Key) (records []Record) {
+	now := m.o.Clock.Now()
+	for _, key := range keys[:min(len(keys), maxBatch)] {
+		if r, known := m.table.get(key, now); known {
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
+// HandOver sends the records that this instance holds for others to the instances that rank
+// first without it. It is called when the instance stops, first once the others know, and
+// then once more for what arrived since. It must not be called concurrently.
+func (m *Manager) HandOver(ctx context.Context) {
+	var records []Record
+	records, m.handedOver = m.table.since(m.handedOver, m.o.Clock.Now())
+	batches := make(map[string][]Record)
+	for _, r := range records {
+		to := m.candidates(r.Key)
+		for _, instance := range to[:min(len(to), holderCount)] {
+			batches[instance] = append(batches[instance], r)
+		}
+	}
+	var sending sync.WaitGroup
+	var failed atomic.Int64
+	for instance, batch := range batches {
+		sending.Go(func() {
+			for len(batch) > 0 {
+				n := min(len(batch), maxBatch)
+				if err := m.o.Transport.StoreOrigins(ctx, instance, batch[:n]); err != nil {
+					failed.Add(int64(len(batch)))
+					return
+				}
+				batch = batch[n:]
+			}
+		})
+	}
+	sending.Wait()
+	if len(records) > 0 {
+		m.o.Logger.Log(event.StreamOriginsHandedOver, "records", len(records), "instances", len(batches), "failed", failed.Load())
+	}
+}
