Soak: software versions are upgraded and rolled back, clients' connections break

Servers begin with two versions; a share of the servers of a service is replaced by another version one by one, changes overlap, some roll back; a quarter of the resumable streams lose their client's connection after some events. The result counts tries that begin a stream and that take one up.

--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -45,6 +45,7 @@
 	random    *rand.Rand
 	working   sync.WaitGroup  // until all faults have ended
 	leaving   map[string]bool // servers by id
+	versions  *rand.Rand      // draws of changeVersions
 	// onlySever leaves out all faults but severConnections.
 	onlySever bool
 
@@ -64,6 +65,7 @@
 	h.working.Go(func() { h.revoke(ctx) })
 	h.working.Go(func() { h.hurtLinks(ctx) })
 	h.working.Go(func() { h.severConnections(ctx) })
+	h.working.Go(func() { h.changeVersions(ctx) })
 	for pause(ctx, time.Duration(400+h.random.IntN(1000))*time.Millisecond) {
 		h.once(ctx)
 	}
@@ -140,7 +142,7 @@
 
 func (h *hurter) hurtTarget(kind string, s *emulator.Server, draw int, until func(func())) {
 	well := func() { s.SetFaults(emulator.Faults{}) }
-	add := func(address string) { h.must(h.world.Add(s.Service, s.Zone, address)) }
+	add := func(address string) { h.must(h.world.AddVersion(s.Service, s.Zone, address, s.Version)) }
 	h.leaving[s.ID] = !slices.Contains([]string{"target-spoil", "target-slow", "entry-lost", "target-limit", "target-grey", "target-hang", "target-ill", "target-flap", "target-cold"}, kind)
 	switch kind {
 	case "target-spoil":
@@ -233,7 +235,7 @@
 	}
 	h.working.Go(func() {
 		for _, s := range old {
-			h.must(h.world.Add(s.Service, s.Zone, ""))
+			h.must(h.world.AddVersion(s.Service, s.Zone, "", s.Version))
 			pause(ctx, releaseInterval)
 			_ = h.world.Drain(s.ID) // it may have been ended meanwhile
 		}
--- a/deploy/soak/load.go
+++ b/deploy/soak/load.go
@@ -34,6 +34,7 @@
 	config  emulator.Config // of the beginning
 	rate    float64
 	random  *rand.Rand
+	breaks  *rand.Rand // draws of connections that break
 	zero    time.Time
 
 	rateFactor atomic.Int64 // multiplies rate
@@ -48,8 +49,8 @@
 	revokedAt time.Time
 }
 
-func newLoad(instances []instanceSpec, config emulator.Config, rate float64, source *rand.Rand) *load {
-	l := &load{config: config, rate: rate, random: source, contacts: make(map[string][]contact), key: "u0", zero: time.Now()}
+func newLoad(instances []instanceSpec, config emulator.Config, rate float64, source, breaks *rand.Rand) *load {
+	l := &load{config: config, rate: rate, random: source, breaks: breaks, contacts: make(map[string][]contact), key: "u0", zero: time.Now()}
 	l.rateFactor.Store(1)
 	var directory []string
 	for _, i := range instances {
@@ -103,6 +104,9 @@
 		Method: "POST", Host: host, Path: fmt.Sprintf("%sx?n=%d", prefix, n), Kind: route.Kind, Key: "k", Resume: route.StreamResumption,
 		Body: fmt.Appendf(nil, "body %d", n), Deadline: askTime, Header: http.Header{},
 	}
+	if route.StreamResumption && l.breaks.IntN(4) == 0 {
+		ask.BreakAfter = 1 + l.breaks.IntN(5)
+	}
 	if route.Kind == emulator.Streaming {
 		ask.Header.Set("Model", "m")
 		ask.Header.Set("Token-Counts", []string{"40,20", "60,400"}[l.random.IntN(2)])
--- a/deploy/soak/verdict.go
+++ b/deploy/soak/verdict.go
@@ -23,10 +23,24 @@
 	wrong                                 []string  // in the soak itself; there is no verdict then
 	asked, served, runs, pieces           int
 	probes                                int // that counted
+	begun, takenUp                        tries
 	faults, unserved, uncounted, revokeds map[string]int
 	revokedLate                           time.Duration
 }
 
+// tries counts tries of resumable streams, and those of them that got an event.
+type tries struct{ sent, withEvents int }
+
+func (t *tries) add(a emulator.Attempt) {
+	t.sent++
+	if len(a.Events) > 0 {
+		t.withEvents++
+	}
+}
+
+// String implements fmt.Stringer.
+func (t tries) String() string { return fmt.Sprintf("%d of %d", t.withEvents, t.sent) }
+
 // counts reports whether what ended then counts: nothing does that ended after an interrupt.
 func (r result) counts(ended time.Time) bool { return r.cut.IsZero() || ended.Before(r.cut) }
 
@@ -52,6 +66,7 @@
 	for _, c := range slices.Concat(l.clients, h.probes.clients()) {
 		for _, a := range c.Attempts() { // in their order
 			attempts[a.ID] = a
+			r.countTry(a)
 			if ends[a.Ask.Path].IsZero() {
 				ends[a.Ask.Path] = a.Sent.Add(a.Ask.Deadline)
 			}
@@ -82,6 +97,17 @@
 	}
 }
 
+// countTry adds a try to those that begin a resumable stream, or that take one up.
+func (r *result) countTry(a emulator.Attempt) {
+	switch {
+	case !a.Ask.Resume || !r.counts(a.Ended):
+	case a.Resumes == "":
+		r.begun.add(a)
+	default:
+		r.takenUp.add(a)
+	}
+}
+
 // count adds one request to the shares.
 func (r *result) count(a asked) {
 	served := a.last.Complete && a.last.Status == http.StatusOK
@@ -144,6 +170,7 @@
 		fmt.Sprintf("served %.4f: %d of %d requests; %d runs, %d pieces at targets", float64(r.served)/float64(max(r.asked, 1)), r.served, r.asked, r.runs, r.pieces),
 		fmt.Sprintf("not served: %v", r.unserved),
 		fmt.Sprintf("not counted: %v", r.uncounted),
+		fmt.Sprintf("tries that begin a resumable stream, with an event: %v; that take one up: %v", r.begun, r.takenUp),
 		fmt.Sprintf("with a revoked key: %v; the latest was served %v after", r.revokeds, r.revokedLate.Round(time.Millisecond)),
 		fmt.Sprintf("faults: %v", r.faults),
 		fmt.Sprintf("probes of routes that come and go, at instances in touch: %d", r.probes),
--- a/deploy/soak/world.go
+++ b/deploy/soak/world.go
@@ -74,9 +74,9 @@
 			return writeWhole(o.dir, "result.txt", []byte("interrupted before the load began\n"))
 		}
 	}
-	l := newLoad(instances, d.Config, o.rate, source(2))
+	l := newLoad(instances, d.Config, o.rate, source(2), source(8))
 	p := newProbes(instances, source(4))
-	h := &hurter{world: w, instances: instances, load: l, probes: p, links: ls, random: source(3), leaving: make(map[string]bool), counts: make(map[string]int), onlySever: o.severed}
+	h := &hurter{world: w, instances: instances, load: l, probes: p, links: ls, random: source(3), versions: source(7), leaving: make(map[string]bool), counts: make(map[string]int), onlySever: o.severed}
 	if o.severed {
 		p.interval = severedProbeInterval
 	}
