Stream origins: others are told only while streams of a route may have several origins

Change: an instance knows since when a service has had one build, and a route one service, from lists that are confirmed. While that holds for longer than a stream may last, a stream began there whoever began it, and no one is told. With the second build all are told of the streams that run; an instance that has just started asks the others, who answer with the only origin as well. Stores are no longer hedged: the sender has other instances to try.

--- a/deploy/pathtest/versions_test.go
+++ b/deploy/pathtest/versions_test.go
@@ -269,6 +269,29 @@
 	r.check()
 }
 
+// Guards against clients that name no attempt and can't take their streams up, though all
+// servers have had one software version for long.
+func TestStreamOfTheOnlyVersionGoesOnWithoutResumes(t *testing.T) {
+	r := start(t, 3, nil)
+	time.Sleep(7 * time.Second) // longer than a stream may last and its client may take to come back
+	for n, i := range r.instances {
+		first := r.beginStream(r.instances[(n+1)%3], oldVersion)
+		if a := i.takeUp(t, first, ""); !served(a) {
+			t.Errorf("%s: status %d, %v", i.id, a.Status, a.Err)
+		}
+	}
+	_, err := r.world.AddVersion("talk", "z1", "", newVersion)
+	r.must(err)
+	time.Sleep(drainTime)
+	first := r.beginStream(r.instances[0], oldVersion)
+	for _, i := range r.instances {
+		if a := i.takeUp(t, first, ""); a.Status != http.StatusServiceUnavailable {
+			t.Errorf("%s, two versions: status %d, %v", i.id, a.Status, a.Err)
+		}
+	}
+	r.check()
+}
+
 // beginStream begins a stream at a version, whose client's connection breaks after two
 // events.
 func (r *rig) beginStream(at *instance, version string) emulator.Attempt {
--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -1,6 +1,8 @@
 package edge
 
 import (
+	"context"
+
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/stagework"
 	"lynxhill.example/lynxhill/internal/streamorigin"
@@ -25,7 +27,25 @@
 		return false
 	}
 	if i.liveInstances() < 2 && len(i.everKnownInstances()) > 1 {
-		return i.routes.ConfirmedAge() <= i.settings().OutOfTouchAfter.Duration
+		return i.confirmed()
 	}
 	return i.contact() != stagework.ConnectivityLost
 }
+
+// confirmed reports whether the store has confirmed the routes and targets so recently that
+// this instance is in touch.
+func (i *Instance) confirmed() bool {
+	return i.routes.ConfirmedAge() <= i.settings().OutOfTouchAfter.Duration
+}
+
+// handOverTimeout is the time limit for handing over origins of streams. It fits into the
+// part of the grace period that is reserved for the end of the process.
+const handOverTimeout = stopMargin / 2
+
+// handOverOrigins sends the origins of streams that this instance keeps to those that keep
+// them without it.
+func (i *Instance) handOverOrigins() {
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	i.origins.HandOver(ctx)
+}
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -51,7 +51,8 @@
 	defer cancel()
 	go func() { _ = i.adapter.Platform.Deregister(ctx, i.id()) }()
 	i.members.Leave(ctx)
-	i.origins.HandOver(ctx)
+	var handingOver sync.WaitGroup
+	handingOver.Go(i.handOverOrigins)
 	i.dispatcher.ReturnJobs()
 	for {
 		waited := i.o.Clock.Now().Sub(began)
@@ -61,8 +62,7 @@
 		}
 		time.Sleep(stopPoll)
 	}
-	late, cancelLate := context.WithTimeout(context.Background(), stopMargin/2)
-	defer cancelLate()
-	i.origins.HandOver(late) // records that arrived since
+	handingOver.Wait()
+	i.handOverOrigins() // what arrived since
 	i.o.Logger.Log(event.IngressStopped, "cut", i.ingress.InFlight())
 }
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -14,10 +14,12 @@
 	return i.finder.Accept(job)
 }
 
-// updateDispatcher passes the current routes and targets to the dispatcher.
+// updateDispatcher passes the current routes and targets to the dispatcher, and to the
+// origins of streams.
 func (i *Instance) updateDispatcher() {
 	table, view := i.routes.Table(), i.routes.Targets()
 	i.dispatcher.SetTargets(table, view)
+	i.origins.Observe(view, table)
 	cells := i.dispatcher.Cells()
 	i.cells.Store(&cells)
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -73,7 +73,8 @@
 }
 
 // watchSuspension checks the clock periodically to detect that the process did not run
-// for a while because it was frozen or its host was suspended.
+// for a while because it was frozen or its host was suspended, and whether changes may
+// have been missed.
 func (i *Instance) watchSuspension(ctx context.Context) {
 	tick := time.NewTicker(suspensionPollInterval)
 	defer tick.Stop()
@@ -83,6 +84,9 @@
 			return
 		case <-tick.C:
 			i.checkClock()
+			if !i.confirmed() {
+				i.origins.Interrupt()
+			}
 		}
 	}
 }
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -56,12 +56,12 @@
 
 // StreamOrigins keeps where streams began; streamorigin.Manager implements it.
 type StreamOrigins interface {
-	// Begin records that a stream begins, before its first event is forwarded. The caller
-	// may take it up within keep. It does not wait for other instances.
-	Begin(key streamorigin.Key, origin streamorigin.Origin, keep time.Duration)
+	// Begin records that the stream of a query begins, before its first event is forwarded.
+	// The caller may take it up within keep. Begin does not wait for other instances.
+	Begin(q streamorigin.Query, origin streamorigin.Origin, keep time.Duration)
 	// Find returns the origin of a stream. The error is streamorigin.ErrUnknown,
 	// streamorigin.ErrUnconfirmed or that of ctx.
-	Find(ctx context.Context, key streamorigin.Key) (streamorigin.Finding, error)
+	Find(ctx context.Context, q streamorigin.Query) (streamorigin.Finding, error)
 }
 
 // Options configure a Forwarder.
--- a/internal/forwarding/origin.go
+++ b/internal/forwarding/origin.go
@@ -16,6 +16,9 @@
 const (
 	// maxResumesLength bounds the id of the attempt that began a stream, in bytes.
 	maxResumesLength = 128
+	// streamReturnTime is how long after the end of an answer its caller may take the
+	// stream up, for what is concluded from the time at which a stream may have begun.
+	streamReturnTime = 2 * time.Second
 	// unconfirmedRetryAfter is the retry delay given to callers whose stream's origin is
 	// not found while instances that may know it do not answer: about the time after which
 	// those count as dead or are reached again.
@@ -43,16 +46,20 @@
 	}
 	fl.build = &t.Build
 	if fl.o.Origins != nil && fl.Route.Resumable {
-		fl.o.Origins.Begin(fl.streamKey(fl.Request.ID), streamorigin.Origin{Service: fl.service, Build: t.Build}, fl.callerTime())
+		fl.o.Origins.Begin(fl.streamQuery(fl.Request.ID), streamorigin.Origin{Service: fl.service, Build: t.Build}, fl.callerTime())
 	}
 }
 
-func (fl *flight) streamKey(attempt string) streamorigin.Key {
-	key := streamorigin.Key{Attempt: attempt}
+// streamQuery returns the query for the stream that began with the attempt.
+func (fl *flight) streamQuery(attempt string) streamorigin.Query {
+	q := streamorigin.Query{Key: streamorigin.Key{Attempt: attempt}, Route: fl.Route.Name, Window: maxTimeout}
 	if fl.Organisation != nil {
-		key.Organisation = fl.Organisation.Name
+		q.Organisation = fl.Organisation.Name
 	}
-	return key
+	if fl.Route.Timeout > 0 {
+		q.Window = min(fl.Route.Timeout+streamReturnTime, maxTimeout)
+	}
+	return q
 }
 
 // callerTime returns how long the caller may come back.
@@ -99,10 +106,10 @@
 }
 
 func (fl *flight) origin(ctx context.Context) (streamorigin.Finding, error) {
-	if fl.o.Origins == nil || fl.Request.Resumes == "" {
+	if fl.o.Origins == nil {
 		return streamorigin.Finding{}, streamorigin.ErrUnknown
 	}
-	return fl.o.Origins.Find(ctx, fl.streamKey(fl.Request.Resumes))
+	return fl.o.Origins.Find(ctx, fl.streamQuery(fl.Request.Resumes))
 }
 
 // leadsToService reports whether the route leads to the request's service.
--- a/internal/forwarding/origin_test.go
+++ b/internal/forwarding/origin_test.go
@@ -19,6 +19,7 @@
 	mu     sync.Mutex // guards the fields below
 	begun  map[streamorigin.Key]streamorigin.Origin
 	keep   time.Duration // of the last record
+	window time.Duration // of the last record's query
 	onFind error         // what Find returns in place of a record
 }
 
@@ -26,19 +27,24 @@
 	return &fakeOrigins{begun: make(map[streamorigin.Key]streamorigin.Origin)}
 }
 
-func (f *fakeOrigins) Begin(key streamorigin.Key, origin streamorigin.Origin, keep time.Duration) {
+func (f *fakeOrigins) Begin(q streamorigin.Query, origin streamorigin.Origin, keep time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.begun[key], f.keep = origin, keep
+	f.begun[q.Key], f.keep, f.window = origin, keep, q.Window
 }
 
-func (f *fakeOrigins) Find(_ context.Context, key streamorigin.Key) (streamorigin.Finding, error) {
+// add adds an origin of a stream of no organisation.
+func (f *fakeOrigins) add(attempt, service, build string) {
+	f.begun[streamorigin.Key{Attempt: attempt}] = streamorigin.Origin{Service: service, Build: build}
+}
+
+func (f *fakeOrigins) Find(_ context.Context, q streamorigin.Query) (streamorigin.Finding, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.onFind != nil {
 		return streamorigin.Finding{}, f.onFind
 	}
-	origin, known := f.begun[key]
+	origin, known := f.begun[q.Key]
 	if !known {
 		return streamorigin.Finding{}, streamorigin.ErrUnknown
 	}
@@ -81,7 +87,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				b, origins := newBuildRig(t, breakAfter), newFakeOrigins()
 				b.Forwarder.o.Origins = origins
-				origins.Begin(streamorigin.Key{Attempt: "first"}, streamorigin.Origin{Service: "s", Build: build}, time.Minute)
+				origins.add("first", "s", build)
 				w, cut := b.call(t.Context(), takeUp("first"), "body", 5*time.Second)
 				for _, at := range b.builds() {
 					if at != build {
@@ -101,7 +107,7 @@
 func TestStreamThatCannotGoOnIsRefusedAtOnce(t *testing.T) {
 	known := func(service, build string) *fakeOrigins {
 		f := newFakeOrigins()
-		f.Begin(streamorigin.Key{Attempt: "first"}, streamorigin.Origin{Service: service, Build: build}, time.Minute)
+		f.add("first", service, build)
 		return f
 	}
 	unconfirmed := newFakeOrigins()
@@ -143,7 +149,7 @@
 		for n := range 20 {
 			b, origins := newBuildRig(t, len(firstEvent+secondEvent)), newFakeOrigins()
 			b.Forwarder.o.Origins = origins
-			origins.Begin(streamorigin.Key{Attempt: "first"}, streamorigin.Origin{Service: "s", Build: "v1"}, time.Minute)
+			origins.add("first", "s", "v1")
 			in := takeUp("first")
 			in.Route.Services = []route.WeightedService{{Name: "other", Weight: 99}, {Name: "s", Weight: 1}}
 			if w, cut := b.call(t.Context(), in, "body", 5*time.Second); cut || w.Code != http.StatusOK {
@@ -184,7 +190,7 @@
 		for _, name := range []string{"o", "p"} {
 			in := takeUp("first")
 			in.Organisation = &route.Organisation{Name: name}
-			origins.Begin(streamorigin.Key{Organisation: "o", Attempt: "first"}, streamorigin.Origin{Service: "s", Build: "v1"}, time.Minute)
+			origins.begun[streamorigin.Key{Organisation: "o", Attempt: "first"}] = streamorigin.Origin{Service: "s", Build: "v1"}
 			w, _ := b.call(t.Context(), in, "body", 5*time.Second)
 			if served := w.Code == http.StatusOK; served != (name == "o") {
 				t.Errorf("organisation %s: status %d", name, w.Code)
--- a/internal/peer/origins.go
+++ b/internal/peer/origins.go
@@ -12,31 +12,27 @@
 
 var _ streamorigin.Transport = (*Client)(nil)
 
-// StoreOrigins implements streamorigin.Transport.
+// StoreOrigins implements streamorigin.Transport. It is not hedged: the sender has other
+// instances to try.
 func (c *Client) StoreOrigins(ctx context.Context, instance string, records []streamorigin.Record) error {
-	address, err := c.addressOf(instance)
+	l, err := c.linkTo(instance)
 	if err != nil {
 		return err
 	}
-	in := &peerpb.Origins{Origins: convertAll(records, originToProto)}
-	_, end, err := hedge(ctx, c, address, func(ctx context.Context, l *link) (struct{}, error) {
-		return struct{}{}, c.call(ctx, "store_origins", l, func(ctx context.Context) error {
-			_, err := l.client.StoreOrigins(ctx, in)
-			return err
-		})
+	return c.call(ctx, "store_origins", l, func(ctx context.Context) error {
+		_, err := l.client.StoreOrigins(ctx, &peerpb.Origins{Origins: convertAll(records, originToProto)})
+		return err
 	})
-	end()
-	return err
 }
 
 // FindOrigins implements streamorigin.Transport.
-func (c *Client) FindOrigins(ctx context.Context, instance string, keys []streamorigin.Key) ([]streamorigin.Record, error) {
+func (c *Client) FindOrigins(ctx context.Context, instance string, queries []streamorigin.Query) ([]streamorigin.Answer, error) {
 	address, err := c.addressOf(instance)
 	if err != nil {
 		return nil, err
 	}
-	in := &peerpb.OriginKeys{Keys: convertAll(keys, originKeyToProto)}
-	out, end, err := hedge(ctx, c, address, func(ctx context.Context, l *link) (out *peerpb.Origins, err error) {
+	in := &peerpb.OriginQueries{Queries: convertAll(queries, originQueryToProto)}
+	out, end, err := hedge(ctx, c, address, func(ctx context.Context, l *link) (out *peerpb.OriginAnswers, err error) {
 		err = c.call(ctx, "find_origins", l, func(ctx context.Context) error {
 			out, err = l.client.FindOrigins(ctx, in)
 			return err
@@ -47,7 +43,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return convertAll(out.GetOrigins(), originFromProto), nil
+	return convertAll(out.GetAnswers(), originAnswerFromProto), nil
 }
 
 // StoreOrigins serves records of another instance.
@@ -60,14 +56,14 @@
 	return &peerpb.StoreOriginsReply{}, nil
 }
 
-// FindOrigins serves a query for records.
-func (h *service) FindOrigins(_ context.Context, in *peerpb.OriginKeys) (*peerpb.Origins, error) {
+// FindOrigins serves queries for origins.
+func (h *service) FindOrigins(_ context.Context, in *peerpb.OriginQueries) (*peerpb.OriginAnswers, error) {
 	h.count("find_origins")
 	if h.o.Origins == nil {
 		return nil, connect.NewError(connect.CodeUnimplemented, nil)
 	}
-	found := h.o.Origins.HandleFind(convertAll(in.GetKeys(), originKeyFromProto))
-	return &peerpb.Origins{Origins: convertAll(found, originToProto)}, nil
+	answers := h.o.Origins.HandleFind(convertAll(in.GetQueries(), originQueryFromProto))
+	return &peerpb.OriginAnswers{Answers: convertAll(answers, originAnswerToProto)}, nil
 }
 
 func originKeyToProto(k streamorigin.Key) *peerpb.OriginKey {
@@ -92,3 +88,27 @@
 		ExpiresIn: duration(uint64(o.GetExpiresInMs())), Ambiguous: o.GetAmbiguous(),
 	}
 }
+
+func originQueryToProto(q streamorigin.Query) *peerpb.OriginQuery {
+	return &peerpb.OriginQuery{Key: originKeyToProto(q.Key), Route: q.Route, WindowMs: uint32(max(q.Window, 0) / time.Millisecond)}
+}
+
+func originQueryFromProto(q *peerpb.OriginQuery) streamorigin.Query {
+	return streamorigin.Query{Key: originKeyFromProto(q.GetKey()), Route: q.GetRoute(), Window: duration(uint64(q.GetWindowMs()))}
+}
+
+func originAnswerToProto(a streamorigin.Answer) *peerpb.OriginAnswer {
+	out := &peerpb.OriginAnswer{Found: a.Found, Only: a.Only}
+	if a.Found || a.Only {
+		out.Origin = originToProto(a.Record)
+	}
+	return out
+}
+
+func originAnswerFromProto(a *peerpb.OriginAnswer) streamorigin.Answer {
+	out := streamorigin.Answer{Found: a.GetFound(), Only: a.GetOnly()}
+	if a.GetOrigin() != nil {
+		out.Record = originFromProto(a.GetOrigin())
+	}
+	return out
+}
--- a/internal/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/internal/peer/peerpb/peerpbconnect/peer.connect.go
@@ -87,8 +87,8 @@
 	Tunnel(context.Context) (*connect.BidiStreamForClientSimple[peerpb.TunnelUp, peerpb.TunnelDown], error)
 	// StoreOrigins gives the receiver origins of streams to keep.
 	StoreOrigins(context.Context, *peerpb.Origins) (*peerpb.StoreOriginsReply, error)
-	// FindOrigins returns the origins of streams that the receiver keeps.
-	FindOrigins(context.Context, *peerpb.OriginKeys) (*peerpb.Origins, error)
+	// FindOrigins returns what the receiver knows of the origins of streams.
+	FindOrigins(context.Context, *peerpb.OriginQueries) (*peerpb.OriginAnswers, error)
 }
 
 // NewPeerClient constructs a client for the lynxhill.peer.v1.Peer service. By default, it uses the
@@ -168,7 +168,7 @@
 			connect.WithSchema(peerMethods.ByName("StoreOrigins")),
 			connect.WithClientOptions(opts...),
 		),
-		findOrigins: connect.NewClient[peerpb.OriginKeys, peerpb.Origins](
+		findOrigins: connect.NewClient[peerpb.OriginQueries, peerpb.OriginAnswers](
 			httpClient,
 			baseURL+PeerFindOriginsProcedure,
 			connect.WithSchema(peerMethods.ByName("FindOrigins")),
@@ -190,7 +190,7 @@
 	work         *connect.Client[peerpb.WorkUp, peerpb.WorkDown]
 	tunnel       *connect.Client[peerpb.TunnelUp, peerpb.TunnelDown]
 	storeOrigins *connect.Client[peerpb.Origins, peerpb.StoreOriginsReply]
-	findOrigins  *connect.Client[peerpb.OriginKeys, peerpb.Origins]
+	findOrigins  *connect.Client[peerpb.OriginQueries, peerpb.OriginAnswers]
 }
 
 // Exchange calls lynxhill.peer.v1.Peer.Exchange.
@@ -281,7 +281,7 @@
 }
 
 // FindOrigins calls lynxhill.peer.v1.Peer.FindOrigins.
-func (c *peerClient) FindOrigins(ctx context.Context, req *peerpb.OriginKeys) (*peerpb.Origins, error) {
+func (c *peerClient) FindOrigins(ctx context.Context, req *peerpb.OriginQueries) (*peerpb.OriginAnswers, error) {
 	response, err := c.findOrigins.CallUnary(ctx, connect.NewRequest(req))
 	if response != nil {
 		return response.Msg, err
@@ -315,8 +315,8 @@
 	Tunnel(context.Context, *connect.BidiStream[peerpb.TunnelUp, peerpb.TunnelDown]) error
 	// StoreOrigins gives the receiver origins of streams to keep.
 	StoreOrigins(context.Context, *peerpb.Origins) (*peerpb.StoreOriginsReply, error)
-	// FindOrigins returns the origins of streams that the receiver keeps.
-	FindOrigins(context.Context, *peerpb.OriginKeys) (*peerpb.Origins, error)
+	// FindOrigins returns what the receiver knows of the origins of streams.
+	FindOrigins(context.Context, *peerpb.OriginQueries) (*peerpb.OriginAnswers, error)
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -477,6 +477,6 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.StoreOrigins is not implemented"))
 }
 
-func (UnimplementedPeerHandler) FindOrigins(context.Context, *peerpb.OriginKeys) (*peerpb.Origins, error) {
+func (UnimplementedPeerHandler) FindOrigins(context.Context, *peerpb.OriginQueries) (*peerpb.OriginAnswers, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.FindOrigins is not implemented"))
 }
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -1,25 +1,48 @@
 package streamorigin
 
-import "context"
+import (
+	"context"
+	"time"
+)
+
+// Query asks for the origin of a stream.
+type Query struct {
+	Key
+	Route string
+	// Window is the longest time ago at which the stream may have begun.
+	Window time.Duration
+}
 
 // Finding is the result of Find.
 type Finding struct {
 	Origin
-	Source   string // instance that had the record
+	Source   string // instance that had the record, or that knows that the route has had one origin only
 	Asked    int    // number of other instances that were asked
 	Answered int    // and of those that answered
 }
 
-// Find returns the origin of a stream. The error is ErrUnknown, ErrUnconfirmed or that of
-// ctx.
-func (m *Manager) Find(ctx context.Context, key Key) (Finding, error) {
-	if r, known := m.table.get(key, m.o.Clock.Now()); known {
-		return m.conclude(Finding{Origin: r.Origin, Source: m.o.Self}, r, "own")
+// Results of Find, for its metric.
+const (
+	resultOwn         = "own"
+	resultAsked       = "asked"
+	resultOnly        = "only_origin"
+	resultUnknown     = "unknown"
+	resultUnconfirmed = "unconfirmed"
+)
+
+// Find returns the origin of a stream: that of its record, or else the one that streams of
+// its route have had for the time of the window. The error is ErrUnknown, ErrUnconfirmed or
+// that of ctx.
+func (m *Manager) Find(ctx context.Context, q Query) (Finding, error) {
+	if r, known := m.table.get(q.Key, m.o.Clock.Now()); known {
+		return m.conclude(Finding{Origin: r.Origin, Source: m.o.Self}, r, resultOwn)
 	}
-	if !key.Valid() {
-		return m.conclude(Finding{}, Record{Ambiguous: true}, "unknown")
+	if !q.Valid() {
+		if origin, ok := m.only(q.Route, q.Window); ok {
+			return m.conclude(Finding{Origin: origin, Source: m.o.Self}, Record{}, resultOnly)
+		}
 	}
-	result := m.asks.DoChan(key.Organisation+"\x00"+key.Attempt, func() (any, error) { return m.ask(key) })
+	result := m.asks.DoChan(q.Organisation+"\x00"+q.Attempt+"\x00"+q.Route, func() (any, error) { return m.ask(q) })
 	select {
 	case r := <-result:
 		return r.Val.(Finding), r.Err
@@ -28,58 +51,92 @@
 	}
 }
 
+// only is History.Only of this instance, if its lists are confirmed to be current.
+func (m *Manager) only(routeName string, window time.Duration) (Origin, bool) {
+	if m.o.Confirmed != nil && !m.o.Confirmed() {
+		return Origin{}, false
+	}
+	return m.history.Only(routeName, window, m.o.Clock.Now())
+}
+
 // conclude counts what was found and returns it.
 func (m *Manager) conclude(f Finding, r Record, result string) (Finding, error) {
 	if r.Ambiguous {
-		result = "unknown"
+		result = resultUnknown
 	}
 	m.o.Metrics.Labelled(metricFound).Add(result, 1)
 	switch result {
-	case "unknown":
+	case resultUnknown:
 		return f, ErrUnknown
-	case "unconfirmed":
+	case resultUnconfirmed:
 		return f, ErrUnconfirmed
 	}
 	return f, nil
 }
 
 // ask asks the candidates, in two rounds.
-func (m *Manager) ask(key Key) (Finding, error) {
+func (m *Manager) ask(q Query) (Finding, error) {
 	var f Finding
-	if m.o.Connected != nil && !m.o.Connected() {
-		return m.conclude(f, Record{}, "unconfirmed")
-	}
-	candidates := m.candidates(key)
-	for first := 0; first < len(candidates); first += askCount {
-		round := candidates[first:min(first+askCount, len(candidates))]
-		r, found := m.askRound(key, round, &f)
-		if !found {
-			continue
+	var told onlyOrigins
+	if m.o.Connected == nil || m.o.Connected() {
+		candidates := m.candidates(q.Key)
+		for first := 0; first < len(candidates); first += askCount {
+			round := candidates[first:min(first+askCount, len(candidates))]
+			r, found := m.askRound(q, round, &f, &told)
+			if !found {
+				continue
+			}
+			f.Origin = r.Origin
+			m.put(r)
+			return m.conclude(f, r, resultAsked)
 		}
-		f.Origin = r.Origin
-		m.put(r)
-		return m.conclude(f, r, "asked")
+	} else {
+		f.Asked++ // nobody could answer
+	}
+	if origin, ok := m.only(q.Route, q.Window); ok {
+		f.Origin, f.Source = origin, m.o.Self
+		return m.conclude(f, Record{}, resultOnly)
+	}
+	if origin, ok := m.history.Present(q.Route); ok && told.agree(origin) {
+		f.Origin, f.Source = origin, told.source
+		return m.conclude(f, Record{}, resultOnly)
 	}
 	if f.Answered < f.Asked {
-		return m.conclude(f, Record{}, "unconfirmed")
+		return m.conclude(f, Record{}, resultUnconfirmed)
 	}
-	return m.conclude(f, Record{}, "unknown")
+	return m.conclude(f, Record{}, resultUnknown)
+}
+
+// onlyOrigins are the only origins of a route of which other instances told.
+type onlyOrigins struct {
+	origin    Origin
+	source    string
+	different bool
+}
+
+func (o *onlyOrigins) add(origin Origin, source string) {
+	o.different = o.different || o.source != "" && o.origin != origin
+	o.origin, o.source = origin, source
 }
 
-// reply is an instance's answer to an ask.
+// agree reports whether some instance told of the origin, and none of another.
+func (o *onlyOrigins) agree(origin Origin) bool {
+	return o.source != "" && !o.different && o.origin == origin
+}
+
+// reply is an instance's answer to a question.
 type reply struct {
 	instance string
-	record   Record
-	found    bool
+	answer   Answer
 	err      error
 }
 
 // askRound asks instances at the same time until one has the record. Holders that do not
 // have it are sent it.
-func (m *Manager) askRound(key Key, round []string, f *Finding) (Record, bool) {
+func (m *Manager) askRound(q Query, round []string, f *Finding, told *onlyOrigins) (Record, bool) {
 	replies := make(chan reply, len(round))
 	for _, instance := range round {
-		m.enqueueAsk(instance, question{key, replies})
+		m.enqueueAsk(instance, question{q, replies})
 	}
 	f.Asked += len(round)
 	timeout := m.o.Clock.NewTimer(callTimeout)
@@ -92,10 +149,13 @@
 				continue
 			}
 			f.Answered++
-			if r.found {
+			if r.answer.Found {
 				f.Source = r.instance
-				m.send(r.record, lacking)
-				return r.record, true
+				m.send(r.answer.Record, lacking)
+				return r.answer.Record, true
+			}
+			if r.answer.Only {
+				told.add(r.answer.Origin, r.instance)
 			}
 			lacking = append(lacking, r.instance)
 		case <-timeout.C:
@@ -105,9 +165,9 @@
 	return Record{}, false
 }
 
-// question is an ask that waits for its answer.
+// question is a query that waits for its answer.
 type question struct {
-	key     Key
+	Query
 	replies chan<- reply // has room for the reply
 }
 
@@ -133,21 +193,24 @@
 // askWaiting asks the questions of an asker until there are none.
 func (m *Manager) askWaiting(instance string, a *asker) {
 	for batch := m.takeQuestions(instance, a); batch != nil; batch = m.takeQuestions(instance, a) {
-		keys := make([]Key, len(batch))
+		queries := make([]Query, len(batch))
 		for i, q := range batch {
-			keys[i] = q.key
+			queries[i] = q.Query
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		records, err := m.o.Transport.FindOrigins(ctx, instance, keys)
+		answers, err := m.o.Transport.FindOrigins(ctx, instance, queries)
 		cancel()
-		byKey := make(map[Key]Record, len(records))
-		for _, r := range records {
-			byKey[r.Key] = r
+		if err == nil && len(answers) != len(batch) {
+			err = errAnswers
 		}
-		for _, q := range batch {
-			r, found := byKey[q.key]
-			r.ExpiresIn = min(r.ExpiresIn, maxKeep)
-			q.replies <- reply{instance, r, found && r.valid(), err}
+		for i, q := range batch {
+			r := reply{instance: instance, err: err}
+			if err == nil {
+				r.answer = answers[i]
+				r.answer.ExpiresIn = min(r.answer.ExpiresIn, maxKeep)
+				r.answer.Key = q.Key
+			}
+			q.replies <- r
 		}
 	}
 }
--- a/internal/streamorigin/manager.go
+++ b/internal/streamorigin/manager.go
@@ -10,7 +10,9 @@
 
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/metrics"
+	"lynxhill.example/lynxhill/internal/route"
 )
 
 const (
@@ -30,8 +32,17 @@
 type Transport interface {
 	// StoreOrigins gives records to an instance.
 	StoreOrigins(ctx context.Context, instance string, records []Record) error
-	// FindOrigins returns those records of the keys that an instance has.
-	FindOrigins(ctx context.Context, instance string, keys []Key) ([]Record, error)
+	// FindOrigins returns an instance's answer to each query.
+	FindOrigins(ctx context.Context, instance string, queries []Query) ([]Answer, error)
+}
+
+// Answer is what an instance knows of a stream.
+type Answer struct {
+	// Record is set if Found, its Origin also if Only: if the route of the stream has had
+	// that origin only for the time of the query's window.
+	Record
+	Found bool
+	Only  bool
 }
 
 // Options configure a Manager.
@@ -42,6 +53,9 @@
 	Members func() []Member
 	// Connected reports whether other instances can be reached. nil = always.
 	Connected func() bool
+	// Confirmed reports whether the targets and routes that this instance knows are
+	// confirmed to be current. nil = always.
+	Confirmed func() bool
 	Clock     clock.Clock
 	Logger    *event.Logger
 	Metrics   *metrics.Registry
@@ -50,9 +64,10 @@
 // Manager keeps origins of streams and finds those that other instances keep. It is safe
 // for concurrent use.
 type Manager struct {
-	o     Options
-	table *table
-	asks  singleflight.Group // by key
+	o       Options
+	table   *table
+	history *History
+	asks    singleflight.Group // by query
 
 	mu       sync.Mutex // guards the fields below
 	outboxes map[string]*outbox
@@ -64,23 +79,43 @@
 
 // New returns a Manager without records.
 func New(o Options) *Manager {
-	m := &Manager{o: o, table: newTable(maxRecords), outboxes: make(map[string]*outbox), askers: make(map[string]*asker)}
+	m := &Manager{o: o, table: newTable(maxRecords), history: NewHistory(), outboxes: make(map[string]*outbox), askers: make(map[string]*asker)}
 	o.Metrics.Func(metricKept, func() any { return m.table.len() })
 	return m
 }
 
-// Begin records that a stream begins, before its first event is forwarded. The caller may
-// take it up within keep. Begin does not wait for other instances.
-func (m *Manager) Begin(key Key, origin Origin, keep time.Duration) {
-	if !key.Valid() || !origin.valid() {
+// Begin records that the stream of a query begins, before its first event is forwarded. The
+// caller may take it up within keep. Begin does not wait for other instances. They are not
+// told while streams of the route can have no other origin.
+func (m *Manager) Begin(q Query, origin Origin, keep time.Duration) {
+	if !q.Valid() || !origin.valid() {
 		return
 	}
 	m.o.Metrics.Counter(metricBegun).Add(1)
-	r := Record{Key: key, Origin: origin, ExpiresIn: min(keep, maxKeep)}
+	r := Record{Key: q.Key, Origin: origin, ExpiresIn: min(keep, maxKeep)}
 	m.put(r)
-	m.send(r, m.candidates(key))
+	if only, ok := m.only(q.Route, q.Window); ok && only == origin {
+		m.table.markUnsent(q.Key)
+		return
+	}
+	m.send(r, m.candidates(q.Key))
 }
 
+// Observe records the present targets and routes. When streams of a route begin to have
+// several origins, others are told of the streams of which they were not.
+func (m *Manager) Observe(view *fleet.View, table *route.Table) {
+	now := m.o.Clock.Now()
+	if !m.history.Observe(view, table, now) {
+		return
+	}
+	for _, r := range m.table.takeUnsent(now) {
+		m.send(r, m.candidates(r.Key))
+	}
+}
+
+// Interrupt records that changes of targets or routes may have been missed until now.
+func (m *Manager) Interrupt() { m.history.Interrupt(m.o.Clock.Now()) }
+
 // put stores a record here.
 func (m *Manager) put(r Record) {
 	now := m.o.Clock.Now()
@@ -105,15 +140,17 @@
 	}
 }
 
-// HandleFind returns the records of the keys that are stored here.
-func (m *Manager) HandleFind(keys []Key) (records []Record) {
+// HandleFind returns what this instance knows of the streams of the queries.
+func (m *Manager) HandleFind(queries []Query) []Answer {
 	now := m.o.Clock.Now()
-	for _, key := range keys[:min(len(keys), maxBatch)] {
-		if r, known := m.table.get(key, now); known {
-			records = append(records, r)
+	answers := make([]Answer, min(len(queries), maxBatch))
+	for i := range answers {
+		a, q := &answers[i], queries[i]
+		if a.Record, a.Found = m.table.get(q.Key, now); !a.Found {
+			a.Origin, a.Only = m.only(q.Route, q.Window)
 		}
 	}
-	return records
+	return answers
 }
 
 // HandOver sends the records that this instance holds for others to the instances that rank
--- a/internal/streamorigin/manager_test.go
+++ b/internal/streamorigin/manager_test.go
@@ -136,14 +136,19 @@
 	return err
 }
 
-func (t transport) FindOrigins(ctx context.Context, instance string, keys []Key) ([]Record, error) {
+func (t transport) FindOrigins(ctx context.Context, instance string, queries []Query) ([]Answer, error) {
 	m, err := t.call(ctx, "find", t.from, instance)
 	if err != nil {
 		return nil, err
 	}
-	return m.HandleFind(keys), nil
+	return m.HandleFind(queries), nil
 }
 
+// window is the time within which streams may have begun.
+const window = 10 * time.Second
+
+func query(key Key) Query { return Query{Key: key, Route: "r", Window: window} }
+
 // begun is a stream with the instance that began it.
 type begun struct {
 	Key
@@ -156,7 +161,7 @@
 	ids := n.ids()
 	for range count {
 		s := begun{Key{"o", fmt.Sprintf("%016x", n.random.Uint64())}, Origin{"s", fmt.Sprint("v", n.random.IntN(3))}, ids[n.random.IntN(len(ids))]}
-		n.managers[s.at].Begin(s.Key, s.Origin, 20*time.Second)
+		n.managers[s.at].Begin(query(s.Key), s.Origin, 20*time.Second)
 		streams = append(streams, s)
 	}
 	return streams
@@ -170,7 +175,7 @@
 	}
 	found := 0
 	for _, s := range streams {
-		f, err := n.managers[at[n.random.IntN(len(at))]].Find(n.t.Context(), s.Key)
+		f, err := n.managers[at[n.random.IntN(len(at))]].Find(n.t.Context(), query(s.Key))
 		if err == nil && f.Origin != s.Origin {
 			n.t.Errorf("found %+v, began at %+v", f.Origin, s.Origin)
 		}
@@ -300,7 +305,7 @@
 			n.find(before, left...) // checks the origins that are found
 			missing := 0
 			for _, s := range during {
-				_, err := n.managers[left[0]].Find(n.t.Context(), s.Key)
+				_, err := n.managers[left[0]].Find(n.t.Context(), query(s.Key))
 				if errors.Is(err, ErrUnknown) {
 					missing++
 				}
@@ -329,7 +334,7 @@
 			for k, s := range streams {
 				for range 3 { // a caller that repeats at once
 					asking.Go(func() {
-						if f, err := n.managers[ids[k%len(ids)]].Find(n.t.Context(), s.Key); err != nil || f.Origin != s.Origin {
+						if f, err := n.managers[ids[k%len(ids)]].Find(n.t.Context(), query(s.Key)); err != nil || f.Origin != s.Origin {
 							t.Errorf("%+v, %v", f, err)
 						}
 					})
@@ -357,7 +362,7 @@
 		refused := 0
 		for _, s := range streams {
 			began := time.Now()
-			_, err := n.managers["i-000"].Find(n.t.Context(), s.Key)
+			_, err := n.managers["i-000"].Find(n.t.Context(), query(s.Key))
 			if err != nil && !errors.Is(err, ErrUnconfirmed) || time.Since(began) > 2*callTimeout {
 				t.Errorf("%v after %v", err, time.Since(began))
 			}
@@ -370,7 +375,7 @@
 		}
 		n.set(n.alone, true, "i-000")
 		began := time.Now()
-		if _, err := n.managers["i-000"].Find(n.t.Context(), Key{"o", "x"}); !errors.Is(err, ErrUnconfirmed) || time.Since(began) > 0 {
+		if _, err := n.managers["i-000"].Find(n.t.Context(), query(Key{"o", "x"})); !errors.Is(err, ErrUnconfirmed) || time.Since(began) > 0 {
 			t.Errorf("cut off: %v after %v", err, time.Since(began))
 		}
 	})
@@ -421,25 +426,25 @@
 	runNetwork(t, 1, func(n *network) {
 		m := n.managers["i-000"]
 		long := strings.Repeat("x", maxNameLength+1)
-		m.Begin(Key{"o", long}, Origin{"s", "v"}, time.Second)
-		m.Begin(Key{long, "a"}, Origin{"s", "v"}, time.Second)
-		m.Begin(Key{"o", ""}, Origin{"s", "v"}, time.Second)
+		m.Begin(query(Key{"o", long}), Origin{"s", "v"}, time.Second)
+		m.Begin(query(Key{long, "a"}), Origin{"s", "v"}, time.Second)
+		m.Begin(query(Key{"o", ""}), Origin{"s", "v"}, time.Second)
 		m.HandleStore([]Record{{Key: Key{"o", "b"}, Origin: Origin{long, "v"}, ExpiresIn: time.Second}, {Key: Key{"o", "c"}}})
 		if got := m.table.len(); got != 0 {
 			t.Errorf("%d records", got)
 		}
 		m.HandleStore([]Record{record("d", "v", time.Hour)})
 		time.Sleep(maxKeep)
-		if _, err := m.Find(n.t.Context(), Key{"o", "d"}); !errors.Is(err, ErrUnknown) {
+		if _, err := m.Find(n.t.Context(), query(Key{"o", "d"})); !errors.Is(err, ErrUnknown) {
 			t.Errorf("after %v: %v", maxKeep, err)
 		}
 		for k := range maxRecords + 1000 {
-			m.Begin(Key{"o", fmt.Sprint(k)}, Origin{"s", "v"}, time.Minute)
+			m.Begin(query(Key{"o", fmt.Sprint(k)}), Origin{"s", "v"}, time.Minute)
 		}
 		if got := m.table.len(); got > maxRecords {
 			t.Errorf("%d records", got)
 		}
-		if _, err := m.Find(n.t.Context(), Key{long, "a"}); !errors.Is(err, ErrUnknown) {
+		if _, err := m.Find(n.t.Context(), query(Key{long, "a"})); !errors.Is(err, ErrUnknown) {
 			t.Errorf("malformed key: %v", err)
 		}
 	})
--- a/internal/streamorigin/origin.go
+++ b/internal/streamorigin/origin.go
@@ -52,4 +52,6 @@
 	// ErrUnconfirmed is the error for a stream of which no record was found, while instances
 	// that may have one did not answer.
 	ErrUnconfirmed = errors.New("streamorigin: the instances that may know the stream are not reached")
+
+	errAnswers = errors.New("streamorigin: not an answer to each query")
 )
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -35,6 +35,7 @@
 	ambiguous bool
 	expiresAt time.Time
 	number    uint64 // of the row among those stored in its shard
+	unsent    bool   // other instances have not been told
 }
 
 func newTable(limit int) *table {
@@ -91,6 +92,36 @@
 	return Record{Key: key, Origin: r.origin, ExpiresIn: r.expiresAt.Sub(now), Ambiguous: r.ambiguous}
 }
 
+// markUnsent records that other instances have not been told of a stream.
+func (t *table) markUnsent(key Key) {
+	s := t.shardOf(key)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, known := s.rows[key]; known {
+		r.unsent = true
+		s.rows[key] = r
+	}
+}
+
+// takeUnsent returns the records of which other instances have not been told, and counts
+// them as told.
+func (t *table) takeUnsent(now time.Time) (records []Record) {
+	for i := range t.shards {
+		s := &t.shards[i]
+		s.mu.Lock()
+		s.removeExpired(now)
+		for key, r := range s.rows {
+			if r.unsent {
+				records = append(records, r.record(key, now))
+				r.unsent = false
+				s.rows[key] = r
+			}
+		}
+		s.mu.Unlock()
+	}
+	return records
+}
+
 // marks are the numbers of the last rows of each shard at a moment.
 type marks [shardCount]uint64
 
