--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -43,8 +43,9 @@
 }
 
 func (fakePlatform) Target(id string, value []byte) (fleet.Target, error) {
-	address, zone, _ := strings.Cut(string(value), "@")
-	return fleet.Target{ID: id, Service: "s", Address: address, Zone: zone, Slots: 9}, nil
+	address, place, _ := strings.Cut(string(value), "@")
+	zone, build, _ := strings.Cut(place, "@")
+	return fleet.Target{ID: id, Service: "s", Build: build, Address: address, Zone: zone, Slots: 9}, nil
 }
 
 func (fakePlatform) ParseRequest(r *http.Request) (*relay.Request, error) {
--- a/internal/edge/fleet_harness_test.go
+++ b/internal/edge/fleet_harness_test.go
@@ -36,6 +36,7 @@
 	sides     map[string]int  // side of the partition by address; guarded by mu
 	silent    map[string]bool // addresses where dials hang instead of being refused; guarded by mu
 	testEnded chan struct{}   // closed at the end of the test; unblocks hanging dials
+	bytes     atomic.Int64    // sent and received on connections between instances
 }
 
 // instanceNetwork is the access of one instance to the network and the store, with the
@@ -100,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	silenceable := &silenceableConn{Conn: conn, closed: make(chan struct{})}
+	silenceable := &silenceableConn{Conn: conn, bytes: &s.memoryNetwork.bytes, closed: make(chan struct{})}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.opened = append(s.opened, opened{silenceable, address})
@@ -111,6 +112,7 @@
 // closed, and written data is discarded.
 type silenceableConn struct {
 	net.Conn
+	bytes           *atomic.Int64 // counts what is sent and received
 	silent          atomic.Bool
 	receivesNothing atomic.Bool // silent only in the direction towards the instance that opened it
 	closed          chan struct{}
@@ -119,6 +121,7 @@
 
 func (c *silenceableConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
 	if c.silent.Load() || c.receivesNothing.Load() {
 		<-c.closed
 		return 0, net.ErrClosed
@@ -130,6 +133,7 @@
 	if c.silent.Load() {
 		return len(p), nil
 	}
+	c.bytes.Add(int64(len(p)))
 	return c.Conn.Write(p)
 }
 
