Stream origins: an instance that may miss changes tells others of its streams

Cause (read, not seen in a deployment): an instance whose lists are not confirmed keeps to itself the streams that it began while there was one build; if it dies before it learns of a second one, nobody knows them. And a caller that names no attempt was looked up at other instances though none could tell. Change: Interrupt sends what was not sent; such a caller is refused at once.

--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -41,6 +41,9 @@
 		if origin, ok := m.only(q.Route, q.Window); ok {
 			return m.conclude(Finding{Origin: origin, Source: m.o.Self}, Record{}, resultOnly)
 		}
+		if _, ok := m.history.Present(q.Route); !ok {
+			return m.conclude(Finding{}, Record{}, resultUnknown) // no instance can tell
+		}
 	}
 	result := m.asks.DoChan(q.Organisation+"\x00"+q.Attempt+"\x00"+q.Route, func() (any, error) { return m.ask(q) })
 	select {
--- a/internal/streamorigin/history_test.go
+++ b/internal/streamorigin/history_test.go
@@ -152,6 +152,23 @@
 	})
 }
 
+// Guards against streams that can't go on because the instance that began them learns
+// nothing of a second build.
+func TestRecordsAreSentByAnInstanceThatMayMissChanges(t *testing.T) {
+	runNetwork(t, 8, func(n *network) {
+		n.observe(listed("v1"), leadingTo("s"), n.ids()...)
+		time.Sleep(window)
+		streams := n.beginAt(80, "v1")
+		n.managers["i-000"].Interrupt()
+		n.observe(listed("v1", "v2"), leadingTo("s"), n.ids()[1:]...)
+		time.Sleep(100 * time.Millisecond)
+		n.set(n.dead, true, "i-000")
+		if share := n.find(streams); share < 1 {
+			t.Errorf("%.3f go on", share)
+		}
+	})
+}
+
 // Guards against an instance that takes its unconfirmed list for proof of the only origin.
 func TestUnconfirmedListProvesNothing(t *testing.T) {
 	runNetwork(t, 8, func(n *network) {
--- a/internal/streamorigin/manager.go
+++ b/internal/streamorigin/manager.go
@@ -104,18 +104,25 @@
 // Observe records the present targets and routes. When streams of a route begin to have
 // several origins, others are told of the streams of which they were not.
 func (m *Manager) Observe(view *fleet.View, table *route.Table) {
-	now := m.o.Clock.Now()
-	if !m.history.Observe(view, table, now) {
-		return
+	if m.history.Observe(view, table, m.o.Clock.Now()) {
+		m.sendUnsent()
 	}
-	for _, r := range m.table.takeUnsent(now) {
+}
+
+// Interrupt records that changes of targets or routes may have been missed until now, so that
+// streams may have several origins.
+func (m *Manager) Interrupt() {
+	m.history.Interrupt(m.o.Clock.Now())
+	m.sendUnsent()
+}
+
+// sendUnsent tells others of the streams of which they were not told.
+func (m *Manager) sendUnsent() {
+	for _, r := range m.table.takeUnsent(m.o.Clock.Now()) {
 		m.send(r, m.candidates(r.Key))
 	}
 }
 
-// Interrupt records that changes of targets or routes may have been missed until now.
-func (m *Manager) Interrupt() { m.history.Interrupt(m.o.Clock.Now()) }
-
 // put stores a record here.
 func (m *Manager) put(r Record) {
 	now := m.o.Clock.Now()
