Stream origins: an old confirmation alone does not make an instance tell others

Cause: with 295 instances a confirmation by the store is at times older than the time after which an instance is out of touch; such instances told others of their streams though there was one build: 1,003 calls in 5 s of 29,500 possible ones (TestStreamOriginsAtSize -measure-size 295, one run). Change: whether others are told depends on the history alone, which begins anew at twice that age, and tells them then. Find still draws no conclusion from lists that are not confirmed.

--- a/internal/edge/origins.go
+++ b/internal/edge/origins.go
@@ -38,6 +38,16 @@
 	return i.routes.ConfirmedAge() <= i.settings().OutOfTouchAfter.Duration
 }
 
+// missedChangesFactor is the age of the newest confirmation by the store, as a multiple of
+// the time after which an instance is out of touch, from which on changes of targets may
+// have been missed. Confirmations of large fleets are at times older than that time.
+const missedChangesFactor = 2
+
+// mayMissChanges reports whether changes of routes or targets may have been missed.
+func (i *Instance) mayMissChanges() bool {
+	return i.routes.ConfirmedAge() > missedChangesFactor*i.settings().OutOfTouchAfter.Duration
+}
+
 // handOverTimeout is the time limit for handing over origins of streams. It fits into the
 // part of the grace period that is reserved for the end of the process.
 const handOverTimeout = stopMargin / 2
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -84,7 +84,7 @@
 			return
 		case <-tick.C:
 			i.checkClock()
-			if !i.confirmed() {
+			if i.mayMissChanges() {
 				i.origins.Interrupt()
 			}
 		}
--- a/internal/streamorigin/manager.go
+++ b/internal/streamorigin/manager.go
@@ -54,7 +54,7 @@
 	// Connected reports whether other instances can be reached. nil = always.
 	Connected func() bool
 	// Confirmed reports whether the targets and routes that this instance knows are
-	// confirmed to be current. nil = always.
+	// confirmed to be current, so that Find may draw conclusions from them. nil = always.
 	Confirmed func() bool
 	Clock     clock.Clock
 	Logger    *event.Logger
@@ -94,7 +94,7 @@
 	m.o.Metrics.Counter(metricBegun).Add(1)
 	r := Record{Key: q.Key, Origin: origin, ExpiresIn: min(keep, maxKeep)}
 	m.put(r)
-	if only, ok := m.only(q.Route, q.Window); ok && only == origin {
+	if only, ok := m.history.Only(q.Route, q.Window, m.o.Clock.Now()); ok && only == origin {
 		m.table.markUnsent(q.Key)
 		return
 	}
