--- a/internal/edge/origins_test.go
+++ b/internal/edge/origins_test.go
@@ -97,6 +97,33 @@
 	f.all[i] = f.start(number)
 }
 
+// measureSeconds is how long each phase of a measurement takes.
+const measureSeconds = 5
+
+// measureOrigins does something that takes measureSeconds and returns the bytes a second
+// that an instance sends and receives meanwhile, and the calls that tell of origins.
+func (f *testFleet) measureOrigins(what string, do func()) (bytes float64, calls int64) {
+	callsBefore, bytesBefore := f.storeCalls(), f.net.bytes.Load()
+	do()
+	bytes = float64(f.net.bytes.Load()-bytesBefore) / float64(measureSeconds*len(f.all))
+	calls = f.storeCalls() - callsBefore
+	f.t.Logf("%d instances, %s: %d calls for records, %.0f B/s an instance in all", len(f.all), what, calls, bytes)
+	return bytes, calls
+}
+
+// begunAt returns those of the streams that began at one of the instances.
+func begunAt(streams []begunStream, at []*member) []begunStream {
+	return slices.DeleteFunc(slices.Clone(streams), func(s begunStream) bool { return !slices.Contains(at, s.at) })
+}
+
+// wantTakenUp demands that most of the streams go on at the instances.
+func (f *testFleet) wantTakenUp(when string, streams []begunStream, at []*member) {
+	f.t.Helper()
+	if share, tries := f.takeUp(streams, at); share < 0.9 {
+		f.t.Errorf("%d instances, %s: %.3f of %d go on", len(f.all), when, share, tries)
+	}
+}
+
 // Guards against messages for each stream on calm days, against more than a few small ones
 // while two software versions serve, and against streams that can't go on after kills, in a
 // split and in a rolling restart, in one history.
@@ -104,54 +131,37 @@
 	for _, n := range fleetSizes() {
 		runFleetWithBounds(t, n, false, boundsAt(n), func(f *testFleet) {
 			time.Sleep(14*time.Second + originWindow)
-			seconds := 5
-			measure := func(what string, do func()) (bytes float64, stores int64) {
-				before, beforeBytes := f.storeCalls(), f.net.bytes.Load()
-				do()
-				bytes = float64(f.net.bytes.Load()-beforeBytes) / float64(seconds*len(f.all))
-				stores = f.storeCalls() - before
-				t.Logf("%d instances, %s: %d calls for records, %.0f B/s an instance in all", n, what, stores, bytes)
-				return bytes, stores
-			}
-			idle, _ := measure("idle", func() { time.Sleep(time.Duration(seconds) * time.Second) })
-			calm, stores := measure("one build", func() { f.beginStreams(seconds, firstBuild) })
-			if stores > 0 || calm > 1.2*idle+100 {
-				t.Errorf("%d instances, one build: %d calls, %.0f B/s, %.0f when idle", n, stores, calm, idle)
+			idle, _ := f.measureOrigins("idle", func() { time.Sleep(measureSeconds * time.Second) })
+			calm, calls := f.measureOrigins("one build", func() { f.beginStreams(measureSeconds, firstBuild) })
+			if calls > 0 || calm > 1.2*idle+100 {
+				t.Errorf("%d instances, one build: %d calls, %.0f B/s, %.0f when idle", n, calls, calm, idle)
 			}
 			f.put("targets/v2", "10.0.0.2:1@z@v2")
 			time.Sleep(time.Second)
 			var streams []begunStream
-			mixed, stores := measure("two builds", func() { streams = f.beginStreams(seconds, firstBuild, "v2") })
-			if most := int64(2*streamsPerSecond*seconds*n) * 11 / 10; stores > most || mixed-idle > 16<<10 {
-				t.Errorf("%d instances, two builds: %d calls, %d at most, %.0f B/s more than when idle", n, stores, most, mixed-idle)
-			}
-			killed := f.killFirst(max(n/8, 1))
-			orphans := slices.DeleteFunc(slices.Clone(streams), func(s begunStream) bool { return !slices.Contains(killed, s.at) })
-			if share, tries := f.takeUp(orphans, f.all); share < 0.9 {
-				t.Errorf("%d instances, just after kills: %.3f of %d go on", n, share, tries)
+			mixed, calls := f.measureOrigins("two builds", func() { streams = f.beginStreams(measureSeconds, firstBuild, "v2") })
+			if most := int64(2*streamsPerSecond*measureSeconds*n) * 11 / 10; calls > most || mixed-idle > 16<<10 {
+				t.Errorf("%d instances, two builds: %d calls, %d at most, %.0f B/s more than when idle", n, calls, most, mixed-idle)
 			}
+			killed := max(n/8, 1)
+			f.wantTakenUp("just after kills", begunAt(streams, f.killFirst(killed)), f.all)
+
 			f.partition(func(i int) int { return i % 2 })
-			during := f.beginStreams(1, firstBuild, "v2")
+			streams = f.beginStreams(1, firstBuild, "v2")
 			time.Sleep(time.Second)
-			var left []*member
-			for i, m := range f.all {
-				if i%2 == 0 {
-					left = append(left, m)
-				}
-			}
-			onLeft := slices.DeleteFunc(during, func(s begunStream) bool { return !slices.Contains(left, s.at) })
-			if share, tries := f.takeUp(onLeft, left); share < 0.9 {
-				t.Errorf("%d instances, on a side of a split: %.3f of %d go on", n, share, tries)
+			var side []*member
+			for i := 0; i < len(f.all); i += 2 {
+				side = append(side, f.all[i])
 			}
+			f.wantTakenUp("on a side of a split", begunAt(streams, side), side)
+
 			f.partition(func(int) int { return 0 })
 			time.Sleep(5 * time.Second)
 			streams = f.beginStreams(1, firstBuild, "v2")
 			for i := range 5 { // in the life of a record
-				f.stopAndStart(i, max(n/8, 1)+i)
-			}
-			if share, tries := f.takeUp(streams, f.all); share < 0.9 {
-				t.Errorf("%d instances, after a rolling restart: %.3f of %d go on", n, share, tries)
+				f.stopAndStart(i, killed+i)
 			}
+			f.wantTakenUp("after a rolling restart", streams, f.all)
 		})
 	}
 }
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -77,24 +77,23 @@
 	return f, nil
 }
 
-// ask asks the candidates, in two rounds.
+// ask asks the candidates, in two rounds, and concludes from what is known of the route if
+// none of them has a record.
 func (m *Manager) ask(q Query) (Finding, error) {
 	var f Finding
 	var told onlyOrigins
-	if m.o.Connected == nil || m.o.Connected() {
-		candidates := m.candidates(q.Key)
-		for first := 0; first < len(candidates); first += askCount {
-			round := candidates[first:min(first+askCount, len(candidates))]
-			r, found := m.askRound(q, round, &f, &told)
-			if !found {
-				continue
-			}
+	connected := m.o.Connected == nil || m.o.Connected()
+	var candidates []string
+	if connected {
+		candidates = m.candidates(q.Key)
+	}
+	for first := 0; first < len(candidates); first += askCount {
+		round := candidates[first:min(first+askCount, len(candidates))]
+		if r, found := m.askRound(q, round, &f, &told); found {
 			f.Origin = r.Origin
 			m.put(r)
 			return m.conclude(f, r, resultAsked)
 		}
-	} else {
-		f.Asked++ // nobody could answer
 	}
 	if origin, ok := m.only(q.Route, q.Window); ok {
 		f.Origin, f.Source = origin, m.o.Self
@@ -104,7 +103,7 @@
 		f.Origin, f.Source = origin, told.source
 		return m.conclude(f, Record{}, resultOnly)
 	}
-	if f.Answered < f.Asked {
+	if !connected || f.Answered < f.Asked {
 		return m.conclude(f, Record{}, resultUnconfirmed)
 	}
 	return m.conclude(f, Record{}, resultUnknown)
--- a/internal/streamorigin/history.go
+++ b/internal/streamorigin/history.go
@@ -87,15 +87,16 @@
 		known[name] = after
 	}
 	for name := range known {
-		if present[name] == nil && len(known) > 2*len(present)+maxForgotten {
+		if present[name] == nil && len(known) > len(present)+maxAbsent {
 			delete(known, name)
 		}
 	}
 	return changed
 }
 
-// maxForgotten is how many services or routes are remembered that are not present.
-const maxForgotten = 1024
+// maxAbsent is the number of services or routes that are remembered while they are not
+// present.
+const maxAbsent = 1024
 
 // Interrupt records that changes may have been missed until now.
 func (h *History) Interrupt(now time.Time) {
