--- a/deploy/pathtest/cut_test.go
+++ b/deploy/pathtest/cut_test.go
@@ -23,10 +23,10 @@
 	cutResetOnly         // open connections are reset, new ones refused
 )
 
-// cut is a cut of the way from an instance to the servers.
+// cut is a cut of the way from an instance to the servers, or to the store and the other
+// instances.
 type cut struct {
-	isServer func(address string) bool
-	only     string // the address to which the way is cut; "" = to all servers
+	only string // the address to which the way is cut; "" = to all
 
 	mu    sync.Mutex
 	kind  cutKind
@@ -66,7 +66,7 @@
 	c.mu.Lock()
 	kind, ended, other := c.kind, c.ended, c.only != "" && c.only != address
 	c.mu.Unlock()
-	if kind == noCut || other || !c.isServer(address) {
+	if kind == noCut || other {
 		return nil
 	}
 	if kind == cutRefuse || kind == cutResetOnly {
@@ -82,11 +82,8 @@
 	}
 }
 
-// track makes a connection to a server one that a cut affects.
+// track makes a connection one that a cut affects.
 func (c *cut) track(address string, conn *net.TCPConn) net.Conn {
-	if !c.isServer(address) {
-		return conn
-	}
 	tracked := &cutConn{Conn: conn, tcp: conn, address: address, cut: c, closed: make(chan struct{})}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/deploy/pathtest/rig_test.go
+++ b/deploy/pathtest/rig_test.go
@@ -48,6 +48,7 @@
 	dialed                            map[string]int // by address
 	cut                               cut            // of the way to the servers
 	others                            cut            // of the way to the store and to other instances
+	isServer                          func(address string) bool
 }
 
 func (i *instance) dial(ctx context.Context, kind, address string) (net.Conn, error) {
@@ -58,20 +59,19 @@
 	if dead {
 		return nil, net.ErrClosed
 	}
-	for _, c := range []*cut{&i.cut, &i.others} {
-		if err := c.hinder(ctx, address); err != nil {
-			return nil, err
-		}
+	way := &i.others
+	if i.isServer(address) {
+		way = &i.cut
+	}
+	if err := way.hinder(ctx, address); err != nil {
+		return nil, err
 	}
 	dialer := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(i.ip)}, Timeout: time.Second}
 	conn, err := dialer.DialContext(ctx, kind, address)
 	if err != nil {
 		return nil, err
 	}
-	if !i.cut.isServer(address) {
-		return i.others.track(address, conn.(*net.TCPConn)), nil
-	}
-	return i.cut.track(address, conn.(*net.TCPConn)), nil
+	return way.track(address, conn.(*net.TCPConn)), nil
 }
 
 // open opens a listener at a free port and returns its address.
@@ -176,9 +176,8 @@
 	i := &instance{
 		id: fmt.Sprintf("n%d", number), ip: fmt.Sprintf("127.0.0.%d", 10+number), ended: make(chan error, 1),
 		listeners: make(map[string]net.Listener), dialed: make(map[string]int),
-		cut: cut{conns: make(map[*cutConn]bool), isServer: r.isServer},
+		cut: cut{conns: make(map[*cutConn]bool)}, others: cut{conns: make(map[*cutConn]bool)}, isServer: r.isServer,
 	}
-	i.others = cut{conns: make(map[*cutConn]bool), isServer: func(address string) bool { return !r.isServer(address) }}
 	i.address, i.readiness, i.addresses = i.open(r.T), i.open(r.T), i.open(r.T)
 	cfg := config.Default()
 	i.peer = i.open(r.T)
