--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -150,6 +150,7 @@
 	g.opts.Metrics.Counter(metricCrashes).Add(1)
 	g.recordCrashed([]string{targetID})
 	g.merge(fingerprint, []string{targetID}, g.opts.TTL)
+	g.opts.Logger.Log(event.CrashguardCrash, "fingerprint", fingerprint, "target", targetID, "targets", g.crashes(fingerprint))
 }
 
 // RecordSuccess records that a request was answered completely. If the request is
@@ -200,12 +201,18 @@
 	}
 	for fingerprint, row := range g.opts.Board.Refused.Snapshot() {
 		if !row.Until.After(now) {
-			g.opts.Board.Refused.Delete(fingerprint)
+			g.expire(fingerprint, row)
 		}
 	}
 	return g.opts.Board.Refused.Len() < maxRows
 }
 
+// expire deletes the row of a fingerprint.
+func (g *Guard) expire(fingerprint string, row board.Refusal) {
+	g.opts.Board.Refused.Delete(fingerprint)
+	g.opts.Logger.Log(event.CrashguardExpired, "fingerprint", fingerprint, "targets", len(row.Targets))
+}
+
 func union(have, more []string) []string {
 	for _, id := range more {
 		if !contains(have, id) {
--- a/internal/crashguard/gossip.go
+++ b/internal/crashguard/gossip.go
@@ -24,7 +24,7 @@
 	for _, fingerprint := range g.afterCursor(rows) {
 		row := rows[fingerprint]
 		if !row.Until.After(now) {
-			g.opts.Board.Refused.Delete(fingerprint)
+			g.expire(fingerprint, row)
 			continue
 		}
 		refusal := gossip.Refusal{
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -179,9 +179,12 @@
 // does not respond may be cut off, and if all refuse, this instance may be.
 func (i *Instance) targetAlive(ctx context.Context, t stagecall.Target) bool {
 	conn, err := i.paths.Dial(ctx, "tcp", t.Address)
+	alive := true
 	if err != nil {
-		return !errors.Is(err, syscall.ECONNREFUSED) || !i.paths.ReachesOther(ctx, t.Address)
+		alive = !errors.Is(err, syscall.ECONNREFUSED) || !i.paths.ReachesOther(ctx, t.Address)
+	} else {
+		_ = conn.Close()
 	}
-	_ = conn.Close()
-	return true
+	i.o.Logger.Log(event.CrashguardChecked, "target", t.ID, "crashed", !alive, "err", err)
+	return alive
 }
--- a/internal/event/catalogue_crashguard.go
+++ b/internal/event/catalogue_crashguard.go
@@ -3,8 +3,14 @@
 // Events of the guard against requests that crash targets.
 const (
 	CrashguardRefused ID = 2701
+	CrashguardCrash   ID = 2702
+	CrashguardChecked ID = 2703
+	CrashguardExpired ID = 2704
 )
 
 var _ = define(
 	Definition{CrashguardRefused, Error, "crashguard_refused", "Several targets crashed while running one request; all instances refuse the request until the refusal expires. Find the caller by the crashes_targets errors and inspect the input."},
+	Definition{CrashguardCrash, Warn, "crashguard_crash", "A target crashed while it ran the request with the fingerprint; targets is the number of distinct targets known to have crashed so, with those that other instances saw."},
+	Definition{CrashguardChecked, Info, "crashguard_checked", "An attempt broke off, and it was checked whether its target has crashed. If not, err says why: empty if the target accepts connections, otherwise the error of the connection."},
+	Definition{CrashguardExpired, Info, "crashguard_expired", "The crashes under the fingerprint no longer count; targets is how many there were."},
 )
