--- a/deploy/emulator/engine.go
+++ b/deploy/emulator/engine.go
@@ -208,6 +208,13 @@
 	}
 	e.setLoad(w, k.r)
 	out := newReply(w, k.manner, k.faults, len(event(k.run, p.events))*(p.events-p.from))
+	if cause := k.t.poison().crashingPart(k.r); cause != "" {
+		if e.head(out, k, p) == nil {
+			_ = http.NewResponseController(w).Flush() // the caller may be gone
+		}
+		_ = k.poisoned(w, cause) // recorded there
+		return
+	}
 	for n := p.from + 1; n <= p.events; n++ {
 		if sleep(k.ctx, k.faults.scale(e.step())) != nil {
 			_ = k.stopped(w, n > p.from+1) // recorded there
--- a/deploy/emulator/journal.go
+++ b/deploy/emulator/journal.go
@@ -69,6 +69,7 @@
 	wrong   []Violation
 	// arrivals are the requests that reached servers, in order of arrival.
 	arrivals []arrival
+	crashes  []crash // of servers under a Poison
 }
 
 // NewJournal returns an empty journal.
--- a/deploy/emulator/repeats.go
+++ b/deploy/emulator/repeats.go
@@ -22,6 +22,7 @@
 type arrival struct {
 	attempt, service string
 	at               time.Time
+	cause            string // by which the Poison in force crashes servers under it; "" = it does not
 }
 
 // recordArrival records a client request that reached the server.
@@ -30,10 +31,14 @@
 	if id == "" || strings.HasPrefix(r.URL.Path, "/lynxhill/") {
 		return
 	}
+	cause := t.poison().crashingPart(r)
+	if prefix := t.poison().PathPrefix; t.poison().crashesRun(r.URL.Path) {
+		cause = prefix
+	}
 	j := t.options.Journal
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.arrivals = append(j.arrivals, arrival{id, t.options.Service, time.Now()})
+	j.arrivals = append(j.arrivals, arrival{id, t.options.Service, time.Now(), cause})
 }
 
 // CheckRepeats returns the worst violation of the bound at each service. Requests
--- a/deploy/emulator/repeats_test.go
+++ b/deploy/emulator/repeats_test.go
@@ -81,7 +81,7 @@
 			t.Errorf("one arrival: %v", found)
 		}
 		server := w.Servers("plain")[0]
-		w.Journal.arrivals = append(w.Journal.arrivals, arrival{a.ID, server.Service, time.Now()})
+		w.Journal.arrivals = append(w.Journal.arrivals, arrival{attempt: a.ID, service: server.Service, at: time.Now()})
 		if found := w.CheckRepeats(RepeatBound{Window: time.Second}, client); len(found) != 1 || found[0].Name != NameRepeats {
 			t.Errorf("two arrivals: %v", found)
 		}
--- a/deploy/emulator/target.go
+++ b/deploy/emulator/target.go
@@ -35,6 +35,8 @@
 	Random     *rand.Rand // used by this server alone
 	Journal    *Journal
 	OnCrash    func() // called when a request crashes the server; may be nil
+	Poison     func() Poison
+	OnPoison   func(cause string) // called when a Poison crashes the server
 }
 
 // Target is what all servers have in common.
@@ -255,8 +257,27 @@
 
 func readBody(r *http.Request) ([]byte, error) { return io.ReadAll(io.LimitReader(r.Body, maxBody)) }
 
+// poison returns the Poison in force.
+func (t *Target) poison() Poison {
+	if t.options.Poison == nil {
+		return Poison{}
+	}
+	return t.options.Poison()
+}
+
+// poisoned ends the server under a cause.
+func (k *work) poisoned(w http.ResponseWriter, cause string) error {
+	k.t.options.Journal.end(k.run, Crashed, 0)
+	k.t.options.OnPoison(cause)
+	drop(w)
+	return errSpoilt
+}
+
 // spoil crashes or hangs, if the faults say so. An error ends the work.
 func (k *work) spoil(w http.ResponseWriter) error {
+	if p := k.t.poison(); p.crashesRun(k.r.URL.Path) {
+		return k.poisoned(w, p.PathPrefix)
+	}
 	if k.faults.crashes(k.r.URL.Path) {
 		k.t.options.Journal.end(k.run, Crashed, 0)
 		if k.t.options.OnCrash != nil {
--- a/deploy/emulator/world.go
+++ b/deploy/emulator/world.go
@@ -91,6 +91,7 @@
 	timers  []*time.Timer
 	// evacuated are the zones that were evacuated; false = and given back.
 	evacuated map[string]bool
+	poison    Poison
 }
 
 // NewWorld starts a deployment: its store, with config/main and the entries of
@@ -228,6 +229,7 @@
 	o := TargetOptions{
 		Instance: s.ID, Service: s.Service, Version: s.Version, Address: s.Address, HealthPath: c.HealthPath, Slots: pool.Slots, Queue: pool.Queue,
 		LoadHeader: pool.LoadHeader, Random: source, Journal: w.Journal, OnCrash: func() { w.Crash(s.ID) },
+		Poison: w.currentPoison, OnPoison: func(cause string) { w.crashUnder(s.ID, cause) },
 	}
 	switch {
 	case c.InferenceEngine != nil:
--- a/deploy/pathtest/rig_test.go
+++ b/deploy/pathtest/rig_test.go
@@ -290,6 +290,11 @@
 // load asks without pause from some clients until the returned function is called, which waits for them and returns
 // what they got.
 func (r *rig) load(workers int, o emulator.ClientOptions, asks ...emulator.Ask) func() []emulator.Attempt {
+	return r.loadWithPause(workers, 2*time.Millisecond, o, asks...)
+}
+
+// loadWithPause is load with a pause before each request, or up to 10 ms more.
+func (r *rig) loadWithPause(workers int, pause time.Duration, o emulator.ClientOptions, asks ...emulator.Ask) func() []emulator.Attempt {
 	if o.Addresses == nil {
 		for _, i := range r.instances {
 			o.Directory = append(o.Directory, i.addresses)
@@ -304,7 +309,7 @@
 		clients = append(clients, c)
 		working.Go(func() {
 			for ctx.Err() == nil && !stopping.Load() {
-				time.Sleep(time.Duration(2+source.IntN(10)) * time.Millisecond)
+				time.Sleep(pause + time.Duration(source.IntN(10))*time.Millisecond)
 				c.Do(ctx, asks[source.IntN(len(asks))])
 			}
 		})
