--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -276,10 +276,20 @@
 	Concurrent    int     // 0 = no limit, below 0 = no request may run here at present
 }
 
-// Refusal is a request that is refused because targets crashed while running it.
+// Refusal is a request under which targets crashed, refused from a number of them on.
 type Refusal struct {
-	Targets []string // distinct targets that crashed
-	Until   time.Time
+	Crashes []Crash // of distinct targets, in order of time
+	// Cleared is when the request was last answered after a crash; crashes up to then do
+	// not count.
+	Cleared time.Time
+	// Witnessed reports that this instance itself saw one of the crashes.
+	Witnessed bool
+}
+
+// Crash is the crash of a target while it ran a request.
+type Crash struct {
+	Target string
+	At     time.Time // at which an instance found out
 }
 
 // Self is what this instance may do at present.
--- a/internal/crashguard/avoid.go
+++ b/internal/crashguard/avoid.go
@@ -113,7 +113,7 @@
 	var targets []string
 	for target, attempts := range g.running {
 		for other := range attempts {
-			if other != fingerprint && g.crashes(other) >= minCrashes {
+			if other != fingerprint && len(g.crashes(other)) >= minCrashes {
 				targets = append(targets, target)
 				break
 			}
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -1,13 +1,15 @@
 // Package crashguard detects requests that crash the targets that run them. It
 // counts the distinct targets that crashed while they ran requests with the
 // same fingerprint. When the count reaches a limit, every instance refuses the
-// request, also under a new idempotency key.
+// request, also under a new idempotency key. Rarely, one instance tries a refused
+// request again, since the targets may have been repaired.
 package crashguard
 
 import (
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,6 +17,7 @@
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/clock"
+	"lynxhill.example/lynxhill/internal/control/rendezvous"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/gossip"
 	"lynxhill.example/lynxhill/internal/metrics"
@@ -23,8 +26,12 @@
 
 // Defaults of Options.
 const (
-	DefaultLimit = 2
-	DefaultTTL   = 10 * time.Minute
+	DefaultLimit         = 2
+	DefaultTTL           = 10 * time.Minute
+	DefaultRetention     = 24 * time.Hour
+	DefaultTrialInterval = 8 * time.Hour
+	// trialTimeout is how long a trial may take. Until then no other one starts.
+	trialTimeout = time.Minute
 	// maxRows bounds the fingerprints in the table. Each row needs a crashed
 	// target, so only a very large number of crashes reaches the bound.
 	maxRows = 4096
@@ -36,18 +43,28 @@
 
 // Options of a Guard.
 type Options struct {
+	// Self is the id of this instance; "" = there are no others.
+	Self  string
 	Board *board.Board
 	Clock clock.Clock
 	// Limit is the number of distinct crashed targets at which the request is
 	// refused.
 	Limit int
-	// TTL is how long a crash counts and a refusal stays in force.
+	// TTL is how long crashes below the limit count after the newest of them.
 	TTL time.Duration
+	// Retention is how long a refusal stays in force after the newest crash.
+	Retention time.Duration
+	// TrialInterval is the time after the newest crash at which a refused request
+	// is tried again.
+	TrialInterval time.Duration
 	// Alive checks whether the process that served a broken attempt is still
 	// running. If it is nil, AttemptBroke and HasCrashed detect no crashes.
-	Alive   func(ctx context.Context, target stagecall.Target) bool
-	Logger  *event.Logger
-	Metrics *metrics.Registry
+	Alive func(ctx context.Context, target stagecall.Target) bool
+	// OnChange is called, with no lock held, after a row has changed that other
+	// instances need soon. nil: not called.
+	OnChange func()
+	Logger   *event.Logger
+	Metrics  *metrics.Registry
 }
 
 // Guard counts crashed targets by request fingerprint. The rows, including those
@@ -58,13 +75,15 @@
 
 	mu              sync.Mutex                // guards all below
 	running         map[string]map[string]int // target id -> suspected fingerprint -> attempts in flight
-	cursor          string                    // fingerprint last sent in a digest
+	cursor          string                    // fingerprint last sent in a digest for completeness
+	unsent          map[string]int            // fingerprint of a changed row -> digests in which it is still to be sent
+	trials          map[string]time.Time      // fingerprint -> start of the latest trial here
 	recentlyCrashed map[string]time.Time      // id of a crashed target -> until when it is avoided
 }
 
 var _ gossip.Participant = (*Guard)(nil)
 
-// New returns a guard. It replaces zero fields by defaults, except Alive, Logger
+// New returns a guard. It replaces zero fields by defaults, except Self, Alive, Logger
 // and Metrics.
 func New(opts Options) *Guard {
 	if opts.Board == nil {
@@ -79,7 +98,19 @@
 	if opts.TTL <= 0 {
 		opts.TTL = DefaultTTL
 	}
-	return &Guard{opts: opts, running: make(map[string]map[string]int), recentlyCrashed: make(map[string]time.Time)}
+	if opts.Retention <= 0 {
+		opts.Retention = DefaultRetention
+	}
+	if opts.TrialInterval <= 0 {
+		opts.TrialInterval = DefaultTrialInterval
+	}
+	if opts.OnChange == nil {
+		opts.OnChange = func() {}
+	}
+	return &Guard{
+		opts: opts, running: make(map[string]map[string]int), unsent: make(map[string]int),
+		trials: make(map[string]time.Time), recentlyCrashed: make(map[string]time.Time),
+	}
 }
 
 // Fingerprint returns the hex-encoded fingerprint of a request. It depends on
@@ -93,34 +124,72 @@
 	return hex.EncodeToString(hash.Sum(nil)[:fingerprintBytes])
 }
 
+// Admission is the decision on a request that arrives.
+type Admission struct {
+	Refused bool
+	// RetryAfter is the time until a refused request may be tried again.
+	RetryAfter time.Duration
+	// Trial reports that the request is refused in general and runs once, to find out
+	// whether it still crashes targets.
+	Trial bool
+}
+
+// Admit decides whether a request with the fingerprint may run. A refused one is tried
+// again TrialInterval after the newest crash, one at a time, at the instance that the
+// fingerprint selects among those alive.
+func (g *Guard) Admit(fingerprint string) Admission {
+	if !g.Refused(fingerprint) {
+		return Admission{}
+	}
+	now := g.opts.Clock.Now()
+	crashes := g.crashes(fingerprint)
+	wait := crashes[len(crashes)-1].At.Add(g.opts.TrialInterval).Sub(now)
+	if wait > 0 {
+		return Admission{Refused: true, RetryAfter: wait}
+	}
+	if !g.ownsTrial(fingerprint) {
+		return Admission{Refused: true, RetryAfter: trialTimeout}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if began, ok := g.trials[fingerprint]; ok && now.Sub(began) < trialTimeout {
+		return Admission{Refused: true, RetryAfter: trialTimeout}
+	}
+	g.trials[fingerprint] = now
+	g.opts.Logger.Log(event.CrashguardTrial, "fingerprint", fingerprint, "targets", len(crashes))
+	return Admission{Trial: true}
+}
+
+// ownsTrial reports whether this instance is the one that tries the request again.
+func (g *Guard) ownsTrial(fingerprint string) bool {
+	if g.opts.Self == "" {
+		return true
+	}
+	return rendezvous.Top(fingerprint, g.opts.Board.LiveMembers(g.opts.Self), 1)[0] == g.opts.Self
+}
+
 // Refused reports whether the number of targets that crashed under the
 // fingerprint has reached the limit, so that the request may not run again.
 func (g *Guard) Refused(fingerprint string) bool {
-	return g.crashes(fingerprint) >= g.limit()
+	return g != nil && len(g.crashes(fingerprint)) >= g.opts.Limit
 }
 
 // Suspected reports whether any target crashed under the fingerprint. A suspected
 // request is not hedged: a hedge could crash two targets at once.
 func (g *Guard) Suspected(fingerprint string) bool {
-	return g.crashes(fingerprint) > 0
+	return len(g.crashes(fingerprint)) > 0
 }
 
-func (g *Guard) limit() int {
+// crashes returns the crashes that count for the fingerprint.
+func (g *Guard) crashes(fingerprint string) []board.Crash {
 	if g == nil {
-		return DefaultLimit
-	}
-	return g.opts.Limit
-}
-
-func (g *Guard) crashes(fingerprint string) int {
-	if g == nil {
-		return 0
+		return nil
 	}
 	row, ok := g.opts.Board.Refused.Get(fingerprint)
-	if !ok || !row.Until.After(g.opts.Clock.Now()) {
-		return 0
+	if !ok {
+		return nil
 	}
-	return len(row.Targets)
+	return g.counted(row, g.opts.Clock.Now())
 }
 
 // AttemptBroke handles an attempt that broke off: it checks whether the target crashed
@@ -149,48 +218,58 @@
 	}
 	g.opts.Metrics.Counter(metricCrashes).Add(1)
 	g.recordCrashed([]string{targetID})
-	g.merge(fingerprint, []string{targetID}, g.opts.TTL)
-	g.opts.Logger.Log(event.CrashguardCrash, "fingerprint", fingerprint, "target", targetID, "targets", g.crashes(fingerprint))
+	g.update(fingerprint, func(row board.Refusal) (board.Refusal, bool) {
+		row, added := withCrash(row, board.Crash{Target: targetID, At: g.opts.Clock.Now()})
+		row.Witnessed = row.Witnessed || added
+		return row, added
+	})
+	g.opts.Logger.Log(event.CrashguardCrash, "fingerprint", fingerprint, "target", targetID, "targets", len(g.crashes(fingerprint)))
 }
 
 // RecordSuccess records that a request was answered completely. If the request is
-// suspected but not yet refused, its row is deleted: its attempt ran on the same
-// target as another request that caused the crash.
-func (g *Guard) RecordSuccess(fingerprint string) {
-	if g == nil || !g.Suspected(fingerprint) || g.Refused(fingerprint) {
+// suspected but not yet refused, its crashes no longer count: its attempt ran on the
+// same target as another request that caused the crash. A refusal is lifted by the
+// success of a trial only.
+func (g *Guard) RecordSuccess(fingerprint string, trial bool) {
+	if g == nil || !g.Suspected(fingerprint) || g.Refused(fingerprint) && !trial {
 		return
 	}
-	g.opts.Board.Refused.Delete(fingerprint)
+	g.update(fingerprint, func(row board.Refusal) (board.Refusal, bool) {
+		return withClearing(row, g.opts.Clock.Now())
+	})
+	if trial {
+		g.opts.Logger.Log(event.CrashguardLifted, "fingerprint", fingerprint)
+	}
 }
 
-// merge adds crashed targets to the row of the fingerprint. A row that gains a
-// target expires after keep.
-func (g *Guard) merge(fingerprint string, targets []string, keep time.Duration) {
+// update changes the row of the fingerprint, as of which expired crashes are gone.
+func (g *Guard) update(fingerprint string, change func(board.Refusal) (board.Refusal, bool)) {
 	now := g.opts.Clock.Now()
 	if !g.hasRoom(now) {
 		g.opts.Metrics.Counter(metricDropped).Add(1)
 		return
 	}
 	reachedLimit := false
-	g.opts.Board.Refused.Update(fingerprint, func(old board.Refusal, _ bool) (board.Refusal, bool) {
-		row := board.Refusal{Until: now.Add(keep)}
-		if old.Until.After(now) {
-			row.Targets = append(row.Targets, old.Targets...)
+	changed := g.opts.Board.Refused.Update(fingerprint, func(old board.Refusal, _ bool) (board.Refusal, bool) {
+		if g.expired(old, now) {
+			old = board.Refusal{}
 		}
-		before := len(row.Targets)
-		row.Targets = union(row.Targets, targets)
-		reachedLimit = before < g.opts.Limit && len(row.Targets) >= g.opts.Limit
-		if len(row.Targets) == before {
-			// Without a new target the row keeps its expiry. Otherwise gossip
-			// among instances would extend it forever.
-			return old, false
-		}
-		return row, true
+		before := len(g.counted(old, now))
+		row, ok := change(old)
+		reachedLimit = ok && before < g.opts.Limit && len(g.counted(row, now)) >= g.opts.Limit
+		return row, ok
 	})
+	if !changed {
+		return
+	}
+	g.mu.Lock()
+	g.unsent[fingerprint] = eagerSends
+	g.mu.Unlock()
 	if reachedLimit {
 		g.opts.Metrics.Counter(metricRefusedRequests).Add(1)
 		g.opts.Logger.Log(event.CrashguardRefused, "fingerprint", fingerprint)
 	}
+	g.opts.OnChange()
 }
 
 // hasRoom reports whether the table can take another row. It deletes the expired
@@ -200,7 +279,7 @@
 		return true
 	}
 	for fingerprint, row := range g.opts.Board.Refused.Snapshot() {
-		if !row.Until.After(now) {
+		if g.expired(row, now) {
 			g.expire(fingerprint, row)
 		}
 	}
@@ -210,23 +289,18 @@
 // expire deletes the row of a fingerprint.
 func (g *Guard) expire(fingerprint string, row board.Refusal) {
 	g.opts.Board.Refused.Delete(fingerprint)
-	g.opts.Logger.Log(event.CrashguardExpired, "fingerprint", fingerprint, "targets", len(row.Targets))
-}
-
-func union(have, more []string) []string {
-	for _, id := range more {
-		if !contains(have, id) {
-			have = append(have, id)
-		}
-	}
-	return have
+	g.mu.Lock()
+	delete(g.unsent, fingerprint)
+	delete(g.trials, fingerprint)
+	g.mu.Unlock()
+	g.opts.Logger.Log(event.CrashguardExpired, "fingerprint", fingerprint, "targets", len(row.Crashes))
 }
 
-func contains(list []string, id string) bool {
-	for _, have := range list {
-		if have == id {
-			return true
-		}
+// targetsOf returns the ids of the targets that crashed.
+func targetsOf(crashes []board.Crash) []string {
+	ids := make([]string, len(crashes))
+	for i, c := range crashes {
+		ids[i] = c.Target
 	}
-	return false
+	return slices.Clip(ids)
 }
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -82,7 +82,7 @@
 		a, b := newGuard(false), newGuard(false)
 		a.RecordCrash("fp", "t1")
 		a.RecordCrash("fp", "t2")
-		for end := time.Now().Add(2 * DefaultTTL); time.Now().Before(end); time.Sleep(time.Second) {
+		for end := time.Now().Add(2 * DefaultRetention); time.Now().Before(end); time.Sleep(time.Second) {
 			exchange(a, b)
 			exchange(b, a)
 		}
@@ -112,7 +112,7 @@
 		if got := g.TargetsWithSuspects("innocent"); len(got) != 0 {
 			t.Errorf("still occupied after the attempt ended: %v", got)
 		}
-		g.RecordSuccess("innocent")
+		g.RecordSuccess("innocent", false)
 		if g.Suspected("innocent") {
 			t.Error("still suspected after it was answered")
 		}
--- a/internal/crashguard/gossip.go
+++ b/internal/crashguard/gossip.go
@@ -1,85 +1,164 @@
 package crashguard
 
 import (
-	"sort"
+	"cmp"
+	"slices"
+	"time"
 
 	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/gossip"
 )
 
-// maxTargetsSent bounds the targets of a row in a digest. The crash limit is
-// small, so more targets would not change a decision.
-const maxTargetsSent = 4
+const (
+	// eagerSends is the number of digests in which a changed row is sent, enough for all
+	// instances of a large fleet to get it in a few exchanges.
+	eagerSends = 12
+	// rotationRows is the number of unchanged rows in a digest. They reach instances
+	// that missed the changes.
+	rotationRows = 4
+)
 
-// Fill implements gossip.Participant. It sends the rows round-robin, starting after the
-// last row sent, so that all rows of a large table are sent within a few
-// exchanges.
+// Fill implements gossip.Participant. It sends the changed rows, the least sent first,
+// and a few others in rotation.
 func (g *Guard) Fill(digest *gossip.Digest, _ string, budget int) int {
 	rows := g.opts.Board.Refused.Snapshot()
 	if len(rows) == 0 {
 		return 0
 	}
 	now := g.opts.Clock.Now()
-	used := 0
-	for _, fingerprint := range g.afterCursor(rows) {
-		row := rows[fingerprint]
-		if !row.Until.After(now) {
+	for fingerprint, row := range rows {
+		if g.expired(row, now) {
 			g.expire(fingerprint, row)
-			continue
-		}
-		refusal := gossip.Refusal{
-			Fingerprint: fingerprint,
-			Targets:     row.Targets[:min(len(row.Targets), maxTargetsSent)],
-			TTL:         row.Until.Sub(now),
+			delete(rows, fingerprint)
 		}
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	used := 0
+	add := func(fingerprint string) bool {
+		refusal := g.outgoing(fingerprint, rows[fingerprint], now)
 		size := sizeOf(refusal)
 		if used+size > budget {
-			break
+			return false
 		}
 		used += size
 		digest.Refusals = append(digest.Refusals, refusal)
-		g.setCursor(fingerprint)
+		return true
+	}
+	for _, fingerprint := range g.changedLocked(rows) {
+		if !add(fingerprint) {
+			return used
+		}
+		if g.unsent[fingerprint]--; g.unsent[fingerprint] <= 0 {
+			delete(g.unsent, fingerprint)
+		}
+	}
+	for _, fingerprint := range g.rotationLocked(rows) {
+		if !add(fingerprint) {
+			break
+		}
+		g.cursor = fingerprint
 	}
 	return used
 }
 
+// changedLocked returns the fingerprints of the rows with changes to send, the least sent
+// first. The caller holds mu.
+func (g *Guard) changedLocked(rows map[string]board.Refusal) []string {
+	changed := make([]string, 0, len(g.unsent))
+	for fingerprint := range g.unsent {
+		if _, ok := rows[fingerprint]; ok {
+			changed = append(changed, fingerprint)
+		}
+	}
+	slices.SortFunc(changed, func(a, b string) int {
+		return cmp.Or(cmp.Compare(g.unsent[b], g.unsent[a]), cmp.Compare(a, b))
+	})
+	return changed
+}
+
+// rotationLocked returns the next unchanged rows after the cursor. The caller holds mu.
+func (g *Guard) rotationLocked(rows map[string]board.Refusal) []string {
+	ids := make([]string, 0, len(rows))
+	for id := range rows {
+		if g.unsent[id] == 0 {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	start, found := slices.BinarySearch(ids, g.cursor)
+	if found {
+		start++
+	}
+	ids = slices.Concat(ids[start:], ids[:start])
+	return ids[:min(len(ids), rotationRows)]
+}
+
+// outgoing returns a row as it is sent.
+func (g *Guard) outgoing(fingerprint string, row board.Refusal, now time.Time) gossip.Refusal {
+	out := gossip.Refusal{Fingerprint: fingerprint, Targets: targetsOf(row.Crashes), TTL: g.opts.TTL}
+	for _, c := range row.Crashes {
+		out.Ages = append(out.Ages, max(now.Sub(c.At), 0))
+	}
+	if !row.Cleared.IsZero() {
+		out.Cleared, out.ClearedAge = true, max(now.Sub(row.Cleared), 0)
+	}
+	return out
+}
+
 // Absorb implements gossip.Participant.
 func (g *Guard) Absorb(digest gossip.Digest) {
+	now := g.opts.Clock.Now()
 	for _, refusal := range digest.Refusals {
-		if refusal.TTL <= 0 || len(refusal.Targets) == 0 {
-			continue
+		if refusal.Fingerprint != "" {
+			g.merge(refusal, now)
 		}
-		g.merge(refusal.Fingerprint, refusal.Targets, min(refusal.TTL, g.opts.TTL))
 	}
 }
 
-// afterCursor returns the fingerprints in sorted order, rotated to start after
-// the cursor.
-func (g *Guard) afterCursor(rows map[string]board.Refusal) []string {
-	ids := make([]string, 0, len(rows))
-	for id := range rows {
-		ids = append(ids, id)
+// merge adds what another instance knows of a fingerprint. Instances of older versions
+// do not send the ages of crashes; these count from now on.
+func (g *Guard) merge(in gossip.Refusal, now time.Time) {
+	received := board.Refusal{}
+	if in.Cleared {
+		received.Cleared = now.Add(-in.ClearedAge)
 	}
-	sort.Strings(ids)
-	g.mu.Lock()
-	cursor := g.cursor
-	g.mu.Unlock()
-	start := sort.SearchStrings(ids, cursor+"\x00")
-	return append(ids[start:len(ids):len(ids)], ids[:start]...)
+	for i, target := range in.Targets {
+		age := time.Duration(0)
+		if len(in.Ages) == len(in.Targets) {
+			age = in.Ages[i]
+		}
+		received.Crashes = append(received.Crashes, board.Crash{Target: target, At: now.Add(-age)})
+	}
+	if g.expired(received, now) {
+		return
+	}
+	g.update(in.Fingerprint, func(row board.Refusal) (board.Refusal, bool) { return joined(row, received) })
 }
 
-func (g *Guard) setCursor(fingerprint string) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.cursor = fingerprint
+// joined returns the row with what another one holds.
+func joined(row, other board.Refusal) (_ board.Refusal, changed bool) {
+	if !other.Cleared.IsZero() && other.Cleared.Sub(row.Cleared) > clockTolerance {
+		row, changed = withClearing(row, other.Cleared)
+	}
+	for _, c := range other.Crashes {
+		var added bool
+		row, added = withCrash(row, c)
+		changed = changed || added
+	}
+	return row, changed
 }
 
+// clockTolerance is the difference below which two times of an event are taken for the
+// same: an age that is sent grows by the time in transit.
+const clockTolerance = time.Second
+
 // sizeOf estimates the encoded size of the row in bytes.
 func sizeOf(refusal gossip.Refusal) int {
-	const overhead = 8
+	const overhead, age = 12, 5
 	size := len(refusal.Fingerprint) + overhead
 	for _, id := range refusal.Targets {
-		size += len(id) + 2
+		size += len(id) + 2 + age
 	}
 	return size
 }
--- a/internal/daemon/request.go
+++ b/internal/daemon/request.go
@@ -36,7 +36,7 @@
 		MayServe: func() bool { return d.profiles.MayServe() }, // d.profiles is created later
 	})
 	d.guard = crashguard.New(crashguard.Options{
-		Board: d.board, Clock: clk, Alive: d.targets.Alive, Logger: d.logger, Metrics: d.metrics,
+		Self: d.id(), Board: d.board, Clock: clk, Alive: d.targets.Alive, Logger: d.logger, Metrics: d.metrics,
 	})
 	d.outcomes = outcome.NewRegistry(outcome.Options{Clock: clk, Logger: d.logger, Metrics: d.metrics})
 	d.slo = slo.New(slo.Options{
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -138,8 +138,9 @@
 	// targets announce that they leave seconds before they end.
 	watchGap = 100 * time.Millisecond
 	// crashLimit is how many targets may crash while they process one request.
-	crashLimit     = 3
-	crashRetention = time.Minute
+	crashLimit = 3
+	// crashTTL is how long crashes of fewer targets count.
+	crashTTL = time.Minute
 	// acceptAfterStop is how long a stopping instance accepts new requests, since
 	// callers still have its address.
 	acceptAfterStop = 2500 * time.Millisecond
@@ -197,8 +198,8 @@
 	})
 	i.paths = i.newPaths()
 	i.guard = crashguard.New(crashguard.Options{
-		Board: i.board, Clock: i.o.Clock, Limit: crashLimit, TTL: crashRetention,
-		Alive: i.targetAlive, Logger: i.o.Logger, Metrics: i.metrics,
+		Self: i.id(), Board: i.board, Clock: i.o.Clock, Limit: crashLimit, TTL: crashTTL,
+		Alive: i.targetAlive, OnChange: i.spreadSoon, Logger: i.o.Logger, Metrics: i.metrics,
 	})
 	i.notices = notice.New(notice.Options{
 		Self: fmt.Sprintf("%s/%08x", i.id(), i.rand().Uint32()), Board: i.board, Clock: i.o.Clock, OnChange: i.noticeChanged,
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -27,6 +27,11 @@
 	if after.Leaving && !before.Leaving {
 		i.routes.UpdateTargets()
 	}
+	i.spreadSoon()
+}
+
+// spreadSoon requests extra gossip exchanges at once if there are other instances.
+func (i *Instance) spreadSoon() {
 	if i.liveInstances() > 1 {
 		i.members.RequestExchanges()
 	}
--- a/internal/event/catalogue_crashguard.go
+++ b/internal/event/catalogue_crashguard.go
@@ -6,11 +6,15 @@
 	CrashguardCrash   ID = 2702
 	CrashguardChecked ID = 2703
 	CrashguardExpired ID = 2704
+	CrashguardTrial   ID = 2705
+	CrashguardLifted  ID = 2706
 )
 
 var _ = define(
-	Definition{CrashguardRefused, Error, "crashguard_refused", "Several targets crashed while running one request; all instances refuse the request until the refusal expires. Find the caller by the crashes_targets errors and inspect the input."},
+	Definition{CrashguardRefused, Error, "crashguard_refused", "Several targets crashed while running one request; all instances refuse it, but for a rare trial. Find the caller by the requests that are refused with crashes_targets or refused_after_crashes, and inspect the input."},
 	Definition{CrashguardCrash, Warn, "crashguard_crash", "A target crashed while it ran the request with the fingerprint; targets is the number of distinct targets known to have crashed so, with those that other instances saw."},
 	Definition{CrashguardChecked, Info, "crashguard_checked", "An attempt broke off, and it was checked whether its target has crashed. If not, err says why: empty if the target accepts connections, otherwise the error of the connection."},
 	Definition{CrashguardExpired, Info, "crashguard_expired", "The crashes under the fingerprint no longer count; targets is how many there were."},
+	Definition{CrashguardTrial, Warn, "crashguard_trial", "A request that is refused because targets crashed is tried once more, to find out whether it still crashes them."},
+	Definition{CrashguardLifted, Info, "crashguard_lifted", "A request that was refused because targets had crashed was answered in a trial; it is no longer refused."},
 )
--- a/internal/event/catalogue_errkind.go
+++ b/internal/event/catalogue_errkind.go
@@ -41,6 +41,7 @@
 	RequestStreamUnknown       ID = 1934
 	RequestStreamUnconfirmed   ID = 1935
 	RequestStreamVersionGone   ID = 1936
+	RequestRefusedAfterCrashes ID = 1937
 )
 
 var _ = define(
@@ -81,4 +82,5 @@
 	Definition{RequestStreamUnknown, Info, "request_stream_unknown", "No instance knows the stream that the request takes up, so it can't go on; a new one may be begun."},
 	Definition{RequestStreamUnconfirmed, Warn, "request_stream_unconfirmed", "The instances that may know the stream that the request takes up did not answer."},
 	Definition{RequestStreamVersionGone, Info, "request_stream_version_gone", "No target has the software version at which the stream began, so it can't go on; a new one may be begun."},
+	Definition{RequestRefusedAfterCrashes, Info, "request_refused_after_crashes", "Targets crashed while running such requests, so this one was not run."},
 )
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -125,6 +125,7 @@
 	status            int       // status of the response
 	outcome           string    // logged; "" = the request was answered
 	headSent          bool
+	trial             bool            // the crash guard refuses such requests and tries this one
 	cachedFingerprint string          // cached result of fingerprint; "" = not computed yet
 	newConnections    bool            // use new connections: an attempt failed, and other idle connections may be dead too
 	crashChecked      <-chan struct{} // closed once it is known whether the last target died; nil = no check is running
@@ -150,10 +151,12 @@
 	fl.readAt = f.o.Clock.Now()
 	fl.deadline = in.Arrived.Add(fl.timeout())
 	defer fl.logEnd()
-	if f.o.CrashGuard.Refused(fl.fingerprint()) {
-		fl.refuse(errkind.New(errkind.Overloaded, "targets died while running this request"), time.Second)
+	admission := f.o.CrashGuard.Admit(fl.fingerprint())
+	if admission.Refused {
+		fl.refuse(errkind.New(errkind.RefusedAfterCrashes, "targets crashed while running this request"), admission.RetryAfter)
 		return
 	}
+	fl.trial = admission.Trial
 	if f.o.Reachable != nil && !f.o.Reachable() {
 		fl.refuse(errkind.New(errkind.NoTarget, "no target can be reached"), unreachableRetryAfter)
 		return
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -130,7 +130,12 @@
 type Refusal struct {
 	Fingerprint string
 	Targets     []string
-	TTL         time.Duration
+	TTL         time.Duration   // for instances of versions that do not read Ages
+	Ages        []time.Duration // of the crashes, as of sending; empty from older versions
+	// Cleared reports that such a request was answered ClearedAge ago; crashes before
+	// that do not count.
+	Cleared    bool
+	ClearedAge time.Duration
 }
 
 // Notice holds what a target announced to all instances, in its responses to one of
--- a/internal/pipeline/finish.go
+++ b/internal/pipeline/finish.go
@@ -30,7 +30,7 @@
 		return out, err
 	}
 	if !x.repeated {
-		x.r.opts.CrashGuard.RecordSuccess(x.fingerprint)
+		x.r.opts.CrashGuard.RecordSuccess(x.fingerprint, x.trial)
 	}
 	x.r.opts.Metrics.Labelled(metricRequests).Add("ok", 1)
 	return out, nil
--- a/internal/pipeline/runner.go
+++ b/internal/pipeline/runner.go
@@ -69,6 +69,7 @@
 	prof        profile.Versioned
 	sink        Sink
 	fingerprint string
+	trial       bool // the request is refused in general and runs to find out whether it still crashes targets
 	bodyHash    string
 
 	// ctx ends when the caller disconnects or the deadline passes. work ends
@@ -120,7 +121,9 @@
 
 // runStages runs the stages in order and returns the output of the last one.
 func (x *execution) runStages() (json.RawMessage, error) {
-	if x.r.opts.CrashGuard.Refused(x.fingerprint) {
+	admission := x.r.opts.CrashGuard.Admit(x.fingerprint)
+	x.trial = admission.Trial
+	if admission.Refused {
 		return nil, errkind.New(errkind.CrashesTargets, "targets died while running this request")
 	}
 	if x.remaining() <= 0 {
