Crash guard: refusals are kept in the platform's store

After all instances were killed or lost power at once, a request that was refused crashed three more targets for each new life: rows were in memory only. Now an instance that saw one of the crashes writes a row when the request reaches the limit, and again after each further crash; a lifted or expired refusal is removed. An instance that starts does not serve before it has the refusals: from the store, or all of them in one digest of an instance that has them.

The product's own interface keeps its refusals in the same way.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -9,8 +9,10 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/coder/quartz"
@@ -79,6 +81,11 @@
 	unsent          map[string]int            // fingerprint of a changed row -> digests in which it is still to be sent
 	trials          map[string]time.Time      // fingerprint -> start of the latest trial here
 	recentlyCrashed map[string]time.Time      // id of a crashed target -> until when it is avoided
+	unsaved         map[string]bool           // fingerprints whose refusal began, grew or was lifted here and is not yet in the store
+
+	unsavedChanged board.Signal // of unsaved
+	complete       board.Signal // notified once complete is set
+	isComplete     atomic.Bool  // the table holds all refusals of the fleet, as of the start of this process at least
 }
 
 var _ gossip.Participant = (*Guard)(nil)
@@ -109,7 +116,7 @@
 	}
 	return &Guard{
 		opts: opts, running: make(map[string]map[string]int), unsent: make(map[string]int),
-		trials: make(map[string]time.Time), recentlyCrashed: make(map[string]time.Time),
+		trials: make(map[string]time.Time), recentlyCrashed: make(map[string]time.Time), unsaved: make(map[string]bool),
 	}
 }
 
@@ -223,6 +230,9 @@
 		row.Witnessed = row.Witnessed || added
 		return row, added
 	})
+	if g.Refused(fingerprint) {
+		g.markUnsaved(fingerprint)
+	}
 	g.opts.Logger.Log(event.CrashguardCrash, "fingerprint", fingerprint, "target", targetID, "targets", len(g.crashes(fingerprint)))
 }
 
@@ -238,6 +248,7 @@
 		return withClearing(row, g.opts.Clock.Now())
 	})
 	if trial {
+		g.markUnsaved(fingerprint)
 		g.opts.Logger.Log(event.CrashguardLifted, "fingerprint", fingerprint)
 	}
 }
@@ -269,9 +280,45 @@
 		g.opts.Metrics.Counter(metricRefusedRequests).Add(1)
 		g.opts.Logger.Log(event.CrashguardRefused, "fingerprint", fingerprint)
 	}
+	if row, _ := g.opts.Board.Refused.Get(fingerprint); reachedLimit && row.Witnessed {
+		g.markUnsaved(fingerprint)
+	}
 	g.opts.OnChange()
 }
 
+// markUnsaved has an Archive write the row of the fingerprint.
+func (g *Guard) markUnsaved(fingerprint string) {
+	g.mu.Lock()
+	g.unsaved[fingerprint] = true
+	g.mu.Unlock()
+	g.unsavedChanged.Notify()
+}
+
+// unsavedRows returns the fingerprints of the rows that are to be written, sorted.
+func (g *Guard) unsavedRows() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Sorted(maps.Keys(g.unsaved))
+}
+
+// saved records that the row is in the store.
+func (g *Guard) saved(fingerprint string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.unsaved, fingerprint)
+}
+
+// Complete reports whether this instance has had all refusals of the fleet since its
+// start, from the platform's store or from another instance.
+func (g *Guard) Complete() bool { return g.isComplete.Load() }
+
+func (g *Guard) markComplete() {
+	if !g.isComplete.Swap(true) {
+		g.complete.Notify()
+		g.opts.OnChange()
+	}
+}
+
 // hasRoom reports whether the table can take another row. It deletes the expired
 // rows if the table is full.
 func (g *Guard) hasRoom(now time.Time) bool {
--- a/internal/crashguard/gossip.go
+++ b/internal/crashguard/gossip.go
@@ -23,6 +23,7 @@
 func (g *Guard) Fill(digest *gossip.Digest, _ string, budget int) int {
 	rows := g.opts.Board.Refused.Snapshot()
 	if len(rows) == 0 {
+		digest.RefusalsComplete = g.Complete()
 		return 0
 	}
 	now := g.opts.Clock.Now()
@@ -59,6 +60,7 @@
 		}
 		g.cursor = fingerprint
 	}
+	digest.RefusalsComplete = g.Complete() && len(digest.Refusals) == len(rows)
 	return used
 }
 
@@ -114,6 +116,9 @@
 			g.merge(refusal, now)
 		}
 	}
+	if digest.RefusalsComplete {
+		g.markComplete()
+	}
 }
 
 // merge adds what another instance knows of a fingerprint. Instances of older versions
--- a/internal/daemon/control.go
+++ b/internal/daemon/control.go
@@ -13,6 +13,7 @@
 	"lynxhill.example/lynxhill/internal/control/profilesync"
 	"lynxhill.example/lynxhill/internal/control/reach"
 	"lynxhill.example/lynxhill/internal/control/steering"
+	"lynxhill.example/lynxhill/internal/crashguard"
 	"lynxhill.example/lynxhill/internal/gossip"
 	"lynxhill.example/lynxhill/internal/membership"
 )
@@ -106,6 +107,7 @@
 	return []func(context.Context){
 		d.auth.Run, d.tls.run, d.members.Run, d.profiles.Run, d.discovery.Run, d.loads.Run, d.leases.Run,
 		d.orders.Run, d.steering.Run, d.drains.Run, d.limits.Run, d.claimer.Run, d.slo.Run, d.reach.Run, d.reportLoad, d.shareBudget,
+		crashguard.NewArchive(d.guard, d.platform, 0).Run,
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -104,6 +104,7 @@
 	dispatcher *stagework.Dispatcher
 	finder     *stagework.Finder
 	guard      *crashguard.Guard
+	refusals   *crashguard.Archive
 	loads      *forwarding.Loads
 	cold       *allowance.Allowance // rate allowances of targets that have just started
 	limited    *allowance.Allowance // rate allowances of targets that state a limit
@@ -201,6 +202,7 @@
 		Self: i.id(), Board: i.board, Clock: i.o.Clock, Limit: crashLimit, TTL: crashTTL,
 		Alive: i.targetAlive, OnChange: i.spreadSoon, Logger: i.o.Logger, Metrics: i.metrics,
 	})
+	i.refusals = crashguard.NewArchive(i.guard, i.adapter.Platform, i.readsRefusalsAfter())
 	i.notices = notice.New(notice.Options{
 		Self: fmt.Sprintf("%s/%08x", i.id(), i.rand().Uint32()), Board: i.board, Clock: i.o.Clock, OnChange: i.noticeChanged,
 		Logger: i.o.Logger, Metrics: i.metrics,
--- a/internal/edge/fleet_harness_test.go
+++ b/internal/edge/fleet_harness_test.go
@@ -294,6 +294,13 @@
 	return objects, version, compacted, err
 }
 
+func (r instancePlatform) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (store.Object, error) {
+	if r.storeGone() {
+		return store.Object{}, store.ErrUnavailable
+	}
+	return r.fakePlatform.Put(ctx, key, value, ifVersion)
+}
+
 func (r instancePlatform) Instances(ctx context.Context) ([]store.Instance, error) {
 	if r.storeGone() {
 		return nil, store.ErrUnavailable
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -15,7 +15,7 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var parts sync.WaitGroup
-	for _, run := range []func(context.Context){i.routes.Run, i.members.Run, i.watchSuspension} {
+	for _, run := range []func(context.Context){i.routes.Run, i.members.Run, i.refusals.Run, i.watchSuspension} {
 		parts.Go(func() { run(background) })
 	}
 	failed := make(chan error, len(i.servers))
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"syscall"
 	"time"
 
@@ -42,7 +43,35 @@
 // serving reports whether the instance accepts requests.
 func (i *Instance) serving() bool {
 	i.checkClock()
-	return i.routes.Synced() && !i.mustFailClosed() && !i.awaitingConfirmation()
+	return i.routes.Synced() && i.refusalsKnown() && !i.mustFailClosed() && !i.awaitingConfirmation()
+}
+
+const (
+	// refusalsReadAfter is how long an instance waits for the refusals of others before it
+	// reads them from the platform's store itself.
+	refusalsReadAfter = 1200 * time.Millisecond
+	// maxRefusalsWait bounds how long an instance that starts does not serve because it
+	// does not know the refusals.
+	maxRefusalsWait = 2500 * time.Millisecond
+)
+
+// readsRefusalsAfter returns when after its start this instance reads the refusals, unless
+// it gets them from another one. The seeds, which all others contact first, read them at
+// once: if all instances read them when they start together, that is one more call of the
+// store for each.
+func (i *Instance) readsRefusalsAfter() time.Duration {
+	isSeed := slices.Contains(i.seeds(), i.cfg.Listen.Peer) || slices.Contains(i.seeds(), i.cfg.Ingress.Control)
+	if isSeed || i.seededInstances() < 2 {
+		return 0
+	}
+	return refusalsReadAfter
+}
+
+// refusalsKnown reports whether this instance knows which requests are refused because
+// targets crashed under them, or has waited long enough. Without them, requests that
+// were refused before it started crash targets again.
+func (i *Instance) refusalsKnown() bool {
+	return i.guard.Complete() || i.uptime() > maxRefusalsWait
 }
 
 // mustFailClosed reports whether this instance may still accept revoked keys and the
--- a/internal/event/catalogue_crashguard.go
+++ b/internal/event/catalogue_crashguard.go
@@ -2,12 +2,14 @@
 
 // Events of the guard against requests that crash targets.
 const (
-	CrashguardRefused ID = 2701
-	CrashguardCrash   ID = 2702
-	CrashguardChecked ID = 2703
-	CrashguardExpired ID = 2704
-	CrashguardTrial   ID = 2705
-	CrashguardLifted  ID = 2706
+	CrashguardRefused     ID = 2701
+	CrashguardCrash       ID = 2702
+	CrashguardChecked     ID = 2703
+	CrashguardExpired     ID = 2704
+	CrashguardTrial       ID = 2705
+	CrashguardLifted      ID = 2706
+	CrashguardLoaded      ID = 2707
+	CrashguardStoreFailed ID = 2708
 )
 
 var _ = define(
@@ -17,4 +19,6 @@
 	Definition{CrashguardExpired, Info, "crashguard_expired", "The crashes under the fingerprint no longer count; targets is how many there were."},
 	Definition{CrashguardTrial, Warn, "crashguard_trial", "A request that is refused because targets crashed is tried once more, to find out whether it still crashes them."},
 	Definition{CrashguardLifted, Info, "crashguard_lifted", "A request that was refused because targets had crashed was answered in a trial; it is no longer refused."},
+	Definition{CrashguardLoaded, Info, "crashguard_loaded", "The refusals were read from the platform's store after the start."},
+	Definition{CrashguardStoreFailed, Warn, "crashguard_store_failed", "Refusals could not be read from the platform's store, or written to it; the call is repeated after retry_ms."},
 )
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -15,6 +15,8 @@
 	Loads    []Load
 	Usage    []Usage
 	Refusals []Refusal
+	// RefusalsComplete reports that Refusals holds all refusals of the fleet.
+	RefusalsComplete bool
 	Notices  []Notice
 	Burn     []Burn
 	// Sums are checksums of the sender's membership rows by bucket, with which two
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -40,11 +40,11 @@
 		Profiles: convertAll(d.Profiles, versionToProto),
 		Loads:    convertAll(d.Loads, loadToProto),
 		Usage:    convertAll(d.Usage, usageToProto),
-		Refusals: convertAll(d.Refusals, refusalToProto),
-		Notices:  convertAll(d.Notices, noticeToProto),
-		Burn:     convertAll(d.Burn, burnToProto),
-		Sums:     d.Sums,
-		Config:   configToProto(d.Config),
+		Refusals: convertAll(d.Refusals, refusalToProto), RefusalsComplete: d.RefusalsComplete,
+		Notices: convertAll(d.Notices, noticeToProto),
+		Burn:    convertAll(d.Burn, burnToProto),
+		Sums:    d.Sums,
+		Config:  configToProto(d.Config),
 	}
 }
 
@@ -55,11 +55,11 @@
 		Profiles: convertAll(d.GetProfiles(), versionFromProto),
 		Loads:    convertAll(d.GetLoads(), loadFromProto),
 		Usage:    convertAll(d.GetUsage(), usageFromProto),
-		Refusals: convertAll(d.GetRefusals(), refusalFromProto),
-		Notices:  convertAll(d.GetNotices(), noticeFromProto),
-		Burn:     convertAll(d.GetBurn(), burnFromProto),
-		Sums:     d.GetSums(),
-		Config:   configFromProto(d.GetConfig()),
+		Refusals: convertAll(d.GetRefusals(), refusalFromProto), RefusalsComplete: d.GetRefusalsComplete(),
+		Notices: convertAll(d.GetNotices(), noticeFromProto),
+		Burn:    convertAll(d.GetBurn(), burnFromProto),
+		Sums:    d.GetSums(),
+		Config:  configFromProto(d.GetConfig()),
 	}
 }
 
