Crash guard: a request that crashes targets is known with any query

A caller that repeated a request with another query each time crashed a target with every attempt (50 within 5 s in the test): the query took part in the request's identity. Such a request is now known under a second fingerprint without the query, unless it has no body, which then is all that tells it from others. Requests that have it in common may be sound, so three targets have to crash under three queries, and any answer clears them; the exact fingerprint is counted as before.

TestCrashingRequestWithAnotherQuery failed before, at plain targets and at engines; TestRequestsThatDifferInTheirQueryAreToldApart, with and without a body, passes before and after.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -290,6 +290,9 @@
 type Crash struct {
 	Target string
 	At     time.Time // at which an instance found out
+	// Variant tells requests apart that a row has in common; 0 = the row is of one
+	// request. A row counts each variant once.
+	Variant uint32
 }
 
 // Self is what this instance may do at present.
--- a/internal/crashguard/archive.go
+++ b/internal/crashguard/archive.go
@@ -80,14 +80,15 @@
 }
 
 type savedCrash struct {
-	Target string `json:"target"`
-	AtMS   int64  `json:"at_ms"` // Unix time
+	Target  string `json:"target"`
+	AtMS    int64  `json:"at_ms"` // Unix time
+	Variant uint32 `json:"variant,omitempty"`
 }
 
 func encodeRefusal(row board.Refusal) ([]byte, error) {
 	saved := savedRefusal{Crashes: make([]savedCrash, 0, len(row.Crashes))}
 	for _, c := range row.Crashes {
-		saved.Crashes = append(saved.Crashes, savedCrash{Target: c.Target, AtMS: c.At.UnixMilli()})
+		saved.Crashes = append(saved.Crashes, savedCrash{Target: c.Target, AtMS: c.At.UnixMilli(), Variant: c.Variant})
 	}
 	return json.Marshal(saved)
 }
@@ -101,7 +102,7 @@
 	}
 	for _, c := range saved.Crashes {
 		at := now.Add(-max(now.Sub(time.UnixMilli(c.AtMS)), 0)) // keeps the monotonic reading
-		row, _ = withCrash(row, board.Crash{Target: c.Target, At: at})
+		row, _ = withCrash(row, board.Crash{Target: c.Target, At: at, Variant: c.Variant})
 	}
 	return row, nil
 }
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/coder/quartz"
 
 	"lynxhill.example/lynxhill/internal/board"
@@ -141,30 +142,44 @@
 	Trial bool
 }
 
-// Admit decides whether a request with the fingerprint may run. A refused one is tried
-// again TrialInterval after the newest crash, one at a time, at the instance that the
-// fingerprint selects among those alive.
-func (g *Guard) Admit(fingerprint string) Admission {
-	if !g.Refused(fingerprint) {
+// Admit decides whether a request known under the fingerprints may run. A refused one is
+// tried again TrialInterval after the newest crash, one at a time, at the instance that
+// the first refused fingerprint selects among those alive.
+func (g *Guard) Admit(fingerprints ...string) Admission {
+	var refused []string
+	var newest time.Time
+	for _, fingerprint := range fingerprints {
+		if !g.Refused(fingerprint) {
+			continue
+		}
+		refused = append(refused, fingerprint)
+		if crashes := g.crashes(fingerprint); len(crashes) > 0 && crashes[len(crashes)-1].At.After(newest) {
+			newest = crashes[len(crashes)-1].At
+		}
+	}
+	if len(refused) == 0 {
 		return Admission{}
 	}
 	now := g.opts.Clock.Now()
-	crashes := g.crashes(fingerprint)
-	wait := crashes[len(crashes)-1].At.Add(g.opts.TrialInterval).Sub(now)
-	if wait > 0 {
+	if wait := newest.Add(g.opts.TrialInterval).Sub(now); wait > 0 {
 		return Admission{Refused: true, RetryAfter: wait}
 	}
-	if !g.ownsTrial(fingerprint) {
+	if !g.ownsTrial(refused[0]) || !g.beginTrial(refused[0], now) {
 		return Admission{Refused: true, RetryAfter: trialTimeout}
 	}
+	g.opts.Logger.Log(event.CrashguardTrial, "fingerprint", refused[0])
+	return Admission{Trial: true}
+}
+
+// beginTrial records the start of a trial here. It returns false if one may be running.
+func (g *Guard) beginTrial(fingerprint string, now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if began, ok := g.trials[fingerprint]; ok && now.Sub(began) < trialTimeout {
-		return Admission{Refused: true, RetryAfter: trialTimeout}
+		return false
 	}
 	g.trials[fingerprint] = now
-	g.opts.Logger.Log(event.CrashguardTrial, "fingerprint", fingerprint, "targets", len(crashes))
-	return Admission{Trial: true}
+	return true
 }
 
 // ownsTrial reports whether this instance is the one that tries the request again.
@@ -220,13 +235,20 @@
 
 // RecordCrash counts a target that crashed while it ran the request.
 func (g *Guard) RecordCrash(fingerprint, targetID string) {
+	g.RecordVariantCrash(fingerprint, "", targetID)
+}
+
+// RecordVariantCrash counts a target that crashed while it ran one of several requests
+// that have the fingerprint in common. Each variant counts once: a request that crashes
+// targets by itself must not get the others refused.
+func (g *Guard) RecordVariantCrash(fingerprint, variant, targetID string) {
 	if g == nil {
 		return
 	}
 	g.opts.Metrics.Counter(metricCrashes).Add(1)
 	g.recordCrashed([]string{targetID})
 	g.update(fingerprint, func(row board.Refusal) (board.Refusal, bool) {
-		row, added := withCrash(row, board.Crash{Target: targetID, At: g.opts.Clock.Now()})
+		row, added := withCrash(row, board.Crash{Target: targetID, At: g.opts.Clock.Now(), Variant: variantOf(variant)})
 		row.Witnessed = row.Witnessed || added
 		return row, added
 	})
@@ -236,6 +258,14 @@
 	g.opts.Logger.Log(event.CrashguardCrash, "fingerprint", fingerprint, "target", targetID, "targets", len(g.crashes(fingerprint)))
 }
 
+// variantOf returns a hash of the variant that is not 0, or 0 for "".
+func variantOf(variant string) uint32 {
+	if variant == "" {
+		return 0
+	}
+	return max(uint32(xxhash.Sum64String(variant)), 1)
+}
+
 // RecordSuccess records that a request was answered completely. If the request is
 // suspected but not yet refused, its crashes no longer count: its attempt ran on the
 // same target as another request that caused the crash. A refusal is lifted by the
--- a/internal/crashguard/gossip.go
+++ b/internal/crashguard/gossip.go
@@ -101,6 +101,9 @@
 	out := gossip.Refusal{Fingerprint: fingerprint, Targets: targetsOf(row.Crashes), TTL: g.opts.TTL}
 	for _, c := range row.Crashes {
 		out.Ages = append(out.Ages, max(now.Sub(c.At), 0))
+		if c.Variant != 0 {
+			out.Variants = append(out.Variants, c.Variant)
+		}
 	}
 	if !row.Cleared.IsZero() {
 		out.Cleared, out.ClearedAge = true, max(now.Sub(row.Cleared), 0)
@@ -133,7 +136,11 @@
 		if len(in.Ages) == len(in.Targets) {
 			age = in.Ages[i]
 		}
-		received.Crashes = append(received.Crashes, board.Crash{Target: target, At: now.Add(-age)})
+		c := board.Crash{Target: target, At: now.Add(-age)}
+		if len(in.Variants) == len(in.Targets) {
+			c.Variant = in.Variants[i]
+		}
+		received.Crashes = append(received.Crashes, c)
 	}
 	if g.expired(received, now) {
 		return
--- a/internal/crashguard/row.go
+++ b/internal/crashguard/row.go
@@ -39,9 +39,11 @@
 }
 
 // withCrash returns the row with one more crash, sorted by time. added is false if the
-// row has that target already, or was cleared since.
+// row has that target or that variant already, or was cleared since.
 func withCrash(row board.Refusal, c board.Crash) (_ board.Refusal, added bool) {
-	known := func(have board.Crash) bool { return have.Target == c.Target }
+	known := func(have board.Crash) bool {
+		return have.Target == c.Target || c.Variant != 0 && have.Variant == c.Variant
+	}
 	if slices.ContainsFunc(row.Crashes, known) || !c.At.After(row.Cleared) {
 		return row, false
 	}
--- a/internal/forwarding/crashes.go
+++ b/internal/forwarding/crashes.go
@@ -32,12 +32,12 @@
 		errors.Is(err, errUnsigned) || errors.Is(err, exchange.ErrUnacknowledged) || fl.o.CrashGuard == nil {
 		return
 	}
-	known, fingerprint := make(chan struct{}), fl.fingerprint()
+	known, id := make(chan struct{}), fl.identity()
 	fl.crashChecked = known
 	go func() {
 		defer close(known)
 		if fl.targetDied(target) {
-			fl.o.CrashGuard.RecordCrash(fingerprint, target.ID)
+			id.recordCrash(fl.o.CrashGuard, target)
 		}
 	}()
 }
@@ -80,7 +80,8 @@
 // avoid while there is another target, so that it stays isolated from other
 // suspected requests. It returns none if the request is not suspected.
 func (fl *flight) excludedTargets() []string {
-	if !fl.o.CrashGuard.Suspected(fl.fingerprint()) {
+	suspected := fl.suspectedAs()
+	if suspected == "" {
 		return nil
 	}
 	targets := fl.o.Targets().Ready(fl.service)
@@ -88,7 +89,7 @@
 	for _, t := range targets {
 		ids = append(ids, t.ID)
 	}
-	return fl.o.CrashGuard.TargetsToAvoid(fl.fingerprint(), ids)
+	return fl.o.CrashGuard.TargetsToAvoid(suspected, ids)
 }
 
 // chooseTarget returns a plain target for the next attempt, and a function that
@@ -96,8 +97,8 @@
 // target that runs no other suspected request, if there is one: if two requests run
 // at a target that dies, one of them is harmless.
 func (fl *flight) chooseTarget() (target fleet.Target, endSuspect func(), ok bool) {
-	fingerprint, tried := fl.fingerprint(), fl.triedTargets
-	if fl.o.CrashGuard.Suspected(fingerprint) {
+	tried, suspected := fl.triedTargets, fl.suspectedAs()
+	if suspected != "" {
 		// Several requests become suspected by the same death and choose their
 		// next targets at the same time.
 		fl.suspectMu.Lock()
@@ -108,15 +109,15 @@
 	if !ok {
 		return target, nil, false
 	}
-	return target, fl.o.CrashGuard.Begin(fingerprint, target.ID), true
+	return target, fl.o.CrashGuard.Begin(suspected, target.ID), true
 }
 
 // beginAttempt reports the start of an attempt at the engine to the crash guard. ok
 // is false if the request is suspected and the engine is one of excludedTargets.
 // After maxPassedOver rejections the request is served by any engine.
 func (ef *engineFlight) beginAttempt(engine string) (endSuspect func(), ok bool) {
-	fingerprint := ef.fingerprint()
-	if !ef.o.CrashGuard.Suspected(fingerprint) {
+	suspected := ef.suspectedAs()
+	if suspected == "" {
 		return func() {}, true
 	}
 	ef.suspectMu.Lock()
@@ -125,5 +126,5 @@
 		ef.passedOver++
 		return nil, false
 	}
-	return ef.o.CrashGuard.Begin(fingerprint, engine), true
+	return ef.o.CrashGuard.Begin(suspected, engine), true
 }
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -208,7 +208,7 @@
 	ef.logResumed(target)
 	err = ef.stream.forward(sending, resp, target)
 	if err == nil {
-		ef.o.CrashGuard.RecordSuccess(ef.fingerprint(), ef.trial)
+		ef.recordSuccess()
 		return true
 	}
 	if errors.Is(err, errCallerLeft) {
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -112,23 +112,23 @@
 type flight struct {
 	*Forwarder
 	Inbound
-	w                 http.ResponseWriter
-	readAt            time.Time       // when the request body had been read
-	base              context.Context // ends a little later than until
-	service           string
-	build             *string   // the only software version whose targets may run the request; nil = any
-	deadline          time.Time // deadline of the final response
-	attempts          int       // number of attempts sent to targets
-	mayHaveRun        bool      // a target may have run the request
-	triedTargets      []string  // ids of the targets of all attempts
-	lastTarget        string    // id of the target of the last attempt
-	status            int       // status of the response
-	outcome           string    // logged; "" = the request was answered
-	headSent          bool
-	trial             bool            // the crash guard refuses such requests and tries this one
-	cachedFingerprint string          // cached result of fingerprint; "" = not computed yet
-	newConnections    bool            // use new connections: an attempt failed, and other idle connections may be dead too
-	crashChecked      <-chan struct{} // closed once it is known whether the last target died; nil = no check is running
+	w              http.ResponseWriter
+	readAt         time.Time       // when the request body had been read
+	base           context.Context // ends a little later than until
+	service        string
+	build          *string   // the only software version whose targets may run the request; nil = any
+	deadline       time.Time // deadline of the final response
+	attempts       int       // number of attempts sent to targets
+	mayHaveRun     bool      // a target may have run the request
+	triedTargets   []string  // ids of the targets of all attempts
+	lastTarget     string    // id of the target of the last attempt
+	status         int       // status of the response
+	outcome        string    // logged; "" = the request was answered
+	headSent       bool
+	trial          bool            // the crash guard refuses such requests and tries this one
+	cachedIdentity *identity       // cached result of identity; nil = not computed yet
+	newConnections bool            // use new connections: an attempt failed, and other idle connections may be dead too
+	crashChecked   <-chan struct{} // closed once it is known whether the last target died; nil = no check is running
 	// Logged at the end of the request.
 	dispatcher     string        // instance that scheduled it; "" = none or not known
 	placementWait  time.Duration // time spent waiting for placements
@@ -151,12 +151,9 @@
 	fl.readAt = f.o.Clock.Now()
 	fl.deadline = in.Arrived.Add(fl.timeout())
 	defer fl.logEnd()
-	admission := f.o.CrashGuard.Admit(fl.fingerprint())
-	if admission.Refused {
-		fl.refuse(errkind.New(errkind.RefusedAfterCrashes, "targets crashed while running this request"), admission.RetryAfter)
+	if !fl.admitted() {
 		return
 	}
-	fl.trial = admission.Trial
 	if f.o.Reachable != nil && !f.o.Reachable() {
 		fl.refuse(errkind.New(errkind.NoTarget, "no target can be reached"), unreachableRetryAfter)
 		return
@@ -219,20 +216,6 @@
 	return max(fl.Arrived.Add(fl.Request.Timeout).Sub(fl.o.Clock.Now()), time.Millisecond)
 }
 
-// fingerprint identifies the request independently of its id, by host, URI,
-// organisation and body.
-func (fl *flight) fingerprint() string {
-	if fl.cachedFingerprint != "" {
-		return fl.cachedFingerprint
-	}
-	organisation := ""
-	if fl.Organisation != nil {
-		organisation = fl.Organisation.Name
-	}
-	fl.cachedFingerprint = crashguard.Fingerprint(fl.Request.Host+fl.Request.URI+"\x00"+organisation, fl.Request.Body)
-	return fl.cachedFingerprint
-}
-
 // maxAttempts returns how many targets may run the request.
 func (fl *flight) maxAttempts() int { return max(fl.Route.MaxAttempts, 1) }
 
@@ -262,7 +245,7 @@
 		}
 	}
 	fl.awaitCrashCheck()
-	return !fl.o.CrashGuard.Refused(fl.fingerprint())
+	return !fl.refusedByGuard()
 }
 
 // maxTotalAttempts bounds the number of attempts when every target refuses the request.
--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -235,7 +235,7 @@
 		fl.outcome = "caller left"
 	}
 	if a.rest == nil {
-		fl.o.CrashGuard.RecordSuccess(fl.fingerprint(), fl.trial)
+		fl.recordSuccess()
 		return
 	}
 	defer a.cancel()
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,8 +17,8 @@
 	Refusals []Refusal
 	// RefusalsComplete reports that Refusals holds all refusals of the fleet.
 	RefusalsComplete bool
-	Notices  []Notice
-	Burn     []Burn
+	Notices          []Notice
+	Burn             []Burn
 	// Sums are checksums of the sender's membership rows by bucket, with which two
 	// instances find the rows on which they differ without sending all.
 	Sums []uint32
@@ -134,6 +134,8 @@
 	Targets     []string
 	TTL         time.Duration   // for instances of versions that do not read Ages
 	Ages        []time.Duration // of the crashes, as of sending; empty from older versions
+	// Variants tell the requests of the crashes apart; empty if the row is of one request.
+	Variants []uint32
 	// Cleared reports that such a request was answered ClearedAge ago; crashes before
 	// that do not count.
 	Cleared    bool
