Forwarding: a request is looked at again when its turn at an engine comes

A request that waited for a placement while its third target crashed was sent to a fourth: the crash guard was asked when it arrived and before a retry only. It is asked again with each placement, and the request is answered refused_after_crashes if it has not run.

--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -46,6 +46,10 @@
 			ef.refused(ctx, decision.Refusal)
 			return
 		}
+		if !ef.trial && ef.refusedByGuard() { // since it was admitted; it has waited
+			ef.failAfterCrashes(ctx)
+			return
+		}
 		if ef.attempt(ctx, decision.Placement) {
 			return
 		}
@@ -317,6 +321,15 @@
 	ef.refuse(errkind.New(kind, "%s", r.Reason), r.RetryAfter)
 }
 
+// failAfterCrashes ends a request that the crash guard refuses by now.
+func (ef *engineFlight) failAfterCrashes(ctx context.Context) {
+	if ef.mayHaveRun {
+		ef.failStream(ctx, errFaulty)
+		return
+	}
+	ef.refuseAfterCrashes(ef.o.CrashGuard.Admit(ef.identity().fingerprints()...))
+}
+
 // failStream ends a request that no engine completed. A stream that has begun is
 // ended by closing the connection, since a regular end would make it look
 // complete.
