Forwarding: a crash shows by the next target at the address

A target that crashed where no connection to it is refused (behind a cut, or back at once), or whose attempt ended by its deadline or with its caller, counted as alive, so a request went on crashing such targets. Each run of a target has its own id: if another id has the address within 8 s and the target did not announce its end, its run has ended, and the requests whose attempts there ended without a response count a crash. The target list is looked up every 250 ms for as long as there are such requests; no connection is made.

TestCrashIsSeenByTheNextTargetAtTheAddress (closed, silent, the caller leaves) failed before; TestTargetsThatLeaveAreNotTakenForCrashed passes before and after.

--- a/internal/forwarding/crashes.go
+++ b/internal/forwarding/crashes.go
@@ -27,9 +27,15 @@
 // and counts the death with the crash guard. The caller does not wait for the
 // result, but a retry does (awaitCrashCheck). Requests that lose the same target
 // at the same time share one check.
+//
+// If the attempt ended without a word of the target, a connection shows nothing of use:
+// the target list decides.
 func (fl *flight) suspectCrash(target fleet.Target, err error) {
-	if !wasSent(err) || errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) ||
-		errors.Is(err, errUnsigned) || errors.Is(err, exchange.ErrUnacknowledged) || fl.o.CrashGuard == nil {
+	if !wasSent(err) || errors.Is(err, errUnsigned) || fl.o.CrashGuard == nil {
+		return
+	}
+	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, exchange.ErrUnacknowledged) {
+		fl.awaitVerdict(target, fl.identity())
 		return
 	}
 	known, id := make(chan struct{}), fl.identity()
@@ -38,7 +44,9 @@
 		defer close(known)
 		if fl.targetDied(target) {
 			id.recordCrash(fl.o.CrashGuard, target)
+			return
 		}
+		fl.awaitVerdict(target, id)
 	}()
 }
 
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -93,6 +93,9 @@
 	suspectMu   sync.Mutex         // held while a target is chosen for a suspected request
 	crashChecks singleflight.Group // checks whether a target died, by target id
 
+	verdictMu sync.Mutex            // guards all below
+	undecided map[string]*undecided // by target id
+
 	lateLines lateLines
 }
 
--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -136,7 +136,7 @@
 	} else {
 		a.notRun = !wasSent(a.err)
 	}
-	if a.err != nil && ctx.Err() == nil {
+	if a.err != nil {
 		fl.suspectCrash(target, a.err)
 	}
 	if a.rest == nil {
