--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -31,6 +31,7 @@
 	body    io.Reader
 	framed  bool
 	read    bool
+	events  int
 	scanner Scanner
 }
 
@@ -44,7 +45,10 @@
 	n, err := r.body.Read(p)
 	r.read = r.read || n > 0
 	for data := p[:n]; len(data) > 0; {
-		scanned, _ := r.scanner.Scan(data)
+		scanned, ended := r.scanner.Scan(data)
+		if ended {
+			r.events++
+		}
 		data = data[scanned:]
 	}
 	switch {
@@ -58,5 +62,8 @@
 	return n, io.EOF
 }
 
+// Events returns the number of complete events that were read.
+func (r *Reader) Events() int { return r.events }
+
 // Unfinished returns the number of bytes that were read since the end of the last event.
 func (r *Reader) Unfinished() int { return r.scanner.Unfinished() }
--- a/internal/forwarding/crashes.go
+++ b/internal/forwarding/crashes.go
@@ -35,18 +35,18 @@
 		return
 	}
 	if errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, exchange.ErrUnacknowledged) {
-		fl.awaitVerdict(target, fl.identity())
+		fl.awaitVerdict(target, fl.evidence())
 		return
 	}
-	known, id := make(chan struct{}), fl.identity()
+	known, e := make(chan struct{}), fl.evidence()
 	fl.crashChecked = known
 	go func() {
 		defer close(known)
 		if fl.targetDied(target) {
-			id.recordCrash(fl.o.CrashGuard, target)
+			fl.recordCrash(e, target)
 			return
 		}
-		fl.awaitVerdict(target, id)
+		fl.awaitVerdict(target, e)
 	}()
 }
 
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -128,6 +128,7 @@
 	status         int       // status of the response
 	outcome        string    // logged; "" = the request was answered
 	headSent       bool
+	firstEvent     bool            // the target of the last attempt has brought an event, or a byte of another response
 	trial          bool            // the crash guard refuses such requests and tries this one
 	cachedIdentity *identity       // cached result of identity; nil = not computed yet
 	newConnections bool            // use new connections: an attempt failed, and other idle connections may be dead too
@@ -295,6 +296,7 @@
 // response once its head has arrived.
 func (fl *flight) send(ctx context.Context, c relay.Call) (*exchange.Response, relay.ResponseHead, error) {
 	fl.attempts++
+	fl.firstEvent = false
 	fl.lastTarget = c.Target.ID
 	fl.triedTargets = append(fl.triedTargets, c.Target.ID)
 	resp, err := fl.o.Exchange.Do(ctx, exchange.Request{
--- a/internal/forwarding/stream.go
+++ b/internal/forwarding/stream.go
@@ -125,6 +125,7 @@
 	for {
 		n, err := body.Read(buffer)
 		if n > 0 {
+			s.noteEvent()
 			if werr := s.write(buffer[:n]); werr != nil {
 				return werr
 			}
@@ -138,6 +139,14 @@
 	}
 }
 
+// noteEvent records that the target has brought its first event.
+func (s *stream) noteEvent() {
+	if s.fl.firstEvent || s.reader != nil && s.reader.Events() == 0 {
+		return
+	}
+	s.fl.firstEvent = true
+}
+
 // forwardEvents forwards complete events only: an event that is cut off in the
 // middle is sent again by the target that resumes the stream.
 func (s *stream) forwardEvents(body io.Reader) error {
@@ -146,6 +155,9 @@
 	buffer := make([]byte, streamBuffer)
 	for {
 		n, err := body.Read(buffer)
+		if n > 0 {
+			s.noteEvent()
+		}
 		var out []byte
 		for data := buffer[:n]; len(data) > 0; {
 			size, ended := scanner.Scan(data)
--- a/internal/forwarding/verdict.go
+++ b/internal/forwarding/verdict.go
@@ -21,7 +21,7 @@
 type undecided struct {
 	target   fleet.Target
 	until    time.Time
-	requests map[identity]bool
+	requests []evidence
 }
 
 // awaitVerdict counts a crash for the request if another target has the address of this
@@ -30,7 +30,7 @@
 //
 // A check by connection misses such crashes: the target crashed where it could not be
 // reached, or was back at once.
-func (f *Forwarder) awaitVerdict(target fleet.Target, id identity) {
+func (f *Forwarder) awaitVerdict(target fleet.Target, e evidence) {
 	f.verdictMu.Lock()
 	defer f.verdictMu.Unlock()
 	u, waits := f.undecided[target.ID]
@@ -38,13 +38,13 @@
 		if f.undecided == nil {
 			f.undecided = make(map[string]*undecided)
 		}
-		u = &undecided{target: target, requests: make(map[identity]bool)}
+		u = &undecided{target: target}
 		f.undecided[target.ID] = u
 		f.o.Clock.AfterFunc(verdictInterval, func() { f.checkVerdict(u) })
 	}
 	u.until = f.o.Clock.Now().Add(verdictTime)
 	if len(u.requests) < maxUndecided {
-		u.requests[id] = true
+		u.requests = append(u.requests, e)
 	}
 }
 
@@ -66,7 +66,7 @@
 	if !crashed || left {
 		return
 	}
-	for id := range u.requests {
-		id.recordCrash(f.o.CrashGuard, u.target)
+	for _, e := range u.requests {
+		f.recordCrash(e, u.target)
 	}
 }
