Crash guard: crashes at once count once for a request too, first trial after 3 s

On the product's own interface crashes count as before, and the first trial comes after the ten minutes for which a request was refused there.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -31,7 +31,7 @@
 	DefaultLimit         = 2
 	DefaultTTL           = 10 * time.Minute
 	DefaultRetention     = 24 * time.Hour
-	DefaultTrialInterval = 8 * time.Hour
+	DefaultTrialInterval = 12 * time.Hour
 	// maxRows bounds the fingerprints in the table. Each row needs a crashed
 	// target, so only a very large number of crashes reaches the bound.
 	maxRows = 4096
@@ -54,9 +54,10 @@
 	TTL time.Duration
 	// Retention is how long a refusal stays in force after the newest crash.
 	Retention time.Duration
-	// TrialInterval is the time after the newest crash at which a refused request
-	// is tried again.
-	TrialInterval time.Duration
+	// FirstTrial is the time after the crash that reached the limit at which a refused
+	// request is tried again, so that one that is refused wrongly is back soon; TrialInterval
+	// that after each further crash.
+	FirstTrial, TrialInterval time.Duration
 	// Alive checks whether the process that served a broken attempt is still
 	// running. If it is nil, AttemptBroke and HasCrashed detect no crashes.
 	Alive func(ctx context.Context, target stagecall.Target) bool
@@ -107,6 +108,9 @@
 	if opts.Retention <= 0 {
 		opts.Retention = DefaultRetention
 	}
+	if opts.FirstTrial <= 0 {
+		opts.FirstTrial = opts.TTL
+	}
 	if opts.TrialInterval <= 0 {
 		opts.TrialInterval = DefaultTrialInterval
 	}
@@ -175,7 +179,7 @@
 	if !g.HasCrashed(ctx, target) {
 		return false
 	}
-	g.RecordCrash(fingerprint, target.ID)
+	g.RecordCrash(fingerprint, Crash{Target: target.ID})
 	return true
 }
 
@@ -188,20 +192,33 @@
 	return !g.opts.Alive(ctx, target) && ctx.Err() == nil
 }
 
-// RecordCrash counts a target that crashed while it ran the request.
-func (g *Guard) RecordCrash(fingerprint, targetID string) {
-	g.RecordVariantCrash(fingerprint, "", targetID)
+// Crash is the crash of a target while it had a request.
+type Crash struct {
+	Target      string
+	Sent, Broke time.Time // start and end of the attempt; zero Sent = not known, so that the crash counts in any case; zero Broke = now
+	// Variant tells requests apart that have the key in common; "" = the key is of one
+	// request.
+	Variant string
 }
 
-// RecordVariantCrash counts a target that crashed while it ran one of several requests
-// that have the fingerprint in common. Each variant counts once: a request that crashes
-// targets by itself must not get the others refused.
-func (g *Guard) RecordVariantCrash(fingerprint, variant, targetID string) {
+// RecordCrash counts a target that crashed while it had a request known under the key. Each
+// variant counts once: a request that crashes targets by itself must not get the others
+// refused that have the key in common.
+func (g *Guard) RecordCrash(key string, c Crash) {
 	if g == nil {
 		return
 	}
 	g.opts.Metrics.Counter(metricCrashes).Add(1)
-	g.record(fingerprint, board.Crash{Target: targetID, At: g.opts.Clock.Now(), Variant: variantOf(variant)})
+	g.record(key, c.row(g.now()))
+}
+
+// row returns the crash as it is kept.
+func (c Crash) row(now time.Time) board.Crash {
+	kept := board.Crash{Target: c.Target, At: c.Broke, Sent: c.Sent, Variant: variantOf(c.Variant)}
+	if kept.At.IsZero() {
+		kept.At = now
+	}
+	return kept
 }
 
 // record counts a crash that this instance saw.
--- a/internal/crashguard/parts.go
+++ b/internal/crashguard/parts.go
@@ -1,11 +1,5 @@
 package crashguard
 
-import (
-	"time"
-
-	"lynxhill.example/lynxhill/internal/board"
-)
-
 // strongSuspicion is the number of crashes in sequence from which on requests with a part
 // are kept apart from other suspected ones.
 const strongSuspicion = 2
@@ -24,14 +18,14 @@
 func (g *Guard) MaySuspectParts() bool { return g != nil && g.opts.Board.Refused.Len() > 0 }
 
 // RecordPartCrash counts a target that crashed before it brought the first event of an
-// answer to a request whose prompt has the part with the keys. sent and broke are the
-// start and the end of the attempt.
-func (g *Guard) RecordPartCrash(keys []string, organisation, targetID string, sent, broke time.Time) {
+// answer to a request of the organisation whose prompt has the part with the keys.
+func (g *Guard) RecordPartCrash(keys []string, organisation string, c Crash) {
 	if g == nil {
 		return
 	}
+	c.Variant = "organisation " + organisation
 	for _, key := range keys {
-		g.record(key, board.Crash{Target: targetID, At: broke, Sent: sent, Variant: variantOf("organisation " + organisation)})
+		g.record(key, c.row(g.now()))
 	}
 }
 
--- a/internal/crashguard/policy.go
+++ b/internal/crashguard/policy.go
@@ -32,10 +32,8 @@
 
 // policy says how the crashes of a row count.
 type policy struct {
-	limit      int
-	sequential bool // a crash counts only if its request was sent after the crash before
-	variants   int  // the least number of variants among the crashes of a refusal
-	firstTrial time.Duration
+	limit    int
+	variants int // the least number of variants among the crashes of a refusal
 }
 
 const (
@@ -44,26 +42,23 @@
 	// anyPartVariants is the number of organisations whose requests crashed targets from
 	// which on a part is refused for all.
 	anyPartVariants = 2
-	// firstPartTrial is the time after which a part is tried that has just been refused, so
-	// that one that is refused wrongly is back soon.
-	firstPartTrial = 3 * time.Second
 )
 
 func (g *Guard) policyOf(key string) policy {
 	switch kindOf(key) {
 	case kindPart:
-		return policy{limit: partLimit, sequential: true, firstTrial: firstPartTrial}
+		return policy{limit: partLimit}
 	case kindAnyPart:
-		return policy{limit: partLimit, sequential: true, variants: anyPartVariants, firstTrial: firstPartTrial}
+		return policy{limit: partLimit, variants: anyPartVariants}
 	}
-	return policy{limit: g.opts.Limit, firstTrial: g.opts.TrialInterval}
+	return policy{limit: g.opts.Limit}
 }
 
 // trialAfter returns how long after the newest crash a row with that number of counted
 // crashes is tried.
 func (g *Guard) trialAfter(key string, crashes int) time.Duration {
-	if p := g.policyOf(key); crashes <= p.limit {
-		return p.firstTrial
+	if crashes <= g.policyOf(key).limit {
+		return g.opts.FirstTrial
 	}
 	return g.opts.TrialInterval
 }
--- a/internal/crashguard/row.go
+++ b/internal/crashguard/row.go
@@ -19,9 +19,7 @@
 		crashes = crashes[1:]
 	}
 	p := g.policyOf(key)
-	if p.sequential {
-		crashes = inSequence(crashes)
-	}
+	crashes = inSequence(crashes)
 	if len(crashes) >= p.limit && countVariants(crashes) < p.variants {
 		crashes = crashes[len(crashes)-p.limit+1:]
 	}
@@ -36,10 +34,11 @@
 }
 
 // inSequence returns the most crashes of which each had its request sent after the one
-// before. Targets that crash together for another reason count once.
+// before, or at a time that is not known. Targets that crash together for another reason
+// count once.
 func inSequence(crashes []board.Crash) (chain []board.Crash) {
 	for _, c := range crashes {
-		if len(chain) == 0 || c.Sent.After(chain[len(chain)-1].At) {
+		if len(chain) == 0 || c.Sent.IsZero() || !c.Sent.Before(chain[len(chain)-1].At) {
 			chain = append(chain, c)
 		}
 	}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -142,6 +142,9 @@
 	crashLimit = 3
 	// crashTTL is how long crashes of fewer targets count.
 	crashTTL = time.Minute
+	// firstCrashTrial is the time after which a request or a part that has just been refused
+	// is tried again. It is short: a refusal may be wrong.
+	firstCrashTrial = 3 * time.Second
 	// acceptAfterStop is how long a stopping instance accepts new requests, since
 	// callers still have its address.
 	acceptAfterStop = 2500 * time.Millisecond
@@ -199,7 +202,7 @@
 	})
 	i.paths = i.newPaths()
 	i.guard = crashguard.New(crashguard.Options{
-		Self: i.id(), Board: i.board, Clock: i.o.Clock, Limit: crashLimit, TTL: crashTTL,
+		Self: i.id(), Board: i.board, Clock: i.o.Clock, Limit: crashLimit, TTL: crashTTL, FirstTrial: firstCrashTrial,
 		Alive: i.targetAlive, OnChange: i.spreadSoon, Logger: i.o.Logger, Metrics: i.metrics,
 	})
 	i.refusals = crashguard.NewArchive(i.guard, i.adapter.Platform, i.readsRefusalsAfter())
--- a/internal/forwarding/evidence.go
+++ b/internal/forwarding/evidence.go
@@ -44,15 +44,18 @@
 // answer had come, for the parts of its prompt.
 func (f *Forwarder) recordCrash(e evidence, target fleet.Target) {
 	f.logTargetCrashed(e, target)
-	f.o.CrashGuard.RecordCrash(e.id.exact, target.ID)
+	c := crashguard.Crash{Target: target.ID, Sent: e.sent, Broke: e.broke}
+	f.o.CrashGuard.RecordCrash(e.id.exact, c)
 	if e.id.anyQuery != "" {
-		f.o.CrashGuard.RecordVariantCrash(e.id.anyQuery, e.id.exact, target.ID)
+		varied := c
+		varied.Variant = e.id.exact
+		f.o.CrashGuard.RecordCrash(e.id.anyQuery, varied)
 	}
 	if e.firstEvent {
 		return
 	}
 	for _, part := range e.parts {
 		keys := crashguard.PartKeys(e.service, e.organisation, part.ID)
-		f.o.CrashGuard.RecordPartCrash(keys, e.organisation, target.ID, e.sent, e.broke)
+		f.o.CrashGuard.RecordPartCrash(keys, e.organisation, c)
 	}
 }
