Soak: requests and parts of prompts that crash servers

Clients of single instances send a request whose query differs each time, and requests with one part of their prompts in common, from drawn moments on, beside all other faults. The verdict counts what reached servers from the time out of touch after the third (fifth) crash on, sent by instances without a signal, a store fault or a hurt link in that time.

--- a/deploy/emulator/poison.go
+++ b/deploy/emulator/poison.go
@@ -106,6 +106,11 @@
 // CheckCrashes returns the causes under which servers crashed and that went on reaching
 // servers.
 func (w *World) CheckCrashes(touch time.Duration) (found []Violation) {
+	return w.CheckCrashesOf(touch, func(string) bool { return true })
+}
+
+// CheckCrashesOf is CheckCrashes of the attempts that count; the crashes of all do.
+func (w *World) CheckCrashesOf(touch time.Duration, counts func(attempt string) bool) (found []Violation) {
 	crashes := w.Crashes()
 	arrivals := w.poisonArrivals()
 	for cause, times := range crashes {
@@ -113,7 +118,7 @@
 		if strings.HasPrefix(cause, "/") {
 			after = requestCrashes
 		}
-		if v, broken := (CrashBound{touch, after, crashRetries}).check(cause, times, arrivals[cause]); broken {
+		if v, broken := (CrashBound{touch, after, crashRetries}).check(cause, times, slices.DeleteFunc(arrivals[cause], func(a arrival) bool { return !counts(a.attempt) })); broken {
 			found = append(found, v)
 		}
 	}
--- a/deploy/soak/links.go
+++ b/deploy/soak/links.go
@@ -216,16 +216,20 @@
 		single := []*link{ls.byInstance[id]}
 		switch kind {
 		case "link-cut":
+			h.poison.linkFault(id, length)
 			h.setLinkFault(ctx, length, single, linkFault{blocked: true})
 		case "link-cut-all":
 			id = "all"
+			h.poison.linkFault("", length)
 			h.setLinkFault(ctx, length, ls.all(), linkFault{blocked: true})
 		case "link-lossy":
 			id = "all"
 			h.setLinkFault(ctx, length, ls.all(), linkFault{delayShare: 0.05, delay: 250 * time.Millisecond})
 		case "link-reset":
+			h.poison.linkFault(id, 0)
 			single[0].reset()
 		case "link-blackhole":
+			h.poison.linkFault(id, 0)
 			single[0].blackhole()
 		case "retry-storm":
 			id = ""
@@ -251,6 +255,7 @@
 func (h *hurter) severConnections(ctx context.Context) {
 	random := h.links.severing
 	for pause(ctx, severEvery+time.Duration(random.Int64N(int64(severLater)))) {
+		h.poison.linkFault("", 0)
 		share := []float64{1, 1, 0.7, 0.5}[random.IntN(4)]
 		delay := []time.Duration{100, 300, 800, 1500, 3000}[random.IntN(5)] * time.Millisecond
 		for _, k := range random.Perm(len(h.instances))[:max(int(share*float64(len(h.instances))), 1)] {
--- a/deploy/soak/verdict.go
+++ b/deploy/soak/verdict.go
@@ -56,14 +56,23 @@
 		r.wrong = append(r.wrong, "wrong: "+err.Error())
 	}
 	r.broken, r.probes = h.probes.judge(signals)
-	for _, v := range w.CheckRepeats(repeatBound, slices.Concat(l.clients, h.probes.clients())...) {
+	for _, v := range w.CheckRepeats(repeatBound, slices.Concat(l.clients, h.probes.clients(), h.poison.clients())...) {
 		r.broken = append(r.broken, "broken: "+v.String())
 	}
+	for _, v := range h.poison.judge(w, func(instance string, sent, ended time.Time) bool {
+		return r.counts(ended) && h.probes.counts(probe{instance: instance, sent: sent, ended: ended}, signals[instance])
+	}) {
+		r.broken = append(r.broken, "broken: "+v.String())
+	}
+	for cause, times := range w.Crashes() {
+		r.faults["crashes under "+cause] = len(times)
+	}
 	for _, a := range l.asked {
 		r.count(a)
 	}
 	attempts, ends := make(map[string]emulator.Attempt), make(map[string]time.Time) // ends are deadlines, by path
-	for _, c := range slices.Concat(l.clients, h.probes.clients()) {
+	clients := slices.Concat(l.clients, h.probes.clients(), h.poison.clients())
+	for _, c := range clients {
 		for _, a := range c.Attempts() { // in their order
 			attempts[a.ID] = a
 			r.countTry(a)
@@ -72,9 +81,9 @@
 			}
 		}
 	}
-	for _, v := range w.Check(slices.Concat(l.clients, h.probes.clients())...) {
+	for _, v := range w.Check(clients...) {
 		a := attempts[v.Attempt] // zero if no client sent it
-		r.weigh(v, a, append(l.instancesOf(a, instances), h.probes.instancesOf(a)...), kills, fmt.Sprintf("%s at %.2f s, ended %v before its deadline", a.Ask.Path,
+		r.weigh(v, a, slices.Concat(l.instancesOf(a, instances), h.probes.instancesOf(a), h.poison.instancesOf(a)), kills, fmt.Sprintf("%s at %.2f s, ended %v before its deadline", a.Ask.Path,
 			a.Sent.Sub(l.zero).Seconds(), ends[a.Ask.Path].Sub(a.Ended).Round(time.Millisecond)))
 	}
 	return r
