Crash guard: unchanged refusals are sent to those who want them

Now an instance that does not know all refusals says so, and gets all with the next digest; others get one unchanged row in five seconds.

TestRefusalsAreSentToThoseWhoWantThem.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -77,6 +77,8 @@
 	mu              sync.Mutex                // guards all below
 	running         map[string]map[string]int // target id -> suspected fingerprint -> attempts in flight
 	cursor          string                    // fingerprint last sent in a digest for completeness
+	rotated         time.Time                 // when an unchanged row was last sent
+	wanted          map[string]bool           // ids of the instances that asked for all rows
 	unsent          map[string]int            // fingerprint of a changed row -> digests in which it is still to be sent
 	trials          map[string]trial          // by key
 	recentlyCrashed map[string]time.Time      // id of a crashed target -> until when it is avoided
@@ -119,7 +121,7 @@
 	}
 	return &Guard{
 		opts: opts, running: make(map[string]map[string]int), unsent: make(map[string]int),
-		trials: make(map[string]trial), recentlyCrashed: make(map[string]time.Time), unsaved: make(map[string]bool),
+		trials: make(map[string]trial), recentlyCrashed: make(map[string]time.Time), unsaved: make(map[string]bool), wanted: make(map[string]bool),
 	}
 }
 
--- a/internal/crashguard/crashguard_test.go
+++ b/internal/crashguard/crashguard_test.go
@@ -166,3 +166,37 @@
 		}
 	})
 }
+
+// Guards against refusals that take up a part of each digest for a day, and against an
+// instance that starts and does not get them.
+func TestRefusalsAreSentToThoseWhoWantThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		known, next := newGuard(false), newGuard(false)
+		known.markComplete()
+		for i := range 20 {
+			for n := range DefaultLimit {
+				known.RecordCrash(fmt.Sprintf("fp-%02d", i), Crash{Target: fmt.Sprint("t", n)})
+			}
+		}
+		for range 2 * eagerSends {
+			var digest gossip.Digest
+			known.Fill(&digest, "other", plenty)
+			time.Sleep(time.Second)
+		}
+		used := 0
+		for range 60 {
+			var digest gossip.Digest
+			used += known.Fill(&digest, "other", plenty)
+			time.Sleep(time.Second)
+		}
+		var ask, answer gossip.Digest
+		ask.From = "next"
+		next.Fill(&ask, "", plenty)
+		known.Absorb(ask)
+		known.Fill(&answer, "next", plenty)
+		next.Absorb(answer)
+		if got := next.opts.Board.Refused.Len(); got != 20 || !next.Complete() || used > 60*20 {
+			t.Errorf("%d of 20 rows, complete %v; %d bytes in 60 s to an instance that has them", got, next.Complete(), used)
+		}
+	})
+}
--- a/internal/crashguard/gossip.go
+++ b/internal/crashguard/gossip.go
@@ -13,17 +13,19 @@
 	// eagerSends is the number of digests in which a changed row is sent, enough for all
 	// instances of a large fleet to get it in a few exchanges.
 	eagerSends = 12
-	// rotationRows is the number of unchanged rows in a digest. They reach instances
-	// that missed the changes.
-	rotationRows = 4
+	// rotationInterval is the time between two digests that carry an unchanged row, for
+	// instances that missed the change.
+	rotationInterval = 5 * time.Second
 )
 
-// Fill implements gossip.Participant. It sends the changed rows, the least sent first,
-// and a few others in rotation.
-func (g *Guard) Fill(digest *gossip.Digest, _ string, budget int) int {
+// Fill implements gossip.Participant. It sends the changed rows, and the others to an
+// instance that wants all, or one of them now and then.
+func (g *Guard) Fill(digest *gossip.Digest, to string, budget int) int {
+	complete := g.Complete()
+	digest.RefusalsWanted = !complete
 	rows := g.opts.Board.Refused.Snapshot()
 	if len(rows) == 0 {
-		digest.RefusalsComplete = g.Complete()
+		digest.RefusalsComplete = complete
 		return 0
 	}
 	now := g.opts.Clock.Now()
@@ -54,13 +56,13 @@
 			delete(g.unsent, fingerprint)
 		}
 	}
-	for _, fingerprint := range g.rotationLocked(rows) {
+	for _, fingerprint := range g.unchangedLocked(rows, to, now) {
 		if !add(fingerprint) {
 			break
 		}
 		g.cursor = fingerprint
 	}
-	digest.RefusalsComplete = g.Complete() && len(digest.Refusals) == len(rows)
+	digest.RefusalsComplete = complete && len(digest.Refusals) == len(rows)
 	return used
 }
 
@@ -79,8 +81,14 @@
 	return changed
 }
 
-// rotationLocked returns the next unchanged rows after the cursor. The caller holds mu.
-func (g *Guard) rotationLocked(rows map[string]board.Refusal) []string {
+// unchangedLocked returns the unchanged rows to send: all to an instance that wants them,
+// otherwise the next one after the cursor if it is time for it. The caller holds mu.
+func (g *Guard) unchangedLocked(rows map[string]board.Refusal, to string, now time.Time) []string {
+	wanted := g.wanted[to]
+	delete(g.wanted, to)
+	if !wanted && now.Sub(g.rotated) < rotationInterval {
+		return nil
+	}
 	ids := make([]string, 0, len(rows))
 	for id := range rows {
 		if g.unsent[id] == 0 {
@@ -93,7 +101,11 @@
 		start++
 	}
 	ids = slices.Concat(ids[start:], ids[:start])
-	return ids[:min(len(ids), rotationRows)]
+	if wanted {
+		return ids
+	}
+	g.rotated = now
+	return ids[:min(len(ids), 1)]
 }
 
 // outgoing returns a row as it is sent.
@@ -125,6 +137,11 @@
 	if digest.RefusalsComplete {
 		g.markComplete()
 	}
+	if digest.RefusalsWanted && digest.From != "" {
+		g.mu.Lock()
+		g.wanted[digest.From] = true
+		g.mu.Unlock()
+	}
 }
 
 // merge adds what another instance knows of a fingerprint. Instances of older versions
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -17,6 +17,8 @@
 	Refusals []Refusal
 	// RefusalsComplete reports that Refusals holds all refusals of the fleet.
 	RefusalsComplete bool
+	// RefusalsWanted reports that the sender does not know all refusals yet.
+	RefusalsWanted bool
 	Notices          []Notice
 	Burn             []Burn
 	// Sums are checksums of the sender's membership rows by bucket, with which two
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -47,7 +47,7 @@
 		Loads: []gossip.Load{{Target: "t", Seq: 1, Age: 20 * time.Millisecond, Running: 1, Queued: 2, Slots: 3, MeanMS: 4, KVUsed: 0.5, Leaving: true,
 			ModelsKnown: true, Models: []gossip.LoadedModel{{Model: "m", Version: "1", Adapters: []string{"x"}, Ready: true}}, Role: "decode"}},
 		Usage:            []gossip.Usage{{Organisation: "o", RatePerSecond: 1.5, InFlight: 2}},
-		RefusalsComplete: true, Refusals: []gossip.Refusal{{Fingerprint: "f", Targets: []string{"t"}, TTL: time.Second, Ages: []time.Duration{time.Minute}, Variants: []uint32{7}, Took: []time.Duration{time.Second}, Cleared: true, ClearedAge: time.Hour}},
+		RefusalsComplete: true, RefusalsWanted: true, Refusals: []gossip.Refusal{{Fingerprint: "f", Targets: []string{"t"}, TTL: time.Second, Ages: []time.Duration{time.Minute}, Variants: []uint32{7}, Took: []time.Duration{time.Second}, Cleared: true, ClearedAge: time.Hour}},
 		Notices: []gossip.Notice{{Target: "t", Leaving: true, LeavingAge: 2 * time.Second, Limit: gossip.NoticeLimit{By: "a/1", Seq: 3, Age: time.Second, Named: true, Rate: 1.2}}},
 		Burn:    []gossip.Burn{{Profile: "p", Window: 60, Total: 2, Missed: 1}},
 		Sums:    []uint32{1, 2},
