Crash guard: log lines for parts only once crashes follow one another

Each crash of an engine makes a row for each part of each request there, most of them cleared at once; a line for each, and one when it expired, told nothing. forward_target_crashed has the parts.

--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -235,7 +235,9 @@
 	if added && g.Refused(key) {
 		g.markUnsaved(key)
 	}
-	g.opts.Logger.Log(event.CrashguardCrash, "key", key, "target", c.Target, "targets", len(g.crashes(key)), "new", added)
+	if counted := len(g.crashes(key)); counted > 1 || kindOf(key) == kindRequest {
+		g.opts.Logger.Log(event.CrashguardCrash, "key", key, "target", c.Target, "targets", counted, "new", added)
+	}
 }
 
 // variantOf returns a hash of the variant that is not 0, or 0 for "".
@@ -372,7 +374,9 @@
 	delete(g.unsent, fingerprint)
 	delete(g.trials, fingerprint)
 	g.mu.Unlock()
-	g.opts.Logger.Log(event.CrashguardExpired, "key", fingerprint, "targets", len(row.Crashes))
+	if len(row.Crashes) > 1 {
+		g.opts.Logger.Log(event.CrashguardExpired, "key", fingerprint, "targets", len(row.Crashes))
+	}
 }
 
 // targetsOf returns the ids of the targets that crashed.
