--- a/deploy/emulator/poison.go
+++ b/deploy/emulator/poison.go
@@ -17,7 +17,10 @@
 	PathPrefix string // requests whose path begins so crash each server that begins to run them; "" = none
 	// Parts of prompts: a request with one of them crashes each server that begins to
 	// write an answer to it.
-	Parts       []string
+	Parts []string
+	// PieceKeys: a call with a piece of one of the keys crashes the stage server that
+	// begins to work on it.
+	PieceKeys   []string
 	BackAfter   time.Duration // 0: crashed servers don't come back
 	SameAddress bool          // they come back at their address; otherwise at a new one
 }
@@ -64,6 +67,20 @@
 	return ""
 }
 
+// pieceKeyCause begins the cause of a crash under a piece's key.
+const pieceKeyCause = "piece key "
+
+// crashingKey returns the cause by which a call with the items crashes the stage server,
+// and the first attempt that has a part in it; "" = it does not.
+func (p Poison) crashingKey(items []item) (cause, attempt string) {
+	for _, i := range items {
+		if slices.Contains(p.PieceKeys, i.Key) {
+			return pieceKeyCause + i.Key, i.ID
+		}
+	}
+	return "", ""
+}
+
 // crashUnder crashes a server under a cause and brings another one in its place.
 func (w *World) crashUnder(id, cause string) {
 	w.mu.Lock()
@@ -115,7 +132,7 @@
 	arrivals := w.poisonArrivals()
 	for cause, times := range crashes {
 		after := partCrashes
-		if strings.HasPrefix(cause, "/") {
+		if strings.HasPrefix(cause, "/") || strings.HasPrefix(cause, pieceKeyCause) {
 			after = requestCrashes
 		}
 		if v, broken := (CrashBound{touch, after, crashRetries}).check(cause, times, slices.DeleteFunc(arrivals[cause], func(a arrival) bool { return !counts(a.attempt) })); broken {
--- a/deploy/emulator/repeats.go
+++ b/deploy/emulator/repeats.go
@@ -35,10 +35,13 @@
 	if prefix := t.poison().PathPrefix; t.poison().crashesRun(r.URL.Path) {
 		cause = prefix
 	}
-	j := t.options.Journal
+	t.options.Journal.arrive(arrival{id, t.options.Service, time.Now(), cause})
+}
+
+func (j *Journal) arrive(a arrival) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.arrivals = append(j.arrivals, arrival{id, t.options.Service, time.Now(), cause})
+	j.arrivals = append(j.arrivals, a)
 }
 
 // CheckRepeats returns the worst violation of the bound at each service. Requests
@@ -58,6 +61,9 @@
 	w.Journal.mu.Unlock()
 	repeats, last, seen := make(map[string][]time.Time), make(map[string]string), make(map[string]bool)
 	for _, a := range arrivals {
+		if strings.HasPrefix(a.cause, pieceKeyCause) {
+			continue // a piece, of which the bound says nothing
+		}
 		if key := a.service + " " + a.attempt; seen[key] {
 			repeats[a.service] = append(repeats[a.service], a.at)
 			last[a.service] = a.attempt
--- a/deploy/emulator/stage.go
+++ b/deploy/emulator/stage.go
@@ -241,6 +241,12 @@
 
 // serve does a call at its turn.
 func (s *StageServer) serve(w http.ResponseWriter, r *http.Request, items []item, arrived time.Time) {
+	if cause, attempt := s.poison().crashingKey(items); cause != "" {
+		s.options.Journal.arrive(arrival{attempt, s.options.Service, arrived, cause})
+		s.options.OnPoison(cause)
+		drop(w)
+		return
+	}
 	faults, m := s.draw()
 	if faults.crashes(r.URL.Path) {
 		if s.options.OnCrash != nil {
--- a/deploy/pathtest/poison_test.go
+++ b/deploy/pathtest/poison_test.go
@@ -85,3 +85,18 @@
 func (r *rig) slowLoad(workers int, o emulator.ClientOptions, asks ...emulator.Ask) func() []emulator.Attempt {
 	return r.loadWithPause(workers, 150*time.Millisecond, o, asks...)
 }
+
+// Guards against a request whose pieces crash stage server after stage server while its
+// caller repeats it.
+func TestRequestThatCrashesStageServersIsKeptFromThem(t *testing.T) {
+	all := pools()
+	all[1].Places = []emulator.Place{{Zone: "z1", Count: 4}, {Zone: "z2", Count: 4}}
+	r := startWith(t, 4, nil, all)
+	r.world.SetPoison(emulator.Poison{PieceKeys: []string{"bad"}, BackAfter: time.Second})
+	bad := talk("/staged/bad", "Piece-Count", "1,1", "Piece-Key", "bad")
+	stop := r.slowLoad(2, emulator.ClientOptions{}, bad)
+	time.Sleep(7 * time.Second)
+	stop()
+	r.checkCrashes()
+	t.Logf("%d stage servers ended", r.crashCount("piece key bad"))
+}
