--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -19,8 +19,8 @@
 	RefusalsComplete bool
 	// RefusalsWanted reports that the sender does not know all refusals yet.
 	RefusalsWanted bool
-	Notices          []Notice
-	Burn             []Burn
+	Notices        []Notice
+	Burn           []Burn
 	// Sums are checksums of the sender's membership rows by bucket, with which two
 	// instances find the rows on which they differ without sending all.
 	Sums []uint32
