Crash guard: a crash that is counted during a write is written too

The mark of a row to be written was taken off after the write, also if the row had changed meanwhile; the newer crash reached the store with the next one only. The mark is taken before the write, and set again if that fails.

TestACrashDuringAWriteIsWrittenToo failed before (3 of 4). Names: key in place of fingerprint where it may be a part's.

--- a/internal/crashguard/archive.go
+++ b/internal/crashguard/archive.go
@@ -158,12 +158,11 @@
 // saveAll writes the rows that have changed.
 func (a *Archive) saveAll(ctx context.Context) error {
 	var failed error
-	for _, fingerprint := range a.guard.unsavedRows() {
+	for _, fingerprint := range a.guard.takeUnsaved() {
 		if err := a.save(ctx, fingerprint); err != nil {
 			failed = err
-			continue
+			a.guard.markUnsaved(fingerprint)
 		}
-		a.guard.saved(fingerprint)
 	}
 	return failed
 }
--- a/internal/crashguard/archive_test.go
+++ b/internal/crashguard/archive_test.go
@@ -95,3 +95,28 @@
 		}
 	})
 }
+
+// Guards against a crash that never reaches the store because it is counted while the row
+// is written.
+func TestACrashDuringAWriteIsWrittenToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := memstore.New(memstore.Options{WatchWait: time.Hour})
+		g := New(Options{Limit: 3})
+		archived(t, g, s)
+		synctest.Wait()
+		s.SetFaults(memstore.Faults{WriteDelay: time.Second})
+		for n := range 4 {
+			if n == 3 {
+				time.Sleep(500 * time.Millisecond)
+			}
+			g.RecordCrash("fp", Crash{Target: fmt.Sprint("t", n)})
+		}
+		time.Sleep(10 * time.Second)
+		next := New(Options{Limit: 3})
+		archived(t, next, s)
+		synctest.Wait()
+		if got := len(next.crashes("fp")); got != 4 {
+			t.Errorf("%d of 4 crashes are in the store", got)
+		}
+	})
+}
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -68,9 +68,9 @@
 	Metrics  *metrics.Registry
 }
 
-// Guard counts crashed targets by request fingerprint. The rows, including those
-// below the limit, are in the board's table Refused. A nil Guard refuses
-// nothing.
+// Guard counts crashed targets by key: the fingerprint of a request, or that of a part of
+// prompts (PartKeys). The rows, including those below the limit, are in the board's table
+// Refused. A nil Guard refuses nothing.
 type Guard struct {
 	opts Options
 
@@ -269,60 +269,56 @@
 	}
 }
 
-// update changes the row of the fingerprint, as of which expired crashes are gone.
-func (g *Guard) update(fingerprint string, change func(board.Refusal) (board.Refusal, bool)) {
+// update changes the row of a key. A row that has expired counts as empty.
+func (g *Guard) update(key string, change func(board.Refusal) (board.Refusal, bool)) {
 	now := g.opts.Clock.Now()
-	if _, exists := g.opts.Board.Refused.Get(fingerprint); !exists && !g.makeRoom(now) {
+	if _, exists := g.opts.Board.Refused.Get(key); !exists && !g.makeRoom(now) {
 		g.opts.Metrics.Counter(metricDropped).Add(1)
 		return
 	}
-	reachedLimit, limit := false, g.policyOf(fingerprint).limit
-	changed := g.opts.Board.Refused.Update(fingerprint, func(old board.Refusal, _ bool) (board.Refusal, bool) {
-		if g.expired(fingerprint, old, now) {
+	reachedLimit, limit := false, g.policyOf(key).limit
+	changed := g.opts.Board.Refused.Update(key, func(old board.Refusal, _ bool) (board.Refusal, bool) {
+		if g.expired(key, old, now) {
 			old = board.Refusal{}
 		}
-		before := len(g.counted(fingerprint, old, now))
+		before := len(g.counted(key, old, now))
 		row, ok := change(old)
-		reachedLimit = ok && before < limit && len(g.counted(fingerprint, row, now)) >= limit
+		reachedLimit = ok && before < limit && len(g.counted(key, row, now)) >= limit
 		return row, ok
 	})
 	if !changed {
 		return
 	}
 	g.mu.Lock()
-	g.unsent[fingerprint] = eagerSends
+	g.unsent[key] = eagerSends
 	g.mu.Unlock()
 	if reachedLimit {
 		g.opts.Metrics.Counter(metricRefusedRequests).Add(1)
-		g.opts.Logger.Log(event.CrashguardRefused, "key", fingerprint)
+		g.opts.Logger.Log(event.CrashguardRefused, "key", key)
 		g.refusals.Notify()
 	}
-	if row, _ := g.opts.Board.Refused.Get(fingerprint); reachedLimit && row.Witnessed {
-		g.markUnsaved(fingerprint)
+	if row, _ := g.opts.Board.Refused.Get(key); reachedLimit && row.Witnessed {
+		g.markUnsaved(key)
 	}
 	g.opts.OnChange()
 }
 
-// markUnsaved has an Archive write the row of the fingerprint.
-func (g *Guard) markUnsaved(fingerprint string) {
+// markUnsaved has an Archive write the row of the key.
+func (g *Guard) markUnsaved(key string) {
 	g.mu.Lock()
-	g.unsaved[fingerprint] = true
+	g.unsaved[key] = true
 	g.mu.Unlock()
 	g.unsavedChanged.Notify()
 }
 
-// unsavedRows returns the fingerprints of the rows that are to be written, sorted.
-func (g *Guard) unsavedRows() []string {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return slices.Sorted(maps.Keys(g.unsaved))
-}
-
-// saved records that the row is in the store.
-func (g *Guard) saved(fingerprint string) {
+// takeUnsaved returns the keys of the rows that are to be written, sorted. A row that
+// changes while it is written is marked again.
+func (g *Guard) takeUnsaved() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.unsaved, fingerprint)
+	keys := slices.Sorted(maps.Keys(g.unsaved))
+	clear(g.unsaved)
+	return keys
 }
 
 // Complete reports whether this instance has had all refusals of the fleet since its
@@ -367,15 +363,15 @@
 	return g.opts.Board.Refused.Len() < maxRows
 }
 
-// expire deletes the row of a fingerprint.
-func (g *Guard) expire(fingerprint string, row board.Refusal) {
-	g.opts.Board.Refused.Delete(fingerprint)
+// expire deletes the row of a key.
+func (g *Guard) expire(key string, row board.Refusal) {
+	g.opts.Board.Refused.Delete(key)
 	g.mu.Lock()
-	delete(g.unsent, fingerprint)
-	delete(g.trials, fingerprint)
+	delete(g.unsent, key)
+	delete(g.trials, key)
 	g.mu.Unlock()
 	if len(row.Crashes) > 1 {
-		g.opts.Logger.Log(event.CrashguardExpired, "key", fingerprint, "targets", len(row.Crashes))
+		g.opts.Logger.Log(event.CrashguardExpired, "key", key, "targets", len(row.Crashes))
 	}
 }
 
--- a/internal/crashguard/gossip.go
+++ b/internal/crashguard/gossip.go
@@ -29,17 +29,17 @@
 		return 0
 	}
 	now := g.opts.Clock.Now()
-	for fingerprint, row := range rows {
-		if g.expired(fingerprint, row, now) {
-			g.expire(fingerprint, row)
-			delete(rows, fingerprint)
+	for key, row := range rows {
+		if g.expired(key, row, now) {
+			g.expire(key, row)
+			delete(rows, key)
 		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	used := 0
-	add := func(fingerprint string) bool {
-		refusal := g.outgoing(fingerprint, rows[fingerprint], now)
+	add := func(key string) bool {
+		refusal := g.outgoing(key, rows[key], now)
 		size := sizeOf(refusal)
 		if used+size > budget {
 			return false
@@ -48,31 +48,31 @@
 		digest.Refusals = append(digest.Refusals, refusal)
 		return true
 	}
-	for _, fingerprint := range g.changedLocked(rows) {
-		if !add(fingerprint) {
+	for _, key := range g.changedLocked(rows) {
+		if !add(key) {
 			return used
 		}
-		if g.unsent[fingerprint]--; g.unsent[fingerprint] <= 0 {
-			delete(g.unsent, fingerprint)
+		if g.unsent[key]--; g.unsent[key] <= 0 {
+			delete(g.unsent, key)
 		}
 	}
-	for _, fingerprint := range g.unchangedLocked(rows, to, now) {
-		if !add(fingerprint) {
+	for _, key := range g.unchangedLocked(rows, to, now) {
+		if !add(key) {
 			break
 		}
-		g.cursor = fingerprint
+		g.cursor = key
 	}
 	digest.RefusalsComplete = complete && len(digest.Refusals) == len(rows)
 	return used
 }
 
-// changedLocked returns the fingerprints of the rows with changes to send: those with most
+// changedLocked returns the keys of the rows with changes to send: those with most
 // crashes first, and the least sent of these. The caller holds mu.
 func (g *Guard) changedLocked(rows map[string]board.Refusal) []string {
 	changed := make([]string, 0, len(g.unsent))
-	for fingerprint := range g.unsent {
-		if _, ok := rows[fingerprint]; ok {
-			changed = append(changed, fingerprint)
+	for key := range g.unsent {
+		if _, ok := rows[key]; ok {
+			changed = append(changed, key)
 		}
 	}
 	slices.SortFunc(changed, func(a, b string) int {
@@ -109,8 +109,8 @@
 }
 
 // outgoing returns a row as it is sent.
-func (g *Guard) outgoing(fingerprint string, row board.Refusal, now time.Time) gossip.Refusal {
-	out := gossip.Refusal{Fingerprint: fingerprint, Targets: targetsOf(row.Crashes), TTL: g.opts.TTL}
+func (g *Guard) outgoing(key string, row board.Refusal, now time.Time) gossip.Refusal {
+	out := gossip.Refusal{Fingerprint: key, Targets: targetsOf(row.Crashes), TTL: g.opts.TTL}
 	for _, c := range row.Crashes {
 		out.Ages = append(out.Ages, max(now.Sub(c.At), 0))
 		if c.Variant != 0 {
@@ -144,7 +144,7 @@
 	}
 }
 
-// merge adds what another instance knows of a fingerprint. Instances of older versions
+// merge adds what another instance knows of a key. Instances of older versions
 // do not send the ages of crashes; these count from now on.
 func (g *Guard) merge(in gossip.Refusal, now time.Time) {
 	received := board.Refusal{}
