Routesync: a read of the routes that has just ended is not repeated

TestConcurrentRefreshesShareOneStoreRead (KNOWN-RED.txt) read the store twice for five concurrent callers. A caller took the age of the routes before the lock; if the shared read ended in between, it found no read under way and a stale age, and started another one. The age is now checked again under the lock.

Its entry leaves KNOWN-RED.txt.

--- a/internal/control/routesync/confirm.go
+++ b/internal/control/routesync/confirm.go
@@ -113,6 +113,13 @@
 	r := &m.refresh
 	r.mu.Lock()
 	done := r.done
+	if done == nil {
+		// A read that ended since the first check may have confirmed the routes.
+		if age, source = m.RoutesConfirmed(); age <= m.o.Times().Change {
+			r.mu.Unlock()
+			return age, source
+		}
+	}
 	if done == nil && m.o.Boot.SinceBoot() >= r.notBefore {
 		done = make(chan struct{})
 		r.done = done
