Daemon: signals are handled from the start of the process on

They are now registered first; a SIGTERM that comes meanwhile stops the instance gracefully once it runs.

--- a/cmd/lynxhilld/run.go
+++ b/cmd/lynxhilld/run.go
@@ -31,6 +31,11 @@
 
 // Run implements the command.
 func (c runCmd) Run() error {
+	// A supervisor may send SIGHUP or SIGTERM as soon as the process exists. Until a handler
+	// is registered, either would end it at once.
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	cfg, err := load(c.Config)
 	if err != nil {
 		return err
@@ -51,9 +56,6 @@
 	// go-zero registers its signal handlers in a separate goroutine, which may run after
 	// the first call of DisableGoZeroSignals in main: a SIGUSR1 would then write a file.
 	httpserver.DisableGoZeroSignals()
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	defer c.followSettings(cfg, instance, logs.logger)()
 	return runUntilSignal(instance, signals)
 }
