Overload: what is missing, designs of the parts, interfaces

Interfaces that the parts share: the stated pace of a load (read, not used yet), messages of the slot queue and of reservations between instances, settings overload.*, the platform's contracts in the settings. No decision changes: a load with a pace still does not count.

Nothing was measured.

--- a/cmd/lynxhilld/daemon.go
+++ b/cmd/lynxhilld/daemon.go
@@ -40,6 +40,7 @@
 		ResponseAttemptID: platform.AnswerID,
 		ReadyPath:         platform.ReadinessPath,
 		AddressPath:       platform.AddressPath,
+		ScarceCapacity:    platform.ScarceCapacity(cfg.Platform.Contracts),
 	}, edge.Options{Logger: logger, LimitMemory: debug.SetMemoryLimit})
 	if err != nil {
 		return nil, settingsError{err}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,6 +26,7 @@
 	Routing  Routing  `toml:"routing"`
 	Claims   Claims   `toml:"claims"`
 	Ingress  Ingress  `toml:"ingress"`
+	Overload Overload `toml:"overload"`
 	Log      Log      `toml:"log"`
 	Debug    Debug    `toml:"debug"`
 }
@@ -60,6 +61,9 @@
 	WritesPerSecond int `toml:"writes_per_second"`
 	ReadsPerSecond  int `toml:"reads_per_second"`
 	Watches         int `toml:"watches"` // of one instance, waiting at the same time
+	// Contracts names what the platform asks of the deployment, in the platform's words;
+	// the adapter translates them.
+	Contracts []string `toml:"contracts"`
 }
 
 // TLS holds the files of each listener.
@@ -181,8 +185,9 @@
 			Retention:       DurationOf(claim.DefaultRetention),
 			OpaqueRetention: DurationOf(claim.DefaultOpaqueRetention),
 		},
-		Ingress: defaultIngress(),
-		Log:     Log{Level: "info", Format: FormatLogfmt},
+		Ingress:  defaultIngress(),
+		Overload: defaultOverload(),
+		Log:      Log{Level: "info", Format: FormatLogfmt},
 	}
 }
 
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -20,7 +20,7 @@
 // Validate checks the settings. The error names the key.
 func (c *Config) Validate() error {
 	checks := []func() error{
-		c.Instance.validate, c.Ingress.validate, c.validateListen, c.Platform.validate, c.TLS.validate, c.Tokens.validate,
+		c.Instance.validate, c.Ingress.validate, c.Overload.validate, c.validateListen, c.Platform.validate, c.TLS.validate, c.Tokens.validate,
 		c.Peers.validate, c.Limits.validate, c.Timings.validate, c.Routing.validate, c.Claims.validate, c.Log.validate,
 	}
 	for _, check := range checks {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,6 +63,9 @@
 	// ReadyPath is the path of the platform's readiness check, AddressPath that of
 	// callers' address queries.
 	ReadyPath, AddressPath string
+	// ScarceCapacity reports whether the platform announces that callers compete for too
+	// little capacity at times.
+	ScarceCapacity bool
 }
 
 // Options configure an instance in addition to its settings. Zero values stand for the
--- a/internal/forwarding/loads.go
+++ b/internal/forwarding/loads.go
@@ -157,7 +157,7 @@
 	now := l.clock.Now()
 	k := l.state(t.ID)
 	k.inFlight = max(k.inFlight-1, 0)
-	if load != nil {
+	if load != nil && !load.StatesPace() {
 		k.reported, k.reportedAt = *load, now
 	}
 	switch outcome {
--- a/internal/peer/peerpb/peerpbconnect/peer.connect.go
+++ b/internal/peer/peerpb/peerpbconnect/peer.connect.go
@@ -59,6 +59,8 @@
 	PeerStoreOriginsProcedure = "/lynxhill.peer.v1.Peer/StoreOrigins"
 	// PeerFindOriginsProcedure is the fully-qualified name of the Peer's FindOrigins RPC.
 	PeerFindOriginsProcedure = "/lynxhill.peer.v1.Peer/FindOrigins"
+	// PeerSlotsProcedure is the fully-qualified name of the Peer's Slots RPC.
+	PeerSlotsProcedure = "/lynxhill.peer.v1.Peer/Slots"
 )
 
 // PeerClient is a client for the lynxhill.peer.v1.Peer service.
@@ -89,6 +91,10 @@
 	StoreOrigins(context.Context, *peerpb.Origins) (*peerpb.StoreOriginsReply, error)
 	// FindOrigins returns what the receiver knows of the origins of streams.
 	FindOrigins(context.Context, *peerpb.OriginQueries) (*peerpb.OriginAnswers, error)
+	// Slots acquires slots of plain targets from the receiver, the coordinator of a service. A
+	// stream carries the requests of one instance for all services that the receiver
+	// coordinates.
+	Slots(context.Context) (*connect.BidiStreamForClientSimple[peerpb.SlotsUp, peerpb.SlotsDown], error)
 }
 
 // NewPeerClient constructs a client for the lynxhill.peer.v1.Peer service. By default, it uses the
@@ -174,6 +180,12 @@
 			connect.WithSchema(peerMethods.ByName("FindOrigins")),
 			connect.WithClientOptions(opts...),
 		),
+		slots: connect.NewClient[peerpb.SlotsUp, peerpb.SlotsDown](
+			httpClient,
+			baseURL+PeerSlotsProcedure,
+			connect.WithSchema(peerMethods.ByName("Slots")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -191,6 +203,7 @@
 	tunnel       *connect.Client[peerpb.TunnelUp, peerpb.TunnelDown]
 	storeOrigins *connect.Client[peerpb.Origins, peerpb.StoreOriginsReply]
 	findOrigins  *connect.Client[peerpb.OriginQueries, peerpb.OriginAnswers]
+	slots        *connect.Client[peerpb.SlotsUp, peerpb.SlotsDown]
 }
 
 // Exchange calls lynxhill.peer.v1.Peer.Exchange.
@@ -289,6 +302,11 @@
 	return nil, err
 }
 
+// Slots calls lynxhill.peer.v1.Peer.Slots.
+func (c *peerClient) Slots(ctx context.Context) (*connect.BidiStreamForClientSimple[peerpb.SlotsUp, peerpb.SlotsDown], error) {
+	return c.slots.CallBidiStreamSimple(ctx)
+}
+
 // PeerHandler is an implementation of the lynxhill.peer.v1.Peer service.
 type PeerHandler interface {
 	// Exchange exchanges digests in both directions: the heartbeat.
@@ -317,6 +335,10 @@
 	StoreOrigins(context.Context, *peerpb.Origins) (*peerpb.StoreOriginsReply, error)
 	// FindOrigins returns what the receiver knows of the origins of streams.
 	FindOrigins(context.Context, *peerpb.OriginQueries) (*peerpb.OriginAnswers, error)
+	// Slots acquires slots of plain targets from the receiver, the coordinator of a service. A
+	// stream carries the requests of one instance for all services that the receiver
+	// coordinates.
+	Slots(context.Context, *connect.BidiStream[peerpb.SlotsUp, peerpb.SlotsDown]) error
 }
 
 // NewPeerHandler builds an HTTP handler from the service implementation. It returns the path on
@@ -398,6 +420,12 @@
 		connect.WithSchema(peerMethods.ByName("FindOrigins")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerSlotsHandler := connect.NewBidiStreamHandler(
+		PeerSlotsProcedure,
+		svc.Slots,
+		connect.WithSchema(peerMethods.ByName("Slots")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/lynxhill.peer.v1.Peer/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerExchangeProcedure:
@@ -424,6 +452,8 @@
 			peerStoreOriginsHandler.ServeHTTP(w, r)
 		case PeerFindOriginsProcedure:
 			peerFindOriginsHandler.ServeHTTP(w, r)
+		case PeerSlotsProcedure:
+			peerSlotsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -480,3 +510,7 @@
 func (UnimplementedPeerHandler) FindOrigins(context.Context, *peerpb.OriginQueries) (*peerpb.OriginAnswers, error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.FindOrigins is not implemented"))
 }
+
+func (UnimplementedPeerHandler) Slots(context.Context, *connect.BidiStream[peerpb.SlotsUp, peerpb.SlotsDown]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("lynxhill.peer.v1.Peer.Slots is not implemented"))
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -17,6 +17,7 @@
 	"lynxhill.example/lynxhill/internal/peer/peerpb"
 	"lynxhill.example/lynxhill/internal/peer/peerpb/peerpbconnect"
 	"lynxhill.example/lynxhill/internal/pipeline"
+	"lynxhill.example/lynxhill/internal/slotqueue"
 	"lynxhill.example/lynxhill/internal/stagework"
 	"lynxhill.example/lynxhill/internal/store"
 	"lynxhill.example/lynxhill/internal/streamorigin"
@@ -41,6 +42,10 @@
 	Work func(job stagework.Job) (stagework.Assignment, *stagework.Refusal)
 	// Origins keeps origins of streams; nil = none.
 	Origins *streamorigin.Manager
+	// Slots opens a session of another instance with this one as the coordinator. It
+	// returns the instance that ranks first instead, if that is another one. nil = this
+	// instance coordinates nothing.
+	Slots func(instance string, answer func(slotqueue.Answer)) (session slotqueue.Session, first string)
 	// Tunnels opens connections to targets for other instances.
 	Tunnels TunnelServer
 	// CutOff reports whether this instance receives nothing from any other. nil = never.
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -66,8 +66,14 @@
 // Load is the load that a target reports.
 type Load struct {
 	Running, Waiting, Slots int
+	// Pace is how long work takes on the target at the moment, relative to its usual
+	// duration: 2 = twice as long. 0 = not stated.
+	Pace float64
 }
 
+// StatesPace reports whether the target states how long work takes on it at the moment.
+func (l *Load) StatesPace() bool { return l != nil && l.Pace > 0 }
+
 // Codec translates between HTTP messages and the types above. It is stateless.
 type Codec interface {
 	// ParseRequest parses the head of a caller's request; the ingress sets the body.
