--- /dev/null
+++ b/internal/slotqueue/forecast.go
@@ -0,0 +1,180 @@
+package slotqueue
+
+import "time"
+
+const (
+	// noTargetRetryAfter is when a caller may come back if no target is known to take work.
+	noTargetRetryAfter = time.Second
+	// overloadRetryAfter is the least time after which a refused caller may come back while
+	// more arrives than can be done: sooner, it would find the queue as full as it was.
+	overloadRetryAfter = 500 * time.Millisecond
+	// maxReturnSpan bounds the time over which returns are spread.
+	maxReturnSpan = 5 * time.Second
+	// returnShare is the share of the capacity that is planned for callers that return:
+	// most of it goes to those that come for the first time.
+	returnShare = 0.25
+	// returnSpread is the part of the time between two returns by which each is moved at
+	// random.
+	returnSpread = 0.5
+	// minShare bounds the share of the capacity that a forecast assumes.
+	minShare = 0.02
+)
+
+// forecast is what is expected of a request.
+type forecast struct {
+	reason string        // of a refusal, "" = accepted
+	late   bool          // it will not be on time
+	wait   time.Duration // until it gets a slot
+}
+
+// capacity returns the work that the shard does per second, in slots at the usual pace.
+func (q *queue) capacity(now time.Time) float64 {
+	c := 0.0
+	for _, t := range q.order {
+		if t.usable(now) {
+			c += float64(max(t.slots-t.foreign.slots(now), 0)) / t.pace.over(&q.paces, q.work.typical(""), now)
+		}
+	}
+	return c
+}
+
+// forecast predicts the wait and the end of a new request of the level.
+func (q *queue) forecast(l *level, w *waiter, now time.Time) forecast {
+	if !q.servable(w, now) {
+		return forecast{reason: ReasonNoTarget, wait: noTargetRetryAfter}
+	}
+	if q.bounds.TargetBodyBytes > 0 && w.BodyBytes > q.bounds.TargetBodyBytes {
+		return forecast{reason: ReasonTooLarge, wait: noTargetRetryAfter}
+	}
+	f := forecast{wait: q.wait(l, w, false, now)}
+	if now.Add(f.wait).After(w.latestStart) {
+		f.late = true
+		f.wait = q.wait(l, w, true, now)
+	}
+	if now.Add(f.wait).Add(q.duration(w)).After(w.Deadline) {
+		f.reason = ReasonLate
+	}
+	return f
+}
+
+// duration is the expected duration of the request's attempt.
+func (q *queue) duration(w *waiter) time.Duration {
+	return seconds(w.work.Seconds() * q.paces.meanPace())
+}
+
+// servable reports whether any target takes work, now or after a short backoff.
+func (q *queue) servable(w *waiter, now time.Time) bool {
+	for _, t := range q.order {
+		if t.listed && !t.Draining && t.slots > 0 && t.until.Before(w.Deadline) {
+			return true
+		}
+	}
+	return false
+}
+
+// wait returns the expected time until a new request of the level has a slot, from the
+// work that ranks before it and the part of the capacity that its priority gets.
+func (q *queue) wait(l *level, w *waiter, late bool, now time.Time) time.Duration {
+	capacity := max(q.capacity(now), minShare)
+	var before time.Duration
+	share := 1.0
+	for _, other := range q.levels {
+		if other.priority >= l.priority {
+			break
+		}
+		before += other.onTime + other.late
+		share -= other.demand.now(now) / capacity
+	}
+	if l != q.levels[0] {
+		share = max(share, floorShare)
+	}
+	own := l.ahead(w.Organisation, w.work, late)
+	if late {
+		share -= l.demand.now(now) / capacity
+	}
+	if before+own == 0 {
+		return 0
+	}
+	share = max(share, minShare)
+	return seconds(before.Seconds()/capacity + own.Seconds()/(capacity*share))
+}
+
+// overloaded reports whether more work arrives than the shard can do.
+func (q *queue) overloaded(now time.Time) bool {
+	return q.demand(now) > q.capacity(now)
+}
+
+// demand returns the work that arrives per second, with what is refused.
+func (q *queue) demand(now time.Time) float64 {
+	demand := q.returns.refused.now(now)
+	for _, l := range q.levels {
+		demand += l.demand.now(now)
+	}
+	return demand
+}
+
+// returns plans when refused callers come back.
+type returns struct {
+	last    time.Time // planned for the caller refused last
+	refused rate      // work that was refused
+}
+
+// refuse refuses the request. Callers are told to come back one after the other, from the
+// time at which the queue is expected to have capacity for them.
+func (q *queue) refuse(l *level, w *waiter, f forecast, now time.Time) {
+	q.returns.refused.add(w.work, now)
+	after := f.wait
+	if f.reason == ReasonLate {
+		after = q.returnAfter(w, f, now)
+	}
+	q.count.refused.Add(f.reason, 1)
+	q.refusals.add(w, f.reason, now, now.Add(after))
+	q.decide(w.owner, Answer{ID: w.ID, Refusal: &Refusal{Reason: f.reason, RetryAfter: after}},
+		reason{request: w.Request, wait: f.wait, capacity: q.capacity(now), demand: q.demand(now)})
+	l.forget(l.org(w.Organisation))
+}
+
+func (q *queue) returnAfter(w *waiter, f forecast, now time.Time) time.Duration {
+	earliest := now.Add(q.backlog(now))
+	if q.overloaded(now) {
+		earliest = later(earliest, now.Add(overloadRetryAfter))
+	}
+	gap := w.work.Seconds() / (returnShare * max(q.capacity(now), minShare))
+	at := later(earliest, q.returns.last.Add(seconds(gap)))
+	if latest := earliest.Add(maxReturnSpan); at.After(latest) {
+		at = earliest.Add(seconds(q.rand.Float64() * maxReturnSpan.Seconds()))
+	} else {
+		q.returns.last = at
+	}
+	return at.Sub(now) + seconds(gap*returnSpread*q.rand.Float64())
+}
+
+// backlog returns the time that the waiting work takes.
+func (q *queue) backlog(now time.Time) time.Duration {
+	var work time.Duration
+	for _, l := range q.levels {
+		work += l.onTime + l.late
+	}
+	return seconds(work.Seconds() / max(q.capacity(now), minShare))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// recheck refuses a waiting request that can no longer be answered before its deadline.
+func (q *queue) recheck(w *waiter, now time.Time) {
+	f := forecast{reason: ReasonLate}
+	if !q.servable(w, now) {
+		f = forecast{reason: ReasonNoTarget, wait: noTargetRetryAfter}
+	} else if !now.Add(q.duration(w)).After(w.Deadline) {
+		return
+	}
+	delete(q.waiting, requestKey{w.owner.instance, w.ID})
+	l := q.level(w.Priority)
+	l.remove(w)
+	q.refuse(l, w, f, now)
+}
--- a/internal/slotqueue/types.go
+++ b/internal/slotqueue/types.go
@@ -45,6 +45,7 @@
 const (
 	ReasonLate     = "cannot be done in time"
 	ReasonNoTarget = "no target takes work"
+	ReasonTooLarge = "the body exceeds what a target may hold"
 )
 
 // Outcome is how the use of a slot ended.
