--- a/internal/slotqueue/dispatch.go
+++ b/internal/slotqueue/dispatch.go
@@ -29,7 +29,7 @@
 		if w == nil {
 			return
 		}
-		t, pace := q.choose(w, unplaceable, now)
+		t, pace := q.choose(w, len(q.waiting)-1, now)
 		if t == nil {
 			w.round = q.round
 			unplaceable++
