Slotqueue: a caller that returns is as late as at its first attempt

Cause: a refused caller that came back counted as new and took a slot from one that could be on time; a refusal could name 212 ms while requests waited. Change: refused requests are remembered by their caller key until they are due; a key of several refused requests is not used.

--- a/internal/slotqueue/dispatch.go
+++ b/internal/slotqueue/dispatch.go
@@ -107,12 +107,7 @@
 }
 
 func (w *waiter) excludes(id string) bool {
-	for _, e := range w.Excluded {
-		if e == id {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(w.Excluded, id)
 }
 
 // anyOther reports whether a target that the request does not exclude takes work, now or
--- a/internal/slotqueue/forecast.go
+++ b/internal/slotqueue/forecast.go
@@ -5,17 +5,6 @@
 const (
 	// noTargetRetryAfter is when a caller may come back if no target is known to take work.
 	noTargetRetryAfter = time.Second
-	// overloadRetryAfter is the least time after which a refused caller may come back while
-	// more arrives than can be done: sooner, it would find the queue as full as it was.
-	overloadRetryAfter = 500 * time.Millisecond
-	// maxReturnSpan bounds the time over which returns are spread.
-	maxReturnSpan = 5 * time.Second
-	// returnShare is the share of the capacity that is planned for callers that return:
-	// most of it goes to those that come for the first time.
-	returnShare = 0.25
-	// returnSpread is the part of the time between two returns by which each is moved at
-	// random.
-	returnSpread = 0.5
 	// minShare bounds the share of the capacity that a forecast assumes.
 	minShare = 0.02
 )
@@ -140,42 +129,6 @@
 	return demand
 }
 
-// returns plans when refused callers come back.
-type returns struct {
-	last    time.Time // planned for the caller refused last
-	refused rate      // work that was refused
-}
-
-// refuse refuses the request. Callers are told to come back one after the other, from the
-// time at which the queue is expected to have capacity for them.
-func (q *queue) refuse(l *level, w *waiter, f forecast, now time.Time) {
-	q.returns.refused.add(w.work, now)
-	after := f.wait
-	if f.reason == ReasonLate {
-		after = q.returnAfter(w, f, now)
-	}
-	q.count.refused.Add(f.reason, 1)
-	q.refusals.add(w, f.reason, now, now.Add(after))
-	q.decide(w.owner, Answer{ID: w.ID, Refusal: &Refusal{Reason: f.reason, RetryAfter: after}},
-		reason{request: w.Request, wait: f.wait, capacity: q.capacity(now), demand: q.demand(now)})
-	l.forget(l.org(w.Organisation))
-}
-
-func (q *queue) returnAfter(w *waiter, f forecast, now time.Time) time.Duration {
-	earliest := now.Add(q.backlog(now))
-	if q.overloaded(now) {
-		earliest = later(earliest, now.Add(overloadRetryAfter))
-	}
-	gap := w.work.Seconds() / (returnShare * max(q.capacity(now), minShare))
-	at := later(earliest, q.returns.last.Add(seconds(gap)))
-	if latest := earliest.Add(maxReturnSpan); at.After(latest) {
-		at = earliest.Add(seconds(q.rand.Float64() * maxReturnSpan.Seconds()))
-	} else {
-		q.returns.last = at
-	}
-	return at.Sub(now) + seconds(gap*returnSpread*q.rand.Float64())
-}
-
 // backlog returns the time that the waiting work takes.
 func (q *queue) backlog(now time.Time) time.Duration {
 	var work time.Duration
--- a/internal/slotqueue/order.go
+++ b/internal/slotqueue/order.go
@@ -23,9 +23,32 @@
 	arrived     time.Time
 	work        time.Duration // typical for its route
 	latestStart time.Time     // to be on time with some certainty
+	returned    bool          // its caller was refused before
 	round       uint64        // in which it could not be placed
 }
 
+// withTimes returns the request with a deadline, and a time until which it is on time.
+func (r Request) withTimes(now time.Time) Request {
+	if r.Deadline.IsZero() {
+		r.Deadline = now.Add(heldLease)
+	}
+	if r.OnTimeUntil.IsZero() || r.OnTimeUntil.After(r.Deadline) {
+		r.OnTimeUntil = r.Deadline
+	}
+	return r
+}
+
+func (q *queue) newWaiter(o owner, r Request, now time.Time) *waiter {
+	onTimeUntil, returned := q.returns.back(r.CallerKey, now)
+	if returned {
+		r.OnTimeUntil = onTimeUntil
+	}
+	return &waiter{
+		Request: r, owner: o, arrived: now, work: q.work.typical(r.Route),
+		latestStart: q.latestStart(r, now), returned: returned,
+	}
+}
+
 // level holds the waiting requests of one priority.
 type level struct {
 	priority int
--- a/internal/slotqueue/queue.go
+++ b/internal/slotqueue/queue.go
@@ -144,9 +144,7 @@
 	if q.grants[key] != nil || q.waiting[key] != nil {
 		return // a duplicate
 	}
-	r = r.withTimes(now)
-	w := &waiter{Request: r, owner: o, arrived: now, work: q.work.typical(r.Route)}
-	w.latestStart = q.latestStart(r, now)
+	w := q.newWaiter(o, r.withTimes(now), now)
 	l := q.level(r.Priority)
 	f := q.forecast(l, w, now)
 	if f.reason != "" {
@@ -165,17 +163,6 @@
 	}
 }
 
-// withTimes returns the request with a deadline, and a time until which it is on time.
-func (r Request) withTimes(now time.Time) Request {
-	if r.Deadline.IsZero() {
-		r.Deadline = now.Add(heldLease)
-	}
-	if r.OnTimeUntil.IsZero() || r.OnTimeUntil.After(r.Deadline) {
-		r.OnTimeUntil = r.Deadline
-	}
-	return r
-}
-
 func (q *queue) level(priority int) *level {
 	i, found := slices.BinarySearchFunc(q.levels, priority, func(l *level, p int) int { return cmp.Compare(l.priority, p) })
 	if !found {
