Slotqueue: server errors of all targets make none unavailable

Cause: three server errors in sequence began a backoff of up to 5 s, so a caller whose requests fail anywhere could take all targets from others. Change: only while no other target fails, for at most 1 s, and a server error ends the probe. Result: TestBackoffAfterServerErrors passes, also the package with -race.

--- a/internal/slotqueue/queue.go
+++ b/internal/slotqueue/queue.go
@@ -216,12 +216,17 @@
 	if r.Outcome == Answered && r.Took > 0 && g.pace > 0 {
 		q.learn(g, r, stated, now)
 	}
-	backoff = t.ended(r.Outcome, now)
+	backoff = t.ended(r.Outcome, q.othersSound(t), now)
 	q.free(key)
 	q.dispatch(now)
 	return backoff, t
 }
 
+// othersSound reports whether there are other targets and none failed its latest request.
+func (q *queue) othersSound(t *target) bool {
+	return len(q.order) > 1 && !slices.ContainsFunc(q.order, func(other *target) bool { return other != t && other.errors > 0 })
+}
+
 // learn adds a response to the typical work of its route. Of a target that states no pace
 // the duration, compared with that work, is the pace.
 func (q *queue) learn(g *grant, r Release, stated bool, now time.Time) {
--- a/internal/slotqueue/target.go
+++ b/internal/slotqueue/target.go
@@ -17,8 +17,10 @@
 	refusedBackoff    = 50 * time.Millisecond
 	maxRefusedBackoff = time.Second
 	// errorsInSequence is the number of server errors in sequence from which on a target
-	// counts as failing: one that fails at once would otherwise always have free slots.
+	// counts as failing: one that fails at once would otherwise always have free slots. It
+	// doesn't if another one fails too, since then it may be the requests that cause it.
 	errorsInSequence = 3
+	maxErrorBackoff  = time.Second
 	// foreignWindow is the time over which the least foreign load counts: grants and
 	// releases on their way between instances look like foreign load for a moment.
 	foreignWindow = 100 * time.Millisecond
@@ -104,17 +106,19 @@
 func (t *target) fits(body, bound int64) bool { return bound <= 0 || t.bytes+body <= bound }
 
 // ended notes how a request ended and returns the backoff that begins with it, 0 = none.
-func (t *target) ended(o Outcome, now time.Time) time.Duration {
+// alone says that no other target has failed its latest request.
+func (t *target) ended(o Outcome, alone bool, now time.Time) time.Duration {
 	switch o {
 	case Answered:
 		t.failures, t.errors, t.probing = 0, 0, false
 		return 0
 	case ServerError:
 		t.errors++
-		if t.errors < errorsInSequence {
+		t.probing = false
+		if t.errors < errorsInSequence || !alone {
 			return 0
 		}
-		return t.backOff(firstBackoff, maxBackoff, now)
+		return t.backOff(firstBackoff, maxErrorBackoff, now)
 	case NoResponse:
 		return t.backOff(firstBackoff, maxBackoff, now)
 	case Refused:
