Slotqueue: what sessions and their callbacks may rely on

Cause: the order of Cancel and Adopt, and that answers are delivered by other sessions' calls, were not stated. Change: doc comments. Result: go test ./internal/slotqueue passes.

--- a/internal/slotqueue/coordinator.go
+++ b/internal/slotqueue/coordinator.go
@@ -77,7 +77,8 @@
 }
 
 // Open begins a session of an instance. answer is called for each decision, in the order
-// in which they are taken, by one goroutine at a time and without a lock held.
+// in which they are taken, by one goroutine at a time and without a lock held. It may be
+// called by another session's call and must not block.
 func (c *Coordinator) Open(instance string, answer func(Answer)) Session {
 	c.mu.Lock()
 	c.opened++
--- a/internal/slotqueue/types.go
+++ b/internal/slotqueue/types.go
@@ -81,7 +81,10 @@
 type Session interface {
 	Submit(Request)
 	Release(Release)
+	// Cancel ends a request, whether it waits or has a slot.
 	Cancel(id uint64)
+	// Adopt states slots that the instance uses. Of one that replaces a request, the
+	// request must be cancelled before.
 	Adopt([]HeldSlot)
 	// Close ends the session. Slots that are still held count as used until the requests
 	// in them must have ended.
