--- a/internal/slotqueue/types.go
+++ b/internal/slotqueue/types.go
@@ -45,6 +45,7 @@
 const (
 	ReasonLate     = "cannot be done in time"
 	ReasonNoTarget = "no target takes work"
+	ReasonTooLarge = "the body exceeds what a target may hold"
 )
 
 // Outcome is how the use of a slot ended.
@@ -80,7 +81,10 @@
 type Session interface {
 	Submit(Request)
 	Release(Release)
+	// Cancel ends a request, whether it waits or has a slot.
 	Cancel(id uint64)
+	// Adopt states slots that the instance uses. Of one that replaces a request, the
+	// request must be cancelled before.
 	Adopt([]HeldSlot)
 	// Close ends the session. Slots that are still held count as used until the requests
 	// in them must have ended.
