Peer: the Slots call

ServerOptions.SlotsEnd ends the sessions of an instance that stops; their owners are told the instance to ask.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -46,6 +46,9 @@
 	// returns the instance that ranks first instead, if that is another one. nil = this
 	// instance coordinates nothing.
 	Slots func(instance string, answer func(slotqueue.Answer)) (session slotqueue.Session, first string)
+	// SlotsEnd is closed when this instance stops to coordinate: the sessions end, and their
+	// owners are told the instance that Slots then returns. nil = never.
+	SlotsEnd <-chan struct{}
 	// Tunnels opens connections to targets for other instances.
 	Tunnels TunnelServer
 	// CutOff reports whether this instance receives nothing from any other. nil = never.
