Forwarding: plain requests acquire a slot before each attempt

Where the slot queue is enabled for a plain service, each attempt acquires a slot first and releases it with its outcome, duration and the target's load. What the coordinator does not know - this instance's share of rate limits, pauses, drains, the isolation of suspected requests, the crash guard's refusals - is checked on the granted target, and a slot that can't be used is released and asked for anew without that target. A refusal of the queue is sent only if no target may have run the request. Without a coordinator the target is the better of two random ones (Loads.ChooseOfTwo). Without Options.Slots, or while it is not enabled for the service, targets are chosen by Loads.Choose as before.

--- a/internal/forwarding/crashes.go
+++ b/internal/forwarding/crashes.go
@@ -104,7 +104,7 @@
 // reports the end of the attempt to the crash guard. A suspected request gets a
 // target that runs no other suspected request, if there is one: if two requests run
 // at a target that dies, one of them is harmless.
-func (fl *flight) chooseTarget() (target fleet.Target, endSuspect func(), ok bool) {
+func (fl *flight) chooseTarget(choose chooser) (target fleet.Target, endSuspect func(), ok bool) {
 	tried, suspected := fl.triedTargets, fl.suspectedAs()
 	if suspected != "" {
 		// Several requests become suspected by the same death and choose their
@@ -113,7 +113,7 @@
 		defer fl.suspectMu.Unlock()
 		tried = slices.Concat(tried, fl.excludedTargets())
 	}
-	target, ok = fl.chooseUnlimited(tried)
+	target, ok = fl.chooseUnlimited(choose, tried)
 	if !ok {
 		return target, nil, false
 	}
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -77,6 +77,7 @@
 	StatedLimits *allowance.Allowance // rate limits stated by targets; nil if Notices is nil
 	Notices      TargetNotices        // nil = targets ask for no limits or pauses
 	Origins      StreamOrigins        // nil = no stream can be taken up
+	Slots        SlotQueue            // nil = no service has a slot queue
 	Reachable    func() bool          // whether any target can be reached; nil = always
 	Zone         string
 	Clock        clock.Clock
@@ -93,6 +94,8 @@
 	suspectMu   sync.Mutex         // held while a target is chosen for a suspected request
 	crashChecks singleflight.Group // checks whether a target died, by target id
 
+	shards shardIndex
+
 	verdictMu sync.Mutex            // guards all below
 	undecided map[string]*undecided // by target id
 
--- a/internal/forwarding/loads.go
+++ b/internal/forwarding/loads.go
@@ -38,6 +38,7 @@
 	rand    *rand.Rand
 	targets map[string]*targetLoad
 	means   map[string]float64 // by service: moving average of its response times, in milliseconds
+	paced   map[string]bool    // services of which a target has stated its pace
 }
 
 // targetLoad is the state of one target.
@@ -55,7 +56,7 @@
 
 // NewLoads returns estimates without any data.
 func NewLoads(c clock.Clock, zone string, source *rand.Rand) *Loads {
-	return &Loads{clock: c, zone: zone, rand: source, targets: make(map[string]*targetLoad), means: make(map[string]float64)}
+	return &Loads{clock: c, zone: zone, rand: source, targets: make(map[string]*targetLoad), means: make(map[string]float64), paced: make(map[string]bool)}
 }
 
 func (l *Loads) state(id string) *targetLoad {
@@ -157,7 +158,9 @@
 	now := l.clock.Now()
 	k := l.state(t.ID)
 	k.inFlight = max(k.inFlight-1, 0)
-	if load != nil && !load.StatesPace() {
+	if load.StatesPace() {
+		l.paced[t.Service] = true
+	} else if load != nil {
 		k.reported, k.reportedAt = *load, now
 	}
 	switch outcome {
--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"time"
 
-	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/eventstream"
 	"lynxhill.example/lynxhill/internal/exchange"
 	"lynxhill.example/lynxhill/internal/fleet"
@@ -42,16 +41,18 @@
 // servePlain forwards a request to a plain service.
 func (fl *flight) servePlain(ctx context.Context) {
 	var last *attemptResult
+	var acquired slotUses
+	defer acquired.end()
 	for {
-		target, endSuspect, ok := fl.chooseTarget()
-		if !ok {
-			if last == nil && !fl.mayHaveRun {
-				fl.refuse(errkind.New(errkind.NoTarget, "service %s", fl.service), fl.retryAfterPause())
+		target, endSuspect, refusal := fl.nextTarget(ctx, &acquired)
+		if refusal != nil {
+			if !fl.mayHaveRun && refusal.err != nil && (last == nil || refusal.afterRefusals) {
+				fl.refuse(refusal.err, refusal.retryAfter)
 				return
 			}
 			break
 		}
-		a := fl.attemptPlain(ctx, target, endSuspect)
+		a := fl.attemptPlain(ctx, target, endSuspect, acquired.current())
 		if a.final(fl) {
 			fl.deliver(ctx, a)
 			return
@@ -118,8 +119,9 @@
 func (a *attemptResult) deliverable() bool { return a.err == nil && !a.notRun && a.resp != nil }
 
 // attemptPlain sends the request to the target and reads the response. It calls
-// onEnd, now or later through attemptResult.cancel, once the attempt has ended.
-func (fl *flight) attemptPlain(ctx context.Context, target fleet.Target, onEnd func()) *attemptResult {
+// onEnd, now or later through attemptResult.cancel, once the attempt has ended, and then
+// releases the slot, if it has one.
+func (fl *flight) attemptPlain(ctx context.Context, target fleet.Target, onEnd func(), slot *slotUse) *attemptResult {
 	began := fl.o.Clock.Now()
 	a := &attemptResult{target: target}
 	outer := ctx
@@ -130,6 +132,7 @@
 	a.cancel = func() {
 		cancel()
 		onEnd()
+		slot.end()
 	}
 	a.resp, a.head, a.err = fl.send(ctx, fl.call(target, nil, ""))
 	if a.err == nil {
@@ -140,10 +143,12 @@
 	if a.err != nil {
 		fl.suspectCrash(target, a.err)
 	}
+	outcome, took := outcomeOf(outer, a), fl.o.Clock.Now().Sub(began)
+	slot.record(outcome, took, a.head.Load)
 	if a.rest == nil {
 		a.cancel()
 	}
-	fl.o.Loads.Done(target, outcomeOf(outer, a), fl.o.Clock.Now().Sub(began), a.head.Load)
+	fl.o.Loads.Done(target, outcome, took, a.head.Load)
 	return a
 }
 
--- a/internal/forwarding/ratelimit.go
+++ b/internal/forwarding/ratelimit.go
@@ -103,9 +103,13 @@
 	return !t.Cold(fl.o.Clock.Now()) || fl.o.ColdLimits.Take(id, rate)
 }
 
+// chooser chooses one of the targets and counts a request in flight at it; Loads.Choose or
+// Loads.ChooseOfTwo.
+type chooser func(targets []fleet.Target, tried []string) (fleet.Target, bool)
+
 // chooseUnlimited returns the plain target for the next attempt, without the
 // targets that are limited.
-func (fl *flight) chooseUnlimited(tried []string) (fleet.Target, bool) {
+func (fl *flight) chooseUnlimited(choose chooser, tried []string) (fleet.Target, bool) {
 	targets := fl.o.Targets().Ready(fl.service)
 	if fl.build != nil {
 		targets = slices.DeleteFunc(slices.Clone(targets), func(t fleet.Target) bool { return !fl.mayRunAt(t) })
@@ -114,7 +118,7 @@
 		if slices.ContainsFunc(targets, fl.limited) {
 			targets = slices.DeleteFunc(slices.Clone(targets), fl.limited)
 		}
-		target, ok := fl.o.Loads.Choose(targets, tried)
+		target, ok := choose(targets, tried)
 		if !ok || fl.take(target.ID) {
 			return target, ok
 		}
--- a/internal/slotqueue/client_slot.go
+++ b/internal/slotqueue/client_slot.go
@@ -43,8 +43,8 @@
 }
 
 // Chosen tells the coordinator, if there is one, the target that the owner has chosen for
-// a slot that names none.
-func (s *Slot) Chosen(target string) {
+// a slot that names none, and its shard.
+func (s *Slot) Chosen(target string, shard int) {
 	c := s.client
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -52,7 +52,7 @@
 		return
 	}
 	c.lastID++
-	s.req.ID = c.lastID
+	s.req.ID, s.req.Shard = c.lastID, shard
 	s.call = &clientCall{req: s.req, state: callUsed, target: target}
 	c.calls[s.req.ID] = s.call
 	if cn := c.asked[s.req.key()]; cn != nil {
--- a/internal/slotqueue/client_test.go
+++ b/internal/slotqueue/client_test.go
@@ -145,8 +145,8 @@
 		f := r.ranked[0]
 		f.set(func() { f.delay = 200 * ms })
 		slot := r.wantSlot("slow", nil, firstWordTimeout)
-		slot.Chosen("x")
-		r.wantSlot("while it is slow", nil, 0).Chosen("y")
+		slot.Chosen("x", 0)
+		r.wantSlot("while it is slow", nil, 0).Chosen("y", 0)
 		time.Sleep(130 * ms)
 		synctest.Wait()
 		events, held := f.seen()
