--- a/internal/forwarding/crash_test.go
+++ b/internal/forwarding/crash_test.go
@@ -27,12 +27,14 @@
 	cases := map[string]struct {
 		in     func() Inbound
 		before string // what the target of the crashing request writes before it dies
+		slots  bool   // with the slot queue
 	}{
-		"plain":                      {func() Inbound { return inbound(route.Idempotent, false, false) }, ""},
-		"plain, head sent":           {func() Inbound { return inbound(route.Idempotent, false, false) }, wholeAnswer[:58]},
-		"engine":                     {func() Inbound { return inbound(route.Streaming, true, true) }, ""},
-		"engine, stream has begun":   {func() Inbound { return inbound(route.Streaming, true, true) }, wholeAnswer[:58]},
-		"engine, cannot be repeated": {func() Inbound { return inbound(route.Streaming, false, true) }, ""},
+		"plain, slots":               {func() Inbound { return inbound(route.Idempotent, false, false) }, "", true},
+		"plain":                      {func() Inbound { return inbound(route.Idempotent, false, false) }, "", false},
+		"plain, head sent":           {func() Inbound { return inbound(route.Idempotent, false, false) }, wholeAnswer[:58], false},
+		"engine":                     {func() Inbound { return inbound(route.Streaming, true, true) }, "", false},
+		"engine, stream has begun":   {func() Inbound { return inbound(route.Streaming, true, true) }, wholeAnswer[:58], false},
+		"engine, cannot be repeated": {func() Inbound { return inbound(route.Streaming, false, true) }, "", false},
 	}
 	const rounds = 12 // which requests share a target differs between rounds
 	for n := range rounds * len(cases) {
@@ -50,6 +52,9 @@
 					time.Sleep(300 * time.Millisecond)
 					_, _ = io.WriteString(conn, wholeAnswer)
 				})
+				if c.slots {
+					r.enableSlots(t)
+				}
 				in := c.in()
 				in.Route.MaxAttempts = maxTotalAttempts // one more than the limit of deaths
 				var callers sync.WaitGroup
--- a/internal/forwarding/forwarder_test.go
+++ b/internal/forwarding/forwarder_test.go
@@ -33,6 +33,11 @@
 
 // tryPair forwards a request with two targets to choose from, and checks the guarantees of the response.
 func tryPair(t *testing.T, first, second behaviour, in Inbound) {
+	tryPairAt(t, forwarderOf, first, second, in)
+}
+
+// tryPairAt is tryPair with the forwarder that the function returns.
+func tryPairAt(t *testing.T, newForwarder func(...*scripted) *Forwarder, first, second behaviour, in Inbound) {
 	a, b := script(t, "a", first), script(t, "b", second)
 	w, cut := httptest.NewRecorder(), true
 	func() {
@@ -41,7 +46,7 @@
 				panic(p)
 			}
 		}()
-		forwarderOf(a, b).Serve(t.Context(), w, in)
+		newForwarder(a, b).Serve(t.Context(), w, in)
 		cut = false
 	}()
 	mayHaveRun := int64(0)
--- a/internal/forwarding/ratelimit_test.go
+++ b/internal/forwarding/ratelimit_test.go
@@ -51,9 +51,12 @@
 		{"both are limited", []string{"m0", "m1"}, nil, 503, defaultRetryAfter, 1},
 		{"both are paused", nil, []string{"m0", "m1"}, 503, pause, 0},
 	} {
-		for _, kind := range []route.Kind{route.Idempotent, route.NonIdempotent, route.Streaming} {
+		for n, kind := range []route.Kind{route.Idempotent, route.NonIdempotent, route.Streaming, route.Idempotent, route.NonIdempotent} {
 			synctest.Test(t, func(t *testing.T) {
 				r := newRig(t, 2, func(_ *memoryTarget, conn net.Conn, _ string) { _, _ = io.WriteString(conn, wholeAnswer) })
+				if n >= 3 { // with the slot queue
+					r.enableSlots(t)
+				}
 				asks := fixedNotices{limits: make(map[string]float64), pauses: make(map[string]time.Time)}
 				r.o.Notices = asks
 				r.o.StatedLimits = allowance.NewAllowance(allowance.Options{
--- a/internal/forwarding/rig_test.go
+++ b/internal/forwarding/rig_test.go
@@ -81,6 +81,7 @@
 	dispatcher *stagework.Dispatcher
 	view       atomic.Pointer[fleet.View]
 	unacked    atomic.Int64 // unacknowledged bytes, reported for every connection
+	slots      *slotClient  // nil = the slot queue is not enabled
 }
 
 func newRig(t *testing.T, count int, handle func(m *memoryTarget, conn net.Conn, body string)) *rig {
@@ -121,6 +122,9 @@
 	}
 	r.view.Store(fleet.NewView(1, targets))
 	r.dispatcher.SetTargets(inbound(route.Streaming, true, true).Table, r.view.Load())
+	if r.slots != nil {
+		r.slots.coordinator.TargetsChanged()
+	}
 }
 
 func (r *rig) dial(ctx context.Context, _, address string) (net.Conn, error) {
