Edge: plain services share their slots through a coordinator

Each instance has a coordinator and a client of the slot queue. It is used for a plain service as overload.slot_queue says, which a reload changes at once; auto means that a target of the service has stated its pace to this instance. An instance that stops ends the sessions of the others, who are told where to go, refuses new ones, and leaves its own coordinator.

Slotqueue: an excluded instance is tried again by a stream without requests. In the fleet test with a silent coordinator, members counted it in for longer than the 2 s of the exclusion, and requests after that waited 80 ms again.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -115,6 +115,7 @@
 	origins    *streamorigin.Manager
 	budget     *forwarding.RetryBudget // limits retries of requests
 	ingress    *ingress.Ingress
+	slots      *slots
 
 	cells            atomic.Pointer[[]stagework.Cell]
 	lastClockCheck   atomic.Int64 // boot time of the last checkClock, ns
@@ -276,6 +277,7 @@
 		Connected: i.reachesOthers, Confirmed: i.confirmed, Clock: i.o.Clock, Logger: i.o.Logger, Metrics: i.metrics,
 	})
 	i.loads = forwarding.NewLoads(i.o.Clock, i.cfg.Instance.Zone, i.rand())
+	i.slots = i.newSlots()
 	i.ingress = ingress.New(ingress.Options{
 		Codec: i.adapter.Codec, Forwarder: i.newForwarder(), Table: i.routes.Table,
 		Confirm: i.grounds, Serving: i.serving, Addresses: i.addresses,
@@ -291,7 +293,7 @@
 func (i *Instance) openServers() error {
 	peers := peer.NewServer(peer.NewHandler(peer.ServerOptions{
 		Exchange: i.exchange, Probe: i.members.HandleProbe, Profiles: i.routes.Since, Work: i.acceptJob,
-		Origins: i.origins, Tunnels: i.paths.Server(),
+		Origins: i.origins, Tunnels: i.paths.Server(), Slots: i.slots.accept, SlotsEnd: i.slots.ended,
 		CutOff: func() bool { return i.members.Silence() >= silenceThreshold },
 		Logger: i.o.Logger, Metrics: i.metrics,
 	}), nil, i.o.Logger)
--- a/internal/edge/edge_test.go
+++ b/internal/edge/edge_test.go
@@ -66,7 +66,11 @@
 	return n
 }
 func (fakePlatform) ParseResponse(r *http.Response) relay.ResponseHead {
-	return relay.ResponseHead{Signed: true, NotRun: r.StatusCode == 503}
+	head := relay.ResponseHead{Signed: true, NotRun: r.StatusCode == 503}
+	if pace, err := strconv.ParseFloat(r.Header.Get("Pace"), 64); err == nil {
+		head.Load = &relay.Load{Slots: 9, Pace: pace}
+	}
+	return head
 }
 
 // testInstance is an instance in virtual time with a store and two targets.
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -71,6 +71,7 @@
 		return listed
 	})
 	i.updateDispatcher()
+	i.slots.coordinator.TargetsChanged()
 	i.spreadChange()
 }
 
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -34,6 +34,7 @@
 	case err = <-failed:
 	}
 	i.ingress.CancelRequests()
+	i.slots.Close()
 	i.closeServers()
 	i.dispatcher.Close()
 	i.paths.Close()
@@ -51,6 +52,7 @@
 	defer cancel()
 	go func() { _ = i.adapter.Platform.Deregister(ctx, i.id()) }()
 	i.members.Leave(ctx)
+	i.slots.handOver()
 	var handingOver sync.WaitGroup
 	handingOver.Go(i.handOverOrigins)
 	i.dispatcher.ReturnJobs()
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -15,6 +15,7 @@
 	"ingress.address_ttl", "ingress.grace", "ingress.touch", "ingress.apply", "ingress.fail_closed", "ingress.revocation",
 	"ingress.retry_ratio", "ingress.retry_window", "ingress.retry_extra",
 	"ingress.cold_overage", "ingress.memory_mb", "ingress.descriptors", "ingress.reuse_window", "peers.seeds",
+	"overload.slot_queue",
 }
 
 // retryKeys are the settings of the retry budget.
@@ -67,6 +68,7 @@
 	live.ReuseWindow = to.ReuseWindow
 	live.ColdOverage = to.ColdOverage
 	running.Peers.Seeds = next.Peers.Seeds
+	running.Overload.SlotQueue = next.Overload.SlotQueue
 	return running
 }
 
@@ -103,7 +105,7 @@
 		Codec: i.adapter.Codec, Exchange: i.pool, Targets: i.routes.Targets, Scheduler: i.finder,
 		Budget: i.budget,
 		Loads:  i.loads, CrashGuard: i.guard, ColdLimits: i.cold, StatedLimits: i.limited, Notices: i.notices, Zone: i.cfg.Instance.Zone,
-		Reachable: i.paths.Reachable, Origins: i.origins,
+		Reachable: i.paths.Reachable, Origins: i.origins, Slots: i.slots,
 		Clock: i.o.Clock, Rand: i.rand(), Logger: i.o.Logger,
 	})
 }
--- a/internal/slotqueue/client.go
+++ b/internal/slotqueue/client.go
@@ -64,8 +64,8 @@
 func NewClient(o ClientOptions) *Client {
 	c := &Client{
 		// IDs differ from those of an earlier process with the same instance ID, whose slots
-		// coordinators may still count.
-		lastID: uint64(o.Clock.Now().UnixNano()),
+		// coordinators may still count: no instance has a thousand requests a second.
+		lastID: uint64(o.Clock.Now().UnixMilli()),
 		o:      o, calls: make(map[uint64]*clientCall), conns: make(map[string]*clientConn),
 		asked: make(map[shardKey]*clientConn), excluded: make(map[string]exclusion),
 	}
@@ -267,6 +267,17 @@
 	notify(cn.wake)
 }
 
+// Leave makes the requests that wait at the coordinator ask the next one. An instance that
+// stops calls it for its own coordinator.
+func (c *Client) Leave(coordinator string) {
+	c.mu.Lock()
+	cn := c.conns[coordinator]
+	c.mu.Unlock()
+	if cn != nil {
+		cn.end(endElsewhere, nil)
+	}
+}
+
 // Close ends all streams. Requests that wait, and later ones, choose by themselves.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/slotqueue/client_conn.go
+++ b/internal/slotqueue/client_conn.go
@@ -54,6 +54,7 @@
 	slowSince    time.Time // when a request was not answered in time; zero = a message has arrived since
 	nextCheck    time.Time
 	timer        *quartz.Timer
+	probing      bool // tries an instance that is excluded, which has not answered yet
 	ended        bool
 }
 
@@ -102,6 +103,10 @@
 	return !cn.slowSince.IsZero() && now.Sub(cn.slowSince) < heartbeatEvery
 }
 
+// idle reports whether nothing is expected from the coordinator. The caller holds the
+// client's mu.
+func (cn *clientConn) idle() bool { return len(cn.calls) == 0 && !cn.probing }
+
 // schedule sets the time of the next check. The caller holds the client's mu.
 func (cn *clientConn) schedule(after time.Duration) {
 	clock := cn.client.o.Clock
@@ -129,9 +134,9 @@
 	switch {
 	case cn.ended:
 		return ""
-	case len(cn.calls) == 0 && now.Sub(cn.idleSince) >= idleTimeout:
+	case cn.idle() && now.Sub(cn.idleSince) >= idleTimeout:
 		return endIdle
-	case len(cn.calls) == 0:
+	case cn.idle():
 		cn.schedule(idleTimeout - now.Sub(cn.idleSince))
 		return ""
 	case now.Sub(cn.nextCheck) > stallTolerance:
@@ -219,6 +224,10 @@
 		return
 	}
 	cn.lastReceived, cn.slowSince = c.o.Clock.Now(), time.Time{}
+	if cn.probing && down.Elsewhere == "" {
+		cn.probing = false
+		delete(c.excluded, cn.instance)
+	}
 	for _, a := range down.Answers {
 		cn.answer(a)
 	}
@@ -261,7 +270,7 @@
 	cn.timer.Stop()
 	cn.cancel()
 	delete(c.conns, cn.instance)
-	lost := (reason == endFailed || reason == endSilent) && (len(cn.calls) > 0 || errors.Is(err, ErrUnknownCall))
+	lost := (reason == endFailed || reason == endSilent) && (!cn.idle() || errors.Is(err, ErrUnknownCall))
 	if lost || reason == endElsewhere {
 		c.exclude(cn.instance, errors.Is(err, ErrUnknownCall))
 	}
--- a/internal/slotqueue/client_test.go
+++ b/internal/slotqueue/client_test.go
@@ -119,11 +119,32 @@
 			}
 			first.set(func() { first.queues, first.silent = false, false })
 			time.Sleep(excludeFor)
+			r.wantSlot(name+", probed", next, 0).Release(Unknown, 0, nil)
+			synctest.Wait()
 			r.wantSlot(name+", back", first, 0).Release(Unknown, 0, nil)
 		})
 	}
 }
 
+// Guards against requests that wait for a dead instance each time that its exclusion ends:
+// members may count it in for longer.
+func TestDeadInstanceIsTriedWithoutRequests(t *testing.T) {
+	withClient(t, func(r *clientRig) {
+		first, next := r.ranked[0], r.ranked[1]
+		r.wantSlot("before", first, 0).Release(Unknown, 0, nil)
+		first.set(func() { first.silent = true })
+		r.wantSlot("unheard", nil, firstWordTimeout).Chosen("x", 0)
+		time.Sleep(silenceTimeout)
+		for range 100 {
+			r.wantSlot("while it is dead", next, 0).Release(Unknown, 0, nil)
+			time.Sleep(100 * ms)
+		}
+		if streams, _, _ := first.traffic(); streams < 4 || streams > 6 {
+			t.Errorf("%d streams to the dead instance in 10 s", streams)
+		}
+	})
+}
+
 // Guards against slots that the successor does not know of because no further request comes.
 func TestHeldSlotsAreStatedWithoutAFurtherRequest(t *testing.T) {
 	withClient(t, func(r *clientRig) {
@@ -175,6 +196,8 @@
 		}
 		f.set(func() { f.unknown = false })
 		time.Sleep(excludeFor)
+		r.wantSlot("newer build, probed", nil, 0)
+		synctest.Wait()
 		r.wantSlot("newer build", f, 0).Release(Unknown, 0, nil)
 	})
 }
