--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -139,8 +139,9 @@
 	newConnections bool            // use new connections: an attempt failed, and other idle connections may be dead too
 	crashChecked   <-chan struct{} // closed once it is known whether the last target died; nil = no check is running
 	// Logged at the end of the request.
-	dispatcher     string        // instance that scheduled it; "" = none or not known
-	placementWait  time.Duration // time spent waiting for placements
+	dispatcher     string        // instance that scheduled it, or decided about its slot; "" = none or not known
+	slotID         uint64        // number of the last request for a slot, under which the coordinator logs it; 0 = none
+	placementWait  time.Duration // time spent waiting for placements and slots
 	firstByteAfter time.Duration // time from the arrival to the first bytes of the response; 0 = none were sent
 }
 
--- a/internal/forwarding/slots.go
+++ b/internal/forwarding/slots.go
@@ -71,10 +71,12 @@
 			break
 		}
 		slot, refusal, err := fl.o.Slots.Acquire(ctx, request)
+		if slot != nil {
+			fl.dispatcher, fl.slotID = slot.Coordinator(), slot.ID()
+		}
 		if err != nil || refusal != nil {
 			return fleet.Target{}, nil, fl.slotRefused(refusal)
 		}
-		fl.dispatcher = slot.Coordinator()
 		if !fl.trial && fl.refusedByGuard() { // since it was admitted; it has waited
 			slot.Release(slotqueue.Unknown, 0, nil)
 			return fleet.Target{}, nil, fl.guardRefusal()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -24,7 +24,7 @@
 )
 
 // startServer runs a peer API on loopback and returns a client that knows it as "b".
-func startServer(t *testing.T, o ServerOptions) (*Client, string) {
+func startServer(t testing.TB, o ServerOptions) (*Client, string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/slotqueue/client.go
+++ b/internal/slotqueue/client.go
@@ -101,8 +101,8 @@
 }
 
 // Acquire waits until the request gets a slot, is refused, or the owner has to choose the
-// target by itself: then the slot names no target. The error is that of ctx. The request's
-// ID is set by the client.
+// target by itself: then the slot names no target. The slot of a refused request only says
+// who refused it. The error is that of ctx. The request's ID is set by the client.
 func (c *Client) Acquire(ctx context.Context, req Request) (*Slot, *Refusal, error) {
 	cause := ownNoCoordinator
 	for range maxCoordinators {
@@ -125,7 +125,7 @@
 			return &Slot{client: c, call: call, target: call.target, coordinator: instance}, nil, nil
 		case callRefused:
 			c.count("refused")
-			return nil, call.refusal, nil
+			return &Slot{client: c, call: call, coordinator: instance}, call.refusal, nil
 		case callGivenUp:
 			c.count("given_up")
 			return nil, nil, ctx.Err()
--- a/internal/slotqueue/client_slot.go
+++ b/internal/slotqueue/client_slot.go
@@ -24,9 +24,18 @@
 // to choose.
 func (s *Slot) Target() string { return s.target }
 
-// Coordinator returns the instance that granted the slot; "" = none.
+// Coordinator returns the instance that granted or refused the slot; "" = none.
 func (s *Slot) Coordinator() string { return s.coordinator }
 
+// ID returns the number of the request, under which the coordinator logs it; 0 = it knows
+// of none.
+func (s *Slot) ID() uint64 {
+	if s.call == nil {
+		return 0
+	}
+	return s.call.req.ID
+}
+
 // Use must be called before the attempt is sent. The error is ErrReleased if the slot has
 // been released, since it was not used for too long; nothing may be sent then.
 func (s *Slot) Use() error {
