--- a/internal/edge/fleet_harness_test.go
+++ b/internal/edge/fleet_harness_test.go
@@ -94,7 +94,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if l == nil || otherSide || s.has(&s.poweredOff) || s.has(&s.isolated) {
+	if l == nil || otherSide || s.has(&s.poweredOff) || s.has(&s.isolated) && !strings.HasPrefix(address, targetNetwork) {
 		return nil, net.ErrClosed
 	}
 	conn, err := l.Dial(ctx, network, address)
--- a/internal/edge/slots_test.go
+++ b/internal/edge/slots_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -215,3 +216,39 @@
 		expect("on", 3)
 	})
 }
+
+// cutFromInstances prevents the instance from reaching others, and closes its connections
+// with them.
+func (f *testFleet) cutFromInstances(cut *member) {
+	cut.socket.mu.Lock()
+	cut.socket.isolated = true
+	made := slices.Clone(cut.socket.opened)
+	cut.socket.mu.Unlock()
+	for _, c := range made {
+		if !strings.HasPrefix(c.to, targetNetwork) {
+			_ = c.Close()
+		}
+	}
+	f.cutCallers(cut)
+}
+
+// Guards against requests that wait for a coordinator that their owner can't reach: the
+// owner is cut off from the other instances, but not from callers and targets.
+func TestSlotOwnerCutOffInABurst(t *testing.T) {
+	withSlotTargets(t, 8, true, func(f *testFleet, s *slotTargets) {
+		f.burst("calm", 400, time.Second, nil)
+		first, _ := f.slotCoordinator()
+		cut := f.all[(first+1)%len(f.all)]
+		time.AfterFunc(time.Second, func() { f.cutFromInstances(cut) })
+		during := f.burst("burst", 400, 3*time.Second, nil)
+		t.Logf("%+v, %d requests at a target of %d slots", during, s.reset(), slotsPerTarget)
+		if during.failed > 0 || during.onTime < during.sent*95/100 || during.longest > time.Second {
+			t.Errorf("%+v", during)
+		}
+		for path, count := range s.arrived {
+			if count > 1 && path != "/slow/warm" {
+				t.Errorf("%s ran %d times", path, count)
+			}
+		}
+	})
+}
