Reservations: capacity for callers that are refused for lack of time

With Overload.Reservations, the planner offers a reservation with each refusal for lack of time, accepts jobs whose caller key has a valid one, and counts reserved work in its forecasts.

--- a/internal/stagework/build.go
+++ b/internal/stagework/build.go
@@ -51,7 +51,8 @@
 // refuseLate returns the refusal of a new job that cannot be done in time.
 func (p *Planner) refuseLate(j *job, now time.Time) *Refusal {
 	if end := now.Add(p.remaining(j, now)); end.After(j.Deadline) {
-		return &Refusal{Reason: ReasonLate, RetryAfter: clampTime(end.Sub(j.Deadline), retryAfterMin, retryAfterMax)}
+		r := p.lateRefusal(j, Refusal{Reason: ReasonLate, RetryAfter: clampTime(end.Sub(j.Deadline), retryAfterMin, retryAfterMax)}, now)
+		return &r
 	}
 	return p.classifyNew(j, now)
 }
--- a/internal/stagework/forecast.go
+++ b/internal/stagework/forecast.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"lynxhill.example/lynxhill/internal/reservation"
 )
 
 // Parameters of the forecast.
@@ -33,7 +35,8 @@
 type forecast struct {
 	now    time.Time
 	margin float64
-	queues []serviceQueue // by the service's number
+	book   *reservation.Book // reserved work that counts; nil = none
+	queues []serviceQueue    // by the service's number
 }
 
 // serviceQueue is the work queued at a service, with cached values of the
@@ -49,7 +52,7 @@
 }
 
 func (p *Planner) newForecast(now time.Time) *forecast {
-	return &forecast{now: now, margin: p.policy.margin(), queues: make([]serviceQueue, len(p.services))}
+	return &forecast{now: now, margin: p.policy.margin(), book: p.reservedWork(), queues: make([]serviceQueue, len(p.services))}
 }
 
 func (f *forecast) queue(v *service) *serviceQueue {
@@ -138,13 +141,17 @@
 	v := u.service
 	q := f.queue(v)
 	n := max(q.healthy, 1)
-	start = max(start, q.firstFree+time.Duration(q.work/float64(n)))
+	start = max(start, f.wait(q, u.job.Priority))
 	return start + v.expectedCallTime(min(v.batch(), len(u.pieces)+max(q.pieces, 0)/n))
 }
 
 // committed reports whether any piece of the job was started or memory is
-// reserved for it. A job without units counts as committed.
+// reserved for it, or whether its caller claimed a reservation. A job without units counts
+// as committed.
 func (j *job) committed() bool {
+	if j.claimed {
+		return true
+	}
 	for _, u := range j.units {
 		if u.reserved || u.waiting < len(u.pieces) {
 			return true
@@ -246,7 +253,7 @@
 			continue
 		}
 		q := f.queue(u.service)
-		if wait := q.firstFree + time.Duration(q.work/float64(max(q.healthy, 1))); wait > longest {
+		if wait := f.wait(q, j.Priority); wait > longest {
 			bottleneck, longest = u.service, wait
 		}
 	}
@@ -332,7 +339,7 @@
 // first event.
 func (p *Planner) acceptLate(j *job, f *forecast) (bool, time.Duration) {
 	j.lateCheckedAt = f.now
-	left := &forecast{now: f.now, queues: slices.Clone(f.queues)}
+	left := &forecast{now: f.now, book: f.book, queues: slices.Clone(f.queues)}
 	for i := range left.queues {
 		if q := &left.queues[i]; q.units > 0 {
 			q.work /= 1 - min(q.service.load.load(q.healthy, f.now), maxLoad)
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/reservation"
 	"lynxhill.example/lynxhill/internal/route"
 )
 
@@ -27,7 +28,10 @@
 	ExcludedEngines []string    // engines that have failed this request
 	Binding         *Binding    // nil = any engine may run the job
 	Results         []ResultRef // results produced under the previous dispatcher
-	RankOverride    RankOverride
+	CallerKey       string      // identifies the work across the attempts of its caller; "" = unknown
+	// Reservations were made for callers of the owner by an earlier dispatcher of the cell.
+	Reservations []reservation.Reservation
+	RankOverride RankOverride
 }
 
 func (j *Job) pieces(stage int) int {
@@ -116,6 +120,8 @@
 	FirstRanked string
 	// Dispatcher is the instance that refused the job.
 	Dispatcher string
+	// Reserved: capacity is reserved for the caller's return after RetryAfter.
+	Reserved bool
 }
 
 // Reasons for refusals.
@@ -209,6 +215,8 @@
 	engine         *engine
 	session        string // ID of the prompt part that identifies the session; "" = none
 	arrived        time.Time
+	firstArrived   time.Time     // of the caller's first attempt, as far as it is known
+	claimed        bool          // its caller claimed a reservation
 	minTime        time.Duration // time to the first event without any queueing
 	lateCheckedAt  time.Time     // when a late job was last checked by acceptLate
 	late           bool          // it cannot be on time; it gets only capacity that on-time jobs leave
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -68,7 +68,7 @@
 	for _, j := range p.staging() {
 		remaining := p.remaining(j, now)
 		if p.hopeless(j, now) || now.Add(remaining).After(j.Deadline) {
-			p.refuse(j, Refusal{Reason: ReasonLate, RetryAfter: retryAfterMin}, now)
+			p.refuse(j, p.lateRefusal(j, Refusal{Reason: ReasonLate, RetryAfter: retryAfterMin}, now), now)
 			continue
 		}
 		if j.pool.lacksBuild(j) {
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/reservation"
 	"lynxhill.example/lynxhill/internal/route"
 )
 
@@ -50,6 +51,9 @@
 	bounds     RateLimits
 	leadership leadership
 	policy     Policy
+	overload   Overload
+	// reservations are for callers that were refused for lack of time.
+	reservations reservations
 }
 
 // Counts holds counters of a planner since its start. Errors counts failed
@@ -84,6 +88,7 @@
 		urgencyQueue:    jobQueue{order: byUrgency},
 		pendingReleases: make(map[string]pendingRelease),
 		release:         release,
+		reservations:    reservations{book: reservation.New()},
 	}
 }
 
@@ -162,10 +167,12 @@
 	p.dueNow() // the new job may make others late, even if it is refused
 	in.OnTimeUntil = earlier(in.OnTimeUntil, in.Deadline)
 	j := &job{Job: in, arrived: now, notify: notify, session: in.session()}
+	p.claimReservation(j, now)
 	if refusal := p.build(j, now); refusal != nil {
 		p.counts.Refused++
 		return nil, refusal
 	}
+	p.acceptedWithoutReservation(j)
 	p.jobs[j] = struct{}{}
 	p.enqueueJob(j)
 	j.countArrival(now)
@@ -185,7 +192,7 @@
 func (p *Planner) classifyNew(j *job, now time.Time) *Refusal {
 	j.minTime = p.remaining(j, now)
 	j.countRequest(now)
-	if !p.policy.NoForecast {
+	if !p.policy.NoForecast && !j.claimed {
 		p.classify(j, now)
 	}
 	if !j.late {
@@ -196,7 +203,8 @@
 	}
 	p.invalidateForecast()
 	if ok, takes := p.acceptLate(j, p.totalForecast(now)); !ok && !p.policy.NoEarlyRefusal {
-		return &Refusal{Reason: ReasonLate, RetryAfter: clampTime(takes, retryAfterMin, retryAfterMax), Forecast: takes}
+		r := p.lateRefusal(j, Refusal{Reason: ReasonLate, RetryAfter: clampTime(takes, retryAfterMin, retryAfterMax), Forecast: takes}, now)
+		return &r
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/stagework/reservations.go
@@ -0,0 +1,177 @@
+package stagework
+
+import (
+	"time"
+
+	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/reservation"
+)
+
+// returnShare is the share of the time until its deadline after which a refused caller still
+// comes back: callers honour a Retry-After of up to a third of the time that they have left.
+const returnShare = 1.0 / 3
+
+// ReservationCounts holds counters of a planner's reservations since its start.
+type ReservationCounts struct {
+	Made, MadeLate int // for callers that would be on time, and for those that would be late
+	Claimed        int
+	Expired        int // not claimed in time
+	Adopted        int // made by another dispatcher
+	NoMoment       int // refusals without a useful time to come back
+}
+
+func (c ReservationCounts) plus(o ReservationCounts) ReservationCounts {
+	return ReservationCounts{
+		Made: c.Made + o.Made, MadeLate: c.MadeLate + o.MadeLate, Claimed: c.Claimed + o.Claimed,
+		Expired: c.Expired + o.Expired, Adopted: c.Adopted + o.Adopted, NoMoment: c.NoMoment + o.NoMoment,
+	}
+}
+
+// reservations is the state of a planner's reservations.
+type reservations struct {
+	book   *reservation.Book
+	counts ReservationCounts
+	log    func(id event.ID, fields ...any) // nil = not logged
+}
+
+func (s *reservations) write(id event.ID, fields ...any) {
+	if s.log != nil {
+		s.log(id, fields...)
+	}
+}
+
+// claimReservation adopts the reservations that a new job brings along, and claims that of its
+// caller. A job with a claimed reservation counts as accepted, and its objective is measured
+// from the caller's first attempt.
+func (p *Planner) claimReservation(j *job, now time.Time) {
+	j.firstArrived = now
+	if !p.overload.Reservations {
+		return
+	}
+	p.expireReservations(now)
+	p.adoptReservations(j.Reservations, now)
+	j.Reservations = nil
+	r, ok := p.reservations.book.Claim(j.CallerKey, now)
+	if !ok {
+		return
+	}
+	j.claimed, j.firstArrived = true, r.Arrived
+	j.OnTimeUntil = j.OnTimeUntil.Add(-max(now.Sub(r.Arrived), 0))
+	p.invalidateForecast()
+	p.reservations.counts.Claimed++
+	p.reservations.write(event.ReservationClaimed, "request", j.ID, "cell", p.cell.Name(), "caller", r.CallerKey,
+		"after_due_ms", now.Sub(r.Due).Milliseconds(), "first_attempt_ms", now.Sub(r.Arrived).Milliseconds(),
+		"aim_ms", j.OnTimeUntil.Sub(now).Milliseconds())
+}
+
+// acceptedWithoutReservation ends the reservation of a caller that was accepted before it was
+// due.
+func (p *Planner) acceptedWithoutReservation(j *job) {
+	if p.overload.Reservations && !j.claimed {
+		p.reservations.book.Cancel(j.CallerKey)
+		p.invalidateForecast()
+	}
+}
+
+// expireReservations gives the capacity of reservations that were not claimed to others.
+func (p *Planner) expireReservations(now time.Time) {
+	for _, r := range p.reservations.book.Expire(now) {
+		p.reservations.counts.Expired++
+		p.reservations.write(event.ReservationExpired, "cell", p.cell.Name(), "caller", r.CallerKey,
+			"organisation", r.Organisation, "route", r.Route, "after_due_ms", now.Sub(r.Due).Milliseconds())
+	}
+}
+
+// adoptReservations takes over the reservations that an earlier dispatcher of the cell made.
+func (p *Planner) adoptReservations(list []reservation.Reservation, now time.Time) {
+	if len(list) == 0 {
+		return
+	}
+	capacity := make(map[string]reservation.Capacity)
+	for _, r := range list {
+		for i := range r.Demands {
+			d := &r.Demands[i]
+			v := p.services[d.Service]
+			if v == nil {
+				continue
+			}
+			d.Work = time.Duration(d.Pieces) * v.pieceTime(d.ResultBytes)
+			healthy, _ := v.availability(now)
+			capacity[d.Service] = reservation.Capacity{PerWindow: time.Duration(healthy) * reservation.Window}
+		}
+	}
+	adopted := p.reservations.book.Adopt(list, capacity, now)
+	p.reservations.counts.Adopted += len(adopted)
+	p.invalidateForecast()
+	p.reservations.write(event.ReservationsAdopted, "cell", p.cell.Name(), "received", len(list), "adopted", len(adopted))
+}
+
+// lateRefusal completes the refusal of a job for lack of time: its caller gets a time to come
+// back for which capacity is reserved or, if none is useful, the time after which the overload
+// is forecast to be over. The caller has not been told of the refusal yet.
+func (p *Planner) lateRefusal(j *job, r Refusal, now time.Time) Refusal {
+	if !p.overload.Reservations {
+		return r
+	}
+	p.invalidateForecast()
+	left := p.leftForecast(j, now)
+	offered, ok := p.offer(j, left, now)
+	if !ok {
+		r.RetryAfter = clampTime(left.longestWait(j), retryAfterMin, retryAfterMax)
+		p.reservations.counts.NoMoment++
+		p.reservations.write(event.ReservationNoMoment, "request", j.ID, "cell", p.cell.Name(), "organisation", j.Organisation,
+			"route", j.Route, "retry_after_ms", r.RetryAfter.Milliseconds(), "deadline_ms", j.Deadline.Sub(now).Milliseconds())
+		return r
+	}
+	p.invalidateForecast()
+	r.Reserved, r.RetryAfter = true, max(offered.Due.Sub(now), time.Millisecond)
+	p.reservations.write(event.ReservationMade, "request", j.ID, "cell", p.cell.Name(), "caller", j.CallerKey,
+		"organisation", j.Organisation, "route", j.Route, "due_ms", r.RetryAfter.Milliseconds(),
+		"latest_ms", offered.Latest.Sub(now).Milliseconds(), "on_time", offered.OnTime, "reserved", p.reservations.book.Len())
+	return r
+}
+
+// offer reserves capacity for the job's caller: among the jobs that are to be on time if the
+// caller can be, otherwise in the capacity that they leave.
+func (p *Planner) offer(j *job, left *forecast, now time.Time) (reservation.Reservation, bool) {
+	if j.CallerKey == "" || len(j.units) == 0 {
+		return reservation.Reservation{}, false
+	}
+	needs := p.remaining(j, now)
+	back := now.Add(time.Duration(returnShare * float64(j.Deadline.Sub(now))))
+	q := reservation.Request{
+		CallerKey: j.CallerKey, Organisation: j.Organisation, Route: j.Route, Priority: j.Priority, Arrived: j.firstArrived,
+		Demands: j.demands(), OnTime: true, Latest: earlier(back, j.OnTimeUntil.Add(-needs)),
+	}
+	if r, ok := p.reservations.book.Offer(q, p.capacityFor(j, p.acceptedForecast(j, now), now), now); ok {
+		p.countOffer(q)
+		return r, true
+	}
+	q.OnTime, q.Latest = false, earlier(back, j.Deadline.Add(-needs))
+	r, ok := p.reservations.book.Offer(q, p.capacityFor(j, left, now), now)
+	if ok {
+		p.countOffer(q)
+	}
+	return r, ok
+}
+
+func (p *Planner) countOffer(q reservation.Request) {
+	if q.OnTime {
+		p.reservations.counts.Made++
+	} else {
+		p.reservations.counts.MadeLate++
+	}
+}
+
+// demands returns the work of all pieces of the job.
+func (j *job) demands() []reservation.Demand {
+	var list []reservation.Demand
+	for _, u := range j.units {
+		n := len(u.pieces)
+		list = append(list, reservation.Demand{
+			Service: u.service.name, Pieces: n, ResultBytes: u.resultBytes,
+			Work: time.Duration(n) * u.service.pieceTime(u.resultBytes),
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/stagework/reserved_forecast.go
@@ -0,0 +1,105 @@
+package stagework
+
+import (
+	"slices"
+	"time"
+
+	"lynxhill.example/lynxhill/internal/reservation"
+)
+
+// maxWaitSteps bounds the steps in which the wait for a service is extended by the reserved
+// work that becomes due during the wait.
+const maxWaitSteps = 4
+
+// wait is the time until a target of the service is free for a job of the priority. It
+// includes the reserved work of callers that may be back before that: they rank before the
+// job, as all accepted jobs of no lower priority do.
+func (f *forecast) wait(q *serviceQueue, priority int) time.Duration {
+	n := float64(max(q.healthy, 1))
+	base := q.firstFree + time.Duration(q.work/n)
+	if f.book == nil {
+		return base
+	}
+	due, wait := f.book.Schedule(q.service.name, f.now), base
+	for range maxWaitSteps {
+		until, reserved := f.now.Add(wait+reservation.ValidBefore), time.Duration(0)
+		for _, d := range due {
+			if d.At.After(until) {
+				break
+			}
+			if d.Priority <= priority {
+				reserved += d.Work
+			}
+		}
+		next := base + time.Duration(float64(reserved)/n)
+		if next <= wait {
+			break
+		}
+		wait = next
+	}
+	return wait
+}
+
+// reservedWork is the book whose reserved work forecasts count; nil = none.
+func (p *Planner) reservedWork() *reservation.Book {
+	if !p.overload.Reservations || p.reservations.book.Len() == 0 {
+		return nil
+	}
+	return p.reservations.book
+}
+
+// acceptedForecast is the forecast of the other jobs that are to be on time and rank no lower
+// than the given one by priority.
+func (p *Planner) acceptedForecast(j *job, now time.Time) *forecast {
+	f := p.newForecast(now)
+	for _, other := range p.urgencyQueue.jobs {
+		if other != j && !other.late && (other.committed() || other.Priority <= j.Priority) {
+			f.add(other)
+		}
+	}
+	return f
+}
+
+// leftForecast is the forecast of all other jobs for one that gets only the capacity that
+// on-time jobs leave.
+func (p *Planner) leftForecast(j *job, now time.Time) *forecast {
+	total := p.totalForecast(now)
+	f := &forecast{now: now, margin: total.margin, book: total.book, queues: slices.Clone(total.queues)}
+	if _, accepted := p.jobs[j]; accepted {
+		f.drop(j)
+	}
+	for i := range f.queues {
+		if q := &f.queues[i]; q.service != nil {
+			q.work /= 1 - min(q.service.load.load(q.healthy, now), maxLoad)
+		}
+	}
+	return f
+}
+
+// longestWait is the longest time that the job would wait for a service.
+func (f *forecast) longestWait(j *job) time.Duration {
+	longest := time.Duration(0)
+	for _, u := range j.units {
+		longest = max(longest, f.wait(f.queue(u.service), j.Priority))
+	}
+	return longest
+}
+
+// capacityFor returns the capacity of the services that the job needs. A stage that begins
+// later than the job can wait for its service while earlier stages run.
+func (p *Planner) capacityFor(j *job, f *forecast, now time.Time) map[string]reservation.Capacity {
+	capacity := make(map[string]reservation.Capacity, len(j.units))
+	for _, u := range j.units {
+		q := f.queue(u.service)
+		before := time.Duration(0)
+		for _, a := range u.inputs {
+			before = max(before, p.minTimeTo(a, now))
+		}
+		c := reservation.Capacity{PerWindow: time.Duration(q.healthy) * reservation.Window, FreeAt: now.Add(f.wait(q, j.Priority) - before)}
+		if known, ok := capacity[u.service.name]; ok && known.FreeAt.After(c.FreeAt) {
+			c.FreeAt = known.FreeAt
+		}
+		capacity[u.service.name] = c
+	}
+	return capacity
+}
