Reservations: on time with the full margin, or after the overload

Callers that would be late get a time after the forecast end of the overload, which is learned from earlier ones; they use only capacity that on-time jobs leave.

--- a/internal/reservation/book.go
+++ b/internal/reservation/book.go
@@ -275,6 +275,7 @@
 type Due struct {
 	At       time.Time
 	Priority int
+	OnTime   bool
 	Work     time.Duration
 }
 
@@ -285,7 +286,7 @@
 		b.schedule = make(map[string][]Due)
 		for _, r := range b.List(time.Time{}) {
 			for _, d := range r.Demands {
-				b.schedule[d.Service] = append(b.schedule[d.Service], Due{At: r.Due, Priority: r.Priority, Work: d.Work})
+				b.schedule[d.Service] = append(b.schedule[d.Service], Due{At: r.Due, Priority: r.Priority, OnTime: r.OnTime, Work: d.Work})
 			}
 		}
 	}
--- a/internal/stagework/forecast.go
+++ b/internal/stagework/forecast.go
@@ -36,6 +36,7 @@
 	now    time.Time
 	margin float64
 	book   *reservation.Book // reserved work that counts; nil = none
+	late   bool              // for late jobs: the reserved work of callers that will be late counts too
 	queues []serviceQueue    // by the service's number
 }
 
@@ -339,7 +340,7 @@
 // first event.
 func (p *Planner) acceptLate(j *job, f *forecast) (bool, time.Duration) {
 	j.lateCheckedAt = f.now
-	left := &forecast{now: f.now, book: f.book, queues: slices.Clone(f.queues)}
+	left := &forecast{now: f.now, book: f.book, late: true, queues: slices.Clone(f.queues)}
 	for i := range left.queues {
 		if q := &left.queues[i]; q.units > 0 {
 			q.work /= 1 - min(q.service.load.load(q.healthy, f.now), maxLoad)
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -191,14 +191,16 @@
 // late.
 func (p *Planner) classifyNew(j *job, now time.Time) *Refusal {
 	j.minTime = p.remaining(j, now)
+	if j.claimed {
+		p.acceptClaimed(j, now)
+		return nil
+	}
 	j.countRequest(now)
-	if !p.policy.NoForecast && !j.claimed {
+	if !p.policy.NoForecast {
 		p.classify(j, now)
 	}
 	if !j.late {
-		for _, u := range j.units {
-			u.service.load.add(float64(len(u.pieces))*u.service.pieceTime(u.resultBytes).Seconds(), now)
-		}
+		j.countLoad(now)
 		return nil
 	}
 	p.invalidateForecast()
@@ -209,6 +211,13 @@
 	return nil
 }
 
+// countLoad counts the work of an on-time job at each service.
+func (j *job) countLoad(now time.Time) {
+	for _, u := range j.units {
+		u.service.load.add(float64(len(u.pieces))*u.service.pieceTime(u.resultBytes).Seconds(), now)
+	}
+}
+
 // remaining is the time that the job needs until the engine's first event
 // without any queueing.
 func (p *Planner) remaining(j *job, now time.Time) time.Duration {
--- a/internal/stagework/reservations.go
+++ b/internal/stagework/reservations.go
@@ -55,7 +55,7 @@
 	if !ok {
 		return
 	}
-	j.claimed, j.firstArrived = true, r.Arrived
+	j.claimed, j.late, j.firstArrived = true, !r.OnTime, r.Arrived
 	j.OnTimeUntil = j.OnTimeUntil.Add(-max(now.Sub(r.Arrived), 0))
 	p.invalidateForecast()
 	p.reservations.counts.Claimed++
@@ -64,6 +64,14 @@
 		"aim_ms", j.OnTimeUntil.Sub(now).Milliseconds())
 }
 
+// acceptClaimed accepts a job whose caller claimed a reservation: as one that is on time, or as
+// one that is late from the start and gets the capacity that on-time jobs leave.
+func (p *Planner) acceptClaimed(j *job, now time.Time) {
+	if !j.late {
+		j.countLoad(now)
+	}
+}
+
 // acceptedWithoutReservation ends the reservation of a caller that was accepted before it was
 // due.
 func (p *Planner) acceptedWithoutReservation(j *job) {
@@ -115,9 +123,10 @@
 	}
 	p.invalidateForecast()
 	left := p.leftForecast(j, now)
+	p.noteOverload(j, left)
 	offered, ok := p.offer(j, left, now)
 	if !ok {
-		r.RetryAfter = clampTime(left.longestWait(j), retryAfterMin, retryAfterMax)
+		r.RetryAfter = clampTime(p.overloadEnd(j, left), retryAfterMin, overloadEndMax)
 		p.reservations.counts.NoMoment++
 		p.reservations.write(event.ReservationNoMoment, "request", j.ID, "cell", p.cell.Name(), "organisation", j.Organisation,
 			"route", j.Route, "retry_after_ms", r.RetryAfter.Milliseconds(), "deadline_ms", j.Deadline.Sub(now).Milliseconds())
@@ -137,13 +146,15 @@
 	if j.CallerKey == "" || len(j.units) == 0 {
 		return reservation.Reservation{}, false
 	}
-	needs := p.remaining(j, now)
+	accepted := p.acceptedForecast(j, now)
+	capacity, needs := p.capacityFor(j, accepted, now), p.remaining(j, now)
+	served := p.servedAfter(j, accepted, longestWait(capacity, now), needs)
 	back := now.Add(time.Duration(returnShare * float64(j.Deadline.Sub(now))))
 	q := reservation.Request{
 		CallerKey: j.CallerKey, Organisation: j.Organisation, Route: j.Route, Priority: j.Priority, Arrived: j.firstArrived,
-		Demands: j.demands(), OnTime: true, Latest: earlier(back, j.OnTimeUntil.Add(-needs)),
+		Demands: j.demands(), OnTime: true, Latest: earlier(back, j.OnTimeUntil.Add(-served)),
 	}
-	if r, ok := p.reservations.book.Offer(q, p.capacityFor(j, p.acceptedForecast(j, now), now), now); ok {
+	if r, ok := p.reservations.book.Offer(q, capacity, now); ok {
 		p.countOffer(q)
 		return r, true
 	}
@@ -155,6 +166,22 @@
 	return r, ok
 }
 
+// servedAfter is the time from the caller's return until its first event, with the margins of
+// an on-time job.
+//
+// The margin covers the wait as well, although it is over by then: the stages of a job that
+// waits here run while it waits for the next ones, those of a caller that comes back do not.
+// In a burst of twice the capacity, 0.54 of all callers were on time with this margin, 0.47
+// with one for the rest only.
+func (p *Planner) servedAfter(j *job, accepted *forecast, waits, needs time.Duration) time.Duration {
+	end := accepted.end(j)
+	rest := float64(max(end-waits, needs)) + accepted.margin*float64(end)
+	if bottleneck := accepted.bottleneck(j); bottleneck != nil {
+		rest += bottleneck.fairness.waitPenalty(j.Route, accepted.now) * float64(max(end-needs, 0))
+	}
+	return time.Duration(rest)
+}
+
 func (p *Planner) countOffer(q reservation.Request) {
 	if q.OnTime {
 		p.reservations.counts.Made++
--- a/internal/stagework/reserved_forecast.go
+++ b/internal/stagework/reserved_forecast.go
@@ -12,8 +12,7 @@
 const maxWaitSteps = 4
 
 // wait is the time until a target of the service is free for a job of the priority. It
-// includes the reserved work of callers that may be back before that: they rank before the
-// job, as all accepted jobs of no lower priority do.
+// includes the reserved work of callers that may be back before that and rank before the job.
 func (f *forecast) wait(q *serviceQueue, priority int) time.Duration {
 	n := float64(max(q.healthy, 1))
 	base := q.firstFree + time.Duration(q.work/n)
@@ -27,7 +26,7 @@
 			if d.At.After(until) {
 				break
 			}
-			if d.Priority <= priority {
+			if d.Priority <= priority && (d.OnTime || f.late) {
 				reserved += d.Work
 			}
 		}
@@ -61,30 +60,16 @@
 }
 
 // leftForecast is the forecast of all other jobs for one that gets only the capacity that
-// on-time jobs leave.
+// on-time jobs leave (freeAfter).
 func (p *Planner) leftForecast(j *job, now time.Time) *forecast {
 	total := p.totalForecast(now)
-	f := &forecast{now: now, margin: total.margin, book: total.book, queues: slices.Clone(total.queues)}
+	f := &forecast{now: now, margin: total.margin, book: total.book, late: true, queues: slices.Clone(total.queues)}
 	if _, accepted := p.jobs[j]; accepted {
 		f.drop(j)
 	}
-	for i := range f.queues {
-		if q := &f.queues[i]; q.service != nil {
-			q.work /= 1 - min(q.service.load.load(q.healthy, now), maxLoad)
-		}
-	}
 	return f
 }
 
-// longestWait is the longest time that the job would wait for a service.
-func (f *forecast) longestWait(j *job) time.Duration {
-	longest := time.Duration(0)
-	for _, u := range j.units {
-		longest = max(longest, f.wait(f.queue(u.service), j.Priority))
-	}
-	return longest
-}
-
 // capacityFor returns the capacity of the services that the job needs. A stage that begins
 // later than the job can wait for its service while earlier stages run.
 func (p *Planner) capacityFor(j *job, f *forecast, now time.Time) map[string]reservation.Capacity {
@@ -95,7 +80,7 @@
 		for _, a := range u.inputs {
 			before = max(before, p.minTimeTo(a, now))
 		}
-		c := reservation.Capacity{PerWindow: time.Duration(q.healthy) * reservation.Window, FreeAt: now.Add(f.wait(q, j.Priority) - before)}
+		c := reservation.Capacity{PerWindow: time.Duration(q.healthy) * reservation.Window, FreeAt: now.Add(f.freeAfter(q, j.Priority) - before)}
 		if known, ok := capacity[u.service.name]; ok && known.FreeAt.After(c.FreeAt) {
 			c.FreeAt = known.FreeAt
 		}
@@ -103,3 +88,12 @@
 	}
 	return capacity
 }
+
+// longestWait is the time until all services have capacity.
+func longestWait(capacity map[string]reservation.Capacity, now time.Time) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range capacity {
+		longest = max(longest, c.FreeAt.Sub(now))
+	}
+	return longest
+}
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -159,6 +159,7 @@
 	// all targets.
 	latencyRatio float64
 	load         loadMeter
+	overloads    overloads
 	fairness     fairness
 	// arrivals counts the pieces of requests' first stages.
 	arrivals loadMeter
