Reservations: copies have a type of their own; tests of key, messages and wiring

TestEveryFieldOfAJobArrives requires that each field of a job is carried, and a reservation has fields that only its dispatcher knows. Copies carry what an owner knows: caller, route, times, and pieces by service.

--- a/internal/peer/work_reservations.go
+++ b/internal/peer/work_reservations.go
@@ -10,14 +10,14 @@
 // maxReservationsReceived bounds the reservations that are read from one job.
 const maxReservationsReceived = 64
 
-func reservationsToProto(list []reservation.Reservation, now time.Time) []*peerpb.WorkReservation {
+func reservationsToProto(list []reservation.Copy, now time.Time) []*peerpb.WorkReservation {
 	var out []*peerpb.WorkReservation
 	for _, r := range list {
 		m := &peerpb.WorkReservation{
 			CallerKey: r.CallerKey, DueInMs: r.Due.Sub(now).Milliseconds(), ArrivedMsAgo: now.Sub(r.Arrived).Milliseconds(),
 			Route: r.Route, Organisation: r.Organisation, Priority: int32(r.Priority),
 		}
-		for _, d := range r.Demands {
+		for _, d := range r.Stages {
 			m.Demands = append(m.Demands, &peerpb.WorkDemand{Service: d.Service, Pieces: uint32(max(d.Pieces, 0)), ResultBytes: uint64(max(d.ResultBytes, 0))})
 		}
 		out = append(out, m)
@@ -25,14 +25,16 @@
 	return out
 }
 
-func reservationsFromProto(list []*peerpb.WorkReservation, now time.Time) []reservation.Reservation {
-	var out []reservation.Reservation
+func reservationsFromProto(list []*peerpb.WorkReservation, now time.Time) []reservation.Copy {
+	var out []reservation.Copy
 	for _, m := range list[:min(len(list), maxReservationsReceived)] {
-		r := reservation.Reservation{Due: now.Add(time.Duration(m.GetDueInMs()) * time.Millisecond)}
-		r.CallerKey, r.Route, r.Organisation, r.Priority = m.GetCallerKey(), m.GetRoute(), m.GetOrganisation(), int(m.GetPriority())
-		r.Arrived = now.Add(-time.Duration(max(m.GetArrivedMsAgo(), 0)) * time.Millisecond)
+		r := reservation.Copy{
+			CallerKey: m.GetCallerKey(), Organisation: m.GetOrganisation(), Route: m.GetRoute(), Priority: int(m.GetPriority()),
+			Arrived: now.Add(-time.Duration(max(m.GetArrivedMsAgo(), 0)) * time.Millisecond),
+			Due:     now.Add(time.Duration(m.GetDueInMs()) * time.Millisecond),
+		}
 		for _, d := range m.GetDemands() {
-			r.Demands = append(r.Demands, reservation.Demand{Service: d.GetService(), Pieces: int(d.GetPieces()), ResultBytes: int64(d.GetResultBytes())})
+			r.Stages = append(r.Stages, reservation.StageWork{Service: d.GetService(), Pieces: int(d.GetPieces()), ResultBytes: int64(d.GetResultBytes())})
 		}
 		out = append(out, r)
 	}
--- a/internal/peer/work_test.go
+++ b/internal/peer/work_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/reservation"
 	"lynxhill.example/lynxhill/internal/route"
 	"lynxhill.example/lynxhill/internal/stagework"
 )
@@ -77,11 +78,15 @@
 		Stages: []route.Stage{{Service: "s", After: []int{1}, ResultBytes: 1 << 40}, {Service: "t", ResultBytes: 3}}, Pieces: []int{3, 4}, Service: "lm",
 		Prompt: &relay.Prompt{Model: "m", TokensIn: 5, TokensOut: 6, ExpectedOut: 7, Parts: []relay.PromptPart{{ID: "p", Tokens: 8}, {ID: "q", Tokens: 9}}},
 		Zone:   "z", ExcludedEngines: []string{"e", "f"}, Cell: []string{"x", "y"}, RankOverride: stagework.OverrideUnreachable, Binding: &stagework.Binding{Build: "v1"},
-		Results: []stagework.ResultRef{{Stage: 1, Number: 2, Target: "t", Handle: "h", Age: time.Second}},
+		Results:   []stagework.ResultRef{{Stage: 1, Number: 2, Target: "t", Handle: "h", Age: time.Second}},
+		CallerKey: "ck", Reservations: []reservation.Copy{{
+			CallerKey: "rk", Organisation: "ro", Route: "rr", Priority: 3, Arrived: now.Add(-time.Minute), Due: now.Add(time.Second),
+			Stages: []reservation.StageWork{{Service: "s", Pieces: 5, ResultBytes: 1 << 40}},
+		}},
 	}
 	requireAllSet(t, reflect.ValueOf(want), "Job")
 	requireAllSet(t, reflect.ValueOf(*want.Prompt), "Job.Prompt")
-	refusal := stagework.Refusal{Reason: stagework.ReasonLate, RetryAfter: 1500 * time.Millisecond, FirstRanked: "c"}
+	refusal := stagework.Refusal{Reason: stagework.ReasonLate, RetryAfter: 1500 * time.Millisecond, FirstRanked: "c", Reserved: true}
 	jobs := make(chan stagework.Job, 1)
 	client, _ := startServer(t, ServerOptions{Work: func(j stagework.Job) (stagework.Assignment, *stagework.Refusal) {
 		jobs <- j
@@ -95,6 +100,14 @@
 	if a, d := got.OnTimeUntil.Sub(want.OnTimeUntil).Abs(), got.Deadline.Sub(want.Deadline).Abs(); a > time.Second || d > time.Second {
 		t.Errorf("aim off by %v, deadline by %v", a, d)
 	}
+	if len(got.Reservations) != 1 {
+		t.Fatalf("received reservations %+v", got.Reservations)
+	}
+	r, sent := &got.Reservations[0], want.Reservations[0]
+	if due, arrived := r.Due.Sub(sent.Due).Abs(), r.Arrived.Sub(sent.Arrived).Abs(); due > time.Second || arrived > time.Second {
+		t.Errorf("reservation off by %v, first attempt by %v", due, arrived)
+	}
+	r.Due, r.Arrived = sent.Due, sent.Arrived
 	got.OnTimeUntil, got.Deadline = want.OnTimeUntil, want.Deadline
 	if !reflect.DeepEqual(got, want) {
 		t.Errorf("received %+v\nsent %+v", got, want)
--- a/internal/reservation/book.go
+++ b/internal/reservation/book.go
@@ -31,10 +31,8 @@
 
 // Demand is work that a request needs at a service.
 type Demand struct {
-	Service     string
-	Pieces      int
-	ResultBytes int64         // of one piece
-	Work        time.Duration // time of the service's targets that the pieces take
+	Service string
+	Work    time.Duration // time of the service's targets that the work takes
 }
 
 // Request asks for a time at which a refused caller may come back.
--- a/internal/reservation/book_test.go
+++ b/internal/reservation/book_test.go
@@ -26,7 +26,7 @@
 
 // request asks for work at service a.
 func request(key string, work, latest time.Duration) Request {
-	return Request{CallerKey: key, Latest: start.Add(latest), OnTime: true, Demands: []Demand{{Service: "a", Pieces: 1, Work: work}}}
+	return Request{CallerKey: key, Latest: start.Add(latest), OnTime: true, Demands: []Demand{{Service: "a", Work: work}}}
 }
 
 // TestValidity guards against reservations that are claimed by callers that come much too
@@ -148,7 +148,7 @@
 	s.n++
 	q := Request{CallerKey: fmt.Sprint(s.n), Priority: s.r.IntN(2), OnTime: s.r.IntN(2) == 0, Latest: s.now.Add(time.Duration(s.r.IntN(2000)) * ms)}
 	for _, name := range []string{"a", "b", "a"}[:1+s.r.IntN(3)] {
-		q.Demands = append(q.Demands, Demand{Service: name, Pieces: 1, Work: time.Duration(s.r.IntN(300)) * ms})
+		q.Demands = append(q.Demands, Demand{Service: name, Work: time.Duration(s.r.IntN(300)) * ms})
 	}
 	before := s.b.List(s.now)
 	r, ok := s.b.Offer(q, free, s.now)
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -30,7 +30,7 @@
 	Results         []ResultRef // results produced under the previous dispatcher
 	CallerKey       string      // identifies the work across the attempts of its caller; "" = unknown
 	// Reservations were made for callers of the owner by an earlier dispatcher of the cell.
-	Reservations []reservation.Reservation
+	Reservations []reservation.Copy
 	RankOverride RankOverride
 }
 
--- a/internal/stagework/reservation_copies.go
+++ b/internal/stagework/reservation_copies.go
@@ -14,8 +14,8 @@
 	maxCopies = 256
 	// maxCopiesSent bounds the copies that are sent with one job, at about 100 bytes each.
 	maxCopiesSent = 32
-	// maxCopyDemands is the number of services from which on no copy is kept.
-	maxCopyDemands = 16
+	// maxCopyStages is the number of stages up to which a copy is kept.
+	maxCopyStages = 16
 )
 
 // reservationCopies holds, by cell, the reservations that an owner's jobs were given, until
@@ -27,25 +27,26 @@
 }
 
 type reservationCopy struct {
-	reservation.Reservation
+	reservation.Copy
 	dispatcher string // the latest instance that has the reservation
 }
 
 // keep keeps a copy of a reservation that the dispatcher made for the job's caller.
 func (c *reservationCopies) keep(cell, dispatcher string, j Job, retryAfter time.Duration, now time.Time) {
-	r := reservation.Reservation{Due: now.Add(retryAfter)}
-	r.CallerKey, r.Organisation, r.Route, r.Priority, r.Arrived = j.CallerKey, j.Organisation, j.Route, j.Priority, now
+	r := reservation.Copy{
+		CallerKey: j.CallerKey, Organisation: j.Organisation, Route: j.Route, Priority: j.Priority, Arrived: now, Due: now.Add(retryAfter),
+	}
 	for i, s := range j.Stages {
 		if n := j.pieces(i); n > 0 {
-			r.Demands = append(r.Demands, reservation.Demand{Service: s.Service, Pieces: n, ResultBytes: s.ResultBytes})
+			r.Stages = append(r.Stages, reservation.StageWork{Service: s.Service, Pieces: n, ResultBytes: s.ResultBytes})
 		}
 	}
-	if len(r.Demands) > maxCopyDemands {
+	if len(r.Stages) > maxCopyStages {
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	list := slices.DeleteFunc(c.byCell[cell], func(o reservationCopy) bool { return o.over(now) || o.CallerKey == r.CallerKey })
+	list := slices.DeleteFunc(c.byCell[cell], func(o reservationCopy) bool { return !o.Live(now) || o.CallerKey == r.CallerKey })
 	if len(list) >= maxCopies {
 		list = slices.Delete(list, 0, len(list)-maxCopies+1)
 	}
@@ -55,22 +56,18 @@
 	c.byCell[cell] = append(list, reservationCopy{r, dispatcher})
 }
 
-func (r *reservationCopy) over(now time.Time) bool {
-	return now.After(r.Due.Add(reservation.ValidAfter))
-}
-
 // notAt returns the cell's reservations that the dispatcher does not have, the earliest first:
 // that of the caller whose job they are sent with, and others up to the bound.
-func (c *reservationCopies) notAt(cell, dispatcher, caller string, now time.Time) []reservation.Reservation {
+func (c *reservationCopies) notAt(cell, dispatcher, caller string, now time.Time) []reservation.Copy {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var list []reservation.Reservation
+	var list []reservation.Copy
 	for _, r := range c.byCell[cell] {
-		if r.dispatcher != dispatcher && !r.over(now) {
-			list = append(list, r.Reservation)
+		if r.dispatcher != dispatcher && r.Live(now) {
+			list = append(list, r.Copy)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b reservation.Reservation) int {
+	slices.SortStableFunc(list, func(a, b reservation.Copy) int {
 		if first := a.CallerKey == caller; first != (b.CallerKey == caller) {
 			if first {
 				return -1
@@ -83,7 +80,7 @@
 }
 
 // sent records that the dispatcher has the reservations.
-func (c *reservationCopies) sent(cell, dispatcher string, list []reservation.Reservation) {
+func (c *reservationCopies) sent(cell, dispatcher string, list []reservation.Copy) {
 	if len(list) == 0 {
 		return
 	}
@@ -91,7 +88,7 @@
 	defer c.mu.Unlock()
 	for i := range c.byCell[cell] {
 		r := &c.byCell[cell][i]
-		if slices.ContainsFunc(list, func(o reservation.Reservation) bool { return o.CallerKey == r.CallerKey }) {
+		if slices.ContainsFunc(list, func(o reservation.Copy) bool { return o.CallerKey == r.CallerKey }) {
 			r.dispatcher = dispatcher
 		}
 	}
--- a/internal/stagework/reservations.go
+++ b/internal/stagework/reservations.go
@@ -99,27 +99,29 @@
 }
 
 // adoptReservations takes over the reservations that an earlier dispatcher of the cell made.
-func (p *Planner) adoptReservations(list []reservation.Reservation, now time.Time) {
-	if len(list) == 0 {
+func (p *Planner) adoptReservations(copies []reservation.Copy, now time.Time) {
+	if len(copies) == 0 {
 		return
 	}
 	capacity := make(map[string]reservation.Capacity)
-	for _, r := range list {
-		for i := range r.Demands {
-			d := &r.Demands[i]
-			v := p.services[d.Service]
-			if v == nil {
-				continue
+	var list []reservation.Reservation
+	for _, c := range copies {
+		var demands []reservation.Demand
+		for _, w := range c.Stages {
+			d := reservation.Demand{Service: w.Service}
+			if v := p.services[w.Service]; v != nil {
+				d.Work = time.Duration(w.Pieces) * v.pieceTime(w.ResultBytes)
+				healthy, _ := v.availability(now)
+				capacity[w.Service] = reservation.Capacity{PerWindow: time.Duration(healthy) * reservation.Window}
 			}
-			d.Work = time.Duration(d.Pieces) * v.pieceTime(d.ResultBytes)
-			healthy, _ := v.availability(now)
-			capacity[d.Service] = reservation.Capacity{PerWindow: time.Duration(healthy) * reservation.Window}
+			demands = append(demands, d)
 		}
+		list = append(list, c.Reservation(demands))
 	}
 	adopted := p.reservations.book.Adopt(list, capacity, now)
 	p.reservations.counts.Adopted += len(adopted)
 	p.invalidateForecast()
-	p.reservations.write(event.ReservationsAdopted, "cell", p.cell.Name(), "received", len(list), "adopted", len(adopted))
+	p.reservations.write(event.ReservationsAdopted, "cell", p.cell.Name(), "received", len(copies), "adopted", len(adopted))
 }
 
 // lateRefusal completes the refusal of a job for lack of time: its caller gets a time to come
@@ -202,11 +204,7 @@
 func (j *job) demands() []reservation.Demand {
 	var list []reservation.Demand
 	for _, u := range j.units {
-		n := len(u.pieces)
-		list = append(list, reservation.Demand{
-			Service: u.service.name, Pieces: n, ResultBytes: u.resultBytes,
-			Work: time.Duration(n) * u.service.pieceTime(u.resultBytes),
-		})
+		list = append(list, reservation.Demand{Service: u.service.name, Work: time.Duration(len(u.pieces)) * u.service.pieceTime(u.resultBytes)})
 	}
 	return list
 }
--- a/internal/stagework/reservations_faults_test.go
+++ b/internal/stagework/reservations_faults_test.go
@@ -217,11 +217,11 @@
 	withReservingFleet(t, func(r *reservingFleet) {
 		second := r.dispatchers[r.members[1]]
 		due := time.Now().Add(time.Second)
-		copies := make([]reservation.Reservation, 2*maxCopiesSent)
+		copies := make([]reservation.Copy, 2*maxCopiesSent)
 		for n := range copies {
-			copies[n] = reservation.Reservation{Due: due, Request: reservation.Request{
-				CallerKey: fmt.Sprint(n), Arrived: time.Now(), Demands: []reservation.Demand{{Service: "cut", Pieces: 4, ResultBytes: 1000}},
-			}}
+			copies[n] = reservation.Copy{
+				CallerKey: fmt.Sprint(n), Arrived: time.Now(), Due: due, Stages: []reservation.StageWork{{Service: "cut", Pieces: 4, ResultBytes: 1000}},
+			}
 		}
 		for range 2 {
 			j := reservableJob("any", "")
