Reservations: owners keep copies for accepted jobs too; decisions with reservations

A job that expires in the queue gets its reservation with a decision, of which the Finder did not learn.

--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -124,12 +124,15 @@
 		ID: ef.Request.ID, Key: ef.Request.PieceKey, Route: ef.Route.Name, Priority: ef.priority(),
 		OnTimeUntil: aim, Deadline: deadline,
 		Stages: ef.Route.Stages, Pieces: ef.Request.Pieces, Service: ef.service,
-		Prompt: ef.Request.Prompt, Zone: ef.o.Zone, Results: ef.earlierResults, CallerKey: ef.callerKey(),
+		Prompt: ef.Request.Prompt, Zone: ef.o.Zone, Results: ef.earlierResults,
 		ExcludedEngines: slices.Concat(ef.brokenEngines, ef.excludedTargets(), ef.pausedTargets()),
 	}
 	if ef.Organisation != nil {
 		j.Organisation = ef.Organisation.Name
 	}
+	if !ef.stream.begun() {
+		j.CallerKey = ef.callerKey()
+	}
 	ef.bind(&j)
 	return j
 }
@@ -310,6 +313,9 @@
 
 // refused ends a request that the dispatcher refused.
 func (ef *engineFlight) refused(ctx context.Context, r *stagework.Refusal) {
+	if r.Reserved && ef.assignment != nil {
+		ef.o.Scheduler.KeepReservation(ef.job(), ef.assignment.Dispatcher(), r)
+	}
 	if ef.mayHaveRun {
 		ef.failStream(ctx, errFaulty)
 		return
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -41,6 +41,9 @@
 	MarkReachable(instance string)
 	// MarkLost reports that the dispatcher of an instance was lost while it had a job.
 	MarkLost(instance string)
+	// KeepReservation reports that a job which the dispatcher of an instance had accepted
+	// was refused, with a reservation for its caller.
+	KeepReservation(job stagework.Job, instance string, r *stagework.Refusal)
 }
 
 // TargetNotices provides the rate limits and pauses that targets ask for;
--- a/internal/stagework/decisions_test.go
+++ b/internal/stagework/decisions_test.go
@@ -27,7 +27,8 @@
 	later     []timedEvent // by time
 	refused   bool         // the latest job was refused: no plan follows
 	stateless bool         // the planner's cached state is cleared before each plan
-	sum       hash.Hash64  // of all decisions with their times
+	overload  Overload
+	sum       hash.Hash64 // of all decisions with their times
 }
 
 type timedEvent struct {
@@ -106,6 +107,9 @@
 	var j *job
 	in := randomJob(d.r, i)
 	in.Prompt = benchPrompt(i)
+	if d.overload.Reservations {
+		in.CallerKey = fmt.Sprint("caller ", i%150) // most come twice or more
+	}
 	j, refusal := d.submit(in, func(p Placement, r *Refusal) {
 		d.write(in.ID, " placed ", p, refusalFields(r))
 		switch {
@@ -144,6 +148,7 @@
 		d.write(address, handles)
 		d.inIfDue(releaseDelay, func(time.Time) { d.released(handles) })
 	})
+	d.Planner.overload = d.overload
 	for n := range 400 {
 		d.in(time.Duration(n)*pause+time.Duration(d.r.ExpFloat64()*float64(pause)), func(now time.Time) { d.arrive(n, now) })
 	}
@@ -197,14 +202,14 @@
 	for seed := range randomRuns {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			var want string
-			synctest.Test(t, func(t *testing.T) { want = runSeed(t, seed, true, true) })
+			synctest.Test(t, func(t *testing.T) { want = runSeed(t, seed, Overload{}, true, true) })
 			synctest.Test(t, func(t *testing.T) {
-				if sum := runSeed(t, seed, true, false); sum != want {
+				if sum := runSeed(t, seed, Overload{}, true, false); sum != want {
 					t.Errorf("plans after every event: checksum %s instead of %s", sum, want)
 				}
 			})
 			synctest.Test(t, func(t *testing.T) {
-				if sum := runSeed(t, seed, false, false); sum != want {
+				if sum := runSeed(t, seed, Overload{}, false, false); sum != want {
 					t.Errorf("plans when due: checksum %s instead of %s", sum, want)
 				}
 			})
@@ -214,10 +219,10 @@
 
 // runSeed runs the events of a seed, with plans after all events or only when
 // due, and returns the checksum of the decisions.
-func runSeed(t *testing.T, seed int, always, forgets bool) string {
+func runSeed(t *testing.T, seed int, overload Overload, always, forgets bool) string {
 	d := &randomRun{
 		r: rand.New(rand.NewPCG(uint64(seed), 3)), r2: rand.New(rand.NewPCG(uint64(seed), 4)),
-		sum: fnv.New64a(), stateless: forgets,
+		sum: fnv.New64a(), stateless: forgets, overload: overload,
 	}
 	d.table, d.targets = engines(4)
 	services := randomDayServices()
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -1,7 +1,6 @@
 package stagework
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"slices"
@@ -74,8 +73,7 @@
 	if len(cells) == 0 {
 		return nil, &Refusal{Reason: ReasonNoBuild, Dispatcher: f.o.Self}, nil
 	}
-	key := cmp.Or(job.session(), job.CallerKey, job.ID)
-	ranked := rankCells(key, cells)
+	ranked := rankCells(job.cellKey(), cells)
 	a, refusal, err := f.submitTo(ctx, ranked[0], job)
 	if refusal != nil && refusal.retryInOtherCell() && len(ranked) > 1 {
 		job.CallerKey = "" // only the cell that is asked first reserves: its caller comes back to it
--- a/internal/stagework/reservation_copies.go
+++ b/internal/stagework/reservation_copies.go
@@ -1,6 +1,7 @@
 package stagework
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -129,3 +130,18 @@
 		f.copies.keep(cell, dispatcher, job, refusal.RetryAfter, f.o.Clock.Now())
 	}
 }
+
+// KeepReservation keeps a copy of the reservation for the caller of a job that the dispatcher
+// had accepted, and then refused.
+func (f *Finder) KeepReservation(job Job, dispatcher string, r *Refusal) {
+	cells := job.Binding.cells(f.cells())
+	if job.CallerKey == "" || !f.reservationsOn() || len(cells) == 0 {
+		return
+	}
+	job.Cell = rankCells(job.cellKey(), cells)[0].Zones
+	f.recordCopies(dispatcher, job, r, nil)
+}
+
+// cellKey is the key by which cells are ranked for the job: its session or, if it has none,
+// what its caller's next attempt has in common with it.
+func (j *Job) cellKey() string { return cmp.Or(j.session(), j.CallerKey, j.ID) }
--- a/internal/stagework/reservations_faults_test.go
+++ b/internal/stagework/reservations_faults_test.go
@@ -194,6 +194,22 @@
 	})
 }
 
+// TestTheOwnerKeepsWhatAnAcceptedJobWasGiven guards against copies that are kept only for jobs
+// that are refused on arrival, not for those that are accepted and expire in the queue.
+func TestTheOwnerKeepsWhatAnAcceptedJobWasGiven(t *testing.T) {
+	withReservingFleet(t, func(r *reservingFleet) {
+		f := r.owner("x")
+		first, second := r.members[0], r.members[1]
+		f.KeepReservation(reservableJob("expired", "caller"), first, &Refusal{Reason: ReasonLate, RetryAfter: time.Second, Reserved: true})
+		if list := f.copies.notAt("", first, "", time.Now()); len(list) > 0 {
+			t.Errorf("%v are not known to the dispatcher that made them", list)
+		}
+		if list := f.copies.notAt("", second, "", time.Now()); len(list) != 1 || list[0].CallerKey != "caller" || list[0].Stages[0].Pieces != 4 {
+			t.Errorf("copies %v", list)
+		}
+	})
+}
+
 // TestDispatcherAndOwnerAreLost guards against callers that are treated worse than new ones
 // when nobody knows of their reservation any more.
 func TestDispatcherAndOwnerAreLost(t *testing.T) {
--- a/internal/stagework/reservations_load_test.go
+++ b/internal/stagework/reservations_load_test.go
@@ -1,7 +1,9 @@
 package stagework
 
 import (
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -60,3 +62,20 @@
 		t.Errorf("%+v: not each reservation was claimed or has expired", counts)
 	}
 }
+
+// TestReservationsDoNotDependOnCachedState is TestDecisionsDoNotDependOnCachedState with
+// reservations, for a few of its seeds.
+func TestReservationsDoNotDependOnCachedState(t *testing.T) {
+	on := Overload{Reservations: true}
+	for seed := range randomRuns / 4 {
+		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
+			sums := make(map[string]bool)
+			for _, c := range []struct{ always, forgets bool }{{true, true}, {true, false}, {false, false}} {
+				synctest.Test(t, func(t *testing.T) { sums[runSeed(t, seed, on, c.always, c.forgets)] = true })
+			}
+			if len(sums) != 1 {
+				t.Errorf("plans with and without cached state differ: %v", sums)
+			}
+		})
+	}
+}
