--- a/internal/stagework/decisions_test.go
+++ b/internal/stagework/decisions_test.go
@@ -107,11 +107,10 @@
 	var j *job
 	in := randomJob(d.r, i)
 	in.Prompt = benchPrompt(i)
-	if d.overload.Reservations {
-		in.CallerKey = fmt.Sprint("caller ", i%150) // most come twice or more
-	}
+	d.identify(&in, i)
 	j, refusal := d.submit(in, func(p Placement, r *Refusal) {
 		d.write(in.ID, " placed ", p, refusalFields(r))
+		d.comesBack(i, r)
 		switch {
 		case r != nil:
 		case d.oneIn(15):
@@ -124,6 +123,7 @@
 	}, now)
 	d.write(in.ID, refusalFields(refusal))
 	d.refused = refusal != nil
+	d.comesBack(i, refusal)
 	if j != nil {
 		j.onReturn = func(made []ResultRef) { d.write(in.ID, " back ", made) }
 		if d.oneIn(10) {
@@ -220,10 +220,17 @@
 // runSeed runs the events of a seed, with plans after all events or only when
 // due, and returns the checksum of the decisions.
 func runSeed(t *testing.T, seed int, overload Overload, always, forgets bool) string {
-	d := &randomRun{
+	return runSeeded(t, seededRun(seed, overload, forgets), seed, always)
+}
+
+func seededRun(seed int, overload Overload, forgets bool) *randomRun {
+	return &randomRun{
 		r: rand.New(rand.NewPCG(uint64(seed), 3)), r2: rand.New(rand.NewPCG(uint64(seed), 4)),
 		sum: fnv.New64a(), stateless: forgets, overload: overload,
 	}
+}
+
+func runSeeded(t *testing.T, d *randomRun, seed int, always bool) string {
 	d.table, d.targets = engines(4)
 	services := randomDayServices()
 	for _, name := range slices.Sorted(maps.Keys(services)) {
--- a/internal/stagework/reservations_load_test.go
+++ b/internal/stagework/reservations_load_test.go
@@ -63,19 +63,48 @@
 	}
 }
 
+// secondAttempt is added to a job's number for the second attempt of its caller.
+const secondAttempt = 1000
+
+// identify names the caller of a job, and makes overloads so short that there are useful times
+// to come back.
+func (d *randomRun) identify(in *Job, i int) {
+	if !d.overload.Reservations {
+		return
+	}
+	in.CallerKey = fmt.Sprint("caller ", i%secondAttempt)
+	for _, v := range d.services {
+		v.overloads.length = 100 * ms
+	}
+}
+
+// comesBack has the caller of a job that was refused with a reservation come back in time.
+func (d *randomRun) comesBack(i int, r *Refusal) {
+	if r != nil && r.Reserved && i < secondAttempt {
+		d.in(r.RetryAfter, func(now time.Time) { d.arrive(i+secondAttempt, now) })
+	}
+}
+
 // TestReservationsDoNotDependOnCachedState is TestDecisionsDoNotDependOnCachedState with
 // reservations, for a few of its seeds.
 func TestReservationsDoNotDependOnCachedState(t *testing.T) {
-	on := Overload{Reservations: true}
+	on, claimed := Overload{Reservations: true}, 0
 	for seed := range randomRuns / 4 {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			sums := make(map[string]bool)
 			for _, c := range []struct{ always, forgets bool }{{true, true}, {true, false}, {false, false}} {
-				synctest.Test(t, func(t *testing.T) { sums[runSeed(t, seed, on, c.always, c.forgets)] = true })
+				synctest.Test(t, func(t *testing.T) {
+					d := seededRun(seed, on, c.forgets)
+					sums[runSeeded(t, d, seed, c.always)] = true
+					claimed += d.reservations.counts.Claimed
+				})
 			}
 			if len(sums) != 1 {
 				t.Errorf("plans with and without cached state differ: %v", sums)
 			}
 		})
 	}
+	if claimed < 3*randomRuns {
+		t.Errorf("%d reservations were claimed: too few for the test to be meaningful", claimed)
+	}
 }
