Reservations: the end of an overload that is not overdue yet

The time that was left of an overload was at least a quarter of its usual length, which is 1.5 s, and with the queue more than callers with a deadline of 6 s wait: they got no reservation at the end of a burst.

--- a/internal/stagework/overload_end.go
+++ b/internal/stagework/overload_end.go
@@ -62,7 +62,10 @@
 	if o.began.IsZero() || now.Sub(o.latest) > overloadGap {
 		return 0
 	}
-	return max(o.usual()-now.Sub(o.began), time.Duration(overdueShare*float64(o.usual())))
+	if left := o.usual() - now.Sub(o.began); left > 0 {
+		return left
+	}
+	return time.Duration(overdueShare * float64(o.usual()))
 }
 
 // noteOverload records that the job is refused for lack of time, at the service for which it
