--- a/internal/stagework/decisions_test.go
+++ b/internal/stagework/decisions_test.go
@@ -27,7 +27,8 @@
 	later     []timedEvent // by time
 	refused   bool         // the latest job was refused: no plan follows
 	stateless bool         // the planner's cached state is cleared before each plan
-	sum       hash.Hash64  // of all decisions with their times
+	overload  Overload
+	sum       hash.Hash64 // of all decisions with their times
 }
 
 type timedEvent struct {
@@ -106,8 +107,10 @@
 	var j *job
 	in := randomJob(d.r, i)
 	in.Prompt = benchPrompt(i)
+	d.identify(&in, i)
 	j, refusal := d.submit(in, func(p Placement, r *Refusal) {
 		d.write(in.ID, " placed ", p, refusalFields(r))
+		d.comesBack(i, r)
 		switch {
 		case r != nil:
 		case d.oneIn(15):
@@ -120,6 +123,7 @@
 	}, now)
 	d.write(in.ID, refusalFields(refusal))
 	d.refused = refusal != nil
+	d.comesBack(i, refusal)
 	if j != nil {
 		j.onReturn = func(made []ResultRef) { d.write(in.ID, " back ", made) }
 		if d.oneIn(10) {
@@ -144,6 +148,7 @@
 		d.write(address, handles)
 		d.inIfDue(releaseDelay, func(time.Time) { d.released(handles) })
 	})
+	d.Planner.overload = d.overload
 	for n := range 400 {
 		d.in(time.Duration(n)*pause+time.Duration(d.r.ExpFloat64()*float64(pause)), func(now time.Time) { d.arrive(n, now) })
 	}
@@ -197,14 +202,14 @@
 	for seed := range randomRuns {
 		t.Run(fmt.Sprint("seed", seed), func(t *testing.T) {
 			var want string
-			synctest.Test(t, func(t *testing.T) { want = runSeed(t, seed, true, true) })
+			synctest.Test(t, func(t *testing.T) { want = runSeed(t, seed, Overload{}, true, true) })
 			synctest.Test(t, func(t *testing.T) {
-				if sum := runSeed(t, seed, true, false); sum != want {
+				if sum := runSeed(t, seed, Overload{}, true, false); sum != want {
 					t.Errorf("plans after every event: checksum %s instead of %s", sum, want)
 				}
 			})
 			synctest.Test(t, func(t *testing.T) {
-				if sum := runSeed(t, seed, false, false); sum != want {
+				if sum := runSeed(t, seed, Overload{}, false, false); sum != want {
 					t.Errorf("plans when due: checksum %s instead of %s", sum, want)
 				}
 			})
@@ -214,11 +219,18 @@
 
 // runSeed runs the events of a seed, with plans after all events or only when
 // due, and returns the checksum of the decisions.
-func runSeed(t *testing.T, seed int, always, forgets bool) string {
-	d := &randomRun{
+func runSeed(t *testing.T, seed int, overload Overload, always, forgets bool) string {
+	return runSeeded(t, seededRun(seed, overload, forgets), seed, always)
+}
+
+func seededRun(seed int, overload Overload, forgets bool) *randomRun {
+	return &randomRun{
 		r: rand.New(rand.NewPCG(uint64(seed), 3)), r2: rand.New(rand.NewPCG(uint64(seed), 4)),
-		sum: fnv.New64a(), stateless: forgets,
+		sum: fnv.New64a(), stateless: forgets, overload: overload,
 	}
+}
+
+func runSeeded(t *testing.T, d *randomRun, seed int, always bool) string {
 	d.table, d.targets = engines(4)
 	services := randomDayServices()
 	for _, name := range slices.Sorted(maps.Keys(services)) {
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/reservation"
 	"lynxhill.example/lynxhill/internal/route"
 )
 
@@ -50,6 +51,9 @@
 	bounds     RateLimits
 	leadership leadership
 	policy     Policy
+	overload   Overload
+	// reservations are for callers that were refused for lack of time.
+	reservations reservations
 }
 
 // Counts holds counters of a planner since its start. Errors counts failed
@@ -84,6 +88,7 @@
 		urgencyQueue:    jobQueue{order: byUrgency},
 		pendingReleases: make(map[string]pendingRelease),
 		release:         release,
+		reservations:    reservations{book: reservation.New()},
 	}
 }
 
@@ -162,10 +167,12 @@
 	p.dueNow() // the new job may make others late, even if it is refused
 	in.OnTimeUntil = earlier(in.OnTimeUntil, in.Deadline)
 	j := &job{Job: in, arrived: now, notify: notify, session: in.session()}
+	p.claimReservation(j, now)
 	if refusal := p.build(j, now); refusal != nil {
 		p.counts.Refused++
 		return nil, refusal
 	}
+	p.acceptedWithoutReservation(j)
 	p.jobs[j] = struct{}{}
 	p.enqueueJob(j)
 	j.countArrival(now)
@@ -184,23 +191,33 @@
 // late.
 func (p *Planner) classifyNew(j *job, now time.Time) *Refusal {
 	j.minTime = p.remaining(j, now)
+	if j.claimed {
+		p.acceptClaimed(j, now)
+		return nil
+	}
 	j.countRequest(now)
 	if !p.policy.NoForecast {
 		p.classify(j, now)
 	}
 	if !j.late {
-		for _, u := range j.units {
-			u.service.load.add(float64(len(u.pieces))*u.service.pieceTime(u.resultBytes).Seconds(), now)
-		}
+		j.countLoad(now)
 		return nil
 	}
 	p.invalidateForecast()
 	if ok, takes := p.acceptLate(j, p.totalForecast(now)); !ok && !p.policy.NoEarlyRefusal {
-		return &Refusal{Reason: ReasonLate, RetryAfter: clampTime(takes, retryAfterMin, retryAfterMax), Forecast: takes}
+		r := p.lateRefusal(j, Refusal{Reason: ReasonLate, RetryAfter: clampTime(takes, retryAfterMin, retryAfterMax), Forecast: takes}, now)
+		return &r
 	}
 	return nil
 }
 
+// countLoad counts the work of an on-time job at each service.
+func (j *job) countLoad(now time.Time) {
+	for _, u := range j.units {
+		u.service.load.add(float64(len(u.pieces))*u.service.pieceTime(u.resultBytes).Seconds(), now)
+	}
+}
+
 // remaining is the time that the job needs until the engine's first event
 // without any queueing.
 func (p *Planner) remaining(j *job, now time.Time) time.Duration {
