--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -4,13 +4,14 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 )
 
 // Target is one running server of a service.
 type Target struct {
-	ID       string // of this run; a restarted server has another
+	ID       string // of this run, unless it states its start: then a restarted server may have the same
 	Service  string
 	Build    string // version of its software, not of its weights; "" = not stated, which counts as a version of its own
 	Address  string // IP:port
@@ -26,6 +27,41 @@
 	// ColdUntil is the end of the cold period, in which the target should get less load;
 	// zero = it was not cold.
 	ColdUntil time.Time
+	// Started is when the target started, by the platform's clock in Unix milliseconds;
+	// 0 = not stated.
+	Started int64
+}
+
+// Succeeds reports whether the target is a later start of a target with the same ID. If
+// one of them states no start, starts are told apart by ID alone.
+func (t Target) Succeeds(earlier Target) bool {
+	return t.ID == earlier.ID && earlier.Started != 0 && t.Started > earlier.Started
+}
+
+// Precedes reports whether the target is an earlier start of a target with the same ID.
+func (t Target) Precedes(later Target) bool { return t.Started != 0 && later.Succeeds(t) }
+
+// Run returns the name of this start of the target: its ID and, if it states it, its
+// start.
+func (t Target) Run() string { return RunOf(t.ID, t.Started) }
+
+// RunOf returns Target.Run of a target with the ID and start.
+func RunOf(id string, started int64) string {
+	if started == 0 {
+		return id
+	}
+	return id + runSeparator + strconv.FormatInt(started, 10)
+}
+
+// runSeparator stands between the ID and the start in Target.Run.
+const runSeparator = "@"
+
+// IDOfRun returns the ID of the target of which run is Target.Run.
+func IDOfRun(run string) string {
+	if at := strings.LastIndex(run, runSeparator); at > 0 {
+		return run[:at]
+	}
+	return run
 }
 
 // Cold reports whether the target is in its cold period at the given time.
