Routesync, notices: starts of targets, and entries that name none

A target that starts again under its id was taken for the one before: a lower sequence was held for old news after a restore of the store, its announced end, limits and pauses stayed, and idle connections to the earlier start were kept. An entry that could not be read left the known one in force, so that a foreign writer could keep a target in use that was gone.

An entry that names no target, or another service than the known start, stops new work like a drain until the next good entry; an earlier start is not adopted, also after a deletion; a later one takes sequence and cold period from its entry. Notices are kept and gossiped by the name of the start (ID, or ID@start). A start that an entry leaves out is kept. TestUnreadableObjectsKeepWhatIsInForce now demands that the target of an unreadable entry gets no new work, as the design has it.

--- a/internal/control/routesync/era.go
+++ b/internal/control/routesync/era.go
@@ -74,9 +74,10 @@
 
 // supersedes reports whether the known entry of a target is newer than the one that
 // the restored store holds: the target numbers its writes, and the number in the
-// store's entry is not higher than the known one.
+// store's entry is not higher than the known one. The numbers of a later start of the
+// target begin anew.
 func (e entry) supersedes(obj store.Object, reported fleet.Target) bool {
-	return inLaterEra(obj, e.object) && reported.Sequence > 0 && reported.Sequence <= e.sequence
+	return !e.succeededBy(reported) && inLaterEra(obj, e.object) && reported.Sequence > 0 && reported.Sequence <= e.sequence
 }
 
 // keepDraining returns the reported target as it is adopted. If the store was
@@ -84,7 +85,7 @@
 // keeps draining. The sequence number is cleared, so that views of targets do not
 // differ by it.
 func (e entry) keepDraining(obj store.Object, reported fleet.Target) fleet.Target {
-	if inLaterEra(obj, e.object) && reported.Sequence == 0 {
+	if inLaterEra(obj, e.object) && reported.Sequence == 0 && !e.succeededBy(reported) {
 		reported.Draining = reported.Draining || e.target.Draining
 	}
 	reported.Sequence = 0
--- a/internal/control/routesync/evacuations.go
+++ b/internal/control/routesync/evacuations.go
@@ -156,7 +156,7 @@
 // and gets much of the work back at once. Without the rule, targets crash right after
 // the end of their zone's evacuation.
 func (m *Manager) effective(t fleet.Target) fleet.Target {
-	t.Draining = t.Draining || m.evacuations.evacuated(t.Zone) || m.o.AnnouncedShutdown != nil && m.o.AnnouncedShutdown(t.ID)
+	t.Draining = t.Draining || m.evacuations.evacuated(t.Zone) || m.o.AnnouncedShutdown != nil && m.o.AnnouncedShutdown(t)
 	ended, evacuatedBefore := m.evacuations.endedAt[t.Zone]
 	if !evacuatedBefore || !m.routes.known() {
 		return t
--- a/internal/control/routesync/options.go
+++ b/internal/control/routesync/options.go
@@ -70,7 +70,7 @@
 	Boot    clock.Boot
 	Rand    *rand.Rand // for jitter; nil takes a fixed seed
 	Logger  *event.Logger
-	Metrics *metrics.Registry // not used: the package defines no metric
+	Metrics *metrics.Registry
 
 	// Times returns the times that apply now. nil = defaults.
 	Times func() Times
@@ -109,9 +109,9 @@
 	// RequestExchanges requests extra gossip exchanges at once. May be nil.
 	RequestExchanges func()
 	// AnnouncedShutdown reports whether a target has announced its shutdown in its own
-	// answers. Its entry says so too, but is not updated while the store is
-	// unavailable. nil = no target has.
-	AnnouncedShutdown func(target string) bool
+	// answers, in the start that is given. Its entry says so too, but is not updated
+	// while the store is unavailable. nil = no target has.
+	AnnouncedShutdown func(target fleet.Target) bool
 }
 
 // Defaults of Options.
--- a/internal/control/routesync/rig_test.go
+++ b/internal/control/routesync/rig_test.go
@@ -1,6 +1,7 @@
 package routesync
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -29,9 +30,9 @@
 const coldTime = 3 * time.Second
 
 // testDecoder decodes tables of the form VERSION, and targets of the form
-// [-]ADDRESS[@ZONE][#SEQUENCE][*DURATION]: "-" marks a draining target, SEQUENCE is the
-// sequence number of the write, and DURATION the time for which the target stays
-// cold. "bad" is neither a valid table nor a valid target.
+// [-]ADDRESS[@ZONE][#SEQUENCE][*DURATION][^START][/SERVICE]: "-" marks a draining target,
+// SEQUENCE is the sequence number of the write, DURATION the time for which the target
+// stays cold, and START its start. "bad" is neither a valid table nor a valid target.
 type testDecoder struct{}
 
 func (testDecoder) Table(value []byte) (*route.Table, error) {
@@ -45,12 +46,15 @@
 		return fleet.Target{}, errors.New("bad")
 	}
 	text, draining := strings.CutPrefix(string(value), "-")
+	text, service, _ := strings.Cut(text, "/")
+	text, start, _ := strings.Cut(text, "^")
+	started, _ := strconv.ParseInt(start, 10, 64)
 	text, cold, _ := strings.Cut(text, "*")
 	text, number, _ := strings.Cut(text, "#")
 	address, zone, _ := strings.Cut(text, "@")
 	left, _ := time.ParseDuration(cold)
 	sequence, _ := strconv.ParseUint(number, 10, 64)
-	return fleet.Target{ID: id, Service: "s", Address: address, Zone: zone, Draining: draining, ColdFor: left, Sequence: sequence}, nil
+	return fleet.Target{ID: id, Service: cmp.Or(service, "s"), Address: address, Zone: zone, Draining: draining, ColdFor: left, Sequence: sequence, Started: started}, nil
 }
 
 // link is the connection of one instance to the store, with injected faults.
--- a/internal/control/routesync/routesync_test.go
+++ b/internal/control/routesync/routesync_test.go
@@ -238,20 +238,20 @@
 
 // Guards against an instance without routes after an operator's mistake: a table that
 // cannot be decoded was written, and later the object was deleted; either replaced
-// the table in force.
+// the table in force. A target whose entry cannot be decoded gets no new work.
 func TestUnreadableObjectsKeepWhatIsInForce(t *testing.T) {
 	inWorld(t, func(w *world) {
 		n, peer := w.start("x", true), w.start("y", true)
 		w.put(TableKey, "bad")
 		w.put("targets/a", "bad")
-		w.wantState(n, "unreadable", "1: a b")
+		w.wantState(n, "unreadable", "1: -a b")
 		w.sendDigest("y", "x")
 		n.Relist()
 		synctest.Wait()
 		w.wantEvents(n, event.RoutesUnreadable, 1)
 		w.wantEvents(n, event.TargetUnreadable, 1)
 		w.remove(TableKey)
-		w.wantState(n, "deleted", "1: a b")
+		w.wantState(n, "deleted", "1: -a b")
 		w.put(TableKey, "2")
 		w.put("targets/a", "-1:1")
 		w.wantState(n, "mended", "2: -a b")
--- a/internal/control/routesync/targets.go
+++ b/internal/control/routesync/targets.go
@@ -35,6 +35,9 @@
 	target   fleet.Target
 	listed   bool   // target was decoded and is not deleted
 	sequence uint64 // sequence number of the target's newest write, 0 = the target does not number its writes
+	started  int64  // latest start of the target, also after its deletion; 0 = it states none
+	// unusable reports that the newest entry under the target's name names no target.
+	unusable bool
 }
 
 // pendingDeletion is a deletion whose application is deferred.
@@ -96,7 +99,8 @@
 
 // setTombstone replaces an entry by a tombstone.
 func (t *targets) setTombstone(key string, version uint64, now time.Duration) {
-	t.entries[key] = entry{object: store.Object{Key: key, Version: version, Deleted: true}, sequence: t.entries[key].sequence}
+	old := t.entries[key]
+	t.entries[key] = entry{object: store.Object{Key: key, Version: version, Deleted: true}, sequence: old.sequence, started: old.started}
 	t.deletedAt[key] = now
 	delete(t.pending, key)
 }
@@ -165,23 +169,27 @@
 	m.publishTargets(a.source())
 }
 
-// put adopts a newer entry of a target. An entry that cannot be decoded leaves the
-// target unchanged.
+// put adopts a newer entry of a target, unless it names none, or one that this instance
+// knows to be over.
 func (m *Manager) put(obj store.Object, a answer) {
 	t := m.targets
 	old := t.entries[obj.Key]
 	next := old
 	next.object = obj
-	target, err := m.o.Decoder.Target(strings.TrimPrefix(obj.Key, TargetsPrefix), obj.Value)
+	target, err := m.decode(obj, old)
 	switch {
 	case err != nil:
-		m.log(event.TargetUnreadable, "target", obj.Key, "store_version", obj.Version, "source", a.source(), "err", err)
-	case old.supersedes(obj, target):
+		m.refuseEntry(&next, a, err)
+	case old.precededBy(target):
 		next.object.Deleted = old.object.Deleted
+		m.refuseStart(old, target, a)
+	case old.supersedes(obj, target):
+		next.object.Deleted, next.unusable = old.object.Deleted, false
 	default:
-		next.sequence = target.Sequence
-		next.target, next.listed = m.withColdUntil(old.keepDraining(obj, target), old.target), true
+		m.noteStart(old, target, a)
+		next = m.withTarget(old, obj, target)
 	}
+	m.noteUsable(old, next, a)
 	t.entries[obj.Key] = next
 	if next.object.Deleted {
 		return
@@ -272,6 +280,7 @@
 			continue
 		}
 		target := m.effective(e.target)
+		target.Draining = target.Draining || e.unusable
 		listed = append(listed, target)
 		if before, found := old.Get(target.ID); !found {
 			added++
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -210,7 +210,7 @@
 	})
 	i.refusals = crashguard.NewArchive(i.guard, i.adapter.Platform, i.readsRefusalsAfter())
 	i.notices = notice.New(notice.Options{
-		Self: fmt.Sprintf("%s/%08x", i.id(), i.rand().Uint32()), Board: i.board, Clock: i.o.Clock, OnChange: i.noticeChanged,
+		Self: fmt.Sprintf("%s/%08x", i.id(), i.rand().Uint32()), Board: i.board, Clock: i.o.Clock, OnChange: i.noticeChanged, Started: i.startOf,
 		Logger: i.o.Logger, Metrics: i.metrics,
 	})
 	i.routes = routesync.New(routesync.Options{
@@ -222,7 +222,7 @@
 		},
 		OnTargets:         i.handleTargets,
 		RequestExchanges:  func() { i.members.RequestExchanges() },
-		AnnouncedShutdown: i.notices.Leaves,
+		AnnouncedShutdown: i.notices.RunLeaves,
 		Times:             i.times,
 		WatchGap:          watchGap,
 		CallsStore:        i.callsStore,
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -59,16 +59,21 @@
 }
 
 // handleTargets applies a change of the targets. It closes idle connections to removed
-// targets, since their addresses may be reused by another service.
+// targets, since their addresses may be reused by another service, and to earlier starts
+// of targets, which have ended.
 func (i *Instance) handleTargets(before, now *fleet.View) {
 	for _, t := range before.All() {
-		if _, listed := now.Get(t.ID); !listed {
+		next, listed := now.Get(t.ID)
+		if !listed || next.Succeeds(t) {
 			i.pool.CloseIdle(t.Address)
 		}
+		if next.Succeeds(t) {
+			i.paths.TargetStarted(next.Address)
+		}
 	}
-	i.notices.RemoveExpired(func(target string) bool {
-		_, listed := now.Get(target)
-		return listed
+	i.notices.RemoveExpired(func(run string) bool {
+		t, listed := now.Get(fleet.IDOfRun(run))
+		return listed && t.Run() == run
 	})
 	i.updateDispatcher()
 	i.spreadChange()
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -36,3 +36,9 @@
 		i.members.RequestExchanges()
 	}
 }
+
+// startOf returns the listed start of a target, 0 if it states none.
+func (i *Instance) startOf(target string) int64 {
+	t, _ := i.routes.Targets().Get(target)
+	return t.Started
+}
--- a/internal/event/catalogue_routesync.go
+++ b/internal/event/catalogue_routesync.go
@@ -13,6 +13,9 @@
 	ZonesEvacuated     ID = 3359
 	StoreEraRose       ID = 3360
 	RouteStoreSilent   ID = 3361
+	TargetReadable     ID = 3362
+	TargetStartedAgain ID = 3363
+	TargetStartPast    ID = 3364
 )
 
 var _ = define(
@@ -20,7 +23,10 @@
 	Definition{RoutesNotNewer, Warn, "routes_not_newer", "A route table was offered, or deleted, whose version is not above the one in force; the one in force stays. The fields give the versions of both tables, if the offered one can be read, and the store's versions of both. If an operator wrote the table, write it again with a higher version."},
 	Definition{RoutesUnreadable, Error, "routes_unreadable", "The offered route table cannot be read; the previous one stays in force here. Write the table again."},
 	Definition{TargetsChanged, Info, "targets_changed", "Targets were added, changed or removed on this instance."},
-	Definition{TargetUnreadable, Error, "target_unreadable", "An entry of the target list cannot be read; the target keeps its previous state here. Write the entry again."},
+	Definition{TargetUnreadable, Error, "target_unreadable", "An entry of the target list names no usable target: it cannot be parsed, lacks a field or has one of another type, or names another service. If a target was known by that name, it gets no new work until its next entry that names it; results that it holds are still read. Find the writer."},
+	Definition{TargetReadable, Info, "target_readable", "The entry of a target names it again; it gets new work again unless it is draining."},
+	Definition{TargetStartedAgain, Info, "target_started_again", "A target is listed under its id with a later start: it holds nothing of before, and its counts begin anew."},
+	Definition{TargetStartPast, Warn, "target_start_past", "An entry states an earlier start of a target than the one that is known, as a late copy does; the known one stays in force."},
 	Definition{RouteStoreLost, Warn, "route_store_lost", "The platform does not answer queries for routes and targets, or rejects this instance; the known ones stay in use, and peers are queried."},
 	Definition{RouteStoreSilent, Warn, "route_store_silent", "The platform did not answer a probe, or rejected it, although a watch may still be pending; the other instances are notified, so that they query the platform instead."},
 	Definition{RouteStoreRegained, Info, "route_store_regained", "The platform answers queries for routes and targets again."},
--- a/internal/forwarding/loads.go
+++ b/internal/forwarding/loads.go
@@ -40,8 +40,9 @@
 	means   map[string]float64 // by service: moving average of its response times, in milliseconds
 }
 
-// targetLoad is the state of one target.
+// targetLoad is the state of one start of a target.
 type targetLoad struct {
+	started             int64 // see fleet.Target.Started
 	inFlight            int // requests of this instance
 	reported            relay.Load
 	reportedAt          time.Time // time of the report
@@ -58,15 +59,25 @@
 	return &Loads{clock: c, zone: zone, rand: source, targets: make(map[string]*targetLoad), means: make(map[string]float64)}
 }
 
-func (l *Loads) state(id string) *targetLoad {
-	t := l.targets[id]
-	if t == nil {
+// state returns the state of a target, an empty one at a new start. What an earlier start
+// still reports is recorded nowhere.
+func (l *Loads) state(target fleet.Target) *targetLoad {
+	t := l.targets[target.ID]
+	switch {
+	case t == nil:
 		if len(l.targets) > maxTargets {
 			clear(l.targets)
 		}
-		t = &targetLoad{}
-		l.targets[id] = t
+	case target.Started < t.started && target.Started != 0:
+		return &targetLoad{}
+	case target.Started <= t.started:
+		return t
+	case t.started == 0: // the start was not stated before
+		t.started = target.Started
+		return t
 	}
+	t = &targetLoad{started: target.Started}
+	l.targets[target.ID] = t
 	return t
 }
 
@@ -90,13 +101,13 @@
 		}
 	}
 	if ok {
-		l.state(best.ID).inFlight++
+		l.state(best).inFlight++
 	}
 	return best, ok
 }
 
 func (l *Loads) score(t fleet.Target, now time.Time) float64 {
-	k := l.state(t.ID)
+	k := l.state(t)
 	slots := float64(max(t.Slots, 1))
 	busy := float64(k.inFlight)
 	if now.Sub(k.reportedAt) < reportLifetime {
@@ -155,7 +166,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	k := l.state(t.ID)
+	k := l.state(t)
 	k.inFlight = max(k.inFlight-1, 0)
 	if load != nil && !load.StatesPace() {
 		k.reported, k.reportedAt = *load, now
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -45,6 +45,9 @@
 	// OnChange is called, with no lock held, after a notice of a target that other
 	// instances need as well has changed. nil: not called.
 	OnChange func(before, after board.Notice)
+	// Started returns the listed start of a target, 0 if it states none: what a target
+	// announced in an earlier start does not hold in a later one. nil = none states any.
+	Started func(target string) int64
 	Logger   *event.Logger
 	Metrics  *metrics.Registry
 }
@@ -69,6 +72,9 @@
 	if o.OnChange == nil {
 		o.OnChange = func(_, _ board.Notice) {}
 	}
+	if o.Started == nil {
+		o.Started = func(string) int64 { return 0 }
+	}
 	return &Tracker{o: o}
 }
 
@@ -88,6 +94,15 @@
 	return row.Leaving
 }
 
+// RunLeaves is Leaves of the given start of a target, which need not be the listed one.
+func (k *Tracker) RunLeaves(target fleet.Target) bool {
+	if !k.nonEmpty.Load() {
+		return false
+	}
+	row, _ := k.o.Board.Notices.Get(target.Run())
+	return row.Leaving
+}
+
 // Pause returns the time until which the target accepts nothing from this
 // instance; zero: it requested no pause, or the pause has ended.
 func (k *Tracker) Pause(target string) time.Time {
@@ -105,13 +120,18 @@
 	if !k.nonEmpty.Load() {
 		return board.Notice{}, false
 	}
-	return k.o.Board.Notices.Get(target)
+	return k.o.Board.Notices.Get(k.run(target))
 }
 
+// run returns the name of the listed start of a target, by which its notices are kept and
+// passed on.
+func (k *Tracker) run(target string) string { return fleet.RunOf(target, k.o.Started(target)) }
+
 // Exchange is a request to a target whose response has not arrived.
 type Exchange struct {
 	tracker *Tracker
 	target  string
+	run     string // name of the target's start when the request was sent
 	sentAt  time.Time
 }
 
@@ -120,7 +140,7 @@
 	if _, named := k.Limit(target); named {
 		k.o.Metrics.Counter(metricSentLimited).Add(1)
 	}
-	return Exchange{tracker: k, target: target, sentAt: k.o.Clock.Now()}
+	return Exchange{tracker: k, target: target, run: k.run(target), sentAt: k.o.Clock.Now()}
 }
 
 // ResponseReceived records the notices in the header of the response. served reports that
@@ -141,11 +161,11 @@
 	if n.Unreadable != "" {
 		k.o.Logger.Log(event.NoticeUnreadable, "target", x.target, "err", n.Unreadable)
 	}
-	if _, known := k.row(x.target); !known && !n.Leaving && n.Limit == nil && n.Pause == 0 {
+	if !k.known(x.run) && !n.Leaving && n.Limit == nil && n.Pause == 0 {
 		return // most responses carry no notice
 	}
 	now := k.o.Clock.Now()
-	k.updateRow(x.target, func(row *board.Notice) {
+	k.updateRow(x.run, func(row *board.Notice) {
 		if n.Leaving {
 			markLeaving(row, now)
 		}
@@ -156,6 +176,15 @@
 	})
 }
 
+// known reports whether there are notices of the start of a target.
+func (k *Tracker) known(run string) bool {
+	if !k.nonEmpty.Load() {
+		return false
+	}
+	_, known := k.o.Board.Notices.Get(run)
+	return known
+}
+
 // markLeaving records that the target announced that it is leaving.
 func markLeaving(row *board.Notice, at time.Time) {
 	if !row.Leaving {
@@ -178,7 +207,7 @@
 	}
 }
 
-// updateRow changes the notices of a target and reports the change.
+// updateRow changes the notices of a target's start and reports the change.
 func (k *Tracker) updateRow(target string, change func(*board.Notice)) {
 	now := k.o.Clock.Now()
 	k.nonEmpty.Store(true)
@@ -200,9 +229,9 @@
 	}
 }
 
-// RemoveExpired removes the notices of targets that are not listed and whose notices
-// have not changed for unlistedTTL.
-func (k *Tracker) RemoveExpired(listed func(target string) bool) {
+// RemoveExpired removes the notices of starts of targets that are not listed and whose
+// notices have not changed for unlistedTTL. listed is given fleet.Target.Run.
+func (k *Tracker) RemoveExpired(listed func(run string) bool) {
 	if !k.nonEmpty.Load() {
 		return
 	}
--- a/internal/targetpath/path.go
+++ b/internal/targetpath/path.go
@@ -143,3 +143,17 @@
 		m.o.OnLost()
 	}
 }
+
+// TargetStarted records that a target has started again at the address: that the earlier
+// start was dead says nothing about it.
+func (m *Manager) TargetStarted(address string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch p := m.paths[address]; {
+	case p == nil:
+	case p.lost():
+		p.deadUntil = time.Time{}
+	default:
+		delete(m.paths, address)
+	}
+}
