Forwarding: a later start of a target is a target of its own

A target that started again under its id kept the failures, backoff, slowness and load of the earlier start, and a crash was counted only where a dial was refused or another id had its address: a request could crash the same target again and again.

A later start while a request ran on the target is a crash, unless the earlier one was listed as draining. Crashes, suspects and checks are kept by the name of the start. Rows without starts are as before.

--- a/internal/crashguard/avoid.go
+++ b/internal/crashguard/avoid.go
@@ -45,7 +45,8 @@
 }
 
 // crashedTTL is how long TargetsToAvoid includes a crashed target. It is longer than
-// a crashed target stays in the target list; a restarted target has another id.
+// a crashed target stays in the target list; a restarted target has another name, also
+// if its id is the same (fleet.Target.Run).
 const crashedTTL = 10 * time.Second
 
 // TargetsToAvoid returns the ids of the targets that an attempt of the request must
--- a/internal/crashguard/crashguard.go
+++ b/internal/crashguard/crashguard.go
@@ -196,7 +196,7 @@
 
 // Crash is the crash of a target while it had a request.
 type Crash struct {
-	Target      string
+	Target      string    // fleet.Target.Run: each start of a target crashes by itself
 	Sent, Broke time.Time // start and end of the attempt; zero Sent = not known, so that the crash counts in any case; zero Broke = now
 	// Variant tells requests apart that have the key in common; "" = the key is of one
 	// request.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -58,10 +58,14 @@
 
 // IDOfRun returns the ID of the target of which run is Target.Run.
 func IDOfRun(run string) string {
-	if at := strings.LastIndex(run, runSeparator); at > 0 {
-		return run[:at]
+	at := strings.LastIndex(run, runSeparator)
+	if at < 0 {
+		return run
 	}
-	return run
+	if _, err := strconv.ParseInt(run[at+1:], 10, 64); err != nil {
+		return run
+	}
+	return run[:at]
 }
 
 // Cold reports whether the target is in its cold period at the given time.
--- a/internal/forwarding/crashes.go
+++ b/internal/forwarding/crashes.go
@@ -50,10 +50,10 @@
 	}()
 }
 
-// targetDied checks whether the target died. Concurrent calls for the same target
-// share one check.
+// targetDied checks whether the target died. Concurrent calls for the same start of a
+// target share one check.
 func (f *Forwarder) targetDied(target fleet.Target) bool {
-	died, _, _ := f.crashChecks.Do(target.ID, func() (any, error) {
+	died, _, _ := f.crashChecks.Do(target.Run(), func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 		defer cancel()
 		return f.o.CrashGuard.HasCrashed(ctx, stagecall.Target{ID: target.ID, Address: target.Address}), nil
@@ -93,11 +93,18 @@
 		return nil
 	}
 	targets := fl.o.Targets().Ready(fl.service)
-	ids := make([]string, 0, len(targets))
+	runs := make([]string, 0, len(targets))
 	for _, t := range targets {
-		ids = append(ids, t.ID)
+		runs = append(runs, t.Run())
 	}
-	return fl.o.CrashGuard.TargetsToAvoid(suspected, ids)
+	var ids []string
+	for _, run := range fl.o.CrashGuard.TargetsToAvoid(suspected, runs) {
+		id := fleet.IDOfRun(run)
+		if t, listed := fl.o.Targets().Get(id); !listed || t.Run() == run { // an earlier start says nothing about the listed one
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
 
 // chooseTarget returns a plain target for the next attempt, and a function that
@@ -117,22 +124,22 @@
 	if !ok {
 		return target, nil, false
 	}
-	return target, fl.o.CrashGuard.Begin(suspected, target.ID), true
+	return target, fl.o.CrashGuard.Begin(suspected, target.Run()), true
 }
 
 // beginAttempt reports the start of an attempt at the engine to the crash guard. ok
 // is false if the request is suspected and the engine is one of excludedTargets.
 // After maxPassedOver rejections the request is served by any engine.
-func (ef *engineFlight) beginAttempt(engine string) (endSuspect func(), ok bool) {
+func (ef *engineFlight) beginAttempt(engine fleet.Target) (endSuspect func(), ok bool) {
 	suspected := ef.suspectedAs()
 	if suspected == "" {
 		return func() {}, true
 	}
 	ef.suspectMu.Lock()
 	defer ef.suspectMu.Unlock()
-	if ef.passedOver < maxPassedOver && slices.Contains(ef.excludedTargets(), engine) {
+	if ef.passedOver < maxPassedOver && slices.Contains(ef.excludedTargets(), engine.ID) {
 		ef.passedOver++
 		return nil, false
 	}
-	return ef.o.CrashGuard.Begin(suspected, engine), true
+	return ef.o.CrashGuard.Begin(suspected, engine.Run()), true
 }
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -182,7 +182,7 @@
 		return ef.skipped(ctx)
 	}
 	target.Address, target.Service = p.Address, ef.service
-	endSuspect, ok := ef.beginAttempt(p.Target)
+	endSuspect, ok := ef.beginAttempt(target)
 	if !ok {
 		ef.assignment.Rejected(false, false)
 		return false
--- a/internal/forwarding/evidence.go
+++ b/internal/forwarding/evidence.go
@@ -44,7 +44,7 @@
 // answer had come, for the parts of its prompt.
 func (f *Forwarder) recordCrash(e evidence, target fleet.Target) {
 	f.logTargetCrashed(e, target)
-	c := crashguard.Crash{Target: target.ID, Sent: e.sent, Broke: e.broke}
+	c := crashguard.Crash{Target: target.Run(), Sent: e.sent, Broke: e.broke}
 	f.o.CrashGuard.RecordCrash(e.id.exact, c)
 	if e.id.anyQuery != "" {
 		varied := c
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -91,7 +91,7 @@
 	mu sync.Mutex // guards o.Rand
 
 	suspectMu   sync.Mutex         // held while a target is chosen for a suspected request
-	crashChecks singleflight.Group // checks whether a target died, by target id
+	crashChecks singleflight.Group // checks whether a target died, by fleet.Target.Run
 
 	verdictMu sync.Mutex            // guards all below
 	undecided map[string]*undecided // by target id
--- a/internal/forwarding/loads.go
+++ b/internal/forwarding/loads.go
@@ -43,7 +43,7 @@
 // targetLoad is the state of one start of a target.
 type targetLoad struct {
 	started             int64 // see fleet.Target.Started
-	inFlight            int // requests of this instance
+	inFlight            int   // requests of this instance
 	reported            relay.Load
 	reportedAt          time.Time // time of the report
 	slowness            float64   // moving average of its response times, relative to the service's mean at that time; 0 = no response yet
--- a/internal/forwarding/verdict.go
+++ b/internal/forwarding/verdict.go
@@ -20,26 +20,27 @@
 // it is not known whether the target crashed.
 type undecided struct {
 	target   fleet.Target
+	left     bool // its start was seen to drain
 	until    time.Time
 	requests []evidence
 }
 
-// awaitVerdict counts a crash for the request if another target has the address of this
-// one within verdictTime: each run of a target has its own id, so the run that the
-// request was sent to has ended. A target that announced its end has not crashed.
+// awaitVerdict counts a crash for the request if within verdictTime the target is listed
+// with a later start, or another one has its address: the start that the request was sent
+// to has ended. A target that announced its end has not crashed.
 //
 // A check by connection misses such crashes: the target crashed where it could not be
 // reached, or was back at once.
 func (f *Forwarder) awaitVerdict(target fleet.Target, e evidence) {
 	f.verdictMu.Lock()
 	defer f.verdictMu.Unlock()
-	u, waits := f.undecided[target.ID]
+	u, waits := f.undecided[target.Run()]
 	if !waits {
 		if f.undecided == nil {
 			f.undecided = make(map[string]*undecided)
 		}
-		u = &undecided{target: target}
-		f.undecided[target.ID] = u
+		u = &undecided{target: target, left: f.drains(target)}
+		f.undecided[target.Run()] = u
 		f.o.Clock.AfterFunc(verdictInterval, func() { f.checkVerdict(u) })
 	}
 	u.until = f.o.Clock.Now().Add(verdictTime)
@@ -51,17 +52,19 @@
 // checkVerdict looks the target up in the target list, and does so again until it is
 // decided whether it has crashed, or the time is over.
 func (f *Forwarder) checkVerdict(u *undecided) {
-	listed, known := f.o.Targets().Get(u.target.ID)
+	listed, _ := f.o.Targets().Get(u.target.ID)
 	next, taken := f.o.Targets().AtAddress(u.target.Address)
-	crashed := taken && next != u.target.ID
-	left := known && listed.Draining
+	crashed := taken && next != u.target.ID || listed.Succeeds(u.target)
+	drains := f.drains(u.target)
 	f.verdictMu.Lock()
+	u.left = u.left || drains
+	left := u.left
 	if !crashed && !left && f.o.Clock.Now().Before(u.until) {
 		f.verdictMu.Unlock()
 		f.o.Clock.AfterFunc(verdictInterval, func() { f.checkVerdict(u) })
 		return
 	}
-	delete(f.undecided, u.target.ID)
+	delete(f.undecided, u.target.Run())
 	f.verdictMu.Unlock()
 	if !crashed || left {
 		return
@@ -70,3 +73,9 @@
 		f.recordCrash(e, u.target)
 	}
 }
+
+// drains reports whether the start of the target is listed as draining.
+func (f *Forwarder) drains(target fleet.Target) bool {
+	listed, known := f.o.Targets().Get(target.ID)
+	return known && listed.Draining && !listed.Succeeds(target)
+}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -48,8 +48,8 @@
 	// Started returns the listed start of a target, 0 if it states none: what a target
 	// announced in an earlier start does not hold in a later one. nil = none states any.
 	Started func(target string) int64
-	Logger   *event.Logger
-	Metrics  *metrics.Registry
+	Logger  *event.Logger
+	Metrics *metrics.Registry
 }
 
 // Tracker records the notices of targets in the board's table Notices. It is safe
