Stagework: a later start of a target has a new record, reports state their start

A stage target or engine that started again under its id kept the results, memory, failures and cached parts of the earlier start: engines were sent handles that were gone, and handles that waited to be released could release results of the new start.

The record is replaced; results of the earlier start are made again, releases of them are dropped, and calls and jobs of it end on its own record. A report or cache list whose born is not the listed start is not applied (event 4209).

--- a/internal/event/catalogue_stagework.go
+++ b/internal/event/catalogue_stagework.go
@@ -6,11 +6,14 @@
 	DispatcherLost  ID = 4202
 	StageJobRefused ID = 4203
 	StageJobGivenUp ID = 4204
+
+	StageReportOfOtherStart ID = 4209
 )
 
 var _ = define(
 	Definition{StageCallFailed, Warn, "stage_call_failed", "A call of a stage target failed or did not complete all its pieces. room, gone, late and error count the pieces by fault, requests names up to four of the affected requests; the pieces are run again elsewhere."},
 	Definition{StageJobRefused, Info, "stage_job_refused", "The dispatcher did not accept a request's stage work; the fields give its forecast, the time that the request has, and how many jobs the dispatcher had."},
 	Definition{StageJobGivenUp, Info, "stage_job_given_up", "The dispatcher abandoned a request's stage work that it had accepted; the fields give how long the work waited, what is left of its time, how many of its pieces were completed and how many jobs there were."},
+	Definition{StageReportOfOtherStart, Info, "stage_report_of_other_start", "What a target reports of its memory or its cached prompt parts is of another start than the listed one, or states none that can be read; it is not applied."},
 	Definition{DispatcherLost, Warn, "dispatcher_lost", "The instance that schedules stage work did not answer; it is skipped for a while and the next one is asked."},
 )
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -142,6 +143,10 @@
 	FreeBytes int64 // upper bound of the free memory for results, in bytes
 }
 
+// ErrOtherStart is the error for what a target reports of another start than the one that
+// is listed.
+var ErrOtherStart = errors.New("the report is of another start of the target")
+
 // StageClient calls stage targets.
 type StageClient interface {
 	// Run processes pieces. full reports that the target did not accept the
@@ -150,7 +155,8 @@
 	Run(ctx context.Context, t fleet.Target, pieces []Piece) (results []PieceResult, full bool, err error)
 	// Free releases results at the target that stores them.
 	Free(ctx context.Context, address string, handles []string) error
-	// Report queries a target's StageReport.
+	// Report queries a target's StageReport. The error is ErrOtherStart if it is one of
+	// another start than t, as with CachedParts.
 	Report(ctx context.Context, t fleet.Target) (StageReport, error)
 	// CachedParts queries which prompt parts a model engine has in its cache, in no
 	// particular order. The query costs the engine some processing time.
--- a/internal/stagework/ask.go
+++ b/internal/stagework/ask.go
@@ -51,6 +51,7 @@
 	defer cancel()
 	report, err := d.o.Client.Report(ctx, target)
 	if err != nil {
+		d.logReport(target, err)
 		return
 	}
 	d.mu.Lock()
@@ -64,6 +65,7 @@
 	defer cancel()
 	parts, err := d.o.Client.CachedParts(ctx, target)
 	if err != nil {
+		d.logReport(target, err)
 		return
 	}
 	d.mu.Lock()
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -311,7 +311,7 @@
 // is not retried: results expire after their lifetime.
 func (d *Dispatcher) sendReleases(batch *releaseBatch) {
 	d.mu.Lock()
-	all := *batch
+	all := batch.pending()
 	*batch = make(releaseBatch)
 	d.mu.Unlock()
 	for at, handles := range all {
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -113,7 +113,11 @@
 	v.limits = limits
 	for id, s := range v.targets {
 		t, listed := view.Get(id)
-		if !listed {
+		if listed && t.Succeeds(s.info) {
+			p.replaceStageTarget(s, t)
+			continue
+		}
+		if !listed || t.Service != name {
 			s.removed = true
 			if s.calls == 0 {
 				delete(v.targets, id)
@@ -124,7 +128,7 @@
 	}
 	for _, t := range view.Ready(name) {
 		if v.targets[t.ID] == nil {
-			v.targets[t.ID] = &stageTarget{info: t, service: v, latencyRatio: v.latencyRatio, limitWindow: p.bounds.window()}
+			v.targets[t.ID] = newStageTarget(t, v)
 		}
 	}
 	v.sortTargets()
@@ -139,7 +143,11 @@
 	o.limits = limits
 	for id, e := range o.engines {
 		t, listed := view.Get(id)
-		if !listed {
+		if listed && t.Succeeds(e.info) {
+			o.replaceEngine(e, t)
+			continue
+		}
+		if !listed || t.Service != name {
 			e.removed = true
 			if e.running == 0 {
 				delete(o.engines, id)
--- a/internal/stagework/results.go
+++ b/internal/stagework/results.go
@@ -152,7 +152,7 @@
 	if outOfMemory {
 		s.outOfMemory(now)
 	}
-	if s.removed && s.calls == 0 {
+	if s.removed && s.calls == 0 && s.service.targets[s.info.ID] == s {
 		delete(s.service.targets, s.info.ID)
 		s.service.sortTargets()
 	}
--- a/internal/stagework/transfer.go
+++ b/internal/stagework/transfer.go
@@ -9,7 +9,7 @@
 		if p.policy.NoTakeover {
 			break
 		}
-		if q, s := j.piece(m.Stage, m.Number), p.resultHolder(j, m); q != nil && s != nil && q.state == pieceWaiting {
+		if q, s := j.piece(m.Stage, m.Number), p.resultHolder(j, m, now); q != nil && s != nil && q.state == pieceWaiting {
 			q.adopt(s, m, now)
 		}
 	}
@@ -46,7 +46,7 @@
 }
 
 // resultHolder returns the target that holds the result, nil if it is unknown.
-func (p *Planner) resultHolder(j *job, m ResultRef) *stageTarget {
+func (p *Planner) resultHolder(j *job, m ResultRef, now time.Time) *stageTarget {
 	if m.Stage < 0 || m.Stage >= len(j.Stages) {
 		return nil
 	}
@@ -54,7 +54,7 @@
 	if v == nil {
 		return nil
 	}
-	if s := v.targets[m.Target]; s != nil && !s.removed {
+	if s := v.targets[m.Target]; s != nil && !s.removed && !s.startedAfter(now.Add(-m.Age)) {
 		return s
 	}
 	return nil
