Forwarding: what is held for slow callers counts toward the bound of bytes in flight

Streams are read block by block and slow their target. A whole response of up to 256 KiB, and an event of up to 1 MiB that is not complete, were held without being counted, and the write of a whole response had no time limit but the 70 s of the server.

Both are now reserved beyond the 16 KiB that the fixed cost of a request covers. A response for which there is no memory is forwarded as it arrives, as one over 256 KiB is; a caller has 10 s for each block of 32 KiB, as with streams.

--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -109,6 +109,9 @@
 	Route        *route.Route
 	Organisation *route.Organisation // nil = none
 	Arrived      time.Time
+	// Reserve counts bytes of the response that are held for the caller, until the end of
+	// Serve, and reports whether there is memory for them. nil = not bounded.
+	Reserve func(bytes int) bool
 }
 
 // flight is the state of one request in flight.
--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -82,7 +82,7 @@
 	resp   *exchange.Response
 	head   relay.ResponseHead
 	body   []byte
-	rest   io.Reader // the unread rest of a response that exceeds bufferLimit
+	rest   io.Reader // the unread rest of a response that exceeds bufferLimit, or for which there was no memory
 	notRun bool
 	err    error
 	cancel context.CancelFunc // ends the attempt
@@ -182,14 +182,14 @@
 	if fl.sendsEvents(a.resp.Header) {
 		from = eventstream.NewReader(from, a.resp.Framing != exchange.FramedByConnection)
 	}
-	body, err := io.ReadAll(io.LimitReader(from, bufferLimit+1))
+	body, whole, err := fl.readWhole(from)
 	if err != nil {
 		a.err = errTruncated
 		_ = a.resp.Body.Close()
 		return
 	}
 	a.body = body
-	if len(body) > bufferLimit {
+	if !whole {
 		a.rest = from
 		return
 	}
@@ -232,7 +232,7 @@
 	fl.headSent = true
 	fl.noteFirstByte()
 	fl.w.WriteHeader(a.resp.Status)
-	if _, err := fl.w.Write(a.body); err != nil {
+	if err := fl.writeBlocks(a.body); err != nil {
 		fl.outcome = "caller left"
 	}
 	if a.rest == nil {
@@ -241,7 +241,7 @@
 	}
 	defer a.cancel()
 	defer a.resp.Body.Close()
-	if _, err := io.Copy(fl.w, a.rest); err != nil || ctx.Err() != nil {
+	if err := fl.copyBlocks(a.rest); err != nil || ctx.Err() != nil {
 		// The caller must not take a truncated response for a complete one.
 		fl.outcome = "answer broke off"
 		panic(http.ErrAbortHandler)
--- a/internal/forwarding/stream.go
+++ b/internal/forwarding/stream.go
@@ -151,7 +151,7 @@
 // forwardEvents forwards complete events only: an event that is cut off in the
 // middle is sent again by the target that resumes the stream.
 func (s *stream) forwardEvents(body io.Reader) error {
-	var pending []byte // start of an event that is not complete
+	var pending heldBytes // start of an event that is not complete
 	var scanner eventstream.Scanner
 	buffer := make([]byte, streamBuffer)
 	for {
@@ -162,11 +162,13 @@
 		var out []byte
 		for data := buffer[:n]; len(data) > 0; {
 			size, ended := scanner.Scan(data)
-			pending = append(pending, data[:size]...)
+			if !pending.append(s.fl, data[:size]) {
+				return errNoMemory
+			}
 			data = data[size:]
 			if ended {
-				out = s.appendNew(out, pending)
-				pending = pending[:0]
+				out = s.appendNew(out, pending.bytes)
+				pending.bytes = pending.bytes[:0]
 			}
 		}
 		if werr := s.write(out); werr != nil {
@@ -174,10 +176,10 @@
 		}
 		switch {
 		case errors.Is(err, io.EOF):
-			return s.write(pending)
+			return s.write(pending.bytes)
 		case err != nil:
 			return err
-		case len(pending) > maxEvent:
+		case len(pending.bytes) > maxEvent:
 			return fmt.Errorf("an event of more than %d bytes", maxEvent)
 		}
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -252,6 +252,7 @@
 		return
 	}
 	in.Arrived = arrived
+	in.Reserve = func(bytes int) bool { return reserved.add(int64(bytes)) == nil }
 	defer g.countTime(in.Route.Kind, arrived)
 	g.o.Forwarder.Serve(r.Context(), w, in)
 }
