--- a/deploy/emulator/engine.go
+++ b/deploy/emulator/engine.go
@@ -49,6 +49,7 @@
 	KVCacheUsed    int           `json:"kv_cache_used"`
 	KVCacheTotal   int           `json:"kv_cache_total"`
 	Handles        int           `json:"handles"`
+	Born           int64         `json:"born,omitempty"`
 }
 
 // ModelReport is one model of a server.
@@ -105,7 +106,7 @@
 		e.asOf = now
 		e.reported = Report{
 			Stage: "combined", Models: e.models(), QueuedRequests: waiting, ActiveRequests: active,
-			KVCacheUsed: used, KVCacheTotal: e.model.MemoryTokens,
+			KVCacheUsed: used, KVCacheTotal: e.model.MemoryTokens, Born: e.options.Born,
 		}
 	}
 	return e.reported
--- a/deploy/emulator/stage.go
+++ b/deploy/emulator/stage.go
@@ -200,7 +200,11 @@
 func (s *StageServer) report(w http.ResponseWriter) {
 	active, waiting, _ := s.gate.load()
 	free := float64(s.stage.Room-s.stage.Registry.Used(s.options.Instance)) / 1e6
-	writeJSON(w, http.StatusOK, map[string]any{"queued_requests": waiting, "busy": active, "free_memory_mb": free})
+	report := map[string]any{"queued_requests": waiting, "busy": active, "free_memory_mb": free}
+	if s.options.Born != 0 {
+		report["born"] = s.options.Born
+	}
+	writeJSON(w, http.StatusOK, report)
 }
 
 func (s *StageServer) freeCall(w http.ResponseWriter, r *http.Request) {
--- a/deploy/emulator/target.go
+++ b/deploy/emulator/target.go
@@ -19,12 +19,18 @@
 // maxBody is the longest body that a server reads, in bytes.
 const maxBody = 64 << 20
 
+// runsOfStart is more than the runs of one start of a server; runs of later starts under
+// its id have other names.
+const runsOfStart = 1 << 20
+
 // hangLimit is the longest time that a hanging request is held.
 const hangLimit = time.Minute
 
 // TargetOptions are common to all servers.
 type TargetOptions struct {
-	Instance   string // id of this incarnation
+	Instance   string // id, of this incarnation unless it was started again under it
+	Born       int64  // start in Unix milliseconds; 0 = not stated
+	Restarts   int    // starts under its id before this one
 	Service    string
 	Version    string // of its software
 	Address    string // IP:PORT
@@ -58,7 +64,7 @@
 
 func newTarget(o TargetOptions, memory int) *Target {
 	return &Target{
-		options: o, random: o.Random, ended: make(chan struct{}),
+		count: o.Restarts * runsOfStart, options: o, random: o.Random, ended: make(chan struct{}),
 		gate: gate{slots: o.Slots, queue: o.Queue, capacity: memory},
 	}
 }
--- a/deploy/emulator/world.go
+++ b/deploy/emulator/world.go
@@ -41,6 +41,7 @@
 	Random            *rand.Rand    // source of all chances; owned by the World from now
 	HeartbeatInterval time.Duration // a silent server's entry goes after three; 0 is a second
 	DrainTimeout      time.Duration // how long a leaving server serves on
+	StateStarts       bool          // servers state when they started
 }
 
 // Server is one server of a World.
@@ -55,6 +56,7 @@
 	listener *tracked
 	entry    serverEntry
 	lapsed   bool // its entry was taken away
+	restarts int  // starts under its id before this one
 }
 
 // serverEntry is a server in the store.
@@ -69,6 +71,7 @@
 	Stage           string        `json:"stage,omitempty"`
 	Models          []ModelReport `json:"models,omitempty"`
 	Sequence        int           `json:"sequence"`
+	Born            int64         `json:"born,omitempty"` // in Unix milliseconds; 0 = not stated
 }
 
 // World is a deployment that runs.
@@ -211,17 +214,24 @@
 		return nil, err
 	}
 	source := w.derive()
-	s := &Server{
-		ID: fmt.Sprintf("i-%08x", source.Uint32()), Service: service, Zone: zone, Address: l.Addr().String(), Version: version,
-		listener: &tracked{Listener: l, limit: config.Services[c].ConnectionLimit, open: make(map[net.Conn]bool)},
+	s := &Server{ID: fmt.Sprintf("i-%08x", source.Uint32()), Service: service, Zone: zone, Version: version}
+	return s, w.serve(s, l, w.plan.Pools[pool], config.Services[c], source)
+}
+
+// serve starts a server on a listener and registers it.
+func (w *World) serve(s *Server, l net.Listener, pool Pool, c ServiceConfig, source *rand.Rand) error {
+	s.Address = l.Addr().String()
+	s.listener = &tracked{Listener: l, limit: c.ConnectionLimit, open: make(map[net.Conn]bool)}
+	if w.plan.StateStarts {
+		s.entry.Born = time.Now().UnixMilli()
 	}
-	w.build(s, w.plan.Pools[pool], config.Services[c], source)
+	w.build(s, pool, c, source)
 	s.http = &http.Server{Handler: s.handler}
 	w.serving.Go(func() { _ = s.http.Serve(s.listener) }) // ends by close
 	w.mu.Lock()
 	w.servers[s.ID] = s
 	w.mu.Unlock()
-	return s, w.Register(s.ID)
+	return w.Register(s.ID)
 }
 
 // build makes the handler that the service's configuration asks for.
@@ -229,7 +239,7 @@
 	o := TargetOptions{
 		Instance: s.ID, Service: s.Service, Version: s.Version, Address: s.Address, HealthPath: c.HealthPath, Slots: pool.Slots, Queue: pool.Queue,
 		LoadHeader: pool.LoadHeader, Random: source, Journal: w.Journal, OnCrash: func() { w.Crash(s.ID) },
-		Poison: w.currentPoison, OnPoison: func(cause string) { w.crashUnder(s.ID, cause) },
+		Born: s.entry.Born, Restarts: s.restarts, Poison: w.currentPoison, OnPoison: func(cause string) { w.crashUnder(s.ID, cause) },
 	}
 	switch {
 	case c.InferenceEngine != nil:
