--- a/deploy/pathtest/rig_test.go
+++ b/deploy/pathtest/rig_test.go
@@ -150,10 +150,15 @@
 // startWith is start with pools of servers.
 func startWith(t *testing.T, instances int, front func(*emulator.World) string, pools []emulator.Pool) *rig {
 	t.Helper()
-	w, err := emulator.NewWorld(emulator.Deployment{
-		Config: configuration(), Pools: pools, Random: rand.New(rand.NewPCG(11, 13)),
-		HeartbeatInterval: 300 * time.Millisecond, DrainTimeout: 3 * time.Second,
-	})
+	return startDeployment(t, instances, front, emulator.Deployment{Pools: pools})
+}
+
+// startDeployment is startWith with a deployment, of which it sets what all have in common.
+func startDeployment(t *testing.T, instances int, front func(*emulator.World) string, d emulator.Deployment) *rig {
+	t.Helper()
+	d.Config, d.Random = configuration(), rand.New(rand.NewPCG(11, 13))
+	d.HeartbeatInterval, d.DrainTimeout = 300*time.Millisecond, 3*time.Second
+	w, err := emulator.NewWorld(d)
 	if err != nil {
 		t.Fatal(err)
 	}
