--- a/internal/control/routesync/starts_test.go
+++ b/internal/control/routesync/starts_test.go
@@ -69,7 +69,7 @@
 		w.wantState(n, "draining", "1: -a b")
 		w.put("targets/a", "1:1#1*1s^200")
 		w.wantState(n, "started again", "1: a b")
-		if got := n.target("a"); got.Started != 200 || got.ColdUntil.Sub(time.Now()) > time.Second+coldMargin {
+		if got := n.target("a"); got.Started != 200 || time.Until(got.ColdUntil) > time.Second+coldMargin {
 			t.Errorf("started again: %+v", got)
 		}
 		w.wantEvents(n, event.TargetStartedAgain, 1)
