--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -95,7 +95,7 @@
 	mu sync.Mutex // guards o.Rand
 
 	suspectMu   sync.Mutex         // held while a target is chosen for a suspected request
-	crashChecks singleflight.Group // checks whether a target died, by target id
+	crashChecks singleflight.Group // checks whether a target died, by fleet.Target.Run
 
 	shards shardIndex
 
@@ -115,6 +115,9 @@
 	Route        *route.Route
 	Organisation *route.Organisation // nil = none
 	Arrived      time.Time
+	// Reserve counts bytes of the response that are held for the caller, until the end of
+	// Serve, and reports whether there is memory for them. nil = not bounded.
+	Reserve func(bytes int) bool
 }
 
 // flight is the state of one request in flight.
