Slotqueue, forwarding: starts of targets and the slot queue fit together

A target that starts again under its id gets a new record in the queue; requests of its earlier start end without effect on it. Without the change TestTargetThatStartsAgain waits for a slot that a request of the earlier start holds. Loads of the owner's own choice are kept by start too.

--- a/internal/forwarding/loads_two.go
+++ b/internal/forwarding/loads_two.go
@@ -12,7 +12,7 @@
 func (l *Loads) Begin(t fleet.Target) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.state(t.ID).inFlight++
+	l.state(t).inFlight++
 }
 
 // StatesPace reports whether a target of the service has ever stated its pace to this
@@ -46,7 +46,7 @@
 			best = other
 		}
 	}
-	l.state(best.ID).inFlight++
+	l.state(best).inFlight++
 	return best, true
 }
 
@@ -57,7 +57,7 @@
 	if len(untried) == 0 {
 		untried = targets
 	}
-	ready := slices.DeleteFunc(slices.Clone(untried), func(t fleet.Target) bool { return now.Before(l.state(t.ID).backoffUntil) })
+	ready := slices.DeleteFunc(slices.Clone(untried), func(t fleet.Target) bool { return now.Before(l.state(t).backoffUntil) })
 	if len(ready) == 0 {
 		return untried
 	}
@@ -67,6 +67,6 @@
 // ownScore returns how long a further request would take at the target by what this
 // instance itself has sent there. The caller holds l.mu.
 func (l *Loads) ownScore(t fleet.Target, now time.Time) float64 {
-	k := l.state(t.ID)
+	k := l.state(t)
 	return float64(k.inFlight+1)/float64(max(t.Slots, 1))*k.slownessAt(now) + failurePenalty*k.failureRateAt(now)
 }
--- a/internal/slotqueue/owners_test.go
+++ b/internal/slotqueue/owners_test.go
@@ -104,3 +104,20 @@
 	r.q.setTargets([]fleet.Target{listed("t", 1)}, r.now)
 	r.waits(r.submit(ownerA, nil)) // the slot of request 1 is still used
 }
+
+// Guards against requests and backoffs of an earlier start of a target that use up the
+// slots of the next one, and against the end of the former that removes the latter.
+func TestTargetThatStartsAgain(t *testing.T) {
+	first := listed("t", 1)
+	first.Started = 100
+	r := newRig(t, Bounds{}, first)
+	r.granted(r.submit(ownerA, nil), "t")
+	again := first
+	again.Started = 200
+	r.q.setTargets([]fleet.Target{again}, r.now)
+	r.granted(r.submit(ownerA, nil), "t")
+	r.release(ownerA, 1, NoResponse, nil)
+	if n := r.q.targets["t"].used; n != 1 || !r.q.targets["t"].usable(r.now) {
+		t.Fatalf("%d slots used, usable %v; want the request of the new start only", n, r.q.targets["t"].usable(r.now))
+	}
+}
--- a/internal/slotqueue/queue.go
+++ b/internal/slotqueue/queue.go
@@ -118,6 +118,9 @@
 	}
 	for _, f := range list {
 		t := q.targets[f.ID]
+		if t != nil && t.Started != 0 && f.Started > t.Started {
+			t = nil // a new start holds no requests, and its pace is not known
+		}
 		if t == nil {
 			t = &target{slots: f.Slots}
 			q.targets[f.ID] = t
@@ -192,7 +195,7 @@
 	delete(q.grants, key)
 	g.target.used--
 	g.target.bytes -= g.bytes
-	if !g.target.listed && g.target.used == 0 {
+	if !g.target.listed && g.target.used == 0 && q.targets[g.target.ID] == g.target {
 		delete(q.targets, g.target.ID)
 		q.order = slices.DeleteFunc(q.order, func(t *target) bool { return t == g.target })
 	}
