Forwarding: the coordinator is told of failures that the target shows itself

A time-out, or a connection that can't be opened, may be the fault of the owner's way. The coordinator backs a target off for all instances at the first NoResponse, so one instance that is cut off from the targets would take them from all others. Such attempts are now released as Unknown, and the targets in this instance's own backoff are excluded from its next requests for slots. A request that gets its slot while no target can be reached is refused at once.

--- a/internal/forwarding/loads_two.go
+++ b/internal/forwarding/loads_two.go
@@ -15,6 +15,14 @@
 	l.state(t.ID).inFlight++
 }
 
+// InBackoff reports whether the target has recently not responded to this instance.
+func (l *Loads) InBackoff(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t := l.targets[id]
+	return t != nil && l.clock.Now().Before(t.backoffUntil)
+}
+
 // StatesPace reports whether a target of the service has ever stated its pace to this
 // instance.
 func (l *Loads) StatesPace(service string) bool {
--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -144,7 +144,7 @@
 		fl.suspectCrash(target, a.err)
 	}
 	outcome, took := outcomeOf(outer, a), fl.o.Clock.Now().Sub(began)
-	slot.record(outcome, took, a.head.Load)
+	slot.record(outcome, took, a)
 	if a.rest == nil {
 		a.cancel()
 	}
--- a/internal/forwarding/slots.go
+++ b/internal/forwarding/slots.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
+	"syscall"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/exchange"
 	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/slotqueue"
@@ -80,6 +83,10 @@
 			slot.Release(slotqueue.Unknown, 0, nil)
 			return fleet.Target{}, nil, fl.guardRefusal()
 		}
+		if fl.o.Reachable != nil && !fl.o.Reachable() {
+			slot.Release(slotqueue.Unknown, 0, nil)
+			return fleet.Target{}, nil, &noTarget{err: errkind.New(errkind.NoTarget, "no target can be reached"), retryAfter: unreachableRetryAfter, afterRefusals: true}
+		}
 		if slot.Target() == "" {
 			return fl.chooseForSlot(slot, acquired)
 		}
@@ -103,6 +110,8 @@
 		if !fl.mayRunAt(t) || fl.limited(t) {
 			excluded = append(excluded, t.ID)
 			limited++
+		} else if fl.o.Loads.InBackoff(t.ID) {
+			excluded = append(excluded, t.ID)
 		}
 	}
 	if limited == len(targets) {
@@ -215,8 +224,24 @@
 }
 
 // record sets what the release will state.
-func (u *slotUse) record(outcome Outcome, took time.Duration, load *relay.Load) {
-	u.outcome, u.took, u.load = slotOutcomes[outcome], took, load
+func (u *slotUse) record(outcome Outcome, took time.Duration, a *attemptResult) {
+	u.outcome, u.took, u.load = slotOutcomes[outcome], took, a.head.Load
+	if outcome == NoResponse && !shownByTarget(a.err) {
+		u.outcome = slotqueue.Unknown
+	}
+}
+
+// shownByTarget reports whether the target itself shows that it failed: it refuses
+// connections, or broke one off. The coordinator keeps such a target from the requests of
+// all instances. What only shows that nothing arrived here in time may be the fault of
+// this instance or of its way to the target, and keeps it from this instance's requests
+// (Loads.InBackoff): otherwise one instance that is cut off from the targets would take
+// them from all others.
+func shownByTarget(err error) bool {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return true
+	}
+	return wasSent(err) && !errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, exchange.ErrUnacknowledged)
 }
 
 // end releases the slot. Further calls have no effect.
