--- a/internal/slotqueue/queue.go
+++ b/internal/slotqueue/queue.go
@@ -144,9 +144,7 @@
 	if q.grants[key] != nil || q.waiting[key] != nil {
 		return // a duplicate
 	}
-	r = r.withTimes(now)
-	w := &waiter{Request: r, owner: o, arrived: now, work: q.work.typical(r.Route)}
-	w.latestStart = q.latestStart(r, now)
+	w := q.newWaiter(o, r.withTimes(now), now)
 	l := q.level(r.Priority)
 	f := q.forecast(l, w, now)
 	if f.reason != "" {
@@ -165,17 +163,6 @@
 	}
 }
 
-// withTimes returns the request with a deadline, and a time until which it is on time.
-func (r Request) withTimes(now time.Time) Request {
-	if r.Deadline.IsZero() {
-		r.Deadline = now.Add(heldLease)
-	}
-	if r.OnTimeUntil.IsZero() || r.OnTimeUntil.After(r.Deadline) {
-		r.OnTimeUntil = r.Deadline
-	}
-	return r
-}
-
 func (q *queue) level(priority int) *level {
 	i, found := slices.BinarySearchFunc(q.levels, priority, func(l *level, p int) int { return cmp.Compare(l.priority, p) })
 	if !found {
@@ -229,12 +216,17 @@
 	if r.Outcome == Answered && r.Took > 0 && g.pace > 0 {
 		q.learn(g, r, stated, now)
 	}
-	backoff = t.ended(r.Outcome, now)
+	backoff = t.ended(r.Outcome, q.othersSound(t), now)
 	q.free(key)
 	q.dispatch(now)
 	return backoff, t
 }
 
+// othersSound reports whether there are other targets and none failed its latest request.
+func (q *queue) othersSound(t *target) bool {
+	return len(q.order) > 1 && !slices.ContainsFunc(q.order, func(other *target) bool { return other != t && other.errors > 0 })
+}
+
 // learn adds a response to the typical work of its route. Of a target that states no pace
 // the duration, compared with that work, is the pace.
 func (q *queue) learn(g *grant, r Release, stated bool, now time.Time) {
