Slotqueue: cancellations are applied before held slots

A coordinator may rely on it that a request is cancelled before a slot that replaces it is stated. A request that is given up before it was sent is not sent at all, so a message cancels none of its own requests.

--- a/internal/peer/slots_test.go
+++ b/internal/peer/slots_test.go
@@ -90,7 +90,7 @@
 		t.Errorf("instance %q", session.instance)
 	}
 	var got slotqueue.Request
-	for _, want := range []any{held, release, slotqueue.Release{ID: 8}, nil, uint64(5)} {
+	for _, want := range []any{uint64(5), held, release, slotqueue.Release{ID: 8}, nil} {
 		told := session.next(t)
 		if r, is := told.(slotqueue.Request); is && want == nil {
 			got = r
--- a/internal/slotqueue/client_calls.go
+++ b/internal/slotqueue/client_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"lynxhill.example/lynxhill/internal/event"
 )
@@ -87,6 +88,11 @@
 func (c *Client) cancel(call *clientCall) {
 	call.state = callGivenUp
 	for _, cn := range call.told {
+		unsent := len(cn.pending.Requests)
+		cn.pending.Requests = slices.DeleteFunc(cn.pending.Requests, func(r Request) bool { return r.ID == call.req.ID })
+		if len(cn.pending.Requests) < unsent {
+			continue // it has not been sent yet
+		}
 		cn.pending.Cancelled = append(cn.pending.Cancelled, call.req.ID)
 		notify(cn.wake)
 	}
--- a/internal/slotqueue/outbox.go
+++ b/internal/slotqueue/outbox.go
@@ -5,10 +5,14 @@
 	"sync"
 )
 
-// Apply passes what an instance tells its coordinator on to the session. Slots that are
-// held come first and cancellations last: a slot may be released, and a request cancelled,
-// in the message that states it. Releases precede requests, which may get their slots.
+// Apply passes what an instance tells its coordinator on to the session. Cancellations come
+// first, since a slot that is held may replace a request; a message has none of its own
+// requests. A slot may be released in the message that states it. Releases precede
+// requests, which may get their slots.
 func Apply(s Session, up Up) {
+	for _, id := range up.Cancelled {
+		s.Cancel(id)
+	}
 	if len(up.Held) > 0 {
 		s.Adopt(up.Held)
 	}
@@ -18,9 +22,6 @@
 	for _, r := range up.Requests {
 		s.Submit(r)
 	}
-	for _, id := range up.Cancelled {
-		s.Cancel(id)
-	}
 }
 
 // Empty reports whether the message is a heartbeat.
