Stagework: late jobs are not started while a later stage is short of capacity

Cause: late jobs were started in a first stage with free targets and then waited behind on-time work of the second, until they were given up.

--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -86,6 +86,9 @@
 // the engine reads them, and the rest of the request takes longer. Results that
 // are ready too early would take memory from other requests.
 func (p *Planner) deferred(u *workUnit, now time.Time) bool {
+	if p.deferredByQueue(u, now) {
+		return true
+	}
 	if len(u.dependents) > 0 || u.reserved || !u.large() {
 		return false
 	}
@@ -95,5 +98,5 @@
 			return true
 		}
 	}
-	return p.deferredByQueue(u, now)
+	return false
 }
--- a/internal/stagework/late_jobs.go
+++ b/internal/stagework/late_jobs.go
@@ -74,47 +74,73 @@
 // checkLate determines which late jobs are not worth keeping: those that have
 // not been started and would not be accepted now, and started ones that are
 // forecast to end after their deadline, so that their next stages would be made
-// in vain. A started job that cannot be on time any more counts as late.
+// in vain.
 func (p *Planner) checkLate(now time.Time) {
 	p.lateCheckedAt = now
-	for _, j := range p.urgencyQueue.jobs {
-		if !j.late && len(j.units) > 0 && j.committed() && now.Add(p.remaining(j, now)).After(j.OnTimeUntil) {
-			p.becomesLate(j, RuleNoCapacity, now)
-		}
-	}
 	f := p.onTimeForecast(now)
 	for _, j := range p.urgencyQueue.jobs {
-		if !j.late {
+		missed := !j.late && now.Add(p.remaining(j, now)).After(j.OnTimeUntil)
+		switch {
+		case len(j.units) == 0 || !j.late && !missed:
 			continue
-		}
-		if j.committed() {
+		case j.committed():
 			j.shares.hopeless = f.end(j) > j.Deadline.Sub(now)
-		} else {
+		default:
 			j.shares.hopeless = f.lateEnd(j) > j.lateLimit().Sub(now)
 		}
-		if !j.shares.hopeless {
+		if j.late && !j.shares.hopeless {
 			f.add(j)
 		}
 	}
 }
 
-// deferredByQueue is deferred for a service in an overload: the rest of the
-// request takes longer if the time in queues is included. Otherwise, large
-// results wait for the rest on their target, and are thrown away if the request
-// is given up meanwhile.
+// deferredByQueue reports whether the unit should wait in an overload: a late job
+// is not started while its results would wait for on-time work of a later stage,
+// and large results that only the engine reads are made when the rest of the
+// request, with its time in queues, takes no longer. Otherwise, results wait on
+// their targets, and are thrown away if the request is given up meanwhile.
 func (p *Planner) deferredByQueue(u *workUnit, now time.Time) bool {
-	if !p.overload.Shares || !slices.ContainsFunc(u.job.units, func(o *workUnit) bool { return o.waiting > 0 && o.service.short(now) }) {
+	j := u.job
+	if !p.overload.Shares || u.reserved || !slices.ContainsFunc(j.units, func(o *workUnit) bool { return o.waiting > 0 && o.service.short(now) }) {
 		return false
 	}
 	if p.cachedOnTime == nil || p.cachedOnTime.now != now {
 		p.cachedOnTime = p.onTimeForecast(now)
 	}
-	own := time.Duration(deferFactor * float64(p.cachedOnTime.unitEnd(u)))
-	for _, other := range u.job.finalUnits {
-		if end := p.cachedOnTime.unitEnd(other); other != u && end > own {
+	f := p.cachedOnTime
+	if j.late && len(u.inputs) == 0 && !j.committed() {
+		return p.waitsForLaterStage(j, f)
+	}
+	if len(u.dependents) > 0 || !u.large() {
+		return false
+	}
+	own := time.Duration(deferFactor * float64(f.unitEnd(u)))
+	for _, other := range j.finalUnits {
+		if end := f.unitEnd(other); other != u && end > own {
 			p.dueBy(now.Add(end - own))
 			return true
 		}
 	}
 	return false
 }
+
+// waitsForLaterStage reports whether the job, if it is started now, is forecast
+// to wait at a later stage for the targets of a service that is short of
+// capacity.
+func (p *Planner) waitsForLaterStage(j *job, f *forecast) bool {
+	for _, u := range j.units {
+		if len(u.inputs) == 0 || !u.service.short(f.now) {
+			continue
+		}
+		before := time.Duration(0)
+		for _, a := range u.inputs {
+			before = max(before, p.minTimeTo(a, f.now))
+		}
+		q := f.queue(u.service)
+		if wait := q.firstFree + time.Duration(q.work/float64(max(q.healthy, 1))); wait > before {
+			p.dueBy(f.now.Add(wait - before))
+			return true
+		}
+	}
+	return false
+}
