--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -284,7 +284,9 @@
 		Clock:           i.o.Clock, Logger: i.o.Logger, Metrics: i.metrics,
 	})
 	i.applyLimits()
+	i.applyOverload()
 	i.publish()
+	i.publishShares()
 }
 
 // openServers opens the listeners.
--- a/internal/stagework/bench_test.go
+++ b/internal/stagework/bench_test.go
@@ -108,18 +108,22 @@
 func BenchmarkLate(b *testing.B) {
 	now := time.Now()
 	for _, jobs := range []int{50, 200} {
-		b.Run(fmt.Sprint(jobs), func(b *testing.B) {
-			p := benchPlanner(b, jobs, 5, 12, now)
-			for _, s := range p.services["enc"].targets {
-				s.calls = 1
-			}
-			for b.Loop() {
-				for j := range p.jobs {
-					j.late, j.lateCheckedAt = true, time.Time{}
+		for _, shares := range []bool{false, true} {
+			b.Run(fmt.Sprintf("%d/shares=%t", jobs, shares), func(b *testing.B) {
+				p := benchPlanner(b, jobs, 5, 12, now)
+				p.overload.Shares = shares
+				for _, s := range p.services["enc"].targets {
+					s.calls = 1
 				}
-				p.plan(now)
-			}
-		})
+				for b.Loop() {
+					for j := range p.jobs {
+						j.late, j.lateCheckedAt = true, time.Time{}
+					}
+					p.lateCheckedAt = time.Time{}
+					p.plan(now)
+				}
+			})
+		}
 	}
 }
 
--- a/internal/stagework/late_jobs.go
+++ b/internal/stagework/late_jobs.go
@@ -42,15 +42,15 @@
 	left := &forecast{now: f.now, queues: slices.Clone(f.queues)}
 	for i := range left.queues {
 		if q := &left.queues[i]; q.service != nil && q.units > 0 {
-			q.work /= 1 - min(q.service.loadBefore(j.Priority, f.now), maxLoad)
+			q.work /= 1 - min(q.service.loadBefore(j.Priority, q.healthy, f.now), maxLoad)
 		}
 	}
 	return left.end(j)
 }
 
 // loadBefore is the recent load by work that ranks before late work of the
-// priority, relative to the service's capacity.
-func (v *service) loadBefore(priority int, now time.Time) float64 {
+// priority, relative to the capacity of the healthy targets.
+func (v *service) loadBefore(priority, healthy int, now time.Time) float64 {
 	work := 0.0
 	for n, k := range v.shares.priorities {
 		work += k.all.at(now).onTime
@@ -58,7 +58,7 @@
 			work += k.all.late
 		}
 	}
-	return work / v.shareCapacity(now)
+	return work / (float64(max(healthy, 1)) * shareDecay.Seconds())
 }
 
 // hopelessShared is hopeless with shares. All late jobs are checked together, in
--- a/internal/stagework/shares.go
+++ b/internal/stagework/shares.go
@@ -35,6 +35,8 @@
 type serviceShares struct {
 	priorities map[int]*priorityShares
 	routes     map[string]*routeSizes
+	short      bool // result of service.short at shortAt
+	shortAt    time.Time
 }
 
 // priorityShares holds the recent work of the jobs of one priority.
@@ -146,11 +148,16 @@
 // short reports whether jobs were late recently for want of the service's
 // targets.
 func (v *service) short(now time.Time) bool {
+	s := &v.shares
+	if s.shortAt.Equal(now) {
+		return s.short
+	}
 	late := 0.0
-	for _, k := range v.shares.priorities {
+	for _, k := range s.priorities {
 		late += k.all.at(now).late
 	}
-	return late > shortShare*v.shareCapacity(now)
+	s.short, s.shortAt = late > shortShare*v.shareCapacity(now), now
+	return s.short
 }
 
 // jobShares is what the shares know about a job.
