--- a/internal/stagework/fairness.go
+++ b/internal/stagework/fairness.go
@@ -88,8 +88,18 @@
 	var counted *service
 	for _, u := range j.units {
 		if u.service != counted {
-			u.service.fairness.stats(j.Route, now).requests++
+			u.service.fairnessFor(j).stats(j.Route, now).requests++
 			counted = u.service
 		}
 	}
 }
+
+// fairnessFor returns the records of the routes with which the job's route is
+// compared. With shares, they are those of its priority: otherwise, a more urgent
+// route would be late because a less urgent one is.
+func (v *service) fairnessFor(j *job) *fairness {
+	if j.shares.inForce {
+		return &v.shares.priority(j.Priority).fairness
+	}
+	return &v.fairness
+}
--- a/internal/stagework/forecast.go
+++ b/internal/stagework/forecast.go
@@ -109,7 +109,7 @@
 	needed := end + time.Duration(f.margin*float64(end))
 	if bottleneck != nil {
 		waits := max(end-j.minTime, 0)
-		penalty := bottleneck.fairness.waitPenalty(j.Route, f.now) + bottleneck.sharePenalty(j, f.now)
+		penalty := bottleneck.fairnessFor(j).waitPenalty(j.Route, f.now) + bottleneck.sharePenalty(j, f.now)
 		needed += time.Duration(penalty * float64(waits))
 	}
 	return needed <= j.OnTimeUntil.Sub(f.now)
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -171,7 +171,7 @@
 	p.counts.Jobs++
 	p.dueNow() // the new job may make others late, even if it is refused
 	in.OnTimeUntil = earlier(in.OnTimeUntil, in.Deadline)
-	j := &job{Job: in, urgency: in.Priority, arrived: now, notify: notify, session: in.session()}
+	j := &job{Job: in, urgency: in.Priority, arrived: now, notify: notify, session: in.session(), shares: jobShares{inForce: p.overload.Shares}}
 	if refusal := p.build(j, now); refusal != nil {
 		p.counts.Refused++
 		p.countRule(j, refusal)
--- a/internal/stagework/share_rules.go
+++ b/internal/stagework/share_rules.go
@@ -52,12 +52,11 @@
 	if s == nil || j.shares.promoted {
 		return 0
 	}
-	k := v.shares.priority(j.Priority)
-	use := k.overuse(j.Organisation, now)
+	use := j.standing(v, now).overuse
 	if use == 0 {
 		return 0
 	}
-	return min(overusePenalty*(use/k.maxMinLevel(now)-1), maxOverusePenalty)
+	return min(overusePenalty*(use/v.shares.priority(j.Priority).maxMinLevel(now)-1), maxOverusePenalty)
 }
 
 // classifyShared is classify with shares. Work that is less urgent than a job
@@ -97,7 +96,7 @@
 		for _, t := range victims {
 			p.becomesLate(t, rule, now)
 			if bottleneck != nil {
-				bottleneck.fairness.stats(t.Route, now).late++
+				bottleneck.fairnessFor(t).stats(t.Route, now).late++
 			}
 		}
 	}
@@ -105,22 +104,20 @@
 
 // victimChoice selects the jobs that become late for another one.
 type victimChoice struct {
-	next      *job
-	v         *service // the bottleneck
-	now       time.Time
-	overuse   float64 // of next's organisation
-	protected bool    // next's size class is on time too rarely
-	work      time.Duration
-	spared    bool // a job was passed over because of its size class
-	urgent    bool // more urgent jobs use the bottleneck
+	shareStanding // of next
+	next          *job
+	v             *service // the bottleneck
+	now           time.Time
+	work          time.Duration
+	spared        bool // a job was passed over because of its size class
+	urgent        bool // more urgent jobs use the bottleneck
 }
 
 // victimCandidate is an accepted job that may become late.
 type victimCandidate struct {
 	*job
-	overuse   float64
-	protected bool
-	work      time.Duration
+	shareStanding
+	work time.Duration
 }
 
 // victims returns the jobs that become late for next to be on time, whose work is
@@ -131,9 +128,7 @@
 	if bottleneck == nil {
 		return []*job{next}, RuleNoCapacity
 	}
-	k := bottleneck.shares.priority(next.Priority)
-	c := &victimChoice{next: next, v: bottleneck, now: f.now, work: next.workAt(bottleneck),
-		overuse: k.overuse(next.Organisation, f.now), protected: next.protected(bottleneck, f.now)}
+	c := &victimChoice{next: next, v: bottleneck, now: f.now, work: next.workAt(bottleneck), shareStanding: next.standing(bottleneck, f.now)}
 	byOrganisation, bySize, byWork := c.candidates(accepted)
 	for _, g := range []struct {
 		rule Rule
@@ -149,7 +144,6 @@
 // candidates returns the jobs that may become late for next by each rule, in the
 // order in which they do.
 func (c *victimChoice) candidates(accepted []*job) (byOrganisation, bySize, byWork []victimCandidate) {
-	overuse := make(map[shareKey]float64)
 	for _, t := range accepted {
 		work := t.workAt(c.v)
 		if work == 0 {
@@ -162,17 +156,11 @@
 		if t.shares.promoted {
 			continue
 		}
-		key := shareKey{t.Priority, t.Organisation}
-		use, known := overuse[key]
-		if !known {
-			use = c.v.shares.priority(t.Priority).overuse(t.Organisation, c.now)
-			overuse[key] = use
-		}
-		x := victimCandidate{t, use, t.protected(c.v, c.now), work}
+		x := victimCandidate{t, t.standing(c.v, c.now), work}
 		switch {
-		case use > c.overuse && t.Organisation != c.next.Organisation:
+		case x.overuse > c.overuse && t.Organisation != c.next.Organisation:
 			byOrganisation = append(byOrganisation, x)
-		case use < c.overuse:
+		case x.overuse < c.overuse:
 		case x.protected:
 			c.spared = c.spared || work > c.work
 		case c.protected && work <= c.work:
@@ -187,12 +175,6 @@
 	return byOrganisation, bySize, byWork[:min(len(byWork), 1)]
 }
 
-// shareKey identifies an organisation's use of a service.
-type shareKey struct {
-	priority     int
-	organisation string
-}
-
 // compare orders candidates: overuse first, unprotected ones first, the most
 // work first.
 func (a victimCandidate) compare(b victimCandidate) int {
--- a/internal/stagework/shares.go
+++ b/internal/stagework/shares.go
@@ -42,6 +42,7 @@
 // priorityShares holds the recent work of the jobs of one priority.
 type priorityShares struct {
 	all           onTimeAndLate
+	fairness      fairness // of the routes of this priority
 	organisations map[string]*organisationUse
 	level         float64 // result of maxMinLevel
 	levelAt       time.Time
@@ -162,10 +163,32 @@
 
 // jobShares is what the shares know about a job.
 type jobShares struct {
+	inForce  bool           // shares were in force when the job arrived
 	at       []serviceShare // by service
 	promoted bool           // it is within the floor of its priority
 	rule     Rule           // why it is late
 	hopeless bool           // result of checkLate
+	// standing is the result of service.standing for standingOf at standingAt.
+	standing   shareStanding
+	standingOf *service
+	standingAt time.Time
+}
+
+// shareStanding is how a job's organisation and size class fare at a service.
+type shareStanding struct {
+	overuse   float64
+	protected bool // its size class keeps it from becoming late for others
+}
+
+// standing returns the job's standing at the service. It is computed once for
+// each service and time, since a classification compares many pairs of jobs.
+func (j *job) standing(v *service, now time.Time) shareStanding {
+	s := &j.shares
+	if s.standingOf != v || !s.standingAt.Equal(now) {
+		s.standingOf, s.standingAt = v, now
+		s.standing = shareStanding{v.shares.priority(j.Priority).overuse(j.Organisation, now), j.sizeProtected(v, now)}
+	}
+	return s.standing
 }
 
 // serviceShare is the work of a job at a service.
--- a/internal/stagework/size_classes.go
+++ b/internal/stagework/size_classes.go
@@ -133,9 +133,9 @@
 	return c.all() >= minClassRequests && c.onTimeShare() < minClassShare*all.onTimeShare()
 }
 
-// protected reports whether the job's size class keeps it from becoming late for
+// sizeProtected reports whether the job's size class keeps it from becoming late for
 // others at the service.
-func (j *job) protected(v *service, now time.Time) bool {
+func (j *job) sizeProtected(v *service, now time.Time) bool {
 	s, r := j.shares.of(v), v.shares.routes[j.Route]
 	return s != nil && r != nil && r.protected(s.class, now)
 }
