Shares: floors are allowances that refill while they are not used

Cause: a floor measured by a sum that decays over 3 s counted the work from before a burst, so that a less urgent class got nothing in its first seconds, and a service that was not the scarce one counted as short. More urgent jobs that had been started left no capacity for the floor.

--- a/internal/stagework/share_rules.go
+++ b/internal/stagework/share_rules.go
@@ -42,21 +42,27 @@
 	// if the scarce service is not that of their first stage.
 	overusePenalty    = 4.0
 	maxOverusePenalty = 4.0
+	// floorPenalty is that for jobs while a less urgent priority gets less than
+	// its floor.
+	floorPenalty = 1.0
 )
 
 // sharePenalty is the factor by which the predicted wait of a job is increased
-// when it is classified, because its organisation is above its share. It is 0
-// without shares.
+// when it is classified, because its organisation is above its share, or a less
+// urgent priority below its floor. It is 0 without shares.
 func (v *service) sharePenalty(j *job, now time.Time) float64 {
 	s := j.shares.of(v)
 	if s == nil || j.shares.promoted {
 		return 0
 	}
-	use := j.standing(v, now).overuse
-	if use == 0 {
-		return 0
+	penalty := 0.0
+	if v.owesFloor(j.Priority, now) {
+		penalty = floorPenalty
+	}
+	if use := j.standing(v, now).overuse; use > 0 {
+		penalty += min(overusePenalty*(use/v.shares.priority(j.Priority).maxMinLevel(now)-1), maxOverusePenalty)
 	}
-	return min(overusePenalty*(use/v.shares.priority(j.Priority).maxMinLevel(now)-1), maxOverusePenalty)
+	return penalty
 }
 
 // classifyShared is classify with shares. Work that is less urgent than a job
@@ -94,7 +100,7 @@
 			accepted = append(accepted, next)
 		}
 		for _, t := range victims {
-			p.becomesLate(t, rule, now)
+			p.becomesLate(t, rule, bottleneck, now)
 			if bottleneck != nil {
 				bottleneck.fairnessFor(t).stats(t.Route, now).late++
 			}
@@ -129,11 +135,11 @@
 		return []*job{next}, RuleNoCapacity
 	}
 	c := &victimChoice{next: next, v: bottleneck, now: f.now, work: next.workAt(bottleneck), shareStanding: next.standing(bottleneck, f.now)}
-	byOrganisation, bySize, byWork := c.candidates(accepted)
+	byFloor, byOrganisation, bySize, byWork := c.candidates(accepted)
 	for _, g := range []struct {
 		rule Rule
 		jobs []victimCandidate
-	}{{RuleOrganisation, byOrganisation}, {RuleSize, bySize}, {RuleNoCapacity, byWork}} {
+	}{{RulePriority, byFloor}, {RuleOrganisation, byOrganisation}, {RuleSize, bySize}, {RuleNoCapacity, byWork}} {
 		if dropped := f.dropUntilOnTime(next, bottleneck, g.jobs); dropped != nil {
 			return dropped, g.rule
 		}
@@ -143,7 +149,7 @@
 
 // candidates returns the jobs that may become late for next by each rule, in the
 // order in which they do.
-func (c *victimChoice) candidates(accepted []*job) (byOrganisation, bySize, byWork []victimCandidate) {
+func (c *victimChoice) candidates(accepted []*job) (byFloor, byOrganisation, bySize, byWork []victimCandidate) {
 	for _, t := range accepted {
 		work := t.workAt(c.v)
 		if work == 0 {
@@ -158,6 +164,8 @@
 		}
 		x := victimCandidate{t, t.standing(c.v, c.now), work}
 		switch {
+		case c.next.shares.promoted && t.Priority < c.next.Priority:
+			byFloor = append(byFloor, x)
 		case x.overuse > c.overuse && t.Organisation != c.next.Organisation:
 			byOrganisation = append(byOrganisation, x)
 		case x.overuse < c.overuse:
@@ -169,10 +177,11 @@
 			byWork = append(byWork, x)
 		}
 	}
+	slices.SortStableFunc(byFloor, victimCandidate.compare)
 	slices.SortStableFunc(byOrganisation, victimCandidate.compare)
 	slices.SortStableFunc(bySize, victimCandidate.compare)
 	slices.SortStableFunc(byWork, victimCandidate.compare)
-	return byOrganisation, bySize, byWork[:min(len(byWork), 1)]
+	return byFloor, byOrganisation, bySize, byWork[:min(len(byWork), 1)]
 }
 
 // compare orders candidates: overuse first, unprotected ones first, the most
--- a/internal/stagework/shares.go
+++ b/internal/stagework/shares.go
@@ -22,12 +22,6 @@
 	// alternate, and the jobs to become late are chosen by chance rather than by
 	// their work.
 	overuseTolerance = 1.1
-	// floorShare is the part of a service's capacity that each priority with
-	// demand keeps.
-	floorShare = 0.1
-	// shortShare is the late work, relative to the capacity, from which on a
-	// service counts as short of capacity.
-	shortShare = 0.02
 )
 
 // serviceShares holds the recent work of a service by priority, organisation,
@@ -35,13 +29,16 @@
 type serviceShares struct {
 	priorities map[int]*priorityShares
 	routes     map[string]*routeSizes
-	short      bool // result of service.short at shortAt
+	short      bool          // result of service.short at shortAt
+	owed       int           // the least urgent priority that got less than its floor then; -1 = none
+	late       onTimeAndLate // work that was late for want of this service's targets
 	shortAt    time.Time
 }
 
 // priorityShares holds the recent work of the jobs of one priority.
 type priorityShares struct {
 	all           onTimeAndLate
+	floor         floorAllowance
 	fairness      fairness // of the routes of this priority
 	organisations map[string]*organisationUse
 	level         float64 // result of maxMinLevel
@@ -146,21 +143,6 @@
 	return float64(max(healthy, 1)) * shareDecay.Seconds()
 }
 
-// short reports whether jobs were late recently for want of the service's
-// targets.
-func (v *service) short(now time.Time) bool {
-	s := &v.shares
-	if s.shortAt.Equal(now) {
-		return s.short
-	}
-	late := 0.0
-	for _, k := range s.priorities {
-		late += k.all.at(now).late
-	}
-	s.short, s.shortAt = late > shortShare*v.shareCapacity(now), now
-	return s.short
-}
-
 // jobShares is what the shares know about a job.
 type jobShares struct {
 	inForce  bool           // shares were in force when the job arrived
@@ -229,6 +211,7 @@
 		s := &j.shares.at[i]
 		k := s.service.shares.priority(j.Priority)
 		k.all.add(s.work, now)
+		k.floor.take(s.work)
 		o := k.organisation(j.Organisation, now)
 		o.add(s.work, now)
 		o.requests.add(1, now)
@@ -236,38 +219,18 @@
 	}
 }
 
-// promote raises the urgency of a job of a lower priority to that of the most
-// urgent one if its priority has got less than its floor of each service that it
-// needs and that is short of capacity.
-func (p *Planner) promote(j *job, now time.Time) {
-	lowest := j.Priority
-	for i := range j.shares.at {
-		s := &j.shares.at[i]
-		if !s.service.short(now) {
-			continue
-		}
-		k := s.service.shares.priority(j.Priority)
-		if k.all.at(now).onTime+s.work > floorShare*s.service.shareCapacity(now) || k.overuse(j.Organisation, now) > 0 {
-			return
-		}
-		for priority, other := range s.service.shares.priorities {
-			if priority < lowest && other.all.at(now).all() > 0 {
-				lowest = priority
-			}
-		}
-	}
-	if lowest < j.Priority {
-		j.urgency, j.shares.promoted = lowest, true
-	}
-}
-
-// becomesLate marks a job as late and records the rule by which it was chosen.
-func (p *Planner) becomesLate(j *job, rule Rule, now time.Time) {
+// becomesLate marks a job as late for want of the bottleneck service's targets
+// and records the rule by which it was chosen. bottleneck may be nil.
+func (p *Planner) becomesLate(j *job, rule Rule, bottleneck *service, now time.Time) {
 	j.late, j.shares.rule = true, rule
 	p.sharing.Late[rule]++
 	for _, s := range j.shares.at {
 		k := s.service.shares.priority(j.Priority)
 		k.all.becameLate(s.work, j.arrived, now)
+		k.floor.giveBack(s.work)
+		if s.service == bottleneck {
+			bottleneck.shares.late.at(now).late += s.work
+		}
 		if o := k.organisations[j.Organisation]; o != nil {
 			o.becameLate(s.work, j.arrived, now)
 			o.requests.becameLate(1, j.arrived, now)
