--- a/internal/edge/shares.go
+++ b/internal/edge/shares.go
@@ -30,10 +30,10 @@
 		c := i.dispatcher.ShareCounts()
 		values := make(map[string]int)
 		for rule, n := range c.Late {
-			values["late "+rule] = n
+			values["late,"+rule] = n
 		}
 		for rule, n := range c.Refused {
-			values["refused "+rule] = n
+			values["refused,"+rule] = n
 		}
 		return values
 	})
@@ -47,7 +47,7 @@
 	values := make(map[string]int64)
 	for _, s := range services {
 		for _, o := range s.Organisations {
-			name := s.Service + " " + strconv.Itoa(o.Priority) + " " + o.Organisation + " "
+			name := s.Service + "," + strconv.Itoa(o.Priority) + "," + o.Organisation + ","
 			values[name+"on_time"] += o.OnTime.Milliseconds()
 			values[name+"late"] += o.Late.Milliseconds()
 			values[name+"share"] += o.Share.Milliseconds()
@@ -60,7 +60,7 @@
 	values := make(map[string]int64)
 	for _, s := range services {
 		for _, r := range s.Routes {
-			name := s.Service + " " + r.Route + " "
+			name := s.Service + "," + r.Route + ","
 			values[name+"all"] = int64(100 * r.OnTime)
 			values[name+"largest"] = int64(100 * r.LargestOnTime)
 			values[name+"large"] = int64(100 * r.LargeOnTime)
--- a/internal/stagework/shares_test.go
+++ b/internal/stagework/shares_test.go
@@ -39,7 +39,9 @@
 
 // TestPriorityUnderOverload guards against a less urgent class that is served
 // more often than a more urgent one, since its callers wait longer, and against
-// one that gets nothing.
+// one that gets nothing. Each of the classes needs more than three quarters of
+// the capacity of a service; the floor of the less urgent one is an eighth of its
+// demand.
 func TestPriorityUnderOverload(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -62,6 +64,9 @@
 			if on["check"].share() < on["draft"].share()-0.05 {
 				t.Errorf("%.3f of the more urgent class is on time, %.3f of the less urgent one", on["check"].share(), on["draft"].share())
 			}
+			if floor := floorShare * billingCapacity() / (l.factor * d.rate * piecesOfBilling); on["draft"].share() < 0.8*floor {
+				t.Errorf("%.3f of the less urgent class is on time, its floor is %.3f", on["draft"].share(), floor)
+			}
 			if on["draft"].served() < all.served()/4 {
 				t.Errorf("%.3f of the less urgent class is served, %.3f of all", on["draft"].served(), all.served())
 			}
@@ -131,8 +136,10 @@
 
 // TestGoodputWithShares guards against shares that waste capacity: in the bursts
 // of TestWhatIsOnTimeStaysFlatInAnOverload, as much is on time with them.
+// Less than a hundredth of the target time is spent on results that are thrown
+// away.
 func TestGoodputWithShares(t *testing.T) {
-	const least = 0.9
+	const least, mostWaste = 0.9, 0.01
 	for _, factor := range []float64{2.5, 3} {
 		goodput := 0.0
 		for seed := range uint64(loadSeeds) {
@@ -140,7 +147,11 @@
 				w.d.SetOverload(Overload{Shares: true})
 				s := runBurst(w, seed, factor)
 				goodput += s.goodput(3, 10) / loadSeeds
-				t.Logf("factor %v, seed %d: check %+v, draft %+v, results %+v", factor, seed, between(s.kinds["check"], 3, 10), between(s.kinds["draft"], 3, 10), w.d.ResultCounts())
+				results := w.d.ResultCounts()
+				t.Logf("factor %v, seed %d: check %+v, draft %+v, results %+v", factor, seed, between(s.kinds["check"], 3, 10), between(s.kinds["draft"], 3, 10), results)
+				if made, used := results.Milliseconds["made"], results.Milliseconds["used"]; float64(made-used) > mostWaste*float64(made) {
+					t.Errorf("factor %v, seed %d: of %d ms of target time, %d ms were for results that were used", factor, seed, made, used)
+				}
 			})
 		}
 		t.Logf("factor %v: goodput %.3f of the capacity", factor, goodput)
