--- a/internal/stagework/snapshot_test.go
+++ b/internal/stagework/snapshot_test.go
@@ -16,6 +16,7 @@
 	for n := range 1000 {
 		o := k.organisation(fmt.Sprint("small", n), now)
 		o.add(0.001, now)
+		o.late = 0.002
 		o.requests.add(1, now)
 	}
 	o := k.organisation("large", now)
