--- a/internal/stagework/share_failures_test.go
+++ b/internal/stagework/share_failures_test.go
@@ -198,3 +198,24 @@
 		})
 	}
 }
+
+// BenchmarkPlanInOverload makes a plan while targets are free and 200 jobs wait,
+// half of them late, for a service that is short of capacity.
+func BenchmarkPlanInOverload(b *testing.B) {
+	now := time.Now()
+	for _, shares := range []bool{false, true} {
+		b.Run(fmt.Sprintf("shares=%t", shares), func(b *testing.B) {
+			p := benchPlanner(b, 200, 40, 12, now)
+			p.overload.Shares = shares
+			for n, j := range p.arrivalQueue.jobs {
+				j.late = n%2 == 0
+			}
+			v := p.services["enc"]
+			v.shares.late.at(now).late = v.shareCapacity(now)
+			b.ReportAllocs()
+			for b.Loop() {
+				undo(p.plan(now))
+			}
+		})
+	}
+}
