--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -271,7 +271,7 @@
 		Self: i.id(), Local: i.dispatcher, Remote: i.peers,
 		Members:  i.dispatcherCandidates,
 		Capacity: i.capacity, Cells: i.currentCells, Connectivity: i.contact, Joining: i.discoveringMembers,
-		Reservations: i.overload.reservations.Load,
+		Reservations: i.overload.reservations,
 		Clock:        i.o.Clock, Logger: i.o.Logger,
 	})
 	i.origins = streamorigin.New(streamorigin.Options{
@@ -291,6 +291,7 @@
 	})
 	i.applyLimits()
 	i.publish()
+	i.publishShares()
 }
 
 // openServers opens the listeners.
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/config"
+	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/stagework"
 )
@@ -16,18 +17,33 @@
 
 // overload is what is in force of the overload control.
 type overload struct {
-	paced        atomic.Bool // a target has stated its pace
-	reservations atomic.Bool
+	paced   atomic.Bool // a target has stated its pace
+	current atomic.Pointer[stagework.Overload]
 }
 
+func (o *overload) inForce() stagework.Overload {
+	if current := o.current.Load(); current != nil {
+		return *current
+	}
+	return stagework.Overload{}
+}
+
+func (o *overload) reservations() bool { return o.inForce().Reservations }
+
 // updateOverload applies the settings of the overload control to what is known of the
 // deployment.
 func (i *Instance) updateOverload() {
 	demanded := i.adapter.ScarceCapacity || i.overload.paced.Load()
+	settings := i.inForce.Load().Overload
 	o := stagework.Overload{
-		Reservations: modeOf(i.cfg.Overload.Reservations).Enabled(demanded),
+		Reservations: modeOf(settings.Reservations).Enabled(demanded),
+		Shares:       modeOf(settings.Shares).Enabled(demanded),
+	}
+	if was := i.overload.inForce(); was != o {
+		i.o.Logger.Log(event.OverloadSwitched, "reservations", o.Reservations, "shares", o.Shares,
+			"scarce", i.adapter.ScarceCapacity, "paced", i.overload.paced.Load())
 	}
-	i.overload.reservations.Store(o.Reservations)
+	i.overload.current.Store(&o)
 	i.dispatcher.SetOverload(o)
 }
 
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -15,7 +15,7 @@
 	"ingress.address_ttl", "ingress.grace", "ingress.touch", "ingress.apply", "ingress.fail_closed", "ingress.revocation",
 	"ingress.retry_ratio", "ingress.retry_window", "ingress.retry_extra",
 	"ingress.cold_overage", "ingress.memory_mb", "ingress.descriptors", "ingress.reuse_window", "peers.seeds",
-	"overload.slot_queue",
+	"overload.slot_queue", "overload.reservations", "overload.shares",
 }
 
 // retryKeys are the settings of the retry budget.
@@ -44,6 +44,7 @@
 	live := withReloadable(running, cfg)
 	i.inForce.Store(&live)
 	i.applyLimits()
+	i.updateOverload()
 	i.dispatcher.SetReuse(live.Ingress.ReuseWindow.Duration)
 	if slices.ContainsFunc(changed, func(key string) bool { return slices.Contains(retryKeys, key) }) {
 		i.budget.SetBounds(live.Ingress.RetryRatio, live.Ingress.RetryExtra, live.Ingress.RetryWindow.Duration)
@@ -69,6 +70,8 @@
 	live.ColdOverage = to.ColdOverage
 	running.Peers.Seeds = next.Peers.Seeds
 	running.Overload.SlotQueue = next.Overload.SlotQueue
+	running.Overload.Reservations = next.Overload.Reservations
+	running.Overload.Shares = next.Overload.Shares
 	return running
 }
 
--- a/internal/event/catalogue_reservation.go
+++ b/internal/event/catalogue_reservation.go
@@ -6,6 +6,7 @@
 	ReservationClaimed  ID = 4232
 	ReservationExpired  ID = 4233
 	ReservationsAdopted ID = 4234
+	OverloadSwitched    ID = 4236
 	ReservationNoMoment ID = 4235
 )
 
@@ -15,4 +16,5 @@
 	Definition{ReservationExpired, Info, "reservation_expired", "A caller did not come back while its reservation held; the capacity is given to others."},
 	Definition{ReservationsAdopted, Info, "reservations_adopted", "The owner of a request sent copies of reservations that another dispatcher had made; adopted counts those that still fitted and were not known."},
 	Definition{ReservationNoMoment, Info, "reservation_no_moment", "A request was refused for lack of time, and there is no useful time at which its caller could come back. retry_after_ms is the time until the overload is forecast to be over, deadline_ms what is left of the request's time."},
+	Definition{OverloadSwitched, Info, "overload_switched", "Which parts of the overload control are in force has changed; scarce says that the platform announces scarce capacity, paced that a target has stated its pace."},
 )
--- a/internal/stagework/admit.go
+++ b/internal/stagework/admit.go
@@ -65,7 +65,7 @@
 func (v *service) reclaim(urgent *workUnit, later []*workUnit, healthy int) bool {
 	for k := len(later) - 1; k >= 0; k-- {
 		u := later[k]
-		if !u.reserved || u.job.Priority <= urgent.job.Priority || u.waiting < len(u.pieces) {
+		if !u.reserved || u.job.urgency <= urgent.job.urgency || u.waiting < len(u.pieces) {
 			continue
 		}
 		v.unreserve(u)
@@ -86,6 +86,9 @@
 // the engine reads them, and the rest of the request takes longer. Results that
 // are ready too early would take memory from other requests.
 func (p *Planner) deferred(u *workUnit, now time.Time) bool {
+	if p.deferredByQueue(u, now) {
+		return true
+	}
 	if len(u.dependents) > 0 || u.reserved || !u.large() {
 		return false
 	}
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -87,6 +87,7 @@
 	p = NewPlanner(func(address string, handles []string) { d.release(releaseDest{p, address}, handles) })
 	p.cell, p.bounds, p.overload = cell, d.o.RateLimits, d.overload
 	p.reservations.log = func(id event.ID, fields ...any) { d.o.Logger.Log(id, fields...) }
+	p.onLate = func(j *job, rule Rule) { d.logLate(p, j, rule) }
 	if d.o.Reuse > 0 {
 		p.reuseWindow = d.o.Reuse
 	}
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -118,6 +118,9 @@
 	// FirstRanked is the instance that ranks first, if that is why the job was
 	// refused.
 	FirstRanked string
+	// Rule is the rule of the shares by which the job became late, if that is why
+	// it was refused and shares are in force.
+	Rule string
 	// Dispatcher is the instance that refused the job.
 	Dispatcher string
 	// Reserved: capacity is reserved for the caller's return after RetryAfter.
@@ -160,6 +163,7 @@
 	target   *stageTarget // target that runs the piece or holds its result
 	handle   string
 	madeAt   time.Time
+	took     time.Duration // its part of the call that made the result
 	attempts int
 }
 
@@ -220,6 +224,9 @@
 	claimedOnTime  bool          // and was to be on time
 	minTime        time.Duration // time to the first event without any queueing
 	lateCheckedAt  time.Time     // when a late job was last checked by acceptLate
+	urgency        int           // its priority, or that of a more urgent one within whose capacity it has a floor
+	shares         jobShares
+	discarded      resultOutcome // what becomes of results that are not read when the job ends
 	late           bool          // it cannot be on time; it gets only capacity that on-time jobs leave
 	placedAt       time.Time
 	uncachedTokens int // prompt tokens that the engine has to process, since they are not in its cache
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -67,7 +67,11 @@
 	defer p.invalidateForecast()
 	for _, j := range p.staging() {
 		remaining := p.remaining(j, now)
-		if p.hopeless(j, now) || now.Add(remaining).After(j.Deadline) {
+		expired := now.Add(remaining).After(j.Deadline)
+		if p.hopeless(j, now) || expired {
+			if expired {
+				j.discardResults(resultExpired)
+			}
 			p.refuse(j, p.lateRefusal(j, Refusal{Reason: ReasonLate, RetryAfter: retryAfterMin}, now), now)
 			continue
 		}
@@ -109,6 +113,7 @@
 			if q.target.removed || now.After(expiry) {
 				p.counts.Remade++
 				p.invalidateForecast()
+				p.countResult(q, q.outcomeOfLost(true))
 				p.releaseResult(q)
 				p.requeue(q, now)
 			}
@@ -191,7 +196,7 @@
 
 func (p *Planner) rank(u *workUnit, now time.Time) rank {
 	start := u.job.OnTimeUntil.Add(-p.downstream(u))
-	return rank{late: u.job.late || now.After(start), priority: u.job.Priority, start: start}
+	return rank{late: u.job.late || now.After(start), priority: u.job.urgency, start: start}
 }
 
 // downstream is the time from the start of the unit's call to the engine's
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -54,6 +54,15 @@
 	overload   Overload
 	// reservations are for callers that were refused for lack of time.
 	reservations reservations
+	sharing      sharingCounts
+	results      resultCounts
+	// cachedOnTime is the forecast of on-time jobs at the latest plan.
+	cachedOnTime *forecast
+	// lateCheckedAt is when all late jobs were checked by checkLate.
+	lateCheckedAt time.Time
+	// onLate is called with each job that becomes late by a rule of the shares;
+	// nil = it is not reported.
+	onLate func(*job, Rule)
 }
 
 // Counts holds counters of a planner since its start. Errors counts failed
@@ -174,10 +183,11 @@
 	p.counts.Jobs++
 	p.dueNow() // the new job may make others late, even if it is refused
 	in.OnTimeUntil = earlier(in.OnTimeUntil, in.Deadline)
-	j := &job{Job: in, arrived: now, notify: notify, session: in.session()}
+	j := &job{Job: in, urgency: in.Priority, arrived: now, notify: notify, session: in.session(), shares: jobShares{inForce: p.overload.Shares}}
 	p.claimReservation(j, now)
 	if refusal := p.build(j, now); refusal != nil {
 		p.counts.Refused++
+		p.countRule(j, refusal)
 		return nil, refusal
 	}
 	p.acceptedWithoutReservation(j)
--- a/internal/stagework/reservations.go
+++ b/internal/stagework/reservations.go
@@ -74,9 +74,17 @@
 // promised.
 func (p *Planner) acceptClaimed(j *job, now time.Time) {
 	needs := time.Duration((1 + returnMargin) * float64(j.minTime))
-	j.late = !j.claimedOnTime && now.Add(needs).After(j.OnTimeUntil)
-	if !j.late {
+	late := !j.claimedOnTime && now.Add(needs).After(j.OnTimeUntil)
+	if p.overload.Shares {
+		p.countShares(j, now)
+	}
+	switch {
+	case !late:
 		j.countLoad(now)
+	case p.overload.Shares:
+		p.becomesLate(j, RuleNoCapacity, nil, now)
+	default:
+		j.late = true
 	}
 }
 
--- a/internal/stagework/reserved_forecast.go
+++ b/internal/stagework/reserved_forecast.go
@@ -52,7 +52,8 @@
 func (p *Planner) acceptedForecast(j *job, now time.Time) *forecast {
 	f := p.newForecast(now)
 	for _, other := range p.urgencyQueue.jobs {
-		if other != j && !other.late && (other.committed() || other.Priority <= j.Priority) {
+		started := other.committed() && !p.overload.Shares // with shares, it runs after more urgent work
+		if other != j && !other.late && (started || other.Priority <= j.Priority) {
 			f.add(other)
 		}
 	}
@@ -62,6 +63,11 @@
 // leftForecast is the forecast of all other jobs for one that gets only the capacity that
 // on-time jobs leave (freeAfter).
 func (p *Planner) leftForecast(j *job, now time.Time) *forecast {
+	if p.overload.Shares {
+		f := p.rankedForecast(j, now)
+		f.late = true
+		return f
+	}
 	total := p.totalForecast(now)
 	f := &forecast{now: now, margin: total.margin, book: total.book, late: true, queues: slices.Clone(total.queues)}
 	if _, accepted := p.jobs[j]; accepted {
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -161,6 +161,7 @@
 	load         loadMeter
 	overloads    overloads
 	fairness     fairness
+	shares       serviceShares
 	// arrivals counts the pieces of requests' first stages.
 	arrivals loadMeter
 	// retention is the average time that results are kept after their call.
