Shares, slot queue: the route's priority decides among organisations of one priority

An organisation's priority takes precedence over that of the route. Jobs now carry both, and with shares in force a dispatcher ranks by both; so does the slot queue. With more levels than before, the floors of all lower ones together are a quarter of the capacity at most.

TestPriorityUnderOverload has a case with organisations of one priority; it passes now (23 s with the other cases), and the kinds would be equals in it without the change (not run).

--- a/internal/forwarding/slots.go
+++ b/internal/forwarding/slots.go
@@ -11,6 +11,7 @@
 	"lynxhill.example/lynxhill/internal/exchange"
 	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/relay"
+	"lynxhill.example/lynxhill/internal/route"
 	"lynxhill.example/lynxhill/internal/slotqueue"
 )
 
@@ -122,7 +123,7 @@
 	}
 	r = slotqueue.Request{
 		Service: fl.service, Shard: fl.shards.pick(fl.o.Targets(), fl.service, fl.randFloat()),
-		Organisation: fl.organisation(), Route: fl.Route.Name, Zone: fl.o.Zone, Priority: fl.priority(),
+		Organisation: fl.organisation(), Route: fl.Route.Name, Zone: fl.o.Zone, Priority: route.CombinedPriority(fl.priority(), fl.Route.Priority),
 		Deadline: fl.firstResponseDeadline().Add(-responseMargin),
 		Excluded: excluded, CallerKey: fl.identity().exact, BodyBytes: int64(len(fl.Request.Body)),
 	}
--- a/internal/peer/work_convert.go
+++ b/internal/peer/work_convert.go
@@ -13,7 +13,7 @@
 // differ.
 func jobToProto(j stagework.Job, now time.Time) *peerpb.WorkJob {
 	out := &peerpb.WorkJob{
-		Id: j.ID, Key: j.Key, Organisation: j.Organisation, Priority: int32(j.Priority),
+		Id: j.ID, Key: j.Key, Organisation: j.Organisation, Priority: int32(j.Priority), RoutePriority: int32(j.RoutePriority),
 		AimMs: j.OnTimeUntil.Sub(now).Milliseconds(), DeadlineMs: j.Deadline.Sub(now).Milliseconds(),
 		Service: j.Service, Place: j.Zone, Avoid: j.ExcludedEngines, Cell: j.Cell, Insist: uint32(j.RankOverride),
 		Made: madeToProto(j.Results), Owner: j.Owner, Route: j.Route,
@@ -44,7 +44,7 @@
 
 func jobFromProto(m *peerpb.WorkJob, now time.Time) stagework.Job {
 	j := stagework.Job{
-		ID: m.GetId(), Key: m.GetKey(), Organisation: m.GetOrganisation(), Priority: int(m.GetPriority()),
+		ID: m.GetId(), Key: m.GetKey(), Organisation: m.GetOrganisation(), Priority: int(m.GetPriority()), RoutePriority: int(m.GetRoutePriority()),
 		OnTimeUntil: now.Add(time.Duration(m.GetAimMs()) * time.Millisecond),
 		Deadline:    now.Add(time.Duration(m.GetDeadlineMs()) * time.Millisecond),
 		Service:     m.GetService(), Zone: m.GetPlace(), ExcludedEngines: m.GetAvoid(), Cell: m.GetCell(), RankOverride: stagework.RankOverride(m.GetInsist()),
--- a/internal/peer/work_test.go
+++ b/internal/peer/work_test.go
@@ -74,13 +74,13 @@
 func TestEveryFieldOfAJobArrives(t *testing.T) {
 	now := time.Now()
 	want := stagework.Job{
-		ID: "i", Key: "k", Organisation: "o", Owner: "w", Route: "r", Priority: 2, OnTimeUntil: now.Add(-time.Minute), Deadline: now.Add(time.Hour),
+		ID: "i", Key: "k", Organisation: "o", Owner: "w", Route: "r", Priority: 2, RoutePriority: 4, OnTimeUntil: now.Add(-time.Minute), Deadline: now.Add(time.Hour),
 		Stages: []route.Stage{{Service: "s", After: []int{1}, ResultBytes: 1 << 40}, {Service: "t", ResultBytes: 3}}, Pieces: []int{3, 4}, Service: "lm",
 		Prompt: &relay.Prompt{Model: "m", TokensIn: 5, TokensOut: 6, ExpectedOut: 7, Parts: []relay.PromptPart{{ID: "p", Tokens: 8}, {ID: "q", Tokens: 9}}},
 		Zone:   "z", ExcludedEngines: []string{"e", "f"}, Cell: []string{"x", "y"}, RankOverride: stagework.OverrideUnreachable, Binding: &stagework.Binding{Build: "v1"},
 		Results:   []stagework.ResultRef{{Stage: 1, Number: 2, Target: "t", Handle: "h", Age: time.Second}},
 		CallerKey: "ck", Reservations: []reservation.Copy{{
-			CallerKey: "rk", Organisation: "ro", Route: "rr", Priority: 3, Arrived: now.Add(-time.Minute), Due: now.Add(time.Second),
+			CallerKey: "rk", Organisation: "ro", Route: "rr", Priority: 3, RoutePriority: 5, Arrived: now.Add(-time.Minute), Due: now.Add(time.Second),
 			Stages: []reservation.StageWork{{Service: "s", Pieces: 5, ResultBytes: 1 << 40}},
 		}},
 	}
--- a/internal/reservation/copy.go
+++ b/internal/reservation/copy.go
@@ -9,9 +9,11 @@
 	Organisation string
 	Route        string
 	Priority     int
-	Arrived      time.Time // of the caller's first attempt
-	Due          time.Time
-	Stages       []StageWork
+	// RoutePriority is the priority of the route; Priority may be that of the organisation.
+	RoutePriority int
+	Arrived       time.Time // of the caller's first attempt
+	Due           time.Time
+	Stages        []StageWork
 }
 
 // StageWork is work of a request at a service, in pieces.
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -193,6 +193,16 @@
 // OrganisationByKey returns the organisation that holds the key, or nil.
 func (t *Table) OrganisationByKey(key string) *Organisation { return t.byKey[key] }
 
+// routePriorities is the number of priorities of routes that CombinedPriority tells apart.
+const routePriorities = 10
+
+// CombinedPriority returns the rank of a request among those that compete for the same
+// targets: by its priority, and among requests of the same priority, which may be that of
+// their organisations, by the priority of their routes.
+func CombinedPriority(priority, routePriority int) int {
+	return priority*routePriorities + min(max(routePriority, 0), routePriorities-1)
+}
+
 // Priority returns the priority of a request of the route by the organisation,
 // which may be nil: the organisation's priority if it has one, else the route's.
 func Priority(r *Route, o *Organisation) int {
--- a/internal/stagework/floor.go
+++ b/internal/stagework/floor.go
@@ -5,8 +5,9 @@
 // Parameters of the floors of lower priorities.
 const (
 	// floorShare is the part of a service's capacity that each priority with
-	// demand keeps.
+	// demand keeps, maxFloors that of all lower priorities together.
 	floorShare = 0.1
+	maxFloors  = 0.25
 	// floorSpan is the time for which a floor that was not used is kept. A
 	// decaying sum over several seconds would count the work from before a burst,
 	// and a priority would get nothing in the first half of most bursts.
@@ -26,10 +27,15 @@
 	updated    time.Time
 }
 
-// update adds what the floor of n targets is since the latest update. It is full
-// at first.
-func (a *floorAllowance) update(n int, now time.Time) {
-	a.most = floorShare * float64(max(n, 1)) * floorSpan.Seconds()
+// floorShare is the part of the service's capacity that each lower priority keeps.
+func (s *serviceShares) floorShare() float64 {
+	return min(floorShare, maxFloors/float64(max(len(s.priorities)-1, 1)))
+}
+
+// update adds what the floor, as a share of the time of n targets, is since the
+// latest update. It is full at first.
+func (a *floorAllowance) update(share float64, n int, now time.Time) {
+	a.most = share * float64(max(n, 1)) * floorSpan.Seconds()
 	if a.updated.IsZero() {
 		a.left = a.most
 	}
@@ -55,7 +61,7 @@
 	s.short = s.late.at(now).late > shortShare*float64(max(healthy, 1))*shareDecay.Seconds()
 	s.shortAt, s.owed = now, -1
 	for n, k := range s.priorities {
-		k.floor.update(healthy, now)
+		k.floor.update(s.floorShare(), healthy, now)
 		if k.all.at(now).late > 0 && k.floor.left > floorOwed*k.floor.most {
 			s.owed = max(s.owed, n)
 		}
@@ -82,7 +88,7 @@
 		k := s.service.shares.priority(j.Priority)
 		if k.floor.updated.IsZero() {
 			healthy, _ := s.service.availability(now)
-			k.floor.update(healthy, now)
+			k.floor.update(s.service.shares.floorShare(), healthy, now)
 		}
 		if k.floor.left < s.work || k.overuse(j.Organisation, now) > 0 {
 			return
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -16,7 +16,8 @@
 	Organisation    string
 	Route           string    // route of the request; scarce capacity is shared fairly among routes
 	Owner           string    // instance that handles the request and sends it to the engine
-	Priority        int       // 0 is the most urgent
+	Priority        int       // of the organisation or else of the route; 0 is the most urgent
+	RoutePriority   int       // of the route
 	OnTimeUntil     time.Time // latest time for the first event to be on time
 	Deadline        time.Time // time at which the caller gives up
 	Stages          []route.Stage
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -183,6 +183,9 @@
 	p.counts.Jobs++
 	p.dueNow() // the new job may make others late, even if it is refused
 	in.OnTimeUntil = earlier(in.OnTimeUntil, in.Deadline)
+	if p.overload.Shares {
+		in.Priority = route.CombinedPriority(in.Priority, in.RoutePriority)
+	}
 	j := &job{Job: in, urgency: in.Priority, arrived: now, notify: notify, session: in.session(), shares: jobShares{inForce: p.overload.Shares}}
 	p.claimReservation(j, now)
 	if refusal := p.build(j, now); refusal != nil {
--- a/internal/stagework/reservation_copies.go
+++ b/internal/stagework/reservation_copies.go
@@ -35,7 +35,7 @@
 // keep keeps a copy of a reservation that the dispatcher made for the job's caller.
 func (c *reservationCopies) keep(cell, dispatcher string, j Job, retryAfter time.Duration, now time.Time) {
 	r := reservation.Copy{
-		CallerKey: j.CallerKey, Organisation: j.Organisation, Route: j.Route, Priority: j.Priority, Arrived: now, Due: now.Add(retryAfter),
+		CallerKey: j.CallerKey, Organisation: j.Organisation, Route: j.Route, Priority: j.Priority, RoutePriority: j.RoutePriority, Arrived: now, Due: now.Add(retryAfter),
 	}
 	for i, s := range j.Stages {
 		if n := j.pieces(i); n > 0 {
--- a/internal/stagework/reservations.go
+++ b/internal/stagework/reservations.go
@@ -5,6 +5,7 @@
 
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/reservation"
+	"lynxhill.example/lynxhill/internal/route"
 )
 
 // returnShare is the share of the time until its deadline after which a refused caller still
@@ -114,6 +115,9 @@
 	capacity := make(map[string]reservation.Capacity)
 	var list []reservation.Reservation
 	for _, c := range copies {
+		if p.overload.Shares {
+			c.Priority = route.CombinedPriority(c.Priority, c.RoutePriority)
+		}
 		var demands []reservation.Demand
 		for _, w := range c.Stages {
 			d := reservation.Demand{Service: w.Service}
--- a/internal/stagework/shares_load_test.go
+++ b/internal/stagework/shares_load_test.go
@@ -22,6 +22,8 @@
 	kinds            []sharedKind
 	factor           float64 // of the rates of the kinds that burst
 	from, to, length time.Duration
+	// organisationPriority takes precedence over the priorities of the kinds; 0 = it does not.
+	organisationPriority int
 }
 
 // runShared runs the load and returns the outcomes, by group, of the requests
@@ -42,6 +44,9 @@
 				time.Sleep(time.Duration(r.ExpFloat64() / rate * float64(time.Second)))
 				job := newJob(fmt.Sprint(kind.name, n), kind.aim, kind.deadline, kind.stages, kind.pieces(r)...)
 				job.Priority, job.Route, job.Organisation = kind.priority, kind.name, kind.organisation(r)
+				if l.organisationPriority > 0 {
+					job.Priority, job.RoutePriority = l.organisationPriority, kind.priority
+				}
 				group := kind.name
 				if kind.group != nil {
 					group = kind.group(job.Organisation, job.Pieces)
--- a/internal/stagework/shares_test.go
+++ b/internal/stagework/shares_test.go
@@ -30,7 +30,7 @@
 		}
 		return "others"
 	}
-	l := sharedLoad{[]sharedKind{check}, 5, burstFrom, burstTo, 13 * time.Second}
+	l := sharedLoad{[]sharedKind{check}, 5, burstFrom, burstTo, 13 * time.Second, 0}
 	on := compareShares(t, l, burstFrom, burstTo)
 	if on["others"].share() < 0.75 {
 		t.Errorf("%.3f of the others' requests are on time", on["others"].share())
@@ -39,21 +39,26 @@
 
 // TestPriorityUnderOverload guards against a less urgent class that is served
 // more often than a more urgent one, since its callers wait longer, and against
-// one that gets nothing. Each of the classes needs more than three quarters of
+// one that gets nothing, also where organisations have a priority of their own, which
+// takes precedence. Each of the classes needs more than three quarters of
 // the capacity of a service; the floor of the less urgent one is an eighth of its
 // demand.
 func TestPriorityUnderOverload(t *testing.T) {
 	for _, c := range []struct {
-		name   string
-		to     time.Duration
-		length time.Duration
-	}{{"burst of 7 s", burstTo, 16 * time.Second}, {"burst of 14 s", 17 * time.Second, 19 * time.Second}} {
+		name         string
+		to           time.Duration
+		length       time.Duration
+		organisation int // priority of all organisations; 0 = they have none
+	}{
+		{"burst of 7 s", burstTo, 16 * time.Second, 0}, {"burst of 14 s", 17 * time.Second, 19 * time.Second, 0},
+		{"organisations of one priority", burstTo, 16 * time.Second, 1},
+	} {
 		t.Run(c.name, func(t *testing.T) {
 			b, d, a := zoneKind("check", 0), zoneKind("draft", 2), zoneKind("review", 1)
 			b.rate, d.rate = 35, 24
 			d.bursts = true
 			d.deadline = 20 * time.Second
-			l := sharedLoad{[]sharedKind{b, d, a}, 3, burstFrom, c.to, c.length}
+			l := sharedLoad{[]sharedKind{b, d, a}, 3, burstFrom, c.to, c.length, c.organisation}
 			on := compareShares(t, l, burstFrom, c.to)
 			var all tally
 			all.add(on["check"])
@@ -103,7 +108,7 @@
 				}
 				return "usual"
 			}
-			l := sharedLoad{[]sharedKind{kind}, 5, burstFrom, burstTo, 13 * time.Second}
+			l := sharedLoad{[]sharedKind{kind}, 5, burstFrom, burstTo, 13 * time.Second, 0}
 			on := compareShares(t, l, burstFrom, burstTo)
 			var all tally
 			for _, c := range on {
@@ -125,7 +130,7 @@
 func TestOneOrganisationIsServedAsWithoutShares(t *testing.T) {
 	const tolerance = 0.02 // the order of simultaneous events differs between runs
 	check := zoneKind("check", 1)
-	l := sharedLoad{[]sharedKind{check}, 4, burstFrom, burstTo, 13 * time.Second}
+	l := sharedLoad{[]sharedKind{check}, 4, burstFrom, burstTo, 13 * time.Second, 0}
 	off := withShares(t, false, l, burstFrom, burstTo)["check"]
 	on := withShares(t, true, l, burstFrom, burstTo)["check"]
 	t.Logf("on time %.3f, %.3f without shares; late %d, %d of %d", on.share(), off.share(), on.late, off.late, on.asked)
