Slotqueue, stagework: recent refusals and queues for operators

Cause: the dispatcher kept only counters of its refusals since the start, and the coordinator's log kept counts without a window. Nobody could see who is refused now, by which rule, and until when.

Change: package refusallog counts refusals of the last ten seconds by service, organisation, route and rule, in at most 256 rows, with the latest Retry-After. The coordinator uses it in place of its own log, the dispatcher too (RecentRefusals). Events 4401 and 4403 name the owner of a request in "owner": the second field "instance" hid the coordinator's own name from log readers. 4204 has the organisation and the Retry-After, like 4203.

--- a/internal/slotqueue/dispatch.go
+++ b/internal/slotqueue/dispatch.go
@@ -178,7 +178,7 @@
 	t.used++
 	t.bytes += w.BodyBytes
 	expires := w.Deadline.Add(leaseGrace)
-	q.grants[key] = &grant{owner: w.owner, id: w.ID, route: w.Route, target: t, bytes: w.BodyBytes, pace: pace, at: now, expires: expires}
+	q.grants[key] = &grant{owner: w.owner, id: w.ID, organisation: w.Organisation, route: w.Route, target: t, bytes: w.BodyBytes, pace: pace, at: now, expires: expires}
 	q.count.granted(w.arrived, now)
 	q.decide(w.owner, Answer{ID: w.ID, Target: t.ID}, why)
 }
--- a/internal/slotqueue/log.go
+++ b/internal/slotqueue/log.go
@@ -46,7 +46,7 @@
 		return
 	}
 	r, f := d.reason.request, d.answer.Refusal
-	l.logger.Log(event.SlotRefused, "instance", d.owner.instance, "request", d.answer.ID, "service", service, "shard", shard,
+	l.logger.Log(event.SlotRefused, "owner", d.owner.instance, "request", d.answer.ID, "service", service, "shard", shard,
 		"organisation", r.Organisation, "route", r.Route, "priority", r.Priority, "reason", f.Reason,
 		"retry_after_ms", f.RetryAfter.Milliseconds(), "wait_ms", d.reason.wait.Milliseconds(), "left_ms", r.Deadline.Sub(now).Milliseconds(),
 		"capacity", d.reason.capacity, "demand", d.reason.demand)
@@ -59,7 +59,7 @@
 		case d.answer.Refusal != nil:
 			c.log.add(d, service, shard, now)
 		case d.answer.Target != "":
-			c.o.Logger.Log(event.SlotGranted, "instance", d.owner.instance, "request", d.answer.ID, "service", service,
+			c.o.Logger.Log(event.SlotGranted, "owner", d.owner.instance, "request", d.answer.ID, "service", service,
 				"target", d.answer.Target, "waited_ms", d.reason.wait.Milliseconds(), "pace", d.reason.pace,
 				"pace_age_ms", d.reason.paceAge.Milliseconds(), "free", d.reason.free)
 		}
--- a/internal/slotqueue/queue.go
+++ b/internal/slotqueue/queue.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/refusallog"
 )
 
 const (
@@ -39,15 +40,16 @@
 
 // grant is a slot in use.
 type grant struct {
-	owner   owner
-	id      uint64
-	route   string
-	target  *target
-	bytes   int64
-	pace    float64 // expected at the grant; 0 = adopted
-	at      time.Time
-	expires time.Time
-	orphan  bool // the owner's session has ended
+	owner        owner
+	id           uint64
+	organisation string // "" = adopted
+	route        string
+	target       *target
+	bytes        int64
+	pace         float64 // expected at the grant; 0 = adopted
+	at           time.Time
+	expires      time.Time
+	orphan       bool // the owner's session has ended
 }
 
 // decision is an answer to an owner.
@@ -86,7 +88,7 @@
 	paces    paceModel
 	work     workModel
 	returns  returns
-	refusals refusalLog
+	refusals refusallog.Log
 
 	decisions []decision
 }
--- a/internal/slotqueue/returns.go
+++ b/internal/slotqueue/returns.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"lynxhill.example/lynxhill/internal/refusallog"
 )
 
 const (
@@ -98,7 +100,7 @@
 	}
 	q.returns.expect(w, after, now)
 	q.count.refused.Add(f.reason, 1)
-	q.refusals.add(w, f.reason, now, now.Add(after))
+	q.refusals.Add(refusallog.Key{Service: q.service, Organisation: w.Organisation, Route: w.Route, Rule: f.reason}, now, now.Add(after))
 	q.decide(w.owner, Answer{ID: w.ID, Refusal: &Refusal{Reason: f.reason, RetryAfter: after}},
 		reason{request: w.Request, wait: f.wait, capacity: q.capacity(now), demand: q.demand(now)})
 	l.forget(l.org(w.Organisation))
--- a/internal/slotqueue/snapshot.go
+++ b/internal/slotqueue/snapshot.go
@@ -25,6 +25,7 @@
 	Capacity float64           `json:"capacity"` // slots' worth of work that can be done
 	Targets  []TargetSnapshot  `json:"targets"`
 	Waiting  []WaitingSnapshot `json:"waiting"`
+	Held     []HeldSnapshot    `json:"held"`
 	Refusals []RefusalSnapshot `json:"refusals"`
 }
 
@@ -51,7 +52,16 @@
 	OldestMS     int64  `json:"oldest_ms"`
 }
 
-// RefusalSnapshot counts the refusals of one organisation and route by one rule.
+// HeldSnapshot counts the slots that the requests of one organisation and route use. Of slots
+// that were adopted, neither is known.
+type HeldSnapshot struct {
+	Organisation string `json:"organisation"`
+	Route        string `json:"route"`
+	Slots        int    `json:"slots"`
+}
+
+// RefusalSnapshot counts the refusals of one organisation and route by one rule in the last
+// refusallog.Window.
 type RefusalSnapshot struct {
 	Organisation string    `json:"organisation"`
 	Route        string    `json:"route"`
@@ -61,49 +71,6 @@
 	Until        time.Time `json:"until"` // latest time at which one of them was told to come back
 }
 
-const (
-	// refusalRetention is how long a refusal is shown after the last one of its kind.
-	refusalRetention = time.Minute
-	// maxRefusalRows bounds the rows of refusals; those beyond it count under "others".
-	maxRefusalRows = 256
-	otherRows      = "(others)"
-)
-
-type refusalKey struct{ organisation, route, rule string }
-
-// refusalLog counts the latest refusals of a queue.
-type refusalLog struct {
-	rows map[refusalKey]*RefusalSnapshot
-}
-
-func (l *refusalLog) add(w *waiter, rule string, now, until time.Time) {
-	if l.rows == nil {
-		l.rows = make(map[refusalKey]*RefusalSnapshot)
-	}
-	key := refusalKey{w.Organisation, w.Route, rule}
-	if l.rows[key] == nil && len(l.rows) >= maxRefusalRows {
-		l.expire(now)
-		if len(l.rows) >= maxRefusalRows {
-			key.organisation, key.route = otherRows, otherRows
-		}
-	}
-	row := l.rows[key]
-	if row == nil {
-		row = &RefusalSnapshot{Organisation: key.organisation, Route: key.route, Rule: rule}
-		l.rows[key] = row
-	}
-	row.Count++
-	row.Last, row.Until = now, later(row.Until, until)
-}
-
-func (l *refusalLog) expire(now time.Time) {
-	for key, row := range l.rows {
-		if now.Sub(row.Last) > refusalRetention {
-			delete(l.rows, key)
-		}
-	}
-}
-
 func (q *queue) snapshot(now time.Time) ServiceSnapshot {
 	s := ServiceSnapshot{
 		Service: q.service, Shard: q.shard, MeanPace: q.paces.meanPace(),
@@ -115,13 +82,10 @@
 		s.Used += t.used
 	}
 	s.Waiting = q.waitingSnapshot(now)
-	q.refusals.expire(now)
-	for _, row := range q.refusals.rows {
-		s.Refusals = append(s.Refusals, *row)
+	s.Held = q.heldSnapshot()
+	for _, r := range q.refusals.Rows(now) {
+		s.Refusals = append(s.Refusals, RefusalSnapshot{r.Organisation, r.Route, r.Rule, r.Count, r.Last, r.Until})
 	}
-	slices.SortFunc(s.Refusals, func(a, b RefusalSnapshot) int {
-		return cmp.Or(strings.Compare(a.Organisation, b.Organisation), strings.Compare(a.Route, b.Route), strings.Compare(a.Rule, b.Rule))
-	})
 	return s
 }
 
@@ -173,3 +137,19 @@
 	})
 	return list
 }
+
+func (q *queue) heldSnapshot() []HeldSnapshot {
+	rows := make(map[HeldSnapshot]int)
+	for _, g := range q.grants {
+		rows[HeldSnapshot{Organisation: g.organisation, Route: g.route}]++
+	}
+	list := make([]HeldSnapshot, 0, len(rows))
+	for row, n := range rows {
+		row.Slots = n
+		list = append(list, row)
+	}
+	slices.SortFunc(list, func(a, b HeldSnapshot) int {
+		return cmp.Or(strings.Compare(a.Organisation, b.Organisation), strings.Compare(a.Route, b.Route))
+	})
+	return list
+}
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -9,6 +9,7 @@
 	"lynxhill.example/lynxhill/internal/clock"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/refusallog"
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/route"
 )
@@ -56,6 +57,7 @@
 	partition       Partition
 	cells           []Cell // of the latest view
 	overload        Overload
+	refusals        refusallog.Log
 	wakeScheduled   bool
 	releases        releaseBatch // results to be released
 	limitedReleases releaseBatch // results to be released by targets that announce a limit
@@ -163,6 +165,7 @@
 	t.p = d.planner(Cell{Zones: in.Cell})
 	j, refusal := t.p.submit(in, t.decide, d.o.Clock.Now())
 	if refusal != nil {
+		d.countRefusal(&in, refusal)
 		d.logRefusal(t.p, in, refusal)
 		return nil, refusal
 	}
--- a/internal/stagework/local_assignment.go
+++ b/internal/stagework/local_assignment.go
@@ -60,6 +60,7 @@
 
 func (t *LocalAssignment) decide(p Placement, r *Refusal) {
 	if r != nil {
+		t.d.countRefusal(&t.j.Job, r)
 		t.logGivenUp(r)
 	}
 	t.send(Decision{Placement: p, Refusal: r})
--- a/internal/stagework/log.go
+++ b/internal/stagework/log.go
@@ -49,7 +49,7 @@
 	}
 	now := t.d.o.Clock.Now()
 	t.d.o.Logger.Log(event.StageJobGivenUp, "request", j.ID, "cell", t.p.cell.Name(), "reason", r.Reason,
-		"rule", r.Rule, "waited_ms", now.Sub(j.arrived).Milliseconds(), "aim_ms", j.OnTimeUntil.Sub(now).Milliseconds(),
+		"rule", r.Rule, "organisation", j.Organisation, "retry_after_ms", r.RetryAfter.Milliseconds(), "waited_ms", now.Sub(j.arrived).Milliseconds(), "aim_ms", j.OnTimeUntil.Sub(now).Milliseconds(),
 		"deadline_ms", j.Deadline.Sub(now).Milliseconds(), "late", j.late, "made", made, "pieces", all, "jobs", len(t.p.jobs))
 }
 
