Edge: page /overload at the metrics address

Change: instances that serve plain requests tell what is in force of the overload control and why, and what they decide as dispatcher and coordinator: waiting and held slots, recent refusals, reservations and shares by service, organisation and route.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -12,6 +12,7 @@
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/stagework"
+	"lynxhill.example/lynxhill/internal/wire/overloadapi"
 )
 
 // MetricsPath is the HTTP path of the metrics page.
@@ -80,6 +81,7 @@
 func (i *Instance) metricsServer() *http.Server {
 	mux := http.NewServeMux()
 	mux.Handle(MetricsPath, telemetry.Handler(i.metrics))
+	mux.HandleFunc("GET "+overloadapi.Path, i.serveOverload)
 	return &http.Server{Handler: mux, ReadHeaderTimeout: metricsTime, WriteTimeout: metricsTime, IdleTimeout: metricsTime}
 }
 
--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -64,12 +64,7 @@
 
 // publishOverload registers the metrics of the overload control.
 func (i *Instance) publishOverload() {
-	i.metrics.Func(metricReservations, func() any {
-		c := i.dispatcher.ReservationCounts()
-		return map[string]int{
-			"made": c.Made, "made_late": c.MadeLate, "claimed": c.Claimed, "expired": c.Expired, "adopted": c.Adopted, "no_moment": c.NoMoment,
-		}
-	})
+	i.metrics.Func(metricReservations, func() any { return reservationValues(i.dispatcher.ReservationCounts()) })
 	i.metrics.Func(metricReserved, func() any {
 		values, now := make(map[string]map[string]int64), i.o.Clock.Now()
 		for _, c := range i.dispatcher.Reservations() {
@@ -80,3 +75,9 @@
 		return values
 	})
 }
+
+func reservationValues(c stagework.ReservationCounts) map[string]int {
+	return map[string]int{
+		"made": c.Made, "made_late": c.MadeLate, "claimed": c.Claimed, "expired": c.Expired, "adopted": c.Adopted, "no_moment": c.NoMoment,
+	}
+}
--- a/internal/edge/slots.go
+++ b/internal/edge/slots.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 
+	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/control/rendezvous"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/fleet"
@@ -55,8 +56,7 @@
 
 // Enabled implements forwarding.SlotQueue.
 func (s *slots) Enabled(service string) bool {
-	setting, paced := s.i.inForce.Load().Overload.SlotQueue, s.i.loads.StatesPace(service)
-	enabled := setting.Enabled(paced)
+	setting, paced, enabled := s.inForce(service)
 	s.mu.Lock()
 	was := s.enabled[service]
 	s.enabled[service] = enabled
@@ -67,6 +67,12 @@
 	return enabled
 }
 
+// inForce tells whether the queue is in force for the service, and what that rests on.
+func (s *slots) inForce(service string) (setting config.Mode, paced, enabled bool) {
+	setting, paced = s.i.inForce.Load().Overload.SlotQueue, s.i.loads.StatesPace(service)
+	return setting, paced, setting.Enabled(paced)
+}
+
 func (s *slots) values() map[string]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
