--- a/cmd/lynxctl/cli.go
+++ b/cmd/lynxctl/cli.go
@@ -36,6 +36,7 @@
 	Drains     drainsCommand     `cmd:"" help:"List the drains in force."`
 	Limit      limitCommands     `cmd:"" help:"Set and list limits of organisations."`
 	Plan       planCommands      `cmd:"" help:"Set and list which models the engines of a service hold."`
+	Overload   overloadCommand   `cmd:"" help:"Show what the overload control decides: who waits, who is refused and why."`
 	Explain    explainCommand    `cmd:"" help:"Tell from logs what became of a request, and why."`
 	Report     reportCommands    `cmd:"" help:"Service-level reports."`
 	Completion completionCommand `cmd:"" help:"Set up tab completion of the shell."`
