Explain: the coordinator's line of a refused slot

Cause: event 4401, which has the rule, names a request by its number at its owner, so that explain did not show it.

Change: for a line 4211 with a dispatcher and a slot, explain looks for the 4401 of that coordinator, owner and number, and puts it into the timeline.

TestText of the package fails, as it did before this change: it holds the meaning of 4211 word for word, which changed.

--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -61,6 +61,9 @@
 	if len(timeline.Steps) == 0 {
 		return timeline, ErrUnknown
 	}
+	if err := timeline.readSlotRefusals(sources); err != nil {
+		return timeline, err
+	}
 	return timeline, timeline.readContext(sources)
 }
 
