--- a/internal/event/catalogue_stagework.go
+++ b/internal/event/catalogue_stagework.go
@@ -13,8 +13,8 @@
 
 var _ = define(
 	Definition{StageCallFailed, Warn, "stage_call_failed", "A call of a stage target failed or did not complete all its pieces. room, gone, late and error count the pieces by fault, requests names up to four of the affected requests; the pieces are run again elsewhere."},
-	Definition{StageJobRefused, Info, "stage_job_refused", "The dispatcher did not accept a request's stage work; the fields give its forecast, the time that the request has, and how many jobs the dispatcher had."},
-	Definition{StageJobGivenUp, Info, "stage_job_given_up", "The dispatcher abandoned a request's stage work that it had accepted; the fields give how long the work waited, what is left of its time, how many of its pieces were completed and how many jobs there were."},
+	Definition{StageJobRefused, Info, "stage_job_refused", "The dispatcher did not accept a request's stage work; rule is the rule of the shares by which it was late, retry_after_ms what the caller is told; the other fields give the forecast, the time that the request has, and how many jobs the dispatcher had."},
+	Definition{StageJobGivenUp, Info, "stage_job_given_up", "The dispatcher abandoned a request's stage work that it had accepted; rule and retry_after_ms are as in 4203, the other fields give how long the work waited, what is left of its time, how many of its pieces were completed and how many jobs there were."},
 	Definition{StageJobLate, Info, "stage_job_late", "With shares in force, a job became late, so that it only gets capacity that on-time jobs leave; rule says why (no_capacity, priority, organisation, size). use_ms is the recent on-time work of its organisation at the service where it uses most, share_ms its equal share, both as target time decaying over counted_ms."},
 	Definition{StageReportOfOtherStart, Info, "stage_report_of_other_start", "What a target reports of its memory or its cached prompt parts is of another start than the listed one, or states none that can be read; it is not applied."},
 	Definition{DispatcherLost, Warn, "dispatcher_lost", "The instance that schedules stage work did not answer; it is skipped for a while and the next one is asked."},
--- a/internal/explain/slots_test.go
+++ b/internal/explain/slots_test.go
@@ -24,7 +24,7 @@
 	if got := summarize(timeline.Steps); got != "edge-2:slot_refused:0 edge-1:forward_failed:2" {
 		t.Fatal(got)
 	}
-	if outcome := timeline.Steps[0].Outcome; len(outcome) != 1 || outcome[0].Value != "cannot be done in time" {
+	if outcome := timeline.Steps[0].Outcome; len(outcome) != 2 || outcome[0].Value != "cannot be done in time" || outcome[1].Value != "900" {
 		t.Errorf("outcome %+v", outcome)
 	}
 	if got := summarize(mustTell(t, "22dba622af468c59", time.Second, sources...).Steps); got != "edge-1:forward_failed:0" {
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -117,7 +117,7 @@
 // are inputs.
 var outcomeKeys = map[string]bool{
 	"status": true, "outcome": true, "ran": true, "sent": true, "err": true, "error": true,
-	"reason": true, "kind": true, "run_state": true, "cause": true,
+	"reason": true, "kind": true, "run_state": true, "cause": true, "rule": true, "retry_after_ms": true, "due_ms": true,
 }
 
 // timeKeys are the keys of fields with the durations of a request's phases. Only
