--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -61,6 +61,9 @@
 	if len(timeline.Steps) == 0 {
 		return timeline, ErrUnknown
 	}
+	if err := timeline.readSlotRefusals(sources); err != nil {
+		return timeline, err
+	}
 	return timeline, timeline.readContext(sources)
 }
 
@@ -114,7 +117,7 @@
 // are inputs.
 var outcomeKeys = map[string]bool{
 	"status": true, "outcome": true, "ran": true, "sent": true, "err": true, "error": true,
-	"reason": true, "kind": true, "run_state": true, "cause": true,
+	"reason": true, "kind": true, "run_state": true, "cause": true, "rule": true, "retry_after_ms": true, "due_ms": true,
 }
 
 // timeKeys are the keys of fields with the durations of a request's phases. Only
