Reservations: a refusal does not copy and sort all reservations

Each change of a book dropped the order by time, and the forecast of the next job built it anew. Expire and the order of the offers went through all reservations for each job. With 2,000 reservations, a refusal took 2.5 ms and allocated 2 MB, hundreds of times a second in a burst.

--- a/internal/reservation/book.go
+++ b/internal/reservation/book.go
@@ -80,13 +80,14 @@
 // Book holds the reservations of the services that one dispatcher schedules.
 type Book struct {
 	byKey    map[string]*Reservation
+	byDue    []*Reservation                     // the same reservations, in the order of compareDue
 	reserved map[string]map[int64]time.Duration // by service and window
-	schedule map[string][]Due                   // result of Schedule, including work that is no longer live; nil = invalid
+	schedule map[string][]Due                   // by service, by time; including work that is no longer live
 }
 
 // New returns an empty book.
 func New() *Book {
-	return &Book{byKey: make(map[string]*Reservation), reserved: make(map[string]map[int64]time.Duration)}
+	return &Book{byKey: make(map[string]*Reservation), reserved: make(map[string]map[int64]time.Duration), schedule: make(map[string][]Due)}
 }
 
 // Offer reserves capacity for the request at the earliest possible time, and returns false if
@@ -124,21 +125,17 @@
 	for _, d := range q.Demands {
 		at = later(at, capacity[d.Service].FreeAt)
 	}
-	for _, r := range b.byKey {
-		if r.live(now) && r.Priority == q.Priority && r.OnTime == q.OnTime && r.overlaps(q) {
-			at = later(at, r.Due)
+	for _, d := range q.Demands {
+		for _, due := range slices.Backward(b.Schedule(d.Service, now)) {
+			if due.Priority == q.Priority && due.OnTime == q.OnTime {
+				at = later(at, due.At)
+				break
+			}
 		}
 	}
 	return at, true
 }
 
-// overlaps reports whether the reservation and the request need the same service.
-func (r *Reservation) overlaps(q Request) bool {
-	return slices.ContainsFunc(r.Demands, func(d Demand) bool {
-		return slices.ContainsFunc(q.Demands, func(o Demand) bool { return o.Service == d.Service })
-	})
-}
-
 // within returns the time for a caller in the window of at. The callers of a window are spread
 // over it by the share of its capacity that is reserved.
 func (b *Book) within(q Request, capacity map[string]Capacity, at time.Time) time.Time {
@@ -178,7 +175,11 @@
 
 func (b *Book) add(r *Reservation) {
 	b.byKey[r.CallerKey] = r
-	b.schedule = nil
+	at, _ := slices.BinarySearchFunc(b.byDue, r, compareDue)
+	b.byDue = slices.Insert(b.byDue, at, r)
+	for _, d := range r.Demands {
+		b.insertWork(d.Service, r.due(d))
+	}
 	for _, s := range r.shares {
 		if b.reserved[s.service] == nil {
 			b.reserved[s.service] = make(map[int64]time.Duration)
@@ -205,7 +206,12 @@
 		return
 	}
 	delete(b.byKey, key)
-	b.schedule = nil
+	if at, found := slices.BinarySearchFunc(b.byDue, r, compareDue); found {
+		b.byDue = slices.Delete(b.byDue, at, at+1)
+	}
+	for _, d := range r.Demands {
+		b.removeWork(d.Service, r.due(d))
+	}
 	for _, s := range r.shares {
 		windows := b.reserved[s.service]
 		if windows[s.window] -= s.work; windows[s.window] <= 0 {
@@ -217,15 +223,10 @@
 // Expire ends the reservations that can no longer be claimed, and returns them by time.
 func (b *Book) Expire(now time.Time) []Reservation {
 	var over []Reservation
-	for _, r := range b.byKey {
-		if !r.live(now) {
-			over = append(over, *r)
-		}
+	for len(b.byDue) > 0 && !b.byDue[0].live(now) {
+		over = append(over, *b.byDue[0])
+		b.Cancel(b.byDue[0].CallerKey)
 	}
-	for _, r := range over {
-		b.Cancel(r.CallerKey)
-	}
-	sortByDue(over)
 	return over
 }
 
@@ -253,13 +254,12 @@
 	return len(demands) > 0 && !slices.ContainsFunc(demands, func(d Demand) bool { return capacity[d.Service].PerWindow <= 0 })
 }
 
-func sortByDue(list []Reservation) {
-	slices.SortFunc(list, func(a, b Reservation) int {
-		if c := a.Due.Compare(b.Due); c != 0 {
-			return c
-		}
-		return strings.Compare(a.CallerKey, b.CallerKey)
-	})
+// compareDue orders reservations by time.
+func compareDue(a, b *Reservation) int {
+	if c := a.Due.Compare(b.Due); c != 0 {
+		return c
+	}
+	return strings.Compare(a.CallerKey, b.CallerKey)
 }
 
 func windowOf(at time.Time) int64 { return at.UnixNano() / int64(Window) }
--- a/internal/reservation/book_test.go
+++ b/internal/reservation/book_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -164,13 +165,40 @@
 		}
 	}
 	for _, o := range before {
-		if o.Priority == q.Priority && o.OnTime == q.OnTime && o.overlaps(q) && r.Due.Before(o.Due) {
+		if o.Priority == q.Priority && o.OnTime == q.OnTime && overlap(o.Demands, q.Demands) && r.Due.Before(o.Due) {
 			return fmt.Sprintf("due %v, before %v that was offered earlier", r.Due, o.Due)
 		}
 	}
 	return ""
 }
 
+// overlap reports whether both need the same service.
+func overlap(a, b []Demand) bool {
+	return slices.ContainsFunc(a, func(d Demand) bool {
+		return slices.ContainsFunc(b, func(o Demand) bool { return o.Service == d.Service })
+	})
+}
+
+// unordered returns how the book's orders by time differ from its reservations.
+func (s *bookRun) unordered() string {
+	want, sorted := make(map[string]int), slices.IsSortedFunc(s.b.byDue, compareDue)
+	for _, r := range s.b.byKey {
+		for _, d := range r.Demands {
+			want[d.Service]++
+		}
+	}
+	for service, list := range s.b.schedule {
+		sorted = sorted && slices.IsSortedFunc(list, compareAt)
+		if len(list) != want[service] {
+			return fmt.Sprintf("%d entries for %s, want %d", len(list), service, want[service])
+		}
+	}
+	if !sorted || len(s.b.byDue) != len(s.b.byKey) {
+		return fmt.Sprintf("sorted %v, %d of %d reservations", sorted, len(s.b.byDue), len(s.b.byKey))
+	}
+	return ""
+}
+
 // full returns a window of which more than half is reserved, or whose sum differs from the
 // reservations.
 func (s *bookRun) full() string {
@@ -205,6 +233,9 @@
 			if wrong := s.full(); wrong != "" {
 				return wrong
 			}
+			if wrong := s.unordered(); wrong != "" {
+				return wrong
+			}
 		}
 		return ""
 	}, gen.UInt64()))
--- a/internal/reservation/schedule.go
+++ b/internal/reservation/schedule.go
@@ -1,6 +1,7 @@
 package reservation
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -11,12 +12,11 @@
 // List returns the reservations that can be claimed, now or later, by time.
 func (b *Book) List(now time.Time) []Reservation {
 	var list []Reservation
-	for _, r := range b.byKey {
+	for _, r := range b.byDue {
 		if r.live(now) {
 			list = append(list, *r)
 		}
 	}
-	sortByDue(list)
 	return list
 }
 
@@ -31,15 +31,33 @@
 // Schedule returns the reserved work at the service that can still be claimed, by time. The
 // result is valid until the next change of the book.
 func (b *Book) Schedule(service string, now time.Time) []Due {
-	if b.schedule == nil {
-		b.schedule = make(map[string][]Due)
-		for _, r := range b.List(time.Time{}) {
-			for _, d := range r.Demands {
-				b.schedule[d.Service] = append(b.schedule[d.Service], Due{At: r.Due, Priority: r.Priority, OnTime: r.OnTime, Work: d.Work})
-			}
-		}
-	}
 	list := b.schedule[service]
 	over := sort.Search(len(list), func(i int) bool { return !now.After(list[i].At.Add(ValidAfter)) })
 	return list[over:]
 }
+
+// due is the entry of the schedule for one of the reservation's demands.
+func (r *Reservation) due(d Demand) Due {
+	return Due{At: r.Due, Priority: r.Priority, OnTime: r.OnTime, Work: d.Work}
+}
+
+func compareAt(a, b Due) int { return a.At.Compare(b.At) }
+
+// insertWork and removeWork keep the schedule sorted. Building it anew after each change would
+// cost milliseconds per refusal while thousands of reservations are held.
+func (b *Book) insertWork(service string, d Due) {
+	list := b.schedule[service]
+	at, _ := slices.BinarySearchFunc(list, d, compareAt)
+	b.schedule[service] = slices.Insert(list, at, d)
+}
+
+func (b *Book) removeWork(service string, d Due) {
+	list := b.schedule[service]
+	at, _ := slices.BinarySearchFunc(list, d, compareAt)
+	for ; at < len(list) && list[at].At.Equal(d.At); at++ {
+		if list[at] == d {
+			b.schedule[service] = slices.Delete(list, at, at+1)
+			return
+		}
+	}
+}
