Fleet: an ID that looks like the name of a start

A target that states no start and whose ID ends in "@" and a number, like host@8080, was taken for the start 8080 of a target "host": its notices were dropped while it was listed, and a suspected request was sent to it although it ran another one.

Such names are looked up in the list of targets first.

--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -72,8 +72,8 @@
 		}
 	}
 	i.notices.RemoveExpired(func(run string) bool {
-		t, listed := now.Get(fleet.IDOfRun(run))
-		return listed && t.Run() == run
+		_, listed := now.Run(run)
+		return listed
 	})
 	i.updateDispatcher()
 	i.slots.coordinator.TargetsChanged()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -56,7 +56,8 @@
 // runSeparator stands between the ID and the start in Target.Run.
 const runSeparator = "@"
 
-// IDOfRun returns the ID of the target of which run is Target.Run.
+// IDOfRun returns the ID of the target of which run is Target.Run. An ID that ends like the
+// name of a start, of a target that states none, can only be told by a view (View.Run).
 func IDOfRun(run string) string {
 	at := strings.LastIndex(run, runSeparator)
 	if at < 0 {
@@ -126,6 +127,15 @@
 	return t, ok
 }
 
+// Run returns the listed target of which run is Target.Run.
+func (v *View) Run(run string) (Target, bool) {
+	if t, ok := v.byID[run]; ok && t.Started == 0 {
+		return t, true // its ID may look like the name of a start
+	}
+	t, ok := v.byID[IDOfRun(run)]
+	return t, ok && t.Run() == run
+}
+
 // Usable reports whether the target is listed and accepts new work.
 func (v *View) Usable(id string) bool {
 	t, ok := v.byID[id]
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -27,3 +27,16 @@
 		}
 	}
 }
+
+// Guards against a target that states no start and whose ID looks like the name of one: what is
+// known of it is dropped, or taken for that of another target.
+func TestRunInView(t *testing.T) {
+	v := NewView(1, []Target{{ID: "a", Started: 5}, {ID: "b"}, {ID: "host@8080"}, {ID: "c@80", Started: 7}})
+	for run, want := range map[string]string{
+		"a@5": "a", "a@4": "", "a": "", "b": "b", "b@5": "", "host@8080": "host@8080", "host": "", "c@80@7": "c@80", "c@80": "", "gone": "",
+	} {
+		if got, ok := v.Run(run); got.ID != want && ok || ok != (want != "") {
+			t.Errorf("%s: %+v %v, want %q", run, got, ok, want)
+		}
+	}
+}
--- a/internal/forwarding/crashes.go
+++ b/internal/forwarding/crashes.go
@@ -99,9 +99,10 @@
 	}
 	var ids []string
 	for _, run := range fl.o.CrashGuard.TargetsToAvoid(suspected, runs) {
-		id := fleet.IDOfRun(run)
-		if t, listed := fl.o.Targets().Get(id); !listed || t.Run() == run { // an earlier start says nothing about the listed one
-			ids = append(ids, id)
+		if t, listed := fl.o.Targets().Run(run); listed {
+			ids = append(ids, t.ID)
+		} else if _, other := fl.o.Targets().Get(fleet.IDOfRun(run)); !other { // an earlier start says nothing about the listed one
+			ids = append(ids, fleet.IDOfRun(run))
 		}
 	}
 	return ids
