Reservations: random peaks do not shorten the forecast of overloads

Each refusal after a calm second began an overload, and the length of the one before counted toward the usual length, also if it was a single refusal. After 40 single refusals, a burst was forecast to be over at once (955 ns left after its first second): its callers would be told to come back in its middle.

Only overloads with more refusals than a random peak has count. With the change, 5 s are left in the test of 40 single refusals and a burst; it fails without it.

--- a/internal/stagework/overload_end.go
+++ b/internal/stagework/overload_end.go
@@ -17,8 +17,7 @@
 	// blipRefusals is the number of refusals up to which an overload may be a random peak of the
 	// normal load, after which capacity is free as soon as the load of on-time jobs allows.
 	// Without this bound, the load at the beginning of a burst, which is measured over 2 s,
-	// is taken for that of the next seconds: of 45 reservations in a burst of twice the
-	// capacity, 14 were made then and were of no use.
+	// is taken for that of the next seconds, and reservations are made for its middle.
 	blipRefusals = 8
 	// overloadEndMax bounds the Retry-After that says when an overload is over.
 	overloadEndMax = 10 * time.Second
@@ -40,7 +39,7 @@
 // note records a refusal.
 func (o *overloads) note(now time.Time) {
 	if o.began.IsZero() || now.Sub(o.latest) > overloadGap {
-		if !o.began.IsZero() {
+		if o.refusals > blipRefusals { // a random peak says nothing about the length of overloads
 			o.length = o.usual() + time.Duration(overloadLengthWeight*float64(o.latest.Sub(o.began)-o.usual()))
 		}
 		o.began, o.refusals = now, 0
--- a/internal/stagework/overload_end_test.go
+++ b/internal/stagework/overload_end_test.go
@@ -35,3 +35,22 @@
 	refuse(20*time.Second, 20*time.Second)
 	expect("the next one", 20*time.Second, 6300*ms, true) // 6 s, and 0.3 of the second that the first was longer
 }
+
+// TestRandomPeaksDoNotShortenOverloads guards against callers that are told to come back in the
+// middle of a burst because single refusals in the time before it counted as overloads that
+// were over at once.
+func TestRandomPeaksDoNotShortenOverloads(t *testing.T) {
+	var o overloads
+	now := time.Unix(1000, 0)
+	for range 40 { // single refusals, far apart
+		o.note(now)
+		now = now.Add(10 * time.Second)
+	}
+	for range 20 { // a burst
+		o.note(now)
+		now = now.Add(50 * ms)
+	}
+	if left, want := o.left(now), firstOverloadLength-time.Second; left != want {
+		t.Errorf("%v of the overload are left, want %v", left, want)
+	}
+}
