Reservations: the metric of reserved callers takes linear time

While the dispatcher was locked, each reservation was compared with all groups of organisation and route before it: up to 4,096 times 4,096 comparisons with as many organisations. The groups are looked up by key now. Not measured.

--- a/internal/stagework/reservations_snapshot.go
+++ b/internal/stagework/reservations_snapshot.go
@@ -31,13 +31,16 @@
 	defer d.mu.Unlock()
 	now := d.o.Clock.Now()
 	var all []ReservedCallers
+	index := make(map[ReservedCallers]int) // by cell, organisation and route
 	for _, p := range d.planners {
 		for _, r := range p.reservations.book.List(now) { // by time
 			key := ReservedCallers{Cell: p.cell.Name(), Organisation: r.Organisation, Route: r.Route}
-			at := slices.IndexFunc(all, func(c ReservedCallers) bool { return c.compare(key) == 0 })
-			if at < 0 {
+			at, known := index[key]
+			if !known {
+				at = len(all)
+				index[key] = at
 				key.Next = r.Due
-				at, all = len(all), append(all, key)
+				all = append(all, key)
 			}
 			all[at].Callers++
 		}
