Reservations: none for requests whose callers are not told of it

A request that may have run ends with 502 or 504, but was given a reservation when its next job was refused, unless its stream had begun. The owner of a job that the second cell accepted kept a copy of the reservation of the first cell, and sent it to the next dispatcher there.

The owner sends no caller key for a request that may have run, and drops the copy. The first cell still holds the reservation of a caller that the second cell served until it is over: there is no message that gives it back.

--- a/internal/forwarding/caller_key_test.go
+++ b/internal/forwarding/caller_key_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/route"
@@ -37,6 +38,21 @@
 	}
 }
 
+// TestNoReservationForARequestThatMayHaveRun guards against capacity that is reserved for a
+// caller that is not told to come back, since its request may have run.
+func TestNoReservationForARequestThatMayHaveRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 0, nil)
+		for _, mayHaveRun := range []bool{false, true} {
+			fl := &flight{Forwarder: r.Forwarder, service: "s", mayHaveRun: mayHaveRun, Inbound: inbound(route.Streaming, true, true)}
+			ef := &engineFlight{flight: fl, stream: stream{fl: fl}}
+			if key := ef.job().CallerKey; (key == "") != mayHaveRun {
+				t.Errorf("may have run %v: key %q", mayHaveRun, key)
+			}
+		}
+	})
+}
+
 // TestOnPace guards against an overload control that stays off although targets state their
 // pace, or turns on for targets that state none.
 func TestOnPace(t *testing.T) {
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -130,7 +130,7 @@
 	if ef.Organisation != nil {
 		j.Organisation = ef.Organisation.Name
 	}
-	if !ef.stream.begun() {
+	if !ef.mayHaveRun { // otherwise its caller is not told to come back
 		j.CallerKey = ef.callerKey()
 	}
 	ef.bind(&j)
--- a/internal/stagework/finder.go
+++ b/internal/stagework/finder.go
@@ -74,11 +74,13 @@
 		return nil, &Refusal{Reason: ReasonNoBuild, Dispatcher: f.o.Self}, nil
 	}
 	ranked := rankCells(job.cellKey(), cells)
+	caller := job.CallerKey
 	a, refusal, err := f.submitTo(ctx, ranked[0], job)
 	if refusal != nil && refusal.retryInOtherCell() && len(ranked) > 1 {
 		job.CallerKey = "" // only the cell that is asked first reserves: its caller comes back to it
 		second, late, err := f.submitTo(ctx, ranked[1], job)
 		if err == nil && late == nil {
+			f.copies.drop(Cell{Zones: ranked[0].Zones}.Name(), caller)
 			return second, nil, nil
 		}
 	}
