Reservations: deadlines that are too short are no overload

Each job that had too little time for its work, even without any queueing, counted as a refusal of an overload. After 16 such jobs at idle targets, 5.2 s of an overload were forecast to be left, and other callers' reservations and Retry-After would be put off by it.

Jobs that had too little time on arrival do not count. The test fails without the change.

--- a/internal/stagework/overload_end.go
+++ b/internal/stagework/overload_end.go
@@ -68,8 +68,12 @@
 }
 
 // noteOverload records that the job is refused for lack of time, at the service for which it
-// would wait longest.
+// would wait longest. A job that had too little time on arrival, even without any queueing, is
+// no sign of an overload.
 func (p *Planner) noteOverload(j *job, left *forecast) {
+	if j.arrived.Equal(left.now) && left.now.Add(p.remaining(j, left.now)).After(j.Deadline) {
+		return
+	}
 	if bottleneck := left.bottleneck(j); bottleneck != nil {
 		bottleneck.overloads.note(left.now)
 	}
--- a/internal/stagework/reservations_unused_test.go
+++ b/internal/stagework/reservations_unused_test.go
@@ -2,12 +2,34 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/coder/quartz"
 )
 
+// TestTooShortDeadlinesAreNoOverload guards against callers that are told to wait for the end of
+// an overload that there is not, because another caller's deadlines are too short for its work.
+func TestTooShortDeadlinesAreNoOverload(t *testing.T) {
+	withReservingFleet(t, func(r *reservingFleet) {
+		f, d := r.owner("x"), r.dispatchers[r.members[0]]
+		for n := range 2 * blipRefusals {
+			job := reservableJob(fmt.Sprint(n), fmt.Sprint("caller ", n))
+			job.Deadline = time.Now().Add(20 * ms)
+			if refusal := r.submit(f, job); refusal == nil || refusal.Reason != ReasonLate {
+				t.Fatalf("refusal %+v", refusal)
+			}
+			time.Sleep(50 * ms)
+		}
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if o := d.planner(Cell{}).services["cut"].overloads; o.refusals > 0 || o.left(time.Now()) > 0 {
+			t.Errorf("%d refusals count, %v are left of an overload", o.refusals, o.left(time.Now()))
+		}
+	})
+}
+
 // secondCell refuses jobs with a reservation in the first cell it is asked for, and accepts
 // them in the other one.
 type secondCell struct{ asked []Job }
