Stagework: the test of a starting dispatcher is free of data races

A timer's goroutine set a plain bool that the test's goroutine read; go test -race reported it in TestJobsWaitForADispatcherThatStarts. It is an atomic.Bool now.

--- a/internal/stagework/engine_test.go
+++ b/internal/stagework/engine_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -162,7 +163,7 @@
 // fakeRemote is a Remote whose instances respond or do not.
 type fakeRemote struct {
 	silent    []string
-	starting  bool              // connections to all instances are refused
+	starting  atomic.Bool       // connections to all instances are refused
 	noTargets []string          // instances that respond that there is no target
 	redirects map[string]string // by instance: the one that it names if the owner does not insist
 	asked     map[string]int
@@ -170,7 +171,7 @@
 
 func (r *fakeRemote) Submit(_ context.Context, instance string, j Job) (Assignment, *Refusal, error) {
 	r.asked[instance]++
-	if r.starting {
+	if r.starting.Load() {
 		return nil, nil, fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 	}
 	if slices.Contains(r.silent, instance) {
--- a/internal/stagework/finder_test.go
+++ b/internal/stagework/finder_test.go
@@ -123,13 +123,13 @@
 		if at := slices.Index(ranked, "d"); at < 3 {
 			f.o.Self = ranked[3]
 		}
-		r.starting = true
-		time.AfterFunc(300*ms, func() { r.starting = false })
+		r.starting.Store(true)
+		time.AfterFunc(300*ms, func() { r.starting.Store(false) })
 		began := time.Now()
 		if got := answeredBy(t, f); got != ranked[0] || time.Since(began) > 400*ms {
 			t.Errorf("%s accepted the job after %v, the first-ranked instance was up after 300 ms", got, time.Since(began))
 		}
-		r.starting = true
+		r.starting.Store(true)
 		began = time.Now()
 		if got := answeredBy(t, f); got != "self" || time.Since(began) != startAttempts*startRetryInterval {
 			t.Errorf("%s accepted the job after %v although no instance starts", got, time.Since(began))
