Slotqueue: a late tick starts no second timer

A shard's timer that has fired while it is set again ticks beside the timer that is then pending. Each such tick replaced the pending timer without stopping it, so that the timers of a busy shard multiplied until it was idle. A tick before the time for which the timer is set is ignored now. TestLateTickStartsNoSecondTimer fails without the change; the tests of the package pass.

--- a/internal/slotqueue/coordinator.go
+++ b/internal/slotqueue/coordinator.go
@@ -182,6 +182,9 @@
 func (sh *shard) tick() {
 	var expired int
 	sh.do(func(q *queue, now time.Time) {
+		if now.Before(sh.due) { // it had fired already when it was set again
+			return
+		}
 		sh.timer = nil
 		expired = q.tick(now)
 	})
--- a/internal/slotqueue/coordinator_test.go
+++ b/internal/slotqueue/coordinator_test.go
@@ -169,3 +169,31 @@
 		}
 	})
 }
+
+// Guards against timers that multiply: one that has fired while it was being set again is
+// late, and must not start another beside the one that is pending.
+func TestLateTickStartsNoSecondTimer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := testCoordinator(func(string) []fleet.Target { return []fleet.Target{listed("x", 1)} })
+		s := c.Open("a", func(Answer) {})
+		defer s.Close()
+		s.Submit(ask(1))
+		s.Submit(ask(2)) // waits
+		sh := c.shards[shardKey{fakeService, 0}]
+		pending := sh.timer
+		sh.tick()
+		if sh.timer != pending {
+			t.Error("a late tick replaced the pending timer, which still runs")
+		}
+		time.Sleep(2 * waitingInterval)
+		synctest.Wait()
+		sh.mu.Lock()
+		replaced := sh.timer != pending && sh.timer != nil
+		sh.mu.Unlock()
+		if !replaced {
+			t.Error("no further tick is due although a request waits")
+		}
+		s.Cancel(2)
+		s.Release(Release{ID: 1})
+	})
+}
