Slotqueue: the floors of many priorities leave half to the most urgent one

Each lower priority that waits was owed a tenth of the work granted to others. Since priorities of organisations and routes are combined there may be more than ten, and the most urgent one got what the floors left: 11 of 50 slots with 15 others in TestFloorsOfManyPrioritiesLeaveMostToTheFirst. All floors together are half of the work at most; up to five lower priorities have a tenth each as before.

--- a/internal/slotqueue/dispatch.go
+++ b/internal/slotqueue/dispatch.go
@@ -191,11 +191,23 @@
 		case l == served:
 			l.credit = max(l.credit-work, 0)
 		case l.count > 0 && l.priority > q.levels[0].priority:
-			l.credit = min(l.credit+floorShare*work, maxFloorCredit*q.work.typical("").Seconds())
+			l.credit = min(l.credit+q.floorShare(l)*work, maxFloorCredit*q.work.typical("").Seconds())
 		}
 	}
 }
 
+// floorShare returns the share of the capacity that the level, which is not the most urgent
+// one, gets at least.
+func (q *queue) floorShare(of *level) float64 {
+	floors := 1
+	for _, l := range q.levels[1:] {
+		if l.count > 0 && l != of {
+			floors++
+		}
+	}
+	return min(floorShare, maxFloors/float64(floors))
+}
+
 // tick ends what has run out by itself, and returns the number of slots that were freed
 // without word of their owner.
 func (q *queue) tick(now time.Time) (expired int) {
--- a/internal/slotqueue/forecast.go
+++ b/internal/slotqueue/forecast.go
@@ -112,7 +112,7 @@
 	if l == q.levels[0] {
 		return wait(urgent, left)
 	}
-	return min(wait(urgent, left), wait(0, floorShare))
+	return min(wait(urgent, left), wait(0, q.floorShare(l)))
 }
 
 // overloaded reports whether more work arrives than the shard can do.
--- a/internal/slotqueue/order.go
+++ b/internal/slotqueue/order.go
@@ -9,7 +9,10 @@
 
 const (
 	// floorShare is the share of the capacity that each lower priority with demand gets.
+	// maxFloors bounds that of all of them together: priorities of organisations and routes
+	// combined are many, and a tenth for each would leave nothing to the most urgent one.
 	floorShare = 0.1
+	maxFloors  = 0.5
 	// maxFloorCredit bounds, in requests of the level, what a priority may catch up.
 	maxFloorCredit = 2.0
 	// demandTime is the time constant over which the demand of a priority is measured.
--- a/internal/slotqueue/order_test.go
+++ b/internal/slotqueue/order_test.go
@@ -153,3 +153,23 @@
 		t.Fatalf("%d organisations are kept", n)
 	}
 }
+
+// Guards against floors that leave nothing to the most urgent priority if many others wait.
+func TestFloorsOfManyPrioritiesLeaveMostToTheFirst(t *testing.T) {
+	const priorities, each = 16, 30
+	var requests []Request
+	for i := range priorities * each {
+		requests = append(requests, Request{Route: fmt.Sprint(i % priorities), Priority: i % priorities})
+	}
+	first, others := 0, make(map[string]bool)
+	for _, name := range orderOf(t, requests)[:50] {
+		if name == "0" {
+			first++
+		} else {
+			others[name] = true
+		}
+	}
+	if first < 22 || len(others) < priorities/2 {
+		t.Errorf("%d of 50 slots to the most urgent priority, want nearly half; %d others got one", first, len(others))
+	}
+}
