Forwarding: granted targets are told apart by their starts

The crash guard was told the ID of a granted target, where it compares starts: a second suspected request went to the same target (m0 got both suspects in TestSuspectsAtGrantedTargetsThatStateTheirStart). The backoff of an earlier start kept requests for slots from the new one. Both use the start now; the tests of the package pass.

--- a/internal/forwarding/loads_two.go
+++ b/internal/forwarding/loads_two.go
@@ -16,11 +16,10 @@
 }
 
 // InBackoff reports whether the target has recently not responded to this instance.
-func (l *Loads) InBackoff(id string) bool {
+func (l *Loads) InBackoff(t fleet.Target) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	t := l.targets[id]
-	return t != nil && l.clock.Now().Before(t.backoffUntil)
+	return l.clock.Now().Before(l.state(t).backoffUntil)
 }
 
 // StatesPace reports whether a target of the service has ever stated its pace to this
--- a/internal/forwarding/slots.go
+++ b/internal/forwarding/slots.go
@@ -111,7 +111,7 @@
 		if !fl.mayRunAt(t) || fl.limited(t) {
 			excluded = append(excluded, t.ID)
 			limited++
-		} else if fl.o.Loads.InBackoff(t.ID) {
+		} else if fl.o.Loads.InBackoff(t) {
 			excluded = append(excluded, t.ID)
 		}
 	}
@@ -180,7 +180,7 @@
 		return target, nil, false
 	}
 	fl.o.Loads.Begin(target)
-	return target, fl.o.CrashGuard.Begin(suspected, target.ID), true
+	return target, fl.o.CrashGuard.Begin(suspected, target.Run()), true
 }
 
 // chooseForSlot chooses the target for a slot that names none.
--- a/internal/forwarding/slots_budget_test.go
+++ b/internal/forwarding/slots_budget_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/coder/quartz"
 
+	"lynxhill.example/lynxhill/internal/fleet"
 	"lynxhill.example/lynxhill/internal/route"
 )
 
@@ -74,7 +75,7 @@
 // backoffs returns the targets in their backoff.
 func (l *Loads) backoffs() (ids []string) {
 	for _, id := range []string{"m0", "m1"} {
-		if l.InBackoff(id) {
+		if l.InBackoff(fleet.Target{ID: id}) {
 			ids = append(ids, id)
 		}
 	}
--- a/internal/forwarding/starts_test.go
+++ b/internal/forwarding/starts_test.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"io"
 	"net"
 	"testing"
 	"testing/synctest"
@@ -84,3 +85,49 @@
 		})
 	}
 }
+
+// Guards against suspected requests that share a target because the crash guard is told its id instead of its start when the
+// target was granted by the slot queue.
+func TestSuspectsAtGrantedTargetsThatStateTheirStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 2, func(_ *memoryTarget, conn net.Conn, _ string) {
+			time.Sleep(time.Second)
+			_, _ = io.WriteString(conn, wholeAnswer)
+		})
+		slots := r.enableSlots(t)
+		var listed []fleet.Target
+		list := func(id string) {
+			listed = append(listed, fleet.Target{ID: id, Service: "s", Address: id, Slots: 8, Started: 100})
+			r.view.Store(fleet.NewView(uint64(len(listed)), listed))
+			slots.coordinator.TargetsChanged()
+		}
+		call := func(body string) {
+			go r.call(t.Context(), inbound(route.Idempotent, false, false), body, 5*time.Second)
+			synctest.Wait()
+		}
+		list("m1")
+		for range 6 {
+			call("busy")
+		}
+		list("m0")
+		for _, body := range []string{"first", "second"} {
+			r.guard.RecordCrash(crashguard.Fingerprint("h/\x00", []byte(body)), crashguard.Crash{Target: "gone"})
+			call(body)
+		}
+		if a, b := len(r.targets["m0"].received), len(r.targets["m1"].received); a != 1 || b != 7 {
+			t.Errorf("two suspects, six others at m1: m0 got %d requests, m1 %d", a, b)
+		}
+	})
+}
+
+// Guards against a new start of a target that is avoided because the earlier one did not respond.
+func TestBackoffEndsWithTheStart(t *testing.T) {
+	r := newLoads(t)
+	r.targets[0].Started = 100
+	r.endFirst(NoResponse, nil)
+	before := r.InBackoff(r.targets[0])
+	r.targets[0].Started = 200
+	if after := r.InBackoff(r.targets[0]); !before || after {
+		t.Errorf("in backoff: earlier start %v, new start %v", before, after)
+	}
+}
