Stagework: the test of unknown members is free of data races

A timer's goroutine replaced a function and a bool that the test's goroutine read; go test -race reported it in TestJobsWaitUntilTheMembersAreKnown. One atomic.Bool decides both now; what the test requires is unchanged.

--- a/internal/stagework/finder_test.go
+++ b/internal/stagework/finder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -143,13 +144,15 @@
 // read the list of members.
 func TestJobsWaitUntilTheMembersAreKnown(t *testing.T) {
 	withFinder(t, func(f *Finder, r *fakeRemote, ranked []string) {
-		meeting := true
-		f.o.Joining = func() bool { return meeting }
-		f.o.Members = func() []string { return []string{f.o.Self} }
-		time.AfterFunc(150*ms, func() {
-			meeting = false
-			f.o.Members = func() []string { return ranked }
-		})
+		var known atomic.Bool
+		f.o.Joining = func() bool { return !known.Load() }
+		f.o.Members = func() []string {
+			if !known.Load() {
+				return []string{f.o.Self}
+			}
+			return ranked
+		}
+		time.AfterFunc(150*ms, func() { known.Store(true) })
 		if _, refusal := f.Accept(Job{}); refusal == nil || refusal.Reason != ReasonNoTarget {
 			t.Errorf("a job whose owner knows the members: %+v, want it accepted (and no target found)", refusal)
 		}
