Stagework: only priorities with recent demand have a floor

The floors of a service were divided by the number of all priorities that ever had a job, so that they shrank for good with each combination of priorities of organisations and routes.

--- a/internal/stagework/floor.go
+++ b/internal/stagework/floor.go
@@ -28,8 +28,15 @@
 }
 
 // floorShare is the part of the service's capacity that each lower priority keeps.
-func (s *serviceShares) floorShare() float64 {
-	return min(floorShare, maxFloors/float64(max(len(s.priorities)-1, 1)))
+// Priorities without recent demand have no floor.
+func (s *serviceShares) floorShare(now time.Time) float64 {
+	withDemand := 0
+	for _, k := range s.priorities {
+		if k.all.at(now).all() >= shareForgetBelow {
+			withDemand++
+		}
+	}
+	return min(floorShare, maxFloors/float64(max(withDemand-1, 1)))
 }
 
 // update adds what the floor, as a share of the time of n targets, is since the
@@ -60,8 +67,9 @@
 	healthy, _ := v.availability(now)
 	s.short = s.late.at(now).late > shortShare*float64(max(healthy, 1))*shareDecay.Seconds()
 	s.shortAt, s.owed = now, -1
+	share := s.floorShare(now)
 	for n, k := range s.priorities {
-		k.floor.update(s.floorShare(), healthy, now)
+		k.floor.update(share, healthy, now)
 		if k.all.at(now).late > 0 && k.floor.left > floorOwed*k.floor.most {
 			s.owed = max(s.owed, n)
 		}
@@ -88,7 +96,7 @@
 		k := s.service.shares.priority(j.Priority)
 		if k.floor.updated.IsZero() {
 			healthy, _ := s.service.availability(now)
-			k.floor.update(s.service.shares.floorShare(), healthy, now)
+			k.floor.update(s.service.shares.floorShare(now), healthy, now)
 		}
 		if k.floor.left < s.work || k.overuse(j.Organisation, now) > 0 {
 			return
--- a/internal/stagework/share_failures_test.go
+++ b/internal/stagework/share_failures_test.go
@@ -219,3 +219,22 @@
 		})
 	}
 }
+
+// TestFloorsCountPrioritiesWithDemand guards against floors that shrink for good with each
+// priority that ever had a job.
+func TestFloorsCountPrioritiesWithDemand(t *testing.T) {
+	var s serviceShares
+	began := time.Unix(1e9, 0)
+	for n := range 20 {
+		s.priority(n).all.add(1, began)
+	}
+	if share := s.floorShare(began); share > maxFloors/19+1e-9 {
+		t.Errorf("20 priorities: floors of %v each", share)
+	}
+	now := began.Add(time.Minute)
+	s.priority(0).all.add(1, now)
+	s.priority(1).all.add(1, now)
+	if share := s.floorShare(now); share != floorShare {
+		t.Errorf("2 of 20 priorities have demand: floors of %v, want %v", share, floorShare)
+	}
+}
