Stagework: reservations use the fairness of the job's priority

With shares, the routes' fairness is recorded by priority, but the time at which a returning caller is served was forecast from the records without shares, which are empty then. TestReturnsCountTheFairnessOfTheirPriority fails without the change. Comments beside it give reasons without measured figures.

--- a/internal/stagework/overload_end.go
+++ b/internal/stagework/overload_end.go
@@ -17,8 +17,7 @@
 	// blipRefusals is the number of refusals up to which an overload may be a random peak of the
 	// normal load, after which capacity is free as soon as the load of on-time jobs allows.
 	// Without this bound, the load at the beginning of a burst, which is measured over 2 s,
-	// is taken for that of the next seconds: of 45 reservations in a burst of twice the
-	// capacity, 14 were made then and were of no use.
+	// is taken for that of the next seconds, and reservations are made that are of no use.
 	blipRefusals = 8
 	// overloadEndMax bounds the Retry-After that says when an overload is over.
 	overloadEndMax = 10 * time.Second
--- a/internal/stagework/reservations.go
+++ b/internal/stagework/reservations.go
@@ -193,13 +193,11 @@
 //
 // The margin covers the wait as well, although it is over by then: the stages of a job that
 // waits here run while it waits for the next ones, those of a caller that comes back do not.
-// In a burst of twice the capacity, 0.57 of all callers were on time with twice the usual
-// margin for both, 0.54 with the usual one, and 0.47 with the usual one for the rest only.
 func (p *Planner) servedAfter(j *job, accepted *forecast, waits, needs time.Duration) time.Duration {
 	end := accepted.end(j)
 	rest := float64(max(end-waits, needs)) + returnMargin*float64(end)
 	if bottleneck := accepted.bottleneck(j); bottleneck != nil {
-		rest += bottleneck.fairness.waitPenalty(j.Route, accepted.now) * float64(max(end-needs, 0))
+		rest += bottleneck.fairnessFor(j).waitPenalty(j.Route, accepted.now) * float64(max(end-needs, 0))
 	}
 	return time.Duration(rest)
 }
--- a/internal/stagework/returns_test.go
+++ b/internal/stagework/returns_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"lynxhill.example/lynxhill/internal/route"
 )
 
 // returnsTally counts callers by what became of them. Objectives are measured from the
@@ -172,3 +174,23 @@
 		}
 	}
 }
+
+// TestReturnsCountTheFairnessOfTheirPriority guards against reservations that ignore, with
+// shares, that the route is served better than others: its jobs are refused, and the time at
+// which its callers would be on time is forecast too early.
+func TestReturnsCountTheFairnessOfTheirPriority(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	p := zonePlanner(true)
+	billing := []route.Stage{{Service: "billing", ResultBytes: 6000}}
+	for n := range 120 {
+		submitted(t, p, now, fmt.Sprint("queued ", n), billing, 6)
+	}
+	j := submitted(t, p, now, "job", billing, 6)
+	f, needs := p.acceptedForecast(j, now), p.remaining(j, now)
+	equal := p.servedAfter(j, f, 0, needs)
+	routes := p.services["billing"].fairnessFor(j)
+	routes.stats("other", now).requests, routes.stats("other", now).late = 100, 100
+	if better := p.servedAfter(j, f, 0, needs); better <= equal {
+		t.Errorf("served after %v although its route is served better, %v if it is not", better, equal)
+	}
+}
