--- a/internal/stagework/snapshot.go
+++ b/internal/stagework/snapshot.go
@@ -40,10 +40,21 @@
 // Snapshot returns the recent work of all services with shares, by cell and
 // service.
 func (d *Dispatcher) Snapshot() []ServiceSnapshot {
+	list := d.snapshots()
+	for i := range list { // sorting thousands of organisations takes too long for the lock
+		list[i].keepLargest()
+	}
+	slices.SortFunc(list, func(a, b ServiceSnapshot) int {
+		return cmp.Or(cmp.Compare(a.Cell, b.Cell), cmp.Compare(a.Service, b.Service))
+	})
+	return list
+}
+
+// snapshots returns the recent work of all services in no order.
+func (d *Dispatcher) snapshots() (list []ServiceSnapshot) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.o.Clock.Now()
-	var list []ServiceSnapshot
 	for _, p := range d.planners {
 		for _, v := range p.byName {
 			if len(v.shares.priorities) > 0 {
@@ -51,9 +62,6 @@
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b ServiceSnapshot) int {
-		return cmp.Or(cmp.Compare(a.Cell, b.Cell), cmp.Compare(a.Service, b.Service))
-	})
 	return list
 }
 
@@ -77,6 +85,11 @@
 			LargestProtected: r.protected(sizeLargest, now), LargeProtected: r.protected(sizeLarge, now),
 		})
 	}
+	return s
+}
+
+// keepLargest orders the organisations and routes by their work and keeps the first ones.
+func (s *ServiceSnapshot) keepLargest() {
 	slices.SortFunc(s.Organisations, func(a, b OrganisationSnapshot) int {
 		return cmp.Or(cmp.Compare(b.OnTime+b.Late, a.OnTime+a.Late), cmp.Compare(a.Organisation, b.Organisation), a.Priority-b.Priority)
 	})
@@ -85,7 +98,6 @@
 	})
 	s.Organisations = s.Organisations[:min(len(s.Organisations), maxSnapshotEntries)]
 	s.Routes = s.Routes[:min(len(s.Routes), maxSnapshotEntries)]
-	return s
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/stagework/snapshot_test.go
+++ b/internal/stagework/snapshot_test.go
@@ -25,6 +25,7 @@
 	o.requests.add(1, now)
 	v.shares.route("check", now).count(1, now)
 	s := v.snapshot("", now)
+	s.keepLargest()
 	if len(s.Organisations) != maxSnapshotEntries || len(s.Routes) != 1 {
 		t.Fatalf("%d organisations, %d routes", len(s.Organisations), len(s.Routes))
 	}
