Slotqueue: a priority whose requests take long gets its floor

What a lower priority may catch up was bounded by two typical requests of the service, so that one whose requests take more never had enough for one: 0 of 250 slots in TestFloorOfLongRequests, where a tenth of the work is 2. The bound is at least the largest request that waits; the tests of the package pass.

--- a/internal/slotqueue/dispatch.go
+++ b/internal/slotqueue/dispatch.go
@@ -191,7 +191,8 @@
 		case l == served:
 			l.credit = max(l.credit-work, 0)
 		case l.count > 0 && l.priority > q.levels[0].priority:
-			l.credit = min(l.credit+q.floorShare(l)*work, maxFloorCredit*q.work.typical("").Seconds())
+			most := max(maxFloorCredit*q.work.typical("").Seconds(), l.largest.Seconds())
+			l.credit = min(l.credit+q.floorShare(l)*work, most)
 		}
 	}
 }
--- a/internal/slotqueue/order.go
+++ b/internal/slotqueue/order.go
@@ -13,7 +13,8 @@
 	// combined are many, and a tenth for each would leave nothing to the most urgent one.
 	floorShare = 0.1
 	maxFloors  = 0.5
-	// maxFloorCredit bounds, in requests of the level, what a priority may catch up.
+	// maxFloorCredit bounds, in typical requests, what a priority may catch up; it is one of
+	// its own requests at least, or one that takes long would never get its slot.
 	maxFloorCredit = 2.0
 	// demandTime is the time constant over which the demand of a priority is measured.
 	demandTime = time.Second
@@ -62,6 +63,7 @@
 	late     time.Duration // work of those that can not
 	demand   rate          // work of arriving requests that can be on time
 	credit   float64       // seconds of work that the level may take from more urgent ones
+	largest  time.Duration // largest work of a request in the present busy period
 }
 
 // orgQueue holds the waiting requests of one organisation, each list by latest start.
@@ -99,6 +101,7 @@
 		l.onTime += w.work
 	}
 	l.count++
+	l.largest = max(l.largest, w.work)
 }
 
 func (l *level) remove(w *waiter) {
@@ -115,7 +118,7 @@
 	l.count--
 	if l.count == 0 { // the end of a busy period: nobody has got more at another's cost
 		clear(l.orgs)
-		l.virtual = 0
+		l.virtual, l.largest = 0, 0
 		return
 	}
 	l.forget(o)
--- a/internal/slotqueue/order_test.go
+++ b/internal/slotqueue/order_test.go
@@ -173,3 +173,33 @@
 		t.Errorf("%d of 50 slots to the most urgent priority, want nearly half; %d others got one", first, len(others))
 	}
 }
+
+// Guards against a lower priority that never gets its floor since each of its requests takes
+// many times as long as the others of the service.
+func TestFloorOfLongRequests(t *testing.T) {
+	r := newRig(t, Bounds{}, listed("t", 1))
+	r.q.work.add("long", 10*fakeWork, 1)
+	for range 300 {
+		r.q.work.add("short", fakeWork, 1)
+	}
+	r.granted(r.submit(ownerB, nil), "t")
+	long := make(map[uint64]bool)
+	for i := range 300 {
+		r.waits(r.submit(ownerA, func(q *Request) {
+			q.Route, q.OnTimeUntil, q.Deadline = "short", q.OnTimeUntil.Add(time.Hour), q.Deadline.Add(time.Hour)
+			if i%30 == 0 {
+				q.Route, q.Priority, long[q.ID] = "long", 1, true
+			}
+		}))
+	}
+	o, running, granted := ownerB, uint64(1), 0
+	for range 250 {
+		got := r.release(o, running, Unknown, nil)
+		if o, running = ownerA, got[0].ID; long[running] {
+			granted++
+		}
+	}
+	if granted < 1 || granted > 3 { // a tenth of the work is 1.5 s, of 0.6 s each
+		t.Errorf("%d of 250 slots to the long requests of the lower priority, want 2", granted)
+	}
+}
