--- a/internal/stagework/finder_test.go
+++ b/internal/stagework/finder_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -123,13 +124,13 @@
 		if at := slices.Index(ranked, "d"); at < 3 {
 			f.o.Self = ranked[3]
 		}
-		r.starting = true
-		time.AfterFunc(300*ms, func() { r.starting = false })
+		r.starting.Store(true)
+		time.AfterFunc(300*ms, func() { r.starting.Store(false) })
 		began := time.Now()
 		if got := answeredBy(t, f); got != ranked[0] || time.Since(began) > 400*ms {
 			t.Errorf("%s accepted the job after %v, the first-ranked instance was up after 300 ms", got, time.Since(began))
 		}
-		r.starting = true
+		r.starting.Store(true)
 		began = time.Now()
 		if got := answeredBy(t, f); got != "self" || time.Since(began) != startAttempts*startRetryInterval {
 			t.Errorf("%s accepted the job after %v although no instance starts", got, time.Since(began))
@@ -143,13 +144,15 @@
 // read the list of members.
 func TestJobsWaitUntilTheMembersAreKnown(t *testing.T) {
 	withFinder(t, func(f *Finder, r *fakeRemote, ranked []string) {
-		meeting := true
-		f.o.Joining = func() bool { return meeting }
-		f.o.Members = func() []string { return []string{f.o.Self} }
-		time.AfterFunc(150*ms, func() {
-			meeting = false
-			f.o.Members = func() []string { return ranked }
-		})
+		var known atomic.Bool
+		f.o.Joining = func() bool { return !known.Load() }
+		f.o.Members = func() []string {
+			if !known.Load() {
+				return []string{f.o.Self}
+			}
+			return ranked
+		}
+		time.AfterFunc(150*ms, func() { known.Store(true) })
 		if _, refusal := f.Accept(Job{}); refusal == nil || refusal.Reason != ReasonNoTarget {
 			t.Errorf("a job whose owner knows the members: %+v, want it accepted (and no target found)", refusal)
 		}
--- a/internal/stagework/reservations.go
+++ b/internal/stagework/reservations.go
@@ -198,7 +198,7 @@
 	end := accepted.end(j)
 	rest := float64(max(end-waits, needs)) + returnMargin*float64(end)
 	if bottleneck := accepted.bottleneck(j); bottleneck != nil {
-		rest += bottleneck.fairness.waitPenalty(j.Route, accepted.now) * float64(max(end-needs, 0))
+		rest += bottleneck.fairnessFor(j).waitPenalty(j.Route, accepted.now) * float64(max(end-needs, 0))
 	}
 	return time.Duration(rest)
 }
