Engine pace: the dispatcher uses the pace that engines state

Cause: engines that share their hosts are slow for about 0.6 s at a time. The dispatcher's moving average of their times to the first event follows after tens of answers, when the slow time is over.

Change: the owner passes the load of an engine's response head on with the event that the answer has begun (WorkUp.load). The dispatcher keeps the last pace of each engine and uses it, relative to the mean of all stated paces, in the predicted time to the first event, with a weight that halves every 300 ms; the moving average has the rest of the weight. Engines that state none, and peers that do not send the field, are treated as before.

--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -215,7 +215,7 @@
 		return ef.failed(ctx, target, true, ctx.Err())
 	}
 	ef.mayHaveRun = true
-	ef.assignment.AnswerStarted()
+	ef.assignment.AnswerStarted(head.Load)
 	ef.logResumed(target)
 	err = ef.stream.forward(sending, resp, target)
 	if err == nil {
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -12,6 +12,7 @@
 	"connectrpc.com/connect"
 
 	"lynxhill.example/lynxhill/internal/peer/peerpb"
+	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/stagework"
 )
 
@@ -162,7 +163,9 @@
 func (w *remoteWork) Decisions() <-chan stagework.Decision { return w.decisions }
 
 // AnswerStarted implements stagework.Assignment.
-func (w *remoteWork) AnswerStarted() { w.send(peerpb.WorkEvent_WORK_EVENT_BEGUN) }
+func (w *remoteWork) AnswerStarted(load *relay.Load) {
+	w.sendUp(&peerpb.WorkUp{Event: peerpb.WorkEvent_WORK_EVENT_BEGUN, Load: targetLoadToProto(load)})
+}
 
 // Rejected implements stagework.Assignment.
 func (w *remoteWork) Rejected(gone, failed bool) {
@@ -207,11 +210,13 @@
 }
 
 // send sends an event. If that fails, the dispatcher is detected as lost.
-func (w *remoteWork) send(e peerpb.WorkEvent) {
+func (w *remoteWork) send(e peerpb.WorkEvent) { w.sendUp(&peerpb.WorkUp{Event: e}) }
+
+func (w *remoteWork) sendUp(m *peerpb.WorkUp) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.ended {
-		_ = w.stream.Send(&peerpb.WorkUp{Event: e})
+		_ = w.stream.Send(m)
 	}
 }
 
@@ -255,7 +260,7 @@
 				return
 			}
 			silence.Reset(ownerSilenceTimeout)
-			applyEvent(t, m.GetEvent())
+			applyEvent(t, m)
 		}
 	}()
 	return sendDecisions(ctx, stream, t, ended)
@@ -307,10 +312,10 @@
 	return false, stream.Send(&peerpb.WorkDown{Target: d.Target, Address: d.Address, Inputs: d.Inputs, HasInputs: d.Inputs != nil})
 }
 
-func applyEvent(t stagework.Assignment, e peerpb.WorkEvent) {
-	switch e {
+func applyEvent(t stagework.Assignment, m *peerpb.WorkUp) {
+	switch m.GetEvent() {
 	case peerpb.WorkEvent_WORK_EVENT_BEGUN:
-		t.AnswerStarted()
+		t.AnswerStarted(targetLoadFromProto(m.GetLoad()))
 	case peerpb.WorkEvent_WORK_EVENT_REJECTED:
 		t.Rejected(false, false)
 	case peerpb.WorkEvent_WORK_EVENT_GONE:
--- a/internal/peer/work_test.go
+++ b/internal/peer/work_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/peer/peerpb"
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/route"
 	"lynxhill.example/lynxhill/internal/stagework"
@@ -27,11 +28,18 @@
 func (s *scriptedJob) Transferred()                         { s.events <- "moved" }
 func (s *scriptedJob) Results() []stagework.ResultRef       { return nil }
 func (s *scriptedJob) Dispatcher() string                   { return "b" }
-func (s *scriptedJob) AnswerStarted()                       { s.events <- "begun" }
+func (s *scriptedJob) AnswerStarted(l *relay.Load)          { s.events <- describeBegun(l) }
 func (s *scriptedJob) EngineFailed()                        { s.events <- "broke" }
 func (s *scriptedJob) End()                                 { s.events <- "end" }
 func (s *scriptedJob) Rejected(gone, failed bool)           { s.events <- fmt.Sprint("rejected ", gone, failed) }
 
+func describeBegun(l *relay.Load) string {
+	if l == nil {
+		return "begun"
+	}
+	return fmt.Sprint("begun ", *l)
+}
+
 // startScriptedServer serves a scriptedJob; its client connects through a faultyProxy.
 func startScriptedServer(t *testing.T) (*scriptedJob, *Client, *faultyProxy) {
 	s := &scriptedJob{make(chan stagework.Decision, 8), make(chan string, 64)}
@@ -120,7 +128,7 @@
 			t.Errorf("placed %#v instead of %#v", got, later)
 		}
 	}
-	a.AnswerStarted()
+	a.AnswerStarted(nil)
 	a.EngineFailed()
 	expectEvents(t, s, "begun", "broke")
 	a.End()
@@ -135,6 +143,20 @@
 	expectEvents(t, s, "end")
 }
 
+// Guards against a pace that does not reach the dispatcher, and against a dispatcher that
+// takes the absence of a load, as sent by owners of an earlier version, for a pace.
+func TestLoadOfAnEngineReachesTheDispatcher(t *testing.T) {
+	s, client, _ := startScriptedServer(t)
+	a := submit(t, client)
+	a.AnswerStarted(&relay.Load{Running: 3, Waiting: 1, Slots: 64, Pace: 2.5})
+	expectEvents(t, s, "begun {3 1 64 2.5}")
+	a.AnswerStarted(&relay.Load{Running: 3, Slots: 64})
+	expectEvents(t, s, "begun {3 0 64 0}")
+	a.(*remoteWork).send(peerpb.WorkEvent_WORK_EVENT_BEGUN) // as an earlier version
+	expectEvents(t, s, "begun")
+	a.End()
+}
+
 // Guards against an engine that fails requests and gets further ones. The owner reports the
 // failure and ends the job right after that; the end must not arrive before the report.
 func TestWhatIsToldBeforeTheEndArrivesBeforeIt(t *testing.T) {
@@ -228,7 +250,7 @@
 		t.Errorf("decision %+v after %v", d, time.Since(began))
 	}
 	expectEvents(t, s, "end") // at the dispatcher, the job's owner is gone
-	a.AnswerStarted()
+	a.AnswerStarted(nil)
 	a.End()
 }
 
--- a/internal/stagework/engine.go
+++ b/internal/stagework/engine.go
@@ -32,6 +32,7 @@
 	tokens        int64   // memory taken by those jobs, in tokens
 	prefillTokens int     // prompt tokens to process for placed jobs whose answer has not started
 	latencyRatio  float64 // moving average of actual to predicted time to the first event
+	pace          enginePace
 	failures      int
 	pausedUntil   time.Time
 	cachedParts   map[string]*list.Element // prompt parts assumed to be cached
@@ -173,6 +174,7 @@
 	redundantBuf   []int     // buffer of redundantTokens
 	prefillRate    float64   // tokens per millisecond of one engine
 	firstEventBase float64   // milliseconds to the first event, without prefill
+	meanPace       float64   // mean of the engines' stated paces; 0 = none has been stated
 	reuseWindow    time.Duration
 	partUses       map[string]partUse // by ID of the prompt part
 	// pruneAt is the number of recorded parts at which unused ones are pruned
--- a/internal/stagework/engine_choice.go
+++ b/internal/stagework/engine_choice.go
@@ -36,12 +36,12 @@
 
 // predictFirstEvent predicts the time to the first event, in milliseconds, if
 // the job went to the engine now.
-func (p *pool) predictFirstEvent(e *engine, uncachedTokens int) float64 {
+func (p *pool) predictFirstEvent(e *engine, uncachedTokens int, now time.Time) float64 {
 	queue := 0.0
 	if over := e.running - p.limits.Slots; p.limits.Slots > 0 && over >= 0 {
 		queue = p.firstEventBase * float64(over+1)
 	}
-	return (float64(e.prefillTokens+uncachedTokens)/p.prefillRate + p.firstEventBase + queue) * e.latencyRatio
+	return (float64(e.prefillTokens+uncachedTokens)/p.prefillRate + p.firstEventBase + queue) * p.slowness(e, now)
 }
 
 // choose returns the engine with the least cost for the job and the prompt
@@ -72,7 +72,7 @@
 	if p.policy.LeastLoaded {
 		return p.loadCost(e, j), all
 	}
-	first := p.predictFirstEvent(e, all)
+	first := p.predictFirstEvent(e, all, now)
 	cost := firstEventWeight * first
 	if late := first - float64(j.OnTimeUntil.Sub(now).Milliseconds()); late > 0 && now.Before(j.OnTimeUntil) {
 		cost += lateWeight * late
--- a/internal/stagework/fake_targets_test.go
+++ b/internal/stagework/fake_targets_test.go
@@ -402,7 +402,7 @@
 			continue
 		}
 		time.Sleep(firstEvent)
-		assignment.AnswerStarted()
+		assignment.AnswerStarted(nil)
 		e.engine, e.at = d.Target, time.Now()
 		time.Sleep(4 * firstEvent)
 		return e
--- a/internal/stagework/faults_test.go
+++ b/internal/stagework/faults_test.go
@@ -134,7 +134,7 @@
 		if first.Refusal != nil || second.Refusal != nil || !w.engineInputsPresent(j, second.Inputs) {
 			t.Errorf("placed %+v, then %+v", first, second)
 		}
-		assignment.AnswerStarted()
+		assignment.AnswerStarted(nil)
 		assignment.End()
 	})
 }
--- a/internal/stagework/local_assignment.go
+++ b/internal/stagework/local_assignment.go
@@ -1,6 +1,10 @@
 package stagework
 
-import "time"
+import (
+	"time"
+
+	"lynxhill.example/lynxhill/internal/relay"
+)
 
 // Decision is a placement, or the end of a job if Refusal is set, or one of the
 // events below.
@@ -23,8 +27,9 @@
 	// Decisions returns the channel of the job's placements; each rejected one
 	// is followed by another. It is never closed.
 	Decisions() <-chan Decision
-	// AnswerStarted reports that the engine's answer has started.
-	AnswerStarted()
+	// AnswerStarted reports that the engine's answer has started, with the load
+	// that the engine stated; nil = it stated none.
+	AnswerStarted(load *relay.Load)
 	// Rejected reports that the engine did not run the request, so that another
 	// engine is needed. inputsLost reports that inputs were lost, failed that
 	// the engine did not respond correctly.
@@ -76,8 +81,11 @@
 func (t *LocalAssignment) Decisions() <-chan Decision { return t.decisions }
 
 // AnswerStarted implements Assignment.
-func (t *LocalAssignment) AnswerStarted() {
-	t.update(func(p *Planner, now time.Time) { p.answerStarted(t.j, now) })
+func (t *LocalAssignment) AnswerStarted(load *relay.Load) {
+	t.update(func(p *Planner, now time.Time) {
+		p.statePace(t.j, load, now)
+		p.answerStarted(t.j, now)
+	})
 }
 
 // Rejected implements Assignment.
