Stage crashes: dispatchers tell the crash guard and ask it

Cause: calls of stage targets neither asked nor told the crash guard.

Change: after a failed call, the dispatcher has the guard check whether the target's process has ended; its pieces wait for that for at most 100 ms, not after a timeout. What the check misses, another target at the address within 8 s shows. A crash counts for each key (organisation and piece key) with pieces in the call, if the call was sent after the crash before. A suspect shares calls, and targets with several calls, with no other suspect; completing all pieces clears it. After three crashes it is refused by the dispatcher, also while it waits, and by the ingress of all instances, and tried again as the other rows are. The dispatcher accepts a trial because the job's owner is the instance that tries the key and the time has come, so the messages need no field. stagework.CrashGuard is the interface; internal/edge implements it. Events 4206, 4207; metrics edge_stage_crashes_total and edge_engine_pace_percent.

--- a/internal/crashguard/policy.go
+++ b/internal/crashguard/policy.go
@@ -12,6 +12,7 @@
 	kindRequest kind = iota // a request's fingerprint
 	kindPart                // a prompt part of an organisation
 	kindAnyPart             // a prompt part, whatever the organisation
+	kindPiece               // requests with a piece key of an organisation
 )
 
 // Prefixes of the keys of parts. A fingerprint has no dot.
@@ -26,6 +27,8 @@
 		return kindPart
 	case strings.HasPrefix(key, anyPartPrefix):
 		return kindAnyPart
+	case strings.HasPrefix(key, piecePrefix):
+		return kindPiece
 	}
 	return kindRequest
 }
@@ -50,6 +53,8 @@
 		return policy{limit: partLimit}
 	case kindAnyPart:
 		return policy{limit: partLimit, variants: anyPartVariants}
+	case kindPiece:
+		return policy{limit: pieceLimit}
 	}
 	return policy{limit: g.opts.Limit}
 }
--- a/internal/crashguard/trial.go
+++ b/internal/crashguard/trial.go
@@ -115,9 +115,12 @@
 }
 
 // ownsTrial reports whether this instance is the one that tries the request again.
-func (g *Guard) ownsTrial(key string) bool {
+func (g *Guard) ownsTrial(key string) bool { return g.trialOwner(key) == g.opts.Self }
+
+// trialOwner returns the instance that tries the key again.
+func (g *Guard) trialOwner(key string) string {
 	if g.opts.Self == "" {
-		return true
+		return ""
 	}
-	return rendezvous.Top(key, g.opts.Board.LiveMembers(g.opts.Self), 1)[0] == g.opts.Self
+	return rendezvous.Top(key, g.opts.Board.LiveMembers(g.opts.Self), 1)[0]
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -264,6 +264,7 @@
 		RateLimits: stagework.RateLimits{Self: i.id(), Cold: i.cold, Limited: i.limited, Notices: i.notices},
 		Reuse:      i.cfg.Ingress.ReuseWindow.Duration,
 		First:      func(c stagework.Cell) (string, bool) { return i.finder.First(c) },
+		CrashGuard: stageGuard{i.guard},
 	})
 	i.finder = stagework.NewFinder(stagework.FinderOptions{
 		Self: i.id(), Local: i.dispatcher, Remote: i.peers,
@@ -285,6 +286,8 @@
 	})
 	i.applyLimits()
 	i.publish()
+	i.publishStageCrashes()
+	i.publishEnginePace()
 }
 
 // openServers opens the listeners.
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -320,6 +320,8 @@
 	}
 	kind := errkind.DeadlineUnreachable
 	switch r.Reason {
+	case stagework.ReasonCrashes:
+		kind = errkind.RefusedAfterCrashes
 	case stagework.ReasonNoTarget:
 		kind = errkind.NoTarget
 	case stagework.ReasonIsolated:
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -130,6 +130,7 @@
 	headSent       bool
 	sentAt         time.Time       // start of the last attempt
 	cachedPartKeys []string        // cached result of partKeys; nil = not computed yet
+	cachedPieceKey string          // cached key of pieceKeys; "" = not computed yet
 	firstEvent     bool            // the target of the last attempt has brought an event, or a byte of another response
 	trial          bool            // the crash guard refuses such requests and tries this one
 	cachedIdentity *identity       // cached result of identity; nil = not computed yet
--- a/internal/forwarding/identity.go
+++ b/internal/forwarding/identity.go
@@ -83,7 +83,7 @@
 
 // guardKeys returns all keys under which the crash guard may know the request.
 func (fl *flight) guardKeys() []string {
-	return append(fl.identity().fingerprints(), fl.partKeys()...)
+	return slices.Concat(fl.identity().fingerprints(), fl.partKeys(), fl.pieceKeys())
 }
 
 // partKeys returns the keys of the parts of the prompt, nil while the crash guard has no
@@ -100,6 +100,18 @@
 	return fl.cachedPartKeys
 }
 
+// pieceKeys returns the key under which stage targets may have crashed that ran pieces of
+// the request; nil while the crash guard has no use for it.
+func (fl *flight) pieceKeys() []string {
+	if fl.Request.PieceKey == "" || len(fl.Route.Stages) == 0 || !fl.o.CrashGuard.MaySuspect() {
+		return nil
+	}
+	if fl.cachedPieceKey == "" {
+		fl.cachedPieceKey = crashguard.PieceKey(fl.organisation(), fl.Request.PieceKey)
+	}
+	return []string{fl.cachedPieceKey}
+}
+
 // organisation returns the name of the caller's organisation; "" = none.
 func (fl *flight) organisation() string {
 	if fl.Organisation == nil {
--- a/internal/stagework/build.go
+++ b/internal/stagework/build.go
@@ -13,6 +13,9 @@
 	if j.pool.lacksBuild(j) {
 		return &Refusal{Reason: ReasonNoBuild}
 	}
+	if refusal := p.judgeNew(j); refusal != nil {
+		return refusal
+	}
 	byStage := make([]*workUnit, len(j.Stages))
 	for i, st := range j.Stages {
 		n := j.pieces(i)
--- a/internal/stagework/calls.go
+++ b/internal/stagework/calls.go
@@ -50,7 +50,7 @@
 		if left <= 0 {
 			break
 		}
-		if u.waiting == 0 || u.waiting > left || p.pickTarget(r, u) != s {
+		if u.waiting == 0 || u.waiting > left || !u.mayJoin(g.units) || p.pickTarget(r, u) != s {
 			continue
 		}
 		if u.waitingBytes() > free {
@@ -105,6 +105,7 @@
 	c.nominal = v.callTime(len(c.pieces))
 	c.expected = time.Duration(float64(c.nominal) * max(s.latencyRatio, v.latencyRatio))
 	s.calls++
+	s.running = append(s.running, c)
 	s.recordCall(now)
 	s.busyUntil = now.Add(c.expected)
 	r.refresh(s)
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -40,6 +40,8 @@
 	// First returns the instance that should schedule for the cell, and whether
 	// that instance is known to be reachable. nil = this instance should.
 	First func(Cell) (instance string, sure bool)
+	// CrashGuard knows which requests crashed stage targets; nil = nothing is known.
+	CrashGuard CrashGuard
 }
 
 // Dispatcher carries out the decisions of its planners. It is safe for
@@ -58,6 +60,8 @@
 	wakeScheduled   bool
 	releases        releaseBatch // results to be released
 	limitedReleases releaseBatch // results to be released by targets that announce a limit
+	undecided       []brokenCall // calls of which it is not known whether their target crashed
+	crashCounts     CrashCounts
 }
 
 // releaseBatch holds the handles of results to be released together.
@@ -85,6 +89,7 @@
 	var p *Planner
 	p = NewPlanner(func(address string, handles []string) { d.release(releaseDest{p, address}, handles) })
 	p.cell, p.bounds = cell, d.o.RateLimits
+	p.crashes = d.newCrashes(p)
 	if d.o.Reuse > 0 {
 		p.reuseWindow = d.o.Reuse
 	}
@@ -106,6 +111,7 @@
 	defer d.mu.Unlock()
 	d.table, d.view = table, view
 	d.cells = d.partition.Update(table, view)
+	d.decideBrokenCalls()
 	for _, p := range d.planners {
 		p.SetTargets(table, p.cell.within(view))
 		p.setRetired(!p.cell.among(d.cells))
@@ -272,6 +278,9 @@
 		results = nil
 	}
 	timedOut := err != nil && !noSlot && errors.Is(ctx.Err(), context.DeadlineExceeded)
+	if err != nil && !noSlot {
+		d.checkCrash(c, target, timedOut)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if timedOut {
--- a/internal/stagework/engine_pace.go
+++ b/internal/stagework/engine_pace.go
@@ -57,3 +57,29 @@
 	weight := math.Exp2(-float64(max(now.Sub(e.pace.at), 0)) / float64(paceHalfLife))
 	return e.latencyRatio + weight*(e.pace.value/p.meanPace-e.latencyRatio)
 }
+
+// EnginePaces summarises the last paces that engines have stated.
+type EnginePaces struct {
+	Stating       int // engines that have stated one
+	Mean, Slowest float64
+}
+
+// EnginePaces returns the summary of the engines that this dispatcher schedules
+// for.
+func (d *Dispatcher) EnginePaces() (all EnginePaces) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.planners {
+		for _, o := range p.pools {
+			for _, e := range o.byID {
+				if e.pace.value > 0 {
+					all.Stating++
+					all.Mean += e.pace.value
+					all.Slowest = max(all.Slowest, e.pace.value)
+				}
+			}
+		}
+	}
+	all.Mean /= float64(max(all.Stating, 1))
+	return all
+}
--- a/internal/stagework/engine_pace_test.go
+++ b/internal/stagework/engine_pace_test.go
@@ -258,4 +258,8 @@
 	if e.pace.value != maxPace {
 		t.Errorf("pace %v after the end of the job", e.pace.value)
 	}
+	d := &Dispatcher{planners: map[string]*Planner{"": c.Planner}}
+	if got := d.EnginePaces(); got != (EnginePaces{Stating: 1, Mean: maxPace, Slowest: maxPace}) {
+		t.Errorf("summary %+v", got)
+	}
 }
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -126,6 +126,7 @@
 	ReasonFailed   = "pieces failed too often"
 	ReasonIsolated = "the other instances are not reached"
 	ReasonNotFirst = "another instance ranks first"
+	ReasonCrashes  = "stage targets crashed while they ran such requests"
 )
 
 // call is a call of a stage target that the planner has decided on.
@@ -218,6 +219,7 @@
 	onResults      func([]ResultRef) // reports results to the owner; nil = they are not reported
 	onReturn       func([]ResultRef) // returns the job with its results to the owner
 	returning      bool              // to be returned to the owner once none of its pieces is running
+	suspicion      suspicion
 }
 
 // resultsReady reports whether all results that the engine reads are available.
--- a/internal/stagework/placement.go
+++ b/internal/stagework/placement.go
@@ -12,6 +12,7 @@
 	}
 	j.engine, j.uncachedTokens, j.placedAt = e, uncachedTokens, now
 	p.dequeueJob(j, jobPlaced)
+	p.stagesCompleted(j)
 	e.running++
 	e.tokens += j.tokens()
 	e.prefillTokens += uncachedTokens
--- a/internal/stagework/plan.go
+++ b/internal/stagework/plan.go
@@ -42,6 +42,7 @@
 	counts, staging := p.counts, len(p.arrivalQueue.jobs)
 	p.dueAt = now.Add(maxPlanInterval)
 	p.expire(now)
+	p.judgeAll(now)
 	p.placeAll(now)
 	p.returnJobs(now)
 	var calls []*call
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -50,6 +50,7 @@
 	bounds     RateLimits
 	leadership leadership
 	policy     Policy
+	crashes    crashes
 }
 
 // Counts holds counters of a planner since its start. Errors counts failed
--- a/internal/stagework/results.go
+++ b/internal/stagework/results.go
@@ -116,6 +116,7 @@
 func (p *Planner) callFinished(c *call, results []relay.PieceResult, noSlot bool, now time.Time) {
 	s := c.target
 	s.calls--
+	s.running = slices.DeleteFunc(s.running, func(o *call) bool { return o == c })
 	switch {
 	case noSlot:
 		p.counts.NoSlot++
--- a/internal/stagework/round.go
+++ b/internal/stagework/round.go
@@ -154,6 +154,9 @@
 
 // canMake reports whether the target may run the unit's pieces after the wait.
 func (r *round) canMake(c *candidate, u *workUnit, wait time.Duration, last time.Time) bool {
+	if c.free && c.runsOtherSuspect(u) {
+		return false
+	}
 	if c.free {
 		return c.fits(u.resultBytes, r.now) && !r.fasterElsewhere(c)
 	}
--- a/internal/stagework/service.go
+++ b/internal/stagework/service.go
@@ -50,6 +50,7 @@
 	service      *service
 	removed      bool // no longer listed; kept until its calls have ended
 	calls        int
+	running      []*call
 	busyUntil    time.Time
 	usedBytes    int64   // result memory reserved for running pieces or taken by results
 	latencyRatio float64 // moving average of actual to nominal call time
