Stage crashes: the test changes its target list under a lock

go test -race reported two targets that crash at once and both change the list of testEnv; the fault is in the test alone. With the lock, go test -race ./internal/stagework -run 'Crash|Trial|WaitingJob|Suspects|Pace|Slowness' passes.

--- a/internal/stagework/crash_guard_test.go
+++ b/internal/stagework/crash_guard_test.go
@@ -44,6 +44,8 @@
 	*testEnv
 	guard guardAdapter
 
+	listMu sync.Mutex // held while the target list changes
+
 	mu      sync.Mutex // guards all below
 	bad     map[string]bool
 	crashed []string            // ids of the targets, in order
@@ -84,6 +86,8 @@
 		return w.testEnv.fake.Run(ctx, t, pieces)
 	}
 	time.Sleep(20 * ms)
+	w.listMu.Lock()
+	defer w.listMu.Unlock()
 	w.removeTarget(t.ID)
 	return nil, false, errors.New("connection reset")
 }
