Soak: requests whose pieces crash stage servers

Cause: the soak sent requests and parts of prompts that crash servers, and nothing that crashes stage servers.

Change: a third kind, requests with one piece key, begins at a drawn moment after the others or before; the same judge counts what reaches servers.

--- a/deploy/soak/poison.go
+++ b/deploy/soak/poison.go
@@ -16,14 +16,16 @@
 const (
 	poisonPath     = "/talk/bad"
 	poisonPart     = "bad"
+	poisonPieceKey = "bad"
 	poisonBack     = 1200 * time.Millisecond // after which a crashed server is back
 	poisonInterval = 120 * time.Millisecond
 	minPoisonPause = 2 * time.Second
-	maxPoisonPause = 6 * time.Second // before the first of the two begins, and between them
+	maxPoisonPause = 6 * time.Second // before the first kind begins, and between the kinds
 )
 
 // poison sends what crashes servers: from some moment on a request whose query differs each
-// time, from another one on requests with one part in their prompts, no two alike.
+// time, from another one on requests with one part in their prompts, no two alike, and from
+// a third one on requests whose pieces crash stage servers.
 type poison struct {
 	instances []instanceSpec
 	client    map[string]*emulator.Client // by id of the instance
@@ -60,8 +62,8 @@
 
 // run sends until ctx ends, then waits for the answers.
 func (p *poison) run(ctx context.Context, w *emulator.World, note func(kind, subject string)) {
-	w.SetPoison(emulator.Poison{PathPrefix: poisonPath, Parts: []string{poisonPart}, BackAfter: poisonBack, SameAddress: p.random.IntN(2) == 0})
-	kinds := []string{"poison-request", "poison-part"}
+	w.SetPoison(emulator.Poison{PathPrefix: poisonPath, Parts: []string{poisonPart}, PieceKeys: []string{poisonPieceKey}, BackAfter: poisonBack, SameAddress: p.random.IntN(2) == 0})
+	kinds := []string{"poison-request", "poison-part", "poison-pieces"}
 	p.random.Shuffle(len(kinds), func(a, b int) { kinds[a], kinds[b] = kinds[b], kinds[a] })
 	var working sync.WaitGroup
 	defer working.Wait()
@@ -90,7 +92,12 @@
 		Method: "POST", Host: host, Path: fmt.Sprintf("%s?n=%d", poisonPath, n), Kind: emulator.Streaming, Key: "k",
 		Body: []byte("bad"), Deadline: askTime, Header: http.Header{"Model": {"m"}, "Token-Counts": {"40,20"}, "Prompt-Prefix": {fmt.Sprintf("a1:20,q%d:20", n)}},
 	}
-	if kind == "poison-part" {
+	switch kind {
+	case "poison-pieces":
+		ask.Path, ask.Body = fmt.Sprintf("/staged/p%d", n), fmt.Appendf(nil, "bad pieces %d", n)
+		ask.Header.Set("Piece-Count", "1,1")
+		ask.Header.Set("Piece-Key", poisonPieceKey)
+	case "poison-part":
 		ask.Path, ask.Body = fmt.Sprintf("/talk/p%d", n), fmt.Appendf(nil, "bad part %d", n)
 		ask.Header.Set("Prompt-Prefix", fmt.Sprintf("a1:20,%s:20,q%d:20", poisonPart, n))
 	}
