--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -218,7 +218,7 @@
 		return ef.failed(ctx, target, true, ctx.Err())
 	}
 	ef.mayHaveRun = true
-	ef.assignment.AnswerStarted()
+	ef.assignment.AnswerStarted(head.Load)
 	ef.logResumed(target)
 	err = ef.stream.forward(sending, resp, target)
 	if err == nil {
@@ -326,6 +326,8 @@
 	}
 	kind := errkind.DeadlineUnreachable
 	switch r.Reason {
+	case stagework.ReasonCrashes:
+		kind = errkind.RefusedAfterCrashes
 	case stagework.ReasonNoTarget:
 		kind = errkind.NoTarget
 	case stagework.ReasonIsolated:
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -62,7 +62,8 @@
 	lateCheckedAt time.Time
 	// onLate is called with each job that becomes late by a rule of the shares;
 	// nil = it is not reported.
-	onLate func(*job, Rule)
+	onLate  func(*job, Rule)
+	crashes crashes
 }
 
 // Counts holds counters of a planner since its start. Errors counts failed
