--- a/internal/slotqueue/coordinator_test.go
+++ b/internal/slotqueue/coordinator_test.go
@@ -180,17 +180,19 @@
 		s.Submit(ask(1))
 		s.Submit(ask(2)) // waits
 		sh := c.shards[shardKey{fakeService, 0}]
-		pending := sh.timer
+		timer := func() *quartz.Timer {
+			sh.mu.Lock()
+			defer sh.mu.Unlock()
+			return sh.timer
+		}
+		pending := timer()
 		sh.tick()
-		if sh.timer != pending {
+		if timer() != pending {
 			t.Error("a late tick replaced the pending timer, which still runs")
 		}
 		time.Sleep(2 * waitingInterval)
 		synctest.Wait()
-		sh.mu.Lock()
-		replaced := sh.timer != pending && sh.timer != nil
-		sh.mu.Unlock()
-		if !replaced {
+		if next := timer(); next == nil || next == pending {
 			t.Error("no further tick is due although a request waits")
 		}
 		s.Cancel(2)
