Stage crashes: a target that starts again under its id has crashed

A call that broke at a target whose entry then shows a later start, without its end having been announced, is a crash; only another target at the address counted before. Crashes are recorded under the name of the start. TestCrashIsSeenInTheTargetList has the case; without the change it fails ("started again true: suspected false").

--- a/internal/stagework/crash_check.go
+++ b/internal/stagework/crash_check.go
@@ -101,7 +101,7 @@
 }
 
 // decideBrokenCalls counts the crashes that the target list shows: another target
-// has the address of one whose call failed. A target that announced its end has
+// has the address of one whose call failed, or that one has started again. A target that announced its end has
 // not crashed. The caller holds the lock.
 func (d *Dispatcher) decideBrokenCalls() {
 	if d.view == nil || len(d.undecided) == 0 {
@@ -114,7 +114,8 @@
 			return true
 		}
 		next, taken := d.view.AtAddress(b.target.Address)
-		if !taken || next == b.target.ID {
+		again := known && listed.Succeeds(b.target)
+		if !again && (!taken || next == b.target.ID) {
 			return false
 		}
 		go d.recordCrash(b, "list")
@@ -143,6 +144,6 @@
 	d.o.Logger.Log(event.StageTargetCrashed, "target", b.target.ID, "seen", seen, "pieces", len(b.call.pieces), "keys", len(keys),
 		"sent_ms_ago", now.Sub(b.call.sent).Milliseconds(), "broke_ms_ago", now.Sub(b.broke).Milliseconds(), "requests", strings.Join(requests, ","))
 	for _, key := range keys {
-		d.o.CrashGuard.RecordCrash(key, TargetCrash{Target: b.target.ID, Sent: b.call.sent, Broke: b.broke})
+		d.o.CrashGuard.RecordCrash(key, TargetCrash{Target: b.target.Run(), Sent: b.call.sent, Broke: b.broke})
 	}
 }
--- a/internal/stagework/crash_guard_test.go
+++ b/internal/stagework/crash_guard_test.go
@@ -234,12 +234,15 @@
 }
 
 // TestCrashIsSeenInTheTargetList guards against a crash that no new connection
-// shows, because another target has the address at once. A target that leaves
-// as announced has not crashed.
+// shows, because another target has the address at once, or the same one has
+// started again there. A target that leaves as announced has not crashed.
 func TestCrashIsSeenInTheTargetList(t *testing.T) {
-	for _, draining := range []bool{false, true} {
+	for _, c := range []struct{ draining, again bool }{{false, false}, {true, false}, {false, true}, {true, true}} {
+		draining, again := c.draining, c.again
 		withCrashes(t, 2, nil, func(w *crashEnv) {
 			w.hidden = true
+			w.targets[2].Started = 100
+			w.publish()
 			c := &call{sent: time.Now(), pieces: []*piece{{unit: &workUnit{job: &job{Job: keyed("j", "k", 1)}}}}}
 			w.d.checkCrash(c, w.targets[2], false)
 			time.Sleep(time.Second)
@@ -251,14 +254,18 @@
 				w.publish()
 			}
 			address := w.targets[2].Address
-			w.targets[2] = fleet.Target{ID: "next", Service: "cut", Address: address, Zone: "p0"}
+			next := fleet.Target{ID: "next", Service: "cut", Address: address, Zone: "p0", Started: 200}
+			if again {
+				next.ID = w.targets[2].ID
+			}
+			w.targets[2] = next
 			w.fake.mu.Lock()
 			w.fake.targets["next"] = w.fake.targets["cut0"]
 			w.fake.mu.Unlock()
 			w.publish()
 			time.Sleep(ms)
 			if suspected := w.guard.Suspected(w.guard.Key("o", "k")); suspected == draining {
-				t.Errorf("announced its end %v: suspected %v", draining, suspected)
+				t.Errorf("announced its end %v, started again %v: suspected %v", draining, again, suspected)
 			}
 		})
 	}
