Reservations: a long overload does not set the usual length of overloads

An overload of an hour raised the usual length to 18 minutes, so that callers of the next bursts were told of no time to come back at. What counts is bounded by the longest time that callers are told. TestALongOverloadDoesNotSetTheUsualLength fails without the change (18m4s of the next overload are forecast to be left).

--- a/internal/stagework/overload_end.go
+++ b/internal/stagework/overload_end.go
@@ -40,7 +40,8 @@
 func (o *overloads) note(now time.Time) {
 	if o.began.IsZero() || now.Sub(o.latest) > overloadGap {
 		if o.refusals > blipRefusals { // a random peak says nothing about the length of overloads
-			o.length = o.usual() + time.Duration(overloadLengthWeight*float64(o.latest.Sub(o.began)-o.usual()))
+			lasted := min(o.latest.Sub(o.began), overloadEndMax) // callers are told of no longer time
+			o.length = o.usual() + time.Duration(overloadLengthWeight*float64(lasted-o.usual()))
 		}
 		o.began, o.refusals = now, 0
 	}
--- a/internal/stagework/overload_end_test.go
+++ b/internal/stagework/overload_end_test.go
@@ -54,3 +54,19 @@
 		t.Errorf("%v of the overload are left, want %v", left, want)
 	}
 }
+
+// Guards against an overload of an hour after which callers of short ones are told for
+// several bursts that they last minutes.
+func TestALongOverloadDoesNotSetTheUsualLength(t *testing.T) {
+	var o overloads
+	now := time.Unix(1000, 0)
+	for range 7200 {
+		o.note(now)
+		now = now.Add(500 * ms)
+	}
+	now = now.Add(time.Minute)
+	o.note(now)
+	if left := o.left(now); left > overloadEndMax {
+		t.Errorf("%v of the next overload are forecast to be left", left)
+	}
+}
