Edge: what is in force of the overload control is determined under a lock

A change of settings and the first stated pace could be applied in the wrong order, and the older result stayed until the next change. Found by review; there is no test of the race.

--- a/internal/edge/overload.go
+++ b/internal/edge/overload.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -17,6 +18,7 @@
 
 // overload is what is in force of the overload control.
 type overload struct {
+	mu      sync.Mutex  // held while what is in force is determined, so that the newest result is kept
 	paced   atomic.Bool // a target has stated its pace
 	current atomic.Pointer[stagework.Overload]
 }
@@ -33,6 +35,8 @@
 // updateOverload applies the settings of the overload control to what is known of the
 // deployment.
 func (i *Instance) updateOverload() {
+	i.overload.mu.Lock()
+	defer i.overload.mu.Unlock()
 	demanded := i.adapter.ScarceCapacity || i.overload.paced.Load()
 	settings := i.inForce.Load().Overload
 	o := stagework.Overload{
