--- a/internal/slotqueue/acceptance_test.go
+++ b/internal/slotqueue/acceptance_test.go
@@ -10,8 +10,8 @@
 // minOnTime is the part of the requests that must be answered in time.
 const minOnTime = 0.985
 
-// Guards against a queue that sends requests to targets that are slow at the moment:
-// reading load reports as they come gave 0.833 at 420 requests a second.
+// Guards against a queue that sends requests to targets that are slow at the moment, or all
+// of them to the target that was empty a moment ago.
 func TestShareOnTimeWithTargetsThatTurnSlow(t *testing.T) {
 	seed := uint64(0)
 	for _, rate := range []float64{117, 330, 420} {
