Reservations: copies tell the promise and the first arrival

Found by review: after the loss of a dispatcher its successor took every reservation for one of a caller that will be late, and a caller whose job had waited before it was refused was judged from the refusal on. Jobs now carry when their owner received the request, refusals whether the caller will be on time, and copies both. Older instances send neither; then the objective counts from the submission, as before.

--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -122,7 +122,7 @@
 	aim, deadline := ef.nextEventTimes()
 	j := stagework.Job{
 		ID: ef.Request.ID, Key: ef.Request.PieceKey, Route: ef.Route.Name, Priority: ef.priority(), RoutePriority: ef.Route.Priority,
-		OnTimeUntil: aim, Deadline: deadline,
+		Arrived: ef.Arrived, OnTimeUntil: aim, Deadline: deadline,
 		Stages: ef.Route.Stages, Pieces: ef.Request.Pieces, Service: ef.service,
 		Prompt: ef.Request.Prompt, Zone: ef.o.Zone, Results: ef.earlierResults,
 		ExcludedEngines: slices.Concat(ef.brokenEngines, ef.excludedTargets(), ef.pausedTargets()),
--- a/internal/peer/work.go
+++ b/internal/peer/work.go
@@ -330,11 +330,11 @@
 }
 
 func workRefusalToProto(r *stagework.Refusal) *peerpb.WorkDown {
-	return &peerpb.WorkDown{Reason: r.Reason, RetryAfterMs: uint32(max(r.RetryAfter.Milliseconds(), 0)), Elsewhere: r.FirstRanked, Reserved: r.Reserved}
+	return &peerpb.WorkDown{Reason: r.Reason, RetryAfterMs: uint32(max(r.RetryAfter.Milliseconds(), 0)), Elsewhere: r.FirstRanked, Reserved: r.Reserved, ReservedOnTime: r.ReservedOnTime}
 }
 
 func refusalOf(m *peerpb.WorkDown) *stagework.Refusal {
-	return &stagework.Refusal{Reason: m.GetReason(), RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, FirstRanked: m.GetElsewhere(), Reserved: m.GetReserved()}
+	return &stagework.Refusal{Reason: m.GetReason(), RetryAfter: time.Duration(m.GetRetryAfterMs()) * time.Millisecond, FirstRanked: m.GetElsewhere(), Reserved: m.GetReserved(), ReservedOnTime: m.GetReservedOnTime()}
 }
 
 func decisionOf(m *peerpb.WorkDown) stagework.Decision {
--- a/internal/peer/work_convert.go
+++ b/internal/peer/work_convert.go
@@ -9,12 +9,20 @@
 	"lynxhill.example/lynxhill/internal/stagework"
 )
 
+// arrivedAgo returns the time since an arrival in milliseconds; 0 if it is not known.
+func arrivedAgo(arrived, now time.Time) int64 {
+	if arrived.IsZero() {
+		return 0
+	}
+	return now.Sub(arrived).Milliseconds()
+}
+
 // jobToProto converts times to the time left until them, since the clocks of instances
 // differ.
 func jobToProto(j stagework.Job, now time.Time) *peerpb.WorkJob {
 	out := &peerpb.WorkJob{
 		Id: j.ID, Key: j.Key, Organisation: j.Organisation, Priority: int32(j.Priority), RoutePriority: int32(j.RoutePriority),
-		AimMs: j.OnTimeUntil.Sub(now).Milliseconds(), DeadlineMs: j.Deadline.Sub(now).Milliseconds(),
+		ArrivedMsAgo: arrivedAgo(j.Arrived, now), AimMs: j.OnTimeUntil.Sub(now).Milliseconds(), DeadlineMs: j.Deadline.Sub(now).Milliseconds(),
 		Service: j.Service, Place: j.Zone, Avoid: j.ExcludedEngines, Cell: j.Cell, Insist: uint32(j.RankOverride),
 		Made: madeToProto(j.Results), Owner: j.Owner, Route: j.Route,
 		CallerKey: j.CallerKey, Reservations: reservationsToProto(j.Reservations, now),
@@ -51,6 +59,9 @@
 		Results: madeFromProto(m.GetMade()), Owner: m.GetOwner(), Route: m.GetRoute(),
 		CallerKey: m.GetCallerKey(), Reservations: reservationsFromProto(m.GetReservations(), now),
 	}
+	if ago := m.GetArrivedMsAgo(); ago > 0 {
+		j.Arrived = now.Add(-time.Duration(ago) * time.Millisecond)
+	}
 	if m.Build != nil {
 		j.Binding = &stagework.Binding{Build: m.GetBuild()}
 	}
--- a/internal/peer/work_reservations.go
+++ b/internal/peer/work_reservations.go
@@ -15,7 +15,7 @@
 	for _, r := range list {
 		m := &peerpb.WorkReservation{
 			CallerKey: r.CallerKey, DueInMs: r.Due.Sub(now).Milliseconds(), ArrivedMsAgo: now.Sub(r.Arrived).Milliseconds(),
-			Route: r.Route, Organisation: r.Organisation, Priority: int32(r.Priority), RoutePriority: int32(r.RoutePriority),
+			Route: r.Route, Organisation: r.Organisation, OnTime: r.OnTime, Priority: int32(r.Priority), RoutePriority: int32(r.RoutePriority),
 		}
 		for _, d := range r.Stages {
 			m.Demands = append(m.Demands, &peerpb.WorkDemand{Service: d.Service, Pieces: uint32(max(d.Pieces, 0)), ResultBytes: uint64(max(d.ResultBytes, 0))})
@@ -29,7 +29,7 @@
 	var out []reservation.Copy
 	for _, m := range list[:min(len(list), maxReservationsReceived)] {
 		r := reservation.Copy{
-			CallerKey: m.GetCallerKey(), Organisation: m.GetOrganisation(), Route: m.GetRoute(), Priority: int(m.GetPriority()), RoutePriority: int(m.GetRoutePriority()),
+			CallerKey: m.GetCallerKey(), Organisation: m.GetOrganisation(), Route: m.GetRoute(), OnTime: m.GetOnTime(), Priority: int(m.GetPriority()), RoutePriority: int(m.GetRoutePriority()),
 			Arrived: now.Add(-time.Duration(max(m.GetArrivedMsAgo(), 0)) * time.Millisecond),
 			Due:     now.Add(time.Duration(m.GetDueInMs()) * time.Millisecond),
 		}
--- a/internal/peer/work_test.go
+++ b/internal/peer/work_test.go
@@ -82,19 +82,19 @@
 func TestEveryFieldOfAJobArrives(t *testing.T) {
 	now := time.Now()
 	want := stagework.Job{
-		ID: "i", Key: "k", Organisation: "o", Owner: "w", Route: "r", Priority: 2, RoutePriority: 4, OnTimeUntil: now.Add(-time.Minute), Deadline: now.Add(time.Hour),
+		ID: "i", Key: "k", Organisation: "o", Owner: "w", Route: "r", Priority: 2, RoutePriority: 4, Arrived: now.Add(-2 * time.Second), OnTimeUntil: now.Add(-time.Minute), Deadline: now.Add(time.Hour),
 		Stages: []route.Stage{{Service: "s", After: []int{1}, ResultBytes: 1 << 40}, {Service: "t", ResultBytes: 3}}, Pieces: []int{3, 4}, Service: "lm",
 		Prompt: &relay.Prompt{Model: "m", TokensIn: 5, TokensOut: 6, ExpectedOut: 7, Parts: []relay.PromptPart{{ID: "p", Tokens: 8}, {ID: "q", Tokens: 9}}},
 		Zone:   "z", ExcludedEngines: []string{"e", "f"}, Cell: []string{"x", "y"}, RankOverride: stagework.OverrideUnreachable, Binding: &stagework.Binding{Build: "v1"},
 		Results:   []stagework.ResultRef{{Stage: 1, Number: 2, Target: "t", Handle: "h", Age: time.Second}},
 		CallerKey: "ck", Reservations: []reservation.Copy{{
-			CallerKey: "rk", Organisation: "ro", Route: "rr", Priority: 3, RoutePriority: 5, Arrived: now.Add(-time.Minute), Due: now.Add(time.Second),
+			CallerKey: "rk", Organisation: "ro", Route: "rr", Priority: 3, RoutePriority: 5, OnTime: true, Arrived: now.Add(-time.Minute), Due: now.Add(time.Second),
 			Stages: []reservation.StageWork{{Service: "s", Pieces: 5, ResultBytes: 1 << 40}},
 		}},
 	}
 	requireAllSet(t, reflect.ValueOf(want), "Job")
 	requireAllSet(t, reflect.ValueOf(*want.Prompt), "Job.Prompt")
-	refusal := stagework.Refusal{Reason: stagework.ReasonLate, RetryAfter: 1500 * time.Millisecond, FirstRanked: "c", Reserved: true}
+	refusal := stagework.Refusal{Reason: stagework.ReasonLate, RetryAfter: 1500 * time.Millisecond, FirstRanked: "c", Reserved: true, ReservedOnTime: true}
 	jobs := make(chan stagework.Job, 1)
 	client, _ := startServer(t, ServerOptions{Work: func(j stagework.Job) (stagework.Assignment, *stagework.Refusal) {
 		jobs <- j
@@ -108,6 +108,10 @@
 	if a, d := got.OnTimeUntil.Sub(want.OnTimeUntil).Abs(), got.Deadline.Sub(want.Deadline).Abs(); a > time.Second || d > time.Second {
 		t.Errorf("aim off by %v, deadline by %v", a, d)
 	}
+	if off := got.Arrived.Sub(want.Arrived).Abs(); off > time.Second {
+		t.Errorf("arrival off by %v", off)
+	}
+	got.Arrived = want.Arrived
 	if len(got.Reservations) != 1 {
 		t.Fatalf("received reservations %+v", got.Reservations)
 	}
--- a/internal/reservation/copy.go
+++ b/internal/reservation/copy.go
@@ -11,6 +11,7 @@
 	Priority     int
 	// RoutePriority is the priority of the route; Priority may be that of the organisation.
 	RoutePriority int
+	OnTime        bool      // the caller is served on time if it is back when due
 	Arrived       time.Time // of the caller's first attempt
 	Due           time.Time
 	Stages        []StageWork
@@ -29,6 +30,6 @@
 // Reservation returns the reservation, given the work that it covers.
 func (c Copy) Reservation(demands []Demand) Reservation {
 	return Reservation{Due: c.Due, Request: Request{
-		CallerKey: c.CallerKey, Organisation: c.Organisation, Route: c.Route, Priority: c.Priority, Arrived: c.Arrived, Demands: demands,
+		CallerKey: c.CallerKey, Organisation: c.Organisation, Route: c.Route, Priority: c.Priority, OnTime: c.OnTime, Arrived: c.Arrived, Demands: demands,
 	}}
 }
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -18,6 +18,7 @@
 	Owner           string    // instance that handles the request and sends it to the engine
 	Priority        int       // of the organisation or else of the route; 0 is the most urgent
 	RoutePriority   int       // of the route
+	Arrived         time.Time // when the owner received the request; zero = not known
 	OnTimeUntil     time.Time // latest time for the first event to be on time
 	Deadline        time.Time // time at which the caller gives up
 	Stages          []route.Stage
@@ -126,6 +127,8 @@
 	Dispatcher string
 	// Reserved: capacity is reserved for the caller's return after RetryAfter.
 	Reserved bool
+	// ReservedOnTime: the caller is served on time if it is back then.
+	ReservedOnTime bool
 }
 
 // Reasons for refusals.
--- a/internal/stagework/reservation_copies.go
+++ b/internal/stagework/reservation_copies.go
@@ -33,9 +33,12 @@
 }
 
 // keep keeps a copy of a reservation that the dispatcher made for the job's caller.
-func (c *reservationCopies) keep(cell, dispatcher string, j Job, retryAfter time.Duration, now time.Time) {
+func (c *reservationCopies) keep(cell, dispatcher string, j Job, refusal *Refusal, now time.Time) {
 	r := reservation.Copy{
-		CallerKey: j.CallerKey, Organisation: j.Organisation, Route: j.Route, Priority: j.Priority, RoutePriority: j.RoutePriority, Arrived: now, Due: now.Add(retryAfter),
+		CallerKey: j.CallerKey, Organisation: j.Organisation, Route: j.Route, Priority: j.Priority, RoutePriority: j.RoutePriority, OnTime: refusal.ReservedOnTime, Arrived: now, Due: now.Add(refusal.RetryAfter),
+	}
+	if !j.Arrived.IsZero() {
+		r.Arrived = j.Arrived
 	}
 	for i, s := range j.Stages {
 		if n := j.pieces(i); n > 0 {
@@ -127,7 +130,7 @@
 	case refusal == nil:
 		f.copies.drop(cell, job.CallerKey)
 	case refusal.Reserved:
-		f.copies.keep(cell, dispatcher, job, refusal.RetryAfter, f.o.Clock.Now())
+		f.copies.keep(cell, dispatcher, job, refusal, f.o.Clock.Now())
 	}
 }
 
--- a/internal/stagework/reservations.go
+++ b/internal/stagework/reservations.go
@@ -50,6 +50,9 @@
 // from the caller's first attempt.
 func (p *Planner) claimReservation(j *job, now time.Time) {
 	j.firstArrived = now
+	if !j.Arrived.IsZero() && j.Arrived.Before(now) {
+		j.firstArrived = j.Arrived
+	}
 	if !p.overload.Reservations {
 		return
 	}
@@ -60,8 +63,8 @@
 	if !ok {
 		return
 	}
+	j.OnTimeUntil = j.OnTimeUntil.Add(-max(j.firstArrived.Sub(r.Arrived), 0))
 	j.claimed, j.claimedOnTime, j.firstArrived = true, r.OnTime, r.Arrived
-	j.OnTimeUntil = j.OnTimeUntil.Add(-max(now.Sub(r.Arrived), 0))
 	p.invalidateForecast()
 	p.reservations.counts.Claimed++
 	p.reservations.write(event.ReservationClaimed, "request", j.ID, "cell", p.cell.Name(), "caller", r.CallerKey,
@@ -71,8 +74,8 @@
 
 // acceptClaimed accepts a job whose caller claimed a reservation: as one that is on time, or,
 // if it was not promised that and has too little time left, as one that is late from the start
-// and gets the capacity that on-time jobs leave. Copies of reservations do not tell what was
-// promised.
+// and gets the capacity that on-time jobs leave. Copies from older instances do not tell what
+// was promised.
 func (p *Planner) acceptClaimed(j *job, now time.Time) {
 	needs := time.Duration((1 + returnMargin) * float64(j.minTime))
 	late := !j.claimedOnTime && now.Add(needs).After(j.OnTimeUntil)
@@ -155,7 +158,7 @@
 		return r
 	}
 	p.invalidateForecast()
-	r.Reserved, r.RetryAfter = true, max(offered.Due.Sub(now), time.Millisecond)
+	r.Reserved, r.ReservedOnTime, r.RetryAfter = true, offered.OnTime, max(offered.Due.Sub(now), time.Millisecond)
 	p.reservations.write(event.ReservationMade, "request", j.ID, "cell", p.cell.Name(), "caller", j.CallerKey,
 		"organisation", j.Organisation, "route", j.Route, "due_ms", r.RetryAfter.Milliseconds(),
 		"latest_ms", offered.Latest.Sub(now).Milliseconds(), "on_time", offered.OnTime, "reserved", p.reservations.book.Len())
--- a/internal/stagework/reservations_faults_test.go
+++ b/internal/stagework/reservations_faults_test.go
@@ -132,13 +132,30 @@
 	})
 }
 
+// Guards against a promise to be on time that is lost with its dispatcher, and against an
+// objective that is measured from the refusal of a job that had waited.
+func TestCopiesTellPromiseAndFirstArrival(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var c reservationCopies
+	j := reservableJob("x", "caller")
+	j.Arrived = now.Add(-time.Second)
+	c.keep("", "a", j, &Refusal{Reserved: true, ReservedOnTime: true, RetryAfter: time.Second}, now)
+	kept := c.notAt("", "b", "caller", now)
+	if len(kept) != 1 || !kept[0].OnTime || !kept[0].Arrived.Equal(j.Arrived) {
+		t.Fatalf("%+v", kept)
+	}
+	if r := kept[0].Reservation(nil); !r.OnTime || !r.Arrived.Equal(j.Arrived) {
+		t.Errorf("%+v", r)
+	}
+}
+
 // TestCopiesAreBounded guards against an owner whose memory and messages grow with the
 // refusals of a long overload.
 func TestCopiesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var c reservationCopies
 		for n := range 2 * maxCopies {
-			c.keep("", "a", reservableJob("x", fmt.Sprint("caller ", n)), time.Second, time.Now())
+			c.keep("", "a", reservableJob("x", fmt.Sprint("caller ", n)), &Refusal{Reserved: true, RetryAfter: time.Second}, time.Now())
 		}
 		if n := len(c.byCell[""]); n != maxCopies {
 			t.Errorf("%d copies are kept", n)
