Reservations: times are compared by the monotonic clock

Its clock had been set back by 3 s: the starts of windows came from the wall clock alone, other times had a monotonic reading as well, so the order of reservations was no order any more, one was not found when it was removed, and Expire went on for ever, copying it.

Windows are now counted from a time of the book's own, Expire ends in any case, and a reservation that is not found by its time is found by itself. Without the change TestTimesHaveTheMonotonicReadingOfNow fails and TestExpireEndsThoughTheOrderIsWrong does not end; both pass now.

--- a/internal/reservation/book.go
+++ b/internal/reservation/book.go
@@ -79,6 +79,7 @@
 
 // Book holds the reservations of the services that one dispatcher schedules.
 type Book struct {
+	origin   time.Time // windows are counted from it; zero = nothing has been reserved yet
 	byKey    map[string]*Reservation
 	byDue    []*Reservation                     // the same reservations, in the order of compareDue
 	reserved map[string]map[int64]time.Duration // by service and window
@@ -99,12 +100,13 @@
 	if r := b.byKey[q.CallerKey]; r != nil && now.Before(r.Due) {
 		return *r, true
 	}
+	b.start(now)
 	b.Cancel(q.CallerKey)
 	earliest, ok := b.earliest(q, capacity, now)
 	if !ok || q.CallerKey == "" || len(b.byKey) >= maxReservations {
 		return Reservation{}, false
 	}
-	for at := earliest; !at.After(q.Latest); at = windowStart(windowOf(at) + 1) {
+	for at := earliest; !at.After(q.Latest); at = b.windowStart(b.windowOf(at) + 1) {
 		r := &Reservation{Request: q, Due: b.within(q, capacity, at)}
 		if r.Due.Before(earliest) || r.Due.After(q.Latest) || !b.allot(r, capacity) {
 			continue
@@ -139,12 +141,12 @@
 // within returns the time for a caller in the window of at. The callers of a window are spread
 // over it by the share of its capacity that is reserved.
 func (b *Book) within(q Request, capacity map[string]Capacity, at time.Time) time.Time {
-	window, filled := windowOf(at), 0.0
+	window, filled := b.windowOf(at), 0.0
 	for _, d := range q.Demands {
 		most := float64(capacity[d.Service].PerWindow) * MaxShare
 		filled = max(filled, float64(b.reserved[d.Service][window])/most)
 	}
-	return later(at, windowStart(window).Add(time.Duration(min(filled, 1)*float64(Window-time.Millisecond))))
+	return later(at, b.windowStart(window).Add(time.Duration(min(filled, 1)*float64(Window-time.Millisecond))))
 }
 
 // allot charges the reservation's work to windows from its time on, and reports whether it
@@ -157,7 +159,7 @@
 		if taken[d.Service] == nil {
 			taken[d.Service] = make(map[int64]time.Duration)
 		}
-		left, first := d.Work, windowOf(r.Due)
+		left, first := d.Work, b.windowOf(r.Due)
 		for window := first; left > 0; window++ {
 			room := most - b.reserved[d.Service][window] - taken[d.Service][window]
 			if window == first && room < min(left, most) || window-first >= maxWindows {
@@ -206,9 +208,11 @@
 		return
 	}
 	delete(b.byKey, key)
-	if at, found := slices.BinarySearchFunc(b.byDue, r, compareDue); found {
-		b.byDue = slices.Delete(b.byDue, at, at+1)
+	at, found := slices.BinarySearchFunc(b.byDue, r, compareDue)
+	if !found || b.byDue[at] != r {
+		at = slices.Index(b.byDue, r)
 	}
+	b.byDue = slices.Delete(b.byDue, at, at+1)
 	for _, d := range r.Demands {
 		b.removeWork(d.Service, r.due(d))
 	}
@@ -222,10 +226,14 @@
 
 // Expire ends the reservations that can no longer be claimed, and returns them by time.
 func (b *Book) Expire(now time.Time) []Reservation {
-	var over []Reservation
-	for len(b.byDue) > 0 && !b.byDue[0].live(now) {
-		over = append(over, *b.byDue[0])
-		b.Cancel(b.byDue[0].CallerKey)
+	n := 0
+	for n < len(b.byDue) && !b.byDue[n].live(now) {
+		n++
+	}
+	over := make([]Reservation, 0, n)
+	for _, r := range slices.Clone(b.byDue[:n]) {
+		over = append(over, *r)
+		b.Cancel(r.CallerKey)
 	}
 	return over
 }
@@ -234,6 +242,7 @@
 // fit. It returns those that it took over. Reservations that the book has are not replaced.
 func (b *Book) Adopt(list []Reservation, capacity map[string]Capacity, now time.Time) []Reservation {
 	var adopted []Reservation
+	b.start(now)
 	for _, r := range list {
 		switch {
 		case r.CallerKey == "", b.byKey[r.CallerKey] != nil, len(b.byKey) >= maxReservations:
@@ -262,9 +271,20 @@
 	return strings.Compare(a.CallerKey, b.CallerKey)
 }
 
-func windowOf(at time.Time) int64 { return at.UnixNano() / int64(Window) }
+// start sets the origin of the windows. It lies before the times of all reservations, and has
+// the monotonic reading of now, which all times of the book must have: compared by the wall
+// clock, their order would change when it is stepped.
+func (b *Book) start(now time.Time) {
+	if b.origin.IsZero() {
+		b.origin = now.Add(-maxAhead - time.Duration(now.UnixNano()%int64(Window)))
+	}
+}
 
-func windowStart(window int64) time.Time { return time.Unix(0, window*int64(Window)) }
+func (b *Book) windowOf(at time.Time) int64 { return int64(at.Sub(b.origin) / Window) }
+
+func (b *Book) windowStart(window int64) time.Time {
+	return b.origin.Add(time.Duration(window) * Window)
+}
 
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
--- a/internal/reservation/book_test.go
+++ b/internal/reservation/book_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -241,3 +242,34 @@
 	}, gen.UInt64()))
 	properties.TestingRun(t)
 }
+
+// Guards against times that are compared by the wall clock: when that was stepped, the order of
+// reservations was inconsistent, one could not be removed, and Expire went on for ever.
+func TestTimesHaveTheMonotonicReadingOfNow(t *testing.T) {
+	now := time.Now()
+	b := New()
+	free := map[string]Capacity{"a": {PerWindow: 400 * ms, FreeAt: now}}
+	for n := range 40 {
+		r, ok := b.Offer(Request{CallerKey: fmt.Sprint(n), Latest: now.Add(5 * time.Second), Demands: []Demand{{Service: "a", Work: 90 * ms}}}, free, now)
+		if !ok || !strings.Contains(r.Due.String(), " m=") {
+			t.Fatalf("caller %d: %v, due %v", n, ok, r.Due)
+		}
+	}
+	if over := b.Expire(now.Add(time.Minute)); len(over) != 40 || b.Len() != 0 {
+		t.Errorf("%d expired, %d are left", len(over), b.Len())
+	}
+}
+
+// Guards against an endless loop if a reservation cannot be found by its time.
+func TestExpireEndsThoughTheOrderIsWrong(t *testing.T) {
+	b := New()
+	for n := range 3 {
+		if _, ok := b.Offer(request(fmt.Sprint(n), 100*ms, 5*time.Second), capacity(0), start); !ok {
+			t.Fatal("no reservation")
+		}
+	}
+	slices.Reverse(b.byDue)
+	if over := b.Expire(start.Add(time.Minute)); len(over) != 3 || b.Len() != 0 || len(b.byDue) != 0 {
+		t.Errorf("%d expired, %d and %d are left", len(over), b.Len(), len(b.byDue))
+	}
+}
