Edge: who is alive and who calls the store is computed once per change of members

Each instance decided twenty times a second whether it calls the store, and for that copied all members into a map, sorted their ids and hashed them twice.

The list of live members is kept until the table of members changes, and so are the ranks of the instance among those that call the store.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"sync/atomic"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/profile"
@@ -51,6 +52,8 @@
 	Notices *Table[Notice]
 	// Self holds one row, SelfRow: what this instance may do at present.
 	Self *Table[Self]
+
+	live atomic.Pointer[liveList] // newest result of LiveMembers
 }
 
 // Keys of the rows of tables with a single row.
--- a/internal/board/members.go
+++ b/internal/board/members.go
@@ -2,10 +2,24 @@
 
 import "sort"
 
+// liveList is the result of LiveMembers at a revision of the table of members.
+type liveList struct {
+	revision uint64
+	self     string
+	ids      []string
+}
+
 // LiveMembers returns the sorted ids of the members that are considered alive,
-// including self even if membership has not listed it yet.
+// including self even if membership has not listed it yet. The caller must not modify
+// the slice: while no member changes, all calls return the same one.
 func (b *Board) LiveMembers(self string) []string {
-	return b.liveMembers(self, func(Member) bool { return true })
+	revision := b.Members.Revision()
+	if known := b.live.Load(); known != nil && known.revision == revision && known.self == self {
+		return known.ids
+	}
+	ids := b.liveMembers(self, func(Member) bool { return true })
+	b.live.Store(&liveList{revision, self, ids})
+	return ids
 }
 
 // LiveMembersIn returns the ids that LiveMembers returns, limited to one availability
@@ -16,11 +30,11 @@
 
 func (b *Board) liveMembers(self string, match func(Member) bool) []string {
 	ids := []string{self}
-	for id, m := range b.Members.Snapshot() {
+	b.Members.Each(func(id string, m Member) {
 		if id != self && m.State == MemberAlive && match(m) {
 			ids = append(ids, id)
 		}
-	}
+	})
 	sort.Strings(ids)
 	return ids
 }
--- a/internal/board/table.go
+++ b/internal/board/table.go
@@ -101,6 +101,22 @@
 	return all
 }
 
+// Each calls visit with every row, without copying them first. Rows that are written
+// meanwhile may be missing. visit must not write to the table.
+func (t *Table[V]) Each(visit func(key string, v V)) {
+	for i := range t.shards {
+		t.shards[i].each(visit)
+	}
+}
+
+func (s *shard[V]) each(visit func(key string, v V)) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	for k, v := range s.rows {
+		visit(k, v)
+	}
+}
+
 // Entry is a row with its key.
 type Entry[V any] struct {
 	Key   string
--- a/internal/control/watchers/watchers.go
+++ b/internal/control/watchers/watchers.go
@@ -14,7 +14,6 @@
 package watchers
 
 import (
-	"slices"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/control/rendezvous"
@@ -50,10 +49,9 @@
 
 // Facts are the inputs of an instance's decision at one moment.
 type Facts struct {
-	Self    string
-	Members []string // live members, with or without Self
-	// StoreLost reports whether a member, or Self, has lost the store. nil = none has.
-	StoreLost func(instance string) bool
+	Ranks Ranks
+	// StoreLost reports whether the instance has lost the store.
+	StoreLost bool
 	// Uptime is the time since the instance started.
 	Uptime time.Duration
 	// HasPeers reports whether the settings name other instances.
@@ -73,6 +71,33 @@
 	EscalateAfter time.Duration
 }
 
+// Ranks are the positions of an instance in the order in which instances call the store.
+// They change with the members only.
+type Ranks struct {
+	All      int // among all live members
+	Reaching int // among those that have not lost the store
+	Lost     int // number of other members that have lost the store
+}
+
+// RanksOf returns the ranks of an instance among the live members, with or without itself.
+// storeLost reports whether a member has lost the store; nil = none has.
+func RanksOf(self string, members []string, storeLost func(instance string) bool) Ranks {
+	ranks := Ranks{All: Rank(self, members)}
+	if storeLost == nil {
+		ranks.Reaching = ranks.All
+		return ranks
+	}
+	reaching := make([]string, 0, len(members))
+	for _, member := range members {
+		if member == self || !storeLost(member) {
+			reaching = append(reaching, member)
+		}
+	}
+	ranks.Lost = len(members) - len(reaching)
+	ranks.Reaching = Rank(self, reaching)
+	return ranks
+}
+
 // CallsStore reports whether the instance calls the store itself. age is the age of the
 // newest answer of the store known to the instance, its own or a peer's.
 func (f Facts) CallsStore(age time.Duration) bool {
@@ -83,17 +108,16 @@
 		return false
 	}
 	limit := maxCallers(age - f.EscalateAfter)
-	if f.effectiveRank(Rank(f.Self, f.Members)) < limit {
+	if f.effectiveRank(f.Ranks.All) < limit {
 		return true
 	}
-	if f.StoreLost == nil || f.StoreLost(f.Self) {
+	if f.StoreLost {
 		return false
 	}
-	reaching := slices.DeleteFunc(slices.Clone(f.Members), f.StoreLost)
-	if lost := len(f.Members) - len(reaching); lost <= maxStoreLosses {
-		limit = max(limit, 2*lost)
+	if f.Ranks.Lost <= maxStoreLosses {
+		limit = max(limit, 2*f.Ranks.Lost)
 	}
-	return f.effectiveRank(Rank(f.Self, reaching)) < limit
+	return f.effectiveRank(f.Ranks.Reaching) < limit
 }
 
 // effectiveRank scales the rank by the share of members that answer calls. When many
--- a/internal/control/watchers/watchers_test.go
+++ b/internal/control/watchers/watchers_test.go
@@ -15,12 +15,21 @@
 	return ids
 }
 
+// fleetFacts are the facts of an instance with what its ranks follow from.
+type fleetFacts struct {
+	Facts
+	Members   []string
+	StoreLost func(instance string) bool
+}
+
 // countCallers returns how many instances of a fleet of n call the store.
-func countCallers(n int, age time.Duration, change func(*Facts)) int {
+func countCallers(n int, age time.Duration, change func(*fleetFacts)) int {
 	count := 0
 	for _, id := range members(n) {
-		f := Facts{Self: id, Members: members(n), Uptime: time.Minute, HasPeers: true, Silence: 100 * time.Millisecond, Overdue: 6 * time.Second, EscalateAfter: 6 * time.Second}
+		f := fleetFacts{Facts: Facts{Uptime: time.Minute, HasPeers: true, Silence: 100 * time.Millisecond, Overdue: 6 * time.Second, EscalateAfter: 6 * time.Second}, Members: members(n)}
 		change(&f)
+		f.Ranks = RanksOf(id, f.Members, f.StoreLost)
+		f.Facts.StoreLost = f.StoreLost != nil && f.StoreLost(id)
 		if f.CallsStore(age) {
 			count++
 		}
@@ -28,7 +37,7 @@
 	return count
 }
 
-func unchanged(*Facts) {}
+func unchanged(*fleetFacts) {}
 
 // Guards against a store that throttles the whole fleet while it recovers from an
 // outage: after 6 s of a 9 s outage no instance has a recent answer, and all 295
@@ -62,7 +71,7 @@
 // minute: its connections to all other instances are cut, it reaches the store, and
 // it waits for its turn as if it still received changes from the others.
 func TestInstanceCutOffFromPeersAsksAtOnce(t *testing.T) {
-	silent := func(f *Facts) { f.Silence = 3 * time.Second }
+	silent := func(f *fleetFacts) { f.Silence = 3 * time.Second }
 	if got := countCallers(295, 6100*time.Millisecond, silent); got != 295 {
 		t.Errorf("%d of 295 instances without messages from peers call the store", got)
 	}
@@ -76,7 +85,7 @@
 // learns of a newer configuration but cannot pull it. It waits for its turn because
 // it does not count as cut off.
 func TestInstanceThatCannotPullAsksAtOnce(t *testing.T) {
-	behind := func(f *Facts) { f.Behind = true }
+	behind := func(f *fleetFacts) { f.Behind = true }
 	if got := countCallers(295, 6100*time.Millisecond, behind); got != 295 {
 		t.Errorf("%d of 295 instances that are behind call the store", got)
 	}
@@ -89,11 +98,11 @@
 // started together, each of which ends with every target that registers: an instance
 // that knows no other member yet ranks first.
 func TestNewInstanceDoesNotWatchBeforeItCanKnowMembers(t *testing.T) {
-	alone := func(f *Facts) { f.Members, f.Uptime = nil, time.Second }
+	alone := func(f *fleetFacts) { f.Members, f.Uptime = nil, time.Second }
 	if got := countCallers(295, time.Second, alone); got != 0 {
 		t.Errorf("%d of 295 instances watch in their first second", got)
 	}
-	only := func(f *Facts) { f.Members, f.Uptime, f.HasPeers = nil, 0, false }
+	only := func(f *fleetFacts) { f.Members, f.Uptime, f.HasPeers = nil, 0, false }
 	if got := countCallers(1, time.Second, only); got != 1 {
 		t.Error("an instance without others must watch at once")
 	}
@@ -101,12 +110,12 @@
 
 // withStoreLost returns a change to the Facts of 295 instances that marks the first
 // n in rank as having lost the store.
-func withStoreLost(n int) func(*Facts) {
+func withStoreLost(n int) func(*fleetFacts) {
 	lost := make(map[string]bool)
 	for _, id := range members(295) {
 		lost[id] = Rank(id, members(295)) < n
 	}
-	return func(f *Facts) { f.StoreLost = func(id string) bool { return lost[id] } }
+	return func(f *fleetFacts) { f.StoreLost = func(id string) bool { return lost[id] } }
 }
 
 // Guards against instances that keep relying on watchers that have lost the store.
@@ -133,7 +142,7 @@
 		unansweredShare float64
 		want            int
 	}{{0, 8}, {0.5, 16}, {0.75, 32}, {1, 295}} {
-		got := countCallers(295, time.Second, func(f *Facts) { f.UnansweredShare = c.unansweredShare })
+		got := countCallers(295, time.Second, func(f *fleetFacts) { f.UnansweredShare = c.unansweredShare })
 		if got != c.want {
 			t.Errorf("share of unanswered calls %.1f: %d of 295 instances call the store, want %d", c.unansweredShare, got, c.want)
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -118,6 +118,7 @@
 	slots      *slots
 
 	overload         overload
+	ranks            atomic.Pointer[knownRanks]
 	cells            atomic.Pointer[[]stagework.Cell]
 	lastClockCheck   atomic.Int64 // boot time of the last checkClock, ns
 	heardBeforeQuery atomic.Int64 // boot time of the last message of another instance before the last queryStore, ns; 0 = never
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/control/watchers"
 	"lynxhill.example/lynxhill/internal/fleet"
 )
@@ -11,10 +12,14 @@
 // callsStore reports whether this instance itself reads changes from the store. age is
 // the age of the newest confirmation by the store.
 func (i *Instance) callsStore(age time.Duration) bool {
+	return i.watcherFacts().CallsStore(age)
+}
+
+// watcherFacts returns what decides whether this instance calls the store.
+func (i *Instance) watcherFacts() watchers.Facts {
 	return watchers.Facts{
-		Self:            i.id(),
-		Members:         i.board.LiveMembers(i.id()),
-		StoreLost:       i.storeLost,
+		Ranks:           i.storeRanks(),
+		StoreLost:       i.routes.StoreLost(),
 		Uptime:          i.uptime(),
 		HasPeers:        i.seededInstances() > 1,
 		Silence:         i.members.Silence(),
@@ -22,7 +27,26 @@
 		UnansweredShare: i.members.UnansweredShare(),
 		Overdue:         i.times().Overdue(),
 		EscalateAfter:   i.times().EscalateAfter(),
-	}.CallsStore(age)
+	}
+}
+
+// knownRanks are the ranks at a revision of the table of members.
+type knownRanks struct {
+	revision uint64
+	ranks    watchers.Ranks
+}
+
+// storeRanks returns the ranks of this instance among those that may call the store. They
+// are computed again only after a change of the members: they are needed many times a
+// second, and take time in proportion to the fleet.
+func (i *Instance) storeRanks() watchers.Ranks {
+	revision := i.board.Members.Revision()
+	if known := i.ranks.Load(); known != nil && known.revision == revision {
+		return known.ranks
+	}
+	ranks := watchers.RanksOf(i.id(), i.board.LiveMembers(i.id()), i.storeLost)
+	i.ranks.Store(&knownRanks{revision, ranks})
+	return ranks
 }
 
 // storeLost reports whether the given instance has lost the store, as far as this
@@ -38,7 +62,7 @@
 // storeLostInstances returns the live instances that have lost the store, possibly
 // including this one.
 func (i *Instance) storeLostInstances() []string {
-	return slices.DeleteFunc(i.board.LiveMembers(i.id()), func(id string) bool { return !i.storeLost(id) })
+	return slices.DeleteFunc(slices.Clone(i.board.LiveMembers(i.id())), func(id string) bool { return !i.storeLost(id) })
 }
 
 // instancesPrefix is the key prefix of the instance list in the store.
@@ -89,9 +113,7 @@
 		return nil
 	}
 	ids := append(i.members.ListedIDs(), i.id())
-	for id := range i.board.Members.Snapshot() {
-		ids = append(ids, id)
-	}
+	i.board.Members.Each(func(id string, _ board.Member) { ids = append(ids, id) })
 	slices.Sort(ids)
 	return slices.Compact(ids)
 }
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -38,7 +38,7 @@
 func (i *Instance) dispatcherCandidates() []string {
 	live := i.board.LiveMembers(i.id())
 	if i.ingress.Stopping() {
-		live = slices.DeleteFunc(live, func(id string) bool { return id == i.id() })
+		live = slices.DeleteFunc(slices.Clone(live), func(id string) bool { return id == i.id() })
 	}
 	return live
 }
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -132,7 +132,7 @@
 		i.resumedAt.Store(int64(now)) // before lastClockCheck shows other goroutines that the gap was detected
 	}
 	if i.lastClockCheck.CompareAndSwap(last, int64(now)) && gap > minSuspension {
-		i.routes.Relist()
+		i.routes.Refresh()
 		i.o.Logger.Log(event.IngressWoke, "gap_ms", gap.Milliseconds())
 	}
 }
@@ -182,16 +182,15 @@
 // the zone first.
 func (i *Instance) addresses(zone string) []string {
 	var near, far []string
-	for id, m := range i.board.Members.Snapshot() {
-		if id == i.id() || m.State != board.MemberAlive || m.CallerAddr == "" {
-			continue
-		}
-		if m.Zone == zone {
+	i.board.Members.Each(func(id string, m board.Member) {
+		switch {
+		case id == i.id() || m.State != board.MemberAlive || m.CallerAddr == "":
+		case m.Zone == zone:
 			near = append(near, m.CallerAddr)
-		} else {
+		default:
 			far = append(far, m.CallerAddr)
 		}
-	}
+	})
 	if !i.ingress.Stopping() {
 		if i.cfg.Instance.Zone == zone {
 			near = append(near, i.cfg.Ingress.Listen)
