Targets: a change of one target costs that change, not a pass over all

At each change of a target every instance compared all known targets, copied them into a new view with three maps, sorted each service, scanned all for the cells and again for the builds of streams. A peer's pull scanned and sorted all targets for each page of 256.

Only changed entries are published; entries are indexed by version, so that a page costs a page. A target that announces its shutdown updates itself only.

--- a/internal/control/routesync/era.go
+++ b/internal/control/routesync/era.go
@@ -111,7 +111,7 @@
 	}
 	if ended {
 		m.log(event.ZonesEvacuated, "places", m.evacuations.zoneList(), "revision", m.evacuations.mergedVersion, "source", "grace")
-		m.publishTargets("grace")
+		m.publishAllTargets("grace")
 	}
 	return wait
 }
--- a/internal/control/routesync/evacuations.go
+++ b/internal/control/routesync/evacuations.go
@@ -122,7 +122,7 @@
 	if after := e.zones(); !slices.Equal(before, after) {
 		m.log(event.ZonesEvacuated, "places", strings.Join(after, ","), "before", strings.Join(before, ","),
 			"revision", e.mergedVersion, "source", a.source())
-		m.publishTargets(a.source())
+		m.publishAllTargets(a.source())
 	}
 }
 
--- a/internal/control/routesync/targets.go
+++ b/internal/control/routesync/targets.go
@@ -1,9 +1,7 @@
 package routesync
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"strings"
 	"time"
 
@@ -21,7 +19,9 @@
 
 // targets is the list of targets. It is guarded by Manager.mu.
 type targets struct {
-	entries        map[string]entry           // by key
+	entries        map[string]entry           // by key; written by set and expireTombstones
+	versions       versionIndex               // of entries
+	unpublished    map[string]struct{}        // keys of entries that changed since publishTargets
 	pending        map[string]pendingDeletion // by key: deferred deletions
 	deletedAt      map[string]time.Duration   // by key: boot time at which the tombstone was set
 	mergedVersion  uint64                     // all changes up to this version were merged
@@ -55,7 +55,7 @@
 }
 
 func newTargets() *targets {
-	return &targets{entries: make(map[string]entry), pending: make(map[string]pendingDeletion), deletedAt: make(map[string]time.Duration)}
+	return &targets{entries: make(map[string]entry), unpublished: make(map[string]struct{}), pending: make(map[string]pendingDeletion), deletedAt: make(map[string]time.Duration)}
 }
 
 // shareableVersion returns the version up to which peers can get all changes from this
@@ -73,34 +73,45 @@
 	return mark
 }
 
+// set replaces an entry.
+func (t *targets) set(key string, e entry) {
+	old, found := t.entries[key]
+	t.entries[key] = e
+	t.unpublished[key] = struct{}{}
+	if !found || old.object.Version != e.object.Version {
+		t.versions.add(e.object.Version, key)
+	}
+}
+
 // since returns the next page of entries and tombstones whose version is above after,
 // by rising version, the version up to which the page is complete, and whether there
 // are more pages. Tombstones from the same list share its version. They are sent in
 // one page even if that exceeds maxPageObjects, since the peer continues from the
 // version.
 func (t *targets) since(after uint64) (objects []store.Object, mark uint64, more bool) {
-	for _, e := range t.entries {
-		if e.object.Version > after {
-			objects = append(objects, e.object)
+	t.versions.compact(len(t.entries), t.current)
+	for _, item := range t.versions.after(after) {
+		if !t.current(item) {
+			continue
 		}
+		if len(objects) >= maxPageObjects && item.version != mark {
+			return objects, mark, true
+		}
+		objects, mark = append(objects, t.entries[item.key].object), item.version
 	}
-	slices.SortFunc(objects, func(a, b store.Object) int {
-		return cmp.Or(cmp.Compare(a.Version, b.Version), strings.Compare(a.Key, b.Key))
-	})
-	n := min(len(objects), maxPageObjects)
-	for n > 0 && n < len(objects) && objects[n].Version == objects[n-1].Version {
-		n++
-	}
-	if n == len(objects) {
-		return objects, t.shareableVersion(), false
-	}
-	return objects[:n], objects[n-1].Version, true
+	return objects, t.shareableVersion(), false
+}
+
+// current reports whether the item is of the present entry of its key.
+func (t *targets) current(item versionedKey) bool {
+	e, found := t.entries[item.key]
+	return found && e.object.Version == item.version
 }
 
 // setTombstone replaces an entry by a tombstone.
 func (t *targets) setTombstone(key string, version uint64, now time.Duration) {
 	old := t.entries[key]
-	t.entries[key] = entry{object: store.Object{Key: key, Version: version, Deleted: true}, sequence: old.sequence, started: old.started}
+	t.set(key, entry{object: store.Object{Key: key, Version: version, Deleted: true}, sequence: old.sequence, started: old.started})
 	t.deletedAt[key] = now
 	delete(t.pending, key)
 }
@@ -190,7 +201,7 @@
 		next = m.withTarget(old, obj, target)
 	}
 	m.noteUsable(old, next, a)
-	t.entries[obj.Key] = next
+	t.set(obj.Key, next)
 	if next.object.Deleted {
 		return
 	}
@@ -268,42 +279,61 @@
 	return next
 }
 
-// publishTargets replaces the view of targets if the entries have changed it, and wakes
-// runPendingDeletions. The caller holds mu.
+// publishTargets replaces the view of targets by one with the entries that changed, if it
+// differs, and wakes runPendingDeletions. The caller holds mu.
 func (m *Manager) publishTargets(source string) {
 	m.wakeDeletions()
 	old := m.view.Load()
-	listed := make([]fleet.Target, 0, len(m.targets.entries))
-	added, changed := 0, 0
-	for _, e := range m.targets.entries {
-		if !e.listed {
-			continue
-		}
-		target := m.effective(e.target)
-		target.Draining = target.Draining || e.unusable
-		listed = append(listed, target)
-		if before, found := old.Get(target.ID); !found {
-			added++
-		} else if before != target {
-			changed++
+	var put []fleet.Target
+	var removed []string
+	added := 0
+	for key := range m.targets.unpublished {
+		e, id := m.targets.entries[key], strings.TrimPrefix(key, TargetsPrefix)
+		before, known := old.Get(id)
+		switch {
+		case !e.listed && known:
+			removed = append(removed, id)
+		case e.listed:
+			target := m.effective(e.target)
+			target.Draining = target.Draining || e.unusable
+			if !known {
+				added++
+			}
+			if !known || target != before {
+				put = append(put, target)
+			}
 		}
 	}
-	removed := len(old.All()) + added - len(listed)
-	if added+changed+removed == 0 {
+	clear(m.targets.unpublished)
+	if len(put)+len(removed) == 0 {
 		return
 	}
-	next := fleet.NewView(m.targets.mergedVersion, listed)
+	next := old.With(m.targets.mergedVersion, put, removed)
 	m.view.Store(next)
-	m.log(event.TargetsChanged, "targets", len(listed), "added", added, "changed", changed, "removed", removed,
+	m.log(event.TargetsChanged, "targets", next.Len(), "added", added, "changed", len(put)-added, "removed", len(removed),
 		"revision", next.Revision, "source", source, "doubted", len(m.targets.pending))
 	if m.o.OnTargets != nil {
 		m.queue = append(m.queue, func() { m.o.OnTargets(old, next) })
 	}
 }
 
-// UpdateTargets updates the view of targets after a result of
-// Options.AnnouncedShutdown has changed.
-func (m *Manager) UpdateTargets() { m.change(func() { m.publishTargets("target") }) }
+// publishAllTargets is publishTargets after a change that may concern any target. The
+// caller holds mu.
+func (m *Manager) publishAllTargets(source string) {
+	for key := range m.targets.entries {
+		m.targets.unpublished[key] = struct{}{}
+	}
+	m.publishTargets(source)
+}
+
+// UpdateTarget updates the view of targets after a result of Options.AnnouncedShutdown
+// for a target has changed.
+func (m *Manager) UpdateTarget(id string) {
+	m.change(func() {
+		m.targets.unpublished[TargetsPrefix+id] = struct{}{}
+		m.publishTargets("target")
+	})
+}
 
 // wakeDeletions wakes runPendingDeletions.
 func (m *Manager) wakeDeletions() {
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -86,13 +86,16 @@
 // targets, since their addresses may be reused by another service, and to earlier starts
 // of targets, which have ended.
 func (i *Instance) handleTargets(before, now *fleet.View) {
-	for _, t := range before.All() {
-		next, listed := now.Get(t.ID)
-		if !listed || next.Succeeds(t) {
-			i.pool.CloseIdle(t.Address)
+	for _, c := range now.ChangesSince(before) {
+		if c.Before == nil {
+			continue
 		}
-		if next.Succeeds(t) {
-			i.paths.TargetStarted(next.Address)
+		succeeded := c.After != nil && c.After.Succeeds(*c.Before)
+		if c.After == nil || succeeded {
+			i.pool.CloseIdle(c.Before.Address)
+		}
+		if succeeded {
+			i.paths.TargetStarted(c.After.Address)
 		}
 	}
 	i.notices.RemoveExpired(func(run string) bool {
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -23,9 +23,11 @@
 // noticeChanged handles a changed notice of a target. A leaving target gets no new work
 // from this instance at once, and the notice is gossiped to the other instances, which
 // would otherwise learn of it only from responses to their own requests.
-func (i *Instance) noticeChanged(before, after board.Notice) {
+func (i *Instance) noticeChanged(run string, before, after board.Notice) {
 	if after.Leaving && !before.Leaving {
-		i.routes.UpdateTargets()
+		if target, listed := i.routes.Targets().Run(run); listed {
+			i.routes.UpdateTarget(target.ID)
+		}
 	}
 	i.spreadSoon()
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,7 +3,6 @@
 package fleet
 
 import (
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -87,72 +86,3 @@
 	// Unreadable is the part of the notice that could not be parsed; "" = none.
 	Unreadable string
 }
-
-// View is the set of targets at one moment. It is immutable.
-type View struct {
-	Revision  uint64 // revision of the store up to which changes are included
-	byID      map[string]Target
-	byService map[string][]Target // ready ones, by ID
-	byAddress map[string]string   // address to ID
-}
-
-// NewView returns a View of the targets.
-func NewView(revision uint64, targets []Target) *View {
-	v := &View{
-		Revision:  revision,
-		byID:      make(map[string]Target, len(targets)),
-		byService: make(map[string][]Target),
-		byAddress: make(map[string]string, len(targets)),
-	}
-	for _, t := range targets {
-		v.byID[t.ID] = t
-		v.byAddress[t.Address] = t.ID
-		if !t.Draining {
-			v.byService[t.Service] = append(v.byService[t.Service], t)
-		}
-	}
-	for _, list := range v.byService {
-		slices.SortFunc(list, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
-	}
-	return v
-}
-
-// Ready returns the targets of the service that accept new work, ordered by ID. The
-// caller must not modify the slice.
-func (v *View) Ready(service string) []Target { return v.byService[service] }
-
-// Get returns a target, ready or draining.
-func (v *View) Get(id string) (Target, bool) {
-	t, ok := v.byID[id]
-	return t, ok
-}
-
-// Run returns the listed target of which run is Target.Run.
-func (v *View) Run(run string) (Target, bool) {
-	if t, ok := v.byID[run]; ok && t.Started == 0 {
-		return t, true // its ID may look like the name of a start
-	}
-	t, ok := v.byID[IDOfRun(run)]
-	return t, ok && t.Run() == run
-}
-
-// Usable reports whether the target is listed and accepts new work.
-func (v *View) Usable(id string) bool {
-	t, ok := v.byID[id]
-	return ok && !t.Draining
-}
-
-// All returns every target, in no particular order.
-func (v *View) All() []Target {
-	all := make([]Target, 0, len(v.byID))
-	for _, t := range v.byID {
-		all = append(all, t)
-	}
-	return all
-}
-
-// AtAddress returns the ID of the target at the address.
-func (v *View) AtAddress(address string) (string, bool) {
-	id, ok := v.byAddress[address]
-	return id, ok
-}
--- a/internal/notice/notice.go
+++ b/internal/notice/notice.go
@@ -44,7 +44,7 @@
 	Clock clock.Clock
 	// OnChange is called, with no lock held, after a notice of a target that other
 	// instances need as well has changed. nil: not called.
-	OnChange func(before, after board.Notice)
+	OnChange func(run string, before, after board.Notice)
 	// Started returns the listed start of a target, 0 if it states none: what a target
 	// announced in an earlier start does not hold in a later one. nil = none states any.
 	Started func(target string) int64
@@ -70,7 +70,7 @@
 		o.Clock = quartz.NewReal()
 	}
 	if o.OnChange == nil {
-		o.OnChange = func(_, _ board.Notice) {}
+		o.OnChange = func(string, board.Notice, board.Notice) {}
 	}
 	if o.Started == nil {
 		o.Started = func(string) int64 { return 0 }
@@ -225,7 +225,7 @@
 		return after, true
 	})
 	if k.reportChange(target, before, after) {
-		k.o.OnChange(before, after)
+		k.o.OnChange(target, before, after)
 	}
 }
 
--- a/internal/stagework/cells.go
+++ b/internal/stagework/cells.go
@@ -74,11 +74,11 @@
 		if s.Pieces == nil && s.Engine == nil {
 			continue
 		}
-		for _, t := range view.Ready(name) {
-			if counts[t.Zone] == nil {
-				counts[t.Zone] = make(map[string]int)
+		for zone, n := range view.ReadyByZone(name) {
+			if counts[zone] == nil {
+				counts[zone] = make(map[string]int)
 			}
-			counts[t.Zone][name]++
+			counts[zone][name] = n
 		}
 	}
 	return counts
@@ -149,16 +149,18 @@
 	return ranked
 }
 
-// within returns the targets of the view in the cell's zones.
-func (c Cell) within(view *fleet.View) *fleet.View {
+// cellView is a view limited to the targets in the zones of a cell.
+type cellView struct {
+	all, limited *fleet.View // the view from which limited was derived
+}
+
+// update returns the view limited to the cell, and keeps it for the next call, which then
+// examines the changes since only.
+func (v *cellView) update(c Cell, all *fleet.View) *fleet.View {
 	if c.Zones == nil {
-		return view
-	}
-	var inside []fleet.Target
-	for _, t := range view.All() {
-		if slices.Contains(c.Zones, t.Zone) {
-			inside = append(inside, t)
-		}
+		return all
 	}
-	return fleet.NewView(view.Revision, inside)
+	v.limited = all.Within(func(t fleet.Target) bool { return slices.Contains(c.Zones, t.Zone) }, v.all, v.limited)
+	v.all = all
+	return v.limited
 }
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -99,7 +99,7 @@
 		p.reuseWindow = d.o.Reuse
 	}
 	if d.view != nil {
-		p.SetTargets(d.table, cell.within(d.view))
+		p.SetTargets(d.table, p.cellView.update(cell, d.view))
 		p.setRetired(!cell.among(d.cells))
 	}
 	d.planners[cell.Name()] = p
@@ -118,7 +118,7 @@
 	d.cells = d.partition.Update(table, view)
 	d.decideBrokenCalls()
 	for _, p := range d.planners {
-		p.SetTargets(table, p.cell.within(view))
+		p.SetTargets(table, p.cellView.update(p.cell, view))
 		p.setRetired(!p.cell.among(d.cells))
 		d.runPlan(p)
 	}
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -45,6 +45,8 @@
 	release func(address string, handles []string)
 	counts  Counts
 	cell    Cell
+	// cellView is the view of the cell's targets that a Dispatcher passed to SetTargets last.
+	cellView cellView
 	// retired is set while the cell is not part of the current partition of the
 	// targets.
 	retired    bool
--- a/internal/streamorigin/history.go
+++ b/internal/streamorigin/history.go
@@ -53,8 +53,10 @@
 		return false
 	}
 	builds := make(map[string]map[string]bool)
-	for _, t := range view.All() {
-		add(builds, t.Service, t.Build)
+	for _, service := range view.Services() {
+		for build := range view.Builds(service) {
+			add(builds, service, build)
+		}
 	}
 	services := make(map[string]map[string]bool)
 	for i := range table.Routes {
--- a/internal/targetpath/manager.go
+++ b/internal/targetpath/manager.go
@@ -111,7 +111,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	lost := m.lostPathsLocked()
-	return m.lost || lost > 0 && 2*lost > len(m.o.Targets().All())
+	return m.lost || lost > 0 && 2*lost > m.o.Targets().Len()
 }
 
 // Reachable reports whether this instance reaches any target, by itself or through another
--- a/internal/targetpath/path.go
+++ b/internal/targetpath/path.go
@@ -126,7 +126,7 @@
 			shared++
 		}
 	}
-	listed := max(len(m.o.Targets().All()), 1)
+	listed := max(m.o.Targets().Len(), 1)
 	silence := now.Sub(heard)
 	m.lost = own >= min(minOwnFailures, listed) && silence > minOwnSilence ||
 		own+shared >= min(minSharedFailures, listed) && silence > minSharedSilence
