Routesync: Refresh reads the changes instead of listing everything

After a suspension, after a silence of the other instances and after a probe without an answer, an instance listed all prefixes again. With 10,003 targets that are 21 pages and 3.5 MB on a link of 20 Mbit/s, which make the instance late and silent, so that it lists again; when many do so at once, the store's link is full.

Refresh cancels the calls in progress and watches from the version that is known, without a wait. The store lists what changed since, or says that its history is gone, and then everything is listed as before.

Tests: those that used Refresh to have an instance list now take the history away, which forces the list. memstore delays a watch like any other call; with that the test of a suspension keeps its bound.

--- a/internal/control/routesync/confirm_test.go
+++ b/internal/control/routesync/confirm_test.go
@@ -50,8 +50,9 @@
 		n := w.start("a", true)
 		time.Sleep(20 * time.Second)
 		othersAsk.Store(true)
-		n.Relist()
+		n.Refresh()
 		time.Sleep(10 * time.Second)
+		before := n.link.shortWatchCount() // those of Refresh
 		w.put(TableKey, "2")
 		var asking sync.WaitGroup
 		for range 5 {
@@ -62,7 +63,7 @@
 			})
 		}
 		asking.Wait()
-		if reads := n.link.shortWatchCount(); reads != 1 {
+		if reads := n.link.shortWatchCount() - before; reads != 1 {
 			t.Errorf("%d reads for five concurrent callers, want 1", reads)
 		}
 		time.Sleep(4 * time.Second)
@@ -75,7 +76,7 @@
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
-		if reads := n.link.shortWatchCount() - 1; reads > 5 {
+		if reads := n.link.shortWatchCount() - before - 1; reads > 5 {
 			t.Errorf("%d reads in 3 s of a store that fails, want at most one every 0.75 s", reads)
 		}
 	})
@@ -96,7 +97,7 @@
 			n.link.get = func(ctx context.Context) error { return waitUnanswered(ctx, time.Hour) }
 			n.link.dropChanges = true // for watches that start from now on
 		})
-		n.Relist()
+		n.Refresh()
 		time.Sleep(time.Second)
 		n.link.set(func() { n.link.dropChanges = false })
 		w.put(TableKey, "2")
--- a/internal/control/routesync/options.go
+++ b/internal/control/routesync/options.go
@@ -246,12 +246,13 @@
 	return m.routes.known() && m.targets.known && (m.evacuations.known || !m.o.Evacuations)
 }
 
-// Relist cancels calls in progress, lists all prefixes again at once, and requests
-// extra gossip exchanges. It is called after the process was suspended, since watches
-// from before may wait on a dead connection.
-func (m *Manager) Relist() {
+// Refresh cancels calls in progress, reads the changes of all prefixes from the store at
+// once, and requests extra gossip exchanges. It is called after the process was suspended,
+// since watches from before may wait on a dead connection. A prefix is listed only if it
+// was not yet, or if the store no longer has the changes.
+func (m *Manager) Refresh() {
 	for _, f := range m.watchLoops {
-		f.requestRelist()
+		f.requestRefresh()
 	}
 	m.o.RequestExchanges()
 }
--- a/internal/control/routesync/probe.go
+++ b/internal/control/routesync/probe.go
@@ -61,7 +61,7 @@
 	}
 	m.o.Logger.Log(event.RouteStoreSilent, "err", err)
 	if call.Err() != nil {
-		m.Relist()
+		m.Refresh()
 		return
 	}
 	m.o.RequestExchanges()
--- a/internal/control/routesync/rig_test.go
+++ b/internal/control/routesync/rig_test.go
@@ -296,3 +296,14 @@
 		w.t.Errorf("%s logged %d times, want %d", event.Lookup(id).Name, n.events[id], want)
 	}
 }
+
+// listAgain has the instance list again, as after a compaction of the store's history.
+func (n *testInstance) listAgain() {
+	n.link.set(func() {
+		n.link.watch = func(after uint64) ([]store.Object, uint64, bool, error) { return nil, after, true, nil }
+	})
+	n.Refresh()
+	synctest.Wait()
+	n.link.set(func() { n.link.watch = nil })
+	time.Sleep(2 * time.Second) // until the next watch
+}
--- a/internal/control/routesync/routesync_test.go
+++ b/internal/control/routesync/routesync_test.go
@@ -62,12 +62,12 @@
 		w.put("targets/c", "1:3")
 		w.wantState(n, "before", "2: -a c")
 		n.link.set(func() { n.link.list = func() ([]store.Object, uint64, error) { return stale, at, nil } })
-		n.Relist()
+		n.listAgain()
 		w.wantState(n, "after the stale list", "2: -a c")
 		w.wantEvents(n, event.RoutesNotNewer, 1)
 		time.Sleep(2 * tombstoneTTL)
 		w.put("targets/d", "1:4") // the tombstone of b expires with this merge
-		n.Relist()
+		n.listAgain()
 		w.wantState(n, "after the tombstone's expiry", "2: -a c d")
 		w.put(TableKey, "1") // an old file of an operator, under a new version of the store
 		w.wantState(n, "after an old table", "2: -a c d")
@@ -246,7 +246,7 @@
 		w.put("targets/a", "bad")
 		w.wantState(n, "unreadable", "1: -a b")
 		w.sendDigest("y", "x")
-		n.Relist()
+		n.Refresh()
 		synctest.Wait()
 		w.wantEvents(n, event.RoutesUnreadable, 1)
 		w.wantEvents(n, event.TargetUnreadable, 1)
@@ -262,7 +262,7 @@
 // Guards against an instance that uses stale routes for the whole wait of a watch after
 // its host was suspended: the connection died during the suspension, and nothing ended
 // the watch on it.
-func TestRecheckListsAtOnce(t *testing.T) {
+func TestRefreshReadsChangesAtOnce(t *testing.T) {
 	inWorld(t, func(w *world) {
 		n := w.start("x", true)
 		n.link.set(func() { n.link.dropChanges = true })
@@ -270,7 +270,8 @@
 		w.put(TableKey, "2")
 		w.remove("targets/a")
 		w.wantState(n, "deaf", "1: a b")
-		n.Relist()
+		n.link.set(func() { n.link.dropChanges = false }) // new connections work
+		n.Refresh()
 		w.wantState(n, "rechecked", "2: b")
 		w.wantEvents(n, event.RouteStoreLost, 0)
 		if age := n.ConfirmedAge(); age != 0 || n.exchanges != 1 {
--- a/internal/control/routesync/starts_test.go
+++ b/internal/control/routesync/starts_test.go
@@ -22,7 +22,7 @@
 			w.wantState(n, "unusable", "1: -a b d")
 			w.sendDigest("x", "y")
 			w.wantState(other, "unusable, from a peer", "1: -a b d")
-			n.Relist()
+			n.Refresh()
 			synctest.Wait()
 			w.sendDigest("y", "x")
 			w.wantEvents(n, event.TargetUnreadable, 2)
--- a/internal/control/routesync/watch_loop.go
+++ b/internal/control/routesync/watch_loop.go
@@ -35,33 +35,34 @@
 	prefix       string
 	after        uint64        // version from which the next watch resumes
 	listed       bool          // after is valid; false: the next call is a list
+	confirm      bool          // the next watch must not wait: it confirms the state
 	answered     bool          // the store has answered a list since this process started
 	watchStarted time.Duration // boot time at which the last watch started
 	failures     int           // failed calls since the last successful watch
 	relists      int           // watches since the last successful one that required a new list
 
 	mu              sync.Mutex         // guards the fields below
-	relistRequested bool               // Relist was called, and no call has started since
+	refreshRequested bool               // Refresh was called, and no call has started since
 	cancel          context.CancelFunc // cancels the current call or the pause after it
 }
 
 // begin returns the context of the next call and of the pause after it.
-// requestRelist cancels it.
+// requestRefresh cancels it.
 func (f *watchLoop) begin(ctx context.Context) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.cancel = cancel
-	if f.relistRequested {
-		f.relistRequested, f.listed = false, false
+	if f.refreshRequested {
+		f.refreshRequested, f.confirm = false, true
 	}
 	return ctx, cancel
 }
 
-func (f *watchLoop) requestRelist() {
+func (f *watchLoop) requestRefresh() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.relistRequested = true
+	f.refreshRequested = true
 	if f.cancel != nil {
 		f.cancel()
 	}
@@ -93,18 +94,18 @@
 // Without this, the watches of all instances count toward the store's rate limits,
 // which grow more slowly than the fleet, and the store throttles all instances.
 func (m *Manager) restsOnPeers(f *watchLoop) bool {
-	if f.relistPending() || !m.Synced() || m.o.CallsStore(m.ConfirmedAge()) {
+	if f.refreshPending() || !m.Synced() || m.o.CallsStore(m.ConfirmedAge()) {
 		return false
 	}
 	f.after, f.listed = m.resumeVersion(f.prefix), true
 	return true
 }
 
-// relistPending reports whether Relist was called and no call has started since.
-func (f *watchLoop) relistPending() bool {
+// refreshPending reports whether Refresh was called and no call has started since.
+func (f *watchLoop) refreshPending() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.relistRequested
+	return f.refreshRequested
 }
 
 func (m *Manager) step(ctx context.Context, f *watchLoop) error {
@@ -124,13 +125,16 @@
 	}
 	m.storeAnswered(f.prefix, started)
 	m.adopt(f.prefix, answer{objects: objects, version: version, complete: true})
-	f.after, f.listed, f.answered = version, true, true
+	f.after, f.listed, f.answered, f.confirm = version, true, true, false
 	return nil
 }
 
 func (m *Manager) watch(ctx context.Context, f *watchLoop) error {
-	started, wait := m.o.Boot.SinceBoot(), m.watchWait(f.prefix)
-	f.watchStarted = started
+	started, wait, confirm := m.o.Boot.SinceBoot(), m.watchWait(f.prefix), f.confirm
+	if confirm {
+		wait = minWatchWait
+	}
+	f.watchStarted, f.confirm = started, false
 	limited, cancel := loop.WithTimeout(ctx, m.o.Clock, wait+m.o.Times().WatchLimit)
 	defer cancel()
 	objects, version, compacted, err := m.o.Store.Watch(store.WithWatchWait(limited, wait), f.prefix, f.after)
@@ -151,7 +155,7 @@
 	f.failures, f.relists = 0, 0
 	fresh := len(objects) > 0 && version > f.after
 	f.after = max(f.after, version)
-	if !fresh && now-started < m.o.RetryMin {
+	if !fresh && !confirm && now-started < m.o.RetryMin {
 		return errTooSoon
 	}
 	return nil
--- a/internal/edge/contact.go
+++ b/internal/edge/contact.go
@@ -47,6 +47,6 @@
 	// slightly within one period of silence.
 	if lastHeard-time.Duration(before) > silenceThreshold/2 && i.heardBeforeQuery.CompareAndSwap(before, int64(lastHeard)) {
 		i.storeQueriedAt.Store(int64(i.o.Boot.SinceBoot()))
-		i.routes.Relist()
+		i.routes.Refresh()
 	}
 }
--- a/internal/store/memstore/faults.go
+++ b/internal/store/memstore/faults.go
@@ -108,18 +108,28 @@
 	return s.rng.Float64() < s.faults.LoseReply
 }
 
+// waitDelay waits for the time that a call takes before it has an effect.
+func (s *Store) waitDelay(ctx context.Context, k kind) error {
+	d := s.delay(k)
+	if d <= 0 {
+		return nil
+	}
+	timer := s.opts.Clock.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return store.ErrUnavailable
+	}
+}
+
 func (s *Store) read(ctx context.Context, apply func() error) error {
 	if err := s.enter(ctx, kindRead); err != nil {
 		return err
 	}
-	if d := s.delay(kindRead); d > 0 {
-		timer := s.opts.Clock.NewTimer(d)
-		defer timer.Stop()
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			return store.ErrUnavailable
-		}
+	if err := s.waitDelay(ctx, kindRead); err != nil {
+		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -207,6 +207,9 @@
 	if err := s.enter(ctx, kindWatch); err != nil {
 		return nil, after, false, err
 	}
+	if err := s.waitDelay(ctx, kindWatch); err != nil {
+		return nil, after, false, err
+	}
 	timer := s.opts.Clock.NewTimer(store.WatchWait(ctx, s.opts.WatchWait))
 	defer timer.Stop()
 	for {
