Membership: an instance exchanges digests with 64 others, not with each in turn

With one heartbeat each half second, 985 instances need eight minutes to meet each other.

Heartbeats and extra exchanges go to 32 members of the own zone and 32 of the others, chosen by rendezvous hashing, so that connections are used again.

--- a/internal/membership/eager.go
+++ b/internal/membership/eager.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/control/loop"
 )
 
@@ -49,9 +48,9 @@
 // wait for the next heartbeats. It does not block.
 func (m *Manager) RequestExchanges() { m.spreadNow.Notify() }
 
-// spread exchanges small digests with EagerFanout random members at once.
+// spread exchanges small digests with EagerFanout random partners at once.
 func (m *Manager) spread(ctx context.Context) {
-	ids := m.shuffled(m.view.ids(board.MemberAlive))
+	ids := m.shuffled(m.alivePartners())
 	var wg sync.WaitGroup
 	for i, id := range ids {
 		if i == m.o.EagerFanout {
--- a/internal/membership/partners.go
+++ b/internal/membership/partners.go
@@ -1,6 +1,11 @@
 package membership
 
-import "lynxhill.example/lynxhill/internal/board"
+import (
+	"slices"
+
+	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/control/rendezvous"
+)
 
 // Heartbeats go to members of this instance's availability zone (short: zone) more
 // often than in proportion to their number. An instance prefers targets of its own
@@ -13,6 +18,10 @@
 	// sameZoneFullShareFrom is the number of other members in the zone from which
 	// sameZoneShare applies; with fewer, the same rows would be exchanged repeatedly.
 	sameZoneFullShareFrom = 16
+	// maxPartners is the number of members of this zone, and of the other zones together,
+	// with which an instance exchanges digests. Without it each instance has a connection
+	// to every other one in a large fleet, most of them unused for minutes.
+	maxPartners = 32
 )
 
 // heartbeatRound holds the members that are still to be contacted in this round, in
@@ -56,7 +65,9 @@
 	return max(byNumber, sameZoneShare*min(1, float64(sameZone)/sameZoneFullShareFrom))
 }
 
-// partners returns the members that receive heartbeats.
+// partners returns the members that receive heartbeats. Each instance selects its own by
+// rendezvous hashing: few of them change with a member, and every member is selected by
+// about as many others, which notice its failure.
 func (m *Manager) partners() (sameZone, otherZones []string) {
 	for _, id := range m.view.ids(board.MemberAlive, board.MemberSuspect, board.MemberLeaving) {
 		if member, ok := m.view.get(id); ok && member.Zone == m.o.Self.Zone {
@@ -65,5 +76,21 @@
 			otherZones = append(otherZones, id)
 		}
 	}
-	return sameZone, otherZones
+	return m.limitPartners(sameZone), m.limitPartners(otherZones)
+}
+
+func (m *Manager) limitPartners(ids []string) []string {
+	if len(ids) <= maxPartners {
+		return ids
+	}
+	return rendezvous.Top("membership/partners/"+m.o.Self.ID, ids, maxPartners)
+}
+
+// alivePartners returns the partners that are alive.
+func (m *Manager) alivePartners() []string {
+	sameZone, otherZones := m.partners()
+	return slices.DeleteFunc(slices.Concat(sameZone, otherZones), func(id string) bool {
+		member, ok := m.view.get(id)
+		return !ok || member.State != string(board.MemberAlive)
+	})
 }
