Routesync: all targets reach an instance over few sources, in parts that resume

At a common start each of 985 instances listed 10,003 targets from the store: 21 pages and some 3.5 MB each, 27 s of the store's link, and a list that took over 2 s began anew. A pull from a peer had one second for all 41 pages, and began with the first page again: with 60 ms a page it never ended.

A list continues after the last page that was read. After the first page only the seeds, and then 8 instances by rank, twice as many each second, read on; the others expect the targets from peers, unless they hear from none. A pull goes on where the last one ended, also at another source; each page has its own timeout. A source serves 2 to 12 transfers at a time, by its capacity, and refuses the others, so that sources multiply instead of queueing.

--- a/internal/control/routesync/options.go
+++ b/internal/control/routesync/options.go
@@ -56,6 +56,7 @@
 // Store is the part of the platform's store that a Manager uses.
 type Store interface {
 	store.Reader
+	store.Pager
 	store.Watcher
 }
 
@@ -95,6 +96,12 @@
 	// that do not call the store receive changes from those that do. nil = it
 	// always does.
 	CallsStore func(age time.Duration) bool
+	// ListsWhole reports whether this instance reads all pages of a list of the store. If
+	// not, it reads the first one and expects the others from peers. nil = it always does.
+	ListsWhole func() bool
+	// MaxTransfers is the number of peers that may pull long lists from this instance at
+	// the same time. 0 = defaultTransfers.
+	MaxTransfers int
 	// ProbeKey is the key of the object that is read to check whether the store
 	// answers, which a pending watch does not show. The reads may return stale data.
 	// "" = the store is not probed.
@@ -132,6 +139,12 @@
 	if o.CallsStore == nil {
 		o.CallsStore = func(time.Duration) bool { return true }
 	}
+	if o.ListsWhole == nil {
+		o.ListsWhole = func() bool { return true }
+	}
+	if o.MaxTransfers == 0 {
+		o.MaxTransfers = defaultTransfers
+	}
 	if o.Probes == nil {
 		o.Probes = func(time.Duration) bool { return true }
 	}
@@ -169,6 +182,9 @@
 	era     era
 	routes  routes
 	targets *targets
+	// pulledTargets is how far the last incomplete pull of targets came.
+	pulledTargets pullCursor
+	transfers     transfers
 	// evacuations holds the orders by which the targets of a zone take no new work.
 	evacuations *evacuations
 	queue       []func() // log entries and callbacks to be run by deliver, in order
@@ -188,6 +204,7 @@
 		health:           health{grace: o.RecoveryGrace, failing: make(map[string]time.Duration)},
 		targets:          newTargets(),
 		evacuations:      newEvacuations(),
+		transfers:        transfers{limit: o.MaxTransfers, active: make(map[string]time.Duration)},
 	}
 	for _, prefix := range o.prefixes() {
 		m.watchLoops = append(m.watchLoops, &watchLoop{prefix: prefix})
--- a/internal/control/routesync/peers.go
+++ b/internal/control/routesync/peers.go
@@ -14,8 +14,13 @@
 // rowBytes is the estimated size in bytes of a row of a digest without its name.
 const rowBytes = 12
 
-// pullTimeout bounds one pull, including all its pages.
-const pullTimeout = time.Second
+const (
+	// pullTimeout bounds the call for one page.
+	pullTimeout = time.Second
+	// maxPullTime is the time after which a pull ends between two pages. The next one
+	// continues, perhaps with a faster source.
+	maxPullTime = 4 * time.Second
+)
 
 // pullSource is a peer whose digest lists a newer version than this instance has.
 type pullSource struct {
@@ -203,21 +208,31 @@
 }
 
 // pull fetches the peer's objects that are newer than those of this instance and
-// merges them. If a pull fails after some pages, these are merged too, but the next
-// pull starts from the same version, since only the last page guarantees completeness.
+// merges them. If a pull ends after some pages, these are merged too, and the next one
+// continues from there, also with another peer. Only the last page guarantees
+// completeness.
 func (m *Manager) pull(ctx context.Context, prefix string, s pullSource) {
 	if !m.needsPull(prefix, s.version) {
 		return
 	}
 	after := m.pullAfter(prefix)
-	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, pullTimeout)
-	defer cancel()
-	objects, version, err := m.pullPages(ctx, prefix, s.instance, after)
-	if err != nil {
-		m.o.Logger.Log(event.RoutePullFailed, "prefix", prefix, "instance", s.instance, "err", err)
+	if prefix == TargetsPrefix {
+		after = m.resumePull(after)
 	}
-	if len(objects) > 0 || version > 0 {
-		a := answer{objects: objects, version: version, peer: s.instance}
+	pulled, err := m.pullPages(ctx, prefix, s.instance, after)
+	if err != nil && !errors.Is(err, store.ErrThrottled) {
+		m.o.Logger.Log(event.RoutePullFailed, "prefix", prefix, "instance", s.instance, "pages", pulled.pages, "err", err)
+	}
+	if prefix == TargetsPrefix {
+		// The source may not have applied all deletions up to the versions of its objects,
+		// only up to the version in its digest.
+		m.notePulled(min(pulled.mark, s.version), pulled.complete)
+	}
+	if len(pulled.objects) > 0 || pulled.complete {
+		a := answer{objects: pulled.objects, peer: s.instance}
+		if pulled.complete {
+			a.version = pulled.mark
+		}
 		if prefix == RoutesPrefix {
 			a.digestVersion = s.version
 		}
@@ -225,25 +240,62 @@
 	}
 }
 
+// resumePull returns the version from which the next pull of targets begins.
+func (m *Manager) resumePull(after uint64) uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pulledTargets.resume(after, m.o.Boot.SinceBoot())
+}
+
+// notePulled records how far a pull of targets came.
+func (m *Manager) notePulled(mark uint64, complete bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case complete:
+		m.pulledTargets = pullCursor{}
+	case mark > 0:
+		m.pulledTargets = pullCursor{max(mark, m.pulledTargets.version), m.o.Boot.SinceBoot()}
+	}
+}
+
 // errNoProgress reports that a peer announced a further page whose version did not
 // rise.
 var errNoProgress = errors.New("routesync: the peer sends the same page again")
 
-// pullPages pulls pages until the peer has no more. On an error it returns the objects
-// received so far and version 0.
-func (m *Manager) pullPages(ctx context.Context, prefix, instance string, after uint64) (objects []store.Object, version uint64, err error) {
-	for {
-		page, version, more, err := m.o.Puller.Pull(ctx, instance, prefix, after)
+// pulled is the result of a pull.
+type pulled struct {
+	objects  []store.Object
+	pages    int
+	mark     uint64 // version of the last page, 0 = none was received
+	complete bool   // the last page was the last of a peer that holds everything up to mark
+}
+
+// pullPages pulls pages until the peer has no more or maxPullTime has passed. After an
+// error it returns what was received before.
+func (m *Manager) pullPages(ctx context.Context, prefix, instance string, after uint64) (p pulled, err error) {
+	began := m.o.Boot.SinceBoot()
+	for m.o.Boot.SinceBoot()-began < maxPullTime {
+		page, version, more, err := m.pullPage(ctx, instance, prefix, after)
 		if err != nil {
-			return objects, 0, err
+			return p, err
 		}
-		objects = append(objects, page...)
+		p.objects = append(p.objects, page...)
+		p.pages++
 		switch {
 		case !more:
-			return objects, version, nil
+			p.mark, p.complete = version, version > 0
+			return p, nil
 		case version <= after:
-			return objects, 0, errNoProgress
+			return p, errNoProgress
 		}
-		after = version
+		p.mark, after = version, version
 	}
+	return p, nil
+}
+
+func (m *Manager) pullPage(ctx context.Context, instance, prefix string, after uint64) ([]store.Object, uint64, bool, error) {
+	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, pullTimeout)
+	defer cancel()
+	return m.o.Puller.Pull(ctx, instance, prefix, after)
 }
--- a/internal/control/routesync/rig_test.go
+++ b/internal/control/routesync/rig_test.go
@@ -94,18 +94,19 @@
 	return l.Store.Get(ctx, key)
 }
 
-func (l *link) List(ctx context.Context, prefix string) ([]store.Object, uint64, error) {
+func (l *link) ListPage(ctx context.Context, prefix, after string) (store.Page, error) {
 	l.mu.Lock()
 	l.calls++
 	up, list := l.up, l.list
 	l.mu.Unlock()
 	switch {
 	case up.Err() != nil:
-		return nil, 0, store.ErrThrottled
+		return store.Page{}, store.ErrThrottled
 	case list != nil:
-		return list()
+		objects, version, err := list()
+		return store.Page{Objects: objects, Version: version}, err
 	}
-	return l.Store.List(ctx, prefix)
+	return l.Store.ListPage(ctx, prefix, after)
 }
 
 func (l *link) Watch(ctx context.Context, prefix string, after uint64) ([]store.Object, uint64, bool, error) {
@@ -191,8 +192,10 @@
 
 // Pull implements Puller over all instances.
 func (w *world) Pull(ctx context.Context, instance, prefix string, after uint64) ([]store.Object, uint64, bool, error) {
-	objects, version, more := w.instances[instance].Since(prefix, after)
-	return objects, version, more, ctx.Err()
+	if err := ctx.Err(); err != nil {
+		return nil, 0, false, err
+	}
+	return w.instances[instance].Serve("puller", prefix, after)
 }
 
 func (w *world) start(id string, up bool) *testInstance {
--- /dev/null
+++ b/internal/control/routesync/transfers.go
@@ -0,0 +1,74 @@
+package routesync
+
+import (
+	"time"
+
+	"lynxhill.example/lynxhill/internal/store"
+)
+
+// Instances that start together pull all targets from the few that know them. A source that
+// served all of them at once would serve none in time. Each therefore serves a few at a
+// time and refuses the others, which find another source in their next digests: each
+// instance that has received the targets is one, so that the sources multiply.
+
+const (
+	// defaultTransfers is the default of Options.MaxTransfers.
+	defaultTransfers = 4
+	// transferIdle is the time without a request for a page after which a transfer no
+	// longer counts.
+	transferIdle = time.Second
+)
+
+// transfers are the transfers of several pages that peers pull from this instance. It is
+// guarded by Manager.mu.
+type transfers struct {
+	limit  int
+	active map[string]time.Duration // by instance: boot time of its last page
+}
+
+// admit reports whether the instance may pull a page that is not the last one.
+func (t *transfers) admit(instance string, now time.Duration) bool {
+	for id, at := range t.active {
+		if now-at > transferIdle {
+			delete(t.active, id)
+		}
+	}
+	if _, known := t.active[instance]; !known && len(t.active) >= t.limit {
+		return false
+	}
+	t.active[instance] = now
+	return true
+}
+
+// Serve answers the pull of another instance, as Since does. The error is
+// store.ErrThrottled if this instance serves as many transfers as it may.
+func (m *Manager) Serve(instance, prefix string, after uint64) (objects []store.Object, version uint64, more bool, err error) {
+	objects, version, more = m.Since(prefix, after)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case !more:
+		delete(m.transfers.active, instance)
+	case !m.transfers.admit(instance, m.o.Boot.SinceBoot()):
+		return nil, 0, false, store.ErrThrottled
+	}
+	return objects, version, more, nil
+}
+
+// pullCursor is how far an incomplete pull came.
+type pullCursor struct {
+	version uint64        // everything up to it was received
+	at      time.Duration // boot time at which the pull ended
+}
+
+// cursorExpiry is the time after which an incomplete pull begins anew: tombstones of
+// targets that were deleted since must not have expired at the next source.
+const cursorExpiry = tombstoneTTL / 2
+
+// resume returns the version from which a pull begins that would begin at after.
+func (c pullCursor) resume(after uint64, now time.Duration) uint64 {
+	if c.version == 0 || now-c.at > cursorExpiry {
+		return after
+	}
+	return max(after, c.version)
+}
--- a/internal/control/routesync/watch_loop.go
+++ b/internal/control/routesync/watch_loop.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// callTimeout bounds a list call.
+	// callTimeout bounds a call that reads a page of a list.
 	callTimeout = 2 * time.Second
 	// fastRetries is the number of consecutive failures that are retried without
 	// backoff, about RetryMin apart, if the store has not answered since this process
@@ -27,6 +27,9 @@
 // errTooSoon reports that a watch returned at once without a change.
 var errTooSoon = errors.New("routesync: the watch did not wait")
 
+// errWaiting reports that the rest of a list is left to peers for now.
+var errWaiting = errors.New("routesync: the list is expected from peers")
+
 // errSilent reports that a watch got no answer within its wait and Times.WatchLimit.
 var errSilent = errors.New("routesync: the watch had no answer")
 
@@ -39,11 +42,12 @@
 	answered     bool          // the store has answered a list since this process started
 	watchStarted time.Duration // boot time at which the last watch started
 	failures     int           // failed calls since the last successful watch
+	partial      partialList   // pages of a list in progress
 	relists      int           // watches since the last successful one that required a new list
 
-	mu              sync.Mutex         // guards the fields below
+	mu               sync.Mutex         // guards the fields below
 	refreshRequested bool               // Refresh was called, and no call has started since
-	cancel          context.CancelFunc // cancels the current call or the pause after it
+	cancel           context.CancelFunc // cancels the current call or the pause after it
 }
 
 // begin returns the context of the next call and of the pause after it.
@@ -97,7 +101,7 @@
 	if f.refreshPending() || !m.Synced() || m.o.CallsStore(m.ConfirmedAge()) {
 		return false
 	}
-	f.after, f.listed = m.resumeVersion(f.prefix), true
+	f.resumeFrom(m.resumeVersion(f.prefix))
 	return true
 }
 
@@ -115,20 +119,6 @@
 	return m.watch(ctx, f)
 }
 
-func (m *Manager) list(ctx context.Context, f *watchLoop) error {
-	started := m.o.Boot.SinceBoot()
-	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, callTimeout)
-	defer cancel()
-	objects, version, err := m.o.Store.List(ctx, f.prefix)
-	if err != nil {
-		return err
-	}
-	m.storeAnswered(f.prefix, started)
-	m.adopt(f.prefix, answer{objects: objects, version: version, complete: true})
-	f.after, f.listed, f.answered, f.confirm = version, true, true, false
-	return nil
-}
-
 func (m *Manager) watch(ctx context.Context, f *watchLoop) error {
 	started, wait, confirm := m.o.Boot.SinceBoot(), m.watchWait(f.prefix), f.confirm
 	if confirm {
@@ -183,6 +173,8 @@
 		return max(0, m.o.WatchGap-(m.o.Boot.SinceBoot()-f.watchStarted))
 	case err == nil:
 		return 0
+	case errors.Is(err, errWaiting):
+		return peerCheckPeriod
 	case errors.Is(err, errTooSoon):
 		return m.o.RetryMin
 	case f.listed && asksForList(err):
--- a/internal/control/watchers/watchers.go
+++ b/internal/control/watchers/watchers.go
@@ -120,6 +120,28 @@
 	return f.effectiveRank(f.Ranks.Reaching) < limit
 }
 
+// listStep is the time after which the number of instances that read a long list whole
+// doubles while the instances have no one to get it from.
+const listStep = time.Second
+
+// ListsWhole reports whether the instance, which knows no targets yet, reads all pages of a
+// long list itself instead of waiting for its peers. When all instances start together, the
+// seeds read it at once and MaxWatchers others soon after; their number doubles as long as
+// that does not suffice. An instance that hears from no other reads it after cutOffAfter.
+func (f Facts) ListsWhole(seed bool) bool {
+	if seed || !f.HasPeers {
+		return true
+	}
+	if f.Uptime < settleTime {
+		return false
+	}
+	if f.Uptime >= cutOffAfter && (f.Silence == 0 || f.Silence >= cutOffAfter) {
+		return true
+	}
+	const most = 20 // doublings; more instances than any fleet has
+	return f.Ranks.All < MaxWatchers<<min(int((f.Uptime-settleTime)/listStep), most)
+}
+
 // effectiveRank scales the rank by the share of members that answer calls. When many
 // members fail at once it takes seconds until each is suspected, and until then they
 // count as alive.
--- a/internal/control/watchers/watchers_test.go
+++ b/internal/control/watchers/watchers_test.go
@@ -148,3 +148,30 @@
 		}
 	}
 }
+
+// Guards against a store whose link is full for half a minute because all of 985 instances
+// that start together read thousands of targets, and against instances that wait forever
+// for peers that know none either.
+func TestFewInstancesListWholeAfterACommonStart(t *testing.T) {
+	listers := func(uptime time.Duration, silence time.Duration) (n int) {
+		all := members(985)
+		for _, id := range all {
+			f := Facts{Ranks: RanksOf(id, all, nil), HasPeers: true, Uptime: uptime, Silence: silence}
+			if f.ListsWhole(false) {
+				n++
+			}
+		}
+		return n
+	}
+	for uptime, want := range map[time.Duration]int{time.Second: 0, 2 * time.Second: 8, 5 * time.Second: 64, 9 * time.Second: 985} {
+		if got := listers(uptime, 100*time.Millisecond); got != want {
+			t.Errorf("%v after the start: %d of 985 instances read the whole list, want %d", uptime, got, want)
+		}
+	}
+	if got := listers(2*time.Second, 0); got != 985 {
+		t.Errorf("%d of 985 instances that hear from no other read the list, want all", got)
+	}
+	if !(Facts{HasPeers: true}).ListsWhole(true) || !(Facts{}).ListsWhole(false) {
+		t.Error("a seed, or an instance without others, does not read the list at once")
+	}
+}
--- a/internal/daemon/handler.go
+++ b/internal/daemon/handler.go
@@ -134,11 +134,13 @@
 
 // since returns the configuration objects, or the targets, that a peer with an
 // older version lacks.
-func (d *Daemon) since(prefix string, after uint64) ([]store.Object, uint64, bool) {
+func (d *Daemon) since(_, prefix string, after uint64) (objects []store.Object, version uint64, more bool, err error) {
 	if prefix == discovery.PullPrefix {
-		return d.discovery.TargetsSince(after)
+		objects, version, more = d.discovery.TargetsSince(after)
+	} else {
+		objects, version, more = d.profiles.ObjectsSince(prefix, after)
 	}
-	return d.profiles.ObjectsSince(prefix, after)
+	return objects, version, more, nil
 }
 
 // peerCalls returns the handlers of calls from other instances.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -45,6 +45,7 @@
 // Platform is the platform's store as an instance uses it.
 type Platform interface {
 	store.Store
+	store.Pager
 	// Deregister removes an instance from the platform's list.
 	Deregister(ctx context.Context, id string) error
 }
@@ -229,6 +230,8 @@
 		Times:             i.times,
 		WatchGap:          watchGap,
 		CallsStore:        i.callsStore,
+		ListsWhole:        i.listsWhole,
+		MaxTransfers:      i.maxTransfers(),
 		ProbeKey:          instancesPrefix + i.id(),
 		Probes:            i.probesStore,
 		Evacuations:       i.cfg.Ingress.Evacuations,
@@ -301,7 +304,7 @@
 // openServers opens the listeners.
 func (i *Instance) openServers() error {
 	peers := peer.NewServer(peer.NewHandler(peer.ServerOptions{
-		Exchange: i.exchange, Probe: i.members.HandleProbe, Profiles: i.routes.Since, Work: i.acceptJob,
+		Exchange: i.exchange, Probe: i.members.HandleProbe, Profiles: i.routes.Serve, Work: i.acceptJob,
 		Origins: i.origins, Tunnels: i.paths.Server(), Slots: i.slots.accept, SlotsEnd: i.slots.ended,
 		CutOff: func() bool { return i.members.Silence() >= silenceThreshold },
 		Logger: i.o.Logger, Metrics: i.metrics,
--- a/internal/edge/fleet_harness_test.go
+++ b/internal/edge/fleet_harness_test.go
@@ -282,6 +282,18 @@
 	return objects, version, err
 }
 
+func (r instancePlatform) ListPage(ctx context.Context, prefix, after string) (store.Page, error) {
+	if r.storeGone() {
+		return store.Page{}, store.ErrUnavailable
+	}
+	end := r.begin(ctx)
+	page, err := r.fakePlatform.ListPage(ctx, prefix, after)
+	if lost := end(); lost != nil {
+		return store.Page{}, lost
+	}
+	return page, err
+}
+
 func (r instancePlatform) Watch(ctx context.Context, prefix string, after uint64) ([]store.Object, uint64, bool, error) {
 	if r.storeGone() {
 		return nil, 0, false, store.ErrUnavailable
--- a/internal/edge/members.go
+++ b/internal/edge/members.go
@@ -15,6 +15,22 @@
 	return i.watcherFacts().CallsStore(age)
 }
 
+// listsWhole reports whether this instance reads a long list of the store whole.
+func (i *Instance) listsWhole() bool { return i.watcherFacts().ListsWhole(i.isSeed()) }
+
+const (
+	// transfersPerCore is the number of transfers of all targets that an instance with a
+	// whole core serves at the same time.
+	transfersPerCore = 8
+	minTransfers     = 2
+)
+
+// maxTransfers returns the number of transfers of all targets that this instance serves at
+// the same time.
+func (i *Instance) maxTransfers() int {
+	return max(int(transfersPerCore*i.capacity(i.id())), minTransfers)
+}
+
 // watcherFacts returns what decides whether this instance calls the store.
 func (i *Instance) watcherFacts() watchers.Facts {
 	return watchers.Facts{
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -60,13 +60,17 @@
 // once: if all instances read them when they start together, that is one more call of the
 // store for each.
 func (i *Instance) readsRefusalsAfter() time.Duration {
-	isSeed := slices.Contains(i.seeds(), i.cfg.Listen.Peer) || slices.Contains(i.seeds(), i.cfg.Ingress.Control)
-	if isSeed || i.seededInstances() < 2 {
+	if i.isSeed() || i.seededInstances() < 2 {
 		return 0
 	}
 	return refusalsReadAfter
 }
 
+// isSeed reports whether the settings name this instance as one that others contact first.
+func (i *Instance) isSeed() bool {
+	return slices.Contains(i.seeds(), i.cfg.Listen.Peer) || slices.Contains(i.seeds(), i.cfg.Ingress.Control)
+}
+
 // refusalsKnown reports whether this instance knows which requests are refused because
 // targets crashed under them, or has waited long enough. Without them, requests that
 // were refused before it started crash targets again.
--- a/internal/edge/storecalls.go
+++ b/internal/edge/storecalls.go
@@ -45,6 +45,12 @@
 	return c.Platform.List(ctx, prefix)
 }
 
+// ListPage implements store.Pager.
+func (c *countedPlatform) ListPage(ctx context.Context, prefix, after string) (store.Page, error) {
+	c.calls.Add("list "+kindOf(prefix), 1)
+	return c.Platform.ListPage(ctx, prefix, after)
+}
+
 // Watch implements store.Watcher.
 func (c *countedPlatform) Watch(ctx context.Context, prefix string, after uint64) ([]store.Object, uint64, bool, error) {
 	c.calls.Add("watch "+kindOf(prefix), 1)
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"connectrpc.com/connect"
+
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/gossip"
 	"lynxhill.example/lynxhill/internal/metrics"
@@ -159,12 +161,15 @@
 	}
 	out, end, err := hedge(ctx, c, address, func(ctx context.Context, l *link) (out *peerpb.ProfilesReply, err error) {
 		err = c.call(ctx, "profiles", l, func(ctx context.Context) error {
-			out, err = l.client.Profiles(ctx, &peerpb.ProfilesRequest{Prefix: prefix, After: after})
+			out, err = l.client.Profiles(ctx, &peerpb.ProfilesRequest{Prefix: prefix, After: after, From: c.o.Self})
 			return err
 		})
 		return out, err
 	})
 	defer end()
+	if connect.CodeOf(err) == connect.CodeResourceExhausted {
+		return nil, 0, false, fmt.Errorf("%w: %w", store.ErrThrottled, err)
+	}
 	if err != nil {
 		return nil, 0, false, err
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -116,8 +116,8 @@
 	record := outcome.Record{RequestID: "r", BodyHash: "h", Output: json.RawMessage(`"x"`)}
 	var handed []outcome.Exported
 	client, _ := startServer(t, ServerOptions{
-		Profiles: func(prefix string, after uint64) ([]store.Object, uint64, bool) {
-			return objects, after + 2, prefix == "profiles/"
+		Profiles: func(_, prefix string, after uint64) ([]store.Object, uint64, bool, error) {
+			return objects, after + 2, prefix == "profiles/", nil
 		},
 		Outcome: func(_ context.Context, key outcome.Key) (outcome.Record, bool, error) {
 			if key.Key == "bad" {
@@ -262,3 +262,15 @@
 	}
 	return client
 }
+
+// Guards against a refused transfer that is reported as a failure of the instance that refused it.
+func TestPullFromABusyInstance(t *testing.T) {
+	client, _ := startServer(t, ServerOptions{
+		Profiles: func(string, string, uint64) ([]store.Object, uint64, bool, error) {
+			return nil, 0, false, store.ErrThrottled
+		},
+	})
+	if _, _, _, err := client.Pull(t.Context(), "b", "targets/", 0); !errors.Is(err, store.ErrThrottled) {
+		t.Errorf("error %v, want store.ErrThrottled", err)
+	}
+}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 	"time"
 
@@ -27,9 +28,11 @@
 // ServerOptions are the functions that serve the calls of other instances. If one is nil,
 // its call returns an empty reply or is not implemented.
 type ServerOptions struct {
-	Exchange func(ctx context.Context, d gossip.Digest) gossip.Digest         // membership.Manager.HandleExchange
-	Probe    func(ctx context.Context, targetPeerAddr string) error           // membership.Manager.HandleProbe
-	Profiles func(prefix string, after uint64) ([]store.Object, uint64, bool) // profilesync.Manager.ObjectsSince
+	Exchange func(ctx context.Context, d gossip.Digest) gossip.Digest // membership.Manager.HandleExchange
+	Probe    func(ctx context.Context, targetPeerAddr string) error   // membership.Manager.HandleProbe
+	// Profiles returns the objects of a prefix above a version for an instance, see
+	// profilesync.Manager.ObjectsSince and routesync.Manager.Serve.
+	Profiles func(from, prefix string, after uint64) (objects []store.Object, version uint64, more bool, err error)
 	// Outcome waits for the outcome of a key in flight until ctx is cancelled.
 	Outcome func(ctx context.Context, key outcome.Key) (record outcome.Record, found bool, err error)
 	// Forward runs a request that came with a ticket of this instance.
@@ -95,7 +98,13 @@
 	if h.o.Profiles == nil {
 		return &peerpb.ProfilesReply{}, nil
 	}
-	objects, mark, more := h.o.Profiles(in.GetPrefix(), in.GetAfter())
+	objects, mark, more, err := h.o.Profiles(in.GetFrom(), in.GetPrefix(), in.GetAfter())
+	if errors.Is(err, store.ErrThrottled) {
+		return nil, connect.NewError(connect.CodeResourceExhausted, err)
+	}
+	if err != nil {
+		return nil, toConnect(err)
+	}
 	return &peerpb.ProfilesReply{Objects: convertAll(objects, objectToProto), Mark: mark, More: more}, nil
 }
 
--- a/internal/store/memstore/memstore.go
+++ b/internal/store/memstore/memstore.go
@@ -34,6 +34,8 @@
 	// no limit.
 	WritesPerSecond float64
 	ReadsPerSecond  float64
+	// PageObjects is the number of objects in a page of ListPage; 0 = all.
+	PageObjects int
 }
 
 // Counts are the calls that reached the store.
@@ -139,6 +141,23 @@
 	return objects, version, err
 }
 
+// ListPage implements store.Pager.
+func (s *Store) ListPage(ctx context.Context, prefix, after string) (page store.Page, err error) {
+	err = s.read(ctx, func() error {
+		page.Objects, page.Version = s.since(prefix, 0, false), s.version
+		if after != "" {
+			first := sort.Search(len(page.Objects), func(i int) bool { return page.Objects[i].Key > after })
+			page.Objects = page.Objects[first:]
+		}
+		if n := s.opts.PageObjects; n > 0 && len(page.Objects) > n {
+			page.Objects = page.Objects[:n:n]
+			page.Next = page.Objects[n-1].Key
+		}
+		return nil
+	})
+	return page, err
+}
+
 // Put implements store.Writer.
 func (s *Store) Put(ctx context.Context, key string, value []byte, ifVersion uint64) (store.Object, error) {
 	if len(value) > s.opts.MaxValue {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -105,6 +105,20 @@
 	List(ctx context.Context, prefix string) ([]Object, uint64, error)
 }
 
+// Page is a part of a list.
+type Page struct {
+	Objects []Object // by rising key
+	Version uint64   // the store's version when the page was read
+	Next    string   // the key after which the next page begins; "" = this is the last one
+}
+
+// Pager lists objects page by page, so that a long list can be resumed after a failure.
+type Pager interface {
+	// ListPage returns the objects whose keys have the prefix and come after the given
+	// one, "" = all, as many as the platform returns in one reply.
+	ListPage(ctx context.Context, prefix, after string) (Page, error)
+}
+
 // Writer changes objects under a condition on the version.
 type Writer interface {
 	// Put writes value if the object's version is ifVersion (0: the object
