Membership: the instance list is not read again at short intervals once all are met; metrics of pulls

Each instance read the list at 0, 2, 6, 14 and 30 s of its life: at 985 instances two pages and 250 KB each time.

route_pulls_total and route_pages_served_total show how instances come by targets, and which sources refuse.

--- a/internal/control/routesync/peers.go
+++ b/internal/control/routesync/peers.go
@@ -220,6 +220,7 @@
 		after = m.resumePull(after)
 	}
 	pulled, err := m.pullPages(ctx, prefix, s.instance, after)
+	m.countPull(prefix, pulled, err)
 	if err != nil && !errors.Is(err, store.ErrThrottled) {
 		m.o.Logger.Log(event.RoutePullFailed, "prefix", prefix, "instance", s.instance, "pages", pulled.pages, "err", err)
 	}
--- a/internal/control/routesync/transfers.go
+++ b/internal/control/routesync/transfers.go
@@ -1,11 +1,19 @@
 package routesync
 
 import (
+	"errors"
+	"strings"
 	"time"
 
+	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/store"
 )
 
+var (
+	metricServed = metrics.Define("route_pages_served_total", "pages", "Pages of routes, targets and orders that other instances pulled, by result: last (the page completes a pull), more, refused (as many transfers were served as may be).")
+	metricPulls  = metrics.Define("route_pulls_total", "pulls", "Pulls of routes, targets and orders from other instances, by kind and result: complete, partial (to be continued, perhaps with another instance), refused, failed.")
+)
+
 // Instances that start together pull all targets from the few that know them. A source that
 // served all of them at once would serve none in time. Each therefore serves a few at a
 // time and refuses the others, which find another source in their next digests: each
@@ -44,15 +52,42 @@
 // store.ErrThrottled if this instance serves as many transfers as it may.
 func (m *Manager) Serve(instance, prefix string, after uint64) (objects []store.Object, version uint64, more bool, err error) {
 	objects, version, more = m.Since(prefix, after)
+	served := m.o.Metrics.Labelled(metricServed)
+	if !m.admitPage(instance, more) {
+		served.Add("refused", 1)
+		return nil, 0, false, store.ErrThrottled
+	}
+	if more {
+		served.Add("more", 1)
+	} else {
+		served.Add("last", 1)
+	}
+	return objects, version, more, nil
+}
+
+// admitPage reports whether the instance may have a page, which is the last one or not.
+func (m *Manager) admitPage(instance string, more bool) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	switch {
-	case !more:
+	if !more {
 		delete(m.transfers.active, instance)
-	case !m.transfers.admit(instance, m.o.Boot.SinceBoot()):
-		return nil, 0, false, store.ErrThrottled
+		return true
 	}
-	return objects, version, more, nil
+	return m.transfers.admit(instance, m.o.Boot.SinceBoot())
+}
+
+// countPull counts a pull by its result.
+func (m *Manager) countPull(prefix string, p pulled, err error) {
+	result := "partial"
+	switch {
+	case p.complete:
+		result = "complete"
+	case errors.Is(err, store.ErrThrottled) && p.pages == 0:
+		result = "refused"
+	case err != nil && p.pages == 0:
+		result = "failed"
+	}
+	m.o.Metrics.Labelled(metricPulls).Add(strings.TrimSuffix(prefix, "/")+"_"+result, 1)
 }
 
 // pullCursor is how far an incomplete pull came.
--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -73,9 +73,10 @@
 	m.reconcile(ctx, id, target.PeerAddr, reply)
 }
 
-// runList reads the instance list: at growing intervals after the start, every
-// ListEvery in steady state, and at short intervals again when more of the listed
-// instances are not members than before.
+// runList reads the instance list: at growing intervals after the start until all listed
+// instances are members, every ListEvery in steady state, and at short intervals again when
+// more of the listed instances are not members than before. The first read says little:
+// instances that start together are not all listed by then.
 //
 // The list only serves discovery, not heartbeats: digests carry everything else.
 // In a large fleet, each read by every instance is a call that the platform
@@ -85,11 +86,14 @@
 		return
 	}
 	interval, unmet := initialListInterval, 0
-	for {
-		found := m.readList(ctx)
+	for first := true; ; first = false {
+		found, read := m.readList(ctx)
 		m.contactSeeds(ctx)
-		if found > unmet {
+		switch {
+		case found > unmet:
 			interval = initialListInterval
+		case read && found == 0 && !first:
+			interval = m.o.ListEvery
 		}
 		unmet = found
 		wait := min(interval, m.o.ListEvery)
@@ -112,16 +116,16 @@
 
 // readList contacts listed instances that are not members yet, and has this
 // instance's entry written again if it is missing. It returns how many listed
-// instances are still not members, 0 if the list cannot be read. A stale list is
+// instances are still not members, and whether the list could be read. A stale list is
 // sufficient: it is read again, and instances that are too new to be on it are
 // learned from digests.
-func (m *Manager) readList(ctx context.Context) (unmet int) {
+func (m *Manager) readList(ctx context.Context) (unmet int, read bool) {
 	if m.o.Lister == nil {
-		return 0
+		return 0, false
 	}
 	listed, err := m.o.Lister.Instances(store.AllowStale(store.WithPriority(ctx, store.PriorityBackground)))
 	if err != nil {
-		return 0
+		return 0, false
 	}
 	m.markMembersKnown()
 	m.rewriteMissingEntry(listed)
@@ -139,7 +143,7 @@
 		}
 	}
 	m.removeExpiredDead(listed, m.o.Clock.Now())
-	return len(m.unmetInstances(listed))
+	return len(m.unmetInstances(listed)), true
 }
 
 // contactSeeds contacts some seeds while this instance knows no other.
