--- a/internal/edge/fleet_harness_test.go
+++ b/internal/edge/fleet_harness_test.go
@@ -420,10 +420,27 @@
 }
 
 func runFleetWithBounds(t *testing.T, n int, evacuations bool, b bounds, test func(*testFleet)) {
+	runFleetWithTargets(t, n, 1, func(f *testFleet) { f.evacuations, f.bounds = evacuations, b }, test)
+}
+
+// targetsPerPage is the number of targets in a page of the store's list.
+const targetsPerPage = 500
+
+// runFleetWithTargets is runFleet with a number of targets, and with what adjust changes.
+func runFleetWithTargets(t *testing.T, n, targets int, adjust, test func(*testFleet)) {
 	synctest.Test(t, func(t *testing.T) {
-		f := &testFleet{t: t, began: time.Now(), store: memstore.New(memstore.Options{WatchWait: time.Hour, ReadsPerSecond: readsAt(n), WritesPerSecond: writesAt(n)}), net: &memoryNetwork{listeners: make(map[string]*memnet.Listener), sides: make(map[string]int), silent: make(map[string]bool), testEnded: make(chan struct{})}, evacuations: evacuations, bounds: b}
+		options := memstore.Options{WatchWait: time.Hour, ReadsPerSecond: readsAt(n), PageObjects: targetsPerPage}
+		if targets == 1 {
+			options.WritesPerSecond = writesAt(n)
+		}
+		f := &testFleet{t: t, began: time.Now(), store: memstore.New(options), bounds: defaultBounds}
+		f.net = &memoryNetwork{listeners: make(map[string]*memnet.Listener), sides: make(map[string]int), silent: make(map[string]bool), testEnded: make(chan struct{})}
+		adjust(f)
 		f.put(routesync.TableKey, "x")
 		f.put("targets/a", "10.0.0.1:1")
+		for i := 1; i < targets; i++ {
+			f.put(fmt.Sprintf("targets/t%05d", i), fmt.Sprintf("10.0.%d.%d:1@place-%d", i/250, i%250, i%fleetZones))
+		}
 		for i := range n {
 			f.all = append(f.all, f.start(i))
 		}
@@ -516,9 +533,12 @@
 }
 
 // calls returns the number of calls of the store since the start, by kind of call.
-func (f *testFleet) calls() map[string]int64 {
+func (f *testFleet) calls() map[string]int64 { return f.callsOf(f.all) }
+
+// callsOf returns the number of calls of the store that the members made, by kind of call.
+func (f *testFleet) callsOf(members []*member) map[string]int64 {
 	sums := make(map[string]int64)
-	for _, m := range f.all {
+	for _, m := range members {
 		m.metrics.Labelled(metricStoreCalls).Do(func(v expvar.KeyValue) {
 			n := v.Value.(*expvar.Int).Value()
 			sums[v.Key] += n
