Membership: a repair examines all rows once, not once for each bucket

When two lists of members differ in many buckets, as after a common start, the rows of each bucket were collected by a pass over all rows that hashed every id: 32 passes. Rows know their bucket now.

--- a/internal/membership/dead.go
+++ b/internal/membership/dead.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/board"
@@ -65,7 +66,7 @@
 	if in.Light() || in.Left || in.DeadFor >= v.keepDead-deadSumTail {
 		return
 	}
-	r := &row{member: in, changed: now.Add(-in.DeadFor)}
+	r := newRow(in, now.Add(-in.DeadFor))
 	v.rows[in.ID] = r
 	v.publish(r)
 }
@@ -102,15 +103,8 @@
 }
 
 // deadRows returns the dead rows, starting at the given bucket. The caller holds mu.
-func (v *view) deadRows(first int) (rows []*row) {
-	for i := range sumBuckets {
-		for _, r := range v.bucket((first + i) % sumBuckets) {
-			if r.dead() {
-				rows = append(rows, r)
-			}
-		}
-	}
-	return rows
+func (v *view) deadRows(first int) []*row {
+	return slices.DeleteFunc(v.rowsIn(allBuckets(), first), func(r *row) bool { return !r.dead() })
 }
 
 // removeExpiredDead removes expired dead members that are not listed. While the list
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -1,7 +1,10 @@
 package membership
 
 import (
+	"cmp"
+	"slices"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -133,11 +136,11 @@
 	if len(sums) != len(local) {
 		return d // the buckets of another version cannot be compared
 	}
-	waiting := make(map[int]bool)
+	var waiting [sumBuckets]bool
 	configQueued, queued := false, 0
 	for id, r := range v.rows {
 		if r.sendsLeft > 0 && id != v.self && r.urgency > urgencyLoad {
-			waiting[bucketOf(id)] = waiting[bucketOf(id)] || r.urgency == urgencyState
+			waiting[r.bucket] = waiting[r.bucket] || r.urgency == urgencyState
 			configQueued = true
 			queued++
 		}
@@ -176,9 +179,7 @@
 	if d.config {
 		d.buckets = allBuckets()
 	}
-	for i := range d.buckets {
-		differ = append(differ, v.bucket(d.buckets[(first+i)%len(d.buckets)])...)
-	}
+	differ = append(differ, v.rowsIn(d.buckets, first)...)
 	for _, r := range differ {
 		m := outgoing(r, now)
 		if d.config && !r.dead() {
@@ -201,14 +202,21 @@
 	return all
 }
 
-func (v *view) bucket(b int) []*row {
-	var rows []*row
-	for id, r := range v.rows {
-		if bucketOf(id) == b {
+// rowsIn returns the rows of the buckets, those of the bucket at the index first before the
+// others, each bucket sorted by ID. It examines all rows once. The caller holds mu.
+func (v *view) rowsIn(buckets []int, first int) (rows []*row) {
+	var order [sumBuckets]int // 1 and more: the position of a wanted bucket
+	for i := range buckets {
+		order[buckets[(first+i)%len(buckets)]] = i + 1
+	}
+	for _, r := range v.rows {
+		if order[r.bucket] > 0 {
 			rows = append(rows, r)
 		}
 	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].member.ID < rows[j].member.ID })
+	slices.SortFunc(rows, func(a, b *row) int {
+		return cmp.Or(cmp.Compare(order[a.bucket], order[b.bucket]), strings.Compare(a.member.ID, b.member.ID))
+	})
 	return rows
 }
 
--- a/internal/membership/sums.go
+++ b/internal/membership/sums.go
@@ -50,12 +50,12 @@
 
 func (v *view) sumRows() rowSums {
 	s := rowSums{changes: v.changes}
-	for id, r := range v.rows {
+	for _, r := range v.rows {
 		if r.dead() {
 			s.dead++
 			continue
 		}
-		s.sums[bucketOf(id)] += rowSum(r.member)
+		s.sums[r.bucket] += rowSum(r.member)
 		s.sums[sumConfig] += configSum(r.member)
 	}
 	return s
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -30,6 +30,7 @@
 // row is a member with what is still to be sent about it.
 type row struct {
 	member    gossip.Member
+	bucket    int       // of the checksums
 	changed   time.Time // when state or incarnation last changed
 	sendsLeft int       // number of digests that still have to carry the row
 	urgency   urgency
@@ -37,6 +38,10 @@
 	verifying bool // a suspect that is contacted once more before it is declared dead
 }
 
+func newRow(m gossip.Member, changed time.Time) *row {
+	return &row{member: m, bucket: bucketOf(m.ID), changed: changed}
+}
+
 func (r *row) dead() bool { return r.member.State == string(board.MemberDead) }
 
 // view is the membership list and the queue of rows to send.
@@ -64,7 +69,7 @@
 func newView(self gossip.Member, o Options) *view {
 	now := o.Clock.Now()
 	v := &view{self: self.ID, healing: o.Healing, board: o.Board, keepDead: o.KeepDead, rows: make(map[string]*row), assumed: make(assumedMembers)}
-	v.rows[self.ID] = &row{member: self, changed: now}
+	v.rows[self.ID] = newRow(self, now)
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.enqueue(v.rows[self.ID], urgencyState, true, now)
@@ -201,7 +206,7 @@
 		}
 		return // the full row arrives with the repair of its bucket
 	}
-	r := &row{member: in, changed: now}
+	r := newRow(in, now)
 	v.rows[in.ID] = r
 	v.enqueue(r, urgencyState, true, now)
 }
