Peer: the end of a tunnel carries the final number of bytes written

Cause: the serving instance reported written bytes and the target's end from two goroutines. A target that read, answered and closed before the write returned had its end reported first. The end now waits for the write and carries its count.

--- a/internal/peer/tunnel_server.go
+++ b/internal/peer/tunnel_server.go
@@ -89,6 +89,9 @@
 
 	mu    sync.Mutex // serialises stream.Send, guards ended
 	ended bool       // the handler has returned, and stream must not be used
+
+	writing sync.Mutex // held during a write to the target, guards written
+	written uint64     // bytes written to the target
 }
 
 func (t *servedTunnel) send(m *peerpb.TunnelDown) error {
@@ -120,7 +123,7 @@
 		select {
 		case err := <-fromTarget:
 			if errors.Is(err, io.EOF) {
-				return t.send(&peerpb.TunnelDown{Ended: true})
+				return t.send(&peerpb.TunnelDown{Written: t.finalWritten(), Ended: true})
 			}
 			return connect.NewError(connect.CodeAborted, err)
 		case <-fromSender: // the sender has left
@@ -154,7 +157,6 @@
 
 // writeRequests writes what the sender sends to the target.
 func (t *servedTunnel) writeRequests() error {
-	var written uint64
 	for {
 		m, err := t.stream.Receive()
 		if err != nil {
@@ -163,13 +165,31 @@
 		if len(m.GetData()) == 0 {
 			continue
 		}
-		n, err := t.conn.Write(m.GetData())
+		written, err := t.write(m.GetData())
 		if err != nil {
 			return err
 		}
-		written += uint64(n)
 		if err := t.send(&peerpb.TunnelDown{Written: written}); err != nil {
 			return err
 		}
 	}
 }
+
+// write writes to the target and returns how many bytes were written to it since the start.
+func (t *servedTunnel) write(data []byte) (written uint64, err error) {
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	n, err := t.conn.Write(data)
+	t.written += uint64(n)
+	return t.written, err
+}
+
+// finalWritten returns how many bytes were written to a target that has closed the connection.
+// A write that it has read may not have returned yet: without waiting for it, the sender would
+// take bytes that the target has answered for bytes that never reached it.
+func (t *servedTunnel) finalWritten() uint64 {
+	_ = t.conn.SetWriteDeadline(time.Now()) // ends a write that the target does not read
+	t.writing.Lock()
+	defer t.writing.Unlock()
+	return t.written
+}
