Peer: replies between instances are compressed at the fastest level

At the default level compress/flate took a tenth of the processor time of an instance without requests, and 2.4 of its 12.7 MB of live heap with 10,000 targets (100 instances in virtual time).

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -1,9 +1,11 @@
 package peer
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"errors"
+	"io"
 	"net/http"
 	"time"
 
@@ -67,11 +69,24 @@
 func NewHandler(o ServerOptions) http.Handler {
 	mux := http.NewServeMux()
 	path, handler := peerpbconnect.NewPeerHandler(&service{o},
-		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes))
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes),
+		connect.WithCompression("gzip", newDecompressor, newCompressor))
 	mux.Handle(path, handler)
 	return mux
 }
 
+func newDecompressor() connect.Decompressor { return new(gzip.Reader) }
+
+// newCompressor returns a compressor of the fastest level: at the default one, the
+// compression of digests takes a tenth of the processor time of an instance without requests.
+func newCompressor() connect.Compressor {
+	w, err := gzip.NewWriterLevel(io.Discard, gzip.BestSpeed)
+	if err != nil {
+		panic(err) // the level is valid
+	}
+	return w
+}
+
 func (h *service) count(method string) { h.o.Metrics.Labelled(metricServed).Add(method, 1) }
 
 // Exchange serves a heartbeat.
