Forwarding: the state of a service with thousands of targets is not dropped whole

Choosing a target made an entry for every target it looked at, and an entry beyond 4,096 dropped all of them: the counts of requests in flight, the failures and backoffs, several times within one choice. A service with more plain targets than that was served as if nothing were known of any.

Targets that are only looked at have no entry, and a full table drops a quarter of the entries without requests in flight. TestStateOfManyTargetsIsKept.

--- a/internal/forwarding/loads.go
+++ b/internal/forwarding/loads.go
@@ -24,7 +24,7 @@
 	maxBackoff       = 4 * time.Second
 	zonePenalty      = 0.15 // of a target in another availability zone
 	failurePenalty   = 4.0  // of a target with a failure rate of 1
-	maxTargets       = 4096 // number of targets above which the state of all targets is dropped
+	maxTargets       = 4096 // number of targets whose state is kept, beside those with requests in flight
 )
 
 // Loads estimates the load and health of plain targets from this instance's own
@@ -67,8 +67,8 @@
 	t := l.targets[target.ID]
 	switch {
 	case t == nil:
-		if len(l.targets) > maxTargets {
-			clear(l.targets)
+		if len(l.targets) >= maxTargets {
+			l.evictIdle()
 		}
 	case target.Started < t.started && target.Started != 0:
 		return &targetLoad{}
@@ -83,6 +83,31 @@
 	return t
 }
 
+// evictIdle drops the state of a quarter of the targets, of those without requests in
+// flight. Which ones does not matter: they are learned again from a few requests.
+func (l *Loads) evictIdle() {
+	for id, t := range l.targets {
+		if len(l.targets) <= maxTargets*3/4 {
+			return
+		}
+		if t.inFlight == 0 {
+			delete(l.targets, id)
+		}
+	}
+}
+
+// known returns the state of a target to be read only. Of a target without requests so far
+// none is kept.
+func (l *Loads) known(target fleet.Target) *targetLoad {
+	if l.targets[target.ID] == nil {
+		return &noLoad
+	}
+	return l.state(target)
+}
+
+// noLoad is the state of a target of which nothing is known. It is never modified.
+var noLoad targetLoad
+
 // Choose returns the target with the lowest score and counts a request in flight
 // at it until Done is called. Targets that were tried are chosen only if there is
 // no other. ok is false if there is no target.
@@ -109,7 +134,7 @@
 }
 
 func (l *Loads) score(t fleet.Target, now time.Time) float64 {
-	k := l.state(t)
+	k := l.known(t)
 	slots := float64(max(t.Slots, 1))
 	busy := float64(k.inFlight)
 	if now.Sub(k.reportedAt) < reportLifetime {
--- a/internal/forwarding/loads_two.go
+++ b/internal/forwarding/loads_two.go
@@ -19,7 +19,7 @@
 func (l *Loads) InBackoff(t fleet.Target) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.clock.Now().Before(l.state(t).backoffUntil)
+	return l.clock.Now().Before(l.known(t).backoffUntil)
 }
 
 // StatesPace reports whether a target of the service has ever stated its pace to this
@@ -64,7 +64,7 @@
 	if len(untried) == 0 {
 		untried = targets
 	}
-	ready := slices.DeleteFunc(slices.Clone(untried), func(t fleet.Target) bool { return now.Before(l.state(t).backoffUntil) })
+	ready := slices.DeleteFunc(slices.Clone(untried), func(t fleet.Target) bool { return now.Before(l.known(t).backoffUntil) })
 	if len(ready) == 0 {
 		return untried
 	}
@@ -74,6 +74,6 @@
 // ownScore returns how long a further request would take at the target by what this
 // instance itself has sent there. The caller holds l.mu.
 func (l *Loads) ownScore(t fleet.Target, now time.Time) float64 {
-	k := l.state(t)
+	k := l.known(t)
 	return float64(k.inFlight+1)/float64(max(t.Slots, 1))*k.slownessAt(now) + failurePenalty*k.failureRateAt(now)
 }
