Retry budget: a fleet with more instances than extra retries still retries

Cause: the 1,040 extra retries a window, less a reserve of a fifth, are divided by 985 instances. 0.84 of a retry each is none, and with half a request a second the ratio gives none either.

Where equal parts are below one, the first in a rank of their own for each service have one retry each. 985 and 2,000 instances spend 832 in a window, 208 while they start, within the bound in every window (TestFleetLargerThanItsExtraRetries).

--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -102,7 +102,7 @@
 	s := i.settings()
 	i.budget = forwarding.NewRetryBudget(forwarding.RetryBudgetOptions{
 		Ratio: s.RetryRatio, Extra: s.RetryExtra, Window: s.RetryWindow.Duration,
-		Instances: i.sharers, Clock: i.o.Clock, Logger: i.o.Logger,
+		Instances: i.sharers, Rank: i.retryRank, Clock: i.o.Clock, Logger: i.o.Logger,
 	})
 	return forwarding.New(forwarding.Options{
 		Codec: i.adapter.Codec, Exchange: i.pool, Targets: i.routes.Targets, Scheduler: i.finder,
--- a/internal/edge/state.go
+++ b/internal/edge/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/board"
+	"lynxhill.example/lynxhill/internal/control/rendezvous"
 	"lynxhill.example/lynxhill/internal/control/routesync"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/ingress"
@@ -167,6 +168,12 @@
 // still retry requests on the other side of a partition.
 func (i *Instance) sharers() int { return len(i.everKnownInstances()) }
 
+// retryRank returns the rank of this instance among those that share the extra retries of a
+// service.
+func (i *Instance) retryRank(service string) int {
+	return rendezvous.Position("edge/retries/"+service, i.id(), i.everKnownInstances())
+}
+
 // seededInstances returns the number of instances that the seeds name, including this
 // one.
 func (i *Instance) seededInstances() int {
--- a/internal/forwarding/budget.go
+++ b/internal/forwarding/budget.go
@@ -51,8 +51,11 @@
 	// Instances returns how many instances share the extra retries, including
 	// unreachable ones; 0 = not known yet.
 	Instances func() int
-	Clock     clock.Clock
-	Logger    *event.Logger // nil disables logging
+	// Rank returns how many of the instances come before this one in an order, of its own
+	// for each service, on which all agree. nil = there are few instances.
+	Rank   func(service string) int
+	Clock  clock.Clock
+	Logger *event.Logger // nil disables logging
 }
 
 // RetryBudgetStats holds the counters of a RetryBudget since its creation.
@@ -80,6 +83,9 @@
 // it to be spent again. The divisor decreases one window after the number of
 // instances does, because the instances that are gone may have spent their parts.
 //
+// In a fleet with more instances than extra retries, equal parts are below one, and no
+// instance could ever retry. The first in rank then have one each, the others none.
+//
 // Parts in proportion to demand were considered (TestEqualPartsCost). With 80 of 100
 // requests at one of five instances, and with an extra of 56 and a ratio of 0.2 as
 // operators set them, that instance can retry 96% of what it could with a
@@ -168,7 +174,7 @@
 // trySpend takes a retry if one is left. The caller must hold b.mu.
 func (b *RetryBudget) trySpend(service string) bool {
 	w := b.window(service)
-	if float64(sum(w.retries[:])+1) > b.o.Ratio*w.weightedRequests()+b.extra() {
+	if float64(sum(w.retries[:])+1) > b.o.Ratio*w.weightedRequests()+b.extra(service) {
 		return false
 	}
 	w.retries[w.newest%budgetSlots]++
@@ -212,8 +218,9 @@
 	}
 }
 
-// extra returns this instance's part of the extra retries. The caller must hold b.mu.
-func (b *RetryBudget) extra() float64 {
+// extra returns this instance's part of the extra retries for the service. The caller must
+// hold b.mu.
+func (b *RetryBudget) extra(service string) float64 {
 	age, share, ramp := b.o.Clock.Now().Sub(b.startedAt), extraShare, 1.0
 	if age < b.o.Window+joinDelay {
 		share, ramp = joiningExtraShare, min(age.Seconds()/b.o.Window.Seconds(), 1)
@@ -222,12 +229,19 @@
 	if instances == 0 {
 		return 0
 	}
-	extra := share * ramp * b.o.Extra / float64(instances)
+	all := share * ramp * b.o.Extra
+	extra := all / float64(instances)
 	if instances != b.stats.Instances {
 		b.o.Logger.Log(event.ForwardBudgetShared, "instances", instances, "before", b.stats.Instances, "known", b.knownInstances, "part", extra, "age", age)
 		b.stats.Instances = instances
 	}
-	return extra
+	if extra >= 1 || b.o.Rank == nil {
+		return extra
+	}
+	if float64(b.o.Rank(service)+1) <= all {
+		return 1
+	}
+	return 0
 }
 
 // instances returns the largest number of instances known within the window, or
