Routesync: a long list after a lost history is read to its end

Found by reading the new lists: an instance that knew its targets and whose watch had lost the store's history broke its list off after the first page, since targets were known, and watched again from the version whose history was gone. It would have kept deleted targets for good; lists of one page were not concerned.

Only a first list is superseded by what peers know. TestLongListAfterLostHistoryIsReadWhole fails without the change: "300 targets, the deleted one known: true".

--- a/internal/control/routesync/list.go
+++ b/internal/control/routesync/list.go
@@ -24,6 +24,7 @@
 	version uint64        // of the first page
 	next    string        // key after which the next page begins; "" = no page was read
 	started time.Duration // boot time at which the first page was requested
+	again   bool          // everything was known before, but changes were missed
 }
 
 // resumeFrom makes the loop watch from the version.
@@ -40,8 +41,8 @@
 		}
 		now := m.o.Boot.SinceBoot()
 		if f.partial.next == "" || now-f.partial.started > maxListAge {
-			f.partial = partialList{started: now}
-		} else if !m.o.ListsWhole() {
+			f.partial = partialList{started: now, again: m.knows(f.prefix)}
+		} else if !f.partial.again && !m.o.ListsWhole() {
 			return errWaiting
 		}
 		last, err := m.listPage(ctx, f)
@@ -60,14 +61,25 @@
 	return nil
 }
 
-// supersededByPeers reports whether a list that is in progress is known from peers by now.
+// supersededByPeers reports whether the first list, which is in progress, is known from
+// peers by now. A later list is read to its end: it was asked for since the changes after
+// what is known are gone.
 func (m *Manager) supersededByPeers(f *watchLoop) bool {
-	if f.partial.next == "" || f.prefix != TargetsPrefix {
-		return false
-	}
+	return f.partial.next != "" && !f.partial.again && m.knows(f.prefix)
+}
+
+// knows reports whether a list of the prefix was merged, from the store or a peer.
+func (m *Manager) knows(prefix string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.targets.known
+	switch prefix {
+	case RoutesPrefix:
+		return m.routes.known()
+	case EvacuationsPrefix:
+		return m.evacuations.known
+	default:
+		return m.targets.known
+	}
 }
 
 // listPage reads the next page of the list and reports whether it is the last one.
--- a/internal/control/routesync/transfer_test.go
+++ b/internal/control/routesync/transfer_test.go
@@ -174,6 +174,30 @@
 	})
 }
 
+// Guards against an instance that keeps deleted targets for good after the store's history
+// was lost: a long list was broken off after its first page since targets were known.
+func TestLongListAfterLostHistoryIsReadWhole(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.store = memstore.New(memstore.Options{Seed: 1, PageObjects: 50})
+		w.put(TableKey, "1")
+		w.withTargets(300)
+		a := w.start("a", true)
+		a.link.set(func() { a.link.dropChanges = true })
+		time.Sleep(20 * time.Second)
+		w.remove("targets/t00200")
+		if a.Targets().Len() != 300 {
+			t.Fatalf("%d targets", a.Targets().Len())
+		}
+		w.store.Compact()
+		a.link.set(func() { a.link.dropChanges = false })
+		a.Refresh()
+		time.Sleep(10 * time.Second)
+		if _, known := a.Targets().Get("t00200"); known || a.Targets().Len() != 299 {
+			t.Errorf("%d targets, the deleted one known: %v", a.Targets().Len(), known)
+		}
+	})
+}
+
 // BenchmarkPage serves a page to a peer that pulls all targets.
 func BenchmarkPage(b *testing.B) {
 	for _, n := range []int{300, 3000, 10000, 20000} {
