--- a/internal/membership/contact.go
+++ b/internal/membership/contact.go
@@ -73,10 +73,9 @@
 	m.reconcile(ctx, id, target.PeerAddr, reply)
 }
 
-// runList reads the instance list: at growing intervals after the start until all listed
-// instances are members, every ListEvery in steady state, and at short intervals again when
-// more of the listed instances are not members than before. The first read says little:
-// instances that start together are not all listed by then.
+// runList reads the instance list: at growing intervals after the start, every
+// ListEvery in steady state, and at short intervals again when more of the listed
+// instances are not members than before.
 //
 // The list only serves discovery, not heartbeats: digests carry everything else.
 // In a large fleet, each read by every instance is a call that the platform
@@ -86,14 +85,11 @@
 		return
 	}
 	interval, unmet := initialListInterval, 0
-	for first := true; ; first = false {
-		found, read := m.readList(ctx)
+	for {
+		found := m.readList(ctx)
 		m.contactSeeds(ctx)
-		switch {
-		case found > unmet:
+		if found > unmet {
 			interval = initialListInterval
-		case read && found == 0 && !first:
-			interval = m.o.ListEvery
 		}
 		unmet = found
 		wait := min(interval, m.o.ListEvery)
@@ -116,16 +112,16 @@
 
 // readList contacts listed instances that are not members yet, and has this
 // instance's entry written again if it is missing. It returns how many listed
-// instances are still not members, and whether the list could be read. A stale list is
+// instances are still not members, 0 if the list cannot be read. A stale list is
 // sufficient: it is read again, and instances that are too new to be on it are
 // learned from digests.
-func (m *Manager) readList(ctx context.Context) (unmet int, read bool) {
+func (m *Manager) readList(ctx context.Context) (unmet int) {
 	if m.o.Lister == nil {
-		return 0, false
+		return 0
 	}
 	listed, err := m.o.Lister.Instances(store.AllowStale(store.WithPriority(ctx, store.PriorityBackground)))
 	if err != nil {
-		return 0, false
+		return 0
 	}
 	m.markMembersKnown()
 	m.rewriteMissingEntry(listed)
@@ -143,7 +139,7 @@
 		}
 	}
 	m.removeExpiredDead(listed, m.o.Clock.Now())
-	return len(m.unmetInstances(listed)), true
+	return len(m.unmetInstances(listed))
 }
 
 // contactSeeds contacts some seeds while this instance knows no other.
