Exchange, forwarding: logs tell which connection an attempt used

What callers saw: a request that must run once ran twice. The logs named the attempts and their targets, but not the connections, so that a response taken from another attempt could not be told from a wrong "not sent", a run that went on behind another instance, or a caller that sent twice.

Each exchange now tells its connection's number, how many requests that had carried, whether one of them had the same ID, whether it led through another instance, how many responses were skipped and whether the response stated the ID. Lines 4211, 4212 and 4214 have it; 4219 is new and shows at level info that a request was answered after attempts that were refused or failed. Two counters, repeated and unidentified, show the same over all requests. No decision changes.

--- a/internal/event/catalogue_forwarding.go
+++ b/internal/event/catalogue_forwarding.go
@@ -11,6 +11,7 @@
 	ForwardBudgetShared  ID = 4216
 	ForwardStreamResumed ID = 4217
 	ForwardTargetCrashed ID = 4218
+	ForwardRetried       ID = 4219
 	IngressRefused       ID = 4220
 	IngressListening     ID = 4221
 	IngressStopping      ID = 4222
@@ -29,6 +30,7 @@
 	Definition{ForwardBudgetShared, Info, "forward_budget_shared", "The number of instances that share the budget of extra repeats changed; known is the current count of instances, part this instance's allowance for a window beyond its share of the requests, age the time since its budget was created."},
 	Definition{ForwardStreamResumed, Info, "forward_stream_resumed", "A target continues a stream after the event given by after. resumes is the caller's attempt that the stream began with, empty if it broke off within this response; began is the software version that its first event came from, empty if that is not known, build that of the target."},
 	Definition{ForwardTargetCrashed, Warn, "forward_target_crashed", "The target crashed while it had the request; first_event says whether it had brought an event of its answer by then, parts are the parts of the prompt but the last, which is the request's own."},
+	Definition{ForwardRetried, Info, "forward_retried", "A plain request was answered by a target after attempts that were refused or failed, in time; the lines of the earlier attempts stand before it, and the fields are those of a failure. Here and there, of the connection of an attempt: conn is its number, counted by this instance, conn_requests how many requests it had carried before, conn_repeated whether one of them had this request's ID, relayed whether it led through another instance, skipped how many responses to other attempts came before the response, identified whether the response stated the request's ID."},
 	Definition{IngressRefused, Info, "ingress_refused", "A plain request was refused before its route was determined; reason gives the cause."},
 	Definition{IngressListening, Info, "ingress_listening", "The instance listens for plain requests."},
 	Definition{IngressStopping, Info, "ingress_stopping", "The instance is stopping: it is no longer listed to callers and finishes its requests in flight."},
--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -38,6 +38,7 @@
 	conn    *conn
 	ctx     context.Context
 	request Request
+	use     Use
 	stop    func() bool // detaches conn from ctx; false: ctx has ended and closes conn
 	foreign bool        // a response to another attempt was read
 	ended   atomic.Bool // conn was returned to the pool or closed
@@ -51,7 +52,10 @@
 // begin starts to write the request in a goroutine. The goroutine does not outlive
 // the exchange: the end of the exchange closes the connection or waits for written.
 func (p *Pool) begin(ctx context.Context, c *conn, r Request, head []byte) *exchange {
-	x := &exchange{pool: p, conn: c, ctx: ctx, request: r, written: make(chan struct{})}
+	x := &exchange{pool: p, conn: c, ctx: ctx, request: r, use: c.use(r), written: make(chan struct{})}
+	if x.use.Repeated {
+		p.repeated.Add(1)
+	}
 	if r.Method == http.MethodHead {
 		c.usedHead = true
 	}
@@ -86,9 +90,11 @@
 		}
 		id := x.pool.opts.AttemptID(resp.Header)
 		if id == "" || x.request.ID == "" || id == x.request.ID {
+			x.recordIdentity(id)
 			return resp, nil
 		}
 		x.foreign = true
+		x.use.Skipped++
 		x.pool.mismatched.Add(1)
 		if n == maxForeign {
 			return nil, errForeign
@@ -99,6 +105,14 @@
 	}
 }
 
+// recordIdentity records whether the response identifies itself by the ID.
+func (x *exchange) recordIdentity(id string) {
+	x.use.Identified = id != "" && id == x.request.ID
+	if x.pool.identifies && !x.use.Identified && x.use.Before > 0 {
+		x.pool.unidentified.Add(1)
+	}
+}
+
 // readHead reads response heads until one that isn't 1xx. 101 is an error, since
 // the bytes that follow it aren't HTTP.
 func (x *exchange) readHead() (*http.Response, error) {
@@ -165,7 +179,7 @@
 	if resetByTarget(x.writeErr) && !errors.Is(err, x.writeErr) {
 		err = fmt.Errorf("%w (writing the request: %w)", err, x.writeErr)
 	}
-	return &Error{Sent: x.sent > 0, Err: x.explain(err)}
+	return &Error{Sent: x.sent > 0, Err: x.explain(err), Use: x.use}
 }
 
 // explain replaces the error of a connection that this side closed by the reason
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -34,6 +34,9 @@
 	address  string
 	br       *bufio.Reader // reads from the conn
 	headLeft int64         // bytes that may still be read of a head, -1 = not limited
+	number   uint64        // counted by the pool from 1
+	requests int           // number of requests sent on it
+	ids      sentIDs       // of these requests
 	usedHead bool          // a HEAD request was sent on it
 	heard    *atomic.Int64 // Pool.heard; nil = the connection is Checked
 
@@ -99,9 +102,8 @@
 	default:
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
-	p.dialed.Add(1)
 	setUserTimeout(nc)
-	c := &conn{Conn: nc, address: address, headLeft: -1}
+	c := &conn{Conn: nc, address: address, number: p.dialed.Add(1), headLeft: -1}
 	if _, checked := nc.(Checked); !checked {
 		c.heard = &p.heard
 	}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -85,21 +85,25 @@
 // Pool makes exchanges and keeps idle connections for reuse. It is safe for
 // concurrent use. Create one with New.
 type Pool struct {
-	opts Options
+	opts       Options
+	identifies bool // responses state IDs
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address; the most recently used one is last
 
-	dialed, reused, stale, mismatched atomic.Uint64
-	heard                             atomic.Int64 // when a byte was last received, Unix ns
+	dialed, reused, stale, mismatched, repeated, unidentified atomic.Uint64
+
+	heard atomic.Int64 // when a byte was last received, Unix ns
 }
 
 // Stats holds the counters of a Pool since its creation.
 type Stats struct {
-	Dialed     uint64 // connections opened
-	Reused     uint64 // requests sent on a reused connection
-	Stale      uint64 // idle connections dropped because the target had closed them or sent unexpected bytes
-	Mismatched uint64 // responses skipped because they belong to another attempt
+	Dialed       uint64 // connections opened
+	Reused       uint64 // requests sent on a reused connection
+	Stale        uint64 // idle connections dropped because the target had closed them or sent unexpected bytes
+	Mismatched   uint64 // responses skipped because they belong to another attempt
+	Repeated     uint64 // requests sent on a connection on which their ID had been sent before
+	Unidentified uint64 // responses without an ID on a reused connection
 }
 
 // Request is one request. Its Body and Header must not be changed until Do has
@@ -125,6 +129,7 @@
 
 // Response is a response whose head has been read.
 type Response struct {
+	Use           Use
 	Status        int
 	Header        http.Header
 	ContentLength int64 // as declared; -1 = not declared
@@ -167,6 +172,8 @@
 	// context given to Do ended; a dial that exceeded DialTimeout has
 	// os.ErrDeadlineExceeded instead.
 	Err error
+
+	Use Use
 }
 
 // Error implements the error interface.
@@ -182,6 +189,7 @@
 
 // New returns a pool without connections.
 func New(opts Options) *Pool {
+	identifies := opts.AttemptID != nil
 	if opts.Dial == nil {
 		opts.Dial = DialTCP
 	}
@@ -206,7 +214,7 @@
 	if opts.OnSend == nil {
 		opts.OnSend = func(Request) func(int, http.Header) { return func(int, http.Header) {} }
 	}
-	return &Pool{opts: opts, idle: make(map[string][]*conn)}
+	return &Pool{opts: opts, identifies: identifies, idle: make(map[string][]*conn)}
 }
 
 // LastHeard returns when a byte was last received on a connection that is not Checked; the
@@ -222,10 +230,12 @@
 // Stats returns a snapshot of the counters.
 func (p *Pool) Stats() Stats {
 	return Stats{
-		Dialed:     p.dialed.Load(),
-		Reused:     p.reused.Load(),
-		Stale:      p.stale.Load(),
-		Mismatched: p.mismatched.Load(),
+		Dialed:       p.dialed.Load(),
+		Reused:       p.reused.Load(),
+		Stale:        p.stale.Load(),
+		Mismatched:   p.mismatched.Load(),
+		Repeated:     p.repeated.Load(),
+		Unidentified: p.unidentified.Load(),
 	}
 }
 
@@ -254,6 +264,7 @@
 		return nil, x.fail(err)
 	}
 	return &Response{
+		Use:           x.use,
 		Status:        resp.StatusCode,
 		Header:        resp.Header,
 		ContentLength: resp.ContentLength,
--- a/internal/exchange/rig_test.go
+++ b/internal/exchange/rig_test.go
@@ -18,7 +18,8 @@
 // targetConn is the target's side of a connection.
 type targetConn struct {
 	net.Conn
-	br *bufio.Reader
+	br   *bufio.Reader
+	last *http.Request // the last one that was read
 }
 
 // request reads a request; it returns false at the end of the connection.
@@ -27,6 +28,7 @@
 	if err != nil {
 		return false
 	}
+	p.last = req
 	_, err = io.Copy(io.Discard, req.Body)
 	return err == nil
 }
@@ -58,7 +60,7 @@
 			}
 			go func() {
 				defer c.Close()
-				script(&targetConn{c, bufio.NewReader(c)})
+				script(&targetConn{Conn: c, br: bufio.NewReader(c)})
 			}()
 		}
 	}()
@@ -125,3 +127,20 @@
 		t.Fatalf("stats %+v; want %+v", got, want)
 	}
 }
+
+const (
+	refusalTo1 = "HTTP/1.1 503 No\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+	answerTo1  = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\none"
+	answerTo2  = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\ntwo"
+)
+
+// identifiedPool returns a pool for targets that state the ID of a request in their
+// responses.
+func identifiedPool() *Pool {
+	return New(Options{AttemptID: func(h http.Header) string { return h.Get("Id") }})
+}
+
+func readAndClose(resp *Response) ([]byte, error) {
+	defer resp.Body.Close()
+	return io.ReadAll(resp.Body)
+}
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -150,6 +150,7 @@
 	slotID         uint64        // number of the last request for a slot, under which the coordinator logs it; 0 = none
 	placementWait  time.Duration // time spent waiting for placements and slots
 	firstByteAfter time.Duration // time from the arrival to the first bytes of the response; 0 = none were sent
+	lastUse        exchange.Use  // of the connection of the last attempt
 }
 
 // responseMargin is how long before its deadline a request gets an error response
@@ -324,6 +325,7 @@
 		Header:  fl.o.Codec.OutgoingHeader(fl.Request, c),
 		Body:    fl.Request.Body,
 	})
+	fl.lastUse = useOf(resp, err)
 	if err != nil {
 		fl.newConnections = true
 		fl.logAttempt(c, 0, err)
@@ -336,6 +338,18 @@
 	return resp, a, nil
 }
 
+// useOf returns how an exchange with this result used its connection.
+func useOf(resp *exchange.Response, err error) exchange.Use {
+	var failure *exchange.Error
+	switch {
+	case resp != nil:
+		return resp.Use
+	case errors.As(err, &failure):
+		return failure.Use
+	}
+	return exchange.Use{}
+}
+
 // maxUnacknowledged is how long the host of a target may leave a request without
 // any TCP acknowledgement if the request may be retried at another target. On a
 // link that loses packets the kernel has sent it four times by then.
--- a/internal/forwarding/log.go
+++ b/internal/forwarding/log.go
@@ -20,11 +20,21 @@
 		id = event.ForwardFailed
 	case fl.late() && fl.lateLines.allow(fl.Forwarder):
 		id = event.ForwardLate
+	case fl.attempts > 1:
+		id = event.ForwardRetried
 	}
-	fl.o.Logger.Log(id, "request", fl.Request.ID, "route", fl.Route.Name, "table", fl.Table.Version,
+	fields := []any{"request", fl.Request.ID, "route", fl.Route.Name, "table", fl.Table.Version,
 		"service", fl.service, "priority", fl.priority(), "status", fl.status, "sends", fl.attempts, "target", fl.lastTarget, "ran", fl.mayHaveRun,
 		"slot", fl.slotID, "dispatcher", fl.dispatcher, "read_ms", fl.readAt.Sub(fl.Arrived).Milliseconds(), "wait_ms", fl.placementWait.Milliseconds(),
-		"first_ms", fl.firstByteAfter.Milliseconds(), "ms", fl.elapsed().Milliseconds(), "outcome", fl.outcome)
+		"first_ms", fl.firstByteAfter.Milliseconds(), "ms", fl.elapsed().Milliseconds(), "outcome", fl.outcome}
+	fl.o.Logger.Log(id, append(fields, fl.connectionFields()...)...)
+}
+
+// connectionFields returns the log fields about the connection of the last attempt.
+func (fl *flight) connectionFields() []any {
+	use := fl.lastUse
+	return []any{"conn", use.Connection, "conn_requests", use.Before, "conn_repeated", use.Repeated,
+		"relayed", use.Relayed, "skipped", use.Skipped, "identified", use.Identified}
 }
 
 func (fl *flight) elapsed() time.Duration { return fl.o.Clock.Now().Sub(fl.Arrived) }
@@ -87,9 +97,10 @@
 
 // logAttempt logs an attempt that a target refused or failed.
 func (fl *flight) logAttempt(c relay.Call, status int, err error) {
-	fl.o.Logger.Log(event.ForwardAttemptFailed, "request", fl.Request.ID, "service", fl.service, "target", c.Target.ID,
+	fields := []any{"request", fl.Request.ID, "service", fl.service, "target", c.Target.ID,
 		"attempt", fl.attempts, "status", status, "sent", err == nil || wasSent(err), "err", err,
-		"ms", fl.o.Clock.Now().Sub(fl.Arrived).Milliseconds())
+		"ms", fl.elapsed().Milliseconds()}
+	fl.o.Logger.Log(event.ForwardAttemptFailed, append(fields, fl.connectionFields()...)...)
 }
 
 // logStreamBroken logs a stream that broke off.
--- a/internal/forwarding/log_test.go
+++ b/internal/forwarding/log_test.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +17,7 @@
 	"github.com/go-kit/log"
 
 	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/exchange"
 	"lynxhill.example/lynxhill/internal/route"
 	"lynxhill.example/lynxhill/internal/stagework"
 )
@@ -98,3 +101,30 @@
 		}
 	})
 }
+
+// Guards against a request that was sent twice without a log line that tells the attempts' connections apart: which ones
+// they were, what they had carried, and whether the response stated the request's ID.
+func TestLinesTellTheConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var refused atomic.Bool
+		r := newRig(t, 2, func(_ *memoryTarget, conn net.Conn, _ string) {
+			if refused.CompareAndSwap(false, true) {
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 S\r\nX-Id: a\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+				return
+			}
+			_, _ = io.WriteString(conn, strings.Replace(wholeAnswer, "X-Signed", "X-Id: a\r\nX-Signed", 1))
+		})
+		r.o.Exchange = exchange.New(exchange.Options{Dial: r.dial, AttemptID: func(h http.Header) string { return h.Get("X-Id") }})
+		var lines bytes.Buffer
+		r.o.Logger = event.NewLogger(log.NewLogfmtLogger(&lines))
+		r.call(t.Context(), inbound(route.NonIdempotent, false, false), "x", time.Second)
+		for _, want := range []string{
+			"event=4212 msg=forward_attempt_failed request=a", "conn=1 conn_requests=0 conn_repeated=false relayed=false skipped=0 identified=true",
+			"event=4219 msg=forward_retried request=a", "conn=2 conn_requests=0 conn_repeated=false relayed=false skipped=0 identified=true",
+		} {
+			if !strings.Contains(lines.String(), want) {
+				t.Errorf("no %q in\n%s", want, &lines)
+			}
+		}
+	})
+}
