Exchange: a request is not sent twice on a connection, nor without an ID on one that was used

What callers saw: a request that must run once ran twice, or was answered 503, which promises that it did not run, and ran. Requests at model servers were given stage results of other requests.

Cause: HTTP/1.1 assigns responses to requests by their order alone, and a target may respond a second time, late, when the next request arrives. The pool relied on the ID in the response. That tells requests apart, not attempts: a refused request is sent again under its ID, on the connection used last, that of the refusal. A late copy of it is taken for the response to the repeat, which the target runs meanwhile. Calls of stage targets had no ID at all.

Now the pool decides what may go on a connection, for every caller of it:

- a request with an ID, only if the connection has not carried that ID (at most 256 requests a connection, of which it keeps hashes); - a request without one, only on a new connection, closed afterwards, and the target is told so; - requests whose responses are not used (releases of stage results) share connections among themselves; - a response without an ID on a connection that was used fails the exchange as sent, and a connection is kept only after a response that states the ID.

This works since on each connection every response that may still come states an ID that is never sent on it again, or no request follows it at all. A new connection for each repeat would dial where another idle one serves as well.

--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -24,7 +24,7 @@
 var (
 	metricCalls   = metrics.Define("edge_stage_call_ms_total", "calls", "Calls of stage targets, by result (ok, full, failed) and time: at most le ms, all; sum_ms is the sum of the times.")
 	metricWork    = metrics.Define("edge_stage_work_total", "jobs, calls and pieces", "What this instance scheduled, by what it was and how it ended.")
-	metricTargets = metrics.Define("edge_target_connections_total", "connections", "Connections to targets: dialed, reused, stale (a kept one was dropped), mismatched (an answer to another attempt was read over), repeated (a request went over a connection that had carried its ID before), unidentified (an answer without an ID on a kept connection).")
+	metricTargets = metrics.Define("edge_target_connections_total", "connections", "Connections to targets: dialed, reused, stale (a kept one was dropped), mismatched (an answer to another attempt was read over), passed_over (a kept one was not used for a request since it had carried its ID), repeated (a request went over a connection that had carried its ID before), unidentified (an answer without an ID on a kept connection).")
 	metricAge     = metrics.Define("edge_configuration_age_seconds", "seconds", "Age of the newest word of the store that the configuration is what is in force here; -1 = there was none.")
 	metricEra     = metrics.Define("edge_store_era", "era", "How often the platform's store came back from an older copy, as it says itself.")
 	metricLost    = metrics.Define("edge_store_lost_instances", "instances", "Live instances that have lost the store, this one included, as known here.")
@@ -42,7 +42,7 @@
 	i.publishOverload()
 	i.metrics.Func(metricTargets, func() any {
 		s := i.pool.Stats()
-		return map[string]uint64{"dialed": s.Dialed, "reused": s.Reused, "stale": s.Stale, "mismatched": s.Mismatched, "repeated": s.Repeated, "unidentified": s.Unidentified}
+		return map[string]uint64{"dialed": s.Dialed, "reused": s.Reused, "stale": s.Stale, "mismatched": s.Mismatched, "passed_over": s.PassedOver, "repeated": s.Repeated, "unidentified": s.Unidentified}
 	})
 	i.metrics.Func(metricAge, func() any {
 		if !i.routes.Synced() {
--- a/internal/exchange/acks.go
+++ b/internal/exchange/acks.go
@@ -84,7 +84,7 @@
 	}
 	timer := time.AfterFunc(suspectAfter, func() {
 		if x.pool.opts.Unacked(x.conn.Conn) > 0 {
-			x.pool.opts.OnUnacked(x.conn.address)
+			x.pool.opts.OnUnacked(x.conn.lane.address)
 		}
 	})
 	return func() { timer.Stop() }
--- a/internal/exchange/answer.go
+++ b/internal/exchange/answer.go
@@ -89,9 +89,8 @@
 			return nil, err
 		}
 		id := x.pool.opts.AttemptID(resp.Header)
-		if id == "" || x.request.ID == "" || id == x.request.ID {
-			x.recordIdentity(id)
-			return resp, nil
+		if id == "" || id == x.request.ID || x.request.ResponseUnused {
+			return resp, x.identify(id)
 		}
 		x.foreign = true
 		x.use.Skipped++
@@ -105,12 +104,16 @@
 	}
 }
 
-// recordIdentity records whether the response identifies itself by the ID.
-func (x *exchange) recordIdentity(id string) {
+// identify records whether the response states the ID of the request. A response without
+// one is an error on a connection that was used before, on which it may belong to an
+// earlier request or to none.
+func (x *exchange) identify(id string) error {
 	x.use.Identified = id != "" && id == x.request.ID
-	if x.pool.identifies && !x.use.Identified && x.use.Before > 0 {
-		x.pool.unidentified.Add(1)
+	if !x.pool.identifies || x.use.Identified || x.use.Before == 0 || x.request.ResponseUnused {
+		return nil
 	}
+	x.pool.unidentified.Add(1)
+	return ErrUnidentified
 }
 
 // readHead reads response heads until one that isn't 1xx. 101 is an error, since
@@ -174,7 +177,7 @@
 	x.end(0)
 	<-x.written
 	if x.acks.expired() {
-		x.pool.CloseIdle(x.conn.address) // the host does not acknowledge data on these either
+		x.pool.CloseIdle(x.conn.lane.address) // the host does not acknowledge data on these either
 	}
 	if resetByTarget(x.writeErr) && !errors.Is(err, x.writeErr) {
 		err = fmt.Errorf("%w (writing the request: %w)", err, x.writeErr)
@@ -236,9 +239,10 @@
 }
 
 // keepTime returns how long the connection may stay idle after the response, 0
-// unless it is certain that the next bytes on it belong to the next request.
+// unless it is certain that the next bytes on it belong to the next request, or are
+// recognised if they do not.
 func (x *exchange) keepTime(resp *http.Response) time.Duration {
-	if resp.Close || !resp.ProtoAtLeast(1, 1) || x.foreign ||
+	if resp.Close || !resp.ProtoAtLeast(1, 1) || x.foreign || !x.recognises() ||
 		wantsClose(x.request.Header) ||
 		x.conn.br.Buffered() > 0 || !x.stopWrite() {
 		return 0
--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -31,7 +31,7 @@
 // conn is a connection to a target, owned by one exchange or by Pool.idle.
 type conn struct {
 	net.Conn
-	address  string
+	lane     lane
 	br       *bufio.Reader // reads from the conn
 	headLeft int64         // bytes that may still be read of a head, -1 = not limited
 	number   uint64        // counted by the pool from 1
@@ -71,8 +71,8 @@
 	if ctx.Err() != nil {
 		return nil, contextError(ctx)
 	}
-	for !r.NewConnection {
-		c := p.take(r.Address)
+	for p.mayReuse(r) {
+		c := p.take(r)
 		if c == nil {
 			break
 		}
@@ -83,11 +83,12 @@
 		p.stale.Add(1)
 		c.Close()
 	}
-	return p.dial(ctx, r.Address)
+	return p.dial(ctx, p.laneOf(r))
 }
 
 // dial opens a connection within DialTimeout.
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+func (p *Pool) dial(ctx context.Context, l lane) (*conn, error) {
+	address := l.address
 	dialCtx, cancel := context.WithTimeout(ctx, p.opts.DialTimeout)
 	defer cancel()
 	nc, err := p.opts.Dial(dialCtx, "tcp", address)
@@ -103,7 +104,7 @@
 		return nil, fmt.Errorf("dial %s: %w", address, err)
 	}
 	setUserTimeout(nc)
-	c := &conn{Conn: nc, address: address, number: p.dialed.Add(1), headLeft: -1}
+	c := &conn{Conn: nc, lane: l, number: p.dialed.Add(1), headLeft: -1}
 	if _, checked := nc.(Checked); !checked {
 		c.heard = &p.heard
 	}
@@ -182,25 +183,27 @@
 	}
 }
 
-// take removes and returns the most recently used idle connection, nil if there is
-// none. The others reach their idle timeout, so that only as many connections stay
-// open as are needed.
-func (p *Pool) take(address string) *conn {
+// take removes and returns the most recently used idle connection that has not carried
+// the ID of the request, nil if there is none. The others reach their idle timeout, so
+// that only as many connections stay open as are needed.
+func (p *Pool) take(r Request) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	for {
-		list := p.idle[address]
-		if len(list) == 0 {
-			return nil
+	list := p.idle[p.laneOf(r)]
+	for n := len(list) - 1; n >= 0; n-- {
+		c := list[n]
+		if p.identifies && c.ids.contains(r.ID) {
+			p.passedOver.Add(1)
+			continue
 		}
-		c := list[len(list)-1]
 		p.remove(c)
 		if now.Before(c.expires) {
 			return c
 		}
 		c.Close() // expired; its timer has not run yet
 	}
+	return nil
 }
 
 // put adds c to the idle connections for at most d.
@@ -211,26 +214,26 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if list := p.idle[c.address]; len(list) >= p.opts.MaxIdle {
+	if list := p.idle[c.lane]; len(list) >= p.opts.MaxIdle {
 		list[0].Close()
 		p.remove(list[0])
 	}
 	c.expires = time.Now().Add(d)
 	c.timer = time.AfterFunc(d, func() { p.evict(c) })
-	p.idle[c.address] = append(p.idle[c.address], c)
+	p.idle[c.lane] = append(p.idle[c.lane], c)
 }
 
 // remove removes c from the idle connections. The caller must hold p.mu.
 func (p *Pool) remove(c *conn) {
 	c.timer.Stop()
-	list := p.idle[c.address]
+	list := p.idle[c.lane]
 	i := slices.Index(list, c)
 	list = slices.Delete(list, i, i+1)
 	if len(list) == 0 {
-		delete(p.idle, c.address) // addresses change over time; don't keep entries of old ones
+		delete(p.idle, c.lane) // addresses change over time; don't keep entries of old ones
 		return
 	}
-	p.idle[c.address] = list
+	p.idle[c.lane] = list
 }
 
 // evict closes c if it is idle and its idle time is over. Neither is certain: the
@@ -238,7 +241,7 @@
 func (p *Pool) evict(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !slices.Contains(p.idle[c.address], c) || time.Now().Before(c.expires) {
+	if !slices.Contains(p.idle[c.lane], c) || time.Now().Before(c.expires) {
 		return
 	}
 	p.remove(c)
@@ -250,11 +253,13 @@
 func (p *Pool) CloseIdle(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, c := range p.idle[address] {
-		c.timer.Stop()
-		c.Close()
+	for _, l := range []lane{{address, false}, {address, true}} {
+		for _, c := range p.idle[l] {
+			c.timer.Stop()
+			c.Close()
+		}
+		delete(p.idle, l)
 	}
-	delete(p.idle, address)
 }
 
 // CloseIdleWhere closes the idle connections for which match returns true. match must not
@@ -262,9 +267,9 @@
 func (p *Pool) CloseIdleWhere(match func(address string, c net.Conn) bool) {
 	p.mu.Lock()
 	var matching []*conn
-	for address, list := range p.idle {
+	for l, list := range p.idle {
 		for _, c := range list {
-			if match(address, c.Conn) {
+			if match(l.address, c.Conn) {
 				matching = append(matching, c)
 			}
 		}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -11,7 +11,8 @@
 //     connection turns out to be closed; a request that isn't idempotent could
 //     then run twice unnoticed.
 //   - It never returns bytes that belong to another request: a connection is
-//     reused only if the end of the last response on it is certain, it is checked
+//     reused only if the end of the last response on it is certain and a late
+//     response to an earlier request would be recognised (see lane), it is checked
 //     for unexpected bytes before each reuse, and a response that carries the ID
 //     of another attempt is skipped.
 //
@@ -62,9 +63,9 @@
 	MaxHeaderBytes int
 
 	// AttemptID returns the ID of the attempt that a response's header states, ""
-	// if none. Nil = responses state no ID. Only this detects a late response to
-	// an earlier request that arrives on a reused connection after the check for
-	// unexpected bytes.
+	// if none. Only this detects a late response to an earlier request that arrives
+	// on a reused connection after the check for unexpected bytes. Nil = targets
+	// send no such responses, and connections are reused for all requests.
 	AttemptID func(http.Header) string
 
 	// OnSend is called with each request that is about to be sent. The function
@@ -89,9 +90,9 @@
 	identifies bool // responses state IDs
 
 	mu   sync.Mutex
-	idle map[string][]*conn // by address; the most recently used one is last
+	idle map[lane][]*conn // the most recently used one is last
 
-	dialed, reused, stale, mismatched, repeated, unidentified atomic.Uint64
+	dialed, reused, stale, mismatched, passedOver, repeated, unidentified atomic.Uint64
 
 	heard atomic.Int64 // when a byte was last received, Unix ns
 }
@@ -102,6 +103,7 @@
 	Reused       uint64 // requests sent on a reused connection
 	Stale        uint64 // idle connections dropped because the target had closed them or sent unexpected bytes
 	Mismatched   uint64 // responses skipped because they belong to another attempt
+	PassedOver   uint64 // idle connections not used for a request since they had carried its ID
 	Repeated     uint64 // requests sent on a connection on which their ID had been sent before
 	Unidentified uint64 // responses without an ID on a reused connection
 }
@@ -115,11 +117,15 @@
 	Method        string // any but CONNECT
 	URI           string // request target, sent byte for byte
 	Host          string // Host header, sent byte for byte; "" = Address
-	ID            string // ID of the attempt, compared with the result of Options.AttemptID; "" = not compared
+	ID            string // ID of the attempt, compared with the result of Options.AttemptID; "" = a connection of its own
 	Header        http.Header
 	Body          []byte
 	NewConnection bool // do not reuse an idle connection
 
+	// ResponseUnused says that nothing in the response is used, so that a response to
+	// another such request does as well. These requests share connections.
+	ResponseUnused bool
+
 	// AckTimeout is how long the target's host may leave the request, once it is
 	// written, without any TCP acknowledgement before the exchange fails with
 	// ErrUnacknowledged. 0 = no timeout. It does not limit the time to the
@@ -214,7 +220,7 @@
 	if opts.OnSend == nil {
 		opts.OnSend = func(Request) func(int, http.Header) { return func(int, http.Header) {} }
 	}
-	return &Pool{opts: opts, identifies: identifies, idle: make(map[string][]*conn)}
+	return &Pool{opts: opts, identifies: identifies, idle: make(map[lane][]*conn)}
 }
 
 // LastHeard returns when a byte was last received on a connection that is not Checked; the
@@ -234,6 +240,7 @@
 		Reused:       p.reused.Load(),
 		Stale:        p.stale.Load(),
 		Mismatched:   p.mismatched.Load(),
+		PassedOver:   p.passedOver.Load(),
 		Repeated:     p.repeated.Load(),
 		Unidentified: p.unidentified.Load(),
 	}
@@ -244,7 +251,7 @@
 // once, even while the body is being read. Every error is an *Error; no status is
 // an error.
 func (p *Pool) Do(ctx context.Context, r Request) (*Response, error) {
-	head, err := encodeHead(r)
+	head, err := encodeHead(r, p.singleUse(r))
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -37,7 +37,7 @@
 		{r: Request{Method: "GET", URI: "/", Header: http.Header{"Host": {"b"}}}},
 	} {
 		c.r.Address = "a:1"
-		got, err := encodeHead(c.r)
+		got, err := encodeHead(c.r, false)
 		if string(got) != c.want || (err == nil) != (c.want != "") {
 			t.Errorf("%+v: %q, %v; want %q", c.r, got, err, c.want)
 		}
--- a/internal/exchange/request.go
+++ b/internal/exchange/request.go
@@ -13,8 +13,9 @@
 
 // encodeHead returns the head of r as it is sent. It rejects a request that a target
 // could parse as more than one request, or as a request with another body: the
-// response to the surplus would then be taken for that of the next request.
-func encodeHead(r Request) ([]byte, error) {
+// response to the surplus would then be taken for that of the next request. closes adds
+// Connection: close.
+func encodeHead(r Request, closes bool) ([]byte, error) {
 	if err := checkLine(r); err != nil {
 		return nil, err
 	}
@@ -28,6 +29,9 @@
 	}
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, host)
+	if closes && !wantsClose(r.Header) {
+		b.WriteString("Connection: close\r\n")
+	}
 	if needsLength(r, exclude) {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(r.Body))
 	}
