Forwarding: a long failure of an engine does not crash its handler

What callers saw: an answer that was cut off instead of the engine's failure.

Cause: the result of an attempt at an engine has no function that ends the attempt, since the request's context does. Forwarding a failure that is longer than 256 KiB called it all the same: a nil dereference, which net/http recovers.

Evidence: TestLongFailureOfAnEngine panicked in deliver before, and gets the whole failure now, for streams that may be resumed and others.

The result now ends itself, with or without such a function.

--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -86,7 +86,18 @@
 	rest   io.Reader // the unread rest of a response that exceeds bufferLimit, or for which there was no memory
 	notRun bool
 	err    error
-	cancel context.CancelFunc // ends the attempt
+	cancel context.CancelFunc // ends the attempt; nil = its exchange ends with the request's context
+}
+
+// release ends an attempt whose response has not been read to its end.
+func (a *attemptResult) release() {
+	if a.rest == nil {
+		return
+	}
+	_ = a.resp.Body.Close()
+	if a.cancel != nil {
+		a.cancel()
+	}
 }
 
 // final reports whether the response is forwarded to the caller without further
@@ -244,8 +255,7 @@
 		fl.recordSuccess()
 		return
 	}
-	defer a.cancel()
-	defer a.resp.Body.Close()
+	defer a.release()
 	if err := fl.copyBlocks(a.rest); err != nil || ctx.Err() != nil {
 		// The caller must not take a truncated response for a complete one.
 		fl.outcome = "answer broke off"
