Forwarding: failures without end are cut after 1 MiB, unsigned ones are not forwarded

What callers saw: the failure of a target that sends bytes without end was passed on at the full rate until the deadline, 262 MB in 8 s of virtual time from one plain target, and a failure that no target had signed reached the caller as the target's.

Cause: what exceeds the buffer of 256 KiB is forwarded as it arrives, whatever it is. Only time bounded it. The attempt also went on beside the next one, with its connection.

A failure that a target has signed is now cut after 1 MiB, so that it does not look complete; one without a signature that exceeds the buffer counts as no answer (502), and an attempt that is followed by another one is ended first.

--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -284,6 +284,7 @@
 		a.err = errFaulty
 	}
 	if ef.stream.begun() || a.err != nil || resp.Status >= http.StatusInternalServerError && ef.Route.Repeatable() && ef.attempts < ef.maxAttempts() {
+		a.release()
 		return ef.failed(ctx, target, true, errFaulty)
 	}
 	ef.assignment.EngineFailed()
--- a/internal/forwarding/held.go
+++ b/internal/forwarding/held.go
@@ -71,6 +71,21 @@
 	return nil
 }
 
+// boundedReader reads up to left bytes. It returns errTooLong if there are more.
+type boundedReader struct {
+	from io.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	n, err := r.from.Read(p)
+	if r.left -= n; r.left < 0 {
+		return 0, errTooLong
+	}
+	return n, err
+}
+
 // copyBlocks forwards the rest of a response. The next block is read once the caller has
 // taken the one before.
 func (fl *flight) copyBlocks(from io.Reader) error {
--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -20,6 +20,10 @@
 	// its head is forwarded, so that the request can be retried if the response is
 	// truncated.
 	bufferLimit = 256 << 10
+	// failureLimit is the largest response of a target that failed the request, in
+	// bytes, that is forwarded. Without it a faulty target that sends bytes without end
+	// uses the link until the deadline of each of its requests.
+	failureLimit = 1 << 20
 	// An attempt of an idempotent request times out, and the request is sent to a
 	// second target, after attemptTimeoutFactor times the service's mean response
 	// time, but not before minAttemptTimeout.
@@ -34,6 +38,7 @@
 	errNoTarget       = errors.New("no target takes work")
 	errUnsigned       = errors.New("the answer is not the target's own")
 	errTruncated      = errors.New("the answer broke off")
+	errTooLong        = errors.New("the answer of a failed request is too long")
 	errRefusedByGuard = errors.New("targets crashed while running such requests")
 	errFaulty         = errors.New("the target failed the request")
 )
@@ -65,6 +70,7 @@
 		if ctx.Err() != nil || fl.attempts >= maxTotalAttempts || !fl.mayRetry(ran) {
 			break
 		}
+		a.release()
 	}
 	if last != nil && last.deliverable() {
 		fl.deliver(ctx, last)
@@ -89,7 +95,8 @@
 	cancel context.CancelFunc // ends the attempt; nil = its exchange ends with the request's context
 }
 
-// release ends an attempt whose response has not been read to its end.
+// release ends an attempt whose response has not been read to its end. The response is not
+// deliverable any more.
 func (a *attemptResult) release() {
 	if a.rest == nil {
 		return
@@ -98,6 +105,7 @@
 	if a.cancel != nil {
 		a.cancel()
 	}
+	a.rest, a.err = nil, errTooLong
 }
 
 // final reports whether the response is forwarded to the caller without further
@@ -205,7 +213,13 @@
 		return
 	}
 	a.body = body
-	if !whole {
+	switch failed := a.resp.Status/100 != 2; {
+	case !whole && failed && !a.head.Signed && len(body) > bufferLimit:
+		a.err = errTooLong
+	case !whole && failed:
+		a.rest = &boundedReader{from, failureLimit - len(body)}
+		return
+	case !whole:
 		a.rest = from
 		return
 	}
