Targetpath: a target counts as dead after three relays refuse, not two

Cause: calls of stage targets have connections of their own since, so that they meet the refusals, where kept connections lived on before. Two of three relays are refused as well and do not know that they have lost their way, since their kept connections bring answers; if both are tried first, the target counts as dead for a second, and nothing is sent to it.

With three refusals the relay that reaches the target is tried too. A target that is dead costs one more refused dial of a relay. In a larger fleet of which most instances are refused, three relays may still be wrong.

--- a/internal/targetpath/relay.go
+++ b/internal/targetpath/relay.go
@@ -17,7 +17,7 @@
 	maxRelays = 3
 	// minRefusals is the number of relays whose dials a target must refuse before it counts
 	// as dead: a relay may have lost its way as well and not know it yet.
-	minRefusals = 2
+	minRefusals = 3
 	// relayHedgeDelay is how long a relay may take before the next one is tried as well.
 	relayHedgeDelay = 200 * time.Millisecond
 	// excludeTime is how long a relay that failed is not used.
