Soak, pathtest: late and foreign answers, refusals, resets and bytes without end on kept connections

The stand-ins repeated an answer only on a connection that they then closed, and never a refusal, so that neither soak nor tests could show a response that is taken for that to a repeat. The Wire of the emulator does it between the server and its connections: the server is sound and goes on serving on them.

--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -47,6 +47,8 @@
 	leaving   map[string]bool // servers by id
 	versions  *rand.Rand      // draws of changeVersions
 	starts    *rand.Rand      // draws of hurtStarts
+	wire      *emulator.Wire  // the connections to servers
+	wires     *rand.Rand      // draws of hurtWires
 	poison    *poison
 	// onlySever leaves out all faults but severConnections.
 	onlySever bool
@@ -69,6 +71,7 @@
 	h.working.Go(func() { h.severConnections(ctx) })
 	h.working.Go(func() { h.changeVersions(ctx) })
 	h.working.Go(func() { h.hurtStarts(ctx) })
+	h.working.Go(func() { h.hurtWires(ctx) })
 	h.working.Go(func() { h.poison.run(ctx, h.world, h.note) })
 	for pause(ctx, time.Duration(400+h.random.IntN(1000))*time.Millisecond) {
 		h.once(ctx)
--- a/deploy/soak/verdict.go
+++ b/deploy/soak/verdict.go
@@ -64,6 +64,9 @@
 	}) {
 		r.broken = append(r.broken, "broken: "+v.String())
 	}
+	wire := h.wire.Counts()
+	r.faults["answers repeated"], r.faults["answers to others"] = wire.Repeated, wire.Foreign
+	r.faults["requests reset"], r.faults["answers without end"] = wire.Reset, wire.Endless
 	for cause, times := range w.Crashes() {
 		r.faults["crashes under "+cause] = len(times)
 	}
--- a/deploy/soak/world.go
+++ b/deploy/soak/world.go
@@ -49,7 +49,8 @@
 	ctx, stop := signal.NotifyContext(whole, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	source := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(o.seed, n)) }
-	d := emulator.Deployment{Random: source(1)}
+	wire := emulator.NewWire(emulator.Loopback{}, source(12))
+	d := emulator.Deployment{Random: source(1), Network: wire}
 	if err := json.Unmarshal(worldJSON, &d); err != nil {
 		return err
 	}
@@ -77,7 +78,7 @@
 	l := newLoad(instances, d.Config, o.rate, source(2), source(8))
 	p := newProbes(instances, source(4))
 	bad := newPoison(instances, source(9))
-	h := &hurter{poison: bad, world: w, instances: instances, load: l, probes: p, links: ls, random: source(3), versions: source(7), starts: source(10), leaving: make(map[string]bool), counts: make(map[string]int), onlySever: o.severed}
+	h := &hurter{poison: bad, world: w, instances: instances, load: l, probes: p, links: ls, random: source(3), versions: source(7), starts: source(10), wire: wire, wires: source(11), leaving: make(map[string]bool), counts: make(map[string]int), onlySever: o.severed}
 	if o.severed {
 		p.interval = severedProbeInterval
 	}
