--- a/deploy/emulator/wire.go
+++ b/deploy/emulator/wire.go
@@ -201,11 +201,12 @@
 	return n, err
 }
 
-// endlessStarts are what bytes without end begin with.
+// endlessStarts are what bytes without end begin with. None states that the request was not
+// run: the server has run it.
 var endlessStarts = []string{
 	"HTTP/1.1 200 OK\r\nX-Padding: ",
 	"HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\n\r\n",
-	"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 1000000000000\r\n\r\n",
+	"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 1000000000000\r\n\r\n",
 	strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100),
 }
 
