Peer: a tunnel whose sender is silent ends, with the connection to the target

What callers saw: nothing by itself. A stream may go on at another target while the one before still works on it, which counts as run twice.

Cause: through a tunnel an instance sends requests on a connection that another instance holds. The sender gives a silent tunnel up after 2 s, since it gets no heartbeats; the other end got none and noticed a silent link only by the pings of HTTP/2, and the target worked on.

The sender sends heartbeats too, as messages without data, which older instances ignore. The other end closes the connection after 2 s without any message, once it has had a heartbeat. While it waits for a target that reads slowly, the sender does not count as silent (TestSlowTargetDoesNotMakeTheSenderSilent).

--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -92,6 +92,8 @@
 	closing   atomic.Bool   // no new request may be sent
 	onClosing atomic.Pointer[func()]
 
+	sending sync.Mutex // held during stream.Send
+
 	mu  sync.Mutex // guards end
 	end error      // why nothing more is received; io.EOF = the target closed the connection
 }
@@ -101,6 +103,7 @@
 	t := &TunnelConn{Conn: near, far: far, instance: instance, target: target, stream: stream, cancel: cancel}
 	t.silence = time.AfterFunc(tunnelSilenceTimeout, func() { t.finish(errTunnelSilent) })
 	go t.sendRequests()
+	go t.sendHeartbeats()
 	go t.receiveResponses()
 	return t
 }
@@ -185,13 +188,35 @@
 			return
 		}
 		t.accepted.Add(uint64(n))
-		if err := t.stream.Send(&peerpb.TunnelUp{Data: buffer[:n]}); err != nil && !errors.Is(err, io.EOF) {
-			t.finish(fmt.Errorf("%w: %w", errTunnelBroken, err))
+		if !t.send(&peerpb.TunnelUp{Data: buffer[:n]}) {
+			return
+		}
+	}
+}
+
+// sendHeartbeats shows the other instance that this one still uses the connection.
+func (t *TunnelConn) sendHeartbeats() {
+	heartbeat := time.NewTicker(tunnelHeartbeatInterval)
+	defer heartbeat.Stop()
+	for range heartbeat.C {
+		if t.ended() != nil || !t.send(&peerpb.TunnelUp{}) {
 			return
 		}
 	}
 }
 
+// send sends a message; it returns false if the tunnel has broken off. io.EOF says that the
+// stream has ended: the reason is received.
+func (t *TunnelConn) send(m *peerpb.TunnelUp) bool {
+	t.sending.Lock()
+	defer t.sending.Unlock()
+	if err := t.stream.Send(m); err != nil && !errors.Is(err, io.EOF) {
+		t.finish(fmt.Errorf("%w: %w", errTunnelBroken, err))
+		return false
+	}
+	return true
+}
+
 // receiveResponses passes on what the instance sends until the tunnel ends.
 func (t *TunnelConn) receiveResponses() {
 	for {
--- a/internal/peer/tunnel_server.go
+++ b/internal/peer/tunnel_server.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return stream.Send(&peerpb.TunnelDown{Failure: tunnelFailureOf(err)})
 	}
-	t := &servedTunnel{stream: stream, conn: conn}
+	t := &servedTunnel{stream: stream, conn: conn, silent: make(chan struct{})}
 	defer t.end()
 	if err := t.send(&peerpb.TunnelDown{}); err != nil {
 		return err
@@ -92,6 +92,8 @@
 
 	writing sync.Mutex // held during a write to the target, guards written
 	written uint64     // bytes written to the target
+
+	silent chan struct{} // closed once the sender is silent
 }
 
 func (t *servedTunnel) send(m *peerpb.TunnelDown) error {
@@ -128,6 +130,8 @@
 			return connect.NewError(connect.CodeAborted, err)
 		case <-fromSender: // the sender has left
 			return nil
+		case <-t.silent:
+			return connect.NewError(connect.CodeAborted, errTunnelSilent)
 		case <-heartbeat.C:
 			if err := t.send(&peerpb.TunnelDown{Closing: stopping()}); err != nil {
 				return err
@@ -155,14 +159,23 @@
 	}
 }
 
-// writeRequests writes what the sender sends to the target.
+// writeRequests writes what the sender sends to the target. A sender that has sent
+// heartbeats and is silent has given the connection up, or is about to: it receives none
+// from here either.
 func (t *servedTunnel) writeRequests() error {
+	silence := time.AfterFunc(tunnelSilenceTimeout, sync.OnceFunc(func() { close(t.silent) }))
+	silence.Stop()
+	defer silence.Stop()
+	heartbeats := false // older senders send none
 	for {
 		m, err := t.stream.Receive()
+		silence.Stop() // a target that reads slowly does not make the sender silent
 		if err != nil {
 			return err
 		}
 		if len(m.GetData()) == 0 {
+			heartbeats = true
+			silence.Reset(tunnelSilenceTimeout)
 			continue
 		}
 		written, err := t.write(m.GetData())
@@ -172,6 +185,9 @@
 		if err := t.send(&peerpb.TunnelDown{Written: written}); err != nil {
 			return err
 		}
+		if heartbeats {
+			silence.Reset(tunnelSilenceTimeout)
+		}
 	}
 }
 
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -121,6 +121,45 @@
 	}
 }
 
+// Guards against a target that goes on with a request which the sender has given up, since the connection between the
+// instances is silent: the stream may go on at another target meanwhile. A sender that only waits is not silent.
+func TestSilentSenderClosesTheTargetsConnection(t *testing.T) {
+	closed := make(chan time.Time, 1)
+	_, proxy := openTunnel(t, &tunnels{}, func(target net.Conn) {
+		_, _ = target.Read(make([]byte, 1))
+		closed <- time.Now()
+	})
+	select {
+	case <-closed:
+		t.Fatal("the connection of a waiting sender is closed")
+	case <-time.After(tunnelSilenceTimeout + 2*tunnelHeartbeatInterval):
+	}
+	proxy.silent.Store(true)
+	began := time.Now()
+	select {
+	case at := <-closed:
+		if took := at.Sub(began); took > tunnelSilenceTimeout+tunnelHeartbeatInterval {
+			t.Errorf("closed after %v", took)
+		}
+	case <-time.After(pingIdleTime + 2*pingTimeout):
+		t.Error("the target's connection is still open")
+	}
+}
+
+// Guards against a tunnel that is taken for silent since its target reads a long request late.
+func TestSlowTargetDoesNotMakeTheSenderSilent(t *testing.T) {
+	const size = 16 << 20
+	conn, _ := openTunnel(t, &tunnels{}, func(target net.Conn) {
+		time.Sleep(tunnelSilenceTimeout + 2*tunnelHeartbeatInterval)
+		_, _ = io.CopyN(io.Discard, target, size)
+		_, _ = io.WriteString(target, "done")
+	})
+	go func() { _, _ = conn.Write(make([]byte, size)) }()
+	if _, err := io.ReadFull(conn, make([]byte, 4)); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against requests that are sent through an instance which is stopping, or on a connection with stray bytes.
 func TestTunnelIsNotUsable(t *testing.T) {
 	t.Run("stopping", func(t *testing.T) {
