Soak: worlds of other shapes, two builds side by side, what servers saw of a request

A request that ran twice on real processes can't be compared with a record of another deployment while the soak has one small world and one build.

The verdict prints for each request that ran twice, overlapped or ran although refused what the servers saw: connection, requests before it, refused or run, version. The draws of the world "mixed" are those of before.

--- a/deploy/emulator/journal.go
+++ b/deploy/emulator/journal.go
@@ -69,11 +69,16 @@
 	wrong   []Violation
 	// arrivals are the requests that reached servers, in order of arrival.
 	arrivals []arrival
-	crashes  []crash // of servers under a Poison
+	crashes  []crash              // of servers under a Poison
+	history  map[string][]Arrival // by attempt id
+	// onConnection counts the requests of clients by server and other end.
+	onConnection map[string]int
 }
 
 // NewJournal returns an empty journal.
-func NewJournal() *Journal { return &Journal{refused: make(map[string]int)} }
+func NewJournal() *Journal {
+	return &Journal{refused: make(map[string]int), history: make(map[string][]Arrival), onConnection: make(map[string]int)}
+}
 
 // Runs returns copies of all runs, in the order in which they began.
 func (j *Journal) Runs() []Run {
--- a/deploy/emulator/repeats.go
+++ b/deploy/emulator/repeats.go
@@ -35,6 +35,7 @@
 	if prefix := t.poison().PathPrefix; t.poison().crashesRun(r.URL.Path) {
 		cause = prefix
 	}
+	t.options.Journal.arrived(t.options, r)
 	t.options.Journal.arrive(arrival{id, t.options.Service, time.Now(), cause})
 }
 
--- a/deploy/emulator/target.go
+++ b/deploy/emulator/target.go
@@ -173,6 +173,7 @@
 func (t *Target) refuse(w http.ResponseWriter, r *http.Request, status int) {
 	if id := r.Header.Get("Attempt-Id"); id != "" {
 		t.options.Journal.refuse(id)
+		t.options.Journal.decided(r, func(a *Arrival) { a.Refused = status })
 	}
 	t.setLoad(w, r)
 	w.Header().Set("Not-Executed", "1")
@@ -254,6 +255,7 @@
 	t.count++
 	run.ID = fmt.Sprintf("%s-%d", t.options.Instance, t.count)
 	t.mu.Unlock()
+	t.options.Journal.decided(r, func(a *Arrival) { a.Run = run.ID })
 	release := func() { t.gate.release(weight); stop() }
 	return &work{t, r, ctx, t.options.Journal.begin(run), faults, m, release}
 }
--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -38,6 +38,8 @@
 // hurter hurts the world by a seeded schedule.
 type hurter struct {
 	world     *emulator.World
+	services  []string // names
+	zones     int      // z1, z2, ...
 	instances []instanceSpec
 	load      *load
 	probes    *probes
@@ -92,7 +94,7 @@
 // once does one fault. All draws are made here, so that the schedule is the seed's.
 func (h *hurter) once(ctx context.Context) {
 	kind, length := kinds[h.random.IntN(len(kinds))], time.Duration(500+h.random.IntN(2000))*time.Millisecond
-	service := []string{"talk", "cut", "plain", "slow"}[h.random.IntN(4)]
+	service := h.services[h.random.IntN(len(h.services))]
 	draw, one := h.random.IntN(1<<20), h.random.IntN(2*len(h.instances))
 	until, subject := func(end func()) { h.working.Go(func() { pause(ctx, length); end() }) }, ""
 	switch kind {
@@ -121,7 +123,7 @@
 		h.must(h.world.Change(addManyRoutes))
 		until(func() { h.must(h.world.Change(removeManyRoutes)) })
 	case "zone-evacuate":
-		subject = h.evacuate(ctx, fmt.Sprintf("z%d", 1+draw%2))
+		subject = h.evacuate(ctx, fmt.Sprintf("z%d", 1+draw%h.zones))
 	case "service-release":
 		subject = service
 		h.releaseService(ctx, service)
--- a/deploy/soak/load.go
+++ b/deploy/soak/load.go
@@ -32,6 +32,9 @@
 type load struct {
 	clients []*emulator.Client
 	config  emulator.Config // of the beginning
+	mix     []string        // prefixes of routes; what stands twice comes twice as often
+	pieces  string          // Piece-Count of requests on routes with stages
+	clump   int             // requests that come at the same moment
 	rate    float64
 	random  *rand.Rand
 	breaks  *rand.Rand // draws of connections that break
@@ -49,8 +52,8 @@
 	revokedAt time.Time
 }
 
-func newLoad(instances []instanceSpec, config emulator.Config, rate float64, source, breaks *rand.Rand) *load {
-	l := &load{config: config, rate: rate, random: source, breaks: breaks, contacts: make(map[string][]contact), key: "u0", zero: time.Now()}
+func newLoad(instances []instanceSpec, file worldFile, rate float64, source, breaks *rand.Rand) *load {
+	l := &load{config: file.Config, mix: strings.Fields(file.Mix), pieces: file.PieceCount, clump: file.Clump, rate: rate, random: source, breaks: breaks, contacts: make(map[string][]contact), key: "u0", zero: time.Now()}
 	l.rateFactor.Store(1)
 	var directory []string
 	for _, i := range instances {
@@ -59,7 +62,7 @@
 	for n := range 8 {
 		source.Shuffle(len(directory), func(a, b int) { directory[a], directory[b] = directory[b], directory[a] })
 		l.clients = append(l.clients, emulator.NewClient(emulator.ClientOptions{
-			Directory: slices.Clone(directory), Region: "r", Zone: fmt.Sprintf("z%d", 1+n%2), Retries: 2,
+			Directory: slices.Clone(directory), Region: "r", Zone: fmt.Sprintf("z%d", 1+n%file.Zones), Retries: 2,
 			Random: rand.New(rand.NewPCG(source.Uint64(), uint64(n))), Dial: emulator.Loopback{}.Dial,
 		}))
 	}
@@ -71,7 +74,9 @@
 	defer l.working.Wait()
 	next := l.zero
 	for n := 0; ; n++ {
-		next = next.Add(time.Duration(l.random.ExpFloat64() / (l.rate * float64(l.rateFactor.Load())) * float64(time.Second)))
+		if n%l.clump == 0 {
+			next = next.Add(time.Duration(float64(l.clump) * l.random.ExpFloat64() / (l.rate * float64(l.rateFactor.Load())) * float64(time.Second)))
+		}
 		if !pause(ctx, time.Until(next)) {
 			return
 		}
@@ -93,12 +98,9 @@
 	l.asked = append(l.asked, a)
 }
 
-// mix are the routes asked for; what stands twice comes twice as often.
-var mix = strings.Fields(strings.Repeat("/talk/ /resume/ /staged/ /idem/ /once/ ", 4) + "/open/ /open/ /open/ /once/ /once/ /slow/ /slowonce/")
-
 // draw chooses what is asked next.
 func (l *load) draw(n int) (emulator.Ask, asked) {
-	prefix := mix[l.random.IntN(len(mix))]
+	prefix := l.mix[l.random.IntN(len(l.mix))]
 	route := l.config.Route(host, prefix)
 	ask := emulator.Ask{
 		Method: "POST", Host: host, Path: fmt.Sprintf("%sx?n=%d", prefix, n), Kind: route.Kind, Key: "k", Resume: route.StreamResumption,
@@ -117,7 +119,7 @@
 		ask.Header.Set("Prompt-Prefix", fmt.Sprintf("a%d:20,b%d:20", prefixParts...))
 	}
 	if len(route.Stages) > 0 {
-		ask.Header.Set("Piece-Count", "2,1")
+		ask.Header.Set("Piece-Count", l.pieces)
 		ask.Header.Set("Piece-Key", fmt.Sprintf("p%d", l.random.IntN(200)))
 	}
 	var a asked
--- a/deploy/soak/main.go
+++ b/deploy/soak/main.go
@@ -46,6 +46,7 @@
 	duration  time.Duration
 	seed      uint64
 	severed   bool
+	world     string // name of a file in worlds
 }
 
 func main() {
@@ -56,6 +57,7 @@
 	flag.DurationVar(&o.duration, "duration", 30*time.Second, "of the load")
 	flag.Uint64Var(&o.seed, "seed", 1, "of load and faults")
 	flag.BoolVar(&o.severed, "severed", false, "sever connections and change routes, no other faults")
+	flag.StringVar(&o.world, "world", "mixed", "deployment with its load, a file in deploy/soak/worlds")
 	flag.Parse()
 	command, ok := map[string]func(options) error{"world": serveWorld, "settings": writeSettings, "ready": awaitReady}[flag.Arg(0)]
 	if !ok {
@@ -84,12 +86,12 @@
 
 // chooseInstances gives each instance an IP number of its own, and ports that are free there. They lie outside of the range
 // from which the system gives ports to others, since an instance comes back to them.
-func chooseInstances(count int) (instances []instanceSpec) {
+func chooseInstances(count, zones int) (instances []instanceSpec) {
 	pid := os.Getpid()
 	port := 20000 + pid%4000
 	for n := 1; n <= count; n++ {
 		ip := fmt.Sprintf("127.%d.%d.%d", 100+pid>>8&0x7f, pid&0xff, 10+n)
-		i := instanceSpec{ID: fmt.Sprintf("n%d", n), Zone: fmt.Sprintf("z%d", 1+n%2)}
+		i := instanceSpec{ID: fmt.Sprintf("n%d", n), Zone: fmt.Sprintf("z%d", 1+n%zones)}
 		for _, address := range []*string{&i.Listen, &i.Readiness, &i.Addresses, &i.Peer} {
 			for ; *address == ""; port++ {
 				if l, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(port))); err == nil {
--- a/deploy/soak/soak_test.go
+++ b/deploy/soak/soak_test.go
@@ -16,7 +16,7 @@
 // TestSettings: instances take the settings.
 func TestSettings(t *testing.T) {
 	o := options{dir: t.TempDir()}
-	instances := chooseInstances(3)
+	instances := chooseInstances(3, 2)
 	instances[0].Store, instances[1].Store, instances[2].Store = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
 	text, err := json.Marshal(instances)
 	if err != nil {
@@ -37,20 +37,25 @@
 	}
 }
 
-// TestWorldFile: each service has a pool, and each route that the load asks for is there.
-func TestWorldFile(t *testing.T) {
-	var d emulator.Deployment
-	if err := json.Unmarshal(worldJSON, &d); err != nil {
-		t.Fatal(err)
-	}
-	for _, s := range d.Config.Services {
-		if !slices.ContainsFunc(d.Pools, func(p emulator.Pool) bool { return p.Service == s.Name && len(p.Places) == 2 }) {
-			t.Errorf("%s has no servers", s.Name)
+// TestWorldFiles: in each world, each service has a pool in all zones, and each route that the load asks for is there.
+func TestWorldFiles(t *testing.T) {
+	for _, name := range []string{"mixed", "reviews", "bookings", "archive"} {
+		f, err := readWorld(name)
+		if err != nil {
+			t.Fatal(err)
 		}
-	}
-	for _, prefix := range mix {
-		if d.Config.Route(host, prefix) == nil {
-			t.Errorf("no route %s", prefix)
+		if f.Zones < 2 || f.Clump < 1 || f.Mix == "" {
+			t.Errorf("%s: %d zones, clumps of %d, mix %q", name, f.Zones, f.Clump, f.Mix)
+		}
+		for _, s := range f.Config.Services {
+			if !slices.ContainsFunc(f.Pools, func(p emulator.Pool) bool { return p.Service == s.Name && len(p.Places) == f.Zones }) {
+				t.Errorf("%s: %s has no servers", name, s.Name)
+			}
+		}
+		for _, prefix := range append(strings.Fields(f.Mix), "/idem/", "/slow/") {
+			if f.Config.Route(host, prefix) == nil {
+				t.Errorf("%s: no route %s", name, prefix)
+			}
 		}
 	}
 }
--- a/deploy/soak/starts.go
+++ b/deploy/soak/starts.go
@@ -24,7 +24,7 @@
 		return from + time.Duration(h.starts.Int64N(int64(to-from)))
 	}
 	for pause(ctx, draw(minStartPause, maxStartPause)) {
-		service := []string{"talk", "cut", "plain", "slow"}[h.starts.IntN(4)]
+		service := h.services[h.starts.IntN(len(h.services))]
 		restart, which := h.starts.IntN(2) == 0, h.starts.IntN(1<<20)
 		away, length := draw(0, maxRestartTime), draw(minForeignTime, maxForeignTime)
 		how := emulator.ForeignEntry(h.starts.IntN(int(emulator.LateCopy) + 1))
--- a/deploy/soak/verdict.go
+++ b/deploy/soak/verdict.go
@@ -20,6 +20,7 @@
 type result struct {
 	cut                                   time.Time // when it was interrupted
 	broken                                []string  // promises
+	histories                             []string  // of requests that ran twice, or ran although refused
 	wrong                                 []string  // in the soak itself; there is no verdict then
 	asked, served, runs, pieces           int
 	probes                                int // that counted
@@ -56,8 +57,10 @@
 		r.wrong = append(r.wrong, "wrong: "+err.Error())
 	}
 	r.broken, r.probes = h.probes.judge(signals)
-	for _, v := range w.CheckRepeats(repeatBound, slices.Concat(l.clients, h.probes.clients(), h.poison.clients())...) {
-		r.broken = append(r.broken, "broken: "+v.String())
+	calm := func(id string, a emulator.Attempt) bool {
+		return !h.poison.linksHurt(id, a.Sent, a.Ended) && !slices.ContainsFunc(signals[id], func(at time.Time) bool {
+			return at.After(a.Sent.Add(-touchTime)) && at.Before(a.Ended)
+		})
 	}
 	for _, v := range h.poison.judge(w, func(instance string, sent, ended time.Time) bool {
 		return r.counts(ended) && h.probes.counts(probe{instance: instance, sent: sent, ended: ended}, signals[instance])
@@ -84,9 +87,24 @@
 			}
 		}
 	}
+	at := func(a emulator.Attempt) []string {
+		return slices.Concat(l.instancesOf(a, instances), h.probes.instancesOf(a), h.poison.instancesOf(a))
+	}
+	for _, v := range overlaps(w.Journal.Runs()) {
+		a := attempts[v.Attempt]
+		if slices.ContainsFunc(at(a), func(id string) bool { return !calm(id, a) }) {
+			r.uncounted["overlap, with an instance or a link that was hurt"]++
+			continue
+		}
+		r.weigh(v, a, at(a), kills, a.Ask.Path)
+		r.addHistory(w.Journal, a, l.zero)
+	}
 	for _, v := range w.Check(clients...) {
 		a := attempts[v.Attempt] // zero if no client sent it
-		r.weigh(v, a, slices.Concat(l.instancesOf(a, instances), h.probes.instancesOf(a), h.poison.instancesOf(a)), kills, fmt.Sprintf("%s at %.2f s, ended %v before its deadline", a.Ask.Path,
+		if v.Name == emulator.NameTwice || v.Name == emulator.NameRefused {
+			r.addHistory(w.Journal, a, l.zero)
+		}
+		r.weigh(v, a, at(a), kills, fmt.Sprintf("%s at %.2f s, ended %v before its deadline", a.Ask.Path,
 			a.Sent.Sub(l.zero).Seconds(), ends[a.Ask.Path].Sub(a.Ended).Round(time.Millisecond)))
 	}
 	return r
@@ -191,5 +209,5 @@
 	if !r.cut.IsZero() {
 		lines = append(lines, "interrupted while the load ran: what ended later isn't counted")
 	}
-	return strings.Join(slices.Concat(lines, r.broken, r.wrong), "\n") + "\n"
+	return strings.Join(slices.Concat(lines, r.broken, r.histories, r.wrong), "\n") + "\n"
 }
--- a/deploy/soak/wire.go
+++ b/deploy/soak/wire.go
@@ -25,7 +25,7 @@
 	}
 	busy := make(map[string]time.Time) // until when a service has a fault
 	for n := 0; pause(ctx, draw(minWirePause, maxWirePause)); n++ {
-		service, length := []string{"talk", "cut", "plain", "slow"}[h.wires.IntN(4)], draw(minWireTime, maxWireTime)
+		service, length := h.services[h.wires.IntN(len(h.services))], draw(minWireTime, maxWireTime)
 		f := emulator.WireFaults{
 			Repeat: 0.1 + 0.5*h.wires.Float64(), Foreign: 0.2 * h.wires.Float64(), Strip: h.wires.IntN(3) == 0, Reset: 0.03 * h.wires.Float64(),
 		}
--- a/deploy/soak/world.go
+++ b/deploy/soak/world.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	_ "embed" // of the configuration
+	"embed"
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
@@ -19,10 +19,38 @@
 	"lynxhill.example/lynxhill/deploy/emulator"
 )
 
-// worldJSON holds the first configuration, and the pools of servers in the emulator's own terms.
+// worldFiles hold a world each.
 //
-//go:embed world.json
-var worldJSON []byte
+//go:embed worlds/*.json
+var worldFiles embed.FS
+
+// worldFile is a deployment with its load: the first configuration, and the pools of
+// servers in the emulator's own terms.
+type worldFile struct {
+	About      string // one line
+	Zones      int    // of the instances and clients: z1, z2, ...
+	Mix        string // prefixes of the routes that are asked for; what stands twice comes twice as often
+	Clump      int    // requests that come at the same moment
+	PieceCount string // of requests on routes with stages
+	emulator.Deployment
+}
+
+// readWorld reads a world by its name.
+func readWorld(name string) (f worldFile, err error) {
+	text, err := worldFiles.ReadFile("worlds/" + name + ".json")
+	if err == nil {
+		err = json.Unmarshal(text, &f)
+	}
+	return f, err
+}
+
+// services returns the names of all services.
+func (f worldFile) services() (names []string) {
+	for _, s := range f.Config.Services {
+		names = append(names, s.Name)
+	}
+	return names
+}
 
 // openStores gives each instance its own way to the store, so that faults can be those of one.
 func openStores(w *emulator.World, instances []instanceSpec) error {
@@ -50,16 +78,17 @@
 	defer stop()
 	source := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(o.seed, n)) }
 	wire := emulator.NewWire(emulator.Loopback{}, source(12))
-	d := emulator.Deployment{Random: source(1), Network: wire}
-	if err := json.Unmarshal(worldJSON, &d); err != nil {
+	file, err := readWorld(o.world)
+	if err != nil {
 		return err
 	}
-	w, err := emulator.NewWorld(d)
+	file.Random, file.Network = source(1), wire
+	w, err := emulator.NewWorld(file.Deployment)
 	if err != nil {
 		return err
 	}
 	defer w.Close()
-	instances := chooseInstances(o.instances)
+	instances := chooseInstances(o.instances, file.Zones)
 	ls, linksErr := openLinks(instances, source(5))
 	err = errors.Join(linksErr, openStores(w, instances))
 	if err == nil {
@@ -75,10 +104,10 @@
 			return writeWhole(o.dir, "result.txt", []byte("interrupted before the load began\n"))
 		}
 	}
-	l := newLoad(instances, d.Config, o.rate, source(2), source(8))
+	l := newLoad(instances, file, o.rate, source(2), source(8))
 	p := newProbes(instances, source(4))
 	bad := newPoison(instances, source(9))
-	h := &hurter{poison: bad, world: w, instances: instances, load: l, probes: p, links: ls, random: source(3), versions: source(7), starts: source(10), wire: wire, wires: source(11), leaving: make(map[string]bool), counts: make(map[string]int), onlySever: o.severed}
+	h := &hurter{poison: bad, world: w, services: file.services(), zones: file.Zones, instances: instances, load: l, probes: p, links: ls, random: source(3), versions: source(7), starts: source(10), wire: wire, wires: source(11), leaving: make(map[string]bool), counts: make(map[string]int), onlySever: o.severed}
 	if o.severed {
 		p.interval = severedProbeInterval
 	}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -16,6 +16,11 @@
   --rate R        requests a second, up to 500 (40)
   --duration S    seconds of load, 10 to 600 (30)
   --seed N        seed of load, faults and signals (1)
+  --world NAME    deployment and load, a file of deploy/soak/worlds (mixed)
+  --program FILE  lynxhilld of another build for all instances, instead of this one
+  --other FILE    lynxhilld of another build beside that: the first half of the
+                  instances begin with it, and each start after a stop or a kill
+                  takes the other one of the two
   --severed       open connections that go silent and changes after it, no other
                   faults and no signals
   --dir DIR       directory for settings, logs and the result; kept, and has to be
@@ -23,12 +28,12 @@
 TEXT
 }
 
-instances=4 rate=40 duration=30 seed=1 dir="" severed=""
+instances=4 rate=40 duration=30 seed=1 dir="" severed="" world=mixed program="" other=""
 while (($#)); do
     case "$1" in
     --help | -h) usage && exit 0 ;;
     --severed) severed=yes && shift ;;
-    --instances | --rate | --duration | --seed | --dir)
+    --instances | --rate | --duration | --seed | --dir | --world | --program | --other)
         (($# > 1)) || { usage >&2 && exit 2; }
         declare "${1#--}=$2"
         shift 2
@@ -41,6 +46,12 @@
 done
 ((instances >= 1 && instances <= 48 && rate >= 1 && rate <= 500 && duration >= 10 && duration <= 600)) || { usage >&2 && exit 2; }
 
+for file in "$program" "$other"; do
+    [[ -z $file || -x $file ]] || { echo "$file is no program" >&2 && exit 2; }
+done
+if [[ -n $program ]]; then program=$(realpath "$program"); fi
+if [[ -n $other ]]; then other=$(realpath "$other"); fi
+
 # Bounds: seconds, and KiB of all processes together.
 readonly READY_LIMIT=20 STOP_LIMIT=20 RESULT_LIMIT=40 MEMORY_LIMIT=$((2 * 1024 * 1024))
 
@@ -55,6 +66,7 @@
 dir=$(cd "$dir" && pwd)
 
 declare -A pid_of # instance id -> process id of the running instance
+declare -A build  # instance id -> program that it runs next
 declare -A frozen # instance id -> 1 while stopped by SIGSTOP
 declare -A ending # process id -> status that it may end with
 declare -A peak   # process id -> most KiB that it held
@@ -99,7 +111,7 @@
 
 start_world() {
     "${APART[@]}" "$dir/bin/soak" --dir "$dir" --instances "$instances" --rate "$rate" \
-        --duration "${duration}s" --seed "$seed" ${severed:+-severed} world >"$dir/world.log" 2>&1 &
+        --duration "${duration}s" --seed "$seed" --world "$world" ${severed:+-severed} world >"$dir/world.log" 2>&1 &
     world_pid=$!
     local tries
     for ((tries = 0; tries < READY_LIMIT * 20; tries++)); do
@@ -116,9 +128,13 @@
     local id=$1
     await_end "$id"
     note "$id" START
-    "${APART[@]}" "$dir/bin/lynxhilld" run --config "$dir/$2.toml" >>"$dir/$id.log" 2>>"$dir/$id.err" &
+    if [[ -n $other ]]; then echo "$EPOCHREALTIME $id ${build[$id]}" >>"$dir/builds.txt"; fi
+    "${APART[@]}" "${build[$id]}" run --config "$dir/$2.toml" >>"$dir/$id.log" 2>>"$dir/$id.err" &
     pid_of[$id]=$!
     ending[$!]=none
+    if [[ -n $other ]]; then
+        if [[ ${build[$id]} == "$other" ]]; then build[$id]=$program; else build[$id]=$other; fi
+    fi
 }
 
 # await_end waits for the end of an instance that was told to end, and checks its
@@ -296,6 +312,11 @@
 }
 
 go build -o "$dir/bin/" ./cmd/lynxhilld ./cmd/lynxctl ./deploy/soak
+program=${program:-$dir/bin/lynxhilld}
+for ((n = 1; n <= instances; n++)); do
+    build[n$n]=$program
+    if [[ -n $other ]] && ((n <= instances / 2)); then build[n$n]=$other; fi
+done
 : >"$dir/signals.txt"
 if [[ -z $severed ]]; then plan_signals; fi >"$dir/schedule.unsorted"
 sort -n -s "$dir/schedule.unsorted" >"$dir/schedule.txt"
