Forwarding: the log tells how each attempt ended

Of a request that ran twice, the log had no line of an attempt whose success was not the target's own, whose response broke off, whose 4xx was not forwarded, or which this instance gave up: line 4212 was written before the body was read, for refusals, 5xx and errors only. The line of the request's end said how many attempts there were and nothing of the earlier ones, and err stood before the fields of the connection, which are lost where lines are cut.

Each attempt now ends once, by flight.endAttempt: 4212 with end (refused, failed, unsigned, unclear, broke_off, no_response, not_sent, given_up), sent, ran, took_ms, the connection before err; ends in 4210, 4211, 4214 and 4219 lists all attempts with their targets; edge_attempts_total counts them whether or not their lines are left out. No decision changes.

Tests: TestEachEndOfAnAttemptIsLogged (10 ends, plain and engine), TestUnclearEndIsLogged, TestEndLineListsAllAttempts, TestEndOfAnAttemptWhoseCallerLeftIsLogged.

--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -109,6 +109,6 @@
 		Budget: i.budget,
 		Loads:  i.loads, CrashGuard: i.guard, ColdLimits: i.cold, StatedLimits: i.limited, Notices: i.notices, Zone: i.cfg.Instance.Zone,
 		Reachable: i.paths.Reachable, Origins: i.origins, Slots: i.slots,
-		Clock: i.o.Clock, Rand: i.rand(), Logger: i.o.Logger,
+		Clock: i.o.Clock, Rand: i.rand(), Logger: i.o.Logger, Metrics: i.metrics,
 	})
 }
--- a/internal/explain/timeline.go
+++ b/internal/explain/timeline.go
@@ -116,7 +116,7 @@
 // outcomeKeys are the keys of fields that describe an outcome. All other fields
 // are inputs.
 var outcomeKeys = map[string]bool{
-	"status": true, "outcome": true, "ran": true, "sent": true, "err": true, "error": true,
+	"status": true, "outcome": true, "ran": true, "sent": true, "end": true, "ends": true, "err": true, "error": true,
 	"reason": true, "kind": true, "run_state": true, "cause": true, "rule": true, "retry_after_ms": true, "due_ms": true,
 }
 
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -204,16 +204,19 @@
 		ef.suspectCrash(target, err)
 		return ef.failed(ctx, target, true, err)
 	case head.NotRun:
+		ef.endAttempt(resp.Status, endRefused, nil)
 		_ = drain(resp.Body)
 		gone := resp.Status == http.StatusConflict || resp.Status == http.StatusBadRequest
 		return ef.rejected(ctx, target, gone, errFaulty)
 	case resp.Status/100 == 2 && !head.Signed:
+		ef.endAttempt(resp.Status, endUnsigned, nil)
 		_ = resp.Body.Close()
 		return ef.failed(ctx, target, true, errUnsigned)
 	case resp.Status/100 != 2:
 		return ef.failedResponse(ctx, target, resp, head)
 	}
 	if !headForwarded() {
+		ef.endAttempt(resp.Status, endGivenUp, ctx.Err())
 		_ = resp.Body.Close()
 		return ef.failed(ctx, target, true, ctx.Err())
 	}
@@ -222,9 +225,11 @@
 	ef.logResumed(target)
 	err = ef.stream.forward(sending, resp, target)
 	if err == nil {
+		ef.endAttempt(resp.Status, endAnswered, nil)
 		ef.recordSuccess()
 		return true
 	}
+	ef.endAttempt(resp.Status, endOfBody(err), err)
 	if errors.Is(err, errCallerLeft) {
 		ef.outcome = "caller left"
 		panic(http.ErrAbortHandler)
@@ -280,6 +285,10 @@
 func (ef *engineFlight) failedResponse(ctx context.Context, target fleet.Target, resp *exchange.Response, head relay.ResponseHead) bool {
 	a := &attemptResult{target: target, resp: resp, head: head}
 	ef.readResponse(a)
+	if ef.stream.begun() && a.err == nil {
+		ef.endAttempt(resp.Status, endFailed, nil)
+	}
+	ef.endPlain(a)
 	if impliesNotRun(resp.Status) && !ef.Route.Repeatable() {
 		a.err = errFaulty
 	}
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -27,6 +27,7 @@
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/exchange"
 	"lynxhill.example/lynxhill/internal/fleet"
+	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/route"
 	"lynxhill.example/lynxhill/internal/stagework"
@@ -86,6 +87,7 @@
 	Clock        clock.Clock
 	Rand         *rand.Rand
 	Logger       *event.Logger
+	Metrics      *metrics.Registry // nil = attempts are not counted
 }
 
 // Forwarder forwards requests. It is safe for concurrent use.
@@ -151,6 +153,7 @@
 	placementWait  time.Duration // time spent waiting for placements and slots
 	firstByteAfter time.Duration // time from the arrival to the first bytes of the response; 0 = none were sent
 	lastUse        exchange.Use  // of the connection of the last attempt
+	ended          []attempt     // the attempts whose end is known, in their order
 }
 
 // responseMargin is how long before its deadline a request gets an error response
@@ -307,7 +310,8 @@
 }
 
 // send makes one attempt: it sends the request to the target and returns the
-// response once its head has arrived.
+// response once its head has arrived. Unless it returns an error, the caller has to
+// call endAttempt.
 func (fl *flight) send(ctx context.Context, c relay.Call) (*exchange.Response, relay.ResponseHead, error) {
 	fl.attempts++
 	fl.firstEvent = false
@@ -328,14 +332,10 @@
 	fl.lastUse = useOf(resp, err)
 	if err != nil {
 		fl.newConnections = true
-		fl.logAttempt(c, 0, err)
+		fl.endAttempt(0, endOfError(err), err)
 		return nil, relay.ResponseHead{}, err
 	}
-	a := fl.o.Codec.ParseResponse(&http.Response{StatusCode: resp.Status, Header: resp.Header})
-	if a.NotRun || resp.Status >= http.StatusInternalServerError {
-		fl.logAttempt(c, resp.Status, nil)
-	}
-	return resp, a, nil
+	return resp, fl.o.Codec.ParseResponse(&http.Response{StatusCode: resp.Status, Header: resp.Header}), nil
 }
 
 // useOf returns how an exchange with this result used its connection.
--- a/internal/forwarding/log.go
+++ b/internal/forwarding/log.go
@@ -7,7 +7,6 @@
 
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/fleet"
-	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/route"
 )
 
@@ -27,7 +26,8 @@
 		"service", fl.service, "priority", fl.priority(), "status", fl.status, "sends", fl.attempts, "target", fl.lastTarget, "ran", fl.mayHaveRun,
 		"slot", fl.slotID, "dispatcher", fl.dispatcher, "read_ms", fl.readAt.Sub(fl.Arrived).Milliseconds(), "wait_ms", fl.placementWait.Milliseconds(),
 		"first_ms", fl.firstByteAfter.Milliseconds(), "ms", fl.elapsed().Milliseconds(), "outcome", fl.outcome}
-	fl.o.Logger.Log(id, append(fields, fl.connectionFields()...)...)
+	fields = append(fields, fl.connectionFields()...)
+	fl.o.Logger.Log(id, append(fields, fl.attemptFields()...)...)
 }
 
 // connectionFields returns the log fields about the connection of the last attempt.
@@ -95,14 +95,6 @@
 	f.o.Logger.Log(event.ForwardLateLeftOut, "count", count)
 }
 
-// logAttempt logs an attempt that a target refused or failed.
-func (fl *flight) logAttempt(c relay.Call, status int, err error) {
-	fields := []any{"request", fl.Request.ID, "service", fl.service, "target", c.Target.ID,
-		"attempt", fl.attempts, "status", status, "sent", err == nil || wasSent(err), "err", err,
-		"ms", fl.elapsed().Milliseconds()}
-	fl.o.Logger.Log(event.ForwardAttemptFailed, append(fields, fl.connectionFields()...)...)
-}
-
 // logStreamBroken logs a stream that broke off.
 func (ef *engineFlight) logStreamBroken(t fleet.Target, err error) {
 	ef.o.Logger.Log(event.ForwardStreamBroke, "request", ef.Request.ID, "target", t.ID, "events", ef.stream.events,
--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -88,6 +88,7 @@
 	target fleet.Target
 	resp   *exchange.Response
 	head   relay.ResponseHead
+	broke  error // why the response could not be read whole
 	body   []byte
 	rest   io.Reader // the unread rest of a response that exceeds bufferLimit, or for which there was no memory
 	notRun bool
@@ -156,6 +157,7 @@
 	a.resp, a.head, a.err = fl.send(ctx, fl.call(target, nil, ""))
 	if a.err == nil {
 		fl.readResponse(a)
+		fl.endPlain(a)
 	} else {
 		a.notRun = !wasSent(a.err)
 	}
@@ -208,7 +210,7 @@
 	}
 	body, whole, err := fl.readWhole(from)
 	if err != nil {
-		a.err = errTruncated
+		a.err, a.broke = errTruncated, err
 		_ = a.resp.Body.Close()
 		return
 	}
@@ -226,6 +228,24 @@
 	_ = a.resp.Body.Close()
 }
 
+// endPlain records the end of an attempt whose response was read, up to bufferLimit. A
+// longer one ends once its rest has been forwarded.
+func (fl *flight) endPlain(a *attemptResult) {
+	status := a.resp.Status
+	switch {
+	case a.notRun:
+		fl.endAttempt(status, endRefused, nil)
+	case a.broke != nil:
+		fl.endAttempt(status, endOfBody(a.broke), a.broke)
+	case errors.Is(a.err, errUnsigned):
+		fl.endAttempt(status, endUnsigned, nil)
+	case status >= http.StatusInternalServerError, a.err != nil, impliesNotRun(status) && !fl.Route.Repeatable():
+		fl.endAttempt(status, endFailed, a.err)
+	case a.rest == nil:
+		fl.endAttempt(status, endAnswered, nil)
+	}
+}
+
 // drain reads a small body to its end, so that the connection can be reused.
 func drain(body io.ReadCloser) error {
 	_, err := io.Copy(io.Discard, io.LimitReader(body, bufferLimit))
@@ -270,11 +290,14 @@
 		return
 	}
 	defer a.release()
-	if err := fl.copyBlocks(a.rest); err != nil || ctx.Err() != nil {
+	err := fl.copyBlocks(a.rest)
+	if err != nil || ctx.Err() != nil {
+		fl.endAttempt(a.resp.Status, endOfBody(errors.Join(err, ctx.Err())), err)
 		// The caller must not take a truncated response for a complete one.
 		fl.outcome = "answer broke off"
 		panic(http.ErrAbortHandler)
 	}
+	fl.endAttempt(a.resp.Status, endAnswered, nil)
 }
 
 // priority returns the priority of the request.
