--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -37,21 +37,22 @@
 
 // hurter hurts the world by a seeded schedule.
 type hurter struct {
-	world     *emulator.World
-	services  []string // names
-	zones     int      // z1, z2, ...
-	instances []instanceSpec
-	load      *load
-	probes    *probes
-	links     *links
-	random    *rand.Rand
-	working   sync.WaitGroup  // until all faults have ended
-	leaving   map[string]bool // servers by id
-	versions  *rand.Rand      // draws of changeVersions
-	starts    *rand.Rand      // draws of hurtStarts
-	wire      *emulator.Wire  // the connections to servers
-	wires     *rand.Rand      // draws of hurtWires
-	poison    *poison
+	world      *emulator.World
+	services   []string // names
+	zones      int      // z1, z2, ...
+	instances  []instanceSpec
+	load       *load
+	probes     *probes
+	links      *links
+	random     *rand.Rand
+	working    sync.WaitGroup  // until all faults have ended
+	leaving    map[string]bool // servers by id
+	versions   *rand.Rand      // draws of changeVersions
+	starts     *rand.Rand      // draws of hurtStarts
+	wire       *emulator.Wire  // the connections to servers
+	wires      *rand.Rand      // draws of hurtWires
+	poison     *poison
+	identified bool // late and foreign answers always state their ids
 	// onlySever leaves out all faults but severConnections.
 	onlySever bool
 
--- a/deploy/soak/main.go
+++ b/deploy/soak/main.go
@@ -47,6 +47,8 @@
 	seed      uint64
 	severed   bool
 	world     string // name of a file in worlds
+	// identified has late and foreign answers always state their ids.
+	identified bool
 }
 
 func main() {
@@ -57,6 +59,7 @@
 	flag.DurationVar(&o.duration, "duration", 30*time.Second, "of the load")
 	flag.Uint64Var(&o.seed, "seed", 1, "of load and faults")
 	flag.BoolVar(&o.severed, "severed", false, "sever connections and change routes, no other faults")
+	flag.BoolVar(&o.identified, "identified", false, "late and foreign answers always state their ids")
 	flag.StringVar(&o.world, "world", "mixed", "deployment with its load, a file in deploy/soak/worlds")
 	flag.Parse()
 	command, ok := map[string]func(options) error{"world": serveWorld, "settings": writeSettings, "ready": awaitReady}[flag.Arg(0)]
--- a/deploy/soak/wire.go
+++ b/deploy/soak/wire.go
@@ -27,7 +27,7 @@
 	for n := 0; pause(ctx, draw(minWirePause, maxWirePause)); n++ {
 		service, length := h.services[h.wires.IntN(len(h.services))], draw(minWireTime, maxWireTime)
 		f := emulator.WireFaults{
-			Repeat: 0.1 + 0.5*h.wires.Float64(), Foreign: 0.2 * h.wires.Float64(), Strip: h.wires.IntN(3) == 0, Reset: 0.03 * h.wires.Float64(),
+			Repeat: 0.1 + 0.5*h.wires.Float64(), Foreign: 0.2 * h.wires.Float64(), Strip: h.wires.IntN(3) == 0 && !h.identified, Reset: 0.03 * h.wires.Float64(),
 		}
 		shed := 0.1 + 0.4*h.wires.Float64()
 		if n%endlessEvery == endlessEvery-1 {
--- a/deploy/soak/world.go
+++ b/deploy/soak/world.go
@@ -107,7 +107,7 @@
 	l := newLoad(instances, file, o.rate, source(2), source(8))
 	p := newProbes(instances, source(4))
 	bad := newPoison(instances, source(9))
-	h := &hurter{poison: bad, world: w, services: file.services(), zones: file.Zones, instances: instances, load: l, probes: p, links: ls, random: source(3), versions: source(7), starts: source(10), wire: wire, wires: source(11), leaving: make(map[string]bool), counts: make(map[string]int), onlySever: o.severed}
+	h := &hurter{poison: bad, world: w, services: file.services(), zones: file.Zones, instances: instances, load: l, probes: p, links: ls, random: source(3), versions: source(7), starts: source(10), wire: wire, wires: source(11), leaving: make(map[string]bool), counts: make(map[string]int), onlySever: o.severed, identified: o.identified}
 	if o.severed {
 		p.interval = severedProbeInterval
 	}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -21,6 +21,8 @@
   --other FILE    lynxhilld of another build beside that: the first half of the
                   instances begin with it, and each start after a stop or a kill
                   takes the other one of the two
+  --identified    late and foreign answers always state whose they are, as those of
+                  a target that echoes the id do
   --severed       open connections that go silent and changes after it, no other
                   faults and no signals
   --dir DIR       directory for settings, logs and the result; kept, and has to be
@@ -28,11 +30,12 @@
 TEXT
 }
 
-instances=4 rate=40 duration=30 seed=1 dir="" severed="" world=mixed program="" other=""
+instances=4 rate=40 duration=30 seed=1 dir="" severed="" identified="" world=mixed program="" other=""
 while (($#)); do
     case "$1" in
     --help | -h) usage && exit 0 ;;
     --severed) severed=yes && shift ;;
+    --identified) identified=yes && shift ;;
     --instances | --rate | --duration | --seed | --dir | --world | --program | --other)
         (($# > 1)) || { usage >&2 && exit 2; }
         declare "${1#--}=$2"
@@ -111,7 +114,7 @@
 
 start_world() {
     "${APART[@]}" "$dir/bin/soak" --dir "$dir" --instances "$instances" --rate "$rate" \
-        --duration "${duration}s" --seed "$seed" --world "$world" ${severed:+-severed} world >"$dir/world.log" 2>&1 &
+        --duration "${duration}s" --seed "$seed" --world "$world" ${severed:+-severed} ${identified:+-identified} world >"$dir/world.log" 2>&1 &
     world_pid=$!
     local tries
     for ((tries = 0; tries < READY_LIMIT * 20; tries++)); do
