Storeclient: each call of the platform has a connection of its own

The client of the own interface kept connections to the platform, whose replies do not say which call they belong to. A late second reply to one call was taken for that of the next: a write that the platform refused passed for done, so that two instances could both hold a claim.

TestPutIsNeverRepeated broke the second call on a connection; there is none now, so its server breaks the second call. It passes on the code before as well.

--- a/internal/storeclient/call.go
+++ b/internal/storeclient/call.go
@@ -76,8 +76,6 @@
 	case !before && after:
 		c.up.Set(0)
 		c.logger.Log(event.PlatformDown)
-		// Idle connections may be broken; the next probe opens a new one.
-		c.http.CloseIdleConnections()
 	case before && !after:
 		c.up.Set(1)
 		c.logger.Log(event.PlatformUp)
@@ -166,9 +164,7 @@
 	}
 	if op.body != nil {
 		// The body is not passed as a *bytes.Reader, so that net/http sets no
-		// GetBody and its transport cannot send the body a second time. The
-		// transport itself only retries reads whose reused connection broke,
-		// and calls without a body of which no byte was written.
+		// GetBody and its transport cannot send the body a second time.
 		req.Body = io.NopCloser(onlyReader{bytes.NewReader(op.body)})
 		req.ContentLength = int64(len(op.body))
 	}
@@ -187,9 +183,6 @@
 	if !connected {
 		return errNotSent{fmt.Errorf("%w: %w", store.ErrUnavailable, cause)}
 	}
-	// The connection may have gone silent. Without this, the next calls would be
-	// written to it as well, and each would wait for its own timeout.
-	c.http.CloseIdleConnections()
 	if op.kind != callWrite {
 		return fmt.Errorf("%w: %w", store.ErrUnavailable, cause)
 	}
--- a/internal/storeclient/client_test.go
+++ b/internal/storeclient/client_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -88,20 +87,20 @@
 	}
 }
 
-// brokenServer answers the first call on each connection, and closes the connection
-// once it has read the next call, as a platform instance that crashes does.
+// brokenServer answers the first call, and closes the connection of each further one once
+// it has read the call, as a platform instance that crashes does.
 func brokenServer(t *testing.T, puts *atomic.Int64) string {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	first := sync.Map{}
+	var calls atomic.Int64
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPut {
 			puts.Add(1)
 			_, _ = io.Copy(io.Discard, r.Body)
 		}
-		if _, again := first.LoadOrStore(r.RemoteAddr, true); again {
+		if calls.Add(1) > 1 {
 			panic(http.ErrAbortHandler)
 		}
 		reply(w, 200, store.Object{Version: 1})
@@ -112,9 +111,8 @@
 }
 
 // Guards against a claim being refused as held by its own writer, and against a
-// profile change that appears twice. A reused connection breaks while a PUT is in
-// flight, and net/http's transport retries on a new connection what it considers
-// replayable.
+// profile change that appears twice. A connection breaks while a PUT is in flight, and
+// net/http's transport retries on a new connection what it considers replayable.
 func TestPutIsNeverRepeated(t *testing.T) {
 	var puts atomic.Int64
 	c := clientOf(brokenServer(t, &puts))
--- a/internal/storeclient/transport.go
+++ b/internal/storeclient/transport.go
@@ -10,17 +10,17 @@
 // Limits of the connections to the platform.
 const (
 	dialTimeout  = 2 * time.Second
-	idlePerHost  = 8
 	connsPerHost = 32
-	// idleTimeout is how long an unused connection is kept. An idle connection may
-	// go silent unnoticed, and the next call on it would wait for its timeout.
-	idleTimeout = 2 * time.Second
 )
 
 // newTransport returns a transport without HTTP/2, whose own retries could not be
 // distinguished from those of the client. It accepts compressed replies: the instance
 // list of 972 entries is 160 KB uncompressed, and instances that read it every two
 // seconds would use five times their byte budget for all control traffic on it.
+//
+// Each call has a connection of its own. Replies do not say which call they belong to:
+// on a connection that was used before, a late second reply to an earlier call could be
+// taken for that of the next one.
 func newTransport(opts Options) *http.Transport {
 	dial := opts.Dial
 	if dial == nil {
@@ -32,9 +32,8 @@
 		DialContext:         dial,
 		TLSClientConfig:     opts.TLS,
 		TLSHandshakeTimeout: dialTimeout,
-		MaxIdleConnsPerHost: idlePerHost,
 		MaxConnsPerHost:     connsPerHost,
-		IdleConnTimeout:     idleTimeout,
+		DisableKeepAlives:   true,
 		Protocols:           protocols,
 	}
 }
