Edge: instances whose build may mix up stage results schedule no work of newer ones

While a fleet is upgraded, an instance of this build takes the results of stages from whichever instance schedules for it.

Instances state features of their build in their rows: "each call of a stage target has a connection of its own" is the first. An instance that has it submits its stage work to others that have it, or does it itself; listed instances that it has not met count as having it, and slots of plain targets are coordinated by all as before. Features survive rows that older instances pass on without them, and light rows; they do not survive a restart with another build. In a fleet of one build nothing changes. A row takes 3 bytes more.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -195,6 +195,8 @@
 	// Capacity is the processor time available to the instance, in cores; 0 if it does
 	// not report it.
 	Capacity float64
+	// Features are those of the instance's build.
+	Features Features
 	// StoreLost reports whether the instance's calls of the store are failing.
 	StoreLost bool
 	// TargetsLost reports whether the instance can't connect to targets by itself.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -241,6 +241,7 @@
 			ID: i.id(), State: board.MemberAlive, CallerAddr: i.cfg.Ingress.Listen, AdminAddr: i.cfg.Ingress.Listen,
 			PeerAddr: cmp.Or(i.cfg.Listen.AdvertisePeer, i.cfg.Listen.Peer), Zone: i.cfg.Instance.Zone, Region: i.cfg.Instance.Region,
 			Capacity: i.cfg.Ingress.ProcessorShare * max(i.cfg.Ingress.ProcessorCores, 1),
+			Features: board.OwnFeatures,
 		},
 		Board: i.board, Clock: i.o.Clock, Boot: i.o.Boot, Rand: i.rand(), Transport: i.peers,
 		Lister: i.adapter.Platform, Seeds: i.seeds, StoreLost: i.routes.StoreLost, TargetsLost: i.paths.Lost,
@@ -274,7 +275,7 @@
 	})
 	i.finder = stagework.NewFinder(stagework.FinderOptions{
 		Self: i.id(), Local: i.dispatcher, Remote: i.peers,
-		Members:  i.dispatcherCandidates,
+		Members:  i.schedulers,
 		Capacity: i.capacity, Cells: i.currentCells, Connectivity: i.contact, Joining: i.discoveringMembers,
 		Reservations: i.overload.reservations,
 		Clock:        i.o.Clock, Logger: i.o.Logger,
--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"lynxhill.example/lynxhill/internal/board"
 	"lynxhill.example/lynxhill/internal/stagework"
 )
 
@@ -43,6 +44,25 @@
 	return live
 }
 
+// schedulers returns the dispatcherCandidates that may schedule stage work for this
+// instance. While builds of before and after a change serve side by side, those whose build
+// may mix up the results of stages are left out, unless there is no other.
+func (i *Instance) schedulers() []string {
+	candidates := i.dispatcherCandidates()
+	safe := slices.DeleteFunc(slices.Clone(candidates), i.mayMixUpResults)
+	if len(safe) == 0 {
+		return candidates
+	}
+	return safe
+}
+
+// mayMixUpResults reports whether the instance is known to lack board.StageCallsApart.
+func (i *Instance) mayMixUpResults(instance string) bool {
+	m, known := i.board.Members.Get(instance)
+	met := known && m.Incarnation > 0 // otherwise it is only on the platform's list
+	return instance != i.id() && met && !m.Features.Has(board.StageCallsApart)
+}
+
 // capacity returns the processor capacity of an instance, its share of a core times its
 // number of cores.
 func (i *Instance) capacity(instance string) float64 {
--- a/internal/membership/digest.go
+++ b/internal/membership/digest.go
@@ -14,8 +14,8 @@
 
 // Estimated size of a row in bytes, beyond its strings.
 const (
-	lightRowBytes     = 34
-	fullRowBytes      = 46
+	lightRowBytes     = 37
+	fullRowBytes      = 49
 	deadRowExtraBytes = 9 // age of the death and other fields of dead members
 	sumsBytes         = 4*sumCount + 8
 )
--- a/internal/membership/manager.go
+++ b/internal/membership/manager.go
@@ -27,6 +27,7 @@
 		Region:      o.Self.Region,
 		FreeShare:   1,
 		Capacity:    o.Self.Capacity,
+		Features:    uint32(o.Self.Features),
 	}
 	m := &Manager{
 		o:              o,
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -122,6 +122,7 @@
 		Left:           r.hasLeft(),
 		KnownInstances: m.KnownInstances,
 		Capacity:       m.Capacity,
+		Features:       board.Features(m.Features),
 		StoreLost:      m.StoreLost,
 		TargetsLost:    m.TargetsLost,
 	})
@@ -220,8 +221,11 @@
 	if in.Light() {
 		keepAddresses(&in, old.member)
 	}
-	if in.Incarnation == old.member.Incarnation && in.Seq < old.member.Seq {
-		keepLoad(&in, old.member)
+	if in.Incarnation == old.member.Incarnation {
+		in.Features |= old.member.Features
+		if in.Seq < old.member.Seq {
+			keepLoad(&in, old.member)
+		}
 	}
 	if in.State == string(board.MemberDead) {
 		in.Left = in.Left || old.member.State == string(board.MemberLeaving)
@@ -247,7 +251,11 @@
 	if in.Incarnation == old.member.Incarnation && old.dead() && in.State == string(board.MemberDead) {
 		v.mergeDead(old, in, now)
 	}
-	if in.Incarnation != old.member.Incarnation || in.Seq <= old.member.Seq {
+	if in.Incarnation != old.member.Incarnation {
+		return
+	}
+	v.addFeatures(old, in.Features)
+	if in.Seq <= old.member.Seq {
 		return
 	}
 	u := urgencyLoad
@@ -263,6 +271,16 @@
 	v.enqueue(old, u, false, now)
 }
 
+// addFeatures adds features that were missing in an earlier row of the same incarnation,
+// which an instance without features had passed on.
+func (v *view) addFeatures(r *row, f uint32) {
+	if r.member.Features|f == r.member.Features {
+		return
+	}
+	r.member.Features |= f
+	v.publish(r)
+}
+
 // refute raises this instance's incarnation when a peer regards it as suspect or
 // dead, or knows a higher incarnation than the current one (after a restart at
 // which the clock was set back).
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -111,6 +111,7 @@
 		DeadForMs:   millis(m.DeadFor),
 		Fleet:       uint32(max(m.KnownInstances, 0)),
 		Capacity:    float32(m.Capacity),
+		Features:    m.Features,
 		StoreLost:   m.StoreLost,
 		TargetsLost: m.TargetsLost,
 	}
@@ -134,6 +135,7 @@
 		DeadFor:        duration(m.GetDeadForMs()),
 		KnownInstances: int(m.GetFleet()),
 		Capacity:       float64(m.GetCapacity()),
+		Features:       m.GetFeatures(),
 		StoreLost:      m.GetStoreLost(),
 		TargetsLost:    m.GetTargetsLost(),
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -42,7 +42,7 @@
 func sampleDigest() gossip.Digest {
 	return gossip.Digest{
 		From:     "a",
-		Members:  []gossip.Member{{ID: "a", Incarnation: 7, State: "alive", CallerAddr: "1", AdminAddr: "2", PeerAddr: "3", Zone: "lac-a", Region: "tunis", FreeShare: 0.5, InFlight: 3, ConfigVersion: 9, Seq: 4, Left: true, DeadFor: time.Minute, KnownInstances: 8, Capacity: 0.5, StoreLost: true, TargetsLost: true}},
+		Members:  []gossip.Member{{ID: "a", Incarnation: 7, State: "alive", CallerAddr: "1", AdminAddr: "2", PeerAddr: "3", Zone: "lac-a", Region: "tunis", FreeShare: 0.5, InFlight: 3, ConfigVersion: 9, Seq: 4, Left: true, DeadFor: time.Minute, KnownInstances: 8, Capacity: 0.5, Features: 1, StoreLost: true, TargetsLost: true}},
 		Profiles: []gossip.ProfileVersion{{Name: "profiles/", Version: 9}},
 		Loads: []gossip.Load{{Target: "t", Seq: 1, Age: 20 * time.Millisecond, Running: 1, Queued: 2, Slots: 3, MeanMS: 4, KVUsed: 0.5, Leaving: true,
 			ModelsKnown: true, Models: []gossip.LoadedModel{{Model: "m", Version: "1", Adapters: []string{"x"}, Ready: true}}, Role: "decode"}},
