Soak: the bound on repeats is judged again; it is a world's own; judge in parts

With the default, few of the refused requests of "bookings" are repeated, and a request that is not repeated can't show a repeat's faults. judge, 50 lines that did everything, is a state with one method for each part.

--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -52,6 +52,7 @@
 	wire       *emulator.Wire  // the connections to servers
 	wires      *rand.Rand      // draws of hurtWires
 	poison     *poison
+	repeats    emulator.RepeatBound
 	identified bool // late and foreign answers always state their ids
 	// onlySever leaves out all faults but severConnections.
 	onlySever bool
--- a/deploy/soak/main.go
+++ b/deploy/soak/main.go
@@ -116,9 +116,11 @@
 // writeSettings writes a file for each instance.
 func writeSettings(o options) error {
 	instances, err := readInstances(o)
+	file, worldErr := readWorld(o.world)
+	err = errors.Join(err, worldErr)
 	for _, i := range instances {
 		var text bytes.Buffer
-		made := template.Must(template.New("").Parse(settings)).Execute(&text, map[string]any{"at": i, "touch": touchTime, "apply": applyTime})
+		made := template.Must(template.New("").Parse(settings)).Execute(&text, map[string]any{"at": i, "touch": touchTime, "apply": applyTime, "repeats": file.Repeats})
 		err = errors.Join(err, made, writeWhole(o.dir, i.ID+".toml", text.Bytes()))
 	}
 	return err
--- a/deploy/soak/verdict.go
+++ b/deploy/soak/verdict.go
@@ -13,9 +13,6 @@
 	"lynxhill.example/lynxhill/deploy/emulator"
 )
 
-// repeatBound is the bound of the default settings, which the instances use.
-var repeatBound = emulator.RepeatBound{Ratio: 0.1, Extra: 10, Window: 10 * time.Second}
-
 // result of a run.
 type result struct {
 	cut                                   time.Time // when it was interrupted
@@ -47,67 +44,117 @@
 
 // judge compares what clients saw with what servers did.
 func judge(o options, instances []instanceSpec, w *emulator.World, l *load, h *hurter, cut time.Time) result {
-	r := result{
-		cut: cut, wrong: h.wrong, runs: len(w.Journal.Runs()), pieces: len(w.Journal.Pieces()), faults: h.counts,
-		unserved: make(map[string]int), uncounted: make(map[string]int), revokeds: make(map[string]int),
-	}
-	kills, err := readSignals(o.dir, "KILL")
-	signals, signalsErr := readSignals(o.dir, "")
-	if err := errors.Join(err, signalsErr); err != nil {
-		r.wrong = append(r.wrong, "wrong: "+err.Error())
-	}
-	r.broken, r.probes = h.probes.judge(signals)
-	calm := func(id string, a emulator.Attempt) bool {
-		return !h.poison.linksHurt(id, a.Sent, a.Ended) && !slices.ContainsFunc(signals[id], func(at time.Time) bool {
-			return at.After(a.Sent.Add(-touchTime)) && at.Before(a.Ended)
-		})
-	}
-	for _, v := range h.poison.judge(w, func(instance string, sent, ended time.Time) bool {
-		return r.counts(ended) && h.probes.counts(probe{instance: instance, sent: sent, ended: ended}, signals[instance])
-	}) {
-		r.broken = append(r.broken, "broken: "+v.String())
+	j := newJudging(o, instances, w, l, h, cut)
+	j.judgeInstances()
+	j.countFaults()
+	for _, a := range l.asked {
+		j.count(a)
 	}
-	wire := h.wire.Counts()
-	r.faults["answers repeated"], r.faults["answers to others"] = wire.Repeated, wire.Foreign
-	r.faults["requests reset"], r.faults["answers without end"] = wire.Reset, wire.Endless
-	for cause, times := range w.Crashes() {
-		r.faults["crashes under "+cause] = len(times)
+	j.judgeOverlaps()
+	j.judgeAttempts()
+	return j.result
+}
+
+// judging is the state of a verdict.
+type judging struct {
+	result
+	instances      []instanceSpec
+	world          *emulator.World
+	load           *load
+	hurter         *hurter
+	clients        []*emulator.Client
+	signals, kills map[string][]time.Time      // by id of the instance; signals include starts
+	attempts       map[string]emulator.Attempt // by id
+	ends           map[string]time.Time        // deadlines, by path
+}
+
+func newJudging(o options, instances []instanceSpec, w *emulator.World, l *load, h *hurter, cut time.Time) *judging {
+	j := &judging{
+		result: result{
+			cut: cut, wrong: h.wrong, runs: len(w.Journal.Runs()), pieces: len(w.Journal.Pieces()), faults: h.counts,
+			unserved: make(map[string]int), uncounted: make(map[string]int), revokeds: make(map[string]int),
+		},
+		instances: instances, world: w, load: l, hurter: h, clients: slices.Concat(l.clients, h.probes.clients(), h.poison.clients()),
+		attempts: make(map[string]emulator.Attempt), ends: make(map[string]time.Time),
 	}
-	for _, a := range l.asked {
-		r.count(a)
+	var err, signalsErr error
+	j.kills, err = readSignals(o.dir, "KILL")
+	j.signals, signalsErr = readSignals(o.dir, "")
+	if err := errors.Join(err, signalsErr); err != nil {
+		j.wrong = append(j.wrong, "wrong: "+err.Error())
 	}
-	attempts, ends := make(map[string]emulator.Attempt), make(map[string]time.Time) // ends are deadlines, by path
-	clients := slices.Concat(l.clients, h.probes.clients(), h.poison.clients())
-	for _, c := range clients {
+	for _, c := range j.clients {
 		for _, a := range c.Attempts() { // in their order
-			attempts[a.ID] = a
-			r.countTry(a)
-			if ends[a.Ask.Path].IsZero() {
-				ends[a.Ask.Path] = a.Sent.Add(a.Ask.Deadline)
+			j.attempts[a.ID] = a
+			j.countTry(a)
+			if j.ends[a.Ask.Path].IsZero() {
+				j.ends[a.Ask.Path] = a.Sent.Add(a.Ask.Deadline)
 			}
 		}
 	}
-	at := func(a emulator.Attempt) []string {
-		return slices.Concat(l.instancesOf(a, instances), h.probes.instancesOf(a), h.poison.instancesOf(a))
+	return j
+}
+
+// judgeInstances adds the broken promises that no single request shows.
+func (j *judging) judgeInstances() {
+	h := j.hurter
+	j.broken, j.probes = h.probes.judge(j.signals)
+	found := j.world.CheckRepeats(h.repeats, j.clients...)
+	found = append(found, h.poison.judge(j.world, func(instance string, sent, ended time.Time) bool {
+		return j.counts(ended) && h.probes.counts(probe{instance: instance, sent: sent, ended: ended}, j.signals[instance])
+	})...)
+	for _, v := range found {
+		j.broken = append(j.broken, "broken: "+v.String())
+	}
+}
+
+func (j *judging) countFaults() {
+	wire := j.hurter.wire.Counts()
+	j.faults["answers repeated"], j.faults["answers to others"] = wire.Repeated, wire.Foreign
+	j.faults["requests reset"], j.faults["answers without end"] = wire.Reset, wire.Endless
+	for cause, times := range j.world.Crashes() {
+		j.faults["crashes under "+cause] = len(times)
 	}
-	for _, v := range overlaps(w.Journal.Runs()) {
-		a := attempts[v.Attempt]
-		if slices.ContainsFunc(at(a), func(id string) bool { return !calm(id, a) }) {
-			r.uncounted["overlap, with an instance or a link that was hurt"]++
+}
+
+// judgeOverlaps adds the requests on which two servers worked, unless an instance that had
+// the request, or a link of it, was hurt.
+func (j *judging) judgeOverlaps() {
+	for _, v := range overlaps(j.world.Journal.Runs()) {
+		a := j.attempts[v.Attempt]
+		at := j.at(a)
+		if slices.ContainsFunc(at, func(id string) bool { return j.hurt(id, a) }) {
+			j.uncounted["overlap, with an instance or a link that was hurt"]++
 			continue
 		}
-		r.weigh(v, a, at(a), kills, a.Ask.Path)
-		r.addHistory(w.Journal, a, l.zero)
+		j.weigh(v, a, at, j.kills, a.Ask.Path)
+		j.addHistory(j.world.Journal, a, j.load.zero)
 	}
-	for _, v := range w.Check(clients...) {
-		a := attempts[v.Attempt] // zero if no client sent it
+}
+
+// judgeAttempts adds the broken promises that single requests show.
+func (j *judging) judgeAttempts() {
+	for _, v := range j.world.Check(j.clients...) {
+		a := j.attempts[v.Attempt] // zero if no client sent it
 		if v.Name == emulator.NameTwice || v.Name == emulator.NameRefused {
-			r.addHistory(w.Journal, a, l.zero)
+			j.addHistory(j.world.Journal, a, j.load.zero)
 		}
-		r.weigh(v, a, at(a), kills, fmt.Sprintf("%s at %.2f s, ended %v before its deadline", a.Ask.Path,
-			a.Sent.Sub(l.zero).Seconds(), ends[a.Ask.Path].Sub(a.Ended).Round(time.Millisecond)))
+		j.weigh(v, a, j.at(a), j.kills, fmt.Sprintf("%s at %.2f s, ended %v before its deadline", a.Ask.Path,
+			a.Sent.Sub(j.load.zero).Seconds(), j.ends[a.Ask.Path].Sub(a.Ended).Round(time.Millisecond)))
 	}
-	return r
+}
+
+// at returns the ids of the instances that an attempt was sent to.
+func (j *judging) at(a emulator.Attempt) []string {
+	return slices.Concat(j.load.instancesOf(a, j.instances), j.hurter.probes.instancesOf(a), j.hurter.poison.instancesOf(a))
+}
+
+// hurt reports whether the instance got a signal, or its links were hurt, during an attempt
+// or within touchTime before it.
+func (j *judging) hurt(instance string, a emulator.Attempt) bool {
+	return j.hurter.poison.linksHurt(instance, a.Sent, a.Ended) || slices.ContainsFunc(j.signals[instance], func(at time.Time) bool {
+		return at.After(a.Sent.Add(-touchTime)) && at.Before(a.Ended)
+	})
 }
 
 // weigh adds a broken promise to an attempt at some instances, unless it ended after the interrupt, or was lost with an
--- a/deploy/soak/world.go
+++ b/deploy/soak/world.go
@@ -32,6 +32,8 @@
 	Mix        string // prefixes of the routes that are asked for; what stands twice comes twice as often
 	Clump      int    // requests that come at the same moment
 	PieceCount string // of requests on routes with stages
+	// Repeats is the bound on repeats that the instances are given, and held to.
+	Repeats emulator.RepeatBound
 	emulator.Deployment
 }
 
@@ -107,7 +109,7 @@
 	l := newLoad(instances, file, o.rate, source(2), source(8))
 	p := newProbes(instances, source(4))
 	bad := newPoison(instances, source(9))
-	h := &hurter{poison: bad, world: w, services: file.services(), zones: file.Zones, instances: instances, load: l, probes: p, links: ls, random: source(3), versions: source(7), starts: source(10), wire: wire, wires: source(11), leaving: make(map[string]bool), counts: make(map[string]int), onlySever: o.severed, identified: o.identified}
+	h := &hurter{repeats: file.Repeats, poison: bad, world: w, services: file.services(), zones: file.Zones, instances: instances, load: l, probes: p, links: ls, random: source(3), versions: source(7), starts: source(10), wire: wire, wires: source(11), leaving: make(map[string]bool), counts: make(map[string]int), onlySever: o.severed, identified: o.identified}
 	if o.severed {
 		p.interval = severedProbeInterval
 	}
--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -326,7 +326,7 @@
 rm "$dir/schedule.unsorted"
 began=$EPOCHREALTIME
 start_world
-"$dir/bin/soak" --dir "$dir" settings
+"$dir/bin/soak" --dir "$dir" --world "$world" settings
 for id in "${ids[@]}"; do start_instance "$id" "$id"; done
 "$dir/bin/soak" --dir "$dir" ready
 say "$instances instances are ready; seed $seed, directory $dir"
