--- a/internal/exchange/identity_test.go
+++ b/internal/exchange/identity_test.go
@@ -130,3 +130,20 @@
 	}
 	wantStats(t, p, Stats{Dialed: 3, Reused: 2*maxIdentified - 2})
 }
+
+// Guards against a refusal of a call without an ID, such as one for a report, that comes
+// again and is taken for the refusal of the next request, which the target runs.
+func TestLateRefusalOfACallWithoutIDIsNotTakenForARequests(t *testing.T) {
+	refusal := "HTTP/1.1 503 No\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	var connections atomic.Int32
+	address := serveTCP(t, func(p *targetConn) {
+		if connections.Add(1) == 1 {
+			p.answers(refusal, refusal+answerTo1)
+		} else {
+			p.answers(answerTo1)
+		}
+	})
+	p := New(Options{AttemptID: func(h http.Header) string { return h.Get("Id") }})
+	wantBody(t, p, Request{Address: address}, "")
+	wantBody(t, p, Request{Address: address, ID: "1"}, "one")
+}
