--- a/deploy/soak/faults.go
+++ b/deploy/soak/faults.go
@@ -53,6 +53,7 @@
 	wires      *rand.Rand      // draws of hurtWires
 	poison     *poison
 	repeats    emulator.RepeatBound
+	stalls     stalls
 	identified bool // late and foreign answers always state their ids
 	// onlySever leaves out all faults but severConnections.
 	onlySever bool
--- a/deploy/soak/verdict.go
+++ b/deploy/soak/verdict.go
@@ -23,6 +23,7 @@
 	probes                                int // that counted
 	begun, takenUp                        tries
 	faults, unserved, uncounted, revokeds map[string]int
+	stalls                                string
 	revokedLate                           time.Duration
 }
 
@@ -72,7 +73,7 @@
 	j := &judging{
 		result: result{
 			cut: cut, wrong: h.wrong, runs: len(w.Journal.Runs()), pieces: len(w.Journal.Pieces()), faults: h.counts,
-			unserved: make(map[string]int), uncounted: make(map[string]int), revokeds: make(map[string]int),
+			stalls: h.stalls.describe(l.zero), unserved: make(map[string]int), uncounted: make(map[string]int), revokeds: make(map[string]int),
 		},
 		instances: instances, world: w, load: l, hurter: h, clients: slices.Concat(l.clients, h.probes.clients(), h.poison.clients()),
 		attempts: make(map[string]emulator.Attempt), ends: make(map[string]time.Time),
@@ -250,6 +251,7 @@
 		fmt.Sprintf("tries that begin a resumable stream, with an event: %v; that take one up: %v", r.begun, r.takenUp),
 		fmt.Sprintf("with a revoked key: %v; the latest was served %v after", r.revokeds, r.revokedLate.Round(time.Millisecond)),
 		fmt.Sprintf("faults: %v", r.faults),
+		r.stalls,
 		fmt.Sprintf("probes of routes that come and go, at instances in touch: %d", r.probes),
 		fmt.Sprintf("promises broken: %d", len(r.broken)),
 	}
--- a/deploy/soak/world.go
+++ b/deploy/soak/world.go
@@ -134,6 +134,7 @@
 	defer endFaults()
 	var working sync.WaitGroup
 	working.Go(func() { h.run(hurting) })
+	working.Go(func() { h.stalls.watch(loading, h.note) })
 	working.Go(func() { l.run(loading) })
 	working.Go(func() { h.probes.run(hurting) })
 	<-loading.Done()
