--- a/internal/edge/scheduling.go
+++ b/internal/edge/scheduling.go
@@ -45,10 +45,16 @@
 }
 
 // schedulers returns the dispatcherCandidates that may schedule stage work for this
-// instance. While builds of before and after a change serve side by side, those whose build
-// may mix up the results of stages are left out, unless there is no other.
-func (i *Instance) schedulers() []string {
-	candidates := i.dispatcherCandidates()
+// instance.
+func (i *Instance) schedulers() []string { return i.withoutOlderBuilds(i.dispatcherCandidates()) }
+
+// withoutOlderBuilds leaves out the instances whose build may mix up the results of stages,
+// unless there is no other. They serve beside this one while builds of before and after a
+// change do.
+func (i *Instance) withoutOlderBuilds(candidates []string) []string {
+	if !slices.ContainsFunc(candidates, i.mayMixUpResults) {
+		return candidates
+	}
 	safe := slices.DeleteFunc(slices.Clone(candidates), i.mayMixUpResults)
 	if len(safe) == 0 {
 		return candidates
