Forwarding: a long response whose caller leaves is logged as given up

A caller that no longer took a response of over 256 KiB left a line that said that the target had broken it off (end=broke_off), since the error of the write to the caller was not told from that of the read. It is marked as the caller's now, as for streams. Nothing but the line changes.

TestCallerOfALongResponseLeaves failed before ("end=broke_off").

--- a/internal/forwarding/ends.go
+++ b/internal/forwarding/ends.go
@@ -19,7 +19,7 @@
 const (
 	endAnswered   attemptEnd = "answered"    // the response was forwarded, also that of a failure
 	endRefused    attemptEnd = "refused"     // the target stated that it did not run the request
-	endFailed     attemptEnd = "failed"      // the target responded with a failure that was not forwarded, or by a 5xx
+	endFailed     attemptEnd = "failed"      // the target responded with a 5xx, or with another failure that was not forwarded
 	endUnsigned   attemptEnd = "unsigned"    // a success that is not the target's own
 	endBrokeOff   attemptEnd = "broke_off"   // the response is not complete
 	endNoResponse attemptEnd = "no_response" // the request was sent, and no head of a response was read
@@ -87,8 +87,7 @@
 	fl.o.Logger.Log(event.ForwardAttemptFailed, fields...)
 }
 
-// attemptFields returns the log fields that list all attempts and their ends. The end of
-// the last one is missing if it is the request's own.
+// attemptFields returns the log field that lists all attempts with their targets and ends.
 func (fl *flight) attemptFields() []any {
 	ends := make([]string, len(fl.ended))
 	for i, a := range fl.ended {
--- a/internal/forwarding/ends_test.go
+++ b/internal/forwarding/ends_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,3 +144,36 @@
 		})
 	}
 }
+
+// leavingCaller is a ResponseWriter whose caller leaves after some bytes of the response.
+type leavingCaller struct {
+	*httptest.ResponseRecorder
+	left int
+}
+
+func (w *leavingCaller) Write(p []byte) (int, error) {
+	if w.left -= len(p); w.left < 0 {
+		return 0, syscall.EPIPE
+	}
+	return w.ResponseRecorder.Write(p)
+}
+
+// Guards against a long response that looks as if the target had broken it off, although
+// its caller no longer took it.
+func TestCallerOfALongResponseLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, 1, func(_ *memoryTarget, conn net.Conn, _ string) {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Signed: 1\r\nContent-Length: %d\r\n\r\n", 3*bufferLimit)
+			_, _ = conn.Write(make([]byte, 3*bufferLimit)) // until the connection closes
+		})
+		var lines bytes.Buffer
+		r.o.Logger = event.NewLogger(log.NewLogfmtLogger(&lines))
+		func() {
+			defer func() { _ = recover() }() // http.ErrAbortHandler
+			r.Serve(t.Context(), &leavingCaller{httptest.NewRecorder(), 2 * bufferLimit}, inbound(route.NonIdempotent, false, false))
+		}()
+		if want := "attempt=1 end=given_up status=200 sent=true ran=true"; !strings.Contains(lines.String(), want) {
+			t.Errorf("no %q in\n%s", want, &lines)
+		}
+	})
+}
--- a/internal/forwarding/held.go
+++ b/internal/forwarding/held.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -93,7 +94,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if werr := fl.writeBlocks(buffer[:n]); werr != nil {
-			return werr
+			return fmt.Errorf("%w: %w", errCallerLeft, werr)
 		}
 		if errors.Is(err, io.EOF) {
 			return nil
