Route sync: log which targets left, from whom it is known, and what defers it

What was missing: 3354 counts targets and does not name them, a deferral has no line, and a request's line does not say how old the list was by which its target was chosen; so no log tells the hypotheses about late departures apart.

Change: targets_left (3365) names targets that get no new work any more, how that is known and from whom; removals_deferred (3366) names those whose removal is put off, who reported it, why and for how long. The line of a request has the revision of the list at its last attempt, which the lines of the list have too.

--- a/internal/control/routesync/targets.go
+++ b/internal/control/routesync/targets.go
@@ -23,6 +23,7 @@
 	versions       versionIndex               // of entries
 	unpublished    map[string]struct{}        // keys of entries that changed since publishTargets
 	pending        map[string]pendingDeletion // by key: deferred deletions
+	newlyDeferred  []string                   // IDs of targets whose deletion the answer that is being merged reports, and that is deferred
 	deletedAt      map[string]time.Duration   // by key: boot time at which the tombstone was set
 	mergedVersion  uint64                     // all changes up to this version were merged
 	expiredVersion uint64                     // highest version of an expired tombstone
@@ -177,6 +178,7 @@
 	}
 	t.mergedVersion = max(t.mergedVersion, mark)
 	t.known = t.known || a.complete || a.peer != "" && a.version > 0
+	m.logDeferred(a)
 	m.publishTargets(a.source())
 }
 
@@ -262,6 +264,8 @@
 	}
 	if old, pending := t.pending[key]; pending {
 		d = old.merge(d)
+	} else {
+		t.newlyDeferred = append(t.newlyDeferred, strings.TrimPrefix(key, TargetsPrefix))
 	}
 	t.pending[key] = d
 }
@@ -286,6 +290,7 @@
 	old := m.view.Load()
 	var put []fleet.Target
 	var removed []string
+	left := make(departures)
 	added := 0
 	for key := range m.targets.unpublished {
 		e, id := m.targets.entries[key], strings.TrimPrefix(key, TargetsPrefix)
@@ -293,11 +298,16 @@
 		switch {
 		case !e.listed && known:
 			removed = append(removed, id)
+			if !before.Draining {
+				left[departureRemoved] = append(left[departureRemoved], id)
+			}
 		case e.listed:
 			target := m.effective(e.target)
 			target.Draining = target.Draining || e.unusable
 			if !known {
 				added++
+			} else {
+				left.note(before, target, m.departureOf(e))
 			}
 			if !known || target != before {
 				put = append(put, target)
@@ -312,6 +322,7 @@
 	m.view.Store(next)
 	m.log(event.TargetsChanged, "targets", next.Len(), "added", added, "changed", len(put)-added, "removed", len(removed),
 		"revision", next.Revision, "source", source, "doubted", len(m.targets.pending))
+	m.logDepartures(left, next.Revision, source)
 	if m.o.OnTargets != nil {
 		m.queue = append(m.queue, func() { m.o.OnTargets(old, next) })
 	}
--- a/internal/event/catalogue_routesync.go
+++ b/internal/event/catalogue_routesync.go
@@ -16,6 +16,8 @@
 	TargetReadable     ID = 3362
 	TargetStartedAgain ID = 3363
 	TargetStartPast    ID = 3364
+	TargetsLeft        ID = 3365
+	RemovalsDeferred   ID = 3366
 )
 
 var _ = define(
@@ -27,6 +29,8 @@
 	Definition{TargetReadable, Info, "target_readable", "The entry of a target names it again; it gets new work again unless it is draining."},
 	Definition{TargetStartedAgain, Info, "target_started_again", "A target is listed under its id with a later start: it holds nothing of before, and its counts begin anew."},
 	Definition{TargetStartPast, Warn, "target_start_past", "An entry states an earlier start of a target than the one that is known, as a late copy does; the known one stays in force."},
+	Definition{TargetsLeft, Info, "targets_left", "Targets get no new work from this instance any more. The fields name some of them, and say how each departure is known, and from whom; after a deferral the source is grace."},
+	Definition{RemovalsDeferred, Info, "removals_deferred", "Targets are missing in the platform's list and stay in use for a while, since the platform was away and targets that are alive may be missing for that reason. The fields name some of them, who reported them as missing, and why and for how long they stay."},
 	Definition{RouteStoreLost, Warn, "route_store_lost", "The platform does not answer queries for routes and targets, or rejects this instance; the known ones stay in use, and peers are queried."},
 	Definition{RouteStoreSilent, Warn, "route_store_silent", "The platform did not answer a probe, or rejected it, although a watch may still be pending; the other instances are notified, so that they query the platform instead."},
 	Definition{RouteStoreRegained, Info, "route_store_regained", "The platform answers queries for routes and targets again."},
--- a/internal/forwarding/forwarder.go
+++ b/internal/forwarding/forwarder.go
@@ -151,6 +151,7 @@
 	placementWait  time.Duration // time spent waiting for placements and slots
 	firstByteAfter time.Duration // time from the arrival to the first bytes of the response; 0 = none were sent
 	lastUse        exchange.Use  // of the connection of the last attempt
+	listRevision   uint64        // revision of the target list when the last attempt was sent; 0 = none was
 	ended          []attempt     // the attempts whose end is known, in their order
 }
 
--- a/internal/forwarding/log.go
+++ b/internal/forwarding/log.go
@@ -23,7 +23,7 @@
 		id = event.ForwardRetried
 	}
 	fields := []any{"request", fl.Request.ID, "route", fl.Route.Name, "table", fl.Table.Version,
-		"service", fl.service, "priority", fl.priority(), "status", fl.status, "sends", fl.attempts, "target", fl.lastTarget, "ran", fl.mayHaveRun,
+		"service", fl.service, "priority", fl.priority(), "status", fl.status, "sends", fl.attempts, "target", fl.lastTarget, "list", fl.listRevision, "ran", fl.mayHaveRun,
 		"slot", fl.slotID, "dispatcher", fl.dispatcher, "read_ms", fl.readAt.Sub(fl.Arrived).Milliseconds(), "wait_ms", fl.placementWait.Milliseconds(),
 		"first_ms", fl.firstByteAfter.Milliseconds(), "ms", fl.elapsed().Milliseconds(), "outcome", fl.outcome}
 	fields = append(fields, fl.connectionFields()...)
--- a/internal/forwarding/send.go
+++ b/internal/forwarding/send.go
@@ -56,7 +56,7 @@
 	fl.attempts++
 	fl.firstEvent = false
 	fl.sentAt = fl.o.Clock.Now()
-	fl.lastTarget = c.Target.ID
+	fl.lastTarget, fl.listRevision = c.Target.ID, fl.o.Targets().Revision
 	fl.triedTargets = append(fl.triedTargets, c.Target.ID)
 	resp, err := fl.o.Exchange.Do(ctx, exchange.Request{
 		NewConnection: fl.newConnections, AckTimeout: fl.unacknowledgedTimeout(),
