Route sync: nobody counts a removal as received from an instance that may lack its tombstone

What callers saw: requests at a target that had left. Its entry was removed from the list without a word before, and some instances in touch with the store went on using it for as long as it ran.

Cause: a removal is passed on as a tombstone, but whoever read a list after the removal, as each instance does that starts, never knew the target and has none. Its digest states a later version all the same. Who pulled from it counted everything up to that version as received, never asked for the tombstone again, and passed the same gap on. Likewise after tombstones had expired, and when the first transfer of an instance came from two sources.

Change: an instance remembers the ranges of versions that it read as a list instead of as changes, and ends a reply without a version if the puller's state lies in such a range or below the expired tombstones. The puller takes over what has changed and stays behind until a peer that knows every deletion, or the store, answers; if nobody does for 10 s, it pulls everything from one source and drops what that does not list. An instance that starts serves with what it got and does the same. Messages are the same as before.

--- a/internal/control/routesync/peers.go
+++ b/internal/control/routesync/peers.go
@@ -1,12 +1,8 @@
 package routesync
 
 import (
-	"context"
-	"errors"
 	"time"
 
-	"lynxhill.example/lynxhill/internal/control/loop"
-	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/gossip"
 	"lynxhill.example/lynxhill/internal/store"
 )
@@ -14,20 +10,6 @@
 // rowBytes is the estimated size in bytes of a row of a digest without its name.
 const rowBytes = 12
 
-const (
-	// pullTimeout bounds the call for one page.
-	pullTimeout = time.Second
-	// maxPullTime is the time after which a pull ends between two pages. The next one
-	// continues, perhaps with a faster source.
-	maxPullTime = 4 * time.Second
-)
-
-// pullSource is a peer whose digest lists a newer version than this instance has.
-type pullSource struct {
-	instance string
-	version  uint64
-}
-
 // Fill implements gossip.Participant. It adds to the digest the versions up to which peers
 // can pull from this instance. The row of the routes holds the digest version of the
 // table, the other rows hold store versions.
@@ -69,7 +51,7 @@
 	}
 	m.confirmFrom(d)
 	for _, row := range d.Profiles {
-		if sources := m.pulls[row.Name]; sources != nil && m.needsPull(row.Name, row.Version) {
+		if sources := m.pulls[row.Name]; sources != nil && (m.needsPull(row.Name, row.Version) || m.needsWhole(row.Name)) {
 			replacePending(sources, pullSource{d.From, row.Version})
 		}
 	}
@@ -142,18 +124,7 @@
 		defer m.mu.Unlock()
 		return m.routes.needsPull(version)
 	}
-	return version > m.pullAfter(prefix)
-}
-
-// pullAfter returns the version above which objects are pulled from peers: for the
-// routes a digest version, otherwise a store version.
-func (m *Manager) pullAfter(prefix string) uint64 {
-	if prefix != RoutesPrefix {
-		return m.resumeVersion(prefix)
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.routes.digestVersion()
+	return version > m.resumeVersion(prefix)
 }
 
 // resumeVersion returns the store version after which a watch of the prefix resumes.
@@ -194,109 +165,3 @@
 		return nil, 0, false
 	}
 }
-
-// runPulls pulls one prefix, from one peer at a time, until ctx ends.
-func (m *Manager) runPulls(ctx context.Context, prefix string, sources <-chan pullSource) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case s := <-sources:
-			m.pull(ctx, prefix, s)
-		}
-	}
-}
-
-// pull fetches the peer's objects that are newer than those of this instance and
-// merges them. If a pull ends after some pages, these are merged too, and the next one
-// continues from there, also with another peer. Only the last page guarantees
-// completeness.
-func (m *Manager) pull(ctx context.Context, prefix string, s pullSource) {
-	if !m.needsPull(prefix, s.version) {
-		return
-	}
-	after := m.pullAfter(prefix)
-	if prefix == TargetsPrefix {
-		after = m.resumePull(after)
-	}
-	pulled, err := m.pullPages(ctx, prefix, s.instance, after)
-	m.countPull(prefix, pulled, err)
-	if err != nil && !errors.Is(err, store.ErrThrottled) {
-		m.o.Logger.Log(event.RoutePullFailed, "prefix", prefix, "instance", s.instance, "pages", pulled.pages, "err", err)
-	}
-	if prefix == TargetsPrefix {
-		// The source may not have applied all deletions up to the versions of its objects,
-		// only up to the version in its digest.
-		m.notePulled(min(pulled.mark, s.version), pulled.complete)
-	}
-	if len(pulled.objects) > 0 || pulled.complete {
-		a := answer{objects: pulled.objects, peer: s.instance}
-		if pulled.complete {
-			a.version = pulled.mark
-		}
-		if prefix == RoutesPrefix {
-			a.digestVersion = s.version
-		}
-		m.adopt(prefix, a)
-	}
-}
-
-// resumePull returns the version from which the next pull of targets begins.
-func (m *Manager) resumePull(after uint64) uint64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.pulledTargets.resume(after, m.o.Boot.SinceBoot())
-}
-
-// notePulled records how far a pull of targets came.
-func (m *Manager) notePulled(mark uint64, complete bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch {
-	case complete:
-		m.pulledTargets = pullCursor{}
-	case mark > 0:
-		m.pulledTargets = pullCursor{max(mark, m.pulledTargets.version), m.o.Boot.SinceBoot()}
-	}
-}
-
-// errNoProgress reports that a peer announced a further page whose version did not
-// rise.
-var errNoProgress = errors.New("routesync: the peer sends the same page again")
-
-// pulled is the result of a pull.
-type pulled struct {
-	objects  []store.Object
-	pages    int
-	mark     uint64 // version of the last page, 0 = none was received
-	complete bool   // the last page was the last of a peer that holds everything up to mark
-}
-
-// pullPages pulls pages until the peer has no more or maxPullTime has passed. After an
-// error it returns what was received before.
-func (m *Manager) pullPages(ctx context.Context, prefix, instance string, after uint64) (p pulled, err error) {
-	began := m.o.Boot.SinceBoot()
-	for m.o.Boot.SinceBoot()-began < maxPullTime {
-		page, version, more, err := m.pullPage(ctx, instance, prefix, after)
-		if err != nil {
-			return p, err
-		}
-		p.objects = append(p.objects, page...)
-		p.pages++
-		switch {
-		case !more:
-			p.mark, p.complete = version, version > 0
-			return p, nil
-		case version <= after:
-			return p, errNoProgress
-		}
-		p.mark, after = version, version
-	}
-	return p, nil
-}
-
-func (m *Manager) pullPage(ctx context.Context, instance, prefix string, after uint64) ([]store.Object, uint64, bool, error) {
-	ctx, cancel := loop.WithTimeout(ctx, m.o.Clock, pullTimeout)
-	defer cancel()
-	return m.o.Puller.Pull(ctx, instance, prefix, after)
-}
--- a/internal/control/routesync/routes.go
+++ b/internal/control/routesync/routes.go
@@ -12,6 +12,10 @@
 	version  uint64 // everything up to it is held once the objects are merged; 0 = a pull that failed part-way
 	complete bool   // the reply is a list: an object that it lacks does not exist
 	peer     string // "" = the store
+	// unverified: deletions of targets may be missing in the reply.
+	unverified bool
+	// listed holds keys that belong to a complete reply and were merged before.
+	listed map[string]bool
 	// digestVersion is the version of the table in the peer's digest.
 	digestVersion uint64
 }
--- a/internal/control/routesync/targets.go
+++ b/internal/control/routesync/targets.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"strings"
 	"time"
 
@@ -27,6 +28,8 @@
 	deletedAt      map[string]time.Duration   // by key: boot time at which the tombstone was set
 	mergedVersion  uint64                     // all changes up to this version were merged
 	expiredVersion uint64                     // highest version of an expired tombstone
+	gaps           versionGaps                // changes that were skipped by a list
+	unverified     unverified                 // whether deletions may have been missed
 	known          bool                       // a complete list was merged since this process started
 }
 
@@ -84,9 +87,15 @@
 	}
 }
 
+// knowsDeletionsAfter reports whether this instance has a tombstone of each target that
+// was listed at the version and has been deleted since.
+func (t *targets) knowsDeletionsAfter(version uint64) bool {
+	return version == 0 || version >= t.expiredVersion && !t.gaps.contain(version)
+}
+
 // since returns the next page of entries and tombstones whose version is above after,
 // by rising version, the version up to which the page is complete, and whether there
-// are more pages. Tombstones from the same list share its version. They are sent in
+// are more pages. The version is 0 if deletions may be missing in the page. Tombstones from the same list share its version. They are sent in
 // one page even if that exceeds maxPageObjects, since the peer continues from the
 // version.
 func (t *targets) since(after uint64) (objects []store.Object, mark uint64, more bool) {
@@ -100,6 +109,9 @@
 		}
 		objects, mark = append(objects, t.entries[item.key].object), item.version
 	}
+	if !t.knowsDeletionsAfter(after) {
+		return objects, 0, false
+	}
 	return objects, t.shareableVersion(), false
 }
 
@@ -153,7 +165,8 @@
 	t := m.targets
 	t.expireTombstones(now)
 	mark := uint64(0)
-	listed := make(map[string]bool, len(a.objects))
+	listed := make(map[string]bool, len(a.objects)+len(a.listed))
+	maps.Copy(listed, a.listed)
 	for _, obj := range a.objects {
 		if !strings.HasPrefix(obj.Key, TargetsPrefix) {
 			continue
@@ -170,12 +183,17 @@
 			m.put(obj, a)
 		}
 	}
+	missing := a.complete && m.removeMissing(listed, a, now)
 	switch {
 	case a.peer != "":
 		mark = a.version // the peer may not have applied all deletions up to its objects' versions
-	case a.complete && (m.removeMissing(listed, a, now) || mark == 0):
+	case a.complete && (missing || mark == 0):
 		mark = a.version
 	}
+	if a.complete || !t.known {
+		t.gaps.add(versionGap{t.mergedVersion, a.version})
+	}
+	t.unverified = t.unverified.after(a, t.known, now)
 	t.mergedVersion = max(t.mergedVersion, mark)
 	t.known = t.known || a.complete || a.peer != "" && a.version > 0
 	m.logDeferred(a)
@@ -232,8 +250,8 @@
 	return t
 }
 
-// removeMissing removes the entries that are missing in a list of the store. It returns
-// whether any entry was missing.
+// removeMissing removes the entries that are missing in a list. It returns whether any
+// entry was missing.
 func (m *Manager) removeMissing(listed map[string]bool, a answer, now time.Duration) bool {
 	missing := false
 	for key, e := range m.targets.entries {
--- a/internal/control/routesync/transfers.go
+++ b/internal/control/routesync/transfers.go
@@ -92,18 +92,29 @@
 
 // pullCursor is how far an incomplete pull came.
 type pullCursor struct {
-	version uint64        // everything up to it was received
-	at      time.Duration // boot time at which the pull ended
+	version uint64          // everything up to it was received
+	at      time.Duration   // boot time at which the pull ended
+	source  string          // the only instance from which it was received; "" = there were several
+	listed  map[string]bool // keys that the only source has sent, and whether it lists them
 }
 
 // cursorExpiry is the time after which an incomplete pull begins anew: tombstones of
 // targets that were deleted since must not have expired at the next source.
 const cursorExpiry = tombstoneTTL / 2
 
-// resume returns the version from which a pull begins that would begin at after.
-func (c pullCursor) resume(after uint64, now time.Duration) uint64 {
-	if c.version == 0 || now-c.at > cursorExpiry {
-		return after
+// next returns where a pull from the instance begins. merged is the version up to which all
+// changes are known, verify tells that everything has to come from one source.
+func (c pullCursor) next(instance string, merged uint64, verify bool, now time.Duration) pullStart {
+	if now-c.at > cursorExpiry {
+		c = pullCursor{}
+	}
+	switch {
+	case c.source == instance && c.version > 0:
+		return pullStart{after: c.version, whole: true, listed: c.listed}
+	case verify:
+		return pullStart{whole: true}
+	default:
+		after := max(merged, c.version)
+		return pullStart{after: after, whole: after == 0}
 	}
-	return max(after, c.version)
 }
