Route sync: the end of an evacuation reaches those who hear of a new instance first

What callers saw: nothing broken, but a zone that gets no work although its evacuation has ended, at some instances and for good.

An instance that starts after the end lists no order and has no tombstone, but states the version of its list.

Change: orders are few, so that each pull asks for all of them, and what the peer does not list has ended, as with a list of the store.

Measured: TestListDoesNotHideTheEndOfAnEvacuation fails before and passes now.

--- a/internal/control/routesync/pull.go
+++ b/internal/control/routesync/pull.go
@@ -66,7 +66,8 @@
 	}
 }
 
-// pullFrom returns where the next pull of the prefix begins.
+// pullFrom returns where the next pull of the prefix begins. All orders to evacuate zones
+// are few enough to be pulled each time, and what a peer does not list has ended.
 func (m *Manager) pullFrom(prefix, instance string) pullStart {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -75,7 +76,7 @@
 	case prefix == RoutesPrefix:
 		return pullStart{after: m.routes.digestVersion()}
 	case prefix == EvacuationsPrefix:
-		return pullStart{after: m.evacuations.mergedVersion}
+		return pullStart{whole: true}
 	case prefix == lostEvacuationsPrefix:
 		return pullStart{after: m.evacuations.newestLost(m.era.number)}
 	default:
@@ -97,6 +98,8 @@
 	switch prefix {
 	case RoutesPrefix:
 		a.digestVersion = s.version
+	case EvacuationsPrefix:
+		a.complete = p.complete
 	case TargetsPrefix:
 		a.complete, a.listed = from.whole && p.ended, from.listed
 		a.unverified = p.ended && !p.complete && !a.complete
--- a/internal/control/routesync/tombstones_test.go
+++ b/internal/control/routesync/tombstones_test.go
@@ -95,3 +95,23 @@
 		}
 	})
 }
+
+// Guards against a zone that gets no work for ever, since the end of its evacuation is
+// hidden by the list of an instance that started after it.
+func TestListDoesNotHideTheEndOfAnEvacuation(t *testing.T) {
+	withOrders(t, func(w *world) {
+		w.put("evacuations/north", "{}")
+		w.start("knows", true)
+		reader := w.start("reader", true)
+		time.Sleep(3 * time.Second)
+		reader.link.cut()
+		w.remove("evacuations/north")
+		w.start("starts", true)
+		time.Sleep(time.Second)
+		w.sendDigest("starts", "reader")
+		w.sendDigest("knows", "reader")
+		if got := reader.evacuated(); got != "[]" {
+			t.Errorf("evacuated: %s", got)
+		}
+	})
+}
