Route sync: only an outage defers the removal of targets, not a failed call

What callers saw: requests at a target that had left, at an instance in touch that had heard of it in time.

Cause: entries lapse in an outage although their targets are alive, so that removals were deferred by 2 s after each failed call, of whatever cause: one watch that was cut, or had no answer since the instance was busy. Failures in series added up to 10 s, and what the store answered in between did not count. A failure counted until the instance itself called the store again, so that one that left the store to others deferred each removal that they reported, and kept one that it had heard of itself for ever.

Change: digests state the age of the newest answer that the store gave to anybody. An outage is what nobody had an answer in: over 2 s beside failed calls, or longer than a sound fleet ever waits, also at an instance that did not call the store then, which used to take lapsed entries for removals. Removals are deferred during it and for 2 s after its end, each of them once, wherever it was heard of.

--- a/internal/control/routesync/departures.go
+++ b/internal/control/routesync/departures.go
@@ -63,9 +63,15 @@
 		return
 	}
 	now := m.o.Boot.SinceBoot()
-	until := m.targets.pending[TargetsPrefix+ids[0]].until
-	m.log(event.RemovalsDeferred, "targets", someOf(ids), "count", len(ids), "source", a.source(),
-		"for_ms", (until - now).Milliseconds(), "disturbed_ms", (now - m.health.lastDisturbance).Milliseconds(), "failing", len(m.health.failing))
+	h := &m.health
+	at, known := h.dueAt(m.targets.pending[TargetsPrefix+ids[0]])
+	cause := "outage"
+	if !h.inOutage(now) {
+		cause = "outage_ended"
+	}
+	m.log(event.RemovalsDeferred, "targets", someOf(ids), "count", len(ids), "source", a.source(), "cause", cause,
+		"answer_age_ms", (now - h.answered).Milliseconds(), "failure_age_ms", (now - h.lastFailure).Milliseconds(),
+		"for_ms", max(at-now, 0).Milliseconds(), "end_known", known)
 }
 
 // someOf returns up to maxNamedTargets of the IDs in the form used in logs.
--- a/internal/control/routesync/era.go
+++ b/internal/control/routesync/era.go
@@ -64,7 +64,8 @@
 // storeRestored records that the store was restored from a backup: the deletion of
 // entries that it lacks is deferred for the grace period, as after an outage.
 func (h *health) storeRestored(now time.Duration) {
-	h.everFailed, h.lastDisturbance, h.deferralStart = true, now, now
+	h.outages++
+	h.outageEnd = now
 }
 
 // inLaterEra reports whether the object is from a later era than the known one.
--- a/internal/control/routesync/peers.go
+++ b/internal/control/routesync/peers.go
@@ -25,6 +25,7 @@
 			rows = append(rows, gossip.ProfileVersion{Name: lostEvacuationsPrefix, Version: lost})
 		}
 	}
+	answered := m.health.answered
 	m.mu.Unlock()
 	used, written := 0, 0
 	for _, row := range rows {
@@ -38,7 +39,10 @@
 	// The receiver compares all versions before it counts the store's answer as a
 	// confirmation of its own state, so the age is sent only together with all rows.
 	if age := m.ConfirmedAge(); written == len(rows) && age < maxRelayedAge {
-		d.Config = gossip.Config{Confirmed: true, ConfirmAge: age}
+		d.Config.Confirmed, d.Config.ConfirmAge = true, age
+	}
+	if age := m.o.Boot.SinceBoot() - answered; answered > 0 && age < maxRelayedAge {
+		d.Config.Answered, d.Config.AnswerAge = true, age
 	}
 	return used
 }
@@ -49,6 +53,7 @@
 	if d.From == m.o.Self || m.o.Puller == nil {
 		return
 	}
+	m.recordAnswerOf(d)
 	m.confirmFrom(d)
 	for _, row := range d.Profiles {
 		if sources := m.pulls[row.Name]; sources != nil && (m.needsPull(row.Name, row.Version) || m.needsWhole(row.Name)) {
@@ -57,6 +62,21 @@
 	}
 }
 
+// recordAnswerOf records the newest answer of the store that the sender of the digest knows.
+// It counts also if the sender holds objects that are missing here. Instances of earlier
+// versions state the age of their confirmation only.
+func (m *Manager) recordAnswerOf(d gossip.Digest) {
+	age := d.Config.AnswerAge
+	switch {
+	case d.Config.Answered:
+	case d.Config.Confirmed:
+		age = d.Config.ConfirmAge
+	default:
+		return
+	}
+	m.change(func() { m.recordContact(m.o.Boot.SinceBoot() - age - d.Transit) })
+}
+
 // maxRelayedAge is the age from which a confirmation by the store is no longer
 // reported to peers.
 const maxRelayedAge = time.Minute
--- a/internal/control/routesync/rig_test.go
+++ b/internal/control/routesync/rig_test.go
@@ -242,10 +242,15 @@
 // sendDigest delivers a digest of one instance to another.
 func (w *world) sendDigest(from, to string) {
 	synctest.Wait()
+	w.deliver(from, to)
+	synctest.Wait()
+}
+
+// deliver is sendDigest without waiting for what follows.
+func (w *world) deliver(from, to string) {
 	d := gossip.Digest{From: from}
 	w.instances[from].Fill(&d, to, 1000)
 	w.instances[to].Absorb(d)
-	synctest.Wait()
 }
 
 func (w *world) put(key, value string) uint64 {
--- a/internal/control/routesync/targets.go
+++ b/internal/control/routesync/targets.go
@@ -54,8 +54,8 @@
 // distinguishes targets whose entries come back from those that are gone.
 type pendingDeletion struct {
 	version  uint64        // store version of the deletion
-	until    time.Duration // boot time at which the deletion is applied
-	fromPeer bool          // reported by a peer while this instance's calls to the store failed
+	reported time.Duration // boot time of the report
+	fromPeer bool          // the report was a peer's
 }
 
 func newTargets() *targets {
@@ -263,20 +263,15 @@
 	return missing
 }
 
-// remove applies a deletion, or defers it during and shortly after failures of calls
-// to the store.
+// remove applies a deletion, or defers it during and shortly after an outage of the store.
 func (m *Manager) remove(key string, version uint64, a answer, now time.Duration) {
 	t := m.targets
 	if old, found := t.entries[key]; !found || old.object.Deleted {
 		t.setTombstone(key, version, now)
 		return
 	}
-	_, storeDown := m.health.failing[TargetsPrefix]
-	d := pendingDeletion{version: version, until: m.health.deferUntil(), fromPeer: a.peer != "" && storeDown}
-	if d.fromPeer {
-		d.until = now + m.o.RecoveryGrace
-	}
-	if d.until <= now {
+	d := pendingDeletion{version: version, reported: now, fromPeer: a.peer != ""}
+	if m.health.mayApply(now) {
 		t.setTombstone(key, version, now)
 		return
 	}
@@ -292,11 +287,8 @@
 // defer it any further. A report by the store takes precedence over those by peers.
 func (d pendingDeletion) merge(next pendingDeletion) pendingDeletion {
 	next.version = max(d.version, next.version)
-	switch {
-	case d.fromPeer && next.fromPeer:
-		next.until = d.until
-	case !next.fromPeer:
-		next.until = max(d.until, next.until)
+	if d.fromPeer && next.fromPeer {
+		next.reported = d.reported
 	}
 	return next
 }
@@ -400,16 +392,16 @@
 		if left := m.expireLostOrders(now); left > 0 {
 			wait = left
 		}
-		_, storeDown := m.health.failing[TargetsPrefix]
 		removed := false
 		for key, d := range m.targets.pending {
+			at, ok := m.health.dueAt(d)
 			switch {
-			case storeDown && !d.fromPeer:
-			case d.until <= now:
+			case !ok:
+			case at <= now:
 				m.targets.setTombstone(key, d.version, now)
 				removed = true
 			default:
-				wait = min(wait, d.until-now)
+				wait = min(wait, at-now)
 			}
 		}
 		if removed {
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -34,6 +34,11 @@
 	// the store that reached the sender, directly or through peers.
 	Confirmed  bool
 	ConfirmAge time.Duration
+	// Answered reports that AnswerAge is known: the age of the latest answer of the store to
+	// anybody, whatever it was about. Confirmed says more: that the sender's state is
+	// current.
+	Answered  bool
+	AnswerAge time.Duration
 	// Serving reports that the sender accepts new work: it is neither isolated nor
 	// unconfirmed.
 	Serving bool
--- a/internal/peer/convert.go
+++ b/internal/peer/convert.go
@@ -67,6 +67,8 @@
 	out := &peerpb.Config{
 		Confirmed:    c.Confirmed,
 		ConfirmAgeMs: millisRoundedUp(c.ConfirmAge),
+		Answered:     c.Answered,
+		AnswerAgeMs:  millisRoundedUp(c.AnswerAge),
 		Serving:      c.Serving,
 		Loaded:       c.Loaded,
 	}
@@ -81,6 +83,8 @@
 	out := gossip.Config{
 		Confirmed:  c.GetConfirmed(),
 		ConfirmAge: duration(c.GetConfirmAgeMs()),
+		Answered:   c.GetAnswered(),
+		AnswerAge:  duration(c.GetAnswerAgeMs()),
 		Serving:    c.GetServing(),
 		Loaded:     c.GetLoaded(),
 	}
