Exchange: new work is not sent to a target that left while the connection was opened

What callers saw: suspected, not seen: requests at a target just after the bound.

The time to hear of a departure and the time to connect add up.

The pool asks right before the first byte whether the target is still listed there and takes work, and otherwise closes the connection.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -255,7 +255,7 @@
 // assembleRequestPath creates the components that handle requests.
 func (i *Instance) assembleRequestPath() {
 	i.pool = exchange.New(exchange.Options{
-		Dial: i.paths.Dial, AttemptID: i.adapter.ResponseAttemptID, OnSend: i.trackRequest,
+		Dial: i.paths.Dial, AttemptID: i.adapter.ResponseAttemptID, OnSend: i.trackRequest, TakesWork: i.targetTakesWork,
 		OnUnacked: i.paths.Suspect, Unacked: i.o.Unacked,
 	})
 	i.stages = &timedStages{StageClient: i.adapter.NewStageClient(i.pool), clock: i.o.Clock}
--- a/internal/edge/notices.go
+++ b/internal/edge/notices.go
@@ -44,3 +44,10 @@
 	t, _ := i.routes.Targets().Get(target)
 	return t.Started
 }
+
+// targetTakesWork reports whether the target of a request is listed at the address to which
+// it is sent, and is not leaving.
+func (i *Instance) targetTakesWork(r exchange.Request) bool {
+	t, listed := i.routes.Targets().Get(r.Target)
+	return listed && !t.Draining && t.Address == r.Address
+}
--- a/internal/exchange/exchange.go
+++ b/internal/exchange/exchange.go
@@ -22,6 +22,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -73,6 +74,11 @@
 	// request, if one arrives. Nil = no callback.
 	OnSend func(Request) (onAnswer func(status int, h http.Header))
 
+	// TakesWork reports whether the target of a request with NewWork may get it. It is asked
+	// when the connection is open, right before the first byte is written: connecting may
+	// take as long as a target that leaves goes on serving. Nil = each may.
+	TakesWork func(Request) bool
+
 	// OnUnacked is called with the address of a target whose host has not acknowledged a
 	// request for suspectAfter; nil = no callback. Connections that implement Checked
 	// don't count.
@@ -83,6 +89,9 @@
 	Unacked func(net.Conn) int
 }
 
+// ErrTargetLeft is the error of a request with NewWork to a target that takes no work any more.
+var ErrTargetLeft = errors.New("the target takes no more work")
+
 // Pool makes exchanges and keeps idle connections for reuse. It is safe for
 // concurrent use. Create one with New.
 type Pool struct {
@@ -121,6 +130,7 @@
 	Header        http.Header
 	Body          []byte
 	NewConnection bool // do not reuse an idle connection
+	NewWork       bool // not to be sent to a target that takes no work, see Options.TakesWork
 
 	// ResponseUnused says that nothing in the response is used, so that a response to
 	// another such request does as well. These requests share connections.
@@ -217,6 +227,9 @@
 	if opts.AttemptID == nil {
 		opts.AttemptID = func(http.Header) string { return "" }
 	}
+	if opts.TakesWork == nil {
+		opts.TakesWork = func(Request) bool { return true }
+	}
 	if opts.OnSend == nil {
 		opts.OnSend = func(Request) func(int, http.Header) { return func(int, http.Header) {} }
 	}
@@ -259,6 +272,10 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if r.NewWork && !p.opts.TakesWork(r) {
+		c.Close()
+		return nil, &Error{Err: ErrTargetLeft}
+	}
 	onAnswer := p.opts.OnSend(r)
 	x := p.begin(ctx, c, r, head)
 	resp, err := x.answer()
--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -136,6 +136,8 @@
 	defer cancel()
 	resp, head, err := ef.send(sending, ef.call(target, p.Inputs, ef.stream.resumeAt()))
 	switch {
+	case errors.Is(err, exchange.ErrTargetLeft):
+		return ef.skipped(ctx)
 	case err != nil && !wasSent(err):
 		return ef.failed(ctx, target, false, err)
 	case err != nil:
--- a/internal/forwarding/plain.go
+++ b/internal/forwarding/plain.go
@@ -62,6 +62,9 @@
 			fl.deliver(ctx, a)
 			return
 		}
+		if errors.Is(a.err, exchange.ErrTargetLeft) && ctx.Err() == nil && fl.attempts < maxTotalAttempts {
+			continue // nothing was sent, so that this is no retry
+		}
 		if last == nil || a.resp != nil || last.resp == nil {
 			last = a
 		}
--- a/internal/forwarding/rig_test.go
+++ b/internal/forwarding/rig_test.go
@@ -36,7 +36,8 @@
 	mu          sync.Mutex
 	dead        bool
 	unreachable bool // dials to it time out
-	mutedConns  int  // number of connections, the oldest ones, on which requests are no longer handled
+	dialTime    time.Duration
+	mutedConns  int // number of connections, the oldest ones, on which requests are no longer handled
 	conns       []net.Conn
 	received    []string // bodies of the requests that were received completely
 	closedConns int      // number of connections that the forwarder closed
@@ -105,7 +106,10 @@
 		return err == nil
 	}})
 	r.Forwarder = New(Options{
-		Codec: fakeCodec{}, Exchange: exchange.New(exchange.Options{Dial: r.dial, Unacked: func(net.Conn) int { return int(r.unacked.Load()) }}), Targets: r.view.Load,
+		Codec: fakeCodec{}, Exchange: exchange.New(exchange.Options{
+			Dial: r.dial, Unacked: func(net.Conn) int { return int(r.unacked.Load()) },
+			TakesWork: func(request exchange.Request) bool { return r.view.Load().Usable(request.Target) },
+		}), Targets: r.view.Load,
 		Scheduler: stagework.NewFinder(stagework.FinderOptions{Local: r.dispatcher, Members: func() []string { return nil }, Clock: clock}),
 		Budget:    NewRetryBudget(RetryBudgetOptions{Ratio: 100, Window: time.Minute, Instances: func() int { return 1 }, Clock: clock}),
 		Loads:     NewLoads(clock, "", rand.New(rand.NewPCG(1, 2))), CrashGuard: r.guard, Clock: clock, Rand: rand.New(rand.NewPCG(3, 4)),
@@ -133,6 +137,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	time.Sleep(m.dialTime)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.dead {
--- a/internal/forwarding/send.go
+++ b/internal/forwarding/send.go
@@ -59,7 +59,7 @@
 	fl.lastTarget, fl.listRevision = c.Target.ID, fl.o.Targets().Revision
 	fl.triedTargets = append(fl.triedTargets, c.Target.ID)
 	resp, err := fl.o.Exchange.Do(ctx, exchange.Request{
-		NewConnection: fl.newConnections, AckTimeout: fl.unacknowledgedTimeout(),
+		NewConnection: fl.newConnections, NewWork: true, AckTimeout: fl.unacknowledgedTimeout(),
 		Address: c.Target.Address,
 		Target:  c.Target.ID,
 		Method:  fl.Request.Method,
@@ -71,7 +71,7 @@
 	})
 	fl.lastUse = useOf(resp, err)
 	if err != nil {
-		fl.newConnections = true
+		fl.newConnections = fl.newConnections || !errors.Is(err, exchange.ErrTargetLeft)
 		fl.endAttempt(0, endOfError(err), err)
 		return nil, relay.ResponseHead{}, err
 	}
