Stream origins: the route's timeout of now does not bound when a stream began

What callers saw: suspected, as reported from a system like this one: after all instances were killed at once, streams that callers took up were answered 200 and joined from two software versions.

Cause: without a record, a stream is taken to have begun at the only version that its route has had for the timeout of the route and 2 s. The timeout is that of now, and it bounds one attempt only. A stream that began under a longer timeout, or whose caller comes back for longer than the route lets an attempt last, began before that time, and instances that were away know nothing of the version that left meanwhile.

Change: the time is a minute, as long as a record is kept at most.

--- a/deploy/pathtest/rig_test.go
+++ b/deploy/pathtest/rig_test.go
@@ -101,6 +101,8 @@
 	store     string
 	instances []*instance
 	clients   []*emulator.Client
+	// firstStart tells instances that are added that the whole fleet starts for the first time.
+	firstStart bool
 }
 
 func pools() []emulator.Pool {
@@ -167,9 +169,11 @@
 	if front != nil {
 		r.store = front(w)
 	}
+	r.firstStart = true
 	for range instances {
 		r.add()
 	}
+	r.firstStart = false
 	r.everywhere(time.Now(), 5*time.Second, "ready and all known", func(i *instance) bool { return i.ready() && i.known() == instances })
 	return r
 }
@@ -197,7 +201,7 @@
 	cfg.Ingress.Listen, cfg.Ingress.Readiness, cfg.Ingress.AddressListen = i.address, i.readiness, i.addresses
 	cfg.Ingress.AddressTTL, cfg.Ingress.Grace, cfg.Ingress.RetryExtra = config.DurationOf(500*time.Millisecond), config.DurationOf(graceTime), 1000
 	cfg.Ingress.OutOfTouchAfter, cfg.Ingress.ApplyWithin = config.DurationOf(touchTime), config.DurationOf(applyTime)
-	cfg.Ingress.Evacuations = true
+	cfg.Ingress.Evacuations, cfg.Ingress.FirstStart = true, r.firstStart
 	r.must(cfg.Validate())
 	made, err := edge.New(cfg, edge.Adapter{
 		Platform: platform.NewStore(platform.StoreOptions{Endpoint: r.store, Dial: i.dial}),
--- a/internal/config/ingress.go
+++ b/internal/config/ingress.go
@@ -32,6 +32,9 @@
 	// Evacuations is set if the platform supports orders to evacuate availability zones.
 	// Otherwise they are not watched.
 	Evacuations bool `toml:"evacuations"`
+	// FirstStart is set if the whole fleet starts for the first time, so that no caller has a
+	// response of earlier instances.
+	FirstStart bool `toml:"first_start"`
 	// ColdOverage is the factor, 1 or more, by which the request rate of a target that
 	// has just started may exceed its declared rate. Any further tolerance of the target
 	// is held in reserve.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -282,7 +282,7 @@
 	})
 	i.origins = streamorigin.New(streamorigin.Options{
 		Self: i.id(), Transport: i.peers, Members: i.originHolders,
-		Connected: i.reachesOthers, Confirmed: i.confirmed, Clock: i.o.Clock, Logger: i.o.Logger, Metrics: i.metrics,
+		Connected: i.reachesOthers, Confirmed: i.confirmed, FirstStart: i.cfg.Ingress.FirstStart, Clock: i.o.Clock, Logger: i.o.Logger, Metrics: i.metrics,
 	})
 	i.loads = forwarding.NewLoads(i.o.Clock, i.cfg.Instance.Zone, i.rand())
 	i.slots = i.newSlots()
--- a/internal/edge/run.go
+++ b/internal/edge/run.go
@@ -26,7 +26,8 @@
 			}
 		})
 	}
-	i.o.Logger.Log(event.IngressListening, "address", i.cfg.Ingress.Listen, "peer", i.cfg.Listen.Peer)
+	i.o.Logger.Log(event.IngressListening, "address", i.cfg.Ingress.Listen, "peer", i.cfg.Listen.Peer,
+		"first_start", i.cfg.Ingress.FirstStart)
 	var err error
 	select {
 	case <-ctx.Done():
--- a/internal/forwarding/origin.go
+++ b/internal/forwarding/origin.go
@@ -16,9 +16,6 @@
 const (
 	// maxResumesLength bounds the id of the attempt that began a stream, in bytes.
 	maxResumesLength = 128
-	// streamReturnTime is how long after the end of an answer its caller may take the
-	// stream up, for what is concluded from the time at which a stream may have begun.
-	streamReturnTime = 2 * time.Second
 	// unconfirmedRetryAfter is the retry delay given to callers whose stream's origin is
 	// not found while instances that may know it do not answer: about the time after which
 	// those count as dead or are reached again.
@@ -50,15 +47,14 @@
 	}
 }
 
-// streamQuery returns the query for the stream that began with the attempt.
+// streamQuery returns the query for the stream that began with the attempt. The route's
+// timeout does not tell how long ago that may have been: it may have been longer then, and
+// a caller may come back for longer, each time with an attempt of its own.
 func (fl *flight) streamQuery(attempt string) streamorigin.Query {
 	q := streamorigin.Query{Key: streamorigin.Key{Attempt: attempt}, Route: fl.Route.Name, Window: maxTimeout}
 	if fl.Organisation != nil {
 		q.Organisation = fl.Organisation.Name
 	}
-	if fl.Route.Timeout > 0 {
-		q.Window = min(fl.Route.Timeout+streamReturnTime, maxTimeout)
-	}
 	return q
 }
 
--- a/internal/streamorigin/find.go
+++ b/internal/streamorigin/find.go
@@ -101,6 +101,7 @@
 	}
 	if origin, ok := m.history.Present(q.Route); ok && told.agree(origin) {
 		f.Origin, f.Source = origin, told.source
+		m.history.Extend(q.Route, origin, m.o.Clock.Now().Add(-q.Window))
 		return m.conclude(f, Record{}, resultOnly)
 	}
 	if !connected || f.Answered < f.Asked {
--- a/internal/streamorigin/history.go
+++ b/internal/streamorigin/history.go
@@ -15,6 +15,7 @@
 	mu       sync.Mutex // guards the fields below
 	services map[string]single
 	routes   map[string]single
+	whole    bool // no stream began before the first observation
 }
 
 // single is the only value that something has.
@@ -29,6 +30,17 @@
 	return &History{services: make(map[string]single), routes: make(map[string]single)}
 }
 
+// beginning is before all streams.
+var beginning = time.Unix(1, 0)
+
+// SetWhole records that no stream has begun anywhere before the first observation, since the
+// fleet starts for the first time. It is called before that observation.
+func (h *History) SetWhole() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.whole = true
+}
+
 // observe returns s with the values that it has now.
 func (s single) observe(values map[string]bool, now time.Time) single {
 	switch len(values) {
@@ -69,8 +81,8 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	changed = update(h.services, builds, now)
-	return update(h.routes, services, now) || changed
+	changed = h.update(h.services, builds, now)
+	return h.update(h.routes, services, now) || changed
 }
 
 func add(sets map[string]map[string]bool, name, value string) {
@@ -80,17 +92,21 @@
 	sets[name][value] = true
 }
 
-// update applies the values that are present to what is known.
-func update(known map[string]single, present map[string]map[string]bool, now time.Time) (changed bool) {
+// update applies the values that are present to what is known. The caller holds mu.
+func (h *History) update(known map[string]single, present map[string]map[string]bool, now time.Time) (changed bool) {
 	for name, values := range present {
 		before := known[name]
 		after := before.observe(values, now)
+		if first := before == (single{}); first && h.whole && !after.mixed && len(values) > 0 {
+			after.since = beginning
+		}
 		changed = changed || !before.since.IsZero() && !before.mixed && after != before
 		known[name] = after
 	}
 	for name := range known {
 		if present[name] == nil && len(known) > len(present)+maxAbsent {
 			delete(known, name)
+			h.whole = false
 		}
 	}
 	return changed
@@ -104,6 +120,7 @@
 func (h *History) Interrupt(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.whole = false
 	for _, known := range []map[string]single{h.services, h.routes} {
 		for name, s := range known {
 			if !s.mixed {
@@ -145,3 +162,23 @@
 	}
 	return Origin{Service: r.value, Build: s.value}, since, true
 }
+
+// Extend records that the streams of a route have had the origin since the given time, as
+// another instance knows. It does nothing if that is not the only origin now.
+func (h *History) Extend(routeName string, o Origin, since time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if known, _, ok := h.present(routeName); !ok || known != o {
+		return
+	}
+	h.routes[routeName] = h.routes[routeName].extend(since)
+	h.services[o.Service] = h.services[o.Service].extend(since)
+}
+
+// extend returns s with an earlier start.
+func (s single) extend(since time.Time) single {
+	if since.Before(s.since) {
+		s.since = since
+	}
+	return s
+}
--- a/internal/streamorigin/history_test.go
+++ b/internal/streamorigin/history_test.go
@@ -79,6 +79,53 @@
 	}
 }
 
+// Guards against callers that can't go on with their streams for a minute after a fleet has
+// started for the first time, and against the wrong origin once that start is past.
+func TestFirstStartHasNoEarlierStreams(t *testing.T) {
+	only := func(h *History, after time.Duration) bool {
+		_, ok := h.Only("r", time.Minute, start.Add(after))
+		return ok
+	}
+	h := NewHistory()
+	h.SetWhole()
+	h.Observe(listed("v1"), leadingTo("s"), start)
+	if !only(h, time.Second) {
+		t.Error("not known after the first start")
+	}
+	h.Observe(listed("v1", "v2"), leadingTo("s"), start.Add(2*time.Second))
+	h.Observe(listed("v2"), leadingTo("s"), start.Add(3*time.Second))
+	if only(h, 50*time.Second) {
+		t.Error("known 47 s after the other build left")
+	}
+	interrupted := NewHistory()
+	interrupted.SetWhole()
+	interrupted.Interrupt(start)
+	interrupted.Observe(listed("v1"), leadingTo("s"), start)
+	if only(interrupted, 50*time.Second) {
+		t.Error("known although changes may have been missed")
+	}
+}
+
+// Guards against a fleet that forgets in a rolling restart which origin its routes have had:
+// each instance takes over what those told that it asked, and nothing that it can't confirm.
+func TestHistoryIsTakenOver(t *testing.T) {
+	h := NewHistory()
+	h.Observe(listed("v1"), leadingTo("s"), start)
+	h.Extend("r", Origin{"s", "v2"}, start.Add(-time.Hour))
+	if _, ok := h.Only("r", time.Minute, start.Add(time.Second)); ok {
+		t.Error("another origin was taken over")
+	}
+	h.Extend("r", Origin{"s", "v1"}, start.Add(-time.Hour))
+	if _, ok := h.Only("r", time.Minute, start.Add(time.Second)); !ok {
+		t.Error("the origin was not taken over")
+	}
+	h.Observe(listed("v2"), leadingTo("s"), start.Add(2*time.Second))
+	h.Extend("r", Origin{"s", "v1"}, start.Add(-time.Hour))
+	if _, ok := h.Only("r", time.Minute, start.Add(3*time.Second)); ok {
+		t.Error("an origin of before was taken over")
+	}
+}
+
 // observe shows the view and the table to the instances.
 func (n *network) observe(view *fleet.View, table *route.Table, ids ...string) {
 	for _, id := range ids {
--- a/internal/streamorigin/manager.go
+++ b/internal/streamorigin/manager.go
@@ -56,9 +56,11 @@
 	// Confirmed reports whether the targets and routes that this instance knows are
 	// confirmed to be current, so that Find may draw conclusions from them. nil = always.
 	Confirmed func() bool
-	Clock     clock.Clock
-	Logger    *event.Logger
-	Metrics   *metrics.Registry
+	// FirstStart reports that the fleet starts for the first time: there are no streams yet.
+	FirstStart bool
+	Clock      clock.Clock
+	Logger     *event.Logger
+	Metrics    *metrics.Registry
 }
 
 // Manager keeps origins of streams and finds those that other instances keep. It is safe
@@ -80,6 +82,9 @@
 // New returns a Manager without records.
 func New(o Options) *Manager {
 	m := &Manager{o: o, table: newTable(maxRecords), history: NewHistory(), outboxes: make(map[string]*outbox), askers: make(map[string]*asker)}
+	if o.FirstStart {
+		m.history.SetWhole()
+	}
 	o.Metrics.Func(metricKept, func() any { return m.table.len() })
 	return m
 }
