Route sync: an earlier write of a target that is stored late does not take its departure back

What callers saw: suspected, not seen: requests at a target that had said that it leaves.

Cause: the store may execute a write of which its writer had no answer seconds later. A heartbeat of a target that is stored after the one which says that it drains lists the target as ready again, with a higher version of the store, until its next write. Writes are numbered, but the numbers counted only after the store had been restored.

Change: a target that is known to drain keeps draining when a write is reported that it numbered below the one that said so; later writes and later starts take it back as before. target_entry_late (3367) tells of it.

Measured: TestLateWriteDoesNotTakeADepartureBack fails before and passes now.

--- a/internal/control/routesync/era.go
+++ b/internal/control/routesync/era.go
@@ -81,18 +81,26 @@
 	return !e.succeededBy(reported) && inLaterEra(obj, e.object) && reported.Sequence > 0 && reported.Sequence <= e.sequence
 }
 
-// keepDraining returns the reported target as it is adopted. If the store was
-// restored and the target does not number its writes, a target that is known to drain
-// keeps draining. The sequence number is cleared, so that views of targets do not
-// differ by it.
+// keepDraining returns the reported target as it is adopted. A target that is known to
+// drain keeps draining if the write that is reported was made before: the store may
+// execute a write of which its writer had no answer seconds later, and a restored store
+// may hold one of a target that does not number its writes. The sequence number is
+// cleared, so that views of targets do not differ by it.
 func (e entry) keepDraining(obj store.Object, reported fleet.Target) fleet.Target {
-	if inLaterEra(obj, e.object) && reported.Sequence == 0 && !e.succeededBy(reported) {
+	unnumbered := inLaterEra(obj, e.object) && reported.Sequence == 0
+	if !e.succeededBy(reported) && (unnumbered || e.outdatedBy(reported)) {
 		reported.Draining = reported.Draining || e.target.Draining
 	}
 	reported.Sequence = 0
 	return reported
 }
 
+// outdatedBy reports whether the target numbered the reported write below the one that said
+// that it drains.
+func (e entry) outdatedBy(reported fleet.Target) bool {
+	return reported.Sequence > 0 && reported.Sequence < e.drainSequence
+}
+
 // expireLostOrders ends the orders that have been missing in the restored store for
 // lostOrderGrace. It does nothing until the orders of the newest era have been merged.
 // It returns the time until the next order expires, 0 = none is known. The caller
--- a/internal/control/routesync/starts.go
+++ b/internal/control/routesync/starts.go
@@ -84,7 +84,7 @@
 // withTarget returns the entry of a target that is adopted. Of a later start nothing that
 // was known of the earlier one counts. A start that is known is kept if an entry states
 // none.
-func (m *Manager) withTarget(known entry, obj store.Object, reported fleet.Target) entry {
+func (m *Manager) withTarget(known entry, obj store.Object, reported fleet.Target, a answer) entry {
 	next := entry{object: obj, listed: true, sequence: reported.Sequence, started: max(known.started, reported.Started)}
 	before := known.target
 	if known.succeededBy(reported) {
@@ -92,5 +92,12 @@
 	}
 	next.target = m.withColdUntil(known.keepDraining(obj, reported), before)
 	next.target.Started = next.started
+	switch {
+	case reported.Draining:
+		next.drainSequence = reported.Sequence
+	case next.target.Draining:
+		next.drainSequence = known.drainSequence
+		m.log(event.TargetEntryLate, "target", reported.ID, "sequence", reported.Sequence, "drain_sequence", known.drainSequence, "source", a.source())
+	}
 	return next
 }
--- a/internal/control/routesync/starts_test.go
+++ b/internal/control/routesync/starts_test.go
@@ -130,3 +130,30 @@
 		w.wantState(n, "started again", "1: a b")
 	})
 }
+
+// Guards against a target that leaves and gets requests again, since the store executes an
+// earlier write of the target late: a later start, or a later write, does take it back.
+func TestLateWriteDoesNotTakeADepartureBack(t *testing.T) {
+	for _, c := range []struct{ late, want string }{
+		{"1:1#6^1", "1: -a b"},
+		{"1:1@north#5^1", "1: -a b"},
+		{"1:1#8^1", "1: a b"},
+		{"1:9#1^2", "1: a b"},
+	} {
+		inWorld(t, func(w *world) {
+			w.put("targets/a", "1:1#5^1")
+			n := w.start("n", true)
+			time.Sleep(time.Second)
+			w.put("targets/a", "-1:1#7^1")
+			time.Sleep(time.Second)
+			w.put("targets/a", c.late)
+			time.Sleep(time.Second)
+			w.wantState(n, c.late, c.want)
+			w.put("targets/a", "1:1@south#6^1")
+			time.Sleep(time.Second)
+			if c.want == "1: -a b" {
+				w.wantState(n, "a second late write", c.want)
+			}
+		})
+	}
+}
--- a/internal/control/routesync/targets.go
+++ b/internal/control/routesync/targets.go
@@ -39,7 +39,10 @@
 	target   fleet.Target
 	listed   bool   // target was decoded and is not deleted
 	sequence uint64 // sequence number of the target's newest write, 0 = the target does not number its writes
-	started  int64  // latest start of the target, also after its deletion; 0 = it states none
+	// drainSequence is the sequence number of the write that says that the target drains; 0 =
+	// none does, or it is not numbered.
+	drainSequence uint64
+	started       int64 // latest start of the target, also after its deletion; 0 = it states none
 	// unusable reports that the newest entry under the target's name names no target.
 	unusable bool
 }
@@ -218,7 +221,7 @@
 		next.object.Deleted, next.unusable = old.object.Deleted, false
 	default:
 		m.noteStart(old, target, a)
-		next = m.withTarget(old, obj, target)
+		next = m.withTarget(old, obj, target, a)
 	}
 	m.noteUsable(old, next, a)
 	t.set(obj.Key, next)
--- a/internal/event/catalogue_routesync.go
+++ b/internal/event/catalogue_routesync.go
@@ -18,6 +18,7 @@
 	TargetStartPast    ID = 3364
 	TargetsLeft        ID = 3365
 	RemovalsDeferred   ID = 3366
+	TargetEntryLate    ID = 3367
 )
 
 var _ = define(
@@ -31,6 +32,7 @@
 	Definition{TargetStartPast, Warn, "target_start_past", "An entry states an earlier start of a target than the one that is known, as a late copy does; the known one stays in force."},
 	Definition{TargetsLeft, Info, "targets_left", "Targets get no new work from this instance any more. The fields name some of them, and say how each departure is known, and from whom; after a deferral the source is grace."},
 	Definition{RemovalsDeferred, Info, "removals_deferred", "Targets are missing in the platform's list and stay in use for a while, since the platform was away and targets that are alive may be missing for that reason. The fields name some of them, who reported them as missing, and why and for how long they stay."},
+	Definition{TargetEntryLate, Info, "target_entry_late", "An entry of a target that leaves was written by the target before it said so, and stored after; the target keeps leaving."},
 	Definition{RouteStoreLost, Warn, "route_store_lost", "The platform does not answer queries for routes and targets, or rejects this instance; the known ones stay in use, and peers are queried."},
 	Definition{RouteStoreSilent, Warn, "route_store_silent", "The platform did not answer a probe, or rejected it, although a watch may still be pending; the other instances are notified, so that they query the platform instead."},
 	Definition{RouteStoreRegained, Info, "route_store_regained", "The platform answers queries for routes and targets again."},
