--- a/internal/control/routesync/outage_test.go
+++ b/internal/control/routesync/outage_test.go
@@ -35,6 +35,17 @@
 	})
 }
 
+// setCallsStore sets Options.CallsStore of an instance that starts later.
+func (w *world) setCallsStore(id string, callsStore func(age time.Duration) bool) {
+	before := w.adjust
+	w.adjust = func(o *Options) {
+		before(o)
+		if o.Self == id {
+			o.CallsStore = callsStore
+		}
+	}
+}
+
 // failCalls has the calls in progress of the instance fail at once.
 func (n *testInstance) failCalls() {
 	n.link.cut()
@@ -97,13 +108,7 @@
 func TestDeferredRemovalEndsThoughTheInstanceReliesOnPeers(t *testing.T) {
 	inTimelyWorld(t, func(w *world) {
 		calls := true
-		timely := w.adjust
-		w.adjust = func(o *Options) {
-			timely(o)
-			if o.Self == "n" {
-				o.CallsStore = func(time.Duration) bool { return calls }
-			}
-		}
+		w.setCallsStore("n", func(time.Duration) bool { return calls })
 		peer, n := w.start("peer", true), w.start("n", true)
 		w.exchange("n", "peer")
 		time.Sleep(5 * time.Second)
@@ -129,13 +134,7 @@
 func TestRemovalIsNotDeferredForAnOldFailure(t *testing.T) {
 	inTimelyWorld(t, func(w *world) {
 		calls := true
-		timely := w.adjust
-		w.adjust = func(o *Options) {
-			timely(o)
-			if o.Self == "n" {
-				o.CallsStore = func(time.Duration) bool { return calls }
-			}
-		}
+		w.setCallsStore("n", func(time.Duration) bool { return calls })
 		w.start("peer", true)
 		n := w.start("n", true)
 		w.exchange("n", "peer")
@@ -154,13 +153,7 @@
 func TestLapsedEntriesAreKeptByAnInstanceThatDidNotCall(t *testing.T) {
 	inTimelyWorld(t, func(w *world) {
 		calls := false
-		timely := w.adjust
-		w.adjust = func(o *Options) {
-			timely(o)
-			if o.Self == "n" {
-				o.CallsStore = func(age time.Duration) bool { return calls || age > 20*time.Second }
-			}
-		}
+		w.setCallsStore("n", func(age time.Duration) bool { return calls || age > 20*time.Second })
 		peer, n := w.start("peer", true), w.start("n", true)
 		w.exchange("n", "peer")
 		time.Sleep(5 * time.Second)
--- a/internal/edge/departures_test.go
+++ b/internal/edge/departures_test.go
@@ -163,14 +163,9 @@
 				for d := range 6 {
 					how := []string{"drains", "removed"}[h.rand.IntN(2)]
 					fault := departureFaults[h.rand.IntN(len(departureFaults))]
-					at := time.Duration(h.rand.Int64N(int64(4*time.Second))) - 2*time.Second
-					if at < 0 {
-						h.fault(fault)
-						time.Sleep(-at)
-					} else {
-						time.AfterFunc(at, func() { h.mu.Lock(); defer h.mu.Unlock() })
-						h.fault(fault)
-					}
+					before := time.Duration(h.rand.Int64N(int64(2 * time.Second)))
+					h.fault(fault)
+					time.Sleep(before)
 					h.depart(d, how, fault)
 				}
 				time.Sleep(10 * time.Second)
