Route sync: instances that start together vouch for each other's targets

What callers saw: nothing; read while the tombstones were reviewed.

Cause: a list is newer than all of its objects. An instance asked its peers from the version of its newest object, which lies in the range that a peer which listed later did not see as changes, so that after a common start no peer could tell it which targets had been deleted since, and it stayed behind until it called the store.

Change: it asks from the version of its list.

Measured: TestInstancesThatStartTogetherTrustEachOther fails before and passes now.

--- a/internal/control/routesync/pull.go
+++ b/internal/control/routesync/pull.go
@@ -80,7 +80,7 @@
 	case prefix == lostEvacuationsPrefix:
 		return pullStart{after: m.evacuations.newestLost(m.era.number)}
 	default:
-		return m.pulledTargets.next(instance, m.targets.mergedVersion, m.targets.unverified.due(now), now)
+		return m.pulledTargets.next(instance, m.targets.completeVersion(), m.targets.unverified.due(now), now)
 	}
 }
 
--- a/internal/control/routesync/targets.go
+++ b/internal/control/routesync/targets.go
@@ -26,6 +26,7 @@
 	newlyDeferred  []string                   // IDs of targets whose deletion the answer that is being merged reports, and that is deferred
 	deletedAt      map[string]time.Duration   // by key: boot time at which the tombstone was set
 	mergedVersion  uint64                     // all changes up to this version were merged
+	listedVersion  uint64                     // version of the newest list of the store, 0 = none; at least that of its objects
 	expiredVersion uint64                     // highest version of an expired tombstone
 	gaps           versionGaps                // changes that were skipped by a list
 	unverified     unverified                 // whether deletions may have been missed
@@ -75,6 +76,10 @@
 	}
 }
 
+// completeVersion returns the version up to which all changes are known. It may be above
+// mergedVersion, which peers compare: a list is newer than all of its objects.
+func (t *targets) completeVersion() uint64 { return max(t.mergedVersion, t.listedVersion) }
+
 // knowsDeletionsAfter reports whether this instance has a tombstone of each target that
 // was listed at the version and has been deleted since.
 func (t *targets) knowsDeletionsAfter(version uint64) bool {
@@ -171,7 +176,10 @@
 		mark = a.version
 	}
 	if a.complete || !t.known {
-		t.gaps.add(versionGap{t.mergedVersion, a.version})
+		t.gaps.add(versionGap{t.completeVersion(), a.version})
+	}
+	if a.complete && a.peer == "" {
+		t.listedVersion = max(t.listedVersion, a.version)
 	}
 	t.unverified = t.unverified.after(a, t.known, now)
 	t.mergedVersion = max(t.mergedVersion, mark)
--- a/internal/control/routesync/tombstones_test.go
+++ b/internal/control/routesync/tombstones_test.go
@@ -35,6 +35,27 @@
 	})
 }
 
+// Guards against a fleet whose instances ask the store after each change, since none of them,
+// all just started, is held to know which targets were deleted.
+func TestInstancesThatStartTogetherTrustEachOther(t *testing.T) {
+	inWorld(t, func(w *world) {
+		w.put(TableKey, "2") // a list is newer than its targets
+		w.start("first", true)
+		w.put(TableKey, "3")
+		second := w.start("second", true)
+		time.Sleep(time.Second)
+		second.link.cut()
+		w.remove("targets/a")
+		w.put("targets/c", "1:3")
+		time.Sleep(time.Second)
+		w.sendDigest("first", "second")
+		w.wantState(second, "after a digest", "3: b c")
+		if second.needsPull(TargetsPrefix, w.instances["first"].targets.shareableVersion()) {
+			t.Error("the second instance still lacks something")
+		}
+	})
+}
+
 // Guards against the same where nobody else knows of the removal any more.
 func TestRemovalIsFoundThoughAllPeersAreNew(t *testing.T) {
 	inWorld(t, func(w *world) {
