Crowd tests: clients that do not behave, before any change

The tests start lynxhilld as a process of its own with 128 MiB and 800 descriptors in its settings, and check that it lives, that its memory (with the kernel's queues of its connections) and its descriptors stay within these, that an ordinary request, the readiness check and an address query are answered beside the crowd and after it, and that no refused request has run.

Crowds and bounds are fixed with this commit.

--- /dev/null
+++ b/deploy/crowdtest/connections_test.go
@@ -0,0 +1,116 @@
+//go:build linux
+
+package crowdtest
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"lynxhill.example/lynxhill/platform"
+)
+
+// slowly sends a text byte by byte, for as long as the connection lasts.
+func (m member) slowly(ctx context.Context, pause time.Duration) error {
+	for ctx.Err() == nil {
+		if err := m.send(ctx, 0, "x"); err != nil {
+			return err
+		}
+		sleep(ctx, pause)
+	}
+	return ctx.Err()
+}
+
+// Guards against slow bodies that occupy all connections: no request of others is read
+// while they last.
+func TestSlowBodies(t *testing.T) {
+	e := startEdge(t)
+	e.endure(crowd{address: e.callers, members: 300, behave: func(ctx context.Context, m member) error {
+		if err := m.send(ctx, 0, m.postHead("/idem/x", 10_000)); err != nil {
+			return err
+		}
+		return m.slowly(ctx, 200*time.Millisecond)
+	}})
+}
+
+// Guards against the same with bodies that stop half-way.
+func TestBodiesThatStopHalfWay(t *testing.T) {
+	e := startEdge(t)
+	e.endure(crowd{address: e.callers, members: 300, behave: func(ctx context.Context, m member) error {
+		return m.send(ctx, 0, m.postHead("/idem/x", 100), largeBody[:50])
+	}})
+}
+
+// Guards against the same with heads that stop half-way.
+func TestHeadsThatStopHalfWay(t *testing.T) {
+	e := startEdge(t)
+	e.endure(crowd{address: e.callers, members: 300, behave: func(ctx context.Context, m member) error {
+		return m.send(ctx, 0, m.head("GET", "/idem/x"))
+	}})
+}
+
+// Guards against the same with heads that come byte by byte.
+func TestSlowHeads(t *testing.T) {
+	e := startEdge(t)
+	e.endure(crowd{address: e.callers, members: 300, behave: func(ctx context.Context, m member) error {
+		if err := m.send(ctx, 0, m.head("GET", "/idem/x")+"Slow: "); err != nil {
+			return err
+		}
+		return m.slowly(ctx, 200*time.Millisecond)
+	}})
+}
+
+// Guards against the same with connections on which nothing is sent.
+func TestSilentConnections(t *testing.T) {
+	e := startEdge(t)
+	e.endure(crowd{address: e.callers, members: 300, behave: func(context.Context, member) error { return nil }})
+}
+
+// Guards against callers that read no answer, or one very slowly, and so occupy all
+// connections.
+func TestAnswersThatAreNotRead(t *testing.T) {
+	e := startEdge(t)
+	e.endure(crowd{address: e.callers, members: 300, deaf: true, behave: func(ctx context.Context, m member) error {
+		return m.send(ctx, 0, m.head("GET", "/large/x")+"\r\n")
+	}})
+}
+
+// Guards against streams that nobody reads.
+func TestStreamsThatAreNotRead(t *testing.T) {
+	e := startEdge(t)
+	e.endure(crowd{address: e.callers, members: 300, deaf: true, behave: func(ctx context.Context, m member) error {
+		return m.send(ctx, 0, strings.Repeat(m.head("POST", "/talk/x", "Model: m", "Token-Counts: 10,2000", "Prompt-Prefix: aa:4,bb:6")+"\r\n", 20))
+	}})
+}
+
+// Guards against requests with bodies that stop, on any path of the readiness and the
+// address listener: the answer is sent, and the connection waits for the body's rest.
+func TestBodiesAtTheQueryListeners(t *testing.T) {
+	for name, path := range map[string]string{"readiness": platform.ReadinessPath, "addresses": platform.AddressPath + "?zone=z1", "another path": "/elsewhere"} {
+		t.Run(name, func(t *testing.T) {
+			e := startEdge(t)
+			behave := func(ctx context.Context, m member) error {
+				return m.send(ctx, 0, m.postHead(path, 100), largeBody[:50])
+			}
+			e.endure(crowd{address: e.readiness, members: 60, behave: behave}, crowd{address: e.resolver, members: 60, behave: behave})
+		})
+	}
+}
+
+// Guards against heads of many short fields at these listeners, and answers of theirs that
+// nobody reads.
+func TestHeadsAtTheQueryListeners(t *testing.T) {
+	e := startEdge(t)
+	fields := shortFields(60 << 10)
+	heads := func(ctx context.Context, m member) error {
+		return m.send(ctx, 0, m.head("GET", platform.AddressPath)+fields)
+	}
+	ahead := func(ctx context.Context, m member) error {
+		return m.send(ctx, 0, strings.Repeat(m.head("GET", platform.AddressPath+"?zone=z1")+"\r\n", 3000))
+	}
+	e.endure(
+		crowd{address: e.readiness, members: 60, behave: heads}, crowd{address: e.resolver, members: 60, behave: heads},
+		crowd{address: e.readiness, members: 60, deaf: true, behave: ahead}, crowd{address: e.resolver, members: 60, deaf: true, behave: ahead},
+	)
+}
