Stage work: jobs that no target could do are refused before pieces are made

What callers saw: one request that stated two billion pieces for each stage made an instance allocate 0.5 GiB a second, long after its deadline and its caller; meanwhile no request with stages was answered.

Cause: a dispatcher made an object for each stated piece, and only then asked whether they can be done in time.

--- a/internal/stagework/build.go
+++ b/internal/stagework/build.go
@@ -16,6 +16,9 @@
 	if refusal := p.judgeNew(j); refusal != nil {
 		return refusal
 	}
+	if refusal := p.refuseImpossible(j, now); refusal != nil {
+		return refusal
+	}
 	byStage := make([]*workUnit, len(j.Stages))
 	for i, st := range j.Stages {
 		n := j.pieces(i)
@@ -27,8 +30,9 @@
 			return &Refusal{Reason: ReasonNoTarget, RetryAfter: retryAfterMin}
 		}
 		u := &workUnit{job: j, stage: i, service: v, resultBytes: st.ResultBytes, waiting: n, unfinished: n}
-		for k := range n {
-			u.pieces = append(u.pieces, &piece{unit: u, number: k})
+		u.pieces = make([]*piece, n)
+		for k := range u.pieces {
+			u.pieces[k] = &piece{unit: u, number: k}
 		}
 		byStage[i] = u
 		j.units = append(j.units, u)
--- a/internal/stagework/placement.go
+++ b/internal/stagework/placement.go
@@ -129,7 +129,10 @@
 	}
 	j.discardResults(resultCallerLeft)
 	p.dequeueJob(j, jobEnded)
-	delete(p.jobs, j)
+	if _, accepted := p.jobs[j]; accepted {
+		p.pieces -= j.countPieces()
+		delete(p.jobs, j)
+	}
 	for _, u := range j.units {
 		p.free(u, now)
 	}
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -31,6 +31,8 @@
 	byName          []*service // services sorted by name, so that decisions are deterministic
 	pools           map[string]*pool
 	jobs            map[*job]struct{}
+	pieces          int                       // of all jobs
+	maxPieces       int                       // limit of pieces; 0 = none
 	arrivalQueue    jobQueue                  // jobs without an engine, by arrival
 	urgencyQueue    jobQueue                  // the same jobs, by urgency
 	stagingBuf      []*job                    // buffer of staging
@@ -198,6 +200,7 @@
 	}
 	p.acceptedWithoutReservation(j)
 	p.jobs[j] = struct{}{}
+	p.pieces += j.countPieces()
 	p.enqueueJob(j)
 	j.countArrival(now)
 	return j, nil
