Ingress: limits for requests that are not whole, and an order in which they make room

What callers saw: 300 connections whose bodies stop or trickle kept all places of an instance, and no request of others was read while they lasted. Heads of 60 KB of short fields took 418 MiB of 128. The configuration's limit on heads and its header timeout did not apply, and its idle timeout as at the start.

Cause: only connections that wait for a request could be closed for new ones, not those whose head had arrived. Memory counted bytes on the wire, and for heads only above 4 KiB, where each short field takes entries in three maps. A request's 64 KiB were reserved before its body had come. net/http reads limits and timeouts of a server once.

Change: package intake holds what was connectionLimiter, headWatch and memoryLimit. A request is unfinished until its body has arrived. Its client has a pace, and one that is behind makes room when connections or memory are used up, those without any whole request first; then clients that do not read their answer. Requests that are sent ahead are refused while connections are rejected. Heads count 8 times their bytes and 400 bytes a field, bodies their buffers; unfinished requests may hold half of the memory beyond 16 KiB each. Heads and times are limited as their bytes arrive, by the configuration in force. Routes, keys and stated lengths are checked before the body is read. Event 4240 became 4245, client_limit_met, with the limit; client_limits_total counts by listener and limit.

Tests: TestBoundsOf and FuzzHeadWatch moved. "no memory for the head" expects 503 and not a closed connection: a caller learns from it that the request has not run and when to come back.

--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -6,7 +6,8 @@
 
 	"lynxhill.example/lynxhill/internal/config"
 	"lynxhill.example/lynxhill/internal/forwarding"
-	"lynxhill.example/lynxhill/internal/ingress"
+	"lynxhill.example/lynxhill/internal/intake"
+	"lynxhill.example/lynxhill/internal/stagework"
 )
 
 // reloadableKeys are the settings that may change while an instance runs. Changes of
@@ -86,7 +87,8 @@
 // heap, and the process is killed although little of its memory is needed.
 func (i *Instance) applyLimits() {
 	s := i.settings()
-	i.ingress.SetBounds(ingress.BoundsOf(s.MemoryMB, s.Descriptors))
+	i.dispatcher.SetMaxPieces(stagework.MaxPieces(s.MemoryMB))
+	i.ingress.SetBounds(intake.BoundsOf(s.MemoryMB, s.Descriptors))
 	if i.o.LimitMemory == nil {
 		return
 	}
--- a/internal/ingress/abort.go
+++ b/internal/ingress/abort.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"net/http"
+
+	"lynxhill.example/lynxhill/internal/intake"
 )
 
 // resetAborted makes the connection of a request that is being aborted end with a reset.
@@ -15,17 +17,13 @@
 		return
 	}
 	if cause == http.ErrAbortHandler {
-		conn, _ := ctx.Value(connKey{}).(net.Conn)
-		resetOnClose(conn)
+		resetOnClose(intake.NetConnOf(ctx))
 	}
 	panic(cause)
 }
 
 // resetOnClose makes a later Close of a server's TCP connection send a reset.
 func resetOnClose(conn net.Conn) {
-	if c := limitedConnOf(conn); c != nil {
-		conn = c.Conn
-	}
 	if tcp, ok := conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -5,9 +5,10 @@
 package ingress
 
 import (
+	"bytes"
 	"context"
-	"errors"
 	"expvar"
+	"fmt"
 	"io"
 	"log"
 	"net"
@@ -19,17 +20,20 @@
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/forwarding"
+	"lynxhill.example/lynxhill/internal/intake"
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/relay"
 	"lynxhill.example/lynxhill/internal/route"
 )
 
-// Defaults that apply until a configuration is known, and timeouts of the servers.
+// Limits that apply until a configuration is known, and timeouts of the servers.
 const (
-	defaultMaxHeader  = 64 << 10
+	defaultMaxHead    = 64 << 10
 	defaultMaxBody    = 4 << 20
 	defaultHeaderTime = 5 * time.Second
 	defaultIdle       = 20 * time.Second
+	// largestHead is the largest limit on heads, in bytes, that a configuration can set.
+	largestHead = 1 << 20
 	// idleMargin is added to the configured idle timeout, which callers know: a
 	// caller that reuses a connection just before that timeout must not find the
 	// connection closed.
@@ -69,7 +73,7 @@
 	AddressTTL func() time.Duration
 	// AcceptAfterStop is how long new requests are still accepted after Stop.
 	AcceptAfterStop time.Duration
-	Bounds          Bounds            // see SetBounds
+	Bounds          intake.Bounds     // see SetBounds
 	Metrics         *metrics.Registry // nil = no metrics
 	Clock           clock.Clock
 	Logger          *event.Logger
@@ -91,12 +95,12 @@
 type Ingress struct {
 	o              Options
 	inFlight       atomic.Int64
-	held           memoryLimit
+	held           intake.Memory
 	times          histograms
 	refusals       *expvar.Map
-	callers        *connectionLimiter
-	readyQueries   *connectionLimiter        // of the readiness listener
-	addressQueries *connectionLimiter        // of the address listener
+	callers        *intake.Limiter
+	readyQueries   *intake.Limiter           // of the readiness listener
+	addressQueries *intake.Limiter           // of the address listener
 	stopping       atomic.Pointer[time.Time] // time of Stop, by the monotonic clock; nil = not stopping
 	cancel         context.CancelFunc
 	base           context.Context
@@ -106,45 +110,79 @@
 func New(o Options) *Ingress {
 	base, cancel := context.WithCancel(context.Background())
 	g := &Ingress{o: o, base: base, cancel: cancel}
-	g.callers = g.newLimiter("callers")
-	g.readyQueries = g.newLimiter("readiness")
-	g.addressQueries = g.newLimiter("addresses")
+	meter := intake.NewMeter(o.Metrics)
+	g.callers = g.newLimiter("callers", intake.DefaultGrace, meter)
+	g.readyQueries = g.newLimiter("readiness", intake.DefaultGrace, meter)
+	g.addressQueries = g.newLimiter("addresses", intake.DefaultGrace, meter)
 	g.SetBounds(o.Bounds)
 	g.publish()
 	return g
 }
 
-func (g *Ingress) newLimiter(name string) *connectionLimiter {
-	return &connectionLimiter{name: name, clock: g.o.Clock, logger: g.o.Logger, fullResponse: g.encodeFullResponse()}
+func (g *Ingress) newLimiter(name string, grace time.Duration, meter *intake.Meter) *intake.Limiter {
+	return intake.NewLimiter(intake.Options{
+		Name: name, Memory: &g.held, Limits: g.limits, Grace: grace, Meter: meter, Clock: g.o.Clock, Logger: g.o.Logger,
+		FullResponse: g.encodeResponse(http.StatusServiceUnavailable, intake.FullRetryAfter),
+		HeadResponse: g.encodeResponse(http.StatusRequestHeaderFieldsTooLarge, -1),
+	})
+}
+
+// limits returns the limits on heads and times in force.
+func (g *Ingress) limits() intake.Limits {
+	limits := intake.Limits{MaxHeadBytes: defaultMaxHead, HeaderTimeout: defaultHeaderTime, IdleTimeout: defaultIdle}
+	table := g.o.Table()
+	if table == nil {
+		return limits
+	}
+	if n := table.Limits.MaxHeaderBytes; n > 0 {
+		limits.MaxHeadBytes = min(n, largestHead)
+	}
+	if t := table.Limits.HeaderTimeout; t > 0 {
+		limits.HeaderTimeout = t
+	}
+	if t := table.Limits.IdleTimeout; t > 0 {
+		limits.IdleTimeout = t + idleMargin
+	}
+	return limits
+}
+
+// maxBody returns the largest body, in bytes, that a table allows. table may be nil.
+func maxBody(table *route.Table) int64 {
+	if table != nil && table.Limits.MaxBodyBytes > 0 {
+		return table.Limits.MaxBodyBytes
+	}
+	return defaultMaxBody
 }
 
 // SetBounds changes the limits on memory and connections. Requests and connections
 // above a new limit are not ended at once.
-func (g *Ingress) SetBounds(b Bounds) {
-	g.held.limit.Store(b.Held)
-	g.callers.setLimit(b.Connections)
-	g.readyQueries.setLimit(b.QueryConnections)
-	g.addressQueries.setLimit(b.QueryConnections)
+func (g *Ingress) SetBounds(b intake.Bounds) {
+	g.held.SetLimit(b.Held)
+	g.callers.SetLimit(b.Connections)
+	g.readyQueries.SetLimit(b.QueryConnections)
+	g.addressQueries.SetLimit(b.QueryConnections)
+}
+
+// LimitsChanged applies the limits of changed routes to the connections that are open.
+func (g *Ingress) LimitsChanged() {
+	for _, l := range g.limiters() {
+		l.LimitsChanged()
+	}
+}
+
+func (g *Ingress) limiters() []*intake.Limiter {
+	return []*intake.Limiter{g.callers, g.readyQueries, g.addressQueries}
 }
 
 // Server returns the server of callers' requests, to be used with CallerListener.
 func (g *Ingress) Server() *http.Server {
-	s := g.server(http.HandlerFunc(g.serve))
-	s.ConnContext = withConn
-	s.ConnState = g.callers.stateChanged
+	s := g.server(http.HandlerFunc(g.serve), g.callers)
 	s.WriteTimeout = responseTimeout
-	s.IdleTimeout = defaultIdle
-	if t := g.o.Table(); t != nil && t.Limits.IdleTimeout > 0 {
-		s.IdleTimeout = t.Limits.IdleTimeout + idleMargin
-	}
 	return s
 }
 
-// CallerListener wraps l for Server: it limits the number of connections and watches
-// request heads, see headWatch.
-func (g *Ingress) CallerListener(l net.Listener) net.Listener {
-	return watchedListener{limitedListener{l, g.callers}, &g.held}
-}
+// CallerListener wraps l for Server: it limits the connections and the heads of requests.
+func (g *Ingress) CallerListener(l net.Listener) net.Listener { return g.callers.Listener(l) }
 
 // ReadyServer returns the server of the readiness check on the path, to be used with
 // ReadyListener.
@@ -152,10 +190,8 @@
 	return g.queryServer(path, g.serveReady, g.readyQueries)
 }
 
-// ReadyListener wraps l for ReadyServer: it limits the number of connections.
-func (g *Ingress) ReadyListener(l net.Listener) net.Listener {
-	return limitedListener{l, g.readyQueries}
-}
+// ReadyListener wraps l for ReadyServer, see CallerListener.
+func (g *Ingress) ReadyListener(l net.Listener) net.Listener { return g.readyQueries.Listener(l) }
 
 // AddressServer returns the server of address queries on the path, to be used with
 // AddressListener.
@@ -163,28 +199,26 @@
 	return g.queryServer(path, g.serveAddresses, g.addressQueries)
 }
 
-// AddressListener wraps l for AddressServer: it limits the number of connections.
-func (g *Ingress) AddressListener(l net.Listener) net.Listener {
-	return limitedListener{l, g.addressQueries}
-}
+// AddressListener wraps l for AddressServer, see CallerListener.
+func (g *Ingress) AddressListener(l net.Listener) net.Listener { return g.addressQueries.Listener(l) }
 
-func (g *Ingress) queryServer(path string, h http.HandlerFunc, limiter *connectionLimiter) *http.Server {
+func (g *Ingress) queryServer(path string, h http.HandlerFunc, limiter *intake.Limiter) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc(path, h)
-	s := g.server(mux)
-	s.ConnState = limiter.stateChanged
+	s := g.server(mux, limiter)
 	s.WriteTimeout = defaultIdle
 	return s
 }
 
-func (g *Ingress) server(h http.Handler) *http.Server {
+// server returns a server whose limiter limits heads and times.
+func (g *Ingress) server(h http.Handler, limiter *intake.Limiter) *http.Server {
 	return &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: defaultHeaderTime,
-		IdleTimeout:       defaultIdle,
-		MaxHeaderBytes:    defaultMaxHeader,
-		BaseContext:       func(net.Listener) context.Context { return g.base },
-		ErrorLog:          log.New(io.Discard, "", 0),
+		Handler:        h,
+		MaxHeaderBytes: largestHead,
+		ConnContext:    intake.ConnContext,
+		ConnState:      limiter.ConnState,
+		BaseContext:    func(net.Listener) context.Context { return g.base },
+		ErrorLog:       log.New(io.Discard, "", 0),
 	}
 }
 
@@ -235,68 +269,84 @@
 func (g *Ingress) serve(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	defer nextHead(r.Context())
 	if !r.ProtoAtLeast(1, 1) {
 		defer resetAborted(r.Context())
 	}
-	abortIfEvicted(r.Context())
-	reserved := reservation{memoryLimit: &g.held}
-	defer reserved.end()
+	reserved := g.held.Reserve(r.Context())
+	defer reserved.End()
 	arrived := g.o.Clock.Now()
-	if mayHaveBothLengths(r.Context(), len(r.TransferEncoding) > 0) || g.Stopping() {
+	if intake.MayHaveBothLengths(r.Context(), len(r.TransferEncoding) > 0) || g.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
-	in, err := g.admit(w, r, &reserved)
+	in, err := g.admit(w, r, reserved)
 	if err != nil {
 		g.refuse(w, in.Request, err)
 		return
 	}
+	done, err := intake.Serving(r.Context())
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		g.refuse(w, in.Request, err)
+		return
+	}
+	defer done()
 	in.Arrived = arrived
-	in.Reserve = func(bytes int) bool { return reserved.add(int64(bytes)) == nil }
+	in.Reserve = func(bytes int) bool { return reserved.Add(int64(bytes)) == nil }
 	defer g.countTime(in.Route.Kind, arrived)
 	g.o.Forwarder.Serve(r.Context(), w, in)
 }
 
-// admit reads the request and finds the configuration that applies to it. The body
-// is read completely first: a response before that would leave bytes on the
-// connection that belong to no request. Only a body that exceeds the memory limit is
-// not read, see skipBody.
-func (g *Ingress) admit(w http.ResponseWriter, r *http.Request, reserved *reservation) (forwarding.Inbound, error) {
+// admit reads the request and finds the configuration that applies to it. The head is
+// checked first, so that the body of a request that can't be served is not kept in memory;
+// and once more after the body, which may take so long that the configuration has changed.
+func (g *Ingress) admit(w http.ResponseWriter, r *http.Request, reserved *intake.Reservation) (forwarding.Inbound, error) {
 	var in forwarding.Inbound
-	table := g.o.Table()
 	req, err := g.o.Codec.ParseRequest(r)
 	if err != nil {
+		intake.SkipBody(w, r)
 		return in, errkind.Wrap(err, errkind.BadRequest, "request")
 	}
 	in.Request = req
-	if err = reserved.add(requestCost); err == nil {
-		req.Body, err = readBody(w, r, table, reserved)
-	}
-	if errors.Is(err, errFull) {
-		skipBody(w, r)
+	if err = g.check(r.Context(), &in); err != nil {
+		intake.SkipBody(w, r)
+		return in, err
 	}
+	req.Body, err = intake.ReadBody(w, r, intake.BodyOptions{MaxBytes: maxBody(in.Table), Timeout: bodyTimeout, Reserved: reserved})
 	if err != nil {
 		return in, err
 	}
+	reserved.Finish()
+	if err = reserved.Add(intake.RequestCost); err != nil {
+		return in, err
+	}
+	return in, g.check(r.Context(), &in)
+}
+
+// check finds the configuration that applies to the request.
+func (g *Ingress) check(ctx context.Context, in *forwarding.Inbound) error {
+	table := g.o.Table()
 	switch {
 	case g.closed():
-		return in, errkind.New(errkind.Stopping, "this instance is stopping")
+		return errkind.New(errkind.Stopping, "this instance is stopping")
 	case table == nil || !g.o.Serving():
-		return in, errkind.WithRetryAfter(errkind.New(errkind.Isolated, "the configuration is not known yet"), unknownRetryAfter)
+		return errkind.WithRetryAfter(errkind.New(errkind.Isolated, "the configuration is not known yet"), unknownRetryAfter)
+	case table == in.Table:
+		return nil // checked before
 	}
 	in.Table = table
-	if err = match(&in); err == nil {
-		return in, nil
+	err := match(in)
+	if err == nil {
+		return nil
 	}
-	known := g.o.Confirm(r.Context())
+	known := g.o.Confirm(ctx)
 	if newer := g.o.Table(); newer != table {
 		in.Table = newer
-		err = match(&in)
+		err = match(in)
 	}
 	if err == nil {
-		return in, nil
+		return nil
 	}
-	return in, g.unknown(in, known, err)
+	return g.unknown(*in, known, err)
 }
 
 // match finds the request's route and the organisation that holds its key.
@@ -336,29 +386,18 @@
 // maxLoggedPath is the maximum length of a path in a log line, in bytes.
 const maxLoggedPath = 64
 
-// readBody reads the whole body, subject to the limits in force.
-func readBody(w http.ResponseWriter, r *http.Request, table *route.Table, reserved *reservation) ([]byte, error) {
-	if r.Body == nil || r.ContentLength == 0 {
-		return nil, nil
-	}
-	limit := int64(defaultMaxBody)
-	if table != nil && table.Limits.MaxBodyBytes > 0 {
-		limit = table.Limits.MaxBodyBytes
-	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	defer control.SetReadDeadline(time.Time{})
-	body, err := io.ReadAll(http.MaxBytesReader(w, countedBody{r.Body, reserved}, limit))
-	var large *http.MaxBytesError
-	switch {
-	case errors.Is(err, errFull):
-		return nil, err
-	case errors.As(err, &large):
-		return nil, errkind.New(errkind.TooLarge, "the body exceeds %d bytes", limit)
-	case err != nil:
-		return nil, errkind.Wrap(err, errkind.BadRequest, "body")
-	}
-	return body, nil
+// encodeResponse returns a response without a body, after which the connection is closed, as
+// bytes. A negative retry delay is not stated.
+func (g *Ingress) encodeResponse(status int, after time.Duration) []byte {
+	header := make(http.Header)
+	g.o.Codec.SetOwnHeader(header, nil, after)
+	header.Set("Connection", "close")
+	header.Set("Content-Length", "0")
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 %d %s\r\n", status, http.StatusText(status))
+	_ = header.Write(&b)
+	b.WriteString("\r\n")
+	return b.Bytes()
 }
 
 // refuse writes an error response of this instance.
--- a/internal/ingress/metrics.go
+++ b/internal/ingress/metrics.go
@@ -26,11 +26,11 @@
 	r := g.o.Metrics
 	g.refusals = r.Labelled(metricRefused)
 	r.Func(metricInFlight, func() any { return g.InFlight() })
-	r.Func(metricHeld, func() any { return g.held.held.Load() })
+	r.Func(metricHeld, func() any { return g.held.Held() })
 	r.Func(metricConnections, func() any {
 		counts := make(map[string]int)
-		for _, c := range []*connectionLimiter{g.callers, g.readyQueries, g.addressQueries} {
-			counts[c.name] = c.count()
+		for _, l := range g.limiters() {
+			counts[l.Name()] = l.Count()
 		}
 		return counts
 	})
