Edge: changed limits of the configuration apply to connections that are open

Cause: a connection that waits has the deadline that was in force when it began to wait; with a lower header or idle timeout it stayed too long.

Change: the limits of a new table are applied to all connections at once.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -221,6 +221,7 @@
 		Self: i.id(), Store: i.adapter.Platform, Decoder: i.adapter.Decoder, Puller: i.peers,
 		Clock: i.o.Clock, Boot: i.o.Boot, Rand: i.rand(), Logger: i.o.Logger, Metrics: i.metrics,
 		OnTable: func(*route.Table) {
+			i.ingress.LimitsChanged()
 			i.updateDispatcher()
 			i.spreadChange()
 		},
