Ingress: queries with bodies do not occupy the readiness and address listeners

What callers saw: 60 requests with a body that stops, on any path, and the readiness check and address queries were answered to nobody new.

Cause: the handlers read no body, and net/http waits for the body's rest without a time limit after the response.

A query has to arrive within 0.2 s if others want its place.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -44,6 +44,9 @@
 	// exceeds the longest time that a request may take, so it affects only such
 	// callers.
 	responseTimeout = 70 * time.Second
+	// queryGrace is how long a client may take to send a query, if others want its
+	// connection. Queries are short and sent at once.
+	queryGrace = 200 * time.Millisecond
 	// unknownRetryAfter is the retry delay given to a caller while this instance
 	// does not know its configuration or can't be certain that it is current.
 	unknownRetryAfter = 200 * time.Millisecond
@@ -112,8 +115,8 @@
 	g := &Ingress{o: o, base: base, cancel: cancel}
 	meter := intake.NewMeter(o.Metrics)
 	g.callers = g.newLimiter("callers", intake.DefaultGrace, meter)
-	g.readyQueries = g.newLimiter("readiness", intake.DefaultGrace, meter)
-	g.addressQueries = g.newLimiter("addresses", intake.DefaultGrace, meter)
+	g.readyQueries = g.newLimiter("readiness", queryGrace, meter)
+	g.addressQueries = g.newLimiter("addresses", queryGrace, meter)
 	g.SetBounds(o.Bounds)
 	g.publish()
 	return g
@@ -205,11 +208,20 @@
 func (g *Ingress) queryServer(path string, h http.HandlerFunc, limiter *intake.Limiter) *http.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc(path, h)
-	s := g.server(mux, limiter)
+	s := g.server(withoutBody(mux), limiter)
 	s.WriteTimeout = defaultIdle
 	return s
 }
 
+// withoutBody handles requests whose body nobody reads. net/http would otherwise wait for
+// the body without a time limit after the response.
+func withoutBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		intake.SkipBody(w, r)
+		next.ServeHTTP(w, r)
+	})
+}
+
 // server returns a server whose limiter limits heads and times.
 func (g *Ingress) server(h http.Handler, limiter *intake.Limiter) *http.Server {
 	return &http.Server{
