Intake: the kernel's buffers of callers' connections are bounded by the memory

What callers saw: 300 connections that send ahead or do not read made an instance of 128 MiB hold up to 916 MiB in the kernel's queues.

Cause: by default the kernel lets the buffers of each connection grow to megabytes, and they count as memory of the process.

Change: a tenth of the memory, divided by the connections and both directions, 16 to 256 KiB each, set on the listeners. The runtime's memory limit is 0.7 of the settings instead of 0.8, since buffers and the program's text are besides.

--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -78,7 +78,7 @@
 
 // memoryShare is the part of the process's memory that the runtime may use. The rest is
 // for the program itself and the kernel's socket buffers.
-const memoryShare = 0.8
+const memoryShare = 0.7
 
 // applyLimits applies the limits of memory and descriptors.
 //
--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -164,6 +164,9 @@
 	g.callers.SetLimit(b.Connections)
 	g.readyQueries.SetLimit(b.QueryConnections)
 	g.addressQueries.SetLimit(b.QueryConnections)
+	for _, l := range g.limiters() {
+		l.SetBuffers(b.BufferBytes())
+	}
 }
 
 // LimitsChanged applies the limits of changed routes to the connections that are open.
--- a/internal/intake/bounds.go
+++ b/internal/intake/bounds.go
@@ -26,6 +26,16 @@
 	connectionShare = 0.4
 	// queryShare is the share for each listener that answers only short queries.
 	queryShare = 0.05
+	// bufferShare is the share of the memory for the kernel's buffers of callers'
+	// connections.
+	bufferShare = 0.1
+)
+
+// Bounds of the kernel's buffer for one direction of a connection, in bytes. With less
+// than the minimum a connection over a long distance would be slow.
+const (
+	minBuffer = 16 << 10
+	maxBuffer = 256 << 10
 )
 
 // BoundsOf returns the bounds of a process with the given memory, in MiB, and number of
@@ -39,3 +49,15 @@
 	}
 	return b
 }
+
+// BufferBytes returns the size, in bytes, of the kernel's buffer for each direction of a
+// connection; 0 = the system's default.
+func (b Bounds) BufferBytes() int {
+	if b.Held == 0 || b.Connections == 0 {
+		return 0
+	}
+	const directions = 2
+	buffers := bufferShare / heldShare * float64(b.Held)
+	perBuffer := int(buffers) / (b.Connections + 2*b.QueryConnections) / directions
+	return min(max(perBuffer, minBuffer), maxBuffer)
+}
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -76,6 +76,8 @@
 	mu        sync.Mutex // guards all below, and the fields of Conn that say so
 	limit     int        // 0 = no limit
 	conns     map[*Conn]struct{}
+	listeners []net.Listener
+	buffers   int           // see SetBuffers
 	admitted  uint64        // number of connections so far
 	lingering int           // number of closed connections that are still open
 	rejected  time.Duration // time of the last rejection; 0 = never
@@ -136,9 +138,24 @@
 
 // Listener wraps a listener, so that its connections are limited.
 func (l *Limiter) Listener(listener net.Listener) net.Listener {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listeners = append(l.listeners, listener)
+	setBuffers(listener, l.buffers)
 	return limitedListener{listener, l}
 }
 
+// SetBuffers changes the size, in bytes, of the kernel's buffer for each direction of the
+// connections that are accepted from now on; 0 = the system's default.
+func (l *Limiter) SetBuffers(bytes int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.buffers = bytes
+	for _, listener := range l.listeners {
+		setBuffers(listener, bytes)
+	}
+}
+
 // Accept implements net.Listener.
 func (l limitedListener) Accept() (net.Conn, error) {
 	for {
