Own interface: limits for connections and memory of the caller and the admin API

What callers saw: by reading, 4,096 bodies of 1 MiB could be held before anything was counted, connections had no limit, and each connection of HTTP/2 100 or more streams with buffers of 1 MiB.

Cause: max_in_flight counts requests, not memory, and nothing closed connections whose requests do not arrive.

Change: both listeners have a limiter of package intake and share a memory, by the new settings limits.memory_mb (1024) and limits.descriptors (4096). Requests of HTTP/2 count 64 KiB from their arrival, their heads when they are complete; a connection takes 100 streams and buffers 64 KiB. The runtime's memory limit is set here too.

--- a/cmd/lynxhilld/daemon.go
+++ b/cmd/lynxhilld/daemon.go
@@ -19,7 +19,7 @@
 	if cfg.Ingress.Enabled() {
 		return newEdge(cfg, logger)
 	}
-	instance, err := daemon.New(cfg, daemon.Options{Logger: logger})
+	instance, err := daemon.New(cfg, daemon.Options{Logger: logger, LimitMemory: debug.SetMemoryLimit})
 	if err != nil {
 		return nil, settingsError{err}
 	}
--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -14,6 +14,7 @@
 	"lynxhill.example/lynxhill/internal/defaults"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/httpserver"
+	"lynxhill.example/lynxhill/internal/intake"
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
@@ -63,6 +64,8 @@
 	Registry   http.Handler // serves PathMetrics; nil = Metrics, or an empty registry if that is nil too
 	Pprof      bool         // serve the process's pprof profiles to operators
 	MaxBody    int64        // bytes; 0 = 1 MiB
+	// Memory limits the memory of the requests; nil = no limit.
+	Memory *intake.Memory
 }
 
 const defaultMaxBody = 1 << 20
@@ -88,7 +91,7 @@
 	}
 	defaults.Positive(&opts.MaxBody, defaultMaxBody)
 	a := &api{opts: opts, operations: opts.Operations}
-	return httpserver.NewRouter(httpserver.RouterOptions{Routes: a.routes(), Logger: opts.Logger})
+	return httpserver.NewRouter(httpserver.RouterOptions{Routes: a.routes(), Memory: opts.Memory, Logger: opts.Logger})
 }
 
 func registryOrNew(m *metrics.Registry) http.Handler {
--- a/internal/callerapi/callerapi.go
+++ b/internal/callerapi/callerapi.go
@@ -19,6 +19,7 @@
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
 	"lynxhill.example/lynxhill/internal/httpserver"
+	"lynxhill.example/lynxhill/internal/intake"
 	"lynxhill.example/lynxhill/internal/metrics"
 	"lynxhill.example/lynxhill/internal/outcome"
 	"lynxhill.example/lynxhill/internal/pipeline"
@@ -84,8 +85,10 @@
 	Clock          clock.Clock   // nil = real time
 	HeartbeatEvery time.Duration // interval of the heartbeat events of a stream; 0 = 1 s
 	Self           string        // id of this instance
-	Logger         *event.Logger
-	Metrics        *metrics.Registry
+	// Memory limits the memory of the requests; nil = no limit.
+	Memory  *intake.Memory
+	Logger  *event.Logger
+	Metrics *metrics.Registry
 }
 
 var (
@@ -117,6 +120,7 @@
 	return httpserver.NewRouter(httpserver.RouterOptions{
 		Routes:      a.routes(),
 		BodyTimeout: opts.Limits.BodyTimeout,
+		Memory:      opts.Memory,
 		Logger:      opts.Logger,
 	})
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -109,6 +109,8 @@
 	MaxAnswerKB int `toml:"max_answer_kb"` // whole answer
 	MaxInFlight int `toml:"max_in_flight"` // concurrent requests
 	MaxQueued   int `toml:"max_queued"`    // those of them that wait for a target
+	MemoryMB    int `toml:"memory_mb"`     // of the process, MiB; 0 = not bounded
+	Descriptors int `toml:"descriptors"`   // open files and sockets of the process; 0 = not bounded
 }
 
 // Timings holds the intervals and timeouts of the instance.
@@ -165,7 +167,7 @@
 			ReadsPerSecond:  int(storeclient.DefaultFleetBudget.ReadsPerSecond),
 			Watches:         storeclient.DefaultFleetBudget.Watches,
 		},
-		Limits: Limits{MaxBodyKB: 1024, MaxAnswerKB: 4096, MaxInFlight: 4096, MaxQueued: 1024},
+		Limits: Limits{MaxBodyKB: 1024, MaxAnswerKB: 4096, MaxInFlight: 4096, MaxQueued: 1024, MemoryMB: 1024, Descriptors: 4096},
 		Timings: Timings{
 			Heartbeat:     DurationOf(time.Second),
 			AddressTTL:    DurationOf(5 * time.Second),
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"time"
@@ -207,6 +208,8 @@
 		checkInt("limits.max_answer_kb", l.MaxAnswerKB, 1, maxKB),
 		checkInt("limits.max_in_flight", l.MaxInFlight, 1, maxCount),
 		checkInt("limits.max_queued", l.MaxQueued, 0, maxCount),
+		checkInt("limits.memory_mb", l.MemoryMB, 0, math.MaxInt32),
+		checkInt("limits.descriptors", l.Descriptors, 0, math.MaxInt32),
 	)
 }
 
--- a/internal/daemon/options.go
+++ b/internal/daemon/options.go
@@ -33,6 +33,8 @@
 	Listen ListenFunc
 	Seed   uint64
 	Logger *event.Logger
+	// LimitMemory sets the limit, in bytes, of the runtime's memory; nil = it is not set.
+	LimitMemory func(bytes int64) int64
 	// Violations receives broken invariants; if nil, they are counted and logged.
 	Violations invariant.Recorder
 	// Policy overrides the policy for choosing targets, for comparisons of policies.
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/errkind"
+	"lynxhill.example/lynxhill/internal/intake"
 )
 
 // Defaults for the time that a client may take.
@@ -43,10 +44,36 @@
 	}
 }
 
+// limitMemory limits the memory of requests. A request for which there is none
+// is refused at once.
+func limitMemory(memory *intake.Memory, bodyTimeout time.Duration) Middleware {
+	if bodyTimeout <= 0 {
+		bodyTimeout = DefaultBodyTimeout
+	}
+	return func(next http.Handler) http.Handler {
+		if memory == nil {
+			return next
+		}
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			admitted, end, err := memory.Admit(r, bodyTimeout)
+			defer end()
+			if err != nil {
+				intake.SkipBody(w, r)
+				WriteError(w, err, "")
+				return
+			}
+			next.ServeHTTP(w, admitted)
+		})
+	}
+}
+
 // ReadBody reads the whole body, at most limit bytes. Errors are of kind
-// TooLarge or BadRequest. The router limits the time that the body may take to
-// arrive.
+// TooLarge, BadRequest, or Overloaded if there is no memory for the body. The
+// router limits the time that the body may take to arrive.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if request := intake.RequestOf(r.Context()); request != nil {
+		return request.ReadBody(w, r, limit)
+	}
 	if r.ContentLength > limit {
 		return nil, tooLarge(limit)
 	}
--- a/internal/httpserver/router.go
+++ b/internal/httpserver/router.go
@@ -11,6 +11,7 @@
 
 	"lynxhill.example/lynxhill/internal/errkind"
 	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/intake"
 )
 
 // Middleware wraps a handler.
@@ -31,7 +32,9 @@
 	// BodyTimeout is how long a client may take to send its whole body; 0 =
 	// DefaultBodyTimeout.
 	BodyTimeout time.Duration
-	Logger      *event.Logger
+	// Memory limits the memory of the requests; nil = no limit.
+	Memory *intake.Memory
+	Logger *event.Logger
 }
 
 // NewRouter returns go-zero's router with its chain of middlewares.
@@ -46,7 +49,7 @@
 	r := router.NewRouter()
 	r.SetNotFoundHandler(http.HandlerFunc(notFound))
 	r.SetNotAllowedHandler(http.HandlerFunc(methodNotAllowed))
-	middlewares := chain.New(recoverPanics(opts.Logger), bodyDeadline(opts.BodyTimeout))
+	middlewares := chain.New(recoverPanics(opts.Logger), bodyDeadline(opts.BodyTimeout), limitMemory(opts.Memory, opts.BodyTimeout))
 	for _, m := range opts.Middleware {
 		middlewares = middlewares.Append(m)
 	}
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"lynxhill.example/lynxhill/internal/event"
+	"lynxhill.example/lynxhill/internal/intake"
 )
 
 // Defaults of Options.
@@ -25,6 +26,11 @@
 	// pings their requests would occupy memory until their deadline.
 	pingAfter   = 10 * time.Second
 	pingTimeout = 5 * time.Second
+	// maxStreams is the maximum number of requests at once on an HTTP/2 connection, and
+	// receiveBuffer the number of bytes that may wait to be read of each and of all of
+	// them: the least that HTTP/2 allows.
+	maxStreams    = 100
+	receiveBuffer = 64<<10 - 1
 )
 
 // Options of a Server.
@@ -38,7 +44,9 @@
 	ReadHeaderTimeout time.Duration
 	IdleTimeout       time.Duration // of a keep-alive connection; 0 = 2 min
 	MaxHeaderBytes    int           // 0 = 64 KiB
-	Logger            *event.Logger
+	// Limiter limits the connections; nil = no limit.
+	Limiter *intake.Limiter
+	Logger  *event.Logger
 }
 
 // Server is one HTTP listener.
@@ -62,16 +70,25 @@
 	protocols.SetHTTP1(true)
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &Server{opts: opts, server: &http.Server{
+	server := &http.Server{
 		Handler:           opts.Handler,
 		TLSConfig:         opts.TLS,
 		ReadHeaderTimeout: opts.ReadHeaderTimeout,
 		IdleTimeout:       opts.IdleTimeout,
 		MaxHeaderBytes:    opts.MaxHeaderBytes,
 		Protocols:         protocols,
-		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-		ErrorLog:          log.New(errorLog{opts}, "", 0),
-	}}
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout: pingAfter, PingTimeout: pingTimeout, MaxConcurrentStreams: maxStreams,
+			MaxReceiveBufferPerConnection: receiveBuffer, MaxReceiveBufferPerStream: receiveBuffer,
+		},
+		ErrorLog: log.New(errorLog{opts}, "", 0),
+	}
+	if opts.Limiter != nil {
+		opts.Listener = opts.Limiter.Listener(opts.Listener)
+		server.ConnContext = intake.ConnContext
+		server.ConnState = opts.Limiter.ConnState
+	}
+	return &Server{opts: opts, server: server}
 }
 
 // Addr returns the address of the listener.
