Errors: a body that does not arrive in time is answered 408

Cause: it was answered 400, after which no caller tries again, although the request is in order and has not run.

Change: kind body_timeout, status 408, which promises that the request has not run. The own interface answers so as well.

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -55,6 +55,7 @@
 	StreamUnconfirmed
 	StreamVersionGone
 	RefusedAfterCrashes
+	BodyTimeout
 	kindCount
 )
 
@@ -134,6 +135,7 @@
 	StreamUnconfirmed:   {"stream_unconfirmed", 503, NotRun, ResendElsewhere, 1935, "The instances that may know the stream that the request takes up did not answer."},
 	StreamVersionGone:   {"stream_version_gone", 503, NotRun, ResendNever, 1936, "No target has the software version at which the stream began, so it can't go on; a new one may be begun."},
 	RefusedAfterCrashes: {"refused_after_crashes", 503, NotRun, ResendLater, 1937, "Targets crashed while running such requests, so this one was not run."},
+	BodyTimeout:         {"body_timeout", 408, NotRun, ResendLater, 1938, "The body did not arrive in time."},
 }
 
 // Kinds returns every kind in the order of the table.
--- a/internal/event/catalogue_errkind.go
+++ b/internal/event/catalogue_errkind.go
@@ -42,6 +42,7 @@
 	RequestStreamUnconfirmed   ID = 1935
 	RequestStreamVersionGone   ID = 1936
 	RequestRefusedAfterCrashes ID = 1937
+	RequestBodyTimeout         ID = 1938
 )
 
 var _ = define(
@@ -83,4 +84,5 @@
 	Definition{RequestStreamUnconfirmed, Warn, "request_stream_unconfirmed", "The instances that may know the stream that the request takes up did not answer."},
 	Definition{RequestStreamVersionGone, Info, "request_stream_version_gone", "No target has the software version at which the stream began, so it can't go on; a new one may be begun."},
 	Definition{RequestRefusedAfterCrashes, Info, "request_refused_after_crashes", "Targets crashed while running such requests, so this one was not run."},
+	Definition{RequestBodyTimeout, Info, "request_body_timeout", "The body did not arrive in time."},
 )
--- a/internal/httpserver/body.go
+++ b/internal/httpserver/body.go
@@ -68,7 +68,7 @@
 }
 
 // ReadBody reads the whole body, at most limit bytes. Errors are of kind
-// TooLarge, BadRequest, or Overloaded if there is no memory for the body. The
+// TooLarge, BadRequest, BodyTimeout, or Overloaded if there is no memory for the body. The
 // router limits the time that the body may take to arrive.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if request := intake.RequestOf(r.Context()); request != nil {
@@ -90,7 +90,7 @@
 	case errors.As(err, &tooBig):
 		return tooLarge(limit)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return errkind.New(errkind.BadRequest, "the body did not arrive in time")
+		return errkind.New(errkind.BodyTimeout, "the body did not arrive in time")
 	default:
 		return errkind.New(errkind.BadRequest, "the body broke off")
 	}
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -48,8 +48,8 @@
 }
 
 // ReadBody reads the whole body. The error is of kind TooLarge, of kind Overloaded if there
-// is no memory for the body or the connection was closed in favour of others, else of kind
-// BadRequest. After an error, what was not read has been handled as SkipBody does.
+// is no memory for the body or the connection was closed in favour of others, of kind
+// BodyTimeout if it did not arrive in time, else of kind BadRequest. After an error, what was not read has been handled as SkipBody does.
 func ReadBody(w http.ResponseWriter, r *http.Request, o BodyOptions) ([]byte, error) {
 	if r.Body == nil || r.ContentLength == 0 {
 		return nil, nil
@@ -153,7 +153,7 @@
 		return tooLarge(b.o.MaxBytes)
 	case isTimeout(err):
 		countLimit(ctx, limitBodyTime)
-		return errkind.New(errkind.BadRequest, "the body did not arrive in time")
+		return errkind.New(errkind.BodyTimeout, "the body did not arrive in time")
 	default:
 		return errkind.Wrap(err, errkind.BadRequest, "the body broke off")
 	}
