Intake: searches for memory do not keep new connections out; waits look again

Found by reading. A search for a client that holds memory and is behind, which found none, kept the search for a new connection from being made for 10 ms, so that requests that meet the limit of memory could have connections rejected. A large body that waits for memory looked only when some was released, not when a client that holds it had fallen behind meanwhile. Connections of queries never counted as having had a request, so that those of sound clients were closed like those of clients that send nothing; queries that are sent ahead are refused like requests while connections are rejected.

--- a/internal/ingress/ingress.go
+++ b/internal/ingress/ingress.go
@@ -220,7 +220,18 @@
 // the body without a time limit after the response.
 func withoutBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		intake.SkipBody(w, r)
+		if r.ContentLength != 0 {
+			intake.SkipBody(w, r)
+			next.ServeHTTP(w, r)
+			return
+		}
+		done, err := intake.Serving(r.Context())
+		if err != nil {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer done()
 		next.ServeHTTP(w, r)
 	})
 }
@@ -330,8 +341,7 @@
 	if err != nil {
 		return in, err
 	}
-	reserved.Finish()
-	if err = reserved.Add(intake.RequestCost); err != nil {
+	if err = reserved.AddWhole(0); err != nil {
 		return in, err
 	}
 	return in, g.check(r.Context(), &in)
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -169,7 +169,7 @@
 	c.headMu.Lock()
 	defer c.headMu.Unlock()
 	if c.headReserved.memory != nil {
-		c.headReserved.Finish()
+		c.headReserved.finish()
 	}
 }
 
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -81,7 +81,9 @@
 	admitted  uint64        // number of connections so far
 	lingering int           // number of closed connections that are still open
 	rejected  time.Duration // time of the last rejection; 0 = never
-	nextScan  time.Duration // time before which no search for a connection to close is made
+	// Times before which no search for a connection to close is made: for any, and for one
+	// that holds memory.
+	nextScan, nextHolderScan time.Duration
 }
 
 // NewLimiter returns a Limiter without a limit on connections.
@@ -178,7 +180,7 @@
 	var victim *Conn
 	ok := l.limit == 0 || len(l.conns) < l.limit
 	if !ok {
-		victim = l.takeVictim(anyConn)
+		victim = l.takeVictim(&l.nextScan, anyConn)
 		ok = victim != nil
 	}
 	if !ok {
@@ -211,7 +213,7 @@
 // reports whether there was one.
 func (l *Limiter) evictHolder() bool {
 	l.mu.Lock()
-	victim := l.takeVictim(holdsMemory)
+	victim := l.takeVictim(&l.nextHolderScan, holdsMemory)
 	l.mu.Unlock()
 	if victim == nil {
 		return false
@@ -225,10 +227,11 @@
 func holdsMemory(c *Conn) bool { return c.holds.Load() > 0 }
 
 // takeVictim removes and returns the connection that has to go first among the eligible
-// ones, nil if none has to. The caller must hold l.mu and call closeEvicted.
-func (l *Limiter) takeVictim(eligible func(*Conn) bool) *Conn {
+// ones, nil if none has to. nextScan is the time before which it is not called again after it
+// found none. The caller must hold l.mu and call closeEvicted.
+func (l *Limiter) takeVictim(nextScan *time.Duration, eligible func(*Conn) bool) *Conn {
 	now := l.now()
-	if now < l.nextScan {
+	if now < *nextScan {
 		return nil
 	}
 	var behind, unread *Conn
@@ -250,7 +253,7 @@
 		victim, limit = unread, limitUnread
 	}
 	if victim == nil {
-		l.nextScan = now + scanInterval
+		*nextScan = now + scanInterval
 		return nil
 	}
 	victim.evicted = true
--- a/internal/intake/memory.go
+++ b/internal/intake/memory.go
@@ -147,7 +147,7 @@
 }
 
 // evictionWait is how long a reservation waits for the memory of a connection that was
-// closed for it.
+// closed for it, and the interval at which one that waits looks for such connections.
 const evictionWait = 100 * time.Millisecond
 
 // Add reserves n more bytes. If there are none, connections of clients that have fallen
@@ -183,24 +183,22 @@
 		if r.memory.evict() {
 			left = max(left, evictionWait)
 		}
-		if left <= 0 || !waitFor(ctx, released, left) {
+		if left <= 0 || ctx.Err() != nil {
 			return ErrFull
 		}
+		waitFor(ctx, released, min(left, evictionWait)) // clients fall behind meanwhile
 	}
 }
 
-// waitFor waits until the channel is closed and returns true, or false if ctx ends or the
-// time is over before.
-func waitFor(ctx context.Context, closed <-chan struct{}, limit time.Duration) bool {
+// waitFor waits until the channel is closed, ctx ends or the time is over.
+func waitFor(ctx context.Context, closed <-chan struct{}, limit time.Duration) {
 	timer := time.NewTimer(limit)
 	defer timer.Stop()
 	select {
 	case <-closed:
-		return true
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	return false
 }
 
 func (r *Reservation) count(n int64) {
@@ -218,13 +216,23 @@
 	return m.limit == 0 || m.held+n+RequestCost <= m.limit
 }
 
-// Finish records that the request is whole: its bytes no longer count as unfinished.
-func (r *Reservation) Finish() {
+// finish records that the request is whole: its bytes no longer count as unfinished.
+func (r *Reservation) finish() {
 	excess := r.excess(r.bytes)
 	r.finished = true
 	r.memory.release(0, excess)
 }
 
+// AddWhole records that the request is whole, and reserves RequestCost and n more bytes.
+func (r *Reservation) AddWhole(n int64) error {
+	r.finish()
+	err := r.Add(RequestCost + n)
+	if err != nil && r.conn != nil {
+		r.conn.count(limitMemory)
+	}
+	return err
+}
+
 // End releases the reserved bytes.
 func (r *Reservation) End() {
 	bytes, excess := r.bytes, r.excess(r.bytes)
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -56,8 +56,7 @@
 
 // whole records that the request has arrived. Its body is decoded into a copy.
 func (q *Request) whole(ctx context.Context, body int64) error {
-	q.reserved.Finish()
-	if err := q.reserved.Add(RequestCost + body); err != nil {
+	if err := q.reserved.AddWhole(body); err != nil {
 		return err
 	}
 	var err error
