Own interface: operators have memory of their own

By reading: callers and the admin API shared the memory for requests, so that a crowd of callers could have operators refused. An eighth is theirs now.

--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -11,34 +11,43 @@
 // the program itself and the kernel's socket buffers.
 const memoryShare = 0.7
 
-// newIntake applies the limits of memory and descriptors in the settings. The memory for
-// requests is shared by callers and operators.
-func (d *Daemon) newIntake() (memory *intake.Memory, callers, operators *intake.Limiter) {
+// operatorShare is the part of the memory for requests that callers can't use up, so that
+// operators are answered beside any crowd of them.
+const operatorShare = 8
+
+// intakeOf is what limits one listener.
+type intakeOf struct {
+	memory  *intake.Memory
+	limiter *intake.Limiter
+}
+
+// newIntake applies the limits of memory and descriptors in the settings.
+func (d *Daemon) newIntake() (callers, operators intakeOf) {
 	limits := d.cfg.Limits
 	if d.opts.LimitMemory != nil && limits.MemoryMB > 0 {
 		d.opts.LimitMemory(int64(memoryShare * float64(limits.MemoryMB) * (1 << 20)))
 	}
 	bounds := intake.BoundsOf(limits.MemoryMB, limits.Descriptors)
-	memory = new(intake.Memory)
-	memory.SetLimit(bounds.Held)
 	meter := intake.NewMeter(d.metrics)
-	callers = d.newLimiter("caller", memory, meter, d.tls.caller == nil)
-	callers.SetLimit(bounds.Connections)
-	operators = d.newLimiter("admin", memory, meter, d.tls.admin == nil)
-	operators.SetLimit(bounds.QueryConnections)
-	for _, l := range []*intake.Limiter{callers, operators} {
-		l.SetBuffers(bounds.BufferBytes())
-	}
-	return memory, callers, operators
+	callers = d.newIntakeOf("caller", meter, d.tls.caller != nil)
+	callers.memory.SetLimit(bounds.Held - bounds.Held/operatorShare)
+	callers.limiter.SetLimit(bounds.Connections)
+	callers.limiter.SetBuffers(bounds.BufferBytes())
+	operators = d.newIntakeOf("admin", meter, d.tls.admin != nil)
+	operators.memory.SetLimit(bounds.Held / operatorShare)
+	operators.limiter.SetLimit(bounds.QueryConnections)
+	operators.limiter.SetBuffers(bounds.BufferBytes())
+	return callers, operators
 }
 
-func (d *Daemon) newLimiter(name string, memory *intake.Memory, meter *intake.Meter, clear bool) *intake.Limiter {
+func (d *Daemon) newIntakeOf(name string, meter *intake.Meter, encrypted bool) intakeOf {
+	memory := new(intake.Memory)
 	o := intake.Options{Name: name, Memory: memory, Meter: meter, Clock: d.opts.Clock, Logger: d.logger}
-	if clear {
+	if !encrypted {
 		o.FullResponse = fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nRetry-After: %d\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
 			http.StatusServiceUnavailable, http.StatusText(http.StatusServiceUnavailable), fullRetrySeconds)
 	}
-	return intake.NewLimiter(o)
+	return intakeOf{memory, intake.NewLimiter(o)}
 }
 
 // fullRetrySeconds is the retry delay given to a caller whose connection is rejected: the
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -39,7 +39,7 @@
 }
 
 func (d *Daemon) assembleServers() error {
-	memory, callers, operators := d.newIntake()
+	callers, operators := d.newIntake()
 	caller, err := callerapi.New(callerapi.Options{
 		Handler: d, Auth: d.auth, Clock: d.opts.Clock, HeartbeatEvery: d.cfg.Timings.Heartbeat.Duration,
 		Limits: callerapi.Limits{
@@ -49,24 +49,24 @@
 			BodyTimeout:  d.cfg.Timings.BodyTimeout.Duration,
 			WriteTimeout: d.cfg.Timings.WriteTimeout.Duration,
 		},
-		Memory: memory, Self: d.id(), Logger: d.logger, Metrics: d.metrics,
+		Memory: callers.memory, Self: d.id(), Logger: d.logger, Metrics: d.metrics,
 	})
 	if err != nil {
 		return err
 	}
 	admin, err := adminapi.New(adminapi.Options{
 		Operations: &operations{d}, Auth: d.auth, Logger: d.logger, Metrics: d.metrics,
-		Registry: d.metrics, Pprof: d.cfg.Debug.Pprof, Memory: memory,
+		Registry: d.metrics, Pprof: d.cfg.Debug.Pprof, Memory: operators.memory,
 	})
 	if err != nil {
 		return err
 	}
 	d.servers = servers{
 		caller: httpserver.New(httpserver.Options{
-			Name: "caller", Listener: d.net.caller, Handler: caller, TLS: serverConfig(d.tls.caller), Limiter: callers, Logger: d.logger,
+			Name: "caller", Listener: d.net.caller, Handler: caller, TLS: serverConfig(d.tls.caller), Limiter: callers.limiter, Logger: d.logger,
 		}),
 		admin: httpserver.New(httpserver.Options{
-			Name: "admin", Listener: d.net.admin, Handler: admin, TLS: serverConfig(d.tls.admin), Limiter: operators, Logger: d.logger,
+			Name: "admin", Listener: d.net.admin, Handler: admin, TLS: serverConfig(d.tls.admin), Limiter: operators.limiter, Logger: d.logger,
 		}),
 		peer: peer.NewServer(peer.NewHandler(d.peerCalls()), serverConfig(d.tls.peer), d.logger),
 	}
