--- a/deploy/crowdtest/crowd_test.go
+++ b/deploy/crowdtest/crowd_test.go
@@ -47,12 +47,10 @@
 	address string
 	members int
 	// behave does what a member does on a connection. The member then stays until the
-	// connection is closed, unless the error is errStop.
+	// connection is closed.
 	behave func(ctx context.Context, m member) error
 	// deaf members read nothing.
 	deaf bool
-	// once: members do not come again.
-	once bool
 }
 
 // gathering is a crowd that is there.
@@ -77,9 +75,7 @@
 	for range c.members {
 		g.members.Go(func() {
 			for ctx.Err() == nil {
-				if again := g.visit(ctx, c); c.once || !again {
-					return
-				}
+				g.visit(ctx, c)
 				sleep(ctx, redialPause)
 			}
 		})
@@ -93,11 +89,11 @@
 	g.members.Wait()
 }
 
-// visit is one connection of a member. It reports whether the member comes again.
-func (g *gathering) visit(ctx context.Context, c crowd) (again bool) {
+// visit is one connection of a member.
+func (g *gathering) visit(ctx context.Context, c crowd) {
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", c.address)
 	if err != nil {
-		return true
+		return
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
@@ -117,11 +113,7 @@
 	if c.deaf && err == nil {
 		<-ctx.Done()
 	}
-	if err == errStop {
-		return false
-	}
 	<-closed
-	return true
 }
 
 // read counts the answers until the connection ends.
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -1,28 +1,12 @@
 package intake
 
 import (
-	"context"
 	"errors"
 	"math"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"lynxhill.example/lynxhill/internal/errkind"
-)
-
-const (
-	// minRate is the rate, in bytes per second, at which the bytes of a request have to
-	// arrive if its connection is not to be closed for a new one.
-	minRate = 1 << 10
-	// maxAhead is how long a client that was faster than that may send nothing.
-	maxAhead = 2 * time.Second
-	// writeSize is the largest part of an answer, in bytes, that is written at a time,
-	// and unreadAfter how long a client may take for one before its connection may be
-	// closed for another.
-	writeSize   = 16 << 10
-	unreadAfter = 6 * time.Second
 )
 
 // phase is what a connection waits for.
@@ -98,13 +82,6 @@
 	}
 }
 
-// advance records that n bytes have arrived.
-func (c *Conn) advance(n int) {
-	now := int64(c.limiter.now())
-	earned := int64(n) * int64(time.Second) / c.rate.Load()
-	c.paceUntil.Store(min(max(c.paceUntil.Load(), now)+earned, now+int64(maxAhead)))
-}
-
 // received examines bytes that have arrived. If they belong to a head that is refused, it
 // responds itself and returns an error: net/http would take a head that breaks off in a line
 // for a malformed one, and the caller would not retry.
@@ -302,137 +279,6 @@
 	return nil
 }
 
-// behindAt reports whether the connection has no whole request and its client has not sent
-// what it should have. The caller must hold limiter.mu.
-func (c *Conn) behindAt(now time.Duration) bool {
-	return c.serving == 0 && c.blockedSince.Load() == 0 && c.dueAt() <= now
-}
-
-// dueAt is the time from which the client is behind.
-func (c *Conn) dueAt() time.Duration {
-	return time.Duration(max(c.graceUntil.Load(), c.paceUntil.Load()))
-}
-
-// goesBefore reports whether c is to be closed before other, both being behind. The caller
-// must hold limiter.mu.
-func (c *Conn) goesBefore(other *Conn) bool {
-	if hadRequest := c.hadRequest.Load(); hadRequest != other.hadRequest.Load() {
-		return !hadRequest
-	}
-	if due, otherDue := c.dueAt(), other.dueAt(); due != otherDue {
-		return due < otherDue
-	}
-	return c.number < other.number
-}
-
-// unreadAt reports whether the client has not taken a part of its answer for so long that
-// the connection may be closed.
-func (c *Conn) unreadAt(now time.Duration) bool {
-	since := c.blockedSince.Load()
-	return since != 0 && now-time.Duration(since) >= unreadAfter
-}
-
-// closeEvicted closes a connection that takeVictim has returned. A request whose body is
-// being read fails, and its handler gets a short time to tell the client that the request
-// has not run.
-func (c *Conn) closeEvicted() {
-	c.mu.Lock()
-	answers := c.phase == hasHead && c.blockedSince.Load() == 0 && c.limiter.mayLinger()
-	c.mu.Unlock()
-	if !answers {
-		_ = c.Conn.Close() // the server closes c when its read fails
-		return
-	}
-	_ = c.SetReadDeadline(time.Unix(1, 0))
-	_ = c.SetWriteDeadline(time.Now().Add(lingerTimeout))
-	time.AfterFunc(lingerTimeout, func() {
-		_ = c.Conn.Close()
-		c.limiter.lingered()
-	})
-}
-
-// pause keeps the connection from being closed for another while its request waits for
-// memory. It returns false if that has happened already. resume ends it.
-func (c *Conn) pause() bool {
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	if c.evicted {
-		return false
-	}
-	c.serving++
-	return true
-}
-
-func (c *Conn) resume() {
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	c.serving--
-}
-
-// grantGrace has the client count as being on its pace for a short time.
-func (c *Conn) grantGrace() { c.graceUntil.Store(int64(c.limiter.now() + c.limiter.o.Grace)) }
-
-// abandon has the client count as being behind: its request was refused.
-func abandon(ctx context.Context) {
-	if c := connOf(ctx); c != nil {
-		c.graceUntil.Store(0)
-		c.paceUntil.Store(0)
-	}
-}
-
-// errEvicted is the error for a request whose connection was closed for another before it
-// was whole.
-var errEvicted = errkind.WithRetryAfter(errkind.New(errkind.Overloaded, "the connection was closed in favour of others, since the request did not arrive"), FullRetryAfter)
-
-// evicted reports whether the request's connection was closed for another.
-func evicted(ctx context.Context) bool {
-	c := connOf(ctx)
-	if c == nil {
-		return false
-	}
-	c.limiter.mu.Lock()
-	defer c.limiter.mu.Unlock()
-	return c.evicted
-}
-
-// errAhead is the error for a request that was sent before the answer to the one before.
-var errAhead = errkind.WithRetryAfter(errkind.New(errkind.Overloaded, "requests that are sent ahead are not served while others wait for a connection"), FullRetryAfter)
-
-// Serving records that the request is whole and is going to be served: its connection is not
-// closed for another until done is called, unless its client does not read the answer.
-//
-// The error is of kind Overloaded if the connection has been closed before: a target must not
-// run the request, since the caller could not get the answer. It is of the same kind if the
-// request was sent ahead and new connections are rejected: with requests ahead a client never
-// gives up its connection. The connection has to be closed after either.
-func Serving(ctx context.Context) (done func(), err error) {
-	c := connOf(ctx)
-	if c == nil {
-		return func() {}, nil
-	}
-	if c.sentAhead.Load() && c.limiter.rejects() {
-		c.count(limitAhead)
-		return nil, errAhead
-	}
-	if !c.pause() {
-		return nil, errEvicted
-	}
-	c.finishHead()
-	c.hadRequest.Store(true)
-	return func() {
-		c.grantGrace()
-		c.resume()
-	}, nil
-}
-
-// expectRate sets the rate, in bytes per second, at which the rest of a request has to
-// arrive.
-func expectRate(ctx context.Context, rate float64) {
-	if c := connOf(ctx); c != nil {
-		c.rate.Store(max(int64(rate), minRate))
-	}
-}
-
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/internal/intake/memory.go
+++ b/internal/intake/memory.go
@@ -88,19 +88,19 @@
 	return more > 0 && others > 0 && m.unfinished+more > int64(unfinishedShare*float64(m.limit))
 }
 
-// release returns n bytes, of which excess counted as unfinished.
+// release returns n bytes, and excess bytes of what unfinished requests hold.
 func (m *Memory) release(n, excess int64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.held -= n
 	m.unfinished -= excess
-	if m.released != nil && n > 0 {
+	if m.released != nil && n+excess > 0 {
 		close(m.released)
 		m.released = nil
 	}
 }
 
-// nextRelease returns a channel that is closed when bytes are released.
+// nextRelease returns a channel that is closed by the next release.
 func (m *Memory) nextRelease() <-chan struct{} {
 	m.mu.Lock()
 	defer m.mu.Unlock()
