--- a/deploy/crowdtest/interface_test.go
+++ b/deploy/crowdtest/interface_test.go
@@ -129,9 +129,10 @@
 // Guards against bodies of legal size at the caller and the admin API that stop a byte
 // before their end and stay.
 func TestOwnInterfaceBodiesThatStopShort(t *testing.T) {
-	o := startOwnInterface(t)
-	for name, head := range map[string]string{"a request": o.head(), "no route": strings.Replace(o.head(), "/v1/profiles", "/nowhere", 1)} {
+	for name, prefix := range map[string]string{"a request": "/v1/profiles", "no route": "/nowhere"} {
 		t.Run(name, func(t *testing.T) {
+			o := startOwnInterface(t)
+			head := strings.Replace(o.head(), "/v1/profiles", prefix, 1)
 			behave := func(ctx context.Context, m member) error {
 				return m.send(ctx, 0, head+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(largeBody)), largeBody[1:])
 			}
