--- a/internal/event/catalogue_ingress.go
+++ b/internal/event/catalogue_ingress.go
@@ -1,7 +1,7 @@
 package event
 
-// Events about limits that clients meet, of reloading the
-// settings file, and of the metrics listener.
+// Events of reloading the settings file, of the metrics listener, and of the limits that
+// clients meet. 4240 is retired.
 const (
 	SettingsReloaded    ID = 4241
 	SettingsUnusable    ID = 4242
