Crowd tests: callers that read a few bytes at a time; names without metaphors

The tests' own names say start, stop, connect and unread instead of gather, leave, visit and deaf. A comment of package peer got its subject back.

--- a/deploy/crowdtest/connections_test.go
+++ b/deploy/crowdtest/connections_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -26,7 +27,7 @@
 // while they last.
 func TestSlowBodies(t *testing.T) {
 	e := startEdge(t)
-	e.endure(crowd{address: e.callers, members: 300, behave: func(ctx context.Context, m member) error {
+	e.checkUnder(crowd{address: e.callers, members: 300, behave: func(ctx context.Context, m member) error {
 		if err := m.send(ctx, 0, m.postHead("/idem/x", 10_000)); err != nil {
 			return err
 		}
@@ -37,7 +38,7 @@
 // Guards against the same with bodies that stop half-way.
 func TestBodiesThatStopHalfWay(t *testing.T) {
 	e := startEdge(t)
-	e.endure(crowd{address: e.callers, members: 300, behave: func(ctx context.Context, m member) error {
+	e.checkUnder(crowd{address: e.callers, members: 300, behave: func(ctx context.Context, m member) error {
 		return m.send(ctx, 0, m.postHead("/idem/x", 100), largeBody[:50])
 	}})
 }
@@ -45,7 +46,7 @@
 // Guards against the same with heads that stop half-way.
 func TestHeadsThatStopHalfWay(t *testing.T) {
 	e := startEdge(t)
-	e.endure(crowd{address: e.callers, members: 300, behave: func(ctx context.Context, m member) error {
+	e.checkUnder(crowd{address: e.callers, members: 300, behave: func(ctx context.Context, m member) error {
 		return m.send(ctx, 0, m.head("GET", "/idem/x"))
 	}})
 }
@@ -53,7 +54,7 @@
 // Guards against the same with heads that come byte by byte.
 func TestSlowHeads(t *testing.T) {
 	e := startEdge(t)
-	e.endure(crowd{address: e.callers, members: 300, behave: func(ctx context.Context, m member) error {
+	e.checkUnder(crowd{address: e.callers, members: 300, behave: func(ctx context.Context, m member) error {
 		if err := m.send(ctx, 0, m.head("GET", "/idem/x")+"Slow: "); err != nil {
 			return err
 		}
@@ -64,22 +65,41 @@
 // Guards against the same with connections on which nothing is sent.
 func TestSilentConnections(t *testing.T) {
 	e := startEdge(t)
-	e.endure(crowd{address: e.callers, members: 300, behave: func(context.Context, member) error { return nil }})
+	e.checkUnder(crowd{address: e.callers, members: 300, behave: func(context.Context, member) error { return nil }})
 }
 
 // Guards against callers that read no answer, or one very slowly, and so occupy all
 // connections.
 func TestAnswersThatAreNotRead(t *testing.T) {
 	e := startEdge(t)
-	e.endure(crowd{address: e.callers, members: 300, deaf: true, behave: func(ctx context.Context, m member) error {
+	e.checkUnder(crowd{address: e.callers, members: 300, unread: true, behave: func(ctx context.Context, m member) error {
 		return m.send(ctx, 0, m.head("GET", "/large/x")+"\r\n")
 	}})
 }
 
+// Guards against the same with callers that read a few bytes at a time: their connections are
+// never quite silent.
+func TestAnswersThatAreReadSlowly(t *testing.T) {
+	e := startEdge(t)
+	e.checkUnder(crowd{address: e.callers, members: 300, unread: true, behave: func(ctx context.Context, m member) error {
+		if err := m.Conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+			return err
+		}
+		if err := m.send(ctx, 0, m.head("GET", "/large/x")+"\r\n"); err != nil {
+			return err
+		}
+		for few := make([]byte, 64); ; sleep(ctx, 200*time.Millisecond) {
+			if _, err := m.Read(few); err != nil {
+				return err
+			}
+		}
+	}})
+}
+
 // Guards against streams that nobody reads.
 func TestStreamsThatAreNotRead(t *testing.T) {
 	e := startEdge(t)
-	e.endure(crowd{address: e.callers, members: 300, deaf: true, behave: func(ctx context.Context, m member) error {
+	e.checkUnder(crowd{address: e.callers, members: 300, unread: true, behave: func(ctx context.Context, m member) error {
 		return m.send(ctx, 0, strings.Repeat(m.head("POST", "/talk/x", "Model: m", "Token-Counts: 10,2000", "Prompt-Prefix: aa:4,bb:6")+"\r\n", 20))
 	}})
 }
@@ -93,7 +113,7 @@
 			behave := func(ctx context.Context, m member) error {
 				return m.send(ctx, 0, m.postHead(path, 100), largeBody[:50])
 			}
-			e.endure(crowd{address: e.readiness, members: 60, behave: behave}, crowd{address: e.resolver, members: 60, behave: behave})
+			e.checkUnder(crowd{address: e.readiness, members: 60, behave: behave}, crowd{address: e.resolver, members: 60, behave: behave})
 		})
 	}
 }
@@ -109,8 +129,8 @@
 	ahead := func(ctx context.Context, m member) error {
 		return m.send(ctx, 0, strings.Repeat(m.head("GET", platform.AddressPath+"?zone=z1")+"\r\n", 3000))
 	}
-	e.endure(
+	e.checkUnder(
 		crowd{address: e.readiness, members: 60, behave: heads}, crowd{address: e.resolver, members: 60, behave: heads},
-		crowd{address: e.readiness, members: 60, deaf: true, behave: ahead}, crowd{address: e.resolver, members: 60, deaf: true, behave: ahead},
+		crowd{address: e.readiness, members: 60, unread: true, behave: ahead}, crowd{address: e.resolver, members: 60, unread: true, behave: ahead},
 	)
 }
--- a/deploy/crowdtest/crowd_test.go
+++ b/deploy/crowdtest/crowd_test.go
@@ -49,12 +49,12 @@
 	// behave does what a member does on a connection. The member then stays until the
 	// connection is closed.
 	behave func(ctx context.Context, m member) error
-	// deaf members read nothing.
-	deaf bool
+	// unread: the answers are not read and counted here; behave may read them.
+	unread bool
 }
 
-// gathering is a crowd that is there.
-type gathering struct {
+// runningCrowd is a crowd whose members are connected.
+type runningCrowd struct {
 	cancel  context.CancelFunc
 	members sync.WaitGroup
 	dialed  atomic.Int64
@@ -67,15 +67,15 @@
 // redialPause keeps members that are turned away at once from using up the processor.
 const redialPause = 20 * time.Millisecond
 
-// gather brings the crowd. It stays until leave is called, at most until the end of the test.
-func (c crowd) gather(t *testing.T) *gathering {
+// start connects the members. They stay until stop is called, at most until the end of the test.
+func (c crowd) start(t *testing.T) *runningCrowd {
 	ctx, cancel := context.WithCancel(context.Background())
-	g := &gathering{cancel: cancel, refused: make(map[string]int), answers: make(map[int]int)}
-	t.Cleanup(g.leave)
+	g := &runningCrowd{cancel: cancel, refused: make(map[string]int), answers: make(map[int]int)}
+	t.Cleanup(g.stop)
 	for range c.members {
 		g.members.Go(func() {
 			for ctx.Err() == nil {
-				g.visit(ctx, c)
+				g.connect(ctx, c)
 				sleep(ctx, redialPause)
 			}
 		})
@@ -83,14 +83,14 @@
 	return g
 }
 
-// leave closes all connections of the crowd and returns when nobody is left.
-func (g *gathering) leave() {
+// stop closes all connections of the crowd and returns when all members have ended.
+func (g *runningCrowd) stop() {
 	g.cancel()
 	g.members.Wait()
 }
 
-// visit is one connection of a member.
-func (g *gathering) visit(ctx context.Context, c crowd) {
+// connect is one connection of a member, from its beginning to its end.
+func (g *runningCrowd) connect(ctx context.Context, c crowd) {
 	conn, err := (&net.Dialer{Timeout: time.Second}).DialContext(ctx, "tcp", c.address)
 	if err != nil {
 		return
@@ -100,7 +100,7 @@
 	g.dialed.Add(1)
 	m := member{Conn: conn, id: fmt.Sprintf("c%015x", lastID.Add(1))}
 	closed := make(chan struct{})
-	if c.deaf {
+	if c.unread {
 		close(closed)
 	} else {
 		go func() {
@@ -110,14 +110,14 @@
 		}()
 	}
 	err = c.behave(ctx, m)
-	if c.deaf && err == nil {
+	if c.unread && err == nil {
 		<-ctx.Done()
 	}
 	<-closed
 }
 
 // read counts the answers until the connection ends.
-func (g *gathering) read(m member) {
+func (g *runningCrowd) read(m member) {
 	from := bufio.NewReader(m)
 	for {
 		response, err := http.ReadResponse(from, nil)
@@ -145,18 +145,18 @@
 	}
 }
 
-// endure has the crowds come to the instance, and checks that it stays within its bounds
+// checkUnder connects the crowds to the instance, and checks that it stays within its bounds
 // and answers an ordinary request beside them and after them.
-func (e *edge) endure(crowds ...crowd) {
+func (e *edge) checkUnder(crowds ...crowd) {
 	e.Helper()
-	var all []*gathering
+	var all []*runningCrowd
 	for _, c := range crowds {
-		all = append(all, c.gather(e.T))
+		all = append(all, c.start(e.T))
 	}
 	time.Sleep(crowdTime)
 	e.checkAnswers("beside the crowd")
 	for _, g := range all {
-		g.leave()
+		g.stop()
 	}
 	e.checkAnswers("after the crowd")
 	e.checkBounds()
--- a/deploy/crowdtest/interface_test.go
+++ b/deploy/crowdtest/interface_test.go
@@ -98,12 +98,12 @@
 	return err == nil && response.StatusCode == http.StatusOK
 }
 
-// endure is edge.endure for the own interface.
-func (o *ownInterface) endure(crowds ...crowd) {
+// checkUnder is edge.checkUnder for the own interface.
+func (o *ownInterface) checkUnder(crowds ...crowd) {
 	o.Helper()
-	var all []*gathering
+	var all []*runningCrowd
 	for _, c := range crowds {
-		all = append(all, c.gather(o.T))
+		all = append(all, c.start(o.T))
 	}
 	time.Sleep(crowdTime)
 	check := func(when string) {
@@ -112,7 +112,7 @@
 	}
 	check("beside the crowd")
 	for _, g := range all {
-		g.leave()
+		g.stop()
 	}
 	check("after the crowd")
 	o.checkBounds()
@@ -136,7 +136,7 @@
 			behave := func(ctx context.Context, m member) error {
 				return m.send(ctx, 0, head+fmt.Sprintf("Content-Length: %d\r\n\r\n", len(largeBody)), largeBody[1:])
 			}
-			o.endure(crowd{address: o.callers, members: 250, behave: behave}, crowd{address: o.admin, members: 100, behave: behave})
+			o.checkUnder(crowd{address: o.callers, members: 250, behave: behave}, crowd{address: o.admin, members: 100, behave: behave})
 		})
 	}
 }
@@ -152,7 +152,7 @@
 				}
 				return m.slowly(ctx, 200*time.Millisecond)
 			}
-			o.endure(crowd{address: o.callers, members: 500, behave: behave}, crowd{address: o.admin, members: 200, behave: behave})
+			o.checkUnder(crowd{address: o.callers, members: 500, behave: behave}, crowd{address: o.admin, members: 200, behave: behave})
 		})
 	}
 }
@@ -164,13 +164,13 @@
 	behave := func(ctx context.Context, m member) error {
 		return m.send(ctx, 0, o.head("Content-Length: 2")+fields+"\r\n", "x")
 	}
-	o.endure(crowd{address: o.callers, members: 250, behave: behave}, crowd{address: o.admin, members: 100, behave: behave})
+	o.checkUnder(crowd{address: o.callers, members: 250, behave: behave}, crowd{address: o.admin, members: 100, behave: behave})
 }
 
 // Guards against many streams of HTTP/2 on each connection, with bodies that stop short.
 func TestOwnInterfaceStreamsOfHTTP2(t *testing.T) {
 	o := startOwnInterface(t)
-	o.endure(crowd{address: o.callers, members: 100, deaf: true, behave: func(ctx context.Context, m member) error {
+	o.checkUnder(crowd{address: o.callers, members: 100, unread: true, behave: func(ctx context.Context, m member) error {
 		return streams{m, o, 100}.stopShort(ctx)
 	}})
 }
--- a/deploy/crowdtest/limits_test.go
+++ b/deploy/crowdtest/limits_test.go
@@ -115,13 +115,13 @@
 	<-started
 	bodies := crowd{address: e.callers, members: 150, behave: func(ctx context.Context, m member) error {
 		return m.send(ctx, 0, m.postHead("/idem/x", 100), largeBody[:50])
-	}}.gather(t)
+	}}.start(t)
 	heads := crowd{address: e.callers, members: 150, behave: func(ctx context.Context, m member) error {
 		return m.send(ctx, 0, m.head("GET", "/idem/x"))
-	}}.gather(t)
+	}}.start(t)
 	asking.Wait()
-	bodies.leave()
-	heads.leave()
+	bodies.stop()
+	heads.stop()
 	if status != http.StatusOK {
 		t.Errorf("status %d, want 200", status)
 	}
--- a/deploy/crowdtest/memory_test.go
+++ b/deploy/crowdtest/memory_test.go
@@ -23,7 +23,7 @@
 func TestHeadsOfManyFieldsBeforeBodies(t *testing.T) {
 	fields := shortFields(60 << 10)
 	e := startEdge(t)
-	e.endure(crowd{address: e.callers, members: 230, behave: func(ctx context.Context, m member) error {
+	e.checkUnder(crowd{address: e.callers, members: 230, behave: func(ctx context.Context, m member) error {
 		return m.send(ctx, 0, m.head("POST", "/idem/x", "Content-Length: 2")+fields+"\r\n", "x")
 	}})
 }
@@ -32,7 +32,7 @@
 func TestHeadsOfManyFieldsWithoutEnd(t *testing.T) {
 	fields := shortFields(60 << 10)
 	e := startEdge(t)
-	e.endure(crowd{address: e.callers, members: 230, behave: func(ctx context.Context, m member) error {
+	e.checkUnder(crowd{address: e.callers, members: 230, behave: func(ctx context.Context, m member) error {
 		return m.send(ctx, 0, m.head("GET", "/idem/x")+fields)
 	}})
 }
@@ -41,7 +41,7 @@
 func TestWholeRequestsOfManyFields(t *testing.T) {
 	fields := shortFields(15 << 10)
 	e := startEdge(t)
-	e.endure(crowd{address: e.callers, members: 230, behave: func(ctx context.Context, m member) error {
+	e.checkUnder(crowd{address: e.callers, members: 230, behave: func(ctx context.Context, m member) error {
 		return m.send(ctx, 0, m.head("GET", "/slow/x")+fields+"\r\n")
 	}})
 }
@@ -52,7 +52,7 @@
 	parts := strings.TrimSuffix(strings.Repeat("a:1,", 15<<10), ",")
 	counts := strings.TrimSuffix(strings.Repeat("0,", 30<<10), ",")
 	e := startEdge(t)
-	e.endure(
+	e.checkUnder(
 		crowd{address: e.callers, members: 110, behave: func(ctx context.Context, m member) error {
 			return m.send(ctx, 0, m.head("POST", "/talk/x", "Content-Length: 2", "Model: m", "Token-Counts: 10,10", "Prompt-Prefix: "+parts)+"\r\n", "x")
 		}},
@@ -86,7 +86,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			e := startEdge(t)
-			e.endure(crowd{address: e.callers, members: 230, behave: behave})
+			e.checkUnder(crowd{address: e.callers, members: 230, behave: behave})
 		})
 	}
 }
@@ -94,7 +94,7 @@
 // Guards against bodies far beyond the limit.
 func TestBodiesBeyondTheLimit(t *testing.T) {
 	e := startEdge(t)
-	e.endure(crowd{address: e.callers, members: 100, behave: func(ctx context.Context, m member) error {
+	e.checkUnder(crowd{address: e.callers, members: 100, behave: func(ctx context.Context, m member) error {
 		parts := []string{m.postHead("/idem/x", 40*len(largeBody))}
 		for range 40 {
 			parts = append(parts, largeBody)
@@ -108,7 +108,7 @@
 	for name, path := range map[string]string{"to a route": "/idem/x", "without a route": "/nowhere/x", "to a slow service": "/slow/x", "with large answers": "/large/x"} {
 		t.Run(name, func(t *testing.T) {
 			e := startEdge(t)
-			e.endure(crowd{address: e.callers, members: 300, deaf: true, behave: func(ctx context.Context, m member) error {
+			e.checkUnder(crowd{address: e.callers, members: 300, unread: true, behave: func(ctx context.Context, m member) error {
 				return m.send(ctx, 0, strings.Repeat(m.head("GET", path)+"\r\n", 3000))
 			}})
 		})
@@ -131,10 +131,10 @@
 			e := startEdge(t)
 			requests := crowd{address: e.callers, members: c.members, behave: func(ctx context.Context, m member) error {
 				return m.send(ctx, 0, m.head("POST", "/staged/x", "Model: m", "Token-Counts: 10,10", "Prompt-Prefix: aa:4,bb:6", "Piece-Key: 1a", "Piece-Count: "+c.count)+"\r\n")
-			}}.gather(t)
+			}}.start(t)
 			time.Sleep(crowdTime)
 			eventually(t, "a request with stages is answered beside the crowd", e.answersStaged)
-			requests.leave()
+			requests.stop()
 			e.checkAnswers("after the crowd")
 			eventually(t, "a request with stages is answered after the crowd", e.answersStaged)
 			e.checkBounds()
--- a/deploy/crowdtest/together_test.go
+++ b/deploy/crowdtest/together_test.go
@@ -44,16 +44,16 @@
 			}
 			return m.slowly(ctx, 200*time.Millisecond)
 		}},
-		{address: e.callers, members: 60, deaf: true, behave: func(ctx context.Context, m member) error {
+		{address: e.callers, members: 60, unread: true, behave: func(ctx context.Context, m member) error {
 			return m.send(ctx, 0, m.head("GET", "/large/x")+"\r\n")
 		}},
 		{address: e.readiness, members: 60, behave: func(ctx context.Context, m member) error {
 			return m.send(ctx, 0, m.postHead("/elsewhere", 100), largeBody[:50])
 		}},
 	}
-	var all []*gathering
+	var all []*runningCrowd
 	for _, c := range crowds {
-		all = append(all, c.gather(t))
+		all = append(all, c.start(t))
 	}
 	for n := range 8 {
 		time.Sleep(crowdTime / 8)
@@ -72,7 +72,7 @@
 	e.checkBounds()
 	e.stop()
 	for _, g := range all {
-		g.leave()
+		g.stop()
 		e.checkNotRun(g.refused)
 	}
 }
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -27,8 +27,8 @@
 	"lynxhill.example/lynxhill/internal/wire/lynxapi"
 )
 
-// ServerOptions are the functions that serve the calls of other instances. If one is nil,
-// its call returns an empty reply or is not implemented.
+// ServerOptions are the functions that serve the calls of other instances. A call whose
+// function is nil returns an empty reply or is not implemented.
 type ServerOptions struct {
 	Exchange func(ctx context.Context, d gossip.Digest) gossip.Digest // membership.Manager.HandleExchange
 	Probe    func(ctx context.Context, targetPeerAddr string) error   // membership.Manager.HandleProbe
