Stage work: the log says that a job's pieces met a limit

What operators saw: a job that states more pieces than all targets could make, and one for whose pieces there is no memory, were logged and answered as "cannot be done in time", like any job of an overload.

Change: two reasons of their own. A job for whose pieces there is no memory is answered as overloaded; both are 503, not run, as before, and another cell may still take the job. TestJobsBeyondAllTargetsAreRefusedAtOnce and TestPiecesOfAllJobsAreLimited check the reasons.

--- a/internal/forwarding/engine.go
+++ b/internal/forwarding/engine.go
@@ -282,6 +282,8 @@
 		kind = errkind.NoTarget
 	case stagework.ReasonIsolated:
 		kind = errkind.Isolated
+	case stagework.ReasonPiecesFull:
+		kind = errkind.Overloaded
 	}
 	ef.refuse(errkind.New(kind, "%s", r.Reason), r.RetryAfter)
 }
--- a/internal/stagework/impossible.go
+++ b/internal/stagework/impossible.go
@@ -15,7 +15,7 @@
 	piecesShare = 0.15
 )
 
-// MaxPieces returns the number of pieces that the jobs of an instance may have together, if
+// MaxPieces returns the number of pieces that the jobs of a cell may have together, if
 // the process has the given memory, in MiB; 0 = no limit.
 func MaxPieces(memoryMB int) int {
 	return int(piecesShare * float64(memoryMB) * (1 << 20) / pieceCost)
@@ -35,12 +35,12 @@
 			continue
 		}
 		if float64(n) > v.mostPieces(j.Deadline.Sub(now), st.ResultBytes) {
-			return &Refusal{Reason: ReasonLate, RetryAfter: retryAfterMax}
+			return &Refusal{Reason: ReasonTooManyPieces, RetryAfter: retryAfterMax}
 		}
 		pieces += n
 	}
 	if p.maxPieces > 0 && p.pieces+pieces > p.maxPieces {
-		return &Refusal{Reason: ReasonLate, RetryAfter: retryAfterMin}
+		return &Refusal{Reason: ReasonPiecesFull, RetryAfter: retryAfterMin}
 	}
 	return nil
 }
--- a/internal/stagework/impossible_test.go
+++ b/internal/stagework/impossible_test.go
@@ -15,23 +15,23 @@
 	large := []route.Stage{{Service: "cut", ResultBytes: mb}}
 	small := []route.Stage{{Service: "cut", ResultBytes: resultBytes}}
 	for _, c := range []struct {
-		name    string
-		stages  []route.Stage
-		pieces  int
-		refused bool
+		name   string
+		stages []route.Stage
+		pieces int
+		reason string // of the refusal; "" = none
 	}{
-		{"fits", small, 40, false},
-		{"more than can be worked on in time", small, 5_000, true},
-		{"results need more memory than there is", large, 2*64 + 1, true},
-		{"two billion", small, 2_000_000_000, true},
+		{"fits", small, 40, ""},
+		{"more than can be worked on in time", small, 5_000, ReasonTooManyPieces},
+		{"results need more memory than there is", large, 2*64 + 1, ReasonTooManyPieces},
+		{"two billion", small, 2_000_000_000, ReasonTooManyPieces},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withEnv(t, services, func(w *testEnv) {
 				ends := w.serveAll(1, 0, func(i int) Job { return newJob(i, 3*time.Second, 4*time.Second, c.stages, c.pieces) })
-				if refused := ends[0].refusal != nil; refused != c.refused {
-					t.Errorf("refusal %+v, want one: %v", ends[0].refusal, c.refused)
+				if r := ends[0].refusal; r == nil && c.reason != "" || r != nil && r.Reason != c.reason {
+					t.Errorf("refusal %+v, want %q", r, c.reason)
 				}
-				if n := w.callsStarted("cut"); c.refused && n["cut0"]+n["cut1"] > 0 {
+				if n := w.callsStarted("cut"); c.reason != "" && n["cut0"]+n["cut1"] > 0 {
 					t.Errorf("calls of a refused job: %v", n)
 				}
 			})
@@ -51,7 +51,7 @@
 		}
 		refused := 0
 		for _, end := range submit(2) {
-			if end.refusal != nil {
+			if end.refusal != nil && end.refusal.Reason == ReasonPiecesFull {
 				refused++
 			}
 		}
--- a/internal/stagework/job.go
+++ b/internal/stagework/job.go
@@ -140,6 +140,11 @@
 	ReasonIsolated = "the other instances are not reached"
 	ReasonNotFirst = "another instance ranks first"
 	ReasonCrashes  = "stage targets crashed while they ran such requests"
+	// ReasonTooManyPieces: all targets together could not make the job's pieces in time, or
+	// not keep their results.
+	ReasonTooManyPieces = "more pieces than the targets can make"
+	// ReasonPiecesFull: the pieces of the accepted jobs take all memory for pieces.
+	ReasonPiecesFull = "as many pieces wait as may"
 )
 
 // call is a call of a stage target that the planner has decided on.
--- a/internal/stagework/retired.go
+++ b/internal/stagework/retired.go
@@ -51,5 +51,9 @@
 // retryInOtherCell reports whether another cell may accept a job that this one
 // refused.
 func (r *Refusal) retryInOtherCell() bool {
-	return r.Reason == ReasonLate || r.Reason == ReasonNoTarget || r.Reason == ReasonNoBuild
+	switch r.Reason {
+	case ReasonLate, ReasonNoTarget, ReasonNoBuild, ReasonTooManyPieces, ReasonPiecesFull:
+		return true
+	}
+	return false
 }
