Intake: refusals of HTTP/2 streams are counted; the runtime's share stands once

A stream of HTTP/2, or a head over TLS, for which there was no memory was refused without a count or a log line of the limit that it met. The share of the memory for the runtime stood in packages edge and daemon; it is intake.RuntimeLimit now. A divisor was called a share.

--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -7,13 +7,9 @@
 	"lynxhill.example/lynxhill/internal/intake"
 )
 
-// memoryShare is the part of the process's memory that the runtime may use. The rest is for
-// the program itself and the kernel's socket buffers.
-const memoryShare = 0.7
-
-// operatorShare is the part of the memory for requests that callers can't use up, so that
-// operators are answered beside any crowd of them.
-const operatorShare = 8
+// operatorDivisor divides the memory for requests: one part is for operators, so that they
+// are answered although callers use up the others.
+const operatorDivisor = 8
 
 // intakeOf is what limits one listener.
 type intakeOf struct {
@@ -24,17 +20,17 @@
 // newIntake applies the limits of memory and descriptors in the settings.
 func (d *Daemon) newIntake() (callers, operators intakeOf) {
 	limits := d.cfg.Limits
-	if d.opts.LimitMemory != nil && limits.MemoryMB > 0 {
-		d.opts.LimitMemory(int64(memoryShare * float64(limits.MemoryMB) * (1 << 20)))
+	if d.opts.LimitMemory != nil {
+		d.opts.LimitMemory(intake.RuntimeLimit(limits.MemoryMB))
 	}
 	bounds := intake.BoundsOf(limits.MemoryMB, limits.Descriptors)
 	meter := intake.NewMeter(d.metrics)
 	callers = d.newIntakeOf("caller", meter, d.tls.caller != nil)
-	callers.memory.SetLimit(bounds.Held - bounds.Held/operatorShare)
+	callers.memory.SetLimit(bounds.Held - bounds.Held/operatorDivisor)
 	callers.limiter.SetLimit(bounds.Connections)
 	callers.limiter.SetBuffers(bounds.BufferBytes())
 	operators = d.newIntakeOf("admin", meter, d.tls.admin != nil)
-	operators.memory.SetLimit(bounds.Held / operatorShare)
+	operators.memory.SetLimit(bounds.Held / operatorDivisor)
 	operators.limiter.SetLimit(bounds.QueryConnections)
 	operators.limiter.SetBuffers(bounds.BufferBytes())
 	return callers, operators
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"math"
 	"slices"
 
 	"lynxhill.example/lynxhill/internal/config"
@@ -76,27 +75,14 @@
 	return running
 }
 
-// memoryShare is the part of the process's memory that the runtime may use. The rest is
-// for the program itself and the kernel's socket buffers.
-const memoryShare = 0.7
-
 // applyLimits applies the limits of memory and descriptors.
-//
-// Besides the limit of the memory that callers' requests can occupy, it sets the
-// runtime's limit: by default the runtime lets garbage grow to the size of the live
-// heap, and the process is killed although little of its memory is needed.
 func (i *Instance) applyLimits() {
 	s := i.settings()
 	i.dispatcher.SetMaxPieces(stagework.MaxPieces(s.MemoryMB))
 	i.ingress.SetBounds(intake.BoundsOf(s.MemoryMB, s.Descriptors))
-	if i.o.LimitMemory == nil {
-		return
-	}
-	limit := int64(math.MaxInt64)
-	if s.MemoryMB > 0 {
-		limit = int64(memoryShare * float64(s.MemoryMB) * (1 << 20))
+	if i.o.LimitMemory != nil {
+		i.o.LimitMemory(intake.RuntimeLimit(s.MemoryMB))
 	}
-	i.o.LimitMemory(limit)
 }
 
 // newForwarder returns a forwarder. It also sets i.budget, whose limits Reload changes.
--- a/internal/intake/bounds.go
+++ b/internal/intake/bounds.go
@@ -1,5 +1,7 @@
 package intake
 
+import "math"
+
 // Bounds limit the memory and the connections that clients can occupy. A field that is 0
 // means no limit.
 type Bounds struct {
@@ -26,6 +28,9 @@
 	connectionShare = 0.4
 	// queryShare is the share for each listener that answers only short queries.
 	queryShare = 0.05
+	// runtimeShare is the share that the runtime may use. The rest is for the program
+	// itself and the kernel's buffers.
+	runtimeShare = 0.7
 	// bufferShare is the share of the memory for the kernel's buffers of callers'
 	// connections.
 	bufferShare = 0.1
@@ -50,6 +55,18 @@
 	return b
 }
 
+// RuntimeLimit returns the limit, in bytes, of the runtime's memory in a process with the
+// given memory, in MiB; 0 = no limit.
+//
+// By default the runtime lets garbage grow to the size of the live heap, and the process is
+// killed although little of its memory is needed.
+func RuntimeLimit(memoryMB int) int64 {
+	if memoryMB <= 0 {
+		return math.MaxInt64
+	}
+	return int64(runtimeShare * float64(memoryMB) * (1 << 20))
+}
+
 // BufferBytes returns the size, in bytes, of the kernel's buffer for each direction of a
 // connection; 0 = the system's default.
 func (b Bounds) BufferBytes() int {
--- a/internal/intake/request.go
+++ b/internal/intake/request.go
@@ -28,7 +28,7 @@
 }
 
 // Admit returns a copy of a request that has just arrived, with a Request in its context. The
-// error is of kind Overloaded if there is no memory for it. End must be called in any case.
+// error is of kind Overloaded if there is no memory for it. The caller must call end in any case.
 func (m *Memory) Admit(r *http.Request, bodyTimeout time.Duration) (admitted *http.Request, end func(), err error) {
 	request := &Request{reserved: m.Reserve(r.Context()), bodyTimeout: bodyTimeout}
 	admitted = r.WithContext(context.WithValue(r.Context(), requestKey{}, request))
@@ -38,7 +38,11 @@
 	if err == nil && (r.ProtoMajor > 1 || r.TLS != nil) { // the head was not examined as it arrived
 		err = request.reserved.Add(int64(fieldCost * max(len(r.Header)-fewFields, 0)))
 	}
-	if err == nil && r.ContentLength == 0 {
+	if err != nil {
+		countLimit(r.Context(), limitMemory)
+		return admitted, request.end, err
+	}
+	if r.ContentLength == 0 {
 		err = request.whole(r.Context(), 0)
 	}
 	return admitted, request.end, err
