Stage work: what is remembered of prompts does not grow with what callers make up

What callers saw: 100 callers whose requests have 500 new parts of a prompt each made an instance of 128 MiB hold 271 to 301 MiB within 5 s, and with one part of 50 KB each 729 to 855 MiB; it would be killed. The requests are whole, small enough, and within all limits.

Cause: found by a heap profile: each part of a prompt was remembered for the reuse window, without a bound, and as cached by engines with a bound of tokens only, which parts of no tokens never meet. Its ID was a part of the text of the head, which stayed with it.

Change: the number of remembered parts follows from the settings' memory, for uses and for what engines are assumed to have cached; the least recently used go.

--- a/deploy/crowdtest/crowd_test.go
+++ b/deploy/crowdtest/crowd_test.go
@@ -135,6 +135,16 @@
 	}
 }
 
+// readAnswer reads one answer to its end.
+func (m member) readAnswer() error {
+	response, err := http.ReadResponse(bufio.NewReader(m), nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err
+}
+
 // sleep pauses. It reports false if ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
 	select {
--- a/deploy/crowdtest/edge_test.go
+++ b/deploy/crowdtest/edge_test.go
@@ -64,6 +64,8 @@
 
 // deployment is what the instances are in front of.
 func deployment() emulator.Deployment {
+	resumable := routeOf("/resume/", emulator.Streaming, "talk")
+	resumable.StreamResumption = true
 	staged := routeOf("/staged/", emulator.Streaming, "talk")
 	staged.Stages = []emulator.Stage{{Service: "cut", After: []int{}, ByteCount: 1000}, {Service: "cut", After: []int{0}, ByteCount: 1000}}
 	places := []emulator.Place{{Zone: "z1", Count: 2}, {Zone: "z2", Count: 2}}
@@ -71,7 +73,7 @@
 		Config: emulator.Config{
 			Version: 3, Limits: limits,
 			Routes: []emulator.Route{
-				routeOf("/talk/", emulator.Streaming, "talk"), staged,
+				routeOf("/talk/", emulator.Streaming, "talk"), resumable, staged,
 				routeOf("/idem/", emulator.Idempotent, "plain"), routeOf("/once/", emulator.NonIdempotent, "plain"),
 				routeOf("/slow/", emulator.Idempotent, "slow"), routeOf("/large/", emulator.Idempotent, "large"),
 			},
--- a/deploy/crowdtest/interface_test.go
+++ b/deploy/crowdtest/interface_test.go
@@ -175,6 +175,31 @@
 	}})
 }
 
+// Guards against state that is kept for each key that a caller makes up, and for the inputs
+// and answers under it.
+func TestOwnInterfaceKeysThatCallersMakeUp(t *testing.T) {
+	o := startOwnInterface(t)
+	input := strings.Repeat("e", 200<<10)
+	o.checkUnder(crowd{address: o.callers, members: 100, unread: true, behave: func(ctx context.Context, m member) error {
+		return m.again(ctx, func(n int64) string {
+			body := fmt.Sprintf(`{"organisation":%q,"key":"%s%016x","input":"%016x%s","prefix":"%s%016x","deadline_ms":4000}`, o.organisation, input[:200], n, n, input, input[:900], n)
+			return o.head(fmt.Sprintf("Content-Length: %d", len(body))) + "\r\n" + body
+		})
+	}})
+}
+
+// Guards against answers of the own interface that callers do not read, and requests that
+// they send ahead.
+func TestOwnInterfaceRequestsAheadWithoutReading(t *testing.T) {
+	o := startOwnInterface(t)
+	body := fmt.Sprintf(`{"organisation":%q,"input":"x","deadline_ms":4000}`, o.organisation)
+	o.checkUnder(crowd{address: o.callers, members: 300, unread: true, behave: func(ctx context.Context, m member) error {
+		return m.send(ctx, 0, strings.Repeat(o.head(fmt.Sprintf("Content-Length: %d", len(body)))+"\r\n"+body, 3000))
+	}}, crowd{address: o.admin, members: 60, unread: true, behave: func(ctx context.Context, m member) error {
+		return m.send(ctx, 0, strings.Repeat("GET /livez HTTP/1.1\r\nHost: x\r\n\r\n", 30000))
+	}})
+}
+
 // streams are requests on one connection of HTTP/2.
 type streams struct {
 	member
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -78,7 +78,7 @@
 // applyLimits applies the limits of memory and descriptors.
 func (i *Instance) applyLimits() {
 	s := i.settings()
-	i.dispatcher.SetMaxPieces(stagework.MaxPieces(s.MemoryMB))
+	i.dispatcher.SetLimits(stagework.LimitsOf(s.MemoryMB))
 	i.ingress.SetBounds(intake.BoundsOf(s.MemoryMB, s.Descriptors))
 	if i.o.LimitMemory != nil {
 		i.o.LimitMemory(intake.RuntimeLimit(s.MemoryMB))
--- a/internal/stagework/dispatcher.go
+++ b/internal/stagework/dispatcher.go
@@ -59,7 +59,7 @@
 	partition       Partition
 	cells           []Cell // of the latest view
 	overload        Overload
-	maxPieces       int // see SetMaxPieces
+	limits          Limits
 	refusals        refusallog.Log
 	wakeScheduled   bool
 	releases        releaseBatch // results to be released
@@ -92,7 +92,7 @@
 	}
 	var p *Planner
 	p = NewPlanner(func(address string, handles []string) { d.release(releaseDest{p, address}, handles) })
-	p.cell, p.bounds, p.overload, p.maxPieces = cell, d.o.RateLimits, d.overload, d.maxPieces
+	p.cell, p.bounds, p.overload, p.limits = cell, d.o.RateLimits, d.overload, d.limits
 	p.reservations.log = func(id event.ID, fields ...any) { d.o.Logger.Log(id, fields...) }
 	p.onLate = func(j *job, rule Rule) { d.logLate(p, j, rule) }
 	p.crashes = d.newCrashes(p)
@@ -343,17 +343,6 @@
 	}
 }
 
-// SetMaxPieces changes the number of pieces that the jobs of each cell may have together; 0 =
-// no limit. Jobs that were accepted stay.
-func (d *Dispatcher) SetMaxPieces(n int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.maxPieces = n
-	for _, p := range d.planners {
-		p.maxPieces = n
-	}
-}
-
 // SetReuse changes Options.Reuse for future decisions; r must be positive.
 func (d *Dispatcher) SetReuse(r time.Duration) {
 	d.mu.Lock()
--- a/internal/stagework/engine.go
+++ b/internal/stagework/engine.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"math"
 	"slices"
+	"strings"
 	"time"
 
 	"lynxhill.example/lynxhill/internal/allowance"
@@ -38,6 +39,7 @@
 	cachedParts   map[string]*list.Element // prompt parts assumed to be cached
 	lru           *list.List               // of *part, least recently used first
 	cachedTokens  int64                    // tokens of the cached parts
+	maxParts      int                      // limit of the cached parts; 0 = none
 	sentWindow    allowance.Window         // jobs placed here: in total, and by owner while it is cold
 	limitWindow   allowance.Window         // jobs placed here while it announces a rate limit, by owner
 }
@@ -115,11 +117,38 @@
 		}
 		u.uses++
 		u.at = now
+		if u.uses == 1 {
+			q.ID = strings.Clone(q.ID) // it is a part of the request's head, which must not stay
+		}
 		o.partUses[q.ID] = u
 	}
 	if len(o.partUses) >= max(o.pruneAt, pruneMinParts) {
 		o.pruneUses(now)
 	}
+	if o.maxParts > 0 && len(o.partUses) > o.maxParts {
+		o.dropUses(now)
+	}
+}
+
+// dropUses drops half of the recorded prompt parts, the least recently used first. Without it
+// callers whose prompts have ever new parts make the instance remember all parts of the reuse
+// window until it is killed.
+func (o *pool) dropUses(now time.Time) {
+	for window := o.reuseWindow; len(o.partUses) > o.maxParts/2; window /= 2 {
+		o.dropUsesBefore(now.Add(-window))
+		if window == 0 {
+			return
+		}
+	}
+}
+
+// dropUsesBefore drops the prompt parts that were not used after the time.
+func (o *pool) dropUsesBefore(at time.Time) {
+	for id, u := range o.partUses {
+		if !u.at.After(at) {
+			delete(o.partUses, id)
+		}
+	}
 }
 
 // pruneMinParts is the minimum number of recorded prompt parts for unused ones
@@ -131,11 +160,7 @@
 // recently, as after engines have reported their caches, a scan of 50,000 parts
 // with each placement costs 0.5 ms.
 func (o *pool) pruneUses(now time.Time) {
-	for id, u := range o.partUses {
-		if now.Sub(u.at) >= o.reuseWindow {
-			delete(o.partUses, id)
-		}
-	}
+	o.dropUsesBefore(now.Add(-o.reuseWindow))
 	o.pruneAt = 2 * len(o.partUses)
 }
 
@@ -147,10 +172,11 @@
 			e.lru.MoveToBack(at)
 			continue
 		}
-		e.cachedParts[q.ID] = e.lru.PushBack(&part{id: q.ID, tokens: q.Tokens})
+		id := strings.Clone(q.ID) // see recordUse
+		e.cachedParts[id] = e.lru.PushBack(&part{id: id, tokens: q.Tokens})
 		e.cachedTokens += int64(q.Tokens)
 	}
-	for e.cachedTokens > capacity && e.lru.Len() > 0 {
+	for e.lru.Len() > 0 && (e.cachedTokens > capacity || e.maxParts > 0 && e.lru.Len() > e.maxParts) {
 		oldest := e.lru.Remove(e.lru.Front()).(*part)
 		delete(e.cachedParts, oldest.id)
 		e.cachedTokens -= int64(oldest.tokens)
@@ -177,6 +203,7 @@
 	meanPace       float64   // mean of the engines' stated paces; 0 = none has been stated
 	reuseWindow    time.Duration
 	partUses       map[string]partUse // by ID of the prompt part
+	maxParts       int                // limit of partUses; 0 = none
 	// pruneAt is the number of recorded parts at which unused ones are pruned
 	// next; at least pruneMinParts.
 	pruneAt int
--- a/internal/stagework/impossible.go
+++ b/internal/stagework/impossible.go
@@ -5,21 +5,9 @@
 	"time"
 )
 
-const (
-	// speedMargin is how many times faster than declared the targets of a service may be
-	// when a job is judged as impossible.
-	speedMargin = 4
-	// pieceCost is a high estimate of the memory, in bytes, of a piece that waits.
-	pieceCost = 256
-	// piecesShare is the share of the process's memory for pieces.
-	piecesShare = 0.15
-)
-
-// MaxPieces returns the number of pieces that the jobs of a cell may have together, if
-// the process has the given memory, in MiB; 0 = no limit.
-func MaxPieces(memoryMB int) int {
-	return int(piecesShare * float64(memoryMB) * (1 << 20) / pieceCost)
-}
+// speedMargin is how many times faster than declared the targets of a service may be when a
+// job is judged as impossible.
+const speedMargin = 4
 
 // refuseImpossible returns the refusal of a new job whose number of pieces its targets can't
 // work on before its deadline, or whose results they can't keep, or that this instance can't
@@ -39,7 +27,7 @@
 		}
 		pieces += n
 	}
-	if p.maxPieces > 0 && p.pieces+pieces > p.maxPieces {
+	if most := p.limits.Pieces; most > 0 && p.pieces+pieces > most {
 		return &Refusal{Reason: ReasonPiecesFull, RetryAfter: retryAfterMin}
 	}
 	return nil
--- a/internal/stagework/impossible_test.go
+++ b/internal/stagework/impossible_test.go
@@ -45,7 +45,7 @@
 	services := map[string]serviceSpec{"cut": {2, limits(8, 20*ms, 2*ms, 64*mb)}}
 	stages := []route.Stage{{Service: "cut", ResultBytes: 1000}}
 	withEnv(t, services, func(w *testEnv) {
-		w.d.SetMaxPieces(10)
+		w.d.SetLimits(Limits{Pieces: 10})
 		submit := func(n int) []jobOutcome {
 			return w.serveAll(n, 0, func(i int) Job { return newJob(i, 3*time.Second, 4*time.Second, stages, 6) })
 		}
--- a/internal/stagework/planner.go
+++ b/internal/stagework/planner.go
@@ -31,8 +31,8 @@
 	byName          []*service // services sorted by name, so that decisions are deterministic
 	pools           map[string]*pool
 	jobs            map[*job]struct{}
-	pieces          int                       // of all jobs
-	maxPieces       int                       // limit of pieces; 0 = none
+	pieces          int // of all jobs
+	limits          Limits
 	arrivalQueue    jobQueue                  // jobs without an engine, by arrival
 	urgencyQueue    jobQueue                  // the same jobs, by urgency
 	stagingBuf      []*job                    // buffer of staging
@@ -181,6 +181,7 @@
 		}
 	}
 	o.byID = slices.SortedFunc(maps.Values(o.engines), func(a, b *engine) int { return compare(a.info.ID, b.info.ID) })
+	o.setMaxParts(p.limits.Parts)
 }
 
 // submit accepts a job, or returns nil and a refusal if it cannot be done.
