Crowd tests: each kind of client at the listeners for queries

Bodies that stop and heads had been shown there; now also clients that send nothing, half of a head, a body byte by byte, large bodies and chunks without their end, 40 MiB, and that read the answers to requests ahead 64 bytes at a time.

--- a/deploy/crowdtest/connections_test.go
+++ b/deploy/crowdtest/connections_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -23,6 +24,15 @@
 	return ctx.Err()
 }
 
+// readSlowly reads a few bytes at a time, for as long as the connection lasts.
+func (m member) readSlowly(ctx context.Context) error {
+	for few := make([]byte, 64); ; sleep(ctx, 200*time.Millisecond) {
+		if _, err := m.Read(few); err != nil {
+			return err
+		}
+	}
+}
+
 // Guards against slow bodies that occupy all connections: no request of others is read
 // while they last.
 func TestSlowBodies(t *testing.T) {
@@ -88,11 +98,7 @@
 		if err := m.send(ctx, 0, m.head("GET", "/large/x")+"\r\n"); err != nil {
 			return err
 		}
-		for few := make([]byte, 64); ; sleep(ctx, 200*time.Millisecond) {
-			if _, err := m.Read(few); err != nil {
-				return err
-			}
-		}
+		return m.readSlowly(ctx)
 	}})
 }
 
@@ -134,3 +140,48 @@
 		crowd{address: e.readiness, members: 60, unread: true, behave: ahead}, crowd{address: e.resolver, members: 60, unread: true, behave: ahead},
 	)
 }
+
+// Guards against clients that send nothing, little, or too much at these listeners, and against
+// answers that are read a few bytes at a time.
+func TestSlowAndLargeAtTheQueryListeners(t *testing.T) {
+	chunk := "10\r\n" + largeBody[:16] + "\r\n"
+	for name, behave := range map[string]func(ctx context.Context, m member) error{
+		"nothing": func(context.Context, member) error { return nil },
+		"half of a head": func(ctx context.Context, m member) error {
+			return m.send(ctx, 0, m.head("GET", platform.ReadinessPath))
+		},
+		"a slow body": func(ctx context.Context, m member) error {
+			if err := m.send(ctx, 0, m.postHead(platform.ReadinessPath, 10_000)); err != nil {
+				return err
+			}
+			return m.slowly(ctx, 200*time.Millisecond)
+		},
+		"a large body without its end": func(ctx context.Context, m member) error {
+			return m.send(ctx, 0, m.postHead(platform.AddressPath+"?zone=z1", len(largeBody)), largeBody[1:])
+		},
+		"chunks without an end": func(ctx context.Context, m member) error {
+			return m.send(ctx, 0, m.head("POST", "/elsewhere", "Transfer-Encoding: chunked")+"\r\n", strings.Repeat(chunk, len(largeBody)/16))
+		},
+		"a body far over the limit": func(ctx context.Context, m member) error {
+			return m.send(ctx, 0, append([]string{m.postHead("/elsewhere", 40*len(largeBody))}, slices.Repeat([]string{largeBody}, 40)...)...)
+		},
+		"slow reading of requests ahead": func(ctx context.Context, m member) error {
+			if err := m.Conn.(*net.TCPConn).SetReadBuffer(4 << 10); err != nil {
+				return err
+			}
+			go func() {
+				_ = m.send(ctx, 0, strings.Repeat(m.head("GET", platform.AddressPath+"?zone=z1")+"\r\n", 3000))
+			}()
+			return m.readSlowly(ctx)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			e := startEdge(t)
+			unread := strings.HasPrefix(name, "slow reading")
+			e.checkUnder(
+				crowd{address: e.readiness, members: 60, unread: unread, behave: behave},
+				crowd{address: e.resolver, members: 60, unread: unread, behave: behave},
+			)
+		})
+	}
+}
