--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -29,7 +29,7 @@
 // verdict is what a case found: how often the rule was broken.
 type verdict struct{ broken, checked int }
 
-var cases = map[string]func(context.Context, options) (verdict, error){"early": early}
+var cases = map[string]func(context.Context, options) (verdict, error){"early": early, "slow": slow}
 
 func main() { os.Exit(run()) }
 
