--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -23,13 +23,14 @@
 	program string // the daemon
 	dir     string // temporary
 	trouble bool
+	list    string // kind of the objects that list the platform's servers
 	record  *record
 }
 
 // verdict is what a case found: how often the rule was broken.
 type verdict struct{ broken, checked int }
 
-var cases = map[string]func(context.Context, options) (verdict, error){"early": early, "slow": slow}
+var cases = map[string]func(context.Context, options) (verdict, error){"early": early, "slow": slow, "foreign": foreign}
 
 func main() { os.Exit(run()) }
 
@@ -38,6 +39,7 @@
 	program := flag.String("program", "target/lynxhilld", "the daemon")
 	out := flag.String("record", "record.txt", "what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "with the disruption")
+	list := flag.String("list", "", "kind of the objects that list the platform's servers")
 	flag.Parse()
 	play, known := cases[*name]
 	if !known {
@@ -64,7 +66,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 110*time.Second)
 	defer cancel()
-	v, err := play(ctx, options{program: absolute, dir: dir, trouble: *trouble, record: rec})
+	v, err := play(ctx, options{program: absolute, dir: dir, trouble: *trouble, list: *list, record: rec})
 	if err != nil {
 		rec.say("the case could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
