--- a/review/standins-2/early.go
+++ b/review/standins-2/early.go
@@ -14,7 +14,7 @@
 const (
 	host        = "a.example"
 	answerBytes = 800
-	bodyBytes   = 4 << 20
+	bodyBytes   = 400_000
 	serverCount = 5
 )
 
--- a/review/standins-2/front.go
+++ b/review/standins-2/front.go
@@ -3,12 +3,17 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // front is a server of a plain service that answers before it has read a long body. What it
@@ -25,13 +30,26 @@
 }
 
 func newFront(work time.Duration) (*front, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := (&net.ListenConfig{Control: networkSizes}).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	return &front{work: work, listener: l, conns: make(map[net.Conn]bool)}, nil
 }
 
+// networkSizes gives the server's connections the segments of a network and a small
+// window. Loopback has segments of 64 KiB, with which a sender's buffer holds megabytes.
+func networkSizes(_, _ string, raw syscall.RawConn) error {
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = errors.Join(
+			unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, 1460),
+			unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 8<<10),
+		)
+	})
+	return errors.Join(err, failed)
+}
+
 func (f *front) address() string { return f.listener.Addr().String() }
 
 func (f *front) serve() {
@@ -67,7 +85,6 @@
 		delete(f.conns, c)
 		f.mu.Unlock()
 	}()
-	_ = c.(*net.TCPConn).SetReadBuffer(16 << 10)
 	from := bufio.NewReaderSize(c, 4<<10)
 	r, err := http.ReadRequest(from)
 	if err != nil {
