--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -24,13 +24,14 @@
 	dir     string // temporary
 	trouble bool
 	list    string // kind of the objects that list the platform's servers
+	start   string // field of their entries that states their start
 	record  *record
 }
 
 // verdict is what a case found: how often the rule was broken.
 type verdict struct{ broken, checked int }
 
-var cases = map[string]func(context.Context, options) (verdict, error){"early": early, "slow": slow, "foreign": foreign}
+var cases = map[string]func(context.Context, options) (verdict, error){"early": early, "slow": slow, "foreign": foreign, "later-start": laterStart}
 
 func main() { os.Exit(run()) }
 
@@ -40,6 +41,7 @@
 	out := flag.String("record", "record.txt", "what was sent, answered and run")
 	trouble := flag.Bool("trouble", true, "with the disruption")
 	list := flag.String("list", "", "kind of the objects that list the platform's servers")
+	start := flag.String("start", "", "field of their entries that states their start")
 	flag.Parse()
 	play, known := cases[*name]
 	if !known {
@@ -66,7 +68,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), 110*time.Second)
 	defer cancel()
-	v, err := play(ctx, options{program: absolute, dir: dir, trouble: *trouble, list: *list, record: rec})
+	v, err := play(ctx, options{program: absolute, dir: dir, trouble: *trouble, list: *list, start: *start, record: rec})
 	if err != nil {
 		rec.say("the case could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
