--- a/review/standins-2/early.go
+++ b/review/standins-2/early.go
@@ -41,6 +41,7 @@
 		return v, err
 	}
 	defer w.Close()
+	defer o.record.sayRuns(w)
 	fronts, err := openFronts(w)
 	if err != nil {
 		return v, err
--- a/review/standins-2/foreign.go
+++ b/review/standins-2/foreign.go
@@ -37,6 +37,7 @@
 		return v, err
 	}
 	defer w.Close()
+	defer o.record.sayRuns(w)
 	beating, endBeats := context.WithCancel(ctx)
 	defer endBeats()
 	for n, s := range w.Servers("") {
@@ -176,6 +177,7 @@
 		return v, err
 	}
 	defer w.Close()
+	defer o.record.sayRuns(w)
 	beating, endBeats := context.WithCancel(ctx)
 	defer endBeats()
 	for n, s := range w.Servers("") {
--- a/review/standins-2/record.go
+++ b/review/standins-2/record.go
@@ -5,6 +5,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"lynxhill.example/lynxhill/deploy/emulator"
 )
 
 // record is what was sent, answered and run.
@@ -24,3 +26,10 @@
 	defer r.mu.Unlock()
 	_, _ = fmt.Fprintf(r.file, "%7.3f s  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, values...))
 }
+
+// sayRuns writes what the servers ran. An outcome is that of the stand-in itself.
+func (r *record) sayRuns(w *emulator.World) {
+	for _, run := range w.Journal.Runs() {
+		r.say("run %s of %s: %s %s at %s, status %d, %s", run.ID, run.Attempt, run.Method, run.Path, run.Service, run.Status, run.Outcome)
+	}
+}
--- a/review/standins-2/slow.go
+++ b/review/standins-2/slow.go
@@ -45,6 +45,7 @@
 		return v, err
 	}
 	defer w.Close()
+	defer o.record.sayRuns(w)
 	instances, err := newInstances(o.program, o.dir, []string{"z1", "z2"})
 	if err != nil {
 		return v, err
